Lay out the workspace, the shared model and the wire messages

Cause: nothing existed; every module needs the same types, messages and checks. Change: Maven workspace with formatter (AOSP) and Checkstyle in every module, the immutable model, clocks under test control, the gate and selector interfaces with their baselines, and the committed protobuf messages.

--- /dev/null
+++ b/bench/src/main/java/org/boragethread/bench/package-info.java
@@ -0,0 +1,2 @@
+/** The load and measurement tool. */
+package org.boragethread.bench;
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/admission/FixedGate.java
@@ -0,0 +1,71 @@
+package org.boragethread.core.admission;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.upstream.UpstreamLoad;
+
+/** Baseline gate: a constant limit and no queue. */
+public final class FixedGate implements Gate {
+
+    private static final Duration RETRY_AFTER = Duration.ofMillis(100);
+    private static final Waiting NOT_WAITING = () -> {};
+
+    private final int mLimit;
+    private int mInFlight;
+    private boolean mLeaving;
+
+    /**
+     * Makes a gate.
+     *
+     * @param limit greatest number of calls in flight
+     */
+    public FixedGate(int limit) {
+        if (limit < 1) {
+            throw new IllegalArgumentException("limit %d must be at least 1".formatted(limit));
+        }
+        mLimit = limit;
+    }
+
+    @Override
+    public Waiting offer(GateRequest request, Listener listener) {
+        RefusalReason reason = tryAdmit();
+        if (reason == null) {
+            AtomicBoolean open = new AtomicBoolean(true);
+            listener.onAdmitted((outcome, latency) -> release(open));
+        } else {
+            listener.onRefused(Refusal.notRun(reason, "no capacity at the agent", RETRY_AFTER));
+        }
+        return NOT_WAITING;
+    }
+
+    private synchronized RefusalReason tryAdmit() {
+        if (mLeaving) {
+            return RefusalReason.LEAVING;
+        }
+        if (mInFlight >= mLimit) {
+            return RefusalReason.QUEUE_FULL;
+        }
+        mInFlight++;
+        return null;
+    }
+
+    private void release(AtomicBoolean open) {
+        if (open.compareAndSet(true, false)) {
+            synchronized (this) {
+                mInFlight--;
+            }
+        }
+    }
+
+    @Override
+    public synchronized UpstreamLoad load() {
+        return new UpstreamLoad(mInFlight, mLimit, 0, false, mLeaving);
+    }
+
+    @Override
+    public synchronized void setLeaving(boolean leaving) {
+        mLeaving = leaving;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/selection/SelectionRequest.java
@@ -0,0 +1,31 @@
+package org.boragethread.core.selection;
+
+import java.util.Objects;
+import java.util.Set;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.upstream.GroupKind;
+import org.boragethread.model.upstream.UpstreamId;
+
+/**
+ * What is to be placed.
+ *
+ * @param kind what the upstreams are
+ * @param home data centre of this process
+ * @param homeRegion region of that data centre
+ * @param prefixHash hash of the beginning of the prompt, for engines that cache prefixes
+ * @param excluded upstreams that this request has tried already
+ */
+public record SelectionRequest(
+        GroupKind kind,
+        DataCentreId home,
+        String homeRegion,
+        long prefixHash,
+        Set<UpstreamId> excluded) {
+
+    public SelectionRequest {
+        Objects.requireNonNull(kind, "kind");
+        Objects.requireNonNull(home, "home");
+        Objects.requireNonNull(homeRegion, "homeRegion");
+        excluded = Set.copyOf(excluded);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/selection/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which upstream receives a call. */
+package org.boragethread.core.selection;
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/time/ExecutorScheduler.java
@@ -0,0 +1,24 @@
+package org.boragethread.core.time;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Runs tasks on an executor that the embedding program owns. */
+public final class ExecutorScheduler implements Scheduler {
+
+    private final ScheduledExecutorService mExecutor;
+
+    /** Uses the given executor; the caller shuts it down. */
+    public ExecutorScheduler(ScheduledExecutorService executor) {
+        mExecutor = Objects.requireNonNull(executor, "executor");
+    }
+
+    @Override
+    public Timer schedule(Duration delay, Runnable task) {
+        Future<?> future = mExecutor.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+        return () -> future.cancel(false);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/config/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration that all processes agree on. */
+package org.boragethread.model.config;
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/outcome/Refusal.java
@@ -0,0 +1,43 @@
+package org.boragethread.model.outcome;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * A request or call without a good answer.
+ *
+ * @param reason why there is none
+ * @param ran whether a stage with an effect was run
+ * @param detail what happened and where, in one sentence
+ * @param retryAfter when to try again, if that is known
+ */
+public record Refusal(RefusalReason reason, Ran ran, String detail, Optional<Duration> retryAfter) {
+
+    public Refusal {
+        Objects.requireNonNull(reason, "reason");
+        Objects.requireNonNull(ran, "ran");
+        Objects.requireNonNull(detail, "detail");
+        Objects.requireNonNull(retryAfter, "retryAfter");
+    }
+
+    /** Returns a refusal of work that no upstream has received. */
+    public static Refusal notRun(RefusalReason reason, String detail) {
+        return new Refusal(reason, Ran.NO, detail, Optional.empty());
+    }
+
+    /** Returns a refusal of work that no upstream has received, with a time to try again. */
+    public static Refusal notRun(RefusalReason reason, String detail, Duration retryAfter) {
+        return new Refusal(reason, Ran.NO, detail, Optional.of(retryAfter));
+    }
+
+    /** Returns a failure of work that an upstream may have run. */
+    public static Refusal unknown(RefusalReason reason, String detail) {
+        return new Refusal(reason, Ran.UNKNOWN, detail, Optional.empty());
+    }
+
+    /** Returns this refusal with another statement of whether an effect was run. */
+    public Refusal withRan(Ran value) {
+        return new Refusal(reason, value, detail, retryAfter);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/outcome/package-info.java
@@ -0,0 +1,2 @@
+/** Request identity, results and refusals. */
+package org.boragethread.model.outcome;
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/pipeline/package-info.java
@@ -0,0 +1,2 @@
+/** Pipelines and their stages. */
+package org.boragethread.model.pipeline;
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/place/VmState.java
@@ -0,0 +1,9 @@
+package org.boragethread.model.place;
+
+/** State of a VM in the platform's list. */
+public enum VmState {
+    /** Runs. */
+    LIVE,
+    /** Will be stopped soon and must receive no new work. */
+    LEAVING
+}
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/place/package-info.java
@@ -0,0 +1,2 @@
+/** Data centres and VMs. */
+package org.boragethread.model.place;
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Upstreams, their groups and the load they report. */
+package org.boragethread.model.upstream;
--- /dev/null
+++ b/wire/src/main/java/org/boragethread/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Netty connections with protobuf messages between entries and agents. */
+package org.boragethread.wire;
