Connect entries and agents over Netty with protobuf frames

Cause: the two binaries need calls, cancellation, deadlines, end marks and credit. Change: frames with length and CRC-32C, mutual proof of the shared key, calls matched by request, stage and attempt, counted close reasons, configuration pulls on every frame. Ruled out: protobuf alone without a checksum, since a changed byte can still parse and would then change a result or a 'not run'.

--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/dispatch/UpstreamLink.java
@@ -0,0 +1,38 @@
+package org.boragethread.core.dispatch;
+
+import org.boragethread.core.selection.Candidate;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.UpstreamId;
+
+/** A working connection to the agent of one upstream. */
+public interface UpstreamLink {
+
+    /** Returns the upstream behind the agent. */
+    UpstreamId upstream();
+
+    /** Returns the group of the upstream. */
+    GroupId group();
+
+    /** Returns the data centre of the upstream. */
+    DataCentreId dataCentre();
+
+    /** Returns the number that distinguishes this run of the agent from earlier ones. */
+    long incarnation();
+
+    /** Tells whether the agent takes new calls. */
+    boolean isAccepting();
+
+    /**
+     * Returns the state that a selector looks at.
+     *
+     * @param region region of the data centre, empty if it is not known
+     */
+    Candidate candidate(String region);
+
+    /**
+     * Sends a call. The listener may be called on this thread before the method returns; it is
+     * called without locks held.
+     */
+    CallHandle call(StageCall call, CallListener listener);
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragethread/wire/client/AgentLink.java
@@ -0,0 +1,381 @@
+package org.boragethread.wire.client;
+
+import com.google.protobuf.UnsafeByteOperations;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragethread.core.dispatch.CallHandle;
+import org.boragethread.core.dispatch.CallListener;
+import org.boragethread.core.dispatch.CallSummary;
+import org.boragethread.core.dispatch.StageCall;
+import org.boragethread.core.dispatch.UpstreamLink;
+import org.boragethread.core.selection.Candidate;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.outcome.AttemptId;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.model.upstream.UpstreamLoad;
+import org.boragethread.wire.frame.CloseReason;
+import org.boragethread.wire.frame.ConfigExchange;
+import org.boragethread.wire.frame.Conversions;
+import org.boragethread.wire.frame.FrameHandler;
+import org.boragethread.wire.frame.WireEvents;
+import org.boragethread.wire.frame.WireSettings;
+import org.boragethread.wire.proto.Call;
+import org.boragethread.wire.proto.Cancel;
+import org.boragethread.wire.proto.Credit;
+import org.boragethread.wire.proto.Frame;
+import org.boragethread.wire.proto.Load;
+import org.boragethread.wire.proto.Ping;
+import org.boragethread.wire.proto.ResultChunk;
+import org.boragethread.wire.proto.ResultEnd;
+import org.boragethread.wire.proto.Welcome;
+
+/**
+ * The entry's end of one connection to an agent. It becomes a link once the handshake is done.
+ *
+ * <p>All state is confined to the event loop, except for the fields that selectors read.
+ */
+final class AgentLink extends FrameHandler implements UpstreamLink {
+
+    /** Chunks that an agent may send before the receiver grants more. */
+    static final int INITIAL_CREDIT = 64;
+
+    private static final Logger LOGGER = LogManager.getLogger(AgentLink.class);
+
+    private final WireSettings mSettings;
+    private final EntryIdentity mIdentity;
+    private final LinkListener mListener;
+    private final Map<AttemptId, PendingCall> mPending = new HashMap<>();
+    private final AtomicInteger mSent = new AtomicInteger();
+    private final ClientHandshake mHandshake;
+
+    private ChannelHandlerContext mContext;
+    private long mPingToken;
+    private boolean mClosed;
+    private volatile Welcome mWelcome;
+    private volatile boolean mAccepting;
+    private volatile UpstreamLoad mLoad = UpstreamLoad.UNKNOWN;
+    private volatile long mLoadAtNanos;
+
+    AgentLink(
+            EntryIdentity identity,
+            WireSettings settings,
+            WireEvents events,
+            ConfigExchange config,
+            TimeSource time,
+            LinkListener listener) {
+        super(events, config, time);
+        mIdentity = identity;
+        mSettings = settings;
+        mListener = listener;
+        mHandshake = new ClientHandshake(identity, settings.key());
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mContext = context;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        if (mWelcome == null) {
+            shakeHands(context, frame);
+            return;
+        }
+        compareRevisions(context, frame);
+        if (!handleConfigFrame(context, frame)) {
+            handle(context, frame);
+        }
+    }
+
+    private void shakeHands(ChannelHandlerContext context, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case CHALLENGE:
+                send(context, mHandshake.answer(frame.getChallenge()));
+                break;
+            case WELCOME:
+                begin(context, frame);
+                break;
+            default:
+                close(context, CloseReason.UNEXPECTED_FRAME);
+                break;
+        }
+    }
+
+    private void begin(ChannelHandlerContext context, Frame frame) {
+        Welcome welcome = frame.getWelcome();
+        if (welcome.getProtocolVersion() != WireSettings.PROTOCOL_VERSION) {
+            close(context, CloseReason.BAD_VERSION);
+            return;
+        }
+        if (!mHandshake.accepts(welcome)) {
+            close(context, CloseReason.BAD_PROOF);
+            return;
+        }
+        updateLoad(welcome.getLoad());
+        mWelcome = welcome;
+        mAccepting = !welcome.getLoad().getLeaving();
+        long interval = mSettings.pingInterval().toNanos();
+        context.executor()
+                .scheduleAtFixedRate(this::pingInLoop, interval, interval, TimeUnit.NANOSECONDS);
+        LOGGER.info("connected to agent of upstream {} for {}", upstream(), mIdentity.entryId());
+        compareRevisions(context, frame);
+        mListener.onUp(this);
+    }
+
+    private void handle(ChannelHandlerContext context, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case RESULT_HEAD -> {
+                PendingCall call =
+                        mPending.get(Conversions.fromWire(frame.getResultHead().getId()));
+                if (call == null) {
+                    events().strayResult();
+                    return;
+                }
+                call.listener()
+                        .onHead(
+                                frame.getResultHead().getStatus(),
+                                frame.getResultHead().getContentType());
+            }
+            case RESULT_CHUNK -> onChunk(context, frame.getResultChunk());
+            case RESULT_END -> onEnd(context, frame.getResultEnd());
+            case CALL_REFUSED -> {
+                updateLoad(frame.getCallRefused().getLoad());
+                PendingCall call = take(Conversions.fromWire(frame.getCallRefused().getId()));
+                if (call != null) {
+                    call.listener().onRefused(Conversions.fromWire(frame.getCallRefused()));
+                }
+            }
+            case PONG -> updateLoad(frame.getPong().getLoad());
+            case LOAD_REPORT -> updateLoad(frame.getLoadReport().getLoad());
+            case GOAWAY -> mAccepting = false;
+            default -> close(context, CloseReason.UNEXPECTED_FRAME);
+        }
+    }
+
+    private void onChunk(ChannelHandlerContext context, ResultChunk chunk) {
+        PendingCall call = mPending.get(Conversions.fromWire(chunk.getId()));
+        if (call == null) {
+            events().strayResult();
+            return;
+        }
+        if (!call.countChunk(chunk)) {
+            close(context, CloseReason.UNEXPECTED_FRAME);
+            return;
+        }
+        call.listener().onChunk(chunk.getData().asReadOnlyByteBuffer());
+    }
+
+    private void onEnd(ChannelHandlerContext context, ResultEnd end) {
+        updateLoad(end.getLoad());
+        PendingCall waiting = mPending.get(Conversions.fromWire(end.getId()));
+        if (waiting != null && !waiting.isWhole(end)) {
+            close(context, CloseReason.UNEXPECTED_FRAME);
+            return;
+        }
+        PendingCall call = take(Conversions.fromWire(end.getId()));
+        if (call != null) {
+            call.listener()
+                    .onEnd(
+                            new CallSummary(
+                                    Duration.ofNanos(
+                                            TimeUnit.MICROSECONDS.toNanos(end.getServiceMicros())),
+                                    Duration.ofNanos(
+                                            TimeUnit.MICROSECONDS.toNanos(end.getQueueMicros()))));
+        }
+    }
+
+    /** Removes a waiting call, or counts a stray result and returns null. */
+    private PendingCall take(AttemptId id) {
+        PendingCall call = mPending.remove(id);
+        if (call == null) {
+            events().strayResult();
+            return null;
+        }
+        mSent.decrementAndGet();
+        return call;
+    }
+
+    private void updateLoad(Load load) {
+        mLoad = Conversions.fromWire(load);
+        mLoadAtNanos = time().nanoTime();
+        if (load.getLeaving()) {
+            mAccepting = false;
+        } else if (mWelcome != null) {
+            mAccepting = true;
+        }
+    }
+
+    @Override
+    protected void onClosed(CloseReason reason) {
+        mClosed = true;
+        mAccepting = false;
+        Refusal refusal =
+                Refusal.unknown(
+                        RefusalReason.CONNECTION_LOST,
+                        "the connection to the agent ended: " + reason.label());
+        List<PendingCall> lost = new ArrayList<>(mPending.values());
+        mPending.clear();
+        mSent.addAndGet(-lost.size());
+        lost.forEach(call -> call.listener().onRefused(refusal));
+        if (mWelcome != null) {
+            LOGGER.info("connection to agent of upstream {} ended: {}", upstream(), reason.label());
+            mListener.onDown(this);
+        }
+    }
+
+    @Override
+    public CallHandle call(StageCall call, CallListener listener) {
+        mSent.incrementAndGet();
+        try {
+            mContext.executor().execute(() -> start(call, listener));
+        } catch (RejectedExecutionException e) {
+            refuseUnsent(listener);
+        }
+        return new Handle(call.id());
+    }
+
+    private void start(StageCall call, CallListener listener) {
+        if (mClosed) {
+            refuseUnsent(listener);
+            return;
+        }
+        mPending.put(call.id(), new PendingCall(listener));
+        send(mContext, Frame.newBuilder().setCall(encode(call)));
+    }
+
+    private void refuseUnsent(CallListener listener) {
+        mSent.decrementAndGet();
+        listener.onRefused(
+                Refusal.notRun(RefusalReason.NO_UPSTREAM, "the connection to the agent has ended"));
+    }
+
+    private Call encode(StageCall call) {
+        long remaining = Math.max(0, call.deadlineNanos() - time().nanoTime());
+        return Call.newBuilder()
+                .setId(Conversions.toWire(call.id()))
+                .setTeam(call.team().value())
+                .setTeamWeight(call.weight())
+                .setPriority(Conversions.toWire(call.priority()))
+                .setRemainingMicros(TimeUnit.NANOSECONDS.toMicros(remaining))
+                .setIdempotent(call.stage().idempotent())
+                .setStreaming(call.stage().streaming())
+                .setPath(call.stage().path())
+                .setContentType(call.contentType())
+                .setBody(UnsafeByteOperations.unsafeWrap(call.body()))
+                .setCredit(INITIAL_CREDIT)
+                .setResumeFrom(call.resumeFrom())
+                .build();
+    }
+
+    /** Sends a ping, which carries this process's configuration revision. */
+    void ping() {
+        mContext.executor().execute(this::pingInLoop);
+    }
+
+    private void pingInLoop() {
+        if (!mClosed) {
+            send(mContext, Frame.newBuilder().setPing(Ping.newBuilder().setToken(mPingToken++)));
+        }
+    }
+
+    /** Ends the connection. */
+    void disconnect() {
+        mContext.executor().execute(() -> close(mContext, CloseReason.CLOSED_HERE));
+    }
+
+    Channel channel() {
+        return mContext.channel();
+    }
+
+    @Override
+    public UpstreamId upstream() {
+        return new UpstreamId(mWelcome.getUpstream());
+    }
+
+    @Override
+    public GroupId group() {
+        return new GroupId(mWelcome.getGroup());
+    }
+
+    @Override
+    public DataCentreId dataCentre() {
+        return new DataCentreId(mWelcome.getDataCentre());
+    }
+
+    @Override
+    public long incarnation() {
+        return mWelcome.getIncarnation();
+    }
+
+    @Override
+    public boolean isAccepting() {
+        return mAccepting;
+    }
+
+    @Override
+    public Candidate candidate(String region) {
+        long age = time().nanoTime() - mLoadAtNanos;
+        return new Candidate(upstream(), dataCentre(), region, mLoad, age, mSent.get());
+    }
+
+    /** Control over one call; actions run on the event loop, after the call was sent. */
+    private final class Handle implements CallHandle {
+
+        private final AttemptId mId;
+
+        Handle(AttemptId id) {
+            mId = id;
+        }
+
+        @Override
+        public void cancel() {
+            execute(this::cancelInLoop);
+        }
+
+        private void cancelInLoop() {
+            if (mPending.remove(mId) != null) {
+                mSent.decrementAndGet();
+                Cancel cancel = Cancel.newBuilder().setId(Conversions.toWire(mId)).build();
+                send(mContext, Frame.newBuilder().setCancel(cancel));
+            }
+        }
+
+        @Override
+        public void grant(int chunks) {
+            execute(() -> grantInLoop(chunks));
+        }
+
+        private void grantInLoop(int chunks) {
+            if (mPending.containsKey(mId)) {
+                Credit credit =
+                        Credit.newBuilder()
+                                .setId(Conversions.toWire(mId))
+                                .setChunks(chunks)
+                                .build();
+                send(mContext, Frame.newBuilder().setCredit(credit));
+            }
+        }
+
+        private void execute(Runnable action) {
+            try {
+                mContext.executor().execute(action);
+            } catch (RejectedExecutionException e) {
+                LOGGER.debug("event loop has stopped; call {} ended with it", mId);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragethread/wire/client/ClientHandshake.java
@@ -0,0 +1,42 @@
+package org.boragethread.wire.client;
+
+import com.google.protobuf.ByteString;
+import org.boragethread.wire.frame.SharedKey;
+import org.boragethread.wire.frame.WireSettings;
+import org.boragethread.wire.proto.Challenge;
+import org.boragethread.wire.proto.Frame;
+import org.boragethread.wire.proto.Hello;
+import org.boragethread.wire.proto.Welcome;
+
+/** Proves the shared key to an agent and checks the agent's proof. */
+final class ClientHandshake {
+
+    private final EntryIdentity mIdentity;
+    private final SharedKey mKey;
+    private final byte[] mNonce = SharedKey.nonce();
+    private byte[] mAgentNonce = new byte[0];
+
+    ClientHandshake(EntryIdentity identity, SharedKey key) {
+        mIdentity = identity;
+        mKey = key;
+    }
+
+    Frame.Builder answer(Challenge challenge) {
+        mAgentNonce = challenge.getNonce().toByteArray();
+        byte[] proof = mKey.prove(SharedKey.Role.ENTRY, mAgentNonce, mNonce);
+        Hello hello =
+                Hello.newBuilder()
+                        .setEntryId(mIdentity.entryId())
+                        .setDataCentre(mIdentity.dataCentre().value())
+                        .setNonce(ByteString.copyFrom(mNonce))
+                        .setProof(ByteString.copyFrom(proof))
+                        .setProtocolVersion(WireSettings.PROTOCOL_VERSION)
+                        .build();
+        return Frame.newBuilder().setHello(hello);
+    }
+
+    boolean accepts(Welcome welcome) {
+        byte[] proof = welcome.getProof().toByteArray();
+        return mKey.verify(proof, SharedKey.Role.AGENT, mNonce, mAgentNonce);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragethread/wire/client/PendingCall.java
@@ -0,0 +1,38 @@
+package org.boragethread.wire.client;
+
+import com.google.protobuf.ByteString;
+import org.boragethread.core.dispatch.CallListener;
+import org.boragethread.wire.proto.ResultChunk;
+import org.boragethread.wire.proto.ResultEnd;
+
+/** A call that waits for its answer. Confined to the event loop of its connection. */
+final class PendingCall {
+
+    private final CallListener mListener;
+    private int mChunks;
+    private long mBytes;
+
+    PendingCall(CallListener listener) {
+        mListener = listener;
+    }
+
+    CallListener listener() {
+        return mListener;
+    }
+
+    /** Counts a chunk; returns false if it is not the next one. */
+    boolean countChunk(ResultChunk chunk) {
+        if (chunk.getSequence() != mChunks) {
+            return false;
+        }
+        mChunks++;
+        ByteString data = chunk.getData();
+        mBytes += data.size();
+        return true;
+    }
+
+    /** Tells whether everything before the end mark has arrived. */
+    boolean isWhole(ResultEnd end) {
+        return end.getChunks() == mChunks && end.getBytes() == mBytes;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragethread/wire/frame/Conversions.java
@@ -0,0 +1,132 @@
+package org.boragethread.wire.frame;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.Optional;
+import org.boragethread.model.outcome.AttemptId;
+import org.boragethread.model.outcome.Ran;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.outcome.RequestId;
+import org.boragethread.model.team.Priority;
+import org.boragethread.model.upstream.UpstreamLoad;
+import org.boragethread.wire.proto.Attempt;
+import org.boragethread.wire.proto.CallPriority;
+import org.boragethread.wire.proto.CallRefused;
+import org.boragethread.wire.proto.Load;
+import org.boragethread.wire.proto.RanState;
+
+/** Converts between model types and messages. */
+public final class Conversions {
+
+    private Conversions() {}
+
+    /** Returns the message for an attempt's identity. */
+    public static Attempt toWire(AttemptId id) {
+        return Attempt.newBuilder()
+                .setRequestHigh(id.request().high())
+                .setRequestLow(id.request().low())
+                .setStage(id.stage())
+                .setAttempt(id.attempt())
+                .build();
+    }
+
+    /** Returns the identity in a message. */
+    public static AttemptId fromWire(Attempt id) {
+        RequestId request = new RequestId(id.getRequestHigh(), id.getRequestLow());
+        return new AttemptId(request, id.getStage(), id.getAttempt());
+    }
+
+    /** Returns the message for a load. */
+    public static Load toWire(UpstreamLoad load) {
+        return Load.newBuilder()
+                .setInFlight(load.inFlight())
+                .setLimit(load.limit())
+                .setQueued(load.queued())
+                .setCold(load.cold())
+                .setLeaving(load.leaving())
+                .build();
+    }
+
+    /** Returns the load in a message. */
+    public static UpstreamLoad fromWire(Load load) {
+        return new UpstreamLoad(
+                load.getInFlight(),
+                load.getLimit(),
+                load.getQueued(),
+                load.getCold(),
+                load.getLeaving());
+    }
+
+    /** Returns the message for a priority. */
+    public static CallPriority toWire(Priority priority) {
+        return switch (priority) {
+            case INTERACTIVE -> CallPriority.INTERACTIVE;
+            case NORMAL -> CallPriority.NORMAL;
+            case BATCH -> CallPriority.BATCH;
+        };
+    }
+
+    /** Returns the priority in a message; a value of a later version counts as the lowest. */
+    public static Priority fromWire(CallPriority priority) {
+        return switch (priority) {
+            case INTERACTIVE -> Priority.INTERACTIVE;
+            case NORMAL -> Priority.NORMAL;
+            case BATCH, UNRECOGNIZED -> Priority.BATCH;
+        };
+    }
+
+    /** Returns the message for a refused call. */
+    public static CallRefused toWire(AttemptId id, Refusal refusal, UpstreamLoad load) {
+        return CallRefused.newBuilder()
+                .setId(toWire(id))
+                .setReason(refusal.reason().name())
+                .setRan(toWire(refusal.ran()))
+                .setDetail(refusal.detail())
+                .setRetryAfterMillis(refusal.retryAfter().map(Duration::toMillis).orElse(0L))
+                .setLoad(toWire(load))
+                .build();
+    }
+
+    /** Returns the refusal in a message; an unknown reason counts as a failure of the upstream. */
+    public static Refusal fromWire(CallRefused refused) {
+        long millis = refused.getRetryAfterMillis();
+        Optional<Duration> retryAfter =
+                millis == 0 ? Optional.empty() : Optional.of(Duration.ofMillis(millis));
+        return new Refusal(
+                reason(refused.getReason()),
+                fromWire(refused.getRan()),
+                refused.getDetail(),
+                retryAfter);
+    }
+
+    /** Returns bytes of a message as an array. */
+    public static byte[] bytes(ByteString value) {
+        return value.toByteArray();
+    }
+
+    private static RefusalReason reason(String name) {
+        for (RefusalReason reason : RefusalReason.values()) {
+            if (reason.name().equals(name)) {
+                return reason;
+            }
+        }
+        return RefusalReason.UPSTREAM_FAILED;
+    }
+
+    private static RanState toWire(Ran ran) {
+        return switch (ran) {
+            case NO -> RanState.RAN_NO;
+            case UNKNOWN -> RanState.RAN_UNKNOWN;
+            case YES -> RanState.RAN_YES;
+        };
+    }
+
+    private static Ran fromWire(RanState ran) {
+        return switch (ran) {
+            case RAN_NO -> Ran.NO;
+            case RAN_YES -> Ran.YES;
+            case RAN_UNKNOWN, UNRECOGNIZED -> Ran.UNKNOWN;
+        };
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragethread/wire/frame/SharedKey.java
@@ -0,0 +1,69 @@
+package org.boragethread.wire.frame;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/** Secret that entries and agents of one deployment share. It is never sent. */
+public final class SharedKey {
+
+    /** Least length of a key, in characters. */
+    public static final int MIN_LENGTH = 16;
+
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final int NONCE_BYTES = 16;
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    private final SecretKeySpec mKey;
+
+    /**
+     * Takes a key from settings.
+     *
+     * @throws IllegalArgumentException if the text is shorter than {@link #MIN_LENGTH}
+     */
+    public SharedKey(String text) {
+        if (text.length() < MIN_LENGTH) {
+            throw new IllegalArgumentException(
+                    "shared key has %d characters: use at least %d"
+                            .formatted(text.length(), MIN_LENGTH));
+        }
+        mKey = new SecretKeySpec(text.getBytes(StandardCharsets.UTF_8), ALGORITHM);
+    }
+
+    /** Returns fresh random bytes for a handshake. */
+    public static byte[] nonce() {
+        byte[] nonce = new byte[NONCE_BYTES];
+        RANDOM.nextBytes(nonce);
+        return nonce;
+    }
+
+    /** Proves possession of the key to the side that made the first nonce. */
+    public byte[] prove(Role role, byte[] firstNonce, byte[] secondNonce) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(mKey);
+            mac.update(role.name().getBytes(StandardCharsets.US_ASCII));
+            mac.update(firstNonce);
+            mac.update(secondNonce);
+            return mac.doFinal();
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(ALGORITHM + " is missing from this Java runtime", e);
+        }
+    }
+
+    /** Tells whether a received proof is right, in constant time. */
+    public boolean verify(byte[] proof, Role role, byte[] firstNonce, byte[] secondNonce) {
+        return MessageDigest.isEqual(proof, prove(role, firstNonce, secondNonce));
+    }
+
+    /** Side that makes a proof; it keeps one side's proof from serving as the other's. */
+    public enum Role {
+        /** An entry. */
+        ENTRY,
+        /** An agent. */
+        AGENT
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragethread/wire/frame/package-info.java
@@ -0,0 +1,2 @@
+/** Framing, handshake proofs and conversions between messages and model types. */
+package org.boragethread.wire.frame;
--- a/wire/src/main/java/org/boragethread/wire/proto/CallRefused.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/CallRefused.java
@@ -237,7 +237,7 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, reason_);
     }
-    if (ran_ != org.boragethread.wire.proto.RanState.RAN_NO.getNumber()) {
+    if (ran_ != org.boragethread.wire.proto.RanState.RAN_UNKNOWN.getNumber()) {
       output.writeEnum(3, ran_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
@@ -265,7 +265,7 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, reason_);
     }
-    if (ran_ != org.boragethread.wire.proto.RanState.RAN_NO.getNumber()) {
+    if (ran_ != org.boragethread.wire.proto.RanState.RAN_UNKNOWN.getNumber()) {
       size += com.google.protobuf.CodedOutputStream
         .computeEnumSize(3, ran_);
     }
--- a/wire/src/main/java/org/boragethread/wire/proto/Frame.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Frame.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * The unit of transmission, preceded by its length as a varint.
+ * The unit of transmission, preceded by its length and its CRC-32C, 4 bytes each, big-endian.
  * </pre>
  *
  * Protobuf type {@code boragethread.wire.Frame}
@@ -1180,7 +1180,7 @@
   }
   /**
    * <pre>
-   * The unit of transmission, preceded by its length as a varint.
+   * The unit of transmission, preceded by its length and its CRC-32C, 4 bytes each, big-endian.
    * </pre>
    *
    * Protobuf type {@code boragethread.wire.Frame}
--- a/wire/src/main/java/org/boragethread/wire/proto/RanState.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/RanState.java
@@ -11,13 +11,13 @@
 public enum RanState
     implements com.google.protobuf.ProtocolMessageEnum {
   /**
-   * <code>RAN_NO = 0;</code>
+   * <code>RAN_UNKNOWN = 0;</code>
    */
-  RAN_NO(0),
+  RAN_UNKNOWN(0),
   /**
-   * <code>RAN_UNKNOWN = 1;</code>
+   * <code>RAN_NO = 1;</code>
    */
-  RAN_UNKNOWN(1),
+  RAN_NO(1),
   /**
    * <code>RAN_YES = 2;</code>
    */
@@ -35,13 +35,13 @@
       RanState.class.getName());
   }
   /**
-   * <code>RAN_NO = 0;</code>
+   * <code>RAN_UNKNOWN = 0;</code>
    */
-  public static final int RAN_NO_VALUE = 0;
+  public static final int RAN_UNKNOWN_VALUE = 0;
   /**
-   * <code>RAN_UNKNOWN = 1;</code>
+   * <code>RAN_NO = 1;</code>
    */
-  public static final int RAN_UNKNOWN_VALUE = 1;
+  public static final int RAN_NO_VALUE = 1;
   /**
    * <code>RAN_YES = 2;</code>
    */
@@ -72,8 +72,8 @@
    */
   public static RanState forNumber(int value) {
     switch (value) {
-      case 0: return RAN_NO;
-      case 1: return RAN_UNKNOWN;
+      case 0: return RAN_UNKNOWN;
+      case 1: return RAN_NO;
       case 2: return RAN_YES;
       default: return null;
     }
--- a/wire/src/main/java/org/boragethread/wire/proto/Wire.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Wire.java
@@ -241,7 +241,7 @@
       "d\"3\n\nLoadReport\022%\n\004load\030\001 \001(\0132\027.borageth" +
       "read.wire.Load*6\n\014CallPriority\022\017\n\013INTERA" +
       "CTIVE\020\000\022\n\n\006NORMAL\020\001\022\t\n\005BATCH\020\002*4\n\010RanSta" +
-      "te\022\n\n\006RAN_NO\020\000\022\017\n\013RAN_UNKNOWN\020\001\022\013\n\007RAN_Y" +
+      "te\022\017\n\013RAN_UNKNOWN\020\000\022\n\n\006RAN_NO\020\001\022\013\n\007RAN_Y" +
       "ES\020\002B\037\n\033org.boragethread.wire.protoP\001b\006p" +
       "roto3"
     };
--- /dev/null
+++ b/wire/src/main/java/org/boragethread/wire/server/AgentChannel.java
@@ -0,0 +1,164 @@
+package org.boragethread.wire.server;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.ChannelHandlerContext;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.outcome.AttemptId;
+import org.boragethread.wire.frame.CloseReason;
+import org.boragethread.wire.frame.Conversions;
+import org.boragethread.wire.frame.FrameHandler;
+import org.boragethread.wire.frame.SharedKey;
+import org.boragethread.wire.frame.WireSettings;
+import org.boragethread.wire.proto.Call;
+import org.boragethread.wire.proto.Challenge;
+import org.boragethread.wire.proto.Frame;
+import org.boragethread.wire.proto.Goaway;
+import org.boragethread.wire.proto.Hello;
+import org.boragethread.wire.proto.Pong;
+import org.boragethread.wire.proto.Welcome;
+
+/** The agent's end of one connection. State is confined to the event loop. */
+final class AgentChannel extends FrameHandler {
+
+    private static final Logger LOGGER = LogManager.getLogger(AgentChannel.class);
+
+    private final AgentServer mServer;
+    private final byte[] mNonce = SharedKey.nonce();
+    private final Map<AttemptId, ServedCall> mCalls = new HashMap<>();
+    private ChannelHandlerContext mContext;
+    private boolean mReady;
+
+    AgentChannel(AgentServer server, TimeSource time) {
+        super(server.events(), server.config(), time);
+        mServer = server;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mContext = context;
+        Challenge challenge = Challenge.newBuilder().setNonce(ByteString.copyFrom(mNonce)).build();
+        send(context, Frame.newBuilder().setChallenge(challenge));
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        if (!mReady) {
+            shakeHands(context, frame);
+            return;
+        }
+        compareRevisions(context, frame);
+        if (!handleConfigFrame(context, frame)) {
+            handle(context, frame);
+        }
+    }
+
+    private void shakeHands(ChannelHandlerContext context, Frame frame) {
+        if (frame.getBodyCase() != Frame.BodyCase.HELLO) {
+            close(context, CloseReason.UNEXPECTED_FRAME);
+            return;
+        }
+        Hello hello = frame.getHello();
+        if (hello.getProtocolVersion() != WireSettings.PROTOCOL_VERSION) {
+            close(context, CloseReason.BAD_VERSION);
+            return;
+        }
+        SharedKey key = mServer.settings().key();
+        byte[] entryNonce = hello.getNonce().toByteArray();
+        byte[] proof = hello.getProof().toByteArray();
+        if (!key.verify(proof, SharedKey.Role.ENTRY, mNonce, entryNonce)) {
+            LOGGER.warn(
+                    "entry {} at {} has another shared key: set the same key in both settings",
+                    hello.getEntryId(),
+                    context.channel().remoteAddress());
+            close(context, CloseReason.BAD_PROOF);
+            return;
+        }
+        mReady = true;
+        send(context, Frame.newBuilder().setWelcome(welcome(key, entryNonce)));
+        compareRevisions(context, frame);
+    }
+
+    private Welcome welcome(SharedKey key, byte[] entryNonce) {
+        AgentIdentity identity = mServer.identity();
+        byte[] proof = key.prove(SharedKey.Role.AGENT, entryNonce, mNonce);
+        return Welcome.newBuilder()
+                .setProof(ByteString.copyFrom(proof))
+                .setUpstream(identity.upstream().value())
+                .setGroup(identity.group().value())
+                .setDataCentre(identity.dataCentre().value())
+                .setIncarnation(identity.incarnation())
+                .setLoad(Conversions.toWire(mServer.load()))
+                .setProtocolVersion(WireSettings.PROTOCOL_VERSION)
+                .build();
+    }
+
+    private void handle(ChannelHandlerContext context, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case CALL -> onCall(context, frame.getCall());
+            case CANCEL -> {
+                ServedCall call = mCalls.remove(Conversions.fromWire(frame.getCancel().getId()));
+                if (call != null) {
+                    call.cancel();
+                }
+            }
+            case CREDIT -> {
+                ServedCall call = mCalls.get(Conversions.fromWire(frame.getCredit().getId()));
+                if (call != null) {
+                    call.grant(frame.getCredit().getChunks());
+                }
+            }
+            case PING -> {
+                Pong.Builder pong = Pong.newBuilder().setToken(frame.getPing().getToken());
+                pong.setLoad(Conversions.toWire(mServer.load()));
+                send(context, Frame.newBuilder().setPong(pong));
+            }
+            default -> close(context, CloseReason.UNEXPECTED_FRAME);
+        }
+    }
+
+    private void onCall(ChannelHandlerContext context, Call message) {
+        long remaining = TimeUnit.MICROSECONDS.toNanos(message.getRemainingMicros());
+        ServedCall call = new ServedCall(message, time().nanoTime() + remaining, this);
+        if (mCalls.putIfAbsent(call.id(), call) != null) {
+            close(context, CloseReason.UNEXPECTED_FRAME);
+            return;
+        }
+        mServer.handler().onCall(call);
+    }
+
+    void send(Frame.Builder frame) {
+        if (mContext.executor().inEventLoop()) {
+            send(mContext, frame);
+        } else {
+            mContext.executor().execute(() -> send(mContext, frame));
+        }
+    }
+
+    void finish(ServedCall call, Frame.Builder frame) {
+        mContext.executor()
+                .execute(
+                        () -> {
+                            mCalls.remove(call.id());
+                            send(mContext, frame);
+                        });
+    }
+
+    void goaway(String reason) {
+        send(Frame.newBuilder().setGoaway(Goaway.newBuilder().setReason(reason)));
+    }
+
+    @Override
+    protected void onClosed(CloseReason reason) {
+        mServer.forget(this);
+        List<ServedCall> calls = new ArrayList<>(mCalls.values());
+        mCalls.clear();
+        calls.forEach(ServedCall::cancel);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/boragethread/wire/server/package-info.java
@@ -0,0 +1,2 @@
+/** The agent's side of connections from entries. */
+package org.boragethread.wire.server;
