--- /dev/null
+++ b/agent/src/main/java/org/boragethread/agent/call/GateHolder.java
@@ -0,0 +1,39 @@
+package org.boragethread.agent.call;
+
+import java.util.Optional;
+import org.boragethread.core.admission.Gate;
+import org.boragethread.model.upstream.UpstreamLoad;
+
+/** Holds the gate, which exists once the group's configuration is known. */
+public final class GateHolder {
+
+    private boolean mLeaving;
+    private Gate mGate;
+
+    /** Returns the gate, if the configuration of the group is known. */
+    public synchronized Optional<Gate> gate() {
+        return Optional.ofNullable(mGate);
+    }
+
+    /** Sets the gate. */
+    public synchronized void set(Gate gate) {
+        mGate = gate;
+        gate.setLeaving(mLeaving);
+    }
+
+    /** Makes the present and any later gate refuse new work, or take it again. */
+    public synchronized void setLeaving(boolean leaving) {
+        mLeaving = leaving;
+        gate().ifPresent(gate -> gate.setLeaving(leaving));
+    }
+
+    /** Tells whether new work is refused because the upstream is leaving. */
+    public synchronized boolean isLeaving() {
+        return mLeaving;
+    }
+
+    /** Returns the load to attach to answers. */
+    public UpstreamLoad load() {
+        return gate().map(Gate::load).orElse(UpstreamLoad.UNKNOWN);
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/boragethread/agent/call/RunningCall.java
@@ -0,0 +1,236 @@
+package org.boragethread.agent.call;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.boragethread.agent.upstream.UpstreamClient;
+import org.boragethread.agent.upstream.UpstreamExchange;
+import org.boragethread.agent.upstream.UpstreamFailure;
+import org.boragethread.agent.upstream.UpstreamHead;
+import org.boragethread.agent.upstream.UpstreamListener;
+import org.boragethread.agent.upstream.UpstreamRequest;
+import org.boragethread.core.admission.CallOutcome;
+import org.boragethread.core.admission.Gate;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.outcome.Ran;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.wire.proto.Call;
+import org.boragethread.wire.server.ServedCall;
+
+/** An admitted call: passes the upstream's response on and reports its outcome to the gate. */
+final class RunningCall implements UpstreamListener {
+
+    private static final int OK = 200;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int SERVER_ERROR = 500;
+    private static final int UNAVAILABLE = 503;
+
+    private final ServedCall mCall;
+    private final Gate mGate;
+    private final TimeSource mTime;
+    private final CallMetrics mMetrics;
+    private final long mOfferedAt;
+
+    private long mAdmittedAt;
+    private Gate.Permit mPermit;
+    private Scheduler.Timer mTimer;
+    private UpstreamExchange mExchange;
+    private Optional<UpstreamHead> mRejection = Optional.empty();
+    private boolean mDone;
+
+    RunningCall(ServedCall call, Gate gate, TimeSource time, CallMetrics metrics, long offeredAt) {
+        mCall = call;
+        mGate = gate;
+        mTime = time;
+        mMetrics = metrics;
+        mOfferedAt = offeredAt;
+    }
+
+    /** Sends the call to the upstream. */
+    void start(Gate.Permit permit, UpstreamClient client, Scheduler scheduler) {
+        synchronized (this) {
+            mPermit = permit;
+            mAdmittedAt = mTime.nanoTime();
+            if (mDone) {
+                permit.complete(CallOutcome.CANCELLED, Duration.ZERO);
+                return;
+            }
+            Duration left = Duration.ofNanos(mCall.deadlineNanos() - mAdmittedAt);
+            mTimer = scheduler.schedule(left, this::timeOut);
+        }
+        UpstreamExchange exchange = client.send(request(), this);
+        boolean cancelled;
+        synchronized (this) {
+            mExchange = exchange;
+            cancelled = mDone;
+        }
+        if (cancelled) {
+            exchange.cancel();
+        }
+        mCall.onCredit(exchange::resume);
+    }
+
+    private UpstreamRequest request() {
+        Call message = mCall.message();
+        long left = Math.max(1, mCall.deadlineNanos() - mTime.nanoTime());
+        String priority = mCall.priority().name().toLowerCase(Locale.ROOT);
+        List<UpstreamRequest.Header> headers =
+                List.of(
+                        header("Request-Id", mCall.id().request().toString()),
+                        header("Attempt", Integer.toString(mCall.id().attempt())),
+                        header("Team", message.getTeam()),
+                        header("Priority", priority),
+                        header("Deadline-Ms", Long.toString(TimeUnit.NANOSECONDS.toMillis(left))),
+                        header("Resume-From", Integer.toString(message.getResumeFrom())));
+        return new UpstreamRequest(
+                message.getPath(),
+                message.getContentType(),
+                headers,
+                message.getBody(),
+                message.getIdempotent());
+    }
+
+    private static UpstreamRequest.Header header(String name, String value) {
+        return new UpstreamRequest.Header(name, value);
+    }
+
+    @Override
+    public void onHead(UpstreamHead head) {
+        if (isFailure(head.status())) {
+            mRejection = Optional.of(head);
+            return;
+        }
+        mCall.head(head.status(), head.contentType());
+    }
+
+    private static boolean isFailure(int status) {
+        return status == TOO_MANY_REQUESTS || status >= SERVER_ERROR || status < OK;
+    }
+
+    @Override
+    public boolean onData(ByteString data) {
+        if (mRejection.isPresent()) {
+            return true;
+        }
+        mCall.chunk(data);
+        return wantsMore();
+    }
+
+    @Override
+    public boolean wantsMore() {
+        return mCall.credit() > 0;
+    }
+
+    @Override
+    public void onEnd() {
+        if (mRejection.isPresent()) {
+            reject(mRejection.get());
+            return;
+        }
+        if (complete(CallOutcome.GOOD)) {
+            mCall.end(
+                    mTime.since(mAdmittedAt),
+                    Duration.ofNanos(mAdmittedAt - mOfferedAt),
+                    mGate.load());
+        }
+    }
+
+    private void reject(UpstreamHead head) {
+        boolean busy = head.status() == TOO_MANY_REQUESTS || head.status() == UNAVAILABLE;
+        Ran ran = head.notRun() ? Ran.NO : Ran.UNKNOWN;
+        String detail = "the upstream answered with status " + head.status();
+        if (busy) {
+            refuse(CallOutcome.BUSY, RefusalReason.UPSTREAM_BUSY, ran, detail, head.retryAfter());
+        } else {
+            refuse(
+                    CallOutcome.FAILED,
+                    RefusalReason.UPSTREAM_FAILED,
+                    ran,
+                    detail,
+                    Optional.empty());
+        }
+    }
+
+    @Override
+    public void onFailure(UpstreamFailure failure) {
+        if (failure.sent()) {
+            refuse(
+                    CallOutcome.FAILED,
+                    RefusalReason.UPSTREAM_FAILED,
+                    Ran.UNKNOWN,
+                    failure.detail(),
+                    Optional.empty());
+        } else {
+            refuse(
+                    CallOutcome.UNREACHABLE,
+                    RefusalReason.UPSTREAM_UNREACHABLE,
+                    Ran.NO,
+                    failure.detail(),
+                    Optional.empty());
+        }
+    }
+
+    private void timeOut() {
+        refuse(
+                CallOutcome.TIMED_OUT,
+                RefusalReason.DEADLINE_EXCEEDED,
+                Ran.UNKNOWN,
+                "the deadline passed while the upstream worked on the call",
+                Optional.empty());
+        cancelExchange();
+    }
+
+    /** Withdraws the call because its entry has. */
+    void cancel() {
+        if (complete(CallOutcome.CANCELLED)) {
+            cancelExchange();
+        }
+    }
+
+    private void cancelExchange() {
+        UpstreamExchange exchange;
+        synchronized (this) {
+            exchange = mExchange;
+        }
+        if (exchange != null) {
+            exchange.cancel();
+        }
+    }
+
+    private void refuse(
+            CallOutcome outcome,
+            RefusalReason reason,
+            Ran ran,
+            String detail,
+            Optional<Duration> retryAfter) {
+        if (complete(outcome)) {
+            mMetrics.refused(reason);
+            mCall.refuse(new Refusal(reason, ran, detail, retryAfter), mGate.load());
+        }
+    }
+
+    /** Ends the call once; returns whether this was the first end. */
+    private boolean complete(CallOutcome outcome) {
+        Gate.Permit permit;
+        synchronized (this) {
+            if (mDone) {
+                return false;
+            }
+            mDone = true;
+            permit = mPermit;
+            if (mTimer != null) {
+                mTimer.cancel();
+            }
+        }
+        if (permit != null) {
+            mMetrics.ended(outcome);
+            permit.complete(outcome, mTime.since(mAdmittedAt));
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/boragethread/agent/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of an agent. */
+package org.boragethread.agent.settings;
--- /dev/null
+++ b/agent/src/main/java/org/boragethread/agent/upstream/GrizzlyUpstreamClient.java
@@ -0,0 +1,126 @@
+package org.boragethread.agent.upstream;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+/**
+ * HTTP/1.1 client on Grizzly with a stack of idle connections.
+ *
+ * <p>A request that is not idempotent always gets a new connection, since a reused one may have
+ * been closed by the upstream, which would leave unknown whether the request ran.
+ */
+public final class GrizzlyUpstreamClient implements UpstreamClient {
+
+    private final InetSocketAddress mAddress;
+    private final TCPNIOTransport mTransport;
+    private final TCPNIOConnectorHandler mConnector;
+    private final ConcurrentLinkedDeque<Connection<?>> mIdle = new ConcurrentLinkedDeque<>();
+
+    /**
+     * Starts a client.
+     *
+     * @param address address of the upstream
+     * @param connectTimeout time after which a connection attempt has failed
+     * @throws UncheckedIOException if the system gives no selector
+     */
+    public GrizzlyUpstreamClient(InetSocketAddress address, Duration connectTimeout) {
+        mAddress = address;
+        FilterChainBuilder filters =
+                FilterChainBuilder.stateless()
+                        .add(new TransportFilter())
+                        .add(new HttpClientFilter())
+                        .add(new ExchangeFilter());
+        mTransport =
+                TCPNIOTransportBuilder.newInstance()
+                        .setName("upstream")
+                        .setIOStrategy(SameThreadIOStrategy.getInstance())
+                        .setSelectorRunnersCount(1)
+                        .setTcpNoDelay(true)
+                        .setProcessor(filters.build())
+                        .build();
+        mTransport.setConnectionTimeout((int) connectTimeout.toMillis());
+        mConnector = TCPNIOConnectorHandler.builder(mTransport).build();
+        mConnector.setSyncConnectTimeout(connectTimeout.toMillis(), TimeUnit.MILLISECONDS);
+        try {
+            mTransport.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot start the HTTP client: " + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public UpstreamExchange send(UpstreamRequest request, UpstreamListener listener) {
+        Exchange exchange = new Exchange(this, mAddress, request, listener);
+        Optional<Connection<?>> idle = request.idempotent() ? takeIdle() : Optional.empty();
+        if (idle.isPresent()) {
+            exchange.begin(idle.get(), true);
+        } else {
+            connect(exchange);
+        }
+        return exchange;
+    }
+
+    /** Opens a new connection for an exchange. */
+    void connect(Exchange exchange) {
+        CompletionHandler<Connection> onConnected =
+                new EmptyCompletionHandler<>() {
+                    @Override
+                    public void completed(Connection connection) {
+                        exchange.begin(connection, false);
+                    }
+
+                    @Override
+                    public void failed(Throwable cause) {
+                        exchange.failUnsent("cannot connect to %s: %s".formatted(mAddress, cause));
+                    }
+
+                    @Override
+                    public void cancelled() {
+                        exchange.failUnsent("cannot connect to %s in time".formatted(mAddress));
+                    }
+                };
+        mConnector.connect(mAddress, onConnected);
+    }
+
+    private Optional<Connection<?>> takeIdle() {
+        Connection<?> connection = mIdle.pollFirst();
+        while (connection != null && !connection.isOpen()) {
+            connection = mIdle.pollFirst();
+        }
+        return Optional.ofNullable(connection);
+    }
+
+    /** Keeps a connection for a later request. */
+    void release(Connection<?> connection) {
+        mIdle.addFirst(connection);
+    }
+
+    /** Forgets a closed connection. */
+    void forget(Connection<?> connection) {
+        mIdle.remove(connection);
+    }
+
+    @Override
+    public void close() {
+        try {
+            mTransport.shutdownNow();
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot stop the HTTP client: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/command/SettingsFile.java
@@ -0,0 +1,39 @@
+package org.boragethread.process.command;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Function;
+import org.boragethread.process.settings.SettingsProblem;
+import org.boragethread.process.settings.SettingsReader;
+
+/** Loads a settings file for a sub-command. */
+public final class SettingsFile {
+
+    private SettingsFile() {}
+
+    /**
+     * Reads and checks a file.
+     *
+     * @param build makes the settings from the reader, recording problems in it
+     * @return the settings, or every problem found
+     */
+    public static <T> Either<List<SettingsProblem>, T> load(
+            Path path, Function<SettingsReader, T> build) {
+        String text;
+        try {
+            text = Files.readString(path);
+        } catch (IOException e) {
+            return Either.left(
+                    List.of(
+                            new SettingsProblem(
+                                    path.toString(), "", "", "name a file that can be read")));
+        }
+        SettingsReader reader = new SettingsReader(path.toString(), text);
+        T settings = build.apply(reader);
+        List<SettingsProblem> problems = reader.problems();
+        return problems.isEmpty() ? Either.right(settings) : Either.left(problems);
+    }
+}
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line and its sub-commands. */
+package org.boragethread.process.command;
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/monitor/HttpServers.java
@@ -0,0 +1,65 @@
+package org.boragethread.process.monitor;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/** Makes HTTP servers that listen on one address. */
+public final class HttpServers {
+
+    private HttpServers() {}
+
+    /**
+     * Returns a server with one handler, not yet started.
+     *
+     * @param threads number of threads that run handlers
+     */
+    public static HttpServer create(InetSocketAddress address, HttpHandler handler, int threads) {
+        NetworkListener listener =
+                new NetworkListener(
+                        "http", address.getAddress().getHostAddress(), address.getPort());
+        listener.getTransport()
+                .setWorkerThreadPoolConfig(
+                        ThreadPoolConfig.defaultConfig()
+                                .setPoolName("http")
+                                .setCorePoolSize(threads)
+                                .setMaxPoolSize(threads));
+        listener.getTransport().setSelectorRunnersCount(Math.max(1, threads / 2));
+        HttpServer server = new HttpServer();
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(handler, "/");
+        return server;
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @return the bound address, with the port that the system chose if it was 0
+     * @throws UncheckedIOException if the address cannot be bound
+     */
+    public static InetSocketAddress start(HttpServer server) {
+        try {
+            server.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot listen: " + e.getMessage(), e);
+        }
+        NetworkListener listener = server.getListeners().iterator().next();
+        return new InetSocketAddress(listener.getHost(), listener.getPort());
+    }
+
+    /** Stops a server once its running requests have ended, or after a grace period. */
+    public static void stop(HttpServer server, long graceMillis) {
+        try {
+            server.shutdown(graceMillis, TimeUnit.MILLISECONDS).get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (java.util.concurrent.ExecutionException e) {
+            server.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/monitor/package-info.java
@@ -0,0 +1,2 @@
+/** Health and metrics over HTTP. */
+package org.boragethread.process.monitor;
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/settings/SettingsReader.java
@@ -0,0 +1,72 @@
+package org.boragethread.process.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Reads a settings file and collects every problem, so that an operator sees all of them at once.
+ * Getters return a usable value even when they record a problem.
+ */
+public final class SettingsReader {
+
+    private final String mFile;
+    private final JsonNode mRoot;
+    private final Set<String> mSections = new HashSet<>();
+    private final List<SettingsProblem> mProblems = new ArrayList<>();
+
+    /**
+     * Parses a file's text.
+     *
+     * @param file name of the file, for messages
+     */
+    public SettingsReader(String file, String toml) {
+        mFile = file;
+        mRoot = parse(toml);
+    }
+
+    private JsonNode parse(String toml) {
+        try {
+            return new TomlMapper().readTree(toml);
+        } catch (JsonProcessingException e) {
+            add("", "", "correct the TOML syntax: " + e.getOriginalMessage());
+            return JsonNodeFactory.instance.objectNode();
+        }
+    }
+
+    /** Returns a section; a missing one is empty, so its required keys become problems. */
+    public SettingsSection section(String name) {
+        mSections.add(name);
+        JsonNode node = mRoot.path(name);
+        if (!node.isMissingNode() && !node.isObject()) {
+            add(name, node.toString(), "make it a section, [" + name + "]");
+        }
+        return new SettingsSection(this, name, node);
+    }
+
+    /** Records a problem. */
+    public void add(String key, String value, String remedy) {
+        mProblems.add(new SettingsProblem(mFile, key, value, remedy));
+    }
+
+    /** Returns all problems, unknown sections included. Call it after reading every key. */
+    public List<SettingsProblem> problems() {
+        Iterator<String> names = mRoot.fieldNames();
+        List<SettingsProblem> all = new ArrayList<>(mProblems);
+        while (names.hasNext()) {
+            String name = names.next();
+            if (!mSections.contains(name)) {
+                all.add(
+                        new SettingsProblem(
+                                mFile, name, "", "remove it; known sections are " + mSections));
+            }
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/settings/SettingsSection.java
@@ -0,0 +1,167 @@
+package org.boragethread.process.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+/** One section of a settings file. */
+public final class SettingsSection {
+
+    private static final Pattern IP_AND_PORT =
+            Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9A-Fa-f:.]+\\]):(\\d{1,5})");
+    private static final int MAX_PORT = 65535;
+    private static final int MAX_OCTET = 255;
+
+    private final SettingsReader mReader;
+    private final String mName;
+    private final JsonNode mNode;
+    private final Set<String> mKnown = new TreeSet<>();
+
+    SettingsSection(SettingsReader reader, String name, JsonNode node) {
+        mReader = reader;
+        mName = name;
+        mNode = node;
+    }
+
+    /** Returns a required text, or an empty one if it is missing. */
+    public String text(String key) {
+        JsonNode node = node(key);
+        if (!node.isTextual() || node.textValue().isBlank()) {
+            problem(key, "set it to a text in quotes");
+            return "";
+        }
+        return node.textValue();
+    }
+
+    /** Returns a text, or the default if the key is missing. */
+    public String text(String key, String defaultValue) {
+        return node(key).isMissingNode() ? defaultValue : text(key);
+    }
+
+    /**
+     * Returns a value that a constructor makes from a required text.
+     *
+     * @param constructor throws IllegalArgumentException with a remedy if the text is not valid
+     * @param placeholder value to return after a problem
+     */
+    public <T> T value(String key, Function<String, T> constructor, T placeholder) {
+        String text = text(key);
+        if (text.isEmpty()) {
+            return placeholder;
+        }
+        try {
+            return constructor.apply(text);
+        } catch (IllegalArgumentException e) {
+            problem(key, e.getMessage());
+            return placeholder;
+        }
+    }
+
+    /** Returns a required address of the form IP:port. */
+    public InetSocketAddress address(String key) {
+        String text = text(key);
+        Optional<InetSocketAddress> address = parseAddress(text);
+        if (address.isEmpty() && !text.isEmpty()) {
+            problem(key, "write an IP number and a port, such as \"127.0.0.1:7001\"");
+        }
+        return address.orElseGet(() -> InetSocketAddress.createUnresolved("0.0.0.0", 0));
+    }
+
+    /** Returns an address of the form IP:port, or empty if the key is missing. */
+    public Optional<InetSocketAddress> optionalAddress(String key) {
+        return node(key).isMissingNode() ? Optional.empty() : Optional.of(address(key));
+    }
+
+    private static Optional<InetSocketAddress> parseAddress(String text) {
+        var match = IP_AND_PORT.matcher(text);
+        if (!match.matches()) {
+            return Optional.empty();
+        }
+        int port = Integer.parseInt(match.group(2));
+        String host = match.group(1);
+        boolean badOctet =
+                !host.startsWith("[")
+                        && Arrays.stream(host.split("\\."))
+                                .anyMatch(octet -> Integer.parseInt(octet) > MAX_OCTET);
+        if (port > MAX_PORT || badOctet) {
+            return Optional.empty();
+        }
+        return Optional.of(new InetSocketAddress(host, port));
+    }
+
+    /** Returns a whole number in a range, or the default if the key is missing. */
+    public int integer(String key, int defaultValue, int min, int max) {
+        JsonNode node = node(key);
+        if (node.isMissingNode()) {
+            return defaultValue;
+        }
+        if (!node.canConvertToExactIntegral() || node.longValue() < min || node.longValue() > max) {
+            problem(key, "write a whole number from %d to %d".formatted(min, max));
+            return defaultValue;
+        }
+        return node.intValue();
+    }
+
+    /** Returns a duration given in milliseconds, or the default if the key is missing. */
+    public Duration millis(String key, Duration defaultValue, Duration min, Duration max) {
+        int millis =
+                integer(
+                        key,
+                        (int) defaultValue.toMillis(),
+                        (int) min.toMillis(),
+                        (int) max.toMillis());
+        return Duration.ofMillis(millis);
+    }
+
+    /** Returns a constant of an enum, written in lower case with hyphens. */
+    public <E extends Enum<E>> E choice(String key, Class<E> type, E defaultValue) {
+        JsonNode node = node(key);
+        if (node.isMissingNode()) {
+            return defaultValue;
+        }
+        for (E constant : type.getEnumConstants()) {
+            if (label(constant).equals(node.asText())) {
+                return constant;
+            }
+        }
+        Set<String> labels = new TreeSet<>();
+        for (E constant : type.getEnumConstants()) {
+            labels.add(label(constant));
+        }
+        problem(key, "use one of " + labels);
+        return defaultValue;
+    }
+
+    private static String label(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** Records the keys that were not asked for. Call it after reading the section. */
+    public void finish() {
+        Iterator<String> names = mNode.fieldNames();
+        while (names.hasNext()) {
+            String name = names.next();
+            if (!mKnown.contains(name)) {
+                problem(name, "remove it; known keys are " + mKnown);
+            }
+        }
+    }
+
+    private JsonNode node(String key) {
+        mKnown.add(key);
+        return mNode.path(key);
+    }
+
+    private void problem(String key, String remedy) {
+        JsonNode node = mNode.path(key);
+        mReader.add(mName + "." + key, node.isMissingNode() ? "" : node.toString(), remedy);
+    }
+}
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Reads and checks settings files in TOML. */
+package org.boragethread.process.settings;
