Define the platform log, intents and plans

Cause: configuration, claims and jobs all need one view of the platform's log, and operators need a typed form of their changes. Change: interfaces PlatformLog and VmDirectory with typed errors; Change, Intent and Plan; Configuration on persistent maps with settled jobs and remembered decisions on plans. Conclusion: the next configuration shares what did not change, and a confirmed plan can be told from a repeated one without keeping all of them.

--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/log/VmList.java
@@ -0,0 +1,20 @@
+package org.boragethread.core.log;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Objects;
+import org.boragethread.model.place.Vm;
+
+/**
+ * The platform's VMs at one time.
+ *
+ * @param asOf when the list was true, by the platform's clock
+ * @param vms the VMs
+ */
+public record VmList(Instant asOf, List<Vm> vms) {
+
+    public VmList {
+        Objects.requireNonNull(asOf, "asOf");
+        vms = List.copyOf(vms);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/config/Change.java
@@ -0,0 +1,225 @@
+package org.boragethread.model.config;
+
+import java.util.Objects;
+import org.boragethread.model.Names;
+import org.boragethread.model.pipeline.Pipeline;
+import org.boragethread.model.pipeline.PipelineId;
+import org.boragethread.model.place.DataCentre;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.place.ServiceState;
+import org.boragethread.model.team.Team;
+import org.boragethread.model.team.TeamId;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.UpstreamGroup;
+import org.boragethread.model.upstream.UpstreamId;
+
+/** One change of the configuration. */
+public sealed interface Change {
+
+    /** Returns the object that the change writes. */
+    ObjectRef ref();
+
+    /** Tells whether the change takes something out of service. */
+    default boolean takesOut() {
+        return false;
+    }
+
+    /**
+     * Adds or replaces a data centre.
+     *
+     * @param dataCentre the data centre
+     */
+    record PutDataCentre(DataCentre dataCentre) implements Change {
+
+        public PutDataCentre {
+            Objects.requireNonNull(dataCentre, "dataCentre");
+        }
+
+        @Override
+        public ObjectRef ref() {
+            return refOf(dataCentre.id());
+        }
+
+        @Override
+        public boolean takesOut() {
+            return dataCentre.service() == ServiceState.OUT;
+        }
+    }
+
+    /**
+     * Adds or replaces an upstream group.
+     *
+     * @param group the group
+     */
+    record PutGroup(UpstreamGroup group) implements Change {
+
+        public PutGroup {
+            Objects.requireNonNull(group, "group");
+        }
+
+        @Override
+        public ObjectRef ref() {
+            return refOf(group.id());
+        }
+    }
+
+    /**
+     * Adds or replaces a team.
+     *
+     * @param team the team
+     */
+    record PutTeam(Team team) implements Change {
+
+        public PutTeam {
+            Objects.requireNonNull(team, "team");
+        }
+
+        @Override
+        public ObjectRef ref() {
+            return refOf(team.id());
+        }
+    }
+
+    /**
+     * Removes a team.
+     *
+     * @param team the team
+     */
+    record RemoveTeam(TeamId team) implements Change {
+
+        public RemoveTeam {
+            Objects.requireNonNull(team, "team");
+        }
+
+        @Override
+        public ObjectRef ref() {
+            return refOf(team);
+        }
+    }
+
+    /**
+     * Adds or replaces a pipeline.
+     *
+     * @param pipeline the pipeline
+     */
+    record PutPipeline(Pipeline pipeline) implements Change {
+
+        public PutPipeline {
+            Objects.requireNonNull(pipeline, "pipeline");
+        }
+
+        @Override
+        public ObjectRef ref() {
+            return refOf(pipeline.id());
+        }
+    }
+
+    /**
+     * Removes a pipeline.
+     *
+     * @param pipeline the pipeline
+     */
+    record RemovePipeline(PipelineId pipeline) implements Change {
+
+        public RemovePipeline {
+            Objects.requireNonNull(pipeline, "pipeline");
+        }
+
+        @Override
+        public ObjectRef ref() {
+            return refOf(pipeline);
+        }
+    }
+
+    /**
+     * Takes a data centre out of service or back.
+     *
+     * @param dataCentre the data centre
+     * @param service the wanted state
+     */
+    record SetDataCentreService(DataCentreId dataCentre, ServiceState service) implements Change {
+
+        public SetDataCentreService {
+            Objects.requireNonNull(dataCentre, "dataCentre");
+            Objects.requireNonNull(service, "service");
+        }
+
+        @Override
+        public ObjectRef ref() {
+            return refOf(dataCentre);
+        }
+
+        @Override
+        public boolean takesOut() {
+            return service == ServiceState.OUT;
+        }
+    }
+
+    /**
+     * Takes an upstream out of service or back.
+     *
+     * @param upstream the upstream
+     * @param service the wanted state
+     */
+    record SetUpstreamService(UpstreamId upstream, ServiceState service) implements Change {
+
+        public SetUpstreamService {
+            Objects.requireNonNull(upstream, "upstream");
+            Objects.requireNonNull(service, "service");
+        }
+
+        @Override
+        public ObjectRef ref() {
+            return refOf(upstream);
+        }
+
+        @Override
+        public boolean takesOut() {
+            return service == ServiceState.OUT;
+        }
+    }
+
+    /**
+     * States the outcome of a job that is held as unknown.
+     *
+     * @param job identifier of the job
+     * @param outcome what the operator found out
+     */
+    record SettleJob(String job, JobSettlement outcome) implements Change {
+
+        public SettleJob {
+            Names.check("Job", job);
+            Objects.requireNonNull(outcome, "outcome");
+        }
+
+        @Override
+        public ObjectRef ref() {
+            return new ObjectRef(ObjectKind.JOB, job);
+        }
+    }
+
+    /** Names a data centre. */
+    static ObjectRef refOf(DataCentreId id) {
+        return new ObjectRef(ObjectKind.DATA_CENTRE, id.value());
+    }
+
+    /** Names an upstream group. */
+    static ObjectRef refOf(GroupId id) {
+        return new ObjectRef(ObjectKind.GROUP, id.value());
+    }
+
+    /** Names an upstream. */
+    static ObjectRef refOf(UpstreamId id) {
+        return new ObjectRef(ObjectKind.UPSTREAM, id.value());
+    }
+
+    /** Names a team. */
+    static ObjectRef refOf(TeamId id) {
+        return new ObjectRef(ObjectKind.TEAM, id.value());
+    }
+
+    /** Names a pipeline. */
+    static ObjectRef refOf(PipelineId id) {
+        return new ObjectRef(ObjectKind.PIPELINE, id.value());
+    }
+}
--- a/model/src/main/java/org/boragethread/model/config/Configuration.java
+++ b/model/src/main/java/org/boragethread/model/config/Configuration.java
@@ -1,10 +1,11 @@
 package org.boragethread.model.config;
 
-import java.util.Collections;
+import io.vavr.collection.HashMap;
+import io.vavr.collection.SortedMap;
+import io.vavr.collection.TreeMap;
+import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
-import java.util.SortedMap;
-import java.util.TreeMap;
 import org.boragethread.model.pipeline.Pipeline;
 import org.boragethread.model.pipeline.PipelineId;
 import org.boragethread.model.place.DataCentre;
@@ -19,13 +20,17 @@
 /**
  * The configuration as of one revision. Instances are immutable; {@link Builder} makes the next.
  *
- * <p>Upstreams appear only while operators hold them out of service.
+ * <p>The maps are persistent: the next configuration shares all that did not change. Upstreams
+ * appear once operators have set their service state.
  */
 public final class Configuration {
 
     /** Revision of the configuration before any record. */
     public static final long NO_REVISION = -1;
 
+    /** Number of decided plans and of settled jobs that are remembered. */
+    public static final int MAX_REMEMBERED = 1024;
+
     /** The configuration before any record. */
     public static final Configuration EMPTY = new Builder().build();
 
@@ -35,14 +40,24 @@
     private final SortedMap<UpstreamId, Versioned<ServiceState>> mUpstreams;
     private final SortedMap<TeamId, Versioned<Team>> mTeams;
     private final SortedMap<PipelineId, Versioned<Pipeline>> mPipelines;
+    private final SortedMap<String, Versioned<JobSettlement>> mSettledJobs;
+    private final SortedMap<Long, PlanDecision> mDecisions;
+    private final HashMap<PlanId, Long> mDecisionOffsets;
+    private final long mCapacityRevision;
+    private final long mForgottenThrough;
 
     private Configuration(Builder builder) {
         mRevision = builder.mRevision;
-        mDataCentres = new TreeMap<>(builder.mDataCentres);
-        mGroups = new TreeMap<>(builder.mGroups);
-        mUpstreams = new TreeMap<>(builder.mUpstreams);
-        mTeams = new TreeMap<>(builder.mTeams);
-        mPipelines = new TreeMap<>(builder.mPipelines);
+        mDataCentres = builder.mDataCentres;
+        mGroups = builder.mGroups;
+        mUpstreams = builder.mUpstreams;
+        mTeams = builder.mTeams;
+        mPipelines = builder.mPipelines;
+        mSettledJobs = builder.mSettledJobs;
+        mDecisions = builder.mDecisions;
+        mDecisionOffsets = builder.mDecisionOffsets;
+        mCapacityRevision = builder.mCapacityRevision;
+        mForgottenThrough = builder.mForgottenThrough;
     }
 
     /** Returns the log offset of the last record that this configuration contains. */
@@ -52,62 +67,104 @@
 
     /** Returns the data centres by name. */
     public Map<DataCentreId, Versioned<DataCentre>> dataCentres() {
-        return Collections.unmodifiableSortedMap(mDataCentres);
+        return new MapView<>(DataCentreId.class, mDataCentres);
     }
 
     /** Returns the upstream groups by name. */
     public Map<GroupId, Versioned<UpstreamGroup>> groups() {
-        return Collections.unmodifiableSortedMap(mGroups);
+        return new MapView<>(GroupId.class, mGroups);
     }
 
     /** Returns the upstreams whose service state operators have set. */
     public Map<UpstreamId, Versioned<ServiceState>> upstreams() {
-        return Collections.unmodifiableSortedMap(mUpstreams);
+        return new MapView<>(UpstreamId.class, mUpstreams);
     }
 
     /** Returns the teams by name. */
     public Map<TeamId, Versioned<Team>> teams() {
-        return Collections.unmodifiableSortedMap(mTeams);
+        return new MapView<>(TeamId.class, mTeams);
     }
 
     /** Returns the pipelines by name. */
     public Map<PipelineId, Versioned<Pipeline>> pipelines() {
-        return Collections.unmodifiableSortedMap(mPipelines);
+        return new MapView<>(PipelineId.class, mPipelines);
     }
 
     /** Returns a pipeline, if it exists. */
     public Optional<Pipeline> pipeline(PipelineId id) {
-        return Optional.ofNullable(mPipelines.get(id)).map(Versioned::value);
+        return mPipelines.get(id).map(Versioned::value).toJavaOptional();
     }
 
     /** Returns a team, if it exists. */
     public Optional<Team> team(TeamId id) {
-        return Optional.ofNullable(mTeams.get(id)).map(Versioned::value);
+        return mTeams.get(id).map(Versioned::value).toJavaOptional();
     }
 
     /** Returns an upstream group, if it exists. */
     public Optional<UpstreamGroup> group(GroupId id) {
-        return Optional.ofNullable(mGroups.get(id)).map(Versioned::value);
+        return mGroups.get(id).map(Versioned::value).toJavaOptional();
     }
 
     /** Returns a data centre, if it exists. */
     public Optional<DataCentre> dataCentre(DataCentreId id) {
-        return Optional.ofNullable(mDataCentres.get(id)).map(Versioned::value);
+        return mDataCentres.get(id).map(Versioned::value).toJavaOptional();
     }
 
     /** Tells whether an upstream in a data centre may receive new work. */
     public boolean isInService(UpstreamId upstream, DataCentreId dataCentre) {
-        Versioned<ServiceState> state = mUpstreams.get(upstream);
-        if (state != null && state.value() == ServiceState.OUT) {
-            return false;
-        }
-        return isInService(dataCentre);
+        return mUpstreams.get(upstream).forAll(s -> s.value() == ServiceState.IN)
+                && isInService(dataCentre);
     }
 
     /** Tells whether a data centre may receive new work; an unlisted one may. */
     public boolean isInService(DataCentreId dataCentre) {
-        Versioned<DataCentre> entry = mDataCentres.get(dataCentre);
-        return entry == null || entry.value().service() == ServiceState.IN;
+        return mDataCentres.get(dataCentre).forAll(e -> e.value().service() == ServiceState.IN);
+    }
+
+    /** Returns the jobs that operators have settled; the oldest are forgotten. */
+    public Map<String, Versioned<JobSettlement>> settledJobs() {
+        return new MapView<>(String.class, mSettledJobs);
+    }
+
+    /** Returns the remembered decisions on plans, oldest first. */
+    public Collection<PlanDecision> decisions() {
+        return new MapView<>(Long.class, mDecisions).values();
+    }
+
+    /** Returns the decision on a plan, if it is remembered. */
+    public Optional<PlanDecision> decision(PlanId plan) {
+        return mDecisionOffsets.get(plan).flatMap(mDecisions::get).toJavaOptional();
+    }
+
+    /** Returns the revision of the last change that took something out of service. */
+    public long capacityRevision() {
+        return mCapacityRevision;
+    }
+
+    /**
+     * Returns the offset up to which decisions are forgotten. A plan made from an older revision
+     * may have been decided already, so it can no longer be confirmed.
+     */
+    public long forgottenThrough() {
+        return mForgottenThrough;
+    }
+
+    /** Returns the revision of an object, or {@link #NO_REVISION} if it does not exist. */
+    public long revisionOf(ObjectRef ref) {
+        String name = ref.name();
+        return switch (ref.kind()) {
+            case DATA_CENTRE -> revisionIn(mDataCentres, new DataCentreId(name));
+            case GROUP -> revisionIn(mGroups, new GroupId(name));
+            case UPSTREAM -> revisionIn(mUpstreams, new UpstreamId(name));
+            case TEAM -> revisionIn(mTeams, new TeamId(name));
+            case PIPELINE -> revisionIn(mPipelines, new PipelineId(name));
+            case JOB -> revisionIn(mSettledJobs, name);
+            case CAPACITY -> mCapacityRevision;
+        };
+    }
+
+    private static <K, V> long revisionIn(SortedMap<K, Versioned<V>> map, K key) {
+        return map.get(key).map(Versioned::revision).getOrElse(NO_REVISION);
     }
 
     /** Returns a builder that starts with this configuration. */
@@ -118,22 +175,32 @@
     /** Makes configurations. */
     public static final class Builder {
         private long mRevision = NO_REVISION;
-        private final SortedMap<DataCentreId, Versioned<DataCentre>> mDataCentres = new TreeMap<>();
-        private final SortedMap<GroupId, Versioned<UpstreamGroup>> mGroups = new TreeMap<>();
-        private final SortedMap<UpstreamId, Versioned<ServiceState>> mUpstreams = new TreeMap<>();
-        private final SortedMap<TeamId, Versioned<Team>> mTeams = new TreeMap<>();
-        private final SortedMap<PipelineId, Versioned<Pipeline>> mPipelines = new TreeMap<>();
+        private SortedMap<DataCentreId, Versioned<DataCentre>> mDataCentres = TreeMap.empty();
+        private SortedMap<GroupId, Versioned<UpstreamGroup>> mGroups = TreeMap.empty();
+        private SortedMap<UpstreamId, Versioned<ServiceState>> mUpstreams = TreeMap.empty();
+        private SortedMap<TeamId, Versioned<Team>> mTeams = TreeMap.empty();
+        private SortedMap<PipelineId, Versioned<Pipeline>> mPipelines = TreeMap.empty();
+        private SortedMap<String, Versioned<JobSettlement>> mSettledJobs = TreeMap.empty();
+        private SortedMap<Long, PlanDecision> mDecisions = TreeMap.empty();
+        private HashMap<PlanId, Long> mDecisionOffsets = HashMap.empty();
+        private long mCapacityRevision = NO_REVISION;
+        private long mForgottenThrough = NO_REVISION;
 
         /** Starts with the empty configuration. */
         public Builder() {}
 
         private Builder(Configuration from) {
             mRevision = from.mRevision;
-            mDataCentres.putAll(from.mDataCentres);
-            mGroups.putAll(from.mGroups);
-            mUpstreams.putAll(from.mUpstreams);
-            mTeams.putAll(from.mTeams);
-            mPipelines.putAll(from.mPipelines);
+            mDataCentres = from.mDataCentres;
+            mGroups = from.mGroups;
+            mUpstreams = from.mUpstreams;
+            mTeams = from.mTeams;
+            mPipelines = from.mPipelines;
+            mSettledJobs = from.mSettledJobs;
+            mDecisions = from.mDecisions;
+            mDecisionOffsets = from.mDecisionOffsets;
+            mCapacityRevision = from.mCapacityRevision;
+            mForgottenThrough = from.mForgottenThrough;
         }
 
         /** Sets the revision of the result. */
@@ -144,43 +211,81 @@
 
         /** Adds or replaces a data centre. */
         public Builder put(DataCentre dataCentre, long revision) {
-            mDataCentres.put(dataCentre.id(), new Versioned<>(dataCentre, revision));
+            mDataCentres = mDataCentres.put(dataCentre.id(), new Versioned<>(dataCentre, revision));
             return this;
         }
 
         /** Adds or replaces an upstream group. */
         public Builder put(UpstreamGroup group, long revision) {
-            mGroups.put(group.id(), new Versioned<>(group, revision));
+            mGroups = mGroups.put(group.id(), new Versioned<>(group, revision));
             return this;
         }
 
         /** Sets the service state of an upstream. */
         public Builder put(UpstreamId upstream, ServiceState state, long revision) {
-            mUpstreams.put(upstream, new Versioned<>(state, revision));
+            mUpstreams = mUpstreams.put(upstream, new Versioned<>(state, revision));
             return this;
         }
 
         /** Adds or replaces a team. */
         public Builder put(Team team, long revision) {
-            mTeams.put(team.id(), new Versioned<>(team, revision));
+            mTeams = mTeams.put(team.id(), new Versioned<>(team, revision));
             return this;
         }
 
         /** Adds or replaces a pipeline. */
         public Builder put(Pipeline pipeline, long revision) {
-            mPipelines.put(pipeline.id(), new Versioned<>(pipeline, revision));
+            mPipelines = mPipelines.put(pipeline.id(), new Versioned<>(pipeline, revision));
             return this;
         }
 
         /** Removes a team. */
         public Builder remove(TeamId team) {
-            mTeams.remove(team);
+            mTeams = mTeams.remove(team);
             return this;
         }
 
         /** Removes a pipeline. */
         public Builder remove(PipelineId pipeline) {
-            mPipelines.remove(pipeline);
+            mPipelines = mPipelines.remove(pipeline);
+            return this;
+        }
+
+        /** Records an operator's statement on a job and forgets the oldest beyond the bound. */
+        public Builder settle(String job, JobSettlement outcome, long revision) {
+            mSettledJobs = mSettledJobs.put(job, new Versioned<>(outcome, revision));
+            if (mSettledJobs.size() > MAX_REMEMBERED) {
+                mSettledJobs = mSettledJobs.remove(oldestSettledJob());
+            }
+            return this;
+        }
+
+        private String oldestSettledJob() {
+            return mSettledJobs.minBy(e -> e._2.revision()).get()._1;
+        }
+
+        /** Records the fate of a plan and forgets the oldest beyond the bound. */
+        public Builder decide(PlanDecision decision) {
+            mDecisions = mDecisions.put(decision.offset(), decision);
+            mDecisionOffsets = mDecisionOffsets.put(decision.plan(), decision.offset());
+            if (mDecisions.size() > MAX_REMEMBERED) {
+                PlanDecision oldest = mDecisions.head()._2;
+                mDecisions = mDecisions.remove(oldest.offset());
+                mDecisionOffsets = mDecisionOffsets.remove(oldest.plan());
+                mForgottenThrough = oldest.offset();
+            }
+            return this;
+        }
+
+        /** Sets the revision of the last change that took something out of service. */
+        public Builder capacityRevision(long revision) {
+            mCapacityRevision = revision;
+            return this;
+        }
+
+        /** Sets the offset up to which decisions are forgotten. */
+        public Builder forgottenThrough(long offset) {
+            mForgottenThrough = offset;
             return this;
         }
 
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/config/ObjectRef.java
@@ -0,0 +1,25 @@
+package org.boragethread.model.config;
+
+import java.util.Objects;
+
+/**
+ * Names one configuration object.
+ *
+ * @param kind kind of the object
+ * @param name name of the object, unique within its kind
+ */
+public record ObjectRef(ObjectKind kind, String name) {
+
+    /** Everything that is in service. */
+    public static final ObjectRef CAPACITY = new ObjectRef(ObjectKind.CAPACITY, "service");
+
+    public ObjectRef {
+        Objects.requireNonNull(kind, "kind");
+        Objects.requireNonNull(name, "name");
+    }
+
+    @Override
+    public String toString() {
+        return kind.label() + " \"" + name + "\"";
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/config/PlanEffects.java
@@ -0,0 +1,19 @@
+package org.boragethread.model.config;
+
+import java.util.List;
+
+/**
+ * What a plan does to the service.
+ *
+ * @param capacity groups whose capacity changes
+ * @param warnings sentences for the operator
+ * @param needsForce whether a stage is left without capacity, so that the intent must set force
+ */
+public record PlanEffects(
+        List<CapacityEffect> capacity, List<String> warnings, boolean needsForce) {
+
+    public PlanEffects {
+        capacity = List.copyOf(capacity);
+        warnings = List.copyOf(warnings);
+    }
+}
