Fold the configuration stream and answer intents with plans

Cause: racing operators need one winner, and every process the same state. Conclusion: plans that take something out of service also rely on what else is in service, so two of them that race cannot empty a stage together.

--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/config/ConfigFold.java
@@ -0,0 +1,138 @@
+package org.boragethread.core.config;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.boragethread.core.log.LogRecord;
+import org.boragethread.model.config.Change;
+import org.boragethread.model.config.Configuration;
+import org.boragethread.model.config.Intent;
+import org.boragethread.model.config.ObjectRef;
+import org.boragethread.model.config.Plan;
+import org.boragethread.model.config.PlanDecision;
+import org.boragethread.model.config.TouchedObject;
+
+/**
+ * The fold over the configuration stream. It depends on nothing but its arguments, so that equal
+ * prefixes of the stream give equal configurations on every process.
+ */
+public final class ConfigFold {
+
+    private ConfigFold() {}
+
+    /**
+     * Folds one record.
+     *
+     * @throws IllegalArgumentException if the configuration already contains the record
+     */
+    public static FoldResult apply(Configuration configuration, LogRecord record) {
+        if (record.offset() <= configuration.revision()) {
+            throw new IllegalArgumentException(
+                    "record %d is already contained in revision %d: skip it"
+                            .formatted(record.offset(), configuration.revision()));
+        }
+        Either<ConfigError, ConfigRecord> read = ConfigCodec.readRecord(record.data());
+        if (read.isLeft()) {
+            return invalid(configuration, record.offset(), Optional.empty(), read.getLeft());
+        }
+        if (read.get() instanceof ConfigRecord.SnapshotPart s) {
+            return unchanged(configuration, new Verdict.Snapshot(record.offset(), s.part()));
+        }
+        return confirm(
+                configuration, ((ConfigRecord.Confirmation) read.get()).plan(), record.offset());
+    }
+
+    private static FoldResult confirm(Configuration before, Plan plan, long offset) {
+        Optional<PlanDecision> decided = before.decision(plan.id());
+        if (decided.isPresent()) {
+            return unchanged(before, new Verdict.Duplicate(offset, decided.get()));
+        }
+        Optional<ConfigError> error = checkPlan(plan, before);
+        if (error.isPresent()) {
+            return invalid(before, offset, Optional.of(plan), error.get());
+        }
+        List<ObjectConflict> conflicts = conflicts(before, plan);
+        if (!conflicts.isEmpty()) {
+            return new FoldResult(
+                    decide(before.toBuilder(), plan, offset, false),
+                    new Verdict.Conflict(offset, plan.id(), conflicts));
+        }
+        List<Change> changes = plan.intent().changes();
+        Optional<ConfigError> misfit = ChangeRules.check(changes, before);
+        if (misfit.isPresent()) {
+            return new FoldResult(
+                    decide(before.toBuilder(), plan, offset, false),
+                    new Verdict.Invalid(offset, Optional.of(plan.id()), misfit.get(), true));
+        }
+        return new FoldResult(
+                decide(ChangeRules.apply(changes, before, offset), plan, offset, true),
+                new Verdict.Accepted(offset, plan.id()));
+    }
+
+    /** Returns why a plan can never be accepted any more, if so. */
+    static Optional<ConfigError> checkPlan(Plan plan, Configuration configuration) {
+        if (plan.baseRevision() < configuration.forgottenThrough()) {
+            return error(
+                    ConfigError.Kind.PLAN_EXPIRED,
+                    "the plan was made at revision %d, and decisions up to %d are forgotten"
+                            .formatted(plan.baseRevision(), configuration.forgottenThrough()));
+        }
+        if (plan.lacksForce()) {
+            return error(
+                    ConfigError.Kind.NEEDS_FORCE, String.join("; ", plan.effects().warnings()));
+        }
+        Set<ObjectRef> missing = requiredRefs(plan.intent());
+        plan.touched().forEach(t -> missing.remove(t.ref()));
+        if (!missing.isEmpty()) {
+            return error(
+                    ConfigError.Kind.INVALID,
+                    "the plan states no revision of %s".formatted(missing));
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the objects whose revisions the plan for an intent must state. */
+    static Set<ObjectRef> requiredRefs(Intent intent) {
+        Set<ObjectRef> refs = new HashSet<>();
+        intent.changes().forEach(c -> refs.add(c.ref()));
+        if (intent.takesOut() && !intent.force()) {
+            refs.add(ObjectRef.CAPACITY);
+        }
+        return refs;
+    }
+
+    /** Returns the touched objects that no longer have the plan's revision. */
+    static List<ObjectConflict> conflicts(Configuration configuration, Plan plan) {
+        List<ObjectConflict> result = new ArrayList<>();
+        for (TouchedObject touched : plan.touched()) {
+            long actual = configuration.revisionOf(touched.ref());
+            if (actual != touched.revision()) {
+                result.add(new ObjectConflict(touched.ref(), touched.revision(), actual));
+            }
+        }
+        return result;
+    }
+
+    private static Configuration decide(
+            Configuration.Builder builder, Plan plan, long offset, boolean accepted) {
+        return builder.decide(new PlanDecision(plan.id(), offset, accepted))
+                .revision(offset)
+                .build();
+    }
+
+    private static FoldResult invalid(
+            Configuration before, long offset, Optional<Plan> plan, ConfigError error) {
+        return unchanged(before, new Verdict.Invalid(offset, plan.map(Plan::id), error, false));
+    }
+
+    private static FoldResult unchanged(Configuration before, Verdict verdict) {
+        return new FoldResult(before.toBuilder().revision(verdict.offset()).build(), verdict);
+    }
+
+    private static Optional<ConfigError> error(ConfigError.Kind kind, String detail) {
+        return Optional.of(new ConfigError(kind, detail));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/config/DocumentException.java
@@ -0,0 +1,16 @@
+package org.boragethread.core.config;
+
+/** Carries a {@link ConfigError} out of nested readers; it never leaves this package. */
+final class DocumentException extends RuntimeException {
+
+    private final transient ConfigError mError;
+
+    DocumentException(ConfigError.Kind kind, String detail) {
+        super(detail, null, false, false);
+        mError = new ConfigError(kind, detail);
+    }
+
+    ConfigError error() {
+        return mError;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/config/ObjectConflict.java
@@ -0,0 +1,34 @@
+package org.boragethread.core.config;
+
+import java.util.Objects;
+import org.boragethread.model.config.Configuration;
+import org.boragethread.model.config.ObjectRef;
+
+/**
+ * An object that changed between a plan and its confirmation.
+ *
+ * @param ref the object
+ * @param planned its revision when the plan was made
+ * @param actual its revision now
+ */
+public record ObjectConflict(ObjectRef ref, long planned, long actual) {
+
+    public ObjectConflict {
+        Objects.requireNonNull(ref, "ref");
+    }
+
+    /** Returns what happened to the object. */
+    public String message() {
+        if (ref.equals(ObjectRef.CAPACITY)) {
+            return "something else was taken out of service at revision %d".formatted(actual);
+        }
+        if (actual == Configuration.NO_REVISION) {
+            return "%s was removed after the plan was made".formatted(ref);
+        }
+        if (planned == Configuration.NO_REVISION) {
+            return "%s was added at revision %d after the plan was made".formatted(ref, actual);
+        }
+        return "%s changed at revision %d and the plan was made for %d"
+                .formatted(ref, actual, planned);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/config/Planner.java
@@ -0,0 +1,69 @@
+package org.boragethread.core.config;
+
+import io.vavr.control.Either;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.boragethread.model.config.Change;
+import org.boragethread.model.config.Configuration;
+import org.boragethread.model.config.Intent;
+import org.boragethread.model.config.ObjectRef;
+import org.boragethread.model.config.Plan;
+import org.boragethread.model.config.PlanEffects;
+import org.boragethread.model.config.PlanId;
+import org.boragethread.model.config.TouchedObject;
+
+/** Answers intents with plans. It changes nothing. */
+public final class Planner {
+
+    private static final PlanId NO_DIGEST = new PlanId("0".repeat(64));
+
+    private final CapacityView mCapacity;
+
+    /** Makes plans that take the effect on the given upstreams into account. */
+    public Planner(CapacityView capacity) {
+        mCapacity = Objects.requireNonNull(capacity, "capacity");
+    }
+
+    /**
+     * Returns the plan for an intent. A plan that leaves a stage without capacity says so, and can
+     * be confirmed only if its intent sets force.
+     */
+    public Either<ConfigError, Plan> plan(Intent intent, Configuration configuration) {
+        List<Change> changes = intent.changes();
+        Optional<ConfigError> error = ChangeRules.check(changes, configuration);
+        if (error.isPresent()) {
+            return Either.left(error.get());
+        }
+        Configuration after =
+                ChangeRules.apply(changes, configuration, configuration.revision()).build();
+        PlanEffects effects = CapacityCheck.effects(mCapacity.upstreams(), configuration, after);
+        List<String> steps = changes.stream().map(c -> StepText.of(c, configuration)).toList();
+        Plan plan = make(NO_DIGEST, intent, configuration, steps, effects);
+        return Either.right(
+                make(ConfigCodec.digestOf(plan), intent, configuration, steps, effects));
+    }
+
+    private static Plan make(
+            PlanId id,
+            Intent intent,
+            Configuration configuration,
+            List<String> steps,
+            PlanEffects effects) {
+        return new Plan(
+                id,
+                configuration.revision(),
+                intent,
+                touched(intent, configuration),
+                steps,
+                effects);
+    }
+
+    private static List<TouchedObject> touched(Intent intent, Configuration configuration) {
+        return ConfigFold.requiredRefs(intent).stream()
+                .sorted(Comparator.comparing(ObjectRef::kind).thenComparing(ObjectRef::name))
+                .map(r -> new TouchedObject(r, configuration.revisionOf(r)))
+                .toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/config/SnapshotAssembler.java
@@ -0,0 +1,62 @@
+package org.boragethread.core.config;
+
+import io.vavr.control.Either;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.model.config.Configuration;
+
+/**
+ * Collects the parts of snapshots from one source. It holds one unfinished snapshot: a part of
+ * another one replaces it. Not safe for concurrent use.
+ */
+public final class SnapshotAssembler {
+
+    private String mSource = "";
+    private ConfigSnapshot[] mParts = new ConfigSnapshot[0];
+    private int mMissing;
+
+    /**
+     * Adds a part.
+     *
+     * @param source who wrote the snapshot; parts of different writers are never joined
+     * @return the configuration or an error once all parts are there
+     */
+    public Optional<Either<ConfigError, Configuration>> add(String source, ConfigSnapshot part) {
+        if (!belongs(source, part)) {
+            start(source, part);
+        }
+        if (mParts[part.part()] == null) {
+            mParts[part.part()] = part;
+            mMissing--;
+        }
+        if (mMissing > 0) {
+            return Optional.empty();
+        }
+        List<ConfigSnapshot> parts = List.of(mParts);
+        reset();
+        return Optional.of(SnapshotFormat.join(parts));
+    }
+
+    /** Forgets the unfinished snapshot. */
+    public void reset() {
+        mSource = "";
+        mParts = new ConfigSnapshot[0];
+        mMissing = 0;
+    }
+
+    private boolean belongs(String source, ConfigSnapshot part) {
+        Optional<ConfigSnapshot> known = Arrays.stream(mParts).filter(p -> p != null).findFirst();
+        return source.equals(mSource)
+                && mParts.length == part.parts()
+                && known.isPresent()
+                && known.get().revision() == part.revision()
+                && known.get().contentHash() == part.contentHash();
+    }
+
+    private void start(String source, ConfigSnapshot part) {
+        mSource = source;
+        mParts = new ConfigSnapshot[part.parts()];
+        mMissing = part.parts();
+    }
+}
--- a/model/src/main/java/org/boragethread/model/config/Configuration.java
+++ b/model/src/main/java/org/boragethread/model/config/Configuration.java
@@ -21,7 +21,7 @@
  * The configuration as of one revision. Instances are immutable; {@link Builder} makes the next.
  *
  * <p>The maps are persistent: the next configuration shares all that did not change. Upstreams
- * appear once operators have set their service state.
+ * appear only while operators hold them out of service.
  */
 public final class Configuration {
 
@@ -227,6 +227,12 @@
             return this;
         }
 
+        /** Forgets the service state of an upstream, which is then in service. */
+        public Builder remove(UpstreamId upstream) {
+            mUpstreams = mUpstreams.remove(upstream);
+            return this;
+        }
+
         /** Adds or replaces a team. */
         public Builder put(Team team, long revision) {
             mTeams = mTeams.put(team.id(), new Versioned<>(team, revision));
--- a/model/src/main/java/org/boragethread/model/config/Intent.java
+++ b/model/src/main/java/org/boragethread/model/config/Intent.java
@@ -1,7 +1,9 @@
 package org.boragethread.model.config;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import org.boragethread.model.Names;
 
 /**
@@ -27,5 +29,22 @@
                     "intent \"%s\" has %d changes: state 1 to %d, or split it"
                             .formatted(id, changes.size(), MAX_CHANGES));
         }
+        checkDistinct(id, changes);
+    }
+
+    /** Tells whether a change takes something out of service. */
+    public boolean takesOut() {
+        return changes.stream().anyMatch(Change::takesOut);
+    }
+
+    private static void checkDistinct(String id, List<Change> changes) {
+        Set<ObjectRef> seen = new HashSet<>();
+        for (Change change : changes) {
+            if (!seen.add(change.ref())) {
+                throw new IllegalArgumentException(
+                        "intent \"%s\" changes %s twice: state one change of it"
+                                .formatted(id, change.ref()));
+            }
+        }
     }
 }
--- a/model/src/main/java/org/boragethread/model/config/ObjectRef.java
+++ b/model/src/main/java/org/boragethread/model/config/ObjectRef.java
@@ -1,6 +1,7 @@
 package org.boragethread.model.config;
 
 import java.util.Objects;
+import org.boragethread.model.Names;
 
 /**
  * Names one configuration object.
@@ -15,7 +16,7 @@
 
     public ObjectRef {
         Objects.requireNonNull(kind, "kind");
-        Objects.requireNonNull(name, "name");
+        Names.check("name of " + kind.label(), name);
     }
 
     @Override
