Add the stand-in of the platform's log and VM list

Cause: entries and tests need the platform's service without the platform. Change: append-only streams with long polling, retention, bounded appends and faults on command; the VM list with a lag.

--- /dev/null
+++ b/standins/src/main/java/org/boragethread/standins/http/StandInServer.java
@@ -0,0 +1,102 @@
+package org.boragethread.standins.http;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/** A small HTTP server on a loopback port whose handlers run on its selector threads. */
+public final class StandInServer implements AutoCloseable {
+
+    private static final String HOST = "127.0.0.1";
+    private static final int BACKLOG = 4096;
+    private static final long STOP_GRACE_MS = 200;
+
+    private final String mName;
+    private final int mSelectors;
+    private final ExchangeHandler mHandler;
+    private HttpServer mServer;
+    private int mPort;
+
+    /**
+     * Makes a stopped server.
+     *
+     * @param name name for threads and logs
+     * @param selectors number of selector threads
+     */
+    public StandInServer(String name, int selectors, ExchangeHandler handler) {
+        mName = name;
+        mSelectors = selectors;
+        mHandler = handler;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param port port to listen on, or 0 for a free one; a restart keeps the first port
+     * @throws IOException if the port cannot be bound
+     */
+    public synchronized void start(int port) throws IOException {
+        if (mServer != null) {
+            return;
+        }
+        NetworkListener listener = new NetworkListener(mName, HOST, mPort == 0 ? port : mPort);
+        listener.setTransport(transport());
+        listener.getKeepAlive().setMaxRequestsCount(-1);
+        listener.getKeepAlive().setIdleTimeoutInSeconds(-1);
+        HttpServer server = new HttpServer();
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(new GrizzlyAdapter(mHandler), "/");
+        server.start();
+        mServer = server;
+        mPort = listener.getPort();
+    }
+
+    /** Returns the port that the server listens on. */
+    public synchronized int port() {
+        return mPort;
+    }
+
+    /** Returns host and port as one text. */
+    public String address() {
+        return HOST + ":" + port();
+    }
+
+    /** Stops to listen and closes all connections; new connections are refused. */
+    public synchronized void stop() {
+        if (mServer != null) {
+            mServer.shutdownNow();
+            mServer = null;
+        }
+    }
+
+    /** Stops after a short time in which running calls may end. */
+    @Override
+    public synchronized void close() {
+        if (mServer != null) {
+            mServer.shutdown(STOP_GRACE_MS, TimeUnit.MILLISECONDS);
+            mServer = null;
+        }
+    }
+
+    private TCPNIOTransport transport() {
+        ThreadPoolConfig selectors =
+                ThreadPoolConfig.defaultConfig()
+                        .setPoolName(mName + "-selector")
+                        .setCorePoolSize(mSelectors)
+                        .setMaxPoolSize(mSelectors);
+        return TCPNIOTransportBuilder.newInstance()
+                .setName(mName)
+                .setSelectorRunnersCount(mSelectors)
+                .setSelectorThreadPoolConfig(selectors)
+                .setIOStrategy(SameThreadIOStrategy.getInstance())
+                .setTcpNoDelay(true)
+                .setReuseAddress(true)
+                .setServerConnectionBackLog(BACKLOG)
+                .build();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/boragethread/standins/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP plumbing that the stand-ins share. */
+package org.boragethread.standins.http;
--- /dev/null
+++ b/standins/src/main/java/org/boragethread/standins/platform/PlatformHandler.java
@@ -0,0 +1,167 @@
+package org.boragethread.standins.platform;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.boragethread.standins.http.Answer;
+import org.boragethread.standins.http.BadRequestException;
+import org.boragethread.standins.http.Exchange;
+import org.boragethread.standins.http.ExchangeHandler;
+import org.boragethread.standins.http.Json;
+import org.boragethread.standins.platform.AppendRequest.NewRecord;
+
+/** HTTP interface of the stand-in. */
+final class PlatformHandler implements ExchangeHandler {
+
+    private static final Pattern RECORDS = Pattern.compile("/v1/streams/([A-Za-z0-9._-]+)/records");
+    private static final int MAX_DATA_BYTES = 256 * 1024;
+    private static final int DEFAULT_MAX = 500;
+    private static final long MAX_WAIT_MS = 60_000;
+    private static final Answer UNAVAILABLE =
+            Answer.text(503, "out of service").with("Retry-After", "1");
+
+    private final PlatformStandIn mPlatform;
+
+    PlatformHandler(PlatformStandIn platform) {
+        mPlatform = platform;
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        Matcher records = RECORDS.matcher(exchange.path());
+        if (records.matches()) {
+            onLogCall(exchange, records.group(1));
+            return;
+        }
+        switch (exchange.path()) {
+            case "/v1/vms" -> onVms(exchange);
+            case "/control" -> onControl(exchange);
+            case "/control/expire" -> onExpire(exchange);
+            case "/control/vms" -> onSetVms(exchange);
+            case "/stats" -> exchange.answer(Answer.json(200, mPlatform.stats()));
+            case "/readyz" -> exchange.answer(Answer.text(200, "ready"));
+            default -> exchange.answer(Answer.text(404, "no such path: " + exchange.path()));
+        }
+    }
+
+    private void onLogCall(Exchange exchange, String stream) {
+        PlatformFaults faults = mPlatform.faults();
+        if (faults.hang()) {
+            return;
+        }
+        if (faults.down()) {
+            exchange.answer(UNAVAILABLE);
+            return;
+        }
+        if ("POST".equals(exchange.method())) {
+            List<NewRecord> records = parseAppend(exchange);
+            mPlatform.after(faults.delayMs(), () -> append(exchange, stream, records));
+            return;
+        }
+        long from = exchange.queryLong("from", 0);
+        int max = (int) exchange.queryLong("max", DEFAULT_MAX);
+        long waitMs = Math.min(MAX_WAIT_MS, exchange.queryLong("waitMs", 0));
+        mPlatform.after(faults.delayMs(), () -> read(exchange, stream, from, max, waitMs));
+    }
+
+    private static List<NewRecord> parseAppend(Exchange exchange) {
+        List<NewRecord> records = Json.read(exchange.body(), AppendRequest.class).records();
+        if (records == null || records.isEmpty()) {
+            throw new BadRequestException("append holds no records", null);
+        }
+        for (NewRecord fresh : records) {
+            if (fresh.id() == null || fresh.data() == null) {
+                throw new BadRequestException("record has no id or no data", null);
+            }
+            if (fresh.data().length > MAX_DATA_BYTES) {
+                throw new BadRequestException(
+                        "record \"%s\" holds more than 256 KiB".formatted(fresh.id()), null);
+            }
+        }
+        return records;
+    }
+
+    private void append(Exchange exchange, String stream, List<NewRecord> records) {
+        if (!mPlatform.tryAppend()) {
+            exchange.answer(UNAVAILABLE);
+            return;
+        }
+        List<Long> offsets = mPlatform.append(stream, records, exchange.body().length);
+        PlatformFaults faults = mPlatform.faults();
+        if (mPlatform.chance(faults.loseAnswers())) {
+            mPlatform.countLostAnswer();
+            exchange.abort();
+            return;
+        }
+        Answer answer = Answer.json(200, new Offsets(offsets));
+        long lateMs = mPlatform.chance(faults.lateAnswers()) ? faults.lateMs() : 0;
+        mPlatform.after(lateMs, () -> exchange.answer(answer));
+    }
+
+    private void read(Exchange exchange, String stream, long from, int max, long waitMs) {
+        if (waitMs <= 0) {
+            answerRead(exchange, stream, from, max);
+            return;
+        }
+        CompletableFuture<Void> record = mPlatform.stream(stream).awaitRecord(from);
+        record.completeOnTimeout(null, waitMs, TimeUnit.MILLISECONDS)
+                .thenRun(() -> answerRead(exchange, stream, from, max));
+    }
+
+    private void answerRead(Exchange exchange, String stream, long from, int max) {
+        PlatformFaults faults = mPlatform.faults();
+        if (faults.hang()) {
+            return;
+        }
+        if (faults.down()) {
+            exchange.answer(UNAVAILABLE);
+            return;
+        }
+        ReadResult result = mPlatform.read(stream, from, max);
+        Answer answer =
+                result.expired()
+                        ? Answer.json(410, new Kept(result.first(), result.next()))
+                        : Answer.json(200, result);
+        mPlatform.countRead(answer.body().length);
+        exchange.answer(answer);
+    }
+
+    private void onVms(Exchange exchange) {
+        boolean down = mPlatform.faults().vmListDown();
+        exchange.answer(down ? UNAVAILABLE : Answer.json(200, mPlatform.vms()));
+    }
+
+    private void onControl(Exchange exchange) {
+        if ("POST".equals(exchange.method())) {
+            PlatformFaults now = mPlatform.faults();
+            mPlatform.setFaults(Json.merge(now, exchange.body(), PlatformFaults.class));
+        }
+        exchange.answer(Answer.json(200, mPlatform.faults()));
+    }
+
+    private void onExpire(Exchange exchange) {
+        Expire expire = Json.read(exchange.body(), Expire.class);
+        mPlatform.expireBefore(expire.stream(), expire.before());
+        exchange.answer(Answer.json(200, expire));
+    }
+
+    private void onSetVms(Exchange exchange) {
+        Vms list = Json.read(exchange.body(), Vms.class);
+        mPlatform.setVms(list.vms());
+        exchange.answer(Answer.json(200, list));
+    }
+
+    /** Answer to an append. */
+    private record Offsets(List<Long> offsets) {}
+
+    /** Answer to a read below the oldest kept offset. */
+    private record Kept(long first, long next) {}
+
+    /** Body of {@code /control/expire}. */
+    private record Expire(String stream, long before) {}
+
+    /** Body of {@code /control/vms}. */
+    private record Vms(List<Vm> vms) {}
+}
