Add the stand-ins of upstreams

Cause: entries, agents and tests need engines and plain services that show lost, doubled and crossed work and that fall over when they are cold.

--- a/standins/src/main/java/org/boragethread/standins/http/Answer.java
+++ b/standins/src/main/java/org/boragethread/standins/http/Answer.java
@@ -36,6 +36,11 @@
         }
     }
 
+    /** Makes an answer whose body is JSON already. */
+    public static Answer jsonBytes(int status, byte[] body) {
+        return new Answer(status, JSON, Map.of(), body);
+    }
+
     /** Returns this answer with one more header. */
     public Answer with(String name, String value) {
         Map<String, String> headers = new TreeMap<>(this.headers);
--- /dev/null
+++ b/standins/src/main/java/org/boragethread/standins/upstream/UpstreamHandler.java
@@ -0,0 +1,29 @@
+package org.boragethread.standins.upstream;
+
+import org.boragethread.standins.http.Answer;
+import org.boragethread.standins.http.Exchange;
+import org.boragethread.standins.http.ExchangeHandler;
+
+/** HTTP interface of one upstream: stage calls, and control on the same port. */
+final class UpstreamHandler implements ExchangeHandler {
+
+    private final Upstream mUpstream;
+    private final UpstreamControl mControl;
+
+    UpstreamHandler(Upstream upstream) {
+        mUpstream = upstream;
+        mControl = new UpstreamControl(upstream);
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        if (mControl.handle(exchange, exchange.path())) {
+            return;
+        }
+        if ("POST".equals(exchange.method())) {
+            mUpstream.call(exchange);
+            return;
+        }
+        exchange.answer(Answer.text(405, "stage calls use POST"));
+    }
+}
