--- /dev/null
+++ b/agent/src/main/java/org/boragethread/agent/command/package-info.java
@@ -0,0 +1,2 @@
+/** The sub-commands of the agent. */
+package org.boragethread.agent.command;
--- /dev/null
+++ b/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
@@ -0,0 +1,168 @@
+package org.boragethread.agent.serve;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragethread.agent.call.CallController;
+import org.boragethread.agent.call.CallMetrics;
+import org.boragethread.agent.call.GateController;
+import org.boragethread.agent.call.GateHolder;
+import org.boragethread.agent.settings.AgentSettings;
+import org.boragethread.agent.upstream.GrizzlyUpstreamClient;
+import org.boragethread.agent.upstream.UpstreamClient;
+import org.boragethread.core.admission.FixedGate;
+import org.boragethread.core.admission.Gate;
+import org.boragethread.core.config.ConfigStore;
+import org.boragethread.core.time.ExecutorScheduler;
+import org.boragethread.core.time.SystemTimeSource;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.upstream.UpstreamGroup;
+import org.boragethread.process.command.Addresses;
+import org.boragethread.process.monitor.HttpServers;
+import org.boragethread.process.monitor.MonitoringHandler;
+import org.boragethread.process.monitor.WireMetrics;
+import org.boragethread.wire.frame.ConfigSource;
+import org.boragethread.wire.frame.WireSettings;
+import org.boragethread.wire.server.AgentIdentity;
+import org.boragethread.wire.server.AgentServer;
+import org.glassfish.grizzly.http.server.HttpServer;
+
+/** A running agent. */
+public final class AgentProcess {
+
+    private static final Logger LOGGER = LogManager.getLogger(AgentProcess.class);
+
+    private static final int HISTORY_RECORDS = 200;
+    private static final long HISTORY_BYTES = 1 << 20;
+    private static final int EVENT_LOOPS = 1;
+    private static final int MONITOR_THREADS = 1;
+    private static final long POLL_MILLIS = 20;
+
+    private final AgentSettings mSettings;
+    private final TimeSource mTime = new SystemTimeSource();
+    private final ScheduledExecutorService mTimers =
+            Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "timers"));
+    private final PrometheusMeterRegistry mRegistry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final ConfigStore mConfig = new ConfigStore(HISTORY_RECORDS, HISTORY_BYTES);
+    private final GateHolder mGates = new GateHolder();
+    private final EventLoopGroup mLoops = new NioEventLoopGroup(EVENT_LOOPS);
+    private final UpstreamClient mClient;
+    private final GateController mGateController;
+    private final AgentServer mServer;
+    private final HttpServer mMonitor;
+
+    /** Makes an agent that is not started. */
+    public AgentProcess(AgentSettings settings) {
+        mSettings = settings;
+        mClient = new GrizzlyUpstreamClient(settings.upstream(), settings.connectTimeout());
+        mGateController =
+                new GateController(
+                        settings.upstreamId(),
+                        settings.group(),
+                        settings.dataCentre(),
+                        mGates,
+                        this::makeGate);
+        mConfig.addListener(mGateController);
+        mServer = makeServer();
+        mMonitor =
+                HttpServers.create(
+                        settings.monitorListen(),
+                        new MonitoringHandler(mRegistry, this::obstacle),
+                        MONITOR_THREADS);
+    }
+
+    private Gate makeGate(UpstreamGroup group) {
+        return new FixedGate(group.maxLimit());
+    }
+
+    private AgentServer makeServer() {
+        CallController calls =
+                new CallController(
+                        mGates,
+                        mClient,
+                        mTime,
+                        new ExecutorScheduler(mTimers),
+                        new CallMetrics(mRegistry));
+        return new AgentServer.Builder()
+                .address(mSettings.listen())
+                .identity(identity())
+                .settings(WireSettings.withKey(mSettings.sharedKey()))
+                .events(new WireMetrics(mRegistry))
+                .config(ConfigSource.of(mConfig))
+                .handler(calls)
+                .load(mGates::load)
+                .time(mTime)
+                .group(mLoops)
+                .build();
+    }
+
+    private AgentIdentity identity() {
+        return new AgentIdentity(
+                mSettings.upstreamId(),
+                mSettings.group(),
+                mSettings.dataCentre(),
+                new SecureRandom().nextLong());
+    }
+
+    /** Begins to serve. */
+    public void start() {
+        InetSocketAddress agent = mServer.start();
+        InetSocketAddress monitor = HttpServers.start(mMonitor);
+        System.out.println("listening agent " + Addresses.format(agent));
+        System.out.println("listening monitor " + Addresses.format(monitor));
+        LOGGER.info("agent of upstream {} listens at {}", mSettings.upstreamId(), agent);
+    }
+
+    private Optional<String> obstacle() {
+        if (mGates.gate().isEmpty()) {
+            return Optional.of(
+                    "no configuration of the group yet: check that an entry is connected");
+        }
+        if (mGates.isLeaving()) {
+            return Optional.of("the upstream is out of service or the agent stops");
+        }
+        return Optional.empty();
+    }
+
+    /** Refuses new work, lets running calls end within the grace period, and closes everything. */
+    public void stop() {
+        LOGGER.info("stopping");
+        mGateController.stop();
+        mServer.goaway("the agent stops");
+        awaitIdle(mSettings.grace());
+        mServer.close();
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        mClient.close();
+        mMonitor.shutdownNow();
+        mTimers.shutdownNow();
+        LOGGER.info("stopped with {} calls cut", mGates.load().inFlight());
+    }
+
+    private void awaitIdle(Duration bound) {
+        long start = mTime.nanoTime();
+        while (mGates.load().inFlight() > 0 && mTime.since(start).compareTo(bound) < 0) {
+            pause();
+        }
+        // Lets the last answers leave the event loop.
+        pause();
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/boragethread/agent/serve/package-info.java
@@ -0,0 +1,2 @@
+/** Puts the parts of an agent together. */
+package org.boragethread.agent.serve;
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/dispatch/TablePicker.java
@@ -0,0 +1,71 @@
+package org.boragethread.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.boragethread.core.selection.Candidate;
+import org.boragethread.core.selection.SelectionRequest;
+import org.boragethread.core.selection.Selector;
+import org.boragethread.model.config.Configuration;
+import org.boragethread.model.pipeline.Stage;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.upstream.GroupKind;
+import org.boragethread.model.upstream.UpstreamGroup;
+import org.boragethread.model.upstream.UpstreamId;
+
+/** Picks among the connections of a table with a selector, by the present configuration. */
+public final class TablePicker implements UpstreamPicker {
+
+    private static final String UNKNOWN_REGION = "";
+
+    private final UpstreamTable mTable;
+    private final Supplier<Configuration> mConfiguration;
+    private final DataCentreId mHome;
+    private final Selector mSelector;
+
+    /**
+     * Makes a picker.
+     *
+     * @param home data centre of this process
+     */
+    public TablePicker(
+            UpstreamTable table,
+            Supplier<Configuration> configuration,
+            DataCentreId home,
+            Selector selector) {
+        mTable = Objects.requireNonNull(table, "table");
+        mConfiguration = Objects.requireNonNull(configuration, "configuration");
+        mHome = Objects.requireNonNull(home, "home");
+        mSelector = Objects.requireNonNull(selector, "selector");
+    }
+
+    @Override
+    public Optional<UpstreamLink> pick(Stage stage, long prefixHash, Set<UpstreamId> excluded) {
+        Configuration configuration = mConfiguration.get();
+        List<UpstreamLink> links = new ArrayList<>();
+        List<Candidate> candidates = new ArrayList<>();
+        for (UpstreamLink link : mTable.links(stage.group())) {
+            if (!link.isAccepting()
+                    || !configuration.isInService(link.upstream(), link.dataCentre())) {
+                continue;
+            }
+            links.add(link);
+            candidates.add(link.candidate(regionOf(link.dataCentre(), configuration)));
+        }
+        GroupKind kind =
+                configuration.group(stage.group()).map(UpstreamGroup::kind).orElse(GroupKind.PLAIN);
+        SelectionRequest request =
+                new SelectionRequest(
+                        kind, mHome, regionOf(mHome, configuration), prefixHash, excluded);
+        return mSelector
+                .select(request, candidates)
+                .map(chosen -> links.get(candidates.indexOf(chosen)));
+    }
+
+    private static String regionOf(DataCentreId id, Configuration configuration) {
+        return configuration.dataCentre(id).map(found -> found.region()).orElse(UNKNOWN_REGION);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
@@ -0,0 +1,232 @@
+package org.boragethread.core.pipeline;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.boragethread.core.dispatch.CallSummary;
+import org.boragethread.core.dispatch.StageCall;
+import org.boragethread.core.dispatch.UpstreamLink;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.model.outcome.AttemptId;
+import org.boragethread.model.outcome.Ran;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.pipeline.Stage;
+import org.boragethread.model.upstream.UpstreamId;
+
+/**
+ * One request on its way through the stages. All state is guarded by this object; attempts report
+ * to it, and only the current attempt is heard.
+ */
+final class PipelineRun implements RunHandle {
+
+    private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(500);
+    private static final int PREFIX_BYTES = 256;
+
+    private final PipelineRequest mRequest;
+    private final ResponseSink mSink;
+    private final PipelineController mController;
+    private final Set<UpstreamId> mTried = new HashSet<>();
+
+    private int mStageIndex;
+    private int mAttempts;
+    private String mContentType;
+    private ByteBuffer mInput;
+    private Ran mRan = Ran.NO;
+    private Ran mRanBeforeStage = Ran.NO;
+    private StreamProgress mStream = new StreamProgress();
+    private Optional<StageAttempt> mCurrent = Optional.empty();
+    private Optional<Refusal> mLastRefusal = Optional.empty();
+    private Scheduler.Timer mDeadlineTimer = () -> {};
+    private Scheduler.Timer mRetryTimer = () -> {};
+    private boolean mDone;
+
+    PipelineRun(PipelineRequest request, ResponseSink sink, PipelineController controller) {
+        mRequest = request;
+        mSink = sink;
+        mController = controller;
+        mContentType = request.contentType();
+        mInput = request.body();
+    }
+
+    synchronized void start() {
+        mDeadlineTimer = mController.scheduler().schedule(remaining(), this::onDeadline);
+        startStage();
+    }
+
+    private void startStage() {
+        mAttempts = 0;
+        mTried.clear();
+        mLastRefusal = Optional.empty();
+        mStream = new StreamProgress();
+        mRanBeforeStage = mRan;
+        attempt();
+    }
+
+    private synchronized void attempt() {
+        if (mDone) {
+            return;
+        }
+        Optional<UpstreamLink> link =
+                mController.picker().pick(stage(), prefixHash(), Set.copyOf(mTried));
+        if (link.isEmpty()) {
+            fail(mLastRefusal.orElseGet(this::noUpstream));
+            return;
+        }
+        mTried.add(link.get().upstream());
+        if (!stage().idempotent()) {
+            mRan = Ran.UNKNOWN;
+        }
+        StageAttempt attempt = new StageAttempt(this, stage(), streamsToCaller());
+        mCurrent = Optional.of(attempt);
+        StageCall call = call();
+        mAttempts++;
+        attempt.begin(link.get(), call);
+    }
+
+    private StageCall call() {
+        return new StageCall.Builder()
+                .id(new AttemptId(mRequest.id(), mStageIndex, mAttempts))
+                .stage(stage())
+                .team(mRequest.team().id(), mRequest.team().weight())
+                .priority(mRequest.priority())
+                .deadlineNanos(mRequest.deadlineNanos())
+                .body(mContentType, mInput)
+                .resumeFrom(mStream.tokens())
+                .build();
+    }
+
+    private Refusal noUpstream() {
+        return Refusal.notRun(
+                RefusalReason.NO_UPSTREAM,
+                "no upstream of group \"%s\" is connected and in service"
+                        .formatted(stage().group()),
+                RETRY_AFTER_NO_UPSTREAM);
+    }
+
+    private Stage stage() {
+        return mRequest.pipeline().stages().get(mStageIndex);
+    }
+
+    private boolean isLastStage() {
+        return mStageIndex == mRequest.pipeline().stages().size() - 1;
+    }
+
+    private boolean streamsToCaller() {
+        return isLastStage() && stage().streaming() && mRequest.streaming();
+    }
+
+    private long prefixHash() {
+        ByteBuffer prefix = mInput.duplicate();
+        byte[] bytes = new byte[Math.min(PREFIX_BYTES, prefix.remaining())];
+        prefix.get(bytes);
+        return Hashing.komihash5_0().hashBytesToLong(bytes);
+    }
+
+    private Duration remaining() {
+        return Duration.ofNanos(mRequest.deadlineNanos() - mController.time().nanoTime());
+    }
+
+    /** Passes an event of the last stage to the caller. */
+    synchronized void onEvent(StageAttempt from, ServerEvent event, Runnable onSent) {
+        if (!isCurrent(from)) {
+            return;
+        }
+        if (!mStream.isStarted()) {
+            mStream.start();
+            mSink.onStreamStart();
+        }
+        if (event.isToken()) {
+            mStream.countToken();
+        }
+        mSink.onStreamEvent(event.bytes(), onSent);
+    }
+
+    /** Takes the whole result of the current stage. */
+    synchronized void onResult(StageAttempt from, StageResult result, CallSummary summary) {
+        if (!isCurrent(from)) {
+            return;
+        }
+        mCurrent = Optional.empty();
+        if (!stage().idempotent()) {
+            mRan = Ran.YES;
+        }
+        if (streamsToCaller() && result.isStreamed()) {
+            finish();
+            mSink.onStreamEnd();
+            return;
+        }
+        if (isLastStage() || !result.isGood()) {
+            finish();
+            mSink.onAnswer(
+                    new PipelineAnswer(result.status(), result.contentType(), result.body(), mRan));
+            return;
+        }
+        mStageIndex++;
+        mContentType = result.contentType();
+        mInput = ByteBuffer.wrap(result.body());
+        startStage();
+    }
+
+    /** Decides what follows a failed attempt. */
+    synchronized void onRefused(StageAttempt from, Refusal refusal) {
+        if (!isCurrent(from)) {
+            return;
+        }
+        mCurrent = Optional.empty();
+        if (!stage().idempotent() && refusal.ran() == Ran.NO) {
+            mRan = mRanBeforeStage;
+        }
+        Optional<Duration> delay =
+                mController.attempts().nextAttempt(stage(), refusal, mAttempts, remaining());
+        if (delay.isEmpty()) {
+            fail(refusal);
+            return;
+        }
+        mLastRefusal = Optional.of(refusal);
+        if (delay.get().isZero()) {
+            attempt();
+        } else {
+            mRetryTimer = mController.scheduler().schedule(delay.get(), this::attempt);
+        }
+    }
+
+    private boolean isCurrent(StageAttempt attempt) {
+        return !mDone && mCurrent.isPresent() && mCurrent.get() == attempt;
+    }
+
+    private synchronized void onDeadline() {
+        if (mDone) {
+            return;
+        }
+        mCurrent.ifPresent(StageAttempt::cancel);
+        fail(
+                Refusal.notRun(
+                        RefusalReason.DEADLINE_EXCEEDED,
+                        "the deadline passed at stage \"%s\"".formatted(stage().name())));
+    }
+
+    private void fail(Refusal refusal) {
+        finish();
+        mSink.onRefused(refusal.withRan(mRan));
+    }
+
+    @Override
+    public synchronized void cancel() {
+        if (mDone) {
+            return;
+        }
+        mCurrent.ifPresent(StageAttempt::cancel);
+        finish();
+    }
+
+    private void finish() {
+        mDone = true;
+        mCurrent = Optional.empty();
+        mDeadlineTimer.cancel();
+        mRetryTimer.cancel();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/pipeline/ServerEvent.java
@@ -0,0 +1,56 @@
+package org.boragethread.core.pipeline;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/** One server-sent event, with the blank line that ends it. */
+final class ServerEvent {
+
+    private static final String END = "end";
+
+    private final byte[] mBytes;
+    private final String mText;
+
+    ServerEvent(byte[] bytes) {
+        mBytes = bytes;
+        mText = new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    /** Returns the event as it arrived. */
+    ByteBuffer bytes() {
+        return ByteBuffer.wrap(mBytes);
+    }
+
+    /** Tells whether this is the end mark of a stream. */
+    boolean isEnd() {
+        return field("event").filter(END::equals).isPresent();
+    }
+
+    /** Tells whether the event carries a token. */
+    boolean isToken() {
+        return field("event").isEmpty() && field("data").isPresent();
+    }
+
+    /** Returns the data of the event, empty if there is none. */
+    String data() {
+        return field("data").orElse("");
+    }
+
+    private Optional<String> field(String name) {
+        StringBuilder value = new StringBuilder();
+        boolean found = false;
+        for (String line : mText.split("\n")) {
+            if (!line.startsWith(name + ":")) {
+                continue;
+            }
+            String text = line.substring(name.length() + 1);
+            if (found) {
+                value.append('\n');
+            }
+            value.append(text.startsWith(" ") ? text.substring(1) : text);
+            found = true;
+        }
+        return found ? Optional.of(value.toString()) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/pipeline/package-info.java
@@ -0,0 +1,2 @@
+/** Runs requests through the stages of their pipelines. */
+package org.boragethread.core.pipeline;
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/EntryMain.java
@@ -0,0 +1,20 @@
+package org.boragethread.entry;
+
+import org.boragethread.entry.command.CheckCommand;
+import org.boragethread.entry.command.ServeCommand;
+import org.boragethread.process.command.CommandLine;
+
+/** The program {@code boragethread-entry}. */
+public final class EntryMain {
+
+    private EntryMain() {}
+
+    /** Runs the command that the arguments name and exits with its code. */
+    public static void main(String[] arguments) {
+        CommandLine commands =
+                new CommandLine("boragethread-entry", System.out, System.err)
+                        .add("serve", ServeCommand::new)
+                        .add("check", CheckCommand::new);
+        System.exit(commands.run(arguments));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/command/CheckCommand.java
@@ -0,0 +1,26 @@
+package org.boragethread.entry.command;
+
+import org.boragethread.entry.settings.EntrySettings;
+import org.boragethread.process.command.ExitCode;
+import org.boragethread.process.command.SettingsCommand;
+import org.boragethread.process.settings.SettingsReader;
+
+/** Checks a settings file and does nothing else. */
+public final class CheckCommand extends SettingsCommand<EntrySettings> {
+
+    @Override
+    public String summary() {
+        return "checks a settings file";
+    }
+
+    @Override
+    protected EntrySettings read(SettingsReader reader) {
+        return EntrySettings.read(reader);
+    }
+
+    @Override
+    protected int run(EntrySettings settings) {
+        System.out.println("settings are good");
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/command/ServeCommand.java
@@ -0,0 +1,33 @@
+package org.boragethread.entry.command;
+
+import org.boragethread.entry.serve.EntryProcess;
+import org.boragethread.entry.settings.EntrySettings;
+import org.boragethread.process.command.ExitCode;
+import org.boragethread.process.command.SettingsCommand;
+import org.boragethread.process.command.StopSignal;
+import org.boragethread.process.settings.SettingsReader;
+
+/** Serves until a stop signal arrives, then ends running work. */
+public final class ServeCommand extends SettingsCommand<EntrySettings> {
+
+    @Override
+    public String summary() {
+        return "serves until it is told to stop";
+    }
+
+    @Override
+    protected EntrySettings read(SettingsReader reader) {
+        return EntrySettings.read(reader);
+    }
+
+    @Override
+    protected int run(EntrySettings settings) {
+        EntryProcess process = new EntryProcess(settings);
+        StopSignal signal = StopSignal.install();
+        process.start();
+        signal.await();
+        process.stop();
+        signal.finish();
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/command/package-info.java
@@ -0,0 +1,2 @@
+/** The sub-commands of the entry. */
+package org.boragethread.entry.command;
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/http/CallerResponse.java
@@ -0,0 +1,190 @@
+package org.boragethread.entry.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.apache.logging.log4j.CloseableThreadContext;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragethread.core.pipeline.PipelineAnswer;
+import org.boragethread.core.pipeline.ResponseSink;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RequestId;
+import org.glassfish.grizzly.CloseListener;
+import org.glassfish.grizzly.CloseType;
+import org.glassfish.grizzly.Closeable;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.WriteHandler;
+import org.glassfish.grizzly.http.io.NIOOutputStream;
+import org.glassfish.grizzly.http.server.Response;
+
+/** Writes the answer of one request to its caller. Calls to it are serialised by the request. */
+final class CallerResponse implements ResponseSink {
+
+    private static final Logger LOGGER = LogManager.getLogger(CallerResponse.class);
+    private static final byte[] END_EVENT =
+            "event: end\ndata:\n\n".getBytes(StandardCharsets.UTF_8);
+
+    private final Response mResponse;
+    private final RequestId mId;
+    private final String mTeam;
+    private final RequestMetrics mMetrics;
+    private final Runnable mOnFinished;
+    private final Connection<?> mConnection;
+    private boolean mStreaming;
+    private boolean mFinished;
+    private CloseListener<Closeable, CloseType> mCloseListener = (closed, type) -> {};
+
+    CallerResponse(
+            Response response,
+            RequestId id,
+            String team,
+            RequestMetrics metrics,
+            Runnable onFinished) {
+        mResponse = response;
+        mId = id;
+        mTeam = team;
+        mMetrics = metrics;
+        mOnFinished = onFinished;
+        mConnection = response.getRequest().getContext().getConnection();
+    }
+
+    /** Sets what to do when the caller goes away before the answer is whole. */
+    @SuppressWarnings("unchecked")
+    void onDisconnect(Runnable action) {
+        mCloseListener = (closed, type) -> action.run();
+        mConnection.addCloseListener(mCloseListener);
+    }
+
+    @Override
+    public synchronized void onAnswer(PipelineAnswer answer) {
+        mMetrics.answered();
+        mResponse.setStatus(answer.status());
+        mResponse.setContentType(answer.contentType());
+        mResponse.setHeader("Ran", answer.ran().name().toLowerCase(Locale.ROOT));
+        write(answer.body());
+        finish();
+    }
+
+    @Override
+    public synchronized void onStreamStart() {
+        mStreaming = true;
+        mResponse.setStatus(200);
+        mResponse.setContentType("text/event-stream");
+        mResponse.setHeader("Request-Id", mId.toString());
+        mResponse.setHeader("Cache-Control", "no-store");
+    }
+
+    @Override
+    public synchronized void onStreamEvent(ByteBuffer event, Runnable onSent) {
+        if (mFinished) {
+            return;
+        }
+        NIOOutputStream out = mResponse.getNIOOutputStream();
+        try {
+            byte[] bytes = new byte[event.remaining()];
+            event.get(bytes);
+            out.write(bytes);
+            out.flush();
+        } catch (IOException e) {
+            LOGGER.debug("request {}: the caller has gone: {}", mId, e.getMessage());
+            return;
+        }
+        if (out.canWrite()) {
+            onSent.run();
+        } else {
+            out.notifyCanWrite(new Continuation(onSent));
+        }
+    }
+
+    @Override
+    public synchronized void onStreamEnd() {
+        mMetrics.answered();
+        writeRaw(END_EVENT);
+        finish();
+    }
+
+    @Override
+    public synchronized void onRefused(Refusal refusal) {
+        if (mFinished) {
+            return;
+        }
+        mMetrics.refused(refusal.reason());
+        log(refusal);
+        Problem problem = new Problem(refusal, mId);
+        if (mStreaming) {
+            String json = new String(problem.toJson(), StandardCharsets.UTF_8);
+            writeRaw(("event: error\ndata: " + json + "\n\n").getBytes(StandardCharsets.UTF_8));
+        } else {
+            mResponse.setStatus(problem.getStatus());
+            mResponse.setContentType(Problem.MEDIA_TYPE);
+            problem.retryAfterSeconds()
+                    .ifPresent(seconds -> mResponse.setHeader("Retry-After", seconds));
+            write(problem.toJson());
+        }
+        finish();
+    }
+
+    private void log(Refusal refusal) {
+        try (var ignored =
+                CloseableThreadContext.put("requestId", mId.toString()).put("team", mTeam)) {
+            LOGGER.info(
+                    "refused: {}, ran {}: {}",
+                    refusal.reason().label(),
+                    refusal.ran(),
+                    refusal.detail());
+        }
+    }
+
+    private void write(byte[] body) {
+        mResponse.setHeader("Request-Id", mId.toString());
+        mResponse.setContentLength(body.length);
+        writeRaw(body);
+    }
+
+    private void writeRaw(byte[] bytes) {
+        try {
+            mResponse.getNIOOutputStream().write(bytes);
+        } catch (IOException e) {
+            LOGGER.debug("request {}: the caller has gone: {}", mId, e.getMessage());
+        }
+    }
+
+    /** Ends the response without an answer because the caller has gone. */
+    synchronized void abandon() {
+        if (!mFinished) {
+            finish();
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private void finish() {
+        mFinished = true;
+        mConnection.removeCloseListener(mCloseListener);
+        if (mResponse.isSuspended()) {
+            mResponse.resume();
+        }
+        mOnFinished.run();
+    }
+
+    /** Requests more of the stream once the caller's connection has room. */
+    private static final class Continuation implements WriteHandler {
+
+        private final Runnable mOnSent;
+
+        Continuation(Runnable onSent) {
+            mOnSent = onSent;
+        }
+
+        @Override
+        public void onWritePossible() {
+            mOnSent.run();
+        }
+
+        @Override
+        public void onError(Throwable cause) {
+            LOGGER.debug("the caller has gone: {}", cause.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/http/PipelineHandler.java
@@ -0,0 +1,164 @@
+package org.boragethread.entry.http;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.Supplier;
+import org.boragethread.core.pipeline.PipelineController;
+import org.boragethread.core.pipeline.PipelineRequest;
+import org.boragethread.core.pipeline.RunHandle;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.config.Configuration;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.outcome.RequestId;
+import org.glassfish.grizzly.http.Method;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+
+/** Serves {@code POST /v1/pipelines/{name}}. */
+public final class PipelineHandler extends HttpHandler {
+
+    private static final String PREFIX = "/v1/pipelines/";
+
+    private final PipelineController mPipelines;
+    private final RequestParser mParser;
+    private final RequestMetrics mMetrics;
+    private final Scheduler mScheduler;
+    private final CallerLimits mLimits;
+    private final Supplier<Optional<String>> mObstacle;
+
+    /**
+     * Makes a handler.
+     *
+     * @param obstacle why requests are refused now, or empty
+     */
+    public PipelineHandler(
+            PipelineController pipelines,
+            Supplier<Configuration> configuration,
+            RequestMetrics metrics,
+            TimeSource time,
+            Scheduler scheduler,
+            CallerLimits limits,
+            Supplier<Optional<String>> obstacle) {
+        mPipelines = pipelines;
+        mParser = new RequestParser(configuration, time);
+        mMetrics = metrics;
+        mScheduler = scheduler;
+        mLimits = limits;
+        mObstacle = obstacle;
+    }
+
+    @Override
+    public void service(Request request, Response response) {
+        mMetrics.begin();
+        Either<Refusal, PipelineRequest> parsed = check(request);
+        RequestId id =
+                parsed.map(PipelineRequest::id).getOrElse(() -> RequestId.of(UUID.randomUUID()));
+        String team = Optional.ofNullable(request.getHeader("Team")).orElse("");
+        CallerResponse sink = new CallerResponse(response, id, team, mMetrics, mMetrics::end);
+        if (parsed.isLeft()) {
+            sink.onRefused(parsed.getLeft());
+            return;
+        }
+        response.suspend();
+        RequestBody body =
+                new RequestBody(
+                        request.getNIOInputStream(),
+                        mLimits.maxBodyBytes(),
+                        new BodyListener(parsed.get(), sink, response));
+        body.start(mScheduler, mLimits.bodyTimeout());
+    }
+
+    private Either<Refusal, PipelineRequest> check(Request request) {
+        String path = request.getRequestURI();
+        if (!path.startsWith(PREFIX) || request.getMethod() != Method.POST) {
+            return refuse(
+                    RefusalReason.NOT_FOUND, "send POST %s{name}, not this".formatted(PREFIX));
+        }
+        Optional<String> obstacle = mObstacle.get();
+        if (obstacle.isPresent()) {
+            return Either.left(
+                    Refusal.notRun(RefusalReason.NOT_READY, obstacle.get(), Duration.ofSeconds(1)));
+        }
+        if (request.getContentLengthLong() > mLimits.maxBodyBytes()) {
+            return refuse(
+                    RefusalReason.BODY_TOO_LARGE,
+                    "the body is longer than %d bytes".formatted(mLimits.maxBodyBytes()));
+        }
+        return mParser.parse(request, path.substring(PREFIX.length()));
+    }
+
+    private static Either<Refusal, PipelineRequest> refuse(RefusalReason reason, String detail) {
+        return Either.left(Refusal.notRun(reason, detail));
+    }
+
+    /** Starts the request once its body is whole. */
+    private final class BodyListener implements RequestBody.Listener {
+
+        private final PipelineRequest mRequest;
+        private final CallerResponse mSink;
+        private final Response mResponse;
+
+        BodyListener(PipelineRequest request, CallerResponse sink, Response response) {
+            mRequest = request;
+            mSink = sink;
+            mResponse = response;
+        }
+
+        @Override
+        public void onBody(byte[] body) {
+            Either<Refusal, PipelineRequest> whole = mParser.withBody(mRequest, body);
+            if (whole.isLeft()) {
+                mSink.onRefused(whole.getLeft());
+                return;
+            }
+            Disconnect disconnect = new Disconnect(mSink);
+            mSink.onDisconnect(disconnect);
+            disconnect.attach(mPipelines.start(whole.get(), mSink));
+        }
+
+        @Override
+        public void onRefused(Refusal refusal) {
+            mResponse.setHeader("Connection", "close");
+            mSink.onRefused(refusal);
+        }
+    }
+
+    /** Withdraws the request when its caller goes away. */
+    private static final class Disconnect implements Runnable {
+
+        private final CallerResponse mSink;
+        private Optional<RunHandle> mRun = Optional.empty();
+        private boolean mGone;
+
+        Disconnect(CallerResponse sink) {
+            mSink = sink;
+        }
+
+        void attach(RunHandle run) {
+            boolean gone;
+            synchronized (this) {
+                mRun = Optional.of(run);
+                gone = mGone;
+            }
+            if (gone) {
+                run.cancel();
+            }
+        }
+
+        @Override
+        public void run() {
+            Optional<RunHandle> run;
+            synchronized (this) {
+                mGone = true;
+                run = mRun;
+            }
+            run.ifPresent(RunHandle::cancel);
+            mSink.abandon();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' HTTP interface. */
+package org.boragethread.entry.http;
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' HTTP interface. */
+package org.boragethread.entry.operator;
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/serve/package-info.java
@@ -0,0 +1,2 @@
+/** Puts the parts of an entry together. */
+package org.boragethread.entry.serve;
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/settings/EntrySettings.java
@@ -0,0 +1,95 @@
+package org.boragethread.entry.settings;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.boragethread.entry.http.CallerLimits;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.process.settings.SettingsReader;
+import org.boragethread.process.settings.SettingsSection;
+import org.boragethread.wire.frame.SharedKey;
+
+/**
+ * Settings of an entry.
+ *
+ * @param id name of the entry, unique in the deployment
+ * @param dataCentre data centre of the entry
+ * @param listen address for callers
+ * @param operatorListen address for operators
+ * @param operatorToken bearer token that operators send
+ * @param sharedKey secret shared with the agents
+ * @param drain time after a stop signal during which the entry still serves but is not ready
+ * @param grace time that running requests have to end after that
+ * @param platform address of the platform's log and VM list
+ * @param listInterval time between readings of the VM list
+ * @param callers bounds on what callers send
+ * @param policies decision policies
+ */
+public record EntrySettings(
+        String id,
+        DataCentreId dataCentre,
+        InetSocketAddress listen,
+        InetSocketAddress operatorListen,
+        String operatorToken,
+        SharedKey sharedKey,
+        Duration drain,
+        Duration grace,
+        InetSocketAddress platform,
+        Duration listInterval,
+        CallerLimits callers,
+        PolicySettings policies) {
+
+    private static final int MIN_TOKEN_LENGTH = 16;
+    private static final int DEFAULT_BODY_BYTES = 1 << 20;
+    private static final int MAX_BODY_BYTES = 3 << 20;
+    private static final int DEFAULT_HEADER_BYTES = 8192;
+    private static final Duration HOUR = Duration.ofHours(1);
+
+    /** Reads settings; problems are recorded in the reader. */
+    public static EntrySettings read(SettingsReader reader) {
+        SettingsSection entry = reader.section("entry");
+        SettingsSection platform = reader.section("platform");
+        SettingsSection callers = reader.section("callers");
+        EntrySettings settings =
+                new EntrySettings(
+                        entry.text("id"),
+                        entry.value("data_centre", DataCentreId::new, new DataCentreId("unset")),
+                        entry.address("listen"),
+                        entry.address("operator_listen"),
+                        entry.value("operator_token", EntrySettings::checkToken, ""),
+                        entry.value("shared_key", SharedKey::new, placeholderKey()),
+                        entry.millis("drain_ms", Duration.ofSeconds(2), Duration.ZERO, HOUR),
+                        entry.millis("grace_ms", Duration.ofSeconds(30), Duration.ZERO, HOUR),
+                        platform.address("address"),
+                        platform.millis(
+                                "list_interval_ms",
+                                Duration.ofSeconds(1),
+                                Duration.ofMillis(50),
+                                Duration.ofMinutes(1)),
+                        readCallers(callers),
+                        PolicySettings.read(reader));
+        entry.finish();
+        platform.finish();
+        callers.finish();
+        return settings;
+    }
+
+    private static CallerLimits readCallers(SettingsSection callers) {
+        return new CallerLimits(
+                callers.integer("max_body_bytes", DEFAULT_BODY_BYTES, 1, MAX_BODY_BYTES),
+                callers.millis(
+                        "body_timeout_ms", Duration.ofSeconds(10), Duration.ofMillis(10), HOUR),
+                callers.integer("max_header_bytes", DEFAULT_HEADER_BYTES, 512, 1 << 16));
+    }
+
+    private static String checkToken(String token) {
+        if (token.length() < MIN_TOKEN_LENGTH) {
+            throw new IllegalArgumentException(
+                    "use at least %d characters".formatted(MIN_TOKEN_LENGTH));
+        }
+        return token;
+    }
+
+    private static SharedKey placeholderKey() {
+        return new SharedKey("0".repeat(SharedKey.MIN_LENGTH));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of an entry. */
+package org.boragethread.entry.settings;
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/command/SettingsCommand.java
@@ -0,0 +1,31 @@
+package org.boragethread.process.command;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.List;
+import org.boragethread.process.settings.SettingsProblem;
+import org.boragethread.process.settings.SettingsReader;
+import org.kohsuke.args4j.Option;
+
+/** A sub-command that needs a settings file. It lists every problem and stops if there is one. */
+public abstract class SettingsCommand<T> implements Command {
+
+    @Option(name = "--settings", required = true, metaVar = "FILE", usage = "settings in TOML")
+    private Path mSettings;
+
+    /** Makes the settings; problems are recorded in the reader. */
+    protected abstract T read(SettingsReader reader);
+
+    /** Runs the command with good settings and returns the exit code. */
+    protected abstract int run(T settings);
+
+    @Override
+    public final int run() {
+        Either<List<SettingsProblem>, T> settings = SettingsFile.load(mSettings, this::read);
+        if (settings.isLeft()) {
+            settings.getLeft().forEach(problem -> System.err.println(problem));
+            return ExitCode.USAGE;
+        }
+        return run(settings.get());
+    }
+}
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/monitor/WireMetrics.java
@@ -0,0 +1,41 @@
+package org.boragethread.process.monitor;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.EnumMap;
+import java.util.Map;
+import org.boragethread.wire.frame.CloseReason;
+import org.boragethread.wire.frame.WireEvents;
+
+/** Counts connection ends by reason and results that matched no attempt. */
+public final class WireMetrics implements WireEvents {
+
+    private final Map<CloseReason, Counter> mClosed = new EnumMap<>(CloseReason.class);
+    private final Counter mStray;
+
+    /** Registers all counters, so that each is shown from the start. */
+    public WireMetrics(MeterRegistry registry) {
+        for (CloseReason reason : CloseReason.values()) {
+            mClosed.put(
+                    reason,
+                    Counter.builder("boragethread.connections.closed")
+                            .description("Connections between entries and agents that ended")
+                            .tag("reason", reason.label())
+                            .register(registry));
+        }
+        mStray =
+                Counter.builder("boragethread.results.stray")
+                        .description("Results that matched no waiting attempt")
+                        .register(registry);
+    }
+
+    @Override
+    public void closed(CloseReason reason) {
+        mClosed.get(reason).increment();
+    }
+
+    @Override
+    public void strayResult() {
+        mStray.increment();
+    }
+}
--- a/wire/src/main/java/org/boragethread/wire/client/AgentConnector.java
+++ b/wire/src/main/java/org/boragethread/wire/client/AgentConnector.java
@@ -16,7 +16,7 @@
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.wire.frame.CloseReason;
-import org.boragethread.wire.frame.ConfigExchange;
+import org.boragethread.wire.frame.ConfigSource;
 import org.boragethread.wire.frame.FramePipeline;
 import org.boragethread.wire.frame.WireEvents;
 import org.boragethread.wire.frame.WireSettings;
@@ -32,7 +32,7 @@
     private final EntryIdentity mIdentity;
     private final WireSettings mSettings;
     private final WireEvents mEvents;
-    private final ConfigExchange mConfig;
+    private final ConfigSource mConfig;
     private final TimeSource mTime;
     private final LinkListener mListener;
     private final EventLoop mLoop;
@@ -40,6 +40,7 @@
 
     private long mDelayMillis = FIRST_DELAY_MILLIS;
     private boolean mClosed;
+    private boolean mRetired;
     private volatile AgentLink mLink;
 
     private AgentConnector(Builder builder) {
@@ -67,6 +68,23 @@
         }
     }
 
+    /** Tells whether there is a connection. */
+    public boolean isUp() {
+        return mLink != null;
+    }
+
+    /** Keeps new calls from the agent because its VM is leaving, or allows them again. */
+    public void setRetired(boolean retired) {
+        mLoop.execute(() -> retireInLoop(retired));
+    }
+
+    private void retireInLoop(boolean retired) {
+        mRetired = retired;
+        if (mLink != null) {
+            mLink.setRetired(retired);
+        }
+    }
+
     /** Ends the connection and stops connecting. */
     @Override
     public void close() {
@@ -113,6 +131,7 @@
             return;
         }
         mLink = link;
+        link.setRetired(mRetired);
         future.channel().closeFuture().addListener(closed -> connectLater());
         if (mClosed) {
             link.disconnect();
@@ -150,7 +169,7 @@
         private EntryIdentity mIdentity;
         private WireSettings mSettings;
         private WireEvents mEvents = WireEvents.NONE;
-        private ConfigExchange mConfig;
+        private ConfigSource mConfig;
         private TimeSource mTime;
         private LinkListener mListener;
         private EventLoopGroup mGroup;
@@ -181,7 +200,7 @@
         }
 
         /** Sets the source of configuration. */
-        public Builder config(ConfigExchange config) {
+        public Builder config(ConfigSource config) {
             mConfig = config;
             return this;
         }
--- a/wire/src/main/java/org/boragethread/wire/client/AgentLink.java
+++ b/wire/src/main/java/org/boragethread/wire/client/AgentLink.java
@@ -28,7 +28,7 @@
 import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.model.upstream.UpstreamLoad;
 import org.boragethread.wire.frame.CloseReason;
-import org.boragethread.wire.frame.ConfigExchange;
+import org.boragethread.wire.frame.ConfigSource;
 import org.boragethread.wire.frame.Conversions;
 import org.boragethread.wire.frame.FrameHandler;
 import org.boragethread.wire.frame.WireEvents;
@@ -67,6 +67,7 @@
     private boolean mClosed;
     private volatile Welcome mWelcome;
     private volatile boolean mAccepting;
+    private volatile boolean mRetired;
     private volatile UpstreamLoad mLoad = UpstreamLoad.UNKNOWN;
     private volatile long mLoadAtNanos;
 
@@ -74,7 +75,7 @@
             EntryIdentity identity,
             WireSettings settings,
             WireEvents events,
-            ConfigExchange config,
+            ConfigSource config,
             TimeSource time,
             LinkListener listener) {
         super(events, config, time);
@@ -292,6 +293,11 @@
         }
     }
 
+    /** Keeps new calls from this connection, or allows them again. */
+    void setRetired(boolean retired) {
+        mRetired = retired;
+    }
+
     /** Ends the connection. */
     void disconnect() {
         mContext.executor().execute(() -> close(mContext, CloseReason.CLOSED_HERE));
@@ -323,7 +329,7 @@
 
     @Override
     public boolean isAccepting() {
-        return mAccepting;
+        return mAccepting && !mRetired;
     }
 
     @Override
--- a/wire/src/main/java/org/boragethread/wire/frame/FrameHandler.java
+++ b/wire/src/main/java/org/boragethread/wire/frame/FrameHandler.java
@@ -9,8 +9,8 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import org.boragethread.core.time.TimeSource;
-import org.boragethread.wire.proto.ConfigPull;
 import org.boragethread.wire.proto.Frame;
 
 /**
@@ -29,9 +29,9 @@
     private long mPulledAtNanos;
 
     /** Reports to the given receiver and exchanges configuration with the given source. */
-    protected FrameHandler(WireEvents events, ConfigExchange config, TimeSource time) {
+    protected FrameHandler(WireEvents events, ConfigSource config, TimeSource time) {
         mEvents = Objects.requireNonNull(events, "events");
-        mConfig = Objects.requireNonNull(config, "config");
+        mConfig = new ConfigExchange(config);
         mTime = Objects.requireNonNull(time, "time");
     }
 
@@ -47,23 +47,22 @@
 
     /** Sends a frame that carries this process's configuration revision. */
     protected final ChannelFuture send(ChannelHandlerContext context, Frame.Builder frame) {
-        frame.setConfigRevisionPlusOne(mConfig.revision() + 1);
+        frame.setConfigRevisionPlusOne(mConfig.revisionPlusOne());
         return context.writeAndFlush(frame.build());
     }
 
     /** Asks for newer configuration if the other side has it. */
     protected final void compareRevisions(ChannelHandlerContext context, Frame frame) {
-        long mine = mConfig.revision();
-        if (frame.getConfigRevisionPlusOne() <= mine + 1) {
+        if (mPulling && mTime.since(mPulledAtNanos).compareTo(PULL_TIMEOUT) < 0) {
             return;
         }
-        if (mPulling && mTime.since(mPulledAtNanos).compareTo(PULL_TIMEOUT) < 0) {
+        Optional<Frame.Builder> pull = mConfig.pullFor(frame.getConfigRevisionPlusOne());
+        if (pull.isEmpty()) {
             return;
         }
         mPulling = true;
         mPulledAtNanos = mTime.nanoTime();
-        ConfigPull pull = ConfigPull.newBuilder().setAfterRevisionPlusOne(mine + 1).build();
-        send(context, Frame.newBuilder().setConfigPull(pull));
+        send(context, pull.get());
     }
 
     /**
--- a/wire/src/main/java/org/boragethread/wire/server/AgentServer.java
+++ b/wire/src/main/java/org/boragethread/wire/server/AgentServer.java
@@ -14,7 +14,7 @@
 import java.util.function.Supplier;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.upstream.UpstreamLoad;
-import org.boragethread.wire.frame.ConfigExchange;
+import org.boragethread.wire.frame.ConfigSource;
 import org.boragethread.wire.frame.FramePipeline;
 import org.boragethread.wire.frame.WireEvents;
 import org.boragethread.wire.frame.WireSettings;
@@ -26,7 +26,7 @@
     private final AgentIdentity mIdentity;
     private final WireSettings mSettings;
     private final WireEvents mEvents;
-    private final ConfigExchange mConfig;
+    private final ConfigSource mConfig;
     private final CallHandler mHandler;
     private final Supplier<UpstreamLoad> mLoad;
     private final TimeSource mTime;
@@ -107,7 +107,7 @@
         return mEvents;
     }
 
-    ConfigExchange config() {
+    ConfigSource config() {
         return mConfig;
     }
 
@@ -125,7 +125,7 @@
         private AgentIdentity mIdentity;
         private WireSettings mSettings;
         private WireEvents mEvents = WireEvents.NONE;
-        private ConfigExchange mConfig;
+        private ConfigSource mConfig;
         private CallHandler mHandler;
         private Supplier<UpstreamLoad> mLoad;
         private TimeSource mTime;
@@ -156,7 +156,7 @@
         }
 
         /** Sets the source of configuration. */
-        public Builder config(ConfigExchange config) {
+        public Builder config(ConfigSource config) {
             mConfig = config;
             return this;
         }
