Write grouped records, follow the stream and replicate the configuration

Cause: each process needs the same configuration within seconds, with the log, the peers or an answer missing at any time.

--- a/core/src/main/java/org/boragethread/core/config/ConfigCodec.java
+++ b/core/src/main/java/org/boragethread/core/config/ConfigCodec.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
@@ -35,6 +36,8 @@
     private static final String KIND = "kind";
     private static final String PLAN = "plan";
     private static final String SNAPSHOT = "snapshot";
+    private static final byte[] SNAPSHOT_START =
+            "{\"kind\":\"snapshot\"".getBytes(StandardCharsets.UTF_8);
 
     private ConfigCodec() {}
 
@@ -76,6 +79,12 @@
         return parse(header).flatMap(t -> read(t, f -> record(f, payload)));
     }
 
+    /** Tells, without reading it whole, whether a record may be a part of a snapshot. */
+    static boolean looksLikeSnapshot(byte[] data) {
+        int length = Math.min(data.length, SNAPSHOT_START.length);
+        return Arrays.equals(data, 0, length, SNAPSHOT_START, 0, SNAPSHOT_START.length);
+    }
+
     /** Writes a record of the configuration stream. */
     public static byte[] writeRecord(ConfigRecord record) {
         if (record instanceof ConfigRecord.Confirmation c) {
--- a/core/src/main/java/org/boragethread/core/config/ConfigError.java
+++ b/core/src/main/java/org/boragethread/core/config/ConfigError.java
@@ -17,7 +17,7 @@
         /** A field of the document is not known. */
         UNKNOWN_FIELD("remove the field or correct its name"),
         /** The change does not fit the configuration. */
-        INVALID("correct the intent"),
+        INVALID("correct the intent, or split it if it is too large"),
         /** The plan leaves a stage without capacity. */
         NEEDS_FORCE("keep some capacity, or state the intent again with \"force\": true"),
         /** The plan's digest does not match its content. */
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/config/ConfigFeed.java
@@ -0,0 +1,51 @@
+package org.boragethread.core.config;
+
+import io.vavr.control.Either;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragethread.core.log.GroupedAppender;
+import org.boragethread.core.log.LogBatch;
+import org.boragethread.core.log.LogError;
+import org.boragethread.core.log.StreamHandler;
+import org.boragethread.model.config.Configuration;
+
+/** Carries the configuration stream from its follower into the store. */
+public final class ConfigFeed implements StreamHandler {
+
+    private static final Logger LOGGER = LogManager.getLogger(ConfigFeed.class);
+
+    private final ConfigStore mStore;
+    private final GroupedAppender mAppender;
+    private final Bootstrap mBootstrap;
+
+    /**
+     * Creates a feed.
+     *
+     * @param appender appender of the configuration stream, whose records are read back here
+     */
+    public ConfigFeed(ConfigStore store, GroupedAppender appender, Bootstrap bootstrap) {
+        mStore = Objects.requireNonNull(store, "store");
+        mAppender = Objects.requireNonNull(appender, "appender");
+        mBootstrap = Objects.requireNonNull(bootstrap, "bootstrap");
+    }
+
+    @Override
+    public void onBatch(LogBatch batch, boolean caughtUp) {
+        Either<ConfigError, Configuration> result = mStore.applyRecords(batch.records());
+        if (result.isLeft()) {
+            throw new IllegalStateException(result.getLeft().message());
+        }
+        batch.records().forEach(mAppender::readBack);
+        if (caughtUp) {
+            mStore.markLoaded();
+        }
+    }
+
+    @Override
+    public CompletableFuture<Long> onExpired(LogError.Expired expired) {
+        LOGGER.warn("configuration: {}", expired.message());
+        return mBootstrap.load(expired);
+    }
+}
--- a/core/src/main/java/org/boragethread/core/config/ConfigFold.java
+++ b/core/src/main/java/org/boragethread/core/config/ConfigFold.java
@@ -39,7 +39,9 @@
             return invalid(configuration, record.offset(), Optional.empty(), read.getLeft());
         }
         if (read.get() instanceof ConfigRecord.SnapshotPart s) {
-            return unchanged(configuration, new Verdict.Snapshot(record.offset(), s.part()));
+            return unchanged(
+                    configuration,
+                    new Verdict.Snapshot(record.offset(), record.timeMillis(), s.part()));
         }
         return confirm(
                 configuration, ((ConfigRecord.Confirmation) read.get()).plan(), record.offset());
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/config/NotificationQueue.java
@@ -0,0 +1,55 @@
+package org.boragethread.core.config;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Calls listeners in order on the thread that drains the queue, without the store's lock. */
+final class NotificationQueue {
+
+    private static final Logger LOGGER = LogManager.getLogger(NotificationQueue.class);
+
+    private final List<ConfigListener> mListeners = new CopyOnWriteArrayList<>();
+    private final Queue<Consumer<ConfigListener>> mQueue = new ArrayDeque<>();
+    private boolean mDraining;
+
+    void addListener(ConfigListener listener) {
+        mListeners.add(listener);
+    }
+
+    synchronized void add(Consumer<ConfigListener> notification) {
+        mQueue.add(notification);
+    }
+
+    /** Delivers all notifications unless another thread does so already. */
+    void drain() {
+        Consumer<ConfigListener> next = take(false);
+        while (next != null) {
+            deliver(next);
+            next = take(true);
+        }
+    }
+
+    private synchronized Consumer<ConfigListener> take(boolean mine) {
+        if (mDraining && !mine) {
+            return null;
+        }
+        Consumer<ConfigListener> next = mQueue.poll();
+        mDraining = next != null;
+        return next;
+    }
+
+    private void deliver(Consumer<ConfigListener> notification) {
+        for (ConfigListener listener : mListeners) {
+            try {
+                notification.accept(listener);
+            } catch (RuntimeException e) {
+                LOGGER.error("configuration listener {} failed", listener, e);
+            }
+        }
+    }
+}
--- a/core/src/main/java/org/boragethread/core/config/Planner.java
+++ b/core/src/main/java/org/boragethread/core/config/Planner.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import org.boragethread.core.log.PlatformLog;
 import org.boragethread.model.config.Change;
 import org.boragethread.model.config.Configuration;
 import org.boragethread.model.config.Intent;
@@ -41,8 +42,20 @@
         PlanEffects effects = CapacityCheck.effects(mCapacity.upstreams(), configuration, after);
         List<String> steps = changes.stream().map(c -> StepText.of(c, configuration)).toList();
         Plan plan = make(NO_DIGEST, intent, configuration, steps, effects);
-        return Either.right(
-                make(ConfigCodec.digestOf(plan), intent, configuration, steps, effects));
+        return checkSize(make(ConfigCodec.digestOf(plan), intent, configuration, steps, effects));
+    }
+
+    private static Either<ConfigError, Plan> checkSize(Plan plan) {
+        int size = ConfigCodec.writeRecord(new ConfigRecord.Confirmation(plan)).length;
+        if (size <= PlatformLog.MAX_RECORD_BYTES) {
+            return Either.right(plan);
+        }
+        return Either.left(
+                new ConfigError(
+                        ConfigError.Kind.INVALID,
+                        "the plan for intent \"%s\" has %d bytes and the log takes %d per record"
+                                .formatted(
+                                        plan.intent().id(), size, PlatformLog.MAX_RECORD_BYTES)));
     }
 
     private static Plan make(
--- a/core/src/main/java/org/boragethread/core/config/Verdict.java
+++ b/core/src/main/java/org/boragethread/core/config/Verdict.java
@@ -116,9 +116,10 @@
      * The record holds a part of a snapshot and has no effect on a state that is past it.
      *
      * @param offset offset of the record
+     * @param timeMillis wall-clock time of the append, in milliseconds since 1970
      * @param part the part
      */
-    record Snapshot(long offset, ConfigSnapshot part) implements Verdict {
+    record Snapshot(long offset, long timeMillis, ConfigSnapshot part) implements Verdict {
 
         public Snapshot {
             Objects.requireNonNull(part, "part");
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/log/AppenderSettings.java
@@ -0,0 +1,113 @@
+package org.boragethread.core.log;
+
+import java.time.Duration;
+
+/** Settings of a {@link GroupedAppender}. Instances are immutable. */
+public final class AppenderSettings {
+
+    private final Duration mGroupDelay;
+    private final int mMaxRecords;
+    private final int mMaxBytes;
+    private final int mMaxWaiting;
+    private final int mMaxInFlight;
+    private final Duration mMinBackoff;
+    private final Duration mMaxBackoff;
+
+    private AppenderSettings(Builder builder) {
+        mGroupDelay = builder.mGroupDelay;
+        mMaxRecords = builder.mMaxRecords;
+        mMaxBytes = builder.mMaxBytes;
+        mMaxWaiting = builder.mMaxWaiting;
+        mMaxInFlight = builder.mMaxInFlight;
+        mMinBackoff = builder.mMinBackoff;
+        mMaxBackoff = builder.mMaxBackoff;
+    }
+
+    /** Returns how long the first record of a group waits for others. */
+    public Duration groupDelay() {
+        return mGroupDelay;
+    }
+
+    /** Returns the greatest number of records in one append. */
+    public int maxRecords() {
+        return mMaxRecords;
+    }
+
+    /** Returns the size at which an append is full, in bytes of data. */
+    public int maxBytes() {
+        return mMaxBytes;
+    }
+
+    /** Returns the greatest number of records that have not been read back. */
+    public int maxWaiting() {
+        return mMaxWaiting;
+    }
+
+    /** Returns the greatest number of appends without an answer. */
+    public int maxInFlight() {
+        return mMaxInFlight;
+    }
+
+    /** Returns the delay after a first failure. */
+    public Duration minBackoff() {
+        return mMinBackoff;
+    }
+
+    /** Returns the greatest delay after many failures. */
+    public Duration maxBackoff() {
+        return mMaxBackoff;
+    }
+
+    /** Makes settings; each has a default. */
+    public static final class Builder {
+        private Duration mGroupDelay = Duration.ofMillis(5);
+        private int mMaxRecords = 500;
+        private int mMaxBytes = 1024 * 1024;
+        private int mMaxWaiting = 10_000;
+        private int mMaxInFlight = 4;
+        private Duration mMinBackoff = Duration.ofMillis(100);
+        private Duration mMaxBackoff = Duration.ofSeconds(5);
+
+        /** Sets how long the first record of a group waits for others. */
+        public Builder groupDelay(Duration value) {
+            mGroupDelay = value;
+            return this;
+        }
+
+        /** Sets the greatest number of records in one append. */
+        public Builder maxRecords(int value) {
+            mMaxRecords = value;
+            return this;
+        }
+
+        /** Sets the size at which an append is full, in bytes of data. */
+        public Builder maxBytes(int value) {
+            mMaxBytes = value;
+            return this;
+        }
+
+        /** Sets the greatest number of records that have not been read back. */
+        public Builder maxWaiting(int value) {
+            mMaxWaiting = value;
+            return this;
+        }
+
+        /** Sets the greatest number of appends without an answer. */
+        public Builder maxInFlight(int value) {
+            mMaxInFlight = value;
+            return this;
+        }
+
+        /** Sets the delays after failures. */
+        public Builder backoff(Duration min, Duration max) {
+            mMinBackoff = min;
+            mMaxBackoff = max;
+            return this;
+        }
+
+        /** Returns the settings. */
+        public AppenderSettings build() {
+            return new AppenderSettings(this);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/log/Backoff.java
@@ -0,0 +1,38 @@
+package org.boragethread.core.log;
+
+import java.time.Duration;
+import java.util.Random;
+
+/**
+ * Delays between repeated attempts, doubled after each failure and spread by a random factor from
+ * one half to one. Not safe for concurrent use.
+ */
+public final class Backoff {
+
+    private static final int MAX_DOUBLINGS = 30;
+
+    private final long mMinNanos;
+    private final long mMaxNanos;
+    private final Random mRandom;
+    private int mFailures;
+
+    /** Starts without failures. */
+    public Backoff(Duration min, Duration max, long seed) {
+        mMinNanos = min.toNanos();
+        mMaxNanos = max.toNanos();
+        mRandom = new Random(seed);
+    }
+
+    /** Counts a failure and returns the time to wait. */
+    public Duration next() {
+        long factor = 1L << Math.min(mFailures, MAX_DOUBLINGS);
+        long delay = mMinNanos > mMaxNanos / factor ? mMaxNanos : mMinNanos * factor;
+        mFailures = Math.min(mFailures + 1, MAX_DOUBLINGS);
+        return Duration.ofNanos(delay / 2 + (long) (mRandom.nextDouble() * (delay / 2.0)));
+    }
+
+    /** Forgets the failures after a success. */
+    public void reset() {
+        mFailures = 0;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/log/GroupedAppender.java
@@ -0,0 +1,264 @@
+package org.boragethread.core.log;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragethread.core.time.Scheduler;
+
+/**
+ * Writes records of one stream in groups. An append without an answer is sent again with the same
+ * record ids. A write ends when the stream's follower hands its record to {@link #readBack}.
+ * Records of different groups may change their order.
+ */
+public final class GroupedAppender implements RecordWriter {
+
+    private static final Logger LOGGER = LogManager.getLogger(GroupedAppender.class);
+
+    private final PlatformLog mLog;
+    private final String mStream;
+    private final Scheduler mScheduler;
+    private final AppendBudget mBudget;
+    private final AppenderSettings mSettings;
+    private final Object mLock = new Object();
+    private final Map<String, PendingWrite> mPending = new HashMap<>();
+    private final Deque<PendingWrite> mQueue = new ArrayDeque<>();
+    private final Backoff mBackoff;
+    private int mInFlight;
+    private boolean mFlushScheduled;
+    private boolean mBackingOff;
+
+    /**
+     * Creates an appender.
+     *
+     * @param budget appends a second; shared by all appenders of the process
+     * @param seed seed of the random part of delays
+     */
+    public GroupedAppender(
+            PlatformLog log,
+            String stream,
+            Scheduler scheduler,
+            AppendBudget budget,
+            AppenderSettings settings,
+            long seed) {
+        mLog = Objects.requireNonNull(log, "log");
+        mStream = Objects.requireNonNull(stream, "stream");
+        mScheduler = Objects.requireNonNull(scheduler, "scheduler");
+        mBudget = Objects.requireNonNull(budget, "budget");
+        mSettings = Objects.requireNonNull(settings, "settings");
+        mBackoff = new Backoff(settings.minBackoff(), settings.maxBackoff(), seed);
+    }
+
+    @Override
+    public CompletableFuture<Either<WriteError, Long>> write(LogEntry entry, Duration timeout) {
+        if (entry.data().length > PlatformLog.MAX_RECORD_BYTES) {
+            return refused(
+                    WriteError.Kind.REJECTED,
+                    "record \"%s\" has %d bytes and the log takes %d"
+                            .formatted(
+                                    entry.id(), entry.data().length, PlatformLog.MAX_RECORD_BYTES));
+        }
+        PendingWrite pending = new PendingWrite(entry);
+        synchronized (mLock) {
+            PendingWrite same = mPending.get(entry.id());
+            if (same != null) {
+                return same.future();
+            }
+            if (mPending.size() >= mSettings.maxWaiting()) {
+                return refused(
+                        WriteError.Kind.OVERLOADED,
+                        "%d records of stream \"%s\" wait already"
+                                .formatted(mPending.size(), mStream));
+            }
+            mPending.put(entry.id(), pending);
+            mQueue.add(pending);
+            pending.setTimer(mScheduler.schedule(timeout, () -> giveUp(pending)));
+            scheduleFlush(mSettings.groupDelay());
+        }
+        return pending.future();
+    }
+
+    /** Ends the write of a record that the follower has read; other records are ignored. */
+    public void readBack(LogRecord record) {
+        PendingWrite pending;
+        synchronized (mLock) {
+            pending = mPending.remove(record.id());
+        }
+        if (pending != null) {
+            pending.complete(Either.right(record.offset()));
+        }
+    }
+
+    /** Returns the number of records that have not been read back. */
+    public int waiting() {
+        synchronized (mLock) {
+            return mPending.size();
+        }
+    }
+
+    private void giveUp(PendingWrite pending) {
+        WriteError error;
+        synchronized (mLock) {
+            if (!mPending.remove(pending.entry().id(), pending)) {
+                return;
+            }
+            error = pending.timedOut();
+        }
+        pending.complete(Either.left(error));
+    }
+
+    private void scheduleFlush(Duration delay) {
+        if (mFlushScheduled || mBackingOff) {
+            return;
+        }
+        mFlushScheduled = true;
+        mScheduler.schedule(delay, this::flush);
+    }
+
+    private void endBackoff() {
+        synchronized (mLock) {
+            mBackingOff = false;
+        }
+        flush();
+    }
+
+    private void flush() {
+        List<PendingWrite> group;
+        synchronized (mLock) {
+            mFlushScheduled = false;
+            dropFinishedHead();
+            if (mQueue.isEmpty() || mBackingOff || mInFlight >= mSettings.maxInFlight()) {
+                return;
+            }
+            Duration wait = mBudget.tryTake();
+            if (!wait.isZero()) {
+                scheduleFlush(wait);
+                return;
+            }
+            group = takeGroup();
+            mInFlight++;
+            if (!mQueue.isEmpty()) {
+                scheduleFlush(Duration.ZERO);
+            }
+        }
+        List<LogEntry> entries = group.stream().map(PendingWrite::entry).toList();
+        mLog.append(mStream, entries).whenComplete((result, e) -> answered(group, result, e));
+    }
+
+    private void dropFinishedHead() {
+        while (!mQueue.isEmpty() && isFinished(mQueue.peek())) {
+            mQueue.poll();
+        }
+    }
+
+    private boolean isFinished(PendingWrite pending) {
+        return mPending.get(pending.entry().id()) != pending;
+    }
+
+    private List<PendingWrite> takeGroup() {
+        List<PendingWrite> group = new ArrayList<>();
+        int bytes = 0;
+        while (!mQueue.isEmpty() && group.size() < mSettings.maxRecords()) {
+            int size = mQueue.peek().entry().data().length;
+            if (!group.isEmpty() && bytes + size > mSettings.maxBytes()) {
+                break;
+            }
+            bytes += size;
+            PendingWrite next = mQueue.poll();
+            next.sent();
+            group.add(next);
+            dropFinishedHead();
+        }
+        return group;
+    }
+
+    private void answered(
+            List<PendingWrite> group, Either<LogError, List<Long>> result, Throwable failure) {
+        if (failure != null) {
+            LOGGER.error("append to stream {} failed in the client", mStream, failure);
+            failed(
+                    group,
+                    new LogError.Damaged("append to stream \"%s\" failed".formatted(mStream)));
+            return;
+        }
+        if (result.isLeft()) {
+            failed(group, result.getLeft());
+            return;
+        }
+        synchronized (mLock) {
+            mInFlight--;
+            mBackoff.reset();
+            group.forEach(PendingWrite::appended);
+            if (!mQueue.isEmpty()) {
+                scheduleFlush(Duration.ZERO);
+            }
+        }
+    }
+
+    private void failed(List<PendingWrite> group, LogError error) {
+        LOGGER.warn("append of {} records to {}: {}", group.size(), mStream, error.message());
+        if (error instanceof LogError.Rejected) {
+            reject(group, error);
+            return;
+        }
+        synchronized (mLock) {
+            mInFlight--;
+            List<PendingWrite> again = new ArrayList<>(group);
+            Collections.reverse(again);
+            for (PendingWrite pending : again) {
+                pending.failed(error);
+                mQueue.addFirst(pending);
+            }
+            scheduleRetry(error);
+        }
+    }
+
+    private void scheduleRetry(LogError error) {
+        if (mBackingOff) {
+            return;
+        }
+        Duration delay = mBackoff.next();
+        if (error instanceof LogError.Unavailable u) {
+            Optional<Duration> stated = u.retryAfter().filter(r -> r.compareTo(delay) > 0);
+            scheduleBackoff(stated.orElse(delay));
+            return;
+        }
+        scheduleBackoff(delay);
+    }
+
+    private void scheduleBackoff(Duration delay) {
+        mBackingOff = true;
+        mScheduler.schedule(delay, this::endBackoff);
+    }
+
+    private void reject(List<PendingWrite> group, LogError error) {
+        List<PendingWrite> mine = new ArrayList<>();
+        synchronized (mLock) {
+            mInFlight--;
+            for (PendingWrite pending : group) {
+                if (mPending.remove(pending.entry().id(), pending)) {
+                    mine.add(pending);
+                }
+            }
+            if (!mQueue.isEmpty()) {
+                scheduleFlush(Duration.ZERO);
+            }
+        }
+        mine.forEach(p -> p.complete(Either.left(p.rejected(error))));
+    }
+
+    private static CompletableFuture<Either<WriteError, Long>> refused(
+            WriteError.Kind kind, String detail) {
+        return CompletableFuture.completedFuture(Either.left(new WriteError(kind, detail)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/log/PendingWrite.java
@@ -0,0 +1,67 @@
+package org.boragethread.core.log;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import org.boragethread.core.time.Scheduler;
+
+/** A record that has not been read back; guarded by the lock of its appender. */
+final class PendingWrite {
+
+    private final LogEntry mEntry;
+    private final CompletableFuture<Either<WriteError, Long>> mFuture = new CompletableFuture<>();
+    private Scheduler.Timer mTimer = () -> {};
+    private boolean mMayBeWritten;
+    private boolean mInFlight;
+    private String mLastError = "no append was tried in time";
+
+    PendingWrite(LogEntry entry) {
+        mEntry = entry;
+    }
+
+    LogEntry entry() {
+        return mEntry;
+    }
+
+    CompletableFuture<Either<WriteError, Long>> future() {
+        return mFuture;
+    }
+
+    void setTimer(Scheduler.Timer timer) {
+        mTimer = timer;
+    }
+
+    void sent() {
+        mInFlight = true;
+    }
+
+    void appended() {
+        mInFlight = false;
+        mMayBeWritten = true;
+        mLastError = "the append was accepted and its record not read back in time";
+    }
+
+    void failed(LogError error) {
+        mInFlight = false;
+        mMayBeWritten |= error.mayHaveTakenEffect();
+        mLastError = error.message();
+    }
+
+    WriteError timedOut() {
+        boolean unknown = mInFlight || mMayBeWritten;
+        WriteError.Kind kind =
+                unknown ? WriteError.Kind.OUTCOME_UNKNOWN : WriteError.Kind.NOT_WRITTEN;
+        return new WriteError(kind, "record \"%s\": %s".formatted(mEntry.id(), mLastError));
+    }
+
+    WriteError rejected(LogError error) {
+        WriteError.Kind kind =
+                mMayBeWritten ? WriteError.Kind.OUTCOME_UNKNOWN : WriteError.Kind.REJECTED;
+        return new WriteError(kind, error.message());
+    }
+
+    /** Completes the future; called without the appender's lock. */
+    void complete(Either<WriteError, Long> result) {
+        mTimer.cancel();
+        mFuture.complete(result);
+    }
+}
