Serve callers and operators at the entry

Cause: the whole path needs an entry: callers' HTTP, pipelines, membership, operators. Seen: a start on an address in use left a process that ignored SIGTERM; and a request with an Upgrade header, which the JDK's client sends first, hung because Grizzly waits for its body without end.

--- a/agent/src/main/java/org/boragethread/agent/command/ServeCommand.java
+++ b/agent/src/main/java/org/boragethread/agent/command/ServeCommand.java
@@ -2,9 +2,8 @@
 
 import org.boragethread.agent.serve.AgentProcess;
 import org.boragethread.agent.settings.AgentSettings;
-import org.boragethread.process.command.ExitCode;
 import org.boragethread.process.command.SettingsCommand;
-import org.boragethread.process.command.StopSignal;
+import org.boragethread.process.command.ServiceRunner;
 import org.boragethread.process.settings.SettingsReader;
 
 /** Serves until a stop signal arrives, then ends running work. */
@@ -22,12 +21,6 @@
 
     @Override
     protected int run(AgentSettings settings) {
-        AgentProcess process = new AgentProcess(settings);
-        StopSignal signal = StopSignal.install();
-        process.start();
-        signal.await();
-        process.stop();
-        signal.finish();
-        return ExitCode.OK;
+        return ServiceRunner.run(new AgentProcess(settings));
     }
 }
--- a/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
+++ b/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
@@ -28,6 +28,7 @@
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.upstream.UpstreamGroup;
 import org.boragethread.process.command.Addresses;
+import org.boragethread.process.command.Service;
 import org.boragethread.process.monitor.HttpServers;
 import org.boragethread.process.monitor.MonitoringHandler;
 import org.boragethread.process.monitor.WireMetrics;
@@ -38,7 +39,7 @@
 import org.glassfish.grizzly.http.server.HttpServer;
 
 /** A running agent. */
-public final class AgentProcess {
+public final class AgentProcess implements Service {
 
     private static final Logger LOGGER = LogManager.getLogger(AgentProcess.class);
 
@@ -116,6 +117,7 @@
     }
 
     /** Begins to serve. */
+    @Override
     public void start() {
         InetSocketAddress agent = mServer.start();
         InetSocketAddress monitor = HttpServers.start(mMonitor);
@@ -136,6 +138,7 @@
     }
 
     /** Refuses new work, lets running calls end within the grace period, and closes everything. */
+    @Override
     public void stop() {
         LOGGER.info("stopping");
         mGateController.stop();
--- a/entry/src/main/java/org/boragethread/entry/EntryMain.java
+++ b/entry/src/main/java/org/boragethread/entry/EntryMain.java
@@ -1,7 +1,10 @@
 package org.boragethread.entry;
 
 import org.boragethread.entry.command.CheckCommand;
+import org.boragethread.entry.command.ConfirmCommand;
+import org.boragethread.entry.command.IntentCommand;
 import org.boragethread.entry.command.ServeCommand;
+import org.boragethread.entry.command.StatusCommand;
 import org.boragethread.process.command.CommandLine;
 
 /** The program {@code boragethread-entry}. */
@@ -14,7 +17,10 @@
         CommandLine commands =
                 new CommandLine("boragethread-entry", System.out, System.err)
                         .add("serve", ServeCommand::new)
-                        .add("check", CheckCommand::new);
+                        .add("check", CheckCommand::new)
+                        .add("intent", IntentCommand::new)
+                        .add("confirm", ConfirmCommand::new)
+                        .add("status", StatusCommand::new);
         System.exit(commands.run(arguments));
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/command/ServeCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/command/ServeCommand.java
@@ -2,9 +2,8 @@
 
 import org.boragethread.entry.serve.EntryProcess;
 import org.boragethread.entry.settings.EntrySettings;
-import org.boragethread.process.command.ExitCode;
 import org.boragethread.process.command.SettingsCommand;
-import org.boragethread.process.command.StopSignal;
+import org.boragethread.process.command.ServiceRunner;
 import org.boragethread.process.settings.SettingsReader;
 
 /** Serves until a stop signal arrives, then ends running work. */
@@ -22,12 +21,6 @@
 
     @Override
     protected int run(EntrySettings settings) {
-        EntryProcess process = new EntryProcess(settings);
-        StopSignal signal = StopSignal.install();
-        process.start();
-        signal.await();
-        process.stop();
-        signal.finish();
-        return ExitCode.OK;
+        return ServiceRunner.run(new EntryProcess(settings));
     }
 }
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/operator/StatusReport.java
@@ -0,0 +1,53 @@
+package org.boragethread.entry.operator;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What an entry knows, for operators.
+ *
+ * @param entry name of the entry
+ * @param dataCentre data centre of the entry
+ * @param revision configuration revision in force at the entry
+ * @param ready whether the entry takes new requests, or why it does not
+ * @param requests requests in progress
+ * @param dataCentres service state by data centre
+ * @param pipelines names of the pipelines
+ * @param teams number of teams
+ * @param upstreams connected upstreams
+ */
+public record StatusReport(
+        String entry,
+        String dataCentre,
+        long revision,
+        String ready,
+        int requests,
+        Map<String, String> dataCentres,
+        List<String> pipelines,
+        int teams,
+        List<UpstreamStatus> upstreams) {
+
+    /**
+     * One connected upstream.
+     *
+     * @param upstream name of the upstream
+     * @param group its group
+     * @param dataCentre its data centre
+     * @param state serving, cold, leaving or out
+     * @param inFlight calls that it works on
+     * @param limit greatest number of calls that its agent lets through
+     * @param queued calls that wait at its agent
+     * @param sent calls of this entry that have not ended
+     * @param loadAgeMs age of these figures, in milliseconds
+     */
+    public record UpstreamStatus(
+            String upstream,
+            String group,
+            String dataCentre,
+            String state,
+            int inFlight,
+            int limit,
+            int queued,
+            int sent,
+            long loadAgeMs) {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -0,0 +1,281 @@
+package org.boragethread.entry.serve;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragethread.core.config.ConfigListener;
+import org.boragethread.core.config.ConfigStore;
+import org.boragethread.core.config.ConfirmService;
+import org.boragethread.core.config.PeerConfigs;
+import org.boragethread.core.config.PlacedUpstream;
+import org.boragethread.core.config.Planner;
+import org.boragethread.core.dispatch.TablePicker;
+import org.boragethread.core.dispatch.UpstreamLink;
+import org.boragethread.core.dispatch.UpstreamTable;
+import org.boragethread.core.log.AppendBudget;
+import org.boragethread.core.pipeline.BoundedAttempts;
+import org.boragethread.core.pipeline.PipelineController;
+import org.boragethread.core.selection.RoundRobinSelector;
+import org.boragethread.core.time.ExecutorScheduler;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.core.time.SystemTimeSource;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.entry.http.PipelineHandler;
+import org.boragethread.entry.http.RequestMetrics;
+import org.boragethread.entry.membership.MembershipController;
+import org.boragethread.entry.operator.OperatorHandler;
+import org.boragethread.entry.operator.StatusReporter;
+import org.boragethread.entry.settings.EntrySettings;
+import org.boragethread.model.config.Configuration;
+import org.boragethread.platform.HttpPlatformLog;
+import org.boragethread.platform.HttpVmDirectory;
+import org.boragethread.platform.PlatformSettings;
+import org.boragethread.process.command.Addresses;
+import org.boragethread.process.command.Service;
+import org.boragethread.process.monitor.HttpServers;
+import org.boragethread.process.monitor.MonitoringHandler;
+import org.boragethread.process.monitor.WireMetrics;
+import org.boragethread.wire.client.AgentConnector;
+import org.boragethread.wire.client.EntryIdentity;
+import org.boragethread.wire.client.LinkListener;
+import org.boragethread.wire.frame.ConfigSource;
+import org.boragethread.wire.frame.WireSettings;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+/** A running entry. */
+public final class EntryProcess implements Service {
+
+    private static final Logger LOGGER = LogManager.getLogger(EntryProcess.class);
+
+    private static final int HISTORY_RECORDS = 2000;
+    private static final long HISTORY_BYTES = 8 << 20;
+    private static final double APPENDS_PER_SECOND = 100;
+    private static final int APPEND_BURST = 20;
+    private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration CONFIRM_TIMEOUT = Duration.ofSeconds(10);
+    private static final int OPERATOR_THREADS = 2;
+    private static final long POLL_MILLIS = 20;
+
+    private final EntrySettings mSettings;
+    private final TimeSource mTime = new SystemTimeSource();
+    private final ScheduledExecutorService mTimers = Executors.newScheduledThreadPool(2);
+    private final Scheduler mScheduler = new ExecutorScheduler(mTimers);
+    private final SplittableRandom mRandom = new SplittableRandom();
+    private final PrometheusMeterRegistry mRegistry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final RequestMetrics mRequests = new RequestMetrics(mRegistry);
+    private final ConfigStore mConfig = new ConfigStore(HISTORY_RECORDS, HISTORY_BYTES);
+    private final ConfigSource mConfigSource = ConfigSource.of(mConfig);
+    private final WireMetrics mWireMetrics = new WireMetrics(mRegistry);
+    private final UpstreamTable mUpstreams = new UpstreamTable();
+    private final EventLoopGroup mLoops = new NioEventLoopGroup();
+    private final ConfigService mConfigService;
+    private final MembershipController mMembership;
+    private final HttpServer mCallers;
+    private final HttpServer mOperators;
+    private volatile boolean mStopping;
+
+    /** Makes an entry that is not started. */
+    public EntryProcess(EntrySettings settings) {
+        mSettings = settings;
+        PlatformSettings platform =
+                PlatformSettings.of(
+                        URI.create("http://" + Addresses.format(settings.platform())),
+                        PLATFORM_TIMEOUT);
+        HttpClient client =
+                HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .connectTimeout(PLATFORM_TIMEOUT)
+                        .build();
+        mConfigService =
+                new ConfigService(
+                        new HttpPlatformLog(client, mScheduler, platform),
+                        mConfig,
+                        PeerConfigs.NONE,
+                        new AppendBudget(mTime, APPENDS_PER_SECOND, APPEND_BURST),
+                        mTime,
+                        mScheduler,
+                        mRandom.split());
+        mMembership =
+                new MembershipController(
+                        new HttpVmDirectory(client, mScheduler, platform),
+                        this::connector,
+                        mScheduler,
+                        settings.listInterval());
+        mConfig.addListener(
+                new ConfigListener() {
+                    @Override
+                    public void onConfiguration(Configuration configuration) {
+                        mMembership.announceRevision();
+                    }
+                });
+        mCallers = callers();
+        mOperators = HttpServers.create(settings.operatorListen(), operators(), OPERATOR_THREADS);
+    }
+
+    private OperatorHandler operators() {
+        StatusReporter status =
+                new StatusReporter(
+                        identity(),
+                        mConfig::current,
+                        mUpstreams,
+                        this::obstacle,
+                        mRequests::inProgress);
+        return new OperatorHandler(
+                mSettings.operatorToken(),
+                mConfig,
+                new Planner(this::placedUpstreams),
+                new ConfirmService(mConfig, mConfigService.writer(), CONFIRM_TIMEOUT),
+                status);
+    }
+
+    private Collection<PlacedUpstream> placedUpstreams() {
+        return mUpstreams.all().stream()
+                .map(link -> new PlacedUpstream(link.upstream(), link.group(), link.dataCentre()))
+                .toList();
+    }
+
+    private EntryIdentity identity() {
+        return new EntryIdentity(mSettings.id(), mSettings.dataCentre());
+    }
+
+    private HttpServer callers() {
+        TablePicker picker =
+                new TablePicker(
+                        mUpstreams,
+                        mConfig::current,
+                        mSettings.dataCentre(),
+                        new RoundRobinSelector());
+        PipelineController pipelines =
+                new PipelineController(
+                        picker,
+                        new BoundedAttempts(mSettings.policies().maxAttempts()),
+                        mTime,
+                        mScheduler);
+        PipelineHandler handler =
+                new PipelineHandler(
+                        pipelines,
+                        mConfig::current,
+                        mRequests,
+                        mTime,
+                        mScheduler,
+                        mSettings.callers(),
+                        this::refusal);
+        int threads = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
+        HttpServer server = HttpServers.create(mSettings.listen(), handler, threads);
+        MonitoringHandler monitoring = new MonitoringHandler(mRegistry, this::obstacle);
+        server.getServerConfiguration()
+                .addHttpHandler(monitoring, "/healthz", "/readyz", "/metrics");
+        NetworkListener listener = server.getListeners().iterator().next();
+        listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
+        listener.setMaxHttpHeaderSize(mSettings.callers().maxHeaderBytes());
+        return server;
+    }
+
+    private AgentConnector connector(InetSocketAddress address) {
+        return new AgentConnector.Builder()
+                .address(address)
+                .identity(identity())
+                .settings(WireSettings.withKey(mSettings.sharedKey()))
+                .events(mWireMetrics)
+                .config(mConfigSource)
+                .time(mTime)
+                .listener(new TableUpdater())
+                .group(mLoops)
+                .random(mRandom.split())
+                .build();
+    }
+
+    /** Begins to serve. */
+    @Override
+    public void start() {
+        mConfigService.start();
+        mMembership.start();
+        InetSocketAddress callers = HttpServers.start(mCallers);
+        InetSocketAddress operators = HttpServers.start(mOperators);
+        System.out.println("listening callers " + Addresses.format(callers));
+        System.out.println("listening operators " + Addresses.format(operators));
+        LOGGER.info("entry {} listens at {}", mSettings.id(), callers);
+    }
+
+    private Optional<String> refusal() {
+        if (mConfig.current().revision() == Configuration.NO_REVISION) {
+            return Optional.of("the entry has no configuration yet");
+        }
+        return Optional.empty();
+    }
+
+    private Optional<String> obstacle() {
+        if (mStopping) {
+            return Optional.of("the entry stops");
+        }
+        if (!mConfig.isLoaded()) {
+            return Optional.of("the entry has no configuration yet");
+        }
+        if (!mConfig.current().isInService(mSettings.dataCentre())) {
+            return Optional.of(
+                    "data centre %s is out of service".formatted(mSettings.dataCentre()));
+        }
+        return Optional.empty();
+    }
+
+    /** Turns not ready, serves on for the drain time, lets running requests end, and closes. */
+    @Override
+    public void stop() {
+        LOGGER.info("stopping");
+        mStopping = true;
+        pause(mSettings.drain().toMillis());
+        awaitIdle(mSettings.grace());
+        LOGGER.info("stopped with {} requests cut", mRequests.inProgress());
+        HttpServers.stop(mCallers, mSettings.grace().toMillis());
+        mOperators.shutdownNow();
+        mMembership.close();
+        mConfigService.stop();
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        mTimers.shutdownNow();
+    }
+
+    private void awaitIdle(Duration bound) {
+        long start = mTime.nanoTime();
+        while (mRequests.inProgress() > 0 && mTime.since(start).compareTo(bound) < 0) {
+            pause(POLL_MILLIS);
+        }
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Keeps the table of connections. */
+    private final class TableUpdater implements LinkListener {
+
+        @Override
+        public void onUp(UpstreamLink link) {
+            mUpstreams.add(link);
+        }
+
+        @Override
+        public void onDown(UpstreamLink link) {
+            mUpstreams.remove(link);
+        }
+    }
+}
--- a/process/src/main/java/org/boragethread/process/monitor/HttpServers.java
+++ b/process/src/main/java/org/boragethread/process/monitor/HttpServers.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
@@ -30,6 +31,7 @@
                                 .setCorePoolSize(threads)
                                 .setMaxPoolSize(threads));
         listener.getTransport().setSelectorRunnersCount(Math.max(1, threads / 2));
+        listener.registerAddOn(PlainHttpFilter.addOn());
         HttpServer server = new HttpServer();
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(handler, "/");
@@ -58,7 +60,7 @@
             server.shutdown(graceMillis, TimeUnit.MILLISECONDS).get();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (java.util.concurrent.ExecutionException e) {
+        } catch (ExecutionException e) {
             server.shutdownNow();
         }
     }
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/monitor/PlainHttpFilter.java
@@ -0,0 +1,43 @@
+package org.boragethread.process.monitor;
+
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.http.server.AddOn;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+import org.glassfish.grizzly.utils.DelayedExecutor;
+import org.glassfish.grizzly.utils.IdleTimeoutFilter;
+
+/**
+ * Ignores offers to change the protocol. Grizzly reads a request with an Upgrade header as one
+ * whose body never ends, and common clients send such an offer with every first request.
+ */
+final class PlainHttpFilter extends HttpServerFilter {
+
+    private PlainHttpFilter(NetworkListener listener, DelayedExecutor executor) {
+        super(true, listener.getMaxHttpHeaderSize(), listener.getKeepAlive(), executor);
+    }
+
+    @Override
+    protected void onHttpHeadersParsed(
+            HttpHeader header, MimeHeaders headers, FilterChainContext context) {
+        header.getUpgradeDC().recycle();
+        super.onHttpHeadersParsed(header, headers, context);
+    }
+
+    /** Returns an add-on that puts this filter in the place of Grizzly's. */
+    static AddOn addOn() {
+        return PlainHttpFilter::setUp;
+    }
+
+    private static void setUp(NetworkListener listener, FilterChainBuilder filters) {
+        DelayedExecutor executor =
+                IdleTimeoutFilter.createDefaultIdleDelayedExecutor(1, TimeUnit.SECONDS);
+        executor.start();
+        int index = filters.indexOfType(HttpServerFilter.class);
+        filters.set(index, new PlainHttpFilter(listener, executor));
+    }
+}
