--- a/core/src/main/java/org/boragethread/core/log/AppenderSettings.java
+++ b/core/src/main/java/org/boragethread/core/log/AppenderSettings.java
@@ -66,7 +66,7 @@
         private int mMaxWaiting = 10_000;
         private int mMaxInFlight = 4;
         private Duration mMinBackoff = Duration.ofMillis(100);
-        private Duration mMaxBackoff = Duration.ofSeconds(5);
+        private Duration mMaxBackoff = Duration.ofSeconds(1);
 
         /** Sets how long the first record of a group waits for others. */
         public Builder groupDelay(Duration value) {
--- a/core/src/main/java/org/boragethread/core/log/LogError.java
+++ b/core/src/main/java/org/boragethread/core/log/LogError.java
@@ -98,6 +98,28 @@
         }
     }
 
+    /**
+     * The answer is larger than the client accepts.
+     *
+     * @param detail what was asked for, and the bound
+     */
+    record TooLarge(String detail) implements LogError {
+
+        public TooLarge {
+            Objects.requireNonNull(detail, "detail");
+        }
+
+        @Override
+        public String message() {
+            return detail + ": ask for fewer records";
+        }
+
+        @Override
+        public boolean mayHaveTakenEffect() {
+            return true;
+        }
+    }
+
     /**
      * The call itself is wrong, so that trying again does not help.
      *
--- a/core/src/main/java/org/boragethread/core/log/StreamFollower.java
+++ b/core/src/main/java/org/boragethread/core/log/StreamFollower.java
@@ -81,7 +81,8 @@
             if (!isCurrent(generation)) {
                 return;
             }
-            read = new LogRead(mStream, mNext, mSettings.maxRecords(), mSettings.maxWait());
+            Duration wait = mCaughtUpAt.isPresent() ? mSettings.maxWait() : Duration.ZERO;
+            read = new LogRead(mStream, mNext, mSettings.maxRecords(), wait);
         }
         long began = mTime.nanoTime();
         mLog.read(read)
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/config/ConfigFoldTest.java
@@ -0,0 +1,164 @@
+package org.boragethread.core.config;
+
+import static org.boragethread.core.config.TestConfigs.FLORIDA;
+import static org.boragethread.core.config.TestConfigs.SAN_JOSE;
+import static org.boragethread.core.config.TestConfigs.accept;
+import static org.boragethread.core.config.TestConfigs.base;
+import static org.boragethread.core.config.TestConfigs.fold;
+import static org.boragethread.core.config.TestConfigs.out;
+import static org.boragethread.core.config.TestConfigs.plan;
+import static org.boragethread.core.config.TestConfigs.removeTeam;
+import static org.boragethread.core.config.TestConfigs.team;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.boragethread.model.config.Change;
+import org.boragethread.model.config.Configuration;
+import org.boragethread.model.config.Intent;
+import org.boragethread.model.config.JobSettlement;
+import org.boragethread.model.config.Plan;
+import org.boragethread.model.place.ServiceState;
+import org.boragethread.model.team.TeamId;
+import org.boragethread.model.upstream.UpstreamId;
+import org.testng.annotations.Test;
+
+/** Tests {@link ConfigFold}. */
+public class ConfigFoldTest {
+
+    private static final TeamId LINES = new TeamId("lines");
+
+    @Test
+    public void racingPlansHaveOneWinnerAndTheLoserLearnsWhatChanged() {
+        Configuration before = accept(base(), "start", team("lines", 1));
+        Plan first = plan(before, "first", team("lines", 2));
+        Plan second = plan(before, "second", team("lines", 3));
+        Configuration won = fold(before, first).configuration();
+        FoldResult lost = fold(won, second);
+        Verdict.Conflict conflict = (Verdict.Conflict) lost.verdict();
+        assertEquals(
+                conflict.detail(),
+                "team \"lines\" changed at revision 2 and the plan was made for 1");
+        assertEquals(lost.configuration().team(LINES).orElseThrow().weight(), 2);
+    }
+
+    @Test
+    public void plansOfDifferentObjectsDoNotConflict() {
+        Configuration before = base();
+        Plan first = plan(before, "first", team("lines", 2));
+        Plan second = plan(before, "second", team("maps", 3));
+        FoldResult result = fold(fold(before, first).configuration(), second);
+        assertTrue(result.verdict() instanceof Verdict.Accepted, result.verdict().toString());
+    }
+
+    @Test
+    public void racingPlansCannotTogetherEmptyAStage() {
+        Configuration before = base();
+        Plan first = plan(before, "first", out(FLORIDA));
+        Plan second = plan(before, "second", out(SAN_JOSE));
+        assertFalse(second.lacksForce());
+        FoldResult result = fold(fold(before, first).configuration(), second);
+        Verdict.Conflict conflict = (Verdict.Conflict) result.verdict();
+        assertEquals(conflict.detail(), "something else was taken out of service at revision 1");
+        assertTrue(result.configuration().isInService(SAN_JOSE));
+    }
+
+    @Test
+    public void repeatedConfirmationChangesNothing() {
+        Configuration before = base();
+        Plan plan = plan(before, "add", team("lines", 2));
+        Configuration once = fold(before, plan).configuration();
+        FoldResult again = fold(once, plan);
+        assertEquals(((Verdict.Duplicate) again.verdict()).first().offset(), 1);
+        assertEquals(again.configuration().decisions().size(), once.decisions().size());
+    }
+
+    @Test
+    public void refusedPlanStaysRefusedWhenItsObjectIsAsBefore() {
+        Configuration before = base();
+        Plan late = plan(before, "late", team("lines", 9));
+        Configuration added = accept(before, "add", team("lines", 1));
+        Configuration refused = fold(added, late).configuration();
+        Configuration removed = accept(refused, "remove", removeTeam("lines"));
+        FoldResult again = fold(removed, late);
+        assertFalse(((Verdict.Duplicate) again.verdict()).first().accepted());
+        assertTrue(again.configuration().team(LINES).isEmpty());
+    }
+
+    @Test
+    public void planOlderThanTheRememberedDecisionsIsRefused() {
+        Configuration now = base();
+        Plan old = plan(now, "old", team("lines", 9));
+        for (int i = 0; i <= Configuration.MAX_REMEMBERED; i++) {
+            now = accept(now, "change-" + i, team("maps", 1 + i % 5));
+        }
+        Verdict.Invalid verdict = (Verdict.Invalid) fold(now, old).verdict();
+        assertEquals(verdict.error().kind(), ConfigError.Kind.PLAN_EXPIRED);
+        assertEquals(now.decisions().size(), Configuration.MAX_REMEMBERED);
+    }
+
+    @Test
+    public void planThatEmptiesAStageNeedsForce() {
+        Configuration before = accept(base(), "first", out(FLORIDA));
+        Plan plan = plan(before, "second", out(SAN_JOSE));
+        Verdict.Invalid verdict = (Verdict.Invalid) fold(before, plan).verdict();
+        assertEquals(verdict.error().kind(), ConfigError.Kind.NEEDS_FORCE);
+        Intent forced = new Intent("forced", "ana", List.of(out(SAN_JOSE)), true);
+        FoldResult result = fold(before, plan(forced, before));
+        assertFalse(result.configuration().isInService(SAN_JOSE));
+    }
+
+    @Test
+    public void damagedRecordOnlyAdvancesTheRevision() {
+        Configuration before = base();
+        FoldResult result = ConfigFold.apply(before, TestConfigs.garbage(1));
+        assertTrue(result.verdict() instanceof Verdict.Invalid);
+        assertEquals(result.configuration().revision(), 1);
+        Configuration same = result.configuration().toBuilder().revision(0).build();
+        assertEquals(ConfigCodec.hashOf(same), ConfigCodec.hashOf(before));
+    }
+
+    @Test
+    public void planThatStatesNoRevisionOfItsObjectIsRefused() {
+        Configuration before = base();
+        Plan whole = plan(before, "add", team("lines", 2));
+        Plan bare =
+                new Plan(
+                        whole.id(),
+                        whole.baseRevision(),
+                        whole.intent(),
+                        List.of(),
+                        whole.steps(),
+                        whole.effects());
+        Plan signed =
+                new Plan(
+                        ConfigCodec.digestOf(bare),
+                        bare.baseRevision(),
+                        bare.intent(),
+                        bare.touched(),
+                        bare.steps(),
+                        bare.effects());
+        Verdict.Invalid verdict = (Verdict.Invalid) fold(before, signed).verdict();
+        assertEquals(verdict.error().kind(), ConfigError.Kind.INVALID);
+    }
+
+    @Test
+    public void upstreamBackInServiceIsForgotten() {
+        UpstreamId engine = new UpstreamId("engine-1");
+        Configuration taken =
+                accept(base(), "out", new Change.SetUpstreamService(engine, ServiceState.OUT));
+        assertFalse(taken.isInService(engine, FLORIDA));
+        Configuration back =
+                accept(taken, "in", new Change.SetUpstreamService(engine, ServiceState.IN));
+        assertTrue(back.isInService(engine, FLORIDA));
+        assertEquals(back.upstreams().size(), 0);
+    }
+
+    @Test
+    public void settledJobIsRemembered() {
+        Configuration after =
+                accept(base(), "settle", new Change.SettleJob("job-1", JobSettlement.NOT_RUN));
+        assertEquals(after.settledJobs().get("job-1").value(), JobSettlement.NOT_RUN);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/config/SnapshotWriterTest.java
@@ -0,0 +1,150 @@
+package org.boragethread.core.config;
+
+import static org.boragethread.core.config.TestConfigs.team;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.boragethread.core.log.LogEntry;
+import org.boragethread.core.log.LogRecord;
+import org.boragethread.core.log.MemoryLog;
+import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.team.TeamId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link SnapshotWriter} and {@link Bootstrap}. */
+public class SnapshotWriterTest {
+
+    private static final Duration THIRD = TestEntry.RETENTION.dividedBy(3);
+
+    private ManualTimeSource mTime;
+    private MemoryLog mLog;
+    private List<TestEntry> mEntries;
+
+    @BeforeMethod
+    public void startEntries() {
+        mTime = new ManualTimeSource();
+        mLog = new MemoryLog(mTime);
+        mEntries = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            mEntries.add(new TestEntry("entry-" + i, mLog, mTime).start());
+        }
+        mTime.advance(Duration.ofSeconds(1));
+        addTeam("lines");
+    }
+
+    private void addTeam(String name) {
+        TestEntry entry = mEntries.get(0);
+        entry.confirm(entry.plan("add-" + name, team(name, 2)));
+        mTime.advance(Duration.ofSeconds(1));
+        assertTrue(entry.config().team(new TeamId(name)).isPresent());
+    }
+
+    private List<LogRecord> snapshots() {
+        return mLog.records(TestEntry.STREAM).stream()
+                .filter(r -> ConfigCodec.looksLikeSnapshot(r.data()))
+                .toList();
+    }
+
+    private void expireAll() {
+        mLog.expireBefore(TestEntry.STREAM, mEntries.get(0).config().revision() + 1);
+    }
+
+    @Test
+    public void newestSnapshotNeverGetsAThirdOfTheRetentionOld() {
+        mTime.advance(THIRD);
+        for (int i = 0; i < 40; i++) {
+            mTime.advance(Duration.ofMinutes(3));
+            Duration age = mEntries.get(0).mSnapshots.newestAge().orElseThrow();
+            assertTrue(age.compareTo(THIRD) < 0, "age: " + age);
+        }
+        assertEquals(mEntries.get(0).mStore.snapshotMismatches(), 0);
+    }
+
+    @Test
+    public void entriesDoNotAllWrite() {
+        mTime.advance(TestEntry.RETENTION.multipliedBy(10));
+        assertTrue(snapshots().size() <= 45, "snapshots: " + snapshots().size());
+    }
+
+    @Test
+    public void snapshotsAreNotWrittenWhileTheLogIsDown() {
+        mLog.setDown(true);
+        mTime.advance(TestEntry.RETENTION);
+        assertEquals(snapshots().size(), 0);
+        mLog.setDown(false);
+        mTime.advance(THIRD);
+        assertFalse(snapshots().isEmpty());
+    }
+
+    @Test
+    public void newEntryStartsFromTheSnapshotInTheLogWithoutPeers() {
+        mTime.advance(THIRD);
+        addTeam("maps");
+        mLog.expireBefore(TestEntry.STREAM, snapshots().get(0).offset());
+        TestEntry fresh = new TestEntry("fresh", mLog, mTime).start();
+        mTime.advance(MemoryLog.ROUND);
+        assertTrue(fresh.mStore.isLoaded());
+        assertEquals(
+                ConfigCodec.hashOf(fresh.config()), ConfigCodec.hashOf(mEntries.get(0).config()));
+    }
+
+    @Test
+    public void snapshotThatDoesNotReachTheKeptRecordsIsNotUsed() {
+        mTime.advance(THIRD);
+        long lost = mEntries.get(0).config().revision() + 1;
+        addTeam("maps");
+        addTeam("rosters");
+        List<LogRecord> kept = new ArrayList<>(snapshots());
+        mLog.expireBefore(TestEntry.STREAM, lost + 1);
+        mLog.append(
+                TestEntry.STREAM, kept.stream().map(r -> new LogEntry(r.id(), r.data())).toList());
+        TestEntry fresh = new TestEntry("fresh", mLog, mTime).start();
+        mTime.advance(MemoryLog.ROUND);
+        assertFalse(fresh.mStore.isLoaded());
+    }
+
+    @Test
+    public void entryThatMissedExpiredRecordsStartsAgainFromAPeer() {
+        TestEntry lagging = mEntries.get(4);
+        lagging.mFollower.stop();
+        addTeam("maps");
+        addTeam("rosters");
+        expireAll();
+        lagging.mPeers.add(mEntries.get(0));
+        lagging.start();
+        mTime.advance(MemoryLog.ROUND);
+        assertEquals(
+                ConfigCodec.hashOf(lagging.config()), ConfigCodec.hashOf(mEntries.get(0).config()));
+        addTeam("billing");
+        assertTrue(lagging.config().team(new TeamId("billing")).isPresent());
+    }
+
+    @Test
+    public void entryWithNeitherSnapshotNorPeerIsNotLoaded() {
+        addTeam("maps");
+        expireAll();
+        TestEntry fresh = new TestEntry("fresh", mLog, mTime).start();
+        mTime.advance(MemoryLog.ROUND);
+        assertFalse(fresh.mStore.isLoaded());
+        fresh.mPeers.add(mEntries.get(1));
+        mTime.advance(MemoryLog.ROUND);
+        assertTrue(fresh.mStore.isLoaded());
+        assertEquals(fresh.config().revision(), mEntries.get(1).config().revision());
+    }
+
+    @Test
+    public void allEntriesReplacedAtOnceKeepTheConfiguration() {
+        mTime.advance(THIRD);
+        long hash = ConfigCodec.hashOf(mEntries.get(0).config());
+        mEntries.forEach(TestEntry::stop);
+        mLog.expireBefore(TestEntry.STREAM, snapshots().get(0).offset());
+        TestEntry fresh = new TestEntry("fresh", mLog, mTime).start();
+        mTime.advance(MemoryLog.ROUND);
+        assertEquals(ConfigCodec.hashOf(fresh.config()), hash);
+    }
+}
