Add the fault proxy and the process harness; fix stand-ins that hung

A call with an HTTP/2 upgrade header waited for ever for its body. Change: workers read bodies; calls without a body are not read; the connection is read on while a call runs, so that a cancelled call is seen. FaultProxy cuts, delays, black-holes, trickles, corrupts and resets connections; ProcessHarness starts, pauses and ends JVMs.

--- /dev/null
+++ b/standins/src/main/java/org/boragethread/standins/harness/package-info.java
@@ -0,0 +1,2 @@
+/** Starts the system's processes and the stand-ins, for system tests and measurements. */
+package org.boragethread.standins.harness;
--- a/standins/src/main/java/org/boragethread/standins/http/Exchange.java
+++ b/standins/src/main/java/org/boragethread/standins/http/Exchange.java
@@ -10,6 +10,7 @@
 import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.ICloseType;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 
@@ -89,7 +90,9 @@
         mOnClosed.set(action);
         if (!mConnection.isOpen()) {
             onConnectionClosed(null, null);
+            return;
         }
+        listenForClose();
     }
 
     /** Answers the call. */
@@ -176,6 +179,15 @@
         }
     }
 
+    /** Reads on, so that the end of the connection is seen while the call is worked on. */
+    private void listenForClose() {
+        try {
+            mConnection.enableIOEvent(IOEvent.READ);
+        } catch (IOException e) {
+            LOGGER.debug("connection of {} {} has ended", mMethod, mPath, e);
+        }
+    }
+
     private void head(Answer answer) {
         mResponse.setStatus(answer.status());
         mResponse.setContentType(answer.contentType());
--- a/standins/src/main/java/org/boragethread/standins/http/GrizzlyAdapter.java
+++ b/standins/src/main/java/org/boragethread/standins/http/GrizzlyAdapter.java
@@ -1,23 +1,23 @@
 package org.boragethread.standins.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.glassfish.grizzly.ReadHandler;
-import org.glassfish.grizzly.http.io.NIOInputStream;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.RequestExecutorProvider;
 import org.glassfish.grizzly.http.server.Response;
 
-/** Collects the body of each call without blocking and hands it to an {@link ExchangeHandler}. */
+/** Reads the body of each call and hands it to an {@link ExchangeHandler}. */
 final class GrizzlyAdapter extends HttpHandler {
 
     private static final Logger LOGGER = LogManager.getLogger(GrizzlyAdapter.class);
     private static final RequestExecutorProvider SAME_THREAD =
             new RequestExecutorProvider.SameThreadProvider();
 
+    private static final String TRANSFER_ENCODING = "Transfer-Encoding";
+    private static final byte[] NO_BODY = {};
+
     private final ExchangeHandler mHandler;
 
     GrizzlyAdapter(ExchangeHandler handler) {
@@ -30,10 +30,15 @@
     }
 
     @Override
-    public void service(Request request, Response response) {
+    public void service(Request request, Response response) throws IOException {
+        byte[] body = hasBody(request) ? request.getInputStream().readAllBytes() : NO_BODY;
         response.suspend();
-        NIOInputStream input = request.getNIOInputStream();
-        input.notifyAvailable(new BodyReader(request, response, input));
+        dispatch(new Exchange(request, response, body));
+    }
+
+    /** Without this check, Grizzly waits for the end of a connection that asks for an upgrade. */
+    private static boolean hasBody(Request request) {
+        return request.getContentLengthLong() > 0 || request.getHeader(TRANSFER_ENCODING) != null;
     }
 
     private void dispatch(Exchange exchange) {
@@ -46,44 +51,4 @@
             exchange.answer(Answer.text(500, e.toString()));
         }
     }
-
-    /** Reads one body. */
-    private final class BodyReader implements ReadHandler {
-        private final Request mRequest;
-        private final Response mResponse;
-        private final NIOInputStream mInput;
-        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
-
-        BodyReader(Request request, Response response, NIOInputStream input) {
-            mRequest = request;
-            mResponse = response;
-            mInput = input;
-        }
-
-        @Override
-        public void onDataAvailable() throws IOException {
-            drain();
-            mInput.notifyAvailable(this);
-        }
-
-        @Override
-        public void onAllDataRead() throws IOException {
-            drain();
-            dispatch(new Exchange(mRequest, mResponse, mBody.toByteArray()));
-        }
-
-        @Override
-        public void onError(Throwable cause) {
-            LOGGER.debug("body of a call did not arrive whole", cause);
-            mRequest.getRequest().getConnection().closeSilently();
-        }
-
-        private void drain() throws IOException {
-            byte[] part = new byte[mInput.available()];
-            int length = mInput.read(part);
-            if (length > 0) {
-                mBody.write(part, 0, length);
-            }
-        }
-    }
 }
--- a/standins/src/main/java/org/boragethread/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/boragethread/standins/http/StandInServer.java
@@ -1,21 +1,27 @@
 package org.boragethread.standins.http;
 
 import java.io.IOException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.strategies.WorkerThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
-/** A small HTTP server on a loopback port whose handlers run on its selector threads. */
+/** A small HTTP server on a loopback port; all servers of a process share the worker threads. */
 public final class StandInServer implements AutoCloseable {
 
     private static final String HOST = "127.0.0.1";
     private static final int BACKLOG = 4096;
     private static final long STOP_GRACE_MS = 200;
 
+    private static final int WORKER_THREADS = 8;
+    private static final ExecutorService WORKERS =
+            Executors.newFixedThreadPool(WORKER_THREADS, StandInServer::workerThread);
+
     private final String mName;
     private final int mSelectors;
     private final ExchangeHandler mHandler;
@@ -89,14 +95,23 @@
                         .setPoolName(mName + "-selector")
                         .setCorePoolSize(mSelectors)
                         .setMaxPoolSize(mSelectors);
-        return TCPNIOTransportBuilder.newInstance()
-                .setName(mName)
-                .setSelectorRunnersCount(mSelectors)
-                .setSelectorThreadPoolConfig(selectors)
-                .setIOStrategy(SameThreadIOStrategy.getInstance())
-                .setTcpNoDelay(true)
-                .setReuseAddress(true)
-                .setServerConnectionBackLog(BACKLOG)
-                .build();
+        TCPNIOTransport transport =
+                TCPNIOTransportBuilder.newInstance()
+                        .setName(mName)
+                        .setSelectorRunnersCount(mSelectors)
+                        .setSelectorThreadPoolConfig(selectors)
+                        .setIOStrategy(WorkerThreadIOStrategy.getInstance())
+                        .setTcpNoDelay(true)
+                        .setReuseAddress(true)
+                        .setServerConnectionBackLog(BACKLOG)
+                        .build();
+        transport.setWorkerThreadPool(WORKERS);
+        return transport;
+    }
+
+    private static Thread workerThread(Runnable task) {
+        Thread thread = new Thread(task, "stand-in-worker");
+        thread.setDaemon(true);
+        return thread;
     }
 }
--- /dev/null
+++ b/standins/src/main/java/org/boragethread/standins/proxy/ProxyCounters.java
@@ -0,0 +1,24 @@
+package org.boragethread.standins.proxy;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Counters of a proxy.
+ *
+ * @param accepted connections accepted
+ * @param refused connections closed because the target could not be reached
+ * @param closed connections that have ended
+ * @param cut connections ended by a fault
+ * @param bytes bytes received from both sides
+ */
+record ProxyCounters(
+        LongAdder accepted, LongAdder refused, LongAdder closed, LongAdder cut, LongAdder bytes) {
+
+    ProxyCounters() {
+        this(new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder());
+    }
+
+    ProxyStats snapshot() {
+        return new ProxyStats(accepted.sum(), refused.sum(), closed.sum(), cut.sum(), bytes.sum());
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/proxy/FaultProxyTest.java
@@ -0,0 +1,155 @@
+package org.boragethread.standins.proxy;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Random;
+import org.boragethread.standins.harness.Await;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Each fault does to a connection what its name says. */
+public final class FaultProxyTest {
+
+    private static final int READ_TIMEOUT_MS = 10_000;
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private EchoServer mEcho;
+    private FaultProxy mProxy;
+    private byte[] mSent;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        mEcho = new EchoServer();
+        mProxy = FaultProxy.start(mEcho.address(), 7);
+        mSent = new byte[20_000];
+        new Random(7).nextBytes(mSent);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws IOException {
+        mProxy.close();
+        mEcho.close();
+    }
+
+    @Test
+    public void passesBytesAndEndOfStream() throws IOException {
+        assertEquals(exchange(), mSent);
+    }
+
+    @Test
+    public void cutEndsConnectionAfterBytes() throws IOException {
+        mProxy.setFaults(new LinkFaults(Faults.none(), Faults.cutAfter(1000)));
+        assertEquals(exchange(), Arrays.copyOf(mSent, 1000));
+        assertEquals(mProxy.stats().cut(), 1);
+    }
+
+    @Test
+    public void resetBreaksConnection() {
+        mProxy.setFaults(new LinkFaults(Faults.none(), Faults.resetAfter(0)));
+        assertThrows(SocketException.class, this::exchange);
+    }
+
+    @Test
+    public void halfCloseLeavesOtherDirectionOpen() throws IOException {
+        mProxy.setFaults(new LinkFaults(Faults.halfCloseAfter(1000), Faults.none()));
+        assertEquals(exchange(), Arrays.copyOf(mSent, 1000));
+    }
+
+    @Test
+    public void blackHoleKeepsConnectionOpenWithoutBytes() throws IOException {
+        mProxy.setFaults(new LinkFaults(Faults.none(), Faults.blackHoleAfter(1000)));
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(mSent);
+            assertEquals(socket.getInputStream().readNBytes(1000).length, 1000);
+            socket.setSoTimeout(100);
+            assertThrows(SocketTimeoutException.class, () -> socket.getInputStream().read());
+        }
+    }
+
+    @Test
+    public void delayKeepsOrder() throws IOException {
+        mProxy.setFaults(LinkFaults.both(Faults.delay(Duration.ofMillis(50))));
+        long start = System.nanoTime();
+        assertEquals(exchange(), mSent);
+        assertTrue(System.nanoTime() - start >= Duration.ofMillis(100).toNanos());
+    }
+
+    @Test
+    public void trickleKeepsBytesAndTakesTime() throws IOException {
+        Fault trickle = Faults.trickle(1000, Duration.ofMillis(5));
+        mProxy.setFaults(new LinkFaults(Faults.none(), trickle));
+        long start = System.nanoTime();
+        assertEquals(exchange(), mSent);
+        assertTrue(System.nanoTime() - start >= Duration.ofMillis(100).toNanos());
+    }
+
+    @Test
+    public void corruptChangesOneByte() throws IOException {
+        mProxy.setFaults(new LinkFaults(Faults.none(), Faults.corruptAt(9)));
+        byte[] received = exchange();
+        assertNotEquals(received[9], mSent[9]);
+        received[9] = mSent[9];
+        assertEquals(received, mSent);
+    }
+
+    @Test
+    public void planGivesEachConnectionItsOwnFault() throws IOException {
+        Fault cut = Faults.cutAfter(10);
+        mProxy.setPlan(
+                random ->
+                        random.nextBoolean()
+                                ? LinkFaults.NONE
+                                : new LinkFaults(Faults.none(), cut));
+        int whole = 0;
+        for (int i = 0; i < 20; i++) {
+            whole += exchange().length == mSent.length ? 1 : 0;
+        }
+        assertTrue(whole > 2 && whole < 18, "whole answers: " + whole);
+    }
+
+    @Test
+    public void faultIsSwitchedOnOpenConnection() throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(1);
+            assertEquals(socket.getInputStream().read(), 1);
+            mProxy.setFaults(LinkFaults.both(Faults.cutAfter(0)));
+            socket.getOutputStream().write(2);
+            assertEquals(socket.getInputStream().read(), -1);
+        }
+    }
+
+    @Test
+    public void cutAllClosesOpenConnections() throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(1);
+            assertEquals(socket.getInputStream().read(), 1);
+            mProxy.cutAll();
+            assertEquals(socket.getInputStream().read(), -1);
+        }
+        Await.until("connection is forgotten", TIMEOUT, () -> mProxy.open() == 0);
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", mProxy.port());
+        socket.setSoTimeout(READ_TIMEOUT_MS);
+        return socket;
+    }
+
+    private byte[] exchange() throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(mSent);
+            socket.shutdownOutput();
+            return socket.getInputStream().readAllBytes();
+        }
+    }
+}
