--- a/standins/src/main/java/org/boragethread/standins/http/Answer.java
+++ b/standins/src/main/java/org/boragethread/standins/http/Answer.java
@@ -1,6 +1,5 @@
 package org.boragethread.standins.http;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
@@ -29,11 +28,7 @@
      * @throws IllegalArgumentException if the value cannot be written as JSON
      */
     public static Answer json(int status, Object value) {
-        try {
-            return new Answer(status, JSON, Map.of(), Json.MAPPER.writeValueAsBytes(value));
-        } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException("value cannot be written as JSON", e);
-        }
+        return jsonBytes(status, Json.write(value));
     }
 
     /** Makes an answer whose body is JSON already. */
--- a/standins/src/main/java/org/boragethread/standins/http/Json.java
+++ b/standins/src/main/java/org/boragethread/standins/http/Json.java
@@ -27,6 +27,32 @@
         }
     }
 
+    /**
+     * Writes a value.
+     *
+     * @throws IllegalArgumentException if the value has no JSON form
+     */
+    public static byte[] write(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("value cannot be written as JSON", e);
+        }
+    }
+
+    /**
+     * Reads a tree.
+     *
+     * @throws BadRequestException if the bytes are not JSON
+     */
+    public static JsonNode tree(byte[] bytes) {
+        try {
+            return MAPPER.readTree(bytes);
+        } catch (IOException e) {
+            throw new BadRequestException("body is not JSON", e);
+        }
+    }
+
     /**
      * Returns a value with some of its members replaced.
      *
