Add the adaptive limit and the fair, bounded queue at the agent's gate

Cause: the only gate was the baseline with a constant limit and no queue. Change: AdaptiveGate with a limit that starts cold, rises on good answers while in use, falls at once on overload and returns to the cold limit when the upstream is lost or turns cold; a bounded queue by priority, weighted team shares and deadline, with early refusal of hopeless calls. Fixed limit and FIFO order stand beside them as baselines.

--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/admission/CallQueue.java
@@ -0,0 +1,41 @@
+package org.boragethread.core.admission;
+
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.model.team.Priority;
+
+/** Calls that wait for admission. The gate that owns a queue guards it. */
+interface CallQueue {
+
+    /** Makes the queue of an order. */
+    static CallQueue of(QueueOrder order) {
+        return order == QueueOrder.FIFO ? new FifoCallQueue() : new FairCallQueue();
+    }
+
+    /** Adds a call. */
+    void add(WaitingCall call);
+
+    /** Returns the call to admit next. */
+    Optional<WaitingCall> peek();
+
+    /** Takes the call to admit next. */
+    Optional<WaitingCall> poll();
+
+    /** Takes a call out; returns false if it no longer waits. */
+    boolean remove(WaitingCall call);
+
+    /** Returns the waiting call that must leave for a newcomer, or empty if the newcomer must. */
+    Optional<WaitingCall> displacedBy(GateRequest newcomer);
+
+    /** Returns the number of waiting calls that would be admitted before a newcomer. */
+    int ahead(GateRequest newcomer);
+
+    /** Returns the number of waiting calls of a priority. */
+    int size(Priority priority);
+
+    /** Returns the number of waiting calls. */
+    int size();
+
+    /** Takes out all calls. */
+    List<WaitingCall> drain();
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/admission/HopelessCheck.java
@@ -0,0 +1,83 @@
+package org.boragethread.core.admission;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.boragethread.core.deadline.ServiceTimes;
+import org.boragethread.core.time.TimeSource;
+
+/** Compares the time left to a call with the time that the upstream takes. */
+final class HopelessCheck {
+
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+    private static final int MIN_SAMPLES = 8;
+    private static final double OPTIMISTIC = 0.25;
+    private static final double TYPICAL = 0.5;
+    private static final Duration PROBE_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(10);
+    private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
+    private static final Duration UNKNOWN_RETRY_AFTER = Duration.ofMillis(100);
+
+    private final TimeSource mTime;
+    private final ServiceTimes mTimes;
+    private long mProbedNanos;
+
+    HopelessCheck(TimeSource time) {
+        mTime = time;
+        mTimes = new ServiceTimes(time, WINDOW, MIN_SAMPLES);
+        mProbedNanos = time.nanoTime();
+    }
+
+    void record(Duration latency) {
+        mTimes.record(latency);
+    }
+
+    /** Returns the time left to a call, in nanoseconds. */
+    long left(GateRequest request) {
+        long deadline = request.deadlineNanos();
+        return deadline == Long.MAX_VALUE ? deadline : deadline - mTime.nanoTime();
+    }
+
+    /** Tells whether a call cannot end in time after the given number of calls ahead of it. */
+    boolean isHopeless(GateRequest request, int ahead, int limit) {
+        long needed = optimisticNanos() + ahead * typicalNanos() / limit;
+        return left(request) < needed;
+    }
+
+    /**
+     * Tells whether a seemingly hopeless call may run all the same, so that the estimate is tried
+     * now and then.
+     */
+    boolean mayProbe() {
+        if (mTime.since(mProbedNanos).compareTo(PROBE_INTERVAL) < 0) {
+            return false;
+        }
+        mProbedNanos = mTime.nanoTime();
+        return true;
+    }
+
+    /** Returns the time after which a waiting call becomes hopeless. */
+    Duration untilHopeless(GateRequest request) {
+        return Duration.ofNanos(left(request) - optimisticNanos());
+    }
+
+    /** Returns when the given number of waiting calls will have been admitted. */
+    Duration retryAfter(int waiting, int limit) {
+        Optional<Duration> typical = mTimes.quantile(TYPICAL);
+        if (typical.isEmpty()) {
+            return UNKNOWN_RETRY_AFTER;
+        }
+        Duration wait = typical.get().multipliedBy(waiting + 1L).dividedBy(limit);
+        if (wait.compareTo(MIN_RETRY_AFTER) < 0) {
+            return MIN_RETRY_AFTER;
+        }
+        return wait.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : wait;
+    }
+
+    private long optimisticNanos() {
+        return mTimes.quantile(OPTIMISTIC).map(Duration::toNanos).orElse(0L);
+    }
+
+    private long typicalNanos() {
+        return mTimes.quantile(TYPICAL).map(Duration::toNanos).orElse(0L);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/limit/AdaptiveLimit.java
@@ -0,0 +1,209 @@
+package org.boragethread.core.limit;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import org.boragethread.core.time.TimeSource;
+
+/**
+ * A limit that starts at what a cold upstream bears, rises by small steps on good answers while it
+ * is in use, and falls at once on any sign of overload.
+ *
+ * <p>Only calls that were admitted after the last change count, so each step takes at least one
+ * round trip, and a batch of calls that fail together lowers the limit once.
+ */
+public final class AdaptiveLimit implements ConcurrencyLimit {
+
+    private static final double IN_USE_SHARE = 0.75;
+    private static final int STEP_SHARE = 16;
+    private static final Duration MIN_TIME_BETWEEN_RISES = Duration.ofMillis(200);
+    private static final Duration IDLE_TIME = Duration.ofSeconds(30);
+    private static final Duration MAX_REPORT_AGE = Duration.ofSeconds(2);
+    private static final double BUSY_FACTOR = 0.7;
+    private static final double FAILED_FACTOR = 0.8;
+    private static final double TIMED_OUT_FACTOR = 0.7;
+    private static final double LATENCY_FACTOR = 0.7;
+    private static final int FAILURES_OF_COLD = 3;
+    private static final double TIMEOUT_LATENCY_FACTOR = 2;
+
+    private final TimeSource mTime;
+    private final LatencyMonitor mLatency;
+    private int mColdLimit;
+    private int mMaxLimit;
+    private int mLimit;
+    private int mGood;
+    private int mFailures;
+    private boolean mCold = true;
+    private long mChangedAt;
+    private long mLastGoodAt;
+    private int mReportedLimit;
+    private long mReportedUntil;
+
+    /**
+     * Makes a limit for an upstream that is cold.
+     *
+     * @param coldLimit limit just after the upstream's start, in calls
+     * @param maxLimit greatest limit, in calls
+     */
+    public AdaptiveLimit(TimeSource time, int coldLimit, int maxLimit) {
+        mTime = Objects.requireNonNull(time, "time");
+        checkBounds(coldLimit, maxLimit);
+        mColdLimit = coldLimit;
+        mMaxLimit = maxLimit;
+        mLimit = coldLimit;
+        mLatency = new LatencyMonitor(time);
+        mChangedAt = time.nanoTime();
+        mLastGoodAt = mChangedAt;
+        mReportedLimit = maxLimit;
+        mReportedUntil = mChangedAt;
+    }
+
+    private static void checkBounds(int coldLimit, int maxLimit) {
+        if (coldLimit < 1 || maxLimit < coldLimit) {
+            throw new IllegalArgumentException(
+                    "coldLimit %d and maxLimit %d must satisfy 1 <= cold <= max"
+                            .formatted(coldLimit, maxLimit));
+        }
+    }
+
+    @Override
+    public int limit() {
+        return Math.min(mLimit, reportedCap());
+    }
+
+    @Override
+    public boolean isCold() {
+        return mCold;
+    }
+
+    @Override
+    public Optional<LimitChange> onGood(CallSample sample) {
+        mLastGoodAt = mTime.nanoTime();
+        if (sample.startNanos() < mChangedAt) {
+            return Optional.empty();
+        }
+        mFailures = 0;
+        switch (mLatency.add(sample.latency(), sample.inFlight() <= mColdLimit)) {
+            case SEVERE:
+                return reset(LimitChangeReason.COLD_AGAIN);
+            case JUMP:
+                return lower(LATENCY_FACTOR, LimitChangeReason.LATENCY_JUMP);
+            default:
+                return countGood(sample);
+        }
+    }
+
+    private Optional<LimitChange> countGood(CallSample sample) {
+        if (sample.inFlight() < Math.ceil(IN_USE_SHARE * limit())) {
+            return Optional.empty();
+        }
+        mGood++;
+        if (mGood < limit() || mTime.since(mChangedAt).compareTo(MIN_TIME_BETWEEN_RISES) < 0) {
+            return Optional.empty();
+        }
+        mCold = false;
+        return rise();
+    }
+
+    private Optional<LimitChange> rise() {
+        int target = mLimit + 1 + mLimit / STEP_SHARE;
+        int to = Math.min(Math.min(mMaxLimit, reportedCap()), target);
+        if (to <= mLimit) {
+            mGood = 0;
+            return Optional.empty();
+        }
+        return change(to, LimitChangeReason.GOOD_ANSWERS);
+    }
+
+    @Override
+    public Optional<LimitChange> onFailure(CallSample sample, FailureKind kind) {
+        mFailures++;
+        mGood = 0;
+        if (mFailures >= FAILURES_OF_COLD) {
+            mFailures = 0;
+            return reset(LimitChangeReason.COLD_AGAIN);
+        }
+        if (sample.startNanos() < mChangedAt) {
+            return Optional.empty();
+        }
+        switch (kind) {
+            case BUSY:
+                return lower(BUSY_FACTOR, LimitChangeReason.BUSY);
+            case FAILED:
+                return lower(FAILED_FACTOR, LimitChangeReason.FAILED);
+            default:
+                return isUpstreamSlow(sample)
+                        ? lower(TIMED_OUT_FACTOR, LimitChangeReason.TIMED_OUT)
+                        : Optional.empty();
+        }
+    }
+
+    /** Tells whether a call that timed out had been given the usual time. */
+    private boolean isUpstreamSlow(CallSample sample) {
+        long usual = mLatency.usual().map(Duration::toNanos).orElse(0L);
+        return sample.latency().toNanos() >= TIMEOUT_LATENCY_FACTOR * usual;
+    }
+
+    @Override
+    public Optional<LimitChange> onLost(LimitChangeReason reason) {
+        return reset(reason);
+    }
+
+    @Override
+    public Optional<LimitChange> onIdle() {
+        if (mCold || mTime.since(mLastGoodAt).compareTo(IDLE_TIME) < 0) {
+            return Optional.empty();
+        }
+        return reset(LimitChangeReason.IDLE);
+    }
+
+    @Override
+    public Optional<LimitChange> onReportedLoad(ReportedLoad load) {
+        Duration left = MAX_REPORT_AGE.minus(load.age());
+        if (left.isNegative() || left.isZero()) {
+            return Optional.empty();
+        }
+        mReportedLimit = Math.max(1, load.limit());
+        mReportedUntil = mTime.nanoTime() + left.toNanos();
+        if (mReportedLimit >= mLimit) {
+            return Optional.empty();
+        }
+        return change(mReportedLimit, LimitChangeReason.REPORTED_LOAD);
+    }
+
+    private int reportedCap() {
+        return mTime.nanoTime() - mReportedUntil < 0 ? mReportedLimit : mMaxLimit;
+    }
+
+    @Override
+    public Optional<LimitChange> reconfigure(int coldLimit, int maxLimit) {
+        checkBounds(coldLimit, maxLimit);
+        boolean isAtStart = mCold && mLimit == mColdLimit;
+        mColdLimit = coldLimit;
+        mMaxLimit = maxLimit;
+        int to = Math.min(maxLimit, isAtStart ? coldLimit : mLimit);
+        return to == mLimit ? Optional.empty() : change(to, LimitChangeReason.CONFIGURED);
+    }
+
+    private Optional<LimitChange> lower(double factor, LimitChangeReason reason) {
+        int to = Math.max(1, (int) Math.floor(mLimit * factor));
+        return to == mLimit ? Optional.empty() : change(to, reason);
+    }
+
+    private Optional<LimitChange> reset(LimitChangeReason reason) {
+        boolean isNews = !mCold || mLimit > mColdLimit;
+        mCold = true;
+        int to = Math.min(mLimit, mColdLimit);
+        Optional<LimitChange> change = change(to, reason);
+        return isNews ? change : Optional.empty();
+    }
+
+    private Optional<LimitChange> change(int to, LimitChangeReason reason) {
+        LimitChange change = new LimitChange(mLimit, to, reason);
+        mLimit = to;
+        mGood = 0;
+        mChangedAt = mTime.nanoTime();
+        mLatency.restart();
+        return Optional.of(change);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/limit/FixedLimit.java
@@ -0,0 +1,66 @@
+package org.boragethread.core.limit;
+
+import java.util.Optional;
+
+/** Baseline limit: constant, whatever the upstream answers. */
+public final class FixedLimit implements ConcurrencyLimit {
+
+    private int mLimit;
+
+    /**
+     * Makes a limit.
+     *
+     * @param limit greatest number of calls in flight, at least 1
+     */
+    public FixedLimit(int limit) {
+        if (limit < 1) {
+            throw new IllegalArgumentException("limit %d must be at least 1".formatted(limit));
+        }
+        mLimit = limit;
+    }
+
+    @Override
+    public int limit() {
+        return mLimit;
+    }
+
+    @Override
+    public boolean isCold() {
+        return false;
+    }
+
+    @Override
+    public Optional<LimitChange> onGood(CallSample sample) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<LimitChange> onFailure(CallSample sample, FailureKind kind) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<LimitChange> onLost(LimitChangeReason reason) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<LimitChange> onReportedLoad(ReportedLoad load) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<LimitChange> onIdle() {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<LimitChange> reconfigure(int coldLimit, int maxLimit) {
+        if (maxLimit == mLimit) {
+            return Optional.empty();
+        }
+        LimitChange change = new LimitChange(mLimit, maxLimit, LimitChangeReason.CONFIGURED);
+        mLimit = maxLimit;
+        return Optional.of(change);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/limit/LatencyMonitor.java
@@ -0,0 +1,106 @@
+package org.boragethread.core.limit;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Optional;
+import org.boragethread.core.deadline.ServiceTimes;
+import org.boragethread.core.time.TimeSource;
+
+/**
+ * Compares the latency of recent answers with the usual one. The usual latency is learnt from all
+ * answers but those of a slow window under load, so that an overloaded upstream does not pass off
+ * its latency as usual; answers at low load are always learnt.
+ */
+final class LatencyMonitor {
+
+    private static final Duration BASELINE_WINDOW = Duration.ofSeconds(60);
+    private static final int BASELINE_MIN_SAMPLES = 16;
+    private static final int RECENT_SAMPLES = 8;
+    private static final int SEVERE_IN_A_ROW = 4;
+    private static final double JUMP_FACTOR = 2.5;
+    private static final double SEVERE_FACTOR = 4;
+    private static final double SEVERE_TAIL_FACTOR = 1.5;
+    private static final long MIN_DIFFERENCE_NANOS = Duration.ofMillis(2).toNanos();
+
+    private final ServiceTimes mBaseline;
+    private final long[] mRecent = new long[RECENT_SAMPLES];
+    private int mRecentCount;
+    private int mSevere;
+
+    LatencyMonitor(TimeSource time) {
+        mBaseline = new ServiceTimes(time, BASELINE_WINDOW, BASELINE_MIN_SAMPLES);
+    }
+
+    /** What the last answers say about the upstream. */
+    enum Verdict {
+        USUAL,
+        JUMP,
+        SEVERE
+    }
+
+    /** Returns the usual latency, if enough answers are known. */
+    Optional<Duration> usual() {
+        return mBaseline.quantile(0.5);
+    }
+
+    /** Forgets the recent answers, which were given under another limit. */
+    void restart() {
+        mRecentCount = 0;
+        mSevere = 0;
+    }
+
+    /** Judges one more answer. */
+    Verdict add(Duration latency, boolean lowLoad) {
+        if (lowLoad) {
+            mBaseline.record(latency);
+        }
+        Optional<Duration> usual = usual();
+        if (usual.isEmpty()) {
+            recordUnless(lowLoad, latency);
+            return Verdict.USUAL;
+        }
+        long nanos = latency.toNanos();
+        mSevere = isSevere(nanos, usual.get().toNanos()) ? mSevere + 1 : 0;
+        if (mSevere >= SEVERE_IN_A_ROW) {
+            restart();
+            return Verdict.SEVERE;
+        }
+        // Negative values mark answers that the baseline already holds.
+        mRecent[mRecentCount++] = lowLoad ? -nanos : nanos;
+        if (mRecentCount < RECENT_SAMPLES) {
+            return Verdict.USUAL;
+        }
+        return judgeWindow(usual.get().toNanos());
+    }
+
+    private void recordUnless(boolean recorded, Duration latency) {
+        if (!recorded) {
+            mBaseline.record(latency);
+        }
+    }
+
+    private Verdict judgeWindow(long usual) {
+        mRecentCount = 0;
+        long[] sorted = Arrays.stream(mRecent).map(Math::abs).sorted().toArray();
+        long median = sorted[RECENT_SAMPLES / 2];
+        long tail = mBaseline.quantile(0.9).map(Duration::toNanos).orElse(usual);
+        if (median > JUMP_FACTOR * usual
+                && median > tail
+                && median - usual > MIN_DIFFERENCE_NANOS) {
+            return Verdict.JUMP;
+        }
+        for (long nanos : mRecent) {
+            if (nanos > 0) {
+                mBaseline.record(Duration.ofNanos(nanos));
+            }
+        }
+        return Verdict.USUAL;
+    }
+
+    private boolean isSevere(long nanos, long usual) {
+        long tail = mBaseline.quantile(0.95).map(Duration::toNanos).orElse(usual);
+        return nanos > SEVERE_FACTOR * usual
+                && nanos > SEVERE_TAIL_FACTOR * tail
+                && nanos - usual > MIN_DIFFERENCE_NANOS;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Decides how many calls may be in flight at one upstream. */
+package org.boragethread.core.limit;
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/admission/TeamSharesTest.java
@@ -0,0 +1,87 @@
+package org.boragethread.core.admission;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.team.Priority;
+import org.boragethread.model.team.TeamId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link TeamShares}. */
+public class TeamSharesTest {
+
+    private static final Gate.Listener IGNORE =
+            new Gate.Listener() {
+                @Override
+                public void onAdmitted(Gate.Permit permit) {}
+
+                @Override
+                public void onRefused(Refusal refusal) {}
+            };
+
+    private TeamShares mShares;
+    private long mOrder;
+
+    @BeforeMethod
+    public void makeShares() {
+        mShares = new TeamShares();
+        mOrder = 0;
+    }
+
+    @Test
+    public void waitingTeamsAreServedByWeight() {
+        add("large", 3, 100);
+        add("small", 1, 100);
+        Map<String, Integer> served = poll(80);
+        assertEquals(served.get("large").intValue(), 60, 1);
+        assertEquals(served.get("small").intValue(), 20, 1);
+    }
+
+    @Test
+    public void teamThatWasIdleHasNoSavedShares() {
+        add("large", 1, 100);
+        poll(50);
+        add("small", 1, 50);
+        Map<String, Integer> served = poll(20);
+        assertEquals(served.get("large").intValue(), 10, 1);
+    }
+
+    @Test
+    public void smallTeamWaitsForOneCallOfALargeOne() {
+        add("large", 1, 1000);
+        poll(10);
+        add("small", 1, 1);
+        assertTrue(poll(2).containsKey("small"));
+    }
+
+    @Test
+    public void teamsThatAreGoneAreForgotten() {
+        for (int i = 0; i < 20_000; i++) {
+            add("team-" + i, 1, 1);
+            poll(1);
+        }
+        add("last", 1, 1);
+        assertEquals(mShares.drain().size(), 1);
+    }
+
+    private void add(String team, int weight, int calls) {
+        for (int i = 0; i < calls; i++) {
+            GateRequest request =
+                    new GateRequest(new TeamId(team), weight, Priority.NORMAL, Long.MAX_VALUE);
+            mShares.add(new WaitingCall(request, IGNORE, mOrder++, 0));
+        }
+    }
+
+    private Map<String, Integer> poll(int calls) {
+        Map<String, Integer> served = new HashMap<>();
+        for (int i = 0; i < calls; i++) {
+            String team = mShares.poll().orElseThrow().request().team().value();
+            served.merge(team, 1, Integer::sum);
+        }
+        return served;
+    }
+}
