Add team bounds, selection by distance and load, subsets and circuit breaking

Cause: the entry chose upstreams in turn and knew no bound per team. Change: per-team rate and concurrency with bounded memory; selection of the nearest data centre with room by power of two choices, prefix affinity with bounded load for engines, deterministic subsets, and a circuit breaker whose half-open probes go one at a time.

--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/breaker/BreakerState.java
@@ -0,0 +1,11 @@
+package org.boragethread.core.breaker;
+
+/** State of a circuit breaker. */
+public enum BreakerState {
+    /** Calls pass. */
+    CLOSED,
+    /** No call passes until the back-off has passed. */
+    OPEN,
+    /** One probe at a time passes. */
+    HALF_OPEN
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/fairness/package-info.java
@@ -0,0 +1,2 @@
+/** Bounds what each team may ask of an entry. */
+package org.boragethread.core.fairness;
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/selection/RingChooser.java
@@ -0,0 +1,15 @@
+package org.boragethread.core.selection;
+
+import java.util.List;
+
+/** Chooses among candidates that are equally near. */
+interface RingChooser {
+
+    /**
+     * Chooses one candidate.
+     *
+     * @param candidates at least one
+     * @param estimate their load
+     */
+    Candidate choose(SelectionRequest request, List<Candidate> candidates, LoadEstimate estimate);
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/selection/UpstreamTimes.java
@@ -0,0 +1,72 @@
+package org.boragethread.core.selection;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.upstream.UpstreamId;
+
+/**
+ * Latencies of a group's upstreams as this process sees them: moving averages that are forgotten
+ * step by step, so that an upstream that was slow is tried again. One lock guards the table.
+ */
+public final class UpstreamTimes implements LatencyView {
+
+    private static final double SAMPLE_SHARE = 0.1;
+    private static final double MIN_RELATIVE = 0.5;
+    private static final double MAX_RELATIVE = 20;
+    private static final double HALF_LIFE_NANOS = Duration.ofSeconds(5).toNanos();
+
+    private final TimeSource mTime;
+    private final Map<UpstreamId, Average> mAverages = new HashMap<>();
+    private double mGroupNanos;
+
+    /** Makes a table without observations. */
+    public UpstreamTimes(TimeSource time) {
+        mTime = Objects.requireNonNull(time, "time");
+    }
+
+    /** Adds the latency of a whole answer, without the time in the agent's queue. */
+    public synchronized void record(UpstreamId upstream, Duration latency) {
+        double nanos = latency.toNanos();
+        Average average = mAverages.computeIfAbsent(upstream, id -> new Average(nanos));
+        average.mNanos += SAMPLE_SHARE * (nanos - average.mNanos);
+        average.mRecordedNanos = mTime.nanoTime();
+        mGroupNanos = median();
+    }
+
+    /** Forgets upstreams that are gone. */
+    public synchronized void retain(Collection<UpstreamId> upstreams) {
+        mAverages.keySet().retainAll(upstreams);
+        mGroupNanos = median();
+    }
+
+    @Override
+    public synchronized double relative(UpstreamId upstream) {
+        Average average = mAverages.get(upstream);
+        if (average == null || mGroupNanos <= 0) {
+            return 1;
+        }
+        double relative = average.mNanos / mGroupNanos;
+        double bounded = Math.max(MIN_RELATIVE, Math.min(MAX_RELATIVE, relative));
+        double age = mTime.nanoTime() - average.mRecordedNanos;
+        return 1 + (bounded - 1) * Math.pow(0.5, age / HALF_LIFE_NANOS);
+    }
+
+    private double median() {
+        double[] sorted = mAverages.values().stream().mapToDouble(a -> a.mNanos).sorted().toArray();
+        return sorted.length == 0 ? 0 : sorted[(sorted.length - 1) / 2];
+    }
+
+    /** Moving average of one upstream. */
+    private static final class Average {
+        private double mNanos;
+        private long mRecordedNanos;
+
+        Average(double nanos) {
+            mNanos = nanos;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/selection/LocalitySelectorTest.java
@@ -0,0 +1,132 @@
+package org.boragethread.core.selection;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.upstream.GroupKind;
+import org.boragethread.model.upstream.UpstreamId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link LocalitySelector}. */
+public class LocalitySelectorTest {
+
+    private static final int DRAWS = 2000;
+
+    private LocalitySelector mSelector;
+
+    @BeforeMethod
+    public void makeSelector() {
+        mSelector = new LocalitySelector(new SplittableRandom(7));
+    }
+
+    @Test
+    public void ownDataCentreComesFirst() {
+        Map<String, Integer> chosen =
+                choose(
+                        Candidates.near("a", 3, 8),
+                        Candidates.at("b", "canelones", Candidates.REGION, 0, 8));
+        assertEquals(chosen, Map.of("a", DRAWS));
+    }
+
+    @Test
+    public void fullDataCentreSpillsToItsRegion() {
+        Map<String, Integer> chosen =
+                choose(
+                        Candidates.near("a", 8, 8),
+                        Candidates.at("b", "canelones", Candidates.REGION, 7, 8),
+                        Candidates.at("c", "far", "elsewhere", 0, 8));
+        assertEquals(chosen, Map.of("b", DRAWS));
+    }
+
+    @Test
+    public void excessStaysInTheRegionWhenAllAreFull() {
+        Map<String, Integer> chosen =
+                choose(
+                        Candidates.near("a", 9, 8),
+                        Candidates.at("b", "canelones", Candidates.REGION, 8, 8),
+                        Candidates.at("c", "far", "elsewhere", 8, 8));
+        assertEquals(chosen, Map.of("b", DRAWS));
+    }
+
+    @Test
+    public void leavingAndTriedUpstreamsAreNotChosen() {
+        List<Candidate> candidates =
+                List.of(Candidates.leaving(Candidates.near("a", 0, 8)), Candidates.near("b", 0, 8));
+        assertEquals(
+                mSelector.select(Candidates.request(GroupKind.PLAIN, 0, "b"), candidates),
+                Optional.empty());
+    }
+
+    @Test
+    public void lessLoadedOfTwoIsChosen() {
+        Map<String, Integer> chosen =
+                choose(Candidates.near("a", 6, 8), Candidates.near("b", 2, 8));
+        assertEquals(chosen, Map.of("b", DRAWS));
+    }
+
+    @Test
+    public void ownUnansweredCallsCountBeforeTheyAreReported() {
+        Candidate busy = Candidates.sent(Candidates.near("a", 0, 8), 5, Duration.ZERO);
+        Map<String, Integer> chosen = choose(busy, Candidates.near("b", 2, 8));
+        assertEquals(chosen, Map.of("b", DRAWS));
+    }
+
+    @Test
+    public void oldReportGivesWayToTheMean() {
+        Candidate old = Candidates.sent(Candidates.near("a", 0, 8), 0, Duration.ofMinutes(1));
+        Map<String, Integer> chosen =
+                choose(old, Candidates.near("b", 2, 8), Candidates.near("c", 7, 8));
+        assertTrue(chosen.get("b") > chosen.get("a"), chosen.toString());
+    }
+
+    @Test
+    public void coldUpstreamGetsOnlyItsShareOfStaleChoices() {
+        Candidate[] candidates = new Candidate[8];
+        for (int i = 0; i < 7; i++) {
+            candidates[i] = Candidates.near("warm-" + i, 0, 16);
+        }
+        candidates[7] = Candidates.near("cold", 0, 2);
+        int cold = choose(candidates).getOrDefault("cold", 0);
+        assertTrue(cold <= DRAWS * 2 / (7 * 16 + 2), "cold " + cold);
+    }
+
+    @Test
+    public void slowUpstreamGetsFewCalls() {
+        ManualTimeSource time = new ManualTimeSource();
+        UpstreamTimes times = new UpstreamTimes(time);
+        for (int i = 0; i < 20; i++) {
+            times.record(new UpstreamId("a"), Duration.ofMillis(500));
+            times.record(new UpstreamId("b"), Duration.ofMillis(100));
+            times.record(new UpstreamId("c"), Duration.ofMillis(100));
+        }
+        mSelector = new LocalitySelector(new SplittableRandom(7), times);
+        Candidate[] candidates = {
+            Candidates.near("a", 0, 8), Candidates.near("b", 3, 8), Candidates.near("c", 3, 8)
+        };
+        assertEquals(choose(candidates).getOrDefault("a", 0).intValue(), 0);
+        time.advance(Duration.ofMinutes(1));
+        assertTrue(choose(candidates).getOrDefault("a", 0) > 0);
+    }
+
+    private Map<String, Integer> choose(Candidate... candidates) {
+        Map<String, Integer> chosen = new HashMap<>();
+        for (int i = 0; i < DRAWS; i++) {
+            String name =
+                    mSelector
+                            .select(Candidates.request(GroupKind.PLAIN, 0), List.of(candidates))
+                            .orElseThrow()
+                            .upstream()
+                            .value();
+            chosen.merge(name, 1, Integer::sum);
+        }
+        return chosen;
+    }
+}
