Add deadline shares, retry budget, hedges, stream resume and their counters

Cause: a failed or slow call had no policy, and a hopeless request cost its stages before it failed. Change: observed stage times with early refusal and a probe a second; safe retries out of a budget per group (a tenth for calls that upstreams see, a share of their own for redirects); tail hedges out of the same budget; the state machine of a resumed stream; one counter for each reason.

--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/metrics/DecisionMetrics.java
@@ -0,0 +1,118 @@
+package org.boragethread.core.metrics;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
+import java.util.Objects;
+import org.boragethread.core.breaker.BreakerChange;
+import org.boragethread.core.breaker.BreakerEvents;
+import org.boragethread.core.retry.ExtraKind;
+import org.boragethread.core.retry.GiveUpReason;
+import org.boragethread.core.retry.HedgeDecision;
+import org.boragethread.core.retry.ResumeEvent;
+import org.boragethread.core.retry.RetryDecision;
+import org.boragethread.core.retry.RetryReason;
+import org.boragethread.model.outcome.RefusalReason;
+
+/** Counters of an entry's decisions. Every reason is registered at once, so that it shows as 0. */
+public final class DecisionMetrics implements BreakerEvents {
+
+    /** Name of the counter of refusals, by reason. */
+    public static final String REFUSALS = "boragethread.refusals";
+
+    /** Name of the counter of retries, by reason. */
+    public static final String RETRIES = "boragethread.retries";
+
+    /** Name of the counter of attempts beyond the first, by kind of cost. */
+    public static final String EXTRA_ATTEMPTS = "boragethread.extra.attempts";
+
+    /** Name of the counter of failed calls that are not tried again, by reason. */
+    public static final String GIVE_UPS = "boragethread.retry.give.ups";
+
+    /** Name of the counter of hedges that came due, by decision. */
+    public static final String HEDGES = "boragethread.hedges";
+
+    /** Name of the counter of circuit breakers' changes of state, by reason. */
+    public static final String BREAKER_CHANGES = "boragethread.breaker.changes";
+
+    /** Name of the counter of tokens and ends of streams, by event. */
+    public static final String STREAM_EVENTS = "boragethread.stream.events";
+
+    private final ReasonCounters<RefusalReason> mRefusals;
+    private final ReasonCounters<RetryReason> mRetries;
+    private final ReasonCounters<ExtraKind> mExtraAttempts;
+    private final ReasonCounters<GiveUpReason> mGiveUps;
+    private final ReasonCounters<HedgeDecision> mHedges;
+    private final ReasonCounters<BreakerChange> mBreakerChanges;
+    private final ReasonCounters<ResumeEvent> mStreamEvents;
+
+    /** Registers all counters. */
+    public DecisionMetrics(MeterRegistry registry) {
+        Objects.requireNonNull(registry, "registry");
+        Tags none = Tags.empty();
+        mRefusals =
+                new ReasonCounters<>(
+                        registry, REFUSALS, "Requests refused", none, RefusalReason.class);
+        mRetries =
+                new ReasonCounters<>(registry, RETRIES, "Calls retried", none, RetryReason.class);
+        mExtraAttempts =
+                new ReasonCounters<>(
+                        registry,
+                        EXTRA_ATTEMPTS,
+                        "Attempts beyond the first",
+                        none,
+                        ExtraKind.class);
+        mGiveUps =
+                new ReasonCounters<>(
+                        registry, GIVE_UPS, "Failed calls not retried", none, GiveUpReason.class);
+        mHedges =
+                new ReasonCounters<>(
+                        registry, HEDGES, "Hedges that came due", none, HedgeDecision.class);
+        mBreakerChanges =
+                new ReasonCounters<>(
+                        registry,
+                        BREAKER_CHANGES,
+                        "Changes of circuit breakers",
+                        none,
+                        BreakerChange.class);
+        mStreamEvents =
+                new ReasonCounters<>(
+                        registry,
+                        STREAM_EVENTS,
+                        "Tokens and ends of streams",
+                        none,
+                        ResumeEvent.class);
+    }
+
+    /** Counts a refusal that goes to the caller. */
+    public void onRefused(RefusalReason reason) {
+        mRefusals.count(reason);
+    }
+
+    /** Counts what was decided after a failed attempt. */
+    public void onRetryDecision(RetryDecision decision) {
+        if (decision instanceof RetryDecision.Retry retry) {
+            mRetries.count(retry.reason());
+            mExtraAttempts.count(retry.reason().kind());
+        } else if (decision instanceof RetryDecision.GiveUp giveUp) {
+            mGiveUps.count(giveUp.reason());
+        }
+    }
+
+    /** Counts what was decided when a hedge came due. */
+    public void onHedgeDecision(HedgeDecision decision) {
+        mHedges.count(decision);
+        if (decision == HedgeDecision.SENT) {
+            mExtraAttempts.count(ExtraKind.EXTRA_CALL);
+        }
+    }
+
+    /** Counts a token or end of a stream. */
+    public void onStreamEvent(ResumeEvent event) {
+        mStreamEvents.count(event);
+    }
+
+    @Override
+    public void onChange(BreakerChange change) {
+        mBreakerChanges.count(change);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/metrics/GateMetrics.java
@@ -0,0 +1,131 @@
+package org.boragethread.core.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.function.ToDoubleFunction;
+import org.boragethread.core.admission.Gate;
+import org.boragethread.core.admission.GateEvents;
+import org.boragethread.core.limit.LimitChange;
+import org.boragethread.core.limit.LimitChangeReason;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.model.upstream.UpstreamLoad;
+
+/**
+ * Counters and gauges of one gate. Make it first, pass it to the gate's builder, then bind the
+ * gate.
+ */
+public final class GateMetrics implements GateEvents {
+
+    /** Name of the counter of calls refused by the gate, by reason. */
+    public static final String REFUSALS = "boragethread.gate.refusals";
+
+    /** Name of the counter of waiting calls refused to make room for others. */
+    public static final String DISPLACED = "boragethread.gate.displaced";
+
+    /** Name of the counter of changes of the limit, by reason and direction. */
+    public static final String LIMIT_CHANGES = "boragethread.limit.changes";
+
+    /** Name of the timer of waiting in the queue, for calls that waited and were admitted. */
+    public static final String QUEUE_WAIT = "boragethread.queue.wait";
+
+    /** Name of the gauge of the limit, in calls. */
+    public static final String LIMIT = "boragethread.limit";
+
+    /** Name of the gauge of calls in flight. */
+    public static final String IN_FLIGHT = "boragethread.in.flight";
+
+    /** Name of the gauge of waiting calls. */
+    public static final String QUEUED = "boragethread.queued";
+
+    /** Name of the gauge that is 1 while the upstream warms up. */
+    public static final String COLD = "boragethread.cold";
+
+    private final MeterRegistry mRegistry;
+    private final Tags mTags;
+    private final ReasonCounters<RefusalReason> mRefusals;
+    private final ReasonCounters<LimitChangeReason> mLowered;
+    private final ReasonCounters<LimitChangeReason> mRaised;
+    private final Counter mDisplaced;
+    private final Timer mQueueWait;
+
+    /** Registers all counters of an upstream's gate. */
+    public GateMetrics(MeterRegistry registry, UpstreamId upstream) {
+        mRegistry = Objects.requireNonNull(registry, "registry");
+        mTags = Tags.of("upstream", upstream.value());
+        mRefusals =
+                new ReasonCounters<>(
+                        registry,
+                        REFUSALS,
+                        "Calls refused by the gate",
+                        mTags,
+                        RefusalReason.class);
+        mLowered = limitChanges("down");
+        mRaised = limitChanges("up");
+        mDisplaced =
+                Counter.builder(DISPLACED)
+                        .description("Waiting calls refused to make room for others")
+                        .tags(mTags)
+                        .register(registry);
+        mQueueWait =
+                Timer.builder(QUEUE_WAIT)
+                        .description("Time in the queue of admitted calls")
+                        .tags(mTags)
+                        .register(registry);
+    }
+
+    private ReasonCounters<LimitChangeReason> limitChanges(String direction) {
+        return new ReasonCounters<>(
+                mRegistry,
+                LIMIT_CHANGES,
+                "Changes of the concurrency limit",
+                mTags.and("direction", direction),
+                LimitChangeReason.class);
+    }
+
+    /** Registers the gauges of the gate's load. */
+    public void bind(Gate gate) {
+        gauge(LIMIT, "Greatest number of calls in flight", gate, UpstreamLoad::limit);
+        gauge(IN_FLIGHT, "Calls in flight", gate, UpstreamLoad::inFlight);
+        gauge(QUEUED, "Calls that wait for admission", gate, UpstreamLoad::queued);
+        gauge(COLD, "1 while the upstream warms up", gate, load -> load.cold() ? 1 : 0);
+    }
+
+    private void gauge(
+            String name, String description, Gate gate, ToDoubleFunction<UpstreamLoad> value) {
+        Gauge.builder(name, gate, g -> value.applyAsDouble(g.load()))
+                .description(description)
+                .tags(mTags)
+                .strongReference(true)
+                .register(mRegistry);
+    }
+
+    @Override
+    public void onAdmitted(Duration waited) {
+        mQueueWait.record(waited);
+    }
+
+    @Override
+    public void onRefused(RefusalReason reason) {
+        mRefusals.count(reason);
+    }
+
+    @Override
+    public void onDisplaced() {
+        mDisplaced.increment();
+    }
+
+    @Override
+    public void onLimitChanged(LimitChange change) {
+        if (change.to() > change.from()) {
+            mRaised.count(change.reason());
+        } else {
+            mLowered.count(change.reason());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and gauges of the decisions. */
+package org.boragethread.core.metrics;
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/retry/HedgeRequest.java
@@ -0,0 +1,17 @@
+package org.boragethread.core.retry;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * An attempt that could be hedged.
+ *
+ * @param idempotent whether the stage may run more than once for one request
+ * @param left time left to the stage
+ */
+public record HedgeRequest(boolean idempotent, Duration left) {
+
+    public HedgeRequest {
+        Objects.requireNonNull(left, "left");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/retry/NeverHedge.java
@@ -0,0 +1,19 @@
+package org.boragethread.core.retry;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.boragethread.core.deadline.ServiceTimes;
+
+/** Baseline: no attempt is hedged. */
+public final class NeverHedge implements HedgePolicy {
+
+    @Override
+    public Optional<Duration> delay(HedgeRequest request, ServiceTimes times) {
+        return Optional.empty();
+    }
+
+    @Override
+    public HedgeDecision decide(HedgeRequest request, ServiceTimes times, RetryBudget budget) {
+        return HedgeDecision.HEDGES_OFF;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/retry/RetryAtOnce.java
@@ -0,0 +1,29 @@
+package org.boragethread.core.retry;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/** Baseline: tries again at once, up to a number of attempts and without a budget. */
+public final class RetryAtOnce implements RetryPolicy {
+
+    private final int mMaxAttempts;
+
+    /**
+     * Makes a policy.
+     *
+     * @param maxAttempts greatest number of attempts at a stage, the first included
+     */
+    public RetryAtOnce(int maxAttempts) {
+        mMaxAttempts = maxAttempts;
+    }
+
+    @Override
+    public RetryDecision decide(FailedAttempt attempt, RetryBudget budget) {
+        Optional<GiveUpReason> forbidden = RetryRules.forbids(attempt, mMaxAttempts);
+        if (forbidden.isPresent()) {
+            return new RetryDecision.GiveUp(forbidden.get());
+        }
+        RetryReason reason = RetryReason.of(attempt.refusal().reason()).orElseThrow();
+        return new RetryDecision.Retry(Duration.ZERO, reason);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/retry/RetryRules.java
@@ -0,0 +1,28 @@
+package org.boragethread.core.retry;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.boragethread.model.outcome.Ran;
+
+/** What every retry policy obeys. */
+final class RetryRules {
+
+    private RetryRules() {}
+
+    /** Returns why an attempt must not be followed by another, whatever the policy. */
+    static Optional<GiveUpReason> forbids(FailedAttempt attempt, int maxAttempts) {
+        if (!attempt.idempotent() && attempt.refusal().ran() != Ran.NO) {
+            return Optional.of(GiveUpReason.MAY_HAVE_RUN);
+        }
+        if (RetryReason.of(attempt.refusal().reason()).isEmpty()) {
+            return Optional.of(GiveUpReason.NOT_RETRYABLE);
+        }
+        if (attempt.attempts() >= maxAttempts) {
+            return Optional.of(GiveUpReason.ATTEMPTS_EXHAUSTED);
+        }
+        if (attempt.left().compareTo(Duration.ZERO) <= 0) {
+            return Optional.of(GiveUpReason.NO_TIME);
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Decides when a call is tried again, hedged or resumed, and at what cost. */
+package org.boragethread.core.retry;
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/retry/RetryBudgetTest.java
@@ -0,0 +1,99 @@
+package org.boragethread.core.retry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.SplittableRandom;
+import org.boragethread.core.time.ManualTimeSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link RetryBudget}. */
+public class RetryBudgetTest {
+
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+    private static final int STEPS = 20_000;
+
+    private ManualTimeSource mTime;
+    private RetryBudget mBudget;
+
+    @BeforeMethod
+    public void makeBudget() {
+        mTime = new ManualTimeSource();
+        mBudget = new RetryBudget(mTime);
+    }
+
+    @Test
+    public void oneExtraCallIsFree() {
+        assertTrue(mBudget.tryTake(ExtraKind.EXTRA_CALL));
+        assertFalse(mBudget.tryTake(ExtraKind.EXTRA_CALL));
+    }
+
+    @Test
+    public void extraCallsAreATenthOfFirstCalls() {
+        for (int i = 0; i < 1000; i++) {
+            mBudget.onFirstCall();
+        }
+        int taken = 0;
+        while (taken <= 1000 && mBudget.tryTake(ExtraKind.EXTRA_CALL)) {
+            taken++;
+        }
+        assertEquals(taken, 100);
+    }
+
+    @Test
+    public void redirectsDoNotUseUpExtraCalls() {
+        for (int i = 0; i < 10; i++) {
+            assertTrue(mBudget.tryTake(ExtraKind.REDIRECT));
+        }
+        assertFalse(mBudget.tryTake(ExtraKind.REDIRECT));
+        assertTrue(mBudget.tryTake(ExtraKind.EXTRA_CALL));
+    }
+
+    @Test
+    public void oldCallsEarnNothing() {
+        for (int i = 0; i < 1000; i++) {
+            mBudget.onFirstCall();
+        }
+        mTime.advance(WINDOW);
+        assertTrue(mBudget.tryTake(ExtraKind.EXTRA_CALL));
+        assertFalse(mBudget.tryTake(ExtraKind.EXTRA_CALL));
+    }
+
+    @Test
+    public void shareHoldsAtEveryGrantAndOverARandomHistory() {
+        SplittableRandom random = new SplittableRandom(11);
+        Deque<Long> firsts = new ArrayDeque<>();
+        Deque<Long> extras = new ArrayDeque<>();
+        int allFirsts = 0;
+        int allExtras = 0;
+        for (int i = 0; i < STEPS; i++) {
+            mTime.advance(Duration.ofMillis(random.nextInt(40)));
+            long now = mTime.nanoTime();
+            if (random.nextBoolean()) {
+                mBudget.onFirstCall();
+                firsts.add(now);
+                allFirsts++;
+            } else if (mBudget.tryTake(ExtraKind.EXTRA_CALL)) {
+                extras.add(now);
+                allExtras++;
+                // The budget's own window is up to one slot shorter than the one checked here.
+                forgetBefore(firsts, now - WINDOW.toNanos());
+                forgetBefore(extras, now - WINDOW.toNanos() * 9 / 10);
+                assertTrue(extras.size() <= Math.max(1, firsts.size() * RetryBudget.DEFAULT_SHARE));
+            }
+        }
+        assertTrue(allExtras <= allFirsts * RetryBudget.DEFAULT_SHARE, "extras " + allExtras);
+        assertTrue(allExtras >= allFirsts * RetryBudget.DEFAULT_SHARE * 0.8, "extras " + allExtras);
+    }
+
+    private static void forgetBefore(Deque<Long> times, long limit) {
+        while (!times.isEmpty() && times.peek() <= limit) {
+            times.remove();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/retry/SafeRetryPolicyTest.java
@@ -0,0 +1,132 @@
+package org.boragethread.core.retry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.outcome.Ran;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link SafeRetryPolicy} and what every policy obeys. */
+public class SafeRetryPolicyTest {
+
+    private static final Duration LONG = Duration.ofSeconds(2);
+    private static final int REQUESTS = 20_000;
+
+    private ManualTimeSource mTime;
+    private RetryBudget mBudget;
+    private RetryPolicy mPolicy;
+
+    @BeforeMethod
+    public void makePolicy() {
+        mTime = new ManualTimeSource();
+        mBudget = new RetryBudget(mTime);
+        mPolicy = new SafeRetryPolicy(new SplittableRandom(5), 3);
+    }
+
+    @Test
+    public void noPolicyRepeatsAnEffectThatMayHaveRun() {
+        List<RetryPolicy> policies = List.of(mPolicy, new RetryAtOnce(3), new NeverRetry());
+        for (RetryPolicy policy : policies) {
+            for (RefusalReason reason : RefusalReason.values()) {
+                for (Ran ran : List.of(Ran.UNKNOWN, Ran.YES)) {
+                    FailedAttempt attempt = attempt(reason, ran, false, 1, LONG);
+                    RetryDecision decision = policy.decide(attempt, mBudget);
+                    assertTrue(decision instanceof RetryDecision.GiveUp, reason + " " + ran);
+                }
+            }
+        }
+    }
+
+    @Test
+    public void effectThatDidNotRunIsTriedAgain() {
+        FailedAttempt attempt = attempt(RefusalReason.LEAVING, Ran.NO, false, 1, LONG);
+        assertEquals(
+                mPolicy.decide(attempt, mBudget),
+                new RetryDecision.Retry(Duration.ZERO, RetryReason.LEAVING));
+    }
+
+    @Test
+    public void failureOfTheRequestItselfIsFinal() {
+        FailedAttempt attempt = attempt(RefusalReason.BAD_REQUEST, Ran.NO, true, 1, LONG);
+        assertGivesUp(attempt, GiveUpReason.NOT_RETRYABLE);
+    }
+
+    @Test
+    public void attemptsAreBounded() {
+        FailedAttempt attempt = attempt(RefusalReason.UPSTREAM_FAILED, Ran.UNKNOWN, true, 3, LONG);
+        assertGivesUp(attempt, GiveUpReason.ATTEMPTS_EXHAUSTED);
+    }
+
+    @Test
+    public void attemptThatCannotEndInTimeIsNotMade() {
+        Duration little = Duration.ofMillis(100);
+        FailedAttempt attempt =
+                new FailedAttempt(
+                        Refusal.unknown(RefusalReason.UPSTREAM_FAILED, "cut"),
+                        true,
+                        1,
+                        little,
+                        Optional.of(little.multipliedBy(3)));
+        assertGivesUp(attempt, GiveUpReason.NO_TIME);
+    }
+
+    @Test
+    public void backOffIsBounded() {
+        for (int i = 0; i < 1000; i++) {
+            mBudget.onFirstCall();
+        }
+        for (int i = 0; i < 100; i++) {
+            FailedAttempt attempt =
+                    attempt(RefusalReason.CONNECTION_LOST, Ran.UNKNOWN, true, 2, LONG);
+            RetryDecision.Retry retry = (RetryDecision.Retry) mPolicy.decide(attempt, mBudget);
+            assertTrue(retry.delay().compareTo(Duration.ofMillis(20)) <= 0);
+        }
+    }
+
+    @Test
+    public void retryStormAddsAtMostATenth() {
+        assertTrue(stormLoad(mPolicy) <= REQUESTS * 1.1, "calls over the budget");
+        assertTrue(stormLoad(new RetryAtOnce(3)) > REQUESTS * 1.5, "baseline adds far more");
+    }
+
+    /** Upstream calls for requests of which half of all attempts fail. */
+    private int stormLoad(RetryPolicy policy) {
+        SplittableRandom random = new SplittableRandom(3);
+        int calls = 0;
+        for (int i = 0; i < REQUESTS; i++) {
+            mTime.advance(Duration.ofMillis(2));
+            mBudget.onFirstCall();
+            calls++;
+            int attempts = 1;
+            while (random.nextBoolean() && mayRetry(policy, attempts)) {
+                attempts++;
+                calls++;
+            }
+        }
+        return calls;
+    }
+
+    private boolean mayRetry(RetryPolicy policy, int attempts) {
+        FailedAttempt attempt =
+                attempt(RefusalReason.UPSTREAM_FAILED, Ran.UNKNOWN, true, attempts, LONG);
+        return policy.decide(attempt, mBudget) instanceof RetryDecision.Retry;
+    }
+
+    private void assertGivesUp(FailedAttempt attempt, GiveUpReason reason) {
+        assertEquals(mPolicy.decide(attempt, mBudget), new RetryDecision.GiveUp(reason));
+    }
+
+    private static FailedAttempt attempt(
+            RefusalReason reason, Ran ran, boolean idempotent, int attempts, Duration left) {
+        Refusal refusal = new Refusal(reason, ran, "test", Optional.empty());
+        return new FailedAttempt(refusal, idempotent, attempts, left, Optional.empty());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/retry/StreamResumeTest.java
@@ -0,0 +1,86 @@
+package org.boragethread.core.retry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link StreamResume}. */
+public class StreamResumeTest {
+
+    private StreamResume mStream;
+
+    @BeforeMethod
+    public void makeStream() {
+        mStream = new StreamResume();
+    }
+
+    @Test
+    public void nextAttemptContinuesAfterTheLastReceivedToken() {
+        mStream.startAttempt(0);
+        mStream.onToken(0, 0);
+        mStream.onToken(0, 1);
+        assertEquals(mStream.startAttempt(1), 2);
+    }
+
+    @Test
+    public void tokensOfAReplacedAttemptAreDropped() {
+        mStream.startAttempt(0);
+        mStream.startAttempt(1);
+        assertEquals(mStream.onToken(0, 0), ResumeEvent.STALE_DROPPED);
+        assertEquals(mStream.onEnd(0, 0), ResumeEvent.STALE_DROPPED);
+    }
+
+    @Test
+    public void attemptWithAGapIsOfNoFurtherUse() {
+        mStream.startAttempt(0);
+        assertEquals(mStream.onToken(0, 1), ResumeEvent.GAP);
+        assertEquals(mStream.onToken(0, 0), ResumeEvent.STALE_DROPPED);
+    }
+
+    @Test
+    public void cutStreamIsNotWhole() {
+        mStream.startAttempt(0);
+        mStream.onToken(0, 0);
+        assertEquals(mStream.onEnd(0, 2), ResumeEvent.GAP);
+        assertThrows(IllegalStateException.class, () -> mStream.startAttempt(0));
+    }
+
+    @Test
+    public void callerSeesEveryTokenOnceThroughRandomBreaks() {
+        for (long seed = 0; seed < 200; seed++) {
+            makeStream();
+            List<Integer> seen = receive(new SplittableRandom(seed), 50);
+            for (int i = 0; i < seen.size(); i++) {
+                assertEquals(seen.get(i).intValue(), i);
+            }
+            assertEquals(seen.size(), 50);
+            assertTrue(mStream.isEnded());
+        }
+    }
+
+    /** Runs attempts that break, start too early or leave out tokens until the stream ends. */
+    private List<Integer> receive(SplittableRandom random, int tokens) {
+        List<Integer> seen = new ArrayList<>();
+        for (int attempt = 0; attempt < 10_000 && !mStream.isEnded(); attempt++) {
+            int from = mStream.startAttempt(attempt);
+            int index = Math.max(0, from - random.nextInt(3));
+            int end = Math.min(tokens, index + random.nextInt(tokens));
+            while (index < end) {
+                if (mStream.onToken(attempt, index) == ResumeEvent.DELIVERED) {
+                    seen.add(index);
+                }
+                index += random.nextInt(20) == 0 ? 2 : 1;
+            }
+            if (end == tokens) {
+                mStream.onEnd(attempt, tokens);
+            }
+        }
+        return seen;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/retry/TailHedgeTest.java
@@ -0,0 +1,61 @@
+package org.boragethread.core.retry;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.boragethread.core.deadline.ServiceTimes;
+import org.boragethread.core.time.ManualTimeSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link TailHedge}. */
+public class TailHedgeTest {
+
+    private static final HedgeRequest IDEMPOTENT = new HedgeRequest(true, Duration.ofSeconds(2));
+
+    private final HedgePolicy mPolicy = new TailHedge();
+    private ManualTimeSource mTime;
+    private ServiceTimes mTimes;
+    private RetryBudget mBudget;
+
+    @BeforeMethod
+    public void observe() {
+        mTime = new ManualTimeSource();
+        mTimes = new ServiceTimes(mTime, Duration.ofSeconds(10), 10);
+        mBudget = new RetryBudget(mTime);
+        for (int i = 0; i < 100; i++) {
+            mTimes.record(Duration.ofMillis(i < 90 ? 100 : 800));
+        }
+    }
+
+    @Test
+    public void hedgeComesAfterTheTail() {
+        assertEquals(mPolicy.delay(IDEMPOTENT, mTimes).get().toMillis(), 800, 8);
+    }
+
+    @Test
+    public void stageThatIsNotIdempotentIsNeverHedged() {
+        HedgeRequest request = new HedgeRequest(false, Duration.ofSeconds(2));
+        assertEquals(mPolicy.delay(request, mTimes), Optional.empty());
+        assertEquals(mPolicy.decide(request, mTimes, mBudget), HedgeDecision.NOT_IDEMPOTENT);
+    }
+
+    @Test
+    public void unknownTimesGiveNoHedge() {
+        ServiceTimes empty = new ServiceTimes(mTime, Duration.ofSeconds(10), 10);
+        assertEquals(mPolicy.delay(IDEMPOTENT, empty), Optional.empty());
+    }
+
+    @Test
+    public void hedgeThatCannotWinIsNotPlanned() {
+        HedgeRequest request = new HedgeRequest(true, Duration.ofMillis(850));
+        assertEquals(mPolicy.delay(request, mTimes), Optional.empty());
+    }
+
+    @Test
+    public void hedgesComeOutOfTheBudget() {
+        assertEquals(mPolicy.decide(IDEMPOTENT, mTimes, mBudget), HedgeDecision.SENT);
+        assertEquals(mPolicy.decide(IDEMPOTENT, mTimes, mBudget), HedgeDecision.BUDGET_EXHAUSTED);
+    }
+}
