Pace the warm-up, remember overloaded limits and stop calling a failing upstream

Cause: a limit that rose by one for each window of answers outran an upstream that warms up slowly, and kept trying a limit known to be too high; an upstream that fails fast drew ever more calls. Change: more answers for each step of the warm-up, a growing pause before an overloaded limit is tried again, a breaker before the agent's gate that reports no capacity while it is open.

--- a/core/src/main/java/org/boragethread/core/admission/AdaptiveGate.java
+++ b/core/src/main/java/org/boragethread/core/admission/AdaptiveGate.java
@@ -50,13 +50,7 @@
         mTime = builder.mTime;
         mScheduler = builder.mScheduler;
         mEvents = builder.mEvents;
-        mLimit =
-                builder.mLimit.orElseGet(
-                        () ->
-                                new AdaptiveLimit(
-                                        mTime,
-                                        builder.mGroup.coldLimit(),
-                                        builder.mGroup.maxLimit()));
+        mLimit = builder.mLimit.orElseGet(() -> adaptiveLimit(builder));
         mOrder = builder.mOrder;
         mQueue = CallQueue.of(mOrder);
         mHopeless = new HopelessCheck(mTime);
@@ -64,6 +58,12 @@
         mReportsLoad = builder.mGroup.reportsLoad();
     }
 
+    private static ConcurrencyLimit adaptiveLimit(Builder builder) {
+        UpstreamGroup group = builder.mGroup;
+        return new AdaptiveLimit.Builder(builder.mTime, group.coldLimit(), group.maxLimit())
+                .build();
+    }
+
     @Override
     public Waiting offer(GateRequest request, Listener listener) {
         Notices notices = new Notices();
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/breaker/BreakerGate.java
@@ -0,0 +1,98 @@
+package org.boragethread.core.breaker;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import org.boragethread.core.admission.CallOutcome;
+import org.boragethread.core.admission.Gate;
+import org.boragethread.core.admission.GateRequest;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.upstream.UpstreamLoad;
+
+/**
+ * A gate behind a circuit breaker. While the upstream keeps failing, calls are refused before they
+ * reach it, which is truthfully "not run", and the load says that there is no capacity.
+ */
+public final class BreakerGate implements Gate {
+
+    private static final Waiting NOT_WAITING = () -> {};
+    private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+
+    private final Gate mGate;
+    private final Breaker mBreaker;
+
+    /** Puts a breaker before a gate. */
+    public BreakerGate(Gate gate, Breaker breaker) {
+        mGate = Objects.requireNonNull(gate, "gate");
+        mBreaker = Objects.requireNonNull(breaker, "breaker");
+    }
+
+    @Override
+    public Waiting offer(GateRequest request, Listener listener) {
+        Optional<Breaker.Ticket> ticket = mBreaker.tryStart();
+        if (ticket.isEmpty()) {
+            listener.onRefused(
+                    Refusal.notRun(
+                            RefusalReason.CIRCUIT_OPEN,
+                            "the agent does not call its upstream because recent calls failed",
+                            RETRY_AFTER));
+            return NOT_WAITING;
+        }
+        TicketListener call = new TicketListener(listener, ticket.get());
+        Waiting waiting = mGate.offer(request, call);
+        return () -> {
+            waiting.withdraw();
+            call.onWithdrawn();
+        };
+    }
+
+    @Override
+    public UpstreamLoad load() {
+        UpstreamLoad load = mGate.load();
+        if (mBreaker.isCallable()) {
+            return load;
+        }
+        return new UpstreamLoad(load.inFlight(), 0, load.queued(), load.cold(), load.leaving());
+    }
+
+    @Override
+    public void setLeaving(boolean leaving) {
+        mGate.setLeaving(leaving);
+    }
+
+    /** Ends the breaker's ticket with the call. */
+    private static final class TicketListener implements Listener {
+        private final Listener mListener;
+        private final Breaker.Ticket mTicket;
+        private volatile boolean mAdmitted;
+
+        TicketListener(Listener listener, Breaker.Ticket ticket) {
+            mListener = listener;
+            mTicket = ticket;
+        }
+
+        @Override
+        public void onAdmitted(Permit permit) {
+            mAdmitted = true;
+            mListener.onAdmitted(
+                    (outcome, latency) -> {
+                        mTicket.complete(outcome);
+                        permit.complete(outcome, latency);
+                    });
+        }
+
+        @Override
+        public void onRefused(Refusal refusal) {
+            mTicket.complete(CallOutcome.CANCELLED);
+            mListener.onRefused(refusal);
+        }
+
+        /** Frees the probe's place if the call has not reached the upstream. */
+        void onWithdrawn() {
+            if (!mAdmitted) {
+                mTicket.complete(CallOutcome.CANCELLED);
+            }
+        }
+    }
+}
--- a/core/src/main/java/org/boragethread/core/limit/AdaptiveLimit.java
+++ b/core/src/main/java/org/boragethread/core/limit/AdaptiveLimit.java
@@ -10,13 +10,19 @@
  * is in use, and falls at once on any sign of overload.
  *
  * <p>Only calls that were admitted after the last change count, so each step takes at least one
- * round trip, and a batch of calls that fail together lowers the limit once.
+ * round trip, and a batch of calls that fail together lowers the limit once. While the upstream
+ * warms up a step takes more answers than later. A limit at which the upstream was overloaded is
+ * tried again only after a pause, which doubles each time the upstream is overloaded there again.
  */
 public final class AdaptiveLimit implements ConcurrencyLimit {
 
     private static final double IN_USE_SHARE = 0.75;
     private static final int STEP_SHARE = 16;
     private static final Duration MIN_TIME_BETWEEN_RISES = Duration.ofMillis(200);
+    private static final Duration MAX_PAUSE_AT_CEILING = Duration.ofSeconds(6);
+    private static final int MAX_DOUBLINGS = 5;
+    private static final int WARM_UP_ROUNDS = 2;
+    private static final int WARM_FACTOR = 4;
     private static final Duration IDLE_TIME = Duration.ofSeconds(30);
     private static final Duration MAX_REPORT_AGE = Duration.ofSeconds(2);
     private static final double BUSY_FACTOR = 0.7;
@@ -28,33 +34,31 @@
 
     private final TimeSource mTime;
     private final LatencyMonitor mLatency;
+    private final int mWarmUpAnswers;
     private int mColdLimit;
     private int mMaxLimit;
     private int mLimit;
     private int mGood;
     private int mFailures;
+    private int mLimitAtFirstFailure;
     private boolean mCold = true;
+    private int mCeiling = Integer.MAX_VALUE;
+    private int mCeilingHits;
     private long mChangedAt;
     private long mLastGoodAt;
     private int mReportedLimit;
     private long mReportedUntil;
 
-    /**
-     * Makes a limit for an upstream that is cold.
-     *
-     * @param coldLimit limit just after the upstream's start, in calls
-     * @param maxLimit greatest limit, in calls
-     */
-    public AdaptiveLimit(TimeSource time, int coldLimit, int maxLimit) {
-        mTime = Objects.requireNonNull(time, "time");
-        checkBounds(coldLimit, maxLimit);
-        mColdLimit = coldLimit;
-        mMaxLimit = maxLimit;
-        mLimit = coldLimit;
-        mLatency = new LatencyMonitor(time);
-        mChangedAt = time.nanoTime();
+    private AdaptiveLimit(Builder builder) {
+        mTime = builder.mTime;
+        mColdLimit = builder.mColdLimit;
+        mMaxLimit = builder.mMaxLimit;
+        mWarmUpAnswers = builder.mWarmUpAnswers;
+        mLimit = mColdLimit;
+        mLatency = new LatencyMonitor(mTime);
+        mChangedAt = mTime.nanoTime();
         mLastGoodAt = mChangedAt;
-        mReportedLimit = maxLimit;
+        mReportedLimit = mMaxLimit;
         mReportedUntil = mChangedAt;
     }
 
@@ -87,6 +91,7 @@
             case SEVERE:
                 return reset(LimitChangeReason.COLD_AGAIN);
             case JUMP:
+                markCeiling(mLimit);
                 return lower(LATENCY_FACTOR, LimitChangeReason.LATENCY_JUMP);
             default:
                 return countGood(sample);
@@ -98,13 +103,23 @@
             return Optional.empty();
         }
         mGood++;
-        if (mGood < limit() || mTime.since(mChangedAt).compareTo(MIN_TIME_BETWEEN_RISES) < 0) {
+        if (mGood < answersToRise()) {
             return Optional.empty();
         }
-        mCold = false;
+        checkWarm();
         return rise();
     }
 
+    private void checkWarm() {
+        if (mLimit >= Math.min(mMaxLimit, WARM_FACTOR * mColdLimit)) {
+            mCold = false;
+        }
+    }
+
+    private int answersToRise() {
+        return mCold ? Math.max(mWarmUpAnswers, WARM_UP_ROUNDS * limit()) : limit();
+    }
+
     private Optional<LimitChange> rise() {
         int target = mLimit + 1 + mLimit / STEP_SHARE;
         int to = Math.min(Math.min(mMaxLimit, reportedCap()), target);
@@ -112,22 +127,53 @@
             mGood = 0;
             return Optional.empty();
         }
+        if (mTime.since(mChangedAt).compareTo(pauseBefore(to)) < 0) {
+            return Optional.empty();
+        }
+        if (mLimit >= mCeiling) {
+            mCeiling = Integer.MAX_VALUE;
+            mCeilingHits = 0;
+        }
         return change(to, LimitChangeReason.GOOD_ANSWERS);
     }
 
+    private Duration pauseBefore(int limit) {
+        if (limit < mCeiling) {
+            return MIN_TIME_BETWEEN_RISES;
+        }
+        Duration doubled = MIN_TIME_BETWEEN_RISES.multipliedBy(1L << mCeilingHits);
+        return doubled.compareTo(MAX_PAUSE_AT_CEILING) > 0 ? MAX_PAUSE_AT_CEILING : doubled;
+    }
+
+    /** Remembers a limit at which the upstream was overloaded. */
+    private void markCeiling(int limit) {
+        if (limit > 1) {
+            mCeiling = limit;
+            mCeilingHits = Math.min(MAX_DOUBLINGS, mCeilingHits + 1);
+        }
+    }
+
     @Override
     public Optional<LimitChange> onFailure(CallSample sample, FailureKind kind) {
-        mFailures++;
         mGood = 0;
+        mFailures++;
+        if (mFailures == 1) {
+            mLimitAtFirstFailure = mLimit;
+        }
         if (mFailures >= FAILURES_OF_COLD) {
             mFailures = 0;
+            if (mLimitAtFirstFailure > mColdLimit) {
+                markCeiling(mLimitAtFirstFailure);
+            }
             return reset(LimitChangeReason.COLD_AGAIN);
         }
-        if (sample.startNanos() < mChangedAt) {
-            return Optional.empty();
-        }
+        return sample.startNanos() < mChangedAt ? Optional.empty() : onFirstFailure(sample, kind);
+    }
+
+    private Optional<LimitChange> onFirstFailure(CallSample sample, FailureKind kind) {
         switch (kind) {
             case BUSY:
+                markCeiling(mLimit);
                 return lower(BUSY_FACTOR, LimitChangeReason.BUSY);
             case FAILED:
                 return lower(FAILED_FACTOR, LimitChangeReason.FAILED);
@@ -206,4 +252,42 @@
         mLatency.restart();
         return Optional.of(change);
     }
+
+    /** Makes limits. */
+    public static final class Builder {
+        private static final int DEFAULT_WARM_UP_ANSWERS = 16;
+
+        private final TimeSource mTime;
+        private final int mColdLimit;
+        private final int mMaxLimit;
+        private int mWarmUpAnswers = DEFAULT_WARM_UP_ANSWERS;
+
+        /**
+         * Starts with the defaults for an upstream that is cold.
+         *
+         * @param coldLimit limit just after the upstream's start, in calls
+         * @param maxLimit greatest limit, in calls
+         */
+        public Builder(TimeSource time, int coldLimit, int maxLimit) {
+            mTime = Objects.requireNonNull(time, "time");
+            checkBounds(coldLimit, maxLimit);
+            mColdLimit = coldLimit;
+            mMaxLimit = maxLimit;
+        }
+
+        /** Sets the least number of good answers for each step of the warm-up. */
+        public Builder warmUpAnswers(int answers) {
+            if (answers < 1) {
+                throw new IllegalArgumentException(
+                        "warmUpAnswers %d must be at least 1".formatted(answers));
+            }
+            mWarmUpAnswers = answers;
+            return this;
+        }
+
+        /** Returns the limit. */
+        public AdaptiveLimit build() {
+            return new AdaptiveLimit(this);
+        }
+    }
 }
--- a/core/src/main/java/org/boragethread/core/selection/Rings.java
+++ b/core/src/main/java/org/boragethread/core/selection/Rings.java
@@ -1,11 +1,14 @@
 package org.boragethread.core.selection;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
 /** Groups candidates by distance: own data centre, own region, elsewhere. */
 final class Rings {
 
+    private static final long MAX_AGE_NANOS = Duration.ofSeconds(1).toNanos();
+
     private Rings() {}
 
     /** Returns the fit candidates, nearest first; rings without candidates are left out. */
@@ -31,7 +34,14 @@
     }
 
     private static boolean isUnfit(SelectionRequest request, Candidate candidate) {
-        return candidate.load().leaving() || request.excluded().contains(candidate.upstream());
+        return candidate.load().leaving()
+                || isWithoutCapacity(candidate)
+                || request.excluded().contains(candidate.upstream());
+    }
+
+    /** An agent that does not call its upstream reports a limit of 0. */
+    private static boolean isWithoutCapacity(Candidate candidate) {
+        return candidate.load().limit() < 1 && candidate.loadAgeNanos() < MAX_AGE_NANOS;
     }
 
     private static boolean isInRegion(SelectionRequest request, Candidate candidate) {
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/breaker/BreakerGateTest.java
@@ -0,0 +1,97 @@
+package org.boragethread.core.breaker;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.boragethread.core.admission.CallOutcome;
+import org.boragethread.core.admission.FixedGate;
+import org.boragethread.core.admission.Gate;
+import org.boragethread.core.admission.GateRequest;
+import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.outcome.Ran;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.team.Priority;
+import org.boragethread.model.team.TeamId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link BreakerGate}. */
+public class BreakerGateTest {
+
+    private static final int LIMIT = 4;
+
+    private ManualTimeSource mTime;
+    private BreakerGate mGate;
+    private List<Gate.Permit> mPermits;
+    private List<Refusal> mRefusals;
+
+    @BeforeMethod
+    public void makeGate() {
+        mTime = new ManualTimeSource();
+        mGate =
+                new BreakerGate(
+                        new FixedGate(LIMIT),
+                        new CircuitBreaker(mTime, new SplittableRandom(1), BreakerEvents.NONE));
+        mPermits = new ArrayList<>();
+        mRefusals = new ArrayList<>();
+    }
+
+    @Test
+    public void failingUpstreamIsNotCalledAndShowsNoCapacity() {
+        fail(8);
+        offer();
+        assertEquals(mPermits, List.of());
+        assertEquals(mRefusals.get(0).reason(), RefusalReason.CIRCUIT_OPEN);
+        assertEquals(mRefusals.get(0).ran(), Ran.NO);
+        assertEquals(mGate.load().limit(), 0);
+    }
+
+    @Test
+    public void goodProbeBringsTheCapacityBack() {
+        fail(8);
+        mTime.advance(Duration.ofMillis(500));
+        offer();
+        offer();
+        assertEquals(mPermits.size(), 1);
+        mPermits.get(0).complete(CallOutcome.GOOD, Duration.ZERO);
+        assertEquals(mGate.load().limit(), LIMIT);
+    }
+
+    @Test
+    public void probeThatTheGateRefusesIsReplaced() {
+        fail(8);
+        mTime.advance(Duration.ofMillis(500));
+        mGate.setLeaving(true);
+        offer();
+        mGate.setLeaving(false);
+        offer();
+        assertEquals(mPermits.size(), 1);
+    }
+
+    private void fail(int calls) {
+        for (int i = 0; i < calls; i++) {
+            offer();
+            mPermits.remove(0).complete(CallOutcome.FAILED, Duration.ZERO);
+        }
+    }
+
+    private void offer() {
+        mGate.offer(
+                new GateRequest(new TeamId("patrol"), 1, Priority.NORMAL, Long.MAX_VALUE),
+                new Gate.Listener() {
+                    @Override
+                    public void onAdmitted(Gate.Permit permit) {
+                        mPermits.add(permit);
+                    }
+
+                    @Override
+                    public void onRefused(Refusal refusal) {
+                        mRefusals.add(refusal);
+                    }
+                });
+    }
+}
--- a/core/src/test/java/org/boragethread/core/selection/LocalitySelectorTest.java
+++ b/core/src/test/java/org/boragethread/core/selection/LocalitySelectorTest.java
@@ -65,6 +65,15 @@
                 Optional.empty());
     }
 
+    @Test
+    public void upstreamThatReportsNoCapacityIsTriedOnlyOnceTheReportIsOld() {
+        Candidate failing = Candidates.near("a", 0, 0);
+        SelectionRequest request = Candidates.request(GroupKind.PLAIN, 0);
+        assertEquals(mSelector.select(request, List.of(failing)), Optional.empty());
+        Candidate old = Candidates.sent(failing, 0, Duration.ofSeconds(1));
+        assertEquals(mSelector.select(request, List.of(old)), Optional.of(old));
+    }
+
     @Test
     public void lessLoadedOfTwoIsChosen() {
         Map<String, Integer> chosen =
