Give slots to calls that end in time, and learn how slowly an upstream warms up

Cause: under 150 % load the queue admitted calls with just enough time for a quick answer, so most of them ended late; a slow warm-up was outrun again and again. Change: while others wait, a call that is likely to end late is refused; a breakdown during the warm-up doubles the answers of each step.

--- a/core/src/main/java/org/boragethread/core/admission/AdaptiveGate.java
+++ b/core/src/main/java/org/boragethread/core/admission/AdaptiveGate.java
@@ -61,6 +61,7 @@
     private static ConcurrencyLimit adaptiveLimit(Builder builder) {
         UpstreamGroup group = builder.mGroup;
         return new AdaptiveLimit.Builder(builder.mTime, group.coldLimit(), group.maxLimit())
+                .warmUpAnswers(builder.mWarmUpAnswers)
                 .build();
     }
 
@@ -87,8 +88,8 @@
             return refuse(listener, RefusalReason.DEADLINE_EXCEEDED, notices);
         }
         boolean direct = hasRoom(request);
-        int ahead = direct ? 0 : mQueue.ahead(request) + 1;
-        if (isHopeless(request, ahead)) {
+        boolean hopeless = direct ? isHopeless(request) : isLikelyLate(request);
+        if (hopeless) {
             return refuse(listener, RefusalReason.DEADLINE_HOPELESS, notices);
         }
         if (direct) {
@@ -98,13 +99,25 @@
         return enqueue(request, listener, notices);
     }
 
-    private boolean isHopeless(GateRequest request, int ahead) {
-        if (!mHopeless.isHopeless(request, ahead, mLimit.limit())) {
+    private boolean isHopeless(GateRequest request) {
+        if (!mHopeless.isHopeless(request)) {
             return false;
         }
         return mInFlight > 0 || !mHopeless.mayProbe();
     }
 
+    private boolean isLikelyLate(GateRequest request) {
+        return mHopeless.isLikelyLate(request, mQueue.ahead(request) + 1, mLimit.limit());
+    }
+
+    /** Tells whether a waiting call that could be admitted now should not be. */
+    private boolean isWaste(GateRequest request) {
+        if (mQueue.size() > 1 && mHopeless.isLikelyLate(request, 0, mLimit.limit())) {
+            return true;
+        }
+        return isHopeless(request);
+    }
+
     private Waiting enqueue(GateRequest request, Listener listener, Notices notices) {
         if (mQueue.size() >= mMaxQueue) {
             Optional<WaitingCall> displaced = mQueue.displacedBy(request);
@@ -138,7 +151,7 @@
             if (!call.isWaiting()) {
                 return;
             }
-            if (mHopeless.isHopeless(call.request(), 0, mLimit.limit())) {
+            if (mHopeless.isHopeless(call.request())) {
                 refuseWaiting(call, RefusalReason.DEADLINE_HOPELESS, notices);
             } else {
                 startTimer(call);
@@ -160,7 +173,7 @@
         Optional<WaitingCall> head = mQueue.peek();
         while (head.isPresent() && hasRoom(head.get().request())) {
             WaitingCall call = head.get();
-            if (isHopeless(call.request(), 0)) {
+            if (isWaste(call.request())) {
                 refuseWaiting(call, RefusalReason.DEADLINE_HOPELESS, notices);
             } else {
                 mQueue.poll();
@@ -328,6 +341,7 @@
         private Optional<ConcurrencyLimit> mLimit = Optional.empty();
         private QueueOrder mOrder = QueueOrder.FAIR;
         private int mMaxQueue = DEFAULT_MAX_QUEUE;
+        private int mWarmUpAnswers = AdaptiveLimit.Builder.DEFAULT_WARM_UP_ANSWERS;
 
         /**
          * Starts with the defaults for a group.
@@ -353,6 +367,12 @@
             return this;
         }
 
+        /** Sets the least number of good answers for each step of the adaptive limit's warm-up. */
+        public Builder warmUpAnswers(int answers) {
+            mWarmUpAnswers = answers;
+            return this;
+        }
+
         /** Sets the order of waiting calls. */
         public Builder order(QueueOrder order) {
             mOrder = Objects.requireNonNull(order, "order");
--- a/core/src/main/java/org/boragethread/core/admission/HopelessCheck.java
+++ b/core/src/main/java/org/boragethread/core/admission/HopelessCheck.java
@@ -12,6 +12,7 @@
     private static final int MIN_SAMPLES = 8;
     private static final double OPTIMISTIC = 0.25;
     private static final double TYPICAL = 0.5;
+    private static final double CAUTIOUS = 0.9;
     private static final Duration PROBE_INTERVAL = Duration.ofSeconds(1);
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(10);
     private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
@@ -37,10 +38,18 @@
         return deadline == Long.MAX_VALUE ? deadline : deadline - mTime.nanoTime();
     }
 
-    /** Tells whether a call cannot end in time after the given number of calls ahead of it. */
-    boolean isHopeless(GateRequest request, int ahead, int limit) {
-        long needed = optimisticNanos() + ahead * typicalNanos() / limit;
-        return left(request) < needed;
+    /** Tells whether a call cannot end in time even if it runs at once and is answered quickly. */
+    boolean isHopeless(GateRequest request) {
+        return left(request) < nanos(OPTIMISTIC);
+    }
+
+    /**
+     * Tells whether a call is likely to end late after the given number of calls ahead of it. Used
+     * while others wait, who make better use of the upstream.
+     */
+    boolean isLikelyLate(GateRequest request, int ahead, int limit) {
+        long wait = ahead * nanos(TYPICAL) / limit;
+        return left(request) < wait + nanos(CAUTIOUS);
     }
 
     /**
@@ -57,7 +66,7 @@
 
     /** Returns the time after which a waiting call becomes hopeless. */
     Duration untilHopeless(GateRequest request) {
-        return Duration.ofNanos(left(request) - optimisticNanos());
+        return Duration.ofNanos(left(request) - nanos(OPTIMISTIC));
     }
 
     /** Returns when the given number of waiting calls will have been admitted. */
@@ -73,11 +82,7 @@
         return wait.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : wait;
     }
 
-    private long optimisticNanos() {
-        return mTimes.quantile(OPTIMISTIC).map(Duration::toNanos).orElse(0L);
-    }
-
-    private long typicalNanos() {
-        return mTimes.quantile(TYPICAL).map(Duration::toNanos).orElse(0L);
+    private long nanos(double quantile) {
+        return mTimes.quantile(quantile).map(Duration::toNanos).orElse(0L);
     }
 }
--- a/core/src/main/java/org/boragethread/core/limit/AdaptiveLimit.java
+++ b/core/src/main/java/org/boragethread/core/limit/AdaptiveLimit.java
@@ -13,6 +13,7 @@
  * round trip, and a batch of calls that fail together lowers the limit once. While the upstream
  * warms up a step takes more answers than later. A limit at which the upstream was overloaded is
  * tried again only after a pause, which doubles each time the upstream is overloaded there again.
+ * An upstream that breaks down while it warms up gets twice the answers for each step from then on.
  */
 public final class AdaptiveLimit implements ConcurrencyLimit {
 
@@ -22,6 +23,7 @@
     private static final Duration MAX_PAUSE_AT_CEILING = Duration.ofSeconds(6);
     private static final int MAX_DOUBLINGS = 5;
     private static final int WARM_UP_ROUNDS = 2;
+    private static final int MAX_WARM_UP_ANSWERS = 512;
     private static final int WARM_FACTOR = 4;
     private static final Duration IDLE_TIME = Duration.ofSeconds(30);
     private static final Duration MAX_REPORT_AGE = Duration.ofSeconds(2);
@@ -34,7 +36,7 @@
 
     private final TimeSource mTime;
     private final LatencyMonitor mLatency;
-    private final int mWarmUpAnswers;
+    private int mWarmUpAnswers;
     private int mColdLimit;
     private int mMaxLimit;
     private int mLimit;
@@ -117,7 +119,10 @@
     }
 
     private int answersToRise() {
-        return mCold ? Math.max(mWarmUpAnswers, WARM_UP_ROUNDS * limit()) : limit();
+        if (!mCold || mLimit < mColdLimit) {
+            return limit();
+        }
+        return Math.max(mWarmUpAnswers, WARM_UP_ROUNDS * limit());
     }
 
     private Optional<LimitChange> rise() {
@@ -161,15 +166,23 @@
             mLimitAtFirstFailure = mLimit;
         }
         if (mFailures >= FAILURES_OF_COLD) {
-            mFailures = 0;
-            if (mLimitAtFirstFailure > mColdLimit) {
-                markCeiling(mLimitAtFirstFailure);
-            }
+            onBreakdown();
             return reset(LimitChangeReason.COLD_AGAIN);
         }
         return sample.startNanos() < mChangedAt ? Optional.empty() : onFirstFailure(sample, kind);
     }
 
+    private void onBreakdown() {
+        mFailures = 0;
+        if (mLimitAtFirstFailure <= mColdLimit) {
+            return;
+        }
+        markCeiling(mLimitAtFirstFailure);
+        if (mCold) {
+            mWarmUpAnswers = Math.min(MAX_WARM_UP_ANSWERS, 2 * mWarmUpAnswers);
+        }
+    }
+
     private Optional<LimitChange> onFirstFailure(CallSample sample, FailureKind kind) {
         switch (kind) {
             case BUSY:
@@ -255,7 +268,8 @@
 
     /** Makes limits. */
     public static final class Builder {
-        private static final int DEFAULT_WARM_UP_ANSWERS = 16;
+        /** Default for {@link #warmUpAnswers}. */
+        public static final int DEFAULT_WARM_UP_ANSWERS = 32;
 
         private final TimeSource mTime;
         private final int mColdLimit;
--- a/core/src/test/java/org/boragethread/core/admission/AdaptiveGateTest.java
+++ b/core/src/test/java/org/boragethread/core/admission/AdaptiveGateTest.java
@@ -216,7 +216,7 @@
     }
 
     private void learnServiceTime() {
-        for (int i = 0; i < 20; i++) {
+        for (int i = 0; i < 40; i++) {
             CallRecorder.Call one = mCalls.offer(Priority.NORMAL);
             CallRecorder.Call two = mCalls.offer(Priority.NORMAL);
             mTime.advance(SERVICE);
