Tell chance failures from overload, and hedge only where there is room

Cause: at 2 % random failures the limits fell to the cold limit, because good answers of calls admitted before the last change did not end a run of failures; hedges competed with first calls on busy upstreams. Change: any good answer ends a run; an upstream that fails as often at its cold limit as above it is not lowered further for single failures; a hedge waits for at least twice the typical time and needs a group at most half in use.

--- a/core/src/main/java/org/boragethread/core/limit/AdaptiveLimit.java
+++ b/core/src/main/java/org/boragethread/core/limit/AdaptiveLimit.java
@@ -31,17 +31,16 @@
     private static final double FAILED_FACTOR = 0.8;
     private static final double TIMED_OUT_FACTOR = 0.7;
     private static final double LATENCY_FACTOR = 0.7;
-    private static final int FAILURES_OF_COLD = 3;
     private static final double TIMEOUT_LATENCY_FACTOR = 2;
 
     private final TimeSource mTime;
     private final LatencyMonitor mLatency;
+    private final FailureHistory mFailures = new FailureHistory();
     private int mWarmUpAnswers;
     private int mColdLimit;
     private int mMaxLimit;
     private int mLimit;
     private int mGood;
-    private int mFailures;
     private int mLimitAtFirstFailure;
     private boolean mCold = true;
     private int mCeiling = Integer.MAX_VALUE;
@@ -85,11 +84,11 @@
     @Override
     public Optional<LimitChange> onGood(CallSample sample) {
         mLastGoodAt = mTime.nanoTime();
+        mFailures.add(false, isLowLoad(sample));
         if (sample.startNanos() < mChangedAt) {
             return Optional.empty();
         }
-        mFailures = 0;
-        switch (mLatency.add(sample.latency(), sample.inFlight() <= mColdLimit)) {
+        switch (mLatency.add(sample.latency(), isLowLoad(sample))) {
             case SEVERE:
                 return reset(LimitChangeReason.COLD_AGAIN);
             case JUMP:
@@ -160,20 +159,23 @@
 
     @Override
     public Optional<LimitChange> onFailure(CallSample sample, FailureKind kind) {
-        mGood = 0;
-        mFailures++;
-        if (mFailures == 1) {
+        mFailures.add(true, isLowLoad(sample));
+        if (mFailures.run() == 1) {
             mLimitAtFirstFailure = mLimit;
         }
-        if (mFailures >= FAILURES_OF_COLD) {
+        if (mFailures.isBreakdown()) {
             onBreakdown();
             return reset(LimitChangeReason.COLD_AGAIN);
         }
-        return sample.startNanos() < mChangedAt ? Optional.empty() : onFirstFailure(sample, kind);
+        return sample.startNanos() < mChangedAt ? Optional.empty() : onSingleFailure(sample, kind);
+    }
+
+    private boolean isLowLoad(CallSample sample) {
+        return sample.inFlight() <= mColdLimit;
     }
 
     private void onBreakdown() {
-        mFailures = 0;
+        mFailures.endRun();
         if (mLimitAtFirstFailure <= mColdLimit) {
             return;
         }
@@ -183,13 +185,15 @@
         }
     }
 
-    private Optional<LimitChange> onFirstFailure(CallSample sample, FailureKind kind) {
+    private Optional<LimitChange> onSingleFailure(CallSample sample, FailureKind kind) {
         switch (kind) {
             case BUSY:
                 markCeiling(mLimit);
                 return lower(BUSY_FACTOR, LimitChangeReason.BUSY);
             case FAILED:
-                return lower(FAILED_FACTOR, LimitChangeReason.FAILED);
+                return mFailures.isMoreThanUsual()
+                        ? lower(FAILED_FACTOR, LimitChangeReason.FAILED)
+                        : Optional.empty();
             default:
                 return isUpstreamSlow(sample)
                         ? lower(TIMED_OUT_FACTOR, LimitChangeReason.TIMED_OUT)
--- a/core/src/main/java/org/boragethread/core/retry/HedgeDecision.java
+++ b/core/src/main/java/org/boragethread/core/retry/HedgeDecision.java
@@ -10,6 +10,8 @@
     NOT_IDEMPOTENT,
     /** Too little time is left for a second attempt. */
     NO_TIME,
+    /** The group is too busy for a second attempt. */
+    NO_ROOM,
     /** The group's budget of extra calls is used up. */
     BUDGET_EXHAUSTED,
     /** Hedges are switched off. */
--- a/core/src/main/java/org/boragethread/core/retry/HedgeRequest.java
+++ b/core/src/main/java/org/boragethread/core/retry/HedgeRequest.java
@@ -8,8 +8,9 @@
  *
  * @param idempotent whether the stage may run more than once for one request
  * @param left time left to the stage
+ * @param utilisation running and waiting calls of the group as a share of its limits
  */
-public record HedgeRequest(boolean idempotent, Duration left) {
+public record HedgeRequest(boolean idempotent, Duration left, double utilisation) {
 
     public HedgeRequest {
         Objects.requireNonNull(left, "left");
--- a/core/src/main/java/org/boragethread/core/retry/TailHedge.java
+++ b/core/src/main/java/org/boragethread/core/retry/TailHedge.java
@@ -4,11 +4,16 @@
 import java.util.Optional;
 import org.boragethread.core.deadline.ServiceTimes;
 
-/** Hedges an idempotent attempt once it takes longer than nearly all of its group's. */
+/**
+ * Hedges an idempotent attempt once it takes longer than nearly all of its group's and at least
+ * twice as long as most, and only while the group has room for the second attempt.
+ */
 public final class TailHedge implements HedgePolicy {
 
     private static final double TAIL = 0.95;
     private static final double TYPICAL = 0.5;
+    private static final int MIN_MULTIPLE_OF_TYPICAL = 2;
+    private static final double MAX_UTILISATION = 0.5;
 
     @Override
     public Optional<Duration> delay(HedgeRequest request, ServiceTimes times) {
@@ -16,10 +21,15 @@
             return Optional.empty();
         }
         Optional<Duration> tail = times.quantile(TAIL);
-        if (tail.isEmpty() || !leavesTime(request.left().minus(tail.get()), times)) {
+        Optional<Duration> typical = times.quantile(TYPICAL);
+        if (tail.isEmpty() || typical.isEmpty()) {
             return Optional.empty();
         }
-        return tail;
+        Duration least = typical.get().multipliedBy(MIN_MULTIPLE_OF_TYPICAL);
+        Duration delay = tail.get().compareTo(least) < 0 ? least : tail.get();
+        return leavesTime(request.left().minus(delay), times)
+                ? Optional.of(delay)
+                : Optional.empty();
     }
 
     @Override
@@ -30,6 +40,9 @@
         if (!leavesTime(request.left(), times)) {
             return HedgeDecision.NO_TIME;
         }
+        if (request.utilisation() > MAX_UTILISATION) {
+            return HedgeDecision.NO_ROOM;
+        }
         return budget.tryTake(ExtraKind.EXTRA_CALL)
                 ? HedgeDecision.SENT
                 : HedgeDecision.BUDGET_EXHAUSTED;
--- a/core/src/test/java/org/boragethread/core/retry/TailHedgeTest.java
+++ b/core/src/test/java/org/boragethread/core/retry/TailHedgeTest.java
@@ -12,7 +12,7 @@
 /** Tests {@link TailHedge}. */
 public class TailHedgeTest {
 
-    private static final HedgeRequest IDEMPOTENT = new HedgeRequest(true, Duration.ofSeconds(2));
+    private static final HedgeRequest IDEMPOTENT = new HedgeRequest(true, Duration.ofSeconds(2), 0);
 
     private final HedgePolicy mPolicy = new TailHedge();
     private ManualTimeSource mTime;
@@ -36,7 +36,7 @@
 
     @Test
     public void stageThatIsNotIdempotentIsNeverHedged() {
-        HedgeRequest request = new HedgeRequest(false, Duration.ofSeconds(2));
+        HedgeRequest request = new HedgeRequest(false, Duration.ofSeconds(2), 0);
         assertEquals(mPolicy.delay(request, mTimes), Optional.empty());
         assertEquals(mPolicy.decide(request, mTimes, mBudget), HedgeDecision.NOT_IDEMPOTENT);
     }
@@ -49,10 +49,24 @@
 
     @Test
     public void hedgeThatCannotWinIsNotPlanned() {
-        HedgeRequest request = new HedgeRequest(true, Duration.ofMillis(850));
+        HedgeRequest request = new HedgeRequest(true, Duration.ofMillis(850), 0);
         assertEquals(mPolicy.delay(request, mTimes), Optional.empty());
     }
 
+    @Test
+    public void evenTimesAreHedgedOnlyAtTwiceTheTypical() {
+        for (int i = 0; i < 10_000; i++) {
+            mTimes.record(Duration.ofMillis(100));
+        }
+        assertEquals(mPolicy.delay(IDEMPOTENT, mTimes).get().toMillis(), 200, 2);
+    }
+
+    @Test
+    public void busyGroupIsNotHedged() {
+        HedgeRequest request = new HedgeRequest(true, Duration.ofSeconds(2), 0.6);
+        assertEquals(mPolicy.decide(request, mTimes, mBudget), HedgeDecision.NO_ROOM);
+    }
+
     @Test
     public void hedgesComeOutOfTheBudget() {
         assertEquals(mPolicy.decide(IDEMPOTENT, mTimes, mBudget), HedgeDecision.SENT);
