Bear failures that a lower limit does not help

Cause: an upstream that fails a constant share of calls at any load was held near its cold limit. Change: single failures lower the limit at most once a second; if half the limit fails as large a share, that share is borne and the limit may rise.

--- a/core/src/main/java/org/boragethread/core/limit/AdaptiveLimit.java
+++ b/core/src/main/java/org/boragethread/core/limit/AdaptiveLimit.java
@@ -84,7 +84,7 @@
     @Override
     public Optional<LimitChange> onGood(CallSample sample) {
         mLastGoodAt = mTime.nanoTime();
-        mFailures.add(false, isLowLoad(sample));
+        mFailures.add(false);
         if (sample.startNanos() < mChangedAt) {
             return Optional.empty();
         }
@@ -104,7 +104,7 @@
             return Optional.empty();
         }
         mGood++;
-        if (mGood < answersToRise()) {
+        if (mGood < answersToRise() || !mFailures.allowsRise()) {
             return Optional.empty();
         }
         checkWarm();
@@ -159,7 +159,7 @@
 
     @Override
     public Optional<LimitChange> onFailure(CallSample sample, FailureKind kind) {
-        mFailures.add(true, isLowLoad(sample));
+        mFailures.add(true);
         if (mFailures.run() == 1) {
             mLimitAtFirstFailure = mLimit;
         }
@@ -191,7 +191,7 @@
                 markCeiling(mLimit);
                 return lower(BUSY_FACTOR, LimitChangeReason.BUSY);
             case FAILED:
-                return mFailures.isMoreThanUsual()
+                return mFailures.lowersLimit(mLimit, mTime.nanoTime())
                         ? lower(FAILED_FACTOR, LimitChangeReason.FAILED)
                         : Optional.empty();
             default:
--- a/core/src/main/java/org/boragethread/core/limit/FailureHistory.java
+++ b/core/src/main/java/org/boragethread/core/limit/FailureHistory.java
@@ -1,35 +1,53 @@
 package org.boragethread.core.limit;
 
+import java.time.Duration;
+
 /**
- * Tells failures that overload explains from those that come at any load. An upstream that fails
- * often even at its cold limit is not helped by a lower limit, so that share of failures is taken
- * as usual for it.
+ * Tells failures that overload explains from those that come at any load. Failures lower the limit
+ * step by step; if half the limit fails as large a share of calls as the whole one did, a lower
+ * limit does not help, and failures up to about that share are borne from then on.
  */
 final class FailureHistory {
 
-    private static final double LEARNING_SHARE = 0.02;
+    private static final double RECENT_WEIGHT = 0.05;
+    private static final double LONG_WEIGHT = 0.01;
     private static final double NEGLIGIBLE_SHARE = 0.05;
-    private static final double CHANCE_OF_RUN = 0.02;
+    private static final double CHANCE_OF_RUN = 1e-5;
     private static final int MIN_RUN = 3;
     private static final int MAX_RUN = 20;
-    private static final int WINDOW = 16;
+    private static final long MIN_NANOS_BETWEEN_FALLS = Duration.ofSeconds(1).toNanos();
+    private static final int MIN_CALLS_TO_COMPARE = 16;
+    private static final double HELPED_FACTOR = 0.7;
     private static final double EXCESS_FACTOR = 1.5;
     private static final double EXCESS_SHARE = 0.1;
 
-    private final boolean[] mWindow = new boolean[WINDOW];
-    private int mNext;
-    private int mFailedInWindow;
+    private double mRecentShare;
+    private double mLongShare;
     private int mRun;
-    private double mUsualShare;
+    private boolean mIsComparing;
+    private int mFirstLimit;
+    private double mFirstShare;
+    private int mCalls;
+    private long mLastFallNanos;
+    private double mBorneShare;
 
     /** Adds the end of a call. */
-    void add(boolean failed, boolean lowLoad) {
-        mFailedInWindow += (failed ? 1 : 0) - (mWindow[mNext] ? 1 : 0);
-        mWindow[mNext] = failed;
-        mNext = (mNext + 1) % WINDOW;
-        mRun = failed ? mRun + 1 : 0;
-        if (lowLoad) {
-            mUsualShare += LEARNING_SHARE * ((failed ? 1 : 0) - mUsualShare);
+    void add(boolean failed) {
+        mCalls++;
+        mRecentShare += RECENT_WEIGHT * ((failed ? 1 : 0) - mRecentShare);
+        if (failed) {
+            mRun++;
+            return;
+        }
+        // A run counts in the long run only once it is known not to be a breakdown.
+        for (int i = 0; i < mRun; i++) {
+            mLongShare += LONG_WEIGHT * (1 - mLongShare);
+        }
+        mLongShare -= LONG_WEIGHT * mLongShare;
+        mRun = 0;
+        if (mRecentShare < NEGLIGIBLE_SHARE) {
+            mIsComparing = false;
+            mBorneShare = 0;
         }
     }
 
@@ -45,23 +63,59 @@
 
     /** Tells whether there are too many failures in a row to be chance. */
     boolean isBreakdown() {
-        return mRun >= runOfBreakdown();
+        if (mLongShare < NEGLIGIBLE_SHARE / 2) {
+            return mRun >= MIN_RUN;
+        }
+        double run = Math.ceil(Math.log(CHANCE_OF_RUN) / Math.log(mLongShare));
+        return mRun >= Math.max(MIN_RUN, Math.min(MAX_RUN, run));
+    }
+
+    /** Tells whether the limit may rise: few calls fail, or no more than a lower limit would. */
+    boolean allowsRise() {
+        return mRecentShare < NEGLIGIBLE_SHARE || mBorneShare > 0;
     }
 
-    /** Tells whether calls fail more often than at the cold limit. */
-    boolean isMoreThanUsual() {
-        if (mUsualShare < NEGLIGIBLE_SHARE) {
+    /** Tells whether a failed call lowers the limit. */
+    boolean lowersLimit(int limit, long nowNanos) {
+        if (mBorneShare > 0) {
+            if (mRecentShare <= EXCESS_FACTOR * mBorneShare + EXCESS_SHARE) {
+                return false;
+            }
+            mBorneShare = 0;
+        }
+        if (!mIsComparing) {
+            startComparing(limit, nowNanos);
             return true;
         }
-        double share = mFailedInWindow / (double) WINDOW;
-        return share > EXCESS_FACTOR * mUsualShare + EXCESS_SHARE;
+        if (nowNanos - mLastFallNanos < MIN_NANOS_BETWEEN_FALLS) {
+            return false;
+        }
+        mLastFallNanos = nowNanos;
+        return !isWithoutHelp(limit);
+    }
+
+    private void startComparing(int limit, long nowNanos) {
+        mIsComparing = true;
+        mFirstLimit = limit;
+        mFirstShare = 0;
+        mCalls = 0;
+        mLastFallNanos = nowNanos;
     }
 
-    private int runOfBreakdown() {
-        if (mUsualShare < NEGLIGIBLE_SHARE) {
-            return MIN_RUN;
+    /** Compares the share of failures with that at the first limit. */
+    private boolean isWithoutHelp(int limit) {
+        if (mCalls < MIN_CALLS_TO_COMPARE) {
+            return false;
+        }
+        if (mFirstShare == 0) {
+            mFirstShare = mRecentShare;
+        }
+        boolean isHalf = limit <= Math.max(1, mFirstLimit / 2);
+        if (!isHalf || mRecentShare < HELPED_FACTOR * mFirstShare) {
+            return false;
         }
-        double run = Math.log(CHANCE_OF_RUN) / Math.log(Math.min(0.99, mUsualShare));
-        return (int) Math.max(MIN_RUN, Math.min(MAX_RUN, Math.ceil(run)));
+        mBorneShare = mRecentShare;
+        mIsComparing = false;
+        return true;
     }
 }
