--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/claim/ClaimAttempt.java
@@ -0,0 +1,251 @@
+package org.boragethread.core.claim;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.model.claim.ClaimTarget;
+import org.boragethread.model.outcome.Ran;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+
+/** One caller's way through the states of its key. */
+final class ClaimAttempt {
+
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final ClaimService mService;
+    private final EffectRequest mRequest;
+    private final KeyHash mKey;
+    private final ClaimTarget mTarget;
+    private final long mDeadlineNanos;
+    private final CompletableFuture<Either<Refusal, ClaimDecision>> mDecision =
+            new CompletableFuture<>();
+    private final Runnable mOnChange = this::evaluate;
+    // Set while a claim of this attempt is on its way, so that at most one is.
+    private final AtomicBoolean mAppending = new AtomicBoolean();
+    private final AtomicBoolean mInquiring = new AtomicBoolean();
+    private volatile Scheduler.Timer mPoll = () -> {};
+
+    ClaimAttempt(
+            ClaimService service, EffectRequest request, ClaimTarget target, Duration remaining) {
+        mService = service;
+        mRequest = request;
+        mKey = request.keyHash();
+        mTarget = target;
+        mDeadlineNanos = service.time().nanoTime() + remaining.toNanos();
+    }
+
+    CompletableFuture<Either<Refusal, ClaimDecision>> start() {
+        mService.listeners().add(mKey, mOnChange);
+        Scheduler.Timer deadline = mService.scheduler().schedule(remaining(), this::onDeadline);
+        mDecision.whenComplete((decision, error) -> stop(deadline));
+        evaluate();
+        return mDecision;
+    }
+
+    private void stop(Scheduler.Timer deadline) {
+        mService.listeners().remove(mKey, mOnChange);
+        deadline.cancel();
+        mPoll.cancel();
+    }
+
+    private Duration remaining() {
+        return Duration.ofNanos(mDeadlineNanos - mService.time().nanoTime());
+    }
+
+    private void evaluate() {
+        if (mDecision.isDone() || mAppending.get()) {
+            return;
+        }
+        Optional<ClaimView> known = mService.table().find(mKey);
+        if (known.isEmpty() || known.get().status() == ClaimStatus.RELEASED) {
+            append();
+            return;
+        }
+        judge(known.get());
+    }
+
+    private void append() {
+        if (!mAppending.compareAndSet(false, true)) {
+            return;
+        }
+        mPoll.cancel();
+        Duration limit = shorter(remaining(), mService.settings().appendTimeout());
+        if (limit.isNegative() || limit.isZero()) {
+            refuse(notRun("the deadline passed before the claim could be appended"));
+            return;
+        }
+        if (mService.table().size() >= mService.settings().maxKeys()) {
+            refuse(notRun("the entry holds as many keys as it may"));
+            return;
+        }
+        mService.append(mKey, claimRecord(), limit).thenAccept(this::onVerdict);
+    }
+
+    private ClaimRecord.Claim claimRecord() {
+        return new ClaimRecord.Claim(
+                mKey,
+                mRequest.bodyHash(),
+                mRequest.request(),
+                mService.entry(),
+                mRequest.stage(),
+                mTarget);
+    }
+
+    private static Duration shorter(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
+
+    private static Refusal notRun(String detail) {
+        return Refusal.notRun(RefusalReason.LOG_UNAVAILABLE, detail, RETRY_AFTER);
+    }
+
+    private void onVerdict(Either<Refusal, ClaimVerdict> verdict) {
+        if (verdict.isLeft()) {
+            refuse(verdict.getLeft());
+            return;
+        }
+        if (verdict.get() instanceof ClaimVerdict.Won won) {
+            mDecision.complete(Either.right(new ClaimDecision.Run(won.claim().ref())));
+            return;
+        }
+        mAppending.set(false);
+        if (remaining().isNegative() || remaining().isZero()) {
+            onDeadline();
+        } else {
+            evaluate();
+        }
+    }
+
+    private void judge(ClaimView holder) {
+        if (holder.status() != ClaimStatus.UNCERTAIN && holder.bodyHash() != mRequest.bodyHash()) {
+            refuse(Refusal.notRun(RefusalReason.KEY_REUSED, "the key's first body differs"));
+            return;
+        }
+        switch (holder.status()) {
+            case DONE -> replay(holder);
+            case UNCERTAIN -> refuse(unknown("the log no longer shows the key's first use"));
+            case UNRESOLVED -> inquire(holder);
+            default -> awaitOutcome(holder);
+        }
+    }
+
+    private static Refusal unknown(String detail) {
+        return Refusal.unknown(RefusalReason.KEY_OUTCOME_UNKNOWN, detail);
+    }
+
+    private void replay(ClaimView claim) {
+        mService.outcomes()
+                .find(claim)
+                .thenAccept(
+                        outcome -> {
+                            if (outcome.isPresent()) {
+                                mDecision.complete(
+                                        Either.right(
+                                                new ClaimDecision.Replay(
+                                                        claim.ref(), outcome.get())));
+                            } else {
+                                refuse(unreadable(claim));
+                            }
+                        });
+    }
+
+    private static Refusal unreadable(ClaimView claim) {
+        return new Refusal(
+                RefusalReason.LOG_UNAVAILABLE,
+                Ran.YES,
+                "claim %s ran, but its outcome cannot be read now".formatted(claim.ref()),
+                Optional.of(RETRY_AFTER));
+    }
+
+    private void awaitOutcome(ClaimView holder) {
+        if (mService.outcomes().cached(holder.ref()).isPresent()) {
+            replay(holder);
+            return;
+        }
+        poll(holder, looksDead(holder) ? Duration.ZERO : mService.settings().inquiryDelay());
+    }
+
+    private void poll(ClaimView holder, Duration delay) {
+        mPoll.cancel();
+        mPoll = mService.scheduler().schedule(delay, () -> inquireAgain(holder));
+    }
+
+    private void inquireAgain(ClaimView holder) {
+        if (mDecision.isDone()) {
+            return;
+        }
+        Optional<ClaimView> now = mService.table().find(mKey);
+        if (now.filter(n -> n.ref().equals(holder.ref()) && isOpen(n)).isPresent()) {
+            inquire(now.get());
+        } else {
+            evaluate();
+        }
+    }
+
+    private void onDeadline() {
+        if (mDecision.isDone() || mAppending.get()) {
+            return;
+        }
+        refuse(
+                new Refusal(
+                        RefusalReason.KEY_IN_PROGRESS,
+                        Ran.UNKNOWN,
+                        "an earlier claim for the key has no outcome yet",
+                        Optional.of(RETRY_AFTER)));
+    }
+
+    private boolean looksDead(ClaimView holder) {
+        return holder.open().filter(o -> mService.liveness().looksDead(o.entry())).isPresent();
+    }
+
+    private void inquire(ClaimView holder) {
+        if (mDecision.isDone() || !mInquiring.compareAndSet(false, true)) {
+            return;
+        }
+        mService.recovery()
+                .recover(holder, shouldFence(holder))
+                .thenAccept(
+                        answer -> {
+                            mInquiring.set(false);
+                            onAnswer(holder, answer);
+                        });
+    }
+
+    private boolean shouldFence(ClaimView holder) {
+        boolean isMine = holder.open().filter(o -> o.entry().equals(mService.entry())).isPresent();
+        if (isMine) {
+            return false;
+        }
+        long ageMillis = mService.time().millis() - holder.timeMillis();
+        return looksDead(holder) || ageMillis >= mService.settings().fenceAfter().toMillis();
+    }
+
+    private void onAnswer(ClaimView holder, Optional<ClaimAnswer> answer) {
+        if (mDecision.isDone()) {
+            return;
+        }
+        boolean isUnknown = answer.filter(a -> a.state() == ClaimAnswer.State.UNKNOWN).isPresent();
+        boolean isUnresolved = holder.status() == ClaimStatus.UNRESOLVED;
+        if (answer.flatMap(ClaimAnswer::outcome).isPresent()) {
+            mDecision.complete(
+                    Either.right(
+                            new ClaimDecision.Replay(holder.ref(), answer.get().outcome().get())));
+        } else if (isUnknown || (isUnresolved && answer.isEmpty())) {
+            refuse(unknown("agent of claim %s cannot vouch for it".formatted(holder.ref())));
+        } else {
+            poll(holder, mService.settings().inquiryDelay());
+        }
+    }
+
+    private static boolean isOpen(ClaimView claim) {
+        return claim.status() == ClaimStatus.OPEN || claim.status() == ClaimStatus.UNRESOLVED;
+    }
+
+    private void refuse(Refusal refusal) {
+        mDecision.complete(Either.left(refusal));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/claim/ClaimLedger.java
@@ -0,0 +1,234 @@
+package org.boragethread.core.claim;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Pure fold of one claim stream: the same records give the same state in every process. It reads no
+ * clock; a claim expires by the times of later records. Not safe for use by several threads.
+ *
+ * <p>A fold that starts after the stream's beginning has not seen older claims. Until one retention
+ * time of records has passed, it cannot tell who holds a key that appears; such a key stays {@link
+ * ClaimStatus#UNCERTAIN} until no claim for it has come for one retention time. The log must
+ * therefore keep records for at least twice the retention time of claims.
+ */
+public final class ClaimLedger {
+
+    private static final long UNKNOWN_TIME = Long.MIN_VALUE;
+
+    private final int mPartition;
+    private final long mRetentionMillis;
+    private final ClaimPolicy mPolicy;
+    // Ordered by the time of the claim, oldest first.
+    private final LinkedHashMap<KeyHash, ClaimState> mByKey = new LinkedHashMap<>();
+    private final Map<Long, ClaimState> mOpenByOffset = new HashMap<>();
+    private long mNextOffset;
+    private long mNowMillis = UNKNOWN_TIME;
+    private long mCertainFromMillis = UNKNOWN_TIME;
+    private boolean mTruncated;
+
+    /**
+     * Makes the ledger of a stream that is read from its beginning.
+     *
+     * @param partition number of the claim stream
+     * @param retention how long a claim holds its key, by log time
+     */
+    public ClaimLedger(int partition, Duration retention) {
+        this(partition, retention, ClaimPolicy.STRICT);
+    }
+
+    ClaimLedger(int partition, Duration retention, ClaimPolicy policy) {
+        mPartition = partition;
+        mRetentionMillis = retention.toMillis();
+        mPolicy = policy;
+    }
+
+    /**
+     * Forgets everything and starts again at an offset. A start above 0 misses older claims.
+     *
+     * @param firstOffset offset of the next record
+     */
+    public void restart(long firstOffset) {
+        mByKey.clear();
+        mOpenByOffset.clear();
+        mNextOffset = firstOffset;
+        mNowMillis = UNKNOWN_TIME;
+        mCertainFromMillis = UNKNOWN_TIME;
+        mTruncated = firstOffset > 0;
+    }
+
+    /** Returns the offset of the record that must come next. */
+    public long nextOffset() {
+        return mNextOffset;
+    }
+
+    /** Moves past a record that is not a claim record. */
+    public void skip(long offset, long timeMillis) {
+        advance(offset, timeMillis);
+    }
+
+    /**
+     * Applies the next record.
+     *
+     * @param offset the record's offset; a smaller one than {@link #nextOffset} is ignored
+     * @param timeMillis the record's log time, in milliseconds since 1970
+     * @param recordId the record's identifier
+     * @return what the record did
+     */
+    public ClaimVerdict apply(long offset, long timeMillis, String recordId, ClaimRecord record) {
+        if (offset < mNextOffset) {
+            return new ClaimVerdict.Ignored();
+        }
+        advance(offset, timeMillis);
+        if (record instanceof ClaimRecord.Claim claim) {
+            return applyClaim(claim, offset, Hashing.komihash5_0().hashCharsToLong(recordId));
+        }
+        if (record instanceof ClaimRecord.Release release) {
+            return applyRelease(release);
+        }
+        if (record instanceof ClaimRecord.Outcome outcome) {
+            return applyOutcome(outcome, offset);
+        }
+        if (record instanceof ClaimRecord.Handover handover) {
+            return applyHandover(handover);
+        }
+        return applyUnresolved((ClaimRecord.Unresolved) record);
+    }
+
+    private void advance(long offset, long timeMillis) {
+        if (offset > mNextOffset) {
+            restart(offset);
+        }
+        mNextOffset = offset + 1;
+        mNowMillis = Math.max(mNowMillis, timeMillis);
+        if (mTruncated && mCertainFromMillis == UNKNOWN_TIME) {
+            mCertainFromMillis = mNowMillis + mRetentionMillis;
+        }
+        expire();
+    }
+
+    private void expire() {
+        Iterator<ClaimState> states = mByKey.values().iterator();
+        while (states.hasNext()) {
+            ClaimState state = states.next();
+            if (mNowMillis - state.timeMillis() < mRetentionMillis) {
+                return;
+            }
+            states.remove();
+            mOpenByOffset.remove(state.offset());
+        }
+    }
+
+    private ClaimVerdict applyClaim(ClaimRecord.Claim claim, long offset, long recordHash) {
+        ClaimState state = mByKey.get(claim.key());
+        if (state == null) {
+            return isCertain()
+                    ? hold(new ClaimState(claim.key()), claim, offset, recordHash)
+                    : markUncertain(new ClaimState(claim.key()), claim, offset);
+        }
+        if (state.status() == ClaimStatus.UNCERTAIN) {
+            return markUncertain(state, claim, offset);
+        }
+        if (state.isRepeated(recordHash)) {
+            return new ClaimVerdict.Ignored();
+        }
+        if (state.status() == ClaimStatus.RELEASED || !mPolicy.firstClaimHolds()) {
+            return hold(state, claim, offset, recordHash);
+        }
+        state.spend(recordHash);
+        ClaimView holder = state.view(mPartition);
+        return state.bodyHash() == claim.bodyHash()
+                ? new ClaimVerdict.Lost(holder)
+                : new ClaimVerdict.KeyReused(holder);
+    }
+
+    private boolean isCertain() {
+        return !mTruncated || mNowMillis >= mCertainFromMillis;
+    }
+
+    private ClaimVerdict hold(
+            ClaimState state, ClaimRecord.Claim claim, long offset, long recordHash) {
+        mOpenByOffset.remove(state.offset());
+        state.hold(claim, offset, mNowMillis, recordHash);
+        moveToNewest(state);
+        mOpenByOffset.put(offset, state);
+        return new ClaimVerdict.Won(state.view(mPartition));
+    }
+
+    private ClaimVerdict markUncertain(ClaimState state, ClaimRecord.Claim claim, long offset) {
+        state.markUncertain(claim, offset, mNowMillis);
+        moveToNewest(state);
+        return new ClaimVerdict.Lost(state.view(mPartition));
+    }
+
+    private void moveToNewest(ClaimState state) {
+        mByKey.remove(state.key());
+        mByKey.put(state.key(), state);
+    }
+
+    private ClaimVerdict applyRelease(ClaimRecord.Release release) {
+        ClaimState state = mOpenByOffset.get(release.claim());
+        if (state == null) {
+            return new ClaimVerdict.Ignored();
+        }
+        if (mPolicy.releaseNamesHandover() && release.handovers() != state.handovers()) {
+            return new ClaimVerdict.Ignored();
+        }
+        mOpenByOffset.remove(release.claim());
+        state.release();
+        return new ClaimVerdict.Changed(state.view(mPartition));
+    }
+
+    private ClaimVerdict applyOutcome(ClaimRecord.Outcome outcome, long offset) {
+        ClaimState state = mOpenByOffset.remove(outcome.claim());
+        if (state == null) {
+            return new ClaimVerdict.Ignored();
+        }
+        state.finish(offset);
+        return new ClaimVerdict.Changed(state.view(mPartition));
+    }
+
+    private ClaimVerdict applyHandover(ClaimRecord.Handover handover) {
+        ClaimState state = mOpenByOffset.get(handover.claim());
+        if (state == null || handover.number() != state.handovers() + 1) {
+            return new ClaimVerdict.Ignored();
+        }
+        state.handOver(handover);
+        return new ClaimVerdict.Changed(state.view(mPartition));
+    }
+
+    private ClaimVerdict applyUnresolved(ClaimRecord.Unresolved unresolved) {
+        ClaimState state = mOpenByOffset.get(unresolved.claim());
+        if (state == null || unresolved.handovers() != state.handovers()) {
+            return new ClaimVerdict.Ignored();
+        }
+        state.markUnresolved();
+        return new ClaimVerdict.Changed(state.view(mPartition));
+    }
+
+    /** Returns the state of a key, or empty if no claim for it is known. */
+    public Optional<ClaimView> find(KeyHash key) {
+        return Optional.ofNullable(mByKey.get(key)).map(state -> state.view(mPartition));
+    }
+
+    /** Returns the state of an open or unresolved claim. */
+    public Optional<ClaimView> findOpen(long claimOffset) {
+        return Optional.ofNullable(mOpenByOffset.get(claimOffset))
+                .map(state -> state.view(mPartition));
+    }
+
+    /** Returns the number of keys that are kept. */
+    public int size() {
+        return mByKey.size();
+    }
+
+    /** Returns the number of claims without an outcome. */
+    public int openClaims() {
+        return mOpenByOffset.size();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/claim/ClaimRecovery.java
@@ -0,0 +1,74 @@
+package org.boragethread.core.claim;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragethread.model.claim.ClaimRef;
+
+/**
+ * Settles an open claim by asking the agent that it names. Only what the agent proves goes into the
+ * log: an outcome, or a release once the agent refuses the claim for good.
+ */
+public final class ClaimRecovery {
+
+    private static final Logger LOGGER = LogManager.getLogger(ClaimRecovery.class);
+
+    private final AgentInquiry mAgents;
+    private final ClaimWriter mWriter;
+    private final OutcomeStore mOutcomes;
+    private final Map<Question, CompletableFuture<Optional<ClaimAnswer>>> mAsking =
+            new ConcurrentHashMap<>();
+
+    ClaimRecovery(AgentInquiry agents, ClaimWriter writer, OutcomeStore outcomes) {
+        mAgents = agents;
+        mWriter = writer;
+        mOutcomes = outcomes;
+    }
+
+    /**
+     * Asks the claim's agent and records what it proves. Questions about the same claim are asked
+     * once at a time.
+     *
+     * @param claim an open or unresolved claim
+     * @param fence whether the agent must refuse the claim from now on unless it has run it
+     * @return the agent's answer, or empty if it cannot be reached now
+     */
+    public CompletableFuture<Optional<ClaimAnswer>> recover(ClaimView claim, boolean fence) {
+        if (claim.open().isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        ClaimView.Open open = claim.open().get();
+        Question question = new Question(claim.ref(), open.handovers(), fence);
+        CompletableFuture<Optional<ClaimAnswer>> mine = new CompletableFuture<>();
+        CompletableFuture<Optional<ClaimAnswer>> earlier = mAsking.putIfAbsent(question, mine);
+        if (earlier != null) {
+            return earlier;
+        }
+        mAgents.ask(open.target(), claim.ref(), fence)
+                .thenAccept(
+                        answer -> {
+                            mAsking.remove(question);
+                            answer.ifPresent(a -> record(claim, open, a, fence));
+                            mine.complete(answer);
+                        });
+        return mine;
+    }
+
+    private void record(ClaimView claim, ClaimView.Open open, ClaimAnswer answer, boolean fence) {
+        LOGGER.info("agent {} answers {} to claim {}", open.target(), answer.state(), claim.ref());
+        if (answer.outcome().isPresent()) {
+            mOutcomes.put(claim.ref(), answer.outcome().get());
+            mWriter.outcome(claim.ref(), answer.outcome().get());
+        } else if (answer.provesNotRun() && fence) {
+            mWriter.release(claim.ref(), open.handovers(), ReleaseProof.AGENT_FENCED);
+        } else if (answer.state() == ClaimAnswer.State.UNKNOWN
+                && claim.status() == ClaimStatus.OPEN) {
+            mWriter.unresolved(claim.ref(), open.handovers());
+        }
+    }
+
+    private record Question(ClaimRef ref, int handovers, boolean fence) {}
+}
--- a/core/src/main/java/org/boragethread/core/claim/EffectRequest.java
+++ b/core/src/main/java/org/boragethread/core/claim/EffectRequest.java
@@ -11,12 +11,18 @@
  * @param key the caller's idempotency key, joined with the stage's position
  * @param bodyHash hash of the pipeline's name and the caller's body, to recognise a reused key
  * @param request the caller's request
+ * @param stage index of the stage, from 0
  */
-public record EffectRequest(TeamId team, String key, long bodyHash, RequestId request) {
+public record EffectRequest(TeamId team, String key, long bodyHash, RequestId request, int stage) {
 
     public EffectRequest {
         Objects.requireNonNull(team, "team");
         Objects.requireNonNull(key, "key");
         Objects.requireNonNull(request, "request");
     }
+
+    /** Returns the hash under which the claim is kept. */
+    public KeyHash keyHash() {
+        return KeyHash.of(team, key);
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/claim/KeyListeners.java
@@ -0,0 +1,41 @@
+package org.boragethread.core.claim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Tasks that run when the state of a key changes. Safe for use by several threads. */
+final class KeyListeners {
+
+    private final Map<KeyHash, Set<Runnable>> mByKey = new HashMap<>();
+
+    synchronized void add(KeyHash key, Runnable listener) {
+        mByKey.computeIfAbsent(key, k -> new LinkedHashSet<>()).add(listener);
+    }
+
+    synchronized void remove(KeyHash key, Runnable listener) {
+        Set<Runnable> listeners = mByKey.get(key);
+        if (listeners == null) {
+            return;
+        }
+        listeners.remove(listener);
+        if (listeners.isEmpty()) {
+            mByKey.remove(key);
+        }
+    }
+
+    void fire(KeyHash key) {
+        copy(key).forEach(Runnable::run);
+    }
+
+    private synchronized List<Runnable> copy(KeyHash key) {
+        return new ArrayList<>(mByKey.getOrDefault(key, Set.of()));
+    }
+
+    synchronized int size() {
+        return mByKey.size();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/claim/OutcomeStore.java
@@ -0,0 +1,74 @@
+package org.boragethread.core.claim;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.boragethread.core.record.RecordCodec;
+import org.boragethread.core.record.RecordSource;
+import org.boragethread.model.claim.ClaimOutcome;
+import org.boragethread.model.claim.ClaimRef;
+
+/**
+ * Finds recorded outcomes: recent ones in a cache of bounded size, others in the log. Safe for use
+ * by several threads.
+ */
+final class OutcomeStore {
+
+    private static final int ENTRY_BYTES = 200;
+
+    private final RecordSource mSource;
+    private final long mMaxBytes;
+    private final LinkedHashMap<ClaimRef, ClaimOutcome> mCache = new LinkedHashMap<>();
+    private long mBytes;
+
+    OutcomeStore(RecordSource source, long maxBytes) {
+        mSource = source;
+        mMaxBytes = maxBytes;
+    }
+
+    synchronized void put(ClaimRef ref, ClaimOutcome outcome) {
+        if (mCache.putIfAbsent(ref, outcome) != null) {
+            return;
+        }
+        mBytes += outcome.keptBytes() + ENTRY_BYTES;
+        Iterator<Map.Entry<ClaimRef, ClaimOutcome>> oldest = mCache.entrySet().iterator();
+        while (mBytes > mMaxBytes && oldest.hasNext()) {
+            mBytes -= oldest.next().getValue().keptBytes() + ENTRY_BYTES;
+            oldest.remove();
+        }
+    }
+
+    synchronized Optional<ClaimOutcome> cached(ClaimRef ref) {
+        return Optional.ofNullable(mCache.get(ref));
+    }
+
+    CompletableFuture<Optional<ClaimOutcome>> find(ClaimView claim) {
+        Optional<ClaimOutcome> cached = cached(claim.ref());
+        if (cached.isPresent()) {
+            return CompletableFuture.completedFuture(cached);
+        }
+        String stream = ClaimSettings.stream(claim.ref().partition());
+        return mSource.read(stream, claim.outcomeOffset())
+                .thenApply(data -> data.flatMap(bytes -> decode(claim.ref(), bytes)));
+    }
+
+    private Optional<ClaimOutcome> decode(ClaimRef ref, byte[] data) {
+        Optional<ClaimOutcome> outcome =
+                ClaimTable.CODEC.decode(data).flatMap(record -> toOutcome(ref, record));
+        outcome.ifPresent(value -> put(ref, value));
+        return outcome;
+    }
+
+    private static Optional<ClaimOutcome> toOutcome(
+            ClaimRef ref, RecordCodec.Decoded<ClaimRecord> record) {
+        if (!(record.header() instanceof ClaimRecord.Outcome header)
+                || header.claim() != ref.offset()) {
+            return Optional.empty();
+        }
+        Optional<byte[]> body =
+                header.bodyOmitted() ? Optional.empty() : Optional.of(record.payload());
+        return Optional.of(new ClaimOutcome(header.status(), header.contentType(), body));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/record/RecordCodec.java
@@ -0,0 +1,122 @@
+package org.boragethread.core.record;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonValue;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+import org.boragethread.model.pipeline.PipelineId;
+import org.boragethread.model.place.EntryId;
+import org.boragethread.model.team.TeamId;
+import org.boragethread.model.upstream.UpstreamId;
+
+/**
+ * Encodes a record as one line of JSON, a line feed and the payload's bytes. Payloads are so stored
+ * without the growth of a text encoding.
+ *
+ * @param <T> sealed root type of the records
+ */
+public final class RecordCodec<T> {
+
+    private static final byte END_OF_HEADER = '\n';
+
+    private final ObjectMapper mMapper;
+    private final Class<T> mType;
+
+    /** Makes a codec for the subtypes that the root type's annotations name. */
+    public RecordCodec(Class<T> type) {
+        mType = type;
+        mMapper =
+                JsonMapper.builder()
+                        .addModule(new Jdk8Module())
+                        .serializationInclusion(JsonInclude.Include.NON_DEFAULT)
+                        .addMixIn(EntryId.class, NameMixIn.class)
+                        .addMixIn(UpstreamId.class, NameMixIn.class)
+                        .addMixIn(TeamId.class, NameMixIn.class)
+                        .addMixIn(PipelineId.class, NameMixIn.class)
+                        .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                        .build();
+    }
+
+    /** Encodes a record without a payload. */
+    public byte[] encode(T header) {
+        return encode(header, new byte[0]);
+    }
+
+    /** Encodes a record and its payload. */
+    public byte[] encode(T header, byte[] payload) {
+        byte[] line = headerBytes(header);
+        byte[] data = Arrays.copyOf(line, line.length + 1 + payload.length);
+        data[line.length] = END_OF_HEADER;
+        System.arraycopy(payload, 0, data, line.length + 1, payload.length);
+        return data;
+    }
+
+    private byte[] headerBytes(T header) {
+        try {
+            return mMapper.writerFor(mType)
+                    .writeValueAsString(header)
+                    .getBytes(StandardCharsets.UTF_8);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("cannot encode " + header, e);
+        }
+    }
+
+    /**
+     * Decodes a record.
+     *
+     * @return the record, or empty if the data is not of this codec
+     */
+    public Optional<Decoded<T>> decode(byte[] data) {
+        int end = indexOfHeaderEnd(data);
+        if (end < 0) {
+            return Optional.empty();
+        }
+        try {
+            T header = mMapper.readValue(data, 0, end, mType);
+            return Optional.ofNullable(header).map(h -> new Decoded<>(h, data, end + 1));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static int indexOfHeaderEnd(byte[] data) {
+        for (int i = 0; i < data.length; i++) {
+            if (data[i] == END_OF_HEADER) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private abstract static class NameMixIn {
+
+        @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+        NameMixIn(String value) {}
+
+        @JsonValue
+        abstract String value();
+    }
+
+    /**
+     * A decoded record.
+     *
+     * @param header the typed part
+     * @param data the whole content
+     * @param payloadStart position of the payload's first byte
+     */
+    public record Decoded<T>(T header, byte[] data, int payloadStart) {
+
+        /** Copies the payload. */
+        public byte[] payload() {
+            return Arrays.copyOfRange(data, payloadStart, data.length);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/record/RecordSink.java
@@ -0,0 +1,21 @@
+package org.boragethread.core.record;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import org.boragethread.model.outcome.Refusal;
+
+/** Appends records to streams of the platform's log. */
+public interface RecordSink {
+
+    /**
+     * Appends one record, possibly together with others.
+     *
+     * <p>A refusal does not prove that the record is not in the log: it may still be read later.
+     *
+     * @param stream name of the stream
+     * @param id identifier of the record; a repeated append carries the same one
+     * @param data content, not copied
+     * @return the offset once the record has been read back; never completes exceptionally
+     */
+    CompletableFuture<Either<Refusal, Long>> append(String stream, String id, byte[] data);
+}
