Hold claims to their promises in seeded runs with faults

Cause: pauses, deaths, restarts and lost appends meet in orders that nobody lists by hand. Change: an in-memory log, agents and entries run under seeds on the paused clock; four wrong variants (fold, release, fence, connection) must each be caught.

--- a/core/src/main/java/org/boragethread/core/claim/ClaimService.java
+++ b/core/src/main/java/org/boragethread/core/claim/ClaimService.java
@@ -87,19 +87,26 @@
      * Names another agent for a held claim, after proof that the present agent has not run the
      * call.
      *
-     * @return true once the handover is in force; otherwise the call must not be sent to the new
-     *     agent
+     * @return true once the handover is in force; otherwise the call must not be sent any more, and
+     *     the claim is released
      */
     public CompletableFuture<Boolean> handover(
             ClaimRef ref, ClaimTarget target, Duration remaining) {
-        int number = handovers(ref) + 1;
+        int handovers = handovers(ref);
         byte[] data =
-                ClaimTable.CODEC.encode(new ClaimRecord.Handover(ref.offset(), number, target));
+                ClaimTable.CODEC.encode(
+                        new ClaimRecord.Handover(ref.offset(), handovers + 1, target));
         return mConfirmed
                 .write(ClaimSettings.stream(ref.partition()), data, remaining)
-                .thenApply(
-                        verdict ->
-                                verdict.isRight() && verdict.get() instanceof ClaimVerdict.Changed);
+                .thenApply(verdict -> isInForce(ref, handovers, verdict));
+    }
+
+    private boolean isInForce(ClaimRef ref, int handovers, Either<Refusal, ClaimVerdict> verdict) {
+        if (verdict.isRight() && verdict.get() instanceof ClaimVerdict.Changed) {
+            return true;
+        }
+        mWriter.release(ref, handovers, ReleaseProof.AGENT_NOT_RUN);
+        return false;
     }
 
     /** Records the whole answer of a claimed call. Does not wait for the log. */
@@ -151,10 +158,19 @@
             releaseIfNotAwaited(won.claim(), owner);
         }
         if (verdict instanceof ClaimVerdict.Changed changed) {
+            releaseIfGivenUp(changed.claim(), owner);
             mListeners.fire(changed.claim().key());
         }
     }
 
+    // A handover came into force after its caller was told that it had failed.
+    private void releaseIfGivenUp(ClaimView claim, ConfirmedWriter.Owner owner) {
+        if (owner == ConfirmedWriter.Owner.ABANDONED && claim.status() == ClaimStatus.OPEN) {
+            int handovers = claim.open().map(ClaimView.Open::handovers).orElse(0);
+            mWriter.release(claim.ref(), handovers, ReleaseProof.HOLDER_NEVER_SENT);
+        }
+    }
+
     // A claim of this entry whose caller was refused meanwhile, or a late repetition of one that
     // had lost, holds the key although nobody will send its call.
     private void releaseIfNotAwaited(ClaimView claim, ConfirmedWriter.Owner owner) {
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/claim/ClaimWorld.java
@@ -0,0 +1,263 @@
+package org.boragethread.core.claim;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.boragethread.core.record.SimLog;
+import org.boragethread.core.record.SimProcess;
+import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.claim.ClaimOutcome;
+import org.boragethread.model.claim.ClaimRef;
+import org.boragethread.model.claim.ClaimTarget;
+import org.boragethread.model.outcome.Ran;
+import org.boragethread.model.outcome.RequestId;
+import org.boragethread.model.place.EntryId;
+import org.boragethread.model.team.TeamId;
+import org.boragethread.model.upstream.UpstreamId;
+
+/** Entries, agents, callers and a log under faults that a seed decides. */
+final class ClaimWorld {
+
+    static final int KEYS = 6;
+
+    private static final int PARTITIONS = 2;
+    private static final int ENTRIES = 3;
+    private static final int AGENTS = 2;
+    private static final Duration RETENTION = Duration.ofHours(1);
+    private static final int MAX_SLOW_MILLIS = 4_000;
+    private static final Duration LONG_PAUSE = Duration.ofSeconds(3);
+
+    private final Rules mRules;
+    private final Random mRandom;
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final SimLog mLog;
+    private final List<SimAgent> mAgents = new ArrayList<>();
+    private final List<SimEntry> mEntries = new ArrayList<>();
+    private final Set<EntryId> mDead = new HashSet<>();
+    private final Map<String, Integer> mEffects = new HashMap<>();
+    private final Map<RequestId, Integer> mEffectsByRequest = new HashMap<>();
+    private final Set<RequestId> mToldNotRun = new HashSet<>();
+    private final Map<String, Set<ClaimOutcome>> mOutcomes = new HashMap<>();
+    private final Map<String, Ran> mLast = new HashMap<>();
+    private int mAnswers;
+    private int mIds;
+
+    ClaimWorld(long seed, Rules rules) {
+        mRules = rules;
+        mRandom = new Random(seed);
+        mLog = new SimLog(mTime, mRandom);
+        for (int i = 0; i < AGENTS; i++) {
+            UpstreamId id = new UpstreamId("upstream-" + i);
+            mAgents.add(new SimAgent(id, mTime, mLog, mRandom, this::countEffect));
+        }
+        for (int i = 0; i < ENTRIES; i++) {
+            startEntry();
+        }
+    }
+
+    private void startEntry() {
+        EntryId id = new EntryId("entry-" + mIds++);
+        SimProcess process = new SimProcess(mLog);
+        ClaimSettings settings =
+                ClaimSettings.builder().partitions(PARTITIONS).retention(RETENTION).build();
+        ClaimService service =
+                ClaimService.builder()
+                        .entry(id)
+                        .settings(settings)
+                        .table(new ClaimTable(PARTITIONS, RETENTION, mRules.policy()))
+                        .sink(process)
+                        .source(process)
+                        .scheduler(process)
+                        .time(mTime)
+                        .liveness(entry -> mDead.contains(entry))
+                        .agents((target, ref, fence) -> ask(process, target, ref, fence))
+                        .recordIds(() -> "record-" + mIds++)
+                        .build();
+        for (int p = 0; p < PARTITIONS; p++) {
+            int partition = p;
+            process.follow(
+                    ClaimSettings.stream(p),
+                    0,
+                    r -> service.apply(partition, r.offset(), r.timeMillis(), r.id(), r.data()));
+        }
+        mEntries.add(new SimEntry(this, process, id, service));
+    }
+
+    private CompletableFuture<Optional<ClaimAnswer>> ask(
+            SimProcess process, ClaimTarget target, ClaimRef ref, boolean fence) {
+        CompletableFuture<Optional<ClaimAnswer>> answer = new CompletableFuture<>();
+        SimAgent agent = agent(target);
+        boolean honest = !mRules.skipsFence();
+        agent.ask(ref, target.incarnation(), fence && honest)
+                .thenAccept(value -> process.post(() -> answer.complete(value)));
+        return answer;
+    }
+
+    private SimAgent agent(ClaimTarget target) {
+        return mAgents.stream()
+                .filter(a -> a.target().upstream().equals(target.upstream()))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    CompletableFuture<SimAgent.Reply> connect(
+            ClaimTarget target, ClaimRef ref, EffectRequest request) {
+        SimAgent agent = agent(target);
+        if (!agent.target().equals(target) && !mRules.sendsToAnyIncarnation()) {
+            return CompletableFuture.completedFuture(SimAgent.Reply.NOT_RUN);
+        }
+        return agent.call(ref, request);
+    }
+
+    SimAgent anyAgent() {
+        return mAgents.get(mRandom.nextInt(AGENTS));
+    }
+
+    boolean coin() {
+        return mRandom.nextBoolean();
+    }
+
+    Duration smallDelay() {
+        boolean isSlow = mRandom.nextInt(5) == 0;
+        return Duration.ofMillis(mRandom.nextInt(isSlow ? MAX_SLOW_MILLIS : 20));
+    }
+
+    private void countEffect(EffectRequest request) {
+        mEffects.merge(request.key(), 1, Integer::sum);
+        mEffectsByRequest.merge(request.request(), 1, Integer::sum);
+    }
+
+    /** Sends calls while entries and agents are paused, killed and restarted. */
+    void runFaults(int steps) {
+        mLog.setFaults(0.2);
+        mAgents.forEach(agent -> agent.setFaults(0.15));
+        for (int i = 0; i < steps; i++) {
+            step();
+            mTime.advance(Duration.ofMillis(mRandom.nextInt(120)));
+        }
+    }
+
+    private void step() {
+        int draw = mRandom.nextInt(100);
+        SimEntry entry = mEntries.get(mRandom.nextInt(mEntries.size()));
+        if (draw < 60) {
+            call(entry, mRandom.nextInt(KEYS));
+        } else if (draw < 72) {
+            pauseForAWhile(entry.process());
+        } else if (draw < 77) {
+            pauseForAWhile(anyAgent().process());
+        } else if (draw < 82) {
+            replace(entry);
+        } else if (draw < 86) {
+            anyAgent().restart();
+        } else if (draw < 89) {
+            mLog.setDown(true);
+            mTime.schedule(LONG_PAUSE, () -> mLog.setDown(false));
+        }
+    }
+
+    private void pauseForAWhile(SimProcess process) {
+        process.pause();
+        Duration length = Duration.ofMillis(mRandom.nextInt((int) LONG_PAUSE.toMillis()));
+        mTime.schedule(length, process::resume);
+        if (coin()) {
+            mEntries.stream().filter(e -> e.process() == process).forEach(e -> mDead.add(e.id()));
+        }
+    }
+
+    private void replace(SimEntry entry) {
+        entry.process().kill();
+        mEntries.remove(entry);
+        mDead.add(entry.id());
+        startEntry();
+    }
+
+    private void call(SimEntry entry, int key) {
+        RequestId request = new RequestId(1, mIds++);
+        String name = "key-" + key;
+        EffectRequest effect = new EffectRequest(new TeamId("patrol"), name, key, request, 0);
+        entry.process().post(() -> entry.call(effect, answer -> onAnswer(effect, answer)));
+    }
+
+    private void onAnswer(EffectRequest effect, SimEntry.Answer answer) {
+        mAnswers++;
+        mLast.put(effect.key(), answer.ran());
+        if (answer.ran() == Ran.NO) {
+            mToldNotRun.add(effect.request());
+        }
+        answer.outcome()
+                .ifPresent(
+                        o -> mOutcomes.computeIfAbsent(effect.key(), k -> new HashSet<>()).add(o));
+    }
+
+    /** Ends all faults and asks for each key again. */
+    void heal() {
+        mLog.setFaults(0);
+        mAgents.forEach(agent -> agent.setFaults(0));
+        mTime.advance(Duration.ofSeconds(15));
+        mLast.clear();
+        for (int key = 0; key < KEYS; key++) {
+            call(mEntries.get(key % mEntries.size()), key);
+        }
+        mTime.advance(Duration.ofSeconds(15));
+    }
+
+    /** Returns the first broken promise, or an empty string. */
+    String violation() {
+        for (Map.Entry<String, Integer> effect : mEffects.entrySet()) {
+            if (effect.getValue() > 1) {
+                return effect.getKey() + " ran " + effect.getValue() + " times";
+            }
+        }
+        for (RequestId request : mToldNotRun) {
+            if (mEffectsByRequest.containsKey(request)) {
+                return "request " + request + " was called not run, but ran";
+            }
+        }
+        for (Map.Entry<String, Set<ClaimOutcome>> outcomes : mOutcomes.entrySet()) {
+            if (outcomes.getValue().size() > 1) {
+                return outcomes.getKey() + " has two outcomes";
+            }
+            if (!mEffects.containsKey(outcomes.getKey())) {
+                return outcomes.getKey() + " has an outcome but no effect";
+            }
+        }
+        return "";
+    }
+
+    /** Returns what each key's caller was told last. */
+    Map<String, Ran> lastAnswers() {
+        return mLast;
+    }
+
+    int answers() {
+        return mAnswers;
+    }
+
+    int effects() {
+        return mEffects.size();
+    }
+
+    List<SimEntry> entries() {
+        return mEntries;
+    }
+
+    /**
+     * What the world does otherwise than it should.
+     *
+     * @param policy rules of the fold
+     * @param skipsFence whether agents do not refuse a claim they were asked to refuse
+     * @param sendsToAnyIncarnation whether entries send to a restarted agent
+     */
+    record Rules(ClaimPolicy policy, boolean skipsFence, boolean sendsToAnyIncarnation) {
+
+        static final Rules RIGHT = new Rules(ClaimPolicy.STRICT, false, false);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/record/SimProcess.java
@@ -0,0 +1,139 @@
+package org.boragethread.core.record;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+
+/** A process that can be paused, resumed and killed. Paused, it runs no task and reads nothing. */
+public final class SimProcess implements Scheduler, RecordSink, RecordSource {
+
+    private static final Duration POLL = Duration.ofMillis(10);
+
+    private final SimLog mLog;
+    private final Queue<Runnable> mInbox = new ArrayDeque<>();
+    private final Map<String, CompletableFuture<Either<Refusal, Long>>> mUnread = new HashMap<>();
+    private boolean mIsPaused;
+    private boolean mIsDead;
+
+    public SimProcess(SimLog log) {
+        mLog = log;
+    }
+
+    public boolean isAlive() {
+        return !mIsDead;
+    }
+
+    public boolean isPaused() {
+        return mIsPaused;
+    }
+
+    public void kill() {
+        mIsDead = true;
+        mInbox.clear();
+    }
+
+    public void pause() {
+        mIsPaused = true;
+    }
+
+    /** Runs what came in during the pause. */
+    public void resume() {
+        mIsPaused = false;
+        while (!mInbox.isEmpty() && !mIsPaused && !mIsDead) {
+            mInbox.remove().run();
+        }
+    }
+
+    /** Runs a task in this process, now or when it resumes. */
+    public void post(Runnable task) {
+        if (mIsDead) {
+            return;
+        }
+        if (mIsPaused) {
+            mInbox.add(task);
+        } else {
+            task.run();
+        }
+    }
+
+    @Override
+    public Timer schedule(Duration delay, Runnable task) {
+        return mLog.time().schedule(delay, () -> post(task));
+    }
+
+    /** Hands the records of a stream to a reader, in order, from an offset. */
+    public void follow(String stream, long from, Reader reader) {
+        schedule(POLL, () -> poll(stream, from, reader));
+    }
+
+    private void poll(String stream, long from, Reader reader) {
+        long next = from;
+        while (next < mLog.records(stream).size()) {
+            SimLog.Record record = mLog.records(stream).get((int) next);
+            reader.read(record);
+            next++;
+            CompletableFuture<Either<Refusal, Long>> unread = mUnread.remove(record.id());
+            if (unread != null) {
+                unread.complete(Either.right(record.offset()));
+            }
+        }
+        follow(stream, next, reader);
+    }
+
+    @Override
+    public CompletableFuture<Either<Refusal, Long>> append(String stream, String id, byte[] data) {
+        CompletableFuture<Either<Refusal, Long>> done = new CompletableFuture<>();
+        mUnread.put(id, done);
+        switch (mLog.nextFate()) {
+            case GOOD -> appendAfter(mLog.delay(), stream, id, data);
+            case DOUBLED -> {
+                appendAfter(mLog.delay(), stream, id, data);
+                appendAfter(mLog.lateDelay(), stream, id, data);
+            }
+            case ANSWER_LOST -> {
+                appendAfter(mLog.delay(), stream, id, data);
+                schedule(mLog.lateDelay(), () -> fail(done));
+            }
+            case LATE -> {
+                appendAfter(mLog.lateDelay(), stream, id, data);
+                schedule(mLog.delay(), () -> fail(done));
+            }
+            default -> schedule(mLog.delay(), () -> fail(done));
+        }
+        return done;
+    }
+
+    // The request is on its way: it takes effect even if this process dies.
+    private void appendAfter(Duration delay, String stream, String id, byte[] data) {
+        mLog.time().schedule(delay, () -> mLog.append(stream, id, data));
+    }
+
+    private static void fail(CompletableFuture<Either<Refusal, Long>> done) {
+        done.complete(
+                Either.left(Refusal.notRun(RefusalReason.LOG_UNAVAILABLE, "simulated fault")));
+    }
+
+    @Override
+    public CompletableFuture<Optional<byte[]>> read(String stream, long offset) {
+        boolean isKept = offset >= mLog.first(stream) && offset < mLog.records(stream).size();
+        Optional<byte[]> data =
+                isKept
+                        ? Optional.of(mLog.records(stream).get((int) offset).data())
+                        : Optional.empty();
+        return CompletableFuture.completedFuture(data);
+    }
+
+    /** Takes records in order. */
+    public interface Reader {
+        /** Takes the next record. */
+        void read(SimLog.Record record);
+    }
+}
