Add the job ledger, service, runner and checkpointer

Cause: accepted jobs must survive the death of any entry and finish once. Change: jobs are records of one stream; leases are fenced by the offset of the taking record; old jobs are repeated before the log forgets them.

--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/job/BlobStore.java
@@ -0,0 +1,112 @@
+package org.boragethread.core.job;
+
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.boragethread.core.record.RecordCodec;
+import org.boragethread.core.record.RecordSink;
+import org.boragethread.core.record.RecordSource;
+import org.boragethread.model.job.JobId;
+import org.boragethread.model.outcome.Refusal;
+
+/** Keeps bytes of any length in the job stream, split into records of bounded size. */
+final class BlobStore {
+
+    private static final byte[] NOTHING = new byte[0];
+
+    private final RecordSink mSink;
+    private final RecordSource mSource;
+    private final Supplier<String> mIds;
+
+    BlobStore(RecordSink sink, RecordSource source, Supplier<String> ids) {
+        mSink = sink;
+        mSource = source;
+        mIds = ids;
+    }
+
+    /**
+     * Prepares bytes for a record: small ones become its payload, others are appended before.
+     *
+     * @return what goes into the record, or why the parts could not be appended
+     */
+    CompletableFuture<Either<Refusal, Prepared>> prepare(
+            JobId job, String contentType, byte[] bytes) {
+        if (bytes.length <= JobSettings.PART_BYTES) {
+            Blob blob = new Blob(contentType, List.of(), bytes.length);
+            return CompletableFuture.completedFuture(Either.right(new Prepared(blob, bytes)));
+        }
+        return appendParts(job, contentType, bytes)
+                .thenApply(blob -> blob.map(b -> new Prepared(b, NOTHING)));
+    }
+
+    /** Appends bytes as records of their own. */
+    CompletableFuture<Either<Refusal, Blob>> appendParts(
+            JobId job, String contentType, byte[] bytes) {
+        List<CompletableFuture<Either<Refusal, Long>>> appends = new ArrayList<>();
+        int start = 0;
+        do {
+            int end = Math.min(bytes.length, start + JobSettings.PART_BYTES);
+            byte[] part = Arrays.copyOfRange(bytes, start, end);
+            byte[] data = JobTable.CODEC.encode(new JobRecord.Part(job), part);
+            appends.add(mSink.append(JobSettings.STREAM, mIds.get(), data));
+            start = end;
+        } while (start < bytes.length);
+        return CompletableFuture.allOf(appends.toArray(CompletableFuture[]::new))
+                .thenApply(nothing -> toBlob(contentType, bytes.length, appends));
+    }
+
+    private static Either<Refusal, Blob> toBlob(
+            String contentType,
+            long length,
+            List<CompletableFuture<Either<Refusal, Long>>> appends) {
+        List<Long> offsets = new ArrayList<>();
+        for (CompletableFuture<Either<Refusal, Long>> append : appends) {
+            Either<Refusal, Long> offset = append.join();
+            if (offset.isLeft()) {
+                return Either.left(offset.getLeft());
+            }
+            offsets.add(offset.get());
+        }
+        return Either.right(new Blob(contentType, offsets, length));
+    }
+
+    /** Reads a blob, or returns empty if the log cannot be read now or lacks a part. */
+    CompletableFuture<Optional<byte[]>> read(Blob blob) {
+        if (blob.bytes() == 0) {
+            return CompletableFuture.completedFuture(Optional.of(NOTHING));
+        }
+        List<CompletableFuture<Optional<byte[]>>> reads = new ArrayList<>();
+        for (long offset : blob.parts()) {
+            reads.add(mSource.read(JobSettings.STREAM, offset));
+        }
+        return CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
+                .thenApply(nothing -> join(blob, reads));
+    }
+
+    private static Optional<byte[]> join(
+            Blob blob, List<CompletableFuture<Optional<byte[]>>> reads) {
+        ByteArrayOutputStream whole = new ByteArrayOutputStream((int) blob.bytes());
+        for (CompletableFuture<Optional<byte[]>> read : reads) {
+            Optional<byte[]> payload =
+                    read.join().flatMap(JobTable.CODEC::decode).map(RecordCodec.Decoded::payload);
+            if (payload.isEmpty()) {
+                return Optional.empty();
+            }
+            whole.writeBytes(payload.get());
+        }
+        return whole.size() == blob.bytes() ? Optional.of(whole.toByteArray()) : Optional.empty();
+    }
+
+    /**
+     * A blob that is ready to go into a record.
+     *
+     * @param blob the record's reference to the bytes
+     * @param payload the record's payload
+     */
+    record Prepared(Blob blob, byte[] payload) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/job/JobEnd.java
@@ -0,0 +1,40 @@
+package org.boragethread.core.job;
+
+import java.time.Duration;
+import org.boragethread.model.job.JobResult;
+
+/** How one run of a job ends. */
+public sealed interface JobEnd {
+
+    /**
+     * All stages have their results.
+     *
+     * @param result result of the last stage
+     */
+    record Completed(JobResult result) implements JobEnd {}
+
+    /**
+     * The job cannot succeed, also not later.
+     *
+     * @param problem the problem document for the caller
+     * @param detail what happened, in one sentence
+     */
+    record Failed(JobResult problem, String detail) implements JobEnd {}
+
+    /**
+     * Nobody can tell whether a stage with an effect ran.
+     *
+     * @param stage index of the stage
+     * @param detail what happened, in one sentence
+     */
+    record Unknown(int stage, String detail) implements JobEnd {}
+
+    /**
+     * The job may succeed later.
+     *
+     * @param delay time until the next run
+     * @param effectNotRun whether it is certain that the begun effect, if any, did not run
+     * @param detail what happened, in one sentence
+     */
+    record Later(Duration delay, boolean effectNotRun, String detail) implements JobEnd {}
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/job/JobRules.java
@@ -0,0 +1,12 @@
+package org.boragethread.core.job;
+
+/**
+ * Rules of the fold that tests turn off one by one, to show that their checks notice it.
+ *
+ * @param checksFence whether records made under an earlier lease are void
+ */
+record JobRules(boolean checksFence) {
+
+    /** All rules. */
+    static final JobRules STRICT = new JobRules(true);
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/job/JobTransitions.java
@@ -0,0 +1,141 @@
+package org.boragethread.core.job;
+
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.model.job.JobStatus;
+
+/** The rules by which records change an unfinished job. */
+final class JobTransitions {
+
+    private static final int SETTLED_STATUS = 204;
+    private static final Blob NOTHING = new Blob("", List.of(), 0);
+
+    private JobTransitions() {}
+
+    /** Returns the job's next state, or empty if the record is void. */
+    static Optional<Job> next(Job job, JobRecord record, long offset, long now, JobRules rules) {
+        if (record instanceof JobRecord.Taken taken) {
+            return take(job, taken, offset, now);
+        }
+        if (record instanceof JobRecord.Cancelled) {
+            return Optional.of(
+                    job.change(now).ended(JobStatus.CANCELLED, cancelDetail(job)).build());
+        }
+        if (record instanceof JobRecord.Settled settled) {
+            return settle(job, settled, now);
+        }
+        boolean holds = job.isHeldUnder(fenceOf(record));
+        boolean mayChange = rules.checksFence() ? holds : job.status() == JobStatus.RUNNING;
+        return mayChange ? underLease(job, record, offset, now) : Optional.empty();
+    }
+
+    private static String cancelDetail(Job job) {
+        return job.effect()
+                .map(e -> "cancelled while the effect of stage %d may run".formatted(e.stage()))
+                .orElse("cancelled");
+    }
+
+    private static long fenceOf(JobRecord record) {
+        if (record instanceof JobRecord.Renewed renewed) {
+            return renewed.fence();
+        }
+        if (record instanceof JobRecord.EffectStarted started) {
+            return started.fence();
+        }
+        if (record instanceof JobRecord.StageDone done) {
+            return done.fence();
+        }
+        if (record instanceof JobRecord.Finished finished) {
+            return finished.fence();
+        }
+        if (record instanceof JobRecord.Held held) {
+            return held.fence();
+        }
+        return ((JobRecord.Returned) record).fence();
+    }
+
+    private static Optional<Job> take(Job job, JobRecord.Taken taken, long offset, long now) {
+        if (!job.isFree(now)) {
+            return Optional.empty();
+        }
+        Lease lease = new Lease(offset, taken.entry(), now + taken.leaseMillis());
+        return Optional.of(job.change(now).running(lease).build());
+    }
+
+    private static Optional<Job> settle(Job job, JobRecord.Settled settled, long now) {
+        if (job.status() != JobStatus.HELD || settled.round() != job.round()) {
+            return Optional.empty();
+        }
+        JobBuilder change = job.change(now);
+        return Optional.of(
+                switch (settled.decision()) {
+                    case RAN ->
+                            change.result(SETTLED_STATUS, NOTHING)
+                                    .ended(JobStatus.FINISHED, "settled as run")
+                                    .build();
+                    case NOT_RUN -> change.nextRound().waiting(now, "settled as not run").build();
+                    default -> change.ended(JobStatus.CANCELLED, "settled as given up").build();
+                });
+    }
+
+    private static Optional<Job> underLease(Job job, JobRecord record, long offset, long now) {
+        if (record instanceof JobRecord.Renewed renewed) {
+            return Optional.of(renew(job, renewed, now));
+        }
+        if (record instanceof JobRecord.EffectStarted started) {
+            return startEffect(job, started, now);
+        }
+        if (record instanceof JobRecord.StageDone done) {
+            return finishStage(job, done, offset, now);
+        }
+        if (record instanceof JobRecord.Finished finished) {
+            return Optional.of(finish(job, finished, offset, now));
+        }
+        if (record instanceof JobRecord.Held held) {
+            return Optional.of(job.change(now).ended(JobStatus.HELD, held.detail()).build());
+        }
+        JobRecord.Returned returned = (JobRecord.Returned) record;
+        return Optional.of(giveBack(job, returned, now));
+    }
+
+    private static Job giveBack(Job job, JobRecord.Returned returned, long now) {
+        return job.change(now)
+                .effect(returned.effectNotRun() ? Optional.empty() : job.effect())
+                .waiting(now + returned.delayMillis(), returned.detail())
+                .build();
+    }
+
+    private static Job renew(Job job, JobRecord.Renewed renewed, long now) {
+        Lease old = job.lease().orElseThrow();
+        Lease lease = new Lease(old.fence(), old.holder(), now + renewed.leaseMillis());
+        return job.change(now).running(lease).build();
+    }
+
+    private static Optional<Job> startEffect(Job job, JobRecord.EffectStarted started, long now) {
+        if (started.stage() != job.stagesDone()) {
+            return Optional.empty();
+        }
+        if (job.effect().isPresent()) {
+            return Optional.of(job);
+        }
+        Job.EffectMark mark = new Job.EffectMark(started.stage(), now);
+        return Optional.of(job.change(now).effect(Optional.of(mark)).build());
+    }
+
+    private static Optional<Job> finishStage(
+            Job job, JobRecord.StageDone done, long offset, long now) {
+        if (done.stage() != job.stagesDone()) {
+            return Optional.empty();
+        }
+        return Optional.of(job.change(now).stageDone(done.result().resolve(offset)).build());
+    }
+
+    private static Job finish(Job job, JobRecord.Finished finished, long offset, long now) {
+        JobStatus status = finished.failed() ? JobStatus.FAILED : JobStatus.FINISHED;
+        String detail = finished.detail() == null ? "" : finished.detail();
+        return job.change(now)
+                .result(finished.status(), finished.result().resolve(offset))
+                .ended(status, detail)
+                .build();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/job/JobWork.java
@@ -0,0 +1,24 @@
+package org.boragethread.core.job;
+
+/**
+ * What one run of a job starts with.
+ *
+ * @param job state of the job when it was taken
+ * @param fence fencing number of the lease
+ * @param input input of the next stage, not copied
+ */
+public record JobWork(Job job, long fence, byte[] input) {
+
+    /** Returns the index of the stage to run first. */
+    public int fromStage() {
+        return job.stagesDone();
+    }
+
+    /**
+     * Returns the idempotency key under which a stage with an effect is claimed. It is the same for
+     * all runs of the job until an operator settles the effect as not run.
+     */
+    public String effectKey(int stage) {
+        return "job/%s/%d/%d".formatted(job.id(), stage, job.round());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/job/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps jobs in the platform's log and runs them under leases. */
+package org.boragethread.core.job;
--- a/core/src/main/java/org/boragethread/core/record/RecordCodec.java
+++ b/core/src/main/java/org/boragethread/core/record/RecordCodec.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
+import org.boragethread.model.job.JobId;
 import org.boragethread.model.pipeline.PipelineId;
 import org.boragethread.model.place.EntryId;
 import org.boragethread.model.team.TeamId;
@@ -37,6 +38,7 @@
                 JsonMapper.builder()
                         .addModule(new Jdk8Module())
                         .serializationInclusion(JsonInclude.Include.NON_DEFAULT)
+                        .addMixIn(JobId.class, NameMixIn.class)
                         .addMixIn(EntryId.class, NameMixIn.class)
                         .addMixIn(UpstreamId.class, NameMixIn.class)
                         .addMixIn(TeamId.class, NameMixIn.class)
--- a/core/src/test/java/org/boragethread/core/claim/ClaimWorld.java
+++ b/core/src/test/java/org/boragethread/core/claim/ClaimWorld.java
@@ -23,7 +23,7 @@
 import org.boragethread.model.upstream.UpstreamId;
 
 /** Entries, agents, callers and a log under faults that a seed decides. */
-final class ClaimWorld {
+public final class ClaimWorld {
 
     static final int KEYS = 6;
 
@@ -35,6 +35,7 @@
     private static final Duration LONG_PAUSE = Duration.ofSeconds(3);
 
     private final Rules mRules;
+    private final Optional<Traffic> mTraffic;
     private final Random mRandom;
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final SimLog mLog;
@@ -50,7 +51,17 @@
     private int mIds;
 
     ClaimWorld(long seed, Rules rules) {
+        this(seed, rules, Optional.empty());
+    }
+
+    /** Makes a world without callers of its own. */
+    public ClaimWorld(long seed, Traffic traffic) {
+        this(seed, Rules.RIGHT, Optional.of(traffic));
+    }
+
+    private ClaimWorld(long seed, Rules rules, Optional<Traffic> traffic) {
         mRules = rules;
+        mTraffic = traffic;
         mRandom = new Random(seed);
         mLog = new SimLog(mTime, mRandom);
         for (int i = 0; i < AGENTS; i++) {
@@ -87,7 +98,9 @@
                     0,
                     r -> service.apply(partition, r.offset(), r.timeMillis(), r.id(), r.data()));
         }
-        mEntries.add(new SimEntry(this, process, id, service));
+        SimEntry entry = new SimEntry(this, process, id, service);
+        mEntries.add(entry);
+        mTraffic.ifPresent(traffic -> traffic.onStart(this, entry));
     }
 
     private CompletableFuture<Optional<ClaimAnswer>> ask(
@@ -135,7 +148,7 @@
     }
 
     /** Sends calls while entries and agents are paused, killed and restarted. */
-    void runFaults(int steps) {
+    public void runFaults(int steps) {
         mLog.setFaults(0.2);
         mAgents.forEach(agent -> agent.setFaults(0.15));
         for (int i = 0; i < steps; i++) {
@@ -148,7 +161,7 @@
         int draw = mRandom.nextInt(100);
         SimEntry entry = mEntries.get(mRandom.nextInt(mEntries.size()));
         if (draw < 60) {
-            call(entry, mRandom.nextInt(KEYS));
+            send(entry);
         } else if (draw < 72) {
             pauseForAWhile(entry.process());
         } else if (draw < 77) {
@@ -163,6 +176,14 @@
         }
     }
 
+    private void send(SimEntry entry) {
+        if (mTraffic.isPresent()) {
+            mTraffic.get().onStep(entry);
+        } else {
+            call(entry, mRandom.nextInt(KEYS));
+        }
+    }
+
     private void pauseForAWhile(SimProcess process) {
         process.pause();
         Duration length = Duration.ofMillis(mRandom.nextInt((int) LONG_PAUSE.toMillis()));
@@ -197,11 +218,16 @@
                         o -> mOutcomes.computeIfAbsent(effect.key(), k -> new HashSet<>()).add(o));
     }
 
-    /** Ends all faults and asks for each key again. */
-    void heal() {
+    /** Ends all faults. */
+    public void endFaults() {
         mLog.setFaults(0);
         mAgents.forEach(agent -> agent.setFaults(0));
         mTime.advance(Duration.ofSeconds(15));
+    }
+
+    /** Ends all faults and asks for each key again. */
+    void heal() {
+        endFaults();
         mLast.clear();
         for (int key = 0; key < KEYS; key++) {
             call(mEntries.get(key % mEntries.size()), key);
@@ -232,6 +258,23 @@
         return "";
     }
 
+    /** Returns how often calls ran whose keys start in the given way. */
+    public int effectsOf(String keyStart) {
+        return mEffects.entrySet().stream()
+                .filter(effect -> effect.getKey().startsWith(keyStart))
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+
+    public ManualTimeSource time() {
+        return mTime;
+    }
+
+    /** Returns a number that no other call returns. */
+    public int nextId() {
+        return mIds++;
+    }
+
     /** Returns what each key's caller was told last. */
     Map<String, Ran> lastAnswers() {
         return mLast;
@@ -245,10 +288,19 @@
         return mEffects.size();
     }
 
-    List<SimEntry> entries() {
+    public List<SimEntry> entries() {
         return mEntries;
     }
 
+    /** What entries do besides answering callers. */
+    public interface Traffic {
+        /** An entry has started. */
+        void onStart(ClaimWorld world, SimEntry entry);
+
+        /** It is the entry's turn to send something. */
+        void onStep(SimEntry entry);
+    }
+
     /**
      * What the world does otherwise than it should.
      *
--- a/core/src/test/java/org/boragethread/core/claim/SimEntry.java
+++ b/core/src/test/java/org/boragethread/core/claim/SimEntry.java
@@ -15,7 +15,7 @@
 import org.boragethread.model.place.EntryId;
 
 /** An entry that sends claimed calls as {@link ClaimService} demands. */
-final class SimEntry {
+public final class SimEntry {
 
     private static final Duration DEADLINE = Duration.ofSeconds(3);
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
@@ -32,11 +32,11 @@
         mService = service;
     }
 
-    EntryId id() {
+    public EntryId id() {
         return mId;
     }
 
-    SimProcess process() {
+    public SimProcess process() {
         return mProcess;
     }
 
@@ -44,7 +44,7 @@
         return mService;
     }
 
-    void call(EffectRequest request, Consumer<Answer> caller) {
+    public void call(EffectRequest request, Consumer<Answer> caller) {
         SimAgent agent = mWorld.anyAgent();
         ClaimTarget target = agent.target();
         mService.claim(request, target, DEADLINE)
@@ -71,7 +71,7 @@
     }
 
     /** What a caller is told. */
-    record Answer(Ran ran, Optional<ClaimOutcome> outcome) {}
+    public record Answer(Ran ran, Optional<ClaimOutcome> outcome) {}
 
     private final class Sending {
 
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/job/JobWorld.java
@@ -0,0 +1,247 @@
+package org.boragethread.core.job;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.boragethread.core.claim.ClaimWorld;
+import org.boragethread.core.claim.EffectRequest;
+import org.boragethread.core.claim.SimEntry;
+import org.boragethread.core.record.SimLog;
+import org.boragethread.core.record.SimProcess;
+import org.boragethread.model.job.JobDecision;
+import org.boragethread.model.job.JobId;
+import org.boragethread.model.job.JobResult;
+import org.boragethread.model.job.JobStatus;
+import org.boragethread.model.outcome.Ran;
+import org.boragethread.model.outcome.RequestId;
+import org.boragethread.model.pipeline.PipelineId;
+import org.boragethread.model.place.EntryId;
+import org.boragethread.model.team.TeamId;
+
+/** Entries that run jobs of two stages, the second with an effect, under seeded faults. */
+final class JobWorld implements ClaimWorld.Traffic {
+
+    private static final Duration PATIENCE = Duration.ofSeconds(6);
+    private static final TeamId TEAM = new TeamId("archive");
+    private static final int MAX_JOBS = 12;
+
+    private final JobRules mRules;
+    private final JobSettings mSettings =
+            JobSettings.builder().lease(Duration.ofSeconds(2)).maxRunning(3).build();
+    private final Map<EntryId, JobService> mServices = new HashMap<>();
+    private final Set<JobId> mAccepted = new LinkedHashSet<>();
+    private final Set<String> mViolations = new HashSet<>();
+    private final JobLedger mObserver;
+    private final ClaimWorld mWorld;
+    private int mSubmitted;
+
+    JobWorld(long seed, JobRules rules) {
+        mRules = rules;
+        mObserver = new JobLedger(mSettings, rules);
+        mWorld = new ClaimWorld(seed, this);
+    }
+
+    @Override
+    public void onStart(ClaimWorld world, SimEntry entry) {
+        SimProcess process = entry.process();
+        JobService service =
+                JobService.builder()
+                        .entry(entry.id())
+                        .settings(mSettings)
+                        .table(new JobTable(new JobLedger(mSettings, mRules), world.time()))
+                        .sink(process)
+                        .source(process)
+                        .scheduler(process)
+                        .time(world.time())
+                        .recordIds(() -> "job-record-" + world.nextId())
+                        .build();
+        mServices.put(entry.id(), service);
+        process.follow(JobSettings.STREAM, 0, record -> read(service, record));
+        JobRunner runner =
+                new JobRunner(
+                        service,
+                        (work, progress) -> new Steps(entry, work, progress).begin(),
+                        process,
+                        world.time(),
+                        () ->
+                                world.entries().stream()
+                                        .map(SimEntry::id)
+                                        .collect(Collectors.toSet()));
+        runner.start();
+    }
+
+    private void read(JobService service, SimLog.Record record) {
+        observe(record);
+        service.apply(record.offset(), record.timeMillis(), record.id(), record.data());
+    }
+
+    // Checks each record once, when the first entry reads it.
+    private void observe(SimLog.Record record) {
+        if (record.offset() != mObserver.nextOffset()) {
+            return;
+        }
+        JobRecord header = JobTable.CODEC.decode(record.data()).orElseThrow().header();
+        Optional<Job> before = mObserver.find(header.job());
+        JobVerdict verdict = mObserver.apply(record.offset(), record.timeMillis(), header);
+        if (verdict.isApplied() && header instanceof JobRecord.Finished finished) {
+            long fence = before.flatMap(Job::lease).map(Lease::fence).orElse(-1L);
+            if (fence != finished.fence()) {
+                mViolations.add("a lost lease finished job " + header.job());
+            }
+        }
+    }
+
+    @Override
+    public void onStep(SimEntry entry) {
+        if (mSubmitted >= MAX_JOBS) {
+            return;
+        }
+        int number = mSubmitted++;
+        JobSubmission submission =
+                new JobSubmission(
+                        TEAM,
+                        new PipelineId("publish"),
+                        new RequestId(2, number),
+                        Optional.of("series-" + number),
+                        "text/plain",
+                        ("scan " + number).getBytes());
+        JobService service = mServices.get(entry.id());
+        entry.process().post(() -> submit(service, submission));
+    }
+
+    private void submit(JobService service, JobSubmission submission) {
+        service.submit(submission, Duration.ofSeconds(2))
+                .thenAccept(job -> job.forEach(j -> mAccepted.add(j.id())));
+    }
+
+    void run(int steps) {
+        mWorld.runFaults(steps);
+        mWorld.endFaults();
+        for (int i = 0; i < 10 && !allEnded(); i++) {
+            settleHeldJobs();
+            mWorld.time().advance(Duration.ofSeconds(10));
+        }
+    }
+
+    private boolean allEnded() {
+        return mObserver.unfinished() == 0;
+    }
+
+    private void settleHeldJobs() {
+        JobService service = mServices.get(mWorld.entries().get(0).id());
+        for (Job job : mObserver.jobs()) {
+            if (job.status() == JobStatus.HELD) {
+                boolean ran = effects(job.id()) > 0;
+                JobDecision decision = ran ? JobDecision.RAN : JobDecision.NOT_RUN;
+                service.settle(job.id(), decision, Duration.ofSeconds(1));
+            }
+        }
+    }
+
+    private int effects(JobId id) {
+        return mWorld.effectsOf("job/" + id + "/");
+    }
+
+    /** Returns the first broken promise, or an empty string. */
+    String violation() {
+        for (String violation : mViolations) {
+            return violation;
+        }
+        for (Job job : mObserver.jobs()) {
+            if (effects(job.id()) != 1) {
+                return "job %s ran %d times".formatted(job.id(), effects(job.id()));
+            }
+        }
+        for (JobId id : mAccepted) {
+            if (mObserver.find(id).filter(j -> j.status() == JobStatus.FINISHED).isEmpty()) {
+                return "accepted job %s is not finished".formatted(id);
+            }
+        }
+        return "";
+    }
+
+    int accepted() {
+        return mAccepted.size();
+    }
+
+    private final class Steps implements JobPipeline.Run {
+
+        private final SimEntry mEntry;
+        private final JobWork mWork;
+        private final JobProgress mProgress;
+        private final CompletableFuture<JobEnd> mEnd = new CompletableFuture<>();
+        private boolean mIsCancelled;
+
+        Steps(SimEntry entry, JobWork work, JobProgress progress) {
+            mEntry = entry;
+            mWork = work;
+            mProgress = progress;
+        }
+
+        Steps begin() {
+            Runnable first = mWork.fromStage() == 0 ? this::finishDraft : this::publish;
+            mEntry.process().schedule(Duration.ofMillis(100), first);
+            return this;
+        }
+
+        private void finishDraft() {
+            mProgress.stageDone(0, "text/plain", mWork.input()).thenAccept(isRecorded -> publish());
+        }
+
+        private void publish() {
+            if (!mIsCancelled) {
+                mProgress.effectStarting(1).thenAccept(this::onEffectStarting);
+            }
+        }
+
+        private void onEffectStarting(boolean mayStart) {
+            if (!mayStart) {
+                later();
+                return;
+            }
+            Job job = mWork.job();
+            EffectRequest effect =
+                    new EffectRequest(TEAM, mWork.effectKey(1), 0, job.spec().request(), 1);
+            mEntry.call(effect, this::onAnswer);
+        }
+
+        private void onAnswer(SimEntry.Answer answer) {
+            if (answer.outcome().isPresent()) {
+                byte[] body = answer.outcome().get().body().orElseThrow();
+                mEnd.complete(new JobEnd.Completed(new JobResult(200, "text/plain", body)));
+            } else if (answer.ran() == Ran.UNKNOWN && isOld()) {
+                mEnd.complete(new JobEnd.Unknown(1, "the publication cannot be found out"));
+            } else {
+                later();
+            }
+        }
+
+        private boolean isOld() {
+            long now = mWorld.time().millis();
+            return mWork.job()
+                    .effect()
+                    .filter(e -> now - e.timeMillis() > PATIENCE.toMillis())
+                    .isPresent();
+        }
+
+        private void later() {
+            mEnd.complete(new JobEnd.Later(Duration.ofMillis(500), false, "try again"));
+        }
+
+        @Override
+        public CompletableFuture<JobEnd> end() {
+            return mEnd;
+        }
+
+        @Override
+        public void cancel() {
+            mIsCancelled = true;
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/job/JobId.java
@@ -0,0 +1,27 @@
+package org.boragethread.model.job;
+
+import java.util.UUID;
+import org.boragethread.model.Names;
+
+/** Identifies a job for ever. */
+public record JobId(String value) implements Comparable<JobId> {
+
+    public JobId {
+        Names.check("JobId", value);
+    }
+
+    /** Makes an identifier from a random UUID. */
+    public static JobId of(UUID uuid) {
+        return new JobId(uuid.toString());
+    }
+
+    @Override
+    public int compareTo(JobId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
