Test the job ledger, checkpoints and spread-out submissions

Cause: leases, settlement, retention and truncated starts each need a test of their own. Change: unit tests of the fold, a test that a job outlives the records of its submission, and job runs whose submissions are spread over the faults.

--- a/core/src/main/java/org/boragethread/core/job/JobService.java
+++ b/core/src/main/java/org/boragethread/core/job/JobService.java
@@ -42,6 +42,7 @@
     private final ConfirmedWriter<JobVerdict> mConfirmed;
     private final PersistentWriter mPersistent;
     private final BlobStore mBlobs;
+    private final Supplier<String> mIds;
 
     private JobService(Builder builder) {
         mEntry = Objects.requireNonNull(builder.mEntry, "entry");
@@ -52,6 +53,7 @@
         mConfirmed = new ConfirmedWriter<>(builder.mSink, builder.mScheduler, builder.mIds);
         mPersistent =
                 new PersistentWriter(builder.mSink, builder.mScheduler, MAX_UNSAVED, builder.mIds);
+        mIds = builder.mIds;
         mBlobs = new BlobStore(builder.mSink, builder.mSource, builder.mIds);
     }
 
@@ -72,7 +74,7 @@
         if (mTable.unfinished() >= mSettings.maxUnfinished()) {
             return refused(RefusalReason.QUEUE_FULL, "as many unfinished jobs as there may be");
         }
-        JobId id = JobId.of(UUID.randomUUID());
+        JobId id = new JobId(mIds.get());
         return mBlobs.prepare(id, submission.contentType(), submission.body())
                 .thenCompose(
                         body ->
@@ -312,7 +314,7 @@
             return this;
         }
 
-        /** Sets the source of record identifiers; they must be unique for ever. */
+        /** Sets the source of identifiers of records and jobs; they must be unique for ever. */
         public Builder recordIds(Supplier<String> ids) {
             mIds = ids;
             return this;
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/job/JobLedgerTest.java
@@ -0,0 +1,200 @@
+package org.boragethread.core.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.core.claim.KeyHash;
+import org.boragethread.model.job.JobDecision;
+import org.boragethread.model.job.JobId;
+import org.boragethread.model.job.JobStatus;
+import org.boragethread.model.outcome.RequestId;
+import org.boragethread.model.pipeline.PipelineId;
+import org.boragethread.model.place.EntryId;
+import org.boragethread.model.team.TeamId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link JobLedger}. */
+public class JobLedgerTest {
+
+    private static final JobId JOB = new JobId("job-1");
+    private static final TeamId TEAM = new TeamId("archive");
+    private static final EntryId ENTRY = new EntryId("entry-1");
+    private static final Blob RESULT = new Blob("text/plain", List.of(), 3);
+    private static final long LEASE = 1_000;
+    private static final long RETENTION = Duration.ofHours(24).toMillis();
+
+    private JobLedger mLedger;
+    private long mOffset;
+
+    @BeforeMethod
+    public void makeLedger() {
+        mLedger = new JobLedger(JobSettings.builder().build());
+        mOffset = 0;
+    }
+
+    @Test
+    public void takenJobCanBeTakenAgainOnlyAfterItsLease() {
+        accept(0, JOB, 1);
+        assertTrue(take(1).isApplied());
+        assertFalse(take(LEASE).isApplied());
+        assertTrue(take(1 + LEASE).isApplied());
+    }
+
+    @Test
+    public void renewedLeaseLastsFromItsRenewal() {
+        accept(0, JOB, 1);
+        long fence = takeAndFence(0);
+        apply(600, new JobRecord.Renewed(JOB, fence, LEASE));
+        assertFalse(take(1_200).isApplied());
+        assertTrue(take(1_600).isApplied());
+    }
+
+    @Test
+    public void recordsOfALeaseThatWasTakenOverHaveNoEffect() {
+        accept(0, JOB, 1);
+        long old = takeAndFence(0);
+        takeAndFence(LEASE);
+        assertFalse(finish(LEASE + 1, old).isApplied());
+        assertFalse(apply(LEASE + 1, new JobRecord.Renewed(JOB, old, LEASE)).isApplied());
+        assertFalse(apply(LEASE + 1, new JobRecord.Held(JOB, old, 0, "")).isApplied());
+        assertEquals(job().status(), JobStatus.RUNNING);
+    }
+
+    @Test
+    public void firstEndCounts() {
+        accept(0, JOB, 1);
+        long fence = takeAndFence(0);
+        assertTrue(finish(1, fence).isApplied());
+        assertFalse(apply(2, new JobRecord.Cancelled(JOB)).isApplied());
+        assertEquals(job().status(), JobStatus.FINISHED);
+    }
+
+    @Test
+    public void nextHolderStartsAfterTheLastFinishedStage() {
+        accept(0, JOB, 1);
+        long fence = takeAndFence(0);
+        apply(1, new JobRecord.StageDone(JOB, fence, 0, RESULT));
+        apply(2, new JobRecord.StageDone(JOB, fence, 0, RESULT));
+        take(1 + LEASE);
+        assertEquals(job().stagesDone(), 1);
+        assertEquals(job().input().parts(), List.of(2L));
+    }
+
+    @Test
+    public void heldJobWaitsForItsSettlementAndTakesItOnce() {
+        accept(0, JOB, 1);
+        long fence = takeAndFence(0);
+        apply(1, new JobRecord.EffectStarted(JOB, fence, 0));
+        apply(2, new JobRecord.Held(JOB, fence, 0, "agent restarted"));
+        assertFalse(take(LEASE * 10).isApplied());
+        assertTrue(apply(3, new JobRecord.Settled(JOB, 0, JobDecision.NOT_RUN)).isApplied());
+        assertFalse(apply(4, new JobRecord.Settled(JOB, 0, JobDecision.RAN)).isApplied());
+        assertEquals(job().round(), 1);
+        assertEquals(job().status(), JobStatus.WAITING);
+        assertEquals(job().effect(), Optional.empty());
+    }
+
+    @Test
+    public void sameKeyFindsTheFirstJobAndAnotherBodyIsRefused() {
+        accept(0, JOB, 1);
+        assertEquals(accept(1, new JobId("job-2"), 1).kind(), JobVerdict.Kind.EXISTS);
+        assertEquals(accept(1, new JobId("job-3"), 2).kind(), JobVerdict.Kind.KEY_REUSED);
+        assertEquals(mLedger.unfinished(), 1);
+    }
+
+    @Test
+    public void endedJobIsForgottenAfterItsRetention() {
+        accept(0, JOB, 1);
+        finish(1, takeAndFence(0));
+        mLedger.skip(mOffset++, RETENTION / 4);
+        assertTrue(mLedger.find(JOB).isPresent());
+        mLedger.skip(mOffset++, RETENTION / 4 + 1);
+        assertEquals(mLedger.find(JOB), Optional.empty());
+    }
+
+    @Test
+    public void submissionThatReachesTheLogLateIsVoid() {
+        mLedger.skip(mOffset++, 0);
+        JobRecord late = new JobRecord.Accepted(JOB, spec(1), RESULT, 0);
+        assertFalse(apply(Duration.ofMinutes(11).toMillis(), late).isApplied());
+    }
+
+    @Test
+    public void checkpointOfAJobThatChangedMeanwhileIsVoid() {
+        accept(0, JOB, 1);
+        Job before = job();
+        finish(2, takeAndFence(1));
+        assertFalse(apply(3, new JobRecord.Checkpoint(JOB, 0, 0, before)).isApplied());
+        assertEquals(job().status(), JobStatus.FINISHED);
+    }
+
+    @Test
+    public void truncatedFoldLearnsJobsFromCheckpointsOnly() {
+        accept(0, JOB, 1);
+        Job job = job();
+        mLedger.restart(5);
+        mOffset = 5;
+        mLedger.skip(mOffset++, 0);
+        assertFalse(accept(1, new JobId("job-2"), 7).isApplied());
+        long time = Duration.ofMinutes(11).toMillis();
+        assertTrue(apply(time, new JobRecord.Checkpoint(JOB, 5, time, job)).isApplied());
+        assertEquals(job(), job);
+    }
+
+    @Test
+    public void truncatedFoldRefusesACheckpointThatALaterRecordMadeVoid() {
+        accept(0, JOB, 1);
+        Job job = job();
+        mLedger.restart(5);
+        mOffset = 5;
+        mLedger.skip(mOffset++, 0);
+        long time = Duration.ofMinutes(11).toMillis();
+        apply(time, new JobRecord.Cancelled(JOB));
+        assertFalse(apply(time, new JobRecord.Checkpoint(JOB, 5, time, job)).isApplied());
+        assertEquals(mLedger.unfinished(), 0);
+    }
+
+    @Test
+    public void recordsSurviveTheirEncoding() {
+        accept(0, JOB, 1);
+        takeAndFence(0);
+        JobRecord record = new JobRecord.Checkpoint(JOB, 3, 4, job());
+        byte[] data = JobTable.CODEC.encode(record, "x".getBytes());
+        assertEquals(JobTable.CODEC.decode(data).orElseThrow().header(), record);
+    }
+
+    private Job job() {
+        return mLedger.find(JOB).orElseThrow();
+    }
+
+    private JobVerdict accept(long time, JobId id, long bodyHash) {
+        return apply(time, new JobRecord.Accepted(id, spec(bodyHash), RESULT, time));
+    }
+
+    private static JobSpec spec(long bodyHash) {
+        Optional<KeyHash> key = Optional.of(KeyHash.of(TEAM, "series-7"));
+        PipelineId pipeline = new PipelineId("publish");
+        return new JobSpec(TEAM, pipeline, new RequestId(1, 2), key, bodyHash);
+    }
+
+    private JobVerdict take(long time) {
+        return apply(time, new JobRecord.Taken(JOB, ENTRY, LEASE));
+    }
+
+    private long takeAndFence(long time) {
+        return take(time).job().flatMap(Job::lease).orElseThrow().fence();
+    }
+
+    private JobVerdict finish(long time, long fence) {
+        return apply(time, new JobRecord.Finished(JOB, fence, 200, false, "", RESULT));
+    }
+
+    private JobVerdict apply(long time, JobRecord record) {
+        return mLedger.apply(mOffset++, time, record);
+    }
+}
--- a/core/src/test/java/org/boragethread/core/job/JobRunsTest.java
+++ b/core/src/test/java/org/boragethread/core/job/JobRunsTest.java
@@ -8,8 +8,8 @@
 /** Runs jobs through seeded pauses, deaths, restarts and log faults. */
 public class JobRunsTest {
 
-    private static final int SEEDS = 60;
-    private static final int MAX_SEEDS_TO_CATCH = 300;
+    private static final int SEEDS = 100;
+    private static final int MAX_SEEDS_TO_CATCH = 1_000;
     private static final int STEPS = 150;
 
     @Test
@@ -21,7 +21,7 @@
             assertEquals(world.violation(), "", "seed " + seed);
             accepted += world.accepted();
         }
-        assertTrue(accepted > SEEDS, "runs with few jobs prove little: " + accepted);
+        assertTrue(accepted > 5 * SEEDS, "runs with few jobs prove little: " + accepted);
     }
 
     @Test
--- a/core/src/test/java/org/boragethread/core/job/JobWorld.java
+++ b/core/src/test/java/org/boragethread/core/job/JobWorld.java
@@ -29,7 +29,8 @@
 
     private static final Duration PATIENCE = Duration.ofSeconds(6);
     private static final TeamId TEAM = new TeamId("archive");
-    private static final int MAX_JOBS = 12;
+    private static final int MAX_JOBS = 20;
+    private static final int STEPS_PER_JOB = 4;
 
     private final JobRules mRules;
     private final JobSettings mSettings =
@@ -40,6 +41,7 @@
     private final JobLedger mObserver;
     private final ClaimWorld mWorld;
     private int mSubmitted;
+    private int mSteps;
 
     JobWorld(long seed, JobRules rules) {
         mRules = rules;
@@ -99,7 +101,8 @@
 
     @Override
     public void onStep(SimEntry entry) {
-        if (mSubmitted >= MAX_JOBS) {
+        mSteps++;
+        if (mSubmitted >= MAX_JOBS || mSteps % STEPS_PER_JOB != 0) {
             return;
         }
         int number = mSubmitted++;
