Adapt claims and jobs to the stream followers and grouped appenders

Cause: services wrote against an interface of their own until the log clients existed. Change: LogStreams writes through one writer a stream, FoldingHandler feeds a fold from its follower. Conclusion: unit tests pass; not yet run against the platform client.

--- a/core/src/main/java/org/boragethread/core/claim/ClaimService.java
+++ b/core/src/main/java/org/boragethread/core/claim/ClaimService.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 import org.boragethread.core.record.ConfirmedWriter;
 import org.boragethread.core.record.PersistentWriter;
+import org.boragethread.core.record.RecordFold;
 import org.boragethread.core.record.RecordSink;
 import org.boragethread.core.record.RecordSource;
 import org.boragethread.core.time.Scheduler;
@@ -185,6 +186,21 @@
         mTable.restart(partition, firstOffset);
     }
 
+    /** Returns the fold of one partition's stream, for the stream's follower. */
+    public RecordFold fold(int partition) {
+        return new RecordFold() {
+            @Override
+            public void apply(long offset, long timeMillis, String recordId, byte[] data) {
+                ClaimService.this.apply(partition, offset, timeMillis, recordId, data);
+            }
+
+            @Override
+            public void restart(long firstOffset) {
+                ClaimService.this.restart(partition, firstOffset);
+            }
+        };
+    }
+
     /** Returns the claim ledgers. */
     public ClaimTable table() {
         return mTable;
--- a/core/src/main/java/org/boragethread/core/job/BlobStore.java
+++ b/core/src/main/java/org/boragethread/core/job/BlobStore.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -22,8 +23,10 @@
     private final RecordSink mSink;
     private final RecordSource mSource;
     private final Supplier<String> mIds;
+    private final Duration mLimit;
 
-    BlobStore(RecordSink sink, RecordSource source, Supplier<String> ids) {
+    BlobStore(RecordSink sink, RecordSource source, Supplier<String> ids, Duration limit) {
+        mLimit = limit;
         mSink = sink;
         mSource = source;
         mIds = ids;
@@ -53,7 +56,7 @@
             int end = Math.min(bytes.length, start + JobSettings.PART_BYTES);
             byte[] part = Arrays.copyOfRange(bytes, start, end);
             byte[] data = JobTable.CODEC.encode(new JobRecord.Part(job), part);
-            appends.add(mSink.append(JobSettings.STREAM, mIds.get(), data));
+            appends.add(mSink.append(JobSettings.STREAM, mIds.get(), data, mLimit));
             start = end;
         } while (start < bytes.length);
         return CompletableFuture.allOf(appends.toArray(CompletableFuture[]::new))
--- a/core/src/main/java/org/boragethread/core/job/JobService.java
+++ b/core/src/main/java/org/boragethread/core/job/JobService.java
@@ -13,6 +13,7 @@
 import org.boragethread.core.claim.KeyHash;
 import org.boragethread.core.record.ConfirmedWriter;
 import org.boragethread.core.record.PersistentWriter;
+import org.boragethread.core.record.RecordFold;
 import org.boragethread.core.record.RecordSink;
 import org.boragethread.core.record.RecordSource;
 import org.boragethread.core.time.Scheduler;
@@ -31,7 +32,7 @@
  * Accepts jobs and tells how they stand. Safe for use by several threads; completes futures without
  * holding locks.
  */
-public final class JobService {
+public final class JobService implements RecordFold {
 
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     private static final int MAX_UNSAVED = 10_000;
@@ -54,7 +55,9 @@
         mPersistent =
                 new PersistentWriter(builder.mSink, builder.mScheduler, MAX_UNSAVED, builder.mIds);
         mIds = builder.mIds;
-        mBlobs = new BlobStore(builder.mSink, builder.mSource, builder.mIds);
+        mBlobs =
+                new BlobStore(
+                        builder.mSink, builder.mSource, builder.mIds, mSettings.appendTimeout());
     }
 
     /** Starts a service without collaborators; all of them must be set. */
@@ -211,11 +214,7 @@
                 Either.left(Refusal.notRun(reason, detail, RETRY_AFTER)));
     }
 
-    /**
-     * Takes the next record of the job stream. Records must come in order.
-     *
-     * @param timeMillis the record's log time, in milliseconds since 1970
-     */
+    @Override
     public void apply(long offset, long timeMillis, String recordId, byte[] data) {
         JobVerdict verdict = mTable.apply(offset, timeMillis, data);
         ConfirmedWriter.Owner owner = mConfirmed.applied(recordId, verdict);
@@ -236,7 +235,7 @@
         }
     }
 
-    /** Forgets everything because older records of the stream can no longer be read. */
+    @Override
     public void restart(long firstOffset) {
         mTable.restart(firstOffset);
     }
--- a/core/src/main/java/org/boragethread/core/record/ConfirmedWriter.java
+++ b/core/src/main/java/org/boragethread/core/record/ConfirmedWriter.java
@@ -57,7 +57,7 @@
         mWaiting.put(id, verdict);
         Scheduler.Timer timer = mScheduler.schedule(limit, () -> abandon(id, stream));
         verdict.whenComplete((value, error) -> timer.cancel());
-        mSink.append(stream, id, data)
+        mSink.append(stream, id, data, limit)
                 .thenAccept(
                         result -> {
                             if (result.isLeft()) {
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/record/FoldingHandler.java
@@ -0,0 +1,50 @@
+package org.boragethread.core.record;
+
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.boragethread.core.log.LogBatch;
+import org.boragethread.core.log.LogError;
+import org.boragethread.core.log.LogRecord;
+import org.boragethread.core.log.StreamHandler;
+
+/** Hands the records of one stream to a fold, and then to the stream's writer as read back. */
+public final class FoldingHandler implements StreamHandler {
+
+    private final RecordFold mFold;
+    private final Consumer<LogRecord> mReadBack;
+    private volatile boolean mIsCaughtUp;
+
+    /**
+     * Makes a handler.
+     *
+     * @param readBack takes each record after the fold, such as {@code appender::readBack}
+     */
+    public FoldingHandler(RecordFold fold, Consumer<LogRecord> readBack) {
+        mFold = Objects.requireNonNull(fold, "fold");
+        mReadBack = Objects.requireNonNull(readBack, "readBack");
+    }
+
+    @Override
+    public void onBatch(LogBatch batch, boolean caughtUp) {
+        for (LogRecord record : batch.records()) {
+            mFold.apply(record.offset(), record.timeMillis(), record.id(), record.data());
+            mReadBack.accept(record);
+        }
+        if (caughtUp) {
+            mIsCaughtUp = true;
+        }
+    }
+
+    @Override
+    public CompletableFuture<Long> onExpired(LogError.Expired expired) {
+        mIsCaughtUp = false;
+        mFold.restart(expired.first());
+        return CompletableFuture.completedFuture(expired.first());
+    }
+
+    /** Tells whether the stream has been read to its end since the last start of the fold. */
+    public boolean isCaughtUp() {
+        return mIsCaughtUp;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/record/LogStreams.java
@@ -0,0 +1,67 @@
+package org.boragethread.core.record;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.boragethread.core.log.LogBatch;
+import org.boragethread.core.log.LogEntry;
+import org.boragethread.core.log.LogError;
+import org.boragethread.core.log.LogRead;
+import org.boragethread.core.log.PlatformLog;
+import org.boragethread.core.log.RecordWriter;
+import org.boragethread.core.log.WriteError;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+
+/** Writes and reads records of the platform's log through one writer for each stream. */
+public final class LogStreams implements RecordSink, RecordSource {
+
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final PlatformLog mLog;
+    private final Map<String, RecordWriter> mWriters;
+
+    /**
+     * Makes an adapter.
+     *
+     * @param writers the writer of each stream, by its name
+     */
+    public LogStreams(PlatformLog log, Map<String, ? extends RecordWriter> writers) {
+        mLog = Objects.requireNonNull(log, "log");
+        mWriters = Map.copyOf(writers);
+    }
+
+    @Override
+    public CompletableFuture<Either<Refusal, Long>> append(
+            String stream, String id, byte[] data, Duration limit) {
+        RecordWriter writer = mWriters.get(stream);
+        if (writer == null) {
+            throw new IllegalArgumentException(
+                    "stream \"%s\" has no writer: add one".formatted(stream));
+        }
+        return writer.write(new LogEntry(id, data), limit)
+                .thenApply(result -> result.mapLeft(LogStreams::toRefusal));
+    }
+
+    private static Refusal toRefusal(WriteError error) {
+        return Refusal.notRun(RefusalReason.LOG_UNAVAILABLE, error.message(), RETRY_AFTER);
+    }
+
+    @Override
+    public CompletableFuture<Optional<byte[]>> read(String stream, long offset) {
+        return mLog.read(new LogRead(stream, offset, 1, Duration.ZERO))
+                .handle(
+                        (result, error) ->
+                                error == null ? dataAt(offset, result) : Optional.empty());
+    }
+
+    private static Optional<byte[]> dataAt(long offset, Either<LogError, LogBatch> result) {
+        return result.toJavaOptional()
+                .flatMap(batch -> batch.records().stream().findFirst())
+                .filter(record -> record.offset() == offset)
+                .map(record -> record.data());
+    }
+}
--- a/core/src/main/java/org/boragethread/core/record/PersistentWriter.java
+++ b/core/src/main/java/org/boragethread/core/record/PersistentWriter.java
@@ -17,6 +17,7 @@
 
     private static final Logger LOGGER = LogManager.getLogger(PersistentWriter.class);
     private static final Duration FIRST_DELAY = Duration.ofMillis(100);
+    private static final Duration APPEND_LIMIT = Duration.ofSeconds(30);
     private static final Duration MAX_DELAY = Duration.ofSeconds(5);
 
     private final RecordSink mSink;
@@ -63,7 +64,7 @@
     }
 
     private void attempt(Pending pending, Duration delay) {
-        mSink.append(pending.stream(), pending.id(), pending.data())
+        mSink.append(pending.stream(), pending.id(), pending.data(), APPEND_LIMIT)
                 .thenAccept(
                         result -> {
                             if (result.isRight()) {
--- a/core/src/main/java/org/boragethread/core/record/RecordSink.java
+++ b/core/src/main/java/org/boragethread/core/record/RecordSink.java
@@ -1,6 +1,7 @@
 package org.boragethread.core.record;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.boragethread.model.outcome.Refusal;
 
@@ -15,7 +16,9 @@
      * @param stream name of the stream
      * @param id identifier of the record; a repeated append carries the same one
      * @param data content, not copied
+     * @param limit how long to try
      * @return the offset once the record has been read back; never completes exceptionally
      */
-    CompletableFuture<Either<Refusal, Long>> append(String stream, String id, byte[] data);
+    CompletableFuture<Either<Refusal, Long>> append(
+            String stream, String id, byte[] data, Duration limit);
 }
--- a/core/src/test/java/org/boragethread/core/record/SimProcess.java
+++ b/core/src/test/java/org/boragethread/core/record/SimProcess.java
@@ -89,7 +89,8 @@
     }
 
     @Override
-    public CompletableFuture<Either<Refusal, Long>> append(String stream, String id, byte[] data) {
+    public CompletableFuture<Either<Refusal, Long>> append(
+            String stream, String id, byte[] data, Duration limit) {
         CompletableFuture<Either<Refusal, Long>> done = new CompletableFuture<>();
         mUnread.put(id, done);
         switch (mLog.nextFate()) {
