Confirm keyed submissions, so that late starters agree on who holds a key

Change: a submission with a key counts once its entry has confirmed it; a late starter relies on that record until it knows of all holders. Its warm-up now counts the late limit. Conclusion: late starters know the same unfinished jobs.

--- a/core/src/main/java/org/boragethread/core/job/JobLedger.java
+++ b/core/src/main/java/org/boragethread/core/job/JobLedger.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.boragethread.core.claim.KeyHash;
 import org.boragethread.model.job.JobId;
 import org.boragethread.model.job.JobStatus;
@@ -17,8 +18,9 @@
  * clock; leases and retention are judged by the log times of records. Not safe for use by several
  * threads.
  *
- * <p>A fold that starts after the stream's beginning trusts checkpoints at once, and new jobs only
- * after {@link JobSettings#warmUp}, when every job that may hold a key has been repeated.
+ * <p>A fold that starts after the stream's beginning learns earlier jobs from their checkpoints.
+ * Until {@link JobSettings#warmUp} has passed, it cannot tell who holds a key that appears, and
+ * takes a job with a key only once another entry has confirmed it.
  */
 public final class JobLedger {
 
@@ -34,6 +36,9 @@
     private final Map<JobId, Long> mEnded = new LinkedHashMap<>();
     // Jobs that are not known here, with the last record about them.
     private final Map<JobId, Touch> mStrangers = new LinkedHashMap<>();
+    // Submissions that may lose to a holder of their key that is not known here.
+    private final Map<JobId, Job> mCandidates = new LinkedHashMap<>();
+    private final Map<JobId, Long> mSubmitted = new LinkedHashMap<>();
     private long mNextOffset;
     private long mNowMillis = UNKNOWN_TIME;
     private long mStartMillis = UNKNOWN_TIME;
@@ -59,6 +64,8 @@
         mByKey.clear();
         mEnded.clear();
         mStrangers.clear();
+        mCandidates.clear();
+        mSubmitted.clear();
         mNextOffset = firstOffset;
         mNowMillis = UNKNOWN_TIME;
         mStartMillis = UNKNOWN_TIME;
@@ -114,7 +121,28 @@
             forget(oldest.getKey());
         }
         long touchedBefore = mNowMillis - mSettings.lateLimit().toMillis();
-        mStrangers.values().removeIf(touch -> touch.timeMillis() < touchedBefore);
+        removeOldest(mStrangers, touch -> touch.timeMillis() < touchedBefore);
+        removeOldest(mCandidates, job -> job.acceptedMillis() < touchedBefore);
+        forgetUnconfirmed(touchedBefore);
+    }
+
+    private void forgetUnconfirmed(long before) {
+        Iterator<Map.Entry<JobId, Long>> submitted = mSubmitted.entrySet().iterator();
+        while (submitted.hasNext()) {
+            Map.Entry<JobId, Long> oldest = submitted.next();
+            if (oldest.getValue() >= before) {
+                return;
+            }
+            submitted.remove();
+            forget(oldest.getKey());
+        }
+    }
+
+    private static <K, V> void removeOldest(Map<K, V> map, Predicate<V> isOver) {
+        Iterator<V> values = map.values().iterator();
+        while (values.hasNext() && isOver.test(values.next())) {
+            values.remove();
+        }
     }
 
     private void forget(JobId id) {
@@ -125,6 +153,7 @@
     private void touch(JobId id, long offset) {
         Slot slot = mJobs.get(id);
         if (slot == null) {
+            mStrangers.remove(id);
             mStrangers.put(id, new Touch(offset, mNowMillis));
         } else {
             slot.mTouchedOffset = offset;
@@ -138,8 +167,11 @@
         if (record instanceof JobRecord.Checkpoint checkpoint) {
             return restore(checkpoint);
         }
+        if (record instanceof JobRecord.Confirmed) {
+            return confirm(record.job());
+        }
         Slot slot = mJobs.get(record.job());
-        if (slot == null || slot.mJob.status().isFinal()) {
+        if (slot == null || !mayChange(slot.mJob.status())) {
             return JobVerdict.ignored(find(record.job()));
         }
         Optional<Job> next = JobTransitions.next(slot.mJob, record, offset, mNowMillis, mRules);
@@ -150,25 +182,64 @@
         return JobVerdict.applied(next.get());
     }
 
+    private static boolean mayChange(JobStatus status) {
+        return !status.isFinal() && status != JobStatus.SUBMITTED;
+    }
+
     private JobVerdict accept(long offset, JobRecord.Accepted accepted) {
         Optional<Job> known = find(accepted.job());
-        boolean isLate = mNowMillis - accepted.madeMillis() > mSettings.lateLimit().toMillis();
-        boolean isWarm = !mTruncated || mNowMillis - mStartMillis >= mSettings.warmUp().toMillis();
-        if (known.isPresent() || isLate || !isWarm) {
+        if (known.isPresent() || isVoid(accepted)) {
             return JobVerdict.ignored(known);
         }
-        Optional<Job> owner = accepted.spec().key().flatMap(this::findByKey);
+        Optional<KeyHash> key = accepted.spec().key();
+        Optional<Job> owner = key.flatMap(this::findByKey);
         if (owner.isPresent()) {
             boolean isSame = owner.get().spec().bodyHash() == accepted.spec().bodyHash();
             return JobVerdict.of(
                     isSame ? JobVerdict.Kind.EXISTS : JobVerdict.Kind.KEY_REUSED, owner.get());
         }
         Blob body = accepted.body().resolve(offset);
-        Job job = new JobBuilder(accepted.job(), accepted.spec(), body, mNowMillis).build();
+        JobBuilder job = new JobBuilder(accepted.job(), accepted.spec(), body, mNowMillis);
+        if (key.isEmpty()) {
+            add(job.build());
+            return JobVerdict.applied(job.build());
+        }
+        return submit(job.ended(JobStatus.SUBMITTED, "").build());
+    }
+
+    // A repeated submission may be of a job that has ended, also before the first record kept.
+    private boolean isVoid(JobRecord.Accepted accepted) {
+        long lateLimit = mSettings.lateLimit().toMillis();
+        return mNowMillis - accepted.madeMillis() > lateLimit
+                || mStrangers.containsKey(accepted.job())
+                || (mTruncated && mNowMillis - mStartMillis <= lateLimit);
+    }
+
+    private JobVerdict submit(Job job) {
+        if (mTruncated && mNowMillis - mStartMillis < mSettings.warmUp().toMillis()) {
+            mCandidates.put(job.id(), job);
+            return JobVerdict.ignored(Optional.empty());
+        }
         add(job);
+        mSubmitted.put(job.id(), mNowMillis);
         return JobVerdict.applied(job);
     }
 
+    private JobVerdict confirm(JobId id) {
+        Job candidate = mCandidates.remove(id);
+        if (candidate != null) {
+            add(candidate);
+        }
+        Optional<Job> job = find(id);
+        if (job.filter(j -> j.status() == JobStatus.SUBMITTED).isEmpty()) {
+            return JobVerdict.ignored(job);
+        }
+        mSubmitted.remove(id);
+        Job confirmed = job.get().change(mNowMillis).waiting(mNowMillis, "").build();
+        put(mJobs.get(id), confirmed);
+        return JobVerdict.applied(confirmed);
+    }
+
     private JobVerdict restore(JobRecord.Checkpoint checkpoint) {
         Slot slot = mJobs.get(checkpoint.job());
         Optional<Job> known = find(checkpoint.job());
--- a/core/src/main/java/org/boragethread/core/job/JobRecord.java
+++ b/core/src/main/java/org/boragethread/core/job/JobRecord.java
@@ -12,6 +12,7 @@
 @JsonSubTypes({
     @JsonSubTypes.Type(value = JobRecord.Part.class, name = "p"),
     @JsonSubTypes.Type(value = JobRecord.Accepted.class, name = "a"),
+    @JsonSubTypes.Type(value = JobRecord.Confirmed.class, name = "y"),
     @JsonSubTypes.Type(value = JobRecord.Taken.class, name = "t"),
     @JsonSubTypes.Type(value = JobRecord.Renewed.class, name = "r"),
     @JsonSubTypes.Type(value = JobRecord.EffectStarted.class, name = "e"),
@@ -46,6 +47,12 @@
             @JsonProperty("m") long madeMillis)
             implements JobRecord {}
 
+    /**
+     * States that a submission with a key is the first for its key. Only an entry that knows of all
+     * holders of keys writes it; others may rely on it.
+     */
+    record Confirmed(@JsonProperty("j") JobId job) implements JobRecord {}
+
     /**
      * Takes a job that is free. Its offset is the lease's fencing number.
      *
--- a/core/src/main/java/org/boragethread/core/job/JobService.java
+++ b/core/src/main/java/org/boragethread/core/job/JobService.java
@@ -43,13 +43,14 @@
     private final ConfirmedWriter<JobVerdict> mConfirmed;
     private final PersistentWriter mPersistent;
     private final BlobStore mBlobs;
+    private final TimeSource mTime;
     private final Supplier<String> mIds;
 
     private JobService(Builder builder) {
         mEntry = Objects.requireNonNull(builder.mEntry, "entry");
         mSettings = Objects.requireNonNull(builder.mSettings, "settings");
         Objects.requireNonNull(builder.mScheduler, "scheduler");
-        Objects.requireNonNull(builder.mTime, "time");
+        mTime = Objects.requireNonNull(builder.mTime, "time");
         mTable = builder.mTable == null ? new JobTable(mSettings, builder.mTime) : builder.mTable;
         mConfirmed = new ConfirmedWriter<>(builder.mSink, builder.mScheduler, builder.mIds);
         mPersistent =
@@ -91,7 +92,9 @@
             JobId id, JobSubmission submission, BlobStore.Prepared body, Duration remaining) {
         JobRecord.Accepted record =
                 new JobRecord.Accepted(id, specOf(submission), body.blob(), mTable.logMillis());
+        long deadlineNanos = mTime.nanoTime() + remaining.toNanos();
         return write(record, body.payload(), remaining)
+                .thenCompose(verdict -> confirm(verdict, deadlineNanos))
                 .thenApply(
                         verdict ->
                                 verdict.isLeft()
@@ -99,6 +102,20 @@
                                         : toJob(verdict.get()));
     }
 
+    private CompletableFuture<Either<Refusal, JobVerdict>> confirm(
+            Either<Refusal, JobVerdict> verdict, long deadlineNanos) {
+        Optional<Job> submitted =
+                verdict.toJavaOptional()
+                        .filter(v -> v.kind() != JobVerdict.Kind.KEY_REUSED)
+                        .flatMap(JobVerdict::job)
+                        .filter(job -> job.status() == JobStatus.SUBMITTED);
+        if (submitted.isEmpty()) {
+            return CompletableFuture.completedFuture(verdict);
+        }
+        JobRecord record = new JobRecord.Confirmed(submitted.get().id());
+        return write(record, new byte[0], Duration.ofNanos(deadlineNanos - mTime.nanoTime()));
+    }
+
     private static JobSpec specOf(JobSubmission submission) {
         byte[] name = submission.pipeline().value().getBytes(StandardCharsets.UTF_8);
         long bodyHash =
@@ -121,15 +138,14 @@
     }
 
     private static Either<Refusal, Job> toJob(JobVerdict verdict) {
-        boolean isKept = verdict.isApplied() || verdict.kind() == JobVerdict.Kind.EXISTS;
-        if (isKept && verdict.job().isPresent()) {
+        if (verdict.kind() != JobVerdict.Kind.KEY_REUSED && verdict.job().isPresent()) {
             return Either.right(verdict.job().get());
         }
         if (verdict.kind() == JobVerdict.Kind.KEY_REUSED) {
             String detail = "the key's first job has another body";
             return Either.left(Refusal.notRun(RefusalReason.KEY_REUSED, detail));
         }
-        String detail = "the submission reached the log too late";
+        String detail = "the submission reached the log too late, or this entry has just started";
         return Either.left(Refusal.notRun(RefusalReason.LOG_UNAVAILABLE, detail, RETRY_AFTER));
     }
 
--- a/core/src/main/java/org/boragethread/core/job/JobSettings.java
+++ b/core/src/main/java/org/boragethread/core/job/JobSettings.java
@@ -15,6 +15,7 @@
     private static final int CHECKPOINT_SHARE = 4;
     private static final int ENDED_SHARE = 4;
     private static final int REPEAT_SHARE = 3;
+    private static final int LATE_SHARE = 12;
 
     private final Duration mLogRetention;
     private final Duration mLateLimit;
@@ -36,9 +37,9 @@
         mEffectMaxAge = Objects.requireNonNull(builder.mEffectMaxAge, "effectMaxAge");
         mMaxRunning = builder.mMaxRunning;
         mMaxUnfinished = builder.mMaxUnfinished;
-        if (mLateLimit.compareTo(endedRetention()) >= 0) {
+        if (mLateLimit.multipliedBy(LATE_SHARE).compareTo(mLogRetention) > 0) {
             throw new IllegalArgumentException(
-                    "jobs: lateLimit %s must be below a quarter of logRetention %s"
+                    "jobs: lateLimit %s must be at most a twelfth of logRetention %s"
                             .formatted(mLateLimit, mLogRetention));
         }
     }
@@ -59,12 +60,13 @@
     }
 
     /**
-     * Returns how long a fold that starts after the stream's beginning does not trust new jobs: all
-     * unfinished jobs are repeated within a third of the retention, and ended ones hold their keys
-     * for a quarter.
+     * Returns how long a fold that starts after the stream's beginning does not trust new jobs. It
+     * does not take checkpoints for the late limit, all unfinished jobs are repeated within the
+     * next third of the retention, and ended ones hold their keys for a quarter. What is accepted
+     * meanwhile is repeated before the retention is over.
      */
     public Duration warmUp() {
-        return mLogRetention.dividedBy(REPEAT_SHARE).plus(endedRetention());
+        return mLateLimit.plus(mLogRetention.dividedBy(REPEAT_SHARE)).plus(endedRetention());
     }
 
     /** Returns the greatest age of a submission or checkpoint at which it still counts. */
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/job/TruncatedFoldTest.java
@@ -0,0 +1,139 @@
+package org.boragethread.core.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.boragethread.core.record.SimLog;
+import org.boragethread.core.record.SimProcess;
+import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.job.JobId;
+import org.boragethread.model.job.JobResult;
+import org.boragethread.model.outcome.RequestId;
+import org.boragethread.model.pipeline.PipelineId;
+import org.boragethread.model.place.EntryId;
+import org.boragethread.model.team.TeamId;
+import org.testng.annotations.Test;
+
+/** Tests that a fold of the records still kept equals the fold of all records. */
+public class TruncatedFoldTest {
+
+    private static final int SEEDS = 10;
+    private static final int KEYS = 12;
+    private static final Duration RETENTION = Duration.ofMinutes(8);
+    private static final JobSettings SETTINGS =
+            JobSettings.builder()
+                    .logRetention(RETENTION)
+                    .lateLimit(Duration.ofSeconds(15))
+                    .lease(Duration.ofSeconds(3))
+                    .build();
+
+    @Test
+    public void processThatStartsLateKnowsTheSameUnfinishedJobs() {
+        int compared = 0;
+        for (long seed = 0; seed < SEEDS; seed++) {
+            List<SimLog.Record> records = runJobs(seed);
+            long end = records.get(records.size() - 1).timeMillis();
+            Map<JobId, Job> whole = unfinished(records);
+            for (long age = 0; age < 60_000; age += 6_000) {
+                long keptFrom = end - RETENTION.toMillis() + age;
+                List<SimLog.Record> kept =
+                        records.stream().filter(r -> r.timeMillis() >= keptFrom).toList();
+                assertTrue(kept.get(0).offset() > 0, "the log must have lost records");
+                assertEquals(unfinished(kept), whole, "seed " + seed + ", age " + age);
+                compared += whole.size();
+            }
+        }
+        assertTrue(compared > SEEDS * 10, "too few jobs compared: " + compared);
+    }
+
+    private static Map<JobId, Job> unfinished(List<SimLog.Record> records) {
+        JobLedger ledger = new JobLedger(SETTINGS);
+        for (SimLog.Record record : records) {
+            JobRecord header = JobTable.CODEC.decode(record.data()).orElseThrow().header();
+            ledger.apply(record.offset(), record.timeMillis(), header);
+        }
+        Map<JobId, Job> jobs = new HashMap<>();
+        ledger.jobs().stream()
+                .filter(job -> !job.status().isFinal())
+                .forEach(job -> jobs.put(job.id(), job));
+        return jobs;
+    }
+
+    // Jobs wait for long between their runs, and the same keys come again and again.
+    private static List<SimLog.Record> runJobs(long seed) {
+        ManualTimeSource time = new ManualTimeSource();
+        Random random = new Random(seed);
+        SimLog log = new SimLog(time, random);
+        log.setFaults(0.1);
+        List<JobService> entries = new ArrayList<>();
+        entries.add(startEntry("entry-1", log, time, random));
+        entries.add(startEntry("entry-2", log, time, random));
+        while (time.millis() < RETENTION.multipliedBy(3).toMillis()) {
+            JobService entry = entries.get(random.nextInt(2));
+            entry.submit(submission(random.nextInt(KEYS)), Duration.ofSeconds(2));
+            time.advance(Duration.ofMillis(random.nextInt(20_000)));
+        }
+        return log.records(JobSettings.STREAM);
+    }
+
+    private static JobSubmission submission(int key) {
+        return new JobSubmission(
+                new TeamId("archive"),
+                new PipelineId("draft"),
+                new RequestId(1, key),
+                Optional.of("key-" + key),
+                "text/plain",
+                new byte[] {(byte) key});
+    }
+
+    private static JobService startEntry(
+            String name, SimLog log, ManualTimeSource time, Random random) {
+        SimProcess process = new SimProcess(log);
+        int[] ids = {0};
+        JobService service =
+                JobService.builder()
+                        .entry(new EntryId(name))
+                        .settings(SETTINGS)
+                        .sink(process)
+                        .source(process)
+                        .scheduler(process)
+                        .time(time)
+                        .recordIds(() -> name + "-" + ids[0]++)
+                        .build();
+        process.follow(
+                JobSettings.STREAM,
+                0,
+                r -> service.apply(r.offset(), r.timeMillis(), r.id(), r.data()));
+        Set<EntryId> live = Set.of(new EntryId("entry-1"), new EntryId("entry-2"));
+        JobPipeline pipeline = (work, progress) -> new ShortRun(random);
+        new JobRunner(service, pipeline, process, time, () -> live).start();
+        new JobCheckpointer(service, process, () -> live).start();
+        return service;
+    }
+
+    private record ShortRun(CompletableFuture<JobEnd> end) implements JobPipeline.Run {
+
+        ShortRun(Random random) {
+            this(CompletableFuture.completedFuture(draw(random)));
+        }
+
+        private static JobEnd draw(Random random) {
+            if (random.nextInt(8) == 0) {
+                return new JobEnd.Completed(new JobResult(200, "text/plain", new byte[3]));
+            }
+            return new JobEnd.Later(Duration.ofSeconds(random.nextInt(150)), false, "busy");
+        }
+
+        @Override
+        public void cancel() {}
+    }
+}
--- a/model/src/main/java/org/boragethread/model/job/JobStatus.java
+++ b/model/src/main/java/org/boragethread/model/job/JobStatus.java
@@ -2,6 +2,11 @@
 
 /** Where a job stands. */
 public enum JobStatus {
+    /**
+     * A submission with a key is in the log, but is not yet confirmed. It is forgotten if no
+     * confirmation comes.
+     */
+    SUBMITTED,
     /** No entry runs the job now. */
     WAITING,
     /** An entry holds a lease on the job. */
