Keep a job when its pipeline fails, and repeat old jobs without pauses

Cause: an exception in a run would have kept its lease renewed for ever; four checkpoints a tick are too few for the greatest number of unfinished jobs. Change: a failed run gives its job back; each written checkpoint starts the next.

--- a/core/src/main/java/org/boragethread/core/claim/ClaimRecovery.java
+++ b/core/src/main/java/org/boragethread/core/claim/ClaimRecovery.java
@@ -47,7 +47,7 @@
         if (earlier != null) {
             return earlier;
         }
-        mAgents.ask(open.target(), claim.ref(), fence)
+        ask(open, claim.ref(), fence)
                 .thenAccept(
                         answer -> {
                             mAsking.remove(question);
@@ -57,6 +57,22 @@
         return mine;
     }
 
+    private CompletableFuture<Optional<ClaimAnswer>> ask(
+            ClaimView.Open open, ClaimRef ref, boolean fence) {
+        CompletableFuture<Optional<ClaimAnswer>> answer;
+        try {
+            answer = mAgents.ask(open.target(), ref, fence);
+        } catch (RuntimeException e) {
+            answer = CompletableFuture.failedFuture(e);
+        }
+        return answer.exceptionally(error -> unreachable(open, error));
+    }
+
+    private static Optional<ClaimAnswer> unreachable(ClaimView.Open open, Throwable error) {
+        LOGGER.error("asking agent {} failed", open.target(), error);
+        return Optional.empty();
+    }
+
     private void record(ClaimView claim, ClaimView.Open open, ClaimAnswer answer, boolean fence) {
         LOGGER.info("agent {} answers {} to claim {}", open.target(), answer.state(), claim.ref());
         if (answer.outcome().isPresent()) {
--- a/core/src/main/java/org/boragethread/core/job/JobCheckpointer.java
+++ b/core/src/main/java/org/boragethread/core/job/JobCheckpointer.java
@@ -21,6 +21,7 @@
 
     private static final Logger LOGGER = LogManager.getLogger(JobCheckpointer.class);
     private static final int MAX_AT_A_TIME = 4;
+    private static final int MAX_CANDIDATES = 64;
     private static final int TICKS_PER_CHECKPOINT_AGE = 200;
     private static final byte[] NOTHING = new byte[0];
 
@@ -70,16 +71,24 @@
     private void repeatOldJobs() {
         long now = mService.table().logMillis();
         long age = mService.settings().checkpointAge().toMillis();
-        for (Job job : mService.table().anchoredBefore(now - age)) {
-            if (mWriting.size() >= MAX_AT_A_TIME) {
+        for (Job job : mService.table().anchoredBefore(now - age, MAX_CANDIDATES)) {
+            if (!mIsRunning || mWriting.size() >= MAX_AT_A_TIME) {
                 return;
             }
             if (isMyTurn(job, now - age) && mWriting.add(job.id())) {
-                repeat(job.id()).whenComplete((done, error) -> mWriting.remove(job.id()));
+                repeat(job.id()).whenComplete((isDone, error) -> onRepeated(job.id(), isDone));
             }
         }
     }
 
+    // After a failure the next tick goes on, so that a log out of service is not pressed.
+    private void onRepeated(JobId id, Boolean isDone) {
+        mWriting.remove(id);
+        if (Boolean.TRUE.equals(isDone)) {
+            repeatOldJobs();
+        }
+    }
+
     private boolean isMyTurn(Job job, long before) {
         long headStart = mRanking.rank(job.id()) * interval().toMillis() * 2;
         return mService.table()
--- a/core/src/main/java/org/boragethread/core/job/JobLedger.java
+++ b/core/src/main/java/org/boragethread/core/job/JobLedger.java
@@ -309,9 +309,12 @@
     }
 
     /** Returns unfinished jobs whose last full state in the log is older than a log time. */
-    public List<Job> anchoredBefore(long millis) {
+    public List<Job> anchoredBefore(long millis, int limit) {
         List<Job> jobs = new ArrayList<>();
         for (Slot slot : mJobs.values()) {
+            if (jobs.size() >= limit) {
+                return jobs;
+            }
             if (!slot.mJob.status().isFinal() && slot.mAnchoredMillis < millis) {
                 jobs.add(slot.mJob);
             }
--- a/core/src/main/java/org/boragethread/core/job/JobRun.java
+++ b/core/src/main/java/org/boragethread/core/job/JobRun.java
@@ -76,15 +76,29 @@
         if (mIsOver.get()) {
             return;
         }
-        JobWork work = new JobWork(mJob, mFence, input.get());
-        JobPipeline.Run run = mContext.pipeline().run(work, this);
+        begin(new JobWork(mJob, mFence, input.get()));
+    }
+
+    private void begin(JobWork work) {
+        JobPipeline.Run run;
+        try {
+            run = mContext.pipeline().run(work, this);
+        } catch (RuntimeException e) {
+            finishWith(failedInPipeline(e));
+            return;
+        }
         mRun = Optional.of(run);
-        run.end().thenAccept(this::finishWith);
+        run.end().exceptionally(this::failedInPipeline).thenAccept(this::finishWith);
         if (mIsOver.get()) {
             run.cancel();
         }
     }
 
+    private JobEnd failedInPipeline(Throwable error) {
+        LOGGER.error("the run of job {} failed", id(), error);
+        return new JobEnd.Later(third(), false, "fault in the entry that ran the job");
+    }
+
     private void scheduleRenewal() {
         mContext.scheduler().schedule(third(), this::renew);
     }
--- a/core/src/main/java/org/boragethread/core/job/JobTable.java
+++ b/core/src/main/java/org/boragethread/core/job/JobTable.java
@@ -116,9 +116,9 @@
     }
 
     /** Returns unfinished jobs whose last full state in the log is older than a log time. */
-    public List<Job> anchoredBefore(long millis) {
+    public List<Job> anchoredBefore(long millis, int limit) {
         synchronized (mLock) {
-            return mLedger.anchoredBefore(millis);
+            return mLedger.anchoredBefore(millis, limit);
         }
     }
 
