Check the claim, configuration and job protocols with a model checker

Cause: at-most-once, true 'not run', no revert, one winner and no lost job rest on protocols whose interleavings no test enumerates. Change: three TLA+ specifications; tests run TLC on them, on deliberately wrong variants that must be rejected, and on witnesses that show that the cases are reached.

--- /dev/null
+++ b/spec/src/main/tla/Config.tla
@@ -0,0 +1,209 @@
+------------------------------- MODULE Config -------------------------------
+(* Configuration as a fold over an append-only log with racing operators.    *)
+(*                                                                           *)
+(* An object is created, changed and removed by plans that name the revision *)
+(* they expect. Plans travel in "flight" and may land twice. Processes fold  *)
+(* records from the log or from peers, load snapshots, restart with nothing, *)
+(* and the log drops its oldest records.                                     *)
+EXTENDS Naturals, Sequences, FiniteSets, TLC
+
+CONSTANTS
+    Processes,      \* processes that hold the configuration
+    Objects,        \* configuration objects
+    MaxRecords,     \* greatest number of records in the log
+    MaxPlans,       \* greatest number of plans
+    MaxRestarts,    \* greatest number of process restarts
+    MaxCopies,      \* greatest number of records that land twice
+    Bug             \* name of a deliberate fault, or "none"
+
+VARIABLES
+    log,        \* all records ever appended; those before "first" have expired
+    first,      \* oldest kept offset
+    flight,     \* records that may still land
+    copies,     \* number of records that have landed a second time
+    state,      \* configuration of each process
+    life,       \* number of starts of each process
+    floor,      \* greatest revision of each process in its present life
+    plans,      \* number of plans made
+    told        \* answers that operators got: accepted or conflict by plan id
+
+vars == <<log, first, flight, copies, state, life, floor, plans, told>>
+
+(* An object is absent or present; both have the offset of their last change. *)
+Absent == [present |-> FALSE, revision |-> 0]
+
+Empty ==
+    [revision |-> 0, objects |-> [o \in Objects |-> Absent], accepted |-> {}, refused |-> {}]
+
+Matches(s, r) ==
+    CASE Bug = "no_revision_check" -> TRUE
+      [] Bug = "no_removal_revision" ->
+            IF r.expected.present
+            THEN s.objects[r.object] = r.expected
+            ELSE ~s.objects[r.object].present
+      [] OTHER -> s.objects[r.object] = r.expected
+
+Known(s, r) == r.id \in s.accepted \cup s.refused
+
+FoldPlan(s, r, offset) ==
+    IF Known(s, r) THEN [s EXCEPT !.revision = offset]
+    ELSE IF Matches(s, r)
+    THEN [s EXCEPT !.revision = offset, !.accepted = @ \cup {r.id},
+                   !.objects[r.object] = [present |-> r.put, revision |-> offset]]
+    ELSE [s EXCEPT !.revision = offset, !.refused = @ \cup {r.id}]
+
+Fold(s, r, offset) ==
+    IF r.type = "plan" THEN FoldPlan(s, r, offset) ELSE [s EXCEPT !.revision = offset]
+
+RECURSIVE FoldTo(_)
+FoldTo(n) == IF n = 0 THEN Empty ELSE Fold(FoldTo(n - 1), log[n], n)
+
+Init ==
+    /\ log = <<>>
+    /\ first = 1
+    /\ flight = {}
+    /\ copies = 0
+    /\ state = [p \in Processes |-> Empty]
+    /\ life = [p \in Processes |-> 1]
+    /\ floor = [p \in Processes |-> 0]
+    /\ plans = 0
+    /\ told = {}
+
+-----------------------------------------------------------------------------
+(* Operators plan at any process; the plan's record lands at any later time. *)
+
+Plan(p, o) ==
+    /\ plans < MaxPlans
+    /\ LET seen == state[p].objects[o]
+           r == [type |-> "plan", id |-> plans + 1, object |-> o, expected |-> seen,
+                 put |-> ~seen.present]
+       IN flight' = flight \cup {r}
+    /\ plans' = plans + 1
+    /\ UNCHANGED <<log, first, copies, state, life, floor, told>>
+
+Land(r) ==
+    /\ r \in flight
+    /\ Len(log) < MaxRecords
+    /\ log' = Append(log, r)
+    /\ \/ flight' = flight \ {r} /\ copies' = copies
+       \/ copies < MaxCopies /\ flight' = flight /\ copies' = copies + 1
+    /\ UNCHANGED <<first, state, life, floor, plans, told>>
+
+\* A process that has folded the plan's record answers its operator.
+Tell(p, id) ==
+    /\ id \in state[p].accepted \cup state[p].refused
+    /\ told' = told \cup {[id |-> id, accepted |-> id \in state[p].accepted]}
+    /\ UNCHANGED <<log, first, flight, copies, state, life, floor, plans>>
+
+-----------------------------------------------------------------------------
+(* Processes follow. *)
+
+Take(p, s) ==
+    /\ state' = [state EXCEPT ![p] = s]
+    /\ floor' = [floor EXCEPT ![p] = IF s.revision > @ THEN s.revision ELSE @]
+    /\ UNCHANGED <<log, first, flight, copies, life, plans, told>>
+
+ReadLog(p) ==
+    LET n == state[p].revision + 1 IN
+    \/ /\ n >= first
+       /\ n <= Len(log)
+       /\ Take(p, Fold(state[p], log[n], n))
+    \/ /\ Bug = "fold_over_gap"
+       /\ n < first
+       /\ first <= Len(log)
+       /\ Take(p, Fold(state[p], log[first], first))
+
+\* A peer sends the records after the process's own revision.
+PullDelta(p, q) ==
+    LET n == state[p].revision + 1 IN
+    /\ p # q
+    /\ state[q].revision >= n
+    /\ Take(p, Fold(state[p], log[n], n))
+
+Shown(s) == IF Bug = "snapshot_without_ids" THEN [s EXCEPT !.accepted = {}, !.refused = {}] ELSE s
+
+PullSnapshot(p, q) ==
+    /\ p # q
+    /\ \/ state[q].revision > state[p].revision
+       \/ Bug = "take_older_snapshot" /\ state[q].revision < state[p].revision
+    /\ Take(p, Shown(state[q]))
+
+WriteSnapshot(p) ==
+    /\ state[p].revision > 0
+    /\ Len(log) < MaxRecords
+    /\ ~ \E n \in 1..Len(log) : log[n].type = "snapshot"    \* one is enough here
+    /\ log' = Append(log, [type |-> "snapshot", id |-> 0, state |-> Shown(state[p])])
+    /\ UNCHANGED <<first, flight, copies, state, life, floor, plans, told>>
+
+LoadSnapshot(p, n) ==
+    /\ n \in first..Len(log)
+    /\ log[n].type = "snapshot"
+    /\ log[n].state.revision > state[p].revision
+    /\ Take(p, log[n].state)
+
+\* The log drops its oldest record; snapshots are written early enough that a kept one, or a
+\* process, reaches the first kept record.
+Expire ==
+    /\ first <= Len(log)
+    /\ \/ \E n \in first + 1..Len(log) :
+            log[n].type = "snapshot" /\ log[n].state.revision >= first
+       \/ \E p \in Processes : state[p].revision >= first
+    /\ first' = first + 1
+    /\ UNCHANGED <<log, flight, copies, state, life, floor, plans, told>>
+
+Restart(p) ==
+    /\ life[p] <= MaxRestarts
+    /\ \A q \in Processes \ {p} : life[q] = 1
+    /\ life' = [life EXCEPT ![p] = @ + 1]
+    /\ state' = [state EXCEPT ![p] = Empty]
+    /\ floor' = [floor EXCEPT ![p] = 0]
+    /\ UNCHANGED <<log, first, flight, copies, plans, told>>
+
+-----------------------------------------------------------------------------
+
+ProcessStep(p) ==
+    \/ ReadLog(p) \/ WriteSnapshot(p) \/ Restart(p)
+    \/ \E q \in Processes : PullDelta(p, q) \/ PullSnapshot(p, q)
+    \/ \E n \in 1..Len(log) : LoadSnapshot(p, n)
+    \/ \E id \in state[p].accepted \cup state[p].refused : Tell(p, id)
+
+Next ==
+    \/ \E p \in Processes, o \in Objects : Plan(p, o)
+    \/ \E r \in flight : Land(r)
+    \/ \E p \in Processes : ProcessStep(p)
+    \/ Expire
+
+Spec == Init /\ [][Next]_vars
+
+Symmetry == Permutations(Processes)
+
+-----------------------------------------------------------------------------
+(* Invariants. *)
+
+SamePrefixSameState == \A p \in Processes : state[p] = FoldTo(state[p].revision)
+
+\* Two accepted plans never start from the same revision of the same object, and nobody is told
+\* otherwise than the log decides.
+Winners == {n \in 1..Len(log) : log[n].type = "plan" /\ log[n].id \in FoldTo(n).accepted}
+
+OneWinner ==
+    /\ \A m, n \in Winners :
+        (log[m].id # log[n].id /\ log[m].object = log[n].object) =>
+            log[m].expected # log[n].expected
+    /\ \A a, b \in told : a.id = b.id => a = b
+
+NoRevert ==
+    /\ \A p \in Processes : state[p].revision = floor[p]
+    /\ \A t \in told :
+        t.accepted =>
+            \A p \in Processes :
+                \A n \in 1..Len(log) :
+                    (log[n].type = "plan" /\ log[n].id = t.id /\ state[p].revision >= n) =>
+                        t.id \in state[p].accepted
+
+(* Witnesses: TLC must find each violated. *)
+
+NeverConflict == \A t \in told : t.accepted
+NeverLoadsSnapshotAfterExpiry ==
+    ~ \E p \in Processes : life[p] = 2 /\ first > 2 /\ state[p].revision >= first
+=============================================================================
--- /dev/null
+++ b/spec/src/test/java/org/boragethread/spec/ClaimsSpecTest.java
@@ -0,0 +1,108 @@
+package org.boragethread.spec;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Checks the specification of claims. */
+public class ClaimsSpecTest {
+
+    private static final String[] INVARIANTS = {"AtMostOnce", "TrueNotRun", "NoWrongReplay"};
+
+    @Test
+    public void invariantsHoldWithAgentRestartAndForgottenClaim() {
+        TlcModel model =
+                twoEntries(4)
+                        .constant("MaxRestarts", 1)
+                        .constant("MaxForgets", 1)
+                        .invariants(INVARIANTS)
+                        .build();
+        ModelChecks.assertHolds(model, 50_000);
+    }
+
+    @Test
+    public void invariantsHoldWithThreeEntries() {
+        TlcModel model =
+                twoEntries(3).constant("Entries", "{e1, e2, e3}").invariants(INVARIANTS).build();
+        ModelChecks.assertHolds(model, 20_000);
+    }
+
+    @Test
+    public void invariantsHoldWhenCopiesOfRecordsAreNotRecognised() {
+        TlcModel model =
+                twoEntries(4)
+                        .constant("RememberIds", "FALSE")
+                        .constant("MaxCopies", 1)
+                        .invariants(INVARIANTS)
+                        .build();
+        ModelChecks.assertHolds(model, 20_000);
+    }
+
+    @Test
+    public void invariantsHoldWithTwoKeys() {
+        ModelChecks.assertHolds(twoKeys().invariants(INVARIANTS).build(), 50_000);
+    }
+
+    @Test(dataProvider = "faults")
+    public void faultIsFound(TlcModel model) {
+        ModelChecks.assertViolated(model);
+    }
+
+    @DataProvider(parallel = true)
+    Object[] faults() {
+        return new Object[] {
+            fault(4, "last_claim_wins", "AtMostOnce").build(),
+            fault(4, "release_by_key", "AtMostOnce").build(),
+            fault(4, "release_names_claim", "AtMostOnce").build(),
+            fault(3, "handover_after_break", "AtMostOnce").build(),
+            fault(3, "no_fence", "AtMostOnce").build(),
+            fault(3, "no_incarnation_check", "AtMostOnce").constant("MaxRestarts", 1).build(),
+            fault(3, "vouch_after_restart", "AtMostOnce").constant("MaxRestarts", 1).build(),
+            fault(3, "forget_without_mark", "AtMostOnce").constant("MaxForgets", 1).build(),
+            fault(3, "send_after_give_up", "TrueNotRun").build(),
+            fault(3, "not_run_after_break", "TrueNotRun").build(),
+            twoKeys().fault("replay_any_outcome").invariants("NoWrongReplay").build(),
+        };
+    }
+
+    @Test(dataProvider = "witnesses")
+    public void caseIsReached(TlcModel model) {
+        ModelChecks.assertViolated(model);
+    }
+
+    @DataProvider(parallel = true)
+    Object[] witnesses() {
+        return new Object[] {
+            twoEntries(3).invariants("NeverRunsAfterRelease").build(),
+            twoEntries(3).invariants("NeverHandedOver").build(),
+            twoEntries(3).invariants("NeverRecoversOutcome").build(),
+        };
+    }
+
+    private static TlcModel.Builder fault(int maxOffset, String fault, String invariant) {
+        return twoEntries(maxOffset).fault(fault).invariants(invariant);
+    }
+
+    private static TlcModel.Builder twoEntries(int maxOffset) {
+        return new TlcModel.Builder("ClaimsModel")
+                .modelValues("a1", "a2", "k1", "k2", "e1", "e2", "e3")
+                .constant("Entries", "{e1, e2}")
+                .constant("Agents", "{a1, a2}")
+                .constant("Keys", "{k1}")
+                .constant("KeyOf", "<- OneKey")
+                .constant("MaxOffset", maxOffset)
+                .constant("MaxClaims", 2)
+                .constant("MaxRestarts", 0)
+                .constant("MaxForgets", 0)
+                .constant("MaxCopies", 0)
+                .constant("RememberIds", "TRUE")
+                .symmetry("Symmetry");
+    }
+
+    private static TlcModel.Builder twoKeys() {
+        return twoEntries(3)
+                .constant("Entries", "{e1, e2, e3}")
+                .constant("Keys", "{k1, k2}")
+                .constant("KeyOf", "<- TwoKeys")
+                .symmetry("AgentSymmetry");
+    }
+}
