--- a/agent/src/main/java/org/boragethread/agent/command/ServeCommand.java
+++ b/agent/src/main/java/org/boragethread/agent/command/ServeCommand.java
@@ -2,8 +2,8 @@
 
 import org.boragethread.agent.serve.AgentProcess;
 import org.boragethread.agent.settings.AgentSettings;
-import org.boragethread.process.command.SettingsCommand;
 import org.boragethread.process.command.ServiceRunner;
+import org.boragethread.process.command.SettingsCommand;
 import org.boragethread.process.settings.SettingsReader;
 
 /** Serves until a stop signal arrives, then ends running work. */
--- a/entry/src/main/java/org/boragethread/entry/command/ServeCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/command/ServeCommand.java
@@ -2,8 +2,8 @@
 
 import org.boragethread.entry.serve.EntryProcess;
 import org.boragethread.entry.settings.EntrySettings;
-import org.boragethread.process.command.SettingsCommand;
 import org.boragethread.process.command.ServiceRunner;
+import org.boragethread.process.command.SettingsCommand;
 import org.boragethread.process.settings.SettingsReader;
 
 /** Serves until a stop signal arrives, then ends running work. */
