Use the decision policies in both binaries

Cause: entry and agent still ran the baselines, so no policy was exercised by a real request. Change: the agent's gate is adaptive, fair and behind a circuit breaker, follows the group's configuration and reported load; the entry selects by locality and prefix, admits by team, refuses hopeless requests, retries within a budget and hedges; every policy has its baseline in the settings.

--- a/agent/src/main/java/org/boragethread/agent/call/CallController.java
+++ b/agent/src/main/java/org/boragethread/agent/call/CallController.java
@@ -39,7 +39,7 @@
 
     @Override
     public void onCall(ServedCall call) {
-        Optional<Gate> gate = mGates.gate();
+        Optional<ManagedGate> gate = mGates.managed();
         if (gate.isEmpty()) {
             Refusal refusal =
                     Refusal.notRun(
@@ -53,7 +53,8 @@
         offer(call, gate.get());
     }
 
-    private void offer(ServedCall call, Gate gate) {
+    private void offer(ServedCall call, ManagedGate managed) {
+        Gate gate = managed.gate();
         GateRequest request =
                 new GateRequest(
                         new TeamId(call.message().getTeam()),
@@ -61,7 +62,7 @@
                         call.priority(),
                         call.deadlineNanos());
         long offeredAt = mTime.nanoTime();
-        RunningCall running = new RunningCall(call, gate, mTime, mMetrics, offeredAt);
+        RunningCall running = new RunningCall(call, managed, mTime, mMetrics, offeredAt);
         Gate.Waiting waiting =
                 gate.offer(
                         request,
--- a/agent/src/main/java/org/boragethread/agent/call/GateController.java
+++ b/agent/src/main/java/org/boragethread/agent/call/GateController.java
@@ -4,7 +4,6 @@
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.boragethread.core.admission.Gate;
 import org.boragethread.core.config.ConfigListener;
 import org.boragethread.model.config.Configuration;
 import org.boragethread.model.place.DataCentreId;
@@ -21,7 +20,7 @@
     private final GroupId mGroup;
     private final DataCentreId mDataCentre;
     private final GateHolder mGates;
-    private final Function<UpstreamGroup, Gate> mFactory;
+    private final Function<UpstreamGroup, ManagedGate> mFactory;
     private Optional<UpstreamGroup> mApplied = Optional.empty();
     private boolean mStopping;
     private boolean mOutOfService;
@@ -36,7 +35,7 @@
             GroupId group,
             DataCentreId dataCentre,
             GateHolder gates,
-            Function<UpstreamGroup, Gate> factory) {
+            Function<UpstreamGroup, ManagedGate> factory) {
         mUpstream = upstream;
         mGroup = group;
         mDataCentre = dataCentre;
@@ -48,7 +47,7 @@
     public synchronized void onConfiguration(Configuration configuration) {
         Optional<UpstreamGroup> group = configuration.group(mGroup);
         if (group.isPresent() && !group.equals(mApplied)) {
-            mGates.set(mFactory.apply(group.get()));
+            apply(group.get());
             mApplied = group;
             LOGGER.info("gate follows group {}", group.get());
         }
@@ -56,6 +55,15 @@
         updateLeaving();
     }
 
+    private void apply(UpstreamGroup group) {
+        Optional<ManagedGate> gate = mGates.managed();
+        if (gate.isPresent()) {
+            gate.get().reconfigure(group);
+        } else {
+            mGates.set(mFactory.apply(group));
+        }
+    }
+
     /** Refuses new work from now on because the process stops. */
     public synchronized void stop() {
         mStopping = true;
--- a/agent/src/main/java/org/boragethread/agent/call/GateHolder.java
+++ b/agent/src/main/java/org/boragethread/agent/call/GateHolder.java
@@ -8,17 +8,22 @@
 public final class GateHolder {
 
     private boolean mLeaving;
-    private Gate mGate;
+    private ManagedGate mGate;
 
-    /** Returns the gate, if the configuration of the group is known. */
-    public synchronized Optional<Gate> gate() {
+    /** Returns the gate that calls are offered to, if the configuration of the group is known. */
+    public Optional<Gate> gate() {
+        return managed().map(ManagedGate::gate);
+    }
+
+    /** Returns the managed gate, if the configuration of the group is known. */
+    public synchronized Optional<ManagedGate> managed() {
         return Optional.ofNullable(mGate);
     }
 
     /** Sets the gate. */
-    public synchronized void set(Gate gate) {
+    public synchronized void set(ManagedGate gate) {
         mGate = gate;
-        gate.setLeaving(mLeaving);
+        gate.gate().setLeaving(mLeaving);
     }
 
     /** Makes the present and any later gate refuse new work, or take it again. */
--- a/agent/src/main/java/org/boragethread/agent/call/RunningCall.java
+++ b/agent/src/main/java/org/boragethread/agent/call/RunningCall.java
@@ -31,7 +31,7 @@
     private static final int UNAVAILABLE = 503;
 
     private final ServedCall mCall;
-    private final Gate mGate;
+    private final ManagedGate mGate;
     private final TimeSource mTime;
     private final CallMetrics mMetrics;
     private final long mOfferedAt;
@@ -43,7 +43,12 @@
     private Optional<UpstreamHead> mRejection = Optional.empty();
     private boolean mDone;
 
-    RunningCall(ServedCall call, Gate gate, TimeSource time, CallMetrics metrics, long offeredAt) {
+    RunningCall(
+            ServedCall call,
+            ManagedGate gate,
+            TimeSource time,
+            CallMetrics metrics,
+            long offeredAt) {
         mCall = call;
         mGate = gate;
         mTime = time;
@@ -101,6 +106,7 @@
 
     @Override
     public void onHead(UpstreamHead head) {
+        mGate.onLoadHeader(head.load());
         if (isFailure(head.status())) {
             mRejection = Optional.of(head);
             return;
@@ -136,7 +142,7 @@
             mCall.end(
                     mTime.since(mAdmittedAt),
                     Duration.ofNanos(mAdmittedAt - mOfferedAt),
-                    mGate.load());
+                    mGate.gate().load());
         }
     }
 
@@ -210,7 +216,7 @@
             Optional<Duration> retryAfter) {
         if (complete(outcome)) {
             mMetrics.refused(reason);
-            mCall.refuse(new Refusal(reason, ran, detail, retryAfter), mGate.load());
+            mCall.refuse(new Refusal(reason, ran, detail, retryAfter), mGate.gate().load());
         }
     }
 
--- a/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
+++ b/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
@@ -8,6 +8,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -17,13 +18,19 @@
 import org.boragethread.agent.call.CallMetrics;
 import org.boragethread.agent.call.GateController;
 import org.boragethread.agent.call.GateHolder;
+import org.boragethread.agent.call.ManagedGate;
 import org.boragethread.agent.settings.AgentSettings;
 import org.boragethread.agent.upstream.GrizzlyUpstreamClient;
 import org.boragethread.agent.upstream.UpstreamClient;
-import org.boragethread.core.admission.FixedGate;
-import org.boragethread.core.admission.Gate;
+import org.boragethread.core.admission.AdaptiveGate;
+import org.boragethread.core.breaker.BreakerGate;
+import org.boragethread.core.breaker.CircuitBreaker;
 import org.boragethread.core.config.ConfigStore;
+import org.boragethread.core.limit.FixedLimit;
+import org.boragethread.core.metrics.DecisionMetrics;
+import org.boragethread.core.metrics.GateMetrics;
 import org.boragethread.core.time.ExecutorScheduler;
+import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.SystemTimeSource;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.upstream.UpstreamGroup;
@@ -53,6 +60,7 @@
     private final TimeSource mTime = new SystemTimeSource();
     private final ScheduledExecutorService mTimers =
             Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "timers"));
+    private final Scheduler mScheduler = new ExecutorScheduler(mTimers);
     private final PrometheusMeterRegistry mRegistry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final ConfigStore mConfig = new ConfigStore(HISTORY_RECORDS, HISTORY_BYTES);
@@ -83,18 +91,29 @@
                         MONITOR_THREADS);
     }
 
-    private Gate makeGate(UpstreamGroup group) {
-        return new FixedGate(group.maxLimit());
+    private ManagedGate makeGate(UpstreamGroup group) {
+        GateMetrics metrics = new GateMetrics(mRegistry, mSettings.upstreamId());
+        AdaptiveGate.Builder builder =
+                new AdaptiveGate.Builder(mTime, mScheduler, group)
+                        .events(metrics)
+                        .order(mSettings.order())
+                        .maxQueue(mSettings.queue());
+        if (mSettings.limit() == AgentSettings.LimitKind.FIXED) {
+            builder.limit(new FixedLimit(group.maxLimit()));
+        }
+        AdaptiveGate inner = builder.build();
+        metrics.bind(inner);
+        if (!mSettings.breaker()) {
+            return new ManagedGate(inner, inner, group);
+        }
+        CircuitBreaker breaker =
+                new CircuitBreaker(mTime, new SplittableRandom(), new DecisionMetrics(mRegistry));
+        return new ManagedGate(inner, new BreakerGate(inner, breaker), group);
     }
 
     private AgentServer makeServer() {
         CallController calls =
-                new CallController(
-                        mGates,
-                        mClient,
-                        mTime,
-                        new ExecutorScheduler(mTimers),
-                        new CallMetrics(mRegistry));
+                new CallController(mGates, mClient, mTime, mScheduler, new CallMetrics(mRegistry));
         return new AgentServer.Builder()
                 .address(mSettings.listen())
                 .identity(identity())
--- a/agent/src/main/java/org/boragethread/agent/settings/AgentSettings.java
+++ b/agent/src/main/java/org/boragethread/agent/settings/AgentSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import org.boragethread.core.admission.QueueOrder;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
@@ -23,6 +24,8 @@
  * @param connectTimeout time after which a connection attempt to the upstream has failed
  * @param limit how many calls the gate lets through
  * @param queue greatest number of waiting calls
+ * @param order order of waiting calls
+ * @param breaker whether a circuit breaker goes before the gate
  */
 public record AgentSettings(
         UpstreamId upstreamId,
@@ -35,10 +38,12 @@
         InetSocketAddress upstream,
         Duration connectTimeout,
         LimitKind limit,
-        int queue) {
+        int queue,
+        QueueOrder order,
+        boolean breaker) {
 
     private static final Duration HOUR = Duration.ofHours(1);
-    private static final int DEFAULT_QUEUE = 64;
+    private static final int DEFAULT_QUEUE = 128;
     private static final int MAX_QUEUE = 10_000;
 
     /** Reads settings; problems are recorded in the reader. */
@@ -61,8 +66,10 @@
                                 Duration.ofSeconds(1),
                                 Duration.ofMillis(10),
                                 Duration.ofMinutes(1)),
-                        gate.choice("limit", LimitKind.class, LimitKind.FIXED),
-                        gate.integer("queue", DEFAULT_QUEUE, 0, MAX_QUEUE));
+                        gate.choice("limit", LimitKind.class, LimitKind.ADAPTIVE),
+                        gate.integer("queue", DEFAULT_QUEUE, 0, MAX_QUEUE),
+                        gate.choice("order", QueueOrder.class, QueueOrder.FAIR),
+                        gate.flag("breaker", true));
         agent.finish();
         upstream.finish();
         gate.finish();
@@ -75,6 +82,8 @@
 
     /** Ways to limit the calls in flight. */
     public enum LimitKind {
+        /** Starts at what a cold upstream bears and follows what the upstream shows. */
+        ADAPTIVE,
         /** Always the greatest number that the group's configuration allows. */
         FIXED
     }
--- a/core/src/main/java/org/boragethread/core/dispatch/TablePicker.java
+++ b/core/src/main/java/org/boragethread/core/dispatch/TablePicker.java
@@ -15,6 +15,7 @@
 import org.boragethread.model.upstream.GroupKind;
 import org.boragethread.model.upstream.UpstreamGroup;
 import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.model.upstream.UpstreamLoad;
 
 /** Picks among the connections of a table with a selector, by the present configuration. */
 public final class TablePicker implements UpstreamPicker {
@@ -65,6 +66,20 @@
                 .map(chosen -> links.get(candidates.indexOf(chosen)));
     }
 
+    @Override
+    public double utilisation(Stage stage) {
+        int calls = 0;
+        int limits = 0;
+        for (UpstreamLink link : mTable.links(stage.group())) {
+            if (link.isAccepting()) {
+                UpstreamLoad load = link.candidate(UNKNOWN_REGION).load();
+                calls += load.inFlight() + load.queued();
+                limits += load.limit();
+            }
+        }
+        return limits == 0 ? 1 : calls / (double) limits;
+    }
+
     private static String regionOf(DataCentreId id, Configuration configuration) {
         return configuration.dataCentre(id).map(found -> found.region()).orElse(UNKNOWN_REGION);
     }
--- a/core/src/main/java/org/boragethread/core/dispatch/UpstreamPicker.java
+++ b/core/src/main/java/org/boragethread/core/dispatch/UpstreamPicker.java
@@ -15,4 +15,7 @@
      * @param excluded upstreams that the request has tried at this stage
      */
     Optional<UpstreamLink> pick(Stage stage, long prefixHash, Set<UpstreamId> excluded);
+
+    /** Returns the running and waiting calls of a stage's group as a share of its limits. */
+    double utilisation(Stage stage);
 }
--- a/core/src/main/java/org/boragethread/core/metrics/DecisionMetrics.java
+++ b/core/src/main/java/org/boragethread/core/metrics/DecisionMetrics.java
@@ -14,7 +14,7 @@
 import org.boragethread.model.outcome.RefusalReason;
 
 /** Counters of an entry's decisions. Every reason is registered at once, so that it shows as 0. */
-public final class DecisionMetrics implements BreakerEvents {
+public final class DecisionMetrics implements BreakerEvents, DecisionEvents {
 
     /** Name of the counter of refusals, by reason. */
     public static final String REFUSALS = "boragethread.refusals";
@@ -89,6 +89,7 @@
     }
 
     /** Counts what was decided after a failed attempt. */
+    @Override
     public void onRetryDecision(RetryDecision decision) {
         if (decision instanceof RetryDecision.Retry retry) {
             mRetries.count(retry.reason());
@@ -99,6 +100,7 @@
     }
 
     /** Counts what was decided when a hedge came due. */
+    @Override
     public void onHedgeDecision(HedgeDecision decision) {
         mHedges.count(decision);
         if (decision == HedgeDecision.SENT) {
@@ -107,6 +109,7 @@
     }
 
     /** Counts a token or end of a stream. */
+    @Override
     public void onStreamEvent(ResumeEvent event) {
         mStreamEvents.count(event);
     }
--- a/core/src/main/java/org/boragethread/core/pipeline/PipelineController.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/PipelineController.java
@@ -9,15 +9,15 @@
 public final class PipelineController {
 
     private final UpstreamPicker mPicker;
-    private final AttemptPolicy mAttempts;
+    private final RunPolicies mPolicies;
     private final TimeSource mTime;
     private final Scheduler mScheduler;
 
     /** Runs requests on the upstreams that the picker chooses. */
     public PipelineController(
-            UpstreamPicker picker, AttemptPolicy attempts, TimeSource time, Scheduler scheduler) {
+            UpstreamPicker picker, RunPolicies policies, TimeSource time, Scheduler scheduler) {
         mPicker = Objects.requireNonNull(picker, "picker");
-        mAttempts = Objects.requireNonNull(attempts, "attempts");
+        mPolicies = Objects.requireNonNull(policies, "policies");
         mTime = Objects.requireNonNull(time, "time");
         mScheduler = Objects.requireNonNull(scheduler, "scheduler");
     }
@@ -37,8 +37,8 @@
         return mPicker;
     }
 
-    AttemptPolicy attempts() {
-        return mAttempts;
+    RunPolicies policies() {
+        return mPolicies;
     }
 
     TimeSource time() {
--- a/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
@@ -3,12 +3,14 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.boragethread.core.dispatch.CallSummary;
 import org.boragethread.core.dispatch.StageCall;
 import org.boragethread.core.dispatch.UpstreamLink;
+import org.boragethread.core.retry.RetryDecision;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.model.outcome.AttemptId;
 import org.boragethread.model.outcome.Ran;
@@ -19,7 +21,7 @@
 
 /**
  * One request on its way through the stages. All state is guarded by this object; attempts report
- * to it, and only the current attempt is heard.
+ * to it, and only running attempts are heard.
  */
 final class PipelineRun implements RunHandle {
 
@@ -38,10 +40,12 @@
     private Ran mRan = Ran.NO;
     private Ran mRanBeforeStage = Ran.NO;
     private StreamProgress mStream = new StreamProgress();
-    private Optional<StageAttempt> mCurrent = Optional.empty();
+    private final List<StageAttempt> mRunning = new ArrayList<>();
     private Optional<Refusal> mLastRefusal = Optional.empty();
     private Scheduler.Timer mDeadlineTimer = () -> {};
     private Scheduler.Timer mRetryTimer = () -> {};
+    private Scheduler.Timer mHedgeTimer = () -> {};
+    private boolean mHedged;
     private boolean mDone;
 
     PipelineRun(PipelineRequest request, ResponseSink sink, PipelineController controller) {
@@ -59,10 +63,18 @@
 
     private void startStage() {
         mAttempts = 0;
+        mHedged = false;
         mTried.clear();
         mLastRefusal = Optional.empty();
         mStream = new StreamProgress();
         mRanBeforeStage = mRan;
+        Optional<Refusal> hopeless =
+                policies().checkDeadline(mRequest.pipeline(), mStageIndex, remaining());
+        if (hopeless.isPresent()) {
+            fail(hopeless.get());
+            return;
+        }
+        policies().onFirstCall(stage());
         attempt();
     }
 
@@ -70,21 +82,58 @@
         if (mDone) {
             return;
         }
-        Optional<UpstreamLink> link =
-                mController.picker().pick(stage(), prefixHash(), Set.copyOf(mTried));
+        Optional<UpstreamLink> link = pick();
         if (link.isEmpty()) {
             fail(mLastRefusal.orElseGet(this::noUpstream));
             return;
         }
-        mTried.add(link.get().upstream());
         if (!stage().idempotent()) {
             mRan = Ran.UNKNOWN;
         }
-        StageAttempt attempt = new StageAttempt(this, stage(), streamsToCaller());
-        mCurrent = Optional.of(attempt);
+        send(link.get());
+        scheduleHedge();
+    }
+
+    private Optional<UpstreamLink> pick() {
+        return mController.picker().pick(stage(), prefixHash(), Set.copyOf(mTried));
+    }
+
+    private void send(UpstreamLink link) {
+        mTried.add(link.upstream());
+        StageAttempt attempt = new StageAttempt(this, stage(), link, streamsToCaller());
+        mRunning.add(attempt);
         StageCall call = call();
         mAttempts++;
-        attempt.begin(link.get(), call);
+        attempt.begin(call, mController.time());
+    }
+
+    private void scheduleHedge() {
+        mHedgeTimer.cancel();
+        if (mHedged || streamsToCaller() || mTried.size() > 1) {
+            return;
+        }
+        Optional<Duration> delay = policies().hedgeDelay(stage(), remaining());
+        if (delay.isPresent()) {
+            int stage = mStageIndex;
+            mHedgeTimer = mController.scheduler().schedule(delay.get(), () -> hedge(stage));
+        }
+    }
+
+    /** Sends a second attempt beside a slow one, if the policy allows it. */
+    private synchronized void hedge(int stage) {
+        if (mDone || mHedged || stage != mStageIndex || mRunning.size() != 1) {
+            return;
+        }
+        Optional<UpstreamLink> link = pick();
+        double utilisation = mController.picker().utilisation(stage());
+        if (link.isPresent() && policies().tryHedge(stage(), remaining(), utilisation)) {
+            mHedged = true;
+            send(link.get());
+        }
+    }
+
+    private RunPolicies policies() {
+        return mController.policies();
     }
 
     private StageCall call() {
@@ -145,15 +194,19 @@
         mSink.onStreamEvent(event.bytes(), onSent);
     }
 
-    /** Takes the whole result of the current stage. */
-    synchronized void onResult(StageAttempt from, StageResult result, CallSummary summary) {
+    /** Takes the whole result of the current stage; of two attempts the first one counts. */
+    synchronized void onResult(StageAttempt from, StageResult result) {
         if (!isCurrent(from)) {
             return;
         }
-        mCurrent = Optional.empty();
+        mRunning.remove(from);
+        cancelRunning();
+        mHedgeTimer.cancel();
         if (!stage().idempotent()) {
             mRan = Ran.YES;
         }
+        Duration latency = mController.time().since(from.startNanos());
+        policies().onResult(mRequest.pipeline(), mStageIndex, from.upstream(), latency);
         if (streamsToCaller() && result.isStreamed()) {
             finish();
             mSink.onStreamEnd();
@@ -176,33 +229,41 @@
         if (!isCurrent(from)) {
             return;
         }
-        mCurrent = Optional.empty();
+        mRunning.remove(from);
+        if (!mRunning.isEmpty()) {
+            return;
+        }
+        mHedgeTimer.cancel();
         if (!stage().idempotent() && refusal.ran() == Ran.NO) {
             mRan = mRanBeforeStage;
         }
-        Optional<Duration> delay =
-                mController.attempts().nextAttempt(stage(), refusal, mAttempts, remaining());
-        if (delay.isEmpty()) {
+        RetryDecision decision = policies().afterFailure(stage(), refusal, mAttempts, remaining());
+        if (!(decision instanceof RetryDecision.Retry retry)) {
             fail(refusal);
             return;
         }
         mLastRefusal = Optional.of(refusal);
-        if (delay.get().isZero()) {
+        if (retry.delay().isZero()) {
             attempt();
         } else {
-            mRetryTimer = mController.scheduler().schedule(delay.get(), this::attempt);
+            mRetryTimer = mController.scheduler().schedule(retry.delay(), this::attempt);
         }
     }
 
     private boolean isCurrent(StageAttempt attempt) {
-        return !mDone && mCurrent.isPresent() && mCurrent.get() == attempt;
+        return !mDone && mRunning.contains(attempt);
+    }
+
+    private void cancelRunning() {
+        mRunning.forEach(StageAttempt::cancel);
+        mRunning.clear();
     }
 
     private synchronized void onDeadline() {
         if (mDone) {
             return;
         }
-        mCurrent.ifPresent(StageAttempt::cancel);
+        cancelRunning();
         fail(
                 Refusal.notRun(
                         RefusalReason.DEADLINE_EXCEEDED,
@@ -219,14 +280,14 @@
         if (mDone) {
             return;
         }
-        mCurrent.ifPresent(StageAttempt::cancel);
+        cancelRunning();
         finish();
     }
 
     private void finish() {
         mDone = true;
-        mCurrent = Optional.empty();
         mDeadlineTimer.cancel();
         mRetryTimer.cancel();
+        mHedgeTimer.cancel();
     }
 }
--- a/core/src/main/java/org/boragethread/core/pipeline/StageAttempt.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/StageAttempt.java
@@ -9,10 +9,12 @@
 import org.boragethread.core.dispatch.CallSummary;
 import org.boragethread.core.dispatch.StageCall;
 import org.boragethread.core.dispatch.UpstreamLink;
+import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.outcome.Ran;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.pipeline.Stage;
+import org.boragethread.model.upstream.UpstreamId;
 
 /**
  * One attempt at one stage: collects the result, or passes events on. Its connection calls it from
@@ -29,10 +31,12 @@
 
     private final PipelineRun mRun;
     private final Stage mStage;
+    private final UpstreamLink mLink;
     private final boolean mToCaller;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final EventSplitter mSplitter = new EventSplitter();
 
+    private long mStartNanos;
     private int mStatus;
     private String mContentType = "";
     private boolean mEvents;
@@ -41,14 +45,16 @@
     private Optional<CallHandle> mHandle = Optional.empty();
     private boolean mCancelled;
 
-    StageAttempt(PipelineRun run, Stage stage, boolean toCaller) {
+    StageAttempt(PipelineRun run, Stage stage, UpstreamLink link, boolean toCaller) {
         mRun = run;
         mStage = stage;
+        mLink = link;
         mToCaller = toCaller;
     }
 
-    void begin(UpstreamLink link, StageCall call) {
-        CallHandle handle = link.call(call, this);
+    void begin(StageCall call, TimeSource time) {
+        mStartNanos = time.nanoTime();
+        CallHandle handle = mLink.call(call, this);
         boolean cancelled;
         synchronized (this) {
             mHandle = Optional.of(handle);
@@ -59,6 +65,14 @@
         }
     }
 
+    UpstreamId upstream() {
+        return mLink.upstream();
+    }
+
+    long startNanos() {
+        return mStartNanos;
+    }
+
     void cancel() {
         Optional<CallHandle> handle;
         synchronized (this) {
@@ -146,7 +160,7 @@
         }
         String type = mEvents ? TEXT : mContentType;
         boolean streamed = mEvents && mToCaller;
-        mRun.onResult(this, new StageResult(mStatus, type, mBody.toByteArray(), streamed), summary);
+        mRun.onResult(this, new StageResult(mStatus, type, mBody.toByteArray(), streamed));
     }
 
     @Override
--- a/entry/src/main/java/org/boragethread/entry/http/PipelineHandler.java
+++ b/entry/src/main/java/org/boragethread/entry/http/PipelineHandler.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.function.Supplier;
+import org.boragethread.core.fairness.TeamAdmission;
 import org.boragethread.core.pipeline.PipelineController;
 import org.boragethread.core.pipeline.PipelineRequest;
 import org.boragethread.core.pipeline.RunHandle;
@@ -29,6 +30,7 @@
     private final RequestMetrics mMetrics;
     private final Scheduler mScheduler;
     private final CallerLimits mLimits;
+    private final TeamAdmission mTeams;
     private final Supplier<Optional<String>> mObstacle;
 
     /**
@@ -43,12 +45,14 @@
             TimeSource time,
             Scheduler scheduler,
             CallerLimits limits,
+            TeamAdmission teams,
             Supplier<Optional<String>> obstacle) {
         mPipelines = pipelines;
         mParser = new RequestParser(configuration, time);
         mMetrics = metrics;
         mScheduler = scheduler;
         mLimits = limits;
+        mTeams = teams;
         mObstacle = obstacle;
     }
 
@@ -59,9 +63,16 @@
         RequestId id =
                 parsed.map(PipelineRequest::id).getOrElse(() -> RequestId.of(UUID.randomUUID()));
         String team = Optional.ofNullable(request.getHeader("Team")).orElse("");
-        CallerResponse sink = new CallerResponse(response, id, team, mMetrics, mMetrics::end);
-        if (parsed.isLeft()) {
-            sink.onRefused(parsed.getLeft());
+        Either<Refusal, TeamAdmission.Admission> admitted =
+                parsed.flatMap(accepted -> mTeams.tryAdmit(accepted.team()));
+        Runnable onFinished =
+                () -> {
+                    mMetrics.end();
+                    admitted.forEach(TeamAdmission.Admission::close);
+                };
+        CallerResponse sink = new CallerResponse(response, id, team, mMetrics, onFinished);
+        if (admitted.isLeft()) {
+            sink.onRefused(admitted.getLeft());
             return;
         }
         response.suspend();
--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -26,9 +26,7 @@
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.dispatch.UpstreamTable;
 import org.boragethread.core.log.AppendBudget;
-import org.boragethread.core.pipeline.BoundedAttempts;
 import org.boragethread.core.pipeline.PipelineController;
-import org.boragethread.core.selection.RoundRobinSelector;
 import org.boragethread.core.time.ExecutorScheduler;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.SystemTimeSource;
@@ -155,18 +153,12 @@
     }
 
     private HttpServer callers() {
+        PolicyFactory policies = new PolicyFactory(mSettings.policies(), mTime);
         TablePicker picker =
                 new TablePicker(
-                        mUpstreams,
-                        mConfig::current,
-                        mSettings.dataCentre(),
-                        new RoundRobinSelector());
+                        mUpstreams, mConfig::current, mSettings.dataCentre(), policies.selector());
         PipelineController pipelines =
-                new PipelineController(
-                        picker,
-                        new BoundedAttempts(mSettings.policies().maxAttempts()),
-                        mTime,
-                        mScheduler);
+                new PipelineController(picker, policies.runPolicies(mRegistry), mTime, mScheduler);
         PipelineHandler handler =
                 new PipelineHandler(
                         pipelines,
@@ -175,6 +167,7 @@
                         mTime,
                         mScheduler,
                         mSettings.callers(),
+                        policies.teams(),
                         this::refusal);
         int threads = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
         HttpServer server = HttpServers.create(mSettings.listen(), handler, threads);
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/serve/PolicyFactory.java
@@ -0,0 +1,74 @@
+package org.boragethread.entry.serve;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import org.boragethread.core.deadline.ObservedDeadline;
+import org.boragethread.core.deadline.StageTimes;
+import org.boragethread.core.fairness.TeamAdmission;
+import org.boragethread.core.fairness.TeamLimits;
+import org.boragethread.core.fairness.UnlimitedTeams;
+import org.boragethread.core.metrics.DecisionMetrics;
+import org.boragethread.core.pipeline.RunPolicies;
+import org.boragethread.core.retry.NeverRetry;
+import org.boragethread.core.retry.RetryAtOnce;
+import org.boragethread.core.retry.RetryPolicy;
+import org.boragethread.core.retry.SafeRetryPolicy;
+import org.boragethread.core.retry.TailHedge;
+import org.boragethread.core.selection.GroupKindSelector;
+import org.boragethread.core.selection.LocalitySelector;
+import org.boragethread.core.selection.PrefixAffinitySelector;
+import org.boragethread.core.selection.RoundRobinSelector;
+import org.boragethread.core.selection.Selector;
+import org.boragethread.core.selection.UpstreamTimes;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.entry.settings.PolicySettings;
+
+/** Makes the policies that the settings name. */
+final class PolicyFactory {
+
+    private final PolicySettings mSettings;
+    private final TimeSource mTime;
+    private final UpstreamTimes mUpstreamTimes;
+
+    PolicyFactory(PolicySettings settings, TimeSource time) {
+        mSettings = settings;
+        mTime = time;
+        mUpstreamTimes = new UpstreamTimes(time);
+    }
+
+    Selector selector() {
+        if (mSettings.selection() == PolicySettings.Selection.ROUND_ROBIN) {
+            return new RoundRobinSelector();
+        }
+        return new GroupKindSelector(
+                new PrefixAffinitySelector(mUpstreamTimes),
+                new LocalitySelector(ThreadRandom.INSTANCE, mUpstreamTimes));
+    }
+
+    TeamAdmission teams() {
+        return mSettings.teamLimits() ? new TeamLimits(mTime) : new UnlimitedTeams();
+    }
+
+    RunPolicies runPolicies(MeterRegistry registry) {
+        RunPolicies.Builder builder =
+                new RunPolicies.Builder(mTime)
+                        .retry(retry())
+                        .upstreamTimes(mUpstreamTimes)
+                        .events(new DecisionMetrics(registry));
+        if (mSettings.hedge() == PolicySettings.Hedge.TAIL) {
+            builder.hedge(new TailHedge());
+        }
+        if (mSettings.deadline() == PolicySettings.Deadline.OBSERVED) {
+            StageTimes times = new StageTimes(mTime);
+            builder.deadline(new ObservedDeadline(mTime, times), times);
+        }
+        return builder.build();
+    }
+
+    private RetryPolicy retry() {
+        return switch (mSettings.retry()) {
+            case SAFE -> new SafeRetryPolicy(ThreadRandom.INSTANCE, mSettings.maxAttempts());
+            case AT_ONCE -> new RetryAtOnce(mSettings.maxAttempts());
+            case NEVER -> new NeverRetry();
+        };
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/serve/ThreadRandom.java
@@ -0,0 +1,17 @@
+package org.boragethread.entry.serve;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.random.RandomGenerator;
+
+/** Random numbers for several threads, without a lock between them. */
+final class ThreadRandom implements RandomGenerator {
+
+    static final RandomGenerator INSTANCE = new ThreadRandom();
+
+    private ThreadRandom() {}
+
+    @Override
+    public long nextLong() {
+        return ThreadLocalRandom.current().nextLong();
+    }
+}
--- a/process/src/main/java/org/boragethread/process/settings/SettingsSection.java
+++ b/process/src/main/java/org/boragethread/process/settings/SettingsSection.java
@@ -110,6 +110,19 @@
         return node.intValue();
     }
 
+    /** Returns true or false, or the default if the key is missing. */
+    public boolean flag(String key, boolean defaultValue) {
+        JsonNode node = node(key);
+        if (node.isMissingNode()) {
+            return defaultValue;
+        }
+        if (!node.isBoolean()) {
+            problem(key, "write true or false, without quotes");
+            return defaultValue;
+        }
+        return node.booleanValue();
+    }
+
     /** Returns a duration given in milliseconds, or the default if the key is missing. */
     public Duration millis(String key, Duration defaultValue, Duration min, Duration max) {
         int millis =
