--- /dev/null
+++ b/standins/src/main/java/org/boragethread/standins/caller/CallerClient.java
@@ -0,0 +1,56 @@
+package org.boragethread.standins.caller;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/** Sends requests to entries. */
+public final class CallerClient {
+
+    private static final Duration SPARE_TIME = Duration.ofSeconds(10);
+
+    private final HttpClient mClient =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(SPARE_TIME)
+                    .build();
+
+    /**
+     * Sends a request. The answer fails if the connection breaks, or if no answer has come some
+     * time after the deadline.
+     *
+     * @param entry address of the entry
+     */
+    public CompletableFuture<CallerAnswer> call(String entry, CallerRequest request) {
+        return mClient.sendAsync(httpRequest(entry, request), BodyHandlers.ofByteArray())
+                .thenApply(CallerClient::answer);
+    }
+
+    private static HttpRequest httpRequest(String entry, CallerRequest request) {
+        URI uri = URI.create("http://" + entry + "/v1/pipelines/" + request.pipeline());
+        HttpRequest.Builder builder =
+                HttpRequest.newBuilder(uri)
+                        .timeout(Duration.ofMillis(request.deadlineMs()).plus(SPARE_TIME))
+                        .header("Team", request.team())
+                        .header("Deadline-Ms", Long.toString(request.deadlineMs()))
+                        .POST(BodyPublishers.ofByteArray(request.body()));
+        if (request.streaming()) {
+            builder.header("Accept", "text/event-stream");
+        }
+        request.key().ifPresent(key -> builder.header("Idempotency-Key", key));
+        return builder.build();
+    }
+
+    private static CallerAnswer answer(HttpResponse<byte[]> response) {
+        return new CallerAnswer(
+                response.statusCode(),
+                response.headers().firstValue("Request-Id").orElse(""),
+                response.headers().firstValue("Content-Type").orElse(""),
+                response.body());
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/boragethread/standins/caller/ExpectedAnswer.java
@@ -0,0 +1,58 @@
+package org.boragethread.standins.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.standins.upstream.Content;
+
+/** Works out the one right answer to a request and compares. Only the last stage may stream. */
+public final class ExpectedAnswer {
+
+    private static final String DATA = "data: ";
+
+    private final List<StageShape> mStages;
+
+    /** Makes a checker for pipelines with these stages. */
+    public ExpectedAnswer(StageShape... stages) {
+        mStages = List.of(stages);
+    }
+
+    /** Returns what is wrong with a good answer's content, or empty if it is whole and its own. */
+    public Optional<String> fault(CallerAnswer answer, byte[] body) {
+        byte[] input = body;
+        for (StageShape stage : mStages) {
+            if (stage.tokens() > 0) {
+                return streamFault(stage, answer, input);
+            }
+            input =
+                    Content.plainResult(
+                            stage.path(), answer.requestId(), input, stage.resultBytes());
+        }
+        String expected = new String(input, StandardCharsets.UTF_8);
+        return expected.equals(answer.text())
+                ? Optional.empty()
+                : Optional.of("expected %s, was %s".formatted(expected, answer.text()));
+    }
+
+    private static Optional<String> streamFault(
+            StageShape stage, CallerAnswer answer, byte[] input) {
+        List<String> expected =
+                List.of(Content.tokens(stage.path(), answer.requestId(), input, stage.tokens()));
+        List<String> tokens = new ArrayList<>();
+        boolean ended = false;
+        for (String line : answer.text().lines().toList()) {
+            if (line.equals("event: end")) {
+                ended = true;
+            } else if (line.startsWith(DATA) && !ended) {
+                tokens.add(line.substring(DATA.length()));
+            }
+        }
+        if (!ended) {
+            return Optional.of("the stream has no end: " + answer.text());
+        }
+        return expected.equals(tokens)
+                ? Optional.empty()
+                : Optional.of("expected %s, was %s".formatted(expected, tokens));
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/Ledgers.java
@@ -0,0 +1,17 @@
+package org.boragethread.standins.system;
+
+import java.util.List;
+import org.boragethread.standins.harness.Deployment;
+import org.boragethread.standins.upstream.Order;
+
+/** The executed orders of all upstreams. */
+final class Ledgers {
+
+    private Ledgers() {}
+
+    static List<Order> of(Deployment deployment) {
+        return deployment.upstreams().stream()
+                .flatMap(upstream -> upstream.ledger().stream())
+                .toList();
+    }
+}
