--- a/core/src/main/java/org/boragethread/core/breaker/BreakerGate.java
+++ b/core/src/main/java/org/boragethread/core/breaker/BreakerGate.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.boragethread.core.admission.CallOutcome;
 import org.boragethread.core.admission.Gate;
+import org.boragethread.core.admission.GateEvents;
 import org.boragethread.core.admission.GateRequest;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
@@ -21,17 +22,24 @@
 
     private final Gate mGate;
     private final Breaker mBreaker;
+    private final GateEvents mEvents;
 
-    /** Puts a breaker before a gate. */
-    public BreakerGate(Gate gate, Breaker breaker) {
+    /**
+     * Puts a breaker before a gate.
+     *
+     * @param events hears of the calls that the breaker refuses
+     */
+    public BreakerGate(Gate gate, Breaker breaker, GateEvents events) {
         mGate = Objects.requireNonNull(gate, "gate");
         mBreaker = Objects.requireNonNull(breaker, "breaker");
+        mEvents = Objects.requireNonNull(events, "events");
     }
 
     @Override
     public Waiting offer(GateRequest request, Listener listener) {
         Optional<Breaker.Ticket> ticket = mBreaker.tryStart();
         if (ticket.isEmpty()) {
+            mEvents.onRefused(RefusalReason.CIRCUIT_OPEN);
             listener.onRefused(
                     Refusal.notRun(
                             RefusalReason.CIRCUIT_OPEN,
--- a/core/src/main/java/org/boragethread/core/metrics/GateMetrics.java
+++ b/core/src/main/java/org/boragethread/core/metrics/GateMetrics.java
@@ -10,6 +10,8 @@
 import java.util.function.ToDoubleFunction;
 import org.boragethread.core.admission.Gate;
 import org.boragethread.core.admission.GateEvents;
+import org.boragethread.core.breaker.BreakerChange;
+import org.boragethread.core.breaker.BreakerEvents;
 import org.boragethread.core.limit.LimitChange;
 import org.boragethread.core.limit.LimitChangeReason;
 import org.boragethread.model.outcome.RefusalReason;
@@ -17,14 +19,17 @@
 import org.boragethread.model.upstream.UpstreamLoad;
 
 /**
- * Counters and gauges of one gate. Make it first, pass it to the gate's builder, then bind the
- * gate.
+ * Counters and gauges of one gate and the breaker before it. Make it first, pass it to the gate's
+ * builder and to the breaker, then bind the outermost gate.
  */
-public final class GateMetrics implements GateEvents {
+public final class GateMetrics implements GateEvents, BreakerEvents {
 
     /** Name of the counter of calls refused by the gate, by reason. */
     public static final String REFUSALS = "boragethread.gate.refusals";
 
+    /** Name of the counter of changes of the breaker before the gate, by reason. */
+    public static final String BREAKER_CHANGES = "boragethread.gate.breaker.changes";
+
     /** Name of the counter of waiting calls refused to make room for others. */
     public static final String DISPLACED = "boragethread.gate.displaced";
 
@@ -51,6 +56,7 @@
     private final ReasonCounters<RefusalReason> mRefusals;
     private final ReasonCounters<LimitChangeReason> mLowered;
     private final ReasonCounters<LimitChangeReason> mRaised;
+    private final ReasonCounters<BreakerChange> mBreakerChanges;
     private final Counter mDisplaced;
     private final Timer mQueueWait;
 
@@ -67,6 +73,13 @@
                         RefusalReason.class);
         mLowered = limitChanges("down");
         mRaised = limitChanges("up");
+        mBreakerChanges =
+                new ReasonCounters<>(
+                        registry,
+                        BREAKER_CHANGES,
+                        "Changes of the breaker before the gate",
+                        mTags,
+                        BreakerChange.class);
         mDisplaced =
                 Counter.builder(DISPLACED)
                         .description("Waiting calls refused to make room for others")
@@ -120,6 +133,11 @@
         mDisplaced.increment();
     }
 
+    @Override
+    public void onChange(BreakerChange change) {
+        mBreakerChanges.count(change);
+    }
+
     @Override
     public void onLimitChanged(LimitChange change) {
         if (change.to() > change.from()) {
--- a/core/src/test/java/org/boragethread/core/admission/GateSimulationTest.java
+++ b/core/src/test/java/org/boragethread/core/admission/GateSimulationTest.java
@@ -48,7 +48,8 @@
         mGate =
                 new BreakerGate(
                         new AdaptiveGate.Builder(mTime, mTime, group).build(),
-                        new CircuitBreaker(mTime, mRandom, BreakerEvents.NONE));
+                        new CircuitBreaker(mTime, mRandom, BreakerEvents.NONE),
+                        GateEvents.NONE);
     }
 
     /** Calls of one team at a constant mean rate. */
--- a/core/src/test/java/org/boragethread/core/breaker/BreakerGateTest.java
+++ b/core/src/test/java/org/boragethread/core/breaker/BreakerGateTest.java
@@ -9,6 +9,7 @@
 import org.boragethread.core.admission.CallOutcome;
 import org.boragethread.core.admission.FixedGate;
 import org.boragethread.core.admission.Gate;
+import org.boragethread.core.admission.GateEvents;
 import org.boragethread.core.admission.GateRequest;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.model.outcome.Ran;
@@ -28,6 +29,7 @@
     private BreakerGate mGate;
     private List<Gate.Permit> mPermits;
     private List<Refusal> mRefusals;
+    private List<RefusalReason> mCounted;
 
     @BeforeMethod
     public void makeGate() {
@@ -35,9 +37,16 @@
         mGate =
                 new BreakerGate(
                         new FixedGate(LIMIT),
-                        new CircuitBreaker(mTime, new SplittableRandom(1), BreakerEvents.NONE));
+                        new CircuitBreaker(mTime, new SplittableRandom(1), BreakerEvents.NONE),
+                        new GateEvents() {
+                            @Override
+                            public void onRefused(RefusalReason reason) {
+                                mCounted.add(reason);
+                            }
+                        });
         mPermits = new ArrayList<>();
         mRefusals = new ArrayList<>();
+        mCounted = new ArrayList<>();
     }
 
     @Test
@@ -47,6 +56,7 @@
         assertEquals(mPermits, List.of());
         assertEquals(mRefusals.get(0).reason(), RefusalReason.CIRCUIT_OPEN);
         assertEquals(mRefusals.get(0).ran(), Ran.NO);
+        assertEquals(mCounted, List.of(RefusalReason.CIRCUIT_OPEN));
         assertEquals(mGate.load().limit(), 0);
     }
 
