Choose by prefix in one pass and take the group's median less often

Cause: the affinity selector sorted all candidates for each call, and each recorded latency sorted all averages. Change: one pass for the greatest hash within the bound; the median is taken anew after a quarter of the group's size of records.

--- a/core/src/main/java/org/boragethread/core/selection/BoundedAffinity.java
+++ b/core/src/main/java/org/boragethread/core/selection/BoundedAffinity.java
@@ -4,6 +4,7 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Rendezvous hashing with bounded load: the candidate with the greatest hash of prefix and upstream
@@ -27,14 +28,14 @@
     public Candidate choose(
             SelectionRequest request, List<Candidate> candidates, LoadEstimate estimate) {
         double bound = Math.max(FREE_UTILISATION, mLoadFactor * estimate.meanWithOneMore());
-        List<Candidate> ranked =
-                candidates.stream().sorted(byRank(request.prefixHash()).reversed()).toList();
-        for (Candidate candidate : ranked) {
-            if (delay(candidate, estimate) <= bound) {
-                return candidate;
-            }
+        Optional<Candidate> first =
+                candidates.stream()
+                        .filter(candidate -> delay(candidate, estimate) <= bound)
+                        .max(byRank(request.prefixHash()));
+        if (first.isPresent()) {
+            return first.get();
         }
-        return ranked.stream()
+        return candidates.stream()
                 .min(Comparator.comparingDouble(candidate -> delay(candidate, estimate)))
                 .orElseThrow();
     }
--- a/core/src/main/java/org/boragethread/core/selection/UpstreamTimes.java
+++ b/core/src/main/java/org/boragethread/core/selection/UpstreamTimes.java
@@ -17,11 +17,13 @@
     private static final double SAMPLE_SHARE = 0.1;
     private static final double MIN_RELATIVE = 0.5;
     private static final double MAX_RELATIVE = 20;
+    private static final int REFRESH_SHARE = 4;
     private static final double HALF_LIFE_NANOS = Duration.ofSeconds(5).toNanos();
 
     private final TimeSource mTime;
     private final Map<UpstreamId, Average> mAverages = new HashMap<>();
     private double mGroupNanos;
+    private int mRecordedSinceMedian;
 
     /** Makes a table without observations. */
     public UpstreamTimes(TimeSource time) {
@@ -34,7 +36,10 @@
         Average average = mAverages.computeIfAbsent(upstream, id -> new Average(nanos));
         average.mNanos += SAMPLE_SHARE * (nanos - average.mNanos);
         average.mRecordedNanos = mTime.nanoTime();
-        mGroupNanos = median();
+        mRecordedSinceMedian++;
+        if (mRecordedSinceMedian * REFRESH_SHARE >= mAverages.size()) {
+            mGroupNanos = median();
+        }
     }
 
     /** Forgets upstreams that are gone. */
@@ -56,6 +61,7 @@
     }
 
     private double median() {
+        mRecordedSinceMedian = 0;
         double[] sorted = mAverages.values().stream().mapToDouble(a -> a.mNanos).sorted().toArray();
         return sorted.length == 0 ? 0 : sorted[(sorted.length - 1) / 2];
     }
