--- a/core/src/main/java/org/boragethread/core/job/JobRun.java
+++ b/core/src/main/java/org/boragethread/core/job/JobRun.java
@@ -142,6 +142,12 @@
         }
     }
 
+    /** Stops the run and gives its lease back. */
+    void giveBack() {
+        mRun.ifPresent(JobPipeline.Run::cancel);
+        finishWith(new JobEnd.Later(Duration.ZERO, false, "its entry stopped"));
+    }
+
     private void stop(String reason) {
         if (mIsOver.compareAndSet(false, true)) {
             LOGGER.info("stopped the run of job {}: {}", id(), reason);
--- a/core/src/main/java/org/boragethread/core/job/JobRunner.java
+++ b/core/src/main/java/org/boragethread/core/job/JobRunner.java
@@ -62,6 +62,17 @@
         mIsTaking = false;
     }
 
+    /**
+     * Takes no more jobs, stops the running ones and gives them back, so that other entries go on
+     * with them at once. For the end of a process; wait until {@link #running} is 0, with a bound.
+     */
+    public void giveBackAll() {
+        stop();
+        for (JobRun run : mRuns.values()) {
+            run.giveBack();
+        }
+    }
+
     /** Returns the number of jobs that this entry runs. */
     public int running() {
         return mRuns.size();
--- a/core/src/test/java/org/boragethread/core/job/JobRunnerTest.java
+++ b/core/src/test/java/org/boragethread/core/job/JobRunnerTest.java
@@ -148,6 +148,16 @@
         assertEquals(status(id), JobStatus.WAITING);
     }
 
+    @Test
+    public void jobThatIsGivenBackWaitsForAnotherEntry() {
+        JobId id = submit("a");
+        mRunner.giveBackAll();
+        passSeconds(1);
+        assertTrue(mRuns.get(0).mIsCancelled);
+        assertEquals(mRunner.running(), 0);
+        assertEquals(status(id), JobStatus.WAITING);
+    }
+
     @Test
     public void submissionIsRefusedWhileTheLogIsOut() {
         mLog.setDown(true);
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/record/SimPlatformLog.java
@@ -0,0 +1,90 @@
+package org.boragethread.core.record;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.boragethread.core.log.LogBatch;
+import org.boragethread.core.log.LogEntry;
+import org.boragethread.core.log.LogError;
+import org.boragethread.core.log.LogRead;
+import org.boragethread.core.log.LogRecord;
+import org.boragethread.core.log.PlatformLog;
+import org.boragethread.core.time.ManualTimeSource;
+
+/** The log in memory behind the interface of the real one. */
+public final class SimPlatformLog implements PlatformLog {
+
+    private final SimLog mLog;
+    private final ManualTimeSource mTime;
+    private int mAppends;
+
+    public SimPlatformLog(SimLog log, ManualTimeSource time) {
+        mLog = log;
+        mTime = time;
+    }
+
+    @Override
+    public CompletableFuture<Either<LogError, List<Long>>> append(
+            String stream, List<LogEntry> entries) {
+        mAppends++;
+        CompletableFuture<Either<LogError, List<Long>>> answer = new CompletableFuture<>();
+        SimLog.Fate fate = mLog.nextFate();
+        if (fate == SimLog.Fate.REFUSED) {
+            LogError error = new LogError.Unavailable("simulated fault", Optional.empty());
+            mTime.schedule(mLog.delay(), () -> answer.complete(Either.left(error)));
+            return answer;
+        }
+        boolean isLate = fate == SimLog.Fate.LATE;
+        Duration effect = isLate ? mLog.lateDelay() : mLog.delay();
+        mTime.schedule(effect, () -> write(stream, entries, fate, answer));
+        LogError lost = new LogError.TimedOut("simulated fault");
+        mTime.schedule(Duration.ofSeconds(1), () -> answer.complete(Either.left(lost)));
+        return answer;
+    }
+
+    private void write(
+            String stream,
+            List<LogEntry> entries,
+            SimLog.Fate fate,
+            CompletableFuture<Either<LogError, List<Long>>> answer) {
+        List<Long> offsets = new ArrayList<>();
+        entries.forEach(e -> offsets.add(mLog.append(stream, e.id(), e.data())));
+        if (fate == SimLog.Fate.DOUBLED) {
+            entries.forEach(e -> mLog.append(stream, e.id(), e.data()));
+        }
+        if (fate != SimLog.Fate.ANSWER_LOST) {
+            answer.complete(Either.right(offsets));
+        }
+    }
+
+    @Override
+    public CompletableFuture<Either<LogError, LogBatch>> read(LogRead read) {
+        CompletableFuture<Either<LogError, LogBatch>> answer = new CompletableFuture<>();
+        mTime.schedule(mLog.delay(), () -> answer.complete(batch(read)));
+        return answer;
+    }
+
+    private Either<LogError, LogBatch> batch(LogRead read) {
+        List<SimLog.Record> records = mLog.records(read.stream());
+        long first = mLog.first(read.stream());
+        if (read.from() < first) {
+            return Either.left(new LogError.Expired(read.stream(), first, records.size()));
+        }
+        List<LogRecord> batch = new ArrayList<>();
+        for (SimLog.Record record : records) {
+            if (record.offset() >= read.from() && batch.size() < read.max()) {
+                batch.add(
+                        new LogRecord(
+                                record.offset(), record.timeMillis(), record.id(), record.data()));
+            }
+        }
+        return Either.right(new LogBatch(first, records.size(), batch));
+    }
+
+    public int appends() {
+        return mAppends;
+    }
+}
