Put the duties of a claim's holder into one class

Cause: sending, handing over and resolving a claimed call in the right order is easy to get wrong in each caller. Conclusion: entries need only implement EffectSender.

--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/claim/EffectAnswer.java
@@ -0,0 +1,17 @@
+package org.boragethread.core.claim;
+
+import java.util.Objects;
+import org.boragethread.model.claim.ClaimOutcome;
+
+/**
+ * The answer of a call with an effect.
+ *
+ * @param outcome the answer; without a body if it is replayed and was too large to keep
+ * @param isReplayed whether the call ran for an earlier request with the same key
+ */
+public record EffectAnswer(ClaimOutcome outcome, boolean isReplayed) {
+
+    public EffectAnswer {
+        Objects.requireNonNull(outcome, "outcome");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/claim/EffectCall.java
@@ -0,0 +1,193 @@
+package org.boragethread.core.claim;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragethread.model.claim.ClaimOutcome;
+import org.boragethread.model.claim.ClaimRef;
+import org.boragethread.model.claim.ClaimTarget;
+import org.boragethread.model.outcome.Ran;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+
+/**
+ * One call with an effect, from its claim to its answer. It keeps the holder's duties that {@link
+ * ClaimService} states: at each time at most one agent may receive the call.
+ */
+public final class EffectCall {
+
+    private static final Logger LOGGER = LogManager.getLogger(EffectCall.class);
+
+    private final ClaimService mService;
+    private final EffectRequest mRequest;
+    private final EffectSender mSender;
+    private final long mDeadlineNanos;
+    private final Set<ClaimTarget> mRefused = new HashSet<>();
+    private final CompletableFuture<Either<Refusal, EffectAnswer>> mAnswer =
+            new CompletableFuture<>();
+
+    private EffectCall(
+            ClaimService service, EffectRequest request, EffectSender sender, Duration remaining) {
+        mService = service;
+        mRequest = request;
+        mSender = sender;
+        mDeadlineNanos = service.time().nanoTime() + remaining.toNanos();
+    }
+
+    /**
+     * Runs a call at most once for its key.
+     *
+     * @param remaining time until the caller's deadline
+     * @return the call's answer or that of an earlier call with the same key; or why there is none,
+     *     with a true statement of whether the call ran. Never completes exceptionally.
+     */
+    public static CompletableFuture<Either<Refusal, EffectAnswer>> run(
+            ClaimService service, EffectRequest request, EffectSender sender, Duration remaining) {
+        EffectCall call = new EffectCall(service, request, sender, remaining);
+        call.claim(
+                Refusal.notRun(RefusalReason.NO_UPSTREAM, "no agent to send the claimed call to"));
+        return call.mAnswer;
+    }
+
+    private Duration remaining() {
+        return Duration.ofNanos(mDeadlineNanos - mService.time().nanoTime());
+    }
+
+    private boolean isLate() {
+        return remaining().isNegative() || remaining().isZero();
+    }
+
+    // Nothing of this call is on its way when this is called.
+    private void claim(Refusal otherwise) {
+        Optional<ClaimTarget> target = isLate() ? Optional.empty() : mSender.choose(refused());
+        if (target.isEmpty()) {
+            refuse(otherwise);
+            return;
+        }
+        mService.claim(mRequest, target.get(), remaining())
+                .thenAccept(decision -> onDecision(target.get(), decision));
+    }
+
+    private synchronized Set<ClaimTarget> refused() {
+        return Set.copyOf(mRefused);
+    }
+
+    private synchronized void addRefused(ClaimTarget target) {
+        mRefused.add(target);
+    }
+
+    private void onDecision(ClaimTarget target, Either<Refusal, ClaimDecision> decision) {
+        if (decision.isLeft()) {
+            refuse(decision.getLeft());
+        } else if (decision.get() instanceof ClaimDecision.Replay replay) {
+            answer(replay.outcome(), true);
+        } else {
+            send(((ClaimDecision.Run) decision.get()).ref(), target);
+        }
+    }
+
+    private void send(ClaimRef ref, ClaimTarget target) {
+        if (isLate()) {
+            mService.release(ref, ReleaseProof.HOLDER_NEVER_SENT);
+            refuse(
+                    Refusal.notRun(
+                            RefusalReason.DEADLINE_EXCEEDED,
+                            "the deadline passed before the claimed call was sent"));
+            return;
+        }
+        CompletableFuture<EffectReply> reply;
+        try {
+            reply = mSender.send(target, ref);
+        } catch (RuntimeException e) {
+            reply = CompletableFuture.failedFuture(e);
+        }
+        reply.exceptionally(this::lostByFault).thenAccept(r -> onReply(ref, target, r));
+    }
+
+    private EffectReply lostByFault(Throwable error) {
+        LOGGER.error("sending the call of request {} failed", mRequest.request(), error);
+        return new EffectReply.Lost(
+                Refusal.unknown(RefusalReason.INTERNAL, "fault while the call was sent"));
+    }
+
+    private void onReply(ClaimRef ref, ClaimTarget target, EffectReply reply) {
+        if (reply instanceof EffectReply.Answered answered) {
+            mService.outcome(ref, answered.outcome());
+            answer(answered.outcome(), false);
+        } else if (reply instanceof EffectReply.NotRun notRun) {
+            addRefused(target);
+            sendElsewhere(ref, notRun.refusal().withRan(Ran.NO));
+        } else if (reply instanceof EffectReply.Lost lost) {
+            resolve(ref, lost.refusal());
+        } else {
+            mService.release(ref, ReleaseProof.AGENT_NOT_RUN);
+            claim(
+                    Refusal.notRun(
+                            RefusalReason.KEY_IN_PROGRESS,
+                            "another request with the same key has taken over"));
+        }
+    }
+
+    private void sendElsewhere(ClaimRef ref, Refusal refusal) {
+        Optional<ClaimTarget> next = isLate() ? Optional.empty() : mSender.choose(refused());
+        if (next.isEmpty()) {
+            mService.release(ref, ReleaseProof.AGENT_NOT_RUN);
+            refuse(refusal);
+            return;
+        }
+        mService.handover(ref, next.get(), remaining())
+                .thenAccept(
+                        isInForce -> {
+                            if (isInForce) {
+                                send(ref, next.get());
+                            } else {
+                                refuse(refusal);
+                            }
+                        });
+    }
+
+    // The call is not sent under this claim any more.
+    private void resolve(ClaimRef ref, Refusal lost) {
+        if (mService.table().findOpen(ref).isEmpty()) {
+            claim(lost.withRan(Ran.UNKNOWN));
+            return;
+        }
+        mService.resolve(ref).thenAccept(answer -> onResolved(ref, lost, answer));
+    }
+
+    private void onResolved(ClaimRef ref, Refusal lost, Optional<ClaimAnswer> answer) {
+        Optional<ClaimOutcome> outcome = answer.flatMap(ClaimAnswer::outcome);
+        if (outcome.isPresent()) {
+            answer(outcome.get(), false);
+        } else if (answer.filter(ClaimAnswer::provesNotRun).isPresent()) {
+            claim(lost.withRan(Ran.NO));
+        } else if (answer.filter(a -> a.state() == ClaimAnswer.State.UNKNOWN).isPresent()) {
+            refuse(lost.withRan(Ran.UNKNOWN));
+        } else {
+            resolveLater(ref, lost);
+        }
+    }
+
+    // The call still runs, or its agent cannot be reached now.
+    private void resolveLater(ClaimRef ref, Refusal lost) {
+        Duration delay = mService.settings().inquiryDelay();
+        if (remaining().compareTo(delay) <= 0) {
+            refuse(lost.withRan(Ran.UNKNOWN));
+            return;
+        }
+        mService.scheduler().schedule(delay, () -> resolve(ref, lost));
+    }
+
+    private void answer(ClaimOutcome outcome, boolean isReplayed) {
+        mAnswer.complete(Either.right(new EffectAnswer(outcome, isReplayed)));
+    }
+
+    private void refuse(Refusal refusal) {
+        mAnswer.complete(Either.left(refusal));
+    }
+}
--- a/core/src/test/java/org/boragethread/core/claim/ClaimWorld.java
+++ b/core/src/test/java/org/boragethread/core/claim/ClaimWorld.java
@@ -87,7 +87,7 @@
                         .source(process)
                         .scheduler(process)
                         .time(mTime)
-                        .liveness(entry -> mDead.contains(entry))
+                        .liveness(entry -> mDead.contains(entry) || mRandom.nextInt(4) == 0)
                         .agents((target, ref, fence) -> ask(process, target, ref, fence))
                         .recordIds(() -> "record-" + mIds++)
                         .build();
--- a/core/src/test/java/org/boragethread/core/claim/SimEntry.java
+++ b/core/src/test/java/org/boragethread/core/claim/SimEntry.java
@@ -3,22 +3,25 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.boragethread.core.record.SimProcess;
 import org.boragethread.model.claim.ClaimOutcome;
 import org.boragethread.model.claim.ClaimRef;
 import org.boragethread.model.claim.ClaimTarget;
 import org.boragethread.model.outcome.Ran;
 import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.place.EntryId;
 
-/** An entry that sends claimed calls as {@link ClaimService} demands. */
+/** An entry that sends claimed calls to the agents of a world. */
 public final class SimEntry {
 
     private static final Duration DEADLINE = Duration.ofSeconds(3);
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
+    private static final Refusal FAULT =
+            Refusal.unknown(RefusalReason.CONNECTION_LOST, "simulated fault");
 
     private final ClaimWorld mWorld;
     private final SimProcess mProcess;
@@ -45,105 +48,55 @@
     }
 
     public void call(EffectRequest request, Consumer<Answer> caller) {
-        SimAgent agent = mWorld.anyAgent();
-        ClaimTarget target = agent.target();
-        mService.claim(request, target, DEADLINE)
-                .thenAccept(decision -> onDecision(request, target, decision, caller));
+        EffectCall.run(mService, request, new Link(request), DEADLINE)
+                .thenAccept(answer -> caller.accept(toAnswer(answer)));
     }
 
-    private void onDecision(
-            EffectRequest request,
-            ClaimTarget target,
-            Either<Refusal, ClaimDecision> decision,
-            Consumer<Answer> caller) {
-        if (decision.isLeft()) {
-            caller.accept(new Answer(decision.getLeft().ran(), Optional.empty()));
-        } else if (decision.get() instanceof ClaimDecision.Replay replay) {
-            caller.accept(new Answer(Ran.YES, Optional.of(replay.outcome())));
-        } else {
-            ClaimRef ref = ((ClaimDecision.Run) decision.get()).ref();
-            Function<ClaimTarget, CompletableFuture<SimAgent.Reply>> link =
-                    to -> mWorld.connect(to, ref, request);
-            // The entry may be paused between its claim and its call.
-            mProcess.schedule(
-                    mWorld.smallDelay(), () -> new Sending(ref, link, caller).send(target));
-        }
+    private static Answer toAnswer(Either<Refusal, EffectAnswer> answer) {
+        return answer.isLeft()
+                ? new Answer(answer.getLeft().ran(), Optional.empty())
+                : new Answer(Ran.YES, Optional.of(answer.get().outcome()));
     }
 
     /** What a caller is told. */
     public record Answer(Ran ran, Optional<ClaimOutcome> outcome) {}
 
-    private final class Sending {
+    private final class Link implements EffectSender {
 
-        private final ClaimRef mRef;
-        private final Function<ClaimTarget, CompletableFuture<SimAgent.Reply>> mLink;
-        private final Consumer<Answer> mCaller;
-
-        Sending(
-                ClaimRef ref,
-                Function<ClaimTarget, CompletableFuture<SimAgent.Reply>> link,
-                Consumer<Answer> caller) {
-            mRef = ref;
-            mLink = link;
-            mCaller = caller;
-        }
+        private final EffectRequest mRequest;
 
-        void send(ClaimTarget target) {
-            CompletableFuture<SimAgent.Reply> reply = new CompletableFuture<>();
-            mLink.apply(target).thenAccept(value -> mProcess.post(() -> reply.complete(value)));
-            mProcess.schedule(CALL_TIMEOUT, () -> reply.complete(SimAgent.Reply.UNKNOWN));
-            reply.thenAccept(this::onReply);
+        Link(EffectRequest request) {
+            mRequest = request;
         }
 
-        private void onReply(SimAgent.Reply reply) {
-            switch (reply) {
-                case DONE -> {
-                    mService.outcome(mRef, SimAgent.outcome(mRef));
-                    tell(Ran.YES, Optional.of(SimAgent.outcome(mRef)));
-                }
-                case NOT_RUN -> onNotRun();
-                case FENCED -> {
-                    mService.release(mRef, ReleaseProof.AGENT_NOT_RUN);
-                    tell(Ran.NO, Optional.empty());
-                }
-                default ->
-                        mService.resolve(mRef)
-                                .thenAccept(answer -> mProcess.post(() -> onResolved(answer)));
-            }
+        @Override
+        public Optional<ClaimTarget> choose(Set<ClaimTarget> refused) {
+            boolean isBudgetLeft = refused.size() < 2 || mWorld.coin();
+            return isBudgetLeft ? Optional.of(mWorld.anyAgent().target()) : Optional.empty();
         }
 
-        private void onNotRun() {
-            if (mWorld.coin()) {
-                mService.release(mRef, ReleaseProof.AGENT_NOT_RUN);
-                tell(Ran.NO, Optional.empty());
-                return;
-            }
-            ClaimTarget next = mWorld.anyAgent().target();
-            mService.handover(mRef, next, Duration.ofSeconds(1))
-                    .thenAccept(isInForce -> afterHandover(isInForce, next));
-        }
-
-        private void afterHandover(boolean isInForce, ClaimTarget next) {
-            if (isInForce) {
-                mProcess.schedule(mWorld.smallDelay(), () -> send(next));
-            } else {
-                // The present agent has not run the call, and no later one has received it.
-                tell(Ran.NO, Optional.empty());
-            }
+        @Override
+        public CompletableFuture<EffectReply> send(ClaimTarget target, ClaimRef ref) {
+            CompletableFuture<EffectReply> reply = new CompletableFuture<>();
+            // The entry may be paused between its claim and its call.
+            mProcess.schedule(mWorld.smallDelay(), () -> sendNow(target, ref, reply));
+            return reply;
         }
 
-        private void onResolved(Optional<ClaimAnswer> answer) {
-            boolean notRun = answer.filter(ClaimAnswer::provesNotRun).isPresent();
-            Optional<ClaimOutcome> outcome = answer.flatMap(ClaimAnswer::outcome);
-            if (outcome.isPresent()) {
-                tell(Ran.YES, outcome);
-            } else {
-                tell(notRun ? Ran.NO : Ran.UNKNOWN, Optional.empty());
-            }
+        private void sendNow(
+                ClaimTarget target, ClaimRef ref, CompletableFuture<EffectReply> reply) {
+            mWorld.connect(target, ref, mRequest)
+                    .thenAccept(r -> mProcess.post(() -> reply.complete(toReply(ref, r))));
+            mProcess.schedule(CALL_TIMEOUT, () -> reply.complete(new EffectReply.Lost(FAULT)));
         }
 
-        private void tell(Ran ran, Optional<ClaimOutcome> outcome) {
-            mCaller.accept(new Answer(ran, outcome));
+        private static EffectReply toReply(ClaimRef ref, SimAgent.Reply reply) {
+            return switch (reply) {
+                case DONE -> new EffectReply.Answered(SimAgent.outcome(ref));
+                case NOT_RUN -> new EffectReply.NotRun(FAULT);
+                case FENCED -> new EffectReply.Fenced();
+                default -> new EffectReply.Lost(FAULT);
+            };
         }
     }
 }
