--- a/core/src/main/java/org/boragethread/core/claim/ClaimAttempt.java
+++ b/core/src/main/java/org/boragethread/core/claim/ClaimAttempt.java
@@ -105,7 +105,7 @@
 
     private void onVerdict(Either<Refusal, ClaimVerdict> verdict) {
         if (verdict.isLeft()) {
-            refuse(verdict.getLeft());
+            refuse(notRun(verdict.getLeft().detail() + "; send it again with the same key"));
             return;
         }
         if (verdict.get() instanceof ClaimVerdict.Won won) {
--- a/core/src/main/java/org/boragethread/core/claim/ClaimMemory.java
+++ b/core/src/main/java/org/boragethread/core/claim/ClaimMemory.java
@@ -64,6 +64,16 @@
         }
     }
 
+    /**
+     * Asks to hand a claimed call to the upstream, as {@link #begin(ClaimRef)}, and refuses a call
+     * that was meant for another incarnation of this agent.
+     *
+     * @param incarnation the incarnation that the claim names
+     */
+    public Begin begin(ClaimRef ref, long incarnation) {
+        return incarnation == mIncarnation ? begin(ref) : Begin.NOT_VOUCHED;
+    }
+
     private boolean isBelowLowWater(ClaimRef ref) {
         return ref.offset() <= mLowWater.getOrDefault(ref.partition(), -1L);
     }
--- a/core/src/main/java/org/boragethread/core/job/Job.java
+++ b/core/src/main/java/org/boragethread/core/job/Job.java
@@ -78,6 +78,14 @@
         return status == JobStatus.RUNNING && lease.filter(l -> l.fence() == fence).isPresent();
     }
 
+    /**
+     * Returns the idempotency key under which a stage with an effect is claimed. It is the same for
+     * all runs of the job until an operator settles the effect as not run.
+     */
+    public String effectKey(int stage) {
+        return "job/%s/%d/%d".formatted(id, stage, round);
+    }
+
     JobBuilder change(long millis) {
         return new JobBuilder(this).changedMillis(millis);
     }
--- a/core/src/main/java/org/boragethread/core/job/JobWork.java
+++ b/core/src/main/java/org/boragethread/core/job/JobWork.java
@@ -14,11 +14,8 @@
         return job.stagesDone();
     }
 
-    /**
-     * Returns the idempotency key under which a stage with an effect is claimed. It is the same for
-     * all runs of the job until an operator settles the effect as not run.
-     */
+    /** Returns the idempotency key under which a stage with an effect is claimed. */
     public String effectKey(int stage) {
-        return "job/%s/%d/%d".formatted(job.id(), stage, job.round());
+        return job.effectKey(stage);
     }
 }
