Receive bodies whole before a handler runs

Cause: a request whose body came in a second packet on a kept connection was never answered: after some requests Grizzly no longer read from the connection (unread bytes in the socket). Ruled out: our handlers and the replaced HTTP filter; Grizzly alone with asynchronous reading and a response finished on another thread stops the same way, with either I/O strategy. Change: a filter holds requests back until the body is whole, within bounds of size and time. Before: hung at request 26, 2 and 1 with gaps of 0, 1 and 3 ms between head and body. Conclusion: asynchronous body reading of Grizzly stays unused.

--- a/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
+++ b/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
@@ -36,6 +36,7 @@
 import org.boragethread.model.upstream.UpstreamGroup;
 import org.boragethread.process.command.Addresses;
 import org.boragethread.process.command.Service;
+import org.boragethread.process.monitor.BodyLimits;
 import org.boragethread.process.monitor.HttpServers;
 import org.boragethread.process.monitor.MonitoringHandler;
 import org.boragethread.process.monitor.WireMetrics;
@@ -88,6 +89,7 @@
                 HttpServers.create(
                         settings.monitorListen(),
                         new MonitoringHandler(mRegistry, this::obstacle),
+                        BodyLimits.DEFAULT,
                         MONITOR_THREADS);
     }
 
--- a/entry/src/main/java/org/boragethread/entry/http/PipelineHandler.java
+++ b/entry/src/main/java/org/boragethread/entry/http/PipelineHandler.java
@@ -9,7 +9,6 @@
 import org.boragethread.core.pipeline.PipelineController;
 import org.boragethread.core.pipeline.PipelineRequest;
 import org.boragethread.core.pipeline.RunHandle;
-import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.config.Configuration;
 import org.boragethread.model.outcome.Refusal;
@@ -28,7 +27,6 @@
     private final PipelineController mPipelines;
     private final RequestParser mParser;
     private final RequestMetrics mMetrics;
-    private final Scheduler mScheduler;
     private final CallerLimits mLimits;
     private final TeamAdmission mTeams;
     private final Supplier<Optional<String>> mObstacle;
@@ -43,14 +41,12 @@
             Supplier<Configuration> configuration,
             RequestMetrics metrics,
             TimeSource time,
-            Scheduler scheduler,
             CallerLimits limits,
             TeamAdmission teams,
             Supplier<Optional<String>> obstacle) {
         mPipelines = pipelines;
         mParser = new RequestParser(configuration, time);
         mMetrics = metrics;
-        mScheduler = scheduler;
         mLimits = limits;
         mTeams = teams;
         mObstacle = obstacle;
@@ -75,13 +71,18 @@
             sink.onRefused(admitted.getLeft());
             return;
         }
+        Either<Refusal, PipelineRequest> whole =
+                RequestBody.read(request, mLimits.maxBodyBytes())
+                        .flatMap(body -> mParser.withBody(parsed.get(), body));
+        if (whole.isLeft()) {
+            response.setHeader("Connection", "close");
+            sink.onRefused(whole.getLeft());
+            return;
+        }
         response.suspend();
-        RequestBody body =
-                new RequestBody(
-                        request.getNIOInputStream(),
-                        mLimits.maxBodyBytes(),
-                        new BodyListener(parsed.get(), sink, response));
-        body.start(mScheduler, mLimits.bodyTimeout());
+        Disconnect disconnect = new Disconnect(sink);
+        sink.onDisconnect(disconnect);
+        disconnect.attach(mPipelines.start(whole.get(), sink));
     }
 
     private Either<Refusal, PipelineRequest> check(Request request) {
@@ -107,38 +108,6 @@
         return Either.left(Refusal.notRun(reason, detail));
     }
 
-    /** Starts the request once its body is whole. */
-    private final class BodyListener implements RequestBody.Listener {
-
-        private final PipelineRequest mRequest;
-        private final CallerResponse mSink;
-        private final Response mResponse;
-
-        BodyListener(PipelineRequest request, CallerResponse sink, Response response) {
-            mRequest = request;
-            mSink = sink;
-            mResponse = response;
-        }
-
-        @Override
-        public void onBody(byte[] body) {
-            Either<Refusal, PipelineRequest> whole = mParser.withBody(mRequest, body);
-            if (whole.isLeft()) {
-                mSink.onRefused(whole.getLeft());
-                return;
-            }
-            Disconnect disconnect = new Disconnect(mSink);
-            mSink.onDisconnect(disconnect);
-            disconnect.attach(mPipelines.start(whole.get(), mSink));
-        }
-
-        @Override
-        public void onRefused(Refusal refusal) {
-            mResponse.setHeader("Connection", "close");
-            mSink.onRefused(refusal);
-        }
-    }
-
     /** Withdraws the request when its caller goes away. */
     private static final class Disconnect implements Runnable {
 
--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -43,6 +43,7 @@
 import org.boragethread.platform.PlatformSettings;
 import org.boragethread.process.command.Addresses;
 import org.boragethread.process.command.Service;
+import org.boragethread.process.monitor.BodyLimits;
 import org.boragethread.process.monitor.HttpServers;
 import org.boragethread.process.monitor.MonitoringHandler;
 import org.boragethread.process.monitor.WireMetrics;
@@ -123,7 +124,12 @@
                     }
                 });
         mCallers = callers();
-        mOperators = HttpServers.create(settings.operatorListen(), operators(), OPERATOR_THREADS);
+        mOperators =
+                HttpServers.create(
+                        settings.operatorListen(),
+                        operators(),
+                        BodyLimits.DEFAULT,
+                        OPERATOR_THREADS);
     }
 
     private OperatorHandler operators() {
@@ -165,16 +171,19 @@
                         mConfig::current,
                         mRequests,
                         mTime,
-                        mScheduler,
                         mSettings.callers(),
                         policies.teams(),
                         this::refusal);
+        BodyLimits bodies =
+                new BodyLimits(
+                        mSettings.callers().maxBodyBytes(), mSettings.callers().bodyTimeout());
         int threads = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
-        HttpServer server = HttpServers.create(mSettings.listen(), handler, threads);
+        HttpServer server = HttpServers.create(mSettings.listen(), handler, bodies, threads);
         MonitoringHandler monitoring = new MonitoringHandler(mRegistry, this::obstacle);
         server.getServerConfiguration()
                 .addHttpHandler(monitoring, "/healthz", "/readyz", "/metrics");
         NetworkListener listener = server.getListeners().iterator().next();
+
         listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
         listener.setMaxHttpHeaderSize(mSettings.callers().maxHeaderBytes());
         return server;
--- a/process/src/main/java/org/boragethread/process/monitor/HttpServers.java
+++ b/process/src/main/java/org/boragethread/process/monitor/HttpServers.java
@@ -4,7 +4,11 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.http.server.AddOn;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
@@ -13,14 +17,26 @@
 /** Makes HTTP servers that listen on one address. */
 public final class HttpServers {
 
+    private static final int UNLIMITED = -1;
+    private static final ScheduledExecutorService TIMERS =
+            Executors.newSingleThreadScheduledExecutor(HttpServers::timerThread);
+
     private HttpServers() {}
 
+    private static Thread timerThread(Runnable task) {
+        Thread thread = new Thread(task, "http-timers");
+        thread.setDaemon(true);
+        return thread;
+    }
+
     /**
      * Returns a server with one handler, not yet started.
      *
+     * @param limits bounds on the bodies of requests
      * @param threads number of threads that run handlers
      */
-    public static HttpServer create(InetSocketAddress address, HttpHandler handler, int threads) {
+    public static HttpServer create(
+            InetSocketAddress address, HttpHandler handler, BodyLimits limits, int threads) {
         NetworkListener listener =
                 new NetworkListener(
                         "http", address.getAddress().getHostAddress(), address.getPort());
@@ -31,13 +47,22 @@
                                 .setCorePoolSize(threads)
                                 .setMaxPoolSize(threads));
         listener.getTransport().setSelectorRunnersCount(Math.max(1, threads / 2));
+        listener.getKeepAlive().setMaxRequestsCount(UNLIMITED);
         listener.registerAddOn(PlainHttpFilter.addOn());
+        listener.registerAddOn(bodyAddOn(limits));
         HttpServer server = new HttpServer();
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(handler, "/");
         return server;
     }
 
+    private static AddOn bodyAddOn(BodyLimits limits) {
+        return (listener, filters) -> {
+            int codec = filters.indexOfType(HttpServerFilter.class);
+            filters.add(codec + 1, new WholeBodyFilter(limits, TIMERS));
+        };
+    }
+
     /**
      * Starts a server.
      *
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/monitor/WholeBodyFilter.java
@@ -0,0 +1,113 @@
+package org.boragethread.process.monitor;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.util.HttpStatus;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/**
+ * Holds a request back until its body is whole, without occupying a thread. Handlers then read the
+ * body without waiting. A body that is too long is passed on unfinished, so that the handler
+ * refuses it; one that is too slow is answered with 408 and its connection is closed.
+ *
+ * <p>Grizzly's own asynchronous reading of bodies sometimes stops reading from the connection for
+ * good when the response is finished on another thread.
+ */
+final class WholeBodyFilter extends BaseFilter {
+
+    private static final String TIMEOUT_PROBLEM =
+            "{\"type\":\"urn:boragethread:problem:body-timeout\",\"title\":\"body timeout\","
+                    + "\"status\":408,\"detail\":\"the body did not arrive in time\","
+                    + "\"reason\":\"body-timeout\",\"ran\":\"no\","
+                    + "\"remedy\":\"send the whole body without pauses\"}";
+
+    private final Attribute<ScheduledFuture<?>> mTimers =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(
+                    WholeBodyFilter.class.getName() + "-" + System.identityHashCode(this));
+    private final BodyLimits mLimits;
+    private final ScheduledExecutorService mExecutor;
+
+    WholeBodyFilter(BodyLimits limits, ScheduledExecutorService executor) {
+        mLimits = limits;
+        mExecutor = executor;
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext context) {
+        HttpContent content = context.getMessage();
+        if (content.isLast() || isTooLong(content)) {
+            cancelTimer(context.getConnection());
+            return context.getInvokeAction();
+        }
+        HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
+        if (mTimers.get(context.getConnection()) == null) {
+            startTimer(context.getConnection(), request);
+            acknowledge(context, request);
+        }
+        return context.getStopAction(content);
+    }
+
+    private boolean isTooLong(HttpContent content) {
+        return content.getHttpHeader().getContentLength() > mLimits.maxBytes()
+                || content.getContent().remaining() > mLimits.maxBytes();
+    }
+
+    /** Answers a client that waits for leave to send its body. */
+    private static void acknowledge(FilterChainContext context, HttpRequestPacket request) {
+        if (request.requiresAcknowledgement()) {
+            HttpResponsePacket response = request.getResponse();
+            response.setStatus(HttpStatus.CONINTUE_100);
+            response.setAcknowledgement(true);
+            context.write(response);
+        }
+    }
+
+    private void startTimer(Connection<?> connection, HttpRequestPacket request) {
+        ScheduledFuture<?> timer =
+                mExecutor.schedule(
+                        () -> timeOut(connection, request),
+                        mLimits.timeout().toNanos(),
+                        TimeUnit.NANOSECONDS);
+        mTimers.set(connection, timer);
+    }
+
+    private void cancelTimer(Connection<?> connection) {
+        ScheduledFuture<?> timer = mTimers.remove(connection);
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private static void timeOut(Connection<?> connection, HttpRequestPacket request) {
+        byte[] body = TIMEOUT_PROBLEM.getBytes(StandardCharsets.UTF_8);
+        HttpResponsePacket response = request.getResponse();
+        response.setStatus(HttpStatus.REQUEST_TIMEOUT_408);
+        response.setContentType("application/problem+json");
+        response.setContentLength(body.length);
+        response.setHeader("Connection", "close");
+        Buffer buffer = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, body);
+        ((Connection<Object>) connection)
+                .write(HttpContent.builder(response).content(buffer).last(true).build());
+        connection.closeSilently();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext context) {
+        cancelTimer(context.getConnection());
+        return context.getInvokeAction();
+    }
+}
