Do not take a shorter log for one that was read

Cause: a log that lost records ends before the wanted offset; the follower said it was caught up while no confirmation could ever be folded. Conclusion: an entry in this state is seen by its staleness.

--- a/core/src/main/java/org/boragethread/core/log/StreamFollower.java
+++ b/core/src/main/java/org/boragethread/core/log/StreamFollower.java
@@ -109,8 +109,7 @@
             return;
         }
         LogBatch batch = result.get();
-        if (!continues(batch.records(), read.from())) {
-            LOGGER.warn("stream {}: records do not follow on {}", mStream, read.from());
+        if (!fits(batch, read.from())) {
             retry(generation);
             return;
         }
@@ -185,6 +184,23 @@
         return mRunning && mGeneration == generation;
     }
 
+    private boolean fits(LogBatch batch, long from) {
+        if (batch.next() < from) {
+            LOGGER.error(
+                    "stream {} ends at {} and {} is wanted; the log has lost records, ask the"
+                            + " platform's operators",
+                    mStream,
+                    batch.next(),
+                    from);
+            return false;
+        }
+        if (!continues(batch.records(), from)) {
+            LOGGER.warn("stream {}: records do not follow on {}", mStream, from);
+            return false;
+        }
+        return true;
+    }
+
     private static boolean continues(List<LogRecord> records, long from) {
         long expected = from;
         for (LogRecord record : records) {
--- a/core/src/test/java/org/boragethread/core/log/StreamFollowerTest.java
+++ b/core/src/test/java/org/boragethread/core/log/StreamFollowerTest.java
@@ -113,6 +113,16 @@
         assertEquals(other.staleness(), Optional.empty());
     }
 
+    @Test
+    public void streamThatEndsBeforeTheWantedRecordIsNotTakenForRead() {
+        StreamFollower other =
+                new StreamFollower.Builder()
+                        .stream(mLog, STREAM).time(mTime, mTime).handler(this).build();
+        other.start(5);
+        mTime.advance(MemoryLog.ROUND);
+        assertEquals(other.staleness(), Optional.empty());
+    }
+
     @Test
     public void stoppedFollowerDeliversNothing() {
         mFollower.stop();
