Count a configuration as loaded only when a peer's is whole

Cause: a long delta is cut, and a starting process that had its first part called itself loaded. Change: the receiver of a connection marks the store once it has the revision that the peer stated. Conclusion: shown by a test with a cut delta.

--- a/core/src/main/java/org/boragethread/core/config/ConfigStore.java
+++ b/core/src/main/java/org/boragethread/core/config/ConfigStore.java
@@ -55,12 +55,12 @@
         return mCurrent;
     }
 
-    /** Tells whether the configuration has come from the whole log or from a peer. */
+    /** Tells whether the configuration has held all that the log or a peer held. */
     public boolean isLoaded() {
         return mLoaded;
     }
 
-    /** States that the configuration holds all that the log held. */
+    /** States that the configuration holds all that the log or a peer held. */
     public void markLoaded() {
         mLoaded = true;
     }
@@ -102,7 +102,6 @@
                     if (delta.revision() > mCurrent.revision()) {
                         setCurrent(mCurrent.toBuilder().revision(delta.revision()).build());
                     }
-                    mLoaded = true;
                     return Either.right(mCurrent);
                 });
     }
@@ -111,7 +110,6 @@
     public Configuration applySnapshot(Configuration configuration) {
         return update(
                         () -> {
-                            mLoaded = true;
                             if (configuration.revision() > mCurrent.revision()) {
                                 mHistory.restart(configuration.revision());
                                 setCurrent(configuration);
--- a/core/src/main/java/org/boragethread/core/config/Replication.java
+++ b/core/src/main/java/org/boragethread/core/config/Replication.java
@@ -60,6 +60,7 @@
     public static final class Receiver {
         private final ConfigStore mTarget;
         private final SnapshotAssembler mAssembler = new SnapshotAssembler();
+        private long mPeerRevision = Configuration.NO_REVISION;
 
         private Receiver(ConfigStore target) {
             mTarget = target;
@@ -67,18 +68,29 @@
 
         /** Returns the revision to ask the peer from, if the peer is ahead. */
         public Optional<Long> pullAfter(long peerRevision) {
+            mPeerRevision = Math.max(mPeerRevision, peerRevision);
             long own = mTarget.current().revision();
             return peerRevision > own ? Optional.of(own) : Optional.empty();
         }
 
         /** Applies a delta; on a gap, ask for all after the present revision. */
         public Either<ConfigError, Configuration> receive(ConfigDelta delta) {
-            return mTarget.applyDelta(delta);
+            return mTarget.applyDelta(delta).peek(this::markIfWhole);
         }
 
         /** Takes a part of a snapshot and applies the snapshot once it is whole. */
         public Optional<Either<ConfigError, Configuration>> receive(ConfigSnapshot part) {
-            return mAssembler.add("", part).map(e -> e.map(mTarget::applySnapshot));
+            return mAssembler
+                    .add("", part)
+                    .map(e -> e.map(mTarget::applySnapshot).peek(this::markIfWhole));
+        }
+
+        /** Marks the store as loaded once it has all that the peer is known to have. */
+        private void markIfWhole(Configuration current) {
+            boolean hasState = mPeerRevision != Configuration.NO_REVISION;
+            if (hasState && current.revision() >= mPeerRevision) {
+                mTarget.markLoaded();
+            }
         }
     }
 }
--- a/core/src/test/java/org/boragethread/core/config/ConfigStoreTest.java
+++ b/core/src/test/java/org/boragethread/core/config/ConfigStoreTest.java
@@ -1,6 +1,7 @@
 package org.boragethread.core.config;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -142,6 +143,19 @@
         assertEquals(ConfigCodec.hashOf(peer.current()), ConfigCodec.hashOf(store.current()));
     }
 
+    @Test
+    public void storeWithPartOfAPeersRecordsIsNotLoaded() {
+        ConfigStore peer = store(200);
+        peer.applyRecords(TestConfigs.records(100, new Random(3)));
+        ConfigStore store = store(200);
+        Replication.Receiver receiver = new Replication(store).receiver();
+        long wanted = receiver.pullAfter(peer.current().revision()).orElseThrow();
+        receiver.receive(peer.delta(wanted, 10_000).orElseThrow());
+        assertFalse(store.isLoaded());
+        receiver.receive(peer.delta(store.current().revision(), 1024 * 1024).orElseThrow());
+        assertTrue(store.isLoaded());
+    }
+
     @Test
     public void peersThatAreFarBehindShareOneSnapshot() {
         ConfigStore store = store(5);
