--- a/spec/src/test/java/org/boragethread/spec/ConfigSpecTest.java
+++ b/spec/src/test/java/org/boragethread/spec/ConfigSpecTest.java
@@ -17,11 +17,12 @@
     public void invariantsHoldWithRestartExpiryAndCopies() {
         TlcModel model =
                 instance(2)
+                        .constant("MaxRecords", 3)
                         .constant("MaxRestarts", 1)
                         .constant("MaxCopies", 1)
                         .invariants(INVARIANTS)
                         .build();
-        ModelChecks.assertHolds(model, 20_000);
+        ModelChecks.assertHolds(model, 10_000);
     }
 
     @Test(dataProvider = "faults")
