--- a/agent/src/main/java/org/boragethread/agent/call/CallController.java
+++ b/agent/src/main/java/org/boragethread/agent/call/CallController.java
@@ -22,6 +22,7 @@
     private final TimeSource mTime;
     private final Scheduler mScheduler;
     private final CallMetrics mMetrics;
+    private final ClaimGuard mClaims;
 
     /** Runs calls that a gate admits on a client. */
     public CallController(
@@ -29,12 +30,14 @@
             UpstreamClient client,
             TimeSource time,
             Scheduler scheduler,
-            CallMetrics metrics) {
+            CallMetrics metrics,
+            ClaimGuard claims) {
         mGates = gates;
         mClient = client;
         mTime = time;
         mScheduler = scheduler;
         mMetrics = metrics;
+        mClaims = claims;
     }
 
     @Override
@@ -50,10 +53,13 @@
             call.refuse(refusal, UpstreamLoad.UNKNOWN);
             return;
         }
-        offer(call, gate.get());
+        Optional<CallRecord> record = mClaims.begin(call, gate.get().load());
+        if (record.isPresent()) {
+            offer(call, gate.get(), record.get());
+        }
     }
 
-    private void offer(ServedCall call, Gate gate) {
+    private void offer(ServedCall call, Gate gate, CallRecord record) {
         GateRequest request =
                 new GateRequest(
                         new TeamId(call.message().getTeam()),
@@ -61,7 +67,7 @@
                         call.priority(),
                         call.deadlineNanos());
         long offeredAt = mTime.nanoTime();
-        RunningCall running = new RunningCall(call, gate, mTime, mMetrics, offeredAt);
+        RunningCall running = new RunningCall(call, gate, mTime, mMetrics, offeredAt, record);
         Gate.Waiting waiting =
                 gate.offer(
                         request,
@@ -73,6 +79,7 @@
 
                             @Override
                             public void onRefused(Refusal refusal) {
+                                record.notRun();
                                 mMetrics.refused(refusal.reason());
                                 call.refuse(refusal, gate.load());
                             }
--- a/agent/src/main/java/org/boragethread/agent/call/RunningCall.java
+++ b/agent/src/main/java/org/boragethread/agent/call/RunningCall.java
@@ -35,6 +35,7 @@
     private final TimeSource mTime;
     private final CallMetrics mMetrics;
     private final long mOfferedAt;
+    private final CallRecord mRecord;
 
     private long mAdmittedAt;
     private Gate.Permit mPermit;
@@ -42,13 +43,21 @@
     private UpstreamExchange mExchange;
     private Optional<UpstreamHead> mRejection = Optional.empty();
     private boolean mDone;
+    private volatile boolean mWithdrawn;
 
-    RunningCall(ServedCall call, Gate gate, TimeSource time, CallMetrics metrics, long offeredAt) {
+    RunningCall(
+            ServedCall call,
+            Gate gate,
+            TimeSource time,
+            CallMetrics metrics,
+            long offeredAt,
+            CallRecord record) {
         mCall = call;
         mGate = gate;
         mTime = time;
         mMetrics = metrics;
         mOfferedAt = offeredAt;
+        mRecord = record;
     }
 
     /** Sends the call to the upstream. */
@@ -105,6 +114,7 @@
             mRejection = Optional.of(head);
             return;
         }
+        mRecord.head(head.status(), head.contentType());
         mCall.head(head.status(), head.contentType());
     }
 
@@ -117,13 +127,14 @@
         if (mRejection.isPresent()) {
             return true;
         }
+        mRecord.data(data);
         mCall.chunk(data);
         return wantsMore();
     }
 
     @Override
     public boolean wantsMore() {
-        return mCall.credit() > 0;
+        return mWithdrawn || mCall.credit() > 0;
     }
 
     @Override
@@ -133,6 +144,7 @@
             return;
         }
         if (complete(CallOutcome.GOOD)) {
+            mRecord.done();
             mCall.end(
                     mTime.since(mAdmittedAt),
                     Duration.ofNanos(mAdmittedAt - mOfferedAt),
@@ -185,13 +197,45 @@
         cancelExchange();
     }
 
-    /** Withdraws the call because its entry has. */
+    /** Withdraws the call because its entry has; a started claimed call runs to its end. */
     void cancel() {
-        if (complete(CallOutcome.CANCELLED)) {
+        boolean started;
+        synchronized (this) {
+            if (mDone) {
+                return;
+            }
+            started = mPermit != null;
+            mDone = !started;
+            mWithdrawn = started && mRecord.outlivesEntry();
+        }
+        if (!started) {
+            mRecord.notRun();
+        } else if (mWithdrawn) {
+            resume();
+        } else if (complete(CallOutcome.CANCELLED)) {
+            mRecord.unknown();
             cancelExchange();
         }
     }
 
+    private void resume() {
+        UpstreamExchange exchange;
+        synchronized (this) {
+            exchange = mExchange;
+        }
+        if (exchange != null) {
+            exchange.resume();
+        }
+    }
+
+    private void recordRan(Ran ran) {
+        if (ran == Ran.NO) {
+            mRecord.notRun();
+        } else {
+            mRecord.unknown();
+        }
+    }
+
     private void cancelExchange() {
         UpstreamExchange exchange;
         synchronized (this) {
@@ -209,6 +253,7 @@
             String detail,
             Optional<Duration> retryAfter) {
         if (complete(outcome)) {
+            recordRan(ran);
             mMetrics.refused(reason);
             mCall.refuse(new Refusal(reason, ran, detail, retryAfter), mGate.load());
         }
--- a/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
+++ b/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
@@ -15,6 +15,7 @@
 import org.apache.logging.log4j.Logger;
 import org.boragethread.agent.call.CallController;
 import org.boragethread.agent.call.CallMetrics;
+import org.boragethread.agent.call.ClaimGuard;
 import org.boragethread.agent.call.GateController;
 import org.boragethread.agent.call.GateHolder;
 import org.boragethread.agent.settings.AgentSettings;
@@ -51,6 +52,8 @@
 
     private final AgentSettings mSettings;
     private final TimeSource mTime = new SystemTimeSource();
+    private final long mIncarnation = new SecureRandom().nextLong();
+    private final ClaimGuard mClaims = new ClaimGuard(mIncarnation, mTime);
     private final ScheduledExecutorService mTimers =
             Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "timers"));
     private final PrometheusMeterRegistry mRegistry =
@@ -94,7 +97,8 @@
                         mClient,
                         mTime,
                         new ExecutorScheduler(mTimers),
-                        new CallMetrics(mRegistry));
+                        new CallMetrics(mRegistry),
+                        mClaims);
         return new AgentServer.Builder()
                 .address(mSettings.listen())
                 .identity(identity())
@@ -102,6 +106,7 @@
                 .events(new WireMetrics(mRegistry))
                 .config(ConfigSource.of(mConfig))
                 .handler(calls)
+                .claims(mClaims)
                 .load(mGates::load)
                 .time(mTime)
                 .group(mLoops)
@@ -110,10 +115,7 @@
 
     private AgentIdentity identity() {
         return new AgentIdentity(
-                mSettings.upstreamId(),
-                mSettings.group(),
-                mSettings.dataCentre(),
-                new SecureRandom().nextLong());
+                mSettings.upstreamId(), mSettings.group(), mSettings.dataCentre(), mIncarnation);
     }
 
     /** Begins to serve. */
--- a/core/src/main/java/org/boragethread/core/dispatch/StageCall.java
+++ b/core/src/main/java/org/boragethread/core/dispatch/StageCall.java
@@ -2,6 +2,8 @@
 
 import java.nio.ByteBuffer;
 import java.util.Objects;
+import java.util.Optional;
+import org.boragethread.model.claim.ClaimRef;
 import org.boragethread.model.outcome.AttemptId;
 import org.boragethread.model.pipeline.Stage;
 import org.boragethread.model.team.Priority;
@@ -19,6 +21,7 @@
     private final String mContentType;
     private final ByteBuffer mBody;
     private final int mResumeFrom;
+    private final Optional<ClaimRef> mClaim;
 
     private StageCall(Builder builder) {
         mId = Objects.requireNonNull(builder.mId, "id");
@@ -30,6 +33,7 @@
         mContentType = Objects.requireNonNull(builder.mContentType, "contentType");
         mBody = Objects.requireNonNull(builder.mBody, "body");
         mResumeFrom = builder.mResumeFrom;
+        mClaim = Objects.requireNonNull(builder.mClaim, "claim");
     }
 
     /** Returns the identity that the result must name. */
@@ -77,6 +81,11 @@
         return mResumeFrom;
     }
 
+    /** Returns the claim that gives the right to run the call, if it needs one. */
+    public Optional<ClaimRef> claim() {
+        return mClaim;
+    }
+
     /** Makes stage calls. */
     public static final class Builder {
         private AttemptId mId;
@@ -88,6 +97,7 @@
         private String mContentType = "application/octet-stream";
         private ByteBuffer mBody = ByteBuffer.allocate(0);
         private int mResumeFrom;
+        private Optional<ClaimRef> mClaim = Optional.empty();
 
         /** Sets the identity that the result must name. */
         public Builder id(AttemptId id) {
@@ -133,6 +143,12 @@
             return this;
         }
 
+        /** Sets the claim, which must name the agent and incarnation that the call is sent to. */
+        public Builder claim(Optional<ClaimRef> claim) {
+            mClaim = claim;
+            return this;
+        }
+
         /** Returns the call. */
         public StageCall build() {
             return new StageCall(this);
--- a/core/src/main/java/org/boragethread/core/dispatch/UpstreamLink.java
+++ b/core/src/main/java/org/boragethread/core/dispatch/UpstreamLink.java
@@ -1,6 +1,10 @@
 package org.boragethread.core.dispatch;
 
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.boragethread.core.claim.ClaimAnswer;
 import org.boragethread.core.selection.Candidate;
+import org.boragethread.model.claim.ClaimRef;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
@@ -35,4 +39,14 @@
      * called without locks held.
      */
     CallHandle call(StageCall call, CallListener listener);
+
+    /**
+     * Asks the agent what it knows of a claim that names this incarnation of it.
+     *
+     * @param fence whether the agent must refuse the claim from now on unless it has begun
+     * @return the answer, or empty if the connection ends first; never completes exceptionally
+     */
+    default CompletableFuture<Optional<ClaimAnswer>> askClaim(ClaimRef claim, boolean fence) {
+        return CompletableFuture.completedFuture(Optional.empty());
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/pipeline/EffectRequests.java
@@ -0,0 +1,37 @@
+package org.boragethread.core.pipeline;
+
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.nio.ByteBuffer;
+import org.boragethread.core.claim.EffectRequest;
+
+/** Describes stages with an effect for their claims. */
+final class EffectRequests {
+
+    private EffectRequests() {}
+
+    /**
+     * Describes a stage of a request. The same key, pipeline, stage and body give the same claim.
+     *
+     * @param key the caller's idempotency key
+     * @param stage index of the stage, from 0
+     */
+    static EffectRequest of(PipelineRequest request, String key, int stage) {
+        return new EffectRequest(
+                request.team().id(),
+                "%d:%s".formatted(stage, key),
+                bodyHash(request),
+                request.id(),
+                stage);
+    }
+
+    private static long bodyHash(PipelineRequest request) {
+        ByteBuffer body = request.body().duplicate();
+        byte[] bytes = new byte[body.remaining()];
+        body.get(bytes);
+        HashStream64 hash = Hashing.komihash5_0().hashStream();
+        hash.putString(request.pipeline().id().value());
+        hash.putByteArray(bytes);
+        return hash.getAsLong();
+    }
+}
--- a/core/src/main/java/org/boragethread/core/pipeline/PipelineController.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/PipelineController.java
@@ -1,6 +1,8 @@
 package org.boragethread.core.pipeline;
 
 import java.util.Objects;
+import java.util.Optional;
+import org.boragethread.core.claim.ClaimService;
 import org.boragethread.core.dispatch.UpstreamPicker;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
@@ -12,14 +14,30 @@
     private final AttemptPolicy mAttempts;
     private final TimeSource mTime;
     private final Scheduler mScheduler;
+    private final Optional<ClaimService> mClaims;
 
-    /** Runs requests on the upstreams that the picker chooses. */
+    /** Runs requests without claims on the upstreams that the picker chooses. */
     public PipelineController(
             UpstreamPicker picker, AttemptPolicy attempts, TimeSource time, Scheduler scheduler) {
+        this(picker, attempts, time, scheduler, Optional.empty());
+    }
+
+    /**
+     * Runs requests on the upstreams that the picker chooses.
+     *
+     * @param claims gives the right to run stages with an effect for requests with a key
+     */
+    public PipelineController(
+            UpstreamPicker picker,
+            AttemptPolicy attempts,
+            TimeSource time,
+            Scheduler scheduler,
+            Optional<ClaimService> claims) {
         mPicker = Objects.requireNonNull(picker, "picker");
         mAttempts = Objects.requireNonNull(attempts, "attempts");
         mTime = Objects.requireNonNull(time, "time");
         mScheduler = Objects.requireNonNull(scheduler, "scheduler");
+        mClaims = Objects.requireNonNull(claims, "claims");
     }
 
     /**
@@ -45,6 +63,10 @@
         return mTime;
     }
 
+    Optional<ClaimService> claims() {
+        return mClaims;
+    }
+
     Scheduler scheduler() {
         return mScheduler;
     }
--- a/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
@@ -1,15 +1,19 @@
 package org.boragethread.core.pipeline;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import io.vavr.control.Either;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.boragethread.core.claim.ClaimDecision;
+import org.boragethread.core.claim.EffectRequest;
 import org.boragethread.core.dispatch.CallSummary;
 import org.boragethread.core.dispatch.StageCall;
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.time.Scheduler;
+import org.boragethread.model.claim.ClaimOutcome;
 import org.boragethread.model.outcome.AttemptId;
 import org.boragethread.model.outcome.Ran;
 import org.boragethread.model.outcome.Refusal;
@@ -21,7 +25,7 @@
  * One request on its way through the stages. All state is guarded by this object; attempts report
  * to it, and only the current attempt is heard.
  */
-final class PipelineRun implements RunHandle {
+final class PipelineRun implements RunHandle, StageClaim.Listener {
 
     private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(500);
     private static final int PREFIX_BYTES = 256;
@@ -39,6 +43,7 @@
     private Ran mRanBeforeStage = Ran.NO;
     private StreamProgress mStream = new StreamProgress();
     private Optional<StageAttempt> mCurrent = Optional.empty();
+    private Optional<StageClaim> mClaim = Optional.empty();
     private Optional<Refusal> mLastRefusal = Optional.empty();
     private Scheduler.Timer mDeadlineTimer = () -> {};
     private Scheduler.Timer mRetryTimer = () -> {};
@@ -63,6 +68,7 @@
         mLastRefusal = Optional.empty();
         mStream = new StreamProgress();
         mRanBeforeStage = mRan;
+        mClaim = claimOfStage();
         attempt();
     }
 
@@ -77,6 +83,14 @@
             return;
         }
         mTried.add(link.get().upstream());
+        if (mClaim.isPresent()) {
+            mClaim.get().acquire(link.get(), remaining());
+        } else {
+            send(link.get());
+        }
+    }
+
+    private void send(UpstreamLink link) {
         if (!stage().idempotent()) {
             mRan = Ran.UNKNOWN;
         }
@@ -84,7 +98,57 @@
         mCurrent = Optional.of(attempt);
         StageCall call = call();
         mAttempts++;
-        attempt.begin(link.get(), call);
+        attempt.begin(link, call);
+    }
+
+    private Optional<StageClaim> claimOfStage() {
+        if (stage().idempotent() || mRequest.key().isEmpty()) {
+            return Optional.empty();
+        }
+        EffectRequest effect = EffectRequests.of(mRequest, mRequest.key().get(), mStageIndex);
+        return mController.claims().map(claims -> new StageClaim(claims, effect, this));
+    }
+
+    @Override
+    public synchronized void onDecision(
+            StageClaim claim, UpstreamLink link, Either<Refusal, ClaimDecision> decision) {
+        if (decision.isRight() && decision.get() instanceof ClaimDecision.Run run) {
+            claim.held(run.ref());
+        } else {
+            claim.lost();
+        }
+        if (mDone) {
+            claim.close();
+        } else if (decision.isLeft()) {
+            mRan = max(mRan, decision.getLeft().ran());
+            fail(decision.getLeft());
+        } else if (decision.get() instanceof ClaimDecision.Replay replay) {
+            replay(replay.outcome());
+        } else if (remaining().isNegative()) {
+            onDeadline();
+        } else {
+            send(link);
+        }
+    }
+
+    private static Ran max(Ran a, Ran b) {
+        return a.compareTo(b) > 0 ? a : b;
+    }
+
+    /** Continues with the recorded answer of an earlier request with the same key. */
+    private void replay(ClaimOutcome outcome) {
+        mRan = Ran.YES;
+        if (outcome.body().isEmpty() && !isLastStage()) {
+            fail(
+                    Refusal.unknown(
+                            RefusalReason.KEY_OUTCOME_UNKNOWN,
+                            "stage \"%s\" ran, but its result was too large to keep"
+                                    .formatted(stage().name())));
+            return;
+        }
+        StageAttempt attempt = new StageAttempt(this, stage(), streamsToCaller());
+        mCurrent = Optional.of(attempt);
+        attempt.replay(outcome);
     }
 
     private StageCall call() {
@@ -96,6 +160,7 @@
                 .deadlineNanos(mRequest.deadlineNanos())
                 .body(mContentType, mInput)
                 .resumeFrom(mStream.tokens())
+                .claim(mClaim.flatMap(StageClaim::send))
                 .build();
     }
 
@@ -154,6 +219,7 @@
         if (!stage().idempotent()) {
             mRan = Ran.YES;
         }
+        mClaim.ifPresent(claim -> claim.done(result.toOutcome()));
         if (streamsToCaller() && result.isStreamed()) {
             finish();
             mSink.onStreamEnd();
@@ -180,6 +246,7 @@
         if (!stage().idempotent() && refusal.ran() == Ran.NO) {
             mRan = mRanBeforeStage;
         }
+        mClaim.ifPresent(claim -> claim.refused(refusal.ran()));
         Optional<Duration> delay =
                 mController.attempts().nextAttempt(stage(), refusal, mAttempts, remaining());
         if (delay.isEmpty()) {
@@ -198,8 +265,10 @@
         return !mDone && mCurrent.isPresent() && mCurrent.get() == attempt;
     }
 
+    // A claim or a handover that is on its way is decided by the same deadline; until then it is
+    // not certain that the key has not run.
     private synchronized void onDeadline() {
-        if (mDone) {
+        if (mDone || mClaim.filter(StageClaim::isAsking).isPresent()) {
             return;
         }
         mCurrent.ifPresent(StageAttempt::cancel);
@@ -225,6 +294,7 @@
 
     private void finish() {
         mDone = true;
+        mClaim.ifPresent(StageClaim::close);
         mCurrent = Optional.empty();
         mDeadlineTimer.cancel();
         mRetryTimer.cancel();
--- a/core/src/main/java/org/boragethread/core/pipeline/StageAttempt.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/StageAttempt.java
@@ -3,12 +3,14 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
 import org.boragethread.core.dispatch.CallHandle;
 import org.boragethread.core.dispatch.CallListener;
 import org.boragethread.core.dispatch.CallSummary;
 import org.boragethread.core.dispatch.StageCall;
 import org.boragethread.core.dispatch.UpstreamLink;
+import org.boragethread.model.claim.ClaimOutcome;
 import org.boragethread.model.outcome.Ran;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
@@ -23,6 +25,7 @@
     /** Greatest length of a result, in bytes. */
     static final int MAX_RESULT_BYTES = 16 << 20;
 
+    private static final CallSummary NO_TIMES = new CallSummary(Duration.ZERO, Duration.ZERO);
     private static final int OK = 200;
     private static final String EVENT_STREAM = "text/event-stream";
     private static final String TEXT = "text/plain; charset=utf-8";
@@ -59,6 +62,19 @@
         }
     }
 
+    /** Takes a recorded answer in place of a call. */
+    void replay(ClaimOutcome outcome) {
+        if (outcome.body().isEmpty()) {
+            StageResult bare =
+                    new StageResult(outcome.status(), outcome.contentType(), new byte[0], false);
+            mRun.onResult(this, bare, NO_TIMES);
+            return;
+        }
+        onHead(outcome.status(), outcome.contentType());
+        onChunk(ByteBuffer.wrap(outcome.body().get()));
+        onEnd(NO_TIMES);
+    }
+
     void cancel() {
         Optional<CallHandle> handle;
         synchronized (this) {
--- a/core/src/main/java/org/boragethread/core/pipeline/StageResult.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/StageResult.java
@@ -1,5 +1,8 @@
 package org.boragethread.core.pipeline;
 
+import java.util.Optional;
+import org.boragethread.model.claim.ClaimOutcome;
+
 /**
  * The whole result of a stage.
  *
@@ -13,6 +16,12 @@
     private static final int OK = 200;
     private static final int REDIRECT = 300;
 
+    /** Returns the answer to record; the events of a stream are not kept. */
+    ClaimOutcome toOutcome() {
+        Optional<byte[]> kept = isStreamed ? Optional.empty() : Optional.of(body);
+        return new ClaimOutcome(status, contentType, kept);
+    }
+
     /** Tells whether the next stage may use the result. */
     boolean isGood() {
         return status >= OK && status < REDIRECT;
--- a/wire/src/main/java/org/boragethread/wire/client/AgentLink.java
+++ b/wire/src/main/java/org/boragethread/wire/client/AgentLink.java
@@ -8,11 +8,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.boragethread.core.claim.ClaimAnswer;
 import org.boragethread.core.dispatch.CallHandle;
 import org.boragethread.core.dispatch.CallListener;
 import org.boragethread.core.dispatch.CallSummary;
@@ -20,6 +23,7 @@
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.selection.Candidate;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.claim.ClaimRef;
 import org.boragethread.model.outcome.AttemptId;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
@@ -27,6 +31,7 @@
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.model.upstream.UpstreamLoad;
+import org.boragethread.wire.frame.ClaimMessages;
 import org.boragethread.wire.frame.CloseReason;
 import org.boragethread.wire.frame.ConfigSource;
 import org.boragethread.wire.frame.Conversions;
@@ -35,6 +40,7 @@
 import org.boragethread.wire.frame.WireSettings;
 import org.boragethread.wire.proto.Call;
 import org.boragethread.wire.proto.Cancel;
+import org.boragethread.wire.proto.ClaimQuery;
 import org.boragethread.wire.proto.Credit;
 import org.boragethread.wire.proto.Frame;
 import org.boragethread.wire.proto.Load;
@@ -61,6 +67,7 @@
     private final Map<AttemptId, PendingCall> mPending = new HashMap<>();
     private final AtomicInteger mSent = new AtomicInteger();
     private final ClientHandshake mHandshake;
+    private final PendingQuestions mQuestions = new PendingQuestions();
 
     private ChannelHandlerContext mContext;
     private long mPingToken;
@@ -163,6 +170,7 @@
             case PONG -> updateLoad(frame.getPong().getLoad());
             case LOAD_REPORT -> updateLoad(frame.getLoadReport().getLoad());
             case GOAWAY -> mAccepting = false;
+            case CLAIM_ANSWER -> mQuestions.answer(frame.getClaimAnswer());
             default -> close(context, CloseReason.UNEXPECTED_FRAME);
         }
     }
@@ -232,6 +240,7 @@
         mPending.clear();
         mSent.addAndGet(-lost.size());
         lost.forEach(call -> call.listener().onRefused(refusal));
+        mQuestions.abandon();
         if (mWelcome != null) {
             LOGGER.info("connection to agent of upstream {} ended: {}", upstream(), reason.label());
             mListener.onDown(this);
@@ -266,20 +275,49 @@
 
     private Call encode(StageCall call) {
         long remaining = Math.max(0, call.deadlineNanos() - time().nanoTime());
-        return Call.newBuilder()
-                .setId(Conversions.toWire(call.id()))
-                .setTeam(call.team().value())
-                .setTeamWeight(call.weight())
-                .setPriority(Conversions.toWire(call.priority()))
-                .setRemainingMicros(TimeUnit.NANOSECONDS.toMicros(remaining))
-                .setIdempotent(call.stage().idempotent())
-                .setStreaming(call.stage().streaming())
-                .setPath(call.stage().path())
-                .setContentType(call.contentType())
-                .setBody(UnsafeByteOperations.unsafeWrap(call.body()))
-                .setCredit(INITIAL_CREDIT)
-                .setResumeFrom(call.resumeFrom())
-                .build();
+        Call.Builder message =
+                Call.newBuilder()
+                        .setId(Conversions.toWire(call.id()))
+                        .setTeam(call.team().value())
+                        .setTeamWeight(call.weight())
+                        .setPriority(Conversions.toWire(call.priority()))
+                        .setRemainingMicros(TimeUnit.NANOSECONDS.toMicros(remaining))
+                        .setIdempotent(call.stage().idempotent())
+                        .setStreaming(call.stage().streaming())
+                        .setPath(call.stage().path())
+                        .setContentType(call.contentType())
+                        .setBody(UnsafeByteOperations.unsafeWrap(call.body()))
+                        .setCredit(INITIAL_CREDIT)
+                        .setResumeFrom(call.resumeFrom());
+        call.claim()
+                .ifPresent(claim -> message.setClaim(ClaimMessages.toWire(claim, incarnation())));
+        return message.build();
+    }
+
+    @Override
+    public CompletableFuture<Optional<ClaimAnswer>> askClaim(ClaimRef claim, boolean fence) {
+        CompletableFuture<Optional<ClaimAnswer>> answer = new CompletableFuture<>();
+        try {
+            mContext.executor().execute(() -> askInLoop(claim, fence, answer));
+        } catch (RejectedExecutionException e) {
+            answer.complete(Optional.empty());
+        }
+        return answer;
+    }
+
+    private void askInLoop(
+            ClaimRef claim, boolean fence, CompletableFuture<Optional<ClaimAnswer>> answer) {
+        if (mClosed) {
+            answer.complete(Optional.empty());
+            return;
+        }
+        ClaimQuery query =
+                ClaimQuery.newBuilder()
+                        .setQuery(mQuestions.add(answer))
+                        .setClaim(ClaimMessages.toWire(claim, incarnation()))
+                        .setFence(fence)
+                        .build();
+        send(mContext, Frame.newBuilder().setClaimQuery(query));
     }
 
     /** Sends a ping, which carries this process's configuration revision. */
--- a/wire/src/main/java/org/boragethread/wire/proto/ClaimAnswer.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ClaimAnswer.java
@@ -303,6 +303,21 @@
     return body_;
   }
 
+  public static final int BODY_OMITTED_FIELD_NUMBER = 6;
+  private boolean bodyOmitted_ = false;
+  /**
+   * <pre>
+   * Whether the body was too large to keep.
+   * </pre>
+   *
+   * <code>bool body_omitted = 6;</code>
+   * @return The bodyOmitted.
+   */
+  @java.lang.Override
+  public boolean getBodyOmitted() {
+    return bodyOmitted_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -332,6 +347,9 @@
     if (!body_.isEmpty()) {
       output.writeBytes(5, body_);
     }
+    if (bodyOmitted_ != false) {
+      output.writeBool(6, bodyOmitted_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -360,6 +378,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(5, body_);
     }
+    if (bodyOmitted_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, bodyOmitted_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -384,6 +406,8 @@
         .equals(other.getContentType())) return false;
     if (!getBody()
         .equals(other.getBody())) return false;
+    if (getBodyOmitted()
+        != other.getBodyOmitted()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -406,6 +430,9 @@
     hash = (53 * hash) + getContentType().hashCode();
     hash = (37 * hash) + BODY_FIELD_NUMBER;
     hash = (53 * hash) + getBody().hashCode();
+    hash = (37 * hash) + BODY_OMITTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getBodyOmitted());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -542,6 +569,7 @@
       status_ = 0;
       contentType_ = "";
       body_ = com.google.protobuf.ByteString.EMPTY;
+      bodyOmitted_ = false;
       return this;
     }
 
@@ -590,6 +618,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.body_ = body_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.bodyOmitted_ = bodyOmitted_;
+      }
     }
 
     @java.lang.Override
@@ -621,6 +652,9 @@
       if (other.getBody() != com.google.protobuf.ByteString.EMPTY) {
         setBody(other.getBody());
       }
+      if (other.getBodyOmitted() != false) {
+        setBodyOmitted(other.getBodyOmitted());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -672,6 +706,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 48: {
+              bodyOmitted_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -910,6 +949,50 @@
       return this;
     }
 
+    private boolean bodyOmitted_ ;
+    /**
+     * <pre>
+     * Whether the body was too large to keep.
+     * </pre>
+     *
+     * <code>bool body_omitted = 6;</code>
+     * @return The bodyOmitted.
+     */
+    @java.lang.Override
+    public boolean getBodyOmitted() {
+      return bodyOmitted_;
+    }
+    /**
+     * <pre>
+     * Whether the body was too large to keep.
+     * </pre>
+     *
+     * <code>bool body_omitted = 6;</code>
+     * @param value The bodyOmitted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBodyOmitted(boolean value) {
+
+      bodyOmitted_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the body was too large to keep.
+     * </pre>
+     *
+     * <code>bool body_omitted = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBodyOmitted() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      bodyOmitted_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:boragethread.wire.ClaimAnswer)
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/ClaimAnswerOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ClaimAnswerOrBuilder.java
@@ -49,4 +49,14 @@
    * @return The body.
    */
   com.google.protobuf.ByteString getBody();
+
+  /**
+   * <pre>
+   * Whether the body was too large to keep.
+   * </pre>
+   *
+   * <code>bool body_omitted = 6;</code>
+   * @return The bodyOmitted.
+   */
+  boolean getBodyOmitted();
 }
--- a/wire/src/main/java/org/boragethread/wire/proto/ClaimQuery.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ClaimQuery.java
@@ -99,21 +99,6 @@
     return fence_;
   }
 
-  public static final int INCARNATION_FIELD_NUMBER = 4;
-  private long incarnation_ = 0L;
-  /**
-   * <pre>
-   * Incarnation of the agent that the claim names.
-   * </pre>
-   *
-   * <code>fixed64 incarnation = 4;</code>
-   * @return The incarnation.
-   */
-  @java.lang.Override
-  public long getIncarnation() {
-    return incarnation_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -137,9 +122,6 @@
     if (fence_ != false) {
       output.writeBool(3, fence_);
     }
-    if (incarnation_ != 0L) {
-      output.writeFixed64(4, incarnation_);
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -161,10 +143,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(3, fence_);
     }
-    if (incarnation_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(4, incarnation_);
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -189,8 +167,6 @@
     }
     if (getFence()
         != other.getFence()) return false;
-    if (getIncarnation()
-        != other.getIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -212,9 +188,6 @@
     hash = (37 * hash) + FENCE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getFence());
-    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -363,7 +336,6 @@
         claimBuilder_ = null;
       }
       fence_ = false;
-      incarnation_ = 0L;
       return this;
     }
 
@@ -410,9 +382,6 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.fence_ = fence_;
       }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.incarnation_ = incarnation_;
-      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -437,9 +406,6 @@
       if (other.getFence() != false) {
         setFence(other.getFence());
       }
-      if (other.getIncarnation() != 0L) {
-        setIncarnation(other.getIncarnation());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -483,11 +449,6 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
-            case 33: {
-              incarnation_ = input.readFixed64();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 33
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -702,50 +663,6 @@
       return this;
     }
 
-    private long incarnation_ ;
-    /**
-     * <pre>
-     * Incarnation of the agent that the claim names.
-     * </pre>
-     *
-     * <code>fixed64 incarnation = 4;</code>
-     * @return The incarnation.
-     */
-    @java.lang.Override
-    public long getIncarnation() {
-      return incarnation_;
-    }
-    /**
-     * <pre>
-     * Incarnation of the agent that the claim names.
-     * </pre>
-     *
-     * <code>fixed64 incarnation = 4;</code>
-     * @param value The incarnation to set.
-     * @return This builder for chaining.
-     */
-    public Builder setIncarnation(long value) {
-
-      incarnation_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Incarnation of the agent that the claim names.
-     * </pre>
-     *
-     * <code>fixed64 incarnation = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearIncarnation() {
-      bitField0_ = (bitField0_ & ~0x00000008);
-      incarnation_ = 0L;
-      onChanged();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:boragethread.wire.ClaimQuery)
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/ClaimQueryOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ClaimQueryOrBuilder.java
@@ -39,14 +39,4 @@
    * @return The fence.
    */
   boolean getFence();
-
-  /**
-   * <pre>
-   * Incarnation of the agent that the claim names.
-   * </pre>
-   *
-   * <code>fixed64 incarnation = 4;</code>
-   * @return The incarnation.
-   */
-  long getIncarnation();
 }
--- a/wire/src/main/java/org/boragethread/wire/proto/ClaimRef.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ClaimRef.java
@@ -68,6 +68,21 @@
     return offset_;
   }
 
+  public static final int INCARNATION_FIELD_NUMBER = 3;
+  private long incarnation_ = 0L;
+  /**
+   * <pre>
+   * Incarnation of the agent that the claim names; an agent of another one refuses the call.
+   * </pre>
+   *
+   * <code>fixed64 incarnation = 3;</code>
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public long getIncarnation() {
+    return incarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -88,6 +103,9 @@
     if (offset_ != 0L) {
       output.writeUInt64(2, offset_);
     }
+    if (incarnation_ != 0L) {
+      output.writeFixed64(3, incarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -105,6 +123,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, offset_);
     }
+    if (incarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(3, incarnation_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -124,6 +146,8 @@
         != other.getPartition()) return false;
     if (getOffset()
         != other.getOffset()) return false;
+    if (getIncarnation()
+        != other.getIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -140,6 +164,9 @@
     hash = (37 * hash) + OFFSET_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getOffset());
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -277,6 +304,7 @@
       bitField0_ = 0;
       partition_ = 0;
       offset_ = 0L;
+      incarnation_ = 0L;
       return this;
     }
 
@@ -316,6 +344,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.offset_ = offset_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
     }
 
     @java.lang.Override
@@ -336,6 +367,9 @@
       if (other.getOffset() != 0L) {
         setOffset(other.getOffset());
       }
+      if (other.getIncarnation() != 0L) {
+        setIncarnation(other.getIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -372,6 +406,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 25: {
+              incarnation_ = input.readFixed64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 25
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -453,6 +492,50 @@
       return this;
     }
 
+    private long incarnation_ ;
+    /**
+     * <pre>
+     * Incarnation of the agent that the claim names; an agent of another one refuses the call.
+     * </pre>
+     *
+     * <code>fixed64 incarnation = 3;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+    /**
+     * <pre>
+     * Incarnation of the agent that the claim names; an agent of another one refuses the call.
+     * </pre>
+     *
+     * <code>fixed64 incarnation = 3;</code>
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(long value) {
+
+      incarnation_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnation of the agent that the claim names; an agent of another one refuses the call.
+     * </pre>
+     *
+     * <code>fixed64 incarnation = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      incarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:boragethread.wire.ClaimRef)
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/ClaimRefOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ClaimRefOrBuilder.java
@@ -20,4 +20,14 @@
    * @return The offset.
    */
   long getOffset();
+
+  /**
+   * <pre>
+   * Incarnation of the agent that the claim names; an agent of another one refuses the call.
+   * </pre>
+   *
+   * <code>fixed64 incarnation = 3;</code>
+   * @return The incarnation.
+   */
+  long getIncarnation();
 }
--- a/wire/src/main/java/org/boragethread/wire/proto/Wire.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Wire.java
@@ -200,50 +200,50 @@
       " \001(\t\022\024\n\014content_type\030\t \001(\t\022\014\n\004body\030\n \001(\014" +
       "\022\016\n\006credit\030\013 \001(\r\022*\n\005claim\030\014 \001(\0132\033.borage" +
       "thread.wire.ClaimRef\022\023\n\013resume_from\030\r \001(" +
-      "\r\022\022\n\nlast_stage\030\016 \001(\r\"-\n\010ClaimRef\022\021\n\tpar" +
-      "tition\030\001 \001(\r\022\016\n\006offset\030\002 \001(\004\"Z\n\nResultHe" +
-      "ad\022&\n\002id\030\001 \001(\0132\032.boragethread.wire.Attem" +
-      "pt\022\016\n\006status\030\002 \001(\r\022\024\n\014content_type\030\003 \001(\t" +
-      "\"U\n\013ResultChunk\022&\n\002id\030\001 \001(\0132\032.boragethre" +
-      "ad.wire.Attempt\022\020\n\010sequence\030\002 \001(\r\022\014\n\004dat" +
-      "a\030\003 \001(\014\"\247\001\n\tResultEnd\022&\n\002id\030\001 \001(\0132\032.bora" +
-      "gethread.wire.Attempt\022\016\n\006chunks\030\002 \001(\r\022\r\n" +
-      "\005bytes\030\003 \001(\004\022%\n\004load\030\004 \001(\0132\027.boragethrea" +
-      "d.wire.Load\022\026\n\016service_micros\030\005 \001(\004\022\024\n\014q" +
-      "ueue_micros\030\006 \001(\004\"\302\001\n\013CallRefused\022&\n\002id\030" +
-      "\001 \001(\0132\032.boragethread.wire.Attempt\022\016\n\006rea" +
-      "son\030\002 \001(\t\022(\n\003ran\030\003 \001(\0162\033.boragethread.wi" +
-      "re.RanState\022\016\n\006detail\030\004 \001(\t\022\032\n\022retry_aft" +
-      "er_millis\030\005 \001(\004\022%\n\004load\030\006 \001(\0132\027.borageth" +
-      "read.wire.Load\"0\n\006Cancel\022&\n\002id\030\001 \001(\0132\032.b" +
-      "oragethread.wire.Attempt\"@\n\006Credit\022&\n\002id" +
-      "\030\001 \001(\0132\032.boragethread.wire.Attempt\022\016\n\006ch" +
-      "unks\030\002 \001(\r\"\030\n\006Goaway\022\016\n\006reason\030\001 \001(\t\"-\n\n" +
-      "ConfigPull\022\037\n\027after_revision_plus_one\030\001 " +
-      "\001(\004\"M\n\014ConfigRecord\022\016\n\006offset\030\001 \001(\004\022\n\n\002i" +
-      "d\030\002 \001(\t\022\014\n\004data\030\003 \001(\014\022\023\n\013time_millis\030\004 \001" +
-      "(\004\"{\n\013ConfigDelta\022\037\n\027after_revision_plus" +
-      "_one\030\001 \001(\004\0220\n\007records\030\002 \003(\0132\037.boragethre" +
-      "ad.wire.ConfigRecord\022\031\n\021revision_plus_on" +
-      "e\030\003 \001(\004\"l\n\016ConfigSnapshot\022\031\n\021revision_pl" +
-      "us_one\030\001 \001(\004\022\014\n\004part\030\002 \001(\r\022\r\n\005parts\030\003 \001(" +
-      "\r\022\014\n\004data\030\004 \001(\014\022\024\n\014content_hash\030\005 \001(\006\"k\n" +
-      "\nClaimQuery\022\r\n\005query\030\001 \001(\004\022*\n\005claim\030\002 \001(" +
-      "\0132\033.boragethread.wire.ClaimRef\022\r\n\005fence\030" +
-      "\003 \001(\010\022\023\n\013incarnation\030\004 \001(\006\"\317\001\n\013ClaimAnsw" +
-      "er\022\r\n\005query\030\001 \001(\004\0223\n\005state\030\002 \001(\0162$.borag" +
-      "ethread.wire.ClaimAnswer.State\022\016\n\006status" +
-      "\030\003 \001(\r\022\024\n\014content_type\030\004 \001(\t\022\014\n\004body\030\005 \001" +
-      "(\014\"H\n\005State\022\013\n\007UNKNOWN\020\000\022\016\n\nNEVER_SEEN\020\001" +
-      "\022\013\n\007RUNNING\020\002\022\010\n\004DONE\020\003\022\013\n\007NOT_RUN\020\004\"\025\n\004" +
-      "Ping\022\r\n\005token\030\001 \001(\004\"<\n\004Pong\022\r\n\005token\030\001 \001" +
-      "(\004\022%\n\004load\030\002 \001(\0132\027.boragethread.wire.Loa" +
-      "d\"3\n\nLoadReport\022%\n\004load\030\001 \001(\0132\027.borageth" +
-      "read.wire.Load*6\n\014CallPriority\022\017\n\013INTERA" +
-      "CTIVE\020\000\022\n\n\006NORMAL\020\001\022\t\n\005BATCH\020\002*4\n\010RanSta" +
-      "te\022\017\n\013RAN_UNKNOWN\020\000\022\n\n\006RAN_NO\020\001\022\013\n\007RAN_Y" +
-      "ES\020\002B\037\n\033org.boragethread.wire.protoP\001b\006p" +
-      "roto3"
+      "\r\022\022\n\nlast_stage\030\016 \001(\r\"B\n\010ClaimRef\022\021\n\tpar" +
+      "tition\030\001 \001(\r\022\016\n\006offset\030\002 \001(\004\022\023\n\013incarnat" +
+      "ion\030\003 \001(\006\"Z\n\nResultHead\022&\n\002id\030\001 \001(\0132\032.bo" +
+      "ragethread.wire.Attempt\022\016\n\006status\030\002 \001(\r\022" +
+      "\024\n\014content_type\030\003 \001(\t\"U\n\013ResultChunk\022&\n\002" +
+      "id\030\001 \001(\0132\032.boragethread.wire.Attempt\022\020\n\010" +
+      "sequence\030\002 \001(\r\022\014\n\004data\030\003 \001(\014\"\247\001\n\tResultE" +
+      "nd\022&\n\002id\030\001 \001(\0132\032.boragethread.wire.Attem" +
+      "pt\022\016\n\006chunks\030\002 \001(\r\022\r\n\005bytes\030\003 \001(\004\022%\n\004loa" +
+      "d\030\004 \001(\0132\027.boragethread.wire.Load\022\026\n\016serv" +
+      "ice_micros\030\005 \001(\004\022\024\n\014queue_micros\030\006 \001(\004\"\302" +
+      "\001\n\013CallRefused\022&\n\002id\030\001 \001(\0132\032.boragethrea" +
+      "d.wire.Attempt\022\016\n\006reason\030\002 \001(\t\022(\n\003ran\030\003 " +
+      "\001(\0162\033.boragethread.wire.RanState\022\016\n\006deta" +
+      "il\030\004 \001(\t\022\032\n\022retry_after_millis\030\005 \001(\004\022%\n\004" +
+      "load\030\006 \001(\0132\027.boragethread.wire.Load\"0\n\006C" +
+      "ancel\022&\n\002id\030\001 \001(\0132\032.boragethread.wire.At" +
+      "tempt\"@\n\006Credit\022&\n\002id\030\001 \001(\0132\032.boragethre" +
+      "ad.wire.Attempt\022\016\n\006chunks\030\002 \001(\r\"\030\n\006Goawa" +
+      "y\022\016\n\006reason\030\001 \001(\t\"-\n\nConfigPull\022\037\n\027after" +
+      "_revision_plus_one\030\001 \001(\004\"M\n\014ConfigRecord" +
+      "\022\016\n\006offset\030\001 \001(\004\022\n\n\002id\030\002 \001(\t\022\014\n\004data\030\003 \001" +
+      "(\014\022\023\n\013time_millis\030\004 \001(\004\"{\n\013ConfigDelta\022\037" +
+      "\n\027after_revision_plus_one\030\001 \001(\004\0220\n\007recor" +
+      "ds\030\002 \003(\0132\037.boragethread.wire.ConfigRecor" +
+      "d\022\031\n\021revision_plus_one\030\003 \001(\004\"l\n\016ConfigSn" +
+      "apshot\022\031\n\021revision_plus_one\030\001 \001(\004\022\014\n\004par" +
+      "t\030\002 \001(\r\022\r\n\005parts\030\003 \001(\r\022\014\n\004data\030\004 \001(\014\022\024\n\014" +
+      "content_hash\030\005 \001(\006\"\\\n\nClaimQuery\022\r\n\005quer" +
+      "y\030\001 \001(\004\022*\n\005claim\030\002 \001(\0132\033.boragethread.wi" +
+      "re.ClaimRef\022\r\n\005fence\030\003 \001(\010J\004\010\004\020\005\"\345\001\n\013Cla" +
+      "imAnswer\022\r\n\005query\030\001 \001(\004\0223\n\005state\030\002 \001(\0162$" +
+      ".boragethread.wire.ClaimAnswer.State\022\016\n\006" +
+      "status\030\003 \001(\r\022\024\n\014content_type\030\004 \001(\t\022\014\n\004bo" +
+      "dy\030\005 \001(\014\022\024\n\014body_omitted\030\006 \001(\010\"H\n\005State\022" +
+      "\013\n\007UNKNOWN\020\000\022\016\n\nNEVER_SEEN\020\001\022\013\n\007RUNNING\020" +
+      "\002\022\010\n\004DONE\020\003\022\013\n\007NOT_RUN\020\004\"\025\n\004Ping\022\r\n\005toke" +
+      "n\030\001 \001(\004\"<\n\004Pong\022\r\n\005token\030\001 \001(\004\022%\n\004load\030\002" +
+      " \001(\0132\027.boragethread.wire.Load\"3\n\nLoadRep" +
+      "ort\022%\n\004load\030\001 \001(\0132\027.boragethread.wire.Lo" +
+      "ad*6\n\014CallPriority\022\017\n\013INTERACTIVE\020\000\022\n\n\006N" +
+      "ORMAL\020\001\022\t\n\005BATCH\020\002*4\n\010RanState\022\017\n\013RAN_UN" +
+      "KNOWN\020\000\022\n\n\006RAN_NO\020\001\022\013\n\007RAN_YES\020\002B\037\n\033org." +
+      "boragethread.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -296,7 +296,7 @@
     internal_static_boragethread_wire_ClaimRef_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_wire_ClaimRef_descriptor,
-        new java.lang.String[] { "Partition", "Offset", });
+        new java.lang.String[] { "Partition", "Offset", "Incarnation", });
     internal_static_boragethread_wire_ResultHead_descriptor =
       getDescriptor().getMessageTypes().get(8);
     internal_static_boragethread_wire_ResultHead_fieldAccessorTable = new
@@ -368,13 +368,13 @@
     internal_static_boragethread_wire_ClaimQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_wire_ClaimQuery_descriptor,
-        new java.lang.String[] { "Query", "Claim", "Fence", "Incarnation", });
+        new java.lang.String[] { "Query", "Claim", "Fence", });
     internal_static_boragethread_wire_ClaimAnswer_descriptor =
       getDescriptor().getMessageTypes().get(20);
     internal_static_boragethread_wire_ClaimAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_wire_ClaimAnswer_descriptor,
-        new java.lang.String[] { "Query", "State", "Status", "ContentType", "Body", });
+        new java.lang.String[] { "Query", "State", "Status", "ContentType", "Body", "BodyOmitted", });
     internal_static_boragethread_wire_Ping_descriptor =
       getDescriptor().getMessageTypes().get(21);
     internal_static_boragethread_wire_Ping_fieldAccessorTable = new
--- a/wire/src/main/java/org/boragethread/wire/server/AgentChannel.java
+++ b/wire/src/main/java/org/boragethread/wire/server/AgentChannel.java
@@ -9,8 +9,11 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.boragethread.core.claim.ClaimAnswer;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.claim.ClaimRef;
 import org.boragethread.model.outcome.AttemptId;
+import org.boragethread.wire.frame.ClaimMessages;
 import org.boragethread.wire.frame.CloseReason;
 import org.boragethread.wire.frame.Conversions;
 import org.boragethread.wire.frame.FrameHandler;
@@ -18,6 +21,7 @@
 import org.boragethread.wire.frame.WireSettings;
 import org.boragethread.wire.proto.Call;
 import org.boragethread.wire.proto.Challenge;
+import org.boragethread.wire.proto.ClaimQuery;
 import org.boragethread.wire.proto.Frame;
 import org.boragethread.wire.proto.Goaway;
 import org.boragethread.wire.proto.Hello;
@@ -119,10 +123,20 @@
                 pong.setLoad(Conversions.toWire(mServer.load()));
                 send(context, Frame.newBuilder().setPong(pong));
             }
+            case CLAIM_QUERY -> onClaimQuery(context, frame.getClaimQuery());
             default -> close(context, CloseReason.UNEXPECTED_FRAME);
         }
     }
 
+    private void onClaimQuery(ChannelHandlerContext context, ClaimQuery query) {
+        ClaimRef claim = ClaimMessages.fromWire(query.getClaim());
+        ClaimAnswer answer =
+                mServer.claims().ask(claim, query.getClaim().getIncarnation(), query.getFence());
+        send(
+                context,
+                Frame.newBuilder().setClaimAnswer(ClaimMessages.toWire(query.getQuery(), answer)));
+    }
+
     private void onCall(ChannelHandlerContext context, Call message) {
         long remaining = TimeUnit.MICROSECONDS.toNanos(message.getRemainingMicros());
         ServedCall call = new ServedCall(message, time().nanoTime() + remaining, this);
--- a/wire/src/main/java/org/boragethread/wire/server/AgentServer.java
+++ b/wire/src/main/java/org/boragethread/wire/server/AgentServer.java
@@ -28,6 +28,7 @@
     private final WireEvents mEvents;
     private final ConfigSource mConfig;
     private final CallHandler mHandler;
+    private final ClaimDirectory mClaims;
     private final Supplier<UpstreamLoad> mLoad;
     private final TimeSource mTime;
     private final EventLoopGroup mGroup;
@@ -41,6 +42,7 @@
         mEvents = builder.mEvents;
         mConfig = Objects.requireNonNull(builder.mConfig, "config");
         mHandler = Objects.requireNonNull(builder.mHandler, "handler");
+        mClaims = Objects.requireNonNull(builder.mClaims, "claims");
         mLoad = Objects.requireNonNull(builder.mLoad, "load");
         mTime = Objects.requireNonNull(builder.mTime, "time");
         mGroup = Objects.requireNonNull(builder.mGroup, "group");
@@ -115,6 +117,10 @@
         return mHandler;
     }
 
+    ClaimDirectory claims() {
+        return mClaims;
+    }
+
     UpstreamLoad load() {
         return mLoad.get();
     }
@@ -127,6 +133,7 @@
         private WireEvents mEvents = WireEvents.NONE;
         private ConfigSource mConfig;
         private CallHandler mHandler;
+        private ClaimDirectory mClaims = ClaimDirectory.NONE;
         private Supplier<UpstreamLoad> mLoad;
         private TimeSource mTime;
         private EventLoopGroup mGroup;
@@ -167,6 +174,12 @@
             return this;
         }
 
+        /** Sets what answers questions about claims. */
+        public Builder claims(ClaimDirectory claims) {
+            mClaims = claims;
+            return this;
+        }
+
         /** Sets the source of the load that is attached to answers. */
         public Builder load(Supplier<UpstreamLoad> load) {
             mLoad = load;
