--- a/agent/src/main/java/org/boragethread/agent/call/CallController.java
+++ b/agent/src/main/java/org/boragethread/agent/call/CallController.java
@@ -42,7 +42,7 @@
 
     @Override
     public void onCall(ServedCall call) {
-        Optional<Gate> gate = mGates.gate();
+        Optional<ManagedGate> gate = mGates.managed();
         if (gate.isEmpty()) {
             Refusal refusal =
                     Refusal.notRun(
@@ -53,13 +53,14 @@
             call.refuse(refusal, UpstreamLoad.UNKNOWN);
             return;
         }
-        Optional<CallRecord> record = mClaims.begin(call, gate.get().load());
+        Optional<CallRecord> record = mClaims.begin(call, gate.get().gate().load());
         if (record.isPresent()) {
             offer(call, gate.get(), record.get());
         }
     }
 
-    private void offer(ServedCall call, Gate gate, CallRecord record) {
+    private void offer(ServedCall call, ManagedGate managed, CallRecord record) {
+        Gate gate = managed.gate();
         GateRequest request =
                 new GateRequest(
                         new TeamId(call.message().getTeam()),
@@ -67,7 +68,7 @@
                         call.priority(),
                         call.deadlineNanos());
         long offeredAt = mTime.nanoTime();
-        RunningCall running = new RunningCall(call, gate, mTime, mMetrics, offeredAt, record);
+        RunningCall running = new RunningCall(call, managed, mTime, mMetrics, offeredAt, record);
         Gate.Waiting waiting =
                 gate.offer(
                         request,
--- a/agent/src/main/java/org/boragethread/agent/call/RunningCall.java
+++ b/agent/src/main/java/org/boragethread/agent/call/RunningCall.java
@@ -31,7 +31,7 @@
     private static final int UNAVAILABLE = 503;
 
     private final ServedCall mCall;
-    private final Gate mGate;
+    private final ManagedGate mGate;
     private final TimeSource mTime;
     private final CallMetrics mMetrics;
     private final long mOfferedAt;
@@ -47,7 +47,7 @@
 
     RunningCall(
             ServedCall call,
-            Gate gate,
+            ManagedGate gate,
             TimeSource time,
             CallMetrics metrics,
             long offeredAt,
@@ -110,6 +110,7 @@
 
     @Override
     public void onHead(UpstreamHead head) {
+        mGate.onLoadHeader(head.load());
         if (isFailure(head.status())) {
             mRejection = Optional.of(head);
             return;
@@ -148,7 +149,7 @@
             mCall.end(
                     mTime.since(mAdmittedAt),
                     Duration.ofNanos(mAdmittedAt - mOfferedAt),
-                    mGate.load());
+                    mGate.gate().load());
         }
     }
 
@@ -255,7 +256,7 @@
         if (complete(outcome)) {
             recordRan(ran);
             mMetrics.refused(reason);
-            mCall.refuse(new Refusal(reason, ran, detail, retryAfter), mGate.load());
+            mCall.refuse(new Refusal(reason, ran, detail, retryAfter), mGate.gate().load());
         }
     }
 
--- a/core/src/main/java/org/boragethread/core/pipeline/PipelineController.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/PipelineController.java
@@ -11,15 +11,15 @@
 public final class PipelineController {
 
     private final UpstreamPicker mPicker;
-    private final AttemptPolicy mAttempts;
+    private final RunPolicies mPolicies;
     private final TimeSource mTime;
     private final Scheduler mScheduler;
     private final Optional<ClaimService> mClaims;
 
     /** Runs requests without claims on the upstreams that the picker chooses. */
     public PipelineController(
-            UpstreamPicker picker, AttemptPolicy attempts, TimeSource time, Scheduler scheduler) {
-        this(picker, attempts, time, scheduler, Optional.empty());
+            UpstreamPicker picker, RunPolicies policies, TimeSource time, Scheduler scheduler) {
+        this(picker, policies, time, scheduler, Optional.empty());
     }
 
     /**
@@ -29,12 +29,12 @@
      */
     public PipelineController(
             UpstreamPicker picker,
-            AttemptPolicy attempts,
+            RunPolicies policies,
             TimeSource time,
             Scheduler scheduler,
             Optional<ClaimService> claims) {
         mPicker = Objects.requireNonNull(picker, "picker");
-        mAttempts = Objects.requireNonNull(attempts, "attempts");
+        mPolicies = Objects.requireNonNull(policies, "policies");
         mTime = Objects.requireNonNull(time, "time");
         mScheduler = Objects.requireNonNull(scheduler, "scheduler");
         mClaims = Objects.requireNonNull(claims, "claims");
@@ -55,8 +55,8 @@
         return mPicker;
     }
 
-    AttemptPolicy attempts() {
-        return mAttempts;
+    RunPolicies policies() {
+        return mPolicies;
     }
 
     TimeSource time() {
--- a/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
@@ -4,14 +4,16 @@
 import io.vavr.control.Either;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.boragethread.core.claim.ClaimDecision;
 import org.boragethread.core.claim.EffectRequest;
-import org.boragethread.core.dispatch.CallSummary;
 import org.boragethread.core.dispatch.StageCall;
 import org.boragethread.core.dispatch.UpstreamLink;
+import org.boragethread.core.retry.RetryDecision;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.model.claim.ClaimOutcome;
 import org.boragethread.model.outcome.AttemptId;
@@ -23,7 +25,7 @@
 
 /**
  * One request on its way through the stages. All state is guarded by this object; attempts report
- * to it, and only the current attempt is heard.
+ * to it, and only running attempts are heard.
  */
 final class PipelineRun implements RunHandle, StageClaim.Listener {
 
@@ -42,11 +44,13 @@
     private Ran mRan = Ran.NO;
     private Ran mRanBeforeStage = Ran.NO;
     private StreamProgress mStream = new StreamProgress();
-    private Optional<StageAttempt> mCurrent = Optional.empty();
+    private final List<StageAttempt> mRunning = new ArrayList<>();
     private Optional<StageClaim> mClaim = Optional.empty();
     private Optional<Refusal> mLastRefusal = Optional.empty();
     private Scheduler.Timer mDeadlineTimer = () -> {};
     private Scheduler.Timer mRetryTimer = () -> {};
+    private Scheduler.Timer mHedgeTimer = () -> {};
+    private boolean mHedged;
     private boolean mDone;
 
     PipelineRun(PipelineRequest request, ResponseSink sink, PipelineController controller) {
@@ -64,10 +68,18 @@
 
     private void startStage() {
         mAttempts = 0;
+        mHedged = false;
         mTried.clear();
         mLastRefusal = Optional.empty();
         mStream = new StreamProgress();
         mRanBeforeStage = mRan;
+        Optional<Refusal> hopeless =
+                policies().checkDeadline(mRequest.pipeline(), mStageIndex, remaining());
+        if (hopeless.isPresent()) {
+            fail(hopeless.get());
+            return;
+        }
+        policies().onFirstCall(stage());
         mClaim = claimOfStage();
         attempt();
     }
@@ -76,29 +88,38 @@
         if (mDone) {
             return;
         }
-        Optional<UpstreamLink> link =
-                mController.picker().pick(stage(), prefixHash(), Set.copyOf(mTried));
+        Optional<UpstreamLink> link = pick();
         if (link.isEmpty()) {
             fail(mLastRefusal.orElseGet(this::noUpstream));
             return;
         }
-        mTried.add(link.get().upstream());
         if (mClaim.isPresent()) {
+            mTried.add(link.get().upstream());
             mClaim.get().acquire(link.get(), remaining());
         } else {
-            send(link.get());
+            sendFirst(link.get());
         }
     }
 
-    private void send(UpstreamLink link) {
+    private void sendFirst(UpstreamLink link) {
         if (!stage().idempotent()) {
             mRan = Ran.UNKNOWN;
         }
-        StageAttempt attempt = new StageAttempt(this, stage(), streamsToCaller());
-        mCurrent = Optional.of(attempt);
+        send(link);
+        scheduleHedge();
+    }
+
+    private Optional<UpstreamLink> pick() {
+        return mController.picker().pick(stage(), prefixHash(), Set.copyOf(mTried));
+    }
+
+    private void send(UpstreamLink link) {
+        mTried.add(link.upstream());
+        StageAttempt attempt = new StageAttempt(this, stage(), link, streamsToCaller());
+        mRunning.add(attempt);
         StageCall call = call();
         mAttempts++;
-        attempt.begin(link, call);
+        attempt.begin(call, mController.time());
     }
 
     private Optional<StageClaim> claimOfStage() {
@@ -123,11 +144,11 @@
             mRan = max(mRan, decision.getLeft().ran());
             fail(decision.getLeft());
         } else if (decision.get() instanceof ClaimDecision.Replay replay) {
-            replay(replay.outcome());
+            replay(link, replay.outcome());
         } else if (remaining().isNegative()) {
             onDeadline();
         } else {
-            send(link);
+            sendFirst(link);
         }
     }
 
@@ -136,7 +157,7 @@
     }
 
     /** Continues with the recorded answer of an earlier request with the same key. */
-    private void replay(ClaimOutcome outcome) {
+    private void replay(UpstreamLink link, ClaimOutcome outcome) {
         mRan = Ran.YES;
         if (outcome.body().isEmpty() && !isLastStage()) {
             fail(
@@ -146,11 +167,40 @@
                                     .formatted(stage().name())));
             return;
         }
-        StageAttempt attempt = new StageAttempt(this, stage(), streamsToCaller());
-        mCurrent = Optional.of(attempt);
+        StageAttempt attempt = new StageAttempt(this, stage(), link, streamsToCaller());
+        mRunning.add(attempt);
         attempt.replay(outcome);
     }
 
+    private void scheduleHedge() {
+        mHedgeTimer.cancel();
+        if (mHedged || streamsToCaller() || mTried.size() > 1) {
+            return;
+        }
+        Optional<Duration> delay = policies().hedgeDelay(stage(), remaining());
+        if (delay.isPresent()) {
+            int stage = mStageIndex;
+            mHedgeTimer = mController.scheduler().schedule(delay.get(), () -> hedge(stage));
+        }
+    }
+
+    /** Sends a second attempt beside a slow one, if the policy allows it. */
+    private synchronized void hedge(int stage) {
+        if (mDone || mHedged || stage != mStageIndex || mRunning.size() != 1) {
+            return;
+        }
+        Optional<UpstreamLink> link = pick();
+        double utilisation = mController.picker().utilisation(stage());
+        if (link.isPresent() && policies().tryHedge(stage(), remaining(), utilisation)) {
+            mHedged = true;
+            send(link.get());
+        }
+    }
+
+    private RunPolicies policies() {
+        return mController.policies();
+    }
+
     private StageCall call() {
         return new StageCall.Builder()
                 .id(new AttemptId(mRequest.id(), mStageIndex, mAttempts))
@@ -210,15 +260,21 @@
         mSink.onStreamEvent(event.bytes(), onSent);
     }
 
-    /** Takes the whole result of the current stage. */
-    synchronized void onResult(StageAttempt from, StageResult result, CallSummary summary) {
+    /** Takes the whole result of the current stage; of two attempts the first one counts. */
+    synchronized void onResult(StageAttempt from, StageResult result) {
         if (!isCurrent(from)) {
             return;
         }
-        mCurrent = Optional.empty();
+        mRunning.remove(from);
+        cancelRunning();
+        mHedgeTimer.cancel();
         if (!stage().idempotent()) {
             mRan = Ran.YES;
         }
+        if (!from.isReplay()) {
+            Duration latency = mController.time().since(from.startNanos());
+            policies().onResult(mRequest.pipeline(), mStageIndex, from.upstream(), latency);
+        }
         mClaim.ifPresent(claim -> claim.done(result.toOutcome()));
         if (streamsToCaller() && result.isStreamed()) {
             finish();
@@ -242,27 +298,35 @@
         if (!isCurrent(from)) {
             return;
         }
-        mCurrent = Optional.empty();
+        mRunning.remove(from);
+        if (!mRunning.isEmpty()) {
+            return;
+        }
+        mHedgeTimer.cancel();
         if (!stage().idempotent() && refusal.ran() == Ran.NO) {
             mRan = mRanBeforeStage;
         }
         mClaim.ifPresent(claim -> claim.refused(refusal.ran()));
-        Optional<Duration> delay =
-                mController.attempts().nextAttempt(stage(), refusal, mAttempts, remaining());
-        if (delay.isEmpty()) {
+        RetryDecision decision = policies().afterFailure(stage(), refusal, mAttempts, remaining());
+        if (!(decision instanceof RetryDecision.Retry retry)) {
             fail(refusal);
             return;
         }
         mLastRefusal = Optional.of(refusal);
-        if (delay.get().isZero()) {
+        if (retry.delay().isZero()) {
             attempt();
         } else {
-            mRetryTimer = mController.scheduler().schedule(delay.get(), this::attempt);
+            mRetryTimer = mController.scheduler().schedule(retry.delay(), this::attempt);
         }
     }
 
     private boolean isCurrent(StageAttempt attempt) {
-        return !mDone && mCurrent.isPresent() && mCurrent.get() == attempt;
+        return !mDone && mRunning.contains(attempt);
+    }
+
+    private void cancelRunning() {
+        mRunning.forEach(StageAttempt::cancel);
+        mRunning.clear();
     }
 
     // A claim or a handover that is on its way is decided by the same deadline; until then it is
@@ -271,7 +335,7 @@
         if (mDone || mClaim.filter(StageClaim::isAsking).isPresent()) {
             return;
         }
-        mCurrent.ifPresent(StageAttempt::cancel);
+        cancelRunning();
         fail(
                 Refusal.notRun(
                         RefusalReason.DEADLINE_EXCEEDED,
@@ -288,15 +352,15 @@
         if (mDone) {
             return;
         }
-        mCurrent.ifPresent(StageAttempt::cancel);
+        cancelRunning();
         finish();
     }
 
     private void finish() {
         mDone = true;
         mClaim.ifPresent(StageClaim::close);
-        mCurrent = Optional.empty();
         mDeadlineTimer.cancel();
         mRetryTimer.cancel();
+        mHedgeTimer.cancel();
     }
 }
--- a/core/src/main/java/org/boragethread/core/pipeline/StageAttempt.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/StageAttempt.java
@@ -10,11 +10,13 @@
 import org.boragethread.core.dispatch.CallSummary;
 import org.boragethread.core.dispatch.StageCall;
 import org.boragethread.core.dispatch.UpstreamLink;
+import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.claim.ClaimOutcome;
 import org.boragethread.model.outcome.Ran;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.pipeline.Stage;
+import org.boragethread.model.upstream.UpstreamId;
 
 /**
  * One attempt at one stage: collects the result, or passes events on. Its connection calls it from
@@ -32,10 +34,12 @@
 
     private final PipelineRun mRun;
     private final Stage mStage;
+    private final UpstreamLink mLink;
     private final boolean mToCaller;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final EventSplitter mSplitter = new EventSplitter();
 
+    private long mStartNanos;
     private int mStatus;
     private String mContentType = "";
     private boolean mEvents;
@@ -43,15 +47,18 @@
     private boolean mRefused;
     private Optional<CallHandle> mHandle = Optional.empty();
     private boolean mCancelled;
+    private boolean mReplay;
 
-    StageAttempt(PipelineRun run, Stage stage, boolean toCaller) {
+    StageAttempt(PipelineRun run, Stage stage, UpstreamLink link, boolean toCaller) {
         mRun = run;
         mStage = stage;
+        mLink = link;
         mToCaller = toCaller;
     }
 
-    void begin(UpstreamLink link, StageCall call) {
-        CallHandle handle = link.call(call, this);
+    void begin(StageCall call, TimeSource time) {
+        mStartNanos = time.nanoTime();
+        CallHandle handle = mLink.call(call, this);
         boolean cancelled;
         synchronized (this) {
             mHandle = Optional.of(handle);
@@ -64,10 +71,11 @@
 
     /** Takes a recorded answer in place of a call. */
     void replay(ClaimOutcome outcome) {
+        mReplay = true;
         if (outcome.body().isEmpty()) {
             StageResult bare =
                     new StageResult(outcome.status(), outcome.contentType(), new byte[0], false);
-            mRun.onResult(this, bare, NO_TIMES);
+            mRun.onResult(this, bare);
             return;
         }
         onHead(outcome.status(), outcome.contentType());
@@ -75,6 +83,19 @@
         onEnd(NO_TIMES);
     }
 
+    /** Tells whether the answer is a recorded one. */
+    boolean isReplay() {
+        return mReplay;
+    }
+
+    UpstreamId upstream() {
+        return mLink.upstream();
+    }
+
+    long startNanos() {
+        return mStartNanos;
+    }
+
     void cancel() {
         Optional<CallHandle> handle;
         synchronized (this) {
@@ -162,7 +183,7 @@
         }
         String type = mEvents ? TEXT : mContentType;
         boolean streamed = mEvents && mToCaller;
-        mRun.onResult(this, new StageResult(mStatus, type, mBody.toByteArray(), streamed), summary);
+        mRun.onResult(this, new StageResult(mStatus, type, mBody.toByteArray(), streamed));
     }
 
     @Override
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/serve/ClaimStreams.java
@@ -0,0 +1,67 @@
+package org.boragethread.entry.serve;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.boragethread.core.claim.AgentInquiry;
+import org.boragethread.core.claim.ClaimService;
+import org.boragethread.core.claim.ClaimSettings;
+import org.boragethread.core.log.GroupedAppender;
+import org.boragethread.core.metrics.ClaimMetrics;
+import org.boragethread.core.record.LogStreams;
+import org.boragethread.model.place.EntryId;
+
+/** The claim streams of an entry and the service that works on them. */
+final class ClaimStreams {
+
+    private final ClaimService mService;
+    private final List<FollowedStream> mStreams = new ArrayList<>();
+
+    ClaimStreams(
+            LogAccess access,
+            ClaimSettings settings,
+            EntryId entry,
+            AgentInquiry agents,
+            ClaimMetrics metrics) {
+        Map<String, GroupedAppender> appenders = new HashMap<>();
+        for (int i = 0; i < settings.partitions(); i++) {
+            String name = ClaimSettings.stream(i);
+            appenders.put(name, FollowedStream.appender(access, name));
+        }
+        LogStreams log = new LogStreams(access.log(), appenders);
+        mService =
+                ClaimService.builder()
+                        .entry(entry)
+                        .settings(settings)
+                        .sink(log)
+                        .source(log)
+                        .agents(agents)
+                        .events(metrics)
+                        .scheduler(access.scheduler())
+                        .time(access.time())
+                        .build();
+        metrics.show(mService);
+        for (int i = 0; i < settings.partitions(); i++) {
+            String name = ClaimSettings.stream(i);
+            mStreams.add(FollowedStream.of(access, name, appenders.get(name), mService.fold(i)));
+        }
+    }
+
+    void start() {
+        mStreams.forEach(FollowedStream::start);
+    }
+
+    void stop() {
+        mStreams.forEach(FollowedStream::stop);
+    }
+
+    ClaimService service() {
+        return mService;
+    }
+
+    /** Tells whether every stream has been read to its end once, or is known to be down. */
+    boolean isSettled() {
+        return mStreams.stream().allMatch(FollowedStream::isSettled);
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -11,6 +11,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -26,9 +27,9 @@
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.dispatch.UpstreamTable;
 import org.boragethread.core.log.AppendBudget;
-import org.boragethread.core.pipeline.BoundedAttempts;
+import org.boragethread.core.log.PlatformLog;
+import org.boragethread.core.metrics.ClaimMetrics;
 import org.boragethread.core.pipeline.PipelineController;
-import org.boragethread.core.selection.RoundRobinSelector;
 import org.boragethread.core.time.ExecutorScheduler;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.SystemTimeSource;
@@ -40,6 +41,7 @@
 import org.boragethread.entry.operator.StatusReporter;
 import org.boragethread.entry.settings.EntrySettings;
 import org.boragethread.model.config.Configuration;
+import org.boragethread.model.place.EntryId;
 import org.boragethread.platform.HttpPlatformLog;
 import org.boragethread.platform.HttpVmDirectory;
 import org.boragethread.platform.PlatformSettings;
@@ -71,7 +73,11 @@
     private static final int OPERATOR_THREADS = 2;
     private static final long POLL_MILLIS = 20;
 
+    private static final Duration INQUIRY_TIMEOUT = Duration.ofSeconds(1);
+    private static final int MAX_NAME_IN_ID = 24;
+
     private final EntrySettings mSettings;
+    private final EntryId mEntryId;
     private final TimeSource mTime = new SystemTimeSource();
     private final ScheduledExecutorService mTimers = Executors.newScheduledThreadPool(2);
     private final Scheduler mScheduler = new ExecutorScheduler(mTimers);
@@ -85,6 +91,7 @@
     private final UpstreamTable mUpstreams = new UpstreamTable();
     private final EventLoopGroup mLoops = new NioEventLoopGroup();
     private final ConfigService mConfigService;
+    private final ClaimStreams mClaims;
     private final MembershipController mMembership;
     private final HttpServer mCallers;
     private final HttpServer mOperators;
@@ -93,6 +100,7 @@
     /** Makes an entry that is not started. */
     public EntryProcess(EntrySettings settings) {
         mSettings = settings;
+        mEntryId = newEntryId(settings.id());
         PlatformSettings platform =
                 PlatformSettings.of(
                         URI.create("http://" + Addresses.format(settings.platform())),
@@ -102,9 +110,11 @@
                         .version(HttpClient.Version.HTTP_1_1)
                         .connectTimeout(PLATFORM_TIMEOUT)
                         .build();
+        PlatformLog log = new HttpPlatformLog(client, mScheduler, platform);
+        mClaims = claims(log);
         mConfigService =
                 new ConfigService(
-                        new HttpPlatformLog(client, mScheduler, platform),
+                        log,
                         mConfig,
                         PeerConfigs.NONE,
                         new AppendBudget(mTime, APPENDS_PER_SECOND, APPEND_BURST),
@@ -128,6 +138,27 @@
         mOperators = HttpServers.create(settings.operatorListen(), operators(), OPERATOR_THREADS);
     }
 
+    private ClaimStreams claims(PlatformLog log) {
+        LogAccess access =
+                new LogAccess(
+                        log,
+                        new AppendBudget(mTime, APPENDS_PER_SECOND, APPEND_BURST),
+                        mTime,
+                        mScheduler,
+                        mRandom.split());
+        return new ClaimStreams(
+                access,
+                mSettings.claims(),
+                mEntryId,
+                new LinkInquiry(mUpstreams, mScheduler, INQUIRY_TIMEOUT),
+                new ClaimMetrics(mRegistry));
+    }
+
+    private static EntryId newEntryId(String name) {
+        String start = name.substring(0, Math.min(name.length(), MAX_NAME_IN_ID));
+        return new EntryId("%s-%s".formatted(start, UUID.randomUUID().toString()));
+    }
+
     private OperatorHandler operators() {
         StatusReporter status =
                 new StatusReporter(
@@ -155,18 +186,17 @@
     }
 
     private HttpServer callers() {
+        PolicyFactory policies = new PolicyFactory(mSettings.policies(), mTime);
         TablePicker picker =
                 new TablePicker(
-                        mUpstreams,
-                        mConfig::current,
-                        mSettings.dataCentre(),
-                        new RoundRobinSelector());
+                        mUpstreams, mConfig::current, mSettings.dataCentre(), policies.selector());
         PipelineController pipelines =
                 new PipelineController(
                         picker,
-                        new BoundedAttempts(mSettings.policies().maxAttempts()),
+                        policies.runPolicies(mRegistry),
                         mTime,
-                        mScheduler);
+                        mScheduler,
+                        Optional.of(mClaims.service()));
         PipelineHandler handler =
                 new PipelineHandler(
                         pipelines,
@@ -175,6 +205,7 @@
                         mTime,
                         mScheduler,
                         mSettings.callers(),
+                        policies.teams(),
                         this::refusal);
         int threads = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
         HttpServer server = HttpServers.create(mSettings.listen(), handler, threads);
@@ -205,6 +236,7 @@
     @Override
     public void start() {
         mConfigService.start();
+        mClaims.start();
         mMembership.start();
         InetSocketAddress callers = HttpServers.start(mCallers);
         InetSocketAddress operators = HttpServers.start(mOperators);
@@ -227,6 +259,9 @@
         if (!mConfig.isLoaded()) {
             return Optional.of("the entry has no configuration yet");
         }
+        if (!mClaims.isSettled()) {
+            return Optional.of("the entry has not read the claims yet");
+        }
         if (!mConfig.current().isInService(mSettings.dataCentre())) {
             return Optional.of(
                     "data centre %s is out of service".formatted(mSettings.dataCentre()));
@@ -246,6 +281,7 @@
         mOperators.shutdownNow();
         mMembership.close();
         mConfigService.stop();
+        mClaims.stop();
         mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         mTimers.shutdownNow();
     }
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/serve/FollowedStream.java
@@ -0,0 +1,63 @@
+package org.boragethread.entry.serve;
+
+import org.boragethread.core.log.AppenderSettings;
+import org.boragethread.core.log.GroupedAppender;
+import org.boragethread.core.log.RecordWriter;
+import org.boragethread.core.log.StreamFollower;
+import org.boragethread.core.record.FoldingHandler;
+import org.boragethread.core.record.RecordFold;
+
+/** One stream of the log that is folded here and written to. */
+final class FollowedStream {
+
+    private final GroupedAppender mAppender;
+    private final FoldingHandler mHandler;
+    private final StreamFollower mFollower;
+
+    private FollowedStream(
+            LogAccess access, String name, GroupedAppender appender, RecordFold fold) {
+        mAppender = appender;
+        mHandler = new FoldingHandler(fold, appender::readBack);
+        mFollower =
+                new StreamFollower.Builder()
+                        .stream(access.log(), name)
+                                .time(access.time(), access.scheduler())
+                                .handler(mHandler)
+                                .seed(access.random().nextLong())
+                                .build();
+    }
+
+    /** Makes a stream's writer, which works once the stream is followed. */
+    static GroupedAppender appender(LogAccess access, String name) {
+        return new GroupedAppender(
+                access.log(),
+                name,
+                access.scheduler(),
+                access.budget(),
+                new AppenderSettings.Builder().build(),
+                access.random().nextLong());
+    }
+
+    /** Makes a stream that is not yet read. */
+    static FollowedStream of(
+            LogAccess access, String name, GroupedAppender appender, RecordFold fold) {
+        return new FollowedStream(access, name, appender, fold);
+    }
+
+    void start() {
+        mFollower.start(0);
+    }
+
+    void stop() {
+        mFollower.stop();
+    }
+
+    RecordWriter writer() {
+        return mAppender;
+    }
+
+    /** Tells whether the stream has been read to its end once, or the log is known to be down. */
+    boolean isSettled() {
+        return mHandler.isCaughtUp() || mFollower.isFailing();
+    }
+}
