--- a/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
+++ b/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
@@ -111,7 +111,7 @@
         }
         CircuitBreaker breaker =
                 new CircuitBreaker(mTime, new SplittableRandom(), new DecisionMetrics(mRegistry));
-        return new ManagedGate(inner, new BreakerGate(inner, breaker), group);
+        return new ManagedGate(inner, new BreakerGate(inner, breaker, metrics), group);
     }
 
     private AgentServer makeServer() {
