Serve jobs at the entry

Cause: jobs existed as a library; no entry accepted or ran any. Change: POST /v1/pipelines/{name}/jobs, GET and DELETE of /v1/jobs/{id}, GET /v1/jobs?team=; each entry follows the job stream, runs and repeats jobs, and settles held ones as confirmed plans say; the sub-command job; counters, gauges and the status report show jobs and open claims. A stopping entry takes no more jobs and waits for its own. Conclusion: system tests of jobs are added with this change.

--- a/entry/src/main/java/org/boragethread/entry/EntryMain.java
+++ b/entry/src/main/java/org/boragethread/entry/EntryMain.java
@@ -3,6 +3,7 @@
 import org.boragethread.entry.command.CheckCommand;
 import org.boragethread.entry.command.ConfirmCommand;
 import org.boragethread.entry.command.IntentCommand;
+import org.boragethread.entry.command.JobCommand;
 import org.boragethread.entry.command.ServeCommand;
 import org.boragethread.entry.command.StatusCommand;
 import org.boragethread.process.command.CommandLine;
@@ -20,7 +21,8 @@
                         .add("check", CheckCommand::new)
                         .add("intent", IntentCommand::new)
                         .add("confirm", ConfirmCommand::new)
-                        .add("status", StatusCommand::new);
+                        .add("status", StatusCommand::new)
+                        .add("job", JobCommand::new);
         System.exit(commands.run(arguments));
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/command/StatusCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/command/StatusCommand.java
@@ -35,7 +35,14 @@
         out.printf("requests     %d in progress%n", report.requests());
         out.printf("data centres %s%n", report.dataCentres());
         out.printf("pipelines    %s%n", String.join(" ", report.pipelines()));
-        out.printf("teams        %d%n%n", report.teams());
+        out.printf("teams        %d%n", report.teams());
+        StatusReport.KeptWork kept = report.kept();
+        out.printf(
+                "claims       %d open, %d not yet written%n",
+                kept.openClaims(), kept.unsavedClaims());
+        out.printf(
+                "jobs         %d unfinished, %d held, %d here%n%n",
+                kept.unfinishedJobs(), kept.heldJobs(), kept.jobsHere());
         out.printf(
                 "%-20s %-16s %-14s %-8s %9s %6s %6s %6s %8s%n",
                 "UPSTREAM",
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/http/JobHandler.java
@@ -0,0 +1,261 @@
+package org.boragethread.entry.http;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragethread.core.job.Job;
+import org.boragethread.core.job.JobService;
+import org.boragethread.core.job.JobSubmission;
+import org.boragethread.core.pipeline.PipelineRequest;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.Names;
+import org.boragethread.model.config.Configuration;
+import org.boragethread.model.job.JobId;
+import org.boragethread.model.job.JobResult;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.outcome.RequestId;
+import org.boragethread.model.team.TeamId;
+import org.glassfish.grizzly.http.Method;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+
+/** Serves {@code POST /v1/pipelines/{name}/jobs} and everything under {@code /v1/jobs}. */
+public final class JobHandler extends HttpHandler {
+
+    /** Path of the jobs. */
+    public static final String JOBS = "/v1/jobs";
+
+    private static final Logger LOGGER = LogManager.getLogger(JobHandler.class);
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final int MAX_LISTED = 100;
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+
+    private final JobService mJobs;
+    private final RequestParser mParser;
+    private final Scheduler mScheduler;
+    private final CallerLimits mLimits;
+    private final JobMetrics mMetrics;
+    private final Supplier<Optional<String>> mObstacle;
+
+    /**
+     * Makes a handler.
+     *
+     * @param obstacle why submissions are refused now, or empty
+     */
+    public JobHandler(
+            JobService jobs,
+            Supplier<Configuration> configuration,
+            TimeSource time,
+            Scheduler scheduler,
+            CallerLimits limits,
+            JobMetrics metrics,
+            Supplier<Optional<String>> obstacle) {
+        mJobs = jobs;
+        mParser = new RequestParser(configuration, time);
+        mScheduler = scheduler;
+        mLimits = limits;
+        mMetrics = metrics;
+        mObstacle = obstacle;
+    }
+
+    @Override
+    public void service(Request request, Response response) {
+        String path = request.getRequestURI();
+        Reply reply = new Reply(response);
+        if (path.equals(JOBS) && request.getMethod() == Method.GET) {
+            list(request, reply);
+        } else if (path.startsWith(JOBS + "/")) {
+            serveJob(request, path.substring(JOBS.length() + 1), reply);
+        } else {
+            reply.refuse(notFound("send GET %s?team={team} or GET %s/{id}".formatted(JOBS, JOBS)));
+        }
+    }
+
+    private static Refusal notFound(String detail) {
+        return Refusal.notRun(RefusalReason.NOT_FOUND, detail);
+    }
+
+    private void list(Request request, Reply reply) {
+        String team = request.getParameter("team");
+        if (!Names.isValid(team)) {
+            reply.refuse(
+                    Refusal.notRun(
+                            RefusalReason.BAD_REQUEST,
+                            "name the team as %s?team={team}".formatted(JOBS)));
+            return;
+        }
+        List<JobView> jobs =
+                mJobs.list(new TeamId(team), MAX_LISTED).stream()
+                        .map(job -> JobView.of(job, Optional.empty()))
+                        .toList();
+        reply.send(OK, JobView.toJson(jobs));
+    }
+
+    private void serveJob(Request request, String name, Reply reply) {
+        Optional<Job> job = Names.isValid(name) ? mJobs.find(new JobId(name)) : Optional.empty();
+        if (job.isEmpty()) {
+            reply.refuse(notFound("no job \"%s\", or it ended long ago".formatted(name)));
+        } else if (request.getMethod() == Method.GET) {
+            show(job.get(), reply);
+        } else if (request.getMethod() == Method.DELETE) {
+            reply.suspend();
+            mJobs.cancel(job.get().id(), TIMEOUT)
+                    .thenAccept(
+                            cancelled ->
+                                    reply.sendOrRefuse(
+                                            OK,
+                                            cancelled.map(c -> JobView.of(c, Optional.empty()))));
+        } else {
+            reply.refuse(notFound("send GET or DELETE to a job"));
+        }
+    }
+
+    private void show(Job job, Reply reply) {
+        if (job.result().isEmpty()) {
+            reply.send(OK, JobView.of(job, Optional.empty()).toJson());
+            return;
+        }
+        reply.suspend();
+        mJobs.result(job.id()).thenAccept(result -> reply.sendOrRefuse(OK, view(job, result)));
+    }
+
+    private static Either<Refusal, JobView> view(Job job, Either<Refusal, JobResult> result) {
+        return result.map(value -> JobView.of(job, Optional.of(value)));
+    }
+
+    /** Takes a submission to a pipeline. */
+    void submit(Request request, Response response, String pipeline) {
+        Reply reply = new Reply(response);
+        Optional<String> obstacle = mObstacle.get();
+        if (obstacle.isPresent()) {
+            reply.refuse(
+                    Refusal.notRun(RefusalReason.NOT_READY, obstacle.get(), Duration.ofSeconds(1)));
+            return;
+        }
+        Either<Refusal, PipelineRequest> parsed = mParser.parse(request, pipeline);
+        if (parsed.isLeft()) {
+            reply.refuse(parsed.getLeft());
+            return;
+        }
+        reply.suspend();
+        RequestBody body =
+                new RequestBody(
+                        request.getNIOInputStream(),
+                        mLimits.maxBodyBytes(),
+                        new SubmissionBody(parsed.get(), reply));
+        body.start(mScheduler, mLimits.bodyTimeout());
+    }
+
+    private void submit(PipelineRequest request, byte[] body, Reply reply) {
+        JobSubmission submission =
+                new JobSubmission(
+                        request.team().id(),
+                        request.pipeline().id(),
+                        request.id(),
+                        request.key(),
+                        request.contentType(),
+                        body);
+        mJobs.submit(submission, TIMEOUT).thenAccept(job -> onSubmitted(job, reply));
+    }
+
+    private void onSubmitted(Either<Refusal, Job> job, Reply reply) {
+        if (job.isLeft()) {
+            reply.refuse(job.getLeft());
+            return;
+        }
+        mMetrics.accepted();
+        reply.locate(job.get().id());
+        reply.sendOrRefuse(ACCEPTED, job.map(kept -> JobView.of(kept, Optional.empty())));
+    }
+
+    /** Submits a job once its body is whole. */
+    private final class SubmissionBody implements RequestBody.Listener {
+
+        private final PipelineRequest mRequest;
+        private final Reply mReply;
+
+        SubmissionBody(PipelineRequest request, Reply reply) {
+            mRequest = request;
+            mReply = reply;
+        }
+
+        @Override
+        public void onBody(byte[] body) {
+            Either<Refusal, PipelineRequest> whole = mParser.withBody(mRequest, body);
+            if (whole.isLeft()) {
+                mReply.refuse(whole.getLeft());
+            } else {
+                submit(whole.get(), body, mReply);
+            }
+        }
+
+        @Override
+        public void onRefused(Refusal refusal) {
+            mReply.refuse(refusal);
+        }
+    }
+
+    /** Writes one answer. */
+    private final class Reply {
+
+        private final Response mResponse;
+        private final RequestId mId = RequestId.of(UUID.randomUUID());
+
+        Reply(Response response) {
+            mResponse = response;
+        }
+
+        void suspend() {
+            mResponse.suspend();
+        }
+
+        void locate(JobId job) {
+            mResponse.setHeader("Location", JOBS + "/" + job);
+        }
+
+        void sendOrRefuse(int status, Either<Refusal, JobView> view) {
+            if (view.isLeft()) {
+                refuse(view.getLeft());
+            } else {
+                send(status, view.get().toJson());
+            }
+        }
+
+        void send(int status, byte[] json) {
+            write(status, "application/json", json);
+        }
+
+        void refuse(Refusal refusal) {
+            mMetrics.refused(refusal.reason());
+            Problem problem = new Problem(refusal, mId);
+            problem.retryAfterSeconds()
+                    .ifPresent(seconds -> mResponse.setHeader("Retry-After", seconds));
+            write(problem.getStatus(), Problem.MEDIA_TYPE, problem.toJson());
+        }
+
+        private void write(int status, String type, byte[] body) {
+            mResponse.setStatus(status);
+            mResponse.setContentType(type);
+            mResponse.setHeader("Request-Id", mId.toString());
+            mResponse.setContentLength(body.length);
+            try {
+                mResponse.getNIOOutputStream().write(body);
+            } catch (IOException e) {
+                LOGGER.debug("the caller has gone: {}", e.getMessage());
+            }
+            if (mResponse.isSuspended()) {
+                mResponse.resume();
+            }
+        }
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/operator/StatusReport.java
+++ b/entry/src/main/java/org/boragethread/entry/operator/StatusReport.java
@@ -14,6 +14,7 @@
  * @param dataCentres service state by data centre
  * @param pipelines names of the pipelines
  * @param teams number of teams
+ * @param kept claims and jobs that have not ended
  * @param upstreams connected upstreams
  */
 public record StatusReport(
@@ -25,8 +26,21 @@
         Map<String, String> dataCentres,
         List<String> pipelines,
         int teams,
+        KeptWork kept,
         List<UpstreamStatus> upstreams) {
 
+    /**
+     * Claims and jobs that have not ended.
+     *
+     * @param openClaims claims of all entries without an outcome
+     * @param unsavedClaims outcomes and releases of this entry that are not yet in the log
+     * @param unfinishedJobs jobs of all entries that have not ended
+     * @param heldJobs jobs that wait for an operator to settle them
+     * @param jobsHere jobs that this entry runs
+     */
+    public record KeptWork(
+            int openClaims, int unsavedClaims, int unfinishedJobs, int heldJobs, int jobsHere) {}
+
     /**
      * One connected upstream.
      *
--- a/entry/src/main/java/org/boragethread/entry/operator/StatusReporter.java
+++ b/entry/src/main/java/org/boragethread/entry/operator/StatusReporter.java
@@ -29,24 +29,28 @@
     private final UpstreamTable mUpstreams;
     private final Supplier<Optional<String>> mObstacle;
     private final IntSupplier mRequests;
+    private final Supplier<StatusReport.KeptWork> mKept;
 
     /**
      * Makes a reporter.
      *
      * @param obstacle why the entry is not ready, or empty
      * @param requests number of requests in progress
+     * @param kept claims and jobs that have not ended
      */
     public StatusReporter(
             EntryIdentity identity,
             Supplier<Configuration> configuration,
             UpstreamTable upstreams,
             Supplier<Optional<String>> obstacle,
-            IntSupplier requests) {
+            IntSupplier requests,
+            Supplier<StatusReport.KeptWork> kept) {
         mIdentity = Objects.requireNonNull(identity, "identity");
         mConfiguration = Objects.requireNonNull(configuration, "configuration");
         mUpstreams = Objects.requireNonNull(upstreams, "upstreams");
         mObstacle = Objects.requireNonNull(obstacle, "obstacle");
         mRequests = Objects.requireNonNull(requests, "requests");
+        mKept = Objects.requireNonNull(kept, "kept");
     }
 
     /** Returns the report as JSON. */
@@ -69,6 +73,7 @@
                 dataCentres(configuration),
                 configuration.pipelines().keySet().stream().map(Object::toString).toList(),
                 configuration.teams().size(),
+                mKept.get(),
                 upstreams(configuration));
     }
 
--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -26,21 +26,28 @@
 import org.boragethread.core.dispatch.TablePicker;
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.dispatch.UpstreamTable;
+import org.boragethread.core.job.JobTable;
 import org.boragethread.core.log.AppendBudget;
 import org.boragethread.core.log.PlatformLog;
 import org.boragethread.core.metrics.ClaimMetrics;
 import org.boragethread.core.pipeline.PipelineController;
+import org.boragethread.core.pipeline.PipelineJobs;
 import org.boragethread.core.time.ExecutorScheduler;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.SystemTimeSource;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.entry.http.CallerHandler;
+import org.boragethread.entry.http.JobHandler;
+import org.boragethread.entry.http.JobMetrics;
 import org.boragethread.entry.http.PipelineHandler;
 import org.boragethread.entry.http.RequestMetrics;
 import org.boragethread.entry.membership.MembershipController;
 import org.boragethread.entry.operator.OperatorHandler;
+import org.boragethread.entry.operator.StatusReport;
 import org.boragethread.entry.operator.StatusReporter;
 import org.boragethread.entry.settings.EntrySettings;
 import org.boragethread.model.config.Configuration;
+import org.boragethread.model.job.JobStatus;
 import org.boragethread.model.place.EntryId;
 import org.boragethread.platform.HttpPlatformLog;
 import org.boragethread.platform.HttpVmDirectory;
@@ -92,6 +99,9 @@
     private final EventLoopGroup mLoops = new NioEventLoopGroup();
     private final ConfigService mConfigService;
     private final ClaimStreams mClaims;
+    private final JobStream mJobs;
+    private final PolicyFactory mPolicies;
+    private final PipelineController mPipelines;
     private final MembershipController mMembership;
     private final HttpServer mCallers;
     private final HttpServer mOperators;
@@ -111,7 +121,21 @@
                         .connectTimeout(PLATFORM_TIMEOUT)
                         .build();
         PlatformLog log = new HttpPlatformLog(client, mScheduler, platform);
-        mClaims = claims(log);
+        LogAccess access = access(log);
+        mClaims = claims(access);
+        mPolicies = new PolicyFactory(settings.policies(), mTime);
+        mPipelines = pipelines();
+        mJobs =
+                new JobStream(
+                        access,
+                        settings.jobs(),
+                        mEntryId,
+                        new PipelineJobs(mPipelines, mConfig::current));
+        mConfig.addListener(
+                new JobSettler(
+                        mJobs.service(),
+                        () -> mConfig.isLoaded() && mJobs.isCaughtUp(),
+                        mScheduler));
         mConfigService =
                 new ConfigService(
                         log,
@@ -138,14 +162,16 @@
         mOperators = HttpServers.create(settings.operatorListen(), operators(), OPERATOR_THREADS);
     }
 
-    private ClaimStreams claims(PlatformLog log) {
-        LogAccess access =
-                new LogAccess(
-                        log,
-                        new AppendBudget(mTime, APPENDS_PER_SECOND, APPEND_BURST),
-                        mTime,
-                        mScheduler,
-                        mRandom.split());
+    private LogAccess access(PlatformLog log) {
+        return new LogAccess(
+                log,
+                new AppendBudget(mTime, APPENDS_PER_SECOND, APPEND_BURST),
+                mTime,
+                mScheduler,
+                mRandom.split());
+    }
+
+    private ClaimStreams claims(LogAccess access) {
         return new ClaimStreams(
                 access,
                 mSettings.claims(),
@@ -166,7 +192,8 @@
                         mConfig::current,
                         mUpstreams,
                         this::obstacle,
-                        mRequests::inProgress);
+                        mRequests::inProgress,
+                        this::keptWork);
         return new OperatorHandler(
                 mSettings.operatorToken(),
                 mConfig,
@@ -175,6 +202,16 @@
                 status);
     }
 
+    private StatusReport.KeptWork keptWork() {
+        JobTable jobs = mJobs.service().table();
+        return new StatusReport.KeptWork(
+                mClaims.service().table().openClaims(),
+                mClaims.service().unsaved(),
+                jobs.unfinished(),
+                jobs.count(JobStatus.HELD),
+                mJobs.running());
+    }
+
     private Collection<PlacedUpstream> placedUpstreams() {
         return mUpstreams.all().stream()
                 .map(link -> new PlacedUpstream(link.upstream(), link.group(), link.dataCentre()))
@@ -185,28 +222,43 @@
         return new EntryIdentity(mSettings.id(), mSettings.dataCentre());
     }
 
-    private HttpServer callers() {
-        PolicyFactory policies = new PolicyFactory(mSettings.policies(), mTime);
+    private PipelineController pipelines() {
         TablePicker picker =
                 new TablePicker(
-                        mUpstreams, mConfig::current, mSettings.dataCentre(), policies.selector());
-        PipelineController pipelines =
-                new PipelineController(
-                        picker,
-                        policies.runPolicies(mRegistry),
-                        mTime,
-                        mScheduler,
-                        Optional.of(mClaims.service()));
-        PipelineHandler handler =
+                        mUpstreams, mConfig::current, mSettings.dataCentre(), mPolicies.selector());
+        return new PipelineController(
+                picker,
+                mPolicies.runPolicies(mRegistry),
+                mTime,
+                mScheduler,
+                Optional.of(mClaims.service()));
+    }
+
+    private JobHandler jobHandler() {
+        JobMetrics metrics = new JobMetrics(mRegistry);
+        metrics.show(mJobs.service(), mJobs::running);
+        return new JobHandler(
+                mJobs.service(),
+                mConfig::current,
+                mTime,
+                mScheduler,
+                mSettings.callers(),
+                metrics,
+                this::refusal);
+    }
+
+    private HttpServer callers() {
+        PipelineHandler pipelines =
                 new PipelineHandler(
-                        pipelines,
+                        mPipelines,
                         mConfig::current,
                         mRequests,
                         mTime,
                         mScheduler,
                         mSettings.callers(),
-                        policies.teams(),
+                        mPolicies.teams(),
                         this::refusal);
+        CallerHandler handler = new CallerHandler(pipelines, jobHandler());
         int threads = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
         HttpServer server = HttpServers.create(mSettings.listen(), handler, threads);
         MonitoringHandler monitoring = new MonitoringHandler(mRegistry, this::obstacle);
@@ -237,6 +289,7 @@
     public void start() {
         mConfigService.start();
         mClaims.start();
+        mJobs.start();
         mMembership.start();
         InetSocketAddress callers = HttpServers.start(mCallers);
         InetSocketAddress operators = HttpServers.start(mOperators);
@@ -259,8 +312,8 @@
         if (!mConfig.isLoaded()) {
             return Optional.of("the entry has no configuration yet");
         }
-        if (!mClaims.isSettled()) {
-            return Optional.of("the entry has not read the claims yet");
+        if (!mClaims.isSettled() || !mJobs.isSettled()) {
+            return Optional.of("the entry has not read the claims and jobs yet");
         }
         if (!mConfig.current().isInService(mSettings.dataCentre())) {
             return Optional.of(
@@ -274,6 +327,7 @@
     public void stop() {
         LOGGER.info("stopping");
         mStopping = true;
+        mJobs.stopTaking();
         pause(mSettings.drain().toMillis());
         awaitIdle(mSettings.grace());
         LOGGER.info("stopped with {} requests cut", mRequests.inProgress());
@@ -282,13 +336,15 @@
         mMembership.close();
         mConfigService.stop();
         mClaims.stop();
+        mJobs.stop();
         mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         mTimers.shutdownNow();
     }
 
     private void awaitIdle(Duration bound) {
         long start = mTime.nanoTime();
-        while (mRequests.inProgress() > 0 && mTime.since(start).compareTo(bound) < 0) {
+        while (mRequests.inProgress() + mJobs.running() > 0
+                && mTime.since(start).compareTo(bound) < 0) {
             pause(POLL_MILLIS);
         }
     }
--- a/entry/src/main/java/org/boragethread/entry/serve/FollowedStream.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/FollowedStream.java
@@ -2,7 +2,6 @@
 
 import org.boragethread.core.log.AppenderSettings;
 import org.boragethread.core.log.GroupedAppender;
-import org.boragethread.core.log.RecordWriter;
 import org.boragethread.core.log.StreamFollower;
 import org.boragethread.core.record.FoldingHandler;
 import org.boragethread.core.record.RecordFold;
@@ -10,13 +9,11 @@
 /** One stream of the log that is folded here and written to. */
 final class FollowedStream {
 
-    private final GroupedAppender mAppender;
     private final FoldingHandler mHandler;
     private final StreamFollower mFollower;
 
     private FollowedStream(
             LogAccess access, String name, GroupedAppender appender, RecordFold fold) {
-        mAppender = appender;
         mHandler = new FoldingHandler(fold, appender::readBack);
         mFollower =
                 new StreamFollower.Builder()
@@ -52,8 +49,9 @@
         mFollower.stop();
     }
 
-    RecordWriter writer() {
-        return mAppender;
+    /** Tells whether the stream has been read to its end once. */
+    boolean isCaughtUp() {
+        return mHandler.isCaughtUp();
     }
 
     /** Tells whether the stream has been read to its end once, or the log is known to be down. */
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/serve/JobSettler.java
@@ -0,0 +1,89 @@
+package org.boragethread.entry.serve;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.boragethread.core.config.ConfigListener;
+import org.boragethread.core.job.Job;
+import org.boragethread.core.job.JobService;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.model.config.Configuration;
+import org.boragethread.model.config.JobSettlement;
+import org.boragethread.model.config.Versioned;
+import org.boragethread.model.job.JobDecision;
+import org.boragethread.model.job.JobId;
+import org.boragethread.model.job.JobStatus;
+import org.boragethread.model.outcome.Refusal;
+
+/**
+ * Settles held jobs as operators' confirmed plans say.
+ *
+ * <p>Only plans that take effect while this entry knows all jobs count, so that an old settlement
+ * is never applied to a later hold of the same job. For the same reason "not run" is applied to the
+ * first hold of a job only; a job that is held again can be settled as run, or cancelled.
+ */
+final class JobSettler implements ConfigListener {
+
+    private static final Logger LOGGER = LogManager.getLogger(JobSettler.class);
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
+    private static final int MAX_TRIES = 60;
+
+    private final JobService mJobs;
+    private final BooleanSupplier mIsReady;
+    private final Scheduler mScheduler;
+    private long mSeenRevision = Configuration.NO_REVISION;
+
+    /**
+     * Makes a settler.
+     *
+     * @param isReady whether configuration and jobs have been read to their ends
+     */
+    JobSettler(JobService jobs, BooleanSupplier isReady, Scheduler scheduler) {
+        mJobs = jobs;
+        mIsReady = isReady;
+        mScheduler = scheduler;
+    }
+
+    @Override
+    public synchronized void onConfiguration(Configuration configuration) {
+        if (mIsReady.getAsBoolean()) {
+            for (Map.Entry<String, Versioned<JobSettlement>> settled :
+                    configuration.settledJobs().entrySet()) {
+                if (settled.getValue().revision() > mSeenRevision) {
+                    settle(new JobId(settled.getKey()), settled.getValue().value(), MAX_TRIES);
+                }
+            }
+        }
+        mSeenRevision = configuration.revision();
+    }
+
+    private void settle(JobId id, JobSettlement settlement, int tries) {
+        Optional<Job> held = mJobs.find(id).filter(job -> job.status() == JobStatus.HELD);
+        if (held.isEmpty() || tries == 0) {
+            return;
+        }
+        if (settlement == JobSettlement.NOT_RUN && held.get().round() > 0) {
+            LOGGER.warn("job {} is held again: settle it as run, or cancel it", id);
+            return;
+        }
+        JobDecision decision =
+                settlement == JobSettlement.RAN ? JobDecision.RAN : JobDecision.NOT_RUN;
+        mJobs.settle(id, decision, TIMEOUT)
+                .thenAccept(result -> onSettled(id, settlement, tries, result));
+    }
+
+    private void onSettled(
+            JobId id, JobSettlement settlement, int tries, Either<Refusal, Job> result) {
+        if (result.isRight()) {
+            LOGGER.info("job {} was settled as {}", id, settlement);
+            return;
+        }
+        LOGGER.warn("job {} is not yet settled: {}", id, result.getLeft().detail());
+        mScheduler.schedule(RETRY_DELAY, () -> settle(id, settlement, tries - 1));
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/settings/EntrySettings.java
+++ b/entry/src/main/java/org/boragethread/entry/settings/EntrySettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import org.boragethread.core.claim.ClaimSettings;
+import org.boragethread.core.job.JobSettings;
 import org.boragethread.entry.http.CallerLimits;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.process.settings.SettingsReader;
@@ -25,6 +26,7 @@
  * @param callers bounds on what callers send
  * @param policies decision policies
  * @param claims settings of claims; the same for all entries
+ * @param jobs settings of jobs; the same for all entries
  */
 public record EntrySettings(
         String id,
@@ -39,7 +41,8 @@
         Duration listInterval,
         CallerLimits callers,
         PolicySettings policies,
-        ClaimSettings claims) {
+        ClaimSettings claims,
+        JobSettings jobs) {
 
     private static final int MIN_TOKEN_LENGTH = 16;
     private static final int DEFAULT_BODY_BYTES = 1 << 20;
@@ -70,7 +73,8 @@
                                 Duration.ofMinutes(1)),
                         readCallers(callers),
                         PolicySettings.read(reader),
-                        ClaimSection.read(reader));
+                        ClaimSection.read(reader),
+                        JobSection.read(reader));
         entry.finish();
         platform.finish();
         callers.finish();
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/JobTest.java
@@ -0,0 +1,160 @@
+package org.boragethread.standins.system;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.boragethread.standins.HttpCalls;
+import org.boragethread.standins.harness.Await;
+import org.boragethread.standins.harness.Deployment;
+import org.boragethread.standins.http.Json;
+import org.boragethread.standins.upstream.Upstream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Accepted jobs end exactly once, whichever entries run them. */
+public final class JobTest {
+
+    private static final String SETTINGS =
+            """
+            [jobs]
+            lease_ms = 1500
+            """;
+    private static final double SLOW = 600;
+    private static final double VERY_SLOW = 10_000;
+    private static final Duration TIMEOUT = Duration.ofSeconds(40);
+
+    private Deployment mDeployment;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        mDeployment = Deployment.start(TestDeployments.standard(SETTINGS).build());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        if (mDeployment != null) {
+            mDeployment.close();
+        }
+    }
+
+    @Test
+    public void submittedJobIsLocatedAndHasItsResult() throws Exception {
+        HttpResponse<String> accepted = submit(0, "span 1");
+        assertEquals(accepted.statusCode(), 202, accepted.body());
+        String job = Json.tree(bytes(accepted.body())).path("job").asText();
+        assertEquals(accepted.headers().firstValue("Location").orElse(""), "/v1/jobs/" + job);
+        awaitStatus(1, job, "finished");
+        assertEquals(job(1, job).path("result").path("status").asInt(), 200);
+        assertEquals(Ledgers.of(mDeployment).size(), 1);
+    }
+
+    @Test
+    public void repeatedSubmissionFindsTheFirstJob() throws Exception {
+        String first = idOf(submit(0, "span 2", "Idempotency-Key", "job-key"));
+        String second = idOf(submit(1, "span 2", "Idempotency-Key", "job-key"));
+        assertEquals(second, first);
+        awaitStatus(0, first, "finished");
+        assertEquals(Ledgers.of(mDeployment).size(), 1);
+    }
+
+    @Test
+    public void jobsOfTeamAreListed() throws Exception {
+        String job = idOf(submit(0, "span 3"));
+        awaitStatus(1, job, "finished");
+        JsonNode jobs =
+                Json.tree(bytes(calls(1).get("/v1/jobs?team=" + TestDeployments.TEAM).body()))
+                        .path("jobs");
+        assertEquals(jobs.size(), 1);
+        assertEquals(jobs.get(0).path("job").asText(), job);
+    }
+
+    @Test
+    public void cancelledJobDoesNotFinish() throws Exception {
+        slowDown(VERY_SLOW);
+        String job = idOf(submit(0, "span 4"));
+        HttpRequest cancel = calls(1).request("/v1/jobs/" + job).DELETE().build();
+        HttpResponse<String> answer =
+                HttpClient.newHttpClient().send(cancel, BodyHandlers.ofString());
+        assertEquals(answer.statusCode(), 200, answer.body());
+        awaitStatus(0, job, "cancelled");
+    }
+
+    @Test
+    public void jobOfKilledEntryEndsOnceAtTheOther() throws Exception {
+        slowDown(SLOW);
+        String job = idOf(submit(0, "span 5"));
+        Await.until("the order runs", TIMEOUT, () -> Ledgers.of(mDeployment).size() == 1);
+        int holder = holder();
+        mDeployment.entries().get(holder).process().kill();
+        awaitStatus(1 - holder, job, "finished");
+        assertEquals(Ledgers.of(mDeployment).size(), 1);
+    }
+
+    private void slowDown(double factor) {
+        for (Upstream upstream : mDeployment.upstreams()) {
+            upstream.setFaults(upstream.faults().withSlowFactor(factor));
+        }
+    }
+
+    /** Returns the index of the entry that runs a job. */
+    private int holder() {
+        int first = runningAt(0);
+        assertTrue(first + runningAt(1) == 1, "one entry runs the job");
+        return first == 1 ? 0 : 1;
+    }
+
+    private int runningAt(int entry) {
+        JsonNode status = mDeployment.entries().get(entry).operator().status();
+        return status.path("kept").path("jobsHere").asInt();
+    }
+
+    private void awaitStatus(int entry, String job, String status) {
+        Await.until(
+                "job is " + status,
+                TIMEOUT,
+                () -> job(entry, job).path("status").asText().equals(status));
+    }
+
+    private JsonNode job(int entry, String job) {
+        try {
+            return Json.tree(bytes(calls(entry).get("/v1/jobs/" + job).body()));
+        } catch (IOException e) {
+            throw new IllegalStateException("entry " + entry + " cannot be called", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
+    private HttpResponse<String> submit(int entry, String body, String... headers)
+            throws Exception {
+        String[] all = new String[headers.length + 2];
+        System.arraycopy(headers, 0, all, 2, headers.length);
+        all[0] = "Team";
+        all[1] = TestDeployments.TEAM;
+        String path = "/v1/pipelines/" + TestDeployments.CUT_ORDER + "/jobs";
+        return calls(entry).post(path, body, all);
+    }
+
+    private static String idOf(HttpResponse<String> accepted) {
+        assertEquals(accepted.statusCode(), 202, accepted.body());
+        return Json.tree(bytes(accepted.body())).path("job").asText();
+    }
+
+    private HttpCalls calls(int entry) {
+        return new HttpCalls(mDeployment.callerAddresses().get(entry));
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- a/standins/src/test/java/org/boragethread/standins/system/TestDeployments.java
+++ b/standins/src/test/java/org/boragethread/standins/system/TestDeployments.java
@@ -38,7 +38,12 @@
     private TestDeployments() {}
 
     static DeploymentSpec.Builder standard() {
+        return standard("");
+    }
+
+    static DeploymentSpec.Builder standard(String entrySettings) {
         return new DeploymentSpec.Builder()
+                .entrySettings(entrySettings)
                 .entry("entry-1", "florida")
                 .entry("entry-2", "canelones")
                 .upstream(plain("encode-1"), "encode", "florida")
