Wait for a job's record before an entry says that it does not know the job

Cause: a job that one entry had just accepted was answered 404 by the other (JobTest, cancelled job). Change: an entry looks for an unknown job for up to a second before it answers 404. Conclusion: see JobTest.

--- a/entry/src/main/java/org/boragethread/entry/http/JobHandler.java
+++ b/entry/src/main/java/org/boragethread/entry/http/JobHandler.java
@@ -36,6 +36,8 @@
 
     private static final Logger LOGGER = LogManager.getLogger(JobHandler.class);
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration FIND_DELAY = Duration.ofMillis(50);
+    private static final int FIND_TRIES = 20;
     private static final int MAX_LISTED = 100;
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
@@ -102,24 +104,46 @@
     }
 
     private void serveJob(Request request, String name, Reply reply) {
-        Optional<Job> job = Names.isValid(name) ? mJobs.find(new JobId(name)) : Optional.empty();
-        if (job.isEmpty()) {
-            reply.refuse(notFound("no job \"%s\", or it ended long ago".formatted(name)));
-        } else if (request.getMethod() == Method.GET) {
-            show(job.get(), reply);
-        } else if (request.getMethod() == Method.DELETE) {
+        if (!Names.isValid(name)) {
+            reply.refuse(unknown(name));
+            return;
+        }
+        Method method = request.getMethod();
+        if (method != Method.GET && method != Method.DELETE) {
+            reply.refuse(notFound("send GET or DELETE to a job"));
+            return;
+        }
+        findJob(new JobId(name), method, reply, FIND_TRIES);
+    }
+
+    private static Refusal unknown(String name) {
+        return notFound("no job \"%s\", or it ended long ago".formatted(name));
+    }
+
+    // Another entry may have accepted the job just now; its record is then read here soon.
+    private void findJob(JobId id, Method method, Reply reply, int tries) {
+        Optional<Job> job = mJobs.find(id);
+        if (job.isEmpty() && tries > 0) {
             reply.suspend();
-            mJobs.cancel(job.get().id(), TIMEOUT)
-                    .thenAccept(
-                            cancelled ->
-                                    reply.sendOrRefuse(
-                                            OK,
-                                            cancelled.map(c -> JobView.of(c, Optional.empty()))));
+            mScheduler.schedule(FIND_DELAY, () -> findJob(id, method, reply, tries - 1));
+        } else if (job.isEmpty()) {
+            reply.refuse(unknown(id.value()));
+        } else if (method == Method.GET) {
+            show(job.get(), reply);
         } else {
-            reply.refuse(notFound("send GET or DELETE to a job"));
+            cancel(id, reply);
         }
     }
 
+    private void cancel(JobId id, Reply reply) {
+        reply.suspend();
+        mJobs.cancel(id, TIMEOUT)
+                .thenAccept(
+                        job ->
+                                reply.sendOrRefuse(
+                                        OK, job.map(j -> JobView.of(j, Optional.empty()))));
+    }
+
     private void show(Job job, Reply reply) {
         if (job.result().isEmpty()) {
             reply.send(OK, JobView.of(job, Optional.empty()).toJson());
@@ -216,7 +240,9 @@
         }
 
         void suspend() {
-            mResponse.suspend();
+            if (!mResponse.isSuspended()) {
+                mResponse.suspend();
+            }
         }
 
         void locate(JobId job) {
