Settle held jobs only after the agent has refused the old claim

Cause: the claim of a job's stage had the caller's prefix, so that its settlement would not have found it and would not have asked the agent. Change: jobs claim under the key of job, stage and round as it is; callers' keys keep their prefix and never meet it. Plans that settle a job go through JobSettlements.

--- a/core/src/main/java/org/boragethread/core/pipeline/EffectRequests.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/EffectRequests.java
@@ -13,16 +13,11 @@
     /**
      * Describes a stage of a request. The same key, pipeline, stage and body give the same claim.
      *
-     * @param key the caller's idempotency key
+     * @param key key of the claim
      * @param stage index of the stage, from 0
      */
     static EffectRequest of(PipelineRequest request, String key, int stage) {
-        return new EffectRequest(
-                request.team().id(),
-                "%d:%s".formatted(stage, key),
-                bodyHash(request),
-                request.id(),
-                stage);
+        return new EffectRequest(request.team().id(), key, bodyHash(request), request.id(), stage);
     }
 
     private static long bodyHash(PipelineRequest request) {
--- a/core/src/main/java/org/boragethread/core/pipeline/JobStages.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/JobStages.java
@@ -99,7 +99,7 @@
         if (mCancelled.get()) {
             return;
         }
-        RunHandle handle = mPipelines.start(request(), this);
+        RunHandle handle = mPipelines.start(request(), this, EffectKeys.JOB);
         mHandle = Optional.of(handle);
         if (mCancelled.get()) {
             handle.cancel();
--- a/core/src/main/java/org/boragethread/core/pipeline/PipelineController.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/PipelineController.java
@@ -46,7 +46,11 @@
      * @return a handle to withdraw it
      */
     public RunHandle start(PipelineRequest request, ResponseSink sink) {
-        PipelineRun run = new PipelineRun(request, sink, this);
+        return start(request, sink, EffectKeys.CALLER);
+    }
+
+    RunHandle start(PipelineRequest request, ResponseSink sink, EffectKeys keys) {
+        PipelineRun run = new PipelineRun(request, sink, this, keys);
         run.start();
         return run;
     }
--- a/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
@@ -35,6 +35,7 @@
     private final PipelineRequest mRequest;
     private final ResponseSink mSink;
     private final PipelineController mController;
+    private final EffectKeys mKeys;
     private final Set<UpstreamId> mTried = new HashSet<>();
 
     private int mStageIndex;
@@ -53,7 +54,12 @@
     private boolean mHedged;
     private boolean mDone;
 
-    PipelineRun(PipelineRequest request, ResponseSink sink, PipelineController controller) {
+    PipelineRun(
+            PipelineRequest request,
+            ResponseSink sink,
+            PipelineController controller,
+            EffectKeys keys) {
+        mKeys = keys;
         mRequest = request;
         mSink = sink;
         mController = controller;
@@ -126,7 +132,8 @@
         if (stage().idempotent() || mRequest.key().isEmpty()) {
             return Optional.empty();
         }
-        EffectRequest effect = EffectRequests.of(mRequest, mRequest.key().get(), mStageIndex);
+        String key = mKeys.of(mRequest.key().get(), mStageIndex);
+        EffectRequest effect = EffectRequests.of(mRequest, key, mStageIndex);
         return mController.claims().map(claims -> new StageClaim(claims, effect, this));
     }
 
--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -26,6 +26,7 @@
 import org.boragethread.core.dispatch.TablePicker;
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.dispatch.UpstreamTable;
+import org.boragethread.core.job.JobSettlements;
 import org.boragethread.core.job.JobTable;
 import org.boragethread.core.log.AppendBudget;
 import org.boragethread.core.log.PlatformLog;
@@ -134,6 +135,7 @@
         mConfig.addListener(
                 new JobSettler(
                         mJobs.service(),
+                        new JobSettlements(mJobs.service(), mClaims.service()),
                         () -> mConfig.isLoaded() && mJobs.isCaughtUp(),
                         mScheduler));
         mConfigService =
--- a/entry/src/main/java/org/boragethread/entry/serve/JobSettler.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/JobSettler.java
@@ -10,6 +10,7 @@
 import org.boragethread.core.config.ConfigListener;
 import org.boragethread.core.job.Job;
 import org.boragethread.core.job.JobService;
+import org.boragethread.core.job.JobSettlements;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.model.config.Configuration;
 import org.boragethread.model.config.JobSettlement;
@@ -34,6 +35,7 @@
     private static final int MAX_TRIES = 60;
 
     private final JobService mJobs;
+    private final JobSettlements mSettlements;
     private final BooleanSupplier mIsReady;
     private final Scheduler mScheduler;
     private long mSeenRevision = Configuration.NO_REVISION;
@@ -43,8 +45,13 @@
      *
      * @param isReady whether configuration and jobs have been read to their ends
      */
-    JobSettler(JobService jobs, BooleanSupplier isReady, Scheduler scheduler) {
+    JobSettler(
+            JobService jobs,
+            JobSettlements settlements,
+            BooleanSupplier isReady,
+            Scheduler scheduler) {
         mJobs = jobs;
+        mSettlements = settlements;
         mIsReady = isReady;
         mScheduler = scheduler;
     }
@@ -73,7 +80,8 @@
         }
         JobDecision decision =
                 settlement == JobSettlement.RAN ? JobDecision.RAN : JobDecision.NOT_RUN;
-        mJobs.settle(id, decision, TIMEOUT)
+        mSettlements
+                .settle(id, decision, TIMEOUT)
                 .thenAccept(result -> onSettled(id, settlement, tries, result));
     }
 
@@ -84,6 +92,8 @@
             return;
         }
         LOGGER.warn("job {} is not yet settled: {}", id, result.getLeft().detail());
-        mScheduler.schedule(RETRY_DELAY, () -> settle(id, settlement, tries - 1));
+        if (result.getLeft().retryAfter().isPresent()) {
+            mScheduler.schedule(RETRY_DELAY, () -> settle(id, settlement, tries - 1));
+        }
     }
 }
--- a/standins/src/test/java/org/boragethread/standins/system/KeyedOrderTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/KeyedOrderTest.java
@@ -28,6 +28,7 @@
     private static final int DEADLINE_MS = 5000;
     private static final int LONG_DEADLINE_MS = 10_000;
     private static final int CALLS = 8;
+    private static final int PARTITIONS = 8;
     private static final double SLOW = 600;
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
@@ -126,6 +127,27 @@
         assertEquals(ledger().size(), 1);
     }
 
+    @Test
+    public void orderIsHandedToAnotherAgentIfItsUpstreamIsUnreachable() throws Exception {
+        mDeployment.upstream("orders-1").refuse();
+        CallerAnswer answer = get(call(0, order("span 9").withKey("key-9")));
+        assertEquals(answer.status(), 200, answer.text());
+        assertEquals(ledger().size(), 1);
+        assertEquals(handovers(), 1);
+    }
+
+    private long handovers() {
+        long count = 0;
+        for (int i = 0; i < PARTITIONS; i++) {
+            count +=
+                    mDeployment.platform().records("claims-" + i).stream()
+                            .map(record -> new String(record.data(), StandardCharsets.UTF_8))
+                            .filter(record -> record.startsWith("{\"t\":\"h\""))
+                            .count();
+        }
+        return count;
+    }
+
     private List<Order> ledger() {
         return Ledgers.of(mDeployment);
     }
--- /dev/null
+++ b/wire/src/test/java/org/boragethread/wire/frame/ClaimMessagesTest.java
@@ -0,0 +1,49 @@
+package org.boragethread.wire.frame;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.boragethread.core.claim.ClaimAnswer;
+import org.boragethread.model.claim.ClaimOutcome;
+import org.boragethread.model.claim.ClaimRef;
+import org.testng.annotations.Test;
+
+/** Claims and answers about them survive the wire. */
+public final class ClaimMessagesTest {
+
+    private static final long INCARNATION = -77;
+    private static final byte[] BODY = "cut".getBytes(StandardCharsets.UTF_8);
+
+    @Test
+    public void claimKeepsItsPositionAndIncarnation() {
+        ClaimRef claim = new ClaimRef(3, 1L << 40);
+        org.boragethread.wire.proto.ClaimRef message = ClaimMessages.toWire(claim, INCARNATION);
+        assertEquals(ClaimMessages.fromWire(message), claim);
+        assertEquals(message.getIncarnation(), INCARNATION);
+    }
+
+    @Test
+    public void statesWithoutOutcomeSurvive() {
+        for (ClaimAnswer.State state : ClaimAnswer.State.values()) {
+            if (state != ClaimAnswer.State.DONE) {
+                assertSurvives(ClaimAnswer.of(state));
+            }
+        }
+    }
+
+    @Test
+    public void outcomeWithBodySurvives() {
+        assertSurvives(ClaimAnswer.done(ClaimOutcome.of(200, "text/plain", BODY)));
+    }
+
+    @Test
+    public void emptyBodyIsNotTakenForAnOmittedOne() {
+        assertSurvives(ClaimAnswer.done(ClaimOutcome.of(204, "", new byte[0])));
+        assertSurvives(ClaimAnswer.done(new ClaimOutcome(200, "text/plain", Optional.empty())));
+    }
+
+    private static void assertSurvives(ClaimAnswer answer) {
+        assertEquals(ClaimMessages.fromWire(ClaimMessages.toWire(5, answer)), answer);
+    }
+}
