--- a/agent/src/main/java/org/boragethread/agent/call/CallController.java
+++ b/agent/src/main/java/org/boragethread/agent/call/CallController.java
@@ -22,6 +22,7 @@
     private final TimeSource mTime;
     private final Scheduler mScheduler;
     private final CallMetrics mMetrics;
+    private final ClaimGuard mClaims;
 
     /** Runs calls that a gate admits on a client. */
     public CallController(
@@ -29,12 +30,14 @@
             UpstreamClient client,
             TimeSource time,
             Scheduler scheduler,
-            CallMetrics metrics) {
+            CallMetrics metrics,
+            ClaimGuard claims) {
         mGates = gates;
         mClient = client;
         mTime = time;
         mScheduler = scheduler;
         mMetrics = metrics;
+        mClaims = claims;
     }
 
     @Override
@@ -50,10 +53,13 @@
             call.refuse(refusal, UpstreamLoad.UNKNOWN);
             return;
         }
-        offer(call, gate.get());
+        Optional<CallRecord> record = mClaims.begin(call, gate.get().gate().load());
+        if (record.isPresent()) {
+            offer(call, gate.get(), record.get());
+        }
     }
 
-    private void offer(ServedCall call, ManagedGate managed) {
+    private void offer(ServedCall call, ManagedGate managed, CallRecord record) {
         Gate gate = managed.gate();
         GateRequest request =
                 new GateRequest(
@@ -62,7 +68,7 @@
                         call.priority(),
                         call.deadlineNanos());
         long offeredAt = mTime.nanoTime();
-        RunningCall running = new RunningCall(call, managed, mTime, mMetrics, offeredAt);
+        RunningCall running = new RunningCall(call, managed, mTime, mMetrics, offeredAt, record);
         Gate.Waiting waiting =
                 gate.offer(
                         request,
@@ -74,6 +80,7 @@
 
                             @Override
                             public void onRefused(Refusal refusal) {
+                                record.notRun();
                                 mMetrics.refused(refusal.reason());
                                 call.refuse(refusal, gate.load());
                             }
--- a/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
+++ b/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
@@ -16,6 +16,7 @@
 import org.apache.logging.log4j.Logger;
 import org.boragethread.agent.call.CallController;
 import org.boragethread.agent.call.CallMetrics;
+import org.boragethread.agent.call.ClaimGuard;
 import org.boragethread.agent.call.GateController;
 import org.boragethread.agent.call.GateHolder;
 import org.boragethread.agent.call.ManagedGate;
@@ -59,6 +60,8 @@
 
     private final AgentSettings mSettings;
     private final TimeSource mTime = new SystemTimeSource();
+    private final long mIncarnation = new SecureRandom().nextLong();
+    private final ClaimGuard mClaims = new ClaimGuard(mIncarnation, mTime);
     private final ScheduledExecutorService mTimers =
             Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "timers"));
     private final Scheduler mScheduler = new ExecutorScheduler(mTimers);
@@ -115,7 +118,8 @@
 
     private AgentServer makeServer() {
         CallController calls =
-                new CallController(mGates, mClient, mTime, mScheduler, new CallMetrics(mRegistry));
+                new CallController(
+                        mGates, mClient, mTime, mScheduler, new CallMetrics(mRegistry), mClaims);
         return new AgentServer.Builder()
                 .address(mSettings.listen())
                 .identity(identity())
@@ -123,6 +127,7 @@
                 .events(new WireMetrics(mRegistry))
                 .config(ConfigSource.of(mConfig))
                 .handler(calls)
+                .claims(mClaims)
                 .load(mGates::load)
                 .time(mTime)
                 .group(mLoops)
@@ -131,10 +136,7 @@
 
     private AgentIdentity identity() {
         return new AgentIdentity(
-                mSettings.upstreamId(),
-                mSettings.group(),
-                mSettings.dataCentre(),
-                new SecureRandom().nextLong());
+                mSettings.upstreamId(), mSettings.group(), mSettings.dataCentre(), mIncarnation);
     }
 
     /** Begins to serve. */
--- a/core/src/main/java/org/boragethread/core/claim/ClaimService.java
+++ b/core/src/main/java/org/boragethread/core/claim/ClaimService.java
@@ -43,6 +43,7 @@
     private final Scheduler mScheduler;
     private final TimeSource mTime;
     private final EntryLiveness mLiveness;
+    private final ClaimEvents mEvents;
     private final ConfirmedWriter<ClaimVerdict> mConfirmed;
     private final ClaimWriter mWriter;
     private final PersistentWriter mPersistent;
@@ -57,6 +58,7 @@
         mScheduler = Objects.requireNonNull(builder.mScheduler, "scheduler");
         mTime = Objects.requireNonNull(builder.mTime, "time");
         mLiveness = Objects.requireNonNull(builder.mLiveness, "liveness");
+        mEvents = Objects.requireNonNull(builder.mEvents, "events");
         mConfirmed = new ConfirmedWriter<>(builder.mSink, mScheduler, builder.mIds);
         mPersistent =
                 new PersistentWriter(
@@ -81,7 +83,10 @@
      */
     public CompletableFuture<Either<Refusal, ClaimDecision>> claim(
             EffectRequest request, ClaimTarget target, Duration remaining) {
-        return new ClaimAttempt(this, request, target, remaining).start();
+        CompletableFuture<Either<Refusal, ClaimDecision>> decision =
+                new ClaimAttempt(this, request, target, remaining).start();
+        decision.thenAccept(mEvents::decided);
+        return decision;
     }
 
     /**
@@ -260,6 +265,7 @@
         private RecordSource mSource;
         private AgentInquiry mAgents;
         private EntryLiveness mLiveness = entry -> false;
+        private ClaimEvents mEvents = ClaimEvents.NONE;
         private Scheduler mScheduler;
         private TimeSource mTime;
         private Supplier<String> mIds = () -> UUID.randomUUID().toString();
@@ -302,6 +308,12 @@
             return this;
         }
 
+        /** Sets the receiver of countable events. */
+        public Builder events(ClaimEvents events) {
+            mEvents = events;
+            return this;
+        }
+
         /** Sets what runs delayed tasks. */
         public Builder scheduler(Scheduler scheduler) {
             mScheduler = scheduler;
--- a/core/src/main/java/org/boragethread/core/log/StreamFollower.java
+++ b/core/src/main/java/org/boragethread/core/log/StreamFollower.java
@@ -29,6 +29,7 @@
     private boolean mRunning;
     private long mGeneration;
     private long mNext;
+    private boolean mFailing;
     private OptionalLong mCaughtUpAt = OptionalLong.empty();
 
     private StreamFollower(Builder builder) {
@@ -71,6 +72,11 @@
         return Optional.of(mTime.since(mCaughtUpAt.getAsLong()));
     }
 
+    /** Tells whether the last read failed. */
+    public synchronized boolean isFailing() {
+        return mFailing;
+    }
+
     private void schedule(Duration delay, long generation) {
         mScheduler.schedule(delay, () -> poll(generation));
     }
@@ -139,6 +145,7 @@
     }
 
     private synchronized void goOn(LogBatch batch, long began, long generation) {
+        mFailing = false;
         mBackoff.reset();
         boolean early = mTime.since(began).compareTo(mSettings.minPause()) < 0;
         Duration pause = batch.records().isEmpty() && early ? mSettings.minPause() : Duration.ZERO;
@@ -175,6 +182,7 @@
     }
 
     private synchronized void retry(long generation) {
+        mFailing = true;
         if (isCurrent(generation)) {
             schedule(mBackoff.next(), generation);
         }
--- a/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
@@ -1,6 +1,7 @@
 package org.boragethread.core.pipeline;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import io.vavr.control.Either;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,10 +9,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.boragethread.core.claim.ClaimDecision;
+import org.boragethread.core.claim.EffectRequest;
 import org.boragethread.core.dispatch.StageCall;
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.retry.RetryDecision;
 import org.boragethread.core.time.Scheduler;
+import org.boragethread.model.claim.ClaimOutcome;
 import org.boragethread.model.outcome.AttemptId;
 import org.boragethread.model.outcome.Ran;
 import org.boragethread.model.outcome.Refusal;
@@ -23,7 +27,7 @@
  * One request on its way through the stages. All state is guarded by this object; attempts report
  * to it, and only running attempts are heard.
  */
-final class PipelineRun implements RunHandle {
+final class PipelineRun implements RunHandle, StageClaim.Listener {
 
     private static final Duration RETRY_AFTER_NO_UPSTREAM = Duration.ofMillis(500);
     private static final int PREFIX_BYTES = 256;
@@ -31,6 +35,7 @@
     private final PipelineRequest mRequest;
     private final ResponseSink mSink;
     private final PipelineController mController;
+    private final EffectKeys mKeys;
     private final Set<UpstreamId> mTried = new HashSet<>();
 
     private int mStageIndex;
@@ -41,6 +46,7 @@
     private Ran mRanBeforeStage = Ran.NO;
     private StreamProgress mStream = new StreamProgress();
     private final List<StageAttempt> mRunning = new ArrayList<>();
+    private Optional<StageClaim> mClaim = Optional.empty();
     private Optional<Refusal> mLastRefusal = Optional.empty();
     private Scheduler.Timer mDeadlineTimer = () -> {};
     private Scheduler.Timer mRetryTimer = () -> {};
@@ -48,7 +54,12 @@
     private boolean mHedged;
     private boolean mDone;
 
-    PipelineRun(PipelineRequest request, ResponseSink sink, PipelineController controller) {
+    PipelineRun(
+            PipelineRequest request,
+            ResponseSink sink,
+            PipelineController controller,
+            EffectKeys keys) {
+        mKeys = keys;
         mRequest = request;
         mSink = sink;
         mController = controller;
@@ -75,6 +86,7 @@
             return;
         }
         policies().onFirstCall(stage());
+        mClaim = claimOfStage();
         attempt();
     }
 
@@ -87,10 +99,19 @@
             fail(mLastRefusal.orElseGet(this::noUpstream));
             return;
         }
+        if (mClaim.isPresent()) {
+            mTried.add(link.get().upstream());
+            mClaim.get().acquire(link.get(), remaining());
+        } else {
+            sendFirst(link.get());
+        }
+    }
+
+    private void sendFirst(UpstreamLink link) {
         if (!stage().idempotent()) {
             mRan = Ran.UNKNOWN;
         }
-        send(link.get());
+        send(link);
         scheduleHedge();
     }
 
@@ -107,6 +128,57 @@
         attempt.begin(call, mController.time());
     }
 
+    private Optional<StageClaim> claimOfStage() {
+        if (stage().idempotent() || mRequest.key().isEmpty()) {
+            return Optional.empty();
+        }
+        String key = mKeys.of(mRequest.key().get(), mStageIndex);
+        EffectRequest effect = EffectRequests.of(mRequest, key, mStageIndex);
+        return mController.claims().map(claims -> new StageClaim(claims, effect, this));
+    }
+
+    @Override
+    public synchronized void onDecision(
+            StageClaim claim, UpstreamLink link, Either<Refusal, ClaimDecision> decision) {
+        if (decision.isRight() && decision.get() instanceof ClaimDecision.Run run) {
+            claim.held(run.ref());
+        } else {
+            claim.lost();
+        }
+        if (mDone) {
+            claim.close();
+        } else if (decision.isLeft()) {
+            mRan = max(mRan, decision.getLeft().ran());
+            fail(decision.getLeft());
+        } else if (decision.get() instanceof ClaimDecision.Replay replay) {
+            replay(link, replay.outcome());
+        } else if (remaining().isNegative()) {
+            onDeadline();
+        } else {
+            sendFirst(link);
+        }
+    }
+
+    private static Ran max(Ran a, Ran b) {
+        return a.compareTo(b) > 0 ? a : b;
+    }
+
+    /** Continues with the recorded answer of an earlier request with the same key. */
+    private void replay(UpstreamLink link, ClaimOutcome outcome) {
+        mRan = Ran.YES;
+        if (outcome.body().isEmpty() && !isLastStage()) {
+            fail(
+                    Refusal.unknown(
+                            RefusalReason.KEY_OUTCOME_UNKNOWN,
+                            "stage \"%s\" ran, but its result was too large to keep"
+                                    .formatted(stage().name())));
+            return;
+        }
+        StageAttempt attempt = new StageAttempt(this, stage(), link, streamsToCaller());
+        mRunning.add(attempt);
+        attempt.replay(outcome);
+    }
+
     private void scheduleHedge() {
         mHedgeTimer.cancel();
         if (mHedged || streamsToCaller() || mTried.size() > 1) {
@@ -145,6 +217,7 @@
                 .deadlineNanos(mRequest.deadlineNanos())
                 .body(mContentType, mInput)
                 .resumeFrom(mStream.tokens())
+                .claim(mClaim.flatMap(StageClaim::send))
                 .build();
     }
 
@@ -205,8 +278,11 @@
         if (!stage().idempotent()) {
             mRan = Ran.YES;
         }
-        Duration latency = mController.time().since(from.startNanos());
-        policies().onResult(mRequest.pipeline(), mStageIndex, from.upstream(), latency);
+        if (!from.isReplay()) {
+            Duration latency = mController.time().since(from.startNanos());
+            policies().onResult(mRequest.pipeline(), mStageIndex, from.upstream(), latency);
+        }
+        mClaim.ifPresent(claim -> claim.done(result.toOutcome()));
         if (streamsToCaller() && result.isStreamed()) {
             finish();
             mSink.onStreamEnd();
@@ -237,6 +313,7 @@
         if (!stage().idempotent() && refusal.ran() == Ran.NO) {
             mRan = mRanBeforeStage;
         }
+        mClaim.ifPresent(claim -> claim.refused(refusal.ran()));
         RetryDecision decision = policies().afterFailure(stage(), refusal, mAttempts, remaining());
         if (!(decision instanceof RetryDecision.Retry retry)) {
             fail(refusal);
@@ -259,8 +336,10 @@
         mRunning.clear();
     }
 
+    // A claim or a handover that is on its way is decided by the same deadline; until then it is
+    // not certain that the key has not run.
     private synchronized void onDeadline() {
-        if (mDone) {
+        if (mDone || mClaim.filter(StageClaim::isAsking).isPresent()) {
             return;
         }
         cancelRunning();
@@ -286,6 +365,7 @@
 
     private void finish() {
         mDone = true;
+        mClaim.ifPresent(StageClaim::close);
         mDeadlineTimer.cancel();
         mRetryTimer.cancel();
         mHedgeTimer.cancel();
--- a/core/src/main/java/org/boragethread/core/pipeline/StageAttempt.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/StageAttempt.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
 import org.boragethread.core.dispatch.CallHandle;
 import org.boragethread.core.dispatch.CallListener;
@@ -10,6 +11,7 @@
 import org.boragethread.core.dispatch.StageCall;
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.claim.ClaimOutcome;
 import org.boragethread.model.outcome.Ran;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
@@ -25,6 +27,7 @@
     /** Greatest length of a result, in bytes. */
     static final int MAX_RESULT_BYTES = 16 << 20;
 
+    private static final CallSummary NO_TIMES = new CallSummary(Duration.ZERO, Duration.ZERO);
     private static final int OK = 200;
     private static final String EVENT_STREAM = "text/event-stream";
     private static final String TEXT = "text/plain; charset=utf-8";
@@ -44,6 +47,7 @@
     private boolean mRefused;
     private Optional<CallHandle> mHandle = Optional.empty();
     private boolean mCancelled;
+    private boolean mReplay;
 
     StageAttempt(PipelineRun run, Stage stage, UpstreamLink link, boolean toCaller) {
         mRun = run;
@@ -65,6 +69,25 @@
         }
     }
 
+    /** Takes a recorded answer in place of a call. */
+    void replay(ClaimOutcome outcome) {
+        mReplay = true;
+        if (outcome.body().isEmpty()) {
+            StageResult bare =
+                    new StageResult(outcome.status(), outcome.contentType(), new byte[0], false);
+            mRun.onResult(this, bare);
+            return;
+        }
+        onHead(outcome.status(), outcome.contentType());
+        onChunk(ByteBuffer.wrap(outcome.body().get()));
+        onEnd(NO_TIMES);
+    }
+
+    /** Tells whether the answer is a recorded one. */
+    boolean isReplay() {
+        return mReplay;
+    }
+
     UpstreamId upstream() {
         return mLink.upstream();
     }
--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -11,6 +11,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -25,19 +26,30 @@
 import org.boragethread.core.dispatch.TablePicker;
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.dispatch.UpstreamTable;
+import org.boragethread.core.job.JobSettlements;
+import org.boragethread.core.job.JobTable;
 import org.boragethread.core.log.AppendBudget;
+import org.boragethread.core.log.PlatformLog;
+import org.boragethread.core.metrics.ClaimMetrics;
 import org.boragethread.core.pipeline.PipelineController;
+import org.boragethread.core.pipeline.PipelineJobs;
 import org.boragethread.core.time.ExecutorScheduler;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.SystemTimeSource;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.entry.http.CallerHandler;
+import org.boragethread.entry.http.JobHandler;
+import org.boragethread.entry.http.JobMetrics;
 import org.boragethread.entry.http.PipelineHandler;
 import org.boragethread.entry.http.RequestMetrics;
 import org.boragethread.entry.membership.MembershipController;
 import org.boragethread.entry.operator.OperatorHandler;
+import org.boragethread.entry.operator.StatusReport;
 import org.boragethread.entry.operator.StatusReporter;
 import org.boragethread.entry.settings.EntrySettings;
 import org.boragethread.model.config.Configuration;
+import org.boragethread.model.job.JobStatus;
+import org.boragethread.model.place.EntryId;
 import org.boragethread.platform.HttpPlatformLog;
 import org.boragethread.platform.HttpVmDirectory;
 import org.boragethread.platform.PlatformSettings;
@@ -70,7 +82,11 @@
     private static final int OPERATOR_THREADS = 2;
     private static final long POLL_MILLIS = 20;
 
+    private static final Duration INQUIRY_TIMEOUT = Duration.ofSeconds(1);
+    private static final int MAX_NAME_IN_ID = 24;
+
     private final EntrySettings mSettings;
+    private final EntryId mEntryId;
     private final TimeSource mTime = new SystemTimeSource();
     private final ScheduledExecutorService mTimers = Executors.newScheduledThreadPool(2);
     private final Scheduler mScheduler = new ExecutorScheduler(mTimers);
@@ -84,6 +100,10 @@
     private final UpstreamTable mUpstreams = new UpstreamTable();
     private final EventLoopGroup mLoops = new NioEventLoopGroup();
     private final ConfigService mConfigService;
+    private final ClaimStreams mClaims;
+    private final JobStream mJobs;
+    private final PolicyFactory mPolicies;
+    private final PipelineController mPipelines;
     private final MembershipController mMembership;
     private final HttpServer mCallers;
     private final HttpServer mOperators;
@@ -92,6 +112,7 @@
     /** Makes an entry that is not started. */
     public EntryProcess(EntrySettings settings) {
         mSettings = settings;
+        mEntryId = newEntryId(settings.id());
         PlatformSettings platform =
                 PlatformSettings.of(
                         URI.create("http://" + Addresses.format(settings.platform())),
@@ -101,9 +122,26 @@
                         .version(HttpClient.Version.HTTP_1_1)
                         .connectTimeout(PLATFORM_TIMEOUT)
                         .build();
+        PlatformLog log = new HttpPlatformLog(client, mScheduler, platform);
+        LogAccess access = access(log);
+        mClaims = claims(access);
+        mPolicies = new PolicyFactory(settings.policies(), mTime);
+        mPipelines = pipelines();
+        mJobs =
+                new JobStream(
+                        access,
+                        settings.jobs(),
+                        mEntryId,
+                        new PipelineJobs(mPipelines, mConfig::current));
+        mConfig.addListener(
+                new JobSettler(
+                        mJobs.service(),
+                        new JobSettlements(mJobs.service(), mClaims.service()),
+                        () -> mConfig.isLoaded() && mJobs.isCaughtUp(),
+                        mScheduler));
         mConfigService =
                 new ConfigService(
-                        new HttpPlatformLog(client, mScheduler, platform),
+                        log,
                         mConfig,
                         PeerConfigs.NONE,
                         new AppendBudget(mTime, APPENDS_PER_SECOND, APPEND_BURST),
@@ -132,6 +170,29 @@
                         OPERATOR_THREADS);
     }
 
+    private LogAccess access(PlatformLog log) {
+        return new LogAccess(
+                log,
+                new AppendBudget(mTime, APPENDS_PER_SECOND, APPEND_BURST),
+                mTime,
+                mScheduler,
+                mRandom.split());
+    }
+
+    private ClaimStreams claims(LogAccess access) {
+        return new ClaimStreams(
+                access,
+                mSettings.claims(),
+                mEntryId,
+                new LinkInquiry(mUpstreams, mScheduler, INQUIRY_TIMEOUT),
+                new ClaimMetrics(mRegistry));
+    }
+
+    private static EntryId newEntryId(String name) {
+        String start = name.substring(0, Math.min(name.length(), MAX_NAME_IN_ID));
+        return new EntryId("%s-%s".formatted(start, UUID.randomUUID().toString()));
+    }
+
     private OperatorHandler operators() {
         StatusReporter status =
                 new StatusReporter(
@@ -139,7 +200,8 @@
                         mConfig::current,
                         mUpstreams,
                         this::obstacle,
-                        mRequests::inProgress);
+                        mRequests::inProgress,
+                        this::keptWork);
         return new OperatorHandler(
                 mSettings.operatorToken(),
                 mConfig,
@@ -148,6 +210,16 @@
                 status);
     }
 
+    private StatusReport.KeptWork keptWork() {
+        JobTable jobs = mJobs.service().table();
+        return new StatusReport.KeptWork(
+                mClaims.service().table().openClaims(),
+                mClaims.service().unsaved(),
+                jobs.unfinished(),
+                jobs.count(JobStatus.HELD),
+                mJobs.running());
+    }
+
     private Collection<PlacedUpstream> placedUpstreams() {
         return mUpstreams.all().stream()
                 .map(link -> new PlacedUpstream(link.upstream(), link.group(), link.dataCentre()))
@@ -158,25 +230,45 @@
         return new EntryIdentity(mSettings.id(), mSettings.dataCentre());
     }
 
-    private HttpServer callers() {
-        PolicyFactory policies = new PolicyFactory(mSettings.policies(), mTime);
+    private PipelineController pipelines() {
         TablePicker picker =
                 new TablePicker(
-                        mUpstreams, mConfig::current, mSettings.dataCentre(), policies.selector());
-        PipelineController pipelines =
-                new PipelineController(picker, policies.runPolicies(mRegistry), mTime, mScheduler);
-        PipelineHandler handler =
+                        mUpstreams, mConfig::current, mSettings.dataCentre(), mPolicies.selector());
+        return new PipelineController(
+                picker,
+                mPolicies.runPolicies(mRegistry),
+                mTime,
+                mScheduler,
+                Optional.of(mClaims.service()));
+    }
+
+    private JobHandler jobHandler() {
+        JobMetrics metrics = new JobMetrics(mRegistry);
+        metrics.show(mJobs.service(), mJobs::running);
+        return new JobHandler(
+                mJobs.service(),
+                mConfig::current,
+                mTime,
+                mScheduler,
+                mSettings.callers(),
+                metrics,
+                this::refusal);
+    }
+
+    private HttpServer callers() {
+        PipelineHandler pipelines =
                 new PipelineHandler(
-                        pipelines,
+                        mPipelines,
                         mConfig::current,
                         mRequests,
                         mTime,
                         mSettings.callers(),
-                        policies.teams(),
+                        mPolicies.teams(),
                         this::refusal);
         BodyLimits bodies =
                 new BodyLimits(
                         mSettings.callers().maxBodyBytes(), mSettings.callers().bodyTimeout());
+        CallerHandler handler = new CallerHandler(pipelines, jobHandler());
         int threads = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
         HttpServer server = HttpServers.create(mSettings.listen(), handler, bodies, threads);
         MonitoringHandler monitoring = new MonitoringHandler(mRegistry, this::obstacle);
@@ -207,6 +299,8 @@
     @Override
     public void start() {
         mConfigService.start();
+        mClaims.start();
+        mJobs.start();
         mMembership.start();
         InetSocketAddress callers = HttpServers.start(mCallers);
         InetSocketAddress operators = HttpServers.start(mOperators);
@@ -229,6 +323,9 @@
         if (!mConfig.isLoaded()) {
             return Optional.of("the entry has no configuration yet");
         }
+        if (!mClaims.isSettled() || !mJobs.isSettled()) {
+            return Optional.of("the entry has not read the claims and jobs yet");
+        }
         if (!mConfig.current().isInService(mSettings.dataCentre())) {
             return Optional.of(
                     "data centre %s is out of service".formatted(mSettings.dataCentre()));
@@ -241,6 +338,7 @@
     public void stop() {
         LOGGER.info("stopping");
         mStopping = true;
+        mJobs.stopTaking();
         pause(mSettings.drain().toMillis());
         awaitIdle(mSettings.grace());
         LOGGER.info("stopped with {} requests cut", mRequests.inProgress());
@@ -248,13 +346,16 @@
         mOperators.shutdownNow();
         mMembership.close();
         mConfigService.stop();
+        mClaims.stop();
+        mJobs.stop();
         mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         mTimers.shutdownNow();
     }
 
     private void awaitIdle(Duration bound) {
         long start = mTime.nanoTime();
-        while (mRequests.inProgress() > 0 && mTime.since(start).compareTo(bound) < 0) {
+        while (mRequests.inProgress() + mJobs.running() > 0
+                && mTime.since(start).compareTo(bound) < 0) {
             pause(POLL_MILLIS);
         }
     }
--- a/entry/src/main/java/org/boragethread/entry/settings/EntrySettings.java
+++ b/entry/src/main/java/org/boragethread/entry/settings/EntrySettings.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import org.boragethread.core.claim.ClaimSettings;
+import org.boragethread.core.job.JobSettings;
 import org.boragethread.entry.http.CallerLimits;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.process.settings.SettingsReader;
@@ -23,6 +25,8 @@
  * @param listInterval time between readings of the VM list
  * @param callers bounds on what callers send
  * @param policies decision policies
+ * @param claims settings of claims; the same for all entries
+ * @param jobs settings of jobs; the same for all entries
  */
 public record EntrySettings(
         String id,
@@ -36,7 +40,9 @@
         InetSocketAddress platform,
         Duration listInterval,
         CallerLimits callers,
-        PolicySettings policies) {
+        PolicySettings policies,
+        ClaimSettings claims,
+        JobSettings jobs) {
 
     private static final int MIN_TOKEN_LENGTH = 16;
     private static final int DEFAULT_BODY_BYTES = 1 << 20;
@@ -66,7 +72,9 @@
                                 Duration.ofMillis(50),
                                 Duration.ofMinutes(1)),
                         readCallers(callers),
-                        PolicySettings.read(reader));
+                        PolicySettings.read(reader),
+                        ClaimSection.read(reader),
+                        JobSection.read(reader));
         entry.finish();
         platform.finish();
         callers.finish();
