--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -55,7 +55,6 @@
 import org.boragethread.wire.frame.WireSettings;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 
 /** A running entry. */
 public final class EntryProcess implements Service {
@@ -182,7 +181,6 @@
         server.getServerConfiguration()
                 .addHttpHandler(monitoring, "/healthz", "/readyz", "/metrics");
         NetworkListener listener = server.getListeners().iterator().next();
-        listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
         listener.setMaxHttpHeaderSize(mSettings.callers().maxHeaderBytes());
         return server;
     }
--- a/process/src/main/java/org/boragethread/process/monitor/PlainHttpFilter.java
+++ b/process/src/main/java/org/boragethread/process/monitor/PlainHttpFilter.java
@@ -18,7 +18,13 @@
 final class PlainHttpFilter extends HttpServerFilter {
 
     private PlainHttpFilter(NetworkListener listener, DelayedExecutor executor) {
-        super(true, listener.getMaxHttpHeaderSize(), listener.getKeepAlive(), executor);
+        super(true, headerBytes(listener), listener.getKeepAlive(), executor);
+    }
+
+    /** Returns the bound on headers; a listener without one states a negative number. */
+    private static int headerBytes(NetworkListener listener) {
+        int bytes = listener.getMaxHttpHeaderSize();
+        return bytes > 0 ? bytes : DEFAULT_MAX_HTTP_PACKET_HEADER_SIZE;
     }
 
     @Override
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/FaultyNetworkTest.java
@@ -0,0 +1,205 @@
+package org.boragethread.standins.system;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.boragethread.standins.caller.CallerAnswer;
+import org.boragethread.standins.caller.CallerClient;
+import org.boragethread.standins.caller.CallerRequest;
+import org.boragethread.standins.harness.Deployment;
+import org.boragethread.standins.harness.RunningAgent;
+import org.boragethread.standins.proxy.Fault;
+import org.boragethread.standins.proxy.FaultPlan;
+import org.boragethread.standins.proxy.FaultProxy;
+import org.boragethread.standins.proxy.Faults;
+import org.boragethread.standins.proxy.LinkFaults;
+import org.boragethread.standins.upstream.Content;
+import org.boragethread.standins.upstream.Order;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** With faults on every connection, answers are whole and their own, and failures are truthful. */
+public final class FaultyNetworkTest {
+
+    private static final long SEED = 20_261;
+    private static final int REQUESTS = 3000;
+    private static final int IN_FLIGHT = 48;
+    private static final int SWITCH_EVERY = 100;
+    private static final long DEADLINE_MS = 1500;
+    private static final int CLEAN_OF_TEN = 5;
+    private static final int MAX_FAULT_POSITION = 20_000;
+    private static final double LEAST_GOOD_SHARE = 0.25;
+
+    private Deployment mDeployment;
+    private CallerClient mClient;
+    private SplittableRandom mRandom;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        mClient = new CallerClient();
+        mRandom = new SplittableRandom(SEED);
+        mDeployment = Deployment.start(TestDeployments.standard().proxied(SEED).build());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        if (mDeployment != null) {
+            mDeployment.close();
+        }
+    }
+
+    @Test
+    public void noAnswerIsLostDoubledOrCrossed() throws Exception {
+        proxies().forEach(proxy -> proxy.setPlan(randomPlan()));
+        List<Call> calls = sendAll();
+        List<String> faults = new ArrayList<>();
+        int good = 0;
+        for (Call call : calls) {
+            Optional<String> fault = call.fault();
+            fault.ifPresent(faults::add);
+            good += fault.isEmpty() && call.answer().get().status() == 200 ? 1 : 0;
+        }
+        checkLedger(calls, faults);
+        assertEquals(faults, List.of());
+        assertTrue(good > REQUESTS * LEAST_GOOD_SHARE, "good answers: " + good);
+    }
+
+    private List<Call> sendAll() throws Exception {
+        List<FaultProxy> proxies = proxies();
+        Semaphore room = new Semaphore(IN_FLIGHT);
+        List<Call> calls = new ArrayList<>();
+        for (int i = 0; i < REQUESTS; i++) {
+            if (i % SWITCH_EVERY == 0) {
+                proxies.get(mRandom.nextInt(proxies.size())).cutAll();
+            }
+            assertTrue(room.tryAcquire(30, TimeUnit.SECONDS), "no answer for 30 s");
+            Call call = send(i);
+            call.answer().whenComplete((answer, failure) -> room.release());
+            calls.add(call);
+        }
+        return calls;
+    }
+
+    private Call send(int number) {
+        byte[] body = ("request " + number).getBytes(StandardCharsets.UTF_8);
+        Kind kind = Kind.values()[mRandom.nextInt(Kind.values().length)];
+        CallerRequest request =
+                CallerRequest.of(kind.pipeline(), TestDeployments.TEAM, body, DEADLINE_MS);
+        if (kind == Kind.SUMMARY) {
+            request = request.asStream();
+        }
+        String entry = mDeployment.callerAddresses().get(number % 2);
+        return new Call(kind, body, mClient.call(entry, request));
+    }
+
+    private void checkLedger(List<Call> calls, List<String> faults) throws Exception {
+        Set<String> executed = new HashSet<>();
+        for (Order order : Ledgers.of(mDeployment)) {
+            if (!executed.add(order.bodyHash())) {
+                faults.add("order ran twice: " + order);
+            }
+        }
+        for (Call call : calls) {
+            if (call.kind() != Kind.CUT_ORDER || call.answer().isCompletedExceptionally()) {
+                continue;
+            }
+            CallerAnswer answer = call.answer().get();
+            boolean ran = executed.contains(Content.hash(call.body()));
+            if (answer.status() == 200 && !ran) {
+                faults.add("answered without running: " + answer.text());
+            }
+            if (ran && "no".equals(answer.problem("ran"))) {
+                faults.add("false 'not run': " + answer.text());
+            }
+        }
+    }
+
+    private List<FaultProxy> proxies() {
+        List<FaultProxy> proxies = new ArrayList<>();
+        for (RunningAgent agent : mDeployment.agents()) {
+            agent.fromEntries().ifPresent(proxies::add);
+            agent.toUpstream().ifPresent(proxies::add);
+        }
+        return proxies;
+    }
+
+    private static FaultPlan randomPlan() {
+        return random -> new LinkFaults(randomFault(random), randomFault(random));
+    }
+
+    private static Fault randomFault(SplittableRandom random) {
+        long position = random.nextInt(MAX_FAULT_POSITION);
+        return switch (random.nextInt(10 + CLEAN_OF_TEN)) {
+            case 0 -> Faults.cutAfter(position);
+            case 1 -> Faults.resetAfter(position);
+            case 2 -> Faults.halfCloseAfter(position);
+            case 3 -> Faults.blackHoleAfter(position);
+            case 4, 5 -> Faults.trickle(64, Duration.ofMillis(1));
+            case 6, 7, 8, 9 -> Faults.delay(Duration.ofMillis(random.nextInt(1, 60)));
+            default -> Faults.none();
+        };
+    }
+
+    /** Pipelines of the run with the answer that each must give. */
+    private enum Kind {
+        LOOKUP,
+        SUMMARY,
+        CUT_ORDER;
+
+        String pipeline() {
+            return switch (this) {
+                case LOOKUP -> TestDeployments.LOOKUP;
+                case SUMMARY -> TestDeployments.SUMMARY;
+                case CUT_ORDER -> TestDeployments.CUT_ORDER;
+            };
+        }
+
+        Optional<String> fault(CallerAnswer answer, byte[] body) {
+            return switch (this) {
+                case LOOKUP -> TestDeployments.LOOKUP_ANSWER.fault(answer, body);
+                case SUMMARY -> summaryFault(answer, body);
+                case CUT_ORDER -> TestDeployments.ORDER_ANSWER.fault(answer, body);
+            };
+        }
+
+        private static Optional<String> summaryFault(CallerAnswer answer, byte[] body) {
+            if (answer.text().contains("event: error")) {
+                return Optional.empty();
+            }
+            return TestDeployments.SUMMARY_ANSWER.fault(answer, body);
+        }
+    }
+
+    /** One request of the run. */
+    private record Call(Kind kind, byte[] body, CompletableFuture<CallerAnswer> answer) {
+
+        /** Returns what is wrong with the answer: lost, not whole, not its own or untruthful. */
+        Optional<String> fault() throws InterruptedException {
+            try {
+                CallerAnswer got = answer.get();
+                if (got.status() == 200) {
+                    return kind.fault(got, body);
+                }
+                return got.isProblem()
+                        ? Optional.empty()
+                        : Optional.of("status %d: %s".formatted(got.status(), got.text()));
+            } catch (ExecutionException e) {
+                return Optional.of("no answer: " + e.getCause());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/GracefulStopTest.java
@@ -0,0 +1,121 @@
+package org.boragethread.standins.system;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.boragethread.standins.caller.CallerAnswer;
+import org.boragethread.standins.caller.CallerClient;
+import org.boragethread.standins.caller.CallerRequest;
+import org.boragethread.standins.harness.Deployment;
+import org.boragethread.standins.harness.JavaProcess;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A stop signal under load cuts no request and ends with exit code 0. */
+public final class GracefulStopTest {
+
+    private static final Duration EXIT_TIMEOUT = Duration.ofSeconds(30);
+    private static final int REQUESTS = 600;
+    private static final int STOP_AT = 200;
+    private static final int IN_FLIGHT = 16;
+    private static final long DEADLINE_MS = 5000;
+
+    private Deployment mDeployment;
+    private CallerClient mClient;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        mClient = new CallerClient();
+        mDeployment = Deployment.start(TestDeployments.standard().build());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        if (mDeployment != null) {
+            mDeployment.close();
+        }
+    }
+
+    @Test
+    public void agentStopsWithoutCuttingRequests() throws Exception {
+        JavaProcess agent = mDeployment.agent("encode-1").process();
+        String entry = mDeployment.callerAddresses().get(0);
+        checkAll(load(() -> entry, agent));
+        assertEquals(agent.awaitExit(EXIT_TIMEOUT), 0);
+    }
+
+    @Test
+    public void entryStopsWithoutCuttingRequests() throws Exception {
+        JavaProcess entry = mDeployment.entries().get(0).process();
+        List<String> addresses = mDeployment.callerAddresses();
+        boolean[] stopped = {false};
+        Balancer balancer = () -> addresses.get(stopped[0] ? 1 : 0);
+        List<CompletableFuture<CallerAnswer>> answers = new ArrayList<>();
+        Semaphore room = new Semaphore(IN_FLIGHT);
+        for (int i = 0; i < REQUESTS; i++) {
+            if (i == STOP_AT) {
+                entry.terminate();
+                stopped[0] = true;
+            }
+            answers.add(send(balancer.next(), i, room));
+        }
+        checkAll(answers);
+        assertEquals(entry.awaitExit(EXIT_TIMEOUT), 0);
+    }
+
+    private List<CompletableFuture<CallerAnswer>> load(Balancer balancer, JavaProcess stopped)
+            throws InterruptedException {
+        List<CompletableFuture<CallerAnswer>> answers = new ArrayList<>();
+        Semaphore room = new Semaphore(IN_FLIGHT);
+        for (int i = 0; i < REQUESTS; i++) {
+            if (i == STOP_AT) {
+                stopped.terminate();
+            }
+            answers.add(send(balancer.next(), i, room));
+        }
+        return answers;
+    }
+
+    private CompletableFuture<CallerAnswer> send(String entry, int number, Semaphore room)
+            throws InterruptedException {
+        room.tryAcquire(30, TimeUnit.SECONDS);
+        byte[] body = body(number);
+        boolean summary = number % 4 == 0;
+        String pipeline = summary ? TestDeployments.SUMMARY : TestDeployments.LOOKUP;
+        CallerRequest request = CallerRequest.of(pipeline, TestDeployments.TEAM, body, DEADLINE_MS);
+        return mClient.call(entry, summary ? request.asStream() : request)
+                .whenComplete((answer, failure) -> room.release());
+    }
+
+    private static void checkAll(List<CompletableFuture<CallerAnswer>> answers) throws Exception {
+        List<String> faults = new ArrayList<>();
+        for (int i = 0; i < answers.size(); i++) {
+            CallerAnswer answer = answers.get(i).get(30, TimeUnit.SECONDS);
+            if (answer.status() != 200) {
+                faults.add(answer.text());
+                continue;
+            }
+            var expected =
+                    i % 4 == 0 ? TestDeployments.SUMMARY_ANSWER : TestDeployments.LOOKUP_ANSWER;
+            expected.fault(answer, body(i)).ifPresent(faults::add);
+        }
+        assertEquals(faults, List.of());
+    }
+
+    private static byte[] body(int number) {
+        return ("request " + number).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Chooses the entry of the next request, as the platform's balancer does. */
+    private interface Balancer {
+        String next();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/LayerTest.java
@@ -0,0 +1,110 @@
+package org.boragethread.standins.system;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Inner packages do not import outer ones, and the core does no I/O of its own. */
+public final class LayerTest {
+
+    private static final String ROOT = "org.boragethread.";
+
+    private JavaClasses mClasses;
+
+    @BeforeClass
+    public void importClasses() {
+        mClasses =
+                new ClassFileImporter()
+                        .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+                        .importPackages("org.boragethread");
+    }
+
+    @Test
+    public void innerLayersDoNotUseOuterOnes() {
+        layeredArchitecture()
+                .consideringOnlyDependenciesInAnyPackage("org.boragethread..")
+                .layer("model")
+                .definedBy(ROOT + "model..")
+                .layer("core")
+                .definedBy(ROOT + "core..")
+                .layer("transport")
+                .definedBy(ROOT + "wire..", ROOT + "platform..", ROOT + "process..")
+                .layer("programs")
+                .definedBy(ROOT + "agent..", ROOT + "entry..")
+                .layer("standins")
+                .definedBy(ROOT + "standins..")
+                .whereLayer("standins")
+                .mayNotBeAccessedByAnyLayer()
+                .whereLayer("programs")
+                .mayOnlyBeAccessedByLayers("standins")
+                .whereLayer("transport")
+                .mayOnlyBeAccessedByLayers("programs", "standins")
+                .whereLayer("core")
+                .mayOnlyBeAccessedByLayers("transport", "programs", "standins")
+                .check(mClasses);
+    }
+
+    @Test
+    public void agentAndEntryDoNotUseEachOther() {
+        noClasses()
+                .that()
+                .resideInAPackage(ROOT + "agent..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage(ROOT + "entry..")
+                .check(mClasses);
+        noClasses()
+                .that()
+                .resideInAPackage(ROOT + "entry..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage(ROOT + "agent..")
+                .check(mClasses);
+    }
+
+    @Test
+    public void coreUsesNoSocketsAndNoLibrariesThatDo() {
+        noClasses()
+                .that()
+                .resideInAnyPackage(ROOT + "core..", ROOT + "model..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "java.net..", "java.nio.channels..", "io.netty..", "org.glassfish..")
+                .check(mClasses);
+    }
+
+    @Test
+    public void coreStartsNoThreads() {
+        noClasses()
+                .that()
+                .resideInAnyPackage(ROOT + "core..", ROOT + "model..")
+                .should()
+                .callConstructor(Thread.class, Runnable.class)
+                .orShould()
+                .callConstructor(Thread.class)
+                .orShould()
+                .dependOnClassesThat()
+                .haveFullyQualifiedName("java.util.concurrent.Executors")
+                .check(mClasses);
+    }
+
+    @Test
+    public void coreTakesTimeFromItsClockOnly() {
+        noClasses()
+                .that()
+                .resideInAnyPackage(ROOT + "core..", ROOT + "model..")
+                .and()
+                .resideOutsideOfPackage(ROOT + "core.time..")
+                .should()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .check(mClasses);
+    }
+}
