--- a/entry/src/main/java/org/boragethread/entry/http/PipelineHandler.java
+++ b/entry/src/main/java/org/boragethread/entry/http/PipelineHandler.java
@@ -14,6 +14,7 @@
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.outcome.RequestId;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.Method;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
@@ -123,8 +124,13 @@
 
         @Override
         public void onRefused(Refusal refusal) {
+            Connection<?> connection = mResponse.getRequest().getContext().getConnection();
             mResponse.setHeader("Connection", "close");
             mSink.onRefused(refusal);
+            if (refusal.reason() == RefusalReason.BODY_TIMEOUT) {
+                // Otherwise the server keeps the connection open until the rest has arrived.
+                connection.closeSilently();
+            }
         }
     }
 
