--- /dev/null
+++ b/bench/src/main/java/org/boragethread/bench/client/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop and closed-loop load, and callers that note when each part of an answer came. */
+package org.boragethread.bench.client;
--- /dev/null
+++ b/bench/src/main/java/org/boragethread/bench/path/Latencies.java
@@ -0,0 +1,34 @@
+package org.boragethread.bench.path;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** Times of requests and of gaps between tokens, in microseconds. */
+final class Latencies {
+
+    private static final int DIGITS = 3;
+
+    private final Histogram mRequests = new ConcurrentHistogram(DIGITS);
+    private final Histogram mGaps = new ConcurrentHistogram(DIGITS);
+
+    void addRequest(long startNanos, long endNanos) {
+        mRequests.recordValue(Math.max(0, TimeUnit.NANOSECONDS.toMicros(endNanos - startNanos)));
+    }
+
+    void addGaps(List<Long> times) {
+        for (int i = 1; i < times.size(); i++) {
+            long gap = times.get(i) - times.get(i - 1);
+            mGaps.recordValue(Math.max(0, TimeUnit.NANOSECONDS.toMicros(gap)));
+        }
+    }
+
+    Histogram requests() {
+        return mRequests;
+    }
+
+    Histogram gaps() {
+        return mGaps;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/boragethread/bench/path/PathBench.java
@@ -0,0 +1,175 @@
+package org.boragethread.bench.path;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.LongAdder;
+import org.boragethread.bench.client.ClosedLoop;
+import org.boragethread.bench.client.OpenLoop;
+import org.boragethread.bench.client.TimedAnswer;
+import org.boragethread.bench.client.TimedClient;
+import org.boragethread.bench.report.Figures;
+import org.boragethread.bench.report.Report;
+import org.boragethread.bench.report.Target;
+import org.boragethread.standins.caller.ExpectedAnswer;
+import org.boragethread.standins.harness.Deployment;
+import org.boragethread.standins.harness.JavaProcess;
+
+/** Compares requests through an entry with direct calls to the stand-ins, in turns. */
+public final class PathBench {
+
+    private static final double ADDED_REQUEST_P95_MS = 5;
+    private static final double ADDED_TOKEN_P95_MS = 1;
+    private static final double LEAST_REQUESTS_PER_SECOND = 5000;
+    private static final double MICROS_PER_SECOND = 1e6;
+
+    private final PathSettings mSettings;
+    private final Report mReport;
+    private final TimedClient mClient = new TimedClient();
+    private final LongAdder mBad = new LongAdder();
+
+    /** Makes a measurement that adds its results to a report. */
+    public PathBench(PathSettings settings, Report report) {
+        mSettings = settings;
+        mReport = report;
+    }
+
+    /**
+     * Measures.
+     *
+     * @throws IOException if the deployment cannot be started
+     * @throws InterruptedException if this thread is interrupted
+     */
+    public void run() throws IOException, InterruptedException {
+        try (Deployment deployment = PathDeployment.start()) {
+            measureLatency(deployment);
+            measureThroughput(deployment);
+        }
+    }
+
+    private void measureLatency(Deployment deployment) {
+        Latencies direct = new Latencies();
+        Latencies through = new Latencies();
+        round(deployment, new Latencies(), new Latencies(), 0);
+        mBad.reset();
+        for (int i = 1; i <= mSettings.rounds(); i++) {
+            round(deployment, direct, through, i);
+        }
+        Figures directRequests = mReport.add(Figures.of("4 stages direct", direct.requests()));
+        Figures throughRequests =
+                mReport.add(Figures.of("4 stages through entry", through.requests()));
+        Figures addedRequest =
+                mReport.add(throughRequests.minus(directRequests, "4 stages added"));
+        Figures directGaps = mReport.add(Figures.of("token gap direct", direct.gaps()));
+        Figures throughGaps = mReport.add(Figures.of("token gap through entry", through.gaps()));
+        Figures addedGap = mReport.add(throughGaps.minus(directGaps, "token gap added"));
+        mReport.target(
+                Target.atMost(
+                        "path-added-request-p95-ms", addedRequest.p95(), ADDED_REQUEST_P95_MS));
+        mReport.target(
+                Target.atMost("path-added-token-p95-ms", addedGap.p95(), ADDED_TOKEN_P95_MS));
+        mReport.target(Target.atMost("path-bad-answers", mBad.sum(), 0));
+    }
+
+    private void round(Deployment deployment, Latencies direct, Latencies through, int round) {
+        String entry = deployment.callerAddresses().get(0);
+        Duration slice = mSettings.slice();
+        new OpenLoop(mSettings.perSecond(), slice, mSettings.seed() + round)
+                .run((number, start) -> direct(deployment, number, start, direct));
+        new OpenLoop(mSettings.perSecond(), slice, mSettings.seed() + round)
+                .run((number, start) -> through(entry, number, start, through));
+    }
+
+    private CompletableFuture<?> direct(
+            Deployment deployment, int number, long start, Latencies latencies) {
+        String id = "direct-" + number;
+        byte[] body = body(number);
+        CompletableFuture<byte[]> input = CompletableFuture.completedFuture(body);
+        for (String stage : PathDeployment.PLAIN) {
+            input =
+                    input.thenCompose(bytes -> call(deployment, stage, id, bytes))
+                            .thenApply(timed -> timed.answer().body());
+        }
+        return input.thenCompose(bytes -> call(deployment, PathDeployment.ENGINE, id, bytes))
+                .whenComplete((timed, failure) -> record(timed, body, start, latencies));
+    }
+
+    private CompletableFuture<TimedAnswer> call(
+            Deployment deployment, String stage, String id, byte[] body) {
+        String address = deployment.upstream(stage).address();
+        return mClient.post(address, "/" + stage, body, Map.of("Request-Id", id));
+    }
+
+    private CompletableFuture<?> through(
+            String entry, int number, long start, Latencies latencies) {
+        byte[] body = body(number);
+        Map<String, String> headers =
+                Map.of("Team", PathDeployment.TEAM, "Accept", "text/event-stream");
+        return mClient.post(entry, "/v1/pipelines/" + PathDeployment.SUMMARY, body, headers)
+                .whenComplete((timed, failure) -> record(timed, body, start, latencies));
+    }
+
+    private void record(TimedAnswer timed, byte[] body, long start, Latencies latencies) {
+        if (!isGood(timed, body, PathDeployment.SUMMARY_ANSWER)) {
+            mBad.increment();
+            return;
+        }
+        latencies.addRequest(start, timed.endNanos());
+        int tokens = Math.min(PathDeployment.TOKENS, timed.lineNanos().size());
+        latencies.addGaps(timed.lineNanos().subList(0, tokens));
+    }
+
+    private static boolean isGood(TimedAnswer timed, byte[] body, ExpectedAnswer expected) {
+        if (timed == null || timed.answer().status() != 200) {
+            return false;
+        }
+        Optional<String> fault = expected.fault(timed.answer(), body);
+        return fault.isEmpty();
+    }
+
+    private void measureThroughput(Deployment deployment) throws InterruptedException {
+        JavaProcess entry = deployment.entries().get(0).process();
+        String address = deployment.callerAddresses().get(0);
+        lookups(address, mSettings.slice(), new LongAdder(), new LongAdder());
+        LongAdder good = new LongAdder();
+        LongAdder bad = new LongAdder();
+        Duration cpuBefore = entry.cpuTime();
+        long start = System.nanoTime();
+        lookups(address, mSettings.slice().multipliedBy(2), good, bad);
+        double seconds = (System.nanoTime() - start) / 1e9;
+        Duration cpu = entry.cpuTime().minus(cpuBefore);
+        double perSecond = good.sum() / seconds;
+        double cpuMicros = cpu.toNanos() / 1e9 * MICROS_PER_SECOND / Math.max(1, good.sum());
+        mReport.note(
+                "one stage, one entry: %.0f requests/s, %.1f us CPU a request, %d not good"
+                        .formatted(perSecond, cpuMicros, bad.sum()));
+        mReport.target(
+                Target.atLeast("path-requests-per-second", perSecond, LEAST_REQUESTS_PER_SECOND));
+    }
+
+    private void lookups(String entry, Duration duration, LongAdder good, LongAdder bad)
+            throws InterruptedException {
+        Map<String, String> headers = Map.of("Team", PathDeployment.TEAM);
+        String path = "/v1/pipelines/" + PathDeployment.LOOKUP;
+        new ClosedLoop(mSettings.concurrency(), duration)
+                .run(
+                        number -> {
+                            byte[] body = body(number);
+                            return mClient.post(entry, path, body, headers)
+                                    .whenComplete(
+                                            (timed, failure) ->
+                                                    count(timed, body, good, bad));
+                        });
+    }
+
+    private static void count(TimedAnswer timed, byte[] body, LongAdder good, LongAdder bad) {
+        (isGood(timed, body, PathDeployment.LOOKUP_ANSWER) ? good : bad).increment();
+    }
+
+    private static byte[] body(int number) {
+        return ("request " + number).getBytes(StandardCharsets.UTF_8);
+    }
+}
