--- a/bench/src/main/java/org/boragethread/bench/path/PathBench.java
+++ b/bench/src/main/java/org/boragethread/bench/path/PathBench.java
@@ -61,8 +61,7 @@
         Figures directRequests = mReport.add(Figures.of("4 stages direct", direct.requests()));
         Figures throughRequests =
                 mReport.add(Figures.of("4 stages through entry", through.requests()));
-        Figures addedRequest =
-                mReport.add(throughRequests.minus(directRequests, "4 stages added"));
+        Figures addedRequest = mReport.add(throughRequests.minus(directRequests, "4 stages added"));
         Figures directGaps = mReport.add(Figures.of("token gap direct", direct.gaps()));
         Figures throughGaps = mReport.add(Figures.of("token gap through entry", through.gaps()));
         Figures addedGap = mReport.add(throughGaps.minus(directGaps, "token gap added"));
@@ -160,8 +159,7 @@
                             byte[] body = body(number);
                             return mClient.post(entry, path, body, headers)
                                     .whenComplete(
-                                            (timed, failure) ->
-                                                    count(timed, body, good, bad));
+                                            (timed, failure) -> count(timed, body, good, bad));
                         });
     }
 
