Spend less on each request: names, ids, timers

Cause: identifiers were checked by a regular expression for every candidate of every selection, request ids took a secure random number each, and cancelled timers stayed until they were due. Change: names are checked by a loop and kept with the link; ids are a random process part and a counter; cancelled timers are removed at once.

--- a/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
+++ b/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -37,6 +36,7 @@
 import org.boragethread.model.upstream.UpstreamGroup;
 import org.boragethread.process.command.Addresses;
 import org.boragethread.process.command.Service;
+import org.boragethread.process.command.TimerThreads;
 import org.boragethread.process.monitor.BodyLimits;
 import org.boragethread.process.monitor.HttpServers;
 import org.boragethread.process.monitor.MonitoringHandler;
@@ -62,8 +62,7 @@
     private final TimeSource mTime = new SystemTimeSource();
     private final long mIncarnation = new SecureRandom().nextLong();
     private final ClaimGuard mClaims = new ClaimGuard(mIncarnation, mTime);
-    private final ScheduledExecutorService mTimers =
-            Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "timers"));
+    private final ScheduledExecutorService mTimers = TimerThreads.create(1);
     private final Scheduler mScheduler = new ExecutorScheduler(mTimers);
     private final PrometheusMeterRegistry mRegistry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
--- a/entry/src/main/java/org/boragethread/entry/http/JobHandler.java
+++ b/entry/src/main/java/org/boragethread/entry/http/JobHandler.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.UUID;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -211,7 +210,7 @@
     private final class Reply {
 
         private final Response mResponse;
-        private final RequestId mId = RequestId.of(UUID.randomUUID());
+        private final RequestId mId = RequestIds.next();
 
         Reply(Response response) {
             mResponse = response;
--- a/entry/src/main/java/org/boragethread/entry/http/PipelineHandler.java
+++ b/entry/src/main/java/org/boragethread/entry/http/PipelineHandler.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.UUID;
 import java.util.function.Supplier;
 import org.boragethread.core.fairness.TeamAdmission;
 import org.boragethread.core.pipeline.PipelineController;
@@ -56,8 +55,7 @@
     public void service(Request request, Response response) {
         mMetrics.begin();
         Either<Refusal, PipelineRequest> parsed = check(request);
-        RequestId id =
-                parsed.map(PipelineRequest::id).getOrElse(() -> RequestId.of(UUID.randomUUID()));
+        RequestId id = parsed.map(PipelineRequest::id).getOrElse(() -> RequestIds.next());
         String team = Optional.ofNullable(request.getHeader("Team")).orElse("");
         Either<Refusal, TeamAdmission.Admission> admitted =
                 parsed.flatMap(accepted -> mTeams.tryAdmit(accepted.team()));
--- a/entry/src/main/java/org/boragethread/entry/http/RequestParser.java
+++ b/entry/src/main/java/org/boragethread/entry/http/RequestParser.java
@@ -8,7 +8,6 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.UUID;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import org.boragethread.core.pipeline.PipelineRequest;
@@ -17,7 +16,6 @@
 import org.boragethread.model.config.Configuration;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
-import org.boragethread.model.outcome.RequestId;
 import org.boragethread.model.pipeline.Pipeline;
 import org.boragethread.model.pipeline.PipelineId;
 import org.boragethread.model.team.Priority;
@@ -67,7 +65,7 @@
         }
         return Either.right(
                 new PipelineRequest(
-                        RequestId.of(UUID.randomUUID()),
+                        RequestIds.next(),
                         pipeline.get(),
                         team.get(),
                         priority.get(),
--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.UUID;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -55,6 +54,7 @@
 import org.boragethread.platform.PlatformSettings;
 import org.boragethread.process.command.Addresses;
 import org.boragethread.process.command.Service;
+import org.boragethread.process.command.TimerThreads;
 import org.boragethread.process.monitor.BodyLimits;
 import org.boragethread.process.monitor.HttpServers;
 import org.boragethread.process.monitor.MonitoringHandler;
@@ -88,7 +88,7 @@
     private final EntrySettings mSettings;
     private final EntryId mEntryId;
     private final TimeSource mTime = new SystemTimeSource();
-    private final ScheduledExecutorService mTimers = Executors.newScheduledThreadPool(2);
+    private final ScheduledExecutorService mTimers = TimerThreads.create(2);
     private final Scheduler mScheduler = new ExecutorScheduler(mTimers);
     private final SplittableRandom mRandom = new SplittableRandom();
     private final PrometheusMeterRegistry mRegistry =
--- a/model/src/main/java/org/boragethread/model/Names.java
+++ b/model/src/main/java/org/boragethread/model/Names.java
@@ -1,15 +1,11 @@
 package org.boragethread.model;
 
-import java.util.regex.Pattern;
-
 /** Checks the form of identifiers that operators choose. */
 public final class Names {
 
     /** Greatest length of an identifier, in characters. */
     public static final int MAX_LENGTH = 64;
 
-    private static final Pattern ALLOWED = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]*");
-
     private Names() {}
 
     /**
@@ -31,6 +27,25 @@
 
     /** Tells whether a value may serve as an identifier. */
     public static boolean isValid(String value) {
-        return value != null && value.length() <= MAX_LENGTH && ALLOWED.matcher(value).matches();
+        if (value == null || value.isEmpty() || value.length() > MAX_LENGTH) {
+            return false;
+        }
+        if (!isLetterOrDigit(value.charAt(0))) {
+            return false;
+        }
+        for (int i = 1; i < value.length(); i++) {
+            if (!isAllowed(value.charAt(i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isAllowed(char c) {
+        return isLetterOrDigit(c) || c == '.' || c == '_' || c == '-';
+    }
+
+    private static boolean isLetterOrDigit(char c) {
+        return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9';
     }
 }
--- a/wire/src/main/java/org/boragethread/wire/client/AgentLink.java
+++ b/wire/src/main/java/org/boragethread/wire/client/AgentLink.java
@@ -72,6 +72,9 @@
     private ChannelHandlerContext mContext;
     private long mPingToken;
     private boolean mClosed;
+    private UpstreamId mUpstream;
+    private GroupId mGroup;
+    private DataCentreId mDataCentre;
     private volatile Welcome mWelcome;
     private volatile boolean mAccepting;
     private volatile boolean mRetired;
@@ -134,6 +137,9 @@
             return;
         }
         updateLoad(welcome.getLoad());
+        mUpstream = new UpstreamId(welcome.getUpstream());
+        mGroup = new GroupId(welcome.getGroup());
+        mDataCentre = new DataCentreId(welcome.getDataCentre());
         mWelcome = welcome;
         mAccepting = !welcome.getLoad().getLeaving();
         long interval = mSettings.pingInterval().toNanos();
@@ -347,17 +353,17 @@
 
     @Override
     public UpstreamId upstream() {
-        return new UpstreamId(mWelcome.getUpstream());
+        return mUpstream;
     }
 
     @Override
     public GroupId group() {
-        return new GroupId(mWelcome.getGroup());
+        return mGroup;
     }
 
     @Override
     public DataCentreId dataCentre() {
-        return new DataCentreId(mWelcome.getDataCentre());
+        return mDataCentre;
     }
 
     @Override
