Read submissions as the listener delivers them; test the settlement of held jobs

Cause: the listener now delivers bodies whole, and the job handler still read them in parts, so that the entry did not compile. Change: the job handler reads the delivered body. JobTest holds a job by restarting its agent and settles it through another entry.

--- a/entry/src/main/java/org/boragethread/entry/http/JobHandler.java
+++ b/entry/src/main/java/org/boragethread/entry/http/JobHandler.java
@@ -171,16 +171,21 @@
             reply.refuse(parsed.getLeft());
             return;
         }
+        Either<Refusal, PipelineRequest> whole =
+                RequestBody.read(request, mLimits.maxBodyBytes())
+                        .flatMap(body -> mParser.withBody(parsed.get(), body));
+        if (whole.isLeft()) {
+            response.setHeader("Connection", "close");
+            reply.refuse(whole.getLeft());
+            return;
+        }
         reply.suspend();
-        RequestBody body =
-                new RequestBody(
-                        request.getNIOInputStream(),
-                        mLimits.maxBodyBytes(),
-                        new SubmissionBody(parsed.get(), reply));
-        body.start(mScheduler, mLimits.bodyTimeout());
+        submit(whole.get(), reply);
     }
 
-    private void submit(PipelineRequest request, byte[] body, Reply reply) {
+    private void submit(PipelineRequest request, Reply reply) {
+        byte[] body = new byte[request.body().remaining()];
+        request.body().duplicate().get(body);
         JobSubmission submission =
                 new JobSubmission(
                         request.team().id(),
@@ -202,33 +207,6 @@
         reply.sendOrRefuse(ACCEPTED, job.map(kept -> JobView.of(kept, Optional.empty())));
     }
 
-    /** Submits a job once its body is whole. */
-    private final class SubmissionBody implements RequestBody.Listener {
-
-        private final PipelineRequest mRequest;
-        private final Reply mReply;
-
-        SubmissionBody(PipelineRequest request, Reply reply) {
-            mRequest = request;
-            mReply = reply;
-        }
-
-        @Override
-        public void onBody(byte[] body) {
-            Either<Refusal, PipelineRequest> whole = mParser.withBody(mRequest, body);
-            if (whole.isLeft()) {
-                mReply.refuse(whole.getLeft());
-            } else {
-                submit(whole.get(), body, mReply);
-            }
-        }
-
-        @Override
-        public void onRefused(Refusal refusal) {
-            mReply.refuse(refusal);
-        }
-    }
-
     /** Writes one answer. */
     private final class Reply {
 
--- a/standins/src/test/java/org/boragethread/standins/system/JobTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/JobTest.java
@@ -11,8 +11,10 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import org.boragethread.standins.HttpCalls;
 import org.boragethread.standins.harness.Await;
+import org.boragethread.standins.harness.ConfigDocuments.Change;
 import org.boragethread.standins.harness.Deployment;
 import org.boragethread.standins.http.Json;
 import org.boragethread.standins.upstream.Upstream;
@@ -99,6 +101,26 @@
         assertEquals(Ledgers.of(mDeployment).size(), 1);
     }
 
+    @Test
+    public void jobOfRestartedAgentIsHeldUntilAnOperatorSettlesIt() throws Exception {
+        slowDown(VERY_SLOW);
+        String job = idOf(submit(0, "span 6"));
+        Await.until("the order runs", TIMEOUT, () -> Ledgers.of(mDeployment).size() == 1);
+        String upstream =
+                mDeployment.upstream("orders-1").ledger().isEmpty() ? "orders-2" : "orders-1";
+        mDeployment.agent(upstream).process().kill();
+        mDeployment.agent(upstream).process().awaitExit(TIMEOUT);
+        mDeployment.restartAgent(upstream);
+        awaitStatus(1, job, "held");
+        SettleJob settle = new SettleJob("settle-job", job, "ran");
+        mDeployment.entries().get(1).operator().apply(List.of(settle), false);
+        awaitStatus(0, job, "finished");
+        assertEquals(Ledgers.of(mDeployment).size(), 1);
+    }
+
+    /** States what an operator found out about a held job. */
+    private record SettleJob(String kind, String job, String outcome) implements Change {}
+
     private void slowDown(double factor) {
         for (Upstream upstream : mDeployment.upstreams()) {
             upstream.setFaults(upstream.faults().withSlowFactor(factor));
