--- a/entry/src/main/java/org/boragethread/entry/http/JobMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/http/JobMetrics.java
@@ -53,6 +53,7 @@
                 .register(mRegistry);
         Gauge.builder("boragethread.entry.jobs.running.here", running, IntSupplier::getAsInt)
                 .description("Jobs that this entry runs")
+                .strongReference(true)
                 .register(mRegistry);
     }
 
--- a/standins/src/test/java/org/boragethread/standins/system/JobTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/JobTest.java
@@ -79,6 +79,16 @@
         assertEquals(jobs.get(0).path("job").asText(), job);
     }
 
+    @Test
+    public void metricsShowJobs() throws Exception {
+        String job = idOf(submit(0, "span 7"));
+        awaitStatus(0, job, "finished");
+        String metrics = calls(0).get("/metrics").body();
+        assertTrue(metrics.contains("boragethread_entry_jobs{status=\"finished\"} 1.0"), metrics);
+        assertTrue(metrics.contains("boragethread_entry_jobs_accepted_total 1.0"), metrics);
+        assertTrue(metrics.contains("boragethread_entry_jobs_running_here 0.0"), metrics);
+    }
+
     @Test
     public void cancelledJobDoesNotFinish() throws Exception {
         slowDown(VERY_SLOW);
