Keep removals so that an old plan cannot undo one

Change: the configuration keeps the revision of the last removal of each kind of object. A plan that expects absence and whose base revision is below it is a conflict. A settled job that is forgotten counts as removed when it was settled.

A plan that creates an object conflicts when another object of the same kind was removed since; it has to be planned again.

--- a/core/src/main/java/org/boragethread/core/config/ChangeRules.java
+++ b/core/src/main/java/org/boragethread/core/config/ChangeRules.java
@@ -91,9 +91,9 @@
     private static void applyOther(
             Change change, Configuration.Builder builder, Configuration before, long revision) {
         if (change instanceof Change.RemoveTeam c) {
-            builder.remove(c.team());
+            builder.remove(c.team(), revision);
         } else if (change instanceof Change.RemovePipeline c) {
-            builder.remove(c.pipeline());
+            builder.remove(c.pipeline(), revision);
         } else if (change instanceof Change.SettleJob c) {
             builder.settle(c.job(), c.outcome(), revision);
         } else if (change instanceof Change.SetDataCentreService c) {
@@ -107,7 +107,7 @@
     private static void setService(
             Change.SetUpstreamService change, Configuration.Builder builder, long revision) {
         if (change.service() == ServiceState.IN) {
-            builder.remove(change.upstream());
+            builder.remove(change.upstream(), revision);
             return;
         }
         builder.put(change.upstream(), change.service(), revision);
--- a/core/src/main/java/org/boragethread/core/config/ConfigFold.java
+++ b/core/src/main/java/org/boragethread/core/config/ConfigFold.java
@@ -106,18 +106,28 @@
         return refs;
     }
 
-    /** Returns the touched objects that no longer have the plan's revision. */
+    /**
+     * Returns the touched objects that no longer have the plan's revision, and those that the plan
+     * expects to be absent though one of their kind was removed after the plan was made.
+     */
     static List<ObjectConflict> conflicts(Configuration configuration, Plan plan) {
         List<ObjectConflict> result = new ArrayList<>();
         for (TouchedObject touched : plan.touched()) {
             long actual = configuration.revisionOf(touched.ref());
-            if (actual != touched.revision()) {
+            boolean changed = actual != touched.revision();
+            if (changed || mayHaveBeenRemoved(configuration, plan, touched)) {
                 result.add(new ObjectConflict(touched.ref(), touched.revision(), actual));
             }
         }
         return result;
     }
 
+    private static boolean mayHaveBeenRemoved(
+            Configuration configuration, Plan plan, TouchedObject touched) {
+        return touched.revision() == Configuration.NO_REVISION
+                && plan.baseRevision() < configuration.lastRemoval(touched.ref().kind());
+    }
+
     private static Configuration decide(
             Configuration.Builder builder, Plan plan, long offset, boolean accepted) {
         return builder.decide(new PlanDecision(plan.id(), offset, accepted))
--- a/core/src/main/java/org/boragethread/core/config/ObjectConflict.java
+++ b/core/src/main/java/org/boragethread/core/config/ObjectConflict.java
@@ -22,6 +22,10 @@
         if (ref.equals(ObjectRef.CAPACITY)) {
             return "something else was taken out of service at revision %d".formatted(actual);
         }
+        if (planned == actual) {
+            return "%s may have been added and removed after the plan was made: plan it again"
+                    .formatted(ref);
+        }
         if (actual == Configuration.NO_REVISION) {
             return "%s was removed after the plan was made".formatted(ref);
         }
--- a/core/src/main/java/org/boragethread/core/config/SnapshotCodec.java
+++ b/core/src/main/java/org/boragethread/core/config/SnapshotCodec.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 import org.boragethread.model.config.Configuration;
 import org.boragethread.model.config.JobSettlement;
+import org.boragethread.model.config.ObjectKind;
 import org.boragethread.model.config.PlanDecision;
 import org.boragethread.model.config.PlanId;
 import org.boragethread.model.config.Versioned;
@@ -16,7 +17,7 @@
 /** JSON form of a whole configuration; equal configurations have equal forms. */
 final class SnapshotCodec {
 
-    private static final int FORMAT = 1;
+    private static final int FORMAT = 2;
 
     private SnapshotCodec() {}
 
@@ -37,6 +38,8 @@
         configuration.settledJobs().forEach((job, outcome) -> jobs.add(write(job, outcome)));
         ArrayNode decisions = result.putArray("decisions");
         configuration.decisions().forEach(d -> decisions.add(write(d)));
+        ArrayNode removals = result.putArray("removals");
+        configuration.removals().forEach((kind, at) -> removals.add(write(kind, at)));
         return result;
     }
 
@@ -58,6 +61,7 @@
         fields.objects("upstreams", f -> upstream(f, builder));
         fields.objects("settledJobs", f -> settledJob(f, builder));
         fields.objects("decisions", f -> builder.decide(decision(f)));
+        fields.objects("removals", f -> removal(f, builder));
         return builder.forgottenThrough(fields.longInteger("forgottenThrough")).build();
     }
 
@@ -113,6 +117,15 @@
                 fields.longInteger("revision"));
     }
 
+    private static ObjectNode write(ObjectKind kind, long revision) {
+        return ObjectCodec.node().put("kind", Fields.labelOf(kind)).put("revision", revision);
+    }
+
+    private static Configuration.Builder removal(Fields fields, Configuration.Builder builder) {
+        return builder.removal(
+                fields.label("kind", ObjectKind.class), fields.longInteger("revision"));
+    }
+
     private static ObjectNode write(PlanDecision decision) {
         return ObjectCodec.node()
                 .put("plan", decision.plan().value())
--- a/core/src/test/java/org/boragethread/core/config/ConfigFoldTest.java
+++ b/core/src/test/java/org/boragethread/core/config/ConfigFoldTest.java
@@ -21,6 +21,7 @@
 import org.boragethread.model.config.Plan;
 import org.boragethread.model.place.ServiceState;
 import org.boragethread.model.team.TeamId;
+import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
 import org.testng.annotations.Test;
 
@@ -161,4 +162,64 @@
                 accept(base(), "settle", new Change.SettleJob("job-1", JobSettlement.NOT_RUN));
         assertEquals(after.settledJobs().get("job-1").value(), JobSettlement.NOT_RUN);
     }
+
+    @Test
+    public void oldPlanThatCreatesAnObjectDoesNotUndoItsRemoval() {
+        Configuration before = base();
+        Plan old = plan(before, "old", team("lines", 9));
+        Configuration added = accept(before, "add", team("lines", 1));
+        Configuration removed = accept(added, "remove", removeTeam("lines"));
+        FoldResult result = fold(removed, old);
+        assertTrue(result.verdict() instanceof Verdict.Conflict, result.verdict().toString());
+        assertTrue(result.configuration().team(LINES).isEmpty());
+    }
+
+    @Test
+    public void removalIsRememberedThroughASnapshot() {
+        Configuration before = base();
+        Plan old = plan(before, "old", team("lines", 9));
+        Configuration added = accept(before, "add", team("lines", 1));
+        Configuration removed = accept(added, "remove", removeTeam("lines"));
+        SnapshotAssembler assembler = new SnapshotAssembler();
+        Configuration restored =
+                SnapshotFormat.split(removed, Replication.MAX_FRAME_BYTES).stream()
+                        .flatMap(part -> assembler.add("", part).stream())
+                        .findFirst()
+                        .orElseThrow()
+                        .get();
+        FoldResult result = fold(restored, old);
+        assertTrue(result.verdict() instanceof Verdict.Conflict, result.verdict().toString());
+        assertEquals(ConfigCodec.hashOf(restored), ConfigCodec.hashOf(removed));
+    }
+
+    @Test
+    public void oldPlanDoesNotTakeAnUpstreamOutAgain() {
+        UpstreamId engine = new UpstreamId("engine-1");
+        Change out = new Change.SetUpstreamService(engine, ServiceState.OUT);
+        Configuration before = base();
+        Plan old = plan(new Intent("old", "ana", List.of(out), true), before);
+        Configuration taken = accept(before, "out", out);
+        Configuration back =
+                accept(taken, "in", new Change.SetUpstreamService(engine, ServiceState.IN));
+        FoldResult result = fold(back, old);
+        assertTrue(result.verdict() instanceof Verdict.Conflict, result.verdict().toString());
+        assertTrue(result.configuration().isInService(engine, FLORIDA));
+    }
+
+    @Test
+    public void planMadeAfterARemovalCreatesTheObjectAgain() {
+        Configuration added = accept(base(), "add", team("lines", 1));
+        Configuration removed = accept(added, "remove", removeTeam("lines"));
+        Configuration again = accept(removed, "again", team("lines", 3));
+        assertEquals(again.team(LINES).orElseThrow().weight(), 3);
+    }
+
+    @Test
+    public void removalOfATeamDoesNotConflictWithPlansOfOtherKinds() {
+        Configuration added = accept(base(), "add", team("lines", 1));
+        Plan group = plan(added, "group", TestConfigs.group(new GroupId("encoders")));
+        Configuration removed = accept(added, "remove", removeTeam("lines"));
+        FoldResult result = fold(removed, group);
+        assertTrue(result.verdict() instanceof Verdict.Accepted, result.verdict().toString());
+    }
 }
--- a/model/src/main/java/org/boragethread/model/config/Configuration.java
+++ b/model/src/main/java/org/boragethread/model/config/Configuration.java
@@ -1,5 +1,6 @@
 package org.boragethread.model.config;
 
+import io.vavr.Tuple2;
 import io.vavr.collection.HashMap;
 import io.vavr.collection.SortedMap;
 import io.vavr.collection.TreeMap;
@@ -45,6 +46,7 @@
     private final HashMap<PlanId, Long> mDecisionOffsets;
     private final long mCapacityRevision;
     private final long mForgottenThrough;
+    private final SortedMap<ObjectKind, Long> mRemovals;
 
     private Configuration(Builder builder) {
         mRevision = builder.mRevision;
@@ -58,6 +60,7 @@
         mDecisionOffsets = builder.mDecisionOffsets;
         mCapacityRevision = builder.mCapacityRevision;
         mForgottenThrough = builder.mForgottenThrough;
+        mRemovals = builder.mRemovals;
     }
 
     /** Returns the log offset of the last record that this configuration contains. */
@@ -149,6 +152,19 @@
         return mForgottenThrough;
     }
 
+    /** Returns the revision of the last removal of an object, by kind. */
+    public Map<ObjectKind, Long> removals() {
+        return new MapView<>(ObjectKind.class, mRemovals);
+    }
+
+    /**
+     * Returns the revision of the last removal of an object of a kind, or {@link #NO_REVISION}. An
+     * older plan cannot tell an object that never existed from one that was removed since.
+     */
+    public long lastRemoval(ObjectKind kind) {
+        return mRemovals.get(kind).getOrElse(NO_REVISION);
+    }
+
     /** Returns the revision of an object, or {@link #NO_REVISION} if it does not exist. */
     public long revisionOf(ObjectRef ref) {
         String name = ref.name();
@@ -185,6 +201,7 @@
         private HashMap<PlanId, Long> mDecisionOffsets = HashMap.empty();
         private long mCapacityRevision = NO_REVISION;
         private long mForgottenThrough = NO_REVISION;
+        private SortedMap<ObjectKind, Long> mRemovals = TreeMap.empty();
 
         /** Starts with the empty configuration. */
         public Builder() {}
@@ -201,6 +218,7 @@
             mDecisionOffsets = from.mDecisionOffsets;
             mCapacityRevision = from.mCapacityRevision;
             mForgottenThrough = from.mForgottenThrough;
+            mRemovals = from.mRemovals;
         }
 
         /** Sets the revision of the result. */
@@ -228,9 +246,12 @@
         }
 
         /** Forgets the service state of an upstream, which is then in service. */
-        public Builder remove(UpstreamId upstream) {
+        public Builder remove(UpstreamId upstream, long revision) {
+            if (!mUpstreams.containsKey(upstream)) {
+                return this;
+            }
             mUpstreams = mUpstreams.remove(upstream);
-            return this;
+            return removal(ObjectKind.UPSTREAM, revision);
         }
 
         /** Adds or replaces a team. */
@@ -246,14 +267,20 @@
         }
 
         /** Removes a team. */
-        public Builder remove(TeamId team) {
+        public Builder remove(TeamId team, long revision) {
             mTeams = mTeams.remove(team);
-            return this;
+            return removal(ObjectKind.TEAM, revision);
         }
 
         /** Removes a pipeline. */
-        public Builder remove(PipelineId pipeline) {
+        public Builder remove(PipelineId pipeline, long revision) {
             mPipelines = mPipelines.remove(pipeline);
+            return removal(ObjectKind.PIPELINE, revision);
+        }
+
+        /** Sets the revision of the last removal of an object of a kind; it never goes down. */
+        public Builder removal(ObjectKind kind, long revision) {
+            mRemovals = mRemovals.put(kind, revision, Math::max);
             return this;
         }
 
@@ -261,15 +288,14 @@
         public Builder settle(String job, JobSettlement outcome, long revision) {
             mSettledJobs = mSettledJobs.put(job, new Versioned<>(outcome, revision));
             if (mSettledJobs.size() > MAX_REMEMBERED) {
-                mSettledJobs = mSettledJobs.remove(oldestSettledJob());
+                Tuple2<String, Versioned<JobSettlement>> oldest =
+                        mSettledJobs.minBy(e -> e._2.revision()).get();
+                mSettledJobs = mSettledJobs.remove(oldest._1);
+                removal(ObjectKind.JOB, oldest._2.revision());
             }
             return this;
         }
 
-        private String oldestSettledJob() {
-            return mSettledJobs.minBy(e -> e._2.revision()).get()._1;
-        }
-
         /** Records the fate of a plan and forgets the oldest beyond the bound. */
         public Builder decide(PlanDecision decision) {
             mDecisions = mDecisions.put(decision.offset(), decision);
