--- a/bench/src/main/java/org/boragethread/bench/BenchMain.java
+++ b/bench/src/main/java/org/boragethread/bench/BenchMain.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.Map;
 import org.boragethread.standins.http.StandInProcess;
 
 /** The program {@code bench}. Exits with 0 if all targets are kept, 1 if any is short. */
@@ -19,11 +20,13 @@
      * @throws InterruptedException if the main thread is interrupted
      */
     public static void main(String[] args) throws IOException, InterruptedException {
-        if (args.length == 0 || !args[0].equals("path")) {
-            System.err.println("usage: bench path [options]");
+        Map<String, BenchCommand> commands =
+                Map.of("path", new PathCommand(), "load", new LoadCommand());
+        if (args.length == 0 || !commands.containsKey(args[0])) {
+            System.err.println("usage: bench path|load [options]");
             System.exit(EXIT_USAGE);
         }
-        BenchCommand command = new PathCommand();
+        BenchCommand command = commands.get(args[0]);
         StandInProcess.parse(command, Arrays.copyOfRange(args, 1, args.length));
         System.exit(command.run() ? 0 : EXIT_SHORT);
     }
--- /dev/null
+++ b/bench/src/main/java/org/boragethread/bench/load/Results.java
@@ -0,0 +1,51 @@
+package org.boragethread.bench.load;
+
+import java.util.Locale;
+import org.boragethread.bench.report.Figures;
+import org.boragethread.bench.report.Report;
+import org.boragethread.bench.report.Target;
+
+/** Takes the results of one variant of a scenario into the report. */
+final class Results {
+
+    private final String mLabel;
+    private final Variant mVariant;
+    private final Report mReport;
+
+    Results(String scenario, Variant variant, Report report) {
+        mLabel = scenario + " " + variant.label();
+        mVariant = variant;
+        mReport = report;
+    }
+
+    /** Adds what became of the requests and how late the generator was. */
+    void add(Tally tally, UpstreamTotals totals) {
+        mReport.add(Figures.of(mLabel, tally.latency()));
+        mReport.add(Figures.of(mLabel + " lateness", tally.lateness()));
+        double perAnswerMs = totals.busyMs() / Math.max(1, tally.attained());
+        note(
+                "offered %d attained %d (%.4f) wrong %d calls %d busy/answer %.1f ms wasted %.4f",
+                tally.offered(),
+                tally.attained(),
+                tally.attainment(),
+                tally.wrong(),
+                totals.calls(),
+                perAnswerMs,
+                totals.wastedShare(tally.attained()));
+        note("failures %s", tally.failures());
+        note("attained/offered by second %s", tally.seconds());
+    }
+
+    /** Adds a line of text. */
+    void note(String format, Object... values) {
+        mReport.note(mLabel + ": " + String.format(Locale.ROOT, format, values));
+    }
+
+    /** Adds a figure with its bound; only the policies are held against it. */
+    void target(Target target) {
+        if (mVariant == Variant.POLICY) {
+            mReport.target(target);
+        }
+        mReport.note(mVariant.label() + " " + target.line());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/boragethread/bench/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures decisions under load and faults: scenarios, each with the policies and the baselines.
+ */
+package org.boragethread.bench.load;
