--- a/bench/src/main/java/org/boragethread/bench/load/LoadBench.java
+++ b/bench/src/main/java/org/boragethread/bench/load/LoadBench.java
@@ -8,7 +8,14 @@
 /** Runs scenarios, each with the policies and then with the baselines. */
 public final class LoadBench {
 
-    private static final List<Scenario> SCENARIOS = List.of(new SlowUpstream());
+    private static final List<Scenario> SCENARIOS =
+            List.of(
+                    new SlowUpstream(),
+                    new Overload(),
+                    new TeamBurst(),
+                    new Drain(),
+                    new ColdUpstreams(),
+                    new RetryStorm());
 
     private final LoadSettings mSettings;
     private final Report mReport;
--- a/bench/src/main/java/org/boragethread/bench/load/LoadRun.java
+++ b/bench/src/main/java/org/boragethread/bench/load/LoadRun.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.boragethread.bench.client.OpenLoop;
 import org.boragethread.bench.client.TimedClient;
 import org.boragethread.standins.harness.Deployment;
@@ -52,11 +51,10 @@
         String entry = entries.get(number % entries.size());
         Map<String, String> headers =
                 Map.of("Team", team, "Deadline-Ms", Long.toString(LoadDeployment.DEADLINE_MS));
-        long second = TimeUnit.NANOSECONDS.toSeconds(intended - begin);
         return mClient.post(entry, "/v1/pipelines/" + LoadDeployment.PIPELINE, body, headers)
                 .handle(
                         (timed, failure) -> {
-                            tally.countEnd(team, second, intended, timed, body);
+                            tally.countEnd(team, begin, intended, timed, body);
                             return timed;
                         });
     }
--- a/bench/src/main/java/org/boragethread/bench/load/Tally.java
+++ b/bench/src/main/java/org/boragethread/bench/load/Tally.java
@@ -18,6 +18,7 @@
     private final Map<String, Long> mFailures = new TreeMap<>();
     private final Map<String, long[]> mTeams = new TreeMap<>();
     private final Map<Long, long[]> mSeconds = new TreeMap<>();
+    private final TreeMap<Long, Long> mGoodEnds = new TreeMap<>();
     private long mOffered;
     private long mAttained;
     private long mWrong;
@@ -30,16 +31,29 @@
     /**
      * Notes the end of a request.
      *
-     * @param second second of the run in which it should have started
+     * @param beginNanos monotonic time of the beginning of the run, in nanoseconds
+     * @param intendedNanos monotonic time at which it should have started, in nanoseconds
      * @param timed the answer, or null if there was none
      */
     synchronized void countEnd(
-            String team, long second, long intendedNanos, TimedAnswer timed, byte[] body) {
+            String team, long beginNanos, long intendedNanos, TimedAnswer timed, byte[] body) {
         boolean attained = attained(intendedNanos, timed, body);
         mOffered++;
         mAttained += attained ? 1 : 0;
         add(mTeams.computeIfAbsent(team, key -> new long[2]), attained);
+        long second = TimeUnit.NANOSECONDS.toSeconds(intendedNanos - beginNanos);
         add(mSeconds.computeIfAbsent(second, key -> new long[2]), attained);
+        if (attained) {
+            long endSecond = TimeUnit.NANOSECONDS.toSeconds(timed.endNanos() - beginNanos);
+            mGoodEnds.merge(endSecond, 1L, Long::sum);
+        }
+    }
+
+    /** Returns how many good answers came from one second of the run until before another. */
+    synchronized long goodEnds(long fromSecond, long toSecond) {
+        return mGoodEnds.subMap(fromSecond, toSecond).values().stream()
+                .mapToLong(Long::longValue)
+                .sum();
     }
 
     synchronized long offered() {
