Close callers' connections and save outcomes before an entry stops

Cause: a stopping entry kept its callers' connections, so a request sent on one just before the close would be cut; outcomes not yet in the log were dropped at the stop. Change: answers of a stopping entry carry Connection: close; the stop waits for unsaved outcomes within the grace time. Conclusion: GracefulStopTest covers the stop under load; not measured further.

--- a/entry/src/main/java/org/boragethread/entry/http/CallerHandler.java
+++ b/entry/src/main/java/org/boragethread/entry/http/CallerHandler.java
@@ -1,5 +1,6 @@
 package org.boragethread.entry.http;
 
+import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.glassfish.grizzly.http.Method;
@@ -14,15 +15,24 @@
 
     private final PipelineHandler mPipelines;
     private final JobHandler mJobs;
+    private final BooleanSupplier mStopping;
 
-    /** Hands requests to the given handlers. */
-    public CallerHandler(PipelineHandler pipelines, JobHandler jobs) {
+    /**
+     * Hands requests to the given handlers.
+     *
+     * @param stopping whether the process stops, so that callers should use other connections
+     */
+    public CallerHandler(PipelineHandler pipelines, JobHandler jobs, BooleanSupplier stopping) {
         mPipelines = pipelines;
         mJobs = jobs;
+        mStopping = stopping;
     }
 
     @Override
     public void service(Request request, Response response) {
+        if (mStopping.getAsBoolean()) {
+            response.setHeader("Connection", "close");
+        }
         String path = request.getRequestURI();
         Matcher submission = SUBMISSION.matcher(path);
         if (submission.matches() && request.getMethod() == Method.POST) {
--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -268,7 +268,7 @@
         BodyLimits bodies =
                 new BodyLimits(
                         mSettings.callers().maxBodyBytes(), mSettings.callers().bodyTimeout());
-        CallerHandler handler = new CallerHandler(pipelines, jobHandler());
+        CallerHandler handler = new CallerHandler(pipelines, jobHandler(), () -> mStopping);
         int threads = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
         HttpServer server = HttpServers.create(mSettings.listen(), handler, bodies, threads);
         MonitoringHandler monitoring = new MonitoringHandler(mRegistry, this::obstacle);
@@ -354,12 +354,16 @@
 
     private void awaitIdle(Duration bound) {
         long start = mTime.nanoTime();
-        while (mRequests.inProgress() + mJobs.running() > 0
-                && mTime.since(start).compareTo(bound) < 0) {
+        while (unfinished() > 0 && mTime.since(start).compareTo(bound) < 0) {
             pause(POLL_MILLIS);
         }
     }
 
+    /** Returns requests and jobs in progress, and outcomes that are not in the log yet. */
+    private int unfinished() {
+        return mRequests.inProgress() + mJobs.running() + mClaims.service().unsaved();
+    }
+
     private static void pause(long millis) {
         try {
             Thread.sleep(millis);
