--- a/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
+++ b/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
@@ -26,6 +26,7 @@
 import org.boragethread.core.admission.AdaptiveGate;
 import org.boragethread.core.breaker.BreakerGate;
 import org.boragethread.core.breaker.CircuitBreaker;
+import org.boragethread.core.config.ConfigMeters;
 import org.boragethread.core.config.ConfigStore;
 import org.boragethread.core.limit.FixedLimit;
 import org.boragethread.core.metrics.DecisionMetrics;
@@ -87,6 +88,7 @@
                         mGates,
                         this::makeGate);
         mConfig.addListener(mGateController);
+        ConfigMeters.bind(mConfig, mRegistry);
         mServer = makeServer();
         mMonitor =
                 HttpServers.create(
--- a/entry/src/main/java/org/boragethread/entry/command/StatusCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/command/StatusCommand.java
@@ -32,6 +32,11 @@
         out.printf("entry        %s in %s%n", report.entry(), report.dataCentre());
         out.printf("ready        %s%n", report.ready());
         out.printf("revision     %d%n", report.revision());
+        StatusReport.ConfigAges ages = report.configAges();
+        out.printf(
+                "log          %s, newest snapshot %s%n",
+                age(ages.stalenessMs(), "read to its end %d ms ago", "not read to its end yet"),
+                age(ages.snapshotAgeMs(), "%d ms old", "not seen"));
         out.printf("requests     %d in progress%n", report.requests());
         out.printf("data centres %s%n", report.dataCentres());
         out.printf("pipelines    %s%n", String.join(" ", report.pipelines()));
@@ -68,4 +73,8 @@
                     upstream.loadAgeMs());
         }
     }
+
+    private static String age(long millis, String known, String unknown) {
+        return millis == StatusReport.ConfigAges.NEVER ? unknown : known.formatted(millis);
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/operator/StatusReport.java
+++ b/entry/src/main/java/org/boragethread/entry/operator/StatusReport.java
@@ -1,7 +1,9 @@
 package org.boragethread.entry.operator;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * What an entry knows, for operators.
@@ -9,6 +11,7 @@
  * @param entry name of the entry
  * @param dataCentre data centre of the entry
  * @param revision configuration revision in force at the entry
+ * @param configAges how current the configuration and its snapshot in the log are
  * @param ready whether the entry takes new requests, or why it does not
  * @param requests requests in progress
  * @param dataCentres service state by data centre
@@ -21,6 +24,7 @@
         String entry,
         String dataCentre,
         long revision,
+        ConfigAges configAges,
         String ready,
         int requests,
         Map<String, String> dataCentres,
@@ -29,6 +33,27 @@
         KeptWork kept,
         List<UpstreamStatus> upstreams) {
 
+    /**
+     * How current the configuration and its snapshot in the log are.
+     *
+     * @param stalenessMs time since the log had been read to its end, in milliseconds, or -1 if it
+     *     never had been
+     * @param snapshotAgeMs age of the newest snapshot in the log, in milliseconds, or -1 if none
+     *     was seen
+     */
+    public record ConfigAges(long stalenessMs, long snapshotAgeMs) {
+
+        /** Value of a time that is not known. */
+        public static final long NEVER = -1;
+
+        /** Makes ages from times that may be unknown. */
+        public static ConfigAges of(Optional<Duration> staleness, Optional<Duration> snapshotAge) {
+            return new ConfigAges(
+                    staleness.map(Duration::toMillis).orElse(NEVER),
+                    snapshotAge.map(Duration::toMillis).orElse(NEVER));
+        }
+    }
+
     /**
      * Claims and jobs that have not ended.
      *
--- a/entry/src/main/java/org/boragethread/entry/operator/StatusReporter.java
+++ b/entry/src/main/java/org/boragethread/entry/operator/StatusReporter.java
@@ -30,6 +30,7 @@
     private final Supplier<Optional<String>> mObstacle;
     private final IntSupplier mRequests;
     private final Supplier<StatusReport.KeptWork> mKept;
+    private final Supplier<StatusReport.ConfigAges> mConfigAges;
 
     /**
      * Makes a reporter.
@@ -37,6 +38,7 @@
      * @param obstacle why the entry is not ready, or empty
      * @param requests number of requests in progress
      * @param kept claims and jobs that have not ended
+     * @param configAges how current the configuration is
      */
     public StatusReporter(
             EntryIdentity identity,
@@ -44,13 +46,15 @@
             UpstreamTable upstreams,
             Supplier<Optional<String>> obstacle,
             IntSupplier requests,
-            Supplier<StatusReport.KeptWork> kept) {
+            Supplier<StatusReport.KeptWork> kept,
+            Supplier<StatusReport.ConfigAges> configAges) {
         mIdentity = Objects.requireNonNull(identity, "identity");
         mConfiguration = Objects.requireNonNull(configuration, "configuration");
         mUpstreams = Objects.requireNonNull(upstreams, "upstreams");
         mObstacle = Objects.requireNonNull(obstacle, "obstacle");
         mRequests = Objects.requireNonNull(requests, "requests");
         mKept = Objects.requireNonNull(kept, "kept");
+        mConfigAges = Objects.requireNonNull(configAges, "configAges");
     }
 
     /** Returns the report as JSON. */
@@ -68,6 +72,7 @@
                 mIdentity.entryId(),
                 mIdentity.dataCentre().value(),
                 configuration.revision(),
+                mConfigAges.get(),
                 mObstacle.get().orElse("yes"),
                 mRequests.getAsInt(),
                 dataCentres(configuration),
--- a/entry/src/main/java/org/boragethread/entry/serve/ConfigService.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/ConfigService.java
@@ -1,12 +1,18 @@
 package org.boragethread.entry.serve;
 
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.boragethread.core.config.Bootstrap;
 import org.boragethread.core.config.ConfigFeed;
+import org.boragethread.core.config.ConfigMeters;
 import org.boragethread.core.config.ConfigStore;
 import org.boragethread.core.config.PeerConfigs;
-import org.boragethread.core.log.AppendBudget;
+import org.boragethread.core.config.SnapshotSettings;
+import org.boragethread.core.config.SnapshotWriter;
 import org.boragethread.core.log.AppenderSettings;
 import org.boragethread.core.log.FollowerSettings;
 import org.boragethread.core.log.GroupedAppender;
@@ -23,25 +29,31 @@
     /** Stream of configuration records. */
     static final String STREAM = "config";
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private final StreamFollower mFollower;
     private final GroupedAppender mAppender;
+    private final SnapshotWriter mSnapshots;
     private final ConfigStore mStore;
 
+    /** Makes a service that is not started and adds its meters to a registry. */
     ConfigService(
-            PlatformLog log,
+            LogAccess access,
             ConfigStore store,
             PeerConfigs peers,
-            AppendBudget budget,
-            TimeSource time,
-            Scheduler scheduler,
-            RandomGenerator random) {
+            SnapshotSettings snapshots,
+            MeterRegistry registry) {
         mStore = store;
+        PlatformLog log = access.log();
+        TimeSource time = access.time();
+        Scheduler scheduler = access.scheduler();
+        RandomGenerator random = access.random();
         mAppender =
                 new GroupedAppender(
                         log,
                         STREAM,
                         scheduler,
-                        budget,
+                        access.budget(),
                         new AppenderSettings.Builder().groupDelay(Duration.ZERO).build(),
                         random.nextLong());
         Bootstrap bootstrap = new Bootstrap(log, STREAM, store, peers);
@@ -53,14 +65,50 @@
                                 .handler(new ConfigFeed(store, mAppender, bootstrap))
                                 .seed(random.nextLong())
                                 .build();
+        mSnapshots =
+                new SnapshotWriter(store, mAppender, time, scheduler, snapshots, random.nextLong());
+        ConfigMeters.bind(store, registry);
+        gauge(
+                registry,
+                "staleness",
+                "Time since the log had been read to its end",
+                this::staleness);
+        gauge(registry, "snapshot.age", "Age of the newest snapshot in the log", this::snapshotAge);
+    }
+
+    private void gauge(
+            MeterRegistry registry,
+            String name,
+            String description,
+            Supplier<Optional<Duration>> value) {
+        Gauge.builder("boragethread.config." + name, this, s -> seconds(value.get()))
+                .description(description + "; not a number if that never was")
+                .baseUnit("seconds")
+                .register(registry);
+    }
+
+    private static double seconds(Optional<Duration> time) {
+        return time.map(t -> t.toNanos() / NANOS_PER_SECOND).orElse(Double.NaN);
     }
 
     void start() {
         mFollower.start(mStore.current().revision() + 1);
+        mSnapshots.start();
     }
 
     void stop() {
         mFollower.stop();
+        mSnapshots.stop();
+    }
+
+    /** Returns how long ago all records of the stream had been read, if they ever had been. */
+    Optional<Duration> staleness() {
+        return mFollower.staleness();
+    }
+
+    /** Returns the age of the newest snapshot in the log, if one was seen. */
+    Optional<Duration> snapshotAge() {
+        return mSnapshots.newestAge();
     }
 
     RecordWriter writer() {
--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -23,6 +23,7 @@
 import org.boragethread.core.config.PeerConfigs;
 import org.boragethread.core.config.PlacedUpstream;
 import org.boragethread.core.config.Planner;
+import org.boragethread.core.config.SnapshotSettings;
 import org.boragethread.core.dispatch.TablePicker;
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.dispatch.UpstreamTable;
@@ -141,13 +142,11 @@
                         mScheduler));
         mConfigService =
                 new ConfigService(
-                        log,
+                        access(log),
                         mConfig,
                         PeerConfigs.NONE,
-                        new AppendBudget(mTime, APPENDS_PER_SECOND, APPEND_BURST),
-                        mTime,
-                        mScheduler,
-                        mRandom.split());
+                        SnapshotSettings.of(mEntryId.value(), settings.configRetention()),
+                        mRegistry);
         mMembership =
                 new MembershipController(
                         new HttpVmDirectory(client, mScheduler, platform),
@@ -201,7 +200,8 @@
                         mUpstreams,
                         this::obstacle,
                         mRequests::inProgress,
-                        this::keptWork);
+                        this::keptWork,
+                        this::configAges);
         return new OperatorHandler(
                 mSettings.operatorToken(),
                 mConfig,
@@ -210,6 +210,10 @@
                 status);
     }
 
+    private StatusReport.ConfigAges configAges() {
+        return StatusReport.ConfigAges.of(mConfigService.staleness(), mConfigService.snapshotAge());
+    }
+
     private StatusReport.KeptWork keptWork() {
         JobTable jobs = mJobs.service().table();
         return new StatusReport.KeptWork(
--- a/entry/src/main/java/org/boragethread/entry/settings/EntrySettings.java
+++ b/entry/src/main/java/org/boragethread/entry/settings/EntrySettings.java
@@ -23,6 +23,7 @@
  * @param grace time that running requests have to end after that
  * @param platform address of the platform's log and VM list
  * @param listInterval time between readings of the VM list
+ * @param configRetention how long the platform's log keeps configuration records
  * @param callers bounds on what callers send
  * @param policies decision policies
  * @param claims settings of claims; the same for all entries
@@ -39,6 +40,7 @@
         Duration grace,
         InetSocketAddress platform,
         Duration listInterval,
+        Duration configRetention,
         CallerLimits callers,
         PolicySettings policies,
         ClaimSettings claims,
@@ -49,6 +51,9 @@
     private static final int MAX_BODY_BYTES = 3 << 20;
     private static final int DEFAULT_HEADER_BYTES = 8192;
     private static final Duration HOUR = Duration.ofHours(1);
+    private static final Duration DEFAULT_RETENTION = Duration.ofHours(24);
+    private static final Duration LEAST_RETENTION = Duration.ofMinutes(3);
+    private static final Duration GREATEST_RETENTION = Duration.ofDays(365);
 
     /** Reads settings; problems are recorded in the reader. */
     public static EntrySettings read(SettingsReader reader) {
@@ -71,6 +76,11 @@
                                 Duration.ofSeconds(1),
                                 Duration.ofMillis(50),
                                 Duration.ofMinutes(1)),
+                        platform.millis(
+                                "config_retention_ms",
+                                DEFAULT_RETENTION,
+                                LEAST_RETENTION,
+                                GREATEST_RETENTION),
                         readCallers(callers),
                         PolicySettings.read(reader),
                         ClaimSection.read(reader),
