--- a/standins/src/main/java/org/boragethread/standins/harness/Deployment.java
+++ b/standins/src/main/java/org/boragethread/standins/harness/Deployment.java
@@ -44,6 +44,7 @@
     private final Map<String, RunningEntry> mEntries = new LinkedHashMap<>();
     private final Map<String, RunningAgent> mAgents = new LinkedHashMap<>();
     private final List<FaultProxy> mProxies = new ArrayList<>();
+    private final Map<String, FaultProxy> mToPlatform = new LinkedHashMap<>();
     private final Map<String, String> mVmStates = new LinkedHashMap<>();
 
     private Deployment(DeploymentSpec spec) throws IOException {
@@ -100,6 +101,11 @@
         return mAgents.get(upstream);
     }
 
+    /** Returns the proxy between an entry and the platform; the specification must ask for it. */
+    public FaultProxy platformProxy(String entry) {
+        return mToPlatform.get(entry);
+    }
+
     /** Returns the addresses for callers of all entries. */
     public List<String> callerAddresses() {
         return mEntries.values().stream().map(RunningEntry::callers).toList();
@@ -187,7 +193,10 @@
     }
 
     private Optional<FaultProxy> proxy(String target) {
-        OptionalLong seed = mSpec.proxySeed();
+        return proxy(target, mSpec.proxySeed());
+    }
+
+    private Optional<FaultProxy> proxy(String target, OptionalLong seed) {
         if (seed.isEmpty()) {
             return Optional.empty();
         }
@@ -209,10 +218,20 @@
     }
 
     private JavaProcess launchEntry(NodeSpec.Entry entry, String listen, String operators) {
-        String text = SettingsText.entry(entry, mPlatform.address(), listen, operators);
+        String text = SettingsText.entry(entry, platformAddress(entry), listen, operators);
         return launch(entry.id(), ENTRY_MAIN, mSpec.entryJvm(), text);
     }
 
+    private String platformAddress(NodeSpec.Entry entry) {
+        if (!mToPlatform.containsKey(entry.id())) {
+            proxy(mPlatform.address(), mSpec.platformProxySeed())
+                    .ifPresent(p -> mToPlatform.put(entry.id(), p));
+        }
+        return Optional.ofNullable(mToPlatform.get(entry.id()))
+                .map(FaultProxy::address)
+                .orElse(mPlatform.address());
+    }
+
     private JavaProcess launch(String name, String main, List<String> jvm, String settings) {
         Path file = mDirectory.resolve(name + ".toml");
         try {
--- a/standins/src/main/java/org/boragethread/standins/harness/DeploymentSpec.java
+++ b/standins/src/main/java/org/boragethread/standins/harness/DeploymentSpec.java
@@ -15,6 +15,7 @@
     private final List<NodeSpec.Agent> mAgents;
     private final List<Change> mChanges;
     private final OptionalLong mProxySeed;
+    private final OptionalLong mPlatformProxySeed;
     private final List<String> mEntryJvm;
     private final List<String> mAgentJvm;
     private final PlatformSettings mPlatform;
@@ -24,6 +25,7 @@
         mAgents = List.copyOf(builder.mAgents);
         mChanges = List.copyOf(builder.mChanges);
         mProxySeed = builder.mProxySeed;
+        mPlatformProxySeed = builder.mPlatformProxySeed;
         mEntryJvm = builder.mEntryJvm;
         mAgentJvm = builder.mAgentJvm;
         mPlatform = builder.mPlatform;
@@ -45,6 +47,10 @@
         return mProxySeed;
     }
 
+    OptionalLong platformProxySeed() {
+        return mPlatformProxySeed;
+    }
+
     List<String> entryJvm() {
         return mEntryJvm;
     }
@@ -63,6 +69,7 @@
         private final List<NodeSpec.Agent> mAgents = new ArrayList<>();
         private final List<Change> mChanges = new ArrayList<>();
         private OptionalLong mProxySeed = OptionalLong.empty();
+        private OptionalLong mPlatformProxySeed = OptionalLong.empty();
         private List<String> mEntryJvm = List.of("-Xmx256m", "-XX:TieredStopAtLevel=1");
         private List<String> mAgentJvm =
                 List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
@@ -107,6 +114,12 @@
             return this;
         }
 
+        /** Puts a fault proxy between each entry and the platform. */
+        public Builder platformProxied(long seed) {
+            mPlatformProxySeed = OptionalLong.of(seed);
+            return this;
+        }
+
         /** Sets the JVM options of entries. */
         public Builder entryJvm(String... options) {
             mEntryJvm = List.of(options);
--- a/standins/src/main/java/org/boragethread/standins/harness/OperatorClient.java
+++ b/standins/src/main/java/org/boragethread/standins/harness/OperatorClient.java
@@ -40,11 +40,37 @@
      * @throws IllegalStateException if the entry refuses the intent or the plan
      */
     public long apply(List<Change> changes, boolean force) {
-        Intent intent = new Intent(UUID.randomUUID().toString(), "harness", force, changes);
-        byte[] plan = post("/v1/intents", Json.write(intent));
+        byte[] plan = plan(changes, force);
         return Json.tree(post("/v1/plans/confirm", plan)).path("revision").asLong();
     }
 
+    /**
+     * States an intent.
+     *
+     * @return the plan as the entry gave it
+     * @throws IllegalStateException if the entry refuses the intent
+     */
+    public byte[] plan(List<Change> changes, boolean force) {
+        Intent intent = new Intent(UUID.randomUUID().toString(), "harness", force, changes);
+        return post("/v1/intents", Json.write(intent));
+    }
+
+    /** Confirms a plan and returns the answer, whatever its status. */
+    public Confirmation confirm(byte[] plan) {
+        HttpRequest.Builder request = request("/v1/plans/confirm");
+        HttpResponse<byte[]> answer =
+                exchange(request.POST(BodyPublishers.ofByteArray(plan)).build());
+        return new Confirmation(answer.statusCode(), Json.tree(answer.body()));
+    }
+
+    /**
+     * The answer to a confirmation.
+     *
+     * @param status HTTP status
+     * @param body the JSON document
+     */
+    public record Confirmation(int status, JsonNode body) {}
+
     /** Returns what the entry reports about itself. */
     public JsonNode status() {
         return Json.tree(send(request("/v1/status").GET().build()));
@@ -61,17 +87,19 @@
     }
 
     private byte[] send(HttpRequest request) {
+        HttpResponse<byte[]> answer = exchange(request);
+        if (answer.statusCode() != OK) {
+            throw new IllegalStateException(
+                    "%s answered %d: %s"
+                            .formatted(
+                                    request.uri(), answer.statusCode(), new String(answer.body())));
+        }
+        return answer.body();
+    }
+
+    private HttpResponse<byte[]> exchange(HttpRequest request) {
         try {
-            HttpResponse<byte[]> answer = mClient.send(request, BodyHandlers.ofByteArray());
-            if (answer.statusCode() != OK) {
-                throw new IllegalStateException(
-                        "%s answered %d: %s"
-                                .formatted(
-                                        request.uri(),
-                                        answer.statusCode(),
-                                        new String(answer.body())));
-            }
-            return answer.body();
+            return mClient.send(request, BodyHandlers.ofByteArray());
         } catch (IOException e) {
             throw new UncheckedIOException(request.uri() + " cannot be called", e);
         } catch (InterruptedException e) {
