--- a/wire/src/main/java/org/boragethread/wire/proto/ConfigSnapshot.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ConfigSnapshot.java
@@ -95,7 +95,7 @@
   private long contentHash_ = 0L;
   /**
    * <pre>
-   * Hash of the joined parts.
+   * Hash of the uncompressed JSON document that the joined parts hold compressed.
    * </pre>
    *
    * <code>fixed64 content_hash = 5;</code>
@@ -636,7 +636,7 @@
     private long contentHash_ ;
     /**
      * <pre>
-     * Hash of the joined parts.
+     * Hash of the uncompressed JSON document that the joined parts hold compressed.
      * </pre>
      *
      * <code>fixed64 content_hash = 5;</code>
@@ -648,7 +648,7 @@
     }
     /**
      * <pre>
-     * Hash of the joined parts.
+     * Hash of the uncompressed JSON document that the joined parts hold compressed.
      * </pre>
      *
      * <code>fixed64 content_hash = 5;</code>
@@ -664,7 +664,7 @@
     }
     /**
      * <pre>
-     * Hash of the joined parts.
+     * Hash of the uncompressed JSON document that the joined parts hold compressed.
      * </pre>
      *
      * <code>fixed64 content_hash = 5;</code>
--- a/wire/src/main/java/org/boragethread/wire/proto/ConfigSnapshotOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ConfigSnapshotOrBuilder.java
@@ -39,7 +39,7 @@
 
   /**
    * <pre>
-   * Hash of the joined parts.
+   * Hash of the uncompressed JSON document that the joined parts hold compressed.
    * </pre>
    *
    * <code>fixed64 content_hash = 5;</code>
