Name the parts of a scenario apart and mark a late generator

The cold scenario ended without its targets because two plots carried one name. Each part has its own name now, and an exit without targets is gone. A drain's time counts from the statement of the intent rather than from its confirmation. A run whose generator started 1 % of the calls more than 100 ms late is marked: its load was not offered as intended.

--- a/bench/src/main/java/org/boragethread/bench/load/ColdUpstreams.java
+++ b/bench/src/main/java/org/boragethread/bench/load/ColdUpstreams.java
@@ -29,7 +29,7 @@
             Tally start = new LoadRun(deployment, load, settings.seed()).run(settings.duration());
             UpstreamTotals atStart = UpstreamTotals.of(deployment.upstreams());
             results.note("all start cold");
-            results.add(start, atStart);
+            results.add("start", start, atStart);
             results.target(Target.atMost("cold-start-excess-calls", atStart.coldExcess(), 0));
             deployment.upstreams().forEach(Upstream::resetStats);
             LoadRun run = new LoadRun(deployment, load, settings.seed() + 1);
@@ -43,7 +43,7 @@
             Tally tally = running.join();
             UpstreamTotals after = UpstreamTotals.of(deployment.upstreams());
             results.note("one turns cold");
-            results.add(tally, after);
+            results.add("turn", tally, after);
             results.note(
                     "excess in it %d, in the others %d",
                     upstream.stats().coldExcess(),
--- a/bench/src/main/java/org/boragethread/bench/load/Drain.java
+++ b/bench/src/main/java/org/boragethread/bench/load/Drain.java
@@ -40,8 +40,10 @@
             CompletableFuture<Tally> running =
                     CompletableFuture.supplyAsync(() -> run.run(settings.duration()));
             Pause.until(begin, settings.duration(), OUT_AT);
+            long stated = System.nanoTime();
             setService(deployment, "out");
-            double seconds = secondsToLastWork(deployment, begin, settings.duration());
+            long last = lastWork(deployment, begin, settings.duration());
+            double seconds = (last - stated) / NANOS_PER_SECOND;
             setService(deployment, "in");
             long atReturn = nearCalls(deployment);
             Tally tally = running.join();
@@ -54,9 +56,8 @@
         }
     }
 
-    private static double secondsToLastWork(Deployment deployment, long begin, Duration duration) {
-        long out = System.nanoTime();
-        long last = out;
+    private static long lastWork(Deployment deployment, long begin, Duration duration) {
+        long last = System.nanoTime();
         long calls = nearCalls(deployment);
         while (Pause.step(begin, duration, BACK_AT)) {
             long now = nearCalls(deployment);
@@ -65,7 +66,7 @@
                 last = System.nanoTime();
             }
         }
-        return (last - out) / NANOS_PER_SECOND;
+        return last;
     }
 
     private static long nearCalls(Deployment deployment) {
--- a/bench/src/main/java/org/boragethread/bench/load/Results.java
+++ b/bench/src/main/java/org/boragethread/bench/load/Results.java
@@ -8,6 +8,8 @@
 /** Takes the results of one variant of a scenario into the report. */
 final class Results {
 
+    private static final double LATE_P99_MS = 100;
+
     private final String mLabel;
     private final Variant mVariant;
     private final Report mReport;
@@ -20,8 +22,17 @@
 
     /** Adds what became of the requests and how late the generator was. */
     void add(Tally tally, UpstreamTotals totals) {
-        mReport.add(Figures.of(mLabel, tally.latency()));
-        mReport.add(Figures.of(mLabel + " lateness", tally.lateness()));
+        add("latency", tally, totals);
+    }
+
+    /** Adds the same for one part of a scenario of several; names of parts differ. */
+    void add(String part, Tally tally, UpstreamTotals totals) {
+        mReport.add(Figures.of(mLabel + " " + part, tally.latency()));
+        Figures lateness = Figures.of(mLabel + " " + part + " lateness", tally.lateness());
+        mReport.add(lateness);
+        if (lateness.p99() > LATE_P99_MS) {
+            note("late generator: the load was not offered as intended");
+        }
         double perAnswerMs = totals.busyMs() / Math.max(1, tally.attained());
         note(
                 "offered %d attained %d (%.4f) wrong %d calls %d busy/answer %.1f ms wasted %.4f",
