Answer "unknown" when a job's cancellation may still take effect

Cause: cancel and settle passed on "not run" from a failed append, though the record may be read later and take effect (ADR 0041, C4).

Change: JobService answers such a failure with "unknown", as submit does.

After: JobRunnerTest.cancellationThatMayStillTakeEffectIsNotCalledNotRun and all other tests of model and core pass.

--- a/core/src/main/java/org/boragethread/core/job/JobService.java
+++ b/core/src/main/java/org/boragethread/core/job/JobService.java
@@ -210,7 +210,16 @@
     private CompletableFuture<Either<Refusal, Job>> change(
             JobId id, JobRecord record, Duration remaining) {
         return write(record, new byte[0], remaining)
-                .thenApply(verdict -> verdict.flatMap(v -> jobOf(id, v)));
+                .thenApply(
+                        verdict ->
+                                verdict.mapLeft(refusal -> maybeChanged(refusal, id))
+                                        .flatMap(v -> jobOf(id, v)));
+    }
+
+    // The record of a failed append may be read later and take effect then.
+    private static Refusal maybeChanged(Refusal refusal, JobId id) {
+        String detail = "the change of job %s may take effect: ".formatted(id) + refusal.detail();
+        return new Refusal(refusal.reason(), Ran.UNKNOWN, detail, refusal.retryAfter());
     }
 
     private static Either<Refusal, Job> jobOf(JobId id, JobVerdict verdict) {
--- a/core/src/test/java/org/boragethread/core/job/JobRunnerTest.java
+++ b/core/src/test/java/org/boragethread/core/job/JobRunnerTest.java
@@ -17,6 +17,7 @@
 import org.boragethread.model.job.JobId;
 import org.boragethread.model.job.JobResult;
 import org.boragethread.model.job.JobStatus;
+import org.boragethread.model.outcome.Ran;
 import org.boragethread.model.outcome.RequestId;
 import org.boragethread.model.pipeline.PipelineId;
 import org.boragethread.model.place.EntryId;
@@ -95,6 +96,15 @@
         assertEquals(status(id), JobStatus.CANCELLED);
     }
 
+    @Test
+    public void cancellationThatMayStillTakeEffectIsNotCalledNotRun() {
+        JobId id = submit("a");
+        mLog.setDown(true);
+        var answer = mService.cancel(id, Duration.ofSeconds(1));
+        passSeconds(2);
+        assertEquals(answer.join().getLeft().ran(), Ran.UNKNOWN);
+    }
+
     @Test
     public void runStopsWhenItsLeaseCannotBeRenewed() {
         submit("a");
