Log refusals that may have run, count the others

Cause: each refusal wrote a log line, which costs most just when there is overload. Change: at the entry a refusal with ran 'no' is logged at debug level, others at warning level; the agent logs failed calls at debug level with request id, team and stage. Conclusion: builds; the counters carry what the lines did.

--- a/agent/src/main/java/org/boragethread/agent/call/RunningCall.java
+++ b/agent/src/main/java/org/boragethread/agent/call/RunningCall.java
@@ -6,6 +6,9 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.CloseableThreadContext;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.boragethread.agent.upstream.UpstreamClient;
 import org.boragethread.agent.upstream.UpstreamExchange;
 import org.boragethread.agent.upstream.UpstreamFailure;
@@ -25,6 +28,8 @@
 /** An admitted call: passes the upstream's response on and reports its outcome to the gate. */
 final class RunningCall implements UpstreamListener {
 
+    private static final Logger LOGGER = LogManager.getLogger(RunningCall.class);
+
     private static final int OK = 200;
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVER_ERROR = 500;
@@ -256,10 +261,23 @@
         if (complete(outcome)) {
             recordRan(ran);
             mMetrics.refused(reason);
+            log(reason, ran, detail);
             mCall.refuse(new Refusal(reason, ran, detail, retryAfter), mGate.gate().load());
         }
     }
 
+    private void log(RefusalReason reason, Ran ran, String detail) {
+        if (!LOGGER.isDebugEnabled()) {
+            return;
+        }
+        try (var ignored =
+                CloseableThreadContext.put("requestId", mCall.id().request().toString())
+                        .put("team", mCall.message().getTeam())
+                        .put("stage", Integer.toString(mCall.id().stage()))) {
+            LOGGER.debug("call failed: {}, ran {}: {}", reason.label(), ran, detail);
+        }
+    }
+
     /** Ends the call once; returns whether this was the first end. */
     private boolean complete(CallOutcome outcome) {
         Gate.Permit permit;
--- a/entry/src/main/java/org/boragethread/entry/http/CallerResponse.java
+++ b/entry/src/main/java/org/boragethread/entry/http/CallerResponse.java
@@ -5,10 +5,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import org.apache.logging.log4j.CloseableThreadContext;
+import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.boragethread.core.pipeline.PipelineAnswer;
 import org.boragethread.core.pipeline.ResponseSink;
+import org.boragethread.model.outcome.Ran;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RequestId;
 import org.glassfish.grizzly.CloseListener;
@@ -126,10 +128,16 @@
         finish();
     }
 
+    /** Logs what an operator may have to follow up; plain refusals are counted, not logged. */
     private void log(Refusal refusal) {
+        Level level = refusal.ran() == Ran.NO ? Level.DEBUG : Level.WARN;
+        if (!LOGGER.isEnabled(level)) {
+            return;
+        }
         try (var ignored =
                 CloseableThreadContext.put("requestId", mId.toString()).put("team", mTeam)) {
-            LOGGER.info(
+            LOGGER.log(
+                    level,
                     "refused: {}, ran {}: {}",
                     refusal.reason().label(),
                     refusal.ran(),
