Write frames of one turn together and size the event loops

Cause: each frame was flushed alone, and the entry had two event loops a processor; the throughput run spent most processor time in system calls and in compiling code for many threads. Change: flushes are consolidated (at most 64 frames); event loops are half the processors.

--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -81,6 +81,8 @@
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration CONFIRM_TIMEOUT = Duration.ofSeconds(10);
     private static final int OPERATOR_THREADS = 2;
+    private static final int EVENT_LOOPS =
+            Math.max(1, Runtime.getRuntime().availableProcessors() / 2);
     private static final long POLL_MILLIS = 20;
 
     private static final Duration INQUIRY_TIMEOUT = Duration.ofSeconds(1);
@@ -99,7 +101,7 @@
     private final ConfigSource mConfigSource = ConfigSource.of(mConfig);
     private final WireMetrics mWireMetrics = new WireMetrics(mRegistry);
     private final UpstreamTable mUpstreams = new UpstreamTable();
-    private final EventLoopGroup mLoops = new NioEventLoopGroup();
+    private final EventLoopGroup mLoops = new NioEventLoopGroup(EVENT_LOOPS);
     private final ConfigService mConfigService;
     private final ClaimStreams mClaims;
     private final JobStream mJobs;
--- a/wire/src/main/java/org/boragethread/wire/frame/FramePipeline.java
+++ b/wire/src/main/java/org/boragethread/wire/frame/FramePipeline.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.util.concurrent.TimeUnit;
 import org.boragethread.wire.proto.Frame;
@@ -15,6 +16,7 @@
  */
 public final class FramePipeline {
 
+    private static final int MAX_FRAMES_PER_FLUSH = 64;
     private static final int LENGTH_BYTES = 4;
     private static final int FRAME_OVERHEAD_BYTES = 64 << 10;
 
@@ -23,6 +25,7 @@
     /** Adds the handlers; the caller adds its own behind them. */
     public static void addTo(ChannelPipeline pipeline, WireSettings settings) {
         long silence = settings.silenceLimit().toNanos();
+        pipeline.addLast(new FlushConsolidationHandler(MAX_FRAMES_PER_FLUSH, true));
         pipeline.addLast(new IdleStateHandler(silence, 0, 0, TimeUnit.NANOSECONDS));
         pipeline.addLast(
                 new LengthFieldBasedFrameDecoder(
