Judge a latency jump over at least 100 ms of answers

Ruled out: the upstreams (256 calls at once, no slope with load) and failures (none counted). Change: a window of answers lasts at least 100 ms, so one pause does not shift its median, and a jump must differ by 20 ms from the usual latency. Test changed: latencyJumpUnderLoadLowersTheLimit let all slow answers come at one instant, which is now a pause; it gives two rounds, and a new test holds that one instant lowers nothing.

--- a/core/src/main/java/org/boragethread/core/limit/LatencyMonitor.java
+++ b/core/src/main/java/org/boragethread/core/limit/LatencyMonitor.java
@@ -15,19 +15,24 @@
 
     private static final Duration BASELINE_WINDOW = Duration.ofSeconds(60);
     private static final int BASELINE_MIN_SAMPLES = 16;
-    private static final int RECENT_SAMPLES = 8;
+    private static final int MIN_RECENT_SAMPLES = 8;
+    private static final int MAX_RECENT_SAMPLES = 256;
+    private static final Duration MIN_RECENT_WINDOW = Duration.ofMillis(100);
     private static final int SEVERE_IN_A_ROW = 4;
     private static final double JUMP_FACTOR = 2.5;
     private static final double SEVERE_FACTOR = 4;
     private static final double SEVERE_TAIL_FACTOR = 1.5;
-    private static final long MIN_DIFFERENCE_NANOS = Duration.ofMillis(2).toNanos();
+    private static final long MIN_DIFFERENCE_NANOS = Duration.ofMillis(20).toNanos();
 
     private final ServiceTimes mBaseline;
-    private final long[] mRecent = new long[RECENT_SAMPLES];
+    private final TimeSource mTime;
+    private final long[] mRecent = new long[MAX_RECENT_SAMPLES];
     private int mRecentCount;
+    private long mWindowStart;
     private int mSevere;
 
     LatencyMonitor(TimeSource time) {
+        mTime = time;
         mBaseline = new ServiceTimes(time, BASELINE_WINDOW, BASELINE_MIN_SAMPLES);
     }
 
@@ -66,11 +71,22 @@
             return Verdict.SEVERE;
         }
         // Negative values mark answers that the baseline already holds.
-        mRecent[mRecentCount++] = lowLoad ? -nanos : nanos;
-        if (mRecentCount < RECENT_SAMPLES) {
-            return Verdict.USUAL;
+        addRecent(lowLoad ? -nanos : nanos);
+        return isWindowFull() ? judgeWindow(usual.get().toNanos()) : Verdict.USUAL;
+    }
+
+    private void addRecent(long nanos) {
+        if (mRecentCount == 0) {
+            mWindowStart = mTime.nanoTime();
         }
-        return judgeWindow(usual.get().toNanos());
+        mRecent[mRecentCount % MAX_RECENT_SAMPLES] = nanos;
+        mRecentCount++;
+    }
+
+    /** A window lasts long enough that one pause of a process does not shift its median. */
+    private boolean isWindowFull() {
+        return mRecentCount >= MIN_RECENT_SAMPLES
+                && mTime.since(mWindowStart).compareTo(MIN_RECENT_WINDOW) >= 0;
     }
 
     private void recordUnless(boolean recorded, Duration latency) {
@@ -80,16 +96,17 @@
     }
 
     private Verdict judgeWindow(long usual) {
+        long[] recent = Arrays.copyOf(mRecent, Math.min(mRecentCount, MAX_RECENT_SAMPLES));
         mRecentCount = 0;
-        long[] sorted = Arrays.stream(mRecent).map(Math::abs).sorted().toArray();
-        long median = sorted[RECENT_SAMPLES / 2];
+        long[] sorted = Arrays.stream(recent).map(Math::abs).sorted().toArray();
+        long median = sorted[sorted.length / 2];
         long tail = mBaseline.quantile(0.9).map(Duration::toNanos).orElse(usual);
         if (median > JUMP_FACTOR * usual
                 && median > tail
                 && median - usual > MIN_DIFFERENCE_NANOS) {
             return Verdict.JUMP;
         }
-        for (long nanos : mRecent) {
+        for (long nanos : recent) {
             if (nanos > 0) {
                 mBaseline.record(Duration.ofNanos(nanos));
             }
--- a/core/src/test/java/org/boragethread/core/limit/AdaptiveLimitTest.java
+++ b/core/src/test/java/org/boragethread/core/limit/AdaptiveLimitTest.java
@@ -145,9 +145,17 @@
     public void latencyJumpUnderLoadLowersTheLimit() {
         warmUp();
         round(USUAL.multipliedBy(3));
+        round(USUAL.multipliedBy(3));
         assertTrue(mLimit.limit() < MAX, "limit " + mLimit.limit());
     }
 
+    @Test
+    public void answersDelayedByOnePauseDoNotLowerTheLimit() {
+        warmUp();
+        round(USUAL.multipliedBy(3));
+        assertEquals(mLimit.limit(), MAX);
+    }
+
     @Test
     public void lastingChangeOfLatencyIsLearntInTheEnd() {
         warmUp();
