Read bodies in one place and remove code that nothing calls

Cause: the handlers of pipelines and of jobs read and checked the body with the same lines; two accessors of the configuration service, one of the link and one conversion had no caller. Change: RequestParser.readBody serves both handlers; the unused methods are gone. Checked: wire, process, agent and entry tests, and PathTest, BadInputTest, JobTest and LayerTest with real processes: 45 run, none failed. The other system tests were not run on this commit.

--- a/entry/src/main/java/org/boragethread/entry/http/JobHandler.java
+++ b/entry/src/main/java/org/boragethread/entry/http/JobHandler.java
@@ -171,8 +171,7 @@
             return;
         }
         Either<Refusal, PipelineRequest> whole =
-                RequestBody.read(request, mLimits.maxBodyBytes())
-                        .flatMap(body -> mParser.withBody(parsed.get(), body));
+                mParser.readBody(parsed.get(), request, mLimits.maxBodyBytes());
         if (whole.isLeft()) {
             response.setHeader("Connection", "close");
             reply.refuse(whole.getLeft());
--- a/entry/src/main/java/org/boragethread/entry/http/PipelineHandler.java
+++ b/entry/src/main/java/org/boragethread/entry/http/PipelineHandler.java
@@ -70,8 +70,7 @@
             return;
         }
         Either<Refusal, PipelineRequest> whole =
-                RequestBody.read(request, mLimits.maxBodyBytes())
-                        .flatMap(body -> mParser.withBody(parsed.get(), body));
+                mParser.readBody(parsed.get(), request, mLimits.maxBodyBytes());
         if (whole.isLeft()) {
             response.setHeader("Connection", "close");
             sink.onRefused(whole.getLeft());
--- a/entry/src/main/java/org/boragethread/entry/http/RequestParser.java
+++ b/entry/src/main/java/org/boragethread/entry/http/RequestParser.java
@@ -77,8 +77,13 @@
                         wantsStream(request)));
     }
 
+    /** Reads the body of a request whose other parts are good. */
+    Either<Refusal, PipelineRequest> readBody(PipelineRequest head, Request request, int maxBytes) {
+        return RequestBody.read(request, maxBytes).flatMap(body -> withBody(head, body));
+    }
+
     /** Adds the body, which must be well-formed if it is JSON. */
-    Either<Refusal, PipelineRequest> withBody(PipelineRequest request, byte[] body) {
+    private Either<Refusal, PipelineRequest> withBody(PipelineRequest request, byte[] body) {
         if (request.contentType().startsWith("application/json")) {
             Optional<String> fault = jsonFault(body);
             if (fault.isPresent()) {
--- a/entry/src/main/java/org/boragethread/entry/serve/ConfigService.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/ConfigService.java
@@ -21,7 +21,6 @@
 import org.boragethread.core.log.StreamFollower;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
-import org.boragethread.model.config.Configuration;
 
 /** Follows the configuration stream of the platform's log and writes to it. */
 final class ConfigService {
@@ -114,12 +113,4 @@
     RecordWriter writer() {
         return mAppender;
     }
-
-    Configuration current() {
-        return mStore.current();
-    }
-
-    boolean isLoaded() {
-        return mStore.isLoaded();
-    }
 }
--- a/wire/src/main/java/org/boragethread/wire/client/AgentLink.java
+++ b/wire/src/main/java/org/boragethread/wire/client/AgentLink.java
@@ -1,7 +1,6 @@
 package org.boragethread.wire.client;
 
 import com.google.protobuf.UnsafeByteOperations;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -347,10 +346,6 @@
         mContext.executor().execute(() -> close(mContext, CloseReason.CLOSED_HERE));
     }
 
-    Channel channel() {
-        return mContext.channel();
-    }
-
     @Override
     public UpstreamId upstream() {
         return mUpstream;
--- a/wire/src/main/java/org/boragethread/wire/frame/Conversions.java
+++ b/wire/src/main/java/org/boragethread/wire/frame/Conversions.java
@@ -1,6 +1,5 @@
 package org.boragethread.wire.frame;
 
-import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.Optional;
 import org.boragethread.model.outcome.AttemptId;
@@ -100,11 +99,6 @@
                 retryAfter);
     }
 
-    /** Returns bytes of a message as an array. */
-    public static byte[] bytes(ByteString value) {
-        return value.toByteArray();
-    }
-
     private static RefusalReason reason(String name) {
         for (RefusalReason reason : RefusalReason.values()) {
             if (reason.name().equals(name)) {
