--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/follow/KeyedSnapshot.java
@@ -0,0 +1,12 @@
+package org.boragethread.core.follow;
+
+import java.util.List;
+
+/**
+ * A part of the newest records of all keys.
+ *
+ * @param records the records, in the order of their keys
+ * @param hasMore whether further keys follow the last one
+ * @param endOffset offset after the newest record of the topic when the part was read
+ */
+public record KeyedSnapshot(List<KeyedRecord> records, boolean hasMore, long endOffset) {}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/retry/SharedRetryBudget.java
@@ -0,0 +1,52 @@
+package org.boragethread.core.retry;
+
+import java.time.Duration;
+import org.boragethread.core.time.TimeSource;
+
+/**
+ * This process's part of a bound on repeated calls that all entries share. The part that grows with
+ * the first calls needs no agreement, because each entry counts its own; the fixed part is divided.
+ * Not safe for use by several threads.
+ */
+public final class SharedRetryBudget {
+
+    /** The slots of the count end early by up to a tenth of the window. */
+    private static final double WINDOW_MARGIN = 1.15;
+
+    private final TimeSource mTime;
+    private final double mRatio;
+    private final double mFixed;
+    private final SlidingCount mFirst;
+    private final SlidingCount mRepeated;
+
+    /**
+     * Makes a budget.
+     *
+     * @param ratio repeated calls allowed for each first call
+     * @param fixed repeated calls of this process that are allowed in each window besides
+     * @param window time over which calls are counted
+     */
+    public SharedRetryBudget(TimeSource time, double ratio, double fixed, Duration window) {
+        mTime = time;
+        mRatio = ratio;
+        mFixed = fixed;
+        Duration counted = Duration.ofNanos((long) (window.toNanos() * WINDOW_MARGIN));
+        mFirst = new SlidingCount(window, time.nanoTime());
+        mRepeated = new SlidingCount(counted, time.nanoTime());
+    }
+
+    /** Counts a first call. */
+    public void onFirstCall() {
+        mFirst.add(mTime.nanoTime());
+    }
+
+    /** Takes one repeated call out of the budget; returns false if it is used up. */
+    public boolean tryTake() {
+        long now = mTime.nanoTime();
+        if (mRepeated.total(now) + 1 > mFirst.total(now) * mRatio + mFixed) {
+            return false;
+        }
+        mRepeated.add(now);
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -0,0 +1,280 @@
+package org.boragethread.core.stage;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.core.retry.SharedRetryBudget;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.routing.BatchLimits;
+
+/**
+ * Makes the pieces of one upstream group. This process has one call at a time at each upstream, so
+ * that pieces which arrive meanwhile share the next call. Not safe for use by several threads.
+ */
+public final class BatchScheduler {
+
+    /** Time after which a piece no longer waits for an upstream in its preferred data centre. */
+    private static final long PLACE_PATIENCE_NANOS = Duration.ofMillis(250).toNanos();
+
+    /** Pause before a piece that found no room is tried again. */
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
+
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
+
+    /** An answer that takes longer than this multiple of the expected time is given up. */
+    private static final double TIMEOUT_FACTOR = 5;
+
+    private static final Duration TIMEOUT_BASE = Duration.ofMillis(400);
+    private static final int MAX_TRIES = 4;
+
+    /** Time for which an upstream of another process's address is not called. */
+    private static final long MISDIRECTED_NANOS = Duration.ofSeconds(5).toNanos();
+
+    private final BatchGroup mGroup;
+    private final PieceCaller mCaller;
+    private final SharedRetryBudget mBudget;
+    private final Scheduler mScheduler;
+    private final TimeSource mTime;
+    private final List<PendingPiece> mPending = new ArrayList<>();
+    private boolean mPolling;
+
+    /** Makes a scheduler for one group. */
+    public BatchScheduler(
+            BatchGroup group,
+            PieceCaller caller,
+            SharedRetryBudget budget,
+            Scheduler scheduler,
+            TimeSource time) {
+        mGroup = group;
+        mCaller = caller;
+        mBudget = budget;
+        mScheduler = scheduler;
+        mTime = time;
+    }
+
+    /** Adds the pieces of one stage; {@link #dispatch} sends them. */
+    void submit(List<PendingPiece> pieces) {
+        mPending.addAll(pieces);
+        dispatch();
+    }
+
+    /** Returns the expected time until a new piece would be made. */
+    public Duration expectedDelay(int pieces) {
+        Optional<BatchLimits> limits = mGroup.limits();
+        if (limits.isEmpty()) {
+            return Duration.ZERO;
+        }
+        int usable = Math.max(1, mGroup.upstreams().size());
+        int batch = limits.get().batch();
+        double rounds = Math.ceil((mPending.size() + pieces) / (double) (batch * usable));
+        Duration full = limits.get().expectedTime(Math.min(batch, mPending.size() + pieces));
+        return full.multipliedBy((long) Math.max(1, rounds));
+    }
+
+    /** Sends what can be sent now. */
+    void dispatch() {
+        dropEnded();
+        if (mPending.isEmpty()) {
+            return;
+        }
+        mPending.sort(
+                Comparator.comparingInt(PendingPiece::priority)
+                        .thenComparingLong(piece -> piece.work().deadlineNanos()));
+        Optional<BatchLimits> limits = mGroup.limits();
+        List<UpstreamNode> upstreams = mGroup.upstreams();
+        if (limits.isEmpty()) {
+            failAll(StageFailure.Kind.NO_UPSTREAM);
+            return;
+        }
+        for (UpstreamNode upstream : upstreams) {
+            if (mPending.isEmpty()) {
+                return;
+            }
+            if (upstream.inFlight() < limits.get().slots()) {
+                List<PendingPiece> batch = take(upstream, upstreams, limits.get());
+                if (!batch.isEmpty()) {
+                    send(upstream, batch, limits.get());
+                }
+            }
+        }
+        pollLater();
+    }
+
+    /** Takes the most urgent pieces that should be made by the given upstream. */
+    private List<PendingPiece> take(
+            UpstreamNode upstream, List<UpstreamNode> upstreams, BatchLimits limits) {
+        List<PendingPiece> batch = new ArrayList<>();
+        for (PendingPiece piece : mPending) {
+            if (batch.size() >= limits.batch()) {
+                break;
+            }
+            if (isFor(piece, upstream, upstreams)) {
+                batch.add(piece);
+            }
+        }
+        mPending.removeAll(batch);
+        return batch;
+    }
+
+    private boolean isFor(PendingPiece piece, UpstreamNode upstream, List<UpstreamNode> upstreams) {
+        if (piece.failedAt(upstream) && upstreams.size() > 1) {
+            return false;
+        }
+        if (piece.preferred().isEmpty()) {
+            return true;
+        }
+        DataCentreId preferred = piece.preferred().get();
+        if (upstream.entry().dataCentre().equals(preferred)) {
+            return true;
+        }
+        long now = mTime.nanoTime();
+        boolean anyThere = false;
+        for (UpstreamNode other : upstreams) {
+            anyThere |=
+                    other.entry().dataCentre().equals(preferred)
+                            && !other.isAvoided(now)
+                            && !piece.failedAt(other);
+        }
+        return !anyThere || now - piece.since() > PLACE_PATIENCE_NANOS;
+    }
+
+    private void send(UpstreamNode upstream, List<PendingPiece> batch, BatchLimits limits) {
+        List<PieceWork> work = new ArrayList<>();
+        long latest = Long.MIN_VALUE;
+        for (PendingPiece piece : batch) {
+            piece.onTry();
+            work.add(piece.work());
+            latest = Math.max(latest, piece.work().deadlineNanos());
+        }
+        long now = mTime.nanoTime();
+        Duration expected = limits.expectedTime(batch.size());
+        long most = (long) (expected.toNanos() * TIMEOUT_FACTOR) + TIMEOUT_BASE.toNanos();
+        Duration timeout = Duration.ofNanos(Math.max(1, Math.min(most, latest - now)));
+        mBudget.onFirstCall();
+        upstream.onSent(now);
+        mCaller.make(
+                upstream,
+                work,
+                timeout,
+                answer -> onAnswer(upstream, batch, expected, now, answer));
+    }
+
+    private void onAnswer(
+            UpstreamNode upstream,
+            List<PendingPiece> batch,
+            Duration expected,
+            long sentAt,
+            Either<BatchFailure, BatchAnswer> answer) {
+        upstream.onEnded();
+        if (answer.isLeft()) {
+            onFailure(upstream, batch, expected, answer.getLeft());
+        } else {
+            learn(upstream, expected, sentAt, answer.get());
+            for (int i = 0; i < batch.size(); i++) {
+                settle(upstream, batch.get(i), answer.get().results().get(i));
+            }
+        }
+        dispatch();
+    }
+
+    private void learn(UpstreamNode upstream, Duration expected, long sentAt, BatchAnswer answer) {
+        long now = mTime.nanoTime();
+        upstream.onAnswer((now - sentAt) / (double) expected.toNanos());
+        int waiting = answer.waiting().orElse(0);
+        upstream.setBusyUntil(now + waiting * expected.toNanos());
+    }
+
+    private void settle(UpstreamNode upstream, PendingPiece piece, PieceResult result) {
+        if (result.handle().isPresent()) {
+            MadePiece made = new MadePiece(result.handle().get(), upstream);
+            if (piece.isCancelled()) {
+                mCaller.free(upstream, List.of(made.handle()));
+            } else {
+                piece.listener().onMade(piece.work(), made);
+            }
+            return;
+        }
+        if (piece.isCancelled()) {
+            return;
+        }
+        switch (result.failure().orElse(PieceResult.Failure.ERROR)) {
+            case DEADLINE_EXCEEDED -> fail(piece, StageFailure.Kind.DEADLINE);
+            case INPUT_MISSING -> fail(piece, StageFailure.Kind.INPUT_MISSING);
+            default -> retry(upstream, piece);
+        }
+    }
+
+    private void onFailure(
+            UpstreamNode upstream,
+            List<PendingPiece> batch,
+            Duration expected,
+            BatchFailure failure) {
+        long now = mTime.nanoTime();
+        switch (failure.kind()) {
+            case REJECTED -> upstream.setBusyUntil(now + expected.toNanos());
+            case MISDIRECTED -> upstream.avoidUntil(now + MISDIRECTED_NANOS);
+            default -> upstream.onFailure(now, false, Duration.ZERO);
+        }
+        for (PendingPiece piece : batch) {
+            if (!piece.isCancelled()) {
+                retry(upstream, piece);
+            }
+        }
+    }
+
+    private void retry(UpstreamNode upstream, PendingPiece piece) {
+        piece.setFailedAt(upstream);
+        if (piece.tries() >= MAX_TRIES || !mBudget.tryTake()) {
+            fail(piece, StageFailure.Kind.FAILED);
+            return;
+        }
+        mScheduler.schedule(RETRY_PAUSE, () -> submit(List.of(piece)));
+    }
+
+    private void fail(PendingPiece piece, StageFailure.Kind kind) {
+        piece.listener().onFailed(piece.work(), new StageFailure(kind, mGroup.name()));
+    }
+
+    private void failAll(StageFailure.Kind kind) {
+        List<PendingPiece> all = new ArrayList<>(mPending);
+        mPending.clear();
+        for (PendingPiece piece : all) {
+            if (!piece.isCancelled()) {
+                fail(piece, kind);
+            }
+        }
+    }
+
+    /** Forgets pieces that nobody waits for, and fails those whose time is over. */
+    private void dropEnded() {
+        mPending.removeIf(PendingPiece::isCancelled);
+        long now = mTime.nanoTime();
+        List<PendingPiece> late = new ArrayList<>();
+        for (PendingPiece piece : mPending) {
+            if (piece.work().deadlineNanos() <= now) {
+                late.add(piece);
+            }
+        }
+        mPending.removeAll(late);
+        late.forEach(piece -> fail(piece, StageFailure.Kind.DEADLINE));
+    }
+
+    private void pollLater() {
+        if (mPolling || mPending.isEmpty()) {
+            return;
+        }
+        mPolling = true;
+        mScheduler.schedule(
+                POLL_INTERVAL,
+                () -> {
+                    mPolling = false;
+                    dispatch();
+                });
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/stage/MadePiece.java
@@ -0,0 +1,11 @@
+package org.boragethread.core.stage;
+
+import org.boragethread.core.upstream.UpstreamNode;
+
+/**
+ * A result that lies at the upstream that made it.
+ *
+ * @param handle where it lies
+ * @param maker the upstream that holds it
+ */
+public record MadePiece(String handle, UpstreamNode maker) {}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/stage/StageRequest.java
@@ -0,0 +1,26 @@
+package org.boragethread.core.stage;
+
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.routing.RouteStage;
+
+/**
+ * A request whose stages are to be run.
+ *
+ * @param requestId identity of the request
+ * @param stages stages of its route
+ * @param pieces number of pieces of each stage; 0 leaves a stage out
+ * @param key the caller's key of the work
+ * @param deadlineNanos monotonic time by which the pieces are needed
+ * @param priority rank; 0 is the most urgent
+ * @param destination data centre in which the results will be used, if it is known
+ */
+public record StageRequest(
+        String requestId,
+        List<RouteStage> stages,
+        int[] pieces,
+        String key,
+        long deadlineNanos,
+        int priority,
+        Optional<DataCentreId> destination) {}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/stage/StageRun.java
@@ -0,0 +1,211 @@
+package org.boragethread.core.stage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.routing.RouteStage;
+import org.boragethread.model.upstream.GroupId;
+
+/**
+ * Runs the stages of one request in the order of their needs, and frees results as soon as nothing
+ * needs them. Not safe for use by several threads.
+ */
+public final class StageRun implements PieceListener {
+
+    /** Results of this size or more are made in the data centre where they are used, in bytes. */
+    private static final long LARGE_RESULT_BYTES = 200_000;
+
+    private final StageRequest mRequest;
+    private final Function<GroupId, BatchScheduler> mSchedulers;
+    private final PieceCaller mCaller;
+    private final TimeSource mTime;
+    private final StageListener mListener;
+    private final MadePiece[][] mMade;
+    private final int[] mMissing;
+    private final boolean[] mStarted;
+    private final boolean[] mFreed;
+    private final List<PendingPiece> mPending = new ArrayList<>();
+    private boolean mEnded;
+
+    /** Makes a run that has not started. */
+    public StageRun(
+            StageRequest request,
+            Function<GroupId, BatchScheduler> schedulers,
+            PieceCaller caller,
+            TimeSource time,
+            StageListener listener) {
+        mRequest = request;
+        mSchedulers = schedulers;
+        mCaller = caller;
+        mTime = time;
+        mListener = listener;
+        int stages = request.stages().size();
+        mMade = new MadePiece[stages][];
+        mMissing = new int[stages];
+        mStarted = new boolean[stages];
+        mFreed = new boolean[stages];
+        for (int i = 0; i < stages; i++) {
+            mMade[i] = new MadePiece[request.pieces()[i]];
+            mMissing[i] = request.pieces()[i];
+        }
+    }
+
+    /** Begins with the stages that need no results. */
+    public void start() {
+        advance();
+    }
+
+    /** Gives the stages up, and frees what was made. */
+    public void cancel() {
+        mEnded = true;
+        mPending.forEach(PendingPiece::cancel);
+        release();
+    }
+
+    /** Frees all results that are still held. */
+    public void release() {
+        for (int stage = 0; stage < mMade.length; stage++) {
+            free(stage);
+        }
+    }
+
+    @Override
+    public void onMade(PieceWork work, MadePiece made) {
+        if (mEnded || mMade[work.stage()][work.number()] != null) {
+            mCaller.free(made.maker(), List.of(made.handle()));
+            return;
+        }
+        mMade[work.stage()][work.number()] = made;
+        mMissing[work.stage()]--;
+        if (mMissing[work.stage()] == 0) {
+            freeNeeded(work.stage());
+            advance();
+        }
+    }
+
+    @Override
+    public void onFailed(PieceWork work, StageFailure failure) {
+        if (mEnded) {
+            return;
+        }
+        cancel();
+        mListener.onStagesFailed(failure);
+    }
+
+    private void advance() {
+        boolean done = true;
+        for (int stage = 0; stage < mMade.length && !mEnded; stage++) {
+            done &= mMissing[stage] == 0;
+            if (!mStarted[stage] && mMissing[stage] > 0 && isReady(stage)) {
+                mStarted[stage] = true;
+                submit(stage);
+            }
+        }
+        if (done && !mEnded) {
+            mEnded = true;
+            mListener.onStagesDone(finalHandles());
+        }
+    }
+
+    private boolean isReady(int stage) {
+        for (int needed : mRequest.stages().get(stage).after()) {
+            if (mMissing[needed] > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void submit(int stage) {
+        RouteStage definition = mRequest.stages().get(stage);
+        Optional<DataCentreId> place =
+                definition.resultBytes() >= LARGE_RESULT_BYTES
+                        ? mRequest.destination()
+                        : Optional.empty();
+        List<PendingPiece> pieces = new ArrayList<>();
+        for (int number = 0; number < mRequest.pieces()[stage]; number++) {
+            PieceWork work =
+                    new PieceWork(
+                            mRequest.requestId(),
+                            stage,
+                            number,
+                            mRequest.deadlineNanos(),
+                            mRequest.key(),
+                            inputs(definition));
+            pieces.add(new PendingPiece(work, mRequest.priority(), place, this, mTime.nanoTime()));
+        }
+        mPending.addAll(pieces);
+        mSchedulers.apply(definition.group()).submit(pieces);
+    }
+
+    private Optional<List<String>> inputs(RouteStage definition) {
+        if (definition.after().isEmpty()) {
+            return Optional.empty();
+        }
+        List<String> handles = new ArrayList<>();
+        for (int needed : definition.after()) {
+            addHandles(needed, handles);
+        }
+        return Optional.of(handles);
+    }
+
+    private List<String> finalHandles() {
+        List<String> handles = new ArrayList<>();
+        for (int stage = 0; stage < mMade.length; stage++) {
+            if (!isFollowed(stage)) {
+                addHandles(stage, handles);
+            }
+        }
+        return handles;
+    }
+
+    private void addHandles(int stage, List<String> handles) {
+        for (MadePiece piece : mMade[stage]) {
+            handles.add(piece.handle());
+        }
+    }
+
+    private boolean isFollowed(int stage) {
+        for (int other = 0; other < mMade.length; other++) {
+            if (mRequest.stages().get(other).after().contains(stage) && mMade[other].length > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Frees the results that only the given stage and other finished stages needed. */
+    private void freeNeeded(int stage) {
+        for (int needed : mRequest.stages().get(stage).after()) {
+            boolean over = true;
+            for (int other = 0; other < mMade.length; other++) {
+                boolean needs = mRequest.stages().get(other).after().contains(needed);
+                over &= !needs || mMissing[other] == 0;
+            }
+            if (over) {
+                free(needed);
+            }
+        }
+    }
+
+    private void free(int stage) {
+        if (mFreed[stage]) {
+            return;
+        }
+        mFreed[stage] = true;
+        Map<UpstreamNode, List<String>> byMaker = new HashMap<>();
+        for (MadePiece piece : mMade[stage]) {
+            if (piece != null) {
+                byMaker.computeIfAbsent(piece.maker(), maker -> new ArrayList<>())
+                        .add(piece.handle());
+            }
+        }
+        byMaker.forEach(mCaller::free);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/upstream/ChoiceRequest.java
@@ -0,0 +1,23 @@
+package org.boragethread.core.upstream;
+
+import java.util.Set;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.routing.RoutedGroup;
+
+/**
+ * What is to be placed.
+ *
+ * @param group group of the upstreams
+ * @param regions allowed regions; empty for all
+ * @param excluded upstreams that refused or failed this request
+ * @param affinity hash of what requests with a common beginning share; 0 if there is nothing
+ * @param affinityMillis time that the common beginning costs an engine that does not hold it
+ * @param evacuated data centres that get no new work
+ */
+public record ChoiceRequest(
+        RoutedGroup group,
+        Set<String> regions,
+        Set<UpstreamNode> excluded,
+        long affinity,
+        double affinityMillis,
+        Set<DataCentreId> evacuated) {}
--- a/entry/src/main/java/org/boragethread/entry/EntryMain.java
+++ b/entry/src/main/java/org/boragethread/entry/EntryMain.java
@@ -6,6 +6,8 @@
 import org.boragethread.entry.command.JobCommand;
 import org.boragethread.entry.command.ServeCommand;
 import org.boragethread.entry.command.StatusCommand;
+import org.boragethread.entry.gateway.GatewayCheckCommand;
+import org.boragethread.entry.gateway.GatewayCommand;
 import org.boragethread.process.command.CommandLine;
 
 /** The program {@code boragethread-entry}. */
@@ -18,6 +20,8 @@
         CommandLine commands =
                 new CommandLine("boragethread-entry", System.out, System.err)
                         .add("serve", ServeCommand::new)
+                        .add("gateway", GatewayCommand::new)
+                        .add("check-gateway", GatewayCheckCommand::new)
                         .add("check", CheckCommand::new)
                         .add("intent", IntentCommand::new)
                         .add("confirm", ConfirmCommand::new)
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ConfigListener.java
@@ -0,0 +1,108 @@
+package org.boragethread.entry.gateway;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.boragethread.core.follow.Moment;
+import org.boragethread.core.follow.TopicListener;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.routing.RoutingConfig;
+import org.boragethread.platform.store.ConfigDecoder;
+import org.boragethread.platform.store.MalformedRecordException;
+import org.boragethread.platform.store.OperatorKeys;
+
+/** Puts in force what operators keep in the store. */
+final class ConfigListener implements TopicListener {
+
+    private final Gateway mGateway;
+    private final Set<DataCentreId> mSeen = new HashSet<>();
+
+    ConfigListener(Gateway gateway) {
+        mGateway = gateway;
+    }
+
+    @Override
+    public void onSnapshot(Map<String, byte[]> values) {
+        Set<DataCentreId> evacuated = new HashSet<>();
+        values.forEach(
+                (key, value) -> {
+                    OperatorKeys.evacuatedDataCentre(key).ifPresent(evacuated::add);
+                    onChange(key, Optional.of(value));
+                });
+        for (DataCentreId known : new HashSet<>(mSeen)) {
+            if (!evacuated.contains(known)) {
+                setEvacuated(known, false);
+            }
+        }
+    }
+
+    @Override
+    public void onChange(String key, Optional<byte[]> value) {
+        if (key.equals(OperatorKeys.CONFIG)) {
+            value.ifPresent(this::decodeConfig);
+            return;
+        }
+        OperatorKeys.evacuatedDataCentre(key)
+                .ifPresent(place -> setEvacuated(place, value.isPresent()));
+    }
+
+    private void decodeConfig(byte[] value) {
+        try {
+            RoutingConfig config = ConfigDecoder.decode(value);
+            boolean replaced = mGateway.routing().replace(config);
+            mGateway.log()
+                    .event("config")
+                    .with("version", config.version())
+                    .with("routes", config.routes().size())
+                    .with("keys", config.keys().map(Map::size).orElse(0))
+                    .with("outcome", replaced ? "in-force" : "older-than-current")
+                    .info();
+        } catch (MalformedRecordException e) {
+            mGateway.log()
+                    .event("config")
+                    .with("outcome", "unreadable")
+                    .with("detail", e.getMessage())
+                    .warn();
+        }
+    }
+
+    private void setEvacuated(DataCentreId place, boolean evacuated) {
+        mSeen.add(place);
+        if (mGateway.routing().setEvacuated(place, evacuated)) {
+            mGateway.log()
+                    .event("evacuation")
+                    .with("dataCentre", place)
+                    .with("outcome", evacuated ? "out" : "back")
+                    .info();
+        }
+    }
+
+    @Override
+    public void onCurrent(Moment moment) {
+        boolean held = mGateway.lease().isHeld();
+        mGateway.lease().renew(moment);
+        if (!held && mGateway.lease().isHeld()) {
+            mGateway.log().event("lease").with("outcome", "held").info();
+        }
+    }
+
+    @Override
+    public void onLost(String detail) {
+        mGateway.log()
+                .event("dependency")
+                .with("name", "store-config")
+                .with("outcome", "lost")
+                .with("detail", detail)
+                .warn();
+    }
+
+    @Override
+    public void onRegained() {
+        mGateway.log()
+                .event("dependency")
+                .with("name", "store-config")
+                .with("outcome", "regained")
+                .info();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedHeaders.java
@@ -0,0 +1,77 @@
+package org.boragethread.entry.gateway;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
+import java.util.Map;
+import org.boragethread.platform.store.PlatformHeaders;
+
+/** Copies headers from one connection to another. */
+final class ForwardedHeaders {
+
+    private static final AsciiString[] HOP_BY_HOP = {
+        HttpHeaderNames.CONNECTION,
+        AsciiString.cached("keep-alive"),
+        AsciiString.cached("proxy-connection"),
+        HttpHeaderNames.TRANSFER_ENCODING,
+        HttpHeaderNames.TE,
+        HttpHeaderNames.TRAILER,
+        HttpHeaderNames.UPGRADE,
+        HttpHeaderNames.EXPECT,
+    };
+
+    private ForwardedHeaders() {}
+
+    /** Returns a caller's headers without those that only the system sets. */
+    static HttpHeaders ofRequest(HttpHeaders from) {
+        HttpHeaders headers = withoutHopByHop(from);
+        for (AsciiString name : PlatformHeaders.SYSTEM_ONLY) {
+            headers.remove(name);
+        }
+        String authorization = headers.get(HttpHeaderNames.AUTHORIZATION, "");
+        if (isKey(authorization)) {
+            headers.remove(HttpHeaderNames.AUTHORIZATION);
+        }
+        return headers;
+    }
+
+    /** Returns an upstream's headers. */
+    static HttpHeaders ofResponse(HttpHeaders from) {
+        return withoutHopByHop(from);
+    }
+
+    /** Tells whether an Authorization header holds an API key, which upstreams must not see. */
+    static boolean isKey(String authorization) {
+        String scheme = PlatformHeaders.KEY_SCHEME;
+        return authorization.regionMatches(true, 0, scheme, 0, scheme.length());
+    }
+
+    private static HttpHeaders withoutHopByHop(HttpHeaders from) {
+        HttpHeaders headers = new DefaultHttpHeaders(false);
+        for (Map.Entry<String, String> header : from) {
+            headers.add(header.getKey(), header.getValue());
+        }
+        for (String names : from.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String name : names.split(",")) {
+                removeNamed(headers, name.trim());
+            }
+        }
+        for (AsciiString name : HOP_BY_HOP) {
+            headers.remove(name);
+        }
+        return headers;
+    }
+
+    /** A Connection header must not remove what the system relies on. */
+    private static void removeNamed(HttpHeaders headers, String name) {
+        boolean relied =
+                name.isEmpty()
+                        || HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name)
+                        || HttpHeaderNames.HOST.contentEqualsIgnoreCase(name)
+                        || name.regionMatches(true, 0, "x-", 0, 2);
+        if (!relied) {
+            headers.remove(name);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -0,0 +1,180 @@
+package org.boragethread.entry.gateway;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.boragethread.core.follow.FreshnessLease;
+import org.boragethread.core.retry.SharedRetryBudget;
+import org.boragethread.core.routing.RoutingTable;
+import org.boragethread.core.stage.BatchScheduler;
+import org.boragethread.core.stage.PieceCaller;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.core.upstream.ChoiceRequest;
+import org.boragethread.core.upstream.GroupPace;
+import org.boragethread.core.upstream.UpstreamChooser;
+import org.boragethread.core.upstream.UpstreamDirectory;
+import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.routing.RoutedGroup;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.process.log.EventLog;
+import org.boragethread.wire.http.HttpConnections;
+
+/** The tables and services that requests share. Confined to one event loop. */
+final class Gateway {
+
+    /** Part of the revocation time that is kept for the way of a request to this process. */
+    private static final Duration REVOKE_MARGIN = Duration.ofMillis(300);
+
+    private final GatewaySettings mSettings;
+    private final TimeSource mTime;
+    private final Scheduler mScheduler;
+    private final HttpConnections mConnections;
+    private final EventLog mLog;
+    private final GatewayMetrics mMetrics;
+    private final RoutingTable mRouting = new RoutingTable();
+    private final UpstreamDirectory mDirectory;
+    private final FreshnessLease mLease;
+    private final UpstreamChooser mChooser;
+    private final PieceCaller mPieceCaller;
+    private final Map<GroupId, SharedRetryBudget> mBudgets = new HashMap<>();
+    private final Map<GroupId, GroupPace> mPaces = new HashMap<>();
+    private final Map<GroupId, BatchScheduler> mBatches = new HashMap<>();
+    private boolean mUpstreamsKnown;
+    private boolean mStopping;
+
+    Gateway(GatewaySettings settings, TimeSource time, EventLoop loop, GatewayMetrics metrics) {
+        mSettings = settings;
+        mTime = time;
+        mScheduler = new LoopScheduler(loop);
+        mConnections = new HttpConnections(loop, time);
+        mLog = new EventLog(LogManager.getLogger(Gateway.class), time);
+        mMetrics = metrics;
+        mDirectory = new UpstreamDirectory(time);
+        mLease = new FreshnessLease(time, settings.revokeTime().minus(REVOKE_MARGIN));
+        mChooser =
+                new UpstreamChooser(
+                        mDirectory,
+                        time,
+                        settings.dataCentre(),
+                        settings.regions(),
+                        settings.coldShare());
+        mPieceCaller = new HttpPieceCaller(mConnections, mScheduler, time, mLog, metrics);
+    }
+
+    GatewaySettings settings() {
+        return mSettings;
+    }
+
+    TimeSource time() {
+        return mTime;
+    }
+
+    Scheduler scheduler() {
+        return mScheduler;
+    }
+
+    HttpConnections connections() {
+        return mConnections;
+    }
+
+    EventLog log() {
+        return mLog;
+    }
+
+    GatewayMetrics metrics() {
+        return mMetrics;
+    }
+
+    RoutingTable routing() {
+        return mRouting;
+    }
+
+    UpstreamDirectory directory() {
+        return mDirectory;
+    }
+
+    FreshnessLease lease() {
+        return mLease;
+    }
+
+    UpstreamChooser chooser() {
+        return mChooser;
+    }
+
+    PieceCaller pieceCaller() {
+        return mPieceCaller;
+    }
+
+    /** Returns the budget of repeated calls to a group. */
+    SharedRetryBudget budget(GroupId group) {
+        return mBudgets.computeIfAbsent(
+                group,
+                id ->
+                        new SharedRetryBudget(
+                                mTime,
+                                mSettings.retries().ratio(),
+                                mSettings.retrySlackShare(),
+                                mSettings.retries().window()));
+    }
+
+    /** Returns the usual pace of a group's answers. */
+    GroupPace pace(GroupId group) {
+        return mPaces.computeIfAbsent(group, id -> new GroupPace());
+    }
+
+    /** Returns the scheduler of the pieces that a group makes. */
+    BatchScheduler batches(GroupId group) {
+        return mBatches.computeIfAbsent(
+                group,
+                id ->
+                        new BatchScheduler(
+                                new DirectoryBatchGroup(this, id),
+                                mPieceCaller,
+                                budget(id),
+                                mScheduler,
+                                mTime));
+    }
+
+    /** Returns the configuration of a group, if there is one. */
+    RoutedGroup group(GroupId id) {
+        return mRouting.config().map(config -> config.groups().get(id)).orElse(null);
+    }
+
+    /** Returns a request for any upstream of a group. */
+    ChoiceRequest anyOf(RoutedGroup group, Set<UpstreamNode> excluded) {
+        return new ChoiceRequest(group, Set.of(), excluded, 0, 0, mRouting.evacuated());
+    }
+
+    void setUpstreamsKnown() {
+        mUpstreamsKnown = true;
+    }
+
+    void setStopping() {
+        mStopping = true;
+    }
+
+    boolean isStopping() {
+        return mStopping;
+    }
+
+    /** Tells whether new connections should come here. */
+    boolean isReady() {
+        return !mStopping && mRouting.config().isPresent() && mUpstreamsKnown && mLease.isHeld();
+    }
+
+    /** Runs tasks on the event loop. */
+    private record LoopScheduler(EventLoop loop) implements Scheduler {
+
+        @Override
+        public Timer schedule(Duration delay, Runnable task) {
+            Future<?> future = loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+            return () -> future.cancel(false);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -0,0 +1,89 @@
+package org.boragethread.entry.gateway;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.boragethread.model.outcome.RefusalReason;
+
+/** Counters and latencies of an entry that serves routes. */
+final class GatewayMetrics {
+
+    private static final Duration[] BUCKETS = {
+        Duration.ofMillis(50),
+        Duration.ofMillis(100),
+        Duration.ofMillis(200),
+        Duration.ofMillis(500),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(5),
+        Duration.ofSeconds(10),
+    };
+
+    private final PrometheusMeterRegistry mRegistry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<String, Counter> mCounters = new HashMap<>();
+    private final Map<String, Timer> mTimers = new HashMap<>();
+
+    void onRefused(RefusalReason reason) {
+        count("boragethread.gateway.refusals", "reason", reason.label());
+    }
+
+    void onAnswered(int status, Duration time) {
+        String outcome = status / 100 + "xx";
+        count("boragethread.gateway.answers", "status", outcome);
+        time("boragethread.gateway.request", "status", outcome, time);
+    }
+
+    void onRepeated(String reason) {
+        count("boragethread.gateway.retries", "reason", reason);
+    }
+
+    void onBroken(String reason) {
+        count("boragethread.gateway.broken", "reason", reason);
+    }
+
+    void onAttempt(String group, Duration time) {
+        time("boragethread.gateway.attempt", "group", group, time);
+    }
+
+    void onBatch(String group, int pieces, long millis, boolean good) {
+        time("boragethread.gateway.batch", "group", group, Duration.ofMillis(millis));
+        counter("boragethread.gateway.pieces", "group", group).increment(pieces);
+        if (!good) {
+            count("boragethread.gateway.batch.failures", "group", group);
+        }
+    }
+
+    void gauge(String name, Supplier<Number> value) {
+        mRegistry.gauge("boragethread.gateway." + name, this, metrics -> value.get().doubleValue());
+    }
+
+    String scrape() {
+        return mRegistry.scrape();
+    }
+
+    private void count(String name, String tag, String value) {
+        counter(name, tag, value).increment();
+    }
+
+    private Counter counter(String name, String tag, String value) {
+        return mCounters.computeIfAbsent(
+                name + '/' + value, key -> mRegistry.counter(name, tag, value));
+    }
+
+    private void time(String name, String tag, String value, Duration time) {
+        mTimers.computeIfAbsent(
+                        name + '/' + value,
+                        key ->
+                                Timer.builder(name)
+                                        .tag(tag, value)
+                                        .serviceLevelObjectives(BUCKETS)
+                                        .register(mRegistry))
+                .record(time);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -0,0 +1,193 @@
+package org.boragethread.entry.gateway;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.boragethread.core.follow.FollowPace;
+import org.boragethread.core.follow.TopicFollower;
+import org.boragethread.core.follow.TopicListener;
+import org.boragethread.core.time.SystemTimeSource;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.platform.store.StoreClient;
+import org.boragethread.process.command.Service;
+
+/** A running entry that serves routes. */
+final class GatewayProcess implements Service {
+
+    /** The store holds a read of the configuration this part of the revocation time. */
+    private static final double CONFIG_HOLD = 0.28;
+
+    /** Upstreams' announcements are read this often within the time they have to leave. */
+    private static final double UPSTREAM_PAUSE = 0.35;
+
+    private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
+    private static final Duration STORE_RETRY = Duration.ofMillis(200);
+    private static final long CHECK_MILLIS = 250;
+
+    /** Part of the grace time after which no new request is taken. */
+    private static final double CLOSE_AFTER = 0.34;
+
+    /** Time before the end of the grace time at which the process ends whatever still runs. */
+    private static final Duration EXIT_MARGIN = Duration.ofMillis(900);
+
+    private static final long STOP_POLL_MILLIS = 40;
+
+    private final GatewaySettings mSettings;
+    private final TimeSource mTime = new SystemTimeSource();
+    private final EventLoopGroup mLoops = new NioEventLoopGroup(1);
+    private final EventLoop mLoop = mLoops.next();
+    private final GatewayMetrics mMetrics = new GatewayMetrics();
+    private final Gateway mGateway;
+    private final CallerListener mCallers;
+
+    GatewayProcess(GatewaySettings settings) {
+        mSettings = settings;
+        mGateway = new Gateway(settings, mTime, mLoop, mMetrics);
+        mCallers = new CallerListener(mGateway, mLoops);
+    }
+
+    @Override
+    public void start() throws Exception {
+        mCallers.open(mSettings.listen());
+        StatusEndpoint endpoint = new StatusEndpoint(mGateway);
+        openStatus(mSettings.readinessListen(), endpoint);
+        if (mSettings.metricsListen().isPresent()) {
+            openStatus(mSettings.metricsListen().get(), endpoint);
+        }
+        mLoop.execute(this::follow);
+        mLoop.scheduleWithFixedDelay(
+                mCallers::checkTimes, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        registerGauges();
+        mGateway.log()
+                .event("start")
+                .with("name", mSettings.name())
+                .with("dataCentre", mSettings.dataCentre())
+                .with("listen", mSettings.listen())
+                .with("store", mSettings.store())
+                .info();
+    }
+
+    private void registerGauges() {
+        mMetrics.gauge("callers", mCallers::open);
+        mMetrics.gauge("upstreams", mGateway.directory()::size);
+        mMetrics.gauge("connections.opened", mGateway.connections()::opened);
+        mMetrics.gauge("log.lines.dropped", mGateway.log()::dropped);
+        mMetrics.gauge(
+                "config.version",
+                () -> mGateway.routing().config().map(config -> config.version()).orElse(0L));
+        mMetrics.gauge(
+                "config.age.millis",
+                () -> mGateway.lease().age().map(Duration::toMillis).orElse(-1L));
+    }
+
+    private void follow() {
+        Duration hold = fraction(mSettings.revokeTime(), CONFIG_HOLD);
+        Duration pause = fraction(mSettings.leaveTime(), UPSTREAM_PAUSE);
+        follower(
+                        StoreClient.OPERATOR_TOPIC,
+                        new FollowPace(hold, Duration.ZERO, STORE_RETRY),
+                        new ConfigListener(mGateway))
+                .start();
+        follower(
+                        StoreClient.UPSTREAM_TOPIC,
+                        new FollowPace(Duration.ZERO, pause, STORE_RETRY),
+                        new UpstreamListener(mGateway))
+                .start();
+    }
+
+    private TopicFollower follower(String topic, FollowPace pace, TopicListener listener) {
+        StoreClient client =
+                new StoreClient(
+                        mGateway.connections(),
+                        mGateway.scheduler(),
+                        mSettings.store(),
+                        topic,
+                        STORE_TIMEOUT);
+        return new TopicFollower(client, mGateway.scheduler(), mTime, pace, listener);
+    }
+
+    private void openStatus(InetSocketAddress address, StatusEndpoint endpoint)
+            throws InterruptedException {
+        new ServerBootstrap()
+                .group(mLoops)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.pipeline()
+                                        .addLast(new HttpRequestDecoder())
+                                        .addLast(new HttpResponseEncoder())
+                                        .addLast(endpoint);
+                            }
+                        })
+                .bind(address)
+                .sync();
+    }
+
+    @Override
+    public void stop() {
+        long began = mTime.nanoTime();
+        ask(
+                () -> {
+                    mGateway.setStopping();
+                    mGateway.log().event("stop").with("outcome", "begun").info();
+                    return true;
+                });
+        Duration closeAfter = fraction(mSettings.grace(), CLOSE_AFTER);
+        while (mTime.since(began).compareTo(closeAfter) < 0) {
+            pause();
+        }
+        ask(
+                () -> {
+                    mCallers.close();
+                    return true;
+                });
+        Duration latest = mSettings.grace().minus(EXIT_MARGIN);
+        boolean busy = ask(mCallers::isBusy);
+        while (busy && mTime.since(began).compareTo(latest) < 0) {
+            pause();
+            busy = ask(mCallers::isBusy);
+        }
+        mGateway.log()
+                .event("stop")
+                .with("outcome", busy ? "requests-cut" : "complete")
+                .with("millis", mTime.since(began).toMillis())
+                .info();
+        mLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
+    }
+
+    private <T> T ask(Callable<T> question) {
+        try {
+            return mLoop.submit(question).get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while stopping", e);
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("the event loop failed while stopping", e);
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(STOP_POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static Duration fraction(Duration whole, double share) {
+        return Duration.ofMillis((long) (whole.toMillis() * share));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/HttpPieceCaller.java
@@ -0,0 +1,210 @@
+package org.boragethread.entry.gateway;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.boragethread.core.stage.BatchAnswer;
+import org.boragethread.core.stage.BatchFailure;
+import org.boragethread.core.stage.PieceCaller;
+import org.boragethread.core.stage.PieceWork;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.routing.UpstreamEntry;
+import org.boragethread.platform.store.MalformedRecordException;
+import org.boragethread.platform.store.PlatformHeaders;
+import org.boragethread.platform.store.RequestDecoder;
+import org.boragethread.platform.store.StageCodec;
+import org.boragethread.process.log.EventLog;
+import org.boragethread.wire.http.CallFailure;
+import org.boragethread.wire.http.HttpCall;
+import org.boragethread.wire.http.HttpConnections;
+import org.boragethread.wire.http.WholeResponse;
+
+/** Calls upstreams that make pieces, over HTTP. */
+final class HttpPieceCaller implements PieceCaller {
+
+    private static final int OK = 200;
+    private static final int MISDIRECTED = 421;
+    private static final int MAX_ANSWER_BYTES = 1 << 20;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration FREE_TIMEOUT = Duration.ofSeconds(2);
+
+    /** Results that become free within this time share a call. */
+    private static final Duration FREE_INTERVAL = Duration.ofMillis(30);
+
+    private final HttpConnections mConnections;
+    private final Scheduler mScheduler;
+    private final TimeSource mTime;
+    private final EventLog mLog;
+    private final GatewayMetrics mMetrics;
+    private final Map<UpstreamNode, Set<String>> mToFree = new HashMap<>();
+
+    HttpPieceCaller(
+            HttpConnections connections,
+            Scheduler scheduler,
+            TimeSource time,
+            EventLog log,
+            GatewayMetrics metrics) {
+        mConnections = connections;
+        mScheduler = scheduler;
+        mTime = time;
+        mLog = log;
+        mMetrics = metrics;
+    }
+
+    @Override
+    public void make(
+            UpstreamNode upstream,
+            List<PieceWork> pieces,
+            Duration timeout,
+            Consumer<Either<BatchFailure, BatchAnswer>> receiver) {
+        UpstreamEntry entry = upstream.entry();
+        long sentAt = mTime.nanoTime();
+        byte[] body = StageCodec.encodeRun(pieces, sentAt);
+        FullHttpRequest request = post(entry, StageCodec.RUN_PATH, body);
+        request.headers().set(PlatformHeaders.DEADLINE, Math.max(1, timeout.toMillis()));
+        // Calls carry no identity that the answer echoes, so each has a connection of its own.
+        fetch(
+                entry,
+                request,
+                true,
+                timeout,
+                answer -> {
+                    Either<BatchFailure, BatchAnswer> result = read(answer, pieces.size());
+                    log(entry, pieces, sentAt, result);
+                    receiver.accept(result);
+                });
+    }
+
+    private void log(
+            UpstreamEntry entry,
+            List<PieceWork> pieces,
+            long sentAt,
+            Either<BatchFailure, BatchAnswer> result) {
+        long millis = mTime.since(sentAt).toMillis();
+        Set<String> requests = new LinkedHashSet<>();
+        pieces.forEach(piece -> requests.add(piece.requestId()));
+        EventLog.Line line =
+                mLog.event("pieces", String.join(" ", requests))
+                        .with("stage", pieces.get(0).stage())
+                        .with("pieces", pieces.size())
+                        .with("upstream", entry.id())
+                        .with("millis", millis);
+        mMetrics.onBatch(entry.group().value(), pieces.size(), millis, result.isRight());
+        if (result.isLeft()) {
+            line.with("outcome", result.getLeft().kind())
+                    .with("detail", result.getLeft().detail())
+                    .warn();
+            return;
+        }
+        long failed = result.get().results().stream().filter(r -> r.failure().isPresent()).count();
+        if (failed > 0) {
+            line.with("outcome", "PARTLY_FAILED").with("failed", failed).warn();
+        } else {
+            line.with("outcome", "MADE").info();
+        }
+    }
+
+    private static Either<BatchFailure, BatchAnswer> read(
+            Either<CallFailure, WholeResponse> answer, int pieces) {
+        if (answer.isLeft()) {
+            CallFailure failure = answer.getLeft();
+            BatchFailure.Kind kind =
+                    failure.sent() ? BatchFailure.Kind.BROKEN : BatchFailure.Kind.UNREACHABLE;
+            return Either.left(new BatchFailure(kind, failure.detail()));
+        }
+        WholeResponse response = answer.get();
+        if (response.status() == MISDIRECTED) {
+            return Either.left(new BatchFailure(BatchFailure.Kind.MISDIRECTED, "status 421"));
+        }
+        if (response.status() != OK) {
+            boolean rejected = response.headers().contains(PlatformHeaders.NOT_EXECUTED);
+            BatchFailure.Kind kind =
+                    rejected ? BatchFailure.Kind.REJECTED : BatchFailure.Kind.BROKEN;
+            return Either.left(new BatchFailure(kind, "status " + response.status()));
+        }
+        try {
+            Optional<Integer> waiting =
+                    RequestDecoder.load(response.headers().get(PlatformHeaders.LOAD))
+                            .map(load -> load[1]);
+            return Either.right(
+                    new BatchAnswer(StageCodec.decodeRun(response.body(), pieces), waiting));
+        } catch (MalformedRecordException e) {
+            return Either.left(new BatchFailure(BatchFailure.Kind.BROKEN, e.getMessage()));
+        }
+    }
+
+    @Override
+    public void free(UpstreamNode upstream, Collection<String> handles) {
+        if (mToFree.isEmpty()) {
+            mScheduler.schedule(FREE_INTERVAL, this::freeAll);
+        }
+        mToFree.computeIfAbsent(upstream, node -> new LinkedHashSet<>()).addAll(handles);
+    }
+
+    private void freeAll() {
+        mToFree.forEach(this::sendFree);
+        mToFree.clear();
+    }
+
+    private void sendFree(UpstreamNode upstream, Set<String> handles) {
+        UpstreamEntry entry = upstream.entry();
+        FullHttpRequest request = post(entry, StageCodec.FREE_PATH, StageCodec.encodeFree(handles));
+        fetch(
+                entry,
+                request,
+                false,
+                FREE_TIMEOUT,
+                answer -> {
+                    if (answer.isLeft() || answer.get().status() != OK) {
+                        mLog.event("free-failed")
+                                .with("upstream", entry.id())
+                                .with("results", handles.size())
+                                .with(
+                                        "detail",
+                                        answer.fold(
+                                                CallFailure::detail,
+                                                whole -> "status " + whole.status()))
+                                .warn();
+                    }
+                });
+    }
+
+    private void fetch(
+            UpstreamEntry entry,
+            FullHttpRequest request,
+            boolean fresh,
+            Duration timeout,
+            Consumer<Either<CallFailure, WholeResponse>> receiver) {
+        InetSocketAddress address = new InetSocketAddress(entry.host(), entry.port());
+        HttpCall call = new HttpCall(address, request, fresh, CONNECT_TIMEOUT, Optional.empty());
+        WholeResponse.fetch(mConnections, mScheduler, call, timeout, MAX_ANSWER_BYTES, receiver);
+    }
+
+    private static FullHttpRequest post(UpstreamEntry entry, String path, byte[] body) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, HttpMethod.POST, path, Unpooled.wrappedBuffer(body));
+        request.headers()
+                .set(HttpHeaderNames.HOST, entry.address())
+                .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
+                .set(PlatformHeaders.EXPECTED_UPSTREAM, entry.id().value());
+        return request;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/OutgoingRequest.java
@@ -0,0 +1,99 @@
+package org.boragethread.entry.gateway;
+
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.routing.UpstreamEntry;
+import org.boragethread.platform.store.PlatformHeaders;
+import org.boragethread.wire.http.HttpCall;
+
+/** Builds the request that an upstream receives. */
+final class OutgoingRequest {
+
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+    private static final int MOST_URGENT = 0;
+    private static final int LEAST_URGENT = 9;
+
+    private final CallerRequest mRequest;
+    private final Admitted mAdmitted;
+    private final UpstreamEntry mUpstream;
+    private final HttpHeaders mHeaders;
+    private final Duration mRemaining;
+
+    private OutgoingRequest(
+            CallerRequest request, Admitted admitted, UpstreamEntry upstream, Duration remaining) {
+        mRequest = request;
+        mAdmitted = admitted;
+        mUpstream = upstream;
+        mRemaining = remaining;
+        mHeaders = ForwardedHeaders.ofRequest(request.headers());
+    }
+
+    static OutgoingRequest of(
+            CallerRequest request, Admitted admitted, UpstreamNode node, Duration remaining) {
+        OutgoingRequest outgoing = new OutgoingRequest(request, admitted, node.entry(), remaining);
+        outgoing.setOwnHeaders();
+        return outgoing;
+    }
+
+    private void setOwnHeaders() {
+        mHeaders.set(PlatformHeaders.DEADLINE, Math.max(1, mRemaining.toMillis()));
+        mHeaders.set(PlatformHeaders.EXPECTED_UPSTREAM, mUpstream.id().value());
+        mAdmitted.holder().ifPresent(holder -> mHeaders.set(PlatformHeaders.TEAM, holder.team()));
+        if (mAdmitted.route().sticky()) {
+            int priority = Math.max(MOST_URGENT, Math.min(LEAST_URGENT, mAdmitted.priority()));
+            mHeaders.set(PlatformHeaders.PRIORITY, priority);
+        }
+        if (!mAdmitted.route().resumable()) {
+            mHeaders.remove(PlatformHeaders.LAST_EVENT_ID);
+        }
+        int length = mRequest.body().readableBytes();
+        boolean framed =
+                mHeaders.contains(HttpHeaderNames.CONTENT_LENGTH)
+                        || mRequest.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+        if (framed || length > 0) {
+            mHeaders.set(HttpHeaderNames.CONTENT_LENGTH, length);
+        }
+    }
+
+    /** Names the results of the stages that the upstream needs. */
+    OutgoingRequest inputs(List<String> handles, boolean needed) {
+        if (needed) {
+            mHeaders.set(PlatformHeaders.INPUTS, String.join(",", handles));
+        }
+        return this;
+    }
+
+    /** Lets a stream go on after the given event. */
+    OutgoingRequest resumeAfter(Optional<String> lastEvent) {
+        lastEvent.ifPresent(id -> mHeaders.set(PlatformHeaders.LAST_EVENT_ID, id));
+        return this;
+    }
+
+    HttpCall call() {
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        mRequest.method(),
+                        mRequest.target(),
+                        mRequest.body().retainedDuplicate(),
+                        mHeaders,
+                        EmptyHttpHeaders.INSTANCE);
+        long third = mRemaining.toMillis() / 3;
+        Duration connect =
+                Duration.ofMillis(Math.max(1, Math.min(CONNECT_TIMEOUT.toMillis(), third)));
+        return new HttpCall(
+                new InetSocketAddress(mUpstream.host(), mUpstream.port()),
+                request,
+                !mAdmitted.route().isIdempotent(),
+                connect,
+                Optional.of(PlatformHeaders.REQUEST_ID));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RefusalBody.java
@@ -0,0 +1,24 @@
+package org.boragethread.entry.gateway;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import java.util.Locale;
+import org.boragethread.model.outcome.Refusal;
+
+/** Writes a refusal as a problem document (RFC 9457). */
+final class RefusalBody {
+
+    private RefusalBody() {}
+
+    static String of(Refusal refusal) {
+        return "{\"reason\":\"%s\",\"ran\":\"%s\",\"detail\":\"%s\",\"remedy\":\"%s\"}"
+                .formatted(
+                        refusal.reason().label(),
+                        refusal.ran().name().toLowerCase(Locale.ROOT),
+                        quoted(refusal.detail()),
+                        quoted(refusal.reason().remedy()));
+    }
+
+    private static String quoted(String text) {
+        return new String(JsonStringEncoder.getInstance().quoteAsString(text));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -0,0 +1,108 @@
+package org.boragethread.entry.gateway;
+
+import java.time.Duration;
+import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+
+/** Logs and counts the decisions about one request. */
+final class RequestTrace {
+
+    private final Gateway mGateway;
+    private final CallerRequest mRequest;
+
+    RequestTrace(Gateway gateway, CallerRequest request) {
+        mGateway = gateway;
+        mRequest = request;
+    }
+
+    void admitted(Admitted admitted, Duration remaining) {
+        mGateway.log()
+                .event("admitted", mRequest.id())
+                .with("route", admitted.route().name())
+                .with("team", admitted.team())
+                .with(
+                        "configVersion",
+                        mGateway.routing().config().map(config -> config.version()).orElse(-1L))
+                .with("configAgeMs", configAgeMillis())
+                .with("remainingMs", remaining.toMillis())
+                .info();
+    }
+
+    void sent(UpstreamNode node, int sends, Duration remaining) {
+        mGateway.log()
+                .event("sent", mRequest.id())
+                .with("upstream", node.entry().id())
+                .with("group", node.entry().group())
+                .with("dataCentre", node.entry().dataCentre())
+                .with("sends", sends)
+                .with("unfinishedCalls", node.inFlight())
+                .with("slowness", Math.round(node.slowness() * 100) / 100.0)
+                .with("remainingMs", remaining.toMillis())
+                .info();
+    }
+
+    void repeated(String reason, int sends, Duration remaining) {
+        mGateway.metrics().onRepeated(reason);
+        mGateway.log()
+                .event("repeated", mRequest.id())
+                .with("reason", reason)
+                .with("sends", sends)
+                .with("remainingMs", remaining.toMillis())
+                .info();
+    }
+
+    void repeatDenied(String reason) {
+        mGateway.log().event("repeat-denied", mRequest.id()).with("reason", reason).warn();
+    }
+
+    void answered(UpstreamNode node, int status, int sends) {
+        mGateway.metrics().onAnswered(status, age());
+        mGateway.log()
+                .event("answered", mRequest.id())
+                .with("status", status)
+                .with("upstream", node.entry().id())
+                .with("sends", sends)
+                .with("ageMs", age().toMillis())
+                .info();
+    }
+
+    void refused(Refusal refusal, int sends) {
+        mGateway.metrics().onRefused(refusal.reason());
+        mGateway.log()
+                .event("refused", mRequest.id())
+                .with("reason", refusal.reason().label())
+                .with("ran", refusal.ran())
+                .with("detail", refusal.detail())
+                .with("sends", sends)
+                .with("ageMs", age().toMillis())
+                .with("configAgeMs", configAgeMillis())
+                .warn();
+    }
+
+    void brokenOff(String detail) {
+        mGateway.metrics().onBroken("stream");
+        mGateway.log()
+                .event("broken-off", mRequest.id())
+                .with("detail", detail)
+                .with("ageMs", age().toMillis())
+                .warn();
+    }
+
+    void cancelled(int sends) {
+        mGateway.metrics().onRefused(RefusalReason.CANCELLED);
+        mGateway.log()
+                .event("cancelled", mRequest.id())
+                .with("sends", sends)
+                .with("ageMs", age().toMillis())
+                .info();
+    }
+
+    private Duration age() {
+        return mRequest.arrivedAt().age(mGateway.time());
+    }
+
+    private long configAgeMillis() {
+        return mGateway.lease().age().map(Duration::toMillis).orElse(-1L);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
@@ -0,0 +1,115 @@
+package org.boragethread.entry.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.boragethread.core.follow.Moment;
+import org.boragethread.core.follow.TopicListener;
+import org.boragethread.model.Names;
+import org.boragethread.model.routing.UpstreamEntry;
+import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.platform.store.MalformedRecordException;
+import org.boragethread.platform.store.UpstreamDecoder;
+
+/** Keeps the directory of upstreams as the store announces them. */
+final class UpstreamListener implements TopicListener {
+
+    private final Gateway mGateway;
+    private final Map<String, UpstreamEntry> mKnown = new HashMap<>();
+
+    UpstreamListener(Gateway gateway) {
+        mGateway = gateway;
+    }
+
+    @Override
+    public void onSnapshot(Map<String, byte[]> values) {
+        List<UpstreamEntry> entries = new ArrayList<>();
+        values.forEach((key, value) -> decode(key, value).ifPresent(entries::add));
+        mGateway.directory().replaceAll(entries);
+        mKnown.clear();
+        entries.forEach(entry -> mKnown.put(entry.id().value(), entry));
+        mGateway.setUpstreamsKnown();
+        mGateway.log().event("upstreams").with("known", mGateway.directory().size()).info();
+    }
+
+    @Override
+    public void onChange(String key, Optional<byte[]> value) {
+        if (value.isEmpty()) {
+            remove(key);
+            return;
+        }
+        decode(key, value.get()).ifPresent(this::put);
+    }
+
+    private void remove(String key) {
+        if (!Names.isValid(key)) {
+            return;
+        }
+        mGateway.directory().remove(new UpstreamId(key));
+        if (mKnown.remove(key) != null) {
+            mGateway.log().event("upstream").with("id", key).with("outcome", "gone").info();
+        }
+    }
+
+    private void put(UpstreamEntry entry) {
+        mGateway.directory().put(entry);
+        UpstreamEntry before = mKnown.put(entry.id().value(), entry);
+        boolean same =
+                before != null
+                        && before.leaving() == entry.leaving()
+                        && before.isSameIncarnation(entry);
+        if (!same) {
+            mGateway.log()
+                    .event("upstream")
+                    .with("id", entry.id())
+                    .with("group", entry.group())
+                    .with("address", entry.address())
+                    .with("dataCentre", entry.dataCentre())
+                    .with("coldMs", entry.coldMillis())
+                    .with("outcome", entry.leaving() ? "leaving" : "in")
+                    .info();
+        }
+    }
+
+    private Optional<UpstreamEntry> decode(String key, byte[] value) {
+        try {
+            return Optional.of(UpstreamDecoder.decode(key, value));
+        } catch (MalformedRecordException e) {
+            mGateway.log()
+                    .event("upstream")
+                    .with("id", key)
+                    .with("outcome", "unreadable")
+                    .with("detail", e.getMessage())
+                    .info();
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public void onCurrent(Moment moment) {
+        // Requests depend on the age of the configuration only.
+    }
+
+    @Override
+    public void onLost(String detail) {
+        mGateway.directory().onStoreLost();
+        mGateway.log()
+                .event("dependency")
+                .with("name", "store-upstreams")
+                .with("outcome", "lost")
+                .with("detail", detail)
+                .warn();
+    }
+
+    @Override
+    public void onRegained() {
+        mGateway.directory().onStoreRegained();
+        mGateway.log()
+                .event("dependency")
+                .with("name", "store-upstreams")
+                .with("outcome", "regained")
+                .info();
+    }
+}
--- a/model/src/main/java/org/boragethread/model/outcome/RefusalReason.java
+++ b/model/src/main/java/org/boragethread/model/outcome/RefusalReason.java
@@ -54,6 +54,18 @@
     PLAN_CONFLICT(409, "state the intent again and confirm the new plan"),
     /** The caller has not proved that it may do this. */
     UNAUTHORIZED(401, "send the operator token in the Authorization header"),
+    /** No route serves the host and path. */
+    UNKNOWN_ROUTE(404, "use a host and path that operators have configured"),
+    /** No team holds the API key. */
+    UNKNOWN_KEY(401, "send an API key that a team holds"),
+    /** The process cannot prove that its configuration is current. */
+    CONFIGURATION_STALE(503, "try again, preferably at another entry"),
+    /** Work that the request needs first could not be done. */
+    STAGE_FAILED(503, "try again after the stated time"),
+    /** The head of the request is larger than the configuration allows. */
+    HEADER_TOO_LARGE(431, "send fewer or shorter headers"),
+    /** The head of the request did not arrive in time. */
+    HEADER_TIMEOUT(408, "send the whole head without pauses"),
     /** Nothing exists under this address. */
     NOT_FOUND(404, "check the address"),
     /** A fault in this process. */
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/routing/KeyHolder.java
@@ -0,0 +1,11 @@
+package org.boragethread.model.routing;
+
+import java.util.OptionalInt;
+
+/**
+ * The team that holds an API key.
+ *
+ * @param team name of the team
+ * @param priority rank of its requests, which goes before the route's; 0 is the most urgent
+ */
+public record KeyHolder(String team, OptionalInt priority) {}
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/routing/RouteStage.java
@@ -0,0 +1,19 @@
+package org.boragethread.model.routing;
+
+import java.util.List;
+import org.boragethread.model.upstream.GroupId;
+
+/**
+ * Work that must be done before a request can run. A stage consists of pieces, each of which leaves
+ * a result at the upstream that made it.
+ *
+ * @param group group of the upstreams that do the work
+ * @param after numbers of the stages whose results it needs
+ * @param resultBytes approximate size of one result, in bytes
+ */
+public record RouteStage(GroupId group, List<Integer> after, long resultBytes) {
+
+    public RouteStage {
+        after = List.copyOf(after);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/boragethread/model/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Routes of opaque HTTP requests to upstream groups, and the discovered upstreams. */
+package org.boragethread.model.routing;
--- /dev/null
+++ b/process/src/main/java/org/boragethread/process/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured logs: one line an event, bounded in volume. */
+package org.boragethread.process.log;
--- a/process/src/main/java/org/boragethread/process/settings/SettingsSection.java
+++ b/process/src/main/java/org/boragethread/process/settings/SettingsSection.java
@@ -6,8 +6,10 @@
 import java.util.Arrays;
 import java.util.Iterator;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.regex.Pattern;
@@ -110,6 +112,26 @@
         return node.intValue();
     }
 
+    /** Returns a number in a range, or the default if the key is missing. */
+    public double number(String key, double defaultValue, double min, double max) {
+        JsonNode node = node(key);
+        if (node.isMissingNode()) {
+            return defaultValue;
+        }
+        if (!node.isNumber() || node.doubleValue() < min || node.doubleValue() > max) {
+            problem(key, "write a number from %s to %s".formatted(min, max));
+            return defaultValue;
+        }
+        return node.doubleValue();
+    }
+
+    /** Returns all keys of a section whose values are texts. */
+    public Map<String, String> texts() {
+        Map<String, String> texts = new TreeMap<>();
+        mNode.fieldNames().forEachRemaining(key -> texts.put(key, text(key)));
+        return texts;
+    }
+
     /** Returns true or false, or the default if the key is missing. */
     public boolean flag(String key, boolean defaultValue) {
         JsonNode node = node(key);
--- /dev/null
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnections.java
@@ -0,0 +1,164 @@
+package org.boragethread.wire.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import jdk.net.ExtendedSocketOptions;
+import org.boragethread.core.time.TimeSource;
+
+/** Client connections by address. Confined to one event loop. */
+public final class HttpConnections {
+
+    /** Keep-alive probes start after this idle time, so that a silent peer is noticed. */
+    private static final int KEEP_ALIVE_SECONDS = 2;
+
+    private static final int KEEP_ALIVE_PROBES = 2;
+    private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
+
+    private final EventLoop mLoop;
+    private final TimeSource mTime;
+    private final Bootstrap mBootstrap;
+    private final Map<InetSocketAddress, Deque<HttpConnection>> mIdle = new HashMap<>();
+    private long mOpened;
+
+    /** Makes a pool whose connections live on the given event loop. */
+    public HttpConnections(EventLoop loop, TimeSource time) {
+        mLoop = loop;
+        mTime = time;
+        mBootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.SO_KEEPALIVE, true)
+                        .option(
+                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
+                                KEEP_ALIVE_SECONDS)
+                        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
+                        .option(
+                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
+                                KEEP_ALIVE_PROBES);
+        long interval = SWEEP_INTERVAL.toMillis();
+        loop.scheduleWithFixedDelay(this::closeExpired, interval, interval, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Sends a call; the listener hears of its response or failure later, never during this call.
+     */
+    public CallControl send(HttpCall call, CallListener listener) {
+        CallState state = new CallState(call, listener);
+        if (!call.fresh()) {
+            HttpConnection idle = takeIdle(call.address());
+            if (idle != null) {
+                idle.start(state);
+                return state;
+            }
+        }
+        connect(state);
+        return state;
+    }
+
+    /** Returns the number of connections opened so far. */
+    public long opened() {
+        return mOpened;
+    }
+
+    private void connect(CallState state) {
+        mOpened++;
+        HttpCall call = state.call();
+        HttpConnection connection = new HttpConnection(this, call.address());
+        ChannelFuture connecting =
+                mBootstrap
+                        .clone()
+                        .option(
+                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                                (int) Math.max(1, call.connectTimeout().toMillis()))
+                        .handler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        connection.install(channel);
+                                    }
+                                })
+                        .connect(call.address());
+        state.attach(connecting.channel());
+        connecting.addListener(
+                done -> {
+                    if (done.isSuccess()) {
+                        connection.start(state);
+                    } else {
+                        state.failUnsent(String.valueOf(done.cause().getMessage()));
+                    }
+                });
+    }
+
+    /** Keeps a connection for later calls. */
+    void release(HttpConnection connection) {
+        mIdle.computeIfAbsent(connection.address(), key -> new ArrayDeque<>()).push(connection);
+    }
+
+    /** Forgets an idle connection that has ended. */
+    void remove(HttpConnection connection) {
+        Deque<HttpConnection> idle = mIdle.get(connection.address());
+        if (idle != null) {
+            idle.remove(connection);
+        }
+    }
+
+    TimeSource time() {
+        return mTime;
+    }
+
+    private HttpConnection takeIdle(InetSocketAddress address) {
+        Deque<HttpConnection> idle = mIdle.get(address);
+        while (idle != null && !idle.isEmpty()) {
+            HttpConnection connection = idle.pop();
+            if (connection.isUsable()) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
+    private void closeExpired() {
+        Iterator<Deque<HttpConnection>> all = mIdle.values().iterator();
+        while (all.hasNext()) {
+            Deque<HttpConnection> idle = all.next();
+            for (HttpConnection connection : idle.toArray(new HttpConnection[0])) {
+                if (!connection.isUsable()) {
+                    idle.remove(connection);
+                    connection.close();
+                }
+            }
+            if (idle.isEmpty()) {
+                all.remove();
+            }
+        }
+    }
+
+    /** Closes a channel when its call is given up. */
+    static void closeQuietly(Channel channel) {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    EventLoop loop() {
+        return mLoop;
+    }
+}
