--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/member/package-info.java
@@ -0,0 +1,2 @@
+/** Which entries live. */
+package org.boragethread.core.member;
--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -17,16 +17,19 @@
  * Makes the pieces of one upstream group. This process has one call at a time at each upstream, so
  * that pieces which arrive meanwhile share the next call. Not safe for use by several threads.
  */
-public final class BatchScheduler {
+public final class BatchScheduler implements PieceQueue {
 
     /** Time after which a piece no longer waits for an upstream in its preferred data centre. */
-    private static final long PLACE_PATIENCE_NANOS = Duration.ofMillis(250).toNanos();
+    private static final long PLACE_PATIENCE_NANOS = Duration.ofMillis(120).toNanos();
 
     /** Pause before a piece that found no room is tried again. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
 
     private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
+    /** Sizes of results are approximate, so a part of the memory is left free. */
+    private static final double USABLE_ROOM = 0.96;
+
     /** An answer that takes longer than this multiple of the expected time is given up. */
     private static final double TIMEOUT_FACTOR = 5;
 
@@ -58,34 +61,41 @@
         mTime = time;
     }
 
-    /** Adds the pieces of one stage; {@link #dispatch} sends them. */
-    void submit(List<PendingPiece> pieces) {
+    @Override
+    public void submit(List<PendingPiece> pieces) {
         mPending.addAll(pieces);
         dispatch();
     }
 
-    /** Returns the expected time until a new piece would be made. */
-    public Duration expectedDelay(int pieces) {
+    @Override
+    public long leastTime(int pieces) {
         Optional<BatchLimits> limits = mGroup.limits();
-        if (limits.isEmpty()) {
-            return Duration.ZERO;
-        }
-        int usable = Math.max(1, mGroup.upstreams().size());
-        int batch = limits.get().batch();
-        double rounds = Math.ceil((mPending.size() + pieces) / (double) (batch * usable));
-        Duration full = limits.get().expectedTime(Math.min(batch, mPending.size() + pieces));
-        return full.multipliedBy((long) Math.max(1, rounds));
+        return limits.isEmpty()
+                ? 0
+                : limits.get().expectedTime(Math.min(pieces, limits.get().batch())).toNanos();
+    }
+
+    @Override
+    public void onStageDone(long nanos) {
+        // The process that needs the stage estimates its delay.
+    }
+
+    private void hold(UpstreamNode upstream, String handle, long bytes) {
+        long kept = mGroup.limits().map(BatchLimits::resultTime).orElse(Duration.ZERO).toNanos();
+        upstream.results().hold(handle, bytes, mTime.nanoTime() + kept);
     }
 
     /** Sends what can be sent now. */
-    void dispatch() {
+    public void dispatch() {
         dropEnded();
         if (mPending.isEmpty()) {
             return;
         }
+        long now = mTime.nanoTime();
         mPending.sort(
-                Comparator.comparingInt(PendingPiece::priority)
-                        .thenComparingLong(piece -> piece.work().deadlineNanos()));
+                Comparator.comparing((PendingPiece piece) -> piece.urgency().targetNanos() < now)
+                        .thenComparingInt(piece -> piece.urgency().priority())
+                        .thenComparingLong(piece -> piece.urgency().targetNanos()));
         Optional<BatchLimits> limits = mGroup.limits();
         List<UpstreamNode> upstreams = mGroup.upstreams();
         if (limits.isEmpty()) {
@@ -106,22 +116,51 @@
         pollLater();
     }
 
-    /** Takes the most urgent pieces that should be made by the given upstream. */
+    /**
+     * Takes the most urgent pieces that should be made by the given upstream. The pieces of one
+     * stage of a request stay together if they fit one call: the stage ends with its last piece,
+     * and until then the others occupy memory for nothing.
+     */
     private List<PendingPiece> take(
             UpstreamNode upstream, List<UpstreamNode> upstreams, BatchLimits limits) {
         List<PendingPiece> batch = new ArrayList<>();
-        for (PendingPiece piece : mPending) {
-            if (batch.size() >= limits.batch()) {
-                break;
+        long held = upstream.results().bytes(mTime.nanoTime());
+        long room = (long) (limits.resultBytes() * USABLE_ROOM) - held;
+        int next = 0;
+        while (next < mPending.size() && batch.size() < limits.batch()) {
+            List<PendingPiece> stage = sameStage(next);
+            next += stage.size();
+            stage.removeIf(piece -> !isFor(piece, upstream, upstreams));
+            if (stage.isEmpty()) {
+                continue;
             }
-            if (isFor(piece, upstream, upstreams)) {
-                batch.add(piece);
+            int size = Math.min(stage.size(), limits.batch());
+            long bytes = size * stage.get(0).work().resultBytes();
+            boolean fits = bytes <= room || held == 0 && batch.isEmpty();
+            if (fits && batch.size() + size <= limits.batch()) {
+                batch.addAll(stage.subList(0, size));
+                room -= bytes;
             }
         }
         mPending.removeAll(batch);
         return batch;
     }
 
+    /** Returns the pending pieces of one stage of one request, which are next to each other. */
+    private List<PendingPiece> sameStage(int from) {
+        List<PendingPiece> stage = new ArrayList<>();
+        PieceListener owner = mPending.get(from).listener();
+        int number = mPending.get(from).work().stage();
+        for (int i = from; i < mPending.size(); i++) {
+            PendingPiece piece = mPending.get(i);
+            if (piece.listener() != owner || piece.work().stage() != number) {
+                break;
+            }
+            stage.add(piece);
+        }
+        return stage;
+    }
+
     private boolean isFor(PendingPiece piece, UpstreamNode upstream, List<UpstreamNode> upstreams) {
         if (piece.failedAt(upstream) && upstreams.size() > 1) {
             return false;
@@ -151,6 +190,7 @@
             piece.onTry();
             work.add(piece.work());
             latest = Math.max(latest, piece.work().deadlineNanos());
+            upstream.results().plan(piece.work().resultBytes());
         }
         long now = mTime.nanoTime();
         Duration expected = limits.expectedTime(batch.size());
@@ -172,6 +212,7 @@
             long sentAt,
             Either<BatchFailure, BatchAnswer> answer) {
         upstream.onEnded();
+        batch.forEach(piece -> upstream.results().unplan(piece.work().resultBytes()));
         if (answer.isLeft()) {
             onFailure(upstream, batch, expected, answer.getLeft());
         } else {
@@ -192,11 +233,12 @@
 
     private void settle(UpstreamNode upstream, PendingPiece piece, PieceResult result) {
         if (result.handle().isPresent()) {
-            MadePiece made = new MadePiece(result.handle().get(), upstream);
+            String handle = result.handle().get();
+            hold(upstream, handle, piece.work().resultBytes());
             if (piece.isCancelled()) {
-                mCaller.free(upstream, List.of(made.handle()));
+                mCaller.free(upstream, List.of(handle));
             } else {
-                piece.listener().onMade(piece.work(), made);
+                piece.listener().onMade(piece.work(), new MadePiece(handle, upstream.entry().id()));
             }
             return;
         }
--- a/core/src/main/java/org/boragethread/core/stage/MadePiece.java
+++ b/core/src/main/java/org/boragethread/core/stage/MadePiece.java
@@ -1,6 +1,6 @@
 package org.boragethread.core.stage;
 
-import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.upstream.UpstreamId;
 
 /**
  * A result that lies at the upstream that made it.
@@ -8,4 +8,4 @@
  * @param handle where it lies
  * @param maker the upstream that holds it
  */
-public record MadePiece(String handle, UpstreamNode maker) {}
+public record MadePiece(String handle, UpstreamId maker) {}
--- a/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
+++ b/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
@@ -5,44 +5,54 @@
 import org.boragethread.model.place.DataCentreId;
 
 /** A piece that waits for its call or its answer. Not safe for use by several threads. */
-final class PendingPiece {
+public final class PendingPiece {
 
     private final PieceWork mWork;
-    private final int mPriority;
+    private final PieceUrgency mUrgency;
     private final Optional<DataCentreId> mPreferred;
     private final PieceListener mListener;
     private final long mSince;
     private Optional<UpstreamNode> mFailedAt = Optional.empty();
+    private Runnable mOnCancel = () -> {};
     private int mTries;
     private boolean mCancelled;
 
-    PendingPiece(
+    /**
+     * Makes a piece.
+     *
+     * @param preferred data centre in which the result is wanted, if its size matters
+     * @param since monotonic time from which the piece waits
+     */
+    public PendingPiece(
             PieceWork work,
-            int priority,
+            PieceUrgency urgency,
             Optional<DataCentreId> preferred,
             PieceListener listener,
             long since) {
         mWork = work;
-        mPriority = priority;
+        mUrgency = urgency;
         mPreferred = preferred;
         mListener = listener;
         mSince = since;
     }
 
-    PieceWork work() {
+    /** Returns what is to be made. */
+    public PieceWork work() {
         return mWork;
     }
 
-    int priority() {
-        return mPriority;
+    /** Returns how urgent it is. */
+    public PieceUrgency urgency() {
+        return mUrgency;
     }
 
-    /** Data centre in which the result is wanted, if its size matters. */
-    Optional<DataCentreId> preferred() {
+    /** Returns the data centre in which the result is wanted, if its size matters. */
+    public Optional<DataCentreId> preferred() {
         return mPreferred;
     }
 
-    PieceListener listener() {
+    /** Returns who learns of its fate. */
+    public PieceListener listener() {
         return mListener;
     }
 
@@ -66,11 +76,21 @@
         mFailedAt = Optional.of(node);
     }
 
-    boolean isCancelled() {
+    /** Tells whether nobody waits for it any more. */
+    public boolean isCancelled() {
         return mCancelled;
     }
 
-    void cancel() {
-        mCancelled = true;
+    /** Runs a task when nobody waits for the piece any more. */
+    public void setOnCancel(Runnable task) {
+        mOnCancel = task;
+    }
+
+    /** Nobody waits for the piece any more. */
+    public void cancel() {
+        if (!mCancelled) {
+            mCancelled = true;
+            mOnCancel.run();
+        }
     }
 }
--- a/core/src/main/java/org/boragethread/core/stage/PieceListener.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceListener.java
@@ -1,7 +1,7 @@
 package org.boragethread.core.stage;
 
 /** Learns the fate of one piece. */
-interface PieceListener {
+public interface PieceListener {
 
     /** The piece was made. */
     void onMade(PieceWork work, MadePiece made);
--- a/core/src/main/java/org/boragethread/core/stage/PieceWork.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceWork.java
@@ -11,6 +11,7 @@
  * @param number number of the piece in its stage
  * @param deadlineNanos monotonic time after which the result is of no use
  * @param key the caller's key of the work, for stages that need no results
+ * @param resultBytes approximate size of the result, in bytes
  * @param inputs handles of the results that the stage needs; empty for stages that need none
  */
 public record PieceWork(
@@ -19,4 +20,5 @@
         int number,
         long deadlineNanos,
         String key,
+        long resultBytes,
         Optional<List<String>> inputs) {}
--- a/core/src/main/java/org/boragethread/core/stage/StageRequest.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRequest.java
@@ -13,6 +13,7 @@
  * @param pieces number of pieces of each stage; 0 leaves a stage out
  * @param key the caller's key of the work
  * @param deadlineNanos monotonic time by which the pieces are needed
+ * @param targetNanos monotonic time by which the request should be answered to have its full worth
  * @param priority rank; 0 is the most urgent
  * @param destination data centre in which the results will be used, if it is known
  */
@@ -22,5 +23,6 @@
         int[] pieces,
         String key,
         long deadlineNanos,
+        long targetNanos,
         int priority,
         Optional<DataCentreId> destination) {}
--- a/core/src/main/java/org/boragethread/core/stage/StageRun.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRun.java
@@ -7,10 +7,10 @@
 import java.util.Optional;
 import java.util.function.Function;
 import org.boragethread.core.time.TimeSource;
-import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.RouteStage;
 import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.UpstreamId;
 
 /**
  * Runs the stages of one request in the order of their needs, and frees results as soon as nothing
@@ -18,37 +18,47 @@
  */
 public final class StageRun implements PieceListener {
 
-    /** Results of this size or more are made in the data centre where they are used, in bytes. */
-    private static final long LARGE_RESULT_BYTES = 200_000;
+    /** Transfers of this size or more should not cross data centres, in bytes. */
+    private static final long LARGE_TRANSFER_BYTES = 400_000;
 
     private final StageRequest mRequest;
-    private final Function<GroupId, BatchScheduler> mSchedulers;
-    private final PieceCaller mCaller;
+    private final Function<GroupId, ? extends PieceQueue> mQueues;
+    private final ResultFreer mFreer;
+    private final Function<UpstreamId, Optional<DataCentreId>> mPlaces;
     private final TimeSource mTime;
     private final StageListener mListener;
     private final MadePiece[][] mMade;
     private final int[] mMissing;
     private final boolean[] mStarted;
+    private final long[] mStartedAt;
     private final boolean[] mFreed;
     private final List<PendingPiece> mPending = new ArrayList<>();
     private boolean mEnded;
 
-    /** Makes a run that has not started. */
+    /**
+     * Makes a run that has not started.
+     *
+     * @param queues where the pieces of each group are made
+     * @param places data centre of each upstream that is known
+     */
     public StageRun(
             StageRequest request,
-            Function<GroupId, BatchScheduler> schedulers,
-            PieceCaller caller,
+            Function<GroupId, ? extends PieceQueue> queues,
+            ResultFreer freer,
+            Function<UpstreamId, Optional<DataCentreId>> places,
             TimeSource time,
             StageListener listener) {
         mRequest = request;
-        mSchedulers = schedulers;
-        mCaller = caller;
+        mQueues = queues;
+        mFreer = freer;
+        mPlaces = places;
         mTime = time;
         mListener = listener;
         int stages = request.stages().size();
         mMade = new MadePiece[stages][];
         mMissing = new int[stages];
         mStarted = new boolean[stages];
+        mStartedAt = new long[stages];
         mFreed = new boolean[stages];
         for (int i = 0; i < stages; i++) {
             mMade[i] = new MadePiece[request.pieces()[i]];
@@ -78,12 +88,14 @@
     @Override
     public void onMade(PieceWork work, MadePiece made) {
         if (mEnded || mMade[work.stage()][work.number()] != null) {
-            mCaller.free(made.maker(), List.of(made.handle()));
+            mFreer.free(groupOf(work.stage()), made.maker(), List.of(made.handle()));
             return;
         }
         mMade[work.stage()][work.number()] = made;
         mMissing[work.stage()]--;
         if (mMissing[work.stage()] == 0) {
+            mQueues.apply(groupOf(work.stage()))
+                    .onStageDone(mTime.nanoTime() - mStartedAt[work.stage()]);
             freeNeeded(work.stage());
             advance();
         }
@@ -104,6 +116,7 @@
             done &= mMissing[stage] == 0;
             if (!mStarted[stage] && mMissing[stage] > 0 && isReady(stage)) {
                 mStarted[stage] = true;
+                mStartedAt[stage] = mTime.nanoTime();
                 submit(stage);
             }
         }
@@ -123,11 +136,11 @@
     }
 
     private void submit(int stage) {
+        long after = timeAfter(stage);
         RouteStage definition = mRequest.stages().get(stage);
-        Optional<DataCentreId> place =
-                definition.resultBytes() >= LARGE_RESULT_BYTES
-                        ? mRequest.destination()
-                        : Optional.empty();
+        Optional<DataCentreId> place = preferredPlace(stage);
+        PieceUrgency urgency =
+                new PieceUrgency(mRequest.priority(), mRequest.targetNanos() - after);
         List<PendingPiece> pieces = new ArrayList<>();
         for (int number = 0; number < mRequest.pieces()[stage]; number++) {
             PieceWork work =
@@ -135,13 +148,54 @@
                             mRequest.requestId(),
                             stage,
                             number,
-                            mRequest.deadlineNanos(),
+                            mRequest.deadlineNanos() - after,
                             mRequest.key(),
+                            definition.resultBytes(),
                             inputs(definition));
-            pieces.add(new PendingPiece(work, mRequest.priority(), place, this, mTime.nanoTime()));
+            pieces.add(new PendingPiece(work, urgency, place, this, mTime.nanoTime()));
         }
         mPending.addAll(pieces);
-        mSchedulers.apply(definition.group()).submit(pieces);
+        mQueues.apply(definition.group()).submit(pieces);
+    }
+
+    /**
+     * Returns where a stage should be made. Each of its pieces fetches all its inputs, so large
+     * inputs decide first; large results decide next.
+     */
+    private Optional<DataCentreId> preferredPlace(int stage) {
+        RouteStage definition = mRequest.stages().get(stage);
+        long inputBytes = 0;
+        Optional<DataCentreId> place = Optional.empty();
+        for (int needed : definition.after()) {
+            inputBytes += mRequest.stages().get(needed).resultBytes() * mMade[needed].length;
+            place = place.or(() -> placeOf(needed));
+        }
+        if (inputBytes * mMade[stage].length >= LARGE_TRANSFER_BYTES) {
+            return place;
+        }
+        boolean large = definition.resultBytes() >= LARGE_TRANSFER_BYTES;
+        return large && !isFollowed(stage) ? mRequest.destination() : Optional.empty();
+    }
+
+    private Optional<DataCentreId> placeOf(int stage) {
+        return mMade[stage].length == 0 ? Optional.empty() : mPlaces.apply(mMade[stage][0].maker());
+    }
+
+    private GroupId groupOf(int stage) {
+        return mRequest.stages().get(stage).group();
+    }
+
+    /** Returns the least time that the stages after the given one need, in nanoseconds. */
+    private long timeAfter(int stage) {
+        long longest = 0;
+        for (int next = 0; next < mMade.length; next++) {
+            RouteStage definition = mRequest.stages().get(next);
+            if (mMade[next].length > 0 && definition.after().contains(stage)) {
+                long own = mQueues.apply(definition.group()).leastTime(mMade[next].length);
+                longest = Math.max(longest, own + timeAfter(next));
+            }
+        }
+        return longest;
     }
 
     private Optional<List<String>> inputs(RouteStage definition) {
@@ -199,13 +253,13 @@
             return;
         }
         mFreed[stage] = true;
-        Map<UpstreamNode, List<String>> byMaker = new HashMap<>();
+        Map<UpstreamId, List<String>> byMaker = new HashMap<>();
         for (MadePiece piece : mMade[stage]) {
             if (piece != null) {
                 byMaker.computeIfAbsent(piece.maker(), maker -> new ArrayList<>())
                         .add(piece.handle());
             }
         }
-        byMaker.forEach(mCaller::free);
+        byMaker.forEach((maker, handles) -> mFreer.free(groupOf(stage), maker, handles));
     }
 }
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -57,6 +57,25 @@
         mColdShare = coldShare;
     }
 
+    /**
+     * Returns the upstream that was planned for the request if it still may get it, or else the
+     * best one.
+     */
+    public Optional<UpstreamNode> choose(ChoiceRequest request, Optional<UpstreamNode> planned) {
+        long now = mTime.nanoTime();
+        boolean keep =
+                planned.isPresent()
+                        && isAllowed(planned.get(), request)
+                        && mDirectory.of(request.group().id()).contains(planned.get())
+                        && !planned.get().isAvoided(now)
+                        && now >= planned.get().busyUntil()
+                        && planned.get()
+                                        .nanosUntilWarmEnough(
+                                                mColdShare.limit(request.group()), now)
+                                == 0;
+        return keep ? planned : choose(request);
+    }
+
     /** Returns the best upstream that may get the request now. */
     public Optional<UpstreamNode> choose(ChoiceRequest request) {
         long now = mTime.nanoTime();
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.routing.UpstreamEntry;
@@ -103,6 +104,11 @@
         return nodes;
     }
 
+    /** Returns an upstream by its identity. */
+    public Optional<UpstreamNode> find(UpstreamId id) {
+        return Optional.ofNullable(mNodes.get(id));
+    }
+
     /** Returns the number of known upstreams. */
     public int size() {
         return mNodes.size();
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -17,6 +17,7 @@
     private static final double MAX_SLOWNESS = 20;
 
     private final ColdRate mColdRate = new ColdRate();
+    private final ResultLedger mResults = new ResultLedger();
     private UpstreamEntry mEntry;
     private long mColdUntil = Long.MIN_VALUE;
     private long mAvoidUntil = Long.MIN_VALUE;
@@ -90,6 +91,11 @@
         return mInFlight;
     }
 
+    /** Returns the memory that results occupy. */
+    public ResultLedger results() {
+        return mResults;
+    }
+
     /** Returns the observed time of its answers as a multiple of the expected time. */
     public double slowness() {
         return mSlowness;
--- a/entry/src/main/java/org/boragethread/entry/gateway/Admission.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Admission.java
@@ -79,6 +79,7 @@
                 route,
                 holder,
                 request.arrivedAt().nanos() + Duration.ofMillis(millis).toNanos(),
+                request.arrivedAt().nanos() + route.targetLatency().toNanos(),
                 millis == timeout,
                 priority,
                 pieces,
--- a/entry/src/main/java/org/boragethread/entry/gateway/Admitted.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Admitted.java
@@ -6,6 +6,7 @@
 import org.boragethread.model.routing.Route;
 import org.boragethread.model.routing.RouteStage;
 import org.boragethread.model.routing.RoutedGroup;
+import org.boragethread.model.upstream.GroupId;
 
 /**
  * What is known of a request that may be served.
@@ -14,6 +15,7 @@
  * @param holder the team that holds its API key, if it needs one
  * @param deadlineNanos monotonic time of the earlier of the caller's deadline and the route's
  *     timeout
+ * @param targetNanos monotonic time by which an answer has its full worth
  * @param isRouteTimeout whether the route's timeout is the earlier one
  * @param priority rank; 0 is the most urgent
  * @param pieces number of pieces of each stage
@@ -25,6 +27,7 @@
         Route route,
         Optional<KeyHolder> holder,
         long deadlineNanos,
+        long targetNanos,
         boolean isRouteTimeout,
         int priority,
         int[] pieces,
@@ -64,6 +67,12 @@
         return (FIRST_TOKEN_MILLIS + unread / TOKENS_PER_MILLI) * 1e6;
     }
 
+    /** Returns the least time to the answer or its first event once the stages are done. */
+    long leastAnswerNanos() {
+        double unread = Math.max(0, promptTokens - sharedTokens);
+        return (long) ((FIRST_TOKEN_MILLIS + unread / TOKENS_PER_MILLI) * 1e6);
+    }
+
     /** Returns the expected time of the longest chain of stages. */
     Duration expectedStageTime(Gateway gateway) {
         Duration[] ends = new Duration[pieces.length];
@@ -79,9 +88,14 @@
             ends[i] =
                     pieces[i] == 0
                             ? start
-                            : start.plus(gateway.batches(stage.group()).expectedDelay(pieces[i]));
+                            : start.plus(expected(gateway, stage.group(), pieces[i]));
             longest = ends[i].compareTo(longest) > 0 ? ends[i] : longest;
         }
         return longest;
     }
+
+    private static Duration expected(Gateway gateway, GroupId group, int pieces) {
+        long least = gateway.stages().queue(group).leastTime(pieces);
+        return Duration.ofNanos(gateway.stages().delay(group).expected(least));
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -6,13 +6,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.boragethread.core.stage.StageFailure;
-import org.boragethread.core.stage.StageListener;
-import org.boragethread.core.stage.StageRequest;
-import org.boragethread.core.stage.StageRun;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.UpstreamNode;
@@ -22,13 +18,12 @@
 import org.boragethread.model.routing.RequestKind;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.GroupId;
-import org.boragethread.platform.store.PlatformHeaders;
 
 /**
  * One request from its arrival to its final answer: stages first, then attempts at upstreams until
  * one answers or no other attempt is allowed.
  */
-final class ForwardedRequest implements StageListener, AttemptListener {
+final class ForwardedRequest implements StagePhase.Listener, AttemptListener {
 
     /** Pause before an upstream is looked for again. */
     private static final Duration SEARCH_PAUSE = Duration.ofMillis(40);
@@ -48,7 +43,6 @@
     private static final int INPUTS_LOST = 409;
     private static final int OK = 200;
     private static final int SERVER_ERROR = 500;
-    private static final int MAX_STAGE_RUNS = 3;
 
     /** Attempts that no upstream executed, after which the request is refused. */
     private static final int MAX_REJECTIONS = 4;
@@ -63,13 +57,12 @@
     private RoutedGroup mGroup;
     private Scheduler.Timer mDeadlineTimer = () -> {};
     private Scheduler.Timer mStallTimer = () -> {};
-    private StageRun mStages;
-    private List<String> mInputs = List.of();
+    private final StagePhase mStages;
+    private Optional<UpstreamNode> mPlanned = Optional.empty();
     private UpstreamAttempt mAttempt;
     private int mExecuted;
     private int mSends;
     private int mRejections;
-    private int mStageRuns;
     private boolean mHeadSent;
     private boolean mEnded;
     private long mSearchSince = -1;
@@ -79,6 +72,7 @@
         mRequest = request;
         mSink = sink;
         mTrace = new RequestTrace(gateway, request);
+        mStages = new StagePhase(gateway, request, this);
     }
 
     /** Checks the request and begins to serve it. */
@@ -111,7 +105,6 @@
             send();
             return;
         }
-        Optional<UpstreamNode> destination = mGateway.chooser().choose(choice());
         Duration needed = mAdmitted.expectedStageTime(mGateway);
         if (needed.compareTo(remaining()) > 0) {
             refuse(
@@ -121,38 +114,23 @@
                     needed.minus(remaining()).plus(SOON));
             return;
         }
-        mStageRuns++;
-        StageRequest request =
-                new StageRequest(
-                        mRequest.id(),
-                        mAdmitted.route().stages(),
-                        mAdmitted.pieces(),
-                        mRequest.headers().get(PlatformHeaders.PIECE_KEY, ""),
-                        mAdmitted.deadlineNanos(),
-                        mAdmitted.priority(),
-                        destination.map(node -> node.entry().dataCentre()));
-        mStages =
-                new StageRun(
-                        request, mGateway::batches, mGateway.pieceCaller(), mGateway.time(), this);
-        mStages.start();
+        mPlanned = mGateway.chooser().choose(choice());
+        mStages.run(mAdmitted, mPlanned);
     }
 
     @Override
-    public void onStagesDone(List<String> handles) {
-        if (mEnded) {
-            return;
+    public void onStagesReady() {
+        if (!mEnded) {
+            send();
         }
-        mInputs = handles;
-        send();
     }
 
     @Override
-    public void onStagesFailed(StageFailure failure) {
+    public void onStagesGivenUp(StageFailure failure) {
         if (mEnded) {
             return;
         }
-        mStages = null;
-        if (failure.kind() == StageFailure.Kind.INPUT_MISSING && mStageRuns < MAX_STAGE_RUNS) {
+        if (failure.kind() == StageFailure.Kind.INPUT_MISSING && mStages.mayRunAgain()) {
             repeat("stage-input-missing");
             runStages();
             return;
@@ -178,7 +156,7 @@
             return;
         }
         ChoiceRequest choice = choice();
-        Optional<UpstreamNode> node = mGateway.chooser().choose(choice);
+        Optional<UpstreamNode> node = mGateway.chooser().choose(choice, mPlanned);
         if (node.isEmpty()) {
             search(choice);
             return;
@@ -195,7 +173,7 @@
         mAttempt.start(
                 mGateway.connections(),
                 OutgoingRequest.of(mRequest, mAdmitted, node.get(), remaining())
-                        .inputs(mInputs, mAdmitted.pieceCount() > 0)
+                        .inputs(mStages.results(), mAdmitted.pieceCount() > 0)
                         .resumeAfter(mRelay.lastId())
                         .call());
         watchForStall();
@@ -263,7 +241,7 @@
             node.setBusyUntil(now + BUSY_AVOIDANCE.toNanos());
         }
         mRejections++;
-        if (status == INPUTS_LOST && mStageRuns < MAX_STAGE_RUNS && tryRepeat("inputs-lost")) {
+        if (status == INPUTS_LOST && mStages.mayRunAgain() && tryRepeat("inputs-lost")) {
             restartStages();
             return;
         }
@@ -338,7 +316,8 @@
     @Override
     public void onStreamHead(UpstreamNode node, int status, HttpHeaders headers) {
         learn(node);
-        releaseStages();
+        mTrace.begun();
+        mStages.release();
         if (!mHeadSent) {
             mHeadSent = true;
             HttpHeaders answer = ForwardedHeaders.ofResponse(headers);
@@ -428,17 +407,10 @@
     }
 
     private void restartStages() {
-        releaseStages();
+        mStages.release();
         runStages();
     }
 
-    private void releaseStages() {
-        if (mStages != null) {
-            mStages.release();
-            mStages = null;
-        }
-    }
-
     private void noteFailure(UpstreamNode node) {
         node.onFailure(mGateway.time().nanoTime(), mGroup.coldRate() > 0, mGroup.coldTime());
     }
@@ -505,9 +477,7 @@
         if (mAttempt != null) {
             mAttempt.cancel();
         }
-        if (mStages != null) {
-            mStages.cancel();
-        }
+        mStages.cancel();
         mRequest.body().release();
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.core.stage.BatchScheduler;
+import org.boragethread.core.stage.CoordinatorTable;
 import org.boragethread.core.stage.PieceCaller;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
@@ -42,6 +43,8 @@
     private final FreshnessLease mLease;
     private final UpstreamChooser mChooser;
     private final PieceCaller mPieceCaller;
+    private final CoordinatorTable mCoordinators;
+    private final StageRouter mStages;
     private final Map<GroupId, SharedRetryBudget> mBudgets = new HashMap<>();
     private final Map<GroupId, GroupPace> mPaces = new HashMap<>();
     private final Map<GroupId, BatchScheduler> mBatches = new HashMap<>();
@@ -64,7 +67,24 @@
                         settings.dataCentre(),
                         settings.regions(),
                         settings.coldShare());
-        mPieceCaller = new HttpPieceCaller(mConnections, mScheduler, time, mLog, metrics);
+        mPieceCaller =
+                new HttpPieceCaller(
+                        mConnections,
+                        mScheduler,
+                        time,
+                        mLog,
+                        metrics,
+                        group -> batches(group).dispatch());
+        mCoordinators = new CoordinatorTable(time);
+        mStages =
+                new StageRouter(
+                        settings.peerAddress(),
+                        mCoordinators,
+                        this::batches,
+                        new PeerClient(mConnections, mScheduler, time, mLog),
+                        mPieceCaller,
+                        mDirectory,
+                        time);
     }
 
     GatewaySettings settings() {
@@ -107,8 +127,13 @@
         return mChooser;
     }
 
-    PieceCaller pieceCaller() {
-        return mPieceCaller;
+    CoordinatorTable coordinators() {
+        return mCoordinators;
+    }
+
+    /** Returns where the pieces of stages are made. */
+    StageRouter stages() {
+        return mStages;
     }
 
     /** Returns the budget of repeated calls to a group. */
@@ -128,7 +153,9 @@
         return mPaces.computeIfAbsent(group, id -> new GroupPace());
     }
 
-    /** Returns the scheduler of the pieces that a group makes. */
+    /**
+     * Returns the scheduler of the pieces that a group makes, for the case that it is done here.
+     */
     BatchScheduler batches(GroupId group) {
         return mBatches.computeIfAbsent(
                 group,
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -2,24 +2,30 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.boragethread.core.follow.FollowPace;
 import org.boragethread.core.follow.TopicFollower;
 import org.boragethread.core.follow.TopicListener;
+import org.boragethread.core.member.MembershipKeeper;
 import org.boragethread.core.time.SystemTimeSource;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.platform.store.StoreClient;
+import org.boragethread.platform.store.StoreGroup;
+import org.boragethread.platform.store.StoreTopic;
 import org.boragethread.process.command.Service;
 
 /** A running entry that serves routes. */
@@ -33,6 +39,12 @@
 
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
     private static final Duration STORE_RETRY = Duration.ofMillis(200);
+    private static final String MEMBER_GROUP = "entries";
+
+    /** An entry that has not joined for this long is taken for dead. */
+    private static final Duration MEMBER_LIFETIME = Duration.ofMillis(2500);
+
+    private static final Duration JOIN_INTERVAL = Duration.ofMillis(900);
     private static final long CHECK_MILLIS = 250;
 
     /** Part of the grace time after which no new request is taken. */
@@ -41,6 +53,9 @@
     /** Time before the end of the grace time at which the process ends whatever still runs. */
     private static final Duration EXIT_MARGIN = Duration.ofMillis(900);
 
+    /** Bound on a call of another entry: a stage's pieces with the handles that they need. */
+    private static final int MAX_PEER_BYTES = 1 << 20;
+
     private static final long STOP_POLL_MILLIS = 40;
 
     private final GatewaySettings mSettings;
@@ -50,16 +65,37 @@
     private final GatewayMetrics mMetrics = new GatewayMetrics();
     private final Gateway mGateway;
     private final CallerListener mCallers;
+    private final StoreClient mStore;
+    private final MembershipKeeper mMembership;
 
     GatewayProcess(GatewaySettings settings) {
         mSettings = settings;
         mGateway = new Gateway(settings, mTime, mLoop, mMetrics);
         mCallers = new CallerListener(mGateway, mLoops);
+        mStore =
+                new StoreClient(
+                        mGateway.connections(),
+                        mGateway.scheduler(),
+                        settings.store(),
+                        STORE_TIMEOUT);
+        mMembership =
+                new MembershipKeeper(
+                        new StoreGroup(
+                                mStore, MEMBER_GROUP, settings.peerAddress(), MEMBER_LIFETIME),
+                        mGateway.scheduler(),
+                        JOIN_INTERVAL,
+                        this::onMembers);
+    }
+
+    private void onMembers(List<String> members) {
+        mGateway.coordinators().setMembers(members);
+        mGateway.log().event("members").with("addresses", String.join(" ", members)).info();
     }
 
     @Override
     public void start() throws Exception {
         mCallers.open(mSettings.listen());
+        openPeers();
         StatusEndpoint endpoint = new StatusEndpoint(mGateway);
         openStatus(mSettings.readinessListen(), endpoint);
         if (mSettings.metricsListen().isPresent()) {
@@ -94,27 +130,42 @@
     private void follow() {
         Duration hold = fraction(mSettings.revokeTime(), CONFIG_HOLD);
         Duration pause = fraction(mSettings.leaveTime(), UPSTREAM_PAUSE);
+        mMembership.start();
         follower(
-                        StoreClient.OPERATOR_TOPIC,
+                        StoreTopic.OPERATOR_TOPIC,
                         new FollowPace(hold, Duration.ZERO, STORE_RETRY),
                         new ConfigListener(mGateway))
                 .start();
         follower(
-                        StoreClient.UPSTREAM_TOPIC,
+                        StoreTopic.UPSTREAM_TOPIC,
                         new FollowPace(Duration.ZERO, pause, STORE_RETRY),
                         new UpstreamListener(mGateway))
                 .start();
     }
 
     private TopicFollower follower(String topic, FollowPace pace, TopicListener listener) {
-        StoreClient client =
-                new StoreClient(
-                        mGateway.connections(),
-                        mGateway.scheduler(),
-                        mSettings.store(),
-                        topic,
-                        STORE_TIMEOUT);
-        return new TopicFollower(client, mGateway.scheduler(), mTime, pace, listener);
+        return new TopicFollower(
+                new StoreTopic(mStore, topic), mGateway.scheduler(), mTime, pace, listener);
+    }
+
+    private void openPeers() throws InterruptedException {
+        new ServerBootstrap()
+                .group(mLoops)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.pipeline()
+                                        .addLast(new HttpRequestDecoder())
+                                        .addLast(new HttpObjectAggregator(MAX_PEER_BYTES))
+                                        .addLast(new HttpResponseEncoder())
+                                        .addLast(new PeerEndpoint(mGateway));
+                            }
+                        })
+                .bind(mSettings.peerListen())
+                .sync();
     }
 
     private void openStatus(InetSocketAddress address, StatusEndpoint endpoint)
@@ -142,6 +193,12 @@
         ask(
                 () -> {
                     mGateway.setStopping();
+                    mMembership.stop(
+                            left ->
+                                    mGateway.log()
+                                            .event("members")
+                                            .with("outcome", left.isRight() ? "left" : "not-left")
+                                            .info());
                     mGateway.log().event("stop").with("outcome", "begun").info();
                     return true;
                 });
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param listen address for callers
  * @param readinessListen address for the balancer's questions
  * @param metricsListen address for monitoring
+ * @param peerListen address for other entries
  * @param store address of the platform's store
  * @param applyTime time in which a configuration must be in force
  * @param leaveTime time in which a leaving upstream must get no more work
@@ -34,6 +35,7 @@
         InetSocketAddress listen,
         InetSocketAddress readinessListen,
         Optional<InetSocketAddress> metricsListen,
+        InetSocketAddress peerListen,
         InetSocketAddress store,
         Duration applyTime,
         Duration leaveTime,
@@ -74,6 +76,7 @@
                         gateway.address("listen"),
                         gateway.address("readiness_listen"),
                         gateway.optionalAddress("metrics_listen"),
+                        gateway.address("peer_listen"),
                         gateway.address("store"),
                         millis(bounds, "config_apply_ms", 2000),
                         millis(bounds, "leave_ms", 2000),
@@ -98,6 +101,11 @@
         return Math.floor(retries.slack() / coldShare.entries());
     }
 
+    /** Returns the address for other entries as IP:port. */
+    public String peerAddress() {
+        return peerListen.getAddress().getHostAddress() + ":" + peerListen.getPort();
+    }
+
     private static Map<DataCentreId, String> regions(SettingsSection section) {
         Map<DataCentreId, String> regions = new HashMap<>();
         section.texts().forEach((key, value) -> regions.put(new DataCentreId(key), value));
--- a/entry/src/main/java/org/boragethread/entry/gateway/HttpPieceCaller.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/HttpPieceCaller.java
@@ -20,11 +20,13 @@
 import org.boragethread.core.stage.BatchAnswer;
 import org.boragethread.core.stage.BatchFailure;
 import org.boragethread.core.stage.PieceCaller;
+import org.boragethread.core.stage.PieceResult;
 import org.boragethread.core.stage.PieceWork;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.UpstreamEntry;
+import org.boragethread.model.upstream.GroupId;
 import org.boragethread.platform.store.MalformedRecordException;
 import org.boragethread.platform.store.PlatformHeaders;
 import org.boragethread.platform.store.RequestDecoder;
@@ -45,13 +47,14 @@
     private static final Duration FREE_TIMEOUT = Duration.ofSeconds(2);
 
     /** Results that become free within this time share a call. */
-    private static final Duration FREE_INTERVAL = Duration.ofMillis(30);
+    private static final Duration FREE_INTERVAL = Duration.ofMillis(8);
 
     private final HttpConnections mConnections;
     private final Scheduler mScheduler;
     private final TimeSource mTime;
     private final EventLog mLog;
     private final GatewayMetrics mMetrics;
+    private final Consumer<GroupId> mOnFreed;
     private final Map<UpstreamNode, Set<String>> mToFree = new HashMap<>();
 
     HttpPieceCaller(
@@ -59,12 +62,14 @@
             Scheduler scheduler,
             TimeSource time,
             EventLog log,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            Consumer<GroupId> onFreed) {
         mConnections = connections;
         mScheduler = scheduler;
         mTime = time;
         mLog = log;
         mMetrics = metrics;
+        mOnFreed = onFreed;
     }
 
     @Override
@@ -86,7 +91,7 @@
                 timeout,
                 answer -> {
                     Either<BatchFailure, BatchAnswer> result = read(answer, pieces.size());
-                    log(entry, pieces, sentAt, result);
+                    log(entry, pieces, sentAt, upstream.results().bytes(mTime.nanoTime()), result);
                     receiver.accept(result);
                 });
     }
@@ -95,6 +100,7 @@
             UpstreamEntry entry,
             List<PieceWork> pieces,
             long sentAt,
+            long heldBytes,
             Either<BatchFailure, BatchAnswer> result) {
         long millis = mTime.since(sentAt).toMillis();
         Set<String> requests = new LinkedHashSet<>();
@@ -112,9 +118,14 @@
                     .warn();
             return;
         }
-        long failed = result.get().results().stream().filter(r -> r.failure().isPresent()).count();
-        if (failed > 0) {
-            line.with("outcome", "PARTLY_FAILED").with("failed", failed).warn();
+        List<PieceResult.Failure> failures =
+                result.get().results().stream().flatMap(r -> r.failure().stream()).toList();
+        if (!failures.isEmpty()) {
+            line.with("outcome", "PARTLY_FAILED")
+                    .with("failed", failures.size())
+                    .with("reason", failures.get(0))
+                    .with("heldBytes", heldBytes)
+                    .warn();
         } else {
             line.with("outcome", "MADE").info();
         }
@@ -171,6 +182,9 @@
                 false,
                 FREE_TIMEOUT,
                 answer -> {
+                    // Until then the upstream may have no room for other results.
+                    upstream.results().release(handles);
+                    mOnFreed.accept(entry.group());
                     if (answer.isLeft() || answer.get().status() != OK) {
                         mLog.event("free-failed")
                                 .with("upstream", entry.id())
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -0,0 +1,246 @@
+package org.boragethread.entry.gateway;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageLite;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.boragethread.core.stage.MadePiece;
+import org.boragethread.core.stage.PendingPiece;
+import org.boragethread.core.stage.PieceWork;
+import org.boragethread.core.stage.StageFailure;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.process.log.EventLog;
+import org.boragethread.wire.http.CallControl;
+import org.boragethread.wire.http.CallFailure;
+import org.boragethread.wire.http.CallListener;
+import org.boragethread.wire.http.HttpCall;
+import org.boragethread.wire.http.HttpConnections;
+import org.boragethread.wire.http.WholeResponse;
+import org.boragethread.wire.proto.PieceDone;
+import org.boragethread.wire.proto.ResultsFree;
+import org.boragethread.wire.proto.StageWork;
+import org.boragethread.wire.proto.StageWorkDone;
+
+/** Hands the pieces of stages to other entries. */
+final class PeerClient {
+
+    static final String MAKE_PATH = "/pieces";
+    static final String FREE_PATH = "/results";
+
+    private static final int OK = 200;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(150);
+
+    /** A live entry confirms at once that it took the pieces. */
+    private static final Duration ACCEPT_TIMEOUT = Duration.ofMillis(250);
+
+    private static final Duration FREE_TIMEOUT = Duration.ofMillis(500);
+
+    private final HttpConnections mConnections;
+    private final Scheduler mScheduler;
+    private final TimeSource mTime;
+    private final EventLog mLog;
+
+    PeerClient(HttpConnections connections, Scheduler scheduler, TimeSource time, EventLog log) {
+        mConnections = connections;
+        mScheduler = scheduler;
+        mTime = time;
+        mLog = log;
+    }
+
+    /**
+     * Has the pieces of one stage of one request made.
+     *
+     * @param orElse runs if the peer does not take the pieces, or is lost before it is done
+     */
+    void make(String peer, GroupId group, List<PendingPiece> pieces, Runnable orElse) {
+        StageWork work = encode(group, pieces);
+        Pending pending = new Pending(peer, pieces, orElse);
+        pending.mControl = mConnections.send(call(peer, MAKE_PATH, work), pending);
+        pending.mTimer =
+                mScheduler.schedule(ACCEPT_TIMEOUT, () -> pending.giveUp("it did not confirm"));
+        pieces.get(0).setOnCancel(pending::cancel);
+    }
+
+    private StageWork encode(GroupId group, List<PendingPiece> pieces) {
+        PendingPiece first = pieces.get(0);
+        PieceWork work = first.work();
+        long now = mTime.nanoTime();
+        StageWork.Builder builder =
+                StageWork.newBuilder()
+                        .setGroup(group.value())
+                        .setRequestId(work.requestId())
+                        .setStage(work.stage())
+                        .setKey(work.key())
+                        .setNeedsInputs(work.inputs().isPresent())
+                        .addAllInputs(work.inputs().orElse(List.of()))
+                        .setResultBytes(work.resultBytes())
+                        .setDeadlineLeftNanos(work.deadlineNanos() - now)
+                        .setTargetLeftNanos(first.urgency().targetNanos() - now)
+                        .setPriority(first.urgency().priority())
+                        .setPreferred(first.preferred().map(place -> place.value()).orElse(""));
+        pieces.forEach(piece -> builder.addNumbers(piece.work().number()));
+        return builder.build();
+    }
+
+    /**
+     * Frees results through the entry that counts them.
+     *
+     * @param orElse runs if the peer cannot be reached
+     */
+    void free(
+            String peer,
+            GroupId group,
+            UpstreamId maker,
+            Collection<String> handles,
+            Runnable orElse) {
+        ResultsFree free =
+                ResultsFree.newBuilder()
+                        .setGroup(group.value())
+                        .setMaker(maker.value())
+                        .addAllHandles(handles)
+                        .build();
+        WholeResponse.fetch(
+                mConnections,
+                mScheduler,
+                call(peer, FREE_PATH, free),
+                FREE_TIMEOUT,
+                1024,
+                answer -> {
+                    if (answer.isLeft() || answer.get().status() != OK) {
+                        orElse.run();
+                    }
+                });
+    }
+
+    private static HttpCall call(String peer, String path, MessageLite message) {
+        byte[] body = message.toByteArray();
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, HttpMethod.POST, path, Unpooled.wrappedBuffer(body));
+        request.headers()
+                .set(HttpHeaderNames.HOST, peer)
+                .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        int colon = peer.lastIndexOf(':');
+        InetSocketAddress address =
+                new InetSocketAddress(
+                        peer.substring(0, colon), Integer.parseInt(peer.substring(colon + 1)));
+        return new HttpCall(address, request, false, CONNECT_TIMEOUT, Optional.empty());
+    }
+
+    /** Pieces that a peer makes. */
+    private final class Pending implements CallListener {
+
+        private final String mPeer;
+        private final List<PendingPiece> mPieces;
+        private final Runnable mOrElse;
+        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private CallControl mControl;
+        private Scheduler.Timer mTimer;
+        private int mStatus;
+
+        Pending(String peer, List<PendingPiece> pieces, Runnable orElse) {
+            mPeer = peer;
+            mPieces = pieces;
+            mOrElse = orElse;
+        }
+
+        @Override
+        public void onHead(HttpResponse head) {
+            mStatus = head.status().code();
+            mTimer.cancel();
+            long left = mPieces.get(0).work().deadlineNanos() - mTime.nanoTime();
+            mTimer =
+                    mScheduler.schedule(
+                            Duration.ofNanos(Math.max(0, left)), () -> giveUp("the time is over"));
+        }
+
+        @Override
+        public void onBody(ByteBuf data) {
+            byte[] bytes = new byte[data.readableBytes()];
+            data.readBytes(bytes);
+            mBody.writeBytes(bytes);
+        }
+
+        @Override
+        public void onEnd() {
+            mTimer.cancel();
+            if (mStatus != OK) {
+                fallBack("status " + mStatus);
+                return;
+            }
+            try {
+                settle(StageWorkDone.parseFrom(mBody.toByteArray()));
+            } catch (InvalidProtocolBufferException e) {
+                fallBack(e.getMessage());
+            }
+        }
+
+        @Override
+        public void onFailure(CallFailure failure) {
+            mTimer.cancel();
+            fallBack(failure.detail());
+        }
+
+        void cancel() {
+            mTimer.cancel();
+            mControl.cancel();
+        }
+
+        private void giveUp(String detail) {
+            cancel();
+            fallBack(detail);
+        }
+
+        private void fallBack(String detail) {
+            if (mPieces.get(0).isCancelled()) {
+                return;
+            }
+            mLog.event("coordinator", mPieces.get(0).work().requestId())
+                    .with("peer", mPeer)
+                    .with("outcome", "scheduled-here")
+                    .with("detail", detail)
+                    .warn();
+            mOrElse.run();
+        }
+
+        private void settle(StageWorkDone done) {
+            Map<Integer, PieceDone> byNumber = new HashMap<>();
+            done.getPiecesList().forEach(piece -> byNumber.put(piece.getNumber(), piece));
+            for (PendingPiece piece : mPieces) {
+                if (!piece.isCancelled()) {
+                    settle(piece, byNumber.get(piece.work().number()));
+                }
+            }
+        }
+
+        private void settle(PendingPiece piece, PieceDone done) {
+            if (done != null && !done.getHandle().isEmpty()) {
+                MadePiece made = new MadePiece(done.getHandle(), new UpstreamId(done.getMaker()));
+                piece.listener().onMade(piece.work(), made);
+                return;
+            }
+            StageFailure.Kind kind =
+                    done == null
+                            ? StageFailure.Kind.FAILED
+                            : StageFailure.Kind.valueOf(done.getFailure());
+            piece.listener().onFailed(piece.work(), new StageFailure(kind, "peer " + mPeer));
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -0,0 +1,180 @@
+package org.boragethread.entry.gateway;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.core.stage.MadePiece;
+import org.boragethread.core.stage.PendingPiece;
+import org.boragethread.core.stage.PieceListener;
+import org.boragethread.core.stage.PieceUrgency;
+import org.boragethread.core.stage.PieceWork;
+import org.boragethread.core.stage.StageFailure;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.wire.proto.PieceDone;
+import org.boragethread.wire.proto.ResultsFree;
+import org.boragethread.wire.proto.StageWork;
+import org.boragethread.wire.proto.StageWorkDone;
+
+/** One connection of another entry, which has pieces of stages scheduled here. */
+final class PeerEndpoint extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+    private final Gateway mGateway;
+    private List<PendingPiece> mRunning = List.of();
+    private Optional<Collector> mCollector = Optional.empty();
+
+    PeerEndpoint(Gateway gateway) {
+        mGateway = gateway;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request)
+            throws InvalidProtocolBufferException {
+        byte[] body = ByteBufUtil.getBytes(request.content());
+        if (request.uri().equals(PeerClient.FREE_PATH)) {
+            free(ResultsFree.parseFrom(body));
+            respond(context, HttpResponseStatus.OK);
+            return;
+        }
+        if (mGateway.isStopping() || !mRunning.isEmpty()) {
+            respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
+            return;
+        }
+        make(context, StageWork.parseFrom(body));
+    }
+
+    private void free(ResultsFree free) {
+        mGateway.stages().freeHere(new UpstreamId(free.getMaker()), free.getHandlesList());
+    }
+
+    private void make(ChannelHandlerContext context, StageWork work) {
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        context.writeAndFlush(head);
+        GroupId group = new GroupId(work.getGroup());
+        Collector collector = new Collector(context, work.getNumbersCount());
+        mCollector = Optional.of(collector);
+        long now = mGateway.time().nanoTime();
+        PieceUrgency urgency =
+                new PieceUrgency(work.getPriority(), now + work.getTargetLeftNanos());
+        Optional<DataCentreId> preferred =
+                Optional.of(work.getPreferred())
+                        .filter(name -> !name.isEmpty())
+                        .map(DataCentreId::new);
+        List<PendingPiece> pieces = new ArrayList<>();
+        for (int number : work.getNumbersList()) {
+            pieces.add(
+                    new PendingPiece(
+                            decode(work, number, now), urgency, preferred, collector, now));
+        }
+        mRunning = pieces;
+        mGateway.batches(group).submit(pieces);
+    }
+
+    private static PieceWork decode(StageWork work, int number, long now) {
+        Optional<List<String>> inputs =
+                work.getNeedsInputs()
+                        ? Optional.of(List.copyOf(work.getInputsList()))
+                        : Optional.empty();
+        return new PieceWork(
+                work.getRequestId(),
+                work.getStage(),
+                number,
+                now + work.getDeadlineLeftNanos(),
+                work.getKey(),
+                work.getResultBytes(),
+                inputs);
+    }
+
+    private static void respond(ChannelHandlerContext context, HttpResponseStatus status) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        context.writeAndFlush(response);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mRunning.forEach(PendingPiece::cancel);
+        mRunning = List.of();
+        mCollector.ifPresent(Collector::abandon);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        mGateway.log()
+                .event("peer-connection")
+                .with("outcome", "closed")
+                .with("detail", cause.getMessage())
+                .warn();
+        context.close();
+    }
+
+    /** Collects the fates of the pieces and answers when all are known. */
+    private final class Collector implements PieceListener {
+
+        private final ChannelHandlerContext mContext;
+        private final StageWorkDone.Builder mDone = StageWorkDone.newBuilder();
+        private int mMissing;
+
+        Collector(ChannelHandlerContext context, int pieces) {
+            mContext = context;
+            mMissing = pieces;
+        }
+
+        /** Frees what was made, since the other entry no longer waits for it. */
+        void abandon() {
+            for (PieceDone piece : mDone.getPiecesList()) {
+                if (!piece.getHandle().isEmpty()) {
+                    mGateway.stages()
+                            .freeHere(new UpstreamId(piece.getMaker()), List.of(piece.getHandle()));
+                }
+            }
+        }
+
+        @Override
+        public void onMade(PieceWork work, MadePiece made) {
+            add(
+                    PieceDone.newBuilder()
+                            .setNumber(work.number())
+                            .setHandle(made.handle())
+                            .setMaker(made.maker().value()));
+        }
+
+        @Override
+        public void onFailed(PieceWork work, StageFailure failure) {
+            add(PieceDone.newBuilder().setNumber(work.number()).setFailure(failure.kind().name()));
+        }
+
+        private void add(PieceDone.Builder piece) {
+            mDone.addPieces(piece);
+            mMissing--;
+            if (mMissing > 0) {
+                return;
+            }
+            mRunning = List.of();
+            mCollector = Optional.empty();
+            ByteBuf body = Unpooled.wrappedBuffer(mDone.build().toByteArray());
+            mContext.write(new DefaultHttpContent(body));
+            mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -10,6 +10,7 @@
 
     private final Gateway mGateway;
     private final CallerRequest mRequest;
+    private long mBegunMillis = -1;
 
     RequestTrace(Gateway gateway, CallerRequest request) {
         mGateway = gateway;
@@ -56,6 +57,11 @@
         mGateway.log().event("repeat-denied", mRequest.id()).with("reason", reason).warn();
     }
 
+    /** The first part of an answer arrived from the upstream. */
+    void begun() {
+        mBegunMillis = age().toMillis();
+    }
+
     void answered(UpstreamNode node, int status, int sends) {
         mGateway.metrics().onAnswered(status, age());
         mGateway.log()
@@ -63,6 +69,7 @@
                 .with("status", status)
                 .with("upstream", node.entry().id())
                 .with("sends", sends)
+                .with("begunMs", mBegunMillis)
                 .with("ageMs", age().toMillis())
                 .info();
     }
--- a/model/src/main/java/org/boragethread/model/routing/BatchLimits.java
+++ b/model/src/main/java/org/boragethread/model/routing/BatchLimits.java
@@ -11,9 +11,16 @@
  * @param callTime time that a call takes, whatever it carries
  * @param pieceTime approximate additional time for each piece
  * @param resultBytes memory for results that have not been freed, in bytes
+ * @param resultTime time for which a result is kept if it is not freed
  */
 public record BatchLimits(
-        int slots, int queue, int batch, Duration callTime, Duration pieceTime, long resultBytes) {
+        int slots,
+        int queue,
+        int batch,
+        Duration callTime,
+        Duration pieceTime,
+        long resultBytes,
+        Duration resultTime) {
 
     /** Returns the expected time of a call with the given number of pieces. */
     public Duration expectedTime(int pieces) {
