--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -4,7 +4,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.time.Scheduler;
@@ -34,6 +36,10 @@
     private static final double TIMEOUT_FACTOR = 5;
 
     private static final Duration TIMEOUT_BASE = Duration.ofMillis(400);
+
+    /** Time for a call to reach an upstream over a new connection. */
+    private static final long CALL_OVERHEAD_NANOS = Duration.ofMillis(8).toNanos();
+
     private static final int MAX_TRIES = 4;
 
     /** Time for which an upstream of another process's address is not called. */
@@ -45,6 +51,7 @@
     private final Scheduler mScheduler;
     private final TimeSource mTime;
     private final List<PendingPiece> mPending = new ArrayList<>();
+    private final Map<UpstreamNode, Long> mExpectedEnds = new HashMap<>();
     private boolean mPolling;
 
     /** Makes a scheduler for one group. */
@@ -75,6 +82,11 @@
                 : limits.get().expectedTime(Math.min(pieces, limits.get().batch())).toNanos();
     }
 
+    @Override
+    public long expectedTime(int pieces) {
+        return leastTime(pieces);
+    }
+
     @Override
     public void onStageDone(long nanos) {
         // The process that needs the stage estimates its delay.
@@ -92,8 +104,9 @@
             return;
         }
         long now = mTime.nanoTime();
+        long own = leastTime(1);
         mPending.sort(
-                Comparator.comparing((PendingPiece piece) -> piece.urgency().targetNanos() < now)
+                Comparator.comparing((PendingPiece piece) -> piece.urgency().stepsBack(now, own))
                         .thenComparingInt(piece -> piece.urgency().priority())
                         .thenComparingLong(piece -> piece.urgency().targetNanos()));
         Optional<BatchLimits> limits = mGroup.limits();
@@ -106,7 +119,7 @@
             if (mPending.isEmpty()) {
                 return;
             }
-            if (upstream.inFlight() < limits.get().slots()) {
+            if (isFree(upstream, limits.get(), now)) {
                 List<PendingPiece> batch = take(upstream, upstreams, limits.get());
                 if (!batch.isEmpty()) {
                     send(upstream, batch, limits.get());
@@ -116,6 +129,16 @@
         pollLater();
     }
 
+    /** An upstream is free for a call that would arrive just when the one before it ends. */
+    private boolean isFree(UpstreamNode upstream, BatchLimits limits, long now) {
+        if (upstream.inFlight() < limits.slots()) {
+            return true;
+        }
+        Long end = mExpectedEnds.get(upstream);
+        boolean soon = end != null && now > end - CALL_OVERHEAD_NANOS;
+        return soon && upstream.inFlight() == limits.slots() && limits.queue() > 0;
+    }
+
     /**
      * Takes the most urgent pieces that should be made by the given upstream. The pieces of one
      * stage of a request stay together if they fit one call: the stage ends with its last piece,
@@ -196,6 +219,10 @@
         Duration expected = limits.expectedTime(batch.size());
         long most = (long) (expected.toNanos() * TIMEOUT_FACTOR) + TIMEOUT_BASE.toNanos();
         Duration timeout = Duration.ofNanos(Math.max(1, Math.min(most, latest - now)));
+        mExpectedEnds.put(
+                upstream,
+                Math.max(now, mExpectedEnds.getOrDefault(upstream, now)) + expected.toNanos());
+        dispatchAt(expected.toNanos() - CALL_OVERHEAD_NANOS);
         mBudget.onFirstCall();
         upstream.onSent(now);
         mCaller.make(
@@ -212,6 +239,9 @@
             long sentAt,
             Either<BatchFailure, BatchAnswer> answer) {
         upstream.onEnded();
+        if (upstream.inFlight() == 0) {
+            mExpectedEnds.remove(upstream);
+        }
         batch.forEach(piece -> upstream.results().unplan(piece.work().resultBytes()));
         if (answer.isLeft()) {
             onFailure(upstream, batch, expected, answer.getLeft());
@@ -307,6 +337,10 @@
         late.forEach(piece -> fail(piece, StageFailure.Kind.DEADLINE));
     }
 
+    private void dispatchAt(long delayNanos) {
+        mScheduler.schedule(Duration.ofNanos(Math.max(0, delayNanos)), this::dispatch);
+    }
+
     private void pollLater() {
         if (mPolling || mPending.isEmpty()) {
             return;
--- a/core/src/main/java/org/boragethread/core/stage/PieceQueue.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceQueue.java
@@ -11,6 +11,9 @@
     /** Returns the time that a stage of the given size takes when nothing waits, in nanoseconds. */
     long leastTime(int pieces);
 
+    /** Returns the time that a stage of the given size takes at present, in nanoseconds. */
+    long expectedTime(int pieces);
+
     /** Learns how long a stage took, waiting included, in nanoseconds. */
     void onStageDone(long nanos);
 }
--- a/core/src/main/java/org/boragethread/core/stage/StageRun.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRun.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.ToLongBiFunction;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.RouteStage;
@@ -21,6 +22,9 @@
     /** Transfers of this size or more should not cross data centres, in bytes. */
     private static final long LARGE_TRANSFER_BYTES = 400_000;
 
+    /** Inputs of this size or more are taken to occupy scarce memory, in bytes. */
+    private static final long SCARCE_BYTES = 100_000;
+
     private final StageRequest mRequest;
     private final Function<GroupId, ? extends PieceQueue> mQueues;
     private final ResultFreer mFreer;
@@ -136,11 +140,15 @@
     }
 
     private void submit(int stage) {
-        long after = timeAfter(stage);
+        long after = timeAfter(stage, PieceQueue::leastTime);
+        long expectedAfter = timeAfter(stage, PieceQueue::expectedTime);
         RouteStage definition = mRequest.stages().get(stage);
         Optional<DataCentreId> place = preferredPlace(stage);
         PieceUrgency urgency =
-                new PieceUrgency(mRequest.priority(), mRequest.targetNanos() - after);
+                new PieceUrgency(
+                        mRequest.priority(),
+                        mRequest.targetNanos() - expectedAfter,
+                        holdsInputs(stage));
         List<PendingPiece> pieces = new ArrayList<>();
         for (int number = 0; number < mRequest.pieces()[stage]; number++) {
             PieceWork work =
@@ -177,6 +185,14 @@
         return large && !isFollowed(stage) ? mRequest.destination() : Optional.empty();
     }
 
+    private boolean holdsInputs(int stage) {
+        long bytes = 0;
+        for (int needed : mRequest.stages().get(stage).after()) {
+            bytes += mRequest.stages().get(needed).resultBytes() * mMade[needed].length;
+        }
+        return bytes >= SCARCE_BYTES;
+    }
+
     private Optional<DataCentreId> placeOf(int stage) {
         return mMade[stage].length == 0 ? Optional.empty() : mPlaces.apply(mMade[stage][0].maker());
     }
@@ -185,14 +201,14 @@
         return mRequest.stages().get(stage).group();
     }
 
-    /** Returns the least time that the stages after the given one need, in nanoseconds. */
-    private long timeAfter(int stage) {
+    /** Returns the time that the stages after the given one need, in nanoseconds. */
+    private long timeAfter(int stage, ToLongBiFunction<PieceQueue, Integer> time) {
         long longest = 0;
         for (int next = 0; next < mMade.length; next++) {
             RouteStage definition = mRequest.stages().get(next);
             if (mMade[next].length > 0 && definition.after().contains(stage)) {
-                long own = mQueues.apply(definition.group()).leastTime(mMade[next].length);
-                longest = Math.max(longest, own + timeAfter(next));
+                long own = time.applyAsLong(mQueues.apply(definition.group()), mMade[next].length);
+                longest = Math.max(longest, own + timeAfter(next, time));
             }
         }
         return longest;
--- a/entry/src/main/java/org/boragethread/entry/gateway/Admitted.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Admitted.java
@@ -6,7 +6,6 @@
 import org.boragethread.model.routing.Route;
 import org.boragethread.model.routing.RouteStage;
 import org.boragethread.model.routing.RoutedGroup;
-import org.boragethread.model.upstream.GroupId;
 
 /**
  * What is known of a request that may be served.
@@ -39,7 +38,7 @@
     private static final double TOKENS_PER_MILLI = 48;
 
     /** Time of an engine's first token besides the reading of the prompt, in milliseconds. */
-    private static final double FIRST_TOKEN_MILLIS = 30;
+    private static final double FIRST_TOKEN_MILLIS = 120;
 
     String team() {
         return holder.map(KeyHolder::team).orElse("");
@@ -88,14 +87,10 @@
             ends[i] =
                     pieces[i] == 0
                             ? start
-                            : start.plus(expected(gateway, stage.group(), pieces[i]));
+                            : start.plusNanos(
+                                    gateway.stages().queue(stage.group()).expectedTime(pieces[i]));
             longest = ends[i].compareTo(longest) > 0 ? ends[i] : longest;
         }
         return longest;
     }
-
-    private static Duration expected(Gateway gateway, GroupId group, int pieces) {
-        long least = gateway.stages().queue(group).leastTime(pieces);
-        return Duration.ofNanos(gateway.stages().delay(group).expected(least));
-    }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -94,6 +94,7 @@
                         .setDeadlineLeftNanos(work.deadlineNanos() - now)
                         .setTargetLeftNanos(first.urgency().targetNanos() - now)
                         .setPriority(first.urgency().priority())
+                        .setHoldsInputs(first.urgency().holdsInputs())
                         .setPreferred(first.preferred().map(place -> place.value()).orElse(""));
         pieces.forEach(piece -> builder.addNumbers(piece.work().number()));
         return builder.build();
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -74,7 +74,8 @@
         mCollector = Optional.of(collector);
         long now = mGateway.time().nanoTime();
         PieceUrgency urgency =
-                new PieceUrgency(work.getPriority(), now + work.getTargetLeftNanos());
+                new PieceUrgency(
+                        work.getPriority(), now + work.getTargetLeftNanos(), work.getHoldsInputs());
         Optional<DataCentreId> preferred =
                 Optional.of(work.getPreferred())
                         .filter(name -> !name.isEmpty())
--- a/entry/src/main/java/org/boragethread/entry/gateway/StageRouter.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StageRouter.java
@@ -111,6 +111,11 @@
             return mLocal.apply(mGroup).leastTime(pieces);
         }
 
+        @Override
+        public long expectedTime(int pieces) {
+            return delay(mGroup).expected(leastTime(pieces));
+        }
+
         @Override
         public void onStageDone(long nanos) {
             delay(mGroup).observe(nanos);
--- a/wire/src/main/java/org/boragethread/wire/proto/StageWork.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/StageWork.java
@@ -358,6 +358,21 @@
     }
   }
 
+  public static final int HOLDS_INPUTS_FIELD_NUMBER = 13;
+  private boolean holdsInputs_ = false;
+  /**
+   * <pre>
+   * Whether inputs of the stage occupy scarce memory until it is made.
+   * </pre>
+   *
+   * <code>bool holds_inputs = 13;</code>
+   * @return The holdsInputs.
+   */
+  @java.lang.Override
+  public boolean getHoldsInputs() {
+    return holdsInputs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -413,6 +428,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(preferred_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 12, preferred_);
     }
+    if (holdsInputs_ != false) {
+      output.writeBool(13, holdsInputs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -480,6 +498,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(preferred_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(12, preferred_);
     }
+    if (holdsInputs_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(13, holdsInputs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -519,6 +541,8 @@
         != other.getPriority()) return false;
     if (!getPreferred()
         .equals(other.getPreferred())) return false;
+    if (getHoldsInputs()
+        != other.getHoldsInputs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -562,6 +586,9 @@
     hash = (53 * hash) + getPriority();
     hash = (37 * hash) + PREFERRED_FIELD_NUMBER;
     hash = (53 * hash) + getPreferred().hashCode();
+    hash = (37 * hash) + HOLDS_INPUTS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getHoldsInputs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -710,6 +737,7 @@
       targetLeftNanos_ = 0L;
       priority_ = 0;
       preferred_ = "";
+      holdsInputs_ = false;
       return this;
     }
 
@@ -781,6 +809,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.preferred_ = preferred_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.holdsInputs_ = holdsInputs_;
+      }
     }
 
     @java.lang.Override
@@ -854,6 +885,9 @@
         bitField0_ |= 0x00000800;
         onChanged();
       }
+      if (other.getHoldsInputs() != false) {
+        setHoldsInputs(other.getHoldsInputs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -952,6 +986,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 98
+            case 104: {
+              holdsInputs_ = input.readBool();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1688,6 +1727,50 @@
       return this;
     }
 
+    private boolean holdsInputs_ ;
+    /**
+     * <pre>
+     * Whether inputs of the stage occupy scarce memory until it is made.
+     * </pre>
+     *
+     * <code>bool holds_inputs = 13;</code>
+     * @return The holdsInputs.
+     */
+    @java.lang.Override
+    public boolean getHoldsInputs() {
+      return holdsInputs_;
+    }
+    /**
+     * <pre>
+     * Whether inputs of the stage occupy scarce memory until it is made.
+     * </pre>
+     *
+     * <code>bool holds_inputs = 13;</code>
+     * @param value The holdsInputs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHoldsInputs(boolean value) {
+
+      holdsInputs_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether inputs of the stage occupy scarce memory until it is made.
+     * </pre>
+     *
+     * <code>bool holds_inputs = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHoldsInputs() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      holdsInputs_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:boragethread.peer.StageWork)
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/StageWorkOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/StageWorkOrBuilder.java
@@ -150,4 +150,14 @@
    */
   com.google.protobuf.ByteString
       getPreferredBytes();
+
+  /**
+   * <pre>
+   * Whether inputs of the stage occupy scarce memory until it is made.
+   * </pre>
+   *
+   * <code>bool holds_inputs = 13;</code>
+   * @return The holdsInputs.
+   */
+  boolean getHoldsInputs();
 }
