Test the gateway's decisions without network; survive the reload signal

SIGHUP ended the process, as the runtime's default does; now the settings are read and checked again.

--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/follow/TopicFollowerTest.java
@@ -0,0 +1,258 @@
+package org.boragethread.core.follow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.boragethread.core.time.ManualTimeSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link TopicFollower} against a topic in memory. */
+public class TopicFollowerTest {
+
+    private static final FollowPace PACE =
+            new FollowPace(Duration.ofMillis(1000), Duration.ofMillis(100), Duration.ofMillis(50));
+
+    private ManualTimeSource mTime;
+    private FakeTopic mTopic;
+    private Recorder mRecorder;
+
+    @BeforeMethod
+    public void startFollower() {
+        mTime = new ManualTimeSource();
+        mTopic = new FakeTopic();
+        mRecorder = new Recorder();
+    }
+
+    private void start() {
+        new TopicFollower(mTopic, mTime, mTime, PACE, mRecorder).start();
+    }
+
+    private void run(int millis) {
+        mTime.advance(Duration.ofMillis(millis));
+    }
+
+    @Test
+    public void snapshotComesFirstAndChangesFollow() {
+        mTopic.put("a", "1");
+        start();
+        mTopic.put("b", "2");
+        run(300);
+        assertEquals(mRecorder.mValues, Map.of("a", "1", "b", "2"));
+    }
+
+    @Test
+    public void removalOfAKeyIsDelivered() {
+        mTopic.put("a", "1");
+        start();
+        mTopic.remove("a");
+        run(300);
+        assertTrue(mRecorder.mValues.isEmpty());
+    }
+
+    @Test
+    public void trimmedHistoryIsReplacedByASnapshot() {
+        start();
+        mTopic.mFail = true;
+        run(200);
+        mTopic.put("a", "1");
+        mTopic.remove("gone");
+        mTopic.mFirst = mTopic.mLog.size();
+        mTopic.mFail = false;
+        run(300);
+        assertEquals(mRecorder.mValues, Map.of("a", "1"));
+        assertTrue(mRecorder.mSnapshots >= 2);
+    }
+
+    @Test
+    public void offsetsThatWentBackLeadToASnapshot() {
+        mTopic.put("a", "1");
+        mTopic.put("a", "2");
+        start();
+        run(100);
+        mTopic.mLog.clear();
+        mTopic.mNewest.clear();
+        mTopic.put("b", "3");
+        run(300);
+        assertEquals(mRecorder.mValues, Map.of("b", "3"));
+    }
+
+    @Test
+    public void outageIsToldOnceAndReturnToo() {
+        start();
+        run(100);
+        mTopic.mFail = true;
+        run(1000);
+        assertEquals(mRecorder.mLost, 1);
+        assertEquals(mRecorder.mRegained, 0);
+        mTopic.mFail = false;
+        run(200);
+        assertEquals(mRecorder.mRegained, 1);
+    }
+
+    @Test
+    public void readProvesCurrencyOfTheMomentItWasSent() {
+        start();
+        run(100);
+        Moment before = mRecorder.mCurrent;
+        mTopic.mDelay = Duration.ofMillis(400);
+        run(1000);
+        Moment after = mRecorder.mCurrent;
+        assertTrue(after.nanos() > before.nanos());
+        assertTrue(after.age(mTime).compareTo(Duration.ofMillis(400)) >= 0);
+    }
+
+    @Test
+    public void failedReadProvesNothing() {
+        start();
+        run(100);
+        Moment before = mRecorder.mCurrent;
+        mTopic.mFail = true;
+        run(2000);
+        assertEquals(mRecorder.mCurrent, before);
+    }
+
+    @Test
+    public void snapshotInPartsMissesNothingWrittenMeanwhile() {
+        for (int i = 0; i < 7; i++) {
+            mTopic.put("key" + i, "old");
+        }
+        mTopic.mPartSize = 3;
+        mTopic.mBetweenParts = () -> mTopic.put("key1", "new");
+        start();
+        run(500);
+        assertEquals(mRecorder.mValues.get("key1"), "new");
+        assertEquals(mRecorder.mValues.size(), 7);
+    }
+
+    @Test
+    public void lostFollowerAsksForAnswersAtOnce() {
+        start();
+        run(100);
+        mTopic.mFail = true;
+        run(200);
+        assertEquals(mTopic.mLastWait, Duration.ZERO);
+        assertFalse(mRecorder.mLost == 0);
+    }
+
+    /** A topic in memory that answers at once or after a delay. */
+    private final class FakeTopic implements KeyedTopic {
+
+        private final List<KeyedRecord> mLog = new ArrayList<>();
+        private final Map<String, KeyedRecord> mNewest = new TreeMap<>();
+        private int mFirst;
+        private int mPartSize = Integer.MAX_VALUE;
+        private boolean mFail;
+        private Duration mDelay = Duration.ZERO;
+        private Duration mLastWait = Duration.ofDays(1);
+        private Runnable mBetweenParts = () -> {};
+
+        void put(String key, String value) {
+            Optional<byte[]> bytes = Optional.of(value.getBytes(StandardCharsets.UTF_8));
+            KeyedRecord record = new KeyedRecord(mLog.size(), key, bytes);
+            mLog.add(record);
+            mNewest.put(key, record);
+        }
+
+        void remove(String key) {
+            mLog.add(new KeyedRecord(mLog.size(), key, Optional.empty()));
+            mNewest.remove(key);
+        }
+
+        @Override
+        public void newest(
+                Optional<String> after, Consumer<Either<ReadFailure, KeyedSnapshot>> receiver) {
+            List<KeyedRecord> part = new ArrayList<>();
+            boolean more = false;
+            for (KeyedRecord record : mNewest.values()) {
+                if (after.isPresent() && record.key().compareTo(after.get()) <= 0) {
+                    continue;
+                }
+                if (part.size() == mPartSize) {
+                    more = true;
+                    break;
+                }
+                part.add(record);
+            }
+            KeyedSnapshot snapshot = new KeyedSnapshot(part, more, mLog.size());
+            mBetweenParts.run();
+            answer(receiver, Either.right(snapshot));
+        }
+
+        @Override
+        public void read(
+                long offset, Duration wait, Consumer<Either<ReadFailure, KeyedPage>> receiver) {
+            mLastWait = wait;
+            if (offset < mFirst) {
+                answer(receiver, Either.left(ReadFailure.trimmed("trimmed")));
+                return;
+            }
+            int from = (int) Math.min(offset, mLog.size());
+            answer(
+                    receiver,
+                    Either.right(
+                            new KeyedPage(
+                                    mLog.size(),
+                                    mFirst,
+                                    List.copyOf(mLog.subList(from, mLog.size())))));
+        }
+
+        private <T> void answer(
+                Consumer<Either<ReadFailure, T>> receiver, Either<ReadFailure, T> answer) {
+            Either<ReadFailure, T> sent =
+                    mFail ? Either.left(ReadFailure.unreachable("down")) : answer;
+            mTime.schedule(mDelay, () -> receiver.accept(sent));
+        }
+    }
+
+    /** Keeps what the listener is told. */
+    private static final class Recorder implements TopicListener {
+
+        private final Map<String, String> mValues = new TreeMap<>();
+        private int mSnapshots;
+        private int mLost;
+        private int mRegained;
+        private Moment mCurrent = new Moment(-1, -1);
+
+        @Override
+        public void onSnapshot(Map<String, byte[]> values) {
+            mSnapshots++;
+            mValues.clear();
+            values.forEach((key, value) -> onChange(key, Optional.of(value)));
+        }
+
+        @Override
+        public void onChange(String key, Optional<byte[]> value) {
+            if (value.isEmpty()) {
+                mValues.remove(key);
+            } else {
+                mValues.put(key, new String(value.get(), StandardCharsets.UTF_8));
+            }
+        }
+
+        @Override
+        public void onCurrent(Moment moment) {
+            mCurrent = moment;
+        }
+
+        @Override
+        public void onLost(String detail) {
+            mLost++;
+        }
+
+        @Override
+        public void onRegained() {
+            mRegained++;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
@@ -0,0 +1,269 @@
+package org.boragethread.core.stage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.boragethread.core.retry.SharedRetryBudget;
+import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.routing.BatchLimits;
+import org.boragethread.model.upstream.UpstreamId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link BatchScheduler} under the load patterns that it is made for. */
+public class BatchSchedulerTest {
+
+    private static final int BATCH = 7;
+    private static final long RESULT_BYTES = 60_000;
+
+    private ManualTimeSource mTime;
+    private SimUpstreams mUpstreams;
+    private BatchScheduler mScheduler;
+    private Recorder mRecorder;
+    private int mRequests;
+
+    @BeforeMethod
+    public void makeScheduler() {
+        use(limits(1 << 30), "north", "south");
+    }
+
+    private static BatchLimits limits(long resultBytes) {
+        return new BatchLimits(
+                1,
+                2,
+                BATCH,
+                Duration.ofMillis(150),
+                Duration.ofMillis(18),
+                resultBytes,
+                Duration.ofSeconds(4));
+    }
+
+    private void use(BatchLimits limits, String... places) {
+        mTime = new ManualTimeSource();
+        mUpstreams = new SimUpstreams(mTime, limits, places);
+        mScheduler = scheduler(100);
+        mRecorder = new Recorder();
+    }
+
+    private BatchScheduler scheduler(int retries) {
+        SharedRetryBudget budget = new SharedRetryBudget(mTime, 0, retries, Duration.ofSeconds(10));
+        return new BatchScheduler(mUpstreams, mUpstreams, budget, mTime, mTime);
+    }
+
+    private String submit(int pieces) {
+        return submit(pieces, 0, 2000, Optional.empty());
+    }
+
+    /** Submits one stage of a new request and returns the request's identity. */
+    private String submit(
+            int pieces, int priority, int targetMillis, Optional<DataCentreId> preferred) {
+        String request = "r" + mRequests++;
+        long now = mTime.nanoTime();
+        PieceUrgency urgency =
+                new PieceUrgency(priority, now + Duration.ofMillis(targetMillis).toNanos(), false);
+        Stage stage = new Stage(request, pieces);
+        List<PendingPiece> pending = new ArrayList<>();
+        for (int number = 0; number < pieces; number++) {
+            PieceWork work =
+                    new PieceWork(
+                            request,
+                            0,
+                            number,
+                            now + Duration.ofSeconds(6).toNanos(),
+                            "key",
+                            RESULT_BYTES,
+                            Optional.empty());
+            pending.add(new PendingPiece(work, urgency, preferred, stage, now));
+        }
+        mScheduler.submit(pending);
+        return request;
+    }
+
+    private void run(int millis) {
+        mTime.advance(Duration.ofMillis(millis));
+    }
+
+    @Test
+    public void piecesThatArriveDuringACallShareTheNext() {
+        use(limits(1 << 30), "north");
+        for (int i = 0; i < 4; i++) {
+            submit(1);
+            run(10);
+        }
+        run(1000);
+        assertEquals(mUpstreams.calls().size(), 2);
+        assertEquals(mUpstreams.calls().get(1).size(), 3);
+    }
+
+    @Test
+    public void stageThatFitsOneCallIsNotSplitWhileUpstreamsAreFree() {
+        use(limits(1 << 30), "north", "south", "east");
+        submit(5);
+        submit(5);
+        run(1000);
+        assertEquals(mUpstreams.calls().size(), 2);
+        assertEquals(mUpstreams.calls().get(0).size(), 5);
+    }
+
+    /** Pattern: a class of requests comes 2.5 times as often as usual for some seconds. */
+    @Test
+    public void callsAreFullWhilePiecesWait() {
+        for (int i = 0; i < 40; i++) {
+            submit(5);
+            run(20);
+        }
+        run(10_000);
+        long full = mUpstreams.calls().stream().filter(call -> call.size() == BATCH).count();
+        assertTrue(full >= 22, full + " full calls of " + mUpstreams.calls().size());
+        assertEquals(mRecorder.mDone.size(), 40);
+    }
+
+    /** Pattern: results wait for the next stage and occupy the memory of their makers. */
+    @Test
+    public void memoryForResultsIsNotOvercommitted() {
+        use(limits(20 * RESULT_BYTES), "north", "south");
+        mRecorder.mFreeAfter = Duration.ofMillis(700);
+        for (int i = 0; i < 40; i++) {
+            submit(6);
+            run(60);
+        }
+        run(20_000);
+        assertEquals(mUpstreams.withoutRoom(), 0);
+        assertEquals(mUpstreams.held(), 0);
+    }
+
+    /**
+     * Pattern: more work than the upstreams can do; some requests will be late whatever is done.
+     */
+    @Test
+    public void requestsThatWillBeLateDoNotDelayOthers() {
+        use(limits(1 << 30), "north");
+        List<String> late = new ArrayList<>();
+        submit(BATCH);
+        for (int i = 0; i < 6; i++) {
+            late.add(submit(BATCH, 0, 100, Optional.empty()));
+        }
+        String inTime = submit(BATCH, 0, 700, Optional.empty());
+        run(10_000);
+        assertEquals(mRecorder.mDone.size(), 8);
+        assertEquals(mRecorder.mDone.get(1), inTime);
+        assertTrue(mRecorder.mDone.containsAll(late));
+    }
+
+    @Test
+    public void urgentRequestsGoBeforeOthers() {
+        use(limits(1 << 30), "north");
+        submit(BATCH);
+        String later = submit(BATCH, 2, 3000, Optional.empty());
+        String urgent = submit(BATCH, 0, 3000, Optional.empty());
+        run(5000);
+        assertEquals(mRecorder.mDone.indexOf(urgent), 1);
+        assertEquals(mRecorder.mDone.indexOf(later), 2);
+    }
+
+    @Test
+    public void largeResultsAreMadeWhereTheyAreWanted() {
+        for (int i = 0; i < 4; i++) {
+            submit(2, 0, 2000, Optional.of(new DataCentreId("south")));
+            run(400);
+        }
+        for (MadePiece made : mRecorder.mMade) {
+            assertEquals(made.maker(), new UpstreamId("maker-1"));
+        }
+    }
+
+    @Test
+    public void preferredPlaceIsGivenUpAfterAWhile() {
+        for (int i = 0; i < 6; i++) {
+            submit(BATCH, 0, 5000, Optional.of(new DataCentreId("south")));
+        }
+        run(5000);
+        long north =
+                mRecorder.mMade.stream()
+                        .filter(made -> made.maker().equals(new UpstreamId("maker-0")))
+                        .count();
+        assertTrue(north > 0, "the free upstream in the other data centre is not used");
+    }
+
+    @Test
+    public void brokenCallIsRepeatedElsewhere() {
+        mUpstreams.fail("maker-0");
+        submit(3);
+        submit(3);
+        run(5000);
+        assertEquals(mRecorder.mDone.size(), 2);
+    }
+
+    @Test
+    public void withoutBudgetABrokenCallIsNotRepeated() {
+        use(limits(1 << 30), "north");
+        mScheduler = scheduler(0);
+        mUpstreams.fail("maker-0");
+        submit(3);
+        run(5000);
+        assertEquals(mUpstreams.calls().size(), 1);
+        assertEquals(mRecorder.mFailures.get(0), StageFailure.Kind.FAILED);
+    }
+
+    @Test
+    public void pieceWhoseTimeIsOverFails() {
+        use(limits(1 << 30), "north");
+        for (int i = 0; i < 40; i++) {
+            submit(BATCH);
+        }
+        run(10_000);
+        assertTrue(mRecorder.mFailures.contains(StageFailure.Kind.DEADLINE));
+    }
+
+    /** Keeps what becomes of the stages. */
+    private static final class Recorder {
+
+        private final List<String> mDone = new ArrayList<>();
+        private final List<MadePiece> mMade = new ArrayList<>();
+        private final List<StageFailure.Kind> mFailures = new ArrayList<>();
+        private Duration mFreeAfter = Duration.ZERO;
+    }
+
+    /** One stage of one request. */
+    private final class Stage implements PieceListener {
+
+        private final String mRequest;
+        private final Map<UpstreamId, List<String>> mHandles = new HashMap<>();
+        private int mMissing;
+
+        Stage(String request, int pieces) {
+            mRequest = request;
+            mMissing = pieces;
+        }
+
+        @Override
+        public void onMade(PieceWork work, MadePiece made) {
+            mRecorder.mMade.add(made);
+            mHandles.computeIfAbsent(made.maker(), maker -> new ArrayList<>()).add(made.handle());
+            mMissing--;
+            if (mMissing == 0) {
+                mRecorder.mDone.add(mRequest);
+                mTime.schedule(mRecorder.mFreeAfter, this::free);
+            }
+        }
+
+        private void free() {
+            mHandles.forEach(
+                    (maker, handles) ->
+                            mUpstreams.free(
+                                    mUpstreams.directory().find(maker).orElseThrow(), handles));
+        }
+
+        @Override
+        public void onFailed(PieceWork work, StageFailure failure) {
+            mRecorder.mFailures.add(failure.kind());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
@@ -0,0 +1,167 @@
+package org.boragethread.core.upstream;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.routing.EngineLimits;
+import org.boragethread.model.routing.RoutedGroup;
+import org.boragethread.model.upstream.GroupId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link UpstreamChooser}. */
+public class UpstreamChooserTest {
+
+    private static final DataCentreId NORTH = new DataCentreId("north");
+    private static final DataCentreId SOUTH = new DataCentreId("south");
+    private static final double PREFIX_MILLIS = 276;
+    private static final int ENTRIES = 5;
+
+    private ManualTimeSource mTime;
+    private UpstreamDirectory mDirectory;
+    private UpstreamChooser mChooser;
+    private RoutedGroup mGroup;
+
+    @BeforeMethod
+    public void makeChooser() {
+        mTime = new ManualTimeSource();
+        mDirectory = new UpstreamDirectory(mTime);
+        mGroup =
+                new RoutedGroup(
+                        new GroupId("engines"),
+                        "/health",
+                        370,
+                        Duration.ofSeconds(3),
+                        6.3,
+                        Optional.of(new EngineLimits(64, 440_000)),
+                        Optional.empty());
+        mChooser = chooser(NORTH);
+        for (int i = 0; i < 8; i++) {
+            String place = i % 2 == 0 ? "north" : "south";
+            mDirectory.put(UpstreamEntries.of("engine-" + i, "engines", place));
+        }
+    }
+
+    private UpstreamChooser chooser(DataCentreId home) {
+        return new UpstreamChooser(
+                mDirectory,
+                mTime,
+                home,
+                Map.of(NORTH, "r1", SOUTH, "r2"),
+                new ColdShare(1.5, 5, ENTRIES));
+    }
+
+    private ChoiceRequest request(long affinity, Set<UpstreamNode> excluded) {
+        return new ChoiceRequest(mGroup, Set.of(), excluded, affinity, PREFIX_MILLIS, Set.of());
+    }
+
+    private UpstreamNode choose(long affinity) {
+        return mChooser.choose(request(affinity, Set.of())).orElseThrow();
+    }
+
+    @Test
+    public void requestsWithOneBeginningGoToOneEngineFromEveryEntry() {
+        UpstreamNode engine = choose(42);
+        assertEquals(choose(42), engine);
+        ChoiceRequest request = request(42, Set.of());
+        assertEquals(chooser(SOUTH).choose(request).orElseThrow(), engine);
+    }
+
+    @Test
+    public void beginningsSpreadOverAllEngines() {
+        Set<UpstreamNode> used = new HashSet<>();
+        for (long affinity = 1; affinity < 200; affinity++) {
+            used.add(choose(affinity));
+        }
+        assertEquals(used.size(), 8);
+    }
+
+    /** Pattern: one key gets much of the traffic. */
+    @Test
+    public void hotBeginningSpillsOverBeforeItsEngineDrowns() {
+        Set<UpstreamNode> used = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            UpstreamNode engine = choose(42);
+            engine.onSent(mTime.nanoTime());
+            used.add(engine);
+        }
+        assertTrue(used.size() > 2, "only " + used.size() + " engines are used");
+    }
+
+    @Test
+    public void failedEngineIsAvoidedAndComesBack() {
+        UpstreamNode engine = choose(42);
+        engine.onFailure(mTime.nanoTime(), false, Duration.ZERO);
+        assertNotEquals(choose(42), engine);
+        mTime.advance(Duration.ofSeconds(1));
+        assertEquals(choose(42), engine);
+    }
+
+    @Test
+    public void leavingEvacuatedAndForeignUpstreamsGetNothing() {
+        for (int i = 0; i < 4; i++) {
+            mDirectory.put(UpstreamEntries.of("engine-" + 2 * i, "engines", "north", true, 0));
+        }
+        ChoiceRequest evacuated =
+                new ChoiceRequest(mGroup, Set.of(), Set.of(), 1, 0, Set.of(SOUTH));
+        assertTrue(mChooser.choose(evacuated).isEmpty());
+        ChoiceRequest regional = new ChoiceRequest(mGroup, Set.of("r1"), Set.of(), 1, 0, Set.of());
+        assertTrue(mChooser.choose(regional).isEmpty());
+        assertEquals(choose(1).entry().dataCentre(), SOUTH);
+    }
+
+    @Test
+    public void plannedUpstreamIsKeptUnlessItFails() {
+        UpstreamNode planned = choose(7);
+        for (int i = 0; i < 30; i++) {
+            planned.onSent(mTime.nanoTime());
+        }
+        ChoiceRequest request = request(7, Set.of());
+        assertEquals(mChooser.choose(request, Optional.of(planned)).orElseThrow(), planned);
+        planned.onFailure(mTime.nanoTime(), false, Duration.ZERO);
+        assertNotEquals(mChooser.choose(request, Optional.of(planned)).orElseThrow(), planned);
+    }
+
+    /** Pattern: a whole group comes back cold under full traffic. */
+    @Test
+    public void coldEngineGetsNoMoreThanItsShareInAnySecondFromAllEntries() {
+        mDirectory = new UpstreamDirectory(mTime);
+        UpstreamChooser[] entries = new UpstreamChooser[ENTRIES];
+        UpstreamDirectory[] directories = new UpstreamDirectory[ENTRIES];
+        for (int i = 0; i < ENTRIES; i++) {
+            directories[i] = new UpstreamDirectory(mTime);
+            directories[i].put(UpstreamEntries.of("cold", "engines", "north", false, 10_000));
+            mDirectory = directories[i];
+            entries[i] = chooser(NORTH);
+        }
+        Deque<Long> sent = new ArrayDeque<>();
+        int most = 0;
+        for (int step = 0; step < 1000; step++) {
+            for (UpstreamChooser entry : entries) {
+                Optional<UpstreamNode> node = entry.choose(request(step, Set.of()));
+                if (node.isPresent()) {
+                    node.get().onSent(mTime.nanoTime());
+                    node.get().onEnded();
+                    sent.add(mTime.nanoTime());
+                }
+            }
+            while (!sent.isEmpty() && mTime.nanoTime() - sent.peek() > 1_000_000_000L) {
+                sent.poll();
+            }
+            most = Math.max(most, sent.size());
+            mTime.advance(Duration.ofMillis(5));
+        }
+        assertTrue(most <= 6.3 * 1.5 + 5, most + " calls in one second");
+        assertTrue(most >= ENTRIES, "a cold upstream must get some work");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamEntries.java
@@ -0,0 +1,32 @@
+package org.boragethread.core.upstream;
+
+import java.util.Optional;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.routing.UpstreamEntry;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.UpstreamId;
+
+/** Announcements of upstreams for tests. */
+public final class UpstreamEntries {
+
+    private UpstreamEntries() {}
+
+    /** Returns an announcement of a warm upstream. */
+    public static UpstreamEntry of(String id, String group, String dataCentre) {
+        return of(id, group, dataCentre, false, 0);
+    }
+
+    /** Returns an announcement. */
+    public static UpstreamEntry of(
+            String id, String group, String dataCentre, boolean leaving, long coldMillis) {
+        return new UpstreamEntry(
+                new UpstreamId(id),
+                new GroupId(group),
+                "10.0.0.1",
+                1000 + Math.floorMod(id.hashCode(), 60_000),
+                new DataCentreId(dataCentre),
+                leaving,
+                coldMillis,
+                Optional.of(1L));
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayCommand.java
@@ -2,6 +2,7 @@
 
 import org.boragethread.process.command.ServiceRunner;
 import org.boragethread.process.command.SettingsCommand;
+import org.boragethread.process.command.SettingsFile;
 import org.boragethread.process.settings.SettingsReader;
 
 /** Serves routes until a stop signal arrives, then ends running work. */
@@ -19,6 +20,9 @@
 
     @Override
     protected int run(GatewaySettings settings) {
-        return ServiceRunner.run(new GatewayProcess(settings));
+        GatewayProcess process = new GatewayProcess(settings);
+        ReloadSignal.listen(
+                () -> process.reload(SettingsFile.load(settingsFile(), GatewaySettings::read)));
+        return ServiceRunner.run(process);
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
@@ -27,6 +28,8 @@
 import org.boragethread.platform.store.StoreGroup;
 import org.boragethread.platform.store.StoreTopic;
 import org.boragethread.process.command.Service;
+import org.boragethread.process.log.EventLog;
+import org.boragethread.process.settings.SettingsProblem;
 
 /** A running entry that serves routes. */
 final class GatewayProcess implements Service {
@@ -187,6 +190,20 @@
                 .sync();
     }
 
+    /**
+     * Checks settings that have changed. Times and shares apply at the next start, as do addresses;
+     * until then the process goes on with the settings that it has.
+     */
+    void reload(Either<List<SettingsProblem>, GatewaySettings> loaded) {
+        EventLog.Line line = mGateway.log().event("reload");
+        if (loaded.isLeft()) {
+            line.with("outcome", "refused").with("problems", loaded.getLeft()).warn();
+            return;
+        }
+        boolean same = loaded.get().equals(mSettings);
+        line.with("outcome", same ? "unchanged" : "applies-at-next-start").info();
+    }
+
     @Override
     public void stop() {
         long began = mTime.nanoTime();
--- a/process/src/main/java/org/boragethread/process/command/SettingsCommand.java
+++ b/process/src/main/java/org/boragethread/process/command/SettingsCommand.java
@@ -19,6 +19,11 @@
     /** Runs the command with good settings and returns the exit code. */
     protected abstract int run(T settings);
 
+    /** Returns the path of the settings file. */
+    protected final Path settingsFile() {
+        return mSettings;
+    }
+
     @Override
     public final int run() {
         Either<List<SettingsProblem>, T> settings = SettingsFile.load(mSettings, this::read);
