--- a/entry/src/main/java/org/boragethread/entry/EntryMain.java
+++ b/entry/src/main/java/org/boragethread/entry/EntryMain.java
@@ -6,6 +6,7 @@
 import org.boragethread.entry.command.JobCommand;
 import org.boragethread.entry.command.ServeCommand;
 import org.boragethread.entry.command.StatusCommand;
+import org.boragethread.entry.gateway.ArchiveCommand;
 import org.boragethread.entry.gateway.GatewayCheckCommand;
 import org.boragethread.entry.gateway.GatewayCommand;
 import org.boragethread.process.command.CommandLine;
@@ -22,6 +23,7 @@
                         .add("serve", ServeCommand::new)
                         .add("gateway", GatewayCommand::new)
                         .add("check-gateway", GatewayCheckCommand::new)
+                        .add("load-classes", ArchiveCommand::new)
                         .add("check", CheckCommand::new)
                         .add("intent", IntentCommand::new)
                         .add("confirm", ConfirmCommand::new)
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ArchiveCommand.java
@@ -0,0 +1,152 @@
+package org.boragethread.entry.gateway;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.boragethread.core.stage.PieceWork;
+import org.boragethread.core.upstream.ColdShare;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.platform.store.ConfigDecoder;
+import org.boragethread.platform.store.StageCodec;
+import org.boragethread.platform.store.UpstreamDecoder;
+import org.boragethread.process.command.Command;
+import org.boragethread.process.command.ExitCode;
+import org.boragethread.process.settings.SettingsReader;
+import org.boragethread.wire.http.HttpCall;
+import org.boragethread.wire.http.WholeResponse;
+
+/**
+ * Loads the classes that a gateway uses, so that the build can record them in a class-data archive.
+ * With the archive a restarted process serves sooner and spends less processor time.
+ */
+public final class ArchiveCommand implements Command {
+
+    private static final String SETTINGS =
+            """
+            [gateway]
+            name = "archive"
+            data_centre = "here"
+            listen = "127.0.0.1:1"
+            readiness_listen = "127.0.0.1:2"
+            peer_listen = "127.0.0.1:3"
+            store = "127.0.0.1:4"
+            """;
+
+    private static final String CONFIG =
+            """
+            {"version":1,"routes":[{"name":"r","hostname":"h","path_prefix":"/","kind":"safe",
+            "service":"s","stages":[{"service":"s","after":[]}]}],"services":[{"name":"s",
+            "pieces":{"batch":1},"engine":{"slots":1}}],"tenants":[{"name":"t","api_keys":["k"]}]}
+            """;
+
+    private static final String UPSTREAM =
+            """
+            {"service":"s","address":"127.0.0.1:1","zone":"here","state":"ready"}
+            """;
+
+    private static final int REQUESTS = 20;
+    private static final long PAUSE_MILLIS = 50;
+
+    @Override
+    public String summary() {
+        return "loads the gateway's classes and exits, for a class-data archive";
+    }
+
+    @Override
+    public int run() {
+        try {
+            serveOnce();
+            return ExitCode.OK;
+        } catch (Exception e) {
+            System.err.println("the classes could not be loaded: " + e);
+            return ExitCode.FAILED;
+        }
+    }
+
+    private static void serveOnce() throws Exception {
+        GatewaySettings.read(new SettingsReader("archive", SETTINGS));
+        decode();
+        List<InetSocketAddress> addresses = freeAddresses(5);
+        GatewayProcess process = new GatewayProcess(settings(addresses));
+        process.start();
+        CountDownLatch answers = new CountDownLatch(REQUESTS);
+        for (int i = 0; i < REQUESTS; i++) {
+            InetSocketAddress address = addresses.get(i % 3);
+            process.execute(gateway -> request(gateway, address, answers));
+            Thread.sleep(PAUSE_MILLIS);
+        }
+        answers.await(2, TimeUnit.SECONDS);
+        process.stop();
+    }
+
+    private static void decode() throws Exception {
+        ConfigDecoder.decode(CONFIG.getBytes(StandardCharsets.UTF_8));
+        UpstreamDecoder.decode("u", UPSTREAM.getBytes(StandardCharsets.UTF_8));
+        PieceWork work = new PieceWork("r", 0, 0, 0, "k", 0, Optional.empty());
+        StageCodec.encodeRun(List.of(work), 0);
+        StageCodec.decodeRun(
+                "{\"items\":[{\"handle\":\"h\"}]}".getBytes(StandardCharsets.UTF_8), 1);
+        StageCodec.encodeFree(List.of("h"));
+    }
+
+    private static void request(
+            Gateway gateway, InetSocketAddress address, CountDownLatch answers) {
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, HttpMethod.GET, "/metrics", Unpooled.EMPTY_BUFFER);
+        request.headers().set(HttpHeaderNames.HOST, "h");
+        HttpCall call =
+                new HttpCall(address, request, false, Duration.ofSeconds(1), Optional.empty());
+        WholeResponse.fetch(
+                gateway.connections(),
+                gateway.scheduler(),
+                call,
+                Duration.ofSeconds(1),
+                1 << 20,
+                answer -> answers.countDown());
+    }
+
+    private static List<InetSocketAddress> freeAddresses(int count) throws Exception {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ServerSocket socket = new ServerSocket(0);
+            sockets.add(socket);
+            addresses.add(new InetSocketAddress("127.0.0.1", socket.getLocalPort()));
+        }
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+        return addresses;
+    }
+
+    private static GatewaySettings settings(List<InetSocketAddress> addresses) {
+        return new GatewaySettings(
+                "archive",
+                new DataCentreId("here"),
+                Map.of(),
+                addresses.get(0),
+                addresses.get(1),
+                Optional.of(addresses.get(2)),
+                addresses.get(3),
+                addresses.get(4),
+                Duration.ofSeconds(2),
+                Duration.ofSeconds(2),
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(1),
+                new GatewaySettings.RetryBound(0.2, 10, Duration.ofSeconds(10)),
+                new ColdShare(1, 1, 1));
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.boragethread.core.follow.FollowPace;
 import org.boragethread.core.follow.TopicFollower;
 import org.boragethread.core.follow.TopicListener;
@@ -242,6 +243,11 @@
         mLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
+    /** Runs a task on the event loop. */
+    void execute(Consumer<Gateway> task) {
+        mLoop.execute(() -> task.accept(mGateway));
+    }
+
     private <T> T ask(Callable<T> question) {
         try {
             return mLoop.submit(question).get();
