--- /dev/null
+++ b/standins/src/main/java/org/boragethread/standins/store/StoreStandIn.java
@@ -0,0 +1,188 @@
+package org.boragethread.standins.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.boragethread.standins.http.Answer;
+import org.boragethread.standins.http.Exchange;
+import org.boragethread.standins.http.StandInServer;
+
+/** A store that keeps the newest record of each key, on a loopback port. */
+public final class StoreStandIn implements AutoCloseable {
+
+    /** Topic of what operators keep. */
+    public static final String OPERATOR_TOPIC = "keyed.op";
+
+    /** Topic of what upstreams announce. */
+    public static final String UPSTREAM_TOPIC = "keyed.servers";
+
+    private static final String BYTES = "application/octet-stream";
+
+    private final ObjectMapper mMapper = new ObjectMapper();
+    private final StandInServer mServer = new StandInServer("store", 1, this::handle);
+    private final ScheduledExecutorService mTimers =
+            Executors.newSingleThreadScheduledExecutor(
+                    task -> {
+                        Thread thread = new Thread(task, "store-timers");
+                        thread.setDaemon(true);
+                        return thread;
+                    });
+    private final Map<String, Topic> mTopics = new HashMap<>();
+    private final TreeSet<String> mMembers = new TreeSet<>();
+    private long mGeneration;
+    private boolean mDown;
+
+    /** Starts to listen on a free port. */
+    public void start() throws IOException {
+        mServer.start(0);
+    }
+
+    /** Returns host and port. */
+    public String address() {
+        return mServer.address();
+    }
+
+    /** Appends a record; without a value the key is dropped. */
+    public synchronized void put(String topic, String key, String value) {
+        Topic kept = topic(topic);
+        byte[] name = key.getBytes(StandardCharsets.UTF_8);
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        ByteBuffer record = ByteBuffer.allocate(1 + name.length + bytes.length);
+        record.put((byte) name.length).put(name).put(bytes);
+        kept.mLog.add(record.array());
+        if (value.isEmpty()) {
+            kept.mNewest.remove(key);
+        } else {
+            kept.mNewest.put(key, bytes);
+        }
+        List<Runnable> waiting = new ArrayList<>(kept.mWaiting);
+        kept.mWaiting.clear();
+        waiting.forEach(Runnable::run);
+    }
+
+    /** Turns every call away, or serves again. */
+    public synchronized void setDown(boolean down) {
+        mDown = down;
+    }
+
+    private synchronized void handle(Exchange exchange) {
+        if (mDown) {
+            exchange.answer(Answer.text(503, "down"));
+            return;
+        }
+        switch (exchange.path()) {
+            case "/v1/log-newest" -> newest(exchange);
+            case "/v1/log-read" -> read(exchange);
+            case "/v1/log-join" -> join(exchange);
+            case "/v1/log-leave" -> exchange.answer(Answer.json(200, Map.of()));
+            case "/v1/log-owners" -> owners(exchange);
+            default -> exchange.answer(Answer.text(404, "unknown call"));
+        }
+    }
+
+    private void newest(Exchange exchange) {
+        Topic topic = topic(exchange.query("topic").orElse(""));
+        List<Map<String, Object>> items = new ArrayList<>();
+        topic.mNewest.forEach(
+                (key, value) ->
+                        items.add(
+                                Map.of(
+                                        "key",
+                                        key,
+                                        "value",
+                                        Base64.getEncoder().encodeToString(value),
+                                        "offset",
+                                        0)));
+        exchange.answer(
+                Answer.json(
+                        200,
+                        Map.of(
+                                "items",
+                                items,
+                                "has_more",
+                                false,
+                                "end_offset",
+                                topic.mLog.size())));
+    }
+
+    private void read(Exchange exchange) {
+        Topic topic = topic(exchange.query("topic").orElse(""));
+        long from = exchange.queryLong("from", 0);
+        long wait = exchange.queryLong("wait_ms", 0);
+        if (from < topic.mLog.size() || wait == 0) {
+            answerRead(exchange, topic, from);
+            return;
+        }
+        Runnable answer = () -> answerRead(exchange, topic, from);
+        topic.mWaiting.add(answer);
+        mTimers.schedule(() -> endWait(topic, answer), wait, TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized void endWait(Topic topic, Runnable answer) {
+        if (topic.mWaiting.remove(answer)) {
+            answer.run();
+        }
+    }
+
+    private void answerRead(Exchange exchange, Topic topic, long from) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        body.writeBytes(ByteBuffer.allocate(16).putLong(topic.mLog.size()).putLong(0).array());
+        for (int i = (int) from; i < topic.mLog.size(); i++) {
+            byte[] record = topic.mLog.get(i);
+            body.writeBytes(ByteBuffer.allocate(4).putInt(record.length).array());
+            body.writeBytes(record);
+        }
+        exchange.answer(new Answer(200, BYTES, Map.of(), body.toByteArray()));
+    }
+
+    private void join(Exchange exchange) {
+        JsonNode body;
+        try {
+            body = mMapper.readTree(exchange.body());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        if (mMembers.add(body.path("member").asText())) {
+            mGeneration++;
+        }
+        exchange.answer(Answer.json(200, Map.of("generation", mGeneration, "parts", List.of())));
+    }
+
+    private void owners(Exchange exchange) {
+        List<List<Object>> rows = new ArrayList<>();
+        mMembers.forEach(member -> rows.add(List.of("entries-0", rows.size(), member, 0)));
+        exchange.answer(Answer.json(200, Map.of("parts", rows)));
+    }
+
+    private Topic topic(String name) {
+        return mTopics.computeIfAbsent(name, key -> new Topic());
+    }
+
+    @Override
+    public void close() {
+        mTimers.shutdownNow();
+        mServer.close();
+    }
+
+    /** One topic. */
+    private static final class Topic {
+
+        private final List<byte[]> mLog = new ArrayList<>();
+        private final Map<String, byte[]> mNewest = new TreeMap<>();
+        private final List<Runnable> mWaiting = new ArrayList<>();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/GatewayTest.java
@@ -0,0 +1,303 @@
+package org.boragethread.standins.system;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.boragethread.standins.HttpCalls;
+import org.boragethread.standins.harness.Await;
+import org.boragethread.standins.harness.JavaProcess;
+import org.boragethread.standins.harness.Launch;
+import org.boragethread.standins.harness.ProcessHarness;
+import org.boragethread.standins.store.DirectUpstream;
+import org.boragethread.standins.store.StoreStandIn;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests a gateway as a process between callers, a store and upstreams that it calls directly. */
+public class GatewayTest {
+
+    private static final Duration SOON = Duration.ofSeconds(20);
+    private static final String KEY = "Token key-1";
+
+    private static final String CONFIG =
+            """
+            {"version":%d,"routes":[
+            {"name":"safe","hostname":"127.0.0.1","path_prefix":"/safe/","kind":"safe",
+             "timeout_ms":%d,"target_latency_ms":200,"service":"orders","max_attempts":2},
+            {"name":"unsafe","hostname":"127.0.0.1","path_prefix":"/unsafe/","kind":"unsafe",
+             "timeout_ms":5000,"target_latency_ms":200,"service":"orders","max_attempts":1},
+            {"name":"staged","hostname":"127.0.0.1","path_prefix":"/staged/","kind":"unsafe",
+             "timeout_ms":5000,"target_latency_ms":2000,"service":"orders","max_attempts":1,
+             "stages":[{"service":"maps","after":[],"bytes":100},
+                       {"service":"maps","after":[0],"bytes":100}]}],
+            "services":[{"name":"orders","health_path":"/health","max_conns":100},
+            {"name":"maps","pieces":{"slots":1,"queue":2,"batch":4,"call_ms":10,"item_ms":1,
+             "headroom_mb":10,"handle_s":4}}],
+            "limits":{"header_bytes":8192,"max_body_bytes":100000,"header_timeout_ms":3000,
+            "idle_timeout_ms":15000},
+            "tenants":[{"name":"team-1","api_keys":[%s]}]}""";
+
+    private StoreStandIn mStore;
+    private DirectUpstream mFirst;
+    private DirectUpstream mSecond;
+    private DirectUpstream mMaps;
+    private ProcessHarness mHarness;
+    private JavaProcess mGateway;
+    private HttpCalls mCalls;
+    private HttpCalls mReadiness;
+
+    @BeforeMethod
+    public void startAll() throws Exception {
+        mStore = new StoreStandIn();
+        mStore.start();
+        mFirst = new DirectUpstream("first", "orders");
+        mSecond = new DirectUpstream("second", "orders");
+        mMaps = new DirectUpstream("maps-1", "maps");
+        for (DirectUpstream upstream : List.of(mFirst, mSecond, mMaps)) {
+            upstream.start();
+        }
+        announce("first", mFirst, false);
+        announce("second", mSecond, false);
+        announce("maps-1", mMaps, false);
+        configure(1, "\"key-1\"", 5000);
+        startGateway();
+    }
+
+    private void startGateway() throws Exception {
+        List<Integer> ports = freePorts();
+        String settings =
+                """
+                [gateway]
+                name = "gateway-1"
+                data_centre = "north"
+                listen = "127.0.0.1:%d"
+                readiness_listen = "127.0.0.1:%d"
+                peer_listen = "127.0.0.1:%d"
+                store = "%s"
+                [data_centres]
+                north = "region-1"
+                [bounds]
+                revoke_ms = 3000
+                grace_s = 4
+                """
+                        .formatted(ports.get(0), ports.get(1), ports.get(2), mStore.address());
+        Path file = Files.createTempFile("gateway", ".toml");
+        Files.writeString(file, settings);
+        mHarness = new ProcessHarness();
+        mGateway =
+                mHarness.start(
+                        Launch.of("gateway", "org.boragethread.entry.EntryMain")
+                                .jvm("-Xmx96m", "-Dlog4j2.configurationFile=log4j2-gateway.xml")
+                                .args("gateway", "--settings", file.toString())
+                                .build());
+        mCalls = new HttpCalls("127.0.0.1:" + ports.get(0));
+        mReadiness = new HttpCalls("127.0.0.1:" + ports.get(1));
+        Await.until("gateway is ready", SOON, () -> readiness() == 200);
+    }
+
+    private static List<Integer> freePorts() throws Exception {
+        try (ServerSocket a = new ServerSocket(0);
+                ServerSocket b = new ServerSocket(0);
+                ServerSocket c = new ServerSocket(0)) {
+            return List.of(a.getLocalPort(), b.getLocalPort(), c.getLocalPort());
+        }
+    }
+
+    private int readiness() {
+        try {
+            return mReadiness.get("/v1/readiness").statusCode();
+        } catch (IOException e) {
+            return 0;
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void announce(String id, DirectUpstream upstream, boolean leaving) {
+        mStore.put(StoreStandIn.UPSTREAM_TOPIC, id, upstream.announcement(leaving));
+    }
+
+    private void configure(int version, String keys, int safeTimeoutMillis) {
+        mStore.put(
+                StoreStandIn.OPERATOR_TOPIC,
+                "config",
+                CONFIG.formatted(version, safeTimeoutMillis, keys));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopAll() {
+        mHarness.close();
+        mStore.close();
+        mFirst.close();
+        mSecond.close();
+        mMaps.close();
+    }
+
+    private HttpResponse<String> post(String path, String id, String... headers) throws Exception {
+        return mCalls.post(path, "body", headers(id, headers));
+    }
+
+    private static String[] headers(String id, String... headers) {
+        String[] all = new String[headers.length + 4];
+        all[0] = "X-Boragethread-Request-Id";
+        all[1] = id;
+        all[2] = "Authorization";
+        all[3] = KEY;
+        System.arraycopy(headers, 0, all, 4, headers.length);
+        return all;
+    }
+
+    @Test
+    public void answerComesWholeWithItsSignatureAndTheTeamIsNamed() throws Exception {
+        HttpResponse<String> answer =
+                post("/unsafe/x", "id-1", "X-Boragethread-Tenant", "somebody-else");
+        assertEquals(answer.statusCode(), 200);
+        assertTrue(answer.body().startsWith("answer to id-1 from "));
+        assertEquals(
+                answer.headers().firstValue("X-Boragethread-Response-Seal").get(), "seal-id-1");
+        List<String> teams = mFirst.teams().isEmpty() ? mSecond.teams() : mFirst.teams();
+        assertEquals(teams, List.of("team-1"));
+    }
+
+    @Test
+    public void unknownRouteAndUnknownKeyAreRefused() throws Exception {
+        assertEquals(post("/nowhere/x", "id-1").statusCode(), 404);
+        HttpResponse<String> answer =
+                mCalls.post("/safe/x", "body", "Authorization", "Token other");
+        assertEquals(answer.statusCode(), 401);
+    }
+
+    @Test
+    public void lostAnswerOfAnUnsafeRequestIsNeverCalledNotRun() throws Exception {
+        HttpResponse<String> answer = post("/unsafe/lost", "id-1");
+        assertEquals(answer.statusCode(), 502);
+        assertTrue(answer.body().contains("\"ran\":\"unknown\""));
+        assertEquals(mFirst.ran().size() + mSecond.ran().size(), 1);
+    }
+
+    @Test
+    public void lostAnswerOfASafeRequestIsAskedForElsewhere() throws Exception {
+        HttpResponse<String> answer = post("/safe/half", "id-1");
+        assertEquals(answer.statusCode(), 502);
+        assertEquals(Set.copyOf(mFirst.ran()), Set.of("id-1"));
+        assertEquals(Set.copyOf(mSecond.ran()), Set.of("id-1"));
+    }
+
+    @Test
+    public void answerWithoutSignatureIsNotPassedOn() throws Exception {
+        HttpResponse<String> answer = post("/unsafe/unsigned", "id-1");
+        assertEquals(answer.statusCode(), 502);
+        assertFalse(answer.body().contains("forged"));
+    }
+
+    @Test
+    public void rejectedUnsafeRequestGoesElsewhereOrIsRefusedAsNotRun() throws Exception {
+        mFirst.setFull(true);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(post("/unsafe/x", "id-" + i).statusCode(), 200);
+        }
+        mSecond.setFull(true);
+        HttpResponse<String> answer = post("/unsafe/x", "id-9");
+        assertEquals(answer.statusCode(), 503);
+        assertTrue(answer.body().contains("\"ran\":\"no\""));
+        assertTrue(answer.headers().firstValue("Retry-After").isPresent());
+        assertFalse(mFirst.ran().contains("id-9") || mSecond.ran().contains("id-9"));
+    }
+
+    @Test
+    public void stagesAreMadeFirstAndTheirResultsFreed() throws Exception {
+        HttpResponse<String> answer =
+                post(
+                        "/staged/x",
+                        "id-1",
+                        "X-Boragethread-Pieces",
+                        "1,2",
+                        "X-Boragethread-Piece-Key",
+                        "k");
+        assertEquals(answer.statusCode(), 200);
+        List<String> inputs = mFirst.inputs().isEmpty() ? mSecond.inputs() : mFirst.inputs();
+        assertEquals(inputs.get(0).split(",").length, 2);
+        Await.until("all results are freed", SOON, () -> mMaps.freed().size() == 3);
+    }
+
+    @Test
+    public void leavingUpstreamGetsNothingMore() throws Exception {
+        announce("first", mFirst, true);
+        Await.until(
+                "the gateway knows",
+                SOON,
+                () -> mGateway.lines().stream().anyMatch(line -> line.contains("leaving")));
+        int before = mFirst.ran().size();
+        for (int i = 0; i < 10; i++) {
+            post("/safe/x", "id-" + i);
+        }
+        assertEquals(mFirst.ran().size(), before);
+    }
+
+    @Test
+    public void routeTimeoutGivesTheFinalAnswerAtOnce() throws Exception {
+        configure(2, "\"key-1\"", 300);
+        Await.until("new timeout is in force", SOON, () -> hasLine("\"version\":\"2\""));
+        long began = System.nanoTime();
+        assertEquals(post("/safe/silent", "id-1").statusCode(), 504);
+        assertTrue(System.nanoTime() - began < Duration.ofMillis(2000).toNanos());
+    }
+
+    @Test
+    public void withdrawnKeyIsRefusedAlsoByAGatewayThatTheStoreTurnsAway() throws Exception {
+        assertEquals(post("/safe/x", "id-1").statusCode(), 200);
+        mStore.setDown(true);
+        configure(2, "", 5000);
+        Await.until(
+                "keyed requests are refused",
+                Duration.ofSeconds(6),
+                () -> statusOf("/safe/x") == 503);
+        mStore.setDown(false);
+        Await.until("the key is unknown", SOON, () -> statusOf("/safe/x") == 401);
+    }
+
+    private int statusOf(String path) {
+        try {
+            return post(path, "id-s").statusCode();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private boolean hasLine(String part) {
+        return mGateway.lines().stream().anyMatch(line -> line.contains(part));
+    }
+
+    @Test
+    public void plannedStopAnswersWhatRunsAndExitsWithZero() throws Exception {
+        mGateway.terminate();
+        Await.until("gateway is not ready", SOON, () -> readiness() != 200);
+        HttpResponse<String> answer = post("/unsafe/x", "id-1");
+        assertEquals(answer.statusCode(), 200);
+        assertEquals(answer.headers().firstValue("Connection").orElse(""), "close");
+        assertEquals(mGateway.awaitExit(SOON), 0);
+    }
+
+    @Test
+    public void logTellsTheStoryOfARequestByItsId() throws Exception {
+        post("/unsafe/lost", "id-story");
+        mGateway.awaitLine(Pattern.compile("refused.*id-story|id-story.*refused"), SOON);
+        for (String event : List.of("admitted", "sent", "refused")) {
+            assertTrue(
+                    mGateway.lines().stream()
+                            .anyMatch(l -> l.contains("id-story") && l.contains(event)),
+                    event);
+        }
+    }
+}
