--- a/entry/src/main/java/org/boragethread/entry/gateway/ArchiveCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ArchiveCommand.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,12 +14,9 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.boragethread.core.stage.PieceWork;
 import org.boragethread.core.upstream.ColdShare;
 import org.boragethread.model.place.DataCentreId;
-import org.boragethread.platform.store.ConfigDecoder;
-import org.boragethread.platform.store.StageCodec;
-import org.boragethread.platform.store.UpstreamDecoder;
+import org.boragethread.platform.store.CodecClasses;
 import org.boragethread.process.command.Command;
 import org.boragethread.process.command.ExitCode;
 import org.boragethread.process.settings.SettingsReader;
@@ -44,18 +40,6 @@
             store = "127.0.0.1:4"
             """;
 
-    private static final String CONFIG =
-            """
-            {"version":1,"routes":[{"name":"r","hostname":"h","path_prefix":"/","kind":"safe",
-            "service":"s","stages":[{"service":"s","after":[]}]}],"services":[{"name":"s",
-            "pieces":{"batch":1},"engine":{"slots":1}}],"tenants":[{"name":"t","api_keys":["k"]}]}
-            """;
-
-    private static final String UPSTREAM =
-            """
-            {"service":"s","address":"127.0.0.1:1","zone":"here","state":"ready"}
-            """;
-
     private static final int REQUESTS = 20;
     private static final long PAUSE_MILLIS = 50;
 
@@ -77,7 +61,7 @@
 
     private static void serveOnce() throws Exception {
         GatewaySettings.read(new SettingsReader("archive", SETTINGS));
-        decode();
+        CodecClasses.load();
         List<InetSocketAddress> addresses = freeAddresses(5);
         GatewayProcess process = new GatewayProcess(settings(addresses));
         process.start();
@@ -91,16 +75,6 @@
         process.stop();
     }
 
-    private static void decode() throws Exception {
-        ConfigDecoder.decode(CONFIG.getBytes(StandardCharsets.UTF_8));
-        UpstreamDecoder.decode("u", UPSTREAM.getBytes(StandardCharsets.UTF_8));
-        PieceWork work = new PieceWork("r", 0, 0, 0, "k", 0, Optional.empty());
-        StageCodec.encodeRun(List.of(work), 0);
-        StageCodec.decodeRun(
-                "{\"items\":[{\"handle\":\"h\"}]}".getBytes(StandardCharsets.UTF_8), 1);
-        StageCodec.encodeFree(List.of("h"));
-    }
-
     private static void request(
             Gateway gateway, InetSocketAddress address, CountDownLatch answers) {
         DefaultFullHttpRequest request =
