--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -22,9 +22,20 @@
 public final class BatchScheduler implements PieceQueue {
 
     /** Time after which a piece no longer waits for an upstream in its preferred data centre. */
-    private static final long PLACE_PATIENCE_NANOS = Duration.ofMillis(120).toNanos();
+    private static final long PLACE_PATIENCE_NANOS = Duration.ofMillis(400).toNanos();
 
-    /** Pause before a piece that found no room is tried again. */
+    /** With less time than this to spare a piece waits for its place for a short time only. */
+    private static final long PLACE_SLACK_NANOS = Duration.ofMillis(600).toNanos();
+
+    private static final long SHORT_PATIENCE_NANOS = Duration.ofMillis(120).toNanos();
+
+    /** Time for which memory that others seem to occupy is taken to be occupied. */
+    private static final long UNKNOWN_RESULTS_NANOS = Duration.ofMillis(600).toNanos();
+
+    /** Pause before a piece that found no room is made; by then other results may be freed. */
+    private static final Duration ROOM_PAUSE = Duration.ofMillis(120);
+
+    /** Pause before a piece whose call failed is tried again. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
 
     private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
@@ -52,6 +63,7 @@
     private final TimeSource mTime;
     private final List<PendingPiece> mPending = new ArrayList<>();
     private final Map<UpstreamNode, Long> mExpectedEnds = new HashMap<>();
+    private long mUnknownResults;
     private boolean mPolling;
 
     /** Makes a scheduler for one group. */
@@ -212,7 +224,10 @@
                             && !other.isAvoided(now)
                             && !piece.failedAt(other);
         }
-        return !anyThere || now - piece.since() > PLACE_PATIENCE_NANOS;
+        long slack = piece.urgency().targetNanos() - now - leastTime(1);
+        return !anyThere
+                || now - piece.since() > PLACE_PATIENCE_NANOS
+                || slack < PLACE_SLACK_NANOS && now - piece.since() > SHORT_PATIENCE_NANOS;
     }
 
     private void send(UpstreamNode upstream, List<PendingPiece> batch, BatchLimits limits) {
@@ -287,10 +302,22 @@
         switch (result.failure().orElse(PieceResult.Failure.ERROR)) {
             case DEADLINE_EXCEEDED -> fail(piece, StageFailure.Kind.DEADLINE);
             case INPUT_MISSING -> fail(piece, StageFailure.Kind.INPUT_MISSING);
+            case OUT_OF_MEMORY -> waitForRoom(upstream, piece);
             default -> retry(upstream, piece);
         }
     }
 
+    /**
+     * Results that this process does not know of occupy the memory, such as those that were made
+     * for a coordinator before it.
+     */
+    private void waitForRoom(UpstreamNode upstream, PendingPiece piece) {
+        String unknown = "unknown-" + mUnknownResults++;
+        long until = mTime.nanoTime() + UNKNOWN_RESULTS_NANOS;
+        upstream.results().hold(unknown, piece.work().resultBytes(), until);
+        mScheduler.schedule(ROOM_PAUSE, () -> submit(List.of(piece)));
+    }
+
     private void onFailure(
             UpstreamNode upstream,
             List<PendingPiece> batch,
--- a/core/src/test/java/org/boragethread/core/stage/SimUpstreams.java
+++ b/core/src/test/java/org/boragethread/core/stage/SimUpstreams.java
@@ -59,6 +59,11 @@
         mFailing.add(id);
     }
 
+    /** Lets the scheduler know nothing of the results that are held, as after a restart. */
+    void forgetResults() {
+        mHeld.forEach((node, held) -> node.results().release(List.copyOf(held.keySet())));
+    }
+
     int held() {
         return mHeld.values().stream().mapToInt(Map::size).sum();
     }
