--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -25,7 +25,7 @@
     private static final long PLACE_PATIENCE_NANOS = Duration.ofMillis(400).toNanos();
 
     /** With less time than this to spare a piece waits for its place for a short time only. */
-    private static final long PLACE_SLACK_NANOS = Duration.ofMillis(600).toNanos();
+    private static final long PLACE_SLACK_NANOS = Duration.ofMillis(800).toNanos();
 
     private static final long SHORT_PATIENCE_NANOS = Duration.ofMillis(120).toNanos();
 
