Estimate delays for each rank, and let late requests step back by a rank and a half

Cause: late field notes waited seconds behind all others, and their waits entered the estimate by which urgent drafts were refused; late drafts stood behind field notes in time.

--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -95,12 +95,12 @@
     }
 
     @Override
-    public long expectedTime(int pieces) {
+    public long expectedTime(int pieces, int priority) {
         return leastTime(pieces);
     }
 
     @Override
-    public void onStageDone(long nanos) {
+    public void onStageDone(long nanos, int priority) {
         // The process that needs the stage estimates its delay.
     }
 
@@ -118,8 +118,7 @@
         long now = mTime.nanoTime();
         long own = leastTime(1);
         mPending.sort(
-                Comparator.comparing((PendingPiece piece) -> piece.urgency().stepsBack(now, own))
-                        .thenComparingInt(piece -> piece.urgency().priority())
+                Comparator.comparingDouble((PendingPiece piece) -> piece.urgency().rank(now, own))
                         .thenComparingLong(piece -> piece.urgency().targetNanos()));
         Optional<BatchLimits> limits = mGroup.limits();
         List<UpstreamNode> upstreams = mGroup.upstreams();
--- a/core/src/main/java/org/boragethread/core/stage/PieceQueue.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceQueue.java
@@ -11,9 +11,11 @@
     /** Returns the time that a stage of the given size takes when nothing waits, in nanoseconds. */
     long leastTime(int pieces);
 
-    /** Returns the time that a stage of the given size takes at present, in nanoseconds. */
-    long expectedTime(int pieces);
+    /**
+     * Returns the time that a stage of the given size and rank takes at present, in nanoseconds.
+     */
+    long expectedTime(int pieces, int priority);
 
-    /** Learns how long a stage took, waiting included, in nanoseconds. */
-    void onStageDone(long nanos);
+    /** Learns how long a stage of the given rank took, waiting included, in nanoseconds. */
+    void onStageDone(long nanos, int priority);
 }
--- a/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
@@ -11,12 +11,19 @@
 public record PieceUrgency(int priority, long targetNanos, boolean holdsInputs) {
 
     /**
-     * Tells whether the request will be late anyway, so that others should go first. A piece that
-     * holds inputs does not step back, since those would block others.
+     * Ranks that a late request steps back: behind the next rank in time, but not behind all less
+     * urgent ones, since its answer is still wanted.
+     */
+    private static final double LATE_STEP = 1.5;
+
+    /**
+     * Returns the place of the piece among others; lower ones go first. A request that will be late
+     * anyway steps back, unless it holds inputs, since those would block others.
      *
      * @param ownNanos time to make the piece
      */
-    boolean stepsBack(long now, long ownNanos) {
-        return !holdsInputs && now + ownNanos > targetNanos;
+    double rank(long now, long ownNanos) {
+        boolean late = now + ownNanos > targetNanos;
+        return late && !holdsInputs ? priority + LATE_STEP : priority;
     }
 }
--- a/core/src/main/java/org/boragethread/core/stage/StageRun.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRun.java
@@ -98,8 +98,7 @@
         mMade[work.stage()][work.number()] = made;
         mMissing[work.stage()]--;
         if (mMissing[work.stage()] == 0) {
-            mQueues.apply(groupOf(work.stage()))
-                    .onStageDone(mTime.nanoTime() - mStartedAt[work.stage()]);
+            observe(work.stage());
             freeNeeded(work.stage());
             advance();
         }
@@ -114,6 +113,14 @@
         mListener.onStagesFailed(failure);
     }
 
+    /** A request that is late waits behind all others and says nothing of their delay. */
+    private void observe(int stage) {
+        long now = mTime.nanoTime();
+        if (now < mRequest.targetNanos()) {
+            mQueues.apply(groupOf(stage)).onStageDone(now - mStartedAt[stage], mRequest.priority());
+        }
+    }
+
     private void advance() {
         boolean done = true;
         for (int stage = 0; stage < mMade.length && !mEnded; stage++) {
@@ -141,7 +148,9 @@
 
     private void submit(int stage) {
         long after = timeAfter(stage, PieceQueue::leastTime);
-        long expectedAfter = timeAfter(stage, PieceQueue::expectedTime);
+        long expectedAfter =
+                timeAfter(
+                        stage, (queue, pieces) -> queue.expectedTime(pieces, mRequest.priority()));
         RouteStage definition = mRequest.stages().get(stage);
         Optional<DataCentreId> place = preferredPlace(stage);
         PieceUrgency urgency =
--- a/core/src/test/java/org/boragethread/core/stage/StageRunTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/StageRunTest.java
@@ -118,6 +118,18 @@
         assertEquals(mFinal, List.of("1/0"));
     }
 
+    /** Pattern: late requests wait long behind others, whose admission must not suffer for it. */
+    @Test
+    public void lateRequestSaysNothingOfTheDelayOfOthers() {
+        run(new int[] {1}, stage(8));
+        mQueue.make();
+        assertEquals(mQueue.mObserved, 1);
+        run(new int[] {1}, stage(8));
+        mTime.advance(Duration.ofSeconds(3));
+        mQueue.make();
+        assertEquals(mQueue.mObserved, 1);
+    }
+
     @Test
     public void givenUpRunFreesEverythingAlsoWhatIsMadeLater() {
         StageRun run = run(new int[] {2}, stage(8));
@@ -161,6 +173,7 @@
     private static final class FakeQueue implements PieceQueue {
 
         private final List<PendingPiece> mPending = new ArrayList<>();
+        private int mObserved;
 
         @Override
         public void submit(List<PendingPiece> pieces) {
@@ -179,13 +192,13 @@
         }
 
         @Override
-        public long expectedTime(int pieces) {
+        public long expectedTime(int pieces, int priority) {
             return leastTime(pieces);
         }
 
         @Override
-        public void onStageDone(long nanos) {
-            // The tests look at the order only.
+        public void onStageDone(long nanos, int priority) {
+            mObserved++;
         }
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/Admitted.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Admitted.java
@@ -88,7 +88,9 @@
                     pieces[i] == 0
                             ? start
                             : start.plusNanos(
-                                    gateway.stages().queue(stage.group()).expectedTime(pieces[i]));
+                                    gateway.stages()
+                                            .queue(stage.group())
+                                            .expectedTime(pieces[i], priority));
             longest = ends[i].compareTo(longest) > 0 ? ends[i] : longest;
         }
         return longest;
--- a/entry/src/main/java/org/boragethread/entry/gateway/StageRouter.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StageRouter.java
@@ -32,7 +32,7 @@
     private final PieceCaller mCaller;
     private final UpstreamDirectory mDirectory;
     private final TimeSource mTime;
-    private final Map<GroupId, DelayEstimate> mDelays = new HashMap<>();
+    private final Map<RankedGroup, DelayEstimate> mDelays = new HashMap<>();
 
     StageRouter(
             String self,
@@ -56,9 +56,9 @@
         return new RoutedQueue(group);
     }
 
-    /** Returns how long the stages of a group take at present. */
-    DelayEstimate delay(GroupId group) {
-        return mDelays.computeIfAbsent(group, id -> new DelayEstimate(mTime));
+    private DelayEstimate delay(GroupId group, int priority) {
+        return mDelays.computeIfAbsent(
+                new RankedGroup(group, priority), key -> new DelayEstimate(mTime));
     }
 
     @Override
@@ -80,6 +80,9 @@
         return mCoordinators.coordinator(group).filter(address -> !address.equals(mSelf));
     }
 
+    /** Requests of different rank wait for different times. */
+    private record RankedGroup(GroupId group, int priority) {}
+
     /** The queue of one group, wherever its pieces are scheduled. */
     private final class RoutedQueue implements PieceQueue {
 
@@ -112,13 +115,13 @@
         }
 
         @Override
-        public long expectedTime(int pieces) {
-            return delay(mGroup).expected(leastTime(pieces));
+        public long expectedTime(int pieces, int priority) {
+            return delay(mGroup, priority).expected(leastTime(pieces));
         }
 
         @Override
-        public void onStageDone(long nanos) {
-            delay(mGroup).observe(nanos);
+        public void onStageDone(long nanos, int priority) {
+            delay(mGroup, priority).observe(nanos);
         }
     }
 }
