--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -38,6 +38,9 @@
     /** Pause before a piece whose call failed is tried again. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
 
+    /** Pause before a call is repeated that the retry budget does not cover. */
+    private static final Duration OVER_BUDGET_PAUSE = Duration.ofMillis(400);
+
     private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
     /** Sizes of results are approximate, so a part of the memory is left free. */
@@ -233,7 +236,6 @@
         List<PieceWork> work = new ArrayList<>();
         long latest = Long.MIN_VALUE;
         for (PendingPiece piece : batch) {
-            piece.onTry();
             work.add(piece.work());
             latest = Math.max(latest, piece.work().deadlineNanos());
             upstream.results().plan(piece.work().resultBytes());
@@ -302,7 +304,7 @@
             case DEADLINE_EXCEEDED -> fail(piece, StageFailure.Kind.DEADLINE);
             case INPUT_MISSING -> fail(piece, StageFailure.Kind.INPUT_MISSING);
             case OUT_OF_MEMORY -> waitForRoom(upstream, piece);
-            default -> retry(upstream, piece);
+            default -> retry(upstream, piece, true, RETRY_PAUSE);
         }
     }
 
@@ -328,20 +330,27 @@
             case MISDIRECTED -> upstream.avoidUntil(now + MISDIRECTED_NANOS);
             default -> upstream.onFailure(now, false, Duration.ZERO);
         }
+        boolean executed = failure.kind() == BatchFailure.Kind.BROKEN;
+        Duration pause = mBudget.tryTake() ? RETRY_PAUSE : OVER_BUDGET_PAUSE;
         for (PendingPiece piece : batch) {
             if (!piece.isCancelled()) {
-                retry(upstream, piece);
+                retry(upstream, piece, executed, pause);
             }
         }
     }
 
-    private void retry(UpstreamNode upstream, PendingPiece piece) {
+    /** A piece that no upstream worked on is tried until its time is over, others a few times. */
+    private void retry(
+            UpstreamNode upstream, PendingPiece piece, boolean executed, Duration pause) {
         piece.setFailedAt(upstream);
-        if (piece.tries() >= MAX_TRIES || !mBudget.tryTake()) {
+        if (executed) {
+            piece.onTry();
+        }
+        if (piece.tries() >= MAX_TRIES) {
             fail(piece, StageFailure.Kind.FAILED);
             return;
         }
-        mScheduler.schedule(RETRY_PAUSE, () -> submit(List.of(piece)));
+        mScheduler.schedule(pause, () -> submit(List.of(piece)));
     }
 
     private void fail(PendingPiece piece, StageFailure.Kind kind) {
--- a/core/src/test/java/org/boragethread/core/stage/SimUpstreams.java
+++ b/core/src/test/java/org/boragethread/core/stage/SimUpstreams.java
@@ -30,6 +30,7 @@
     private final Map<UpstreamNode, Map<String, Long>> mHeld = new HashMap<>();
     private final List<List<PieceWork>> mCalls = new ArrayList<>();
     private final Set<String> mFailing = new HashSet<>();
+    private boolean mRejecting;
     private int mHandles;
     private int mWithoutRoom;
 
@@ -54,6 +55,11 @@
         return mDirectory;
     }
 
+    /** Lets all upstreams reject every call, or work again. */
+    void reject(boolean reject) {
+        mRejecting = reject;
+    }
+
     /** Lets all calls to an upstream break. */
     void fail(String id) {
         mFailing.add(id);
@@ -80,6 +86,11 @@
             mTime.schedule(Duration.ofMillis(5), () -> receiver.accept(Either.left(failure)));
             return;
         }
+        if (mRejecting) {
+            BatchFailure full = new BatchFailure(BatchFailure.Kind.REJECTED, "full");
+            mTime.schedule(Duration.ofMillis(2), () -> receiver.accept(Either.left(full)));
+            return;
+        }
         long now = mTime.nanoTime();
         long start = Math.max(now, mBusyUntil.getOrDefault(upstream, now));
         long end = start + mLimits.expectedTime(pieces.size()).toNanos();
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -204,6 +204,16 @@
             mControl.cancel();
         }
 
+        private void onTimeOver() {
+            cancel();
+            StageFailure failure = new StageFailure(StageFailure.Kind.DEADLINE, "peer " + mPeer);
+            for (PendingPiece piece : mPieces) {
+                if (!piece.isCancelled()) {
+                    piece.listener().onFailed(piece.work(), failure);
+                }
+            }
+        }
+
         private void giveUp(String detail) {
             cancel();
             fallBack(detail);
