--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -29,11 +29,17 @@
 
     private static final long SHORT_PATIENCE_NANOS = Duration.ofMillis(120).toNanos();
 
+    /** Bound on the pauses of a piece that finds no room again and again. */
+    private static final int MAX_ROOM_PAUSES = 4;
+
+    /** Part of the memory that must be accounted for when a piece finds no room. */
+    private static final double KNOWN_SHARE = 0.7;
+
     /** Time for which memory that others seem to occupy is taken to be occupied. */
     private static final long UNKNOWN_RESULTS_NANOS = Duration.ofMillis(600).toNanos();
 
     /** Pause before a piece that found no room is made; by then other results may be freed. */
-    private static final Duration ROOM_PAUSE = Duration.ofMillis(120);
+    private static final Duration ROOM_PAUSE = Duration.ofMillis(60);
 
     /** Pause before a piece whose call failed is tried again. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
@@ -309,14 +315,21 @@
     }
 
     /**
-     * Results that this process does not know of occupy the memory, such as those that were made
-     * for a coordinator before it.
+     * Sizes are approximate, so a piece may find no room in memory that is almost full. If much of
+     * the memory should be free, results that this process does not know of occupy it, such as
+     * those that were made for a coordinator before it.
      */
     private void waitForRoom(UpstreamNode upstream, PendingPiece piece) {
-        String unknown = "unknown-" + mUnknownResults++;
-        long until = mTime.nanoTime() + UNKNOWN_RESULTS_NANOS;
-        upstream.results().hold(unknown, piece.work().resultBytes(), until);
-        mScheduler.schedule(ROOM_PAUSE, () -> submit(List.of(piece)));
+        long now = mTime.nanoTime();
+        long all = mGroup.limits().map(BatchLimits::resultBytes).orElse(0L);
+        int refusals = piece.onNoRoom();
+        if (upstream.results().bytes(now) < all * KNOWN_SHARE) {
+            String unknown = "unknown-" + mUnknownResults++;
+            upstream.results()
+                    .hold(unknown, piece.work().resultBytes(), now + UNKNOWN_RESULTS_NANOS);
+        }
+        Duration pause = ROOM_PAUSE.multipliedBy(Math.min(MAX_ROOM_PAUSES, refusals));
+        mScheduler.schedule(pause, () -> submit(List.of(piece)));
     }
 
     private void onFailure(
--- a/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
+++ b/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
@@ -15,6 +15,7 @@
     private Optional<UpstreamNode> mFailedAt = Optional.empty();
     private Runnable mOnCancel = () -> {};
     private int mTries;
+    private int mRoomRefusals;
     private boolean mCancelled;
 
     /**
@@ -72,6 +73,12 @@
         mTries++;
     }
 
+    /** Counts that there was no room for the result, and returns how often that was so. */
+    int onNoRoom() {
+        mRoomRefusals++;
+        return mRoomRefusals;
+    }
+
     void setFailedAt(UpstreamNode node) {
         mFailedAt = Optional.of(node);
     }
--- a/entry/src/main/java/org/boragethread/entry/EntryMain.java
+++ b/entry/src/main/java/org/boragethread/entry/EntryMain.java
@@ -2,6 +2,7 @@
 
 import org.boragethread.entry.command.CheckCommand;
 import org.boragethread.entry.command.ConfirmCommand;
+import org.boragethread.entry.command.ExplainCommand;
 import org.boragethread.entry.command.IntentCommand;
 import org.boragethread.entry.command.JobCommand;
 import org.boragethread.entry.command.ServeCommand;
@@ -28,6 +29,7 @@
                         .add("intent", IntentCommand::new)
                         .add("confirm", ConfirmCommand::new)
                         .add("status", StatusCommand::new)
+                        .add("explain", ExplainCommand::new)
                         .add("job", JobCommand::new);
         System.exit(commands.run(arguments));
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ArchiveCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ArchiveCommand.java
@@ -117,7 +117,6 @@
                 addresses.get(3),
                 addresses.get(4),
                 Duration.ofSeconds(2),
-                Duration.ofSeconds(2),
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(1),
                 new GatewaySettings.RetryBound(0.2, 10, Duration.ofSeconds(10)),
--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
@@ -32,6 +32,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
+import java.util.Optional;
 import org.boragethread.core.follow.Moment;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
@@ -150,9 +151,9 @@
         mHeadAt = Moment.now(mGateway.time());
         mKeepAlive = HttpUtil.isKeepAlive(head);
         mIsHead = head.method().equals(HttpMethod.HEAD);
-        String problem = RequestChecks.findProblem(head);
-        if (problem != null) {
-            reject(RefusalReason.BAD_REQUEST, problem);
+        Optional<String> problem = RequestChecks.findProblem(head);
+        if (problem.isPresent()) {
+            reject(RefusalReason.BAD_REQUEST, problem.get());
             return;
         }
         if (HttpUtil.getContentLength(head, 0L) > mBounds.bodyBytes()) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
@@ -29,7 +29,7 @@
 
     @Override
     public Optional<BatchLimits> limits() {
-        return Optional.ofNullable(mGateway.group(mGroup)).flatMap(RoutedGroup::batch);
+        return mGateway.group(mGroup).flatMap(RoutedGroup::batch);
     }
 
     @Override
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -84,11 +84,12 @@
         }
         mAdmitted = admission.get();
         GroupId target = mAdmitted.route().groupAt(point(mRequest.id())).group();
-        mGroup = mGateway.group(target);
-        if (mGroup == null) {
+        Optional<RoutedGroup> group = mGateway.group(target);
+        if (group.isEmpty()) {
             refuse(RefusalReason.NO_UPSTREAM, "group " + target + " is not configured", SOON);
             return;
         }
+        mGroup = group.get();
         mTrace.admitted(mAdmitted, remaining());
         Duration left =
                 remaining().plus(mAdmitted.isRouteTimeout() ? Duration.ZERO : DEADLINE_SLACK);
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -169,8 +170,8 @@
     }
 
     /** Returns the configuration of a group, if there is one. */
-    RoutedGroup group(GroupId id) {
-        return mRouting.config().map(config -> config.groups().get(id)).orElse(null);
+    Optional<RoutedGroup> group(GroupId id) {
+        return mRouting.config().map(config -> config.groups().get(id));
     }
 
     /** Returns a request for any upstream of a group. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
@@ -21,7 +21,6 @@
  * @param metricsListen address for monitoring
  * @param peerListen address for other entries
  * @param store address of the platform's store
- * @param applyTime time in which a configuration must be in force
  * @param leaveTime time in which a leaving upstream must get no more work
  * @param revokeTime time in which a withdrawn key must be refused everywhere
  * @param grace time from the stop signal until the process is killed
@@ -37,7 +36,6 @@
         Optional<InetSocketAddress> metricsListen,
         InetSocketAddress peerListen,
         InetSocketAddress store,
-        Duration applyTime,
         Duration leaveTime,
         Duration revokeTime,
         Duration grace,
@@ -78,7 +76,6 @@
                         gateway.optionalAddress("metrics_listen"),
                         gateway.address("peer_listen"),
                         gateway.address("store"),
-                        millis(bounds, "config_apply_ms", 2000),
                         millis(bounds, "leave_ms", 2000),
                         millis(bounds, "revoke_ms", 5000),
                         seconds(bounds, "grace_s", 8),
--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnections.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnections.java
@@ -29,7 +29,6 @@
     private static final int KEEP_ALIVE_PROBES = 2;
     private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
 
-    private final EventLoop mLoop;
     private final TimeSource mTime;
     private final Bootstrap mBootstrap;
     private final Map<InetSocketAddress, Deque<HttpConnection>> mIdle = new HashMap<>();
@@ -37,7 +36,6 @@
 
     /** Makes a pool whose connections live on the given event loop. */
     public HttpConnections(EventLoop loop, TimeSource time) {
-        mLoop = loop;
         mTime = time;
         mBootstrap =
                 new Bootstrap()
@@ -157,8 +155,4 @@
             channel.close();
         }
     }
-
-    EventLoop loop() {
-        return mLoop;
-    }
 }
