Fail a piece whose time is over without passing its coordinator over

Cause: when the deadline of pieces that a peer schedules passed, PeerClient took the peer for lost. The entry avoided a live coordinator for 1.5 s and scheduled the pieces itself. Under overload this happened every second, so that two to four entries called the same upstreams and none of them knew the results of the others. The method that fails the pieces was there, unused. Test: PeerClientTest, a peer that confirms and stays silent; timed out before.

--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -167,9 +167,7 @@
             mStatus = head.status().code();
             mTimer.cancel();
             long left = mPieces.get(0).work().deadlineNanos() - mTime.nanoTime();
-            mTimer =
-                    mScheduler.schedule(
-                            Duration.ofNanos(Math.max(0, left)), () -> giveUp("the time is over"));
+            mTimer = mScheduler.schedule(Duration.ofNanos(Math.max(0, left)), this::onTimeOver);
         }
 
         @Override
--- /dev/null
+++ b/entry/src/test/java/org/boragethread/entry/gateway/PeerClientTest.java
@@ -0,0 +1,118 @@
+package org.boragethread.entry.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.logging.log4j.LogManager;
+import org.boragethread.core.stage.MadePiece;
+import org.boragethread.core.stage.PendingPiece;
+import org.boragethread.core.stage.PieceListener;
+import org.boragethread.core.stage.PieceUrgency;
+import org.boragethread.core.stage.PieceWork;
+import org.boragethread.core.stage.StageFailure;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.core.time.SystemTimeSource;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.process.log.EventLog;
+import org.boragethread.wire.http.HttpConnections;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link PeerClient} against a peer that accepts pieces and never finishes them. */
+public class PeerClientTest {
+
+    private static final int WAIT_SECONDS = 10;
+    private static final String ACCEPTED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private final TimeSource mTime = new SystemTimeSource();
+    private EventLoopGroup mLoops;
+    private ServerSocket mServer;
+
+    @BeforeMethod
+    public void openPeer() throws IOException {
+        mLoops = new NioEventLoopGroup(1);
+        mServer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Thread peer = new Thread(this::acceptSilently, "silent-peer");
+        peer.setDaemon(true);
+        peer.start();
+    }
+
+    @AfterMethod
+    public void closePeer() throws IOException {
+        mServer.close();
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    @Test
+    public void pieceWhoseTimeIsOverFailsWithoutBlamingThePeer() throws Exception {
+        CompletableFuture<StageFailure> failure = new CompletableFuture<>();
+        AtomicBoolean blamed = new AtomicBoolean();
+        EventLoop loop = mLoops.next();
+        loop.execute(() -> make(loop, failure, () -> blamed.set(true)));
+        assertEquals(
+                failure.get(WAIT_SECONDS, TimeUnit.SECONDS).kind(), StageFailure.Kind.DEADLINE);
+        assertFalse(blamed.get(), "a peer that accepted the pieces is not to be passed over");
+    }
+
+    private void make(EventLoop loop, CompletableFuture<StageFailure> failure, Runnable orElse) {
+        HttpConnections connections = new HttpConnections(loop, mTime);
+        Scheduler scheduler =
+                (delay, task) -> {
+                    var future = loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+                    return () -> future.cancel(false);
+                };
+        EventLog log = new EventLog(LogManager.getLogger(PeerClientTest.class), mTime);
+        PeerClient client = new PeerClient(connections, scheduler, mTime, log);
+        String peer = "127.0.0.1:" + mServer.getLocalPort();
+        client.make(peer, new GroupId("pieces"), List.of(piece(failure)), orElse);
+    }
+
+    private PendingPiece piece(CompletableFuture<StageFailure> failure) {
+        long now = mTime.nanoTime();
+        long deadline = now + Duration.ofMillis(300).toNanos();
+        PieceWork work = new PieceWork("r1", 0, 0, deadline, "key", 1000, Optional.empty());
+        PieceListener listener =
+                new PieceListener() {
+                    @Override
+                    public void onMade(PieceWork made, MadePiece piece) {
+                        failure.completeExceptionally(new AssertionError("made by nobody"));
+                    }
+
+                    @Override
+                    public void onFailed(PieceWork failed, StageFailure reason) {
+                        failure.complete(reason);
+                    }
+                };
+        PieceUrgency urgency = new PieceUrgency(0, deadline, false);
+        return new PendingPiece(work, urgency, Optional.empty(), listener, now);
+    }
+
+    /** Confirms the pieces, then stays silent until the caller closes the connection. */
+    private void acceptSilently() {
+        try (Socket socket = mServer.accept()) {
+            socket.getInputStream().read(new byte[1024]);
+            socket.getOutputStream().write(ACCEPTED.getBytes(StandardCharsets.US_ASCII));
+            while (socket.getInputStream().read() >= 0) {
+                // The rest of the request does not matter.
+            }
+        } catch (IOException e) {
+            // The test has ended.
+        }
+    }
+}
