Let the oldest entries coordinate stages and tell a new one what is held

Cause: a coordinator that took a group over knew neither the results that upstreams kept nor the calls of the one before it. It filled memory that was in use; each refused piece came back after 60 to 240 ms and was refused again, and in between others took the room that had become free, so that requests with one missing piece kept seventeen results for four seconds. With rendezvous hashing every entry that started took groups from live ones, and an entry whose coordinator was lost scheduled the pieces itself, beside all others. Changes: seniority in place of rendezvous (ADR 0052, option 4); the next coordinator is asked before an entry schedules itself; entries report the results that they hold to whoever takes over; an upstream that is full unexpectedly gets nothing until something is freed there (600 ms at most); pieces whose siblings are made go first; a full upstream is left alone for the time of a call. Tests: StageRouterTest, CoordinatorTableTest (groupsAreSharedOut asked for four coordinators among four members; it now asks for exactly four among 64, and two tests guard incumbents), BatchSchedulerTest, StageRunTest.

--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -29,18 +29,12 @@
 
     private static final long SHORT_PATIENCE_NANOS = Duration.ofMillis(120).toNanos();
 
-    /** Bound on the pauses of a piece that finds no room again and again. */
-    private static final int MAX_ROOM_PAUSES = 4;
-
-    /** Part of the memory that must be accounted for when a piece finds no room. */
-    private static final double KNOWN_SHARE = 0.7;
-
-    /** Time for which memory that others seem to occupy is taken to be occupied. */
+    /**
+     * Time for which memory that others seem to occupy is taken to be occupied: two calls, after
+     * which their results are often freed.
+     */
     private static final long UNKNOWN_RESULTS_NANOS = Duration.ofMillis(600).toNanos();
 
-    /** Pause before a piece that found no room is made; by then other results may be freed. */
-    private static final Duration ROOM_PAUSE = Duration.ofMillis(60);
-
     /** Pause before a piece whose call failed is tried again. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
 
@@ -72,7 +66,6 @@
     private final TimeSource mTime;
     private final List<PendingPiece> mPending = new ArrayList<>();
     private final Map<UpstreamNode, Long> mExpectedEnds = new HashMap<>();
-    private long mUnknownResults;
     private boolean mPolling;
 
     /** Makes a scheduler for one group. */
@@ -113,8 +106,13 @@
         // The process that needs the stage estimates its delay.
     }
 
+    /** Returns the time for which upstreams keep a result that is not freed, if it is known. */
+    public Optional<Duration> resultTime() {
+        return mGroup.limits().map(BatchLimits::resultTime);
+    }
+
     private void hold(UpstreamNode upstream, String handle, long bytes) {
-        long kept = mGroup.limits().map(BatchLimits::resultTime).orElse(Duration.ZERO).toNanos();
+        long kept = resultTime().orElse(Duration.ZERO).toNanos();
         upstream.results().hold(handle, bytes, mTime.nanoTime() + kept);
     }
 
@@ -127,7 +125,7 @@
         long now = mTime.nanoTime();
         long own = leastTime(1);
         mPending.sort(
-                Comparator.comparingDouble((PendingPiece piece) -> piece.urgency().rank(now, own))
+                Comparator.comparingDouble((PendingPiece piece) -> piece.rank(now, own))
                         .thenComparingLong(piece -> piece.urgency().targetNanos()));
         Optional<BatchLimits> limits = mGroup.limits();
         List<UpstreamNode> upstreams = mGroup.upstreams();
@@ -151,6 +149,9 @@
 
     /** An upstream is free for a call that would arrive just when the one before it ends. */
     private boolean isFree(UpstreamNode upstream, BatchLimits limits, long now) {
+        if (now + CALL_OVERHEAD_NANOS < upstream.busyUntil()) {
+            return false;
+        }
         if (upstream.inFlight() < limits.slots()) {
             return true;
         }
@@ -168,7 +169,7 @@
             UpstreamNode upstream, List<UpstreamNode> upstreams, BatchLimits limits) {
         List<PendingPiece> batch = new ArrayList<>();
         long held = upstream.results().bytes(mTime.nanoTime());
-        long room = (long) (limits.resultBytes() * USABLE_ROOM) - held;
+        long room = usableBytes(limits) - held;
         boolean fill = isBacklogged(upstreams, limits);
         int next = 0;
         while (next < mPending.size() && batch.size() < limits.batch()) {
@@ -183,7 +184,9 @@
             boolean fits = bytes <= room || held == 0 && batch.isEmpty();
             int free = limits.batch() - batch.size();
             if (fits && (size <= free || fill)) {
-                batch.addAll(stage.subList(0, Math.min(size, free)));
+                int taken = Math.min(size, free);
+                batch.addAll(stage.subList(0, taken));
+                stage.subList(taken, stage.size()).forEach(PendingPiece::setAwaited);
                 room -= bytes;
             }
         }
@@ -191,6 +194,10 @@
         return batch;
     }
 
+    private static long usableBytes(BatchLimits limits) {
+        return (long) (limits.resultBytes() * USABLE_ROOM);
+    }
+
     /** Tells whether more pieces wait than free upstreams take; then calls had better be full. */
     private boolean isBacklogged(List<UpstreamNode> upstreams, BatchLimits limits) {
         long now = mTime.nanoTime();
@@ -278,9 +285,7 @@
             onFailure(upstream, batch, expected, answer.getLeft());
         } else {
             learn(upstream, expected, sentAt, answer.get());
-            for (int i = 0; i < batch.size(); i++) {
-                settle(upstream, batch.get(i), answer.get().results().get(i));
-            }
+            settle(upstream, batch, answer.get().results());
         }
         dispatch();
     }
@@ -288,8 +293,25 @@
     private void learn(UpstreamNode upstream, Duration expected, long sentAt, BatchAnswer answer) {
         long now = mTime.nanoTime();
         upstream.onAnswer((now - sentAt) / (double) expected.toNanos());
-        int waiting = answer.waiting().orElse(0);
-        upstream.setBusyUntil(now + waiting * expected.toNanos());
+        int others = Math.max(0, answer.waiting().orElse(0) - upstream.inFlight());
+        upstream.setBusyUntil(now + others * expected.toNanos());
+    }
+
+    private void settle(
+            UpstreamNode upstream, List<PendingPiece> batch, List<PieceResult> results) {
+        List<PendingPiece> withoutRoom = new ArrayList<>();
+        for (int i = 0; i < batch.size(); i++) {
+            PendingPiece piece = batch.get(i);
+            boolean full = results.get(i).isFailure(PieceResult.Failure.OUT_OF_MEMORY);
+            if (!full) {
+                settle(upstream, piece, results.get(i));
+            } else if (!piece.isCancelled()) {
+                withoutRoom.add(piece);
+            }
+        }
+        if (!withoutRoom.isEmpty()) {
+            onFull(upstream, withoutRoom);
+        }
     }
 
     private void settle(UpstreamNode upstream, PendingPiece piece, PieceResult result) {
@@ -309,27 +331,20 @@
         switch (result.failure().orElse(PieceResult.Failure.ERROR)) {
             case DEADLINE_EXCEEDED -> fail(piece, StageFailure.Kind.DEADLINE);
             case INPUT_MISSING -> fail(piece, StageFailure.Kind.INPUT_MISSING);
-            case OUT_OF_MEMORY -> waitForRoom(upstream, piece);
             default -> retry(upstream, piece, true, RETRY_PAUSE);
         }
     }
 
     /**
-     * Sizes are approximate, so a piece may find no room in memory that is almost full. If much of
-     * the memory should be free, results that this process does not know of occupy it, such as
-     * those that were made for a coordinator before it.
+     * Sizes are approximate, and other processes may have results made, so an upstream may be full
+     * although its memory seems to have room. Its other pieces wait until something is freed there.
      */
-    private void waitForRoom(UpstreamNode upstream, PendingPiece piece) {
+    private void onFull(UpstreamNode upstream, List<PendingPiece> withoutRoom) {
         long now = mTime.nanoTime();
-        long all = mGroup.limits().map(BatchLimits::resultBytes).orElse(0L);
-        int refusals = piece.onNoRoom();
-        if (upstream.results().bytes(now) < all * KNOWN_SHARE) {
-            String unknown = "unknown-" + mUnknownResults++;
-            upstream.results()
-                    .hold(unknown, piece.work().resultBytes(), now + UNKNOWN_RESULTS_NANOS);
-        }
-        Duration pause = ROOM_PAUSE.multipliedBy(Math.min(MAX_ROOM_PAUSES, refusals));
-        mScheduler.schedule(pause, () -> submit(List.of(piece)));
+        long capacity = mGroup.limits().map(BatchScheduler::usableBytes).orElse(0L);
+        upstream.results().assumeFull(capacity, now, now + UNKNOWN_RESULTS_NANOS);
+        withoutRoom.forEach(PendingPiece::setAwaited);
+        mPending.addAll(withoutRoom);
     }
 
     private void onFailure(
--- a/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
+++ b/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
@@ -7,6 +7,9 @@
 /** A piece that waits for its call or its answer. Not safe for use by several threads. */
 public final class PendingPiece {
 
+    /** Before all priorities, of which 0 is the most urgent. */
+    private static final double AWAITED_RANK = -1;
+
     private final PieceWork mWork;
     private final PieceUrgency mUrgency;
     private final Optional<DataCentreId> mPreferred;
@@ -15,7 +18,7 @@
     private Optional<UpstreamNode> mFailedAt = Optional.empty();
     private Runnable mOnCancel = () -> {};
     private int mTries;
-    private int mRoomRefusals;
+    private boolean mAwaited;
     private boolean mCancelled;
 
     /**
@@ -73,10 +76,14 @@
         mTries++;
     }
 
-    /** Counts that there was no room for the result, and returns how often that was so. */
-    int onNoRoom() {
-        mRoomRefusals++;
-        return mRoomRefusals;
+    /** Others of its stage are made or sent: until it is made too, they occupy memory in vain. */
+    void setAwaited() {
+        mAwaited = true;
+    }
+
+    /** Returns its place among others at the given time; lower ones go first. */
+    double rank(long now, long ownNanos) {
+        return mAwaited ? AWAITED_RANK : mUrgency.rank(now, ownNanos);
     }
 
     void setFailedAt(UpstreamNode node) {
--- a/core/src/main/java/org/boragethread/core/stage/PieceResult.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceResult.java
@@ -31,4 +31,9 @@
     public static PieceResult failed(Failure failure) {
         return new PieceResult(Optional.empty(), Optional.of(failure));
     }
+
+    /** Tells whether the piece was not made for the given reason. */
+    public boolean isFailure(Failure reason) {
+        return failure.isPresent() && failure.get() == reason;
+    }
 }
--- a/core/src/main/java/org/boragethread/core/stage/StageRun.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRun.java
@@ -27,7 +27,7 @@
 
     private final StageRequest mRequest;
     private final Function<GroupId, ? extends PieceQueue> mQueues;
-    private final ResultFreer mFreer;
+    private final ResultKeeper mKeeper;
     private final Function<UpstreamId, Optional<DataCentreId>> mPlaces;
     private final TimeSource mTime;
     private final StageListener mListener;
@@ -48,13 +48,13 @@
     public StageRun(
             StageRequest request,
             Function<GroupId, ? extends PieceQueue> queues,
-            ResultFreer freer,
+            ResultKeeper keeper,
             Function<UpstreamId, Optional<DataCentreId>> places,
             TimeSource time,
             StageListener listener) {
         mRequest = request;
         mQueues = queues;
-        mFreer = freer;
+        mKeeper = keeper;
         mPlaces = places;
         mTime = time;
         mListener = listener;
@@ -92,9 +92,10 @@
     @Override
     public void onMade(PieceWork work, MadePiece made) {
         if (mEnded || mMade[work.stage()][work.number()] != null) {
-            mFreer.free(groupOf(work.stage()), made.maker(), List.of(made.handle()));
+            mKeeper.free(groupOf(work.stage()), made.maker(), List.of(made.handle()));
             return;
         }
+        mKeeper.keep(groupOf(work.stage()), made, work.resultBytes(), mStartedAt[work.stage()]);
         mMade[work.stage()][work.number()] = made;
         mMissing[work.stage()]--;
         if (mMissing[work.stage()] == 0) {
@@ -285,6 +286,6 @@
                         .add(piece.handle());
             }
         }
-        byMaker.forEach((maker, handles) -> mFreer.free(groupOf(stage), maker, handles));
+        byMaker.forEach((maker, handles) -> mKeeper.free(groupOf(stage), maker, handles));
     }
 }
--- a/core/src/main/java/org/boragethread/core/upstream/ResultLedger.java
+++ b/core/src/main/java/org/boragethread/core/upstream/ResultLedger.java
@@ -13,6 +13,8 @@
     private final Map<String, Held> mHeld = new HashMap<>();
     private long mHeldBytes;
     private long mPlannedBytes;
+    private long mUnknownBytes;
+    private long mUnknownUntil = Long.MIN_VALUE;
 
     /** Counts results that are being made. */
     public void plan(long bytes) {
@@ -40,8 +42,23 @@
         }
     }
 
+    /**
+     * The upstream had no room, so results that are not counted here occupy what seemed to be free.
+     *
+     * @param capacity memory of the upstream, in bytes
+     * @param untilNanos monotonic time from which this is no longer assumed
+     */
+    public void assumeFull(long capacity, long now, long untilNanos) {
+        mUnknownBytes = Math.max(0, capacity - known(now));
+        mUnknownUntil = untilNanos;
+    }
+
     /** Returns the size of all results, in bytes. */
     public long bytes(long now) {
+        return known(now) + (now < mUnknownUntil ? mUnknownBytes : 0);
+    }
+
+    private long known(long now) {
         mHeld.values().removeIf(held -> isOver(held, now));
         return mHeldBytes + mPlannedBytes;
     }
--- a/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
@@ -139,6 +139,19 @@
         assertEquals(mUpstreams.held(), 0);
     }
 
+    /** Pattern: a coordinator takes over and does not know the results that upstreams keep. */
+    @Test
+    public void upstreamThatIsFullUnexpectedlyIsNotCalledUntilSomethingIsFreed() {
+        use(limits(12 * RESULT_BYTES), "north");
+        submit(6);
+        run(400);
+        mUpstreams.forgetResults();
+        submit(6);
+        submit(6);
+        run(1000);
+        assertTrue(mUpstreams.withoutRoom() <= 12, mUpstreams.withoutRoom() + " without room");
+    }
+
     /**
      * Pattern: more work than the upstreams can do; some requests will be late whatever is done.
      */
--- a/core/src/test/java/org/boragethread/core/stage/CoordinatorTableTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/CoordinatorTableTest.java
@@ -5,9 +5,12 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
+import org.boragethread.core.member.Member;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.model.upstream.GroupId;
 import org.testng.annotations.Test;
@@ -19,9 +22,14 @@
 
     private final ManualTimeSource mTime = new ManualTimeSource();
 
-    private CoordinatorTable table(String... members) {
+    /** Makes a table of members that all started at the same time. */
+    private CoordinatorTable table(String... addresses) {
+        return table(Stream.of(addresses).map(address -> new Member(address, 0)).toList());
+    }
+
+    private CoordinatorTable table(List<Member> members) {
         CoordinatorTable table = new CoordinatorTable(mTime);
-        table.setMembers(List.of(members));
+        table.setMembers(members);
         return table;
     }
 
@@ -32,13 +40,35 @@
     }
 
     @Test
-    public void groupsAreSharedOut() {
-        CoordinatorTable table = table("a", "b", "c", "d");
+    public void groupsAreSharedOutAmongOneInSixteenEntries() {
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < 64; i++) {
+            members.add(new Member("entry-" + i, 1000 + i));
+        }
+        CoordinatorTable table = table(members);
         Set<String> used = new HashSet<>();
         for (int i = 0; i < 40; i++) {
             used.add(table.coordinator(new GroupId("group-" + i)).orElseThrow());
         }
-        assertEquals(used.size(), 4);
+        assertEquals(used, Set.of("entry-0", "entry-1", "entry-2", "entry-3"));
+    }
+
+    @Test
+    public void entryThatStartsTakesNoGroupFromOneThatLives() {
+        List<Member> before = List.of(new Member("c", 10), new Member("d", 20));
+        String coordinator = table(before).coordinator(GROUP).orElseThrow();
+        for (String newcomer : List.of("a", "b", "e", "f")) {
+            List<Member> after = new ArrayList<>(before);
+            after.add(new Member(newcomer, 30));
+            assertEquals(table(after).coordinator(GROUP).orElseThrow(), coordinator);
+        }
+    }
+
+    @Test
+    public void entryThatWasKilledAndStartsAgainIsTheYoungest() {
+        CoordinatorTable table =
+                table(List.of(new Member("a", 10), new Member("b", 20), new Member("a", 30)));
+        assertEquals(table.coordinator(GROUP).orElseThrow(), "b");
     }
 
     @Test
--- a/core/src/test/java/org/boragethread/core/stage/StageRunTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/StageRunTest.java
@@ -29,6 +29,7 @@
     private ManualTimeSource mTime;
     private FakeQueue mQueue;
     private Set<String> mFreed;
+    private Set<String> mKept;
     private List<String> mFinal;
     private Optional<StageFailure> mFailure;
 
@@ -37,6 +38,7 @@
         mTime = new ManualTimeSource();
         mQueue = new FakeQueue();
         mFreed = new HashSet<>();
+        mKept = new HashSet<>();
         mFinal = List.of();
         mFailure = Optional.empty();
     }
@@ -56,8 +58,7 @@
                 new StageRun(
                         request,
                         group -> mQueue,
-                        (GroupId group, UpstreamId maker, Collection<String> handles) ->
-                                mFreed.addAll(handles),
+                        new Keeper(),
                         id -> Optional.of(NORTH),
                         mTime,
                         new StageListener() {
@@ -163,6 +164,16 @@
         assertTrue(mQueue.mPending.get(0).urgency().holdsInputs());
     }
 
+    @Test
+    public void everyResultIsKeptUntilItIsFreed() {
+        StageRun run = run(new int[] {2}, stage(8));
+        mQueue.make();
+        mQueue.make();
+        assertEquals(mKept, Set.of("0/0", "0/1"));
+        run.release();
+        assertEquals(mFreed, mKept);
+    }
+
     @Test
     public void largeFinalResultsAreMadeAtTheirDestination() {
         run(new int[] {1}, stage(3_000_000));
@@ -201,4 +212,18 @@
             mObserved++;
         }
     }
+
+    /** Notes which results are kept and freed. */
+    private final class Keeper implements ResultKeeper {
+
+        @Override
+        public void keep(GroupId group, MadePiece made, long bytes, long submittedAt) {
+            mKept.add(made.handle());
+        }
+
+        @Override
+        public void free(GroupId group, UpstreamId maker, Collection<String> handles) {
+            mFreed.addAll(handles);
+        }
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import org.boragethread.core.stage.BatchScheduler;
 import org.boragethread.core.stage.CoordinatorTable;
 import org.boragethread.core.stage.PieceCaller;
+import org.boragethread.core.stage.StageRouter;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.core.upstream.ChoiceRequest;
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -22,6 +22,7 @@
 import org.boragethread.core.follow.FollowPace;
 import org.boragethread.core.follow.TopicFollower;
 import org.boragethread.core.follow.TopicListener;
+import org.boragethread.core.member.Member;
 import org.boragethread.core.member.MembershipKeeper;
 import org.boragethread.core.time.SystemTimeSource;
 import org.boragethread.core.time.TimeSource;
@@ -82,18 +83,20 @@
                         mGateway.scheduler(),
                         settings.store(),
                         STORE_TIMEOUT);
+        Member self = new Member(settings.peerAddress(), mTime.instant().toEpochMilli());
         mMembership =
                 new MembershipKeeper(
-                        new StoreGroup(
-                                mStore, MEMBER_GROUP, settings.peerAddress(), MEMBER_LIFETIME),
+                        new StoreGroup(mStore, MEMBER_GROUP, self.name(), MEMBER_LIFETIME),
                         mGateway.scheduler(),
                         JOIN_INTERVAL,
                         this::onMembers);
     }
 
     private void onMembers(List<String> members) {
-        mGateway.coordinators().setMembers(members);
-        mGateway.log().event("members").with("addresses", String.join(" ", members)).info();
+        mGateway.coordinators()
+                .setMembers(members.stream().flatMap(name -> Member.parse(name).stream()).toList());
+        mGateway.stages().onMembersChanged();
+        mGateway.log().event("members").with("names", String.join(" ", members)).info();
     }
 
     @Override
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -18,10 +18,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.boragethread.core.stage.HeldResult;
 import org.boragethread.core.stage.MadePiece;
 import org.boragethread.core.stage.PendingPiece;
 import org.boragethread.core.stage.PieceWork;
 import org.boragethread.core.stage.StageFailure;
+import org.boragethread.core.stage.StagePeers;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.upstream.GroupId;
@@ -34,15 +36,18 @@
 import org.boragethread.wire.http.HttpConnections;
 import org.boragethread.wire.http.WholeResponse;
 import org.boragethread.wire.proto.PieceDone;
+import org.boragethread.wire.proto.ResultHeld;
 import org.boragethread.wire.proto.ResultsFree;
+import org.boragethread.wire.proto.ResultsHeld;
 import org.boragethread.wire.proto.StageWork;
 import org.boragethread.wire.proto.StageWorkDone;
 
 /** Hands the pieces of stages to other entries. */
-final class PeerClient {
+final class PeerClient implements StagePeers {
 
     static final String MAKE_PATH = "/pieces";
     static final String FREE_PATH = "/results";
+    static final String REPORT_PATH = "/held-results";
 
     private static final int OK = 200;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(150);
@@ -50,7 +55,10 @@
     /** A live entry confirms at once that it took the pieces. */
     private static final Duration ACCEPT_TIMEOUT = Duration.ofMillis(250);
 
-    private static final Duration FREE_TIMEOUT = Duration.ofMillis(500);
+    /** Time in which a peer confirms what it is told, as long as two attempts to reach it. */
+    private static final Duration TELL_TIMEOUT = Duration.ofMillis(500);
+
+    private static final int MAX_CONFIRMATION_BYTES = 1024;
 
     private final HttpConnections mConnections;
     private final Scheduler mScheduler;
@@ -64,12 +72,8 @@
         mLog = log;
     }
 
-    /**
-     * Has the pieces of one stage of one request made.
-     *
-     * @param orElse runs if the peer does not take the pieces, or is lost before it is done
-     */
-    void make(String peer, GroupId group, List<PendingPiece> pieces, Runnable orElse) {
+    @Override
+    public void make(String peer, GroupId group, List<PendingPiece> pieces, Runnable orElse) {
         StageWork work = encode(group, pieces);
         Pending pending = new Pending(peer, pieces, orElse);
         pending.mControl = mConnections.send(call(peer, MAKE_PATH, work), pending);
@@ -100,12 +104,8 @@
         return builder.build();
     }
 
-    /**
-     * Frees results through the entry that counts them.
-     *
-     * @param orElse runs if the peer cannot be reached
-     */
-    void free(
+    @Override
+    public void free(
             String peer,
             GroupId group,
             UpstreamId maker,
@@ -117,12 +117,41 @@
                         .setMaker(maker.value())
                         .addAllHandles(handles)
                         .build();
+        tell(call(peer, FREE_PATH, free), orElse);
+    }
+
+    @Override
+    public void report(String peer, GroupId group, Collection<HeldResult> results) {
+        long now = mTime.nanoTime();
+        ResultsHeld.Builder held = ResultsHeld.newBuilder().setGroup(group.value());
+        for (HeldResult result : results) {
+            held.addResults(
+                    ResultHeld.newBuilder()
+                            .setMaker(result.made().maker().value())
+                            .setHandle(result.made().handle())
+                            .setBytes(result.bytes())
+                            .setLeftNanos(result.untilNanos() - now));
+        }
+        heldResults(peer, group, results.size()).with("outcome", "reported").info();
+        tell(
+                call(peer, REPORT_PATH, held.build()),
+                () -> heldResults(peer, group, results.size()).with("outcome", "lost").warn());
+    }
+
+    private EventLog.Line heldResults(String peer, GroupId group, int results) {
+        return mLog.event("held-results")
+                .with("peer", peer)
+                .with("group", group)
+                .with("results", results);
+    }
+
+    private void tell(HttpCall call, Runnable orElse) {
         WholeResponse.fetch(
                 mConnections,
                 mScheduler,
-                call(peer, FREE_PATH, free),
-                FREE_TIMEOUT,
-                1024,
+                call,
+                TELL_TIMEOUT,
+                MAX_CONFIRMATION_BYTES,
                 answer -> {
                     if (answer.isLeft() || answer.get().status() != OK) {
                         orElse.run();
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.boragethread.core.stage.HeldResult;
 import org.boragethread.core.stage.MadePiece;
 import org.boragethread.core.stage.PendingPiece;
 import org.boragethread.core.stage.PieceListener;
@@ -30,7 +31,9 @@
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.wire.proto.PieceDone;
+import org.boragethread.wire.proto.ResultHeld;
 import org.boragethread.wire.proto.ResultsFree;
+import org.boragethread.wire.proto.ResultsHeld;
 import org.boragethread.wire.proto.StageWork;
 import org.boragethread.wire.proto.StageWorkDone;
 
@@ -54,6 +57,11 @@
             respond(context, HttpResponseStatus.OK);
             return;
         }
+        if (request.uri().equals(PeerClient.REPORT_PATH)) {
+            count(ResultsHeld.parseFrom(body));
+            respond(context, HttpResponseStatus.OK);
+            return;
+        }
         if (mGateway.isStopping() || !mRunning.isEmpty()) {
             respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
@@ -65,6 +73,16 @@
         mGateway.stages().freeHere(new UpstreamId(free.getMaker()), free.getHandlesList());
     }
 
+    private void count(ResultsHeld held) {
+        long now = mGateway.time().nanoTime();
+        List<HeldResult> results = new ArrayList<>();
+        for (ResultHeld result : held.getResultsList()) {
+            MadePiece made = new MadePiece(result.getHandle(), new UpstreamId(result.getMaker()));
+            results.add(new HeldResult(made, result.getBytes(), now + result.getLeftNanos()));
+        }
+        mGateway.stages().countHere(results);
+    }
+
     private void make(ChannelHandlerContext context, StageWork work) {
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
--- a/wire/src/main/java/org/boragethread/wire/proto/Peer.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Peer.java
@@ -45,6 +45,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_boragethread_peer_ResultsFree_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_ResultsHeld_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_ResultsHeld_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_ResultHeld_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_ResultHeld_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -66,8 +76,12 @@
       "one\"K\n\tPieceDone\022\016\n\006number\030\001 \001(\005\022\016\n\006hand" +
       "le\030\002 \001(\t\022\r\n\005maker\030\003 \001(\t\022\017\n\007failure\030\004 \001(\t" +
       "\"<\n\013ResultsFree\022\r\n\005group\030\001 \001(\t\022\r\n\005maker\030" +
-      "\002 \001(\t\022\017\n\007handles\030\003 \003(\tB\037\n\033org.boragethre" +
-      "ad.wire.protoP\001b\006proto3"
+      "\002 \001(\t\022\017\n\007handles\030\003 \003(\t\"L\n\013ResultsHeld\022\r\n" +
+      "\005group\030\001 \001(\t\022.\n\007results\030\002 \003(\0132\035.borageth" +
+      "read.peer.ResultHeld\"N\n\nResultHeld\022\r\n\005ma" +
+      "ker\030\001 \001(\t\022\016\n\006handle\030\002 \001(\t\022\r\n\005bytes\030\003 \001(\003" +
+      "\022\022\n\nleft_nanos\030\004 \001(\003B\037\n\033org.boragethread" +
+      ".wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -97,6 +111,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_ResultsFree_descriptor,
         new java.lang.String[] { "Group", "Maker", "Handles", });
+    internal_static_boragethread_peer_ResultsHeld_descriptor =
+      getDescriptor().getMessageTypes().get(4);
+    internal_static_boragethread_peer_ResultsHeld_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_ResultsHeld_descriptor,
+        new java.lang.String[] { "Group", "Results", });
+    internal_static_boragethread_peer_ResultHeld_descriptor =
+      getDescriptor().getMessageTypes().get(5);
+    internal_static_boragethread_peer_ResultHeld_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_ResultHeld_descriptor,
+        new java.lang.String[] { "Maker", "Handle", "Bytes", "LeftNanos", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
