Count a request as in time only with a reserve for the calls ahead

Cause: among what is still in time the most urgent stage goes first. In a burst each of them began with just enough time left for an empty system, waited for a call in the next group and ended a little too late; in the seconds of a burst 5 of 13 possible chains a second were in time. Stages whose inputs were made went first even when late, so that late requests delayed the others. Changes: a stage that is followed counts as in time while three calls of its group fit the time left, a last one while two fit, one that holds inputs while its own fits; late requests step back there too. A call is filled with a part of a stage also when only that part fits the memory.

--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -180,11 +180,11 @@
                 continue;
             }
             int size = Math.min(stage.size(), limits.batch());
-            long bytes = size * stage.get(0).work().resultBytes();
-            boolean fits = bytes <= room || held == 0 && batch.isEmpty();
             int free = limits.batch() - batch.size();
+            int taken = Math.min(size, free);
+            long bytes = taken * stage.get(0).work().resultBytes();
+            boolean fits = bytes <= room || held == 0 && batch.isEmpty();
             if (fits && (size <= free || fill)) {
-                int taken = Math.min(size, free);
                 batch.addAll(stage.subList(0, taken));
                 stage.subList(taken, stage.size()).forEach(PendingPiece::setAwaited);
                 room -= bytes;
@@ -239,10 +239,12 @@
                             && !other.isAvoided(now)
                             && !piece.failedAt(other);
         }
+        return !anyThere || now - piece.since() > placePatience(piece, now);
+    }
+
+    private long placePatience(PendingPiece piece, long now) {
         long slack = piece.urgency().targetNanos() - now - leastTime(1);
-        return !anyThere
-                || now - piece.since() > PLACE_PATIENCE_NANOS
-                || slack < PLACE_SLACK_NANOS && now - piece.since() > SHORT_PATIENCE_NANOS;
+        return slack < PLACE_SLACK_NANOS ? SHORT_PATIENCE_NANOS : PLACE_PATIENCE_NANOS;
     }
 
     private void send(UpstreamNode upstream, List<PendingPiece> batch, BatchLimits limits) {
--- a/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
@@ -7,8 +7,9 @@
  * @param targetNanos monotonic time by which the piece should be made for its request to be
  *     answered in time
  * @param holdsInputs whether results of earlier stages occupy scarce memory until it is made
+ * @param followed whether other stages need its result
  */
-public record PieceUrgency(int priority, long targetNanos, boolean holdsInputs) {
+public record PieceUrgency(int priority, long targetNanos, boolean holdsInputs, boolean followed) {
 
     /**
      * Ranks that a late request steps back: behind the next rank in time, but not behind all less
@@ -18,12 +19,24 @@
 
     /**
      * Returns the place of the piece among others; lower ones go first. A request that will be late
-     * anyway steps back, unless it holds inputs, since those would block others.
+     * anyway steps back.
      *
      * @param ownNanos time to make the piece
      */
     double rank(long now, long ownNanos) {
-        boolean late = now + ownNanos > targetNanos;
-        return late && !holdsInputs ? priority + LATE_STEP : priority;
+        return now + callsAhead() * ownNanos > targetNanos ? priority + LATE_STEP : priority;
+    }
+
+    /**
+     * Returns the calls that must fit the time left for a request to count as in time. The most
+     * urgent of what is in time goes first, so without reserve it would end just too late: a call
+     * may have to be waited for in this group, and one in the next. Nothing is left in reserve once
+     * inputs occupy scarce memory.
+     */
+    private int callsAhead() {
+        if (holdsInputs) {
+            return 1;
+        }
+        return followed ? 3 : 2;
     }
 }
--- a/core/src/main/java/org/boragethread/core/stage/StageRun.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRun.java
@@ -158,7 +158,8 @@
                 new PieceUrgency(
                         mRequest.priority(),
                         mRequest.targetNanos() - expectedAfter,
-                        holdsInputs(stage));
+                        holdsInputs(stage),
+                        isFollowed(stage));
         List<PendingPiece> pieces = new ArrayList<>();
         for (int number = 0; number < mRequest.pieces()[stage]; number++) {
             PieceWork work =
--- a/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
@@ -67,7 +67,8 @@
         String request = "r" + mRequests++;
         long now = mTime.nanoTime();
         PieceUrgency urgency =
-                new PieceUrgency(priority, now + Duration.ofMillis(targetMillis).toNanos(), false);
+                new PieceUrgency(
+                        priority, now + Duration.ofMillis(targetMillis).toNanos(), false, false);
         Stage stage = new Stage(request, pieces);
         List<PendingPiece> pending = new ArrayList<>();
         for (int number = 0; number < pieces; number++) {
--- a/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
@@ -164,7 +164,7 @@
                     @Override
                     public void onFailed(PieceWork failed, StageFailure failure) {}
                 };
-        PieceUrgency urgency = new PieceUrgency(0, deadline, false);
+        PieceUrgency urgency = new PieceUrgency(0, deadline, false, false);
         return List.of(
                 new PendingPiece(work, urgency, Optional.empty(), listener, mTime.nanoTime()));
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -99,6 +99,7 @@
                         .setTargetLeftNanos(first.urgency().targetNanos() - now)
                         .setPriority(first.urgency().priority())
                         .setHoldsInputs(first.urgency().holdsInputs())
+                        .setFollowed(first.urgency().followed())
                         .setPreferred(first.preferred().map(place -> place.value()).orElse(""));
         pieces.forEach(piece -> builder.addNumbers(piece.work().number()));
         return builder.build();
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -93,7 +93,10 @@
         long now = mGateway.time().nanoTime();
         PieceUrgency urgency =
                 new PieceUrgency(
-                        work.getPriority(), now + work.getTargetLeftNanos(), work.getHoldsInputs());
+                        work.getPriority(),
+                        now + work.getTargetLeftNanos(),
+                        work.getHoldsInputs(),
+                        work.getFollowed());
         Optional<DataCentreId> preferred =
                 Optional.of(work.getPreferred())
                         .filter(name -> !name.isEmpty())
--- a/entry/src/test/java/org/boragethread/entry/gateway/PeerClientTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/PeerClientTest.java
@@ -99,7 +99,7 @@
                         failure.complete(reason);
                     }
                 };
-        PieceUrgency urgency = new PieceUrgency(0, deadline, false);
+        PieceUrgency urgency = new PieceUrgency(0, deadline, false, false);
         return new PendingPiece(work, urgency, Optional.empty(), listener, now);
     }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/Peer.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Peer.java
@@ -64,24 +64,24 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\021boragethread.peer\"\212\002\n\tStag" +
+      "\n\npeer.proto\022\021boragethread.peer\"\234\002\n\tStag" +
       "eWork\022\r\n\005group\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t" +
       "\022\r\n\005stage\030\003 \001(\005\022\017\n\007numbers\030\004 \003(\005\022\013\n\003key\030" +
       "\005 \001(\t\022\024\n\014needs_inputs\030\006 \001(\010\022\016\n\006inputs\030\007 " +
       "\003(\t\022\024\n\014result_bytes\030\010 \001(\003\022\033\n\023deadline_le" +
       "ft_nanos\030\t \001(\003\022\031\n\021target_left_nanos\030\n \001(" +
       "\003\022\020\n\010priority\030\013 \001(\005\022\021\n\tpreferred\030\014 \001(\t\022\024" +
-      "\n\014holds_inputs\030\r \001(\010\"=\n\rStageWorkDone\022,\n" +
-      "\006pieces\030\001 \003(\0132\034.boragethread.peer.PieceD" +
-      "one\"K\n\tPieceDone\022\016\n\006number\030\001 \001(\005\022\016\n\006hand" +
-      "le\030\002 \001(\t\022\r\n\005maker\030\003 \001(\t\022\017\n\007failure\030\004 \001(\t" +
-      "\"<\n\013ResultsFree\022\r\n\005group\030\001 \001(\t\022\r\n\005maker\030" +
-      "\002 \001(\t\022\017\n\007handles\030\003 \003(\t\"L\n\013ResultsHeld\022\r\n" +
-      "\005group\030\001 \001(\t\022.\n\007results\030\002 \003(\0132\035.borageth" +
-      "read.peer.ResultHeld\"N\n\nResultHeld\022\r\n\005ma" +
-      "ker\030\001 \001(\t\022\016\n\006handle\030\002 \001(\t\022\r\n\005bytes\030\003 \001(\003" +
-      "\022\022\n\nleft_nanos\030\004 \001(\003B\037\n\033org.boragethread" +
-      ".wire.protoP\001b\006proto3"
+      "\n\014holds_inputs\030\r \001(\010\022\020\n\010followed\030\016 \001(\010\"=" +
+      "\n\rStageWorkDone\022,\n\006pieces\030\001 \003(\0132\034.borage" +
+      "thread.peer.PieceDone\"K\n\tPieceDone\022\016\n\006nu" +
+      "mber\030\001 \001(\005\022\016\n\006handle\030\002 \001(\t\022\r\n\005maker\030\003 \001(" +
+      "\t\022\017\n\007failure\030\004 \001(\t\"<\n\013ResultsFree\022\r\n\005gro" +
+      "up\030\001 \001(\t\022\r\n\005maker\030\002 \001(\t\022\017\n\007handles\030\003 \003(\t" +
+      "\"L\n\013ResultsHeld\022\r\n\005group\030\001 \001(\t\022.\n\007result" +
+      "s\030\002 \003(\0132\035.boragethread.peer.ResultHeld\"N" +
+      "\n\nResultHeld\022\r\n\005maker\030\001 \001(\t\022\016\n\006handle\030\002 " +
+      "\001(\t\022\r\n\005bytes\030\003 \001(\003\022\022\n\nleft_nanos\030\004 \001(\003B\037" +
+      "\n\033org.boragethread.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -92,7 +92,7 @@
     internal_static_boragethread_peer_StageWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_StageWork_descriptor,
-        new java.lang.String[] { "Group", "RequestId", "Stage", "Numbers", "Key", "NeedsInputs", "Inputs", "ResultBytes", "DeadlineLeftNanos", "TargetLeftNanos", "Priority", "Preferred", "HoldsInputs", });
+        new java.lang.String[] { "Group", "RequestId", "Stage", "Numbers", "Key", "NeedsInputs", "Inputs", "ResultBytes", "DeadlineLeftNanos", "TargetLeftNanos", "Priority", "Preferred", "HoldsInputs", "Followed", });
     internal_static_boragethread_peer_StageWorkDone_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_boragethread_peer_StageWorkDone_fieldAccessorTable = new
--- a/wire/src/main/java/org/boragethread/wire/proto/StageWork.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/StageWork.java
@@ -373,6 +373,21 @@
     return holdsInputs_;
   }
 
+  public static final int FOLLOWED_FIELD_NUMBER = 14;
+  private boolean followed_ = false;
+  /**
+   * <pre>
+   * Whether other stages of the request need the results.
+   * </pre>
+   *
+   * <code>bool followed = 14;</code>
+   * @return The followed.
+   */
+  @java.lang.Override
+  public boolean getFollowed() {
+    return followed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -431,6 +446,9 @@
     if (holdsInputs_ != false) {
       output.writeBool(13, holdsInputs_);
     }
+    if (followed_ != false) {
+      output.writeBool(14, followed_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -502,6 +520,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(13, holdsInputs_);
     }
+    if (followed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(14, followed_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -543,6 +565,8 @@
         .equals(other.getPreferred())) return false;
     if (getHoldsInputs()
         != other.getHoldsInputs()) return false;
+    if (getFollowed()
+        != other.getFollowed()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -589,6 +613,9 @@
     hash = (37 * hash) + HOLDS_INPUTS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getHoldsInputs());
+    hash = (37 * hash) + FOLLOWED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getFollowed());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -738,6 +765,7 @@
       priority_ = 0;
       preferred_ = "";
       holdsInputs_ = false;
+      followed_ = false;
       return this;
     }
 
@@ -812,6 +840,9 @@
       if (((from_bitField0_ & 0x00001000) != 0)) {
         result.holdsInputs_ = holdsInputs_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.followed_ = followed_;
+      }
     }
 
     @java.lang.Override
@@ -888,6 +919,9 @@
       if (other.getHoldsInputs() != false) {
         setHoldsInputs(other.getHoldsInputs());
       }
+      if (other.getFollowed() != false) {
+        setFollowed(other.getFollowed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -991,6 +1025,11 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 104
+            case 112: {
+              followed_ = input.readBool();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1771,6 +1810,50 @@
       return this;
     }
 
+    private boolean followed_ ;
+    /**
+     * <pre>
+     * Whether other stages of the request need the results.
+     * </pre>
+     *
+     * <code>bool followed = 14;</code>
+     * @return The followed.
+     */
+    @java.lang.Override
+    public boolean getFollowed() {
+      return followed_;
+    }
+    /**
+     * <pre>
+     * Whether other stages of the request need the results.
+     * </pre>
+     *
+     * <code>bool followed = 14;</code>
+     * @param value The followed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFollowed(boolean value) {
+
+      followed_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether other stages of the request need the results.
+     * </pre>
+     *
+     * <code>bool followed = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFollowed() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      followed_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:boragethread.peer.StageWork)
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/StageWorkOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/StageWorkOrBuilder.java
@@ -160,4 +160,14 @@
    * @return The holdsInputs.
    */
   boolean getHoldsInputs();
+
+  /**
+   * <pre>
+   * Whether other stages of the request need the results.
+   * </pre>
+   *
+   * <code>bool followed = 14;</code>
+   * @return The followed.
+   */
+  boolean getFollowed();
 }
