Choose an engine when a request is sent, by the prompts that it has to read

Cause: the engine was planned when a request arrived and kept one to two seconds later, after its stages, whatever it had to read by then; each unfinished call counted the same, a prompt of 350 ms that is still to be read as much as a stream that has almost ended. Changes: prompts that are sent and not read count with their reading time; an engine that was sent a beginning counts as knowing it; only the data centre of large results is fixed at arrival; the stall check asks for the same choice as the next attempt would (it left out the route's regions before).

--- a/core/src/main/java/org/boragethread/core/upstream/ChoiceRequest.java
+++ b/core/src/main/java/org/boragethread/core/upstream/ChoiceRequest.java
@@ -1,5 +1,6 @@
 package org.boragethread.core.upstream;
 
+import java.util.Optional;
 import java.util.Set;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.RoutedGroup;
@@ -13,6 +14,8 @@
  * @param affinity hash of what requests with a common beginning share; 0 if there is nothing
  * @param affinityMillis time that the common beginning costs an engine that does not hold it
  * @param evacuated data centres that get no new work
+ * @param near data centre that holds what the request needs; empty for that of this process
+ * @param remoteMillis delay that another data centre is taken to cost, bytes included
  */
 public record ChoiceRequest(
         RoutedGroup group,
@@ -20,4 +23,10 @@
         Set<UpstreamNode> excluded,
         long affinity,
         double affinityMillis,
-        Set<DataCentreId> evacuated) {}
+        Set<DataCentreId> evacuated,
+        Optional<DataCentreId> near,
+        double remoteMillis) {
+
+    /** Delay that a call to another data centre is taken to cost if little is transferred. */
+    public static final double REMOTE_MILLIS = 4;
+}
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -15,15 +15,21 @@
  */
 public final class UpstreamChooser {
 
-    /** Expected extra delay for each unfinished call of this process at an engine. */
+    /**
+     * Expected extra delay for each unfinished call of this process at an engine, besides prompts
+     * that are not read: its tokens share each step with those of others.
+     */
     private static final double ENGINE_CALL_MILLIS = 40;
 
+    /**
+     * Weight of the time to read a beginning anew: it delays the request, the prompts behind it and
+     * the tokens of all that run there.
+     */
+    private static final double REREAD_WEIGHT = 3;
+
     /** Expected extra delay for each unfinished call of this process at a plain service. */
     private static final double PLAIN_CALL_MILLIS = 25;
 
-    /** Delay that a call to another data centre is taken to cost, bytes included. */
-    private static final double REMOTE_MILLIS = 4;
-
     /** Delay that one more step in the rendezvous order is taken to cost. */
     private static final double RANK_MILLIS = 1;
 
@@ -57,25 +63,6 @@
         mColdShare = coldShare;
     }
 
-    /**
-     * Returns the upstream that was planned for the request if it still may get it, or else the
-     * best one.
-     */
-    public Optional<UpstreamNode> choose(ChoiceRequest request, Optional<UpstreamNode> planned) {
-        long now = mTime.nanoTime();
-        boolean keep =
-                planned.isPresent()
-                        && isAllowed(planned.get(), request)
-                        && mDirectory.of(request.group().id()).contains(planned.get())
-                        && !planned.get().isAvoided(now)
-                        && now >= planned.get().busyUntil()
-                        && planned.get()
-                                        .nanosUntilWarmEnough(
-                                                mColdShare.limit(request.group()), now)
-                                == 0;
-        return keep ? planned : choose(request);
-    }
-
     /** Returns the best upstream that may get the request now. */
     public Optional<UpstreamNode> choose(ChoiceRequest request) {
         long now = mTime.nanoTime();
@@ -139,13 +126,16 @@
     private double cost(UpstreamNode node, int rank, ChoiceRequest request, long now) {
         boolean engine = request.group().engine().isPresent();
         double cost = node.inFlight() * (engine ? ENGINE_CALL_MILLIS : PLAIN_CALL_MILLIS);
+        cost += node.prompts().unreadMillis();
         cost *= node.slowness();
         cost += Math.max(0, node.slowness() - 1) * SLOWNESS_MILLIS;
         if (request.affinity() != 0) {
-            cost += rank * RANK_MILLIS + (rank == 0 ? 0 : request.affinityMillis());
+            // Every entry sends a beginning to the first of the order, which thus knows it.
+            boolean known = rank == 0 || node.prompts().knows(request.affinity());
+            cost += rank * RANK_MILLIS + (known ? 0 : REREAD_WEIGHT * request.affinityMillis());
         }
-        if (!node.entry().dataCentre().equals(mHome)) {
-            cost += REMOTE_MILLIS;
+        if (!node.entry().dataCentre().equals(request.near().orElse(mHome))) {
+            cost += request.remoteMillis();
         }
         if (node.isCold(now)) {
             cost += COLD_MILLIS;
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -18,6 +18,7 @@
 
     private final ColdRate mColdRate = new ColdRate();
     private final ResultLedger mResults = new ResultLedger();
+    private final PromptLoad mPrompts = new PromptLoad();
     private UpstreamEntry mEntry;
     private long mColdUntil = Long.MIN_VALUE;
     private long mAvoidUntil = Long.MIN_VALUE;
@@ -38,6 +39,7 @@
             mBusyUntil = Long.MIN_VALUE;
             mFailures = 0;
             mSlowness = 1;
+            mPrompts.forget();
         }
         mEntry = entry;
         mGoneAt = Long.MAX_VALUE;
@@ -96,6 +98,11 @@
         return mResults;
     }
 
+    /** Returns the prompts that this process has it read. */
+    public PromptLoad prompts() {
+        return mPrompts;
+    }
+
     /** Returns the observed time of its answers as a multiple of the expected time. */
     public double slowness() {
         return mSlowness;
--- a/entry/src/main/java/org/boragethread/entry/gateway/Admitted.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Admitted.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.KeyHolder;
 import org.boragethread.model.routing.Route;
 import org.boragethread.model.routing.RouteStage;
@@ -37,6 +38,9 @@
     /** Prompt tokens that an engine reads in a millisecond, as the users' pages state it. */
     private static final double TOKENS_PER_MILLI = 48;
 
+    /** Delay that a megabyte between data centres is taken to be worth, in milliseconds. */
+    private static final double TRANSFER_MILLIS_PER_MB = 50;
+
     /** Time of an engine's first token besides the reading of the prompt, in milliseconds. */
     private static final double FIRST_TOKEN_MILLIS = 200;
 
@@ -57,6 +61,35 @@
         return sharedTokens / TOKENS_PER_MILLI;
     }
 
+    /** Returns the time that an engine needs to read the prompt, as far as it does not know it. */
+    double promptMillis(UpstreamNode node) {
+        boolean known = node.prompts().knows(affinity);
+        return (promptTokens - (known ? sharedTokens : 0)) / TOKENS_PER_MILLI;
+    }
+
+    /**
+     * Returns the delay that the transfer of the results to another data centre is taken to cost:
+     * bytes there are dear, a large result as much as a tenth of a target.
+     */
+    double transferMillis() {
+        long bytes = 0;
+        for (int i = 0; i < pieces.length; i++) {
+            if (isLast(i)) {
+                bytes += pieces[i] * route.stages().get(i).resultBytes();
+            }
+        }
+        return bytes * TRANSFER_MILLIS_PER_MB / 1e6;
+    }
+
+    private boolean isLast(int stage) {
+        for (int other = 0; other < pieces.length; other++) {
+            if (pieces[other] > 0 && route.stages().get(other).after().contains(stage)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Returns the usual time to the answer or its first event, up to a factor of the group. */
     double expectedNanos(RoutedGroup group) {
         if (group.engine().isEmpty()) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -58,7 +58,7 @@
     private Scheduler.Timer mDeadlineTimer = () -> {};
     private Scheduler.Timer mStallTimer = () -> {};
     private final StagePhase mStages;
-    private Optional<UpstreamNode> mPlanned = Optional.empty();
+    private Optional<DataCentreId> mNear = Optional.empty();
     private UpstreamAttempt mAttempt;
     private int mExecuted;
     private int mSends;
@@ -115,8 +115,8 @@
                     needed.minus(remaining()).plus(SOON));
             return;
         }
-        mPlanned = mGateway.chooser().choose(choice());
-        mStages.run(mAdmitted, mPlanned);
+        mNear = mGateway.chooser().choose(choice()).map(node -> node.entry().dataCentre());
+        mStages.run(mAdmitted, mNear);
     }
 
     @Override
@@ -142,14 +142,19 @@
     }
 
     private ChoiceRequest choice() {
-        Set<DataCentreId> evacuated = mGateway.routing().evacuated();
+        return choice(mExcluded);
+    }
+
+    private ChoiceRequest choice(Set<UpstreamNode> excluded) {
         return new ChoiceRequest(
                 mGroup,
                 mAdmitted.route().regions(),
-                mExcluded,
+                excluded,
                 mAdmitted.affinity(),
                 mAdmitted.affinityMillis(),
-                evacuated);
+                mGateway.routing().evacuated(),
+                mNear,
+                ChoiceRequest.REMOTE_MILLIS + mAdmitted.transferMillis());
     }
 
     private void send() {
@@ -157,7 +162,7 @@
             return;
         }
         ChoiceRequest choice = choice();
-        Optional<UpstreamNode> node = mGateway.chooser().choose(choice, mPlanned);
+        Optional<UpstreamNode> node = mGateway.chooser().choose(choice);
         if (node.isEmpty()) {
             search(choice);
             return;
@@ -169,7 +174,9 @@
         mSends++;
         long now = mGateway.time().nanoTime();
         boolean streaming = mAdmitted.route().kind() == RequestKind.STREAMING;
-        mAttempt = new UpstreamAttempt(node.get(), streaming, this, now);
+        double promptMillis = mAdmitted.promptMillis(node.get());
+        mAttempt = new UpstreamAttempt(node.get(), streaming, this, now, promptMillis);
+        node.get().prompts().begin(mAdmitted.affinity(), promptMillis);
         mTrace.sent(node.get(), mSends, remaining());
         mAttempt.start(
                 mGateway.connections(),
@@ -230,7 +237,7 @@
     private ChoiceRequest excluding(UpstreamNode node) {
         Set<UpstreamNode> excluded = new HashSet<>(mExcluded);
         excluded.add(node);
-        return mGateway.anyOf(mGroup, excluded);
+        return choice(excluded);
     }
 
     @Override
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -18,11 +17,9 @@
 import org.boragethread.core.stage.StageRouter;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
-import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.GroupPace;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamDirectory;
-import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.process.log.EventLog;
@@ -175,11 +172,6 @@
         return mRouting.config().map(config -> config.groups().get(id));
     }
 
-    /** Returns a request for any upstream of a group. */
-    ChoiceRequest anyOf(RoutedGroup group, Set<UpstreamNode> excluded) {
-        return new ChoiceRequest(group, Set.of(), excluded, 0, 0, mRouting.evacuated());
-    }
-
     void setUpstreamsKnown() {
         mUpstreamsKnown = true;
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
@@ -6,7 +6,7 @@
 import org.boragethread.core.stage.StageListener;
 import org.boragethread.core.stage.StageRequest;
 import org.boragethread.core.stage.StageRun;
-import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.place.DataCentreId;
 import org.boragethread.platform.store.PlatformHeaders;
 
 /** The stages of one request, which may be run again when their results are lost. */
@@ -37,8 +37,8 @@
         mListener = listener;
     }
 
-    /** Runs all stages, with results near the planned upstream. */
-    void run(Admitted admitted, Optional<UpstreamNode> planned) {
+    /** Runs all stages, with large results in the data centre in which they will be used. */
+    void run(Admitted admitted, Optional<DataCentreId> near) {
         mRuns++;
         StageRequest request =
                 new StageRequest(
@@ -49,7 +49,7 @@
                         admitted.deadlineNanos() - admitted.leastAnswerNanos(),
                         admitted.targetNanos() - admitted.leastAnswerNanos(),
                         admitted.priority(),
-                        planned.map(node -> node.entry().dataCentre()));
+                        near);
         StageRun run =
                 new StageRun(
                         request,
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -25,6 +25,7 @@
     private final boolean mStreaming;
     private final AttemptListener mListener;
     private final long mSentAt;
+    private double mPromptMillis;
     private CallControl mControl;
     private int mStatus;
     private HttpHeaders mHeaders;
@@ -32,11 +33,22 @@
     private boolean mPassedOn;
     private boolean mEnded;
 
-    UpstreamAttempt(UpstreamNode node, boolean streaming, AttemptListener listener, long sentAt) {
+    /**
+     * Makes an attempt that has not started.
+     *
+     * @param promptMillis time that the upstream needs to read the prompt
+     */
+    UpstreamAttempt(
+            UpstreamNode node,
+            boolean streaming,
+            AttemptListener listener,
+            long sentAt,
+            double promptMillis) {
         mNode = node;
         mStreaming = streaming;
         mListener = listener;
         mSentAt = sentAt;
+        mPromptMillis = promptMillis;
     }
 
     void start(HttpConnections connections, HttpCall call) {
@@ -112,6 +124,7 @@
 
     private void passOn() {
         mPassedOn = true;
+        onPromptRead();
         mListener.onStreamHead(mNode, mStatus, mHeaders);
         if (mHeld.isReadable()) {
             mListener.onStreamData(mHeld);
@@ -146,8 +159,14 @@
         }
     }
 
+    private void onPromptRead() {
+        mNode.prompts().end(mPromptMillis);
+        mPromptMillis = 0;
+    }
+
     private void end() {
         mEnded = true;
+        onPromptRead();
         mNode.onEnded();
     }
 }
