--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -22,7 +22,7 @@
 public final class BatchScheduler implements PieceQueue {
 
     /** Time after which a piece no longer waits for an upstream in its preferred data centre. */
-    private static final long PLACE_PATIENCE_NANOS = Duration.ofMillis(400).toNanos();
+    private static final long PLACE_PATIENCE_NANOS = Duration.ofMillis(250).toNanos();
 
     /** With less time than this to spare a piece waits for its place for a short time only. */
     private static final long PLACE_SLACK_NANOS = Duration.ofMillis(800).toNanos();
@@ -397,13 +397,14 @@
         }
     }
 
-    /** Forgets pieces that nobody waits for, and fails those whose time is over. */
+    /** Forgets pieces that nobody waits for, and fails those that cannot be of use any more. */
     private void dropEnded() {
         mPending.removeIf(PendingPiece::isCancelled);
         long now = mTime.nanoTime();
+        long own = leastTime(1);
         List<PendingPiece> late = new ArrayList<>();
         for (PendingPiece piece : mPending) {
-            if (piece.work().deadlineNanos() <= now) {
+            if (piece.isHopeless(now, own)) {
                 late.add(piece);
             }
         }
--- a/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
+++ b/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
@@ -86,6 +86,11 @@
         return mAwaited ? AWAITED_RANK : mUrgency.rank(now, ownNanos);
     }
 
+    /** Tells whether the result would come too late to be of use. */
+    boolean isHopeless(long now, long ownNanos) {
+        return mUrgency.isHopeless(now, ownNanos, mWork.deadlineNanos());
+    }
+
     void setFailedAt(UpstreamNode node) {
         mFailedAt = Optional.of(node);
     }
--- a/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
@@ -27,6 +27,14 @@
         return now + callsAhead() * ownNanos > targetNanos ? priority + LATE_STEP : priority;
     }
 
+    /**
+     * Tells whether what is left until the deadline is less than the calls ahead take, apart from
+     * the last one, whose time the deadline of the piece leaves.
+     */
+    boolean isHopeless(long now, long ownNanos, long deadlineNanos) {
+        return now + (callsAhead() - 1) * ownNanos >= deadlineNanos;
+    }
+
     /**
      * Returns the calls that must fit the time left for a request to count as in time. The most
      * urgent of what is in time goes first, so without reserve it would end just too late: a call
--- a/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
@@ -250,6 +250,21 @@
         assertEquals(mRecorder.mDone.size(), 1);
     }
 
+    /** Pattern: late requests wait behind those that are in time until they are of no use. */
+    @Test
+    public void workThatCannotEndInTimeIsGivenUpBeforeItBegins() {
+        use(limits(1 << 30), "north");
+        for (int i = 0; i < 60; i++) {
+            submit(BATCH, 0, 20_000, Optional.empty());
+        }
+        submit(BATCH, 2, 100, Optional.empty());
+        run(5900);
+        assertTrue(mRecorder.mFailures.size() > 0, "given up 100 ms before the deadline");
+        int calls = mUpstreams.calls().size();
+        run(5000);
+        assertEquals(mUpstreams.calls().size(), calls, "nothing begins that ends too late");
+    }
+
     @Test
     public void pieceWhoseTimeIsOverFails() {
         use(limits(1 << 30), "north");
--- a/entry/src/main/java/org/boragethread/entry/gateway/Admission.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Admission.java
@@ -23,8 +23,11 @@
 /** Decides whether a request may be served, and by which route. */
 final class Admission {
 
-    /** When a caller that met an entry without a current configuration should come back. */
-    private static final Duration STALE_RETRY = Duration.ofMillis(500);
+    /** When a caller that met an entry without a configuration should come back. */
+    private static final Duration START_RETRY = Duration.ofMillis(500);
+
+    /** The store has been away for seconds already, and its return may take as long again. */
+    private static final Duration STALE_RETRY = Duration.ofSeconds(2);
 
     private final Gateway mGateway;
 
@@ -35,7 +38,9 @@
     Either<Refusal, Admitted> admit(CallerRequest request) {
         Optional<RoutingConfig> config = mGateway.routing().config();
         if (config.isEmpty()) {
-            return refused(RefusalReason.NOT_READY, "no configuration is known yet");
+            return Either.left(
+                    Refusal.notRun(
+                            RefusalReason.NOT_READY, "no configuration is known yet", START_RETRY));
         }
         Optional<Route> route = mGateway.routing().find(host(request.headers()), request.path());
         if (route.isEmpty()) {
@@ -121,12 +126,11 @@
         return mGateway.lease().isHeld() ? Either.left(Refusal.notRun(reason, detail)) : stale();
     }
 
-    private Either<Refusal, Admitted> stale() {
-        return refused(
-                RefusalReason.CONFIGURATION_STALE, "the store has not been read for too long");
-    }
-
-    private static Either<Refusal, Admitted> refused(RefusalReason reason, String detail) {
-        return Either.left(Refusal.notRun(reason, detail, STALE_RETRY));
+    private static Either<Refusal, Admitted> stale() {
+        return Either.left(
+                Refusal.notRun(
+                        RefusalReason.CONFIGURATION_STALE,
+                        "the store has not been read for too long",
+                        STALE_RETRY));
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -5,16 +5,13 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.boragethread.core.stage.StageFailure;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
-import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.RequestKind;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.GroupId;
@@ -39,6 +36,10 @@
 
     private static final Duration BUSY_AVOIDANCE = Duration.ofMillis(150);
     private static final Duration SOON = Duration.ofMillis(300);
+
+    /** Time in which the work that waits after a burst of some seconds gets less by half. */
+    private static final Duration BACKLOG_RETRY = Duration.ofSeconds(2);
+
     private static final int MISDIRECTED = 421;
     private static final int INPUTS_LOST = 409;
     private static final int OK = 200;
@@ -51,14 +52,13 @@
     private final CallerRequest mRequest;
     private final CallerSink mSink;
     private final RequestTrace mTrace;
-    private final Set<UpstreamNode> mExcluded = new HashSet<>();
     private final EventRelay mRelay = new EventRelay();
     private Admitted mAdmitted;
     private RoutedGroup mGroup;
+    private Placement mPlacement;
     private Scheduler.Timer mDeadlineTimer = () -> {};
     private Scheduler.Timer mStallTimer = () -> {};
     private final StagePhase mStages;
-    private Optional<DataCentreId> mNear = Optional.empty();
     private UpstreamAttempt mAttempt;
     private int mExecuted;
     private int mSends;
@@ -90,6 +90,7 @@
             return;
         }
         mGroup = group.get();
+        mPlacement = new Placement(mGroup, mAdmitted, mGateway.routing());
         mTrace.admitted(mAdmitted, remaining());
         Duration left =
                 remaining().plus(mAdmitted.isRouteTimeout() ? Duration.ZERO : DEADLINE_SLACK);
@@ -112,11 +113,11 @@
                     RefusalReason.DEADLINE_HOPELESS,
                     "stages need %d ms, %d ms remain"
                             .formatted(needed.toMillis(), remaining().toMillis()),
-                    needed.minus(remaining()).plus(SOON));
+                    afterBacklog());
             return;
         }
-        mNear = mGateway.chooser().choose(choice()).map(node -> node.entry().dataCentre());
-        mStages.run(mAdmitted, mNear);
+        mPlacement.planPlace(mGateway.chooser());
+        mStages.run(mAdmitted, mPlacement.near());
     }
 
     @Override
@@ -137,31 +138,18 @@
             return;
         }
         String detail = "stage group %s: %s".formatted(failure.detail(), failure.kind());
-        boolean late = failure.kind() == StageFailure.Kind.DEADLINE;
-        fail(late ? RefusalReason.DEADLINE_HOPELESS : RefusalReason.STAGE_FAILED, detail);
-    }
-
-    private ChoiceRequest choice() {
-        return choice(mExcluded);
-    }
-
-    private ChoiceRequest choice(Set<UpstreamNode> excluded) {
-        return new ChoiceRequest(
-                mGroup,
-                mAdmitted.route().regions(),
-                excluded,
-                mAdmitted.affinity(),
-                mAdmitted.affinityMillis(),
-                mGateway.routing().evacuated(),
-                mNear,
-                ChoiceRequest.REMOTE_MILLIS + mAdmitted.transferMillis());
+        if (failure.kind() == StageFailure.Kind.DEADLINE) {
+            fail(RefusalReason.DEADLINE_HOPELESS, detail, afterBacklog());
+        } else {
+            fail(RefusalReason.STAGE_FAILED, detail);
+        }
     }
 
     private void send() {
         if (mEnded) {
             return;
         }
-        ChoiceRequest choice = choice();
+        ChoiceRequest choice = mPlacement.request();
         Optional<UpstreamNode> node = mGateway.chooser().choose(choice);
         if (node.isEmpty()) {
             search(choice);
@@ -221,7 +209,7 @@
         }
         boolean canMove =
                 mExecuted + 1 < mAdmitted.route().maxAttempts()
-                        && mGateway.chooser().hasAny(excluding(watched.node()))
+                        && mGateway.chooser().hasAny(mPlacement.without(watched.node()))
                         && remaining().compareTo(StallTimes.of(mAdmitted.route(), false)) > 0;
         if (!canMove) {
             return;
@@ -234,12 +222,6 @@
         }
     }
 
-    private ChoiceRequest excluding(UpstreamNode node) {
-        Set<UpstreamNode> excluded = new HashSet<>(mExcluded);
-        excluded.add(node);
-        return choice(excluded);
-    }
-
     @Override
     public void onNotExecuted(UpstreamNode node, int status) {
         long now = mGateway.time().nanoTime();
@@ -253,7 +235,7 @@
             restartStages();
             return;
         }
-        mExcluded.add(node);
+        mPlacement.exclude(node);
         if (mRejections < MAX_REJECTIONS && tryRepeat("status-" + status)) {
             send();
             return;
@@ -264,7 +246,7 @@
     @Override
     public void onUnsent(UpstreamNode node, String detail) {
         noteFailure(node);
-        mExcluded.add(node);
+        mPlacement.exclude(node);
         mRejections++;
         if (mRejections <= MAX_REJECTIONS && !isLate()) {
             repeat("unreachable");
@@ -277,7 +259,7 @@
     @Override
     public void onBroken(UpstreamNode node, String detail) {
         noteFailure(node);
-        mExcluded.add(node);
+        mPlacement.exclude(node);
         mExecuted++;
         if (mayRunAgain() && tryRepeat("broken")) {
             send();
@@ -289,7 +271,7 @@
     @Override
     public void onCut(UpstreamNode node, String detail) {
         noteFailure(node);
-        mExcluded.add(node);
+        mPlacement.exclude(node);
         mExecuted++;
         mRelay.dropPartial();
         if (mayRunAgain() && tryRepeat("resume")) {
@@ -303,7 +285,7 @@
     public void onAnswer(UpstreamNode node, int status, HttpHeaders headers, ByteBuf body) {
         if (status >= SERVER_ERROR) {
             mExecuted++;
-            mExcluded.add(node);
+            mPlacement.exclude(node);
             if (mayRunAgain() && tryRepeat("status-" + status)) {
                 send();
                 return;
@@ -399,7 +381,7 @@
     }
 
     private boolean tryRepeat(String reason) {
-        if (isLate() || !mGateway.chooser().hasAny(choice())) {
+        if (isLate() || !mGateway.chooser().hasAny(mPlacement.request())) {
             return false;
         }
         if (!mGateway.budget(mGroup.id()).tryTake()) {
@@ -433,8 +415,16 @@
         node.onAnswer(mGateway.pace(mGroup.id()).relative(relative));
     }
 
-    /** Ends without an answer of an upstream: 'not run' only if that is certain. */
     private void fail(RefusalReason reason, String detail) {
+        fail(reason, detail, SOON);
+    }
+
+    /**
+     * Ends without an answer of an upstream: 'not run' only if that is certain.
+     *
+     * @param retryAfter when a caller whose request has not run should come back
+     */
+    private void fail(RefusalReason reason, String detail, Duration retryAfter) {
         if (mHeadSent) {
             breakOff(detail);
             return;
@@ -452,13 +442,27 @@
                 reason == RefusalReason.DEADLINE_EXCEEDED
                         ? RefusalReason.DEADLINE_HOPELESS
                         : reason;
-        refuse(Refusal.notRun(notRun, detail, SOON));
+        refuse(Refusal.notRun(notRun, detail, retryAfter));
     }
 
     private boolean isAttemptOpen() {
         return mSends > mRejections + mExecuted;
     }
 
+    /**
+     * Returns when a caller should come back whose stages cannot be run in time. If that left it
+     * too little time, it would be refused again, so it is sent away until its time is over.
+     */
+    private Duration afterBacklog() {
+        Duration needed = BACKLOG_RETRY.plus(mAdmitted.expectedStageTime(mGateway)).plus(SOON);
+        boolean enough = remaining().compareTo(needed) >= 0;
+        return enough ? BACKLOG_RETRY : max(BACKLOG_RETRY, remaining().plus(SOON));
+    }
+
+    private static Duration max(Duration a, Duration b) {
+        return a.compareTo(b) >= 0 ? a : b;
+    }
+
     private void refuse(RefusalReason reason, String detail, Duration after) {
         refuse(Refusal.notRun(reason, detail, after));
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -36,8 +36,12 @@
 /** A running entry that serves routes. */
 final class GatewayProcess implements Service {
 
-    /** The store holds a read of the configuration this part of the revocation time. */
-    private static final double CONFIG_HOLD = 0.28;
+    /**
+     * The store holds a read of the configuration this part of the revocation time. A read that
+     * fails leaves the proof of the one before, which is two such parts old by then; the rest must
+     * last for the three fifths for which requests are served without the store.
+     */
+    private static final double CONFIG_HOLD = 0.16;
 
     /** Upstreams' announcements are read this often within the time they have to leave. */
     private static final double UPSTREAM_PAUSE = 0.35;
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -253,7 +253,7 @@
             }
             mLog.event("coordinator", mPieces.get(0).work().requestId())
                     .with("peer", mPeer)
-                    .with("outcome", "scheduled-here")
+                    .with("outcome", "passed-over")
                     .with("detail", detail)
                     .warn();
             mOrElse.run();
