--- a/standins/src/test/java/org/boragethread/standins/system/GatewayTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/GatewayTest.java
@@ -4,19 +4,12 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.http.HttpResponse;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.regex.Pattern;
-import org.boragethread.standins.HttpCalls;
 import org.boragethread.standins.harness.Await;
-import org.boragethread.standins.harness.JavaProcess;
-import org.boragethread.standins.harness.Launch;
 import org.boragethread.standins.harness.ProcessHarness;
 import org.boragethread.standins.store.DirectUpstream;
 import org.boragethread.standins.store.StoreStandIn;
@@ -28,7 +21,6 @@
 public class GatewayTest {
 
     private static final Duration SOON = Duration.ofSeconds(20);
-    private static final String KEY = "Token key-1";
 
     private static final String CONFIG =
             """
@@ -53,9 +45,7 @@
     private DirectUpstream mSecond;
     private DirectUpstream mMaps;
     private ProcessHarness mHarness;
-    private JavaProcess mGateway;
-    private HttpCalls mCalls;
-    private HttpCalls mReadiness;
+    private TestGateway mGateway;
 
     @BeforeMethod
     public void startAll() throws Exception {
@@ -71,57 +61,8 @@
         announce("second", mSecond, false);
         announce("maps-1", mMaps, false);
         configure(1, "\"key-1\"", 5000);
-        startGateway();
-    }
-
-    private void startGateway() throws Exception {
-        List<Integer> ports = freePorts();
-        String settings =
-                """
-                [gateway]
-                name = "gateway-1"
-                data_centre = "north"
-                listen = "127.0.0.1:%d"
-                readiness_listen = "127.0.0.1:%d"
-                peer_listen = "127.0.0.1:%d"
-                store = "%s"
-                [data_centres]
-                north = "region-1"
-                [bounds]
-                revoke_ms = 3000
-                grace_s = 4
-                """
-                        .formatted(ports.get(0), ports.get(1), ports.get(2), mStore.address());
-        Path file = Files.createTempFile("gateway", ".toml");
-        Files.writeString(file, settings);
         mHarness = new ProcessHarness();
-        mGateway =
-                mHarness.start(
-                        Launch.of("gateway", "org.boragethread.entry.EntryMain")
-                                .jvm("-Xmx96m", "-Dlog4j2.configurationFile=log4j2-gateway.xml")
-                                .args("gateway", "--settings", file.toString())
-                                .build());
-        mCalls = new HttpCalls("127.0.0.1:" + ports.get(0));
-        mReadiness = new HttpCalls("127.0.0.1:" + ports.get(1));
-        Await.until("gateway is ready", SOON, () -> readiness() == 200);
-    }
-
-    private static List<Integer> freePorts() throws Exception {
-        try (ServerSocket a = new ServerSocket(0);
-                ServerSocket b = new ServerSocket(0);
-                ServerSocket c = new ServerSocket(0)) {
-            return List.of(a.getLocalPort(), b.getLocalPort(), c.getLocalPort());
-        }
-    }
-
-    private int readiness() {
-        try {
-            return mReadiness.get("/v1/readiness").statusCode();
-        } catch (IOException e) {
-            return 0;
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
+        mGateway = TestGateway.start(mHarness, "gateway-1", mStore.address());
     }
 
     private void announce(String id, DirectUpstream upstream, boolean leaving) {
@@ -145,17 +86,7 @@
     }
 
     private HttpResponse<String> post(String path, String id, String... headers) throws Exception {
-        return mCalls.post(path, "body", headers(id, headers));
-    }
-
-    private static String[] headers(String id, String... headers) {
-        String[] all = new String[headers.length + 4];
-        all[0] = "X-Boragethread-Request-Id";
-        all[1] = id;
-        all[2] = "Authorization";
-        all[3] = KEY;
-        System.arraycopy(headers, 0, all, 4, headers.length);
-        return all;
+        return mGateway.post(path, id, headers);
     }
 
     @Test
@@ -174,7 +105,7 @@
     public void unknownRouteAndUnknownKeyAreRefused() throws Exception {
         assertEquals(post("/nowhere/x", "id-1").statusCode(), 404);
         HttpResponse<String> answer =
-                mCalls.post("/safe/x", "body", "Authorization", "Token other");
+                mGateway.calls().post("/safe/x", "body", "Authorization", "Token other");
         assertEquals(answer.statusCode(), 401);
     }
 
@@ -237,7 +168,9 @@
         Await.until(
                 "the gateway knows",
                 SOON,
-                () -> mGateway.lines().stream().anyMatch(line -> line.contains("leaving")));
+                () ->
+                        mGateway.process().lines().stream()
+                                .anyMatch(line -> line.contains("leaving")));
         int before = mFirst.ran().size();
         for (int i = 0; i < 10; i++) {
             post("/safe/x", "id-" + i);
@@ -248,7 +181,7 @@
     @Test
     public void routeTimeoutGivesTheFinalAnswerAtOnce() throws Exception {
         configure(2, "\"key-1\"", 300);
-        Await.until("new timeout is in force", SOON, () -> hasLine("\"version\":\"2\""));
+        Await.until("new timeout is in force", SOON, () -> mGateway.hasLine("\"version\":\"2\""));
         long began = System.nanoTime();
         assertEquals(post("/safe/silent", "id-1").statusCode(), 504);
         assertTrue(System.nanoTime() - began < Duration.ofMillis(2000).toNanos());
@@ -275,27 +208,23 @@
         }
     }
 
-    private boolean hasLine(String part) {
-        return mGateway.lines().stream().anyMatch(line -> line.contains(part));
-    }
-
     @Test
     public void plannedStopAnswersWhatRunsAndExitsWithZero() throws Exception {
-        mGateway.terminate();
-        Await.until("gateway is not ready", SOON, () -> readiness() != 200);
+        mGateway.process().terminate();
+        Await.until("gateway is not ready", SOON, () -> mGateway.readiness() != 200);
         HttpResponse<String> answer = post("/unsafe/x", "id-1");
         assertEquals(answer.statusCode(), 200);
         assertEquals(answer.headers().firstValue("Connection").orElse(""), "close");
-        assertEquals(mGateway.awaitExit(SOON), 0);
+        assertEquals(mGateway.process().awaitExit(SOON), 0);
     }
 
     @Test
     public void logTellsTheStoryOfARequestByItsId() throws Exception {
         post("/unsafe/lost", "id-story");
-        mGateway.awaitLine(Pattern.compile("refused.*id-story|id-story.*refused"), SOON);
+        mGateway.process().awaitLine(Pattern.compile("refused.*id-story|id-story.*refused"), SOON);
         for (String event : List.of("admitted", "sent", "refused")) {
             assertTrue(
-                    mGateway.lines().stream()
+                    mGateway.process().lines().stream()
                             .anyMatch(l -> l.contains("id-story") && l.contains(event)),
                     event);
         }
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
@@ -0,0 +1,109 @@
+package org.boragethread.standins.system;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.boragethread.standins.HttpCalls;
+import org.boragethread.standins.harness.Await;
+import org.boragethread.standins.harness.JavaProcess;
+import org.boragethread.standins.harness.Launch;
+import org.boragethread.standins.harness.ProcessHarness;
+
+/** A gateway process on free ports, and calls to it. */
+final class TestGateway {
+
+    static final Duration SOON = Duration.ofSeconds(20);
+    private static final String KEY = "Token key-1";
+
+    private final JavaProcess mProcess;
+    private final HttpCalls mCalls;
+    private final HttpCalls mReadiness;
+
+    private TestGateway(JavaProcess process, HttpCalls calls, HttpCalls readiness) {
+        mProcess = process;
+        mCalls = calls;
+        mReadiness = readiness;
+    }
+
+    /** Starts a gateway and waits until it is ready. */
+    static TestGateway start(ProcessHarness harness, String name, String store) throws Exception {
+        List<Integer> ports = freePorts();
+        String settings =
+                """
+                [gateway]
+                name = "%s"
+                data_centre = "north"
+                listen = "127.0.0.1:%d"
+                readiness_listen = "127.0.0.1:%d"
+                peer_listen = "127.0.0.1:%d"
+                store = "%s"
+                [data_centres]
+                north = "region-1"
+                [bounds]
+                revoke_ms = 3000
+                grace_s = 4
+                """
+                        .formatted(name, ports.get(0), ports.get(1), ports.get(2), store);
+        Path file = Files.createTempFile(name, ".toml");
+        Files.writeString(file, settings);
+        JavaProcess process =
+                harness.start(
+                        Launch.of(name, "org.boragethread.entry.EntryMain")
+                                .jvm("-Xmx96m", "-Dlog4j2.configurationFile=log4j2-gateway.xml")
+                                .args("gateway", "--settings", file.toString())
+                                .build());
+        TestGateway gateway =
+                new TestGateway(
+                        process,
+                        new HttpCalls("127.0.0.1:" + ports.get(0)),
+                        new HttpCalls("127.0.0.1:" + ports.get(1)));
+        Await.until(name + " is ready", SOON, () -> gateway.readiness() == 200);
+        return gateway;
+    }
+
+    private static List<Integer> freePorts() throws Exception {
+        try (ServerSocket a = new ServerSocket(0);
+                ServerSocket b = new ServerSocket(0);
+                ServerSocket c = new ServerSocket(0)) {
+            return List.of(a.getLocalPort(), b.getLocalPort(), c.getLocalPort());
+        }
+    }
+
+    JavaProcess process() {
+        return mProcess;
+    }
+
+    HttpCalls calls() {
+        return mCalls;
+    }
+
+    /** Returns the status of the readiness check; 0 if there is no answer. */
+    int readiness() {
+        try {
+            return mReadiness.get("/v1/readiness").statusCode();
+        } catch (IOException e) {
+            return 0;
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Posts a request of the team that holds the key. */
+    HttpResponse<String> post(String path, String id, String... headers) throws Exception {
+        String[] all = new String[headers.length + 4];
+        all[0] = "X-Boragethread-Request-Id";
+        all[1] = id;
+        all[2] = "Authorization";
+        all[3] = KEY;
+        System.arraycopy(headers, 0, all, 4, headers.length);
+        return mCalls.post(path, "body", all);
+    }
+
+    boolean hasLine(String part) {
+        return mProcess.lines().stream().anyMatch(line -> line.contains(part));
+    }
+}
