Share server set-up and the question of followed stages; drop unused methods

Found by reading the whole change once more; behaviour stays as it is. - Servers.accepting sets up the servers of callers, peers, status and agents, which four places wrote out (TCP_NODELAY of the status server was Netty's default and is now stated). - RouteStage.isFollowed serves StageRun and Admitted, which asked the same. - DependencyLog writes the lines about the store for both listeners. - One connect timeout for upstreams, in OutgoingRequest. - BatchScheduler is no PieceQueue: nothing used it as one, and two of its methods were there for the interface only. It asks for its upstreams after it knows that the group is configured. - TopicFollower.stop had no caller. - ForwardedRequest needs no max of durations. Left: PeerClient.Pending and WholeResponse collect bodies alike (a hook for the head would change when a peer is given up); SimMakers and SimUpstreams; pairs among protoc's output.

--- a/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
+++ b/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
@@ -22,7 +22,6 @@
     private final TopicListener mListener;
     private long mOffset = -1;
     private boolean mLost;
-    private boolean mStopped;
 
     /** Makes a follower that has not started. */
     public TopicFollower(
@@ -43,19 +42,11 @@
         readNewest(Optional.empty(), new Snapshot(Moment.now(mTime)));
     }
 
-    /** Ends after the read that is under way. */
-    public void stop() {
-        mStopped = true;
-    }
-
     private void readNewest(Optional<String> after, Snapshot snapshot) {
         mTopic.newest(after, answer -> onNewest(answer, snapshot));
     }
 
     private void onNewest(Either<ReadFailure, KeyedSnapshot> answer, Snapshot snapshot) {
-        if (mStopped) {
-            return;
-        }
         if (answer.isLeft()) {
             onFailure(answer.getLeft());
             later(mPace.retry(), this::start);
@@ -77,9 +68,6 @@
     }
 
     private void read() {
-        if (mStopped) {
-            return;
-        }
         Moment sentAt = Moment.now(mTime);
         // While the store is away a read that returns at once shows its return soonest.
         Duration wait = mLost ? Duration.ZERO : mPace.hold();
@@ -87,9 +75,6 @@
     }
 
     private void onPage(Either<ReadFailure, KeyedPage> answer, Moment sentAt) {
-        if (mStopped) {
-            return;
-        }
         if (answer.isLeft()) {
             if (answer.getLeft().trimmed()) {
                 start();
--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -19,7 +19,7 @@
  * Makes the pieces of one upstream group. This process has one call at a time at each upstream, so
  * that pieces which arrive meanwhile share the next call. Not safe for use by several threads.
  */
-public final class BatchScheduler implements PieceQueue {
+public final class BatchScheduler {
 
     /** Time after which a piece no longer waits for an upstream in its preferred data centre. */
     private static final long PLACE_PATIENCE_NANOS = Duration.ofMillis(250).toNanos();
@@ -82,13 +82,13 @@
         mTime = time;
     }
 
-    @Override
+    /** Adds the pieces of one stage of one request. Each learns of its fate once. */
     public void submit(List<PendingPiece> pieces) {
         mPending.addAll(pieces);
         dispatch();
     }
 
-    @Override
+    /** Returns the time that a stage of the given size takes when nothing waits, in nanoseconds. */
     public long leastTime(int pieces) {
         Optional<BatchLimits> limits = mGroup.limits();
         return limits.isEmpty()
@@ -96,16 +96,6 @@
                 : limits.get().expectedTime(Math.min(pieces, limits.get().batch())).toNanos();
     }
 
-    @Override
-    public long expectedTime(int pieces, int priority) {
-        return leastTime(pieces);
-    }
-
-    @Override
-    public void onStageDone(long nanos, int priority) {
-        // The process that needs the stage estimates its delay.
-    }
-
     /** Returns the time for which upstreams keep a result that is not freed, if it is known. */
     public Optional<Duration> resultTime() {
         return mGroup.limits().map(BatchLimits::resultTime);
@@ -128,11 +118,11 @@
                 Comparator.comparingDouble((PendingPiece piece) -> piece.rank(now, own))
                         .thenComparingLong(piece -> piece.urgency().targetNanos()));
         Optional<BatchLimits> limits = mGroup.limits();
-        List<UpstreamNode> upstreams = mGroup.upstreams();
         if (limits.isEmpty()) {
             failAll(StageFailure.Kind.NO_UPSTREAM);
             return;
         }
+        List<UpstreamNode> upstreams = mGroup.upstreams();
         for (UpstreamNode upstream : upstreams) {
             if (mPending.isEmpty()) {
                 return;
--- a/core/src/main/java/org/boragethread/core/stage/StageRun.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRun.java
@@ -253,12 +253,7 @@
     }
 
     private boolean isFollowed(int stage) {
-        for (int other = 0; other < mMade.length; other++) {
-            if (mRequest.stages().get(other).after().contains(stage) && mMade[other].length > 0) {
-                return true;
-            }
-        }
-        return false;
+        return RouteStage.isFollowed(mRequest.stages(), mRequest.pieces(), stage);
     }
 
     /** Frees the results that only the given stage and other finished stages needed. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/Admitted.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Admitted.java
@@ -74,22 +74,13 @@
     double transferMillis() {
         long bytes = 0;
         for (int i = 0; i < pieces.length; i++) {
-            if (isLast(i)) {
+            if (!RouteStage.isFollowed(route.stages(), pieces, i)) {
                 bytes += pieces[i] * route.stages().get(i).resultBytes();
             }
         }
         return bytes * TRANSFER_MILLIS_PER_MB / 1e6;
     }
 
-    private boolean isLast(int stage) {
-        for (int other = 0; other < pieces.length; other++) {
-            if (pieces[other] > 0 && route.stages().get(other).after().contains(stage)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** Returns the usual time to the answer or its first event, up to a factor of the group. */
     double expectedNanos(RoutedGroup group) {
         if (group.engine().isEmpty()) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerListener.java
@@ -1,14 +1,11 @@
 package org.boragethread.entry.gateway;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -18,6 +15,7 @@
 import java.util.Set;
 import org.boragethread.model.routing.CallerBounds;
 import org.boragethread.model.routing.RoutingConfig;
+import org.boragethread.wire.server.Servers;
 
 /** Accepts callers' connections. Confined to one event loop, except for opening and closing. */
 final class CallerListener {
@@ -37,19 +35,9 @@
 
     void open(InetSocketAddress address) throws InterruptedException {
         mChannel =
-                new ServerBootstrap()
-                        .group(mLoops)
-                        .channel(NioServerSocketChannel.class)
+                Servers.accepting(mLoops, this::accept)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        accept(channel);
-                                    }
-                                })
                         .bind(address)
                         .sync()
                         .channel();
--- a/entry/src/main/java/org/boragethread/entry/gateway/ConfigListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ConfigListener.java
@@ -16,10 +16,12 @@
 final class ConfigListener implements TopicListener {
 
     private final Gateway mGateway;
+    private final DependencyLog mStore;
     private final Set<DataCentreId> mSeen = new HashSet<>();
 
     ConfigListener(Gateway gateway) {
         mGateway = gateway;
+        mStore = new DependencyLog(gateway.log(), "store-config");
     }
 
     @Override
@@ -89,20 +91,11 @@
 
     @Override
     public void onLost(String detail) {
-        mGateway.log()
-                .event("dependency")
-                .with("name", "store-config")
-                .with("outcome", "lost")
-                .with("detail", detail)
-                .warn();
+        mStore.lost(detail);
     }
 
     @Override
     public void onRegained() {
-        mGateway.log()
-                .event("dependency")
-                .with("name", "store-config")
-                .with("outcome", "regained")
-                .info();
+        mStore.regained();
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -455,12 +455,9 @@
      */
     private Duration afterBacklog() {
         Duration needed = BACKLOG_RETRY.plus(mAdmitted.expectedStageTime(mGateway)).plus(SOON);
+        Duration over = remaining().plus(SOON);
         boolean enough = remaining().compareTo(needed) >= 0;
-        return enough ? BACKLOG_RETRY : max(BACKLOG_RETRY, remaining().plus(SOON));
-    }
-
-    private static Duration max(Duration a, Duration b) {
-        return a.compareTo(b) >= 0 ? a : b;
+        return enough || over.compareTo(BACKLOG_RETRY) < 0 ? BACKLOG_RETRY : over;
     }
 
     private void refuse(RefusalReason reason, String detail, Duration after) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -1,13 +1,9 @@
 package org.boragethread.entry.gateway;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -32,6 +28,7 @@
 import org.boragethread.process.command.Service;
 import org.boragethread.process.log.EventLog;
 import org.boragethread.process.settings.SettingsProblem;
+import org.boragethread.wire.server.Servers;
 
 /** A running entry that serves routes. */
 final class GatewayProcess implements Service {
@@ -160,42 +157,27 @@
     }
 
     private void openPeers() throws InterruptedException {
-        new ServerBootstrap()
-                .group(mLoops)
-                .channel(NioServerSocketChannel.class)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(
-                        new ChannelInitializer<SocketChannel>() {
-                            @Override
-                            protected void initChannel(SocketChannel channel) {
-                                channel.pipeline()
-                                        .addLast(new HttpRequestDecoder())
-                                        .addLast(new HttpObjectAggregator(MAX_PEER_BYTES))
-                                        .addLast(new HttpResponseEncoder())
-                                        .addLast(new PeerEndpoint(mGateway));
-                            }
-                        })
-                .bind(mSettings.peerListen())
-                .sync();
+        Servers.accepting(mLoops, this::setUpPeer).bind(mSettings.peerListen()).sync();
+    }
+
+    private void setUpPeer(SocketChannel channel) {
+        channel.pipeline()
+                .addLast(new HttpRequestDecoder())
+                .addLast(new HttpObjectAggregator(MAX_PEER_BYTES))
+                .addLast(new HttpResponseEncoder())
+                .addLast(new PeerEndpoint(mGateway));
     }
 
     private void openStatus(InetSocketAddress address, StatusEndpoint endpoint)
             throws InterruptedException {
-        new ServerBootstrap()
-                .group(mLoops)
-                .channel(NioServerSocketChannel.class)
-                .childHandler(
-                        new ChannelInitializer<SocketChannel>() {
-                            @Override
-                            protected void initChannel(SocketChannel channel) {
-                                channel.pipeline()
-                                        .addLast(new HttpRequestDecoder())
-                                        .addLast(new HttpResponseEncoder())
-                                        .addLast(endpoint);
-                            }
-                        })
-                .bind(address)
-                .sync();
+        Servers.accepting(mLoops, channel -> setUpStatus(channel, endpoint)).bind(address).sync();
+    }
+
+    private static void setUpStatus(SocketChannel channel, StatusEndpoint endpoint) {
+        channel.pipeline()
+                .addLast(new HttpRequestDecoder())
+                .addLast(new HttpResponseEncoder())
+                .addLast(endpoint);
     }
 
     /**
--- a/entry/src/main/java/org/boragethread/entry/gateway/HttpPieceCaller.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/HttpPieceCaller.java
@@ -43,7 +43,6 @@
     private static final int OK = 200;
     private static final int MISDIRECTED = 421;
     private static final int MAX_ANSWER_BYTES = 1 << 20;
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
     private static final Duration FREE_TIMEOUT = Duration.ofSeconds(2);
 
     /** Results that become free within this time share a call. */
@@ -206,7 +205,9 @@
             Duration timeout,
             Consumer<Either<CallFailure, WholeResponse>> receiver) {
         InetSocketAddress address = new InetSocketAddress(entry.host(), entry.port());
-        HttpCall call = new HttpCall(address, request, fresh, CONNECT_TIMEOUT, Optional.empty());
+        HttpCall call =
+                new HttpCall(
+                        address, request, fresh, OutgoingRequest.CONNECT_TIMEOUT, Optional.empty());
         WholeResponse.fetch(mConnections, mScheduler, call, timeout, MAX_ANSWER_BYTES, receiver);
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/OutgoingRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/OutgoingRequest.java
@@ -17,7 +17,7 @@
 /** Builds the request that an upstream receives. */
 final class OutgoingRequest {
 
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+    static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
     private static final int MOST_URGENT = 0;
     private static final int LEAST_URGENT = 9;
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
@@ -17,10 +17,12 @@
 final class UpstreamListener implements TopicListener {
 
     private final Gateway mGateway;
+    private final DependencyLog mStore;
     private final Map<String, UpstreamEntry> mKnown = new HashMap<>();
 
     UpstreamListener(Gateway gateway) {
         mGateway = gateway;
+        mStore = new DependencyLog(gateway.log(), "store-upstreams");
     }
 
     @Override
@@ -95,21 +97,12 @@
     @Override
     public void onLost(String detail) {
         mGateway.directory().onStoreLost();
-        mGateway.log()
-                .event("dependency")
-                .with("name", "store-upstreams")
-                .with("outcome", "lost")
-                .with("detail", detail)
-                .warn();
+        mStore.lost(detail);
     }
 
     @Override
     public void onRegained() {
         mGateway.directory().onStoreRegained();
-        mGateway.log()
-                .event("dependency")
-                .with("name", "store-upstreams")
-                .with("outcome", "regained")
-                .info();
+        mStore.regained();
     }
 }
--- a/model/src/main/java/org/boragethread/model/routing/RouteStage.java
+++ b/model/src/main/java/org/boragethread/model/routing/RouteStage.java
@@ -16,4 +16,19 @@
     public RouteStage {
         after = List.copyOf(after);
     }
+
+    /**
+     * Tells whether another stage of a request needs the results of the given one.
+     *
+     * @param stages all stages of the request's route
+     * @param pieces number of pieces of each stage; 0 leaves a stage out
+     */
+    public static boolean isFollowed(List<RouteStage> stages, int[] pieces, int stage) {
+        for (int other = 0; other < pieces.length; other++) {
+            if (pieces[other] > 0 && stages.get(other).after().contains(stage)) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
--- a/wire/src/main/java/org/boragethread/wire/server/AgentServer.java
+++ b/wire/src/main/java/org/boragethread/wire/server/AgentServer.java
@@ -1,12 +1,8 @@
 package org.boragethread.wire.server;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Set;
@@ -54,19 +50,11 @@
      * @return the bound address, with the port that the system chose if it was 0
      */
     public InetSocketAddress start() {
-        ServerBootstrap bootstrap =
-                new ServerBootstrap()
-                        .group(mGroup)
-                        .channel(NioServerSocketChannel.class)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        accept(channel);
-                                    }
-                                });
-        mServerChannel = bootstrap.bind(mAddress).syncUninterruptibly().channel();
+        mServerChannel =
+                Servers.accepting(mGroup, this::accept)
+                        .bind(mAddress)
+                        .syncUninterruptibly()
+                        .channel();
         return (InetSocketAddress) mServerChannel.localAddress();
     }
 
--- /dev/null
+++ b/wire/src/main/java/org/boragethread/wire/server/Servers.java
@@ -0,0 +1,30 @@
+package org.boragethread.wire.server;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.util.function.Consumer;
+
+/** Sets up servers that accept TCP connections. */
+public final class Servers {
+
+    private Servers() {}
+
+    /** Returns a server that is to be bound, and sets up each connection with the given task. */
+    public static ServerBootstrap accepting(EventLoopGroup loops, Consumer<SocketChannel> setUp) {
+        return new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                setUp.accept(channel);
+                            }
+                        });
+    }
+}
