Lease shares of common limits with the partitions of the members' group

Cause: retries and calls to cold upstreams are bounded over all entries, but each entry took a tenth, whatever the number of entries. Five entries used half of each limit. A change of an entry's limit also forgot the calls already sent.

Ruled out: the live members (they differ between entries during cuts), a count in the settings (none is given), a call to the store a use (price).

Change: each unit of a limit belongs to a partition of the group that entries join anyway; see ADR 0055. The calls of the latest window are kept when an entry's share changes.

--- a/core/src/main/java/org/boragethread/core/member/MemberGroup.java
+++ b/core/src/main/java/org/boragethread/core/member/MemberGroup.java
@@ -12,9 +12,9 @@
      * Joins the group or renews the membership.
      *
      * @param generation the last generation received; 0 at first
-     * @param callback gets the current generation, which increases with each change of members
+     * @param callback gets the current generation and the partitions assigned to this process
      */
-    void join(long generation, Consumer<Either<ReadFailure, Long>> callback);
+    void join(long generation, Consumer<Either<ReadFailure, JoinedGroup>> callback);
 
     /** Reads the names of all members. */
     void members(Consumer<Either<ReadFailure, List<String>>> callback);
--- a/core/src/main/java/org/boragethread/core/retry/SharedRetryBudget.java
+++ b/core/src/main/java/org/boragethread/core/retry/SharedRetryBudget.java
@@ -1,6 +1,7 @@
 package org.boragethread.core.retry;
 
 import java.time.Duration;
+import java.util.function.IntSupplier;
 import org.boragethread.core.time.TimeSource;
 
 /**
@@ -20,7 +21,7 @@
 
     private final TimeSource mTime;
     private final double mRatio;
-    private final double mFixed;
+    private final IntSupplier mFixed;
     private final SlidingWindowCounter mFirstCalls;
     private final SlidingWindowCounter mRetries;
 
@@ -28,16 +29,20 @@
      * Creates a budget.
      *
      * @param ratio retries allowed per first call
-     * @param fixed additional retries that this process may make in each window
      * @param window time over which calls are counted
+     * @param fixed additional retries that this process may make within {@link #retryWindow}
      */
-    public SharedRetryBudget(TimeSource time, double ratio, double fixed, Duration window) {
+    public SharedRetryBudget(TimeSource time, double ratio, Duration window, IntSupplier fixed) {
         mTime = time;
         mRatio = ratio;
         mFixed = fixed;
-        Duration retryWindow = Duration.ofNanos((long) (window.toNanos() * WINDOW_MARGIN));
         mFirstCalls = new SlidingWindowCounter(window, time.nanoTime());
-        mRetries = new SlidingWindowCounter(retryWindow, time.nanoTime());
+        mRetries = new SlidingWindowCounter(retryWindow(window), time.nanoTime());
+    }
+
+    /** Returns the time over which retries are counted if first calls are counted over a window. */
+    public static Duration retryWindow(Duration window) {
+        return Duration.ofNanos((long) (window.toNanos() * WINDOW_MARGIN));
     }
 
     /** Counts a first call. */
@@ -48,7 +53,7 @@
     /** Charges one retry to the budget; returns false if the budget is exhausted. */
     public boolean tryAcquire() {
         long now = mTime.nanoTime();
-        if (mRetries.total(now) + 1 > mFirstCalls.total(now) * mRatio + mFixed) {
+        if (mRetries.total(now) + 1 > mFirstCalls.total(now) * mRatio + mFixed.getAsInt()) {
             return false;
         }
         mRetries.increment(now);
--- a/core/src/main/java/org/boragethread/core/upstream/ColdRateLimit.java
+++ b/core/src/main/java/org/boragethread/core/upstream/ColdRateLimit.java
@@ -1,41 +1,32 @@
 package org.boragethread.core.upstream;
 
-import java.util.Arrays;
+import java.util.ArrayDeque;
+import java.util.Deque;
 
 /**
- * Limits the calls that this process sends to a cold upstream in any second, as a sliding window
- * over the times of the latest calls. Not thread-safe.
+ * Counts the calls that this process sent to one upstream within the latest {@link
+ * ColdRateShare#WINDOW}. Not thread-safe.
  */
 final class ColdRateLimit {
 
-    /** Longer than one second, because calls sent in one second may arrive in less than one. */
-    private static final long WINDOW_NANOS = 1_200_000_000L;
+    private final Deque<Long> mSentAt = new ArrayDeque<>();
 
-    private long[] mSentAt = new long[0];
-    private int mOldest;
-
-    /** Returns the time in nanoseconds until a call may be sent; 0 if one may be sent now. */
-    long nanosUntilAllowed(int limit, long now) {
-        resize(limit, now);
-        return Math.max(0, mSentAt[mOldest] + WINDOW_NANOS - now);
+    /** Returns whether one more call may be sent if the given number may be sent in a window. */
+    boolean isAllowed(int calls, long now) {
+        removeOld(now);
+        return mSentAt.size() < calls;
     }
 
     /** Counts a call. */
     void onSent(long now) {
-        if (mSentAt.length == 0) {
-            return;
-        }
-        mSentAt[mOldest] = now;
-        mOldest = (mOldest + 1) % mSentAt.length;
+        removeOld(now);
+        mSentAt.add(now);
     }
 
-    /** Applies a changed limit; the window then starts as if no calls had been sent. */
-    private void resize(int limit, long now) {
-        if (mSentAt.length == limit) {
-            return;
+    private void removeOld(long now) {
+        long start = now - ColdRateShare.WINDOW.toNanos();
+        while (!mSentAt.isEmpty() && mSentAt.peek() <= start) {
+            mSentAt.poll();
         }
-        mSentAt = new long[limit];
-        Arrays.fill(mSentAt, now - 2 * WINDOW_NANOS);
-        mOldest = 0;
     }
 }
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.routing.RoutedGroup;
 
 /**
  * Chooses the upstream with the lowest expected cost for a request. Requests with the same prompt
@@ -69,12 +70,11 @@
         long now = mTime.nanoTime();
         List<UpstreamNode> candidates = candidates(request);
         List<UpstreamNode> ranked = rendezvousOrder(candidates, request.affinity());
-        int coldLimit = mColdRateShare.limit(request.group());
         UpstreamNode best = null;
         double lowestCost = Double.MAX_VALUE;
         for (int rank = 0; rank < ranked.size(); rank++) {
             UpstreamNode node = ranked.get(rank);
-            if (node.nanosUntilCallAllowed(coldLimit, now) > 0) {
+            if (!isCallAllowed(node, request.group(), now)) {
                 continue;
             }
             double cost = cost(node, rank, request, now);
@@ -86,6 +86,13 @@
         return Optional.ofNullable(best);
     }
 
+    private boolean isCallAllowed(UpstreamNode node, RoutedGroup group, long now) {
+        if (!node.isCold(now) || !mColdRateShare.isLimited(group)) {
+            return true;
+        }
+        return node.isColdCallAllowed(mColdRateShare.calls(group, node.entry().id()), now);
+    }
+
     /** Returns whether any upstream of the group could get the request, now or soon. */
     public boolean hasCandidate(ChoiceRequest request) {
         return !candidates(request).isEmpty();
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -77,15 +77,13 @@
         return now < mColdUntil;
     }
 
-    /** Returns the nanoseconds until the upstream may get a call; 0 unless it is cold. */
-    public long nanosUntilCallAllowed(int coldLimit, long now) {
-        if (coldLimit == 0) {
-            return 0;
-        }
-        // Needed for warm upstreams too: it sizes the call window, and an upstream can become cold
-        // at any time.
-        long wait = mColdRateLimit.nanosUntilAllowed(coldLimit, now);
-        return isCold(now) ? wait : 0;
+    /**
+     * Returns whether this process may send one more call while the upstream is cold.
+     *
+     * @param calls calls that this process may send within {@link ColdRateShare#WINDOW}
+     */
+    boolean isColdCallAllowed(int calls, long now) {
+        return mColdRateLimit.isAllowed(calls, now);
     }
 
     /** Returns the number of unfinished calls of this process. */
--- a/core/src/test/java/org/boragethread/core/member/GroupMembershipTest.java
+++ b/core/src/test/java/org/boragethread/core/member/GroupMembershipTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.boragethread.core.follow.ReadFailure;
 import org.boragethread.core.time.ManualTimeSource;
@@ -17,9 +18,11 @@
 
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final List<List<String>> mReportedMembers = new ArrayList<>();
+    private final PartitionLease mLease = new PartitionLease(mTime, 12, Duration.ofSeconds(5));
     private final FakeGroup mGroup = new FakeGroup();
     private final GroupMembership mMembership =
-            new GroupMembership(mGroup, mTime, Duration.ofSeconds(1), mReportedMembers::add);
+            new GroupMembership(
+                    mGroup, mTime, mTime, mLease, Duration.ofSeconds(1), mReportedMembers::add);
 
     @Test
     public void membersAreReadOnlyWhenTheGenerationChanges() {
@@ -37,6 +40,16 @@
         assertTrue(mGroup.mJoins >= 10);
     }
 
+    /** A stopping process serves on for seconds while its partitions are assigned to others. */
+    @Test
+    public void stopGivesUpTheLeasedPartitionsAtOnce() {
+        mMembership.start();
+        mTime.advance(Duration.ofSeconds(10));
+        assertEquals(mLease.units("limit", 12, Duration.ofSeconds(1)), 2);
+        mMembership.stop(left -> {});
+        assertEquals(mLease.units("limit", 12, Duration.ofSeconds(1)), 0);
+    }
+
     /** An in-memory group. */
     private static final class FakeGroup implements MemberGroup {
 
@@ -46,12 +59,12 @@
         private int mMemberReads;
 
         @Override
-        public void join(long generation, Consumer<Either<ReadFailure, Long>> callback) {
+        public void join(long generation, Consumer<Either<ReadFailure, JoinedGroup>> callback) {
             mJoins++;
             callback.accept(
                     mUnreachable
                             ? Either.left(ReadFailure.unreachable("down"))
-                            : Either.right(mGeneration));
+                            : Either.right(new JoinedGroup(mGeneration, Set.of(0, 1))));
         }
 
         @Override
--- a/core/src/test/java/org/boragethread/core/retry/SharedRetryBudgetTest.java
+++ b/core/src/test/java/org/boragethread/core/retry/SharedRetryBudgetTest.java
@@ -21,7 +21,7 @@
     @Test
     public void fixedPartIsAvailableOncePerWindow() {
         ManualTimeSource time = new ManualTimeSource();
-        SharedRetryBudget budget = new SharedRetryBudget(time, RATIO, 5, WINDOW);
+        SharedRetryBudget budget = new SharedRetryBudget(time, RATIO, WINDOW, () -> 5);
         int taken = 0;
         for (int i = 0; i < 20; i++) {
             taken += budget.tryAcquire() ? 1 : 0;
@@ -52,7 +52,7 @@
         SharedRetryBudget[] budgets = new SharedRetryBudget[entries];
         for (int i = 0; i < entries; i++) {
             budgets[i] =
-                    new SharedRetryBudget(time, RATIO, Math.floor(FIXED_TOTAL / entries), WINDOW);
+                    new SharedRetryBudget(time, RATIO, WINDOW, () -> (int) FIXED_TOTAL / entries);
         }
         Deque<Long> firsts = new ArrayDeque<>();
         Deque<Long> retries = new ArrayDeque<>();
--- a/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
@@ -53,7 +53,8 @@
     }
 
     private BatchScheduler scheduler(int retries) {
-        SharedRetryBudget budget = new SharedRetryBudget(mTime, 0, retries, Duration.ofSeconds(10));
+        SharedRetryBudget budget =
+                new SharedRetryBudget(mTime, 0, Duration.ofSeconds(10), () -> retries);
         return new BatchScheduler(mUpstreams, mUpstreams, budget, mTime, mTime);
     }
 
--- a/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
+++ b/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
@@ -119,7 +119,8 @@
                 new RandomUpstreams(
                         id.value(), mTime, limits, mDirectory, mRandom, fetchTime, dataCentres);
         mUpstreams.put(id, upstreams);
-        SharedRetryBudget budget = new SharedRetryBudget(mTime, 0.2, 56, Duration.ofSeconds(10));
+        SharedRetryBudget budget =
+                new SharedRetryBudget(mTime, 0.2, Duration.ofSeconds(10), () -> 56);
         mSchedulers.put(id, new BatchScheduler(upstreams, upstreams, budget, mTime, mTime));
     }
 
--- a/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
@@ -46,7 +46,8 @@
                         10 * RESULT_BYTES,
                         Duration.ofSeconds(4));
         mUpstreams = new SimUpstreams(mTime, limits, "north");
-        SharedRetryBudget budget = new SharedRetryBudget(mTime, 0, 10, Duration.ofSeconds(10));
+        SharedRetryBudget budget =
+                new SharedRetryBudget(mTime, 0, Duration.ofSeconds(10), () -> 10);
         BatchScheduler local = new BatchScheduler(mUpstreams, mUpstreams, budget, mTime, mTime);
         mCoordinators = new CoordinatorTable(mTime);
         mCoordinatorClient = new FakeCoordinatorClient();
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
@@ -11,12 +11,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.boragethread.core.follow.ClockReading;
+import org.boragethread.core.member.PartitionLease;
 import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.core.upstream.ColdRateShare.ColdRateBound;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.EngineLimits;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.GroupId;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests {@link UpstreamChooser}. */
@@ -25,7 +29,8 @@
     private static final DataCentreId NORTH = new DataCentreId("north");
     private static final DataCentreId SOUTH = new DataCentreId("south");
     private static final double PREFIX_MILLIS = 276;
-    private static final int ENTRIES = 5;
+    private static final int PARTITIONS = 36;
+    private static final Duration LEASE_TIME = Duration.ofSeconds(5);
 
     private ManualTimeSource mTime;
     private UpstreamDirectory mDirectory;
@@ -53,12 +58,16 @@
     }
 
     private UpstreamChooser chooser(DataCentreId localDataCentre) {
+        return chooser(localDataCentre, new PartitionLease(mTime, PARTITIONS, LEASE_TIME));
+    }
+
+    private UpstreamChooser chooser(DataCentreId localDataCentre, PartitionLease lease) {
         return new UpstreamChooser(
                 mDirectory,
                 mTime,
                 localDataCentre,
                 Map.of(NORTH, "r1", SOUTH, "r2"),
-                new ColdRateShare(1.5, 5, ENTRIES));
+                new ColdRateShare(new ColdRateBound(1.5, 5), lease));
     }
 
     private ChoiceRequest request(long affinity, Set<UpstreamNode> excluded) {
@@ -168,21 +177,52 @@
         assertEquals(mChooser.choose(near).orElseThrow().entry().dataCentre(), SOUTH);
     }
 
+    /** Returns leases of some entries that are past their waiting time. */
+    private PartitionLease[] leases(int entries) {
+        PartitionLease[] leases = new PartitionLease[entries];
+        for (int entry = 0; entry < entries; entry++) {
+            leases[entry] = new PartitionLease(mTime, PARTITIONS, LEASE_TIME);
+        }
+        for (int renewal = 0; renewal < 9; renewal++) {
+            renew(leases);
+            mTime.advance(Duration.ofSeconds(1));
+        }
+        renew(leases);
+        return leases;
+    }
+
+    /** Renews leases that divide all partitions among them. */
+    private void renew(PartitionLease[] leases) {
+        for (int entry = 0; entry < leases.length; entry++) {
+            Set<Integer> partitions = new HashSet<>();
+            for (int i = entry; i < PARTITIONS; i += leases.length) {
+                partitions.add(i);
+            }
+            leases[entry].renew(ClockReading.now(mTime), partitions);
+        }
+    }
+
+    @DataProvider
+    public Object[][] entryCounts() {
+        return new Object[][] {{1}, {5}, {33}, {80}};
+    }
+
     /** A group restarts under full traffic, so that all its engines are cold. */
-    @Test
-    public void callsOfAllEntriesToAColdEngineStayWithinItsRateInAnySecond() {
-        mDirectory = new UpstreamDirectory(mTime);
-        UpstreamChooser[] entries = new UpstreamChooser[ENTRIES];
-        UpstreamDirectory[] directories = new UpstreamDirectory[ENTRIES];
-        for (int i = 0; i < ENTRIES; i++) {
-            directories[i] = new UpstreamDirectory(mTime);
-            directories[i].put(UpstreamEntries.of("cold", "engines", "north", false, 10_000));
-            mDirectory = directories[i];
-            entries[i] = chooser(NORTH);
+    @Test(dataProvider = "entryCounts")
+    public void callsOfAllEntriesToAColdEngineStayWithinItsRateInAnySecond(int count) {
+        PartitionLease[] leases = leases(count);
+        UpstreamChooser[] entries = new UpstreamChooser[count];
+        for (int i = 0; i < count; i++) {
+            mDirectory = new UpstreamDirectory(mTime);
+            mDirectory.put(UpstreamEntries.of("cold", "engines", "north", false, 10_000));
+            entries[i] = chooser(NORTH, leases[i]);
         }
         Deque<Long> sentAt = new ArrayDeque<>();
         int maxCalls = 0;
         for (int step = 0; step < 1000; step++) {
+            if (step % 200 == 0) {
+                renew(leases);
+            }
             for (UpstreamChooser entry : entries) {
                 Optional<UpstreamNode> node = entry.choose(request(step, Set.of()));
                 if (node.isPresent()) {
@@ -198,6 +238,6 @@
             mTime.advance(Duration.ofMillis(5));
         }
         assertTrue(maxCalls <= 6.3 * 1.5 + 5, maxCalls + " calls in one second");
-        assertTrue(maxCalls >= ENTRIES, "a cold upstream must get some calls");
+        assertTrue(maxCalls >= 10, "a cold upstream must get some calls, not " + maxCalls);
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.boragethread.core.follow.FreshnessLease;
+import org.boragethread.core.member.PartitionLease;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.core.stage.BatchClient;
@@ -17,11 +18,13 @@
 import org.boragethread.core.stage.StageRouter;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.core.upstream.ColdRateShare;
 import org.boragethread.core.upstream.GroupResponseTime;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamDirectory;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.GroupId;
+import org.boragethread.platform.store.StoreGroup;
 import org.boragethread.process.log.EventLog;
 import org.boragethread.wire.http.HttpConnectionPool;
 
@@ -40,6 +43,7 @@
     private final RoutingTable mRoutingTable = new RoutingTable();
     private final UpstreamDirectory mDirectory;
     private final FreshnessLease mLease;
+    private final PartitionLease mSharedLimits;
     private final UpstreamChooser mChooser;
     private final BatchClient mBatchClient;
     private final CoordinatorTable mCoordinators;
@@ -58,6 +62,11 @@
         mLog = new EventLog(LogManager.getLogger(Gateway.class), time);
         mMetrics = metrics;
         mDirectory = new UpstreamDirectory(time);
+        mSharedLimits =
+                new PartitionLease(
+                        time,
+                        StoreGroup.partitions(settings.storePartitions()),
+                        settings.revokeTime());
         mLease = new FreshnessLease(time, settings.revokeTime().minus(REVOKE_MARGIN));
         mChooser =
                 new UpstreamChooser(
@@ -65,7 +74,7 @@
                         time,
                         settings.dataCentre(),
                         settings.regions(),
-                        settings.coldRateShare());
+                        new ColdRateShare(settings.coldRateBound(), mSharedLimits));
         mBatchClient =
                 new HttpBatchClient(
                         mConnections,
@@ -126,6 +135,11 @@
         return mChooser;
     }
 
+    /** Returns this process's lease of the units of limits that all entries share. */
+    PartitionLease sharedLimits() {
+        return mSharedLimits;
+    }
+
     CoordinatorTable coordinators() {
         return mCoordinators;
     }
@@ -137,14 +151,18 @@
 
     /** Returns the retry budget of a group. */
     SharedRetryBudget retryBudget(GroupId group) {
-        return mRetryBudgets.computeIfAbsent(
-                group,
-                id ->
-                        new SharedRetryBudget(
-                                mTime,
-                                mSettings.retryBound().ratio(),
-                                mSettings.retrySlackShare(),
-                                mSettings.retryBound().window()));
+        return mRetryBudgets.computeIfAbsent(group, this::createRetryBudget);
+    }
+
+    private SharedRetryBudget createRetryBudget(GroupId group) {
+        GatewaySettings.RetryBound bound = mSettings.retryBound();
+        Duration window = SharedRetryBudget.retryWindow(bound.window());
+        String limit = "retry/" + group.value();
+        return new SharedRetryBudget(
+                mTime,
+                bound.ratio(),
+                bound.window(),
+                () -> mSharedLimits.units(limit, (int) bound.slack(), window));
     }
 
     /** Returns the baseline response time of a group. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -88,8 +88,15 @@
         Member self = new Member(settings.peerAddress(), mTime.instant().toEpochMilli());
         mMembership =
                 new GroupMembership(
-                        new StoreGroup(mStore, MEMBER_GROUP, self.name(), MEMBER_TTL),
+                        new StoreGroup(
+                                mStore,
+                                MEMBER_GROUP,
+                                self.name(),
+                                MEMBER_TTL,
+                                settings.storePartitions()),
                         mGateway.scheduler(),
+                        mTime,
+                        mGateway.sharedLimits(),
                         JOIN_INTERVAL,
                         this::onMembers);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
@@ -5,7 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.boragethread.core.upstream.ColdRateShare;
+import org.boragethread.core.upstream.ColdRateShare.ColdRateBound;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.process.settings.SettingsReader;
 import org.boragethread.process.settings.SettingsSection;
@@ -21,11 +21,12 @@
  * @param metricsListen additional listen address for monitoring
  * @param peerListen listen address for other entries
  * @param store address of the platform's store
+ * @param storePartitions number of partitions of each topic in the store
  * @param leaveTime time after which a leaving upstream must get no new work
  * @param revokeTime time after which a revoked API key must be refused by every entry
  * @param gracePeriod time from the stop signal until the process is killed
  * @param retryBound bound on retries, shared by all entries
- * @param coldRateShare this process's share of the load that cold upstreams can take
+ * @param coldRateBound bound on calls to a cold upstream, shared by all entries
  */
 public record GatewaySettings(
         String name,
@@ -36,19 +37,18 @@
         Optional<InetSocketAddress> metricsListen,
         InetSocketAddress peerListen,
         InetSocketAddress store,
+        int storePartitions,
         Duration leaveTime,
         Duration revokeTime,
         Duration gracePeriod,
         RetryBound retryBound,
-        ColdRateShare coldRateShare) {
+        ColdRateBound coldRateBound) {
 
     private static final Duration MAX_DURATION = Duration.ofHours(1);
     private static final Duration MIN_DURATION = Duration.ofMillis(100);
 
-    /** Default number of entries that share a bound: twice the number deployed today. */
-    private static final int DEFAULT_ENTRY_COUNT = 10;
-
-    private static final int MAX_ENTRY_COUNT = 10_000;
+    private static final int DEFAULT_STORE_PARTITIONS = 12;
+    private static final int MAX_STORE_PARTITIONS = 10_000;
     private static final double MAX_SLACK = 1e6;
 
     /**
@@ -65,7 +65,6 @@
         SettingsSection gateway = reader.section("gateway");
         SettingsSection bounds = reader.section("bounds");
         SettingsSection shares = reader.section("shares");
-        int entries = shares.integer("entries", DEFAULT_ENTRY_COUNT, 1, MAX_ENTRY_COUNT);
         GatewaySettings settings =
                 new GatewaySettings(
                         gateway.string("name"),
@@ -76,6 +75,11 @@
                         gateway.optionalAddress("metrics_listen"),
                         gateway.address("peer_listen"),
                         gateway.address("store"),
+                        gateway.integer(
+                                "store_partitions",
+                                DEFAULT_STORE_PARTITIONS,
+                                1,
+                                MAX_STORE_PARTITIONS),
                         millis(bounds, "leave_ms", 2000),
                         millis(bounds, "revoke_ms", 5000),
                         seconds(bounds, "grace_s", 8),
@@ -83,21 +87,15 @@
                                 shares.number("retry_ratio", 0.2, 0, 1),
                                 shares.number("retry_slack", 10, 0, MAX_SLACK),
                                 seconds(shares, "retry_window_s", 10)),
-                        new ColdRateShare(
+                        new ColdRateBound(
                                 shares.number("cold_overshoot", 1, 0, MAX_SLACK),
-                                shares.number("cold_slack", 0, 0, MAX_SLACK),
-                                entries));
+                                shares.number("cold_slack", 0, 0, MAX_SLACK)));
         gateway.reportUnknownKeys();
         bounds.reportUnknownKeys();
         shares.reportUnknownKeys();
         return settings;
     }
 
-    /** Returns this process's share of the additional retries allowed in each window. */
-    public double retrySlackShare() {
-        return Math.floor(retryBound.slack() / coldRateShare.entries());
-    }
-
     /** Returns the address at which other entries reach this one, as IP:port. */
     public String peerAddress() {
         return peerListen.getAddress().getHostAddress() + ":" + peerListen.getPort();
--- a/entry/src/main/java/org/boragethread/entry/gateway/LoadClassesCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/LoadClassesCommand.java
@@ -14,7 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.boragethread.core.upstream.ColdRateShare;
+import org.boragethread.core.upstream.ColdRateShare.ColdRateBound;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.platform.store.CodecClasses;
 import org.boragethread.process.command.Command;
@@ -117,10 +117,11 @@
                 Optional.of(addresses.get(2)),
                 addresses.get(3),
                 addresses.get(4),
+                1,
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(1),
                 new GatewaySettings.RetryBound(0.2, 10, Duration.ofSeconds(10)),
-                new ColdRateShare(1, 1, 1));
+                new ColdRateBound(1, 1));
     }
 }
