Let pieces wait for their preferred data centre only while they stay in time

Cause: pieces with large results waited 250 ms, or 120 ms with little time, for an upstream in the data centre that uses them. Retries, time-outs and the time for which a full upstream is left alone were fixed times as well.

Change: a piece waits while the next call in the preferred data centre is expected to end with three tenths of the time to its target to spare, and at most three quarters of a full call. All waits of the scheduler are now shares of the time of a full call, from the configuration.

--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -12,7 +12,6 @@
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.core.upstream.UpstreamNode;
-import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.BatchLimits;
 
 /**
@@ -21,35 +20,28 @@
  */
 public final class BatchScheduler {
 
-    /** Time after which a piece no longer waits for an upstream in its preferred data centre. */
-    private static final long PREFERRED_WAIT_NANOS = Duration.ofMillis(250).toNanos();
-
-    /** With less spare time than this, a piece waits for its preferred data centre only briefly. */
-    private static final long PREFERRED_WAIT_SLACK_NANOS = Duration.ofMillis(800).toNanos();
-
-    private static final long SHORT_PREFERRED_WAIT_NANOS = Duration.ofMillis(120).toNanos();
-
     /**
-     * Time for which an upstream that ran out of memory unexpectedly is assumed to be full: two
-     * calls, after which the results of others are often freed.
+     * Number of full calls for which an upstream that ran out of memory unexpectedly is assumed to
+     * be full. By then, the results of others are often freed.
      */
-    private static final long ASSUMED_FULL_NANOS = Duration.ofMillis(600).toNanos();
+    private static final int ASSUMED_FULL_CALLS = 2;
 
-    /** Delay before a piece whose call failed is retried. */
-    private static final Duration RETRY_DELAY = Duration.ofMillis(60);
+    /** Delay before a piece whose call failed is retried, as a share of a full call. */
+    private static final double RETRY_DELAY_CALLS = 0.2;
 
-    /** Delay before a retry that the retry budget does not cover. */
-    private static final Duration OVER_BUDGET_RETRY_DELAY = Duration.ofMillis(400);
+    /** Delay before a retry that the retry budget does not cover, as a share of a full call. */
+    private static final double OVER_BUDGET_RETRY_DELAY_CALLS = 1.5;
 
     private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
     /** Usable share of an upstream's result memory; sizes of results are approximate. */
     private static final double USABLE_MEMORY_SHARE = 0.96;
 
-    /** A call times out after this multiple of its expected time, plus a fixed time. */
-    private static final double TIMEOUT_FACTOR = 5;
-
-    private static final Duration TIMEOUT_BASE = Duration.ofMillis(400);
+    /**
+     * A call times out after this multiple of the time of a full call: the upstream may be several
+     * times slower than usual, with one call ahead.
+     */
+    private static final double TIMEOUT_FACTOR = 6.5;
 
     /** Time for a call to reach an upstream over a new connection. */
     private static final long CALL_OVERHEAD_NANOS = Duration.ofMillis(8).toNanos();
@@ -168,11 +160,17 @@
         long usedBytes = upstream.resultMemory().usedBytes(mTime.nanoTime());
         long freeBytes = usableBytes(limits) - usedBytes;
         boolean backlogged = isBacklogged(upstreams, limits);
+        PreferredDataCentres preferred =
+                new PreferredDataCentres(upstreams, limits, this::availableAt, mTime.nanoTime());
         int next = 0;
         while (next < mPending.size() && batch.size() < limits.batch()) {
             List<PendingPiece> stage = piecesOfSameStage(next);
             next += stage.size();
-            stage.removeIf(piece -> !isEligible(piece, upstream, upstreams));
+            int pieces = stage.size();
+            PendingPiece first = stage.get(0);
+            boolean waits = preferred.shouldWait(first, pieces, upstream);
+            preferred.addPiecesAhead(first, pieces);
+            stage.removeIf(piece -> waits || piece.failedAt(upstream) && upstreams.size() > 1);
             if (stage.isEmpty()) {
                 continue;
             }
@@ -191,6 +189,17 @@
         return batch;
     }
 
+    /** Returns the time of the given number of full calls, in nanoseconds. */
+    private static long fullCalls(BatchLimits limits, double calls) {
+        return (long) (limits.expectedTime(limits.batch()).toNanos() * calls);
+    }
+
+    private Duration retryDelay(double calls) {
+        return mGroup.limits()
+                .map(limits -> Duration.ofNanos(fullCalls(limits, calls)))
+                .orElse(POLL_INTERVAL);
+    }
+
     private static long usableBytes(BatchLimits limits) {
         return (long) (limits.resultBytes() * USABLE_MEMORY_SHARE);
     }
@@ -223,34 +232,10 @@
         return pieces;
     }
 
-    private boolean isEligible(
-            PendingPiece piece, UpstreamNode upstream, List<UpstreamNode> upstreams) {
-        if (piece.failedAt(upstream) && upstreams.size() > 1) {
-            return false;
-        }
-        if (piece.preferred().isEmpty()) {
-            return true;
-        }
-        DataCentreId preferred = piece.preferred().get();
-        if (upstream.entry().dataCentre().equals(preferred)) {
-            return true;
-        }
-        long now = mTime.nanoTime();
-        boolean preferredAvailable = false;
-        for (UpstreamNode other : upstreams) {
-            preferredAvailable |=
-                    other.entry().dataCentre().equals(preferred)
-                            && !other.isAvoided(now)
-                            && !piece.failedAt(other);
-        }
-        return !preferredAvailable || now - piece.submittedAt() > preferredWait(piece, now);
-    }
-
-    private long preferredWait(PendingPiece piece, long now) {
-        long slack = piece.urgency().targetNanos() - now - minTime(1);
-        return slack < PREFERRED_WAIT_SLACK_NANOS
-                ? SHORT_PREFERRED_WAIT_NANOS
-                : PREFERRED_WAIT_NANOS;
+    /** Returns the monotonic time at which an upstream is expected to start another call. */
+    private long availableAt(UpstreamNode upstream) {
+        long expectedEnd = mExpectedEnds.getOrDefault(upstream, Long.MIN_VALUE);
+        return Math.max(upstream.busyUntil(), expectedEnd);
     }
 
     private void send(UpstreamNode upstream, List<PendingPiece> batch, BatchLimits limits) {
@@ -263,7 +248,7 @@
         }
         long now = mTime.nanoTime();
         Duration expected = limits.expectedTime(batch.size());
-        long maxNanos = (long) (expected.toNanos() * TIMEOUT_FACTOR) + TIMEOUT_BASE.toNanos();
+        long maxNanos = fullCalls(limits, TIMEOUT_FACTOR);
         Duration timeout = Duration.ofNanos(Math.max(1, Math.min(maxNanos, latestDeadline - now)));
         mExpectedEnds.put(
                 upstream,
@@ -342,7 +327,7 @@
         switch (result.failure().orElse(PieceResult.Failure.ERROR)) {
             case DEADLINE_EXCEEDED -> fail(piece, StageFailure.Kind.DEADLINE);
             case INPUT_MISSING -> fail(piece, StageFailure.Kind.INPUT_MISSING);
-            default -> retry(upstream, piece, true, RETRY_DELAY);
+            default -> retry(upstream, piece, true, retryDelay(RETRY_DELAY_CALLS));
         }
     }
 
@@ -353,8 +338,14 @@
      */
     private void onOutOfMemory(UpstreamNode upstream, List<PendingPiece> pieces) {
         long now = mTime.nanoTime();
-        long capacity = mGroup.limits().map(BatchScheduler::usableBytes).orElse(0L);
-        upstream.resultMemory().assumeFull(capacity, now, now + ASSUMED_FULL_NANOS);
+        mGroup.limits()
+                .ifPresent(
+                        limits ->
+                                upstream.resultMemory()
+                                        .assumeFull(
+                                                usableBytes(limits),
+                                                now,
+                                                now + fullCalls(limits, ASSUMED_FULL_CALLS)));
         pieces.forEach(PendingPiece::markStagePartlySent);
         mPending.addAll(pieces);
     }
@@ -371,7 +362,11 @@
             default -> upstream.onFailure(now, false, Duration.ZERO);
         }
         boolean mayHaveRun = failure.kind() == BatchFailure.Kind.BROKEN;
-        Duration delay = mRetryBudget.tryAcquire() ? RETRY_DELAY : OVER_BUDGET_RETRY_DELAY;
+        Duration delay =
+                retryDelay(
+                        mRetryBudget.tryAcquire()
+                                ? RETRY_DELAY_CALLS
+                                : OVER_BUDGET_RETRY_DELAY_CALLS);
         for (PendingPiece piece : batch) {
             if (!piece.isCancelled()) {
                 retry(upstream, piece, mayHaveRun, delay);
--- a/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
+++ b/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.upstream.UpstreamDirectory;
@@ -22,8 +23,8 @@
 
 /**
  * Simulated load on three groups of upstreams with little memory for results. Long requests need
- * one piece of the intake group, then six of the accounts group, then about sixteen of the notices
- * group; short ones need the intake group only.
+ * one piece of the intake group, then six of the accounts group, then some of the notices group;
+ * short ones need the intake group only.
  */
 final class ChainLoad {
 
@@ -39,7 +40,61 @@
     private final Map<GroupId, BatchScheduler> mSchedulers = new HashMap<>();
     private final StageRouter mRouter;
     private final Map<Kind, OutcomeCount> mCounts = new HashMap<>();
+    private final Deployment mDeployment;
     private int mRequests;
+    private int mLargeResults;
+    private int mRemoteLargeResults;
+
+    /** Groups of upstreams, and the time from the last stage to the first event. */
+    enum Deployment {
+        /** Calls take 280 ms if they are full, and responses are due after 1.3 s and more. */
+        THREE_DATA_CENTRES(
+                150,
+                new GroupShape(6, 21.3, 27_000_000, "north", "south", "west"),
+                new GroupShape(7, 18.3, 1_137_500, "north", "south", "south", "west"),
+                new GroupShape(17, 7.5, 297_500, "north", "south", "south", "west"),
+                150,
+                100),
+        /**
+         * Calls take 370 ms if they are full, and the most urgent responses are due after 0.9 s.
+         */
+        FOUR_DATA_CENTRES(
+                200,
+                new GroupShape(14, 12, 32_000_000, "north", "north", "south", "west", "east"),
+                new GroupShape(40, 4.3, 5_200_000, "north", "north", "south", "west", "east"),
+                new GroupShape(66, 2.6, 870_000, "north", "north", "south", "west", "east"),
+                60,
+                40);
+
+        private final int mCallMillis;
+        private final GroupShape mIntake;
+        private final GroupShape mAccounts;
+        private final GroupShape mNotices;
+        private final int mMinResponseMillis;
+        private final int mMeanExtraResponseMillis;
+
+        Deployment(
+                int callMillis,
+                GroupShape intake,
+                GroupShape accounts,
+                GroupShape notices,
+                int minResponseMillis,
+                int meanExtraResponseMillis) {
+            mCallMillis = callMillis;
+            mIntake = intake;
+            mAccounts = accounts;
+            mNotices = notices;
+            mMinResponseMillis = minResponseMillis;
+            mMeanExtraResponseMillis = meanExtraResponseMillis;
+        }
+
+        private int expectedResponseMillis() {
+            return mMinResponseMillis + mMeanExtraResponseMillis;
+        }
+    }
+
+    /** Size of one group: pieces in a call, their time, memory for results, upstreams. */
+    private record GroupShape(int batch, double pieceMillis, long bytes, String... dataCentres) {}
 
     /**
      * Kinds of requests, with the value of one that is answered in time and of one that is late.
@@ -47,7 +102,10 @@
     enum Kind {
         DRAFT(1, 2200, 8000, 2.9, 0.43),
         SUMMARY(0, 1900, 6000, 2.5, 0.38),
-        CAPTION(2, 1300, 8000, 0.37, 0.056);
+        CAPTION(2, 1300, 8000, 0.37, 0.056),
+        /** Needs the intake group only, and is due soonest. */
+        DIGEST(0, 910, 5000, 4.2, 0.63),
+        NOTICE(1, 2300, 6000, 1, 0.15);
 
         private final int mPriority;
         private final int mTargetMillis;
@@ -72,6 +130,11 @@
         private int mLate;
         private int mFailed;
 
+        /** Returns the share of started requests that were answered in time. */
+        double inTimeShare() {
+            return mInTime / (double) mStarted;
+        }
+
         @Override
         public String toString() {
             return "started %d in time %d late %d failed %d"
@@ -79,12 +142,12 @@
         }
     }
 
-    ChainLoad(long seed) {
+    ChainLoad(Deployment deployment, long seed) {
+        mDeployment = deployment;
         mRandom = new Random(seed);
-        addGroup(INTAKE, 6, 21.3, 27_000_000, Duration.ZERO, "north", "south", "west");
-        String[] four = {"north", "south", "south", "west"};
-        addGroup(ACCOUNTS, 7, 18.3, 1_137_500, Duration.ZERO, four);
-        addGroup(NOTICES, 17, 7.5, 297_500, Duration.ofMillis(2), four);
+        addGroup(INTAKE, deployment.mIntake, Duration.ZERO);
+        addGroup(ACCOUNTS, deployment.mAccounts, Duration.ZERO);
+        addGroup(NOTICES, deployment.mNotices, Duration.ofMillis(2));
         mRouter =
                 new StageRouter(
                         "self",
@@ -99,25 +162,25 @@
         }
     }
 
-    private void addGroup(
-            GroupId id,
-            int batch,
-            double pieceMillis,
-            long bytes,
-            Duration fetchTime,
-            String... dataCentres) {
+    private void addGroup(GroupId id, GroupShape shape, Duration fetchTime) {
         BatchLimits limits =
                 new BatchLimits(
                         1,
                         2,
-                        batch,
-                        Duration.ofMillis(150),
-                        Duration.ofNanos((long) (pieceMillis * 1e6)),
-                        bytes,
+                        shape.batch(),
+                        Duration.ofMillis(mDeployment.mCallMillis),
+                        Duration.ofNanos((long) (shape.pieceMillis() * 1e6)),
+                        shape.bytes(),
                         Duration.ofSeconds(4));
         RandomUpstreams upstreams =
                 new RandomUpstreams(
-                        id.value(), mTime, limits, mDirectory, mRandom, fetchTime, dataCentres);
+                        id.value(),
+                        mTime,
+                        limits,
+                        mDirectory,
+                        mRandom,
+                        fetchTime,
+                        shape.dataCentres());
         mUpstreams.put(id, upstreams);
         SharedRetryBudget budget =
                 new SharedRetryBudget(mTime, 0.2, Duration.ofSeconds(10), () -> 56);
@@ -158,8 +221,16 @@
         return achieved / possible;
     }
 
+    /** Returns the share of large results that were made in another data centre than needed. */
+    double remoteShare() {
+        return mRemoteLargeResults / (double) Math.max(1, mLargeResults);
+    }
+
     String summary() {
-        StringBuilder text = new StringBuilder("achieved share %.3f".formatted(achievedShare()));
+        StringBuilder text =
+                new StringBuilder(
+                        "achieved share %.3f, remote %.3f"
+                                .formatted(achievedShare(), remoteShare()));
         mCounts.forEach((kind, count) -> text.append("; ").append(kind).append(' ').append(count));
         mUpstreams.forEach(
                 (id, upstreams) ->
@@ -183,6 +254,7 @@
         private final Kind mKind;
         private final long mArrivedAt = mTime.nanoTime();
         private Optional<StageRun> mRun = Optional.empty();
+        private DataCentreId mDestination = new DataCentreId("unset");
 
         Request(Kind kind) {
             mKind = kind;
@@ -191,29 +263,44 @@
         void start() {
             mCounts.get(mKind).mStarted++;
             List<RouteStage> stages = new ArrayList<>();
-            boolean largeIntake = mKind == Kind.CAPTION || mRandom.nextDouble() < 0.4;
-            stages.add(new RouteStage(INTAKE, List.of(), 3_000_000));
+            boolean chain = mKind != Kind.CAPTION && mKind != Kind.DIGEST;
+            double largeIntakeShare =
+                    switch (mKind) {
+                        case CAPTION -> 1;
+                        case DIGEST -> 0.7;
+                        case NOTICE -> 0;
+                        default -> 0.4;
+                    };
+            boolean largeIntake = largeIntakeShare >= 1 || mRandom.nextDouble() < largeIntakeShare;
+            stages.add(
+                    new RouteStage(
+                            INTAKE, List.of(), mKind == Kind.DIGEST ? 1_500_000 : 3_000_000));
             stages.add(new RouteStage(INTAKE, List.of(), 8_000));
             stages.add(new RouteStage(ACCOUNTS, List.of(1), 60_000));
             stages.add(new RouteStage(NOTICES, List.of(2), 6_000));
-            boolean chain = mKind != Kind.CAPTION;
+            double meanIntake = mKind == Kind.DIGEST ? 2.5 : 1.5;
+            double meanNotices = mKind == Kind.NOTICE ? 10 : 16;
             int[] pieces = {
-                largeIntake ? lognormal(1.5, 0.6, 6) : 0,
+                largeIntake ? lognormal(meanIntake, 0.6, (int) (4 * meanIntake)) : 0,
                 chain ? 1 : 0,
                 chain ? 6 : 0,
-                chain ? lognormal(16, 0.4, 40) : 0
+                chain ? lognormal(meanNotices, 0.4, (int) (2.5 * meanNotices)) : 0
             };
-            String[] dataCentres = {"north", "south", "west"};
+            String[] dataCentres =
+                    Stream.of(mDeployment.mIntake.dataCentres()).distinct().toArray(String[]::new);
+            mDestination = new DataCentreId(dataCentres[mRandom.nextInt(dataCentres.length)]);
+            int reserve = mDeployment.expectedResponseMillis();
             StageRequest request =
                     new StageRequest(
                             "r" + mRequests++,
                             stages,
                             pieces,
                             "key",
-                            mArrivedAt + Duration.ofMillis(mKind.mDeadlineMillis - 250).toNanos(),
-                            mArrivedAt + Duration.ofMillis(mKind.mTargetMillis - 250).toNanos(),
+                            mArrivedAt
+                                    + Duration.ofMillis(mKind.mDeadlineMillis - reserve).toNanos(),
+                            mArrivedAt + Duration.ofMillis(mKind.mTargetMillis - reserve).toNanos(),
                             mKind.mPriority,
-                            Optional.of(new DataCentreId(dataCentres[mRandom.nextInt(3)])));
+                            Optional.of(mDestination));
             StageRun run =
                     new StageRun(request, mRouter::queue, mRouter, this::dataCentreOf, mTime, this);
             mRun = Optional.of(run);
@@ -226,10 +313,27 @@
 
         @Override
         public void onStagesDone(List<String> handles) {
-            double millis = 150 - 100 * Math.log(1 - mRandom.nextDouble());
+            countRemoteResults(handles);
+            double millis =
+                    mDeployment.mMinResponseMillis
+                            - mDeployment.mMeanExtraResponseMillis
+                                    * Math.log(1 - mRandom.nextDouble());
             mTime.schedule(Duration.ofMillis((long) millis), this::onFirstEvent);
         }
 
+        private void countRemoteResults(List<String> handles) {
+            for (String handle : handles) {
+                mUpstreams
+                        .get(INTAKE)
+                        .dataCentreOf(handle)
+                        .ifPresent(
+                                dataCentre -> {
+                                    mLargeResults++;
+                                    mRemoteLargeResults += dataCentre.equals(mDestination) ? 0 : 1;
+                                });
+            }
+        }
+
         private void onFirstEvent() {
             mRun.ifPresent(StageRun::freeResults);
             long millis = (mTime.nanoTime() - mArrivedAt) / 1_000_000;
--- a/core/src/test/java/org/boragethread/core/stage/ChainLoadTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/ChainLoadTest.java
@@ -24,11 +24,14 @@
      */
     private static final double BURST_TARGET = 0.75;
 
+    /** Largest share of large results that may be moved to another data centre. */
+    private static final double REMOTE_BOUND = 0.1;
+
     private static double meanAchievedShare(Consumer<ChainLoad> additionalLoad) {
         double sum = 0;
         StringBuilder runs = new StringBuilder();
         for (int seed = 1; seed <= SEEDS; seed++) {
-            ChainLoad load = new ChainLoad(seed);
+            ChainLoad load = new ChainLoad(ChainLoad.Deployment.THREE_DATA_CENTRES, seed);
             load.scheduleArrivals(ChainLoad.Kind.DRAFT, 7.15, Duration.ZERO, LOAD_TIME);
             load.scheduleArrivals(ChainLoad.Kind.SUMMARY, 3, Duration.ZERO, LOAD_TIME);
             load.scheduleArrivals(ChainLoad.Kind.CAPTION, 7.6, Duration.ZERO, LOAD_TIME);
@@ -65,4 +68,28 @@
                         });
         assertTrue(share >= BURST_TARGET, "achieved share " + share);
     }
+
+    /**
+     * The most urgent requests leave time for two calls only, and their results are large. Guards
+     * against waits for the data centre of the results that are shorter than a call, which moved a
+     * third of the results, and against waits that make requests late.
+     */
+    @Test
+    public void burstOfRequestsWithShortTargetIsServedInTimeWhereItsResultsAreUsed() {
+        double inTime = 0;
+        double remote = 0;
+        Duration length = Duration.ofMillis(5400);
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            ChainLoad load = new ChainLoad(ChainLoad.Deployment.FOUR_DATA_CENTRES, seed);
+            load.scheduleArrivals(ChainLoad.Kind.DIGEST, 19.8, Duration.ZERO, LOAD_TIME);
+            load.scheduleArrivals(ChainLoad.Kind.NOTICE, 23.4, Duration.ZERO, LOAD_TIME);
+            load.scheduleArrivals(ChainLoad.Kind.DIGEST, 29.7, Duration.ofSeconds(13), length);
+            load.run(LOAD_TIME.plus(DRAIN_TIME));
+            System.out.printf("seed %d: %s%n", seed, load.summary());
+            inTime += load.count(ChainLoad.Kind.DIGEST).inTimeShare() / SEEDS;
+            remote += load.remoteShare() / SEEDS;
+        }
+        assertTrue(inTime >= STEADY_TARGET, "share in time " + inTime);
+        assertTrue(remote <= REMOTE_BOUND, "share of large results made elsewhere " + remote);
+    }
 }
--- a/core/src/test/java/org/boragethread/core/stage/RandomUpstreams.java
+++ b/core/src/test/java/org/boragethread/core/stage/RandomUpstreams.java
@@ -16,6 +16,7 @@
 import org.boragethread.core.upstream.UpstreamDirectory;
 import org.boragethread.core.upstream.UpstreamEntries;
 import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.BatchLimits;
 import org.boragethread.model.upstream.GroupId;
 
@@ -38,6 +39,7 @@
     private final Random mRandom;
     private final Duration mFetchTime;
     private final Map<UpstreamNode, SimUpstream> mUpstreams = new HashMap<>();
+    private final Map<String, DataCentreId> mDataCentres = new HashMap<>();
     private long mBusyNanos;
     private int mPieces;
     private int mOutOfMemory;
@@ -76,6 +78,11 @@
         return mPieces;
     }
 
+    /** Returns the data centre in which a result of this group was made, if it is of this group. */
+    Optional<DataCentreId> dataCentreOf(String handle) {
+        return Optional.ofNullable(mDataCentres.get(handle));
+    }
+
     /** Returns the share of time since the start in which upstreams were busy. */
     double busyShare() {
         return mBusyNanos / (double) mTime.nanoTime() / upstreams().size();
@@ -87,7 +94,9 @@
             List<PieceWork> pieces,
             Duration timeout,
             Consumer<Either<BatchFailure, BatchResponse>> callback) {
-        SimUpstream simulated = mUpstreams.computeIfAbsent(upstream, node -> new SimUpstream());
+        SimUpstream simulated =
+                mUpstreams.computeIfAbsent(
+                        upstream, node -> new SimUpstream(node.entry().dataCentre()));
         if (simulated.mQueue.size() >= mLimits.queue()) {
             BatchFailure full = new BatchFailure(BatchFailure.Kind.REJECTED, "full");
             mTime.schedule(ROUND_TRIP, () -> callback.accept(Either.left(full)));
@@ -136,8 +145,13 @@
 
         private final Deque<Call> mQueue = new ArrayDeque<>();
         private final Map<String, Long> mHeld = new HashMap<>();
+        private final DataCentreId mDataCentre;
         private boolean mBusy;
 
+        SimUpstream(DataCentreId dataCentre) {
+            mDataCentre = dataCentre;
+        }
+
         void startNextCall() {
             Call call = mQueue.poll();
             mBusy = call != null;
@@ -177,6 +191,7 @@
             }
             String handle = mName + mNextHandle++;
             mHeld.put(handle, bytes);
+            mDataCentres.put(handle, mDataCentre);
             mPieces++;
             mTime.schedule(mLimits.resultTime(), () -> mHeld.remove(handle));
             return PieceResult.completed(handle);
