Learn response times and take waits from the configuration

Cause: choices between engines, deadlines of stages and time-outs of silent upstreams held figures of the first deployments: 48 prompt tokens a millisecond, 200 ms to the first token, 40 and 25 ms a call in progress, 2.2 s and 1.2 s of silence, 50 ms a megabyte, 100 kB of scarce memory.

Change: ResponseTimeModel fits a fixed part and a part for each uncached prompt token to the responses of a group (least squares, older responses count less, bounded on each side, safe at the start). The costs of choices are multiples of the learned times. Silence between events is judged by the route's gap_aim_ms, before the first event by the learned time, the cost of moving a result by the route's target, scarce memory by the memory of the group that stores the inputs.

--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -96,6 +96,11 @@
         return mGroup.limits().map(BatchLimits::resultTime);
     }
 
+    /** Returns the memory for results of one upstream in bytes; unlimited if it is not known. */
+    public long resultMemory() {
+        return mGroup.limits().map(BatchLimits::resultBytes).orElse(Long.MAX_VALUE);
+    }
+
     private void addResult(UpstreamNode upstream, String handle, long bytes) {
         long lifetime = resultLifetime().orElse(Duration.ZERO).toNanos();
         upstream.resultMemory().add(handle, bytes, mTime.nanoTime() + lifetime);
--- a/core/src/main/java/org/boragethread/core/stage/PieceQueue.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceQueue.java
@@ -17,6 +17,9 @@
     /** Returns the time that a stage currently takes, queueing included, in nanoseconds. */
     long expectedTime(int pieces, int priority);
 
+    /** Returns the memory for results of one upstream, in bytes. */
+    long resultMemory();
+
     /** Records how long a stage took, queueing included, in nanoseconds. */
     void onStageDone(long nanos, int priority);
 }
--- a/core/src/main/java/org/boragethread/core/stage/StageRouter.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRouter.java
@@ -196,6 +196,11 @@
             return delay(mGroup, priority).estimate(minTime(pieces));
         }
 
+        @Override
+        public long resultMemory() {
+            return mLocalSchedulers.apply(mGroup).resultMemory();
+        }
+
         @Override
         public void onStageDone(long nanos, int priority) {
             delay(mGroup, priority).addSample(nanos);
--- a/core/src/main/java/org/boragethread/core/stage/StageRun.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRun.java
@@ -22,8 +22,8 @@
     /** Transfers of this many bytes or more should not cross data centres. */
     private static final long LARGE_TRANSFER_BYTES = 400_000;
 
-    /** Inputs of this many bytes or more are assumed to occupy scarce memory. */
-    private static final long SCARCE_MEMORY_BYTES = 100_000;
+    /** Inputs that occupy this share of an upstream's memory or more are freed soon. */
+    private static final double SCARCE_MEMORY_SHARE = 0.05;
 
     private final StageRequest mRequest;
     private final Function<GroupId, ? extends PieceQueue> mQueues;
@@ -203,11 +203,13 @@
     }
 
     private boolean holdsInputs(int stage) {
-        long bytes = 0;
         for (int input : mRequest.stages().get(stage).after()) {
-            bytes += mRequest.stages().get(input).resultBytes() * mResults[input].length;
+            long bytes = mRequest.stages().get(input).resultBytes() * mResults[input].length;
+            if (bytes >= SCARCE_MEMORY_SHARE * mQueues.apply(groupOf(input)).resultMemory()) {
+                return true;
+            }
         }
-        return bytes >= SCARCE_MEMORY_BYTES;
+        return false;
     }
 
     private Optional<DataCentreId> dataCentreOf(int stage) {
--- a/core/src/main/java/org/boragethread/core/upstream/ChoiceRequest.java
+++ b/core/src/main/java/org/boragethread/core/upstream/ChoiceRequest.java
@@ -12,7 +12,8 @@
  * @param regions allowed regions; empty for all
  * @param excluded upstreams that refused or failed this request
  * @param affinity hash of the prompt prefix that the request shares with others; 0 if there is none
- * @param prefixMillis time that an engine needs to process the prefix if it is not in its cache
+ * @param prefixTokens length of that prefix in tokens
+ * @param times response times of the group
  * @param evacuated data centres that get no new work
  * @param inputDataCentre data centre that stores the inputs of the request; empty for that of this
  *     process
@@ -23,7 +24,8 @@
         Set<String> regions,
         Set<UpstreamNode> excluded,
         long affinity,
-        double prefixMillis,
+        double prefixTokens,
+        ResponseTimeModel times,
         Set<DataCentreId> evacuated,
         Optional<DataCentreId> inputDataCentre,
         double remoteMillis) {
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -19,9 +19,9 @@
 
     /**
      * Expected extra delay for each unfinished call of this process at an engine, in addition to
-     * that of pending prompts: the calls share each decoding step.
+     * that of pending prompts: the calls share each decoding step. In mean prefill times.
      */
-    private static final double ENGINE_CALL_MILLIS = 40;
+    private static final double ENGINE_CALL_PREFILLS = 0.75;
 
     /**
      * Weight of the time to process a prefix that is not cached: it delays the request, the prompts
@@ -29,16 +29,17 @@
      */
     private static final double PREFIX_MISS_WEIGHT = 3;
 
-    /** Expected extra delay for each unfinished call of this process at a plain service. */
-    private static final double PLAIN_CALL_MILLIS = 25;
+    /**
+     * Expected extra delay for each unfinished call of this process at a plain service, in response
+     * times: the upstream runs several calls at once.
+     */
+    private static final double PLAIN_CALL_RESPONSES = 0.6;
 
     /** Cost of each step in the rendezvous order. */
     private static final double RANK_MILLIS = 1;
 
-    /** Cost for each multiple of the expected response time beyond the first. */
-    private static final double SLOWNESS_MILLIS = 120;
-
-    private static final double COLD_MILLIS = 100;
+    /** Extra cost of a cold upstream, in response times. */
+    private static final double COLD_RESPONSES = 1;
 
     private final UpstreamDirectory mDirectory;
     private final TimeSource mTime;
@@ -136,20 +137,25 @@
      */
     private double cost(UpstreamNode node, int rank, ChoiceRequest request, long now) {
         boolean engine = request.group().engine().isPresent();
-        double cost = node.inFlight() * (engine ? ENGINE_CALL_MILLIS : PLAIN_CALL_MILLIS);
-        cost += node.prompts().pendingMillis();
+        ResponseTimeModel times = request.times();
+        double responseMillis = times.expectedMillis(0);
+        double callMillis =
+                engine
+                        ? ENGINE_CALL_PREFILLS * times.meanPrefillMillis()
+                        : PLAIN_CALL_RESPONSES * responseMillis;
+        double cost = node.inFlight() * callMillis + node.prompts().pendingMillis();
         cost *= node.slowness();
-        cost += Math.max(0, node.slowness() - 1) * SLOWNESS_MILLIS;
+        cost += Math.max(0, node.slowness() - 1) * responseMillis;
         if (request.affinity() != 0) {
             // Every entry prefers the first engine in the order, so the prefix is cached there.
             boolean cached = rank == 0 || node.prompts().isPrefixCached(request.affinity());
-            cost += rank * RANK_MILLIS + (cached ? 0 : PREFIX_MISS_WEIGHT * request.prefixMillis());
+            cost += rank * RANK_MILLIS + (cached ? 0 : prefixMissMillis(request));
         }
         if (!node.entry().dataCentre().equals(request.inputDataCentre().orElse(mLocalDataCentre))) {
             cost += request.remoteMillis();
         }
         if (node.isCold(now)) {
-            cost += COLD_MILLIS;
+            cost += COLD_RESPONSES * responseMillis;
         }
         if (node.isAvoided(now)) {
             cost += 1e6 + (node.avoidedUntil() - now) / 1e6;
@@ -158,4 +164,8 @@
         }
         return cost;
     }
+
+    private static double prefixMissMillis(ChoiceRequest request) {
+        return PREFIX_MISS_WEIGHT * request.times().prefillMillis(request.prefixTokens());
+    }
 }
--- a/core/src/test/java/org/boragethread/core/routing/RoutingTableTest.java
+++ b/core/src/test/java/org/boragethread/core/routing/RoutingTableTest.java
@@ -28,6 +28,7 @@
                 RequestKind.SAFE,
                 Duration.ofSeconds(1),
                 Duration.ofMillis(100),
+                Duration.ofSeconds(1),
                 0,
                 List.of(
                         new WeightedGroup(new GroupId("a"), 90),
--- a/core/src/test/java/org/boragethread/core/stage/StageRunTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/StageRunTest.java
@@ -210,6 +210,11 @@
             return minTime(pieces);
         }
 
+        @Override
+        public long resultMemory() {
+            return 1_000_000;
+        }
+
         @Override
         public void onStageDone(long nanos, int priority) {
             mRecordedTimes++;
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
@@ -28,7 +28,7 @@
 
     private static final DataCentreId NORTH = new DataCentreId("north");
     private static final DataCentreId SOUTH = new DataCentreId("south");
-    private static final double PREFIX_MILLIS = 276;
+    private static final double PREFIX_TOKENS = 13_300;
     private static final int PARTITIONS = 36;
     private static final Duration LEASE_TIME = Duration.ofSeconds(5);
 
@@ -84,7 +84,8 @@
                 regions,
                 excluded,
                 affinity,
-                PREFIX_MILLIS,
+                PREFIX_TOKENS,
+                new ResponseTimeModel(),
                 evacuated,
                 Optional.empty(),
                 ChoiceRequest.REMOTE_MILLIS);
@@ -168,7 +169,15 @@
     public void requestWithLargeInputsStaysInTheirDataCentre() {
         ChoiceRequest near =
                 new ChoiceRequest(
-                        mGroup, Set.of(), Set.of(), 42, 0, Set.of(), Optional.of(SOUTH), 150);
+                        mGroup,
+                        Set.of(),
+                        Set.of(),
+                        42,
+                        0,
+                        new ResponseTimeModel(),
+                        Set.of(),
+                        Optional.of(SOUTH),
+                        150);
         for (int i = 0; i < 12; i++) {
             UpstreamNode engine = mChooser.choose(near).orElseThrow();
             assertEquals(engine.entry().dataCentre(), SOUTH);
--- a/entry/src/main/java/org/boragethread/entry/gateway/AdmittedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AdmittedRequest.java
@@ -2,11 +2,11 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.KeyHolder;
 import org.boragethread.model.routing.Route;
 import org.boragethread.model.routing.RouteStage;
-import org.boragethread.model.routing.RoutedGroup;
 
 /**
  * An admitted request with what routing and scheduling need to know about it.
@@ -35,14 +35,8 @@
         long prefixTokens,
         long promptTokens) {
 
-    /** Prompt tokens that an engine prefills in a millisecond, as documented for users. */
-    private static final double PREFILL_TOKENS_PER_MILLI = 48;
-
-    /** Delay equivalent to the cost of moving a megabyte between data centres. */
-    private static final double TRANSFER_MILLIS_PER_MB = 50;
-
-    /** Time to the first token without prefill, in milliseconds. */
-    private static final double FIRST_TOKEN_MILLIS = 200;
+    /** Cost of moving a megabyte between data centres, as a share of the target latency. */
+    private static final double TRANSFER_SHARE_PER_MB = 0.033;
 
     String team() {
         return keyHolder.map(KeyHolder::team).orElse("");
@@ -56,15 +50,10 @@
         return count;
     }
 
-    /** Returns the prefill time of the shared prefix on an engine that has not cached it. */
-    double prefixPrefillMillis() {
-        return prefixTokens / PREFILL_TOKENS_PER_MILLI;
-    }
-
-    /** Returns the prefill time of the part of the prompt that the engine has not cached. */
-    double prefillMillis(UpstreamNode node) {
+    /** Returns the length of the part of the prompt that an upstream probably has not cached. */
+    long uncachedTokens(UpstreamNode node) {
         boolean cached = node.prompts().isPrefixCached(affinity);
-        return (promptTokens - (cached ? prefixTokens : 0)) / PREFILL_TOKENS_PER_MILLI;
+        return promptTokens - (cached ? prefixTokens : 0);
     }
 
     /**
@@ -79,24 +68,17 @@
                 bytes += pieces[i] * route.stages().get(i).resultBytes();
             }
         }
-        return bytes * TRANSFER_MILLIS_PER_MB / 1e6;
+        return bytes / 1e6 * TRANSFER_SHARE_PER_MB * route.targetLatency().toMillis();
     }
 
     /**
-     * Returns the expected time to the response or its first event, up to a factor of the group.
+     * Returns the expected time from the end of all stages to the response or its first event, if
+     * the shared prefix is cached.
+     *
+     * @param times response times of the group that serves the request
      */
-    double expectedResponseNanos(RoutedGroup group) {
-        if (group.engine().isEmpty()) {
-            return 1;
-        }
-        double uncachedTokens = Math.max(0, promptTokens - prefixTokens);
-        return (FIRST_TOKEN_MILLIS + uncachedTokens / PREFILL_TOKENS_PER_MILLI) * 1e6;
-    }
-
-    /** Returns the minimum time to the response or its first event once all stages are done. */
-    long minResponseNanos() {
-        double uncachedTokens = Math.max(0, promptTokens - prefixTokens);
-        return (long) ((FIRST_TOKEN_MILLIS + uncachedTokens / PREFILL_TOKENS_PER_MILLI) * 1e6);
+    long expectedResponseNanos(ResponseTimeModel times) {
+        return (long) (times.expectedMillis(promptTokens - prefixTokens) * 1e6);
     }
 
     /** Returns the expected duration of the longest dependency chain of stages. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerRequest.java
@@ -1,5 +1,6 @@
 package org.boragethread.entry.gateway;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -28,4 +29,9 @@
         int query = target.indexOf('?');
         return query < 0 ? target : target.substring(0, query);
     }
+
+    /** Returns a hash of the ID, from 0 (inclusive) to 1 (exclusive). */
+    double unitHash() {
+        return (Hashing.komihash5_0().hashCharsToLong(id) >>> 11) * 0x1.0p-53;
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -1,6 +1,5 @@
 package org.boragethread.entry.gateway;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -9,6 +8,7 @@
 import org.boragethread.core.stage.StageFailure;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.upstream.ChoiceRequest;
+import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
@@ -35,10 +35,6 @@
     private static final Duration MISDIRECTED_AVOIDANCE = Duration.ofSeconds(5);
 
     private static final Duration BUSY_TIME = Duration.ofMillis(150);
-    private static final Duration RETRY_AFTER = Duration.ofMillis(300);
-
-    /** Time in which the backlog after a burst of a few seconds shrinks by half. */
-    private static final Duration BACKLOG_DELAY = Duration.ofSeconds(2);
 
     private static final int MISDIRECTED = 421;
     private static final int INPUTS_LOST = 409;
@@ -60,6 +56,7 @@
     private Scheduler.Timer mStallTimer = () -> {};
     private final StagePhase mStages;
     private UpstreamAttempt mAttempt;
+    private long mUncachedTokens;
     private int mExecutions;
     private int mSends;
     private int mRejections;
@@ -83,14 +80,17 @@
             return;
         }
         mAdmitted = admission.get();
-        GroupId target = mAdmitted.route().groupAt(toUnitInterval(mRequest.id())).group();
+        GroupId target = mAdmitted.route().groupAt(mRequest.unitHash()).group();
         Optional<RoutedGroup> group = mGateway.groupConfig(target);
         if (group.isEmpty()) {
-            refuse(RefusalReason.NO_UPSTREAM, "group " + target + " not configured", RETRY_AFTER);
+            refuse(
+                    RefusalReason.NO_UPSTREAM,
+                    "group " + target + " not configured",
+                    RetryDelays.SHORT);
             return;
         }
         mGroup = group.get();
-        mPlacement = new Placement(mGroup, mAdmitted, mGateway.routingTable());
+        mPlacement = new Placement(mGroup, mAdmitted, mGateway.routingTable(), responseTimes());
         mTrace.admitted(mAdmitted, remaining());
         Duration left =
                 remaining().plus(mAdmitted.isRouteTimeout() ? Duration.ZERO : DEADLINE_SLACK);
@@ -98,10 +98,6 @@
         runStages();
     }
 
-    private static double toUnitInterval(String id) {
-        return (Hashing.komihash5_0().hashCharsToLong(id) >>> 11) * 0x1.0p-53;
-    }
-
     private void runStages() {
         if (mAdmitted.pieceCount() == 0) {
             send();
@@ -117,7 +113,7 @@
             return;
         }
         mPlacement.chooseStageDataCentre(mGateway.chooser());
-        mStages.run(mAdmitted, mPlacement.stageDataCentre());
+        mStages.run(mAdmitted, mPlacement.stageDataCentre(), responseTimes());
     }
 
     @Override
@@ -162,7 +158,8 @@
         mSends++;
         long now = mGateway.time().nanoTime();
         boolean streaming = mAdmitted.route().kind() == RequestKind.STREAMING;
-        double prefillMillis = mAdmitted.prefillMillis(node.get());
+        mUncachedTokens = mAdmitted.uncachedTokens(node.get());
+        double prefillMillis = responseTimes().prefillMillis(mUncachedTokens);
         mAttempt = new UpstreamAttempt(node.get(), streaming, this, now, prefillMillis);
         node.get().prompts().onPromptSent(mAdmitted.affinity(), prefillMillis);
         mTrace.sent(node.get(), mSends, remaining());
@@ -199,10 +196,15 @@
             return;
         }
         UpstreamAttempt attempt = mAttempt;
-        Duration timeout = StallTimeouts.of(mAdmitted.route(), mHeadSent);
+        Duration timeout =
+                mHeadSent ? StallTimeouts.betweenEvents(mAdmitted.route()) : firstResponseTimeout();
         mStallTimer = mGateway.scheduler().schedule(timeout, () -> onStall(attempt));
     }
 
+    private Duration firstResponseTimeout() {
+        return StallTimeouts.first(mAdmitted.route(), mUncachedTokens, responseTimes());
+    }
+
     private void onStall(UpstreamAttempt stalled) {
         if (mEnded || mAttempt != stalled) {
             return;
@@ -210,7 +212,7 @@
         boolean canSwitch =
                 mExecutions + 1 < mAdmitted.route().maxAttempts()
                         && mGateway.chooser().hasCandidate(mPlacement.choiceWithout(stalled.node()))
-                        && remaining().compareTo(StallTimeouts.of(mAdmitted.route(), false)) > 0;
+                        && remaining().compareTo(firstResponseTimeout()) > 0;
         if (!canSwitch) {
             return;
         }
@@ -405,18 +407,21 @@
         node.onFailure(mGateway.time().nanoTime(), mGroup.coldRate() > 0, mGroup.coldTime());
     }
 
+    private ResponseTimeModel responseTimes() {
+        return mGateway.responseTimes(mGroup.id());
+    }
+
     private void recordResponseTime(UpstreamNode node) {
         if (mAttempt == null) {
             return;
         }
         Duration time = mGateway.time().since(mAttempt.sentAt());
         mGateway.metrics().onAttempt(mGroup.id().value(), time);
-        double relative = time.toNanos() / mAdmitted.expectedResponseNanos(mGroup);
-        node.onSuccess(mGateway.responseTime(mGroup.id()).addAndCompare(relative));
+        node.onSuccess(responseTimes().addAndCompare(mUncachedTokens, time.toNanos() / 1e6));
     }
 
     private void fail(RefusalReason reason, String detail) {
-        fail(reason, detail, RETRY_AFTER);
+        fail(reason, detail, RetryDelays.SHORT);
     }
 
     /**
@@ -449,16 +454,8 @@
         return mSends > mRejections + mExecutions;
     }
 
-    /**
-     * Returns the retry delay for a request whose stages cannot finish in time. A retry with too
-     * little time left would be refused again, so it is then delayed until after the deadline.
-     */
     private Duration backlogRetryAfter() {
-        Duration needed =
-                BACKLOG_DELAY.plus(mAdmitted.expectedStageTime(mGateway)).plus(RETRY_AFTER);
-        Duration afterDeadline = remaining().plus(RETRY_AFTER);
-        boolean enough = remaining().compareTo(needed) >= 0;
-        return enough || afterDeadline.compareTo(BACKLOG_DELAY) < 0 ? BACKLOG_DELAY : afterDeadline;
+        return RetryDelays.afterBacklog(remaining(), mAdmitted.expectedStageTime(mGateway));
     }
 
     private void refuse(RefusalReason reason, String detail, Duration after) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -19,7 +19,7 @@
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.core.upstream.ColdRateShare;
-import org.boragethread.core.upstream.GroupResponseTime;
+import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamDirectory;
 import org.boragethread.model.routing.RoutedGroup;
@@ -49,7 +49,7 @@
     private final CoordinatorTable mCoordinators;
     private final StageRouter mStageRouter;
     private final Map<GroupId, SharedRetryBudget> mRetryBudgets = new HashMap<>();
-    private final Map<GroupId, GroupResponseTime> mResponseTimes = new HashMap<>();
+    private final Map<GroupId, ResponseTimeModel> mResponseTimes = new HashMap<>();
     private final Map<GroupId, BatchScheduler> mBatchSchedulers = new HashMap<>();
     private boolean mUpstreamsKnown;
     private boolean mStopping;
@@ -165,9 +165,9 @@
                 () -> mSharedLimits.units(limit, (int) bound.slack(), window));
     }
 
-    /** Returns the baseline response time of a group. */
-    GroupResponseTime responseTime(GroupId group) {
-        return mResponseTimes.computeIfAbsent(group, id -> new GroupResponseTime());
+    /** Returns the response times of a group, as far as this process has seen them. */
+    ResponseTimeModel responseTimes(GroupId group) {
+        return mResponseTimes.computeIfAbsent(group, id -> new ResponseTimeModel());
     }
 
     /** Returns the scheduler of a group's pieces, used while this entry coordinates the group. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.core.upstream.ChoiceRequest;
+import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.place.DataCentreId;
@@ -19,13 +20,24 @@
     private final RoutedGroup mGroup;
     private final AdmittedRequest mAdmitted;
     private final RoutingTable mRouting;
+    private final ResponseTimeModel mTimes;
     private final Set<UpstreamNode> mExcludedNodes = new HashSet<>();
     private Optional<DataCentreId> mPreferredDataCentre = Optional.empty();
 
-    Placement(RoutedGroup group, AdmittedRequest admitted, RoutingTable routing) {
+    /**
+     * Creates a placement without excluded upstreams.
+     *
+     * @param times response times of the group
+     */
+    Placement(
+            RoutedGroup group,
+            AdmittedRequest admitted,
+            RoutingTable routing,
+            ResponseTimeModel times) {
         mGroup = group;
         mAdmitted = admitted;
         mRouting = routing;
+        mTimes = times;
     }
 
     /** Returns the selection criteria for the next attempt. */
@@ -64,7 +76,8 @@
                 mAdmitted.route().regions(),
                 excluded,
                 mAdmitted.affinity(),
-                mAdmitted.prefixPrefillMillis(),
+                mAdmitted.prefixTokens(),
+                mTimes,
                 mRouting.evacuated(),
                 mPreferredDataCentre,
                 ChoiceRequest.REMOTE_MILLIS + mAdmitted.transferCostMillis());
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
@@ -0,0 +1,29 @@
+package org.boragethread.entry.gateway;
+
+import java.time.Duration;
+
+/** Delays after which callers may repeat requests that were refused. */
+final class RetryDelays {
+
+    /** Delay after a refusal whose cause may pass at any time. */
+    static final Duration SHORT = Duration.ofMillis(300);
+
+    /** Time in which the backlog after a burst of a few seconds shrinks by half. */
+    private static final Duration BACKLOG = Duration.ofSeconds(2);
+
+    private RetryDelays() {}
+
+    /**
+     * Returns the delay for a request whose stages cannot finish in time. A retry with too little
+     * time left would be refused again, so it is then delayed until after the deadline.
+     *
+     * @param remaining time until the caller's deadline
+     * @param stageTime time that the stages currently take
+     */
+    static Duration afterBacklog(Duration remaining, Duration stageTime) {
+        Duration needed = BACKLOG.plus(stageTime).plus(SHORT);
+        Duration afterDeadline = remaining.plus(SHORT);
+        boolean enough = remaining.compareTo(needed) >= 0;
+        return enough || afterDeadline.compareTo(BACKLOG) < 0 ? BACKLOG : afterDeadline;
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
@@ -6,6 +6,7 @@
 import org.boragethread.core.stage.StageListener;
 import org.boragethread.core.stage.StageRequest;
 import org.boragethread.core.stage.StageRun;
+import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.platform.store.PlatformHeaders;
 
@@ -37,17 +38,26 @@
         mListener = listener;
     }
 
-    /** Runs all stages. Large results are placed in the data centre that will use them. */
-    void run(AdmittedRequest admitted, Optional<DataCentreId> preferred) {
+    /**
+     * Runs all stages. Large results are placed in the data centre that will use them.
+     *
+     * @param preferred that data centre, if it is known
+     * @param responseTimes response times of the group that serves the request after its stages
+     */
+    void run(
+            AdmittedRequest admitted,
+            Optional<DataCentreId> preferred,
+            ResponseTimeModel responseTimes) {
         mRunCount++;
+        long responseNanos = admitted.expectedResponseNanos(responseTimes);
         StageRequest request =
                 new StageRequest(
                         mRequest.id(),
                         admitted.route().stages(),
                         admitted.pieces(),
                         mRequest.headers().get(PlatformHeaders.PIECE_KEY, ""),
-                        admitted.deadlineNanos() - admitted.minResponseNanos(),
-                        admitted.targetNanos() - admitted.minResponseNanos(),
+                        admitted.deadlineNanos() - responseNanos,
+                        admitted.targetNanos() - responseNanos,
                         admitted.priority(),
                         preferred);
         StageRun run =
--- a/model/src/main/java/org/boragethread/model/routing/Route.java
+++ b/model/src/main/java/org/boragethread/model/routing/Route.java
@@ -14,6 +14,7 @@
  * @param kind whether requests may be repeated
  * @param timeout maximum time until the response is complete
  * @param targetLatency time within which a response has its full value
+ * @param targetGap longest pause between the events of a stream that has its full value
  * @param priority priority among routes; 0 is the most urgent
  * @param groups groups that the requests are distributed to; at least one
  * @param maxAttempts maximum number of upstreams that may run one request
@@ -30,6 +31,7 @@
         RequestKind kind,
         Duration timeout,
         Duration targetLatency,
+        Duration targetGap,
         int priority,
         List<WeightedGroup> groups,
         int maxAttempts,
