Choose coordinators among the entries with enough capacity

Cause: the oldest entries coordinate, and all start together, so an entry with a quarter of a core and 7 Mbit/s may schedule the pieces of a whole site with VMs of 1.5 cores beside it.

Change: the name of a member tells its capacity, from the VM's settings; only entries with at least half of the largest capacity coordinate, the oldest first as before. Names of the form before are not recognised, so entries of the version before coordinate among themselves during an upgrade.

Result: CoordinatorTableTest.smallEntriesDoNotCoordinate; the code before chose small ones.

--- a/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
+++ b/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
@@ -14,10 +14,10 @@
 
 /**
  * Assigns each group a coordinator: the entry that schedules the pieces of all entries, so that
- * they share batch calls. Coordinators are the entries that have run longest. An entry that starts
- * therefore takes no group from a live coordinator, whose knowledge of results and calls would be
- * lost. Entries with different views of the members may assign different coordinators for a while,
- * which only reduces efficiency. Not thread-safe.
+ * they share batch calls. Coordinators are the entries that have run longest, of those that have
+ * enough capacity. An entry that starts therefore takes no group from a live coordinator, whose
+ * knowledge of results and calls would be lost. Entries with different views of the members may
+ * assign different coordinators for a while, which only reduces efficiency. Not thread-safe.
  */
 public final class CoordinatorTable {
 
@@ -30,9 +30,16 @@
      */
     private static final int MEMBERS_PER_COORDINATOR = 16;
 
+    /**
+     * Share of the largest capacity that a coordinator must have. A small entry would delay the
+     * pieces of all others.
+     */
+    private static final double MIN_CAPACITY_SHARE = 0.5;
+
     private final TimeSource mTime;
     private final Map<String, Long> mAvoided = new HashMap<>();
-    private List<Member> mMembers = List.of();
+    private List<Member> mCandidates = List.of();
+    private int mMemberCount;
 
     /** Creates a table without members. */
     public CoordinatorTable(TimeSource time) {
@@ -49,10 +56,17 @@
         for (Member member : members) {
             latest.merge(member.address(), member, (a, b) -> a.startedAt() > b.startedAt() ? a : b);
         }
-        List<Member> bySeniority = new ArrayList<>(latest.values());
+        int largest = latest.values().stream().mapToInt(Member::capacity).max().orElse(0);
+        List<Member> bySeniority = new ArrayList<>();
+        for (Member member : latest.values()) {
+            if (member.capacity() >= MIN_CAPACITY_SHARE * largest) {
+                bySeniority.add(member);
+            }
+        }
         bySeniority.sort(
                 Comparator.comparingLong(Member::startedAt).thenComparing(Member::address));
-        mMembers = List.copyOf(bySeniority);
+        mCandidates = List.copyOf(bySeniority);
+        mMemberCount = latest.size();
     }
 
     /** Excludes an entry for a while, because it did not respond. */
@@ -64,10 +78,10 @@
     public Optional<String> coordinator(GroupId group) {
         long now = mTime.nanoTime();
         mAvoided.values().removeIf(until -> until <= now);
-        int remaining = -Math.floorDiv(-mMembers.size(), MEMBERS_PER_COORDINATOR);
+        int remaining = -Math.floorDiv(-mMemberCount, MEMBERS_PER_COORDINATOR);
         Optional<String> best = Optional.empty();
         long bestWeight = Long.MAX_VALUE;
-        for (Member member : mMembers) {
+        for (Member member : mCandidates) {
             if (mAvoided.containsKey(member.address())) {
                 continue;
             }
--- a/core/src/test/java/org/boragethread/core/stage/CoordinatorTableTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/CoordinatorTableTest.java
@@ -24,7 +24,7 @@
 
     /** Creates a table of members that all started at the same time. */
     private CoordinatorTable table(String... addresses) {
-        return table(Stream.of(addresses).map(address -> new Member(address, 0)).toList());
+        return table(Stream.of(addresses).map(address -> new Member(address, 0, 57)).toList());
     }
 
     private CoordinatorTable table(List<Member> members) {
@@ -43,7 +43,7 @@
     public void groupsAreDistributedOverOneInSixteenEntries() {
         List<Member> members = new ArrayList<>();
         for (int i = 0; i < 64; i++) {
-            members.add(new Member("entry-" + i, 1000 + i));
+            members.add(new Member("entry-" + i, 1000 + i, 57));
         }
         CoordinatorTable table = table(members);
         Set<String> used = new HashSet<>();
@@ -53,13 +53,29 @@
         assertEquals(used, Set.of("entry-0", "entry-1", "entry-2", "entry-3"));
     }
 
+    /** Entry VMs of one data centre differ by five times in their capacity. */
+    @Test
+    public void smallEntriesDoNotCoordinate() {
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < 16; i++) {
+            members.add(new Member("small-" + i, 1000 + i, 27));
+            members.add(new Member("large-" + i, 2000 + i, 150));
+        }
+        CoordinatorTable table = table(members);
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            used.add(table.coordinator(new GroupId("group-" + i)).orElseThrow());
+        }
+        assertEquals(used, Set.of("large-0", "large-1"));
+    }
+
     @Test
     public void newEntryTakesNoGroupFromALiveCoordinator() {
-        List<Member> before = List.of(new Member("c", 10), new Member("d", 20));
+        List<Member> before = List.of(new Member("c", 10, 57), new Member("d", 20, 57));
         String coordinator = table(before).coordinator(GROUP).orElseThrow();
         for (String newcomer : List.of("a", "b", "e", "f")) {
             List<Member> after = new ArrayList<>(before);
-            after.add(new Member(newcomer, 30));
+            after.add(new Member(newcomer, 30, 57));
             assertEquals(table(after).coordinator(GROUP).orElseThrow(), coordinator);
         }
     }
@@ -67,7 +83,11 @@
     @Test
     public void restartedEntryCountsAsTheLatestToStart() {
         CoordinatorTable table =
-                table(List.of(new Member("a", 10), new Member("b", 20), new Member("a", 30)));
+                table(
+                        List.of(
+                                new Member("a", 10, 57),
+                                new Member("b", 20, 57),
+                                new Member("a", 30, 57)));
         assertEquals(table.coordinator(GROUP).orElseThrow(), "b");
     }
 
--- a/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
@@ -65,7 +65,8 @@
     /** Sets the members; the first is the one that has run longest, and thus the coordinator. */
     private void setMembers(String... addresses) {
         List<Member> members = new ArrayList<>();
-        Stream.of(addresses).forEach(address -> members.add(new Member(address, members.size())));
+        Stream.of(addresses)
+                .forEach(address -> members.add(new Member(address, members.size(), 57)));
         mCoordinators.setMembers(members);
         mRouter.onMembersChanged();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -85,7 +85,11 @@
                         mGateway.scheduler(),
                         settings.store(),
                         STORE_TIMEOUT);
-        Member self = new Member(settings.peerAddress(), mTime.instant().toEpochMilli());
+        Member self =
+                new Member(
+                        settings.peerAddress(),
+                        mTime.instant().toEpochMilli(),
+                        settings.capacity());
         mMembership =
                 new GroupMembership(
                         new StoreGroup(
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
@@ -20,6 +20,7 @@
  * @param readinessListen listen address for the load balancer's readiness checks
  * @param metricsListen additional listen address for monitoring
  * @param peerListen listen address for other entries
+ * @param capacity computing capacity of the VM, in hundredths of a core
  * @param store address of the platform's store
  * @param storePartitions number of partitions of each topic in the store
  * @param leaveTime time after which a leaving upstream must get no new work
@@ -36,6 +37,7 @@
         InetSocketAddress readinessListen,
         Optional<InetSocketAddress> metricsListen,
         InetSocketAddress peerListen,
+        int capacity,
         InetSocketAddress store,
         int storePartitions,
         Duration leaveTime,
@@ -50,6 +52,7 @@
     private static final int DEFAULT_STORE_PARTITIONS = 12;
     private static final int MAX_STORE_PARTITIONS = 10_000;
     private static final double MAX_SLACK = 1e6;
+    private static final double MAX_CORES = 1024;
 
     /**
      * Bound on the retries of calls to one upstream group, over all entries.
@@ -74,6 +77,7 @@
                         gateway.address("readiness_listen"),
                         gateway.optionalAddress("metrics_listen"),
                         gateway.address("peer_listen"),
+                        capacity(reader.section("vm")),
                         gateway.address("store"),
                         gateway.integer(
                                 "store_partitions",
@@ -101,6 +105,13 @@
         return peerListen.getAddress().getHostAddress() + ":" + peerListen.getPort();
     }
 
+    private static int capacity(SettingsSection vm) {
+        double share = vm.number("cpu_share", 1, 0, MAX_CORES);
+        double cores = vm.number("cores", 1, 0, MAX_CORES);
+        vm.reportUnknownKeys();
+        return (int) Math.round(100 * share * cores);
+    }
+
     private static Map<DataCentreId, String> regions(SettingsSection section) {
         Map<DataCentreId, String> regions = new HashMap<>();
         section.strings().forEach((key, value) -> regions.put(new DataCentreId(key), value));
--- a/entry/src/main/java/org/boragethread/entry/gateway/LoadClassesCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/LoadClassesCommand.java
@@ -116,6 +116,7 @@
                 addresses.get(1),
                 Optional.of(addresses.get(2)),
                 addresses.get(3),
+                100,
                 addresses.get(4),
                 1,
                 Duration.ofSeconds(2),
