Let coordinators relay the store's topics to the other entries

Cause: every entry read the configuration and all announcements of upstreams from the store, and decoded every renewal of every announcement.

Ruled out: longer reads, since the proof that no key was withdrawn would be too old during an outage of the store; one reader a data centre, which saves nothing where each has one entry.

One entry in sixteen reads the topics and passes on what changed, with the age of its read; the others fall back to the store at once if it refuses or stays silent.

--- a/core/src/main/java/org/boragethread/core/follow/ClockReading.java
+++ b/core/src/main/java/org/boragethread/core/follow/ClockReading.java
@@ -17,6 +17,11 @@
         return new ClockReading(time.nanoTime(), time.millis());
     }
 
+    /** Returns the reading a while earlier. */
+    public ClockReading minus(Duration duration) {
+        return new ClockReading(nanos - duration.toNanos(), millis - duration.toMillis());
+    }
+
     /** Returns the time elapsed since, according to the clock on which more time has passed. */
     public Duration age(TimeSource time) {
         Duration monotonic = time.since(nanos);
--- a/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
+++ b/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
@@ -20,21 +20,28 @@
     private final TimeSource mTime;
     private final ReadTiming mTiming;
     private final TopicListener mListener;
+    private final TopicRelay mRelay;
     private long mNextOffset = -1;
     private boolean mUnavailable;
 
-    /** Creates a follower that has not started. */
+    /**
+     * Creates a follower that has not started.
+     *
+     * @param relay passes on to other processes what this one reads from the store
+     */
     public TopicFollower(
             CompactedTopic topic,
             Scheduler scheduler,
             TimeSource time,
             ReadTiming timing,
-            TopicListener listener) {
+            TopicListener listener,
+            TopicRelay relay) {
         mTopic = topic;
         mScheduler = scheduler;
         mTime = time;
         mTiming = timing;
         mListener = listener;
+        mRelay = relay;
     }
 
     /** Starts reading. */
@@ -63,6 +70,7 @@
         // Continues from the end offset of the first part, as records may have been written since.
         mNextOffset = snapshot.mEndOffset;
         mListener.onSnapshot(snapshot.mValues);
+        mRelay.onSnapshot(mNextOffset, snapshot.mValues);
         mListener.onUpToDate(snapshot.mSentAt);
         readRecords();
     }
@@ -91,24 +99,36 @@
         }
         onSuccess();
         deliver(page);
-        if (mNextOffset >= page.endOffset()) {
-            mListener.onUpToDate(sentAt);
-            runAfter(mTiming.pause(), this::readRecords);
-        } else {
+        if (mNextOffset < page.endOffset()) {
             readRecords();
+            return;
         }
+        mListener.onUpToDate(page.relayAge().map(sentAt::minus).orElse(sentAt));
+        if (page.relayAge().isPresent()) {
+            // The relay responds when it has read again, so the pause is its own.
+            readRecords();
+            return;
+        }
+        mRelay.onUpToDate(mNextOffset, sentAt);
+        runAfter(mTiming.pause(), this::readRecords);
     }
 
     private void deliver(RecordPage page) {
         for (KeyedRecord record : page.records()) {
-            mNextOffset++;
             if (!record.key().isEmpty()) {
                 mListener.onChange(record.key(), record.value());
             }
         }
+        if (page.relayAge().isPresent()) {
+            mRelay.stop();
+        } else {
+            mRelay.onRecords(mNextOffset, page.records());
+        }
+        mNextOffset = page.nextOffset();
     }
 
     private void onFailure(ReadFailure failure) {
+        mRelay.stop();
         if (!mUnavailable) {
             mUnavailable = true;
             mListener.onStoreUnavailable(failure.detail());
--- a/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
+++ b/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.boragethread.core.member.Member;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.upstream.GroupId;
@@ -78,22 +79,42 @@
     public Optional<String> coordinator(GroupId group) {
         long now = mTime.nanoTime();
         mAvoided.values().removeIf(until -> until <= now);
-        int remaining = -Math.floorDiv(-mMemberCount, MEMBERS_PER_COORDINATOR);
-        Optional<String> best = Optional.empty();
-        long bestWeight = Long.MAX_VALUE;
+        return first(coordinators(mAvoided.keySet()), group.value());
+    }
+
+    /**
+     * Returns the address of the entry from which another one reads the topics of the store: a
+     * coordinator, found by rendezvous hashing. Empty if the entry reads from the store itself,
+     * because it is a coordinator or none is known.
+     */
+    public Optional<String> relayFor(String address) {
+        List<String> coordinators = coordinators(Set.of());
+        return coordinators.contains(address) ? Optional.empty() : first(coordinators, address);
+    }
+
+    private List<String> coordinators(Set<String> excluded) {
+        int count = -Math.floorDiv(-mMemberCount, MEMBERS_PER_COORDINATOR);
+        List<String> coordinators = new ArrayList<>();
         for (Member member : mCandidates) {
-            if (mAvoided.containsKey(member.address())) {
-                continue;
-            }
-            if (remaining == 0) {
+            if (coordinators.size() == count) {
                 break;
             }
-            remaining--;
-            long weight =
-                    Hashing.komihash5_0().hashCharsToLong(group.value() + '/' + member.address());
+            if (!excluded.contains(member.address())) {
+                coordinators.add(member.address());
+            }
+        }
+        return coordinators;
+    }
+
+    /** Returns the first address in the rendezvous order of a key. */
+    private static Optional<String> first(List<String> addresses, String key) {
+        Optional<String> best = Optional.empty();
+        long bestWeight = Long.MAX_VALUE;
+        for (String address : addresses) {
+            long weight = Hashing.komihash5_0().hashCharsToLong(key + '/' + address);
             if (best.isEmpty() || weight < bestWeight) {
                 bestWeight = weight;
-                best = Optional.of(member.address());
+                best = Optional.of(address);
             }
         }
         return best;
--- a/core/src/test/java/org/boragethread/core/follow/TopicFollowerTest.java
+++ b/core/src/test/java/org/boragethread/core/follow/TopicFollowerTest.java
@@ -35,7 +35,8 @@
     }
 
     private void start() {
-        new TopicFollower(mTopic, mTime, mTime, TIMING, mRecorder).start();
+        TopicRelay relay = new TopicRelay(mTime, (key, previous, value) -> false);
+        new TopicFollower(mTopic, mTime, mTime, TIMING, mRecorder, relay).start();
     }
 
     private void run(int millis) {
@@ -201,9 +202,9 @@
             respond(
                     callback,
                     Either.right(
-                            new RecordPage(
+                            RecordPage.ofStore(
                                     mLog.size(),
-                                    mFirst,
+                                    from,
                                     List.copyOf(mLog.subList(from, mLog.size())))));
         }
 
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/follow/TopicRelayTest.java
@@ -0,0 +1,155 @@
+package org.boragethread.core.follow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.boragethread.core.time.ManualTimeSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link TopicRelay} and {@link RelayedTopic}. */
+public class TopicRelayTest {
+
+    private ManualTimeSource mTime;
+    private TopicRelay mRelay;
+    private List<Either<ReadFailure, TopicRelay.Update>> mResponses;
+
+    @BeforeMethod
+    public void createRelay() {
+        mTime = new ManualTimeSource();
+        mRelay = new TopicRelay(mTime, (key, previous, value) -> Arrays.equals(previous, value));
+        mResponses = new ArrayList<>();
+    }
+
+    private static KeyedRecord record(String key, String value) {
+        return new KeyedRecord(-1, key, Optional.of(value.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void startRelay() {
+        mRelay.onSnapshot(10, Map.of("a", "1".getBytes(StandardCharsets.UTF_8)));
+        mRelay.onUpToDate(10, ClockReading.now(mTime));
+    }
+
+    private List<String> relayedKeys(int response) {
+        return mResponses.get(response).get().page().records().stream()
+                .map(KeyedRecord::key)
+                .toList();
+    }
+
+    @Test
+    public void readerGetsTheNewestRecordOfEachChangedKey() {
+        startRelay();
+        mRelay.onRecords(10, List.of(record("a", "2"), record("b", "1"), record("a", "3")));
+        mRelay.onUpToDate(13, ClockReading.now(mTime));
+        mRelay.read(10, 0, mResponses::add);
+        assertEquals(relayedKeys(0), List.of("b", "a"));
+        RecordPage page = mResponses.get(0).get().page();
+        assertEquals(page.nextOffset(), 13);
+        assertEquals(page.records().get(1).value().get(), "3".getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Upstreams renew their announcements all the time. */
+    @Test
+    public void unchangedValuesAreNotPassedOn() {
+        startRelay();
+        mRelay.onRecords(10, List.of(record("a", "1"), record("b", "1")));
+        mRelay.onUpToDate(12, ClockReading.now(mTime));
+        mRelay.read(10, 0, mResponses::add);
+        assertEquals(relayedKeys(0), List.of("b"));
+    }
+
+    @Test
+    public void readerThatHasSeenTheLastUpdateWaitsForTheNext() {
+        startRelay();
+        mRelay.read(10, 0, mResponses::add);
+        mRelay.read(10, mResponses.get(0).get().update(), mResponses::add);
+        assertEquals(mResponses.size(), 1);
+        mTime.advance(Duration.ofMillis(500));
+        mRelay.onUpToDate(10, ClockReading.now(mTime));
+        assertEquals(mResponses.size(), 2);
+        RecordPage page = mResponses.get(1).get().page();
+        assertEquals(page.relayAge(), Optional.of(Duration.ofMillis(-500)));
+    }
+
+    @Test
+    public void ageCountsFromTheReadOfTheStore() {
+        startRelay();
+        mTime.advance(Duration.ofMillis(700));
+        mRelay.read(10, 0, mResponses::add);
+        RecordPage page = mResponses.get(0).get().page();
+        assertEquals(page.relayAge(), Optional.of(Duration.ofMillis(700)));
+    }
+
+    @Test
+    public void readsAreRefusedOnceTheStoreCannotBeRead() {
+        startRelay();
+        mRelay.read(10, 1, mResponses::add);
+        mRelay.stop();
+        mRelay.read(10, 0, mResponses::add);
+        assertTrue(mResponses.get(0).isLeft());
+        assertTrue(mResponses.get(1).isLeft());
+    }
+
+    @Test
+    public void readerThatMissedRecordsFromBeforeTheSnapshotIsRefused() {
+        startRelay();
+        mRelay.read(9, 0, mResponses::add);
+        assertTrue(mResponses.get(0).isLeft());
+    }
+
+    @Test
+    public void cancelledReadGetsNoResponse() {
+        startRelay();
+        mRelay.read(10, 1, mResponses::add).cancel();
+        mRelay.onUpToDate(10, ClockReading.now(mTime));
+        assertTrue(mResponses.isEmpty());
+    }
+
+    @DataProvider
+    public Object[][] seeds() {
+        Object[][] seeds = new Object[40][];
+        for (int i = 0; i < seeds.length; i++) {
+            seeds[i] = new Object[] {i % 2 == 0 ? 5 : 33, (long) i};
+        }
+        return seeds;
+    }
+
+    /**
+     * A process that counts as up to date has every record that the store had accepted by then,
+     * whoever passed it on, so that a revoked key is refused in time everywhere. Versions never go
+     * back. The simulation checks both in each step.
+     */
+    @Test(dataProvider = "seeds")
+    public void upToDateProcessesMissNoRecordUnderFailures(int processes, long seed) {
+        RelaySimulation simulation = new RelaySimulation(processes, seed);
+        simulation.runWithFailures(Duration.ofSeconds(60));
+        simulation.runWithoutFailures(Duration.ofSeconds(12));
+        assertTrue(
+                simulation.greatestAge().compareTo(Duration.ofMillis(2200)) < 0,
+                "age %s, versions %s".formatted(simulation.greatestAge(), simulation.versions()));
+    }
+
+    @DataProvider
+    public Object[][] sizes() {
+        return new Object[][] {{5}, {33}, {300}};
+    }
+
+    @Test(dataProvider = "sizes")
+    public void readsOfTheStoreDoNotGrowWithTheProcesses(int processes) {
+        RelaySimulation simulation = new RelaySimulation(processes, 1);
+        simulation.runWithoutFailures(Duration.ofSeconds(10));
+        int before = simulation.storeReads();
+        simulation.runWithoutFailures(Duration.ofSeconds(20));
+        int reads = simulation.storeReads() - before;
+        assertTrue(reads < 100, reads + " reads of the store in 20 s");
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.boragethread.core.follow.FreshnessLease;
+import org.boragethread.core.follow.TopicRelay;
 import org.boragethread.core.member.PartitionLease;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.routing.RoutingTable;
@@ -51,6 +52,7 @@
     private final Map<GroupId, SharedRetryBudget> mRetryBudgets = new HashMap<>();
     private final Map<GroupId, ResponseTimeModel> mResponseTimes = new HashMap<>();
     private final Map<GroupId, BatchScheduler> mBatchSchedulers = new HashMap<>();
+    private final Map<String, TopicRelay> mTopicRelays = new HashMap<>();
     private boolean mUpstreamsKnown;
     private boolean mStopping;
 
@@ -144,6 +146,15 @@
         return mCoordinators;
     }
 
+    /** Returns the relay of a topic, if this process follows the topic. */
+    Optional<TopicRelay> topicRelay(String topic) {
+        return Optional.ofNullable(mTopicRelays.get(topic));
+    }
+
+    void setTopicRelay(String topic, TopicRelay relay) {
+        mTopicRelays.put(topic, relay);
+    }
+
     /** Returns the router of pieces to the entries that schedule them. */
     StageRouter stageRouter() {
         return mStageRouter;
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -10,14 +10,18 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.boragethread.core.follow.CompactedTopic;
 import org.boragethread.core.follow.ReadTiming;
+import org.boragethread.core.follow.RelayedTopic;
 import org.boragethread.core.follow.TopicFollower;
 import org.boragethread.core.follow.TopicListener;
+import org.boragethread.core.follow.TopicRelay;
 import org.boragethread.core.member.GroupMembership;
 import org.boragethread.core.member.Member;
 import org.boragethread.core.time.SystemTimeSource;
@@ -25,6 +29,7 @@
 import org.boragethread.platform.store.StoreClient;
 import org.boragethread.platform.store.StoreGroup;
 import org.boragethread.platform.store.StoreTopic;
+import org.boragethread.platform.store.UpstreamDecoder;
 import org.boragethread.process.command.Service;
 import org.boragethread.process.log.EventLog;
 import org.boragethread.process.settings.SettingsProblem;
@@ -46,6 +51,13 @@
 
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
     private static final Duration STORE_RETRY_DELAY = Duration.ofMillis(200);
+
+    /**
+     * Time beyond the interval between two reads of a relay after which its response is overdue.
+     * The store may take most of it to respond to the relay.
+     */
+    private static final Duration RELAY_MARGIN = Duration.ofMillis(500);
+
     private static final String MEMBER_GROUP = "entries";
 
     /** An entry that has not renewed its membership for this long is considered dead. */
@@ -157,18 +169,34 @@
         follower(
                         StoreTopic.OPERATOR_TOPIC,
                         new ReadTiming(configPollTime, Duration.ZERO, STORE_RETRY_DELAY),
-                        new ConfigListener(mGateway))
+                        new ConfigListener(mGateway),
+                        (key, previous, value) -> Arrays.equals(previous, value))
                 .start();
         follower(
                         StoreTopic.UPSTREAM_TOPIC,
                         new ReadTiming(Duration.ZERO, upstreamPollInterval, STORE_RETRY_DELAY),
-                        new UpstreamListener(mGateway))
+                        new UpstreamListener(mGateway),
+                        UpstreamDecoder::isUnchanged)
                 .start();
     }
 
-    private TopicFollower follower(String topic, ReadTiming pace, TopicListener listener) {
-        return new TopicFollower(
-                new StoreTopic(mStore, topic), mGateway.scheduler(), mTime, pace, listener);
+    private TopicFollower follower(
+            String topic,
+            ReadTiming pace,
+            TopicListener listener,
+            TopicRelay.RecordFilter relayFilter) {
+        TopicRelay relay = new TopicRelay(mTime, relayFilter);
+        mGateway.setTopicRelay(topic, relay);
+        CompactedTopic source =
+                new RelayedTopic(
+                        new StoreTopic(mStore, topic),
+                        topic,
+                        new PeerTopicClient(
+                                mGateway.connections(), mGateway.scheduler(), mGateway.log()),
+                        () -> mGateway.coordinators().relayFor(mSettings.peerAddress()),
+                        mTime,
+                        pace.longPollTime().plus(pace.pause()).plus(RELAY_MARGIN));
+        return new TopicFollower(source, mGateway.scheduler(), mTime, pace, listener, relay);
     }
 
     private void bindPeerServer() throws InterruptedException {
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -164,7 +164,7 @@
                 });
     }
 
-    private static HttpCall createCall(String peer, String path, MessageLite message) {
+    static HttpCall createCall(String peer, String path, MessageLite message) {
         byte[] body = message.toByteArray();
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -17,9 +17,12 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.boragethread.core.follow.ReadFailure;
+import org.boragethread.core.follow.TopicRelay;
 import org.boragethread.core.stage.HeldResult;
 import org.boragethread.core.stage.PendingPiece;
 import org.boragethread.core.stage.PieceListener;
@@ -36,13 +39,18 @@
 import org.boragethread.wire.proto.ResultsHeld;
 import org.boragethread.wire.proto.StageWork;
 import org.boragethread.wire.proto.StageWorkDone;
+import org.boragethread.wire.proto.TopicRead;
 
-/** Handles a connection from another entry that has its pieces of stages scheduled by this one. */
+/**
+ * Handles a connection from another entry that has its pieces of stages scheduled by this one, or
+ * reads topics of the store through it.
+ */
 final class PeerEndpoint extends SimpleChannelInboundHandler<FullHttpRequest> {
 
     private final Gateway mGateway;
     private List<PendingPiece> mPendingPieces = List.of();
     private Optional<PieceCollector> mCollector = Optional.empty();
+    private TopicRelay.PendingRead mPendingRead = () -> {};
 
     PeerEndpoint(Gateway gateway) {
         mGateway = gateway;
@@ -66,6 +74,10 @@
             respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
         }
+        if (request.uri().equals(PeerTopicClient.PATH)) {
+            relayTopic(context, TopicRead.parseFrom(body));
+            return;
+        }
         schedulePieces(context, StageWork.parseFrom(body));
     }
 
@@ -85,6 +97,30 @@
         mGateway.stageRouter().addHeldResults(results);
     }
 
+    private void relayTopic(ChannelHandlerContext context, TopicRead read) {
+        Optional<TopicRelay> relay = mGateway.topicRelay(read.getTopic());
+        if (relay.isEmpty()) {
+            respond(context, HttpResponseStatus.NOT_FOUND);
+            return;
+        }
+        mPendingRead =
+                relay.get()
+                        .read(
+                                read.getOffset(),
+                                read.getSeenUpdate(),
+                                update -> respond(context, update));
+    }
+
+    private static void respond(
+            ChannelHandlerContext context, Either<ReadFailure, TopicRelay.Update> update) {
+        if (update.isLeft()) {
+            respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        } else {
+            byte[] body = PeerTopicClient.encode(update.get()).toByteArray();
+            respond(context, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
+        }
+    }
+
     private void schedulePieces(ChannelHandlerContext context, StageWork work) {
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
@@ -129,9 +165,13 @@
     }
 
     private static void respond(ChannelHandlerContext context, HttpResponseStatus status) {
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        respond(context, status, Unpooled.EMPTY_BUFFER);
+    }
+
+    private static void respond(
+            ChannelHandlerContext context, HttpResponseStatus status, ByteBuf body) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         context.writeAndFlush(response);
     }
 
@@ -140,6 +180,7 @@
         mPendingPieces.forEach(PendingPiece::cancel);
         mPendingPieces = List.of();
         mCollector.ifPresent(PieceCollector::abandon);
+        mPendingRead.cancel();
     }
 
     @Override
