Bound the assumed cache of an engine by its memory

Cause: an engine was assumed to hold the last 24 prefixes, which fits prefixes of 13,300 tokens and a memory of 440,000.

Change: the last prefixes that fit into seven tenths of the engine's memory, as configured, with the lengths that requests state.

--- a/core/src/main/java/org/boragethread/core/upstream/PromptLoad.java
+++ b/core/src/main/java/org/boragethread/core/upstream/PromptLoad.java
@@ -1,5 +1,6 @@
 package org.boragethread.core.upstream;
 
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -9,28 +10,37 @@
  */
 public final class PromptLoad {
 
-    /** Number of prefixes assumed to be cached, about as many large ones as an engine can hold. */
-    private static final int MAX_PREFIXES = 24;
+    /**
+     * Share of an engine's memory that is assumed to hold prefixes; the rest holds the prompts and
+     * tokens of running requests.
+     */
+    private static final double CACHE_SHARE = 0.7;
 
-    private final Map<Long, Boolean> mPrefixes =
-            new LinkedHashMap<>(MAX_PREFIXES, 0.75f, true) {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-                    return size() > MAX_PREFIXES;
-                }
-            };
+    /** Tokens of each prefix, the least recently sent first. */
+    private final Map<Long, Long> mPrefixes = new LinkedHashMap<>(16, 0.75f, true);
+
+    private long mPrefixTokens;
     private double mPendingMillis;
 
     /**
      * Adds a prompt that is being sent.
      *
      * @param affinity hash of its prefix; 0 if it shares none
-     * @param millis time that the engine needs to process it
+     * @param prefixTokens length of the prefix in tokens
+     * @param cacheTokens memory of the engine for running requests and cached prefixes, in tokens
+     * @param millis time that the engine needs to process the prompt
      */
-    public void onPromptSent(long affinity, double millis) {
+    public void onPromptSent(long affinity, long prefixTokens, long cacheTokens, double millis) {
         mPendingMillis += millis;
-        if (affinity != 0) {
-            mPrefixes.put(affinity, true);
+        if (affinity == 0) {
+            return;
+        }
+        Long previous = mPrefixes.put(affinity, prefixTokens);
+        mPrefixTokens += prefixTokens - (previous == null ? 0 : previous);
+        Iterator<Long> eldest = mPrefixes.values().iterator();
+        while (mPrefixTokens > CACHE_SHARE * cacheTokens && mPrefixes.size() > 1) {
+            mPrefixTokens -= eldest.next();
+            eldest.remove();
         }
     }
 
@@ -52,5 +62,6 @@
     /** Removes all prefixes, because a new incarnation of the engine starts with an empty cache. */
     void clearPrefixes() {
         mPrefixes.clear();
+        mPrefixTokens = 0;
     }
 }
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
@@ -28,7 +28,8 @@
 
     private static final DataCentreId NORTH = new DataCentreId("north");
     private static final DataCentreId SOUTH = new DataCentreId("south");
-    private static final double PREFIX_TOKENS = 13_300;
+    private static final long PREFIX_TOKENS = 13_300;
+    private static final long MEMORY_TOKENS = 440_000;
     private static final int PARTITIONS = 36;
     private static final Duration LEASE_TIME = Duration.ofSeconds(5);
 
@@ -48,7 +49,7 @@
                         370,
                         Duration.ofSeconds(3),
                         6.3,
-                        Optional.of(new EngineLimits(64, 440_000)),
+                        Optional.of(new EngineLimits(64, MEMORY_TOKENS)),
                         Optional.empty());
         mChooser = chooser(NORTH);
         for (int i = 0; i < 8; i++) {
@@ -150,8 +151,8 @@
     public void engineWithPendingPromptsIsAvoidedIfAnotherHasThePrefixCached() {
         UpstreamNode first = choose(42);
         UpstreamNode second = mChooser.choose(request(42, Set.of(first))).orElseThrow();
-        second.prompts().onPromptSent(42, 0);
-        first.prompts().onPromptSent(7, 90);
+        second.prompts().onPromptSent(42, PREFIX_TOKENS, MEMORY_TOKENS, 0);
+        first.prompts().onPromptSent(7, PREFIX_TOKENS, MEMORY_TOKENS, 90);
         assertEquals(choose(42), second);
         first.prompts().onPromptDone(90);
         assertEquals(choose(42), first);
@@ -160,7 +161,7 @@
     @Test
     public void onePendingPromptDoesNotCauseAPrefixMissAtAnotherEngine() {
         UpstreamNode first = choose(42);
-        first.prompts().onPromptSent(7, 90);
+        first.prompts().onPromptSent(7, PREFIX_TOKENS, MEMORY_TOKENS, 90);
         assertEquals(choose(42), first);
     }
 
@@ -181,7 +182,7 @@
         for (int i = 0; i < 12; i++) {
             UpstreamNode engine = mChooser.choose(near).orElseThrow();
             assertEquals(engine.entry().dataCentre(), SOUTH);
-            engine.prompts().onPromptSent(42, 30);
+            engine.prompts().onPromptSent(42, PREFIX_TOKENS, MEMORY_TOKENS, 30);
         }
         assertEquals(mChooser.choose(near).orElseThrow().entry().dataCentre(), SOUTH);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/AdmittedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AdmittedRequest.java
@@ -4,9 +4,11 @@
 import java.util.Optional;
 import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.routing.EngineLimits;
 import org.boragethread.model.routing.KeyHolder;
 import org.boragethread.model.routing.Route;
 import org.boragethread.model.routing.RouteStage;
+import org.boragethread.model.routing.RoutedGroup;
 
 /**
  * An admitted request with what routing and scheduling need to know about it.
@@ -56,6 +58,12 @@
         return promptTokens - (cached ? prefixTokens : 0);
     }
 
+    /** Counts the prompt as sent to an upstream that needs the given time to process it. */
+    void countPrompt(UpstreamNode node, RoutedGroup group, double prefillMillis) {
+        long cacheTokens = group.engine().map(EngineLimits::cacheTokens).orElse(0L);
+        node.prompts().onPromptSent(affinity, prefixTokens, cacheTokens, prefillMillis);
+    }
+
     /**
      * Returns the delay equivalent to the cost of transferring the results to another data centre.
      * Traffic between data centres is expensive: a large result counts for as much as a tenth of a
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -161,7 +161,7 @@
         mUncachedTokens = mAdmitted.uncachedTokens(node.get());
         double prefillMillis = responseTimes().prefillMillis(mUncachedTokens);
         mAttempt = new UpstreamAttempt(node.get(), streaming, this, now, prefillMillis);
-        node.get().prompts().onPromptSent(mAdmitted.affinity(), prefillMillis);
+        mAdmitted.countPrompt(node.get(), mGroup, prefillMillis);
         mTrace.sent(node.get(), mSends, remaining());
         mAttempt.start(
                 mGateway.connections(),
