--- a/standins/src/test/java/org/boragethread/standins/system/GatewayTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/GatewayTest.java
@@ -6,8 +6,8 @@
 
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.List;
-import java.util.Set;
 import java.util.regex.Pattern;
 import org.boragethread.standins.harness.Await;
 import org.boragethread.standins.harness.ProcessHarness;
@@ -118,12 +118,20 @@
         assertEquals(mFirst.executedRequestIds().size() + mSecond.executedRequestIds().size(), 1);
     }
 
+    /** A gateway that has just started may make one retry for five first calls. */
     @Test
     public void safeRequestWithLostAnswerIsRetriedAtAnotherUpstream() throws Exception {
+        for (int i = 0; i < 4; i++) {
+            assertEquals(post("/safe/x", "earlier-" + i).statusCode(), 200);
+        }
         HttpResponse<String> answer = post("/safe/half", "id-1");
         assertEquals(answer.statusCode(), 502);
-        assertEquals(Set.copyOf(mFirst.executedRequestIds()), Set.of("id-1"));
-        assertEquals(Set.copyOf(mSecond.executedRequestIds()), Set.of("id-1"));
+        assertEquals(timesExecuted(mFirst, "id-1"), 1);
+        assertEquals(timesExecuted(mSecond, "id-1"), 1);
+    }
+
+    private static int timesExecuted(DirectUpstream upstream, String id) {
+        return Collections.frequency(upstream.executedRequestIds(), id);
     }
 
     @Test
