Let the entries of a data centre that is cut off coordinate among themselves

Cause: an entry that could not reach its coordinator asked one entry after the other, 250 ms each, and began again with the first after 1.5 s. With 33 entries, 15 or more of them behind a cut, its pieces never arrived before the first was asked again, so streams stalled during a cut of a data centre.

Change: two coordinators of all data centres are tried, then the oldest entry of the own one with enough capacity, which all entries there agree on. An entry that fails again is passed over for up to 6 s.

Result: CoordinatorTableTest, 33 entries in two data centres: at most two failures, one coordinator on the small side.

--- a/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
+++ b/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
@@ -3,14 +3,15 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.boragethread.core.member.Member;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.upstream.GroupId;
 
 /**
@@ -23,7 +24,16 @@
 public final class CoordinatorTable {
 
     /** Time for which an entry that did not respond is not assigned any group. */
-    private static final long AVOIDANCE_NANOS = Duration.ofMillis(1500).toNanos();
+    private static final long MIN_AVOIDANCE_NANOS = Duration.ofMillis(1500).toNanos();
+
+    /** The time doubles up to this one if the entry does not respond again. */
+    private static final long MAX_AVOIDANCE_NANOS = Duration.ofSeconds(6).toNanos();
+
+    /**
+     * Number of coordinators of all data centres that are tried. If they do not respond, this data
+     * centre is probably cut off, and its entries agree on a coordinator among themselves.
+     */
+    private static final int MAX_COMMON_COORDINATORS = 2;
 
     /**
      * Number of entries per coordinator; up to this number, a single entry coordinates all groups.
@@ -38,13 +48,20 @@
     private static final double MIN_CAPACITY_SHARE = 0.5;
 
     private final TimeSource mTime;
-    private final Map<String, Long> mAvoided = new HashMap<>();
+    private final DataCentreId mDataCentre;
+    private final Map<String, Avoidance> mAvoidances = new HashMap<>();
     private List<Member> mCandidates = List.of();
+    private List<Member> mNeighbours = List.of();
     private int mMemberCount;
 
-    /** Creates a table without members. */
-    public CoordinatorTable(TimeSource time) {
+    /**
+     * Creates a table without members.
+     *
+     * @param dataCentre data centre of this process
+     */
+    public CoordinatorTable(TimeSource time, DataCentreId dataCentre) {
         mTime = time;
+        mDataCentre = dataCentre;
     }
 
     /**
@@ -57,29 +74,79 @@
         for (Member member : members) {
             latest.merge(member.address(), member, (a, b) -> a.startedAt() > b.startedAt() ? a : b);
         }
-        int largest = latest.values().stream().mapToInt(Member::capacity).max().orElse(0);
+        mCandidates = candidates(latest.values());
+        mNeighbours =
+                candidates(
+                        latest.values().stream()
+                                .filter(member -> member.dataCentre().equals(mDataCentre))
+                                .toList());
+        mMemberCount = latest.size();
+    }
+
+    /** Returns the members with enough capacity, the oldest first. */
+    private static List<Member> candidates(Collection<Member> members) {
+        int largest = members.stream().mapToInt(Member::capacity).max().orElse(0);
         List<Member> bySeniority = new ArrayList<>();
-        for (Member member : latest.values()) {
+        for (Member member : members) {
             if (member.capacity() >= MIN_CAPACITY_SHARE * largest) {
                 bySeniority.add(member);
             }
         }
         bySeniority.sort(
                 Comparator.comparingLong(Member::startedAt).thenComparing(Member::address));
-        mCandidates = List.copyOf(bySeniority);
-        mMemberCount = latest.size();
+        return List.copyOf(bySeniority);
     }
 
     /** Excludes an entry for a while, because it did not respond. */
     public void avoid(String address) {
-        mAvoided.put(address, mTime.nanoTime() + AVOIDANCE_NANOS);
+        long now = mTime.nanoTime();
+        Avoidance previous = mAvoidances.get(address);
+        boolean repeated = previous != null && now - previous.until() < MIN_AVOIDANCE_NANOS;
+        long length =
+                repeated
+                        ? Math.min(2 * previous.length(), MAX_AVOIDANCE_NANOS)
+                        : MIN_AVOIDANCE_NANOS;
+        mAvoidances.put(address, new Avoidance(now + length, length));
     }
 
-    /** Returns the address of the group's coordinator, chosen by rendezvous hashing. */
+    private boolean isAvoided(String address) {
+        Avoidance avoidance = mAvoidances.get(address);
+        return avoidance != null && mTime.nanoTime() < avoidance.until();
+    }
+
+    /**
+     * Returns the address of the group's coordinator: one that all entries agree on, or one of this
+     * data centre if those do not respond. Empty if there is none but this process.
+     */
     public Optional<String> coordinator(GroupId group) {
-        long now = mTime.nanoTime();
-        mAvoided.values().removeIf(until -> until <= now);
-        return first(coordinators(mAvoided.keySet()), group.value());
+        int tried = 0;
+        for (String address : commonCoordinators(group)) {
+            if (!isAvoided(address)) {
+                return Optional.of(address);
+            }
+            tried++;
+            if (tried == MAX_COMMON_COORDINATORS) {
+                break;
+            }
+        }
+        for (Member neighbour : mNeighbours) {
+            if (!isAvoided(neighbour.address())) {
+                return Optional.of(neighbour.address());
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the coordinators in the rendezvous order of a group, then all others. */
+    private List<String> commonCoordinators(GroupId group) {
+        List<String> addresses = new ArrayList<>(coordinators());
+        addresses.sort(Comparator.comparingLong(address -> weight(group.value(), address)));
+        for (Member member : mCandidates) {
+            if (!addresses.contains(member.address())) {
+                addresses.add(member.address());
+            }
+        }
+        return addresses;
     }
 
     /**
@@ -88,35 +155,28 @@
      * because it is a coordinator or none is known.
      */
     public Optional<String> relayFor(String address) {
-        List<String> coordinators = coordinators(Set.of());
-        return coordinators.contains(address) ? Optional.empty() : first(coordinators, address);
+        List<String> coordinators = coordinators();
+        if (coordinators.contains(address)) {
+            return Optional.empty();
+        }
+        return coordinators.stream()
+                .min(Comparator.comparingLong(coordinator -> weight(address, coordinator)));
     }
 
-    private List<String> coordinators(Set<String> excluded) {
+    private List<String> coordinators() {
         int count = -Math.floorDiv(-mMemberCount, MEMBERS_PER_COORDINATOR);
-        List<String> coordinators = new ArrayList<>();
-        for (Member member : mCandidates) {
-            if (coordinators.size() == count) {
-                break;
-            }
-            if (!excluded.contains(member.address())) {
-                coordinators.add(member.address());
-            }
-        }
-        return coordinators;
+        return mCandidates.stream().limit(count).map(Member::address).toList();
     }
 
-    /** Returns the first address in the rendezvous order of a key. */
-    private static Optional<String> first(List<String> addresses, String key) {
-        Optional<String> best = Optional.empty();
-        long bestWeight = Long.MAX_VALUE;
-        for (String address : addresses) {
-            long weight = Hashing.komihash5_0().hashCharsToLong(key + '/' + address);
-            if (best.isEmpty() || weight < bestWeight) {
-                bestWeight = weight;
-                best = Optional.of(address);
-            }
-        }
-        return best;
+    private static long weight(String key, String address) {
+        return Hashing.komihash5_0().hashCharsToLong(key + '/' + address);
     }
+
+    /**
+     * The time during which an entry is assigned no group.
+     *
+     * @param until monotonic time in nanoseconds at which it ends
+     * @param length its length in nanoseconds
+     */
+    private record Avoidance(long until, long length) {}
 }
--- a/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
+++ b/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
@@ -35,7 +35,8 @@
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final Random mRandom;
     private final UpstreamDirectory mDirectory = new UpstreamDirectory(mTime);
-    private final CoordinatorTable mCoordinators = new CoordinatorTable(mTime);
+    private final CoordinatorTable mCoordinators =
+            new CoordinatorTable(mTime, new DataCentreId("north"));
     private final Map<GroupId, RandomUpstreams> mUpstreams = new HashMap<>();
     private final Map<GroupId, BatchScheduler> mSchedulers = new HashMap<>();
     private final StageRouter mRouter;
--- a/core/src/test/java/org/boragethread/core/stage/CoordinatorTableTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/CoordinatorTableTest.java
@@ -12,27 +12,33 @@
 import java.util.stream.Stream;
 import org.boragethread.core.member.Member;
 import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.upstream.GroupId;
 import org.testng.annotations.Test;
 
 /** Tests {@link CoordinatorTable}. */
 public class CoordinatorTableTest {
 
+    private static final DataCentreId NORTH = new DataCentreId("north");
     private static final GroupId GROUP = new GroupId("pieces");
 
     private final ManualTimeSource mTime = new ManualTimeSource();
 
     /** Creates a table of members that all started at the same time. */
     private CoordinatorTable table(String... addresses) {
-        return table(Stream.of(addresses).map(address -> new Member(address, 0, 57)).toList());
+        return table(Stream.of(addresses).map(address -> member(address, 0, 57)).toList());
     }
 
     private CoordinatorTable table(List<Member> members) {
-        CoordinatorTable table = new CoordinatorTable(mTime);
+        CoordinatorTable table = new CoordinatorTable(mTime, NORTH);
         table.setMembers(members);
         return table;
     }
 
+    private static Member member(String address, long startedAt, int capacity) {
+        return new Member(address, startedAt, capacity, NORTH);
+    }
+
     @Test
     public void coordinatorDoesNotDependOnTheOrderOfMembers() {
         assertEquals(
@@ -43,7 +49,7 @@
     public void groupsAreDistributedOverOneInSixteenEntries() {
         List<Member> members = new ArrayList<>();
         for (int i = 0; i < 64; i++) {
-            members.add(new Member("entry-" + i, 1000 + i, 57));
+            members.add(member("entry-" + i, 1000 + i, 57));
         }
         CoordinatorTable table = table(members);
         Set<String> used = new HashSet<>();
@@ -58,8 +64,8 @@
     public void smallEntriesDoNotCoordinate() {
         List<Member> members = new ArrayList<>();
         for (int i = 0; i < 16; i++) {
-            members.add(new Member("small-" + i, 1000 + i, 27));
-            members.add(new Member("large-" + i, 2000 + i, 150));
+            members.add(member("small-" + i, 1000 + i, 27));
+            members.add(member("large-" + i, 2000 + i, 150));
         }
         CoordinatorTable table = table(members);
         Set<String> used = new HashSet<>();
@@ -71,11 +77,11 @@
 
     @Test
     public void newEntryTakesNoGroupFromALiveCoordinator() {
-        List<Member> before = List.of(new Member("c", 10, 57), new Member("d", 20, 57));
+        List<Member> before = List.of(member("c", 10, 57), member("d", 20, 57));
         String coordinator = table(before).coordinator(GROUP).orElseThrow();
         for (String newcomer : List.of("a", "b", "e", "f")) {
             List<Member> after = new ArrayList<>(before);
-            after.add(new Member(newcomer, 30, 57));
+            after.add(member(newcomer, 30, 57));
             assertEquals(table(after).coordinator(GROUP).orElseThrow(), coordinator);
         }
     }
@@ -83,11 +89,7 @@
     @Test
     public void restartedEntryCountsAsTheLatestToStart() {
         CoordinatorTable table =
-                table(
-                        List.of(
-                                new Member("a", 10, 57),
-                                new Member("b", 20, 57),
-                                new Member("a", 30, 57)));
+                table(List.of(member("a", 10, 57), member("b", 20, 57), member("a", 30, 57)));
         assertEquals(table.coordinator(GROUP).orElseThrow(), "b");
     }
 
@@ -105,4 +107,62 @@
     public void withoutMembersThereIsNoCoordinator() {
         assertTrue(table().coordinator(GROUP).isEmpty());
     }
+
+    /**
+     * A data centre is cut off from the others. Its entries must not ask one entry of the others
+     * after the other, and must agree, since their upstreams are few.
+     */
+    @Test
+    public void entriesOfADataCentreThatIsCutOffAgreeAfterTwoFailures() {
+        DataCentreId south = new DataCentreId("south");
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < 33; i++) {
+            members.add(new Member("entry-" + i, 1000 + i, 150, i % 6 == 5 ? south : NORTH));
+        }
+        Set<String> used = new HashSet<>();
+        for (int entry = 0; entry < 5; entry++) {
+            CoordinatorTable table = new CoordinatorTable(mTime, south);
+            table.setMembers(members);
+            int failures = 0;
+            String coordinator = table.coordinator(GROUP).orElseThrow();
+            while (!isIn(south, members, coordinator)) {
+                table.avoid(coordinator);
+                failures++;
+                coordinator = table.coordinator(GROUP).orElseThrow();
+            }
+            assertTrue(failures <= 2, failures + " entries that cannot be reached were asked");
+            used.add(coordinator);
+        }
+        assertEquals(used.size(), 1);
+    }
+
+    private static boolean isIn(DataCentreId dataCentre, List<Member> members, String address) {
+        return members.stream()
+                .anyMatch(
+                        member ->
+                                member.address().equals(address)
+                                        && member.dataCentre().equals(dataCentre));
+    }
+
+    @Test
+    public void memberThatFailsAgainIsAvoidedForLonger() {
+        CoordinatorTable table = table("a", "b", "c");
+        String first = table.coordinator(GROUP).orElseThrow();
+        table.avoid(first);
+        mTime.advance(Duration.ofMillis(1600));
+        table.avoid(first);
+        mTime.advance(Duration.ofMillis(2900));
+        assertNotEquals(table.coordinator(GROUP).orElseThrow(), first);
+        mTime.advance(Duration.ofMillis(200));
+        assertEquals(table.coordinator(GROUP).orElseThrow(), first);
+    }
+
+    @Test
+    public void onlyEntryOfACutOffDataCentreCoordinatesItself() {
+        CoordinatorTable table = new CoordinatorTable(mTime, new DataCentreId("south"));
+        table.setMembers(List.of(member("a", 10, 57), member("b", 20, 57), member("c", 30, 57)));
+        table.avoid("a");
+        table.avoid("b");
+        assertTrue(table.coordinator(GROUP).isEmpty());
+    }
 }
--- a/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
@@ -13,6 +13,7 @@
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.BatchLimits;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
@@ -49,7 +50,7 @@
         SharedRetryBudget budget =
                 new SharedRetryBudget(mTime, 0, Duration.ofSeconds(10), () -> 10);
         BatchScheduler local = new BatchScheduler(mUpstreams, mUpstreams, budget, mTime, mTime);
-        mCoordinators = new CoordinatorTable(mTime);
+        mCoordinators = new CoordinatorTable(mTime, new DataCentreId("north"));
         mCoordinatorClient = new FakeCoordinatorClient();
         mRouter =
                 new StageRouter(
@@ -66,7 +67,14 @@
     private void setMembers(String... addresses) {
         List<Member> members = new ArrayList<>();
         Stream.of(addresses)
-                .forEach(address -> members.add(new Member(address, members.size(), 57)));
+                .forEach(
+                        address ->
+                                members.add(
+                                        new Member(
+                                                address,
+                                                members.size(),
+                                                57,
+                                                new DataCentreId("north"))));
         mCoordinators.setMembers(members);
         mRouter.onMembersChanged();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -85,7 +85,7 @@
                         mLog,
                         metrics,
                         group -> batchScheduler(group).dispatch());
-        mCoordinators = new CoordinatorTable(time);
+        mCoordinators = new CoordinatorTable(time, settings.dataCentre());
         mStageRouter =
                 new StageRouter(
                         settings.peerAddress(),
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -101,7 +101,8 @@
                 new Member(
                         settings.peerAddress(),
                         mTime.instant().toEpochMilli(),
-                        settings.capacity());
+                        settings.capacity(),
+                        settings.dataCentre());
         mMembership =
                 new GroupMembership(
                         new StoreGroup(
