--- a/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
@@ -13,6 +13,7 @@
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.BatchLimits;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
@@ -46,9 +47,10 @@
                         10 * RESULT_BYTES,
                         Duration.ofSeconds(4));
         mUpstreams = new SimUpstreams(mTime, limits, "north");
-        SharedRetryBudget budget = new SharedRetryBudget(mTime, 0, 10, Duration.ofSeconds(10));
+        SharedRetryBudget budget =
+                new SharedRetryBudget(mTime, 0, Duration.ofSeconds(10), () -> 10);
         BatchScheduler local = new BatchScheduler(mUpstreams, mUpstreams, budget, mTime, mTime);
-        mCoordinators = new CoordinatorTable(mTime);
+        mCoordinators = new CoordinatorTable(mTime, new DataCentreId("north"));
         mCoordinatorClient = new FakeCoordinatorClient();
         mRouter =
                 new StageRouter(
@@ -64,7 +66,15 @@
     /** Sets the members; the first is the one that has run longest, and thus the coordinator. */
     private void setMembers(String... addresses) {
         List<Member> members = new ArrayList<>();
-        Stream.of(addresses).forEach(address -> members.add(new Member(address, members.size())));
+        Stream.of(addresses)
+                .forEach(
+                        address ->
+                                members.add(
+                                        new Member(
+                                                address,
+                                                members.size(),
+                                                57,
+                                                new DataCentreId("north"))));
         mCoordinators.setMembers(members);
         mRouter.onMembersChanged();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.boragethread.core.follow.FreshnessLease;
+import org.boragethread.core.follow.TopicRelay;
+import org.boragethread.core.member.PartitionLease;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.core.stage.BatchClient;
@@ -17,11 +19,13 @@
 import org.boragethread.core.stage.StageRouter;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
-import org.boragethread.core.upstream.GroupResponseTime;
+import org.boragethread.core.upstream.ColdRateShare;
+import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamDirectory;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.GroupId;
+import org.boragethread.platform.store.StoreGroup;
 import org.boragethread.process.log.EventLog;
 import org.boragethread.wire.http.HttpConnectionPool;
 
@@ -40,13 +44,15 @@
     private final RoutingTable mRoutingTable = new RoutingTable();
     private final UpstreamDirectory mDirectory;
     private final FreshnessLease mLease;
+    private final PartitionLease mSharedLimits;
     private final UpstreamChooser mChooser;
     private final BatchClient mBatchClient;
     private final CoordinatorTable mCoordinators;
     private final StageRouter mStageRouter;
     private final Map<GroupId, SharedRetryBudget> mRetryBudgets = new HashMap<>();
-    private final Map<GroupId, GroupResponseTime> mResponseTimes = new HashMap<>();
+    private final Map<GroupId, ResponseTimeModel> mResponseTimes = new HashMap<>();
     private final Map<GroupId, BatchScheduler> mBatchSchedulers = new HashMap<>();
+    private final Map<String, TopicRelay> mTopicRelays = new HashMap<>();
     private boolean mUpstreamsKnown;
     private boolean mStopping;
 
@@ -58,6 +64,11 @@
         mLog = new EventLog(LogManager.getLogger(Gateway.class), time);
         mMetrics = metrics;
         mDirectory = new UpstreamDirectory(time);
+        mSharedLimits =
+                new PartitionLease(
+                        time,
+                        StoreGroup.partitions(settings.storePartitions()),
+                        settings.revokeTime());
         mLease = new FreshnessLease(time, settings.revokeTime().minus(REVOKE_MARGIN));
         mChooser =
                 new UpstreamChooser(
@@ -65,7 +76,7 @@
                         time,
                         settings.dataCentre(),
                         settings.regions(),
-                        settings.coldRateShare());
+                        new ColdRateShare(settings.coldRateBound(), mSharedLimits));
         mBatchClient =
                 new HttpBatchClient(
                         mConnections,
@@ -74,7 +85,7 @@
                         mLog,
                         metrics,
                         group -> batchScheduler(group).dispatch());
-        mCoordinators = new CoordinatorTable(time);
+        mCoordinators = new CoordinatorTable(time, settings.dataCentre());
         mStageRouter =
                 new StageRouter(
                         settings.peerAddress(),
@@ -126,10 +137,24 @@
         return mChooser;
     }
 
+    /** Returns this process's lease of the units of limits that all entries share. */
+    PartitionLease sharedLimits() {
+        return mSharedLimits;
+    }
+
     CoordinatorTable coordinators() {
         return mCoordinators;
     }
 
+    /** Returns the relay of a topic, if this process follows the topic. */
+    Optional<TopicRelay> topicRelay(String topic) {
+        return Optional.ofNullable(mTopicRelays.get(topic));
+    }
+
+    void setTopicRelay(String topic, TopicRelay relay) {
+        mTopicRelays.put(topic, relay);
+    }
+
     /** Returns the router of pieces to the entries that schedule them. */
     StageRouter stageRouter() {
         return mStageRouter;
@@ -137,19 +162,23 @@
 
     /** Returns the retry budget of a group. */
     SharedRetryBudget retryBudget(GroupId group) {
-        return mRetryBudgets.computeIfAbsent(
-                group,
-                id ->
-                        new SharedRetryBudget(
-                                mTime,
-                                mSettings.retryBound().ratio(),
-                                mSettings.retrySlackShare(),
-                                mSettings.retryBound().window()));
+        return mRetryBudgets.computeIfAbsent(group, this::createRetryBudget);
+    }
+
+    private SharedRetryBudget createRetryBudget(GroupId group) {
+        GatewaySettings.RetryBound bound = mSettings.retryBound();
+        Duration window = SharedRetryBudget.retryWindow(bound.window());
+        String limit = "retry/" + group.value();
+        return new SharedRetryBudget(
+                mTime,
+                bound.ratio(),
+                bound.window(),
+                () -> mSharedLimits.units(limit, (int) bound.slack(), window));
     }
 
-    /** Returns the baseline response time of a group. */
-    GroupResponseTime responseTime(GroupId group) {
-        return mResponseTimes.computeIfAbsent(group, id -> new GroupResponseTime());
+    /** Returns the response times of a group, as far as this process has seen them. */
+    ResponseTimeModel responseTimes(GroupId group) {
+        return mResponseTimes.computeIfAbsent(group, id -> new ResponseTimeModel());
     }
 
     /** Returns the scheduler of a group's pieces, used while this entry coordinates the group. */
