Do not take an attempt that has ended for silent

Change: StallWatch ignores attempts that have ended; a request is not sent while an attempt of it is active.

--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -53,8 +53,8 @@
     private RoutedGroup mGroup;
     private Placement mPlacement;
     private Scheduler.Timer mDeadlineTimer = () -> {};
-    private Scheduler.Timer mStallTimer = () -> {};
     private final StagePhase mStages;
+    private final StallWatch mStallWatch;
     private UpstreamAttempt mAttempt;
     private long mUncachedTokens;
     private int mExecutions;
@@ -70,6 +70,7 @@
         mResponseWriter = responseWriter;
         mTrace = new RequestTrace(gateway, request);
         mStages = new StagePhase(gateway, request, this);
+        mStallWatch = new StallWatch(gateway.scheduler());
     }
 
     /** Admits the request and starts processing it. */
@@ -142,7 +143,7 @@
     }
 
     private void send() {
-        if (mEnded) {
+        if (mEnded || mAttempt != null && mAttempt.isActive()) {
             return;
         }
         ChoiceRequest choice = mPlacement.choiceRequest();
@@ -191,14 +192,13 @@
 
     /** Retries an idempotent request at another upstream if the current one stays silent. */
     private void startStallTimer() {
-        mStallTimer.cancel();
         if (!mAdmitted.route().isIdempotent()) {
             return;
         }
         UpstreamAttempt attempt = mAttempt;
         Duration timeout =
                 mHeadSent ? StallTimeouts.betweenEvents(mAdmitted.route()) : firstResponseTimeout();
-        mStallTimer = mGateway.scheduler().schedule(timeout, () -> onStall(attempt));
+        mStallWatch.start(attempt::isActive, timeout, () -> onStall(attempt));
     }
 
     private Duration firstResponseTimeout() {
@@ -480,7 +480,7 @@
         }
         mEnded = true;
         mDeadlineTimer.cancel();
-        mStallTimer.cancel();
+        mStallWatch.stop();
         if (mAttempt != null) {
             mAttempt.cancel();
         }
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -64,6 +64,11 @@
         return mSentAt;
     }
 
+    /** Returns whether the attempt has not ended. */
+    boolean isActive() {
+        return !mEnded;
+    }
+
     /** Returns whether a part of the response was forwarded to the caller. */
     boolean isForwarding() {
         return mForwarding;
