--- a/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
+++ b/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
@@ -70,7 +70,7 @@
         // Continues from the end offset of the first part, as records may have been written since.
         mNextOffset = snapshot.mEndOffset;
         mListener.onSnapshot(snapshot.mValues);
-        mRelay.onSnapshot(mNextOffset, snapshot.mValues);
+        mRelay.onSnapshot(mNextOffset);
         mListener.onUpToDate(snapshot.mSentAt);
         readRecords();
     }
--- a/core/src/main/java/org/boragethread/core/follow/TopicRelay.java
+++ b/core/src/main/java/org/boragethread/core/follow/TopicRelay.java
@@ -61,24 +61,26 @@
         mFilter = filter;
     }
 
-    /** Replaces all records by a snapshot that was read from the store. */
-    void onSnapshot(long nextOffset, Map<String, byte[]> values) {
+    /**
+     * Starts anew after a snapshot of the topic. Its values are not kept to tell unchanged records:
+     * the snapshot may contain changes from after its offset, which a reader from that offset on
+     * still needs.
+     *
+     * @param offset offset from which on all records follow
+     */
+    void onSnapshot(long offset) {
         stop();
         mRecords.clear();
         mRemovedKeys = 0;
-        mStartOffset = nextOffset;
-        mNextOffset = nextOffset;
-        values.forEach(
-                (key, value) ->
-                        mRecords.put(
-                                key, new KeyedRecord(nextOffset - 1, key, Optional.of(value))));
+        mStartOffset = offset;
+        mNextOffset = offset;
     }
 
     /** Adds records that were read from the store, the first at the given offset. */
     void onRecords(long offset, List<KeyedRecord> records) {
         if (offset != mNextOffset) {
             // Others passed on what is missing, without the records that were replaced meanwhile.
-            onSnapshot(offset, Map.of());
+            onSnapshot(offset);
         }
         for (KeyedRecord record : records) {
             if (!record.key().isEmpty()) {
@@ -110,11 +112,11 @@
     /** Responds to all waiting reads, because the records are complete as of the given time. */
     void onUpToDate(long nextOffset, ClockReading asOf) {
         if (nextOffset != mNextOffset) {
-            onSnapshot(nextOffset, Map.of());
+            onSnapshot(nextOffset);
         }
         mUpToDateAt = Optional.of(asOf);
         mUpdate++;
-        takeWaiters().forEach(waiter -> waiter.respond());
+        takeWaiters().forEach(Waiter::respond);
     }
 
     /** Refuses all reads until the topic was read from the store again. */
--- a/core/src/test/java/org/boragethread/core/follow/TopicRelayTest.java
+++ b/core/src/test/java/org/boragethread/core/follow/TopicRelayTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.boragethread.core.time.ManualTimeSource;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -35,7 +36,7 @@
     }
 
     private void startRelay() {
-        mRelay.onSnapshot(10, Map.of("a", "1".getBytes(StandardCharsets.UTF_8)));
+        mRelay.onSnapshot(10);
         mRelay.onUpToDate(10, ClockReading.now(mTime));
     }
 
@@ -61,12 +62,69 @@
     @Test
     public void unchangedValuesAreNotPassedOn() {
         startRelay();
-        mRelay.onRecords(10, List.of(record("a", "1"), record("b", "1")));
-        mRelay.onUpToDate(12, ClockReading.now(mTime));
-        mRelay.read(10, 0, mResponses::add);
+        mRelay.onRecords(10, List.of(record("a", "1")));
+        mRelay.onRecords(11, List.of(record("a", "1"), record("b", "1")));
+        mRelay.onUpToDate(13, ClockReading.now(mTime));
+        mRelay.read(11, 0, mResponses::add);
         assertEquals(relayedKeys(0), List.of("b"));
     }
 
+    /** A snapshot that is read in several parts contains changes from after its offset. */
+    @Test
+    public void readerGetsChangesThatTheSnapshotOfTheRelayContained() {
+        FakeTopic topic = new FakeTopic();
+        new TopicFollower(
+                        topic,
+                        mTime,
+                        mTime,
+                        new ReadTiming(Duration.ofSeconds(1), Duration.ZERO, Duration.ZERO),
+                        new IgnoringListener(),
+                        mRelay)
+                .start();
+        mTime.advance(Duration.ofMillis(10));
+        mRelay.read(10, 0, mResponses::add);
+        assertEquals(relayedKeys(0), List.of("config"));
+    }
+
+    /** A topic whose key changed after the offset of the snapshot, which has the new value. */
+    private final class FakeTopic implements CompactedTopic {
+
+        @Override
+        public void readSnapshotPart(
+                Optional<String> after, Consumer<Either<ReadFailure, SnapshotPart>> callback) {
+            callback.accept(
+                    Either.right(new SnapshotPart(List.of(record("config", "new")), false, 10)));
+        }
+
+        @Override
+        public void read(
+                long offset, Duration wait, Consumer<Either<ReadFailure, RecordPage>> callback) {
+            List<KeyedRecord> records = offset == 10 ? List.of(record("config", "new")) : List.of();
+            mTime.schedule(
+                    Duration.ofMillis(5),
+                    () -> callback.accept(Either.right(RecordPage.ofStore(11, offset, records))));
+        }
+    }
+
+    /** Ignores all content. */
+    private static final class IgnoringListener implements TopicListener {
+
+        @Override
+        public void onSnapshot(Map<String, byte[]> values) {}
+
+        @Override
+        public void onChange(String key, Optional<byte[]> value) {}
+
+        @Override
+        public void onUpToDate(ClockReading asOf) {}
+
+        @Override
+        public void onStoreUnavailable(String detail) {}
+
+        @Override
+        public void onStoreAvailable() {}
+    }
+
     @Test
     public void readerThatHasSeenTheLastUpdateWaitsForTheNext() {
         startRelay();
