--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -19,7 +19,8 @@
 
     /**
      * Expected extra delay for each unfinished call of this process at an engine, in addition to
-     * that of pending prompts: the calls share each decoding step. In mean prefill times.
+     * that of pending prompts, as a share of the mean prefill time: the calls share each decoding
+     * step.
      */
     private static final double ENGINE_CALL_PREFILLS = 0.75;
 
@@ -30,15 +31,15 @@
     private static final double PREFIX_MISS_WEIGHT = 3;
 
     /**
-     * Expected extra delay for each unfinished call of this process at a plain service, in response
-     * times: the upstream runs several calls at once.
+     * Expected extra delay for each unfinished call of this process at a plain service, as a share
+     * of the response time: the upstream runs several calls at once.
      */
     private static final double PLAIN_CALL_RESPONSES = 0.6;
 
     /** Cost of each step in the rendezvous order. */
     private static final double RANK_MILLIS = 1;
 
-    /** Extra cost of a cold upstream, in response times. */
+    /** Extra cost of a cold upstream, as a multiple of the response time. */
     private static final double COLD_RESPONSES = 1;
 
     private final UpstreamDirectory mDirectory;
