Answer the requests that are active when a stopping gateway exits

Change: they are ended as at any failure: 503 with Retry-After if nothing was sent, 502 if the request may have run.

Result: GatewayTest.stopAnswersRequestsThatCannotBeCompletedInTheGracePeriod, which failed on the code before (the connection was closed without a byte).

--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
@@ -104,6 +104,13 @@
         }
     }
 
+    /** Ends the active request because the process exits. */
+    void onShutdown() {
+        if (mActiveRequest != null) {
+            mActiveRequest.onShutdown();
+        }
+    }
+
     boolean isBusy() {
         return mActiveRequest != null || mRequestHead != null;
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerServer.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerServer.java
@@ -74,6 +74,11 @@
         new ArrayList<>(mConnections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Responds to all requests that are still active, because the process exits. */
+    void endActiveRequests() {
+        new ArrayList<>(mConnections).forEach(CallerConnection::onShutdown);
+    }
+
     int connectionCount() {
         return mConnections.size();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -130,7 +130,7 @@
             return;
         }
         if (failure.kind() == StageFailure.Kind.INPUT_MISSING && mStages.canRerun()) {
-            recordRetry("stage-input-missing");
+            mTrace.retried("stage-input-missing", mSends, remaining());
             runStages();
             return;
         }
@@ -251,7 +251,7 @@
         mPlacement.exclude(node);
         mRejections++;
         if (mRejections <= MAX_REJECTIONS && !isDeadlineNear()) {
-            recordRetry("unreachable");
+            mTrace.retried("unreachable", mSends, remaining());
             send();
             return;
         }
@@ -372,6 +372,13 @@
         fail(RefusalReason.DEADLINE_EXCEEDED, "the deadline passed");
     }
 
+    /** Ends the request because the process exits. A response that has started is cut off. */
+    void onShutdown() {
+        if (!mEnded) {
+            fail(RefusalReason.NOT_READY, "the process is stopping");
+        }
+    }
+
     private boolean canRetry() {
         return mAdmitted.route().isIdempotent()
                 && mExecutions < mAdmitted.route().maxAttempts()
@@ -390,12 +397,8 @@
             mTrace.retryDenied(reason);
             return false;
         }
-        recordRetry(reason);
-        return true;
-    }
-
-    private void recordRetry(String reason) {
         mTrace.retried(reason, mSends, remaining());
+        return true;
     }
 
     private void restartStages() {
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -270,9 +270,14 @@
             sleepBetweenPolls();
             busy = callOnLoop(mCallerServer::isBusy);
         }
+        callOnLoop(
+                () -> {
+                    mCallerServer.endActiveRequests();
+                    return true;
+                });
         mGateway.log()
                 .event("stop")
-                .with("outcome", busy ? "requests-cut" : "complete")
+                .with("outcome", busy ? "requests-ended" : "complete")
                 .with("millis", mTime.since(startNanos).toMillis())
                 .info();
         mLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
--- a/standins/src/test/java/org/boragethread/standins/system/GatewayTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/GatewayTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.regex.Pattern;
 import org.boragethread.standins.harness.Await;
 import org.boragethread.standins.harness.ProcessHarness;
@@ -233,6 +234,44 @@
         assertEquals(mGateway.process().awaitExit(TIMEOUT), 0);
     }
 
+    /** One request waits for its stages, another one for a silent upstream. */
+    @Test
+    public void stopAnswersRequestsThatCannotBeCompletedInTheGracePeriod() throws Exception {
+        announce("maps-1", mMaps, true);
+        Await.until("maps-1 is leaving", TIMEOUT, () -> mGateway.hasLogLine("\"leaving\""));
+        CompletableFuture<HttpResponse<String>> waiting =
+                postAsync(
+                        "/staged/x",
+                        "id-waiting",
+                        "X-Boragethread-Pieces",
+                        "1,0",
+                        "X-Boragethread-Piece-Key",
+                        "k");
+        CompletableFuture<HttpResponse<String>> sent = postAsync("/unsafe/silent", "id-sent");
+        Await.until("one is admitted", TIMEOUT, () -> mGateway.hasLogLine("id-waiting"));
+        Await.until(
+                "the other one is sent",
+                TIMEOUT,
+                () -> timesExecuted(mFirst, "id-sent") + timesExecuted(mSecond, "id-sent") == 1);
+        mGateway.process().terminate();
+        assertEquals(waiting.get().statusCode(), 503);
+        assertTrue(waiting.get().headers().firstValue("Retry-After").isPresent());
+        assertEquals(sent.get().statusCode(), 502);
+        assertEquals(mGateway.process().awaitExit(TIMEOUT), 0);
+    }
+
+    private CompletableFuture<HttpResponse<String>> postAsync(
+            String path, String id, String... headers) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return post(path, id, headers);
+                    } catch (Exception e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+    }
+
     @Test
     public void logRecordsEventsOfRequestWithItsId() throws Exception {
         post("/unsafe/lost", "id-story");
