Do less work for each dispatch of pieces and each choice of a coordinator

By reading, two paths do more than before: the upstreams of a data centre were gone through for each waiting stage, and the order of coordinators was sorted for each piece.

Change: both are computed once, a dispatch and a change of the members.

--- a/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
+++ b/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
@@ -52,7 +52,8 @@
     private final Map<String, Avoidance> mAvoidances = new HashMap<>();
     private List<Member> mCandidates = List.of();
     private List<Member> mNeighbours = List.of();
-    private int mMemberCount;
+    private List<String> mCoordinators = List.of();
+    private final Map<GroupId, List<String>> mOrders = new HashMap<>();
 
     /**
      * Creates a table without members.
@@ -80,7 +81,8 @@
                         latest.values().stream()
                                 .filter(member -> member.dataCentre().equals(mDataCentre))
                                 .toList());
-        mMemberCount = latest.size();
+        mCoordinators = coordinators(latest.size());
+        mOrders.clear();
     }
 
     /** Returns the members with enough capacity, the oldest first. */
@@ -120,7 +122,7 @@
      */
     public Optional<String> coordinator(GroupId group) {
         int tried = 0;
-        for (String address : commonCoordinators(group)) {
+        for (String address : mOrders.computeIfAbsent(group, this::commonCoordinators)) {
             if (!isAvoided(address)) {
                 return Optional.of(address);
             }
@@ -139,7 +141,7 @@
 
     /** Returns the coordinators in the rendezvous order of a group, then all others. */
     private List<String> commonCoordinators(GroupId group) {
-        List<String> addresses = new ArrayList<>(coordinators());
+        List<String> addresses = new ArrayList<>(mCoordinators);
         addresses.sort(Comparator.comparingLong(address -> weight(group.value(), address)));
         for (Member member : mCandidates) {
             if (!addresses.contains(member.address())) {
@@ -155,16 +157,15 @@
      * because it is a coordinator or none is known.
      */
     public Optional<String> relayFor(String address) {
-        List<String> coordinators = coordinators();
-        if (coordinators.contains(address)) {
+        if (mCoordinators.contains(address)) {
             return Optional.empty();
         }
-        return coordinators.stream()
+        return mCoordinators.stream()
                 .min(Comparator.comparingLong(coordinator -> weight(address, coordinator)));
     }
 
-    private List<String> coordinators() {
-        int count = -Math.floorDiv(-mMemberCount, MEMBERS_PER_COORDINATOR);
+    private List<String> coordinators(int members) {
+        int count = -Math.floorDiv(-members, MEMBERS_PER_COORDINATOR);
         return mCandidates.stream().limit(count).map(Member::address).toList();
     }
 
--- a/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
+++ b/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
@@ -66,6 +66,11 @@
         return mFailedAt.isPresent() && mFailedAt.get() == node;
     }
 
+    /** Returns whether a call with the piece has failed. */
+    boolean hasFailed() {
+        return mFailedAt.isPresent();
+    }
+
     int attempts() {
         return mAttempts;
     }
--- a/core/src/main/java/org/boragethread/core/stage/PreferredDataCentres.java
+++ b/core/src/main/java/org/boragethread/core/stage/PreferredDataCentres.java
@@ -38,7 +38,11 @@
     private final BatchLimits mLimits;
     private final ToLongFunction<UpstreamNode> mAvailableAt;
     private final long mNow;
+    private final long mCallNanos;
+    private final long mPieceNanos;
+    private final long mFullCallNanos;
     private final Map<DataCentreId, Integer> mPiecesAhead = new HashMap<>();
+    private final Map<DataCentreId, Availability> mAvailabilities = new HashMap<>();
     private int mAnywhereAhead;
 
     /**
@@ -56,6 +60,9 @@
         mLimits = limits;
         mAvailableAt = availableAt;
         mNow = now;
+        mCallNanos = limits.callTime().toNanos();
+        mPieceNanos = limits.pieceTime().toNanos();
+        mFullCallNanos = limits.expectedTime(limits.batch()).toNanos();
     }
 
     /**
@@ -85,33 +92,54 @@
     }
 
     private boolean shouldWaitFor(DataCentreId preferred, PendingPiece first, int pieces) {
-        long start = Long.MAX_VALUE;
-        int usable = 0;
-        for (UpstreamNode other : mUpstreams) {
-            if (other.entry().dataCentre().equals(preferred)
-                    && !other.isAvoided(mNow)
-                    && !first.failedAt(other)) {
-                usable++;
-                start = Math.min(start, Math.max(mNow, mAvailableAt.applyAsLong(other)));
-            }
-        }
+        Availability available =
+                first.hasFailed()
+                        ? availability(preferred, first)
+                        : mAvailabilities.computeIfAbsent(
+                                preferred, dataCentre -> availability(dataCentre, first));
+        int usable = available.upstreams();
         if (usable == 0) {
             return false;
         }
         int ahead =
                 mPiecesAhead.getOrDefault(preferred, 0)
                         + mAnywhereAhead * usable / mUpstreams.size();
-        long fullCall = mLimits.expectedTime(mLimits.batch()).toNanos();
         int callsAhead = (ahead + pieces - 1) / (mLimits.batch() * usable);
         int piecesInCall = Math.min(mLimits.batch(), ahead % mLimits.batch() + pieces);
-        long callTime = mLimits.expectedTime(piecesInCall).toNanos();
-        long end = start + callsAhead * fullCall + (long) (callTime * (1 + TIME_TOLERANCE));
+        long callTime = mCallNanos + piecesInCall * mPieceNanos;
+        long end =
+                available.start()
+                        + callsAhead * mFullCallNanos
+                        + (long) (callTime * (1 + TIME_TOLERANCE));
         long target = first.urgency().targetNanos();
         long waited = mNow - first.submittedAt();
         if (mNow + callTime > target) {
-            return waited < fullCall * MAX_LATE_WAIT_CALLS;
+            return waited < mFullCallNanos * MAX_LATE_WAIT_CALLS;
         }
         long spare = (long) (SPARE_TIME_SHARE * (target - first.submittedAt()));
-        return end + spare <= target && waited < fullCall * MAX_WAIT_CALLS;
+        return end + spare <= target && waited < mFullCallNanos * MAX_WAIT_CALLS;
+    }
+
+    /** Returns when and how many upstreams of a data centre can execute a piece. */
+    private Availability availability(DataCentreId dataCentre, PendingPiece piece) {
+        long start = Long.MAX_VALUE;
+        int upstreams = 0;
+        for (UpstreamNode upstream : mUpstreams) {
+            if (upstream.entry().dataCentre().equals(dataCentre)
+                    && !upstream.isAvoided(mNow)
+                    && !piece.failedAt(upstream)) {
+                upstreams++;
+                start = Math.min(start, Math.max(mNow, mAvailableAt.applyAsLong(upstream)));
+            }
+        }
+        return new Availability(start, upstreams);
     }
+
+    /**
+     * The upstreams of one data centre that can be used.
+     *
+     * @param start monotonic time in nanoseconds at which the first of them can start a call
+     * @param upstreams their number
+     */
+    private record Availability(long start, int upstreams) {}
 }
