--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -53,8 +53,8 @@
     private RoutedGroup mGroup;
     private Placement mPlacement;
     private Scheduler.Timer mDeadlineTimer = () -> {};
-    private Scheduler.Timer mStallTimer = () -> {};
     private final StagePhase mStages;
+    private final StallWatch mStallWatch;
     private UpstreamAttempt mAttempt;
     private long mUncachedTokens;
     private int mExecutions;
@@ -70,6 +70,7 @@
         mResponseWriter = responseWriter;
         mTrace = new RequestTrace(gateway, request);
         mStages = new StagePhase(gateway, request, this);
+        mStallWatch = new StallWatch(gateway.scheduler());
     }
 
     /** Admits the request and starts processing it. */
@@ -129,7 +130,7 @@
             return;
         }
         if (failure.kind() == StageFailure.Kind.INPUT_MISSING && mStages.canRerun()) {
-            recordRetry("stage-input-missing");
+            mTrace.retried("stage-input-missing", mSends, remaining());
             runStages();
             return;
         }
@@ -142,7 +143,7 @@
     }
 
     private void send() {
-        if (mEnded) {
+        if (mEnded || mAttempt != null && mAttempt.isActive()) {
             return;
         }
         ChoiceRequest choice = mPlacement.choiceRequest();
@@ -191,14 +192,13 @@
 
     /** Retries an idempotent request at another upstream if the current one stays silent. */
     private void startStallTimer() {
-        mStallTimer.cancel();
         if (!mAdmitted.route().isIdempotent()) {
             return;
         }
         UpstreamAttempt attempt = mAttempt;
         Duration timeout =
                 mHeadSent ? StallTimeouts.betweenEvents(mAdmitted.route()) : firstResponseTimeout();
-        mStallTimer = mGateway.scheduler().schedule(timeout, () -> onStall(attempt));
+        mStallWatch.start(attempt::isActive, timeout, () -> onStall(attempt));
     }
 
     private Duration firstResponseTimeout() {
@@ -251,7 +251,7 @@
         mPlacement.exclude(node);
         mRejections++;
         if (mRejections <= MAX_REJECTIONS && !isDeadlineNear()) {
-            recordRetry("unreachable");
+            mTrace.retried("unreachable", mSends, remaining());
             send();
             return;
         }
@@ -372,6 +372,13 @@
         fail(RefusalReason.DEADLINE_EXCEEDED, "the deadline passed");
     }
 
+    /** Ends the request because the process exits. A response that has started is cut off. */
+    void onShutdown() {
+        if (!mEnded) {
+            fail(RefusalReason.NOT_READY, "the process is stopping");
+        }
+    }
+
     private boolean canRetry() {
         return mAdmitted.route().isIdempotent()
                 && mExecutions < mAdmitted.route().maxAttempts()
@@ -390,12 +397,8 @@
             mTrace.retryDenied(reason);
             return false;
         }
-        recordRetry(reason);
-        return true;
-    }
-
-    private void recordRetry(String reason) {
         mTrace.retried(reason, mSends, remaining());
+        return true;
     }
 
     private void restartStages() {
@@ -480,7 +483,7 @@
         }
         mEnded = true;
         mDeadlineTimer.cancel();
-        mStallTimer.cancel();
+        mStallWatch.stop();
         if (mAttempt != null) {
             mAttempt.cancel();
         }
