--- a/core/src/main/java/org/boragethread/core/follow/RelayedTopic.java
+++ b/core/src/main/java/org/boragethread/core/follow/RelayedTopic.java
@@ -30,8 +30,8 @@
      * Creates a topic.
      *
      * @param relay address of the relay to read from; empty to read from the store
-     * @param timeout time after which a relay without a response has failed: that between two of
-     *     its reads, and some more
+     * @param timeout time after which a relay that did not respond is passed over; longer than the
+     *     interval between two of its reads
      */
     public RelayedTopic(
             CompactedTopic storeTopic,
--- a/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
+++ b/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
@@ -105,7 +105,7 @@
         }
         mListener.onUpToDate(page.relayAge().map(sentAt::minus).orElse(sentAt));
         if (page.relayAge().isPresent()) {
-            // The relay responds when it has read again, so the pause is its own.
+            // The relay responds after its next read of the store, so there is no pause here.
             readRecords();
             return;
         }
--- a/core/src/main/java/org/boragethread/core/stage/StageRun.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRun.java
@@ -22,7 +22,7 @@
     /** Transfers of this many bytes or more should not cross data centres. */
     private static final long LARGE_TRANSFER_BYTES = 400_000;
 
-    /** Inputs that occupy this share of an upstream's memory or more occupy scarce memory. */
+    /** Share of an upstream's memory from which on the inputs of a stage count as scarce memory. */
     private static final double SCARCE_MEMORY_SHARE = 0.05;
 
     private final StageRequest mRequest;
