Log the framing, size and events of each upstream response

Change: 'answered' and the new 'response-broken' carry the framing, the bytes, the complete events and the bytes of an incomplete event. No decision reads them.

--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -272,6 +272,7 @@
 
     @Override
     public void onStreamBroken(UpstreamNode node, String detail) {
+        mTrace.responseBroken(node, detail, mAttempt.progress());
         recordFailure(node);
         mPlacement.exclude(node);
         mExecutions++;
@@ -300,7 +301,7 @@
                     "upstream %s responded %d on resume".formatted(node.entry().id(), status));
             return;
         }
-        mTrace.answered(node, status, mSends);
+        mTrace.answered(node, status, mSends, mAttempt.progress());
         end();
         mResponseWriter.sendResponse(status, ForwardedHeaders.ofResponse(headers), body);
     }
@@ -340,7 +341,7 @@
         if (tail.isReadable()) {
             mResponseWriter.sendBody(tail);
         }
-        mTrace.answered(node, OK, mSends);
+        mTrace.answered(node, OK, mSends, mAttempt.progress());
         end();
         mResponseWriter.sendEnd();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -65,7 +65,7 @@
         mFirstByteMillis = age().toMillis();
     }
 
-    void answered(UpstreamNode node, int status, int sends) {
+    void answered(UpstreamNode node, int status, int sends, ResponseProgress progress) {
         mGateway.metrics().onResponse(status, age());
         mGateway.log()
                 .event("answered", mRequest.id())
@@ -74,6 +74,10 @@
                 .with("sends", sends)
                 .with("begunMs", mFirstByteMillis)
                 .with("ageMs", age().toMillis())
+                .with("framing", progress.framing())
+                .with("bytes", progress.bytes())
+                .with("events", progress.events())
+                .with("partialEventBytes", progress.partialEventBytes())
                 .info();
     }
 
@@ -90,6 +94,20 @@
                 .warn();
     }
 
+    /** Records that an upstream's response ended before it was complete. */
+    void responseBroken(UpstreamNode node, String detail, ResponseProgress progress) {
+        mGateway.metrics().onBrokenConnection("upstream-response");
+        mGateway.log()
+                .event("response-broken", mRequest.id())
+                .with("upstream", node.entry().id())
+                .with("detail", detail)
+                .with("framing", progress.framing())
+                .with("bytes", progress.bytes())
+                .with("events", progress.events())
+                .with("partialEventBytes", progress.partialEventBytes())
+                .warn();
+    }
+
     void aborted(String detail) {
         mGateway.metrics().onBrokenConnection("stream");
         mGateway.log()
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -2,11 +2,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.platform.store.PlatformHeaders;
+import org.boragethread.wire.http.BodyFraming;
 import org.boragethread.wire.http.CallControl;
 import org.boragethread.wire.http.CallFailure;
 import org.boragethread.wire.http.CallListener;
@@ -17,6 +19,7 @@
 final class UpstreamAttempt implements CallListener {
 
     private static final int MISDIRECTED = 421;
+    private static final String EVENT_STREAM = "text/event-stream";
 
     /** Responses up to this size are buffered, so that one that breaks off can still be retried. */
     private static final int MAX_BUFFERED_BYTES = 256 << 10;
@@ -29,6 +32,10 @@
     private CallControl mControl;
     private int mStatus;
     private HttpHeaders mHeaders;
+    private BodyFraming mFraming = BodyFraming.NO_BODY;
+    private boolean mIsEventStream;
+    private final EventStreamPosition mPosition = new EventStreamPosition();
+    private long mBodyBytes;
     private ByteBuf mBuffered = Unpooled.EMPTY_BUFFER;
     private boolean mForwarding;
     private boolean mEnded;
@@ -74,6 +81,12 @@
         return mForwarding;
     }
 
+    /** Returns how much of the response has arrived. */
+    ResponseProgress progress() {
+        return new ResponseProgress(
+                mFraming, mBodyBytes, mPosition.events(), mPosition.partialEventBytes());
+    }
+
     /** Cancels the attempt, so that the upstream stops working on it. */
     void cancel() {
         if (mEnded) {
@@ -94,6 +107,8 @@
         }
         mStatus = head.status().code();
         mHeaders = head.headers();
+        mFraming = BodyFraming.of(head);
+        mIsEventStream = isEventStream(head);
         boolean notExecuted =
                 mStatus == MISDIRECTED || mHeaders.contains(PlatformHeaders.NOT_EXECUTED);
         if (notExecuted) {
@@ -108,11 +123,24 @@
         }
     }
 
+    /** A successful response on a streaming route without a content type is an event stream. */
+    private boolean isEventStream(HttpResponse head) {
+        String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+        if (type.isBlank()) {
+            return mStreaming && head.status().codeClass() == HttpStatusClass.SUCCESS;
+        }
+        return type.strip().regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
+    }
+
     @Override
     public void onBody(ByteBuf data) {
         if (mEnded) {
             return;
         }
+        mBodyBytes += data.readableBytes();
+        if (mIsEventStream) {
+            mPosition.advance(data);
+        }
         boolean success = HttpStatusClass.valueOf(mStatus) == HttpStatusClass.SUCCESS;
         boolean large = mBuffered.readableBytes() + data.readableBytes() > MAX_BUFFERED_BYTES;
         if (!mForwarding && success && (mStreaming || large)) {
