Do not complete an event stream that ended inside an event

What callers saw: a stream that its upstream had broken off ended as a complete response (ORDER); a client shows a shortened field note as the whole one. Cause: a body without length and chunks ends with its connection, and the HTTP decoder reports that end like the end of a whole body. The gateway then sent the incomplete event and the last chunk. The same happened for a stream whose framing declared it complete inside an event, and for a stream without any event. Why it works: an attempt keeps its position among the events of each event stream, and only an end between two events is reported as the end of the response; an end by the connection also needs at least one event. Everything else is a broken response: a resumable stream goes on at another upstream, any other is cut off without its last chunk. An event stream no longer carries the upstream's Content-Length, by which a caller would take its last byte for the end before that check.

--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedHeaders.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedHeaders.java
@@ -44,6 +44,16 @@
         return withoutHopByHop(from);
     }
 
+    /**
+     * Returns the headers of an event stream without hop-by-hop headers and without its length: by
+     * its length a caller would take a stream for complete before its end is checked.
+     */
+    static HttpHeaders ofEventStream(HttpHeaders from) {
+        HttpHeaders headers = withoutHopByHop(from);
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        return headers;
+    }
+
     /** Returns whether an Authorization header holds an API key, which upstreams must not see. */
     static boolean isApiKey(String authorization) {
         String scheme = PlatformHeaders.KEY_SCHEME;
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -313,11 +313,11 @@
         mStages.release();
         if (!mHeadSent) {
             mHeadSent = true;
-            HttpHeaders forwarded = ForwardedHeaders.ofResponse(headers);
-            if (mAdmitted.route().resumable()) {
-                forwarded.remove("Content-Length");
-            }
-            mResponseWriter.sendHead(status, forwarded);
+            mResponseWriter.sendHead(
+                    status,
+                    mAttempt.isEventStream()
+                            ? ForwardedHeaders.ofEventStream(headers)
+                            : ForwardedHeaders.ofResponse(headers));
         }
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import org.boragethread.core.upstream.UpstreamNode;
@@ -33,6 +34,7 @@
     private int mStatus;
     private HttpHeaders mHeaders;
     private BodyFraming mFraming = BodyFraming.NO_BODY;
+    private boolean mIsHeadRequest;
     private boolean mIsEventStream;
     private final EventStreamPosition mPosition = new EventStreamPosition();
     private long mBodyBytes;
@@ -59,6 +61,7 @@
     }
 
     void start(HttpConnectionPool connections, HttpCall call) {
+        mIsHeadRequest = call.request().method().equals(HttpMethod.HEAD);
         mNode.onSent(mSentAt);
         mControl = connections.send(call, this);
     }
@@ -81,6 +84,11 @@
         return mForwarding;
     }
 
+    /** Returns whether the body of the response is an event stream. */
+    boolean isEventStream() {
+        return mIsEventStream;
+    }
+
     /** Returns how much of the response has arrived. */
     ResponseProgress progress() {
         return new ResponseProgress(
@@ -108,7 +116,7 @@
         mStatus = head.status().code();
         mHeaders = head.headers();
         mFraming = BodyFraming.of(head);
-        mIsEventStream = isEventStream(head);
+        mIsEventStream = !mIsHeadRequest && isEventStream(head);
         boolean notExecuted =
                 mStatus == MISDIRECTED || mHeaders.contains(PlatformHeaders.NOT_EXECUTED);
         if (notExecuted) {
@@ -171,13 +179,36 @@
             return;
         }
         end();
-        if (mForwarding) {
+        if (!isBodyComplete()) {
+            reportBroken("the event stream ended inside an event or without any");
+        } else if (mForwarding) {
             mListener.onStreamEnd(mNode);
         } else {
             mListener.onResponse(mNode, mStatus, mHeaders, mBuffered);
         }
     }
 
+    /**
+     * Returns whether the body that has ended is complete. The end of an event stream proves
+     * nothing if it is not the end of an event, whatever the framing; a connection also ends if the
+     * upstream fails.
+     */
+    private boolean isBodyComplete() {
+        if (!mIsEventStream) {
+            return true;
+        }
+        boolean endProven = mPosition.events() > 0 || mFraming != BodyFraming.CONNECTION_END;
+        return endProven && mPosition.isBetweenEvents();
+    }
+
+    private void reportBroken(String detail) {
+        if (mForwarding) {
+            mListener.onStreamBroken(mNode, detail);
+        } else {
+            mListener.onFailed(mNode, detail);
+        }
+    }
+
     @Override
     public void onFailure(CallFailure failure) {
         if (mEnded) {
@@ -186,10 +217,8 @@
         end();
         if (!failure.maybeSent()) {
             mListener.onNotSent(mNode, failure.detail());
-        } else if (mForwarding) {
-            mListener.onStreamBroken(mNode, failure.detail());
         } else {
-            mListener.onFailed(mNode, failure.detail());
+            reportBroken(failure.detail());
         }
     }
 
