Take only the peer's end of data for the end of a response

What callers saw: not seen by a caller. A response without length and chunks, whose connection was reset while the gateway still wrote the request, or was closed by the gateway itself, would have ended as a complete response. Cause: the HTTP decoder ends such a body whenever the connection goes away. Only a reset noticed by a read was told apart; one noticed by a write, and the stop of the event loop, close the connection without an error on the reading side. Why it works: connections allow half-closure, so the end of the peer's data shuts down the input while the connection is still active, and every other close does not. Only the former ends a body that is delimited by its connection. Applies to everything read through the pool: upstreams, stage calls, the store, peers. Responses to HEAD have no body and are no longer said to be delimited by the connection.

--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -34,7 +34,7 @@
     private int mStatus;
     private HttpHeaders mHeaders;
     private BodyFraming mFraming = BodyFraming.NO_BODY;
-    private boolean mIsHeadRequest;
+    private HttpMethod mMethod = HttpMethod.GET;
     private boolean mIsEventStream;
     private final EventStreamPosition mPosition = new EventStreamPosition();
     private long mBodyBytes;
@@ -61,7 +61,7 @@
     }
 
     void start(HttpConnectionPool connections, HttpCall call) {
-        mIsHeadRequest = call.request().method().equals(HttpMethod.HEAD);
+        mMethod = call.request().method();
         mNode.onSent(mSentAt);
         mControl = connections.send(call, this);
     }
@@ -115,8 +115,8 @@
         }
         mStatus = head.status().code();
         mHeaders = head.headers();
-        mFraming = BodyFraming.of(head);
-        mIsEventStream = !mIsHeadRequest && isEventStream(head);
+        mFraming = BodyFraming.of(mMethod, head);
+        mIsEventStream = mFraming != BodyFraming.NO_BODY && isEventStream(head);
         boolean notExecuted =
                 mStatus == MISDIRECTED || mHeaders.contains(PlatformHeaders.NOT_EXECUTED);
         if (notExecuted) {
--- a/wire/src/main/java/org/boragethread/wire/http/BodyFraming.java
+++ b/wire/src/main/java/org/boragethread/wire/http/BodyFraming.java
@@ -1,5 +1,6 @@
 package org.boragethread.wire.http;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 
@@ -11,16 +12,16 @@
     CHUNKED,
     /** By the end of the connection. */
     CONNECTION_END,
-    /** The status code excludes a body. */
+    /** The request method or the status code excludes a body. */
     NO_BODY;
 
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
-    /** Returns the framing of the body of a response to a request other than HEAD. */
-    public static BodyFraming of(HttpResponse head) {
+    /** Returns the framing of the body of a response to a request with the given method. */
+    public static BodyFraming of(HttpMethod method, HttpResponse head) {
         int status = head.status().code();
-        if (status == NO_CONTENT || status == NOT_MODIFIED) {
+        if (method.equals(HttpMethod.HEAD) || status == NO_CONTENT || status == NOT_MODIFIED) {
             return NO_BODY;
         }
         if (HttpUtil.isTransferEncodingChunked(head)) {
--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
@@ -1,9 +1,10 @@
 package org.boragethread.wire.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
@@ -43,14 +44,14 @@
     private final HttpConnectionPool mPool;
     private final InetSocketAddress mAddress;
     private final Decoder mDecoder = new Decoder();
-    private Channel mChannel;
+    private SocketChannel mChannel;
     private ActiveCall mCall;
     private boolean mHeadReceived;
     private boolean mDiscarding;
     private boolean mRequestWritten;
     private boolean mResponseComplete;
     private boolean mKeepAlive;
-    private boolean mConnectionFailed;
+    private BodyFraming mFraming = BodyFraming.NO_BODY;
     private int mMismatchedResponses;
     private long mIdleSinceNanos;
     private long mMaxIdleNanos = MAX_IDLE_TIME.toNanos();
@@ -64,7 +65,7 @@
         return mAddress;
     }
 
-    void install(Channel channel) {
+    void install(SocketChannel channel) {
         mChannel = channel;
         channel.pipeline().addLast(mDecoder, new HttpRequestEncoder(), this);
     }
@@ -145,7 +146,8 @@
             return;
         }
         mHeadReceived = true;
-        mKeepAlive = HttpUtil.isKeepAlive(head) && isSelfDelimiting(head);
+        mFraming = BodyFraming.of(mCall.call().request().method(), head);
+        mKeepAlive = HttpUtil.isKeepAlive(head) && mFraming != BodyFraming.CONNECTION_END;
         mMaxIdleNanos = maxIdleNanos(head);
         mCall.deliverHead(head);
     }
@@ -172,8 +174,8 @@
             mDiscarding = false;
             return;
         }
-        if (mConnectionFailed) {
-            fail(CallFailure.Kind.BROKEN, "the connection was reset");
+        if (mFraming == BodyFraming.CONNECTION_END && !isEndOfInputReached()) {
+            fail(CallFailure.Kind.BROKEN, "the connection failed before the body ended");
             return;
         }
         mResponseComplete = true;
@@ -186,6 +188,11 @@
         }
     }
 
+    /** Returns whether the peer ended its data, as opposed to a reset or a close by this side. */
+    private boolean isEndOfInputReached() {
+        return mChannel.isActive() && mChannel.isInputShutdown();
+    }
+
     private void finishBeforeRequestWritten() {
         ActiveCall call = mCall;
         mKeepAlive = false;
@@ -225,21 +232,25 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        mConnectionFailed = true;
         fail(CallFailure.Kind.BROKEN, String.valueOf(cause.getMessage()));
     }
 
+    /** Handles the end of the peer's data, after the decoder has reported what it completes. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            onDisconnected();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        mPool.remove(this);
-        fail(CallFailure.Kind.BROKEN, "the connection was closed");
+        onDisconnected();
     }
 
-    private static boolean isSelfDelimiting(HttpMessage head) {
-        return HttpUtil.isContentLengthSet(head)
-                || HttpUtil.isTransferEncodingChunked(head)
-                || head instanceof HttpResponse response
-                        && (response.status().code() == 204 || response.status().code() == 304);
+    private void onDisconnected() {
+        mPool.remove(this);
+        fail(CallFailure.Kind.BROKEN, "the connection was closed");
     }
 
     private static long maxIdleNanos(HttpResponse head) {
--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnectionPool.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnectionPool.java
@@ -43,6 +43,8 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.SO_KEEPALIVE, true)
+                        // Tells the end of the peer's data from any other close.
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .option(
                                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
                                 KEEP_ALIVE_IDLE_SECONDS)
--- /dev/null
+++ b/wire/src/test/java/org/boragethread/wire/http/HttpConnectionTest.java
@@ -0,0 +1,174 @@
+package org.boragethread.wire.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.boragethread.core.time.SystemTimeSource;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests how calls end whose response body is delimited by the end of the connection. */
+public class HttpConnectionTest {
+
+    private static final int WAIT_SECONDS = 10;
+
+    /** More than the socket buffers of both sides hold. */
+    private static final int LARGE_BODY_BYTES = 32 << 20;
+
+    private static final byte[] HEAD =
+            "HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] BODY_PART = "part".getBytes(StandardCharsets.US_ASCII);
+
+    private EventLoopGroup mLoops;
+    private ServerSocket mServer;
+
+    @BeforeMethod
+    public void open() throws IOException {
+        mLoops = new NioEventLoopGroup(1);
+        mServer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterMethod
+    public void close() throws IOException {
+        mServer.close();
+        mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    @Test
+    public void closedConnectionEndsBody() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.POST, 0);
+        try (Socket connection = acceptAndRespond(recorder)) {
+            connection.shutdownOutput();
+            assertEquals(recorder.outcome(), "complete");
+        }
+    }
+
+    @Test
+    public void responseToHeadIsCompleteWithoutBodyAndLength() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.HEAD, 0);
+        try (Socket connection = mServer.accept()) {
+            connection.getOutputStream().write(HEAD);
+            assertEquals(recorder.outcome(), "complete");
+        }
+    }
+
+    /** The part of a body that preceded a reset was taken for the whole body. */
+    @Test
+    public void resetConnectionDoesNotEndBody() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.POST, 0);
+        reset(acceptAndRespond(recorder));
+        assertTrue(recorder.outcome().startsWith("BROKEN"), recorder.outcome());
+    }
+
+    /** A reset that was noticed while writing was taken for the end of the response. */
+    @Test
+    public void resetWhileRequestIsWrittenDoesNotEndBody() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.POST, LARGE_BODY_BYTES);
+        reset(acceptAndRespond(recorder));
+        assertTrue(recorder.outcome().startsWith("BROKEN"), recorder.outcome());
+    }
+
+    /** A connection that this process closed itself was taken for the end of the response. */
+    @Test
+    public void stopOfEventLoopDoesNotEndBody() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.POST, 0);
+        try (Socket connection = acceptAndRespond(recorder)) {
+            mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            assertTrue(recorder.outcome().startsWith("BROKEN"), recorder.outcome());
+            assertTrue(connection.isConnected());
+        }
+    }
+
+    private void send(Recorder recorder, HttpMethod method, int bodyBytes) {
+        EventLoop loop = mLoops.next();
+        loop.execute(
+                () -> {
+                    FullHttpRequest request =
+                            new DefaultFullHttpRequest(
+                                    HttpVersion.HTTP_1_1,
+                                    method,
+                                    "/",
+                                    Unpooled.buffer(bodyBytes).writeZero(bodyBytes));
+                    request.headers().set("Content-Length", bodyBytes);
+                    HttpCall call =
+                            new HttpCall(
+                                    new InetSocketAddress(
+                                            mServer.getInetAddress(), mServer.getLocalPort()),
+                                    request,
+                                    true,
+                                    Duration.ofSeconds(WAIT_SECONDS),
+                                    Optional.empty());
+                    new HttpConnectionPool(loop, new SystemTimeSource()).send(call, recorder);
+                });
+    }
+
+    /** Responds before the request is read, and waits until the response has arrived. */
+    private Socket acceptAndRespond(Recorder recorder) throws Exception {
+        Socket connection = mServer.accept();
+        connection.getOutputStream().write(HEAD);
+        connection.getOutputStream().write(BODY_PART);
+        connection.getOutputStream().flush();
+        recorder.mBodyReceived.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        return connection;
+    }
+
+    private static void reset(Socket connection) throws IOException {
+        connection.setSoLinger(true, 0);
+        connection.close();
+    }
+
+    /** Records how a call ended. */
+    private static final class Recorder implements CallListener {
+
+        private final CompletableFuture<Void> mBodyReceived = new CompletableFuture<>();
+        private final CompletableFuture<String> mOutcome = new CompletableFuture<>();
+
+        String outcome() throws Exception {
+            return mOutcome.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        }
+
+        @Override
+        public void onHead(HttpResponse head) {}
+
+        @Override
+        public void onBody(ByteBuf data) {
+            mBodyReceived.complete(null);
+        }
+
+        @Override
+        public void onEnd() {
+            mOutcome.complete("complete");
+        }
+
+        @Override
+        public void onFailure(CallFailure failure) {
+            mOutcome.complete(failure.kind() + ": " + failure.detail());
+        }
+    }
+}
