Resume only event streams at another upstream

What callers saw: not seen by a caller. A large response of an idempotent route that broke off after its start had been forwarded was continued with the whole body of another run; the caller took the first bytes of both for one complete response. Cause: every forwarded response of an idempotent route was 'resumed', although only an event stream says after which event another upstream has to go on. Evidence: ResumedResponseTest.partsOfTwoRunsAreNotJoinedOutsideEventStreams failed on: the call returned 200 with a body of the declared length. Why it works: whether a response can be resumed is decided once, when it starts, by route and content; every other broken response is cut off. A resumed run that sends no event stream cuts the response off too. A silent upstream is given up only if another one can continue. Change besides: what has been forwarded moves from ForwardedRequest to ForwardedStream.

--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptListener.java
@@ -1,7 +1,6 @@
 package org.boragethread.entry.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaders;
 import org.boragethread.core.upstream.UpstreamNode;
 
 /** Receives the outcome of one attempt at an upstream. */
@@ -20,10 +19,10 @@
     void onStreamBroken(UpstreamNode node, String detail);
 
     /** The upstream ran the request and the response is complete; the listener owns the body. */
-    void onResponse(UpstreamNode node, int status, HttpHeaders headers, ByteBuf body);
+    void onResponse(UpstreamNode node, int status, ByteBuf body);
 
     /** A successful response starts; its body is forwarded as it arrives. */
-    void onStreamHead(UpstreamNode node, int status, HttpHeaders headers);
+    void onStreamHead(UpstreamNode node, int status);
 
     /** A part of the streamed body; the buffer is valid during the call only. */
     void onStreamData(ByteBuf data);
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -1,8 +1,6 @@
 package org.boragethread.entry.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
 import org.boragethread.core.stage.StageFailure;
@@ -48,7 +46,7 @@
     private final CallerRequest mRequest;
     private final CallerResponseWriter mResponseWriter;
     private final RequestTrace mTrace;
-    private final EventStreamBuffer mEvents = new EventStreamBuffer();
+    private final ForwardedStream mStream;
     private AdmittedRequest mAdmitted;
     private RoutedGroup mGroup;
     private Placement mPlacement;
@@ -60,7 +58,6 @@
     private int mExecutions;
     private int mSends;
     private int mRejections;
-    private boolean mHeadSent;
     private boolean mEnded;
     private long mSearchStartNanos = -1;
 
@@ -68,6 +65,7 @@
         mGateway = gateway;
         mRequest = request;
         mResponseWriter = responseWriter;
+        mStream = new ForwardedStream(responseWriter);
         mTrace = new RequestTrace(gateway, request);
         mStages = new StagePhase(gateway, request, this);
         mStallWatch = new StallWatch(gateway.scheduler());
@@ -168,7 +166,7 @@
                 mGateway.connections(),
                 OutgoingRequest.of(mRequest, mAdmitted, node.get(), remaining())
                         .withInputs(mStages.resultHandles(), mAdmitted.pieceCount() > 0)
-                        .resumeAfter(mEvents.lastId())
+                        .resumeAfter(mStream.lastEventId())
                         .toHttpCall());
         startStallTimer();
     }
@@ -197,7 +195,9 @@
         }
         UpstreamAttempt attempt = mAttempt;
         Duration timeout =
-                mHeadSent ? StallTimeouts.betweenEvents(mAdmitted.route()) : firstResponseTimeout();
+                mStream.isStarted()
+                        ? StallTimeouts.betweenEvents(mAdmitted.route())
+                        : firstResponseTimeout();
         mStallWatch.start(attempt::isActive, timeout, () -> onStall(attempt));
     }
 
@@ -210,7 +210,8 @@
             return;
         }
         boolean canSwitch =
-                mExecutions + 1 < mAdmitted.route().maxAttempts()
+                (!stalled.isForwarding() || mStream.canResume())
+                        && mExecutions + 1 < mAdmitted.route().maxAttempts()
                         && mGateway.chooser().hasCandidate(mPlacement.choiceWithout(stalled.node()))
                         && remaining().compareTo(firstResponseTimeout()) > 0;
         if (!canSwitch) {
@@ -276,8 +277,8 @@
         recordFailure(node);
         mPlacement.exclude(node);
         mExecutions++;
-        mEvents.dropPartial();
-        if (canRetry() && tryRetry("resume")) {
+        if (mStream.canResume() && canRetry() && tryRetry("resume")) {
+            mStream.prepareResume();
             restartStages();
             return;
         }
@@ -285,7 +286,7 @@
     }
 
     @Override
-    public void onResponse(UpstreamNode node, int status, HttpHeaders headers, ByteBuf body) {
+    public void onResponse(UpstreamNode node, int status, ByteBuf body) {
         if (status >= SERVER_ERROR) {
             mExecutions++;
             mPlacement.exclude(node);
@@ -296,54 +297,45 @@
         } else {
             recordResponseTime(node);
         }
-        if (mHeadSent) {
+        if (mStream.isStarted()) {
             abortResponse(
                     "upstream %s responded %d on resume".formatted(node.entry().id(), status));
             return;
         }
         mTrace.answered(node, status, mSends, mAttempt.progress());
         end();
-        mResponseWriter.sendResponse(status, ForwardedHeaders.ofResponse(headers), body);
+        mResponseWriter.sendResponse(status, mAttempt.forwardedHeaders(), body);
     }
 
     @Override
-    public void onStreamHead(UpstreamNode node, int status, HttpHeaders headers) {
+    public void onStreamHead(UpstreamNode node, int status) {
         recordResponseTime(node);
         mTrace.responseStarted();
         mStages.release();
-        if (!mHeadSent) {
-            mHeadSent = true;
-            mResponseWriter.sendHead(
-                    status,
-                    mAttempt.isEventStream()
-                            ? ForwardedHeaders.ofEventStream(headers)
-                            : ForwardedHeaders.ofResponse(headers));
+        if (!mStream.isStarted()) {
+            boolean resumable = mAdmitted.route().resumable() && mAttempt.isEventStream();
+            mStream.start(status, mAttempt.forwardedHeaders(), resumable);
+        } else if (!mAttempt.isEventStream()) {
+            abortResponse("upstream %s resumed without events".formatted(node.entry().id()));
         }
     }
 
     @Override
     public void onStreamData(ByteBuf data) {
-        startStallTimer();
-        ByteBuf output =
-                mAdmitted.route().resumable() ? mEvents.append(data) : Unpooled.copiedBuffer(data);
-        if (!output.isReadable()) {
+        if (mEnded) {
             return;
         }
-        mResponseWriter.sendBody(output);
-        if (!mResponseWriter.isWritable() && mAttempt != null) {
+        startStallTimer();
+        if (!mStream.forward(data)) {
             mAttempt.setReading(false);
         }
     }
 
     @Override
     public void onStreamEnd(UpstreamNode node) {
-        ByteBuf tail = mEvents.takeRemaining();
-        if (tail.isReadable()) {
-            mResponseWriter.sendBody(tail);
-        }
         mTrace.answered(node, OK, mSends, mAttempt.progress());
         end();
-        mResponseWriter.sendEnd();
+        mStream.end();
     }
 
     /** Resumes or pauses reading when the caller's connection becomes writable or not. */
@@ -366,7 +358,7 @@
         if (mEnded) {
             return;
         }
-        if (mHeadSent) {
+        if (mStream.isStarted()) {
             abortResponse("the deadline passed");
             return;
         }
@@ -434,7 +426,7 @@
      * @param retryAfter delay before a retry, given to the caller if the request did not run
      */
     private void fail(RefusalReason reason, String detail, Duration retryAfter) {
-        if (mHeadSent) {
+        if (mStream.isStarted()) {
             abortResponse(detail);
             return;
         }
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedStream.java
@@ -0,0 +1,72 @@
+package org.boragethread.entry.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+
+/**
+ * The response to one caller whose body is forwarded while it arrives. A resumable event stream is
+ * forwarded in complete events, so that another upstream can continue it after each of them.
+ */
+final class ForwardedStream {
+
+    private final CallerResponseWriter mWriter;
+    private final EventStreamBuffer mEvents = new EventStreamBuffer();
+    private boolean mStarted;
+    private boolean mResumable;
+
+    ForwardedStream(CallerResponseWriter writer) {
+        mWriter = writer;
+    }
+
+    /** Returns whether the head of the response was forwarded. */
+    boolean isStarted() {
+        return mStarted;
+    }
+
+    /**
+     * Forwards the head of the response.
+     *
+     * @param resumable whether another upstream may continue the body; only an event stream tells
+     *     after which part
+     */
+    void start(int status, HttpHeaders headers, boolean resumable) {
+        mStarted = true;
+        mResumable = resumable;
+        mWriter.sendHead(status, headers);
+    }
+
+    /** Forwards a part of the body; returns whether the caller can take more at once. */
+    boolean forward(ByteBuf data) {
+        ByteBuf output = mResumable ? mEvents.append(data) : Unpooled.copiedBuffer(data);
+        if (output.isReadable()) {
+            mWriter.sendBody(output);
+        }
+        return mWriter.isWritable();
+    }
+
+    /** Returns whether another upstream may continue the body after what was forwarded. */
+    boolean canResume() {
+        return mStarted && mResumable;
+    }
+
+    /** Discards what was not forwarded because its upstream failed inside an event. */
+    void prepareResume() {
+        mEvents.dropPartial();
+    }
+
+    /** Returns the ID of the last event that was forwarded. */
+    Optional<String> lastEventId() {
+        return mEvents.lastId();
+    }
+
+    /** Forwards the end of the body. */
+    void end() {
+        ByteBuf tail = mEvents.takeRemaining();
+        if (tail.isReadable()) {
+            mWriter.sendBody(tail);
+        }
+        mWriter.sendEnd();
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -89,6 +89,13 @@
         return mIsEventStream;
     }
 
+    /** Returns the headers of the response that are forwarded to the caller. */
+    HttpHeaders forwardedHeaders() {
+        return mIsEventStream
+                ? ForwardedHeaders.ofEventStream(mHeaders)
+                : ForwardedHeaders.ofResponse(mHeaders);
+    }
+
     /** Returns how much of the response has arrived. */
     ResponseProgress progress() {
         return new ResponseProgress(
@@ -167,7 +174,7 @@
     private void startForwarding() {
         mForwarding = true;
         endPrefill();
-        mListener.onStreamHead(mNode, mStatus, mHeaders);
+        mListener.onStreamHead(mNode, mStatus);
         if (mBuffered.isReadable()) {
             mListener.onStreamData(mBuffered);
         }
@@ -184,7 +191,7 @@
         } else if (mForwarding) {
             mListener.onStreamEnd(mNode);
         } else {
-            mListener.onResponse(mNode, mStatus, mHeaders, mBuffered);
+            mListener.onResponse(mNode, mStatus, mBuffered);
         }
     }
 
