Do not resume a stream inside an event that was forwarded in parts

What callers saw: not seen by a caller. An event of more than 1 MiB was forwarded in parts; if its upstream then failed, the next one sent the whole event again. Events whose lines end with CR were not recognised at all, so a stream of them was held back until its end and could not be resumed. Cause: the buffer looked for its own notion of a blank line and did not remember that it had given out a part of an event, whose ID it had passed by. Evidence: carriageReturnsSeparateEvents failed before (nothing was forwarded). streamWithSplitEventIsNotResumable needs the new method isResumable, so it did not run on the code before. Why it works: the buffer uses the same position as the check of the stream's end, and a stream of which an event was forwarded in parts can no longer be resumed.

--- a/entry/src/main/java/org/boragethread/entry/gateway/EventStreamBuffer.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/EventStreamBuffer.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * Splits a stream of server-sent events into complete events. A stream that may be resumed at
@@ -15,38 +16,45 @@
     private static final int MAX_EVENT_BYTES = 1 << 20;
     private static final String ID_FIELD = "id:";
 
+    private static final Pattern LINE_END = Pattern.compile("\r\n|\n|\r");
+
     private final ByteBuf mPartial = Unpooled.buffer();
+    private EventStreamPosition mPosition = new EventStreamPosition();
     private Optional<String> mLastId = Optional.empty();
-    private int mScannedIndex;
+    private boolean mSplit;
 
-    /** Adds data and returns the events that it completes; the caller owns the buffer. */
+    /**
+     * Adds data and returns the events that it completes; the caller owns the buffer. Of an event
+     * that is longer than {@link #MAX_EVENT_BYTES} the part that has arrived is returned.
+     */
     ByteBuf append(ByteBuf data) {
+        int end = mPartial.readableBytes() + mPosition.advance(data);
+        boolean completesEvent = end > mPartial.readableBytes();
         mPartial.writeBytes(data);
-        int end = findLastEventEnd();
-        if (end < 0) {
-            return mPartial.readableBytes() > MAX_EVENT_BYTES
-                    ? takeRemaining()
-                    : Unpooled.EMPTY_BUFFER;
+        if (completesEvent) {
+            ByteBuf events = mPartial.readBytes(end);
+            updateLastId(events.toString(StandardCharsets.UTF_8));
+            mPartial.discardReadBytes();
+            return events;
         }
-        ByteBuf events = mPartial.readBytes(end - mPartial.readerIndex());
-        updateLastId(events.toString(StandardCharsets.UTF_8));
-        mPartial.discardReadBytes();
-        mScannedIndex = 0;
-        return events;
-    }
-
-    /** Removes and returns the data after the last complete event. */
-    ByteBuf takeRemaining() {
-        ByteBuf remaining = mPartial.copy();
+        if (mPartial.readableBytes() <= MAX_EVENT_BYTES) {
+            return Unpooled.EMPTY_BUFFER;
+        }
+        mSplit = true;
+        ByteBuf part = mPartial.copy();
         mPartial.clear();
-        mScannedIndex = 0;
-        return remaining;
+        return part;
     }
 
     /** Discards the incomplete event of a stream that broke off. */
     void dropPartial() {
         mPartial.clear();
-        mScannedIndex = 0;
+        mPosition = new EventStreamPosition();
+    }
+
+    /** Returns whether every event was returned as a whole, so that its ID tells what follows. */
+    boolean isResumable() {
+        return !mSplit;
     }
 
     /** Returns the ID of the last complete event. */
@@ -54,27 +62,8 @@
         return mLastId;
     }
 
-    /** Returns the index after the last blank line, which ends an event, or -1 if there is none. */
-    private int findLastEventEnd() {
-        int end = -1;
-        for (int i = Math.max(1, mScannedIndex); i < mPartial.writerIndex(); i++) {
-            if (mPartial.getByte(i) != '\n') {
-                continue;
-            }
-            byte previous = mPartial.getByte(i - 1);
-            boolean blank =
-                    previous == '\n'
-                            || previous == '\r' && i > 1 && mPartial.getByte(i - 2) == '\n';
-            if (blank) {
-                end = i + 1;
-            }
-        }
-        mScannedIndex = mPartial.writerIndex();
-        return end;
-    }
-
     private void updateLastId(String events) {
-        for (String line : events.split("\r?\n")) {
+        for (String line : LINE_END.split(events)) {
             if (line.startsWith(ID_FIELD)) {
                 mLastId = Optional.of(line.substring(ID_FIELD.length()).trim());
             }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedStream.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedStream.java
@@ -48,7 +48,7 @@
 
     /** Returns whether another upstream may continue the body after what was forwarded. */
     boolean canResume() {
-        return mStarted && mResumable;
+        return mStarted && mResumable && mEvents.isResumable();
     }
 
     /** Discards what was not forwarded because its upstream failed inside an event. */
@@ -61,12 +61,8 @@
         return mEvents.lastId();
     }
 
-    /** Forwards the end of the body. */
+    /** Forwards the end of the body, which is not inside an event. */
     void end() {
-        ByteBuf tail = mEvents.takeRemaining();
-        if (tail.isReadable()) {
-            mWriter.sendBody(tail);
-        }
         mWriter.sendEnd();
     }
 }
--- a/entry/src/test/java/org/boragethread/entry/gateway/EventStreamBufferTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/EventStreamBufferTest.java
@@ -1,6 +1,8 @@
 package org.boragethread.entry.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -12,8 +14,6 @@
 /** Tests {@link EventStreamBuffer}. */
 public class EventStreamBufferTest {
 
-    private final EventStreamBuffer mBuffer = new EventStreamBuffer();
-
     private static String append(EventStreamBuffer buffer, String data) {
         ByteBuf events = buffer.append(Unpooled.copiedBuffer(data, StandardCharsets.UTF_8));
         return events.toString(StandardCharsets.UTF_8);
@@ -39,7 +39,8 @@
 
     @Test
     public void crlfLineEndsSeparateEvents() {
-        assertEquals(append(mBuffer, "id: 1\r\ndata: a\r\n\r\nid"), "id: 1\r\ndata: a\r\n\r\n");
+        EventStreamBuffer buffer = new EventStreamBuffer();
+        assertEquals(append(buffer, "id: 1\r\ndata: a\r\n\r\nid"), "id: 1\r\ndata: a\r\n\r\n");
     }
 
     @Test
@@ -62,4 +63,23 @@
             assertEquals(buffer.lastId(), Optional.of("39"));
         }
     }
+
+    /** A stream was resumed inside an event of which a part had been forwarded. */
+    @Test
+    public void streamWithSplitEventIsNotResumable() {
+        EventStreamBuffer buffer = new EventStreamBuffer();
+        String start = "id: 1\ndata: " + "x".repeat(1 << 20);
+        assertEquals(append(buffer, start), start);
+        assertFalse(buffer.isResumable());
+        assertEquals(append(buffer, "\n\nid: 2\n"), "\n\n");
+        assertFalse(buffer.isResumable(), "the ID of the split event is not known");
+    }
+
+    @Test
+    public void carriageReturnsSeparateEvents() {
+        EventStreamBuffer buffer = new EventStreamBuffer();
+        assertEquals(append(buffer, "id: 1\rdata: a\r\rid"), "id: 1\rdata: a\r\r");
+        assertEquals(buffer.lastId(), Optional.of("1"));
+        assertTrue(buffer.isResumable());
+    }
 }
