Send streams to HTTP/1.0 callers without chunks

What callers saw: not seen by a caller of the platform. A caller that speaks HTTP/1.0 received chunk sizes inside a stream, and could not tell a stream that was cut off from a whole one. Cause: the framing of a streamed response did not depend on the caller's version. Evidence: two tests of ResumedResponseTest failed before: the stream contained chunk sizes, and a broken one ended with an ordinary close. Why it works: without chunks and length the end of the connection ends the body, and a response that is cut off resets the connection instead.

--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -58,7 +59,8 @@
     private ForwardedRequest mActiveRequest;
     private boolean mKeepAlive = true;
     private boolean mIsHeadRequest;
-    private boolean mChunkedResponse;
+    private boolean mAcceptsChunks;
+    private boolean mEndsBodyByClosing;
     private boolean mClosing;
     private long mIdleSinceNanos;
     private long mReceivingSinceNanos = -1;
@@ -159,6 +161,7 @@
         mHeadReceivedAt = ClockReading.now(mGateway.time());
         mKeepAlive = HttpUtil.isKeepAlive(head);
         mIsHeadRequest = head.method().equals(HttpMethod.HEAD);
+        mAcceptsChunks = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         Optional<String> problem = RequestValidator.findProblem(head);
         if (problem.isPresent()) {
             reject(RefusalReason.BAD_REQUEST, problem.get());
@@ -244,9 +247,12 @@
         HttpResponse response =
                 new DefaultHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-        mChunkedResponse = !headers.contains(HttpHeaderNames.CONTENT_LENGTH) && !mIsHeadRequest;
-        if (mChunkedResponse) {
+        boolean hasLength = headers.contains(HttpHeaderNames.CONTENT_LENGTH) || mIsHeadRequest;
+        if (!hasLength && mAcceptsChunks) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else if (!hasLength) {
+            mEndsBodyByClosing = true;
+            mKeepAlive = false;
         }
         setConnectionHeader(headers);
         mChannel.write(response);
@@ -299,6 +305,10 @@
     @Override
     public void abort() {
         mActiveRequest = null;
+        if (mEndsBodyByClosing) {
+            // Without lingering, closing resets the connection.
+            mChannel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         close();
     }
 
--- a/standins/src/test/java/org/boragethread/standins/system/ResumedResponseTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/ResumedResponseTest.java
@@ -1,9 +1,12 @@
 package org.boragethread.standins.system;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.Set;
@@ -24,6 +27,9 @@
             {"name":"stream","hostname":"127.0.0.1","path_prefix":"/stream/","kind":"streaming",
              "can_resume":true,"timeout_ms":5000,"target_latency_ms":400,"gap_aim_ms":400,
              "service":"engines","max_attempts":2},
+            {"name":"pinned","hostname":"127.0.0.1","path_prefix":"/pinned/","kind":"streaming",
+             "timeout_ms":5000,"target_latency_ms":400,"gap_aim_ms":400,
+             "service":"engines","max_attempts":2},
             {"name":"safe","hostname":"127.0.0.1","path_prefix":"/safe/","kind":"safe",
              "timeout_ms":5000,"target_latency_ms":400,"service":"engines","max_attempts":2}],
             "services":[{"name":"engines","max_conns":100}],
@@ -88,7 +94,7 @@
     /** A part of the body ends as {@code /closed} or {@code /reset} at the end of the path says. */
     private static ResponseScript response(
             ScriptedUpstream.Request request, String body, boolean isBroken) {
-        boolean isStream = request.path().startsWith("/stream/");
+        boolean isStream = !request.path().startsWith("/safe/");
         String head =
                 """
                 HTTP/1.1 200 OK\r
@@ -118,6 +124,37 @@
         assertEquals(mGateway.postWithKey("/stream/reset", "id-2").body(), WHOLE_STREAM);
     }
 
+    /** HTTP/1.0 has no chunks; without a length only the end of the connection ends the body. */
+    @Test
+    public void callerWithoutChunksReceivesWholeStreamAndEndOfConnection() throws Exception {
+        String response = postWithHttp10("/stream/whole", "id-4");
+        assertTrue(response.startsWith("HTTP/1.1 200 "), response);
+        assertTrue(response.endsWith("\r\n\r\n" + WHOLE_STREAM), response);
+    }
+
+    /** To a caller without chunks a closed connection made a broken stream look complete. */
+    @Test
+    public void brokenStreamResetsConnectionOfCallerWithoutChunks() {
+        expectThrows(SocketException.class, () -> postWithHttp10("/pinned/closed", "id-5"));
+    }
+
+    private String postWithHttp10(String path, String id) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", mGateway.port())) {
+            String request =
+                    """
+                    POST %s HTTP/1.0\r
+                    Host: 127.0.0.1\r
+                    Authorization: Token key-1\r
+                    X-Boragethread-Request-Id: %s\r
+                    Content-Length: 0\r
+                    \r
+                    """
+                            .formatted(path, id);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
     /** A body that broke off after its start was sent was continued with the whole body again. */
     @Test
     public void partsOfTwoRunsAreNotJoinedOutsideEventStreams() {
--- a/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
+++ b/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
@@ -20,10 +20,12 @@
     private static final String AUTHORIZATION = "Token key-1";
 
     private final JavaProcess mProcess;
+    private final int mPort;
     private final HttpCalls mCalls;
     private final HttpCalls mReadiness;
 
-    private TestGateway(JavaProcess process, HttpCalls calls, HttpCalls readiness) {
+    private TestGateway(JavaProcess process, int port, HttpCalls calls, HttpCalls readiness) {
+        mPort = port;
         mProcess = process;
         mCalls = calls;
         mReadiness = readiness;
@@ -59,6 +61,7 @@
         TestGateway gateway =
                 new TestGateway(
                         process,
+                        ports.get(0),
                         new HttpCalls("127.0.0.1:" + ports.get(0)),
                         new HttpCalls("127.0.0.1:" + ports.get(1)));
         Await.until(name + " is ready", TIMEOUT, () -> gateway.readiness() == 200);
@@ -77,6 +80,11 @@
         return mProcess;
     }
 
+    /** Returns the port for callers. */
+    int port() {
+        return mPort;
+    }
+
     HttpCalls calls() {
         return mCalls;
     }
