Obey upstreams that say in responses that they leave or pause

Cause: an upstream that leaves says so in its responses, and one that rejects a request may ask for a pause. Both were ignored: the store's word was awaited, and a rejected upstream was passed over for 150 ms only. An announcement from an older copy of the store could also undo 'draining'. Change: UpstreamSignals applies both headers of every response of an upstream to the incarnation that was called. Marks end with the incarnation, pauses with their time (ADR 0057). Where all upstreams pause or leave, callers are refused at once with the time of the first return, or wait for it if their deadline allows. Not covered: a signal in a response that no caller of the gateway awaits any more.

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -1,6 +1,7 @@
 package org.boragethread.core.upstream;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -76,7 +77,7 @@
         double lowestCost = Double.MAX_VALUE;
         for (int rank = 0; rank < ranked.size(); rank++) {
             UpstreamNode node = ranked.get(rank);
-            if (!isCallAllowed(node, request.group(), now)) {
+            if (node.isPaused(now) || !isCallAllowed(node, request.group(), now)) {
                 continue;
             }
             double cost = cost(node, rank, request, now);
@@ -97,7 +98,30 @@
 
     /** Returns whether any upstream of the group could get the request, now or soon. */
     public boolean hasCandidate(ChoiceRequest request) {
-        return !candidates(request).isEmpty();
+        long now = mTime.nanoTime();
+        return candidates(request).stream().anyMatch(node -> !node.isPaused(now));
+    }
+
+    /**
+     * Returns the time until the first upstream accepts calls again, if all that could get the
+     * request are paused.
+     */
+    public Optional<Duration> remainingPause(ChoiceRequest request) {
+        List<UpstreamNode> candidates = candidates(request);
+        long now = mTime.nanoTime();
+        if (candidates.stream().anyMatch(node -> !node.isPaused(now))) {
+            return Optional.empty();
+        }
+        return candidates.stream()
+                .map(UpstreamNode::pausedUntil)
+                .min(Comparator.naturalOrder())
+                .map(until -> Duration.ofNanos(until - now));
+    }
+
+    /** Returns whether all upstreams of the group are leaving, and there are any. */
+    public boolean isWholeGroupLeaving(ChoiceRequest request) {
+        List<UpstreamNode> nodes = mDirectory.of(request.group().id());
+        return !nodes.isEmpty() && nodes.stream().allMatch(UpstreamNode::isLeaving);
     }
 
     private List<UpstreamNode> candidates(ChoiceRequest request) {
@@ -112,7 +136,7 @@
 
     private boolean isAllowed(UpstreamNode node, ChoiceRequest request) {
         DataCentreId dataCentre = node.entry().dataCentre();
-        if (node.entry().draining() || request.excluded().contains(node)) {
+        if (node.isLeaving() || request.excluded().contains(node)) {
             return false;
         }
         if (request.evacuated().contains(dataCentre)) {
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,9 +25,13 @@
     /** Upstreams renew their announcements within about two seconds after an outage. */
     private static final Duration RENEWAL_GRACE = Duration.ofMillis(2200);
 
+    /** Removed upstreams whose state is kept; only recent ones are announced again. */
+    private static final int MAX_REMOVED = 1024;
+
     private final TimeSource mTime;
     private final Map<UpstreamId, UpstreamNode> mNodes = new HashMap<>();
     private final Map<GroupId, List<UpstreamNode>> mGroups = new HashMap<>();
+    private final Map<UpstreamId, UpstreamNode> mRemoved = new LinkedHashMap<>();
     private boolean mStoreUnavailable;
     private long mGraceEnd;
 
@@ -41,7 +46,7 @@
         long now = mTime.nanoTime();
         UpstreamNode node = mNodes.get(entry.id());
         if (node == null) {
-            node = new UpstreamNode(entry, now);
+            node = restoreOrCreate(entry, now);
             mNodes.put(entry.id(), node);
             group(entry.group()).add(node);
             return;
@@ -54,6 +59,19 @@
         }
     }
 
+    /**
+     * An announcement that ended may return from an older copy of the store. The upstream is then
+     * still leaving or paused.
+     */
+    private UpstreamNode restoreOrCreate(UpstreamAnnouncement entry, long now) {
+        UpstreamNode removed = mRemoved.remove(entry.id());
+        if (removed == null) {
+            return new UpstreamNode(entry, now);
+        }
+        removed.update(entry, now);
+        return removed;
+    }
+
     /** Removes an upstream whose announcement has ended, at once or after the grace period. */
     public void remove(UpstreamId id) {
         UpstreamNode node = mNodes.get(id);
@@ -121,5 +139,12 @@
     private void delete(UpstreamNode node) {
         mNodes.remove(node.entry().id());
         group(node.entry().group()).remove(node);
+        if (!node.isLeaving() && !node.isPaused(mTime.nanoTime())) {
+            return;
+        }
+        mRemoved.put(node.entry().id(), node);
+        if (mRemoved.size() > MAX_REMOVED) {
+            mRemoved.remove(mRemoved.keySet().iterator().next());
+        }
     }
 }
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -24,6 +24,8 @@
     private long mAvoidUntil = Long.MIN_VALUE;
     private long mBusyUntil = Long.MIN_VALUE;
     private long mRemovedAt = Long.MAX_VALUE;
+    private long mPausedUntil = Long.MIN_VALUE;
+    private boolean mLeaving;
     private int mConsecutiveFailures;
     private int mInFlight;
     private double mSlowness = 1;
@@ -37,11 +39,14 @@
         if (!entry.isSameIncarnation(mEntry)) {
             mAvoidUntil = Long.MIN_VALUE;
             mBusyUntil = Long.MIN_VALUE;
+            mPausedUntil = Long.MIN_VALUE;
+            mLeaving = false;
             mConsecutiveFailures = 0;
             mSlowness = 1;
             mPromptLoad.clearPrefixes();
         }
         mEntry = entry;
+        mLeaving |= entry.draining();
         mRemovedAt = Long.MAX_VALUE;
         if (entry.coldMillis() > 0) {
             mColdUntil = now + Duration.ofMillis(entry.coldMillis()).toNanos();
@@ -53,6 +58,35 @@
         return mEntry;
     }
 
+    /**
+     * Returns whether the upstream has said, in an announcement or a response, that it is leaving.
+     * An upstream that leaves does not come back, so only a restart ends this; an announcement that
+     * says otherwise is an older one.
+     */
+    public boolean isLeaving() {
+        return mLeaving;
+    }
+
+    /** Records a response in which the upstream says that it is leaving. */
+    public void markLeaving() {
+        mLeaving = true;
+    }
+
+    /** Records that the upstream accepts no call of this process until the given time. */
+    public void pauseUntil(long nanos) {
+        mPausedUntil = Math.max(mPausedUntil, nanos);
+    }
+
+    /** Returns the time until which the upstream accepts no call of this process. */
+    public long pausedUntil() {
+        return mPausedUntil;
+    }
+
+    /** Returns whether the upstream accepts no call of this process now. */
+    public boolean isPaused(long now) {
+        return now < mPausedUntil;
+    }
+
     /** Schedules the removal of the upstream, because its announcement has ended. */
     void removeAt(long nanos) {
         mRemovedAt = Math.min(mRemovedAt, nanos);
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
@@ -1,6 +1,7 @@
 package org.boragethread.core.upstream;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -125,6 +126,34 @@
         assertTrue(used.size() > 2, "only " + used.size() + " engines are used");
     }
 
+    /** An upstream that had asked for a pause got further requests. */
+    @Test
+    public void pausedEnginesGetNoRequestsUntilTheLongestPauseEnds() {
+        long now = mTime.nanoTime();
+        for (UpstreamNode engine : mDirectory.of(mGroup.id())) {
+            engine.pauseUntil(now + Duration.ofSeconds(5).toNanos());
+            engine.pauseUntil(now + Duration.ofSeconds(1).toNanos());
+        }
+        ChoiceRequest request = request(42, Set.of());
+        for (int second = 0; second < 5; second++) {
+            assertTrue(mChooser.choose(request).isEmpty(), "second " + second);
+            assertFalse(mChooser.hasCandidate(request));
+            assertEquals(
+                    mChooser.remainingPause(request), Optional.of(Duration.ofSeconds(5 - second)));
+            mTime.advance(Duration.ofSeconds(1));
+        }
+        assertTrue(mChooser.choose(request).isPresent());
+        assertTrue(mChooser.remainingPause(request).isEmpty());
+    }
+
+    @Test
+    public void requestsGoToEnginesThatDoNotPause() {
+        UpstreamNode paused = choose(42);
+        paused.pauseUntil(mTime.nanoTime() + Duration.ofSeconds(5).toNanos());
+        assertNotEquals(choose(42), paused);
+        assertTrue(mChooser.remainingPause(request(42, Set.of())).isEmpty());
+    }
+
     @Test
     public void failedEngineIsAvoidedForAWhile() {
         UpstreamNode engine = choose(42);
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
@@ -1,10 +1,14 @@
 package org.boragethread.core.upstream;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
 import org.testng.annotations.BeforeMethod;
@@ -73,4 +77,49 @@
         assertEquals(groupSize(), 1);
         assertEquals(mDirectory.of(new GroupId("orders")).size(), 1);
     }
+
+    /** An upstream got requests again when an older copy of the store still said 'ready'. */
+    @Test
+    public void leavingEndsOnlyWithAnotherIncarnation() {
+        mDirectory.put(UpstreamEntries.of("a", "engines", "north", true, 0));
+        mDirectory.find(new UpstreamId("b")).orElseThrow().markLeaving();
+        mDirectory.replaceAll(
+                List.of(
+                        UpstreamEntries.of("a", "engines", "north"),
+                        UpstreamEntries.of("b", "engines", "north")));
+        assertTrue(isLeaving("a") && isLeaving("b"));
+        mDirectory.remove(new UpstreamId("b"));
+        mDirectory.put(UpstreamEntries.of("b", "engines", "north"));
+        assertTrue(isLeaving("b"), "the announcement was removed in between");
+        mDirectory.put(restarted(UpstreamEntries.of("b", "engines", "north")));
+        assertFalse(isLeaving("b"));
+    }
+
+    @Test
+    public void pauseOutlivesAnnouncementAndEndsWithIncarnation() {
+        UpstreamNode node = mDirectory.find(new UpstreamId("a")).orElseThrow();
+        node.pauseUntil(mTime.nanoTime() + Duration.ofSeconds(9).toNanos());
+        mDirectory.remove(new UpstreamId("a"));
+        mDirectory.put(UpstreamEntries.of("a", "engines", "north"));
+        node = mDirectory.find(new UpstreamId("a")).orElseThrow();
+        assertTrue(node.isPaused(mTime.nanoTime()));
+        mDirectory.put(restarted(UpstreamEntries.of("a", "engines", "north")));
+        assertFalse(node.isPaused(mTime.nanoTime()));
+    }
+
+    private boolean isLeaving(String id) {
+        return mDirectory.find(new UpstreamId(id)).orElseThrow().isLeaving();
+    }
+
+    private static UpstreamAnnouncement restarted(UpstreamAnnouncement entry) {
+        return new UpstreamAnnouncement(
+                entry.id(),
+                entry.group(),
+                entry.host(),
+                entry.port(),
+                entry.dataCentre(),
+                false,
+                0,
+                Optional.of(2L));
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
@@ -39,7 +39,8 @@
         List<UpstreamNode> avoided = new ArrayList<>();
         for (UpstreamNode node : mGateway.directory().of(mGroup)) {
             boolean excluded =
-                    node.entry().draining()
+                    node.isLeaving()
+                            || node.isPaused(now)
                             || mGateway.routingTable()
                                     .evacuated()
                                     .contains(node.entry().dataCentre());
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -20,12 +20,6 @@
  */
 final class ForwardedRequest implements StagePhase.Listener, AttemptListener {
 
-    /** Interval between searches for an available upstream. */
-    private static final Duration SEARCH_INTERVAL = Duration.ofMillis(40);
-
-    /** Longest search for an upstream if all are cold; a third of it if there is none at all. */
-    private static final Duration MAX_SEARCH_TIME = Duration.ofMillis(900);
-
     /** Time after the caller's deadline in which a finished response may still be forwarded. */
     private static final Duration DEADLINE_SLACK = Duration.ofMillis(40);
 
@@ -53,13 +47,13 @@
     private Scheduler.Timer mDeadlineTimer = () -> {};
     private final StagePhase mStages;
     private final StallWatch mStallWatch;
+    private final UpstreamSearch mSearch;
     private UpstreamAttempt mAttempt;
     private long mUncachedTokens;
     private int mExecutions;
     private int mSends;
     private int mRejections;
     private boolean mEnded;
-    private long mSearchStartNanos = -1;
 
     ForwardedRequest(Gateway gateway, CallerRequest request, CallerResponseWriter responseWriter) {
         mGateway = gateway;
@@ -69,6 +63,7 @@
         mTrace = new RequestTrace(gateway, request);
         mStages = new StagePhase(gateway, request, this);
         mStallWatch = new StallWatch(gateway.scheduler());
+        mSearch = new UpstreamSearch(gateway.chooser(), gateway.time());
     }
 
     /** Admits the request and starts processing it. */
@@ -147,10 +142,10 @@
         ChoiceRequest choice = mPlacement.choiceRequest();
         Optional<UpstreamNode> node = mGateway.chooser().choose(choice);
         if (node.isEmpty()) {
-            retrySearch(choice);
+            searchAgain(choice);
             return;
         }
-        mSearchStartNanos = -1;
+        mSearch.reset();
         if (mSends == 0) {
             mGateway.retryBudget(mGroup.id()).recordFirstCall();
         }
@@ -159,7 +154,14 @@
         boolean streaming = mAdmitted.route().kind() == RequestKind.STREAMING;
         mUncachedTokens = mAdmitted.uncachedTokens(node.get());
         double prefillMillis = responseTimes().prefillMillis(mUncachedTokens);
-        mAttempt = new UpstreamAttempt(node.get(), streaming, this, now, prefillMillis);
+        mAttempt =
+                new UpstreamAttempt(
+                        node.get(),
+                        mGateway.upstreamSignals(),
+                        streaming,
+                        this,
+                        now,
+                        prefillMillis);
         mAdmitted.countPrompt(node.get(), mGroup, prefillMillis);
         mTrace.sent(node.get(), mSends, remaining());
         mAttempt.start(
@@ -171,21 +173,15 @@
         startStallTimer();
     }
 
-    /** Searches again later: all upstreams are cold or there is none, but one may come soon. */
-    private void retrySearch(ChoiceRequest choice) {
-        long now = mGateway.time().nanoTime();
-        if (mSearchStartNanos < 0) {
-            mSearchStartNanos = now;
-        }
-        boolean any = mGateway.chooser().hasCandidate(choice);
-        long limit = any ? MAX_SEARCH_TIME.toNanos() : MAX_SEARCH_TIME.toNanos() / 3;
-        if (now - mSearchStartNanos > Math.min(limit, remaining().toNanos() / 3)) {
-            fail(
-                    RefusalReason.NO_UPSTREAM,
-                    any ? "all upstreams are cold" : "no upstream of group " + mGroup.id());
-            return;
-        }
-        mGateway.scheduler().schedule(SEARCH_INTERVAL, this::send);
+    private void searchAgain(ChoiceRequest choice) {
+        mSearch.next(choice, remaining(), mAdmitted.priority(), mRequest.unitHash())
+                .peek(delay -> mGateway.scheduler().schedule(delay, this::send))
+                .peekLeft(
+                        failure ->
+                                fail(
+                                        RefusalReason.NO_UPSTREAM,
+                                        failure.detail(),
+                                        failure.retryAfter()));
     }
 
     /** Retries an idempotent request at another upstream if the current one stays silent. */
@@ -238,12 +234,18 @@
             restartStages();
             return;
         }
-        mPlacement.exclude(node);
+        if (!node.isPaused(now)) {
+            mPlacement.exclude(node);
+        }
         if (mRejections < MAX_REJECTIONS && tryRetry("status-" + status)) {
             send();
             return;
         }
-        fail(RefusalReason.UPSTREAM_BUSY, "upstream %s: %d".formatted(node.entry().id(), status));
+        fail(
+                RefusalReason.UPSTREAM_BUSY,
+                "upstream %s: %d".formatted(node.entry().id(), status),
+                mSearch.retryAfter(
+                        mPlacement.choiceRequest(), mAdmitted.priority(), mRequest.unitHash()));
     }
 
     @Override
@@ -379,11 +381,15 @@
     }
 
     private boolean isDeadlineNear() {
-        return remaining().compareTo(SEARCH_INTERVAL) < 0;
+        return remaining().compareTo(UpstreamSearch.INTERVAL) < 0;
     }
 
     private boolean tryRetry(String reason) {
-        if (isDeadlineNear() || !mGateway.chooser().hasCandidate(mPlacement.choiceRequest())) {
+        ChoiceRequest choice = mPlacement.choiceRequest();
+        boolean possible =
+                mGateway.chooser().hasCandidate(choice)
+                        || mSearch.isPauseShort(choice, remaining());
+        if (isDeadlineNear() || !possible) {
             return false;
         }
         if (!mGateway.retryBudget(mGroup.id()).tryAcquire()) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -39,6 +39,7 @@
     private final TimeSource mTime;
     private final Scheduler mScheduler;
     private final HttpConnectionPool mConnections;
+    private final UpstreamSignals mUpstreamSignals;
     private final EventLog mLog;
     private final GatewayMetrics mMetrics;
     private final RoutingTable mRoutingTable = new RoutingTable();
@@ -77,6 +78,7 @@
                         settings.dataCentre(),
                         settings.regions(),
                         new ColdRateShare(settings.coldRateBound(), mSharedLimits));
+        mUpstreamSignals = new UpstreamSignals(mScheduler, time, mLog, metrics);
         mBatchClient =
                 new HttpBatchClient(
                         mConnections,
@@ -84,6 +86,7 @@
                         time,
                         mLog,
                         metrics,
+                        mUpstreamSignals,
                         group -> batchScheduler(group).dispatch());
         mCoordinators = new CoordinatorTable(time, settings.dataCentre());
         mStageRouter =
@@ -133,6 +136,10 @@
         return mLease;
     }
 
+    UpstreamSignals upstreamSignals() {
+        return mUpstreamSignals;
+    }
+
     UpstreamChooser chooser() {
         return mChooser;
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -47,6 +47,10 @@
         increment("boragethread.gateway.broken", "reason", reason);
     }
 
+    void onUpstreamSignal(String signal) {
+        increment("boragethread.gateway.upstream.signals", "signal", signal);
+    }
+
     void onAttempt(String group, Duration time) {
         recordTime("boragethread.gateway.attempt", "group", group, time);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
@@ -53,6 +53,7 @@
     private final TimeSource mTime;
     private final EventLog mLog;
     private final GatewayMetrics mMetrics;
+    private final UpstreamSignals mSignals;
     private final Consumer<GroupId> mOnFreed;
     private final Map<UpstreamNode, Set<String>> mPendingFrees = new HashMap<>();
 
@@ -62,12 +63,14 @@
             TimeSource time,
             EventLog log,
             GatewayMetrics metrics,
+            UpstreamSignals signals,
             Consumer<GroupId> onFreed) {
         mConnections = connections;
         mScheduler = scheduler;
         mTime = time;
         mLog = log;
         mMetrics = metrics;
+        mSignals = signals;
         mOnFreed = onFreed;
     }
 
@@ -89,6 +92,7 @@
                 true,
                 timeout,
                 response -> {
+                    applySignals(upstream, entry, response);
                     Either<BatchFailure, BatchResponse> result =
                             decodeResponse(response, pieces.size());
                     logBatch(
@@ -101,6 +105,13 @@
                 });
     }
 
+    private void applySignals(
+            UpstreamNode upstream,
+            UpstreamAnnouncement entry,
+            Either<CallFailure, BufferedResponse> response) {
+        response.peek(whole -> mSignals.apply(upstream, entry, whole.status(), whole.headers()));
+    }
+
     private void logBatch(
             UpstreamAnnouncement entry,
             List<PieceWork> pieces,
@@ -179,6 +190,12 @@
     }
 
     private void sendFreeRequest(UpstreamNode upstream, Set<String> handles) {
+        long now = mTime.nanoTime();
+        if (upstream.isPaused(now)) {
+            Duration pause = Duration.ofNanos(upstream.pausedUntil() - now);
+            mScheduler.schedule(pause, () -> free(upstream, handles));
+            return;
+        }
         UpstreamAnnouncement entry = upstream.entry();
         FullHttpRequest request =
                 postRequest(entry, StageCodec.FREE_PATH, StageCodec.encodeFree(handles));
@@ -188,6 +205,7 @@
                 false,
                 FREE_TIMEOUT,
                 response -> {
+                    applySignals(upstream, entry, response);
                     // Before this response the upstream may lack memory for other results.
                     upstream.resultMemory().remove(handles);
                     mOnFreed.accept(entry.group());
--- a/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
@@ -11,8 +11,22 @@
     /** Time in which the backlog after a burst of a few seconds shrinks by half. */
     private static final Duration BACKLOG = Duration.ofSeconds(2);
 
+    /** Distance between the returns of two priorities after a pause. */
+    private static final Duration PRIORITY_STEP = Duration.ofMillis(20);
+
     private RetryDelays() {}
 
+    /**
+     * Returns the delay for a request whose upstreams all accept no calls for a time. More urgent
+     * requests return first, and those of one priority at different moments.
+     *
+     * @param priority priority of the request, 0 for the most urgent
+     * @param jitter number from 0 to 1
+     */
+    static Duration afterPause(Duration pause, int priority, double jitter) {
+        return pause.plusNanos((long) (PRIORITY_STEP.toNanos() * (priority + jitter)));
+    }
+
     /**
      * Returns the delay for a request whose stages cannot finish in time. A retry with too little
      * time left would be refused again, so it is then delayed until after the deadline.
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.platform.store.PlatformHeaders;
 import org.boragethread.wire.http.BodyFraming;
 import org.boragethread.wire.http.CallControl;
@@ -26,6 +27,8 @@
     private static final int MAX_BUFFERED_BYTES = 256 << 10;
 
     private final UpstreamNode mNode;
+    private final UpstreamAnnouncement mCalledEntry;
+    private final UpstreamSignals mSignals;
     private final boolean mStreaming;
     private final AttemptListener mListener;
     private final long mSentAt;
@@ -49,11 +52,14 @@
      */
     UpstreamAttempt(
             UpstreamNode node,
+            UpstreamSignals signals,
             boolean streaming,
             AttemptListener listener,
             long sentAt,
             double prefillMillis) {
         mNode = node;
+        mCalledEntry = node.entry();
+        mSignals = signals;
         mStreaming = streaming;
         mListener = listener;
         mSentAt = sentAt;
@@ -123,6 +129,7 @@
         mStatus = head.status().code();
         mHeaders = head.headers();
         mFraming = BodyFraming.of(mMethod, head);
+        mSignals.apply(mNode, mCalledEntry, mStatus, mHeaders);
         mIsEventStream = mFraming != BodyFraming.NO_BODY && isEventStream(head);
         boolean notExecuted =
                 mStatus == MISDIRECTED || mHeaders.contains(PlatformHeaders.NOT_EXECUTED);
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
@@ -0,0 +1,106 @@
+package org.boragethread.entry.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.core.time.Scheduler;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.routing.UpstreamAnnouncement;
+import org.boragethread.platform.store.HeaderDecoder;
+import org.boragethread.platform.store.PlatformHeaders;
+import org.boragethread.process.log.EventLog;
+
+/** Applies what the headers of an upstream's responses say about the upstream itself. */
+final class UpstreamSignals {
+
+    private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
+    private static final String LEAVING_VALUE = "1";
+
+    private final Scheduler mScheduler;
+    private final TimeSource mTime;
+    private final EventLog mLog;
+    private final GatewayMetrics mMetrics;
+
+    UpstreamSignals(Scheduler scheduler, TimeSource time, EventLog log, GatewayMetrics metrics) {
+        mScheduler = scheduler;
+        mTime = time;
+        mLog = log;
+        mMetrics = metrics;
+    }
+
+    /**
+     * Applies the headers of a response.
+     *
+     * @param calledEntry announcement of the upstream when it was called; another process that has
+     *     its address now says nothing about it, nor does an earlier run about the present one
+     */
+    void apply(
+            UpstreamNode node, UpstreamAnnouncement calledEntry, int status, HttpHeaders headers) {
+        if (status == MISDIRECTED || !node.entry().isSameIncarnation(calledEntry)) {
+            return;
+        }
+        applyLeaving(node, headers.getAll(PlatformHeaders.LEAVING));
+        if (status == UNAVAILABLE) {
+            applyPause(node, headers.getAll(PlatformHeaders.RETRY_AFTER));
+        }
+    }
+
+    private void applyLeaving(UpstreamNode node, List<String> values) {
+        if (values.isEmpty()) {
+            return;
+        }
+        if (!values.equals(List.of(LEAVING_VALUE))) {
+            logMalformed(node, PlatformHeaders.LEAVING, values);
+        }
+        if (HeaderDecoder.leaving(values) && !node.isLeaving()) {
+            node.markLeaving();
+            mMetrics.onUpstreamSignal("leaving");
+            line(node, "leaving").with("source", "response").info();
+        }
+    }
+
+    private void applyPause(UpstreamNode node, List<String> values) {
+        if (values.isEmpty()) {
+            return;
+        }
+        Optional<Duration> pause = HeaderDecoder.pause(values);
+        if (pause.isEmpty() || values.size() > 1) {
+            logMalformed(node, PlatformHeaders.RETRY_AFTER, values);
+        }
+        if (pause.isEmpty()) {
+            return;
+        }
+        boolean wasPaused = node.isPaused(mTime.nanoTime());
+        node.pauseUntil(mTime.nanoTime() + pause.get().toNanos());
+        if (!wasPaused) {
+            mMetrics.onUpstreamSignal("paused");
+            line(node, "paused").with("pauseMs", pause.get().toMillis()).info();
+            awaitEndOfPause(node);
+        }
+    }
+
+    /** Logs the end of a pause, which later responses may have extended. */
+    private void awaitEndOfPause(UpstreamNode node) {
+        long remaining = node.pausedUntil() - mTime.nanoTime();
+        if (remaining <= 0) {
+            line(node, "pause-ended").info();
+            return;
+        }
+        mScheduler.schedule(Duration.ofNanos(remaining), () -> awaitEndOfPause(node));
+    }
+
+    private void logMalformed(UpstreamNode node, CharSequence header, List<String> values) {
+        mMetrics.onUpstreamSignal("malformed");
+        line(node, "malformed-header").with("header", header).with("values", values).warn();
+    }
+
+    private EventLog.Line line(UpstreamNode node, String outcome) {
+        return mLog.event("upstream")
+                .with("id", node.entry().id())
+                .with("group", node.entry().group())
+                .with("outcome", outcome);
+    }
+}
--- a/standins/src/main/java/org/boragethread/standins/store/DirectUpstream.java
+++ b/standins/src/main/java/org/boragethread/standins/store/DirectUpstream.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.boragethread.standins.http.Exchange;
 import org.boragethread.standins.http.StandInResponse;
 import org.boragethread.standins.http.StandInServer;
@@ -33,7 +34,10 @@
     private final List<String> mExecutedTeams = new CopyOnWriteArrayList<>();
     private final List<String> mInputHeaders = new CopyOnWriteArrayList<>();
     private final List<String> mReleasedHandles = new CopyOnWriteArrayList<>();
+    private final AtomicInteger mReceivedRequests = new AtomicInteger();
     private volatile boolean mRejecting;
+    private volatile String mPauseSeconds = "";
+    private volatile boolean mLeaving;
 
     /** Creates an upstream that is not yet listening. */
     public DirectUpstream(String id, String group) {
@@ -79,7 +83,23 @@
         mRejecting = rejecting;
     }
 
+    /** Sets the Retry-After of rejections; empty for none. */
+    public void setPause(String seconds) {
+        mPauseSeconds = seconds;
+    }
+
+    /** Sets whether responses say that this upstream is leaving. */
+    public void setLeaving(boolean leaving) {
+        mLeaving = leaving;
+    }
+
+    /** Returns the number of requests and calls that have arrived. */
+    public int receivedRequests() {
+        return mReceivedRequests.get();
+    }
+
     private void handle(Exchange exchange) {
+        mReceivedRequests.incrementAndGet();
         String expected = exchange.header(EXPECTED_INSTANCE).orElse(mId);
         if (!expected.equals(mId)) {
             exchange.respond(StandInResponse.text(421, "another instance"));
@@ -95,7 +115,7 @@
     private void serveRequest(Exchange exchange) {
         String id = exchange.header(REQUEST_ID).orElse("");
         if (mRejecting) {
-            exchange.respond(StandInResponse.text(503, "full").with(NOT_EXECUTED, "1"));
+            exchange.respond(rejection());
             return;
         }
         mExecutedRequestIds.add(id);
@@ -120,7 +140,17 @@
         exchange.respond(answer(id));
     }
 
+    private StandInResponse rejection() {
+        StandInResponse rejection = StandInResponse.text(503, "full").with(NOT_EXECUTED, "1");
+        return mPauseSeconds.isEmpty() ? rejection : rejection.with("Retry-After", mPauseSeconds);
+    }
+
     private StandInResponse answer(String id) {
+        StandInResponse answer = wholeAnswer(id);
+        return mLeaving ? answer.with("Server-Leaving", "1") : answer;
+    }
+
+    private StandInResponse wholeAnswer(String id) {
         return StandInResponse.text(200, "answer to " + id + " from " + mId)
                 .with(REQUEST_ID, id)
                 .with(SEAL, "seal-" + id);
--- a/standins/src/test/java/org/boragethread/standins/system/GatewayTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/GatewayTest.java
@@ -191,6 +191,67 @@
         assertEquals(mFirst.executedRequestIds().size(), before);
     }
 
+    /** An upstream that said in a response that it leaves got requests until the store said so. */
+    @Test
+    public void upstreamThatSaysInResponseThatItLeavesGetsNoFurtherRequest() throws Exception {
+        for (int i = 0; i < 10; i++) {
+            assertEquals(post("/safe/x", "id-early-" + i).statusCode(), 200);
+        }
+        mFirst.setLeaving(true);
+        mSecond.setRejecting(true);
+        assertEquals(post("/safe/x", "id-at-first").statusCode(), 200);
+        mSecond.setRejecting(false);
+        assertEquals(timesExecuted(mFirst, "id-at-first"), 1);
+        int before = mFirst.receivedRequests();
+        for (int i = 0; i < 10; i++) {
+            assertEquals(post("/safe/x", "id-" + i).statusCode(), 200);
+        }
+        announce("first", mFirst, false);
+        assertEquals(post("/safe/x", "id-after-announcement").statusCode(), 200);
+        assertEquals(mFirst.receivedRequests(), before);
+        mSecond.setLeaving(true);
+        assertEquals(post("/unsafe/x", "id-last").statusCode(), 200);
+        HttpResponse<String> refused = post("/unsafe/x", "id-refused");
+        assertEquals(refused.statusCode(), 503);
+        assertTrue(refused.body().contains("\"ran\":\"no\""));
+    }
+
+    /** An upstream that asked for a pause got further requests during it. */
+    @Test
+    public void pausingUpstreamsGetNoRequestAndCallersAreRefusedAtOnce() throws Exception {
+        for (DirectUpstream upstream : List.of(mFirst, mSecond)) {
+            upstream.setRejecting(true);
+            upstream.setPause("20");
+        }
+        HttpResponse<String> first = post("/unsafe/x", "id-first");
+        assertEquals(first.statusCode(), 503);
+        int received = mFirst.receivedRequests() + mSecond.receivedRequests();
+        assertTrue(received <= 2, received + " requests");
+        long start = System.nanoTime();
+        for (int i = 0; i < 5; i++) {
+            HttpResponse<String> refused = post("/safe/x", "id-" + i);
+            assertEquals(refused.statusCode(), 503);
+            double after =
+                    Double.parseDouble(refused.headers().firstValue("Retry-After").orElseThrow());
+            assertTrue(after > 10 && after < 21, "Retry-After " + after);
+        }
+        assertTrue(System.nanoTime() - start < Duration.ofSeconds(2).toNanos());
+        assertTrue(mFirst.receivedRequests() + mSecond.receivedRequests() <= 2);
+    }
+
+    /** A request whose deadline is later than the pause is served after it. */
+    @Test
+    public void requestWaitsForTheEndOfAShortPause() throws Exception {
+        announce("second", mSecond, true);
+        Await.until("second is leaving", TIMEOUT, () -> mGateway.hasLogLine("\"leaving\""));
+        mFirst.setRejecting(true);
+        mFirst.setPause("0.6");
+        assertEquals(post("/unsafe/x", "id-rejected").statusCode(), 503);
+        mFirst.setRejecting(false);
+        assertEquals(post("/unsafe/x", "id-waiting").statusCode(), 200);
+        assertEquals(timesExecuted(mFirst, "id-waiting"), 1);
+    }
+
     @Test
     public void routeTimeoutEndsRequestWithGatewayTimeout() throws Exception {
         configure(2, "\"key-1\"", 300);
