--- a/core/src/main/java/org/boragethread/core/follow/RecordPage.java
+++ b/core/src/main/java/org/boragethread/core/follow/RecordPage.java
@@ -12,12 +12,18 @@
  * @param records the records in order; a relayed page may leave out records that later ones replace
  * @param relayAge if another process passed the page on, the time from its read of the store until
  *     the request reached it; negative if it read after that
+ * @param era era of the store to which the offsets belong
  */
 public record RecordPage(
-        long endOffset, long nextOffset, List<KeyedRecord> records, Optional<Duration> relayAge) {
+        long endOffset,
+        long nextOffset,
+        List<KeyedRecord> records,
+        Optional<Duration> relayAge,
+        StoreEra era) {
 
     /** Returns a page that was read from the store, without gaps, from the given offset on. */
-    public static RecordPage ofStore(long endOffset, long offset, List<KeyedRecord> records) {
-        return new RecordPage(endOffset, offset + records.size(), records, Optional.empty());
+    public static RecordPage ofStore(
+            long endOffset, long offset, List<KeyedRecord> records, StoreEra era) {
+        return new RecordPage(endOffset, offset + records.size(), records, Optional.empty(), era);
     }
 }
--- a/core/src/main/java/org/boragethread/core/follow/RelayClient.java
+++ b/core/src/main/java/org/boragethread/core/follow/RelayClient.java
@@ -12,6 +12,7 @@
      *
      * @param relay address of the process
      * @param offset offset of the first record
+     * @param era era of the store to which the offset belongs
      * @param seenUpdate number of the update that was received last; 0 if there was none
      * @param timeout time after which the read fails
      * @param callback called once
@@ -20,6 +21,7 @@
             String relay,
             String topic,
             long offset,
+            StoreEra era,
             long seenUpdate,
             Duration timeout,
             Consumer<Either<ReadFailure, TopicRelay.Update>> callback);
--- a/core/src/main/java/org/boragethread/core/follow/RelayedTopic.java
+++ b/core/src/main/java/org/boragethread/core/follow/RelayedTopic.java
@@ -23,6 +23,7 @@
     private final TimeSource mTime;
     private final Duration mTimeout;
     private String mLastRelay = "";
+    private StoreEra mEra = StoreEra.UNKNOWN;
     private long mSeenUpdate;
     private long mAvoidUntil;
 
@@ -52,7 +53,12 @@
     @Override
     public void readSnapshotPart(
             Optional<String> after, Consumer<Either<ReadFailure, SnapshotPart>> callback) {
-        mStoreTopic.readSnapshotPart(after, callback);
+        mStoreTopic.readSnapshotPart(
+                after,
+                response -> {
+                    response.peek(part -> mEra = part.era().orIfUnknown(mEra));
+                    callback.accept(response);
+                });
     }
 
     @Override
@@ -71,6 +77,7 @@
                 mLastRelay,
                 mTopic,
                 offset,
+                mEra,
                 mSeenUpdate,
                 mTimeout,
                 response -> onUpdate(offset, response, callback));
--- a/core/src/main/java/org/boragethread/core/follow/SnapshotPart.java
+++ b/core/src/main/java/org/boragethread/core/follow/SnapshotPart.java
@@ -8,5 +8,7 @@
  * @param records the records, in the order of their keys
  * @param hasMore whether further keys follow the last one
  * @param endOffset offset after the newest record of the topic when the part was read
+ * @param era era of the store when the part was read
  */
-public record SnapshotPart(List<KeyedRecord> records, boolean hasMore, long endOffset) {}
+public record SnapshotPart(
+        List<KeyedRecord> records, boolean hasMore, long endOffset, StoreEra era) {}
--- a/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
+++ b/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
@@ -11,7 +11,7 @@
 /**
  * Delivers the content of a compacted topic to a listener: first a snapshot, then all further
  * records in order. It starts again with a snapshot if the store has deleted records that were not
- * read yet, or if the end offset went back. Not thread-safe.
+ * read yet, or works with another copy of its records. Not thread-safe.
  */
 public final class TopicFollower {
 
@@ -22,6 +22,7 @@
     private final TopicListener mListener;
     private final TopicRelay mRelay;
     private long mNextOffset = -1;
+    private StoreEra mEra = StoreEra.UNKNOWN;
     private boolean mUnavailable;
 
     /**
@@ -60,6 +61,10 @@
             return;
         }
         SnapshotPart part = response.get();
+        if (snapshot.isOfOtherEra(part)) {
+            start();
+            return;
+        }
         snapshot.add(part);
         if (part.hasMore() && !part.records().isEmpty()) {
             String last = part.records().get(part.records().size() - 1).key();
@@ -68,9 +73,14 @@
         }
         onSuccess();
         // Continues from the end offset of the first part, as records may have been written since.
+        boolean restored = snapshot.mEra.differsFrom(mEra) || snapshot.mEndOffset < mNextOffset;
         mNextOffset = snapshot.mEndOffset;
+        mEra = snapshot.mEra.orIfUnknown(mEra);
+        if (restored) {
+            mListener.onStoreRestored();
+        }
         mListener.onSnapshot(snapshot.mValues);
-        mRelay.onSnapshot(mNextOffset);
+        mRelay.onSnapshot(mNextOffset, mEra);
         mListener.onUpToDate(snapshot.mSentAt);
         readRecords();
     }
@@ -93,11 +103,13 @@
             return;
         }
         RecordPage page = response.get();
-        if (page.endOffset() < mNextOffset) {
+        if (page.endOffset() < mNextOffset || page.era().differsFrom(mEra)) {
+            mRelay.stop();
             start();
             return;
         }
         onSuccess();
+        mEra = mEra.orIfUnknown(page.era());
         deliver(page);
         if (mNextOffset < page.endOffset()) {
             readRecords();
@@ -156,14 +168,20 @@
         private final ClockReading mSentAt;
         private final Map<String, byte[]> mValues = new HashMap<>();
         private long mEndOffset = -1;
+        private StoreEra mEra = StoreEra.UNKNOWN;
 
         Snapshot(ClockReading sentAt) {
             mSentAt = sentAt;
         }
 
+        boolean isOfOtherEra(SnapshotPart part) {
+            return part.era().differsFrom(mEra);
+        }
+
         void add(SnapshotPart part) {
             if (mEndOffset < 0) {
                 mEndOffset = part.endOffset();
+                mEra = part.era();
             }
             for (KeyedRecord record : part.records()) {
                 record.value().ifPresent(value -> mValues.put(record.key(), value));
--- a/core/src/main/java/org/boragethread/core/follow/TopicListener.java
+++ b/core/src/main/java/org/boragethread/core/follow/TopicListener.java
@@ -6,6 +6,13 @@
 /** Receives the content of a topic. */
 public interface TopicListener {
 
+    /**
+     * Called before the snapshot if the store came back from an older copy. Records of that
+     * snapshot may be older than those delivered before, and missing ones may still be written
+     * again.
+     */
+    void onStoreRestored();
+
     /** Called with the whole content of the topic, which replaces all previous content. */
     void onSnapshot(Map<String, byte[]> values);
 
--- a/core/src/main/java/org/boragethread/core/follow/TopicRelay.java
+++ b/core/src/main/java/org/boragethread/core/follow/TopicRelay.java
@@ -27,6 +27,7 @@
     private final Map<String, KeyedRecord> mRecords = new HashMap<>();
     private final Set<Waiter> mWaiters = new LinkedHashSet<>();
     private Optional<ClockReading> mUpToDateAt = Optional.empty();
+    private StoreEra mEra = StoreEra.UNKNOWN;
     private long mStartOffset;
     private long mNextOffset;
     private long mUpdate;
@@ -67,9 +68,11 @@
      * still needs.
      *
      * @param offset offset from which on all records follow
+     * @param era era of the store to which the offset belongs
      */
-    void onSnapshot(long offset) {
+    void onSnapshot(long offset, StoreEra era) {
         stop();
+        mEra = era;
         mRecords.clear();
         mRemovedKeys = 0;
         mStartOffset = offset;
@@ -80,7 +83,7 @@
     void onRecords(long offset, List<KeyedRecord> records) {
         if (offset != mNextOffset) {
             // Others passed on what is missing, without the records that were replaced meanwhile.
-            onSnapshot(offset);
+            onSnapshot(offset, mEra);
         }
         for (KeyedRecord record : records) {
             if (!record.key().isEmpty()) {
@@ -112,7 +115,7 @@
     /** Responds to all waiting reads, because the records are complete as of the given time. */
     void onUpToDate(long nextOffset, ClockReading asOf) {
         if (nextOffset != mNextOffset) {
-            onSnapshot(nextOffset);
+            onSnapshot(nextOffset, mEra);
         }
         mUpToDateAt = Optional.of(asOf);
         mUpdate++;
@@ -138,12 +141,16 @@
      * Reads the records from an offset on, as soon as there is an update that the reader has not
      * seen.
      *
+     * @param era era of the store to which the offset belongs
      * @param seenUpdate number of the update that the reader received last
      * @param callback called once, unless the read is cancelled
      */
     public PendingRead read(
-            long offset, long seenUpdate, Consumer<Either<ReadFailure, Update>> callback) {
-        if (mUpToDateAt.isEmpty() || offset < mStartOffset) {
+            long offset,
+            StoreEra era,
+            long seenUpdate,
+            Consumer<Either<ReadFailure, Update>> callback) {
+        if (mUpToDateAt.isEmpty() || offset < mStartOffset || !era.equals(mEra)) {
             callback.accept(refuse());
             return () -> {};
         }
@@ -170,7 +177,7 @@
         records.sort((a, b) -> Long.compare(a.offset(), b.offset()));
         // Of the time that the request waited, only what the monotonic clock counts is certain.
         Duration age = mUpToDateAt.get().age(mTime).minus(mTime.since(arrivedAt));
-        RecordPage page = new RecordPage(mNextOffset, mNextOffset, records, Optional.of(age));
+        RecordPage page = new RecordPage(mNextOffset, mNextOffset, records, Optional.of(age), mEra);
         return Either.right(new Update(mUpdate, page));
     }
 
--- a/core/src/main/java/org/boragethread/core/member/GroupMembership.java
+++ b/core/src/main/java/org/boragethread/core/member/GroupMembership.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.follow.ReadFailure;
+import org.boragethread.core.follow.StoreEra;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 
@@ -22,6 +23,7 @@
     private final Duration mInterval;
     private final Consumer<List<String>> mListener;
     private long mGeneration;
+    private StoreEra mEra = StoreEra.UNKNOWN;
     private long mReportedGeneration = -1;
     private boolean mStopped;
 
@@ -69,6 +71,11 @@
         if (response.isRight()) {
             mLease.renew(sentAt, response.get().partitions());
             mGeneration = response.get().generation();
+            if (response.get().era().differsFrom(mEra)) {
+                // The same generation may have other members now.
+                mReportedGeneration = -1;
+            }
+            mEra = response.get().era();
             if (mGeneration != mReportedGeneration) {
                 mGroup.members(this::onMembers);
             }
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
@@ -111,6 +111,14 @@
         mGraceEnd = mTime.nanoTime() + RENEWAL_GRACE.toNanos();
     }
 
+    /**
+     * Called before announcements from an older copy of the store are put; those that are missing
+     * there are removed only if they are not renewed in the grace period.
+     */
+    public void onStoreRestored() {
+        mGraceEnd = mTime.nanoTime() + RENEWAL_GRACE.toNanos();
+    }
+
     /** Returns the upstreams of a group, including those that are leaving. */
     public List<UpstreamNode> of(GroupId id) {
         List<UpstreamNode> nodes = group(id);
--- a/core/src/test/java/org/boragethread/core/follow/RelaySimulation.java
+++ b/core/src/test/java/org/boragethread/core/follow/RelaySimulation.java
@@ -37,6 +37,8 @@
     private final List<Long> mAcceptedAt = new ArrayList<>();
     private final List<Runnable> mLongPolls = new ArrayList<>();
     private boolean mFailures = true;
+    private boolean mRestores;
+    private StoreEra mEra = new StoreEra(1);
     private int mStoreReads;
 
     RelaySimulation(int processes, long seed) {
@@ -48,6 +50,11 @@
         mProcesses.forEach(Process::start);
     }
 
+    /** Lets the store come back from older copies while there are failures. */
+    void enableRestores() {
+        mRestores = true;
+    }
+
     /** Runs with failures, and checks every process in every step. */
     void runWithFailures(Duration length) {
         run(length);
@@ -80,6 +87,9 @@
             if (mRandom.nextInt(60) == 0) {
                 append();
             }
+            if (mFailures && mRestores && mRandom.nextInt(150) == 0) {
+                restoreOlderCopy();
+            }
             if (mFailures) {
                 mProcesses.get(mRandom.nextInt(mProcesses.size())).fail();
             }
@@ -89,16 +99,43 @@
     }
 
     private void append() {
-        String value = Integer.toString(mLog.size());
+        mAcceptedAt.add(Long.MAX_VALUE);
+        write(mAcceptedAt.size() - 1);
+    }
+
+    private void write(int version) {
+        String value = Integer.toString(version);
         mLog.add(
                 new KeyedRecord(
                         mLog.size(), KEY, Optional.of(value.getBytes(StandardCharsets.UTF_8))));
-        mAcceptedAt.add(mTime.nanoTime());
+        mAcceptedAt.set(version, mTime.nanoTime());
         List<Runnable> polls = new ArrayList<>(mLongPolls);
         mLongPolls.clear();
         polls.forEach(Runnable::run);
     }
 
+    /** Drops the newest records. The operator writes the newest version again a little later. */
+    private void restoreOlderCopy() {
+        int lost = Math.min(mLog.size() - 1, 1 + mRandom.nextInt(4));
+        for (int i = 0; i < lost; i++) {
+            KeyedRecord record = mLog.remove(mLog.size() - 1);
+            mAcceptedAt.set(version(record), Long.MAX_VALUE);
+        }
+        mEra = new StoreEra(mEra.number() + 1);
+        int newest = mAcceptedAt.size() - 1;
+        mTime.schedule(
+                Duration.ofMillis(mRandom.nextInt(2000)),
+                () -> {
+                    if (newest == mAcceptedAt.size() - 1) {
+                        write(newest);
+                    }
+                });
+    }
+
+    private static int version(KeyedRecord record) {
+        return Integer.parseInt(new String(record.value().orElseThrow(), StandardCharsets.UTF_8));
+    }
+
     /** One process, with clocks and tasks of its own. */
     private final class Process
             implements TimeSource, Scheduler, CompactedTopic, RelayClient, TopicListener {
@@ -109,6 +146,7 @@
         private final Map<Integer, Long> mCutFromUntil = new HashMap<>();
         private ClockReading mUpToDateAt = new ClockReading(Long.MIN_VALUE / 2, 0);
         private int mVersion = -1;
+        private boolean mMayReadOlder;
         private int mRelay;
         private long mSuspendedNanos;
         private long mSuspendedAt = -1;
@@ -176,7 +214,7 @@
                 return;
             }
             long completeAt = mTime.nanoTime() - mUpToDateAt.age(this).toNanos();
-            for (int version = mLog.size() - 1; version > mVersion; version--) {
+            for (int version = mAcceptedAt.size() - 1; version > mVersion; version--) {
                 // The wall clock counts whole milliseconds.
                 if (mAcceptedAt.get(version) < completeAt - 1_000_000) {
                     throw new AssertionError(
@@ -214,7 +252,7 @@
                 return;
             }
             KeyedRecord newest = mLog.get(mLog.size() - 1);
-            SnapshotPart part = new SnapshotPart(List.of(newest), false, mLog.size());
+            SnapshotPart part = new SnapshotPart(List.of(newest), false, mLog.size(), mEra);
             schedule(LATENCY, () -> callback.accept(Either.right(part)));
         }
 
@@ -237,12 +275,8 @@
                     () -> {
                         if (!answered[0]) {
                             answered[0] = true;
-                            RecordPage page =
-                                    RecordPage.ofStore(
-                                            mLog.size(),
-                                            offset,
-                                            List.copyOf(mLog.subList((int) offset, mLog.size())));
-                            schedule(LATENCY, () -> callback.accept(Either.right(page)));
+                            Either<ReadFailure, RecordPage> page = page(offset);
+                            schedule(LATENCY, () -> callback.accept(page));
                         }
                     };
             if (offset < mLog.size() || wait.isZero()) {
@@ -253,11 +287,20 @@
             mTime.schedule(wait, answer);
         }
 
+        private Either<ReadFailure, RecordPage> page(long offset) {
+            if (offset > mLog.size()) {
+                return Either.left(ReadFailure.trimmed("no such offset"));
+            }
+            List<KeyedRecord> records = List.copyOf(mLog.subList((int) offset, mLog.size()));
+            return Either.right(RecordPage.ofStore(mLog.size(), offset, records, mEra));
+        }
+
         @Override
         public void read(
                 String relay,
                 String topic,
                 long offset,
+                StoreEra era,
                 long seenUpdate,
                 Duration timeout,
                 Consumer<Either<ReadFailure, TopicRelay.Update>> callback) {
@@ -281,6 +324,7 @@
                                     () ->
                                             other.mTopicRelay.read(
                                                     offset,
+                                                    era,
                                                     seenUpdate,
                                                     response -> deliver(number, response, once))));
         }
@@ -295,6 +339,11 @@
             }
         }
 
+        @Override
+        public void onStoreRestored() {
+            mMayReadOlder = true;
+        }
+
         @Override
         public void onSnapshot(Map<String, byte[]> values) {
             values.forEach((key, value) -> onChange(key, Optional.of(value)));
@@ -303,6 +352,9 @@
         @Override
         public void onChange(String key, Optional<byte[]> value) {
             int version = Integer.parseInt(new String(value.orElseThrow(), StandardCharsets.UTF_8));
+            if (version < mVersion && mMayReadOlder) {
+                return;
+            }
             if (version < mVersion) {
                 throw new AssertionError(
                         "process %d went back from %d to %d".formatted(mNumber, mVersion, version));
@@ -326,6 +378,6 @@
     String versions() {
         return Arrays.toString(mProcesses.stream().mapToInt(process -> process.mVersion).toArray())
                 + " of "
-                + (mLog.size() - 1);
+                + (mAcceptedAt.size() - 1);
     }
 }
--- a/core/src/test/java/org/boragethread/core/follow/TopicFollowerTest.java
+++ b/core/src/test/java/org/boragethread/core/follow/TopicFollowerTest.java
@@ -88,6 +88,43 @@
         assertEquals(mRecorder.mValues, Map.of("b", "3"));
     }
 
+    /** Records of another era were read on from an offset of the era before. */
+    @Test
+    public void newSnapshotIsReadIfTheStoreWorksWithAnotherCopy() {
+        mTopic.put("a", "1");
+        mTopic.put("a", "2");
+        start();
+        run(100);
+        assertEquals(mRecorder.mRestores, 0);
+        mTopic.mLog.clear();
+        mTopic.mNewest.clear();
+        mTopic.put("b", "3");
+        mTopic.put("c", "4");
+        mTopic.mEra = new StoreEra(2);
+        run(300);
+        assertEquals(mRecorder.mValues, Map.of("b", "3", "c", "4"));
+        assertEquals(mRecorder.mRestores, 1);
+    }
+
+    /** The second part of a snapshot came from another copy of the store than the first. */
+    @Test
+    public void partsOfDifferentErasAreNotOneSnapshot() {
+        mTopic.put("a", "1");
+        mTopic.put("b", "1");
+        mTopic.mPartSize = 1;
+        mTopic.mBetweenParts =
+                () -> {
+                    mTopic.mBetweenParts = () -> {};
+                    mTopic.mLog.clear();
+                    mTopic.mNewest.clear();
+                    mTopic.put("b", "2");
+                    mTopic.mEra = new StoreEra(2);
+                };
+        start();
+        run(300);
+        assertEquals(mRecorder.mValues, Map.of("b", "2"));
+    }
+
     @Test
     public void startAndEndOfAnOutageAreReportedOnce() {
         start();
@@ -151,6 +188,7 @@
 
         private final List<KeyedRecord> mLog = new ArrayList<>();
         private final Map<String, KeyedRecord> mNewest = new TreeMap<>();
+        private StoreEra mEra = new StoreEra(1);
         private int mFirst;
         private int mPartSize = Integer.MAX_VALUE;
         private boolean mFail;
@@ -185,7 +223,7 @@
                 }
                 part.add(record);
             }
-            SnapshotPart snapshot = new SnapshotPart(part, more, mLog.size());
+            SnapshotPart snapshot = new SnapshotPart(part, more, mLog.size(), mEra);
             mBetweenParts.run();
             respond(callback, Either.right(snapshot));
         }
@@ -205,7 +243,8 @@
                             RecordPage.ofStore(
                                     mLog.size(),
                                     from,
-                                    List.copyOf(mLog.subList(from, mLog.size())))));
+                                    List.copyOf(mLog.subList(from, mLog.size())),
+                                    mEra)));
         }
 
         private <T> void respond(
@@ -221,10 +260,16 @@
 
         private final Map<String, String> mValues = new TreeMap<>();
         private int mSnapshots;
+        private int mRestores;
         private int mUnavailableCalls;
         private int mAvailableCalls;
         private ClockReading mCurrentAsOf = new ClockReading(-1, -1);
 
+        @Override
+        public void onStoreRestored() {
+            mRestores++;
+        }
+
         @Override
         public void onSnapshot(Map<String, byte[]> values) {
             mSnapshots++;
--- a/core/src/test/java/org/boragethread/core/follow/TopicRelayTest.java
+++ b/core/src/test/java/org/boragethread/core/follow/TopicRelayTest.java
@@ -20,6 +20,8 @@
 /** Tests {@link TopicRelay} and {@link RelayedTopic}. */
 public class TopicRelayTest {
 
+    private static final StoreEra ERA = new StoreEra(1);
+
     private ManualTimeSource mTime;
     private TopicRelay mRelay;
     private List<Either<ReadFailure, TopicRelay.Update>> mResponses;
@@ -36,7 +38,7 @@
     }
 
     private void startRelay() {
-        mRelay.onSnapshot(10);
+        mRelay.onSnapshot(10, ERA);
         mRelay.onUpToDate(10, ClockReading.now(mTime));
     }
 
@@ -51,7 +53,7 @@
         startRelay();
         mRelay.onRecords(10, List.of(record("a", "2"), record("b", "1"), record("a", "3")));
         mRelay.onUpToDate(13, ClockReading.now(mTime));
-        mRelay.read(10, 0, mResponses::add);
+        mRelay.read(10, ERA, 0, mResponses::add);
         assertEquals(relayedKeys(0), List.of("b", "a"));
         RecordPage page = mResponses.get(0).get().page();
         assertEquals(page.nextOffset(), 13);
@@ -65,7 +67,7 @@
         mRelay.onRecords(10, List.of(record("a", "1")));
         mRelay.onRecords(11, List.of(record("a", "1"), record("b", "1")));
         mRelay.onUpToDate(13, ClockReading.now(mTime));
-        mRelay.read(11, 0, mResponses::add);
+        mRelay.read(11, ERA, 0, mResponses::add);
         assertEquals(relayedKeys(0), List.of("b"));
     }
 
@@ -82,7 +84,7 @@
                         mRelay)
                 .start();
         mTime.advance(Duration.ofMillis(10));
-        mRelay.read(10, 0, mResponses::add);
+        mRelay.read(10, ERA, 0, mResponses::add);
         assertEquals(relayedKeys(0), List.of("config"));
     }
 
@@ -93,7 +95,8 @@
         public void readSnapshotPart(
                 Optional<String> after, Consumer<Either<ReadFailure, SnapshotPart>> callback) {
             callback.accept(
-                    Either.right(new SnapshotPart(List.of(record("config", "new")), false, 10)));
+                    Either.right(
+                            new SnapshotPart(List.of(record("config", "new")), false, 10, ERA)));
         }
 
         @Override
@@ -102,13 +105,18 @@
             List<KeyedRecord> records = offset == 10 ? List.of(record("config", "new")) : List.of();
             mTime.schedule(
                     Duration.ofMillis(5),
-                    () -> callback.accept(Either.right(RecordPage.ofStore(11, offset, records))));
+                    () ->
+                            callback.accept(
+                                    Either.right(RecordPage.ofStore(11, offset, records, ERA))));
         }
     }
 
     /** Ignores all content. */
     private static final class IgnoringListener implements TopicListener {
 
+        @Override
+        public void onStoreRestored() {}
+
         @Override
         public void onSnapshot(Map<String, byte[]> values) {}
 
@@ -128,8 +136,8 @@
     @Test
     public void readerThatHasSeenTheLastUpdateWaitsForTheNext() {
         startRelay();
-        mRelay.read(10, 0, mResponses::add);
-        mRelay.read(10, mResponses.get(0).get().update(), mResponses::add);
+        mRelay.read(10, ERA, 0, mResponses::add);
+        mRelay.read(10, ERA, mResponses.get(0).get().update(), mResponses::add);
         assertEquals(mResponses.size(), 1);
         mTime.advance(Duration.ofMillis(500));
         mRelay.onUpToDate(10, ClockReading.now(mTime));
@@ -142,7 +150,7 @@
     public void ageCountsFromTheReadOfTheStore() {
         startRelay();
         mTime.advance(Duration.ofMillis(700));
-        mRelay.read(10, 0, mResponses::add);
+        mRelay.read(10, ERA, 0, mResponses::add);
         RecordPage page = mResponses.get(0).get().page();
         assertEquals(page.relayAge(), Optional.of(Duration.ofMillis(700)));
     }
@@ -150,9 +158,9 @@
     @Test
     public void readsAreRefusedOnceTheStoreCannotBeRead() {
         startRelay();
-        mRelay.read(10, 1, mResponses::add);
+        mRelay.read(10, ERA, 1, mResponses::add);
         mRelay.stop();
-        mRelay.read(10, 0, mResponses::add);
+        mRelay.read(10, ERA, 0, mResponses::add);
         assertTrue(mResponses.get(0).isLeft());
         assertTrue(mResponses.get(1).isLeft());
     }
@@ -160,14 +168,24 @@
     @Test
     public void readerThatMissedRecordsFromBeforeTheSnapshotIsRefused() {
         startRelay();
-        mRelay.read(9, 0, mResponses::add);
+        mRelay.read(9, ERA, 0, mResponses::add);
         assertTrue(mResponses.get(0).isLeft());
     }
 
+    /** A reader took offsets of the relay's era for offsets of its own. */
+    @Test
+    public void readerOfAnotherEraIsRefused() {
+        startRelay();
+        mRelay.read(10, new StoreEra(2), 0, mResponses::add);
+        assertTrue(mResponses.get(0).isLeft());
+        mRelay.read(10, ERA, 0, mResponses::add);
+        assertEquals(mResponses.get(1).get().page().era(), ERA);
+    }
+
     @Test
     public void cancelledReadGetsNoResponse() {
         startRelay();
-        mRelay.read(10, 1, mResponses::add).cancel();
+        mRelay.read(10, ERA, 1, mResponses::add).cancel();
         mRelay.onUpToDate(10, ClockReading.now(mTime));
         assertTrue(mResponses.isEmpty());
     }
@@ -196,6 +214,18 @@
                 "age %s, versions %s".formatted(simulation.greatestAge(), simulation.versions()));
     }
 
+    /** As above, while the store comes back from older copies of its records again and again. */
+    @Test(dataProvider = "seeds")
+    public void upToDateProcessesMissNoRecordWhenTheStoreIsRestored(int processes, long seed) {
+        RelaySimulation simulation = new RelaySimulation(processes, seed);
+        simulation.enableRestores();
+        simulation.runWithFailures(Duration.ofSeconds(60));
+        simulation.runWithoutFailures(Duration.ofSeconds(12));
+        assertTrue(
+                simulation.greatestAge().compareTo(Duration.ofMillis(2200)) < 0,
+                "age %s, versions %s".formatted(simulation.greatestAge(), simulation.versions()));
+    }
+
     @DataProvider
     public Object[][] sizes() {
         return new Object[][] {{5}, {33}, {300}};
--- a/core/src/test/java/org/boragethread/core/member/GroupMembershipTest.java
+++ b/core/src/test/java/org/boragethread/core/member/GroupMembershipTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.boragethread.core.follow.ReadFailure;
+import org.boragethread.core.follow.StoreEra;
 import org.boragethread.core.time.ManualTimeSource;
 import org.testng.annotations.Test;
 
@@ -40,6 +41,20 @@
         assertTrue(mGroup.mJoins >= 10);
     }
 
+    /** An older copy of the store gave out a generation again, with other members. */
+    @Test
+    public void membersAreReadAgainWhenTheStoreWorksWithAnotherCopy() {
+        ManualTimeSource time = new ManualTimeSource();
+        FakeGroup group = new FakeGroup();
+        PartitionLease lease = new PartitionLease(time, 12, Duration.ofSeconds(5));
+        new GroupMembership(group, time, time, lease, Duration.ofSeconds(1), members -> {}).start();
+        time.advance(Duration.ofSeconds(2));
+        assertEquals(group.mMemberReads, 1);
+        group.mEra = new StoreEra(2);
+        time.advance(Duration.ofSeconds(2));
+        assertEquals(group.mMemberReads, 2);
+    }
+
     /** A stopping process serves on for seconds while its partitions are assigned to others. */
     @Test
     public void stopGivesUpTheLeasedPartitionsAtOnce() {
@@ -54,6 +69,7 @@
     private static final class FakeGroup implements MemberGroup {
 
         private long mGeneration = 1;
+        private StoreEra mEra = new StoreEra(1);
         private boolean mUnreachable;
         private int mJoins;
         private int mMemberReads;
@@ -64,7 +80,7 @@
             callback.accept(
                     mUnreachable
                             ? Either.left(ReadFailure.unreachable("down"))
-                            : Either.right(new JoinedGroup(mGeneration, Set.of(0, 1))));
+                            : Either.right(new JoinedGroup(mGeneration, Set.of(0, 1), mEra)));
         }
 
         @Override
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
@@ -78,6 +78,16 @@
         assertEquals(mDirectory.of(new GroupId("orders")).size(), 1);
     }
 
+    /** Upstreams whose announcements an older copy of the store lacked were dropped at once. */
+    @Test
+    public void announcementMissingInOlderCopyStaysForTheGracePeriod() {
+        mDirectory.onStoreRestored();
+        mDirectory.replaceAll(List.of(UpstreamEntries.of("a", "engines", "north")));
+        assertEquals(groupSize(), 2);
+        mTime.advance(Duration.ofMillis(2300));
+        assertEquals(groupSize(), 1);
+    }
+
     /** An upstream got requests again when an older copy of the store still said 'ready'. */
     @Test
     public void leavingEndsOnlyWithAnotherIncarnation() {
--- a/entry/src/main/java/org/boragethread/entry/gateway/ConfigListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ConfigListener.java
@@ -1,5 +1,6 @@
 package org.boragethread.entry.gateway;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -15,25 +16,41 @@
 /** Applies the configuration and the evacuations that operators write to the store. */
 final class ConfigListener implements TopicListener {
 
+    /** Time in which operators' records that an older copy of the store lacks are written again. */
+    private static final Duration REWRITE_TIME = Duration.ofMillis(2500);
+
     private final Gateway mGateway;
     private final DependencyLog mStoreLog;
     private final Set<DataCentreId> mKnownDataCentres = new HashSet<>();
+    private final Set<DataCentreId> mEvacuatedInStore = new HashSet<>();
+    private boolean mRestored;
 
     ConfigListener(Gateway gateway) {
         mGateway = gateway;
         mStoreLog = new DependencyLog(gateway.log(), "store-config");
     }
 
+    @Override
+    public void onStoreRestored() {
+        mRestored = true;
+    }
+
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
-        Set<DataCentreId> evacuated = new HashSet<>();
-        values.forEach(
-                (key, value) -> {
-                    OperatorKeys.evacuatedDataCentre(key).ifPresent(evacuated::add);
-                    onChange(key, Optional.of(value));
-                });
+        mEvacuatedInStore.clear();
+        values.forEach((key, value) -> onChange(key, Optional.of(value)));
+        if (mRestored) {
+            // An older copy may lack an evacuation that is in force.
+            mRestored = false;
+            mGateway.scheduler().schedule(REWRITE_TIME, this::endMissingEvacuations);
+        } else {
+            endMissingEvacuations();
+        }
+    }
+
+    private void endMissingEvacuations() {
         for (DataCentreId known : new HashSet<>(mKnownDataCentres)) {
-            if (!evacuated.contains(known)) {
+            if (!mEvacuatedInStore.contains(known)) {
                 applyEvacuation(known, false);
             }
         }
@@ -71,6 +88,11 @@
 
     private void applyEvacuation(DataCentreId dataCentre, boolean evacuated) {
         mKnownDataCentres.add(dataCentre);
+        if (evacuated) {
+            mEvacuatedInStore.add(dataCentre);
+        } else {
+            mEvacuatedInStore.remove(dataCentre);
+        }
         if (mGateway.routingTable().setEvacuated(dataCentre, evacuated)) {
             mGateway.log()
                     .event("evacuation")
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -47,6 +47,10 @@
         increment("boragethread.gateway.broken", "reason", reason);
     }
 
+    void onStoreRestored() {
+        increment("boragethread.gateway.store.eras", "change", "restored");
+    }
+
     void onUpstreamSignal(String signal) {
         increment("boragethread.gateway.upstream.signals", "signal", signal);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -96,7 +96,8 @@
                         mGateway.connections(),
                         mGateway.scheduler(),
                         settings.store(),
-                        STORE_TIMEOUT);
+                        STORE_TIMEOUT,
+                        new StoreEraLog(mGateway.log(), mMetrics));
         Member self =
                 new Member(
                         settings.peerAddress(),
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.boragethread.core.follow.ReadFailure;
+import org.boragethread.core.follow.StoreEra;
 import org.boragethread.core.follow.TopicRelay;
 import org.boragethread.core.stage.HeldResult;
 import org.boragethread.core.stage.PendingPiece;
@@ -107,6 +108,7 @@
                 relay.get()
                         .read(
                                 read.getOffset(),
+                                new StoreEra(read.getStoreEra()),
                                 read.getSeenUpdate(),
                                 update -> respond(context, update));
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerTopicClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerTopicClient.java
@@ -12,6 +12,7 @@
 import org.boragethread.core.follow.ReadFailure;
 import org.boragethread.core.follow.RecordPage;
 import org.boragethread.core.follow.RelayClient;
+import org.boragethread.core.follow.StoreEra;
 import org.boragethread.core.follow.TopicRelay;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.process.log.EventLog;
@@ -46,6 +47,7 @@
             String relay,
             String topic,
             long offset,
+            StoreEra era,
             long seenUpdate,
             Duration timeout,
             Consumer<Either<ReadFailure, TopicRelay.Update>> callback) {
@@ -54,6 +56,7 @@
                         .setTopic(topic)
                         .setOffset(offset)
                         .setSeenUpdate(seenUpdate)
+                        .setStoreEra(era.number())
                         .build();
         BufferedResponse.fetch(
                 mConnections,
@@ -100,7 +103,8 @@
                             update.getNextOffset(),
                             update.getNextOffset(),
                             records,
-                            Optional.of(Duration.ofNanos(update.getAgeNanos())));
+                            Optional.of(Duration.ofNanos(update.getAgeNanos())),
+                            new StoreEra(update.getStoreEra()));
             return Either.right(new TopicRelay.Update(update.getUpdate(), page));
         } catch (InvalidProtocolBufferException e) {
             return Either.left(ReadFailure.unreachable("invalid response: " + e.getMessage()));
@@ -113,6 +117,7 @@
                 TopicUpdate.newBuilder()
                         .setUpdate(update.update())
                         .setNextOffset(page.nextOffset())
+                        .setStoreEra(page.era().number())
                         .setAgeNanos(page.relayAge().orElse(Duration.ZERO).toNanos());
         for (KeyedRecord record : page.records()) {
             TopicRecord.Builder encoded =
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
@@ -25,6 +25,11 @@
         mStoreLog = new DependencyLog(gateway.log(), "store-upstreams");
     }
 
+    @Override
+    public void onStoreRestored() {
+        mGateway.directory().onStoreRestored();
+    }
+
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
         List<UpstreamAnnouncement> entries = new ArrayList<>();
--- a/standins/src/main/java/org/boragethread/standins/store/StoreStandIn.java
+++ b/standins/src/main/java/org/boragethread/standins/store/StoreStandIn.java
@@ -45,6 +45,8 @@
     private final TreeSet<String> mMembers = new TreeSet<>();
     private long mGeneration;
     private boolean mDown;
+    private long mEra = 1;
+    private Map<String, Topic> mCopy = Map.of();
 
     /** Starts listening on a free port. */
     public void start() throws IOException {
@@ -79,18 +81,39 @@
         mDown = down;
     }
 
+    /** Keeps a copy of all records. */
+    public synchronized void copyRecords() {
+        Map<String, Topic> copy = new HashMap<>();
+        mTopics.forEach((name, topic) -> copy.put(name, new Topic(topic)));
+        mCopy = copy;
+    }
+
+    /** Comes back from the copy: later records are lost, and offsets are given out again. */
+    public synchronized void restoreCopy() {
+        List<Runnable> reads = new ArrayList<>();
+        mTopics.values().forEach(topic -> reads.addAll(topic.mWaitingReads));
+        mTopics.clear();
+        mCopy.forEach((name, topic) -> mTopics.put(name, new Topic(topic)));
+        mEra++;
+        reads.forEach(Runnable::run);
+    }
+
+    private void respond(Exchange exchange, StandInResponse response) {
+        exchange.respond(response.with("Store-Era", Long.toString(mEra)));
+    }
+
     private synchronized void handle(Exchange exchange) {
         if (mDown) {
-            exchange.respond(StandInResponse.text(503, "down"));
+            respond(exchange, StandInResponse.text(503, "down"));
             return;
         }
         switch (exchange.path()) {
             case "/v1/log-newest" -> respondWithLatest(exchange);
             case "/v1/log-read" -> read(exchange);
             case "/v1/log-join" -> joinGroup(exchange);
-            case "/v1/log-leave" -> exchange.respond(StandInResponse.json(200, Map.of()));
+            case "/v1/log-leave" -> respond(exchange, StandInResponse.json(200, Map.of()));
             case "/v1/log-owners" -> listOwners(exchange);
-            default -> exchange.respond(StandInResponse.text(404, "unknown call"));
+            default -> respond(exchange, StandInResponse.text(404, "unknown call"));
         }
     }
 
@@ -107,7 +130,8 @@
                                         Base64.getEncoder().encodeToString(value),
                                         "offset",
                                         0)));
-        exchange.respond(
+        respond(
+                exchange,
                 StandInResponse.json(
                         200,
                         Map.of(
@@ -120,14 +144,15 @@
     }
 
     private void read(Exchange exchange) {
-        Topic topic = topic(exchange.query("topic").orElse(""));
+        String name = exchange.query("topic").orElse("");
+        Topic topic = topic(name);
         long from = exchange.queryLong("from", 0);
         long waitMs = exchange.queryLong("wait_ms", 0);
-        if (from < topic.mLog.size() || waitMs == 0) {
-            respondToRead(exchange, topic, from);
+        if (from != topic.mLog.size() || waitMs == 0) {
+            respondToRead(exchange, name, from);
             return;
         }
-        Runnable response = () -> respondToRead(exchange, topic, from);
+        Runnable response = () -> respondToRead(exchange, name, from);
         topic.mWaitingReads.add(response);
         mTimers.schedule(() -> timeOutRead(topic, response), waitMs, TimeUnit.MILLISECONDS);
     }
@@ -138,7 +163,12 @@
         }
     }
 
-    private void respondToRead(Exchange exchange, Topic topic, long from) {
+    private void respondToRead(Exchange exchange, String name, long from) {
+        Topic topic = topic(name);
+        if (from > topic.mLog.size()) {
+            respond(exchange, StandInResponse.json(410, Map.of("first_offset", 0)));
+            return;
+        }
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         body.writeBytes(ByteBuffer.allocate(16).putLong(topic.mLog.size()).putLong(0).array());
         for (int i = (int) from; i < topic.mLog.size(); i++) {
@@ -146,7 +176,7 @@
             body.writeBytes(ByteBuffer.allocate(4).putInt(record.length).array());
             body.writeBytes(record);
         }
-        exchange.respond(new StandInResponse(200, BYTES, Map.of(), body.toByteArray()));
+        respond(exchange, new StandInResponse(200, BYTES, Map.of(), body.toByteArray()));
     }
 
     private void joinGroup(Exchange exchange) {
@@ -159,14 +189,15 @@
         if (mMembers.add(body.path("member").asText())) {
             mGeneration++;
         }
-        exchange.respond(
+        respond(
+                exchange,
                 StandInResponse.json(200, Map.of("generation", mGeneration, "parts", List.of())));
     }
 
     private void listOwners(Exchange exchange) {
         List<List<Object>> owners = new ArrayList<>();
         mMembers.forEach(member -> owners.add(List.of("entries-0", owners.size(), member, 0)));
-        exchange.respond(StandInResponse.json(200, Map.of("parts", owners)));
+        respond(exchange, StandInResponse.json(200, Map.of("parts", owners)));
     }
 
     private Topic topic(String name) {
@@ -182,6 +213,13 @@
     /** A topic: its log, the latest value of each key, and the reads that wait for a record. */
     private static final class Topic {
 
+        Topic() {}
+
+        Topic(Topic other) {
+            mLog.addAll(other.mLog);
+            mLatest.putAll(other.mLatest);
+        }
+
         private final List<byte[]> mLog = new ArrayList<>();
         private final Map<String, byte[]> mLatest = new TreeMap<>();
         private final List<Runnable> mWaitingReads = new ArrayList<>();
--- a/standins/src/test/java/org/boragethread/standins/system/GatewayTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/GatewayTest.java
@@ -285,6 +285,50 @@
         }
     }
 
+    /** An older copy of the store brought back a revoked key and an upstream that had left. */
+    @Test
+    public void restoreOfOlderCopyUndoesNoRevocationAndNoLeave() throws Exception {
+        assertEquals(post("/safe/x", "id-1").statusCode(), 200);
+        mStore.copyRecords();
+        configure(2, "\"key-2\"", 5000);
+        announce("first", mFirst, true);
+        Await.until("the key is revoked", TIMEOUT, () -> statusOf("/safe/x") == 401);
+        Await.until("first is leaving", TIMEOUT, () -> mGateway.hasLogLine("\"leaving\""));
+        int before = mFirst.receivedRequests();
+        mStore.restoreCopy();
+        Await.until("the restore is noticed", TIMEOUT, () -> mGateway.hasLogLine("\"restored\""));
+        Await.until(
+                "the older configuration is read",
+                TIMEOUT,
+                () -> mGateway.hasLogLine("older-than-current"));
+        assertEquals(statusOf("/safe/x"), 401);
+        configure(3, "\"key-1\"", 5000);
+        Await.until("the rewritten record is read", TIMEOUT, () -> statusOf("/safe/x") == 200);
+        for (int i = 0; i < 10; i++) {
+            assertEquals(post("/unsafe/x", "id-late-" + i).statusCode(), 200);
+        }
+        assertEquals(mFirst.receivedRequests(), before);
+    }
+
+    /** An older copy of the store ended an evacuation that was about to be written again. */
+    @Test
+    public void restoreOfOlderCopyKeepsEvacuation() throws Exception {
+        assertEquals(statusOf("/safe/x"), 200);
+        mStore.copyRecords();
+        mStore.put(StoreStandIn.OPERATOR_TOPIC, "evacuate/north", "{}");
+        Await.until("north is evacuated", TIMEOUT, () -> mGateway.hasLogLine("\"evacuation\""));
+        int before = mFirst.receivedRequests() + mSecond.receivedRequests();
+        mStore.restoreCopy();
+        Await.until(
+                "the older configuration is read",
+                TIMEOUT,
+                () -> mGateway.hasLogLine("older-than-current"));
+        assertEquals(statusOf("/safe/x"), 503);
+        mStore.put(StoreStandIn.OPERATOR_TOPIC, "evacuate/north", "{}");
+        assertEquals(statusOf("/safe/x"), 503);
+        assertEquals(mFirst.receivedRequests() + mSecond.receivedRequests(), before);
+    }
+
     @Test
     public void gracefulStopAnswersRequestsAndExitsWithZero() throws Exception {
         mGateway.process().terminate();
--- a/wire/src/main/java/org/boragethread/wire/proto/Peer.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Peer.java
@@ -95,15 +95,16 @@
       "\"L\n\013ResultsHeld\022\r\n\005group\030\001 \001(\t\022.\n\007result" +
       "s\030\002 \003(\0132\035.boragethread.peer.ResultHeld\"N" +
       "\n\nResultHeld\022\r\n\005maker\030\001 \001(\t\022\016\n\006handle\030\002 " +
-      "\001(\t\022\r\n\005bytes\030\003 \001(\003\022\022\n\nleft_nanos\030\004 \001(\003\"?" +
+      "\001(\t\022\r\n\005bytes\030\003 \001(\003\022\022\n\nleft_nanos\030\004 \001(\003\"R" +
       "\n\tTopicRead\022\r\n\005topic\030\001 \001(\t\022\016\n\006offset\030\002 \001" +
-      "(\003\022\023\n\013seen_update\030\003 \001(\003\"v\n\013TopicUpdate\022\016" +
-      "\n\006update\030\001 \001(\003\022/\n\007records\030\002 \003(\0132\036.borage" +
-      "thread.peer.TopicRecord\022\023\n\013next_offset\030\003" +
-      " \001(\003\022\021\n\tage_nanos\030\004 \001(\003\"H\n\013TopicRecord\022\016" +
-      "\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\022\n\005value\030\003 \001" +
-      "(\014H\000\210\001\001B\010\n\006_valueB\037\n\033org.boragethread.wi" +
-      "re.protoP\001b\006proto3"
+      "(\003\022\023\n\013seen_update\030\003 \001(\003\022\021\n\tstore_era\030\004 \001" +
+      "(\003\"\211\001\n\013TopicUpdate\022\016\n\006update\030\001 \001(\003\022/\n\007re" +
+      "cords\030\002 \003(\0132\036.boragethread.peer.TopicRec" +
+      "ord\022\023\n\013next_offset\030\003 \001(\003\022\021\n\tage_nanos\030\004 " +
+      "\001(\003\022\021\n\tstore_era\030\005 \001(\003\"H\n\013TopicRecord\022\016\n" +
+      "\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\022\n\005value\030\003 \001(" +
+      "\014H\000\210\001\001B\010\n\006_valueB\037\n\033org.boragethread.wir" +
+      "e.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -150,13 +151,13 @@
     internal_static_boragethread_peer_TopicRead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_TopicRead_descriptor,
-        new java.lang.String[] { "Topic", "Offset", "SeenUpdate", });
+        new java.lang.String[] { "Topic", "Offset", "SeenUpdate", "StoreEra", });
     internal_static_boragethread_peer_TopicUpdate_descriptor =
       getDescriptor().getMessageTypes().get(7);
     internal_static_boragethread_peer_TopicUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_TopicUpdate_descriptor,
-        new java.lang.String[] { "Update", "Records", "NextOffset", "AgeNanos", });
+        new java.lang.String[] { "Update", "Records", "NextOffset", "AgeNanos", "StoreEra", });
     internal_static_boragethread_peer_TopicRecord_descriptor =
       getDescriptor().getMessageTypes().get(8);
     internal_static_boragethread_peer_TopicRecord_fieldAccessorTable = new
--- a/wire/src/main/java/org/boragethread/wire/proto/TopicRead.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/TopicRead.java
@@ -116,6 +116,21 @@
     return seenUpdate_;
   }
 
+  public static final int STORE_ERA_FIELD_NUMBER = 4;
+  private long storeEra_ = 0L;
+  /**
+   * <pre>
+   * Era of the store to which the offset belongs; 0 if it is not known.
+   * </pre>
+   *
+   * <code>int64 store_era = 4;</code>
+   * @return The storeEra.
+   */
+  @java.lang.Override
+  public long getStoreEra() {
+    return storeEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -139,6 +154,9 @@
     if (seenUpdate_ != 0L) {
       output.writeInt64(3, seenUpdate_);
     }
+    if (storeEra_ != 0L) {
+      output.writeInt64(4, storeEra_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -159,6 +177,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, seenUpdate_);
     }
+    if (storeEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, storeEra_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -180,6 +202,8 @@
         != other.getOffset()) return false;
     if (getSeenUpdate()
         != other.getSeenUpdate()) return false;
+    if (getStoreEra()
+        != other.getStoreEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -199,6 +223,9 @@
     hash = (37 * hash) + SEEN_UPDATE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getSeenUpdate());
+    hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStoreEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -337,6 +364,7 @@
       topic_ = "";
       offset_ = 0L;
       seenUpdate_ = 0L;
+      storeEra_ = 0L;
       return this;
     }
 
@@ -379,6 +407,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.seenUpdate_ = seenUpdate_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.storeEra_ = storeEra_;
+      }
     }
 
     @java.lang.Override
@@ -404,6 +435,9 @@
       if (other.getSeenUpdate() != 0L) {
         setSeenUpdate(other.getSeenUpdate());
       }
+      if (other.getStoreEra() != 0L) {
+        setStoreEra(other.getStoreEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -445,6 +479,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              storeEra_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -622,6 +661,50 @@
       return this;
     }
 
+    private long storeEra_ ;
+    /**
+     * <pre>
+     * Era of the store to which the offset belongs; 0 if it is not known.
+     * </pre>
+     *
+     * <code>int64 store_era = 4;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+    /**
+     * <pre>
+     * Era of the store to which the offset belongs; 0 if it is not known.
+     * </pre>
+     *
+     * <code>int64 store_era = 4;</code>
+     * @param value The storeEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreEra(long value) {
+
+      storeEra_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store to which the offset belongs; 0 if it is not known.
+     * </pre>
+     *
+     * <code>int64 store_era = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreEra() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      storeEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:boragethread.peer.TopicRead)
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/TopicReadOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/TopicReadOrBuilder.java
@@ -40,4 +40,14 @@
    * @return The seenUpdate.
    */
   long getSeenUpdate();
+
+  /**
+   * <pre>
+   * Era of the store to which the offset belongs; 0 if it is not known.
+   * </pre>
+   *
+   * <code>int64 store_era = 4;</code>
+   * @return The storeEra.
+   */
+  long getStoreEra();
 }
--- a/wire/src/main/java/org/boragethread/wire/proto/TopicUpdate.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/TopicUpdate.java
@@ -145,6 +145,21 @@
     return ageNanos_;
   }
 
+  public static final int STORE_ERA_FIELD_NUMBER = 5;
+  private long storeEra_ = 0L;
+  /**
+   * <pre>
+   * Era of the store to which the offsets belong; 0 if it is not known.
+   * </pre>
+   *
+   * <code>int64 store_era = 5;</code>
+   * @return The storeEra.
+   */
+  @java.lang.Override
+  public long getStoreEra() {
+    return storeEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -171,6 +186,9 @@
     if (ageNanos_ != 0L) {
       output.writeInt64(4, ageNanos_);
     }
+    if (storeEra_ != 0L) {
+      output.writeInt64(5, storeEra_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -196,6 +214,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(4, ageNanos_);
     }
+    if (storeEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, storeEra_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -219,6 +241,8 @@
         != other.getNextOffset()) return false;
     if (getAgeNanos()
         != other.getAgeNanos()) return false;
+    if (getStoreEra()
+        != other.getStoreEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -243,6 +267,9 @@
     hash = (37 * hash) + AGE_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAgeNanos());
+    hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStoreEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -384,6 +411,7 @@
       bitField0_ = (bitField0_ & ~0x00000002);
       nextOffset_ = 0L;
       ageNanos_ = 0L;
+      storeEra_ = 0L;
       return this;
     }
 
@@ -439,6 +467,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.ageNanos_ = ageNanos_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.storeEra_ = storeEra_;
+      }
     }
 
     @java.lang.Override
@@ -488,6 +519,9 @@
       if (other.getAgeNanos() != 0L) {
         setAgeNanos(other.getAgeNanos());
       }
+      if (other.getStoreEra() != 0L) {
+        setStoreEra(other.getStoreEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -542,6 +576,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              storeEra_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -991,6 +1030,50 @@
       return this;
     }
 
+    private long storeEra_ ;
+    /**
+     * <pre>
+     * Era of the store to which the offsets belong; 0 if it is not known.
+     * </pre>
+     *
+     * <code>int64 store_era = 5;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+    /**
+     * <pre>
+     * Era of the store to which the offsets belong; 0 if it is not known.
+     * </pre>
+     *
+     * <code>int64 store_era = 5;</code>
+     * @param value The storeEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreEra(long value) {
+
+      storeEra_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store to which the offsets belong; 0 if it is not known.
+     * </pre>
+     *
+     * <code>int64 store_era = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreEra() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      storeEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:boragethread.peer.TopicUpdate)
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/TopicUpdateOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/TopicUpdateOrBuilder.java
@@ -78,4 +78,14 @@
    * @return The ageNanos.
    */
   long getAgeNanos();
+
+  /**
+   * <pre>
+   * Era of the store to which the offsets belong; 0 if it is not known.
+   * </pre>
+   *
+   * <code>int64 store_era = 5;</code>
+   * @return The storeEra.
+   */
+  long getStoreEra();
 }
