Keep evacuations through several restores of the store

A renewal without an era made the next one pass for a change. Found by reading. Result: the tests of restores pass; no test for two restores in that time.

--- a/core/src/main/java/org/boragethread/core/member/GroupMembership.java
+++ b/core/src/main/java/org/boragethread/core/member/GroupMembership.java
@@ -75,7 +75,7 @@
                 // The same generation may have other members now.
                 mReportedGeneration = -1;
             }
-            mEra = response.get().era();
+            mEra = response.get().era().orIfUnknown(mEra);
             if (mGeneration != mReportedGeneration) {
                 mGroup.members(this::onMembers);
             }
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -96,7 +96,10 @@
         return node.isColdCallAllowed(mColdRateShare.calls(group, node.entry().id()), now);
     }
 
-    /** Returns whether any upstream of the group could get the request, now or soon. */
+    /**
+     * Returns whether any upstream of the group could get the request, now or soon. One that pauses
+     * could not.
+     */
     public boolean hasCandidate(ChoiceRequest request) {
         long now = mTime.nanoTime();
         return candidates(request).stream().anyMatch(node -> !node.isPaused(now));
--- a/entry/src/main/java/org/boragethread/entry/gateway/ConfigListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ConfigListener.java
@@ -23,32 +23,33 @@
     private final DependencyLog mStoreLog;
     private final Set<DataCentreId> mKnownDataCentres = new HashSet<>();
     private final Set<DataCentreId> mEvacuatedInStore = new HashSet<>();
-    private boolean mRestored;
+    private long mRewriteEndNanos;
 
     ConfigListener(Gateway gateway) {
         mGateway = gateway;
         mStoreLog = new DependencyLog(gateway.log(), "store-config");
+        mRewriteEndNanos = gateway.time().nanoTime();
     }
 
     @Override
     public void onStoreRestored() {
-        mRestored = true;
+        mRewriteEndNanos = mGateway.time().nanoTime() + REWRITE_TIME.toNanos();
     }
 
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
         mEvacuatedInStore.clear();
         values.forEach((key, value) -> onChange(key, Optional.of(value)));
-        if (mRestored) {
-            // An older copy may lack an evacuation that is in force.
-            mRestored = false;
-            mGateway.scheduler().schedule(REWRITE_TIME, this::endMissingEvacuations);
-        } else {
-            endMissingEvacuations();
-        }
+        endMissingEvacuations();
     }
 
+    /** Ends the evacuations that the store does not have, once they would be written again. */
     private void endMissingEvacuations() {
+        long remaining = mRewriteEndNanos - mGateway.time().nanoTime();
+        if (remaining > 0) {
+            mGateway.scheduler().schedule(Duration.ofNanos(remaining), this::endMissingEvacuations);
+            return;
+        }
         for (DataCentreId known : new HashSet<>(mKnownDataCentres)) {
             if (!mEvacuatedInStore.contains(known)) {
                 applyEvacuation(known, false);
