Log failed attempts with what had arrived of their response

Cause: of a response that broke off before it was forwarded, the log had the detail only; the last event of a broken stream was not logged at all. Change: 'response-broken' is logged for every failed attempt and names the last event. A test plays waiting and refused requests of a group that pauses as a whole.

--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -176,12 +176,7 @@
     private void searchAgain(ChoiceRequest choice) {
         mSearch.next(choice, remaining(), mAdmitted.priority(), mRequest.unitHash())
                 .peek(delay -> mGateway.scheduler().schedule(delay, this::send))
-                .peekLeft(
-                        failure ->
-                                fail(
-                                        RefusalReason.NO_UPSTREAM,
-                                        failure.detail(),
-                                        failure.retryAfter()));
+                .peekLeft(f -> fail(RefusalReason.NO_UPSTREAM, f.detail(), f.retryAfter()));
     }
 
     /** Retries an idempotent request at another upstream if the current one stays silent. */
@@ -263,6 +258,7 @@
 
     @Override
     public void onFailed(UpstreamNode node, String detail) {
+        mTrace.responseBroken(node, detail, mAttempt.progress(), mStream.lastEventId());
         recordFailure(node);
         mPlacement.exclude(node);
         mExecutions++;
@@ -275,7 +271,7 @@
 
     @Override
     public void onStreamBroken(UpstreamNode node, String detail) {
-        mTrace.responseBroken(node, detail, mAttempt.progress());
+        mTrace.responseBroken(node, detail, mAttempt.progress(), mStream.lastEventId());
         recordFailure(node);
         mPlacement.exclude(node);
         mExecutions++;
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -1,6 +1,7 @@
 package org.boragethread.entry.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
@@ -94,8 +95,12 @@
                 .warn();
     }
 
-    /** Records that an upstream's response ended before it was complete. */
-    void responseBroken(UpstreamNode node, String detail, ResponseProgress progress) {
+    /** Records that an upstream's response ended before it was complete, or did not begin. */
+    void responseBroken(
+            UpstreamNode node,
+            String detail,
+            ResponseProgress progress,
+            Optional<String> lastEvent) {
         mGateway.metrics().onBrokenConnection("upstream-response");
         mGateway.log()
                 .event("response-broken", mRequest.id())
@@ -105,6 +110,7 @@
                 .with("bytes", progress.bytes())
                 .with("events", progress.events())
                 .with("partialEventBytes", progress.partialEventBytes())
+                .with("lastEvent", lastEvent.orElse(""))
                 .warn();
     }
 
--- /dev/null
+++ b/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
@@ -0,0 +1,135 @@
+package org.boragethread.entry.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.boragethread.core.member.PartitionLease;
+import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.core.upstream.ChoiceRequest;
+import org.boragethread.core.upstream.ColdRateShare;
+import org.boragethread.core.upstream.ResponseTimeModel;
+import org.boragethread.core.upstream.UpstreamChooser;
+import org.boragethread.core.upstream.UpstreamDirectory;
+import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.routing.RoutedGroup;
+import org.boragethread.model.routing.UpstreamAnnouncement;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.UpstreamId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link UpstreamSearch} while all upstreams of a group pause or leave. */
+public class UpstreamSearchTest {
+
+    private static final DataCentreId NORTH = new DataCentreId("north");
+    private static final GroupId ORDERS = new GroupId("orders");
+    private static final Duration PAUSE = Duration.ofSeconds(2);
+
+    private ManualTimeSource mTime;
+    private UpstreamDirectory mDirectory;
+    private UpstreamChooser mChooser;
+    private ChoiceRequest mChoice;
+
+    @BeforeMethod
+    public void createGroup() {
+        mTime = new ManualTimeSource();
+        mDirectory = new UpstreamDirectory(mTime);
+        for (int i = 0; i < 4; i++) {
+            mDirectory.put(announcement("orders-" + i));
+        }
+        PartitionLease lease = new PartitionLease(mTime, 12, Duration.ofSeconds(5));
+        mChooser =
+                new UpstreamChooser(
+                        mDirectory,
+                        mTime,
+                        NORTH,
+                        Map.of(NORTH, "region"),
+                        new ColdRateShare(new ColdRateShare.ColdRateBound(1.5, 5), lease));
+        RoutedGroup group =
+                new RoutedGroup(
+                        ORDERS,
+                        "/health",
+                        110,
+                        Duration.ZERO,
+                        0,
+                        Optional.empty(),
+                        Optional.empty());
+        mChoice =
+                new ChoiceRequest(
+                        group,
+                        Set.of(),
+                        Set.of(),
+                        0,
+                        0,
+                        new ResponseTimeModel(),
+                        Set.of(),
+                        Optional.empty(),
+                        ChoiceRequest.REMOTE_MILLIS);
+    }
+
+    private static UpstreamAnnouncement announcement(String id) {
+        return new UpstreamAnnouncement(
+                new UpstreamId(id), ORDERS, "10.0.0.1", 80, NORTH, false, 0, Optional.empty());
+    }
+
+    private void pauseAll() {
+        for (UpstreamNode node : mDirectory.of(ORDERS)) {
+            node.pauseUntil(mTime.nanoTime() + PAUSE.toNanos());
+        }
+    }
+
+    private Either<UpstreamSearch.Failure, Duration> search(
+            Duration remaining, int priority, double jitter) {
+        return new UpstreamSearch(mChooser, mTime).next(mChoice, remaining, priority, jitter);
+    }
+
+    /** A burst meets a group that pauses as a whole: waiting callers all returned at one moment. */
+    @Test
+    public void requestsReturnAfterThePauseInTheOrderOfTheirPriority() {
+        pauseAll();
+        SplittableRandom random = new SplittableRandom(1);
+        Duration latestOfMoreUrgent = PAUSE;
+        for (int priority = 0; priority < 10; priority++) {
+            Duration latest = Duration.ZERO;
+            for (int i = 0; i < 50; i++) {
+                Duration delay =
+                        search(Duration.ofSeconds(10), priority, random.nextDouble()).get();
+                assertTrue(delay.compareTo(latestOfMoreUrgent) >= 0);
+                latest = delay.compareTo(latest) > 0 ? delay : latest;
+            }
+            latestOfMoreUrgent = latest;
+        }
+        assertTrue(latestOfMoreUrgent.compareTo(PAUSE.plusMillis(300)) < 0);
+    }
+
+    /** Requests that could not be served after the pause were held until their deadline. */
+    @Test
+    public void requestsWithAnEarlierDeadlineAreRefusedAtOnce() {
+        pauseAll();
+        Either<UpstreamSearch.Failure, Duration> result = search(Duration.ofSeconds(1), 0, 0.5);
+        assertTrue(result.getLeft().retryAfter().compareTo(PAUSE) >= 0);
+    }
+
+    @Test
+    public void firstUpstreamToReturnEndsThePause() {
+        pauseAll();
+        mDirectory.of(ORDERS).get(2).pauseUntil(mTime.nanoTime() + PAUSE.plusSeconds(5).toNanos());
+        assertEquals(search(Duration.ofSeconds(10), 0, 0).get(), PAUSE);
+        mTime.advance(PAUSE);
+        assertTrue(mChooser.choose(mChoice).isPresent());
+    }
+
+    /** Callers waited for a group whose upstreams all leave. */
+    @Test
+    public void requestsAreRefusedAtOnceIfAllUpstreamsLeave() {
+        mDirectory.of(ORDERS).forEach(UpstreamNode::markLeaving);
+        assertTrue(search(Duration.ofSeconds(10), 0, 0).isLeft());
+    }
+}
