Refuse at once when every upstream of a group has failed for a request

Cause: a request that no known upstream was left to try searched on for up to 300 ms, though only a new upstream could have served it. Change: the search ends at once if the group has upstreams and each is leaving or excluded for the request. It still waits for a group that has none.

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -121,10 +121,15 @@
                 .map(until -> Duration.ofNanos(until - now));
     }
 
-    /** Returns whether all upstreams of the group are leaving, and there are any. */
-    public boolean isWholeGroupLeaving(ChoiceRequest request) {
+    /**
+     * Returns whether the group has upstreams, but each is leaving or excluded, so that only a new
+     * one could get the request.
+     */
+    public boolean isGroupExhausted(ChoiceRequest request) {
         List<UpstreamNode> nodes = mDirectory.of(request.group().id());
-        return !nodes.isEmpty() && nodes.stream().allMatch(UpstreamNode::isLeaving);
+        return !nodes.isEmpty()
+                && nodes.stream()
+                        .allMatch(node -> node.isLeaving() || request.excluded().contains(node));
     }
 
     private List<UpstreamNode> candidates(ChoiceRequest request) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSearch.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSearch.java
@@ -47,9 +47,11 @@
     Either<Failure, Duration> next(
             ChoiceRequest choice, Duration remaining, int priority, double jitter) {
         String group = "group " + choice.group().id();
-        if (mChooser.isWholeGroupLeaving(choice)) {
+        if (mChooser.isGroupExhausted(choice)) {
             return Either.left(
-                    new Failure("all upstreams of " + group + " leave", RetryDelays.SHORT));
+                    new Failure(
+                            "all upstreams of " + group + " leave or have failed",
+                            RetryDelays.SHORT));
         }
         Optional<Duration> pause = mChooser.remainingPause(choice);
         if (pause.isPresent()) {
--- a/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
@@ -5,6 +5,8 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -35,6 +37,7 @@
     private ManualTimeSource mTime;
     private UpstreamDirectory mDirectory;
     private UpstreamChooser mChooser;
+    private RoutedGroup mGroup;
     private ChoiceRequest mChoice;
 
     @BeforeMethod
@@ -52,7 +55,7 @@
                         NORTH,
                         Map.of(NORTH, "region"),
                         new ColdRateShare(new ColdRateShare.ColdRateBound(1.5, 5), lease));
-        RoutedGroup group =
+        mGroup =
                 new RoutedGroup(
                         ORDERS,
                         "/health",
@@ -61,17 +64,20 @@
                         0,
                         Optional.empty(),
                         Optional.empty());
-        mChoice =
-                new ChoiceRequest(
-                        group,
-                        Set.of(),
-                        Set.of(),
-                        0,
-                        0,
-                        new ResponseTimeModel(),
-                        Set.of(),
-                        Optional.empty(),
-                        ChoiceRequest.REMOTE_MILLIS);
+        mChoice = choiceWithout(Set.of());
+    }
+
+    private ChoiceRequest choiceWithout(Set<UpstreamNode> excluded) {
+        return new ChoiceRequest(
+                mGroup,
+                Set.of(),
+                excluded,
+                0,
+                0,
+                new ResponseTimeModel(),
+                Set.of(),
+                Optional.empty(),
+                ChoiceRequest.REMOTE_MILLIS);
     }
 
     private static UpstreamAnnouncement announcement(String id) {
@@ -132,4 +138,21 @@
         mDirectory.of(ORDERS).forEach(UpstreamNode::markLeaving);
         assertTrue(search(Duration.ofSeconds(10), 0, 0).isLeft());
     }
+
+    /** Callers waited for a third upstream when the only two had failed. */
+    @Test
+    public void requestsAreRefusedAtOnceIfEachUpstreamFailedOrLeaves() {
+        Set<UpstreamNode> failed = new HashSet<>(mDirectory.of(ORDERS).subList(0, 3));
+        mChoice = choiceWithout(failed);
+        assertTrue(search(Duration.ofSeconds(10), 0, 0).isRight());
+        mDirectory.of(ORDERS).get(3).markLeaving();
+        assertTrue(search(Duration.ofSeconds(10), 0, 0).isLeft());
+    }
+
+    /** A group without upstreams may be announced at any moment. */
+    @Test
+    public void requestsWaitForTheFirstUpstreamOfAGroup() {
+        mDirectory.replaceAll(List.of());
+        assertTrue(search(Duration.ofSeconds(10), 0, 0).isRight());
+    }
 }
