Keep the order of trickled bytes in the fault proxy

Cause: the proxy's trickle filter set one timer for each chunk, with a delay computed from its own reading of the clock. If the thread paused before the timer was set, the timers of the following chunks fired first, and 64 bytes of a request changed places: a request line without POST, or another body. The agent and the entry do not change bytes; a request cut off by a half-close is not answered by the stand-in (trial). Why it works: the timers run the oldest pending action, whichever fires first. No check of FaultyNetworkTest changed.

--- a/standins/src/main/java/org/boragethread/standins/proxy/Faults.java
+++ b/standins/src/main/java/org/boragethread/standins/proxy/Faults.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -112,6 +114,7 @@
     private static final class TrickleFilter implements FaultFilter {
         private final int mChunkBytes;
         private final long mIntervalNanos;
+        private final Deque<Runnable> mPending = new ArrayDeque<>();
         private long mLastScheduledNanos = System.nanoTime();
 
         TrickleFilter(int chunkBytes, long intervalNanos) {
@@ -136,11 +139,15 @@
 
         /**
          * Schedules an action one interval after the previous one, or after now if that is later.
+         * Timers may fire in another order if the thread pauses before one of them is set, so each
+         * runs the oldest action.
          */
         private void scheduleNext(FilterOutput output, Runnable action) {
             long now = System.nanoTime();
             mLastScheduledNanos = Math.max(now, mLastScheduledNanos) + mIntervalNanos;
-            output.schedule(mLastScheduledNanos - now, TimeUnit.NANOSECONDS, action);
+            mPending.add(action);
+            output.schedule(
+                    mLastScheduledNanos - now, TimeUnit.NANOSECONDS, () -> mPending.remove().run());
         }
     }
 
