--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -19,6 +19,7 @@
     private final ColdRateLimit mColdRateLimit = new ColdRateLimit();
     private final ResultMemory mResultMemory = new ResultMemory();
     private final PromptLoad mPromptLoad = new PromptLoad();
+    private final NamedRateLimit mNamedRateLimit = new NamedRateLimit();
     private UpstreamAnnouncement mEntry;
     private long mFirstSeenAt;
     private long mColdUntil = Long.MIN_VALUE;
@@ -47,6 +48,7 @@
             mConsecutiveFailures = 0;
             mSlowness = 1;
             mPromptLoad.clearPrefixes();
+            mNamedRateLimit.clear();
         }
         mEntry = entry;
         mLeaving |= entry.draining();
@@ -141,6 +143,11 @@
         return mPromptLoad;
     }
 
+    /** Returns the rate limit that the upstream names in its responses. */
+    public NamedRateLimit namedRateLimit() {
+        return mNamedRateLimit;
+    }
+
     /** Returns the average response time as a multiple of the expected time. */
     public double slowness() {
         return mSlowness;
--- a/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
@@ -92,7 +92,7 @@
                 true,
                 timeout,
                 response -> {
-                    applySignals(upstream, entry, response);
+                    applySignals(upstream, entry, sentAt, response);
                     Either<BatchFailure, BatchResponse> result =
                             decodeResponse(response, pieces.size());
                     logBatch(
@@ -108,8 +108,10 @@
     private void applySignals(
             UpstreamNode upstream,
             UpstreamAnnouncement entry,
+            long sentAt,
             Either<CallFailure, BufferedResponse> response) {
-        response.peek(whole -> mSignals.apply(upstream, entry, whole.status(), whole.headers()));
+        response.peek(
+                whole -> mSignals.apply(upstream, entry, sentAt, whole.status(), whole.headers()));
     }
 
     private void logBatch(
@@ -197,6 +199,7 @@
             return;
         }
         UpstreamAnnouncement entry = upstream.entry();
+        long sentAt = mTime.nanoTime();
         FullHttpRequest request =
                 postRequest(entry, StageCodec.FREE_PATH, StageCodec.encodeFree(handles));
         send(
@@ -205,7 +208,7 @@
                 false,
                 FREE_TIMEOUT,
                 response -> {
-                    applySignals(upstream, entry, response);
+                    applySignals(upstream, entry, sentAt, response);
                     // Before this response the upstream may lack memory for other results.
                     upstream.resultMemory().remove(handles);
                     mOnFreed.accept(entry.group());
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -8,6 +8,7 @@
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.process.log.EventLog;
 
 /** Logs and counts the decisions taken for one request. */
 final class RequestTrace {
@@ -60,16 +61,18 @@
     }
 
     void sent(UpstreamNode node, int sends, Duration remaining) {
-        mGateway.log()
-                .event("sent", mRequest.id())
-                .with("upstream", node.entry().id())
-                .with("group", node.entry().group())
-                .with("dataCentre", node.entry().dataCentre())
-                .with("sends", sends)
-                .with("unfinishedCalls", node.inFlight())
-                .with("slowness", Math.round(node.slowness() * 100) / 100.0)
-                .with("remainingMs", remaining.toMillis())
-                .info();
+        EventLog.Line line =
+                mGateway.log()
+                        .event("sent", mRequest.id())
+                        .with("upstream", node.entry().id())
+                        .with("group", node.entry().group())
+                        .with("dataCentre", node.entry().dataCentre())
+                        .with("sends", sends)
+                        .with("unfinishedCalls", node.inFlight())
+                        .with("slowness", Math.round(node.slowness() * 100) / 100.0)
+                        .with("remainingMs", remaining.toMillis());
+        node.namedRateLimit().perSecond().ifPresent(rate -> line.with("rateLimit", rate));
+        line.info();
     }
 
     void retried(String reason, int sends, Duration remaining) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -155,7 +155,7 @@
         mStatus = head.status().code();
         mHeaders = head.headers();
         mFraming = BodyFraming.of(mMethod, head);
-        mSignals.apply(mNode, mCalledEntry, mStatus, mHeaders);
+        mSignals.apply(mNode, mCalledEntry, mSentAt, mStatus, mHeaders);
         mIsEventStream = mFraming != BodyFraming.NO_BODY && isEventStream(head);
         boolean notExecuted =
                 mStatus == MISDIRECTED || mHeaders.contains(PlatformHeaders.NOT_EXECUTED);
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.core.upstream.UpstreamNode;
@@ -36,13 +37,19 @@
      *
      * @param calledEntry announcement of the upstream when it was called; another process that has
      *     its address now says nothing about it, nor does an earlier run about the present one
+     * @param sentAt monotonic time at which the call was sent
      */
     void apply(
-            UpstreamNode node, UpstreamAnnouncement calledEntry, int status, HttpHeaders headers) {
+            UpstreamNode node,
+            UpstreamAnnouncement calledEntry,
+            long sentAt,
+            int status,
+            HttpHeaders headers) {
         if (status == MISDIRECTED || !node.entry().isSameIncarnation(calledEntry)) {
             return;
         }
         applyLeaving(node, headers.getAll(PlatformHeaders.LEAVING));
+        applyRateLimit(node, sentAt, headers.getAll(PlatformHeaders.RATE_LIMIT));
         if (status == UNAVAILABLE) {
             applyPause(node, headers.getAll(PlatformHeaders.RETRY_AFTER));
         }
@@ -62,6 +69,31 @@
         }
     }
 
+    private void applyRateLimit(UpstreamNode node, long sentAt, List<String> values) {
+        OptionalDouble named = HeaderDecoder.rateLimit(values);
+        boolean malformed = !values.isEmpty() && (named.isEmpty() || values.size() > 1);
+        if (malformed) {
+            logMalformed(node, PlatformHeaders.RATE_LIMIT, values);
+        }
+        if (malformed && named.isEmpty()) {
+            return;
+        }
+        if (node.namedRateLimit().observe(named, sentAt, mTime.nanoTime())) {
+            mMetrics.onUpstreamSignal("rate-limit");
+            mLog.event("rate-limit")
+                    .with("upstream", node.entry().id())
+                    .with("group", node.entry().group())
+                    .with("outcome", named.isPresent() ? "named" : "withdrawn")
+                    .with("perSecond", format(named))
+                    .with("source", "response")
+                    .info();
+        }
+    }
+
+    private static String format(OptionalDouble perSecond) {
+        return perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "";
+    }
+
     private void applyPause(UpstreamNode node, List<String> values) {
         if (values.isEmpty()) {
             return;
