Keep the rate limits that upstreams name, over all entries together

Callers saw nothing at first; an engine in need that named 1 request a second got 12 in 4 s and went on getting what it got before.

Change: a limit is divided into units of one call in a window of 5 s or more. The units belong to the partitions that entries lease already, so the sum is kept by construction, also by entries that are cut off, suspended or new (ADR 0055). The number is shared through the topic of the entries' reports: an entry without a share does not call, so only others can tell it that the limit has changed or ended. The last record counts; whoever sees another number in a response to a later call writes it. All calls are counted where they are sent: requests, repeats, pieces, freed results. If all upstreams of a group name limits, requests wait in the order of their priority, and those whose turn would come too late are refused at once, with that time in Retry-After. The stand-in of the store now deals partitions to its members.

--- a/core/src/main/java/org/boragethread/core/member/PartitionLease.java
+++ b/core/src/main/java/org/boragethread/core/member/PartitionLease.java
@@ -79,15 +79,20 @@
         }
         long first =
                 Math.floorMod(Hashing.komihash5_0().hashCharsToLong(limit), (long) mPartitions);
-        int units = 0;
-        for (int unit = 0; unit < total; unit++) {
-            // Evenly spaced, because a process is often assigned adjacent partitions.
-            long partition = (first + (long) unit * mPartitions / total) % mPartitions;
-            if (isUsable((int) partition, window)) {
-                units++;
+        long units = 0;
+        for (int partition : mHeldSince.keySet()) {
+            if (isUsable(partition, window)) {
+                // Evenly spaced, because a process is often assigned adjacent partitions.
+                long place = Math.floorMod(partition - first, mPartitions);
+                units += firstUnit(place + 1, total) - firstUnit(place, total);
             }
         }
-        return units;
+        return (int) units;
+    }
+
+    /** Returns the first unit that belongs to the partition at a place, or to one behind it. */
+    private long firstUnit(long place, int total) {
+        return -Math.floorDiv(-place * total, (long) mPartitions);
     }
 
     private boolean isHeld() {
--- a/core/src/main/java/org/boragethread/core/upstream/NamedRateLimit.java
+++ b/core/src/main/java/org/boragethread/core/upstream/NamedRateLimit.java
@@ -1,13 +1,24 @@
 package org.boragethread.core.upstream;
 
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 /**
  * The rate of calls that an upstream says it accepts from all processes together, as far as this
- * process has learned of it. Not thread-safe.
+ * process has learned of it, and the calls that this process has sent since. Not thread-safe.
  */
 public final class NamedRateLimit {
 
+    private static final Duration BURST_WINDOW = Duration.ofSeconds(1);
+
+    /** Calls within {@link #BURST_WINDOW}, as a multiple of those that the allowance averages. */
+    private static final double BURST_FACTOR = 2;
+
+    private final Deque<Long> mSentAt = new ArrayDeque<>();
     private OptionalDouble mPerSecond = OptionalDouble.empty();
     private long mLearnedAt = Long.MIN_VALUE;
 
@@ -29,15 +40,23 @@
         boolean lower =
                 named.isPresent()
                         && (mPerSecond.isEmpty() || named.getAsDouble() < mPerSecond.getAsDouble());
-        return (lower || sentAt >= mLearnedAt) && set(named, now);
+        return (lower || sentAt >= mLearnedAt) && learn(named, now);
     }
 
-    private boolean set(OptionalDouble perSecond, long now) {
+    /**
+     * Applies what another process has learned.
+     *
+     * @return whether the limit changed
+     */
+    public boolean learn(OptionalDouble perSecond, long now) {
         if (perSecond.equals(mPerSecond)) {
             return false;
         }
         mPerSecond = perSecond;
         mLearnedAt = now;
+        if (perSecond.isEmpty()) {
+            mSentAt.clear();
+        }
         return true;
     }
 
@@ -45,5 +64,47 @@
     void clear() {
         mPerSecond = OptionalDouble.empty();
         mLearnedAt = Long.MIN_VALUE;
+        mSentAt.clear();
+    }
+
+    /** Counts a call that is being sent. */
+    void onSent(long now) {
+        if (mPerSecond.isPresent()) {
+            mSentAt.add(now);
+        }
+    }
+
+    /**
+     * Returns the monotonic time from which on an allowance permits one more call; empty if it
+     * permits none at all.
+     */
+    Optional<Long> nextCallAt(CallAllowance allowance, long now) {
+        if (allowance.calls() == 0) {
+            return Optional.empty();
+        }
+        removeUntil(now - allowance.window().toNanos());
+        double windows = allowance.window().toNanos() / (double) BURST_WINDOW.toNanos();
+        int burst = (int) Math.ceil(BURST_FACTOR * allowance.calls() / windows);
+        long inWindow = freeAt(allowance.calls(), allowance.window(), now);
+        return Optional.of(Math.max(inWindow, freeAt(burst, BURST_WINDOW, now)));
+    }
+
+    private void removeUntil(long nanos) {
+        while (!mSentAt.isEmpty() && mSentAt.peek() <= nanos) {
+            mSentAt.poll();
+        }
+    }
+
+    /** Returns when the last calls before the present one leave enough room in a window. */
+    private long freeAt(int calls, Duration window, long now) {
+        if (mSentAt.size() < calls) {
+            return now;
+        }
+        Iterator<Long> latestFirst = mSentAt.descendingIterator();
+        long sentAt = latestFirst.next();
+        for (int i = 1; i < calls; i++) {
+            sentAt = latestFirst.next();
+        }
+        return Math.max(now, sentAt + window.toNanos());
     }
 }
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -48,6 +48,7 @@
     private final DataCentreId mLocalDataCentre;
     private final Map<DataCentreId, String> mRegions;
     private final ColdRateShare mColdRateShare;
+    private final RateLimitShare mRateLimitShare;
 
     /**
      * Creates a chooser.
@@ -60,12 +61,14 @@
             TimeSource time,
             DataCentreId localDataCentre,
             Map<DataCentreId, String> regions,
-            ColdRateShare coldRateShare) {
+            ColdRateShare coldRateShare,
+            RateLimitShare rateLimitShare) {
         mDirectory = directory;
         mTime = time;
         mLocalDataCentre = localDataCentre;
         mRegions = regions;
         mColdRateShare = coldRateShare;
+        mRateLimitShare = rateLimitShare;
     }
 
     /** Returns the upstream with the lowest cost among those that may get the request now. */
@@ -77,7 +80,7 @@
         double lowestCost = Double.MAX_VALUE;
         for (int rank = 0; rank < ranked.size(); rank++) {
             UpstreamNode node = ranked.get(rank);
-            if (node.isPaused(now) || !isCallAllowed(node, request.group(), now)) {
+            if (!isCallAllowed(node, request.group(), now)) {
                 continue;
             }
             double cost = cost(node, rank, request, now);
@@ -90,6 +93,9 @@
     }
 
     private boolean isCallAllowed(UpstreamNode node, RoutedGroup group, long now) {
+        if (node.isPaused(now) || !mRateLimitShare.isCallAllowed(node, now)) {
+            return false;
+        }
         if (!node.isCold(now) || !mColdRateShare.isLimited(group)) {
             return true;
         }
@@ -105,6 +111,46 @@
         return candidates(request).stream().anyMatch(node -> !node.isPaused(now));
     }
 
+    /** Returns whether any upstream of the group may get the request now. */
+    public boolean hasCallableCandidate(ChoiceRequest request) {
+        long now = mTime.nanoTime();
+        return candidates(request).stream()
+                .anyMatch(node -> isCallAllowed(node, request.group(), now));
+    }
+
+    /**
+     * Returns how the limits that upstreams name hold back the request; empty if any upstream that
+     * does not pause is free of them now.
+     */
+    public Optional<RateLimitDelay> rateLimitDelay(ChoiceRequest request) {
+        long now = mTime.nanoTime();
+        double callsPerSecond = 0;
+        double limit = 0;
+        Optional<Long> first = Optional.empty();
+        boolean any = false;
+        for (UpstreamNode node : candidates(request)) {
+            if (node.isPaused(now)) {
+                continue;
+            }
+            Optional<CallAllowance> allowance = mRateLimitShare.allowance(node);
+            if (allowance.isEmpty() || mRateLimitShare.isCallAllowed(node, now)) {
+                return Optional.empty();
+            }
+            any = true;
+            limit += node.namedRateLimit().perSecond().orElse(0);
+            callsPerSecond += allowance.get().callsPerSecond();
+            Optional<Long> next = mRateLimitShare.nextCallAt(node, now);
+            if (next.isPresent() && (first.isEmpty() || next.get() < first.get())) {
+                first = next;
+            }
+        }
+        if (!any) {
+            return Optional.empty();
+        }
+        Optional<Duration> untilNext = first.map(at -> Duration.ofNanos(at - now));
+        return Optional.of(new RateLimitDelay(untilNext, callsPerSecond, limit));
+    }
+
     /**
      * Returns the time until the first upstream accepts calls again, if all that could get the
      * request are paused.
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
@@ -61,7 +61,7 @@
 
     /**
      * An announcement that ended may return from an older copy of the store. The upstream is then
-     * still leaving or paused.
+     * still leaving, paused or limited.
      */
     private UpstreamNode restoreOrCreate(UpstreamAnnouncement entry, long now) {
         UpstreamNode removed = mRemoved.remove(entry.id());
@@ -135,6 +135,11 @@
         return Optional.ofNullable(mNodes.get(id));
     }
 
+    /** Returns all known upstreams. */
+    public Collection<UpstreamNode> all() {
+        return List.copyOf(mNodes.values());
+    }
+
     /** Returns the number of known upstreams. */
     public int size() {
         return mNodes.size();
@@ -147,7 +152,8 @@
     private void delete(UpstreamNode node) {
         mNodes.remove(node.entry().id());
         group(node.entry().group()).remove(node);
-        if (!node.isLeaving() && !node.isPaused(mTime.nanoTime())) {
+        boolean limited = node.namedRateLimit().perSecond().isPresent();
+        if (!node.isLeaving() && !node.isPaused(mTime.nanoTime()) && !limited) {
             return;
         }
         mRemoved.put(node.entry().id(), node);
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -164,10 +164,16 @@
         mBusyUntil = nanos;
     }
 
-    /** Counts a call that is being sent. */
+    /** Counts a call that is being sent and occupies the upstream until it ends. */
     public void onSent(long now) {
         mInFlight++;
         mColdRateLimit.onSent(now);
+        onShortCallSent(now);
+    }
+
+    /** Counts a call that is being sent and hardly occupies the upstream. */
+    public void onShortCallSent(long now) {
+        mNamedRateLimit.onSent(now);
     }
 
     /** Counts the end of a call, successful or not. */
--- a/core/src/test/java/org/boragethread/core/member/PartitionLeaseTest.java
+++ b/core/src/test/java/org/boragethread/core/member/PartitionLeaseTest.java
@@ -4,10 +4,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
 import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.core.time.TimeSource;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -18,6 +21,11 @@
     private static final Duration WINDOW = Duration.ofSeconds(1);
     private static final int PARTITIONS = 36;
 
+    /** Uses that all simulated entries together may make within their window. */
+    private static final int SIMULATED_LIMIT = 14;
+
+    private static final Duration SIMULATED_WINDOW = Duration.ofMillis(1200);
+
     private final ManualTimeSource mTime = new ManualTimeSource();
 
     private static Set<Integer> all() {
@@ -99,11 +107,29 @@
      */
     @Test(dataProvider = "deployments")
     public void entriesTogetherStayWithinTheLimitInEveryWindow(int entries, long seed) {
-        SharedLimitSimulation simulation = new SharedLimitSimulation(entries, seed);
-        int most = simulation.run(Duration.ofSeconds(60));
+        SharedLimitSimulation simulation =
+                new SharedLimitSimulation(
+                        entries, seed, PartitionLeaseTest::user, Duration.ZERO, true);
+        simulation.run(Duration.ofSeconds(60));
+        int most = simulation.mostArrivals(SIMULATED_WINDOW);
         assertTrue(
-                most <= SharedLimitSimulation.LIMIT,
-                "%d uses in one window, limit %d".formatted(most, SharedLimitSimulation.LIMIT));
+                most <= SIMULATED_LIMIT,
+                "%d uses in one window, limit %d".formatted(most, SIMULATED_LIMIT));
         assertTrue(most > 0, "no entry could use the limit");
     }
+
+    private static SharedLimitSimulation.User user(TimeSource time, PartitionLease lease) {
+        Deque<Long> uses = new ArrayDeque<>();
+        return () -> {
+            long start = time.nanoTime() - SIMULATED_WINDOW.toNanos();
+            while (!uses.isEmpty() && uses.peek() <= start) {
+                uses.poll();
+            }
+            if (uses.size() >= lease.units("limit", SIMULATED_LIMIT, SIMULATED_WINDOW)) {
+                return false;
+            }
+            uses.add(time.nanoTime());
+            return true;
+        };
+    }
 }
--- a/core/src/test/java/org/boragethread/core/member/SharedLimitSimulation.java
+++ b/core/src/test/java/org/boragethread/core/member/SharedLimitSimulation.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,12 +17,8 @@
  * Entries that share one limit by the partitions of a simulated store, under failures of entries,
  * of their clocks and of their connections to the store.
  */
-final class SharedLimitSimulation {
+public final class SharedLimitSimulation {
 
-    /** Uses that all entries together may make within {@link #WINDOW}. */
-    static final int LIMIT = 14;
-
-    private static final Duration WINDOW = Duration.ofMillis(1200);
     private static final Duration LEASE_TIME = Duration.ofSeconds(5);
     private static final Duration STEP = Duration.ofMillis(100);
     private static final int RENEWAL_STEPS = 9;
@@ -37,43 +31,91 @@
     private final SplittableRandom mRandom;
     private final List<Entry> mEntries = new ArrayList<>();
     private final Store mStore = new Store();
-    private final Deque<Long> mUses = new ArrayDeque<>();
+    private final List<Long> mArrivals = new ArrayList<>();
+    private final UserFactory mUsers;
+    private final Duration mMaxDelay;
+    private final boolean mDisturbed;
     private int mStep;
     private int mNames;
 
-    SharedLimitSimulation(int entries, long seed) {
+    /** One entry that uses a limit whenever it may. */
+    @FunctionalInterface
+    public interface User {
+
+        /** Uses the limit once if that is allowed now; returns whether it was. */
+        boolean tryUse();
+    }
+
+    /** Creates what uses the limit in one run of an entry. */
+    @FunctionalInterface
+    public interface UserFactory {
+
+        /**
+         * Creates a user.
+         *
+         * @param time clock of the entry
+         * @param lease lease of the entry
+         */
+        User create(TimeSource time, PartitionLease lease);
+    }
+
+    /**
+     * Creates a simulation.
+     *
+     * @param maxDelay longest time from a use to its arrival
+     * @param disturbed whether entries, clocks and connections fail
+     */
+    public SharedLimitSimulation(
+            int entries, long seed, UserFactory users, Duration maxDelay, boolean disturbed) {
+        mUsers = users;
+        mMaxDelay = maxDelay;
+        mDisturbed = disturbed;
         mRandom = new SplittableRandom(seed);
         for (int i = 0; i < entries; i++) {
             mEntries.add(new Entry());
         }
     }
 
-    /** Runs and returns the most uses that all entries made within one window. */
-    int run(Duration length) {
-        int most = 0;
+    /** Runs for a time. */
+    public void run(Duration length) {
         while (mTime.nanoTime() < length.toNanos()) {
             mStep++;
             mStore.expireMembers();
-            if (mRandom.nextInt(40) == 0) {
+            if (happens(40)) {
                 mStore.reassignAll();
             }
             for (int i = 0; i < mEntries.size(); i++) {
-                if (mRandom.nextInt(300) == 0) {
+                if (happens(300)) {
                     mEntries.set(i, new Entry());
                 }
                 mEntries.get(i).step();
             }
-            most = Math.max(most, usesInWindow());
             mTime.advance(STEP);
         }
-        return most;
     }
 
-    private int usesInWindow() {
-        while (!mUses.isEmpty() && mUses.peek() <= mTime.nanoTime() - WINDOW.toNanos()) {
-            mUses.poll();
+    /** Returns whether a disturbance begins that strikes in one of the given number of steps. */
+    private boolean happens(int steps) {
+        return mDisturbed && mRandom.nextInt(steps) == 0;
+    }
+
+    /** Returns the uses that have arrived from a time on, in seconds. */
+    public long arrivalsFrom(double seconds) {
+        return mArrivals.stream().filter(arrival -> arrival >= seconds * 1e9).count();
+    }
+
+    /** Returns the most uses that arrived within one window. */
+    public int mostArrivals(Duration window) {
+        List<Long> arrivals = mArrivals.stream().sorted().toList();
+        int most = 0;
+        int first = 0;
+        for (int last = 0; last < arrivals.size(); last++) {
+            while (arrivals.get(last) - arrivals.get(first) >= window.toNanos()) {
+                first++;
+            }
+            most = Math.max(most, last - first + 1);
         }
-        return mUses.size();
+        return most;
     }
 
     /** One run of an entry; a restarted entry is another member. */
@@ -81,7 +123,7 @@
 
         private final String mName = "entry-" + mNames++;
         private final PartitionLease mLease = new PartitionLease(this, PARTITIONS, LEASE_TIME);
-        private final Deque<Long> mOwnUses = new ArrayDeque<>();
+        private final User mUser = mUsers.create(this, mLease);
         private final int mRenewalStep = mRandom.nextInt(RENEWAL_STEPS);
         private long mSuspendedNanos;
         private long mWallClockMillis;
@@ -104,13 +146,13 @@
                 mSuspendedNanos += STEP.toNanos();
                 return;
             }
-            if (mRandom.nextInt(300) == 0) {
+            if (happens(300)) {
                 mSuspendedUntil = mStep + mRandom.nextInt(80);
             }
-            if (mRandom.nextInt(200) == 0) {
+            if (happens(200)) {
                 mCutOffUntil = mStep + mRandom.nextInt(100);
             }
-            if (mRandom.nextInt(400) == 0) {
+            if (happens(400)) {
                 // Only jumps ahead: together with a suspension, a jump back hides elapsed time.
                 mWallClockMillis += mRandom.nextInt(20_000);
             }
@@ -123,7 +165,7 @@
         private void renew() {
             ClockReading sentAt = ClockReading.now(this);
             Set<Integer> partitions = mStore.join(mName);
-            boolean responseLost = mRandom.nextInt(20) == 0;
+            boolean responseLost = happens(20);
             if (!responseLost) {
                 mLease.renew(sentAt, partitions);
             }
@@ -131,14 +173,9 @@
 
         /** Uses all units that are free, as under a load without end. */
         private void useAll() {
-            long start = mTime.nanoTime() - WINDOW.toNanos();
-            while (!mOwnUses.isEmpty() && mOwnUses.peek() <= start) {
-                mOwnUses.poll();
-            }
-            int units = mLease.units("limit", LIMIT, WINDOW);
-            while (mOwnUses.size() < units) {
-                mOwnUses.add(mTime.nanoTime());
-                mUses.add(mTime.nanoTime());
+            while (mUser.tryUse()) {
+                long delay = (long) (mRandom.nextDouble() * mMaxDelay.toNanos());
+                mArrivals.add(mTime.nanoTime() + delay);
             }
         }
     }
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
@@ -69,7 +69,8 @@
                 mTime,
                 localDataCentre,
                 Map.of(NORTH, "r1", SOUTH, "r2"),
-                new ColdRateShare(new ColdRateBound(1.5, 5), lease));
+                new ColdRateShare(new ColdRateBound(1.5, 5), lease),
+                new RateLimitShare(lease));
     }
 
     private ChoiceRequest request(long affinity, Set<UpstreamNode> excluded) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
@@ -41,6 +41,7 @@
             boolean excluded =
                     node.isLeaving()
                             || node.isPaused(now)
+                            || !mGateway.rateLimitShare().isCallAllowed(node, now)
                             || mGateway.routingTable()
                                     .evacuated()
                                     .contains(node.entry().dataCentre());
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -84,7 +84,9 @@
         mPlacement = new Placement(mGroup, mAdmitted, mGateway.routingTable(), responseTimes());
         mTrace.admitted(mAdmitted, remaining());
         mPrompt.start(target, mAdmitted.sharedParts(), this::onPartBlocked);
-        if (mPrompt.isRefused(this::fail)) {
+        mSearch.start(mGateway.rateLimitQueue(target), mAdmitted.priority());
+        if (mPrompt.isRefused(this::fail)
+                || mSearch.isRefused(mPlacement.choiceRequest(), remaining(), this::fail)) {
             return;
         }
         Duration left =
@@ -183,7 +185,8 @@
     }
 
     private void searchAgain(ChoiceRequest choice) {
-        mSearch.next(choice, remaining(), mAdmitted.priority(), mRequest.unitHash())
+        mSearch.next(choice, remaining(), mRequest.unitHash())
+                .peek(mTrace::waiting)
                 .peek(delay -> mGateway.scheduler().schedule(delay, this::send))
                 .peekLeft(f -> fail(RefusalReason.NO_UPSTREAM, f.detail(), f.retryAfter()));
     }
@@ -194,10 +197,10 @@
             return;
         }
         UpstreamAttempt attempt = mAttempt;
-        Duration timeout = firstResponseTimeout();
-        if (mStream.isStarted()) {
-            timeout = StallTimeouts.betweenEvents(mAdmitted.route());
-        }
+        Duration timeout =
+                mStream.isStarted()
+                        ? StallTimeouts.betweenEvents(mAdmitted.route())
+                        : firstResponseTimeout();
         mStallWatch.start(attempt::isActive, timeout, () -> onStall(attempt));
     }
 
@@ -212,7 +215,8 @@
         boolean canSwitch =
                 (!stalled.isForwarding() || mStream.canResume())
                         && mExecutions + 1 < mAdmitted.route().maxAttempts()
-                        && mGateway.chooser().hasCandidate(mPlacement.choiceWithout(stalled.node()))
+                        && mGateway.chooser()
+                                .hasCallableCandidate(mPlacement.choiceWithout(stalled.node()))
                         && remaining().compareTo(firstResponseTimeout()) > 0;
         if (!canSwitch) {
             return;
@@ -248,8 +252,7 @@
         fail(
                 RefusalReason.UPSTREAM_BUSY,
                 "upstream %s: %d".formatted(node.entry().id(), status),
-                mSearch.retryAfter(
-                        mPlacement.choiceRequest(), mAdmitted.priority(), mRequest.unitHash()));
+                mSearch.retryAfter(mPlacement.choiceRequest(), mRequest.unitHash()));
     }
 
     @Override
@@ -420,9 +423,6 @@
     }
 
     private void recordResponseTime(UpstreamNode node) {
-        if (mAttempt == null) {
-            return;
-        }
         Duration time = mGateway.time().since(mAttempt.sentAt());
         mGateway.metrics().onAttempt(mGroup.id().value(), time);
         node.onSuccess(responseTimes().addAndCompare(mUncachedTokens, time.toNanos() / 1e6));
@@ -442,7 +442,8 @@
             abortResponse(detail);
             return;
         }
-        boolean mayHaveRun = mExecutions > 0 || mAttempt != null && isAttemptPending();
+        boolean pending = mSends > mRejections + mExecutions;
+        boolean mayHaveRun = mExecutions > 0 || mAttempt != null && pending;
         if (mayHaveRun) {
             RefusalReason unknown =
                     reason == RefusalReason.DEADLINE_EXCEEDED
@@ -458,10 +459,6 @@
         refuse(Refusal.notRun(notRun, detail, retryAfter));
     }
 
-    private boolean isAttemptPending() {
-        return mSends > mRejections + mExecutions;
-    }
-
     private Duration backlogRetryAfter() {
         return RetryDelays.afterBacklog(remaining(), mAdmitted.expectedStageTime(mGateway));
     }
@@ -485,6 +482,7 @@
         mEnded = true;
         mDeadlineTimer.cancel();
         mPrompt.stop();
+        mSearch.reset();
         mStallWatch.stop();
         if (mAttempt != null) {
             mAttempt.cancel();
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.core.upstream.ColdRateShare;
+import org.boragethread.core.upstream.RateLimitShare;
 import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamDirectory;
@@ -48,6 +49,8 @@
     private final UpstreamDirectory mDirectory;
     private final FreshnessLease mLease;
     private final PartitionLease mSharedLimits;
+    private final RateLimitShare mRateLimitShare;
+    private final RateLimitSync mRateLimitSync;
     private final QuarantineSync mQuarantineSync;
     private final PromptQuarantine mQuarantine;
     private final CrashDetector mCrashDetector;
@@ -55,6 +58,7 @@
     private final BatchClient mBatchClient;
     private final CoordinatorTable mCoordinators;
     private final StageRouter mStageRouter;
+    private final Map<GroupId, RateLimitQueue> mRateLimitQueues = new HashMap<>();
     private final Map<GroupId, SharedRetryBudget> mRetryBudgets = new HashMap<>();
     private final Map<GroupId, ResponseTimeModel> mResponseTimes = new HashMap<>();
     private final Map<GroupId, BatchScheduler> mBatchSchedulers = new HashMap<>();
@@ -77,13 +81,15 @@
                         StoreGroup.partitions(settings.storePartitions()),
                         settings.revokeTime());
         mLease = new FreshnessLease(time, settings.revokeTime().minus(REVOKE_MARGIN));
+        mRateLimitShare = new RateLimitShare(mSharedLimits);
         mChooser =
                 new UpstreamChooser(
                         mDirectory,
                         time,
                         settings.dataCentre(),
                         settings.regions(),
-                        new ColdRateShare(settings.coldRateBound(), mSharedLimits));
+                        new ColdRateShare(settings.coldRateBound(), mSharedLimits),
+                        mRateLimitShare);
         mQuarantineSync = new QuarantineSync(this, this::quarantine);
         mQuarantine =
                 new PromptQuarantine(
@@ -92,7 +98,8 @@
                         BlockTimes.of(settings.stableWindow(), settings.blockTime()),
                         mQuarantineSync);
         mCrashDetector = new CrashDetector(mConnections, time, mLog, metrics, mQuarantine);
-        mUpstreamSignals = new UpstreamSignals(mScheduler, time, mLog, metrics);
+        mRateLimitSync = new RateLimitSync(this);
+        mUpstreamSignals = new UpstreamSignals(mScheduler, time, mLog, metrics, mRateLimitSync);
         mBatchClient =
                 new HttpBatchClient(
                         mConnections,
@@ -101,6 +108,7 @@
                         mLog,
                         metrics,
                         mUpstreamSignals,
+                        mRateLimitShare,
                         group -> batchScheduler(group).dispatch());
         mCoordinators = new CoordinatorTable(time, settings.dataCentre());
         mStageRouter =
@@ -175,6 +183,20 @@
         return mSharedLimits;
     }
 
+    /** Returns this process's share of the limits that upstreams name. */
+    RateLimitShare rateLimitShare() {
+        return mRateLimitShare;
+    }
+
+    RateLimitSync rateLimitSync() {
+        return mRateLimitSync;
+    }
+
+    /** Returns where requests of a group wait while its upstreams name limits. */
+    RateLimitQueue rateLimitQueue(GroupId group) {
+        return mRateLimitQueues.computeIfAbsent(group, id -> new RateLimitQueue());
+    }
+
     CoordinatorTable coordinators() {
         return mCoordinators;
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -59,6 +59,10 @@
         increment("boragethread.gateway.upstream.signals", "signal", "crashed");
     }
 
+    void onHeldBack() {
+        increment("boragethread.gateway.held.back", "cause", "upstream-limit-or-pause");
+    }
+
     void onPartBlocked() {
         increment("boragethread.gateway.quarantine", "change", "blocked");
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -22,6 +22,7 @@
 import org.boragethread.core.follow.RelayedTopic;
 import org.boragethread.core.follow.TopicFollower;
 import org.boragethread.core.follow.TopicListener;
+import org.boragethread.core.follow.TopicListeners;
 import org.boragethread.core.follow.TopicRelay;
 import org.boragethread.core.member.GroupMembership;
 import org.boragethread.core.member.Member;
@@ -52,12 +53,12 @@
     private static final double UPSTREAM_POLL_FRACTION = 0.35;
 
     /**
-     * Long-poll time of a read of reports about crashes, as a fraction of the stable window. A read
-     * that is lost in a cut must be noticed within the window.
+     * Long-poll time of a read of reports about upstreams, as a fraction of the stable window. A
+     * read that is lost in a cut must be noticed within the window.
      */
-    private static final double QUARANTINE_POLL_FRACTION = 0.5;
+    private static final double REPORT_POLL_FRACTION = 0.5;
 
-    private static final Duration QUARANTINE_EXPIRY_INTERVAL = Duration.ofSeconds(30);
+    private static final Duration REPORT_EXPIRY_INTERVAL = Duration.ofSeconds(30);
 
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
     private static final Duration STORE_RETRY_DELAY = Duration.ofMillis(200);
@@ -196,25 +197,30 @@
                         new UpstreamListener(mGateway),
                         UpstreamDecoder::isUnchanged)
                 .start();
-        startQuarantine();
+        startReports();
     }
 
-    private void startQuarantine() {
-        QuarantineSync sync = mGateway.quarantineSync();
-        sync.setPublisher(
+    /** Starts to share what entries find out about upstreams. */
+    private void startReports() {
+        RecordPublisher publisher =
                 new RecordPublisher(
-                        new StoreAppender(mStore, StoreTopic.QUARANTINE_TOPIC),
+                        new StoreAppender(mStore, StoreTopic.REPORT_TOPIC),
                         mGateway.scheduler(),
-                        STORE_RETRY_DELAY));
-        Duration pollTime = fraction(mSettings.stableWindow(), QUARANTINE_POLL_FRACTION);
+                        STORE_RETRY_DELAY);
+        QuarantineSync quarantine = mGateway.quarantineSync();
+        RateLimitSync rateLimits = mGateway.rateLimitSync();
+        quarantine.setPublisher(publisher);
+        rateLimits.setPublisher(publisher);
+        Duration pollTime = fraction(mSettings.stableWindow(), REPORT_POLL_FRACTION);
         follower(
-                        StoreTopic.QUARANTINE_TOPIC,
+                        StoreTopic.REPORT_TOPIC,
                         new ReadTiming(pollTime, Duration.ZERO, STORE_RETRY_DELAY),
-                        sync,
+                        new TopicListeners(List.of(rateLimits, quarantine)),
                         (key, previous, value) -> Arrays.equals(previous, value))
                 .start();
-        long interval = QUARANTINE_EXPIRY_INTERVAL.toMillis();
-        mLoop.scheduleWithFixedDelay(sync::expire, interval, interval, TimeUnit.MILLISECONDS);
+        long interval = REPORT_EXPIRY_INTERVAL.toMillis();
+        mLoop.scheduleWithFixedDelay(quarantine::expire, interval, interval, TimeUnit.MILLISECONDS);
+        mLoop.scheduleWithFixedDelay(rateLimits::expire, interval, interval, TimeUnit.MILLISECONDS);
     }
 
     private TopicFollower follower(
--- a/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
@@ -24,6 +24,7 @@
 import org.boragethread.core.stage.PieceWork;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.core.upstream.RateLimitShare;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.GroupId;
@@ -54,6 +55,7 @@
     private final EventLog mLog;
     private final GatewayMetrics mMetrics;
     private final UpstreamSignals mSignals;
+    private final RateLimitShare mRateLimitShare;
     private final Consumer<GroupId> mOnFreed;
     private final Map<UpstreamNode, Set<String>> mPendingFrees = new HashMap<>();
 
@@ -64,6 +66,7 @@
             EventLog log,
             GatewayMetrics metrics,
             UpstreamSignals signals,
+            RateLimitShare rateLimitShare,
             Consumer<GroupId> onFreed) {
         mConnections = connections;
         mScheduler = scheduler;
@@ -71,6 +74,7 @@
         mLog = log;
         mMetrics = metrics;
         mSignals = signals;
+        mRateLimitShare = rateLimitShare;
         mOnFreed = onFreed;
     }
 
@@ -198,8 +202,18 @@
             mScheduler.schedule(pause, () -> free(upstream, handles));
             return;
         }
+        Optional<Long> allowedAt = mRateLimitShare.nextCallAt(upstream, now);
+        if (allowedAt.isEmpty()) {
+            // The upstream drops the results by itself after their lifetime.
+            return;
+        }
+        if (allowedAt.get() > now) {
+            Duration delay = Duration.ofNanos(allowedAt.get() - now);
+            mScheduler.schedule(delay, () -> free(upstream, handles));
+            return;
+        }
         UpstreamAnnouncement entry = upstream.entry();
-        long sentAt = mTime.nanoTime();
+        upstream.onShortCallSent(now);
         FullHttpRequest request =
                 postRequest(entry, StageCodec.FREE_PATH, StageCodec.encodeFree(handles));
         send(
@@ -208,7 +222,7 @@
                 false,
                 FREE_TIMEOUT,
                 response -> {
-                    applySignals(upstream, entry, sentAt, response);
+                    applySignals(upstream, entry, now, response);
                     // Before this response the upstream may lack memory for other results.
                     upstream.resultMemory().remove(handles);
                     mOnFreed.accept(entry.group());
--- a/entry/src/main/java/org/boragethread/entry/gateway/PromptGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PromptGuard.java
@@ -1,6 +1,5 @@
 package org.boragethread.entry.gateway;
 
-import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -17,18 +16,6 @@
     private List<PartKey> mParts = List.of();
     private Runnable mWatch = () -> {};
 
-    /** Ends a request without a response from an upstream. */
-    @FunctionalInterface
-    interface RequestEnd {
-
-        /**
-         * Ends the request.
-         *
-         * @param retryAfter delay before a retry, given to the caller if the request did not run
-         */
-        void fail(RefusalReason reason, String detail, Duration retryAfter);
-    }
-
     PromptGuard(Gateway gateway, RequestTrace trace) {
         mGateway = gateway;
         mTrace = trace;
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -15,9 +15,13 @@
 
     private static final int MAX_LOGGED_PARTS = 16;
 
+    /** Shorter waits are those between two searches for an upstream. */
+    private static final Duration MIN_LOGGED_WAIT = UpstreamSearch.INTERVAL.plusMillis(1);
+
     private final Gateway mGateway;
     private final CallerRequest mRequest;
     private long mFirstByteMillis = -1;
+    private boolean mHeldBack;
 
     RequestTrace(Gateway gateway, CallerRequest request) {
         mGateway = gateway;
@@ -75,6 +79,20 @@
         line.info();
     }
 
+    /** Logs the first longer wait for an upstream that pauses or names a limit. */
+    void waiting(Duration delay) {
+        if (mHeldBack || delay.compareTo(MIN_LOGGED_WAIT) < 0) {
+            return;
+        }
+        mHeldBack = true;
+        mGateway.metrics().onHeldBack();
+        mGateway.log()
+                .event("held-back", mRequest.id())
+                .with("delayMs", delay.toMillis())
+                .with("ageMs", age().toMillis())
+                .info();
+    }
+
     void retried(String reason, int sends, Duration remaining) {
         mGateway.metrics().onRetry(reason);
         mGateway.log()
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
@@ -35,6 +35,7 @@
         List<UpstreamAnnouncement> entries = new ArrayList<>();
         values.forEach((key, value) -> decode(key, value).ifPresent(entries::add));
         mGateway.directory().replaceAll(entries);
+        entries.forEach(entry -> mGateway.rateLimitSync().onAnnounced(entry.id()));
         mKnownEntries.clear();
         entries.forEach(entry -> mKnownEntries.put(entry.id().value(), entry));
         mGateway.setUpstreamsKnown();
@@ -62,6 +63,7 @@
 
     private void put(UpstreamAnnouncement entry) {
         mGateway.directory().put(entry);
+        mGateway.rateLimitSync().onAnnounced(entry.id());
         UpstreamAnnouncement previous = mKnownEntries.put(entry.id().value(), entry);
         boolean unchanged =
                 previous != null
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
@@ -24,12 +24,19 @@
     private final TimeSource mTime;
     private final EventLog mLog;
     private final GatewayMetrics mMetrics;
+    private final RateLimitSync mRateLimitSync;
 
-    UpstreamSignals(Scheduler scheduler, TimeSource time, EventLog log, GatewayMetrics metrics) {
+    UpstreamSignals(
+            Scheduler scheduler,
+            TimeSource time,
+            EventLog log,
+            GatewayMetrics metrics,
+            RateLimitSync rateLimitSync) {
         mScheduler = scheduler;
         mTime = time;
         mLog = log;
         mMetrics = metrics;
+        mRateLimitSync = rateLimitSync;
     }
 
     /**
@@ -79,21 +86,10 @@
             return;
         }
         if (node.namedRateLimit().observe(named, sentAt, mTime.nanoTime())) {
-            mMetrics.onUpstreamSignal("rate-limit");
-            mLog.event("rate-limit")
-                    .with("upstream", node.entry().id())
-                    .with("group", node.entry().group())
-                    .with("outcome", named.isPresent() ? "named" : "withdrawn")
-                    .with("perSecond", format(named))
-                    .with("source", "response")
-                    .info();
+            mRateLimitSync.onObserved(node);
         }
     }
 
-    private static String format(OptionalDouble perSecond) {
-        return perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "";
-    }
-
     private void applyPause(UpstreamNode node, List<String> values) {
         if (values.isEmpty()) {
             return;
--- a/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
@@ -9,12 +9,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.member.PartitionLease;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.ColdRateShare;
+import org.boragethread.core.upstream.RateLimitShare;
 import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamDirectory;
@@ -33,12 +36,16 @@
     private static final DataCentreId NORTH = new DataCentreId("north");
     private static final GroupId ORDERS = new GroupId("orders");
     private static final Duration PAUSE = Duration.ofSeconds(2);
+    private static final int PARTITIONS = 12;
+    private static final Duration LEASE_TIME = Duration.ofSeconds(5);
 
     private ManualTimeSource mTime;
     private UpstreamDirectory mDirectory;
     private UpstreamChooser mChooser;
     private RoutedGroup mGroup;
     private ChoiceRequest mChoice;
+    private PartitionLease mLease;
+    private RateLimitQueue mQueue;
 
     @BeforeMethod
     public void createGroup() {
@@ -47,14 +54,16 @@
         for (int i = 0; i < 4; i++) {
             mDirectory.put(announcement("orders-" + i));
         }
-        PartitionLease lease = new PartitionLease(mTime, 12, Duration.ofSeconds(5));
+        mQueue = new RateLimitQueue();
+        mLease = new PartitionLease(mTime, PARTITIONS, LEASE_TIME);
         mChooser =
                 new UpstreamChooser(
                         mDirectory,
                         mTime,
                         NORTH,
                         Map.of(NORTH, "region"),
-                        new ColdRateShare(new ColdRateShare.ColdRateBound(1.5, 5), lease));
+                        new ColdRateShare(new ColdRateShare.ColdRateBound(1.5, 5), mLease),
+                        new RateLimitShare(mLease));
         mGroup =
                 new RoutedGroup(
                         ORDERS,
@@ -93,7 +102,9 @@
 
     private Either<UpstreamSearch.Failure, Duration> search(
             Duration remaining, int priority, double jitter) {
-        return new UpstreamSearch(mChooser, mTime).next(mChoice, remaining, priority, jitter);
+        UpstreamSearch search = new UpstreamSearch(mChooser, mTime);
+        search.start(mQueue, priority);
+        return search.next(mChoice, remaining, jitter);
     }
 
     /** A burst meets a group that pauses as a whole: waiting callers all returned at one moment. */
@@ -149,6 +160,64 @@
         assertTrue(search(Duration.ofSeconds(10), 0, 0).isLeft());
     }
 
+    /** Lets all upstreams name a limit; this process has been alone for long, or has no share. */
+    private void limitAll(double perSecond, boolean hasShare) {
+        Set<Integer> partitions = new HashSet<>();
+        for (int i = 0; i < PARTITIONS && hasShare; i++) {
+            partitions.add(i);
+        }
+        mLease.renew(ClockReading.now(mTime), partitions);
+        for (int i = 0; i < 60; i++) {
+            mTime.advance(Duration.ofSeconds(1));
+            mLease.renew(ClockReading.now(mTime), partitions);
+        }
+        long now = mTime.nanoTime();
+        mDirectory
+                .of(ORDERS)
+                .forEach(node -> node.namedRateLimit().learn(OptionalDouble.of(perSecond), now));
+    }
+
+    private void sendAllThatIsAllowed() {
+        for (int i = 0; i < 1000; i++) {
+            mChooser.choose(mChoice).ifPresent(node -> node.onSent(mTime.nanoTime()));
+        }
+    }
+
+    // Guards against requests that wait in vain for the share of another entry.
+    @Test
+    public void requestsAreRefusedAtOnceIfAllUpstreamsNameLimitsOfWhichThereIsNoShare() {
+        limitAll(1, false);
+        UpstreamSearch.Failure failure = search(Duration.ofSeconds(10), 0, 0).getLeft();
+        assertTrue(failure.detail().contains("together to 4.0 a second"), failure.detail());
+        assertEquals(failure.retryAfter(), RetryDelays.SHORT);
+    }
+
+    // Guards against requests that wait although those ahead use up what their time allows.
+    @Test
+    public void urgentRequestsGoFirstAndHopelessOnesAreRefusedAtOnce() {
+        limitAll(0.25, true);
+        sendAllThatIsAllowed();
+        Duration deadline = Duration.ofSeconds(30);
+        Duration first = search(deadline, 1, 0).get();
+        Duration second = search(deadline, 1, 0).get();
+        assertEquals(second.minus(first), Duration.ofSeconds(1));
+        assertEquals(search(deadline, 0, 0).get(), first);
+        Duration shorter = first.plusMillis(2500);
+        assertTrue(search(shorter, 1, 0).isLeft());
+        assertTrue(search(shorter, 0, 0).isRight());
+    }
+
+    @Test
+    public void requestThatHasEndedLeavesTheQueue() {
+        limitAll(0.25, true);
+        sendAllThatIsAllowed();
+        UpstreamSearch ended = new UpstreamSearch(mChooser, mTime);
+        ended.start(mQueue, 0);
+        Duration delay = ended.next(mChoice, Duration.ofSeconds(30), 0).get();
+        ended.reset();
+        assertEquals(search(Duration.ofSeconds(30), 0, 0).get(), delay);
+    }
+
     /** A group without upstreams may be announced at any moment. */
     @Test
     public void requestsWaitForTheFirstUpstreamOfAGroup() {
--- a/standins/src/main/java/org/boragethread/standins/store/StoreStandIn.java
+++ b/standins/src/main/java/org/boragethread/standins/store/StoreStandIn.java
@@ -30,6 +30,9 @@
     /** Topic of upstream announcements. */
     public static final String UPSTREAM_TOPIC = "keyed.servers";
 
+    /** Partitions of each topic, the default of the gateways' settings. */
+    private static final int PARTITIONS = 12;
+
     private static final String BYTES = "application/octet-stream";
 
     private final ObjectMapper mMapper = new ObjectMapper();
@@ -215,12 +218,28 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        if (mMembers.add(body.path("member").asText())) {
+        String member = body.path("member").asText();
+        if (mMembers.add(member)) {
             mGeneration++;
         }
         respond(
                 exchange,
-                StandInResponse.json(200, Map.of("generation", mGeneration, "parts", List.of())));
+                StandInResponse.json(
+                        200, Map.of("generation", mGeneration, "parts", partitions(member, body))));
+    }
+
+    /** Returns every partition of the joined topics whose turn it is to belong to the member. */
+    private List<List<Object>> partitions(String member, JsonNode join) {
+        int place = new ArrayList<>(mMembers).indexOf(member);
+        List<List<Object>> partitions = new ArrayList<>();
+        for (JsonNode topic : join.path("topics")) {
+            for (int i = 0; i < PARTITIONS; i++) {
+                if (i % mMembers.size() == place) {
+                    partitions.add(List.of(topic.asText(), i, 0));
+                }
+            }
+        }
+        return partitions;
     }
 
     private void listOwners(Exchange exchange) {
--- a/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
+++ b/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import org.boragethread.standins.HttpCalls;
 import org.boragethread.standins.harness.Await;
@@ -111,7 +112,9 @@
         return mCalls.post(path, "body", allHeaders);
     }
 
-    boolean hasLogLine(String part) {
-        return mProcess.lines().stream().anyMatch(line -> line.contains(part));
+    /** Returns whether any line of the log contains all of the given texts. */
+    boolean hasLogLine(String... parts) {
+        return mProcess.lines().stream()
+                .anyMatch(line -> Arrays.stream(parts).allMatch(line::contains));
     }
 }
