--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -22,6 +22,7 @@
     private final CallerRequest mRequest;
     private long mFirstByteMillis = -1;
     private boolean mHeldBack;
+    private String mTeam = "";
 
     RequestTrace(Gateway gateway, CallerRequest request) {
         mGateway = gateway;
@@ -29,6 +30,7 @@
     }
 
     void admitted(AdmittedRequest admitted, Duration remaining) {
+        mTeam = admitted.team();
         mGateway.log()
                 .event("admitted", mRequest.id())
                 .with("route", admitted.route().name())
@@ -157,6 +159,7 @@
                 .with("events", progress.events())
                 .with("partialEventBytes", progress.partialEventBytes())
                 .with("lastEvent", lastEvent.orElse(""))
+                .with("fingerprint", Long.toHexString(RequestFingerprint.of(mRequest, mTeam)))
                 .with("begunMs", mFirstByteMillis)
                 .with("upstreamAgeMs", node.ageMillis(mGateway.time().nanoTime()))
                 .warn();
