--- a/standins/src/test/java/org/boragethread/standins/system/CrashingPromptTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/CrashingPromptTest.java
@@ -52,7 +52,13 @@
         mStore = new StoreStandIn();
         mStore.start();
         mStore.put(StoreStandIn.OPERATOR_TOPIC, "config", CONFIG);
-        mEngines = new CrashingEngines(mStore, "engines", ENGINES, CRASHING_PART);
+        mEngines =
+                new CrashingEngines(
+                        mStore,
+                        "engines",
+                        ENGINES,
+                        CrashingEngines.withPart(CRASHING_PART),
+                        CrashingEngines.Crash.BEFORE_RESPONSE);
         mHarness = new ProcessHarness();
         mGateways.clear();
         for (String name : List.of("first", "second", "third")) {
