Name the types of the quarantine after suspects

PartKey is Suspect, PromptQuarantine is Quarantine, and so on: what crashes upstreams need not be a part of a prompt. Names only; the quarantine's tests pass.

--- a/core/src/main/java/org/boragethread/core/quarantine/CrashReport.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/CrashReport.java
@@ -14,7 +14,7 @@
  *     it that were known when its request was sent
  */
 public record CrashReport(
-        String crash, String reporter, Instant time, Map<PartKey, Set<String>> precedents) {
+        String crash, String reporter, Instant time, Map<Suspect, Set<String>> precedents) {
 
     public CrashReport {
         precedents = Map.copyOf(precedents);
--- a/core/src/main/java/org/boragethread/core/quarantine/CulpritSearch.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/CulpritSearch.java
@@ -19,10 +19,10 @@
     /** Share of a part's crashes from which on another part may be the cause of all of them. */
     private static final double COMPANION_SHARE = 0.5;
 
-    private final Map<PartKey, PartEvidence> mEvidence;
+    private final Map<Suspect, SuspectEvidence> mEvidence;
 
     /** Creates a search among parts with conclusive evidence. */
-    CulpritSearch(Map<PartKey, PartEvidence> evidence) {
+    CulpritSearch(Map<Suspect, SuspectEvidence> evidence) {
         mEvidence = evidence;
     }
 
@@ -30,12 +30,12 @@
      * Returns the culprits. Each has companions that were in most of the prompts under which it
      * crashed upstreams, so that one of them may be the cause instead.
      */
-    Map<PartKey, Set<PartKey>> find() {
-        Map<PartKey, Set<PartKey>> culprits = new LinkedHashMap<>();
-        Map<PartKey, Set<String>> unexplained = new LinkedHashMap<>();
+    Map<Suspect, Set<Suspect>> find() {
+        Map<Suspect, Set<Suspect>> culprits = new LinkedHashMap<>();
+        Map<Suspect, Set<String>> unexplained = new LinkedHashMap<>();
         sortedParts().forEach(part -> unexplained.put(part, mEvidence.get(part).crashes()));
         while (!unexplained.isEmpty()) {
-            PartKey strongest = strongest(unexplained);
+            Suspect strongest = strongest(unexplained);
             Set<String> crashes = unexplained.remove(strongest);
             if (!mEvidence.get(strongest).sequence(crashes).isConclusive()) {
                 continue;
@@ -47,15 +47,15 @@
     }
 
     /** Sorts by key, so that all processes decide alike between equals. */
-    private List<PartKey> sortedParts() {
-        List<PartKey> parts = new ArrayList<>(mEvidence.keySet());
-        parts.sort(Comparator.comparing(PartKey::toString));
+    private List<Suspect> sortedParts() {
+        List<Suspect> parts = new ArrayList<>(mEvidence.keySet());
+        parts.sort(Comparator.comparing(Suspect::toString));
         return parts;
     }
 
-    private static PartKey strongest(Map<PartKey, Set<String>> unexplained) {
-        PartKey strongest = unexplained.keySet().iterator().next();
-        for (Map.Entry<PartKey, Set<String>> entry : unexplained.entrySet()) {
+    private static Suspect strongest(Map<Suspect, Set<String>> unexplained) {
+        Suspect strongest = unexplained.keySet().iterator().next();
+        for (Map.Entry<Suspect, Set<String>> entry : unexplained.entrySet()) {
             if (entry.getValue().size() > unexplained.get(strongest).size()) {
                 strongest = entry.getKey();
             }
@@ -63,8 +63,8 @@
         return strongest;
     }
 
-    private Set<PartKey> companions(PartKey culprit, Set<String> crashes) {
-        Set<PartKey> companions = new HashSet<>();
+    private Set<Suspect> companions(Suspect culprit, Set<String> crashes) {
+        Set<Suspect> companions = new HashSet<>();
         mEvidence.forEach(
                 (part, evidence) -> {
                     Set<String> common = evidence.crashes();
--- a/core/src/main/java/org/boragethread/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/Quarantine.java
@@ -28,7 +28,7 @@
  * again, from one process before the other; a crash renews the block for longer, a complete
  * response ends it everywhere. Not thread-safe.
  */
-public final class PromptQuarantine {
+public final class Quarantine {
 
     /** Parts with evidence that are kept; those with the least evidence are dropped first. */
     private static final int MAX_PARTS = 8192;
@@ -57,12 +57,12 @@
     private final String mName;
     private final BlockTimes mBlockTimes;
     private final Listener mListener;
-    private final Map<PartKey, PartEvidence> mEvidence = new HashMap<>();
-    private final Map<PartKey, PartOverride> mOverrides = new HashMap<>();
-    private final Map<PartKey, Long> mTrials = new HashMap<>();
-    private final Map<String, Map<PartKey, Set<String>>> mOwnReports = new LinkedHashMap<>();
-    private final Map<PartKey, PartEvidence> mConclusive = new HashMap<>();
-    private Map<PartKey, Set<PartKey>> mCulprits = Map.of();
+    private final Map<Suspect, SuspectEvidence> mEvidence = new HashMap<>();
+    private final Map<Suspect, QuarantineOverride> mOverrides = new HashMap<>();
+    private final Map<Suspect, Long> mTrials = new HashMap<>();
+    private final Map<String, Map<Suspect, Set<String>>> mOwnReports = new LinkedHashMap<>();
+    private final Map<Suspect, SuspectEvidence> mConclusive = new HashMap<>();
+    private Map<Suspect, Set<Suspect>> mCulprits = Map.of();
     private long mLearned;
 
     /** Gets notified of what other processes and operators have to know. */
@@ -72,13 +72,13 @@
         void onCrash(CrashReport report);
 
         /** Called if other processes count crashes that this one can refute. */
-        void onRefutable(PartKey part);
+        void onRefutable(Suspect part);
 
         /** Called when the evidence against a part becomes conclusive. */
-        void onBlocked(PartBlock block);
+        void onBlocked(QuarantineBlock block);
 
         /** Called when the evidence against a part is no longer conclusive. */
-        void onUnblocked(PartKey part);
+        void onUnblocked(Suspect part);
     }
 
     /**
@@ -87,8 +87,7 @@
      * @param name name of this process; differs from that of all others
      * @param blockTimes times for which a part is blocked
      */
-    public PromptQuarantine(
-            TimeSource time, String name, BlockTimes blockTimes, Listener listener) {
+    public Quarantine(TimeSource time, String name, BlockTimes blockTimes, Listener listener) {
         mTime = time;
         mName = name;
         mBlockTimes = blockTimes;
@@ -96,10 +95,10 @@
     }
 
     /** Returns for each part the known crashes under it; belongs to a request that is sent now. */
-    public Map<PartKey, Set<String>> precedents(Collection<PartKey> parts) {
-        Map<PartKey, Set<String>> precedents = new HashMap<>();
-        for (PartKey part : parts) {
-            PartEvidence evidence = mEvidence.get(part);
+    public Map<Suspect, Set<String>> precedents(Collection<Suspect> parts) {
+        Map<Suspect, Set<String>> precedents = new HashMap<>();
+        for (Suspect part : parts) {
+            SuspectEvidence evidence = mEvidence.get(part);
             precedents.put(part, evidence == null ? Set.of() : evidence.precedentsOfNextCrash());
         }
         return precedents;
@@ -111,12 +110,11 @@
      * @param crash identifier of the crash, the same in all processes
      * @param precedents what {@link #precedents} returned when the request was sent
      */
-    public void reportCrash(String crash, Map<PartKey, Set<String>> precedents) {
-        Map<PartKey, Set<String>> report =
+    public void reportCrash(String crash, Map<Suspect, Set<String>> precedents) {
+        Map<Suspect, Set<String>> report =
                 mOwnReports.computeIfAbsent(crash, key -> new HashMap<>());
         precedents.forEach(
-                (part, crashes) ->
-                        report.merge(part, new HashSet<>(crashes), PromptQuarantine::union));
+                (part, crashes) -> report.merge(part, new HashSet<>(crashes), Quarantine::union));
         if (mOwnReports.size() > MAX_OPEN_REPORTS) {
             mOwnReports.remove(mOwnReports.keySet().iterator().next());
         }
@@ -161,8 +159,8 @@
         dropLeastEvidence();
     }
 
-    private PartEvidence evidence(PartKey part) {
-        return mEvidence.computeIfAbsent(part, key -> new PartEvidence(mTime.nanoTime()));
+    private SuspectEvidence evidence(Suspect part) {
+        return mEvidence.computeIfAbsent(part, key -> new SuspectEvidence(mTime.nanoTime()));
     }
 
     /** Returns a number that stands for all reports of which this process knows now. */
@@ -176,9 +174,9 @@
      * @param parts parts of the request
      * @param learnedAtStart {@link #learnedReports} when the response began
      */
-    public void onResponse(Collection<PartKey> parts, long learnedAtStart) {
-        for (PartKey part : parts) {
-            PartEvidence evidence = mEvidence.get(part);
+    public void onResponse(Collection<Suspect> parts, long learnedAtStart) {
+        for (Suspect part : parts) {
+            SuspectEvidence evidence = mEvidence.get(part);
             if (evidence == null) {
                 continue;
             }
@@ -192,8 +190,8 @@
     }
 
     /** Returns what this process can refute and others still count, if it matters to them. */
-    public Optional<RefutationReport> unreportedRefutation(PartKey part) {
-        PartEvidence evidence = mEvidence.get(part);
+    public Optional<RefutationReport> unreportedRefutation(Suspect part) {
+        SuspectEvidence evidence = mEvidence.get(part);
         if (evidence == null || !isRefutationNeeded(evidence)) {
             return Optional.empty();
         }
@@ -201,12 +199,12 @@
                 new RefutationReport(part, mName, mTime.instant(), evidence.refutedHere()));
     }
 
-    private static boolean isRefutationNeeded(PartEvidence evidence) {
+    private static boolean isRefutationNeeded(SuspectEvidence evidence) {
         return evidence.reportedLength() >= SUSPECT_LENGTH && evidence.hasUnreportedRefutations();
     }
 
     /** Sets or ends an operator's decision on a part. */
-    public void setOverride(PartKey part, Optional<PartOverride> override) {
+    public void setOverride(Suspect part, Optional<QuarantineOverride> override) {
         if (override.isPresent()) {
             mOverrides.put(part, override.get());
         } else {
@@ -216,15 +214,15 @@
     }
 
     /** Returns why a request with the given parts must not be sent, if it must not. */
-    public Optional<PartBlock> findBlock(Collection<PartKey> parts) {
-        for (PartKey part : parts) {
-            PartOverride override = mOverrides.get(part);
-            if (override == PartOverride.ALLOW) {
+    public Optional<QuarantineBlock> findBlock(Collection<Suspect> parts) {
+        for (Suspect part : parts) {
+            QuarantineOverride override = mOverrides.get(part);
+            if (override == QuarantineOverride.ALLOW) {
                 continue;
             }
-            if (override == PartOverride.BLOCK) {
+            if (override == QuarantineOverride.BLOCK) {
                 return Optional.of(
-                        new PartBlock(part, 0, "", Duration.ZERO, mBlockTimes.confirmed()));
+                        new QuarantineBlock(part, 0, "", Duration.ZERO, mBlockTimes.confirmed()));
             }
             if (!mCulprits.containsKey(part) || !isCulpritOf(part, parts)) {
                 continue;
@@ -241,10 +239,10 @@
      * Returns whether the evidence against a culprit is conclusive without the crashes that its
      * companions explain which the request does not have.
      */
-    private boolean isCulpritOf(PartKey culprit, Collection<PartKey> parts) {
-        PartEvidence evidence = mConclusive.get(culprit);
+    private boolean isCulpritOf(Suspect culprit, Collection<Suspect> parts) {
+        SuspectEvidence evidence = mConclusive.get(culprit);
         Set<String> unexplained = evidence.crashes();
-        for (PartKey companion : mCulprits.get(culprit)) {
+        for (Suspect companion : mCulprits.get(culprit)) {
             if (!parts.contains(companion)) {
                 unexplained.removeAll(mConclusive.get(companion).crashes());
             }
@@ -252,9 +250,9 @@
         return evidence.sequence(unexplained).isConclusive();
     }
 
-    private PartBlock block(PartKey part, Duration remaining) {
-        PartEvidence evidence = mEvidence.get(part);
-        return new PartBlock(
+    private QuarantineBlock block(Suspect part, Duration remaining) {
+        SuspectEvidence evidence = mEvidence.get(part);
+        return new QuarantineBlock(
                 part,
                 evidence.crashes().size(),
                 evidence.firstReporter(),
@@ -262,8 +260,8 @@
                 remaining);
     }
 
-    private Duration remainingBlock(PartKey part) {
-        PartEvidence evidence = mEvidence.get(part);
+    private Duration remainingBlock(Suspect part) {
+        SuspectEvidence evidence = mEvidence.get(part);
         Duration age = mTime.since(evidence.lastCrashNanos());
         Duration blockTime = blockTime(evidence);
         // Spreads the first trials of the processes, so that one learns of the crash of another.
@@ -279,7 +277,7 @@
         return interval.minus(mTime.since(trial));
     }
 
-    private Duration blockTime(PartEvidence evidence) {
+    private Duration blockTime(SuspectEvidence evidence) {
         CrashSequence sequence = evidence.sequence();
         if (!sequence.isConfirmed()) {
             return mBlockTimes.provisional();
@@ -288,14 +286,14 @@
         return mBlockTimes.confirmed().multipliedBy(1L << doublings);
     }
 
-    private double spread(PartKey part) {
+    private double spread(Suspect part) {
         long hash = Hashing.komihash5_0().hashCharsToLong(mName + "/" + part);
         return (hash >>> 11) * 0x1.0p-53;
     }
 
     /** Records that a request is sent, which may be the trial of a part. */
-    public void onSent(Collection<PartKey> parts) {
-        for (PartKey part : parts) {
+    public void onSent(Collection<Suspect> parts) {
+        for (Suspect part : parts) {
             if (mCulprits.containsKey(part)) {
                 mTrials.put(part, mTime.nanoTime());
             }
@@ -306,9 +304,9 @@
      * Returns whether one of the parts may have caused several crashes, so that a request that was
      * broken off should not be repeated at another upstream.
      */
-    public boolean isSuspect(Collection<PartKey> parts) {
-        for (PartKey part : parts) {
-            PartEvidence evidence = mEvidence.get(part);
+    public boolean isSuspect(Collection<Suspect> parts) {
+        for (Suspect part : parts) {
+            SuspectEvidence evidence = mEvidence.get(part);
             if (evidence != null && evidence.sequence().length() >= SUSPECT_LENGTH) {
                 return true;
             }
@@ -317,9 +315,9 @@
     }
 
     /** Returns the parts that are blocked now. */
-    public List<PartBlock> blocks() {
-        List<PartBlock> blocks = new ArrayList<>();
-        for (PartKey part : mCulprits.keySet()) {
+    public List<QuarantineBlock> blocks() {
+        List<QuarantineBlock> blocks = new ArrayList<>();
+        for (Suspect part : mCulprits.keySet()) {
             blocks.add(block(part, remainingBlock(part)));
         }
         return blocks;
@@ -327,7 +325,7 @@
 
     /** Forgets parts under which nothing crashed for long. */
     public void expire() {
-        Set<PartKey> expired = new HashSet<>();
+        Set<Suspect> expired = new HashSet<>();
         mEvidence.forEach(
                 (part, evidence) -> {
                     if (mTime.since(evidence.lastCrashNanos()).compareTo(lifetime(part)) > 0) {
@@ -337,8 +335,8 @@
         expired.forEach(this::forget);
     }
 
-    private Duration lifetime(PartKey part) {
-        PartEvidence evidence = mEvidence.get(part);
+    private Duration lifetime(Suspect part) {
+        SuspectEvidence evidence = mEvidence.get(part);
         return mConclusive.containsKey(part)
                 ? max(blockTime(evidence), mBlockTimes.confirmed()).multipliedBy(FORGET_MULTIPLE)
                 : mBlockTimes.confirmed();
@@ -349,12 +347,12 @@
     }
 
     /** Returns whether reports on a part are kept. */
-    public boolean hasEvidence(PartKey part) {
+    public boolean hasEvidence(Suspect part) {
         return mEvidence.containsKey(part);
     }
 
-    private void judge(PartKey part) {
-        PartEvidence evidence = mEvidence.get(part);
+    private void judge(Suspect part) {
+        SuspectEvidence evidence = mEvidence.get(part);
         if (isRefutationNeeded(evidence)) {
             mListener.onRefutable(part);
         }
@@ -366,16 +364,16 @@
     }
 
     private void findCulprits() {
-        Map<PartKey, Set<PartKey>> previous = mCulprits;
-        Map<PartKey, PartEvidence> suspects = new HashMap<>(mConclusive);
-        suspects.keySet().removeIf(part -> mOverrides.get(part) == PartOverride.ALLOW);
+        Map<Suspect, Set<Suspect>> previous = mCulprits;
+        Map<Suspect, SuspectEvidence> suspects = new HashMap<>(mConclusive);
+        suspects.keySet().removeIf(part -> mOverrides.get(part) == QuarantineOverride.ALLOW);
         mCulprits = new CulpritSearch(suspects).find();
-        for (PartKey part : previous.keySet()) {
+        for (Suspect part : previous.keySet()) {
             if (!mCulprits.containsKey(part)) {
                 mListener.onUnblocked(part);
             }
         }
-        for (PartKey part : mCulprits.keySet()) {
+        for (Suspect part : mCulprits.keySet()) {
             if (!previous.containsKey(part)) {
                 mListener.onBlocked(block(part, remainingBlock(part)));
             }
@@ -386,14 +384,14 @@
         if (mEvidence.size() <= MAX_PARTS) {
             return;
         }
-        List<PartKey> parts = new ArrayList<>(mEvidence.keySet());
+        List<Suspect> parts = new ArrayList<>(mEvidence.keySet());
         parts.sort(
-                Comparator.<PartKey>comparingInt(part -> mEvidence.get(part).sequence().length())
+                Comparator.<Suspect>comparingInt(part -> mEvidence.get(part).sequence().length())
                         .thenComparingLong(part -> mEvidence.get(part).lastCrashNanos()));
         parts.subList(0, MAX_PARTS / DROPPED_FRACTION).forEach(this::forget);
     }
 
-    private void forget(PartKey part) {
+    private void forget(Suspect part) {
         mEvidence.remove(part);
         mTrials.remove(part);
         if (mConclusive.remove(part) != null) {
--- a/core/src/main/java/org/boragethread/core/quarantine/PartBlock.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/QuarantineBlock.java
@@ -12,5 +12,5 @@
  * @param age time since the last of the crashes
  * @param remaining time until the part may be tried again
  */
-public record PartBlock(
-        PartKey part, int crashes, String firstReporter, Duration age, Duration remaining) {}
+public record QuarantineBlock(
+        Suspect part, int crashes, String firstReporter, Duration age, Duration remaining) {}
--- a/core/src/main/java/org/boragethread/core/quarantine/PartOverride.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/QuarantineOverride.java
@@ -1,7 +1,7 @@
 package org.boragethread.core.quarantine;
 
 /** An operator's decision on a part, which goes before all evidence. */
-public enum PartOverride {
+public enum QuarantineOverride {
     /** The part is sent to no upstream. */
     BLOCK,
     /** The part is sent to upstreams, whatever crashed under it. */
--- a/core/src/main/java/org/boragethread/core/quarantine/RefutationReport.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/RefutationReport.java
@@ -12,7 +12,7 @@
  * @param time time of the report
  * @param crashes identifiers of the crashes
  */
-public record RefutationReport(PartKey part, String reporter, Instant time, Set<String> crashes) {
+public record RefutationReport(Suspect part, String reporter, Instant time, Set<String> crashes) {
 
     public RefutationReport {
         crashes = Set.copyOf(crashes);
--- a/core/src/main/java/org/boragethread/core/quarantine/PartKey.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/Suspect.java
@@ -8,7 +8,7 @@
  * @param group group of the upstreams
  * @param part ID of the part
  */
-public record PartKey(GroupId group, long part) {
+public record Suspect(GroupId group, long part) {
 
     /** Returns the key as {@code group/hexadecimal ID}. */
     @Override
--- a/core/src/main/java/org/boragethread/core/quarantine/PartEvidence.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/SuspectEvidence.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 /** The crashes under one part, without those that are refuted. Not thread-safe. */
-final class PartEvidence {
+final class SuspectEvidence {
 
     /** Further crashes are not kept; the evidence has long been conclusive then. */
     private static final int MAX_CRASHES = 64;
@@ -30,7 +30,7 @@
     private CrashSequence mReportedSequence = mSequence;
 
     /** Creates evidence without crashes. */
-    PartEvidence(long nowNanos) {
+    SuspectEvidence(long nowNanos) {
         mLastCrashNanos = nowNanos;
     }
 
--- a/core/src/test/java/org/boragethread/core/quarantine/QuarantineSimulation.java
+++ b/core/src/test/java/org/boragethread/core/quarantine/QuarantineSimulation.java
@@ -37,7 +37,7 @@
     private final Spec mSpec;
     private final List<Entry> mEntries = new ArrayList<>();
     private final List<Engine> mEngines = new ArrayList<>();
-    private final List<Consumer<PromptQuarantine>> mLog = new ArrayList<>();
+    private final List<Consumer<Quarantine>> mLog = new ArrayList<>();
     private final Map<Long, List<Long>> mCrashTimes = new LinkedHashMap<>();
     private final Map<Long, Integer> mLateSends = new LinkedHashMap<>();
     private int mStartedEngines;
@@ -127,7 +127,7 @@
                 crashing
                         ? mSpec.crashingParts.get(mRandom.nextInt(mSpec.crashingParts.size()))
                         : 1000 + mRandom.nextInt(SECOND_PARTS);
-        Collection<PartKey> parts = List.of(new PartKey(GROUP, first), new PartKey(GROUP, second));
+        Collection<Suspect> parts = List.of(new Suspect(GROUP, first), new Suspect(GROUP, second));
         if (entry.mQuarantine.findBlock(parts).isPresent()) {
             mSoundRefused += crashing ? 0 : 1;
             mSound += crashing ? 0 : 1;
@@ -171,7 +171,7 @@
     }
 
     /** Appends to the log; every entry that is not cut off reads it a little later. */
-    private void append(Consumer<PromptQuarantine> record) {
+    private void append(Consumer<Quarantine> record) {
         mLog.add(record);
         mEntries.forEach(Entry::readLater);
     }
@@ -181,10 +181,10 @@
     }
 
     /** An entry with its own view of the reports. */
-    private final class Entry implements PromptQuarantine.Listener {
+    private final class Entry implements Quarantine.Listener {
 
         private final int mNumber;
-        private PromptQuarantine mQuarantine;
+        private Quarantine mQuarantine;
         private int mRead;
         private int mLifetime;
         private long mCutUntil;
@@ -197,8 +197,8 @@
             mDisturbedAt = mTime.nanoTime() - STABLE_WINDOW.toNanos();
         }
 
-        private PromptQuarantine create() {
-            return new PromptQuarantine(mTime, "entry-" + mNumber, BLOCK_TIMES, this);
+        private Quarantine create() {
+            return new Quarantine(mTime, "entry-" + mNumber, BLOCK_TIMES, this);
         }
 
         boolean isInTouch() {
@@ -239,7 +239,7 @@
         }
 
         @Override
-        public void onRefutable(PartKey part) {
+        public void onRefutable(Suspect part) {
             mTime.schedule(
                     randomMillis(1, 100),
                     () ->
@@ -249,7 +249,7 @@
                                             report -> write(other -> other.addRefutation(report))));
         }
 
-        private void write(Consumer<PromptQuarantine> record) {
+        private void write(Consumer<Quarantine> record) {
             long left = mCutUntil - mTime.nanoTime();
             if (left <= 0) {
                 append(record);
@@ -266,12 +266,12 @@
         }
 
         @Override
-        public void onBlocked(PartBlock block) {
+        public void onBlocked(QuarantineBlock block) {
             // The requests of the simulation ask before they are sent.
         }
 
         @Override
-        public void onUnblocked(PartKey part) {
+        public void onUnblocked(Suspect part) {
             // As above.
         }
     }
@@ -298,12 +298,12 @@
         private final Entry mEntry;
         private final int mLifetime;
         private final Engine mEngine;
-        private final Collection<PartKey> mParts;
+        private final Collection<Suspect> mParts;
         private final long mCrashingPart;
-        private final Map<PartKey, Set<String>> mPrecedents;
+        private final Map<Suspect, Set<String>> mPrecedents;
         private long mReportsAtStart;
 
-        Request(Entry entry, Engine engine, Collection<PartKey> parts, long crashingPart) {
+        Request(Entry entry, Engine engine, Collection<Suspect> parts, long crashingPart) {
             mEntry = entry;
             mLifetime = entry.mLifetime;
             mEngine = engine;
--- a/core/src/test/java/org/boragethread/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/boragethread/core/quarantine/QuarantineTest.java
@@ -17,21 +17,21 @@
 import org.testng.annotations.Test;
 
 /** Tests the decisions of one process on parts of prompts under which upstreams crashed. */
-public class PromptQuarantineTest {
+public class QuarantineTest {
 
     private static final Duration WINDOW = Duration.ofSeconds(3);
     private static final Duration BLOCK_TIME = Duration.ofMinutes(10);
-    private static final PartKey BAD = part(0xbad);
-    private static final PartKey SOUND = part(1);
-    private static final PartKey OTHER = part(2);
+    private static final Suspect BAD = part(0xbad);
+    private static final Suspect SOUND = part(1);
+    private static final Suspect OTHER = part(2);
 
     private ManualTimeSource mTime;
     private List<CrashReport> mReports;
-    private List<PartKey> mRefutable;
-    private PromptQuarantine mQuarantine;
+    private List<Suspect> mRefutable;
+    private Quarantine mQuarantine;
 
-    private static PartKey part(long id) {
-        return new PartKey(new GroupId("engines"), id);
+    private static Suspect part(long id) {
+        return new Suspect(new GroupId("engines"), id);
     }
 
     @BeforeMethod
@@ -42,13 +42,13 @@
         mQuarantine = create("first");
     }
 
-    private PromptQuarantine create(String name) {
-        return new PromptQuarantine(
+    private Quarantine create(String name) {
+        return new Quarantine(
                 mTime, name, BlockTimes.of(WINDOW, BLOCK_TIME), new RecordingListener());
     }
 
     /** Crashes upstreams one after the other, each under a request sent after the last crash. */
-    private void crashInTurn(int count, PartKey... parts) {
+    private void crashInTurn(int count, Suspect... parts) {
         for (int i = 0; i < count; i++) {
             var precedents = mQuarantine.precedents(List.of(parts));
             mQuarantine.reportCrash("run-" + mReports.size(), precedents);
@@ -56,7 +56,7 @@
         }
     }
 
-    private boolean isBlocked(PartKey... parts) {
+    private boolean isBlocked(Suspect... parts) {
         return mQuarantine.findBlock(List.of(parts)).isPresent();
     }
 
@@ -82,7 +82,7 @@
     @Test
     public void partOfAnotherGroupIsNotBlocked() {
         crashInTurn(3, BAD);
-        assertFalse(isBlocked(new PartKey(new GroupId("others"), BAD.part())));
+        assertFalse(isBlocked(new Suspect(new GroupId("others"), BAD.part())));
     }
 
     // Guards against a sound part that is refused with the crashing one beside it.
@@ -117,7 +117,7 @@
         assertTrue(mQuarantine.unreportedRefutation(SOUND).isEmpty());
     }
 
-    private CrashReport report(String crash, String reporter, PartKey part, Set<String> after) {
+    private CrashReport report(String crash, String reporter, Suspect part, Set<String> after) {
         return new CrashReport(crash, reporter, mTime.instant(), Map.of(part, after));
     }
 
@@ -128,17 +128,17 @@
         RefutationReport refutation =
                 new RefutationReport(SOUND, "second", mTime.instant(), Set.of("run-0", "run-1"));
         mQuarantine.addRefutation(refutation);
-        PromptQuarantine other = create("other");
+        Quarantine other = create("other");
         other.addRefutation(refutation);
         for (int i = mReports.size() - 1; i >= 0; i--) {
             other.addCrash(mReports.get(i));
             other.addCrash(mReports.get(i));
         }
-        for (Collection<PartKey> parts :
+        for (Collection<Suspect> parts :
                 List.of(List.of(BAD), List.of(SOUND), List.of(BAD, SOUND))) {
             assertEquals(
-                    other.findBlock(parts).map(PartBlock::part),
-                    mQuarantine.findBlock(parts).map(PartBlock::part));
+                    other.findBlock(parts).map(QuarantineBlock::part),
+                    mQuarantine.findBlock(parts).map(QuarantineBlock::part));
         }
         assertEquals(other.findBlock(List.of(BAD)).orElseThrow().crashes(), 4);
     }
@@ -194,9 +194,9 @@
     @Test
     public void operatorDecisionGoesBeforeTheEvidence() {
         crashInTurn(5, BAD);
-        mQuarantine.setOverride(BAD, Optional.of(PartOverride.ALLOW));
+        mQuarantine.setOverride(BAD, Optional.of(QuarantineOverride.ALLOW));
         assertFalse(isBlocked(BAD));
-        mQuarantine.setOverride(SOUND, Optional.of(PartOverride.BLOCK));
+        mQuarantine.setOverride(SOUND, Optional.of(QuarantineOverride.BLOCK));
         assertTrue(isBlocked(SOUND));
         mQuarantine.setOverride(BAD, Optional.empty());
         mQuarantine.setOverride(SOUND, Optional.empty());
@@ -214,7 +214,7 @@
     }
 
     /** Records what other processes would have to know. */
-    private final class RecordingListener implements PromptQuarantine.Listener {
+    private final class RecordingListener implements Quarantine.Listener {
 
         @Override
         public void onCrash(CrashReport report) {
@@ -222,17 +222,17 @@
         }
 
         @Override
-        public void onRefutable(PartKey part) {
+        public void onRefutable(Suspect part) {
             mRefutable.add(part);
         }
 
         @Override
-        public void onBlocked(PartBlock block) {
+        public void onBlocked(QuarantineBlock block) {
             assertEquals(block.firstReporter(), "first");
         }
 
         @Override
-        public void onUnblocked(PartKey part) {
+        public void onUnblocked(Suspect part) {
             assertFalse(mQuarantine.findBlock(List.of(part)).isPresent());
         }
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/CrashDetector.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CrashDetector.java
@@ -7,8 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
-import org.boragethread.core.quarantine.PartKey;
-import org.boragethread.core.quarantine.PromptQuarantine;
+import org.boragethread.core.quarantine.Quarantine;
+import org.boragethread.core.quarantine.Suspect;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.UpstreamAnnouncement;
@@ -34,7 +34,7 @@
     private final TimeSource mTime;
     private final EventLog mLog;
     private final GatewayMetrics mMetrics;
-    private final PromptQuarantine mQuarantine;
+    private final Quarantine mQuarantine;
     private final Map<String, Probe> mProbes = new LinkedHashMap<>();
 
     CrashDetector(
@@ -42,7 +42,7 @@
             TimeSource time,
             EventLog log,
             GatewayMetrics metrics,
-            PromptQuarantine quarantine) {
+            Quarantine quarantine) {
         mConnections = connections;
         mTime = time;
         mLog = log;
@@ -57,7 +57,7 @@
      * @param precedents known crashes under each part of the prompt when the request was sent
      */
     void onConnectionEnded(
-            UpstreamNode node, UpstreamAnnouncement called, Map<PartKey, Set<String>> precedents) {
+            UpstreamNode node, UpstreamAnnouncement called, Map<Suspect, Set<String>> precedents) {
         if (precedents.isEmpty() || node.isLeaving()) {
             return;
         }
@@ -85,7 +85,7 @@
         private final String mRun;
         private final UpstreamAnnouncement mCalled;
         private final long mStartedAt = mTime.nanoTime();
-        private final Map<PartKey, Set<String>> mPrecedents = new HashMap<>();
+        private final Map<Suspect, Set<String>> mPrecedents = new HashMap<>();
         private boolean mPending = true;
         private boolean mCrashed;
 
@@ -99,7 +99,7 @@
             return mPending || mCrashed || mTime.since(mStartedAt).compareTo(PROBE_LIFETIME) < 0;
         }
 
-        void add(Map<PartKey, Set<String>> precedents) {
+        void add(Map<Suspect, Set<String>> precedents) {
             precedents.forEach(
                     (part, crashes) ->
                             mPrecedents
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -43,7 +43,7 @@
     private RoutedGroup mGroup;
     private Placement mPlacement;
     private Scheduler.Timer mDeadlineTimer = () -> {};
-    private final PromptGuard mPrompt;
+    private final QuarantineGuard mPrompt;
     private final StagePhase mStages;
     private final StallWatch mStallWatch;
     private final UpstreamSearch mSearch;
@@ -60,7 +60,7 @@
         mResponseWriter = responseWriter;
         mStream = new ForwardedStream(responseWriter);
         mTrace = new RequestTrace(gateway, request);
-        mPrompt = new PromptGuard(gateway, mTrace);
+        mPrompt = new QuarantineGuard(gateway, mTrace);
         mStages = new StagePhase(gateway, request, this);
         mStallWatch = new StallWatch(gateway.scheduler());
         mSearch = new UpstreamSearch(gateway.chooser(), gateway.time());
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -12,7 +12,7 @@
 import org.boragethread.core.follow.TopicRelay;
 import org.boragethread.core.member.PartitionLease;
 import org.boragethread.core.quarantine.BlockTimes;
-import org.boragethread.core.quarantine.PromptQuarantine;
+import org.boragethread.core.quarantine.Quarantine;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.core.stage.BatchClient;
@@ -52,7 +52,7 @@
     private final RateLimitShare mRateLimitShare;
     private final RateLimitSync mRateLimitSync;
     private final QuarantineSync mQuarantineSync;
-    private final PromptQuarantine mQuarantine;
+    private final Quarantine mQuarantine;
     private final CrashDetector mCrashDetector;
     private final UpstreamChooser mChooser;
     private final BatchClient mBatchClient;
@@ -92,7 +92,7 @@
                         mRateLimitShare);
         mQuarantineSync = new QuarantineSync(this, this::quarantine);
         mQuarantine =
-                new PromptQuarantine(
+                new Quarantine(
                         time,
                         settings.name(),
                         BlockTimes.of(settings.stableWindow(), settings.blockTime()),
@@ -162,7 +162,7 @@
         return mUpstreamSignals;
     }
 
-    PromptQuarantine quarantine() {
+    Quarantine quarantine() {
         return mQuarantine;
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/PromptGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/QuarantineGuard.java
@@ -3,20 +3,20 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import org.boragethread.core.quarantine.PartBlock;
-import org.boragethread.core.quarantine.PartKey;
+import org.boragethread.core.quarantine.QuarantineBlock;
+import org.boragethread.core.quarantine.Suspect;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.upstream.GroupId;
 
 /** Keeps one request from upstreams while a part of its prompt is blocked. */
-final class PromptGuard {
+final class QuarantineGuard {
 
     private final Gateway mGateway;
     private final RequestTrace mTrace;
-    private List<PartKey> mParts = List.of();
+    private List<Suspect> mParts = List.of();
     private Runnable mWatch = () -> {};
 
-    PromptGuard(Gateway gateway, RequestTrace trace) {
+    QuarantineGuard(Gateway gateway, RequestTrace trace) {
         mGateway = gateway;
         mTrace = trace;
     }
@@ -28,7 +28,7 @@
      * @param onBlocked called when any part is blocked, perhaps one of another prompt
      */
     void start(GroupId group, List<Long> parts, Runnable onBlocked) {
-        mParts = parts.stream().map(id -> new PartKey(group, id)).toList();
+        mParts = parts.stream().map(id -> new Suspect(group, id)).toList();
         if (!mParts.isEmpty()) {
             mWatch = mGateway.quarantineSync().watch(onBlocked);
         }
@@ -39,13 +39,13 @@
     }
 
     /** Returns the parts of the prompt that other requests may have too. */
-    Collection<PartKey> parts() {
+    Collection<Suspect> parts() {
         return mParts;
     }
 
     /** Returns whether a part of the prompt is blocked now; if so, ends the request first. */
     boolean isRefused(RequestEnd end) {
-        Optional<PartBlock> block = mGateway.quarantine().findBlock(mParts);
+        Optional<QuarantineBlock> block = mGateway.quarantine().findBlock(mParts);
         if (block.isEmpty()) {
             return false;
         }
--- a/entry/src/main/java/org/boragethread/entry/gateway/QuarantineSync.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/QuarantineSync.java
@@ -13,10 +13,10 @@
 import org.boragethread.core.follow.RecordPublisher;
 import org.boragethread.core.follow.TopicListener;
 import org.boragethread.core.quarantine.CrashReport;
-import org.boragethread.core.quarantine.PartBlock;
-import org.boragethread.core.quarantine.PartKey;
-import org.boragethread.core.quarantine.PromptQuarantine;
+import org.boragethread.core.quarantine.Quarantine;
+import org.boragethread.core.quarantine.QuarantineBlock;
 import org.boragethread.core.quarantine.RefutationReport;
+import org.boragethread.core.quarantine.Suspect;
 import org.boragethread.platform.store.MalformedRecordException;
 import org.boragethread.platform.store.QuarantineCodec;
 
@@ -24,7 +24,7 @@
  * Shares the reports about crashing parts of prompts with the other entries, through a topic of the
  * store.
  */
-final class QuarantineSync implements TopicListener, PromptQuarantine.Listener {
+final class QuarantineSync implements TopicListener, Quarantine.Listener {
 
     /**
      * Time over which the entries spread a refutation that all of them can write, so that one of
@@ -36,15 +36,15 @@
     private static final int MAX_OWN_RECORDS = 256;
 
     private final Gateway mGateway;
-    private final Supplier<PromptQuarantine> mQuarantine;
+    private final Supplier<Quarantine> mQuarantine;
     private final DependencyLog mStoreLog;
     private final Map<String, byte[]> mOwnRecords = new LinkedHashMap<>();
-    private final Map<String, Set<PartKey>> mStoredRecords = new HashMap<>();
-    private final Set<PartKey> mRefutable = new LinkedHashSet<>();
+    private final Map<String, Set<Suspect>> mStoredRecords = new HashMap<>();
+    private final Set<Suspect> mRefutable = new LinkedHashSet<>();
     private final Set<Runnable> mWatchers = new LinkedHashSet<>();
     private Optional<RecordPublisher> mPublisher = Optional.empty();
 
-    QuarantineSync(Gateway gateway, Supplier<PromptQuarantine> quarantine) {
+    QuarantineSync(Gateway gateway, Supplier<Quarantine> quarantine) {
         mGateway = gateway;
         mQuarantine = quarantine;
         mStoreLog = new DependencyLog(gateway.log(), "store-quarantine");
@@ -57,7 +57,7 @@
 
     /** Forgets old evidence, and deletes the records that no part needs any more. */
     void expire() {
-        PromptQuarantine quarantine = mQuarantine.get();
+        Quarantine quarantine = mQuarantine.get();
         quarantine.expire();
         Set<String> obsolete = new LinkedHashSet<>();
         mStoredRecords.forEach(
@@ -85,7 +85,7 @@
     }
 
     @Override
-    public void onRefutable(PartKey part) {
+    public void onRefutable(Suspect part) {
         if (!mRefutable.add(part)) {
             return;
         }
@@ -95,7 +95,7 @@
         mGateway.scheduler().schedule(delay, () -> publishRefutation(part));
     }
 
-    private void publishRefutation(PartKey part) {
+    private void publishRefutation(Suspect part) {
         mRefutable.remove(part);
         mQuarantine
                 .get()
@@ -118,7 +118,7 @@
     }
 
     @Override
-    public void onBlocked(PartBlock block) {
+    public void onBlocked(QuarantineBlock block) {
         mGateway.metrics().onPartBlocked();
         mGateway.log()
                 .event("quarantine")
@@ -135,7 +135,7 @@
     }
 
     @Override
-    public void onUnblocked(PartKey part) {
+    public void onUnblocked(Suspect part) {
         mGateway.log().event("quarantine").with("outcome", "unblocked").with("part", part).info();
     }
 
@@ -171,10 +171,10 @@
     }
 
     private void apply(String key, Optional<byte[]> value) throws MalformedRecordException {
-        PromptQuarantine quarantine = mQuarantine.get();
+        Quarantine quarantine = mQuarantine.get();
         QuarantineCodec.Kind kind = QuarantineCodec.kind(key);
         if (kind == QuarantineCodec.Kind.OVERRIDE) {
-            PartKey part = QuarantineCodec.decodeOverrideKey(key);
+            Suspect part = QuarantineCodec.decodeOverrideKey(key);
             quarantine.setOverride(
                     part,
                     value.isEmpty()
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
-import org.boragethread.core.quarantine.PartBlock;
+import org.boragethread.core.quarantine.QuarantineBlock;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
@@ -55,7 +55,7 @@
                 .collect(Collectors.joining(","));
     }
 
-    void blocked(PartBlock block) {
+    void blocked(QuarantineBlock block) {
         mGateway.log()
                 .event("part-blocked", mRequest.id())
                 .with("part", block.part())
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -10,7 +10,7 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.Set;
-import org.boragethread.core.quarantine.PartKey;
+import org.boragethread.core.quarantine.Suspect;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.platform.store.PlatformHeaders;
@@ -35,8 +35,8 @@
     private final UpstreamAnnouncement mCalledEntry;
     private final Gateway mGateway;
     private final UpstreamSignals mSignals;
-    private final Collection<PartKey> mParts;
-    private final Map<PartKey, Set<String>> mPrecedents;
+    private final Collection<Suspect> mParts;
+    private final Map<Suspect, Set<String>> mPrecedents;
     private final boolean mStreaming;
     private final AttemptListener mListener;
     private final long mSentAt;
@@ -64,7 +64,7 @@
     UpstreamAttempt(
             UpstreamNode node,
             Gateway gateway,
-            Collection<PartKey> parts,
+            Collection<Suspect> parts,
             boolean streaming,
             AttemptListener listener,
             long sentAt,
