Keep requests that crash upstreams again and again from further upstreams

Cause: the quarantine remembered parts of prompts only.

Change: a whole request is a suspect too, identified by a fingerprint of team, method, path, query and body, and once more with its prompt. Three crashes of which two followed one another block it, four are more than a coincidence. It is not repeated if an upstream was known to have crashed under it before. Fingerprints are computed only if a request of the group is suspect. Two whole requests are never taken for companions, as no request can be both; and trials of one entry keep half a provisional block of distance. Among equals the oldest evidence is dropped first.

--- a/core/src/main/java/org/boragethread/core/quarantine/CrashSequence.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/CrashSequence.java
@@ -15,11 +15,10 @@
     /** Length of a sequence of crashes, each known before the next, that is conclusive. */
     private static final int CONCLUSIVE_LENGTH = 3;
 
-    /** Length that is conclusive together with {@link #CONCLUSIVE_CRASHES}. */
+    /** Length that is conclusive together with {@link Suspect.Kind#conclusiveCrashes}. */
     private static final int REPEATED_LENGTH = 2;
 
-    private static final int CONCLUSIVE_CRASHES = 5;
-
+    private final Suspect.Kind mKind;
     private final Map<String, Set<String>> mPrecedents;
     private final Set<String> mCounted;
     private final Map<String, Integer> mLengths = new HashMap<>();
@@ -27,11 +26,13 @@
     /**
      * Creates a sequence.
      *
+     * @param kind kind of the suspect, which determines how many crashes are conclusive
      * @param precedents for each crash, those that were known when its request was sent; others
      *     than the keys of the map are ignored
      * @param counted crashes that the part may have caused; the others only order them
      */
-    CrashSequence(Map<String, Set<String>> precedents, Set<String> counted) {
+    CrashSequence(Suspect.Kind kind, Map<String, Set<String>> precedents, Set<String> counted) {
+        mKind = kind;
         mPrecedents = precedents;
         mCounted = counted;
     }
@@ -68,12 +69,12 @@
     boolean isConclusive() {
         int length = length();
         return length >= CONCLUSIVE_LENGTH
-                || length >= REPEATED_LENGTH && mCounted.size() >= CONCLUSIVE_CRASHES;
+                || length >= REPEATED_LENGTH && mCounted.size() >= mKind.conclusiveCrashes();
     }
 
     /** Returns whether the crashes are too many to be a coincidence. */
     boolean isConfirmed() {
-        return mCounted.size() >= CONCLUSIVE_CRASHES && isConclusive();
+        return mCounted.size() >= mKind.confirmedCrashes() && isConclusive();
     }
 
     /** Returns the number of crashes after those that were needed for the conclusion. */
--- a/core/src/main/java/org/boragethread/core/quarantine/CulpritSearch.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/CulpritSearch.java
@@ -27,7 +27,7 @@
     }
 
     /**
-     * Returns the culprits. Each has companions that were in most of the prompts under which it
+     * Returns the culprits. Each has companions that were in most of the requests under which it
      * crashed upstreams, so that one of them may be the cause instead.
      */
     Map<Suspect, Set<Suspect>> find() {
@@ -70,6 +70,7 @@
                     Set<String> common = evidence.crashes();
                     common.retainAll(crashes);
                     if (!part.equals(culprit)
+                            && part.isCompatible(culprit)
                             && common.size() >= crashes.size() * COMPANION_SHARE) {
                         companions.add(part);
                     }
--- a/core/src/main/java/org/boragethread/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/Quarantine.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.upstream.GroupId;
 
 /**
  * Decides which parts of prompts are kept from upstreams because they crash them. The decision
@@ -57,7 +58,8 @@
     private final String mName;
     private final BlockTimes mBlockTimes;
     private final Listener mListener;
-    private final Map<Suspect, SuspectEvidence> mEvidence = new HashMap<>();
+    private final Map<Suspect, SuspectEvidence> mEvidence = new LinkedHashMap<>();
+    private final Map<GroupId, Integer> mRequestSuspects = new HashMap<>();
     private final Map<Suspect, QuarantineOverride> mOverrides = new HashMap<>();
     private final Map<Suspect, Long> mTrials = new HashMap<>();
     private final Map<String, Map<Suspect, Set<String>>> mOwnReports = new LinkedHashMap<>();
@@ -94,6 +96,19 @@
         mListener = listener;
     }
 
+    /** Returns whether any process has seen an upstream of a group crash under a request. */
+    public boolean hasRequestSuspects(GroupId group) {
+        return mRequestSuspects.containsKey(group)
+                || mOverrides.keySet().stream()
+                        .anyMatch(suspect -> suspect.isRequest() && suspect.group().equals(group));
+    }
+
+    /** Returns whether crashes under a suspect are known that are not refuted. */
+    public boolean hasCrashes(Suspect suspect) {
+        SuspectEvidence evidence = mEvidence.get(suspect);
+        return evidence != null && !evidence.crashes().isEmpty();
+    }
+
     /** Returns for each part the known crashes under it; belongs to a request that is sent now. */
     public Map<Suspect, Set<String>> precedents(Collection<Suspect> parts) {
         Map<Suspect, Set<String>> precedents = new HashMap<>();
@@ -160,7 +175,16 @@
     }
 
     private SuspectEvidence evidence(Suspect part) {
-        return mEvidence.computeIfAbsent(part, key -> new SuspectEvidence(mTime.nanoTime()));
+        SuspectEvidence known = mEvidence.get(part);
+        if (known != null) {
+            return known;
+        }
+        SuspectEvidence created = new SuspectEvidence(part.kind(), mTime.nanoTime());
+        mEvidence.put(part, created);
+        if (part.isRequest()) {
+            mRequestSuspects.merge(part.group(), 1, Integer::sum);
+        }
+        return created;
     }
 
     /** Returns a number that stands for all reports of which this process knows now. */
@@ -269,18 +293,30 @@
         if (age.compareTo(whole) < 0) {
             return whole.minus(age);
         }
+        return untilTrial(part);
+    }
+
+    /** Returns the time until this process may send one more request as a trial. */
+    private Duration untilTrial(Suspect part) {
         Long trial = mTrials.get(part);
-        Duration interval = blockTime.dividedBy(TRIAL_FRACTION);
+        Duration interval = trialInterval(part);
         if (trial == null || mTime.since(trial).compareTo(interval) >= 0) {
             return Duration.ZERO;
         }
         return interval.minus(mTime.since(trial));
     }
 
+    /** Returns the time between two trials of one process; the first has ended by the second. */
+    private Duration trialInterval(Suspect part) {
+        return max(
+                blockTime(mEvidence.get(part)).dividedBy(TRIAL_FRACTION),
+                mBlockTimes.provisional().dividedBy(2));
+    }
+
     private Duration blockTime(SuspectEvidence evidence) {
         CrashSequence sequence = evidence.sequence();
         if (!sequence.isConfirmed()) {
-            return mBlockTimes.provisional();
+            return evidence.kind().provisionalBlock(mBlockTimes.provisional());
         }
         int doublings = Math.min(MAX_DOUBLINGS, sequence.crashesSinceConclusion());
         return mBlockTimes.confirmed().multipliedBy(1L << doublings);
@@ -392,7 +428,10 @@
     }
 
     private void forget(Suspect part) {
-        mEvidence.remove(part);
+        if (mEvidence.remove(part) != null && part.isRequest()) {
+            mRequestSuspects.computeIfPresent(
+                    part.group(), (group, count) -> count > 1 ? count - 1 : null);
+        }
         mTrials.remove(part);
         if (mConclusive.remove(part) != null) {
             findCulprits();
--- a/core/src/main/java/org/boragethread/core/quarantine/SuspectEvidence.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/SuspectEvidence.java
@@ -26,12 +26,15 @@
     private final Set<String> mRefutedHere = new HashSet<>();
     private String mFirstReporter = "";
     private long mLastCrashNanos;
-    private CrashSequence mSequence = new CrashSequence(Map.of(), Set.of());
-    private CrashSequence mReportedSequence = mSequence;
+    private final Suspect.Kind mKind;
+    private CrashSequence mSequence;
+    private CrashSequence mReportedSequence;
 
-    /** Creates evidence without crashes. */
-    SuspectEvidence(long nowNanos) {
+    /** Creates evidence without crashes against a suspect of a kind. */
+    SuspectEvidence(Suspect.Kind kind, long nowNanos) {
+        mKind = kind;
         mLastCrashNanos = nowNanos;
+        judge();
     }
 
     /**
@@ -93,6 +96,10 @@
         return rest;
     }
 
+    Suspect.Kind kind() {
+        return mKind;
+    }
+
     /** Returns the sequence of all crashes that are not refuted. */
     CrashSequence sequence() {
         return mSequence;
@@ -100,7 +107,7 @@
 
     /** Returns the sequence of some of the crashes. */
     CrashSequence sequence(Set<String> crashes) {
-        return new CrashSequence(mPrecedents, crashes);
+        return new CrashSequence(mKind, mPrecedents, crashes);
     }
 
     /** Returns the crashes that are not refuted. */
--- a/core/src/test/java/org/boragethread/core/quarantine/QuarantineSimulation.java
+++ b/core/src/test/java/org/boragethread/core/quarantine/QuarantineSimulation.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -28,7 +28,9 @@
     private static final Duration RESTART_TIME = Duration.ofSeconds(3);
     private static final Duration STEP = Duration.ofMillis(10);
     private static final int MAX_DELIVERY_MILLIS = 60;
-    private static final int MAX_CRASHES = 5;
+    private static final int MAX_CRASHES_OF_PART = 5;
+    private static final int MAX_CRASHES_OF_REQUEST = 3;
+    private static final int MAX_ATTEMPTS = 2;
     private static final int FIRST_PARTS = 20;
     private static final int SECOND_PARTS = 70;
 
@@ -48,7 +50,9 @@
     /**
      * What is simulated.
      *
-     * @param crashingParts parts that crash engines
+     * @param kind whether prompts with a part crash engines, or requests that come again; then the
+     *     sound ones come again too, as those of callers that poll
+     * @param crashingParts parts or requests that crash engines
      * @param companion whether each prompt with such a part has one and the same first part, which
      *     sound prompts have too
      * @param crashingShare share of the prompts with such a part
@@ -56,6 +60,7 @@
      * @param disturbed whether entries are cut off and restarted, and engines crash otherwise
      */
     record Spec(
+            Suspect.Kind kind,
             int entries,
             int engines,
             List<Long> crashingParts,
@@ -127,28 +132,40 @@
                 crashing
                         ? mSpec.crashingParts.get(mRandom.nextInt(mSpec.crashingParts.size()))
                         : 1000 + mRandom.nextInt(SECOND_PARTS);
-        Collection<Suspect> parts = List.of(new Suspect(GROUP, first), new Suspect(GROUP, second));
+        Collection<Suspect> parts =
+                isOfRequests()
+                        ? List.of(Suspect.request(GROUP, second))
+                        : List.of(Suspect.part(GROUP, first), Suspect.part(GROUP, second));
         if (entry.mQuarantine.findBlock(parts).isPresent()) {
             mSoundRefused += crashing ? 0 : 1;
             mSound += crashing ? 0 : 1;
             return;
         }
         mSound += crashing ? 0 : 1;
+        send(entry, parts, crashing ? second : 0, 1);
+    }
+
+    private boolean isOfRequests() {
+        return mSpec.kind == Suspect.Kind.REQUEST;
+    }
+
+    private void send(Entry entry, Collection<Suspect> parts, long crashingPart, int attempt) {
         if (mEngines.isEmpty()) {
             return;
         }
         Engine engine = mEngines.get(mRandom.nextInt(mEngines.size()));
-        if (crashing) {
-            countSend(entry, second);
+        if (crashingPart != 0) {
+            countSend(entry, crashingPart);
         }
-        new Request(entry, engine, parts, crashing ? second : 0).start();
+        new Request(entry, engine, parts, crashingPart, attempt).start();
     }
 
     private void countSend(Entry entry, long part) {
         List<Long> crashes = mCrashTimes.getOrDefault(part, List.of());
+        int allowed = isOfRequests() ? MAX_CRASHES_OF_REQUEST : MAX_CRASHES_OF_PART;
         boolean late =
-                crashes.size() >= MAX_CRASHES
-                        && mTime.since(crashes.get(MAX_CRASHES - 1)).compareTo(STABLE_WINDOW) > 0;
+                crashes.size() >= allowed
+                        && mTime.since(crashes.get(allowed - 1)).compareTo(STABLE_WINDOW) > 0;
         if (late && entry.isInTouch()) {
             mLateSends.merge(part, 1, Integer::sum);
         }
@@ -280,7 +297,7 @@
     private final class Engine {
 
         private final String mRun = "engine-" + mStartedEngines++;
-        private final Set<Request> mRequests = new HashSet<>();
+        private final Set<Request> mRequests = new LinkedHashSet<>();
 
         void crash() {
             if (!mEngines.remove(this)) {
@@ -288,7 +305,7 @@
             }
             mLostEngines++;
             mTime.schedule(RESTART_TIME, () -> mEngines.add(new Engine()));
-            Set.copyOf(mRequests).forEach(Request::breakOff);
+            List.copyOf(mRequests).forEach(Request::breakOff);
         }
     }
 
@@ -300,10 +317,19 @@
         private final Engine mEngine;
         private final Collection<Suspect> mParts;
         private final long mCrashingPart;
+        private final int mAttempt;
+        private final boolean mSentAfterCrash;
         private final Map<Suspect, Set<String>> mPrecedents;
         private long mReportsAtStart;
 
-        Request(Entry entry, Engine engine, Collection<Suspect> parts, long crashingPart) {
+        Request(
+                Entry entry,
+                Engine engine,
+                Collection<Suspect> parts,
+                long crashingPart,
+                int attempt) {
+            mAttempt = attempt;
+            mSentAfterCrash = parts.stream().anyMatch(entry.mQuarantine::hasCrashes);
             mEntry = entry;
             mLifetime = entry.mLifetime;
             mEngine = engine;
@@ -341,6 +367,14 @@
 
         void breakOff() {
             mEngine.mRequests.remove(this);
+            boolean repeated =
+                    isOfRequests()
+                            && mAttempt < MAX_ATTEMPTS
+                            && !mSentAfterCrash
+                            && !mEntry.mQuarantine.isSuspect(mParts);
+            if (repeated && mLifetime == mEntry.mLifetime) {
+                send(mEntry, mParts, mCrashingPart, mAttempt + 1);
+            }
             mTime.schedule(
                     Duration.ofMillis(2),
                     () -> {
--- a/core/src/test/java/org/boragethread/core/quarantine/QuarantineSimulationTest.java
+++ b/core/src/test/java/org/boragethread/core/quarantine/QuarantineSimulationTest.java
@@ -13,7 +13,7 @@
 /** Tests entries together whose callers send prompts that crash engines. */
 public class QuarantineSimulationTest {
 
-    private static final int SEEDS = 12;
+    private static final int SEEDS = Integer.getInteger("simulation.seeds", 12);
     private static final int MAX_LATE_SENDS = 3;
     private static final double MAX_REFUSED_SHARE = 0.5;
 
@@ -39,6 +39,69 @@
         return cases.iterator();
     }
 
+    @DataProvider(parallel = true)
+    private static Iterator<Object[]> repeatedRequests() {
+        List<Object[]> cases = new ArrayList<>();
+        for (long seed = 0; seed < SEEDS; seed++) {
+            for (boolean disturbed : new boolean[] {false, true}) {
+                cases.add(repeated(3, 4, 0.1, 8, disturbed, seed));
+                cases.add(repeated(5, 4, 0.1, 8, disturbed, seed));
+                cases.add(repeated(5, 8, 0.2, 20, disturbed, seed));
+                cases.add(repeated(33, 60, 0.05, 150, disturbed, seed));
+            }
+        }
+        cases.add(repeated(1200, 300, 0.005, 1000, false, 1));
+        return cases.iterator();
+    }
+
+    private static Object[] repeated(
+            int entries,
+            int engines,
+            double share,
+            double perSecond,
+            boolean disturbed,
+            long seed) {
+        Spec spec =
+                new Spec(
+                        Suspect.Kind.REQUEST,
+                        entries,
+                        engines,
+                        List.of(BAD),
+                        false,
+                        share,
+                        perSecond,
+                        disturbed);
+        return new Object[] {spec, seed};
+    }
+
+    // Guards against a request that comes again and crashes one engine after the other, and against
+    // callers that send the same sound request again and again and are refused with it.
+    @Test(dataProvider = "repeatedRequests")
+    public void crashingRequestReachesFewEnginesAndPolledOnesAreServed(Spec spec, long seed) {
+        QuarantineSimulation simulation = new QuarantineSimulation(spec, seed);
+        simulation.run(Duration.ofSeconds(20));
+        simulation.resetCounters();
+        simulation.run(Duration.ofSeconds(60));
+        int late = simulation.lateSends(BAD);
+        assertTrue(
+                late <= MAX_LATE_SENDS,
+                "%d late sends, %d crashes".formatted(late, simulation.crashes(BAD)));
+        double allowedShare = spec.disturbed() ? MAX_REFUSED_SHARE : MAX_CHANCE_SHARE;
+        assertTrue(
+                simulation.soundRefusedShare() <= allowedShare,
+                simulation.soundRefusedShare() + " of sound requests refused");
+    }
+
+    // Guards against polled requests that are blocked because upstreams crash for other reasons.
+    @Test(dataProvider = "seeds")
+    public void otherCrashesRefuseHardlyAnyPolledRequest(long seed) {
+        Spec spec = new Spec(Suspect.Kind.REQUEST, 5, 12, List.of(), false, 0, 20, true);
+        QuarantineSimulation simulation = new QuarantineSimulation(spec, seed);
+        simulation.run(Duration.ofSeconds(120));
+        assertTrue(simulation.lostEngines() > 0);
+        assertTrue(simulation.soundRefusedShare() < MAX_CHANCE_SHARE);
+    }
+
     private static Object[] aCase(
             int entries,
             int engines,
@@ -48,7 +111,15 @@
             boolean disturbed,
             long seed) {
         Spec spec =
-                new Spec(entries, engines, List.of(BAD), companion, share, perSecond, disturbed);
+                new Spec(
+                        Suspect.Kind.PART,
+                        entries,
+                        engines,
+                        List.of(BAD),
+                        companion,
+                        share,
+                        perSecond,
+                        disturbed);
         return new Object[] {spec, seed};
     }
 
@@ -80,7 +151,7 @@
     // Guards against two crashing parts that hide each other.
     @Test(dataProvider = "seeds")
     public void twoCrashingPartsAreBothBlocked(long seed) {
-        Spec spec = new Spec(5, 12, List.of(BAD, WORSE), false, 0.3, 20, false);
+        Spec spec = new Spec(Suspect.Kind.PART, 5, 12, List.of(BAD, WORSE), false, 0.3, 20, false);
         QuarantineSimulation simulation = new QuarantineSimulation(spec, seed);
         simulation.run(Duration.ofSeconds(30));
         assertTrue(simulation.lateSends(BAD) <= MAX_LATE_SENDS);
@@ -91,7 +162,7 @@
     // lasts.
     @Test(dataProvider = "seeds")
     public void otherCrashesRefuseHardlyAnyRequest(long seed) {
-        Spec spec = new Spec(5, 12, List.of(), false, 0, 20, true);
+        Spec spec = new Spec(Suspect.Kind.PART, 5, 12, List.of(), false, 0, 20, true);
         QuarantineSimulation simulation = new QuarantineSimulation(spec, seed);
         simulation.run(Duration.ofSeconds(120));
         assertTrue(simulation.lostEngines() > 0);
@@ -101,7 +172,7 @@
     // Guards against trials that cost as many engines as the part did at first.
     @Test(dataProvider = "seeds")
     public void blockEndsWithSingleTrials(long seed) {
-        Spec spec = new Spec(5, 12, List.of(BAD), false, 0.3, 20, false);
+        Spec spec = new Spec(Suspect.Kind.PART, 5, 12, List.of(BAD), false, 0.3, 20, false);
         QuarantineSimulation simulation = new QuarantineSimulation(spec, seed);
         simulation.run(Duration.ofSeconds(30));
         int before = simulation.crashes(BAD);
--- a/core/src/test/java/org/boragethread/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/org/boragethread/core/quarantine/QuarantineTest.java
@@ -31,7 +31,7 @@
     private Quarantine mQuarantine;
 
     private static Suspect part(long id) {
-        return new Suspect(new GroupId("engines"), id);
+        return Suspect.part(new GroupId("engines"), id);
     }
 
     @BeforeMethod
@@ -82,7 +82,7 @@
     @Test
     public void partOfAnotherGroupIsNotBlocked() {
         crashInTurn(3, BAD);
-        assertFalse(isBlocked(new Suspect(new GroupId("others"), BAD.part())));
+        assertFalse(isBlocked(Suspect.part(new GroupId("others"), BAD.id())));
     }
 
     // Guards against a sound part that is refused with the crashing one beside it.
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -83,7 +83,7 @@
         mGroup = group.get();
         mPlacement = new Placement(mGroup, mAdmitted, mGateway.routingTable(), responseTimes());
         mTrace.admitted(mAdmitted, remaining());
-        mPrompt.start(target, mAdmitted.sharedParts(), this::onPartBlocked);
+        mPrompt.start(mRequest, mAdmitted, target, this::onPartBlocked);
         mSearch.start(mGateway.rateLimitQueue(target), mAdmitted.priority());
         if (mPrompt.isRefused(this::fail)
                 || mSearch.isRefused(mPlacement.choiceRequest(), remaining(), this::fail)) {
@@ -167,7 +167,7 @@
                 new UpstreamAttempt(
                         node.get(),
                         mGateway,
-                        mPrompt.parts(),
+                        mPrompt.suspects(),
                         mAdmitted.isStreaming(),
                         this,
                         now,
--- a/entry/src/main/java/org/boragethread/entry/gateway/QuarantineGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/QuarantineGuard.java
@@ -1,19 +1,17 @@
 package org.boragethread.entry.gateway;
 
-import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
 import org.boragethread.core.quarantine.QuarantineBlock;
-import org.boragethread.core.quarantine.Suspect;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.upstream.GroupId;
 
-/** Keeps one request from upstreams while a part of its prompt is blocked. */
+/** Keeps one request from upstreams while a part of its prompt, or the request, is blocked. */
 final class QuarantineGuard {
 
     private final Gateway mGateway;
     private final RequestTrace mTrace;
-    private List<Suspect> mParts = List.of();
+    private Optional<RequestSuspects> mSuspects = Optional.empty();
+    private boolean mSentAfterCrash;
     private Runnable mWatch = () -> {};
 
     QuarantineGuard(Gateway gateway, RequestTrace trace) {
@@ -22,47 +20,59 @@
     }
 
     /**
-     * Starts to watch the parts of the prompt.
+     * Starts to watch the suspects of an admitted request.
      *
      * @param group group of the upstreams
-     * @param onBlocked called when any part is blocked, perhaps one of another prompt
+     * @param onBlocked called when any suspect is blocked, perhaps one of another request
      */
-    void start(GroupId group, List<Long> parts, Runnable onBlocked) {
-        mParts = parts.stream().map(id -> new Suspect(group, id)).toList();
-        if (!mParts.isEmpty()) {
-            mWatch = mGateway.quarantineSync().watch(onBlocked);
-        }
+    void start(CallerRequest request, AdmittedRequest admitted, GroupId group, Runnable onBlocked) {
+        mSuspects =
+                Optional.of(
+                        new RequestSuspects(
+                                mGateway.quarantine(),
+                                group,
+                                request,
+                                admitted.team(),
+                                admitted.sharedParts()));
+        mWatch = mGateway.quarantineSync().watch(onBlocked);
     }
 
     void stop() {
         mWatch.run();
     }
 
-    /** Returns the parts of the prompt that other requests may have too. */
-    Collection<Suspect> parts() {
-        return mParts;
+    /** Returns what about the request may crash upstreams. */
+    RequestSuspects suspects() {
+        return mSuspects.orElseThrow();
     }
 
-    /** Returns whether a part of the prompt is blocked now; if so, ends the request first. */
+    /** Returns whether a suspect of the request is blocked now; if so, ends the request first. */
     boolean isRefused(RequestEnd end) {
-        Optional<QuarantineBlock> block = mGateway.quarantine().findBlock(mParts);
+        Optional<QuarantineBlock> block = mGateway.quarantine().findBlock(suspects().known());
         if (block.isEmpty()) {
             return false;
         }
         mTrace.blocked(block.get());
+        boolean request = block.get().part().isRequest();
         String detail =
-                "upstreams crashed %d times under part %s"
-                        .formatted(block.get().crashes(), block.get().part());
-        end.fail(RefusalReason.PROMPT_BLOCKED, detail, block.get().remaining());
+                "upstreams crashed %d times under %s %s"
+                        .formatted(
+                                block.get().crashes(),
+                                request ? "request" : "part",
+                                block.get().part());
+        RefusalReason reason =
+                request ? RefusalReason.REQUEST_BLOCKED : RefusalReason.PROMPT_BLOCKED;
+        end.fail(reason, detail, block.get().remaining());
         return true;
     }
 
     /** Returns whether the request should not be repeated after an upstream broke it off. */
     boolean isSuspect() {
-        return mGateway.quarantine().isSuspect(mParts);
+        return mSentAfterCrash || mGateway.quarantine().isSuspect(suspects().known());
     }
 
     void onSent() {
-        mGateway.quarantine().onSent(mParts);
+        mSentAfterCrash = suspects().hasCrashedBefore();
+        mGateway.quarantine().onSent(suspects().known());
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import java.util.Collection;
 import java.util.Map;
 import java.util.Set;
 import org.boragethread.core.quarantine.Suspect;
@@ -35,7 +34,7 @@
     private final UpstreamAnnouncement mCalledEntry;
     private final Gateway mGateway;
     private final UpstreamSignals mSignals;
-    private final Collection<Suspect> mParts;
+    private final RequestSuspects mSuspects;
     private final Map<Suspect, Set<String>> mPrecedents;
     private final boolean mStreaming;
     private final AttemptListener mListener;
@@ -58,13 +57,13 @@
     /**
      * Creates an attempt that has not started.
      *
-     * @param parts parts of the prompt that other requests may have too
+     * @param suspects what about the request may crash upstreams
      * @param prefillMillis prefill time of the prompt at the upstream
      */
     UpstreamAttempt(
             UpstreamNode node,
             Gateway gateway,
-            Collection<Suspect> parts,
+            RequestSuspects suspects,
             boolean streaming,
             AttemptListener listener,
             long sentAt,
@@ -73,8 +72,8 @@
         mCalledEntry = node.entry();
         mGateway = gateway;
         mSignals = gateway.upstreamSignals();
-        mParts = parts;
-        mPrecedents = gateway.quarantine().precedents(parts);
+        mSuspects = suspects;
+        mPrecedents = suspects.precedents();
         mStreaming = streaming;
         mListener = listener;
         mSentAt = sentAt;
@@ -243,12 +242,12 @@
      */
     private void judgePrompt() {
         if (mFraming == BodyFraming.CONNECTION_END) {
-            mGateway.crashDetector().onConnectionEnded(mNode, mCalledEntry, mPrecedents);
+            reportConnectionEnd();
             return;
         }
         boolean success = HttpStatusClass.valueOf(mStatus) == HttpStatusClass.SUCCESS;
         if (success && mBodyBytes > 0 && isBodyComplete()) {
-            mGateway.quarantine().onResponse(mParts, mReportsAtStart);
+            mGateway.quarantine().onResponse(mSuspects.known(), mReportsAtStart);
         }
     }
 
@@ -284,11 +283,16 @@
             return;
         }
         if (failure.kind() == CallFailure.Kind.BROKEN) {
-            mGateway.crashDetector().onConnectionEnded(mNode, mCalledEntry, mPrecedents);
+            reportConnectionEnd();
         }
         reportBroken(failure.detail());
     }
 
+    private void reportConnectionEnd() {
+        mGateway.crashDetector()
+                .onConnectionEnded(mNode, mCalledEntry, mSuspects.complete(mPrecedents));
+    }
+
     private void endPrefill() {
         mNode.prompts().onPromptDone(mPrefillMillis);
         mPrefillMillis = 0;
--- a/model/src/main/java/org/boragethread/model/outcome/RefusalReason.java
+++ b/model/src/main/java/org/boragethread/model/outcome/RefusalReason.java
@@ -65,6 +65,9 @@
     PROMPT_BLOCKED(
             503,
             "change the prompt, or retry after the given time; operators: see the part in the log"),
+    /** The same request crashed several upstreams. */
+    REQUEST_BLOCKED(
+            503, "change the request, or retry after the given time; operators: see it in the log"),
     /** A stage that the request depends on failed. */
     STAGE_FAILED(503, "retry after the given time"),
     /** The head of the request is larger than the configuration allows. */
