--- a/core/src/main/java/org/boragethread/core/quarantine/BlockTimes.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/BlockTimes.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * How long a part is blocked before single requests with it are sent again.
+ * How long a suspect is blocked before single requests with it are sent again.
  *
  * @param provisional time while only few upstreams crashed under it, perhaps by chance
  * @param confirmed time after that; doubles with each crash that follows
--- a/core/src/main/java/org/boragethread/core/quarantine/CrashSequence.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/CrashSequence.java
@@ -5,10 +5,10 @@
 import java.util.Set;
 
 /**
- * Judges the crashes under one part. Upstreams that crash at the same time for another reason, such
- * as a failing rack, break off many sound requests at once. A crash is therefore evidence beyond
- * the one before it only if its request was sent when that one was known. This order needs no
- * clocks that agree.
+ * Judges the crashes under one suspect. Upstreams that crash at the same time for another reason,
+ * such as a failing rack, break off many sound requests at once. A crash is therefore evidence
+ * beyond the one before it only if its request was sent when that one was known. This order needs
+ * no clocks that agree.
  */
 final class CrashSequence {
 
@@ -29,7 +29,7 @@
      * @param kind kind of the suspect, which determines how many crashes are conclusive
      * @param precedents for each crash, those that were known when its request was sent; others
      *     than the keys of the map are ignored
-     * @param counted crashes that the part may have caused; the others only order them
+     * @param counted crashes that the suspect may have caused; the others only order them
      */
     CrashSequence(Suspect.Kind kind, Map<String, Set<String>> precedents, Set<String> counted) {
         mKind = kind;
@@ -65,7 +65,7 @@
         return length;
     }
 
-    /** Returns whether the crashes show that the part causes them. */
+    /** Returns whether the crashes show that the suspect causes them. */
     boolean isConclusive() {
         int length = length();
         return length >= CONCLUSIVE_LENGTH
--- a/core/src/main/java/org/boragethread/core/quarantine/CulpritSearch.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/CulpritSearch.java
@@ -9,19 +9,21 @@
 import java.util.Set;
 
 /**
- * Finds the parts that explain the crashes, among all with conclusive evidence. An upstream that
- * crashes breaks off sound requests too, so that during a series of crashes sound parts gather
- * evidence beside the crashing one. The part with the most crashes is taken first, and its crashes
- * do not count against the others any more.
+ * Finds the suspects that explain the crashes, among all with conclusive evidence. An upstream that
+ * crashes breaks off sound requests too, so that during a series of crashes sound suspects gather
+ * evidence beside the crashing one. The suspect with the most crashes is taken first, and its
+ * crashes do not count against the others any more.
  */
 final class CulpritSearch {
 
-    /** Share of a part's crashes from which on another part may be the cause of all of them. */
+    /**
+     * Share of a suspect's crashes from which on another suspect may be the cause of all of them.
+     */
     private static final double COMPANION_SHARE = 0.5;
 
     private final Map<Suspect, SuspectEvidence> mEvidence;
 
-    /** Creates a search among parts with conclusive evidence. */
+    /** Creates a search among suspects with conclusive evidence. */
     CulpritSearch(Map<Suspect, SuspectEvidence> evidence) {
         mEvidence = evidence;
     }
@@ -33,7 +35,8 @@
     Map<Suspect, Set<Suspect>> find() {
         Map<Suspect, Set<Suspect>> culprits = new LinkedHashMap<>();
         Map<Suspect, Set<String>> unexplained = new LinkedHashMap<>();
-        sortedParts().forEach(part -> unexplained.put(part, mEvidence.get(part).crashes()));
+        sortedSuspects()
+                .forEach(suspect -> unexplained.put(suspect, mEvidence.get(suspect).crashes()));
         while (!unexplained.isEmpty()) {
             Suspect strongest = strongest(unexplained);
             Set<String> crashes = unexplained.remove(strongest);
@@ -47,10 +50,10 @@
     }
 
     /** Sorts by key, so that all processes decide alike between equals. */
-    private List<Suspect> sortedParts() {
-        List<Suspect> parts = new ArrayList<>(mEvidence.keySet());
-        parts.sort(Comparator.comparing(Suspect::toString));
-        return parts;
+    private List<Suspect> sortedSuspects() {
+        List<Suspect> suspects = new ArrayList<>(mEvidence.keySet());
+        suspects.sort(Comparator.comparing(Suspect::toString));
+        return suspects;
     }
 
     private static Suspect strongest(Map<Suspect, Set<String>> unexplained) {
@@ -66,13 +69,13 @@
     private Set<Suspect> companions(Suspect culprit, Set<String> crashes) {
         Set<Suspect> companions = new HashSet<>();
         mEvidence.forEach(
-                (part, evidence) -> {
+                (suspect, evidence) -> {
                     Set<String> common = evidence.crashes();
                     common.retainAll(crashes);
-                    if (!part.equals(culprit)
-                            && part.isCompatible(culprit)
+                    if (!suspect.equals(culprit)
+                            && suspect.isCompatible(culprit)
                             && common.size() >= crashes.size() * COMPANION_SHARE) {
-                        companions.add(part);
+                        companions.add(suspect);
                     }
                 });
         return companions;
--- a/core/src/main/java/org/boragethread/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/Quarantine.java
@@ -16,13 +16,13 @@
 import org.boragethread.model.upstream.GroupId;
 
 /**
- * Decides which parts of prompts are kept from upstreams because they crash them. The decision
- * follows from the reports of all processes, in whatever order and how often they arrive, so that
- * processes with the same reports decide alike.
+ * Decides which suspects, parts of prompts or whole requests, are kept from upstreams because they
+ * crash them. The decision follows from the reports of all processes, in whatever order and how
+ * often they arrive, so that processes with the same reports decide alike.
  *
- * <p>A crash breaks off sound requests too. A part is blocked only if crashes under it follow one
- * another, each in a request that was sent when the one before was known, and no response to the
- * part was completed since. Of several such parts, those with the most crashes are blocked, see
+ * <p>A crash breaks off sound requests too. A suspect is blocked only if crashes under it follow
+ * one another, each in a request that was sent when the one before was known, and no response to it
+ * was completed since. Of several such suspects, those with the most crashes are blocked, see
  * {@link CulpritSearch}.
  *
  * <p>A block ends after a time, soon if only few upstreams crashed. Then single requests are sent
@@ -31,10 +31,10 @@
  */
 public final class Quarantine {
 
-    /** Parts with evidence that are kept; those with the least evidence are dropped first. */
-    private static final int MAX_PARTS = 8192;
+    /** Suspects with evidence that are kept; those with the least evidence are dropped first. */
+    private static final int MAX_SUSPECTS = 8192;
 
-    /** Share of the parts that is dropped at once. */
+    /** Share of the suspects that is dropped at once. */
     private static final int DROPPED_FRACTION = 8;
 
     /** Own reports to which further requests are added; those of a crash arrive within seconds. */
@@ -42,7 +42,7 @@
 
     private static final int MAX_DOUBLINGS = 6;
 
-    /** Multiple of its block after which a part without further crashes is forgotten. */
+    /** Multiple of its block after which a suspect without further crashes is forgotten. */
     private static final int FORGET_MULTIPLE = 3;
 
     /** Length of a sequence of crashes from which on a request is not repeated elsewhere. */
@@ -74,20 +74,20 @@
         void onCrash(CrashReport report);
 
         /** Called if other processes count crashes that this one can refute. */
-        void onRefutable(Suspect part);
+        void onRefutable(Suspect suspect);
 
-        /** Called when the evidence against a part becomes conclusive. */
+        /** Called when the evidence against a suspect becomes conclusive. */
         void onBlocked(QuarantineBlock block);
 
-        /** Called when the evidence against a part is no longer conclusive. */
-        void onUnblocked(Suspect part);
+        /** Called when the evidence against a suspect is no longer conclusive. */
+        void onUnblocked(Suspect suspect);
     }
 
     /**
      * Creates a quarantine without evidence.
      *
      * @param name name of this process; differs from that of all others
-     * @param blockTimes times for which a part is blocked
+     * @param blockTimes times for which a suspect is blocked
      */
     public Quarantine(TimeSource time, String name, BlockTimes blockTimes, Listener listener) {
         mTime = time;
@@ -109,12 +109,14 @@
         return evidence != null && !evidence.crashes().isEmpty();
     }
 
-    /** Returns for each part the known crashes under it; belongs to a request that is sent now. */
-    public Map<Suspect, Set<String>> precedents(Collection<Suspect> parts) {
+    /**
+     * Returns for each suspect the known crashes under it; belongs to a request that is sent now.
+     */
+    public Map<Suspect, Set<String>> precedents(Collection<Suspect> suspects) {
         Map<Suspect, Set<String>> precedents = new HashMap<>();
-        for (Suspect part : parts) {
-            SuspectEvidence evidence = mEvidence.get(part);
-            precedents.put(part, evidence == null ? Set.of() : evidence.precedentsOfNextCrash());
+        for (Suspect suspect : suspects) {
+            SuspectEvidence evidence = mEvidence.get(suspect);
+            precedents.put(suspect, evidence == null ? Set.of() : evidence.precedentsOfNextCrash());
         }
         return precedents;
     }
@@ -129,7 +131,8 @@
         Map<Suspect, Set<String>> report =
                 mOwnReports.computeIfAbsent(crash, key -> new HashMap<>());
         precedents.forEach(
-                (part, crashes) -> report.merge(part, new HashSet<>(crashes), Quarantine::union));
+                (suspect, crashes) ->
+                        report.merge(suspect, new HashSet<>(crashes), Quarantine::union));
         if (mOwnReports.size() > MAX_OPEN_REPORTS) {
             mOwnReports.remove(mOwnReports.keySet().iterator().next());
         }
@@ -151,15 +154,15 @@
         long crashedAt = mTime.nanoTime() - Math.max(0, age.toNanos());
         report.precedents()
                 .forEach(
-                        (part, precedents) -> {
-                            evidence(part)
+                        (suspect, precedents) -> {
+                            evidence(suspect)
                                     .add(
                                             report.crash(),
                                             report.reporter(),
                                             precedents,
                                             mLearned,
                                             crashedAt);
-                            judge(part);
+                            judge(suspect);
                         });
         findCulprits();
         dropLeastEvidence();
@@ -168,21 +171,21 @@
     /** Adds a refutation by any process. */
     public void addRefutation(RefutationReport report) {
         // It may arrive before the crashes.
-        evidence(report.part()).refute(report.crashes());
-        judge(report.part());
+        evidence(report.suspect()).refute(report.crashes());
+        judge(report.suspect());
         findCulprits();
         dropLeastEvidence();
     }
 
-    private SuspectEvidence evidence(Suspect part) {
-        SuspectEvidence known = mEvidence.get(part);
+    private SuspectEvidence evidence(Suspect suspect) {
+        SuspectEvidence known = mEvidence.get(suspect);
         if (known != null) {
             return known;
         }
-        SuspectEvidence created = new SuspectEvidence(part.kind(), mTime.nanoTime());
-        mEvidence.put(part, created);
-        if (part.isRequest()) {
-            mRequestSuspects.merge(part.group(), 1, Integer::sum);
+        SuspectEvidence created = new SuspectEvidence(suspect.kind(), mTime.nanoTime());
+        mEvidence.put(suspect, created);
+        if (suspect.isRequest()) {
+            mRequestSuspects.merge(suspect.group(), 1, Integer::sum);
         }
         return created;
     }
@@ -195,65 +198,66 @@
     /**
      * Records a response that an upstream completed.
      *
-     * @param parts parts of the request
+     * @param suspects suspects of the request
      * @param learnedAtStart {@link #learnedReports} when the response began
      */
-    public void onResponse(Collection<Suspect> parts, long learnedAtStart) {
-        for (Suspect part : parts) {
-            SuspectEvidence evidence = mEvidence.get(part);
+    public void onResponse(Collection<Suspect> suspects, long learnedAtStart) {
+        for (Suspect suspect : suspects) {
+            SuspectEvidence evidence = mEvidence.get(suspect);
             if (evidence == null) {
                 continue;
             }
             Set<String> refuted = evidence.crashesKnownAt(learnedAtStart);
             if (!refuted.isEmpty()) {
                 evidence.refuteHere(refuted);
-                judge(part);
+                judge(suspect);
                 findCulprits();
             }
         }
     }
 
     /** Returns what this process can refute and others still count, if it matters to them. */
-    public Optional<RefutationReport> unreportedRefutation(Suspect part) {
-        SuspectEvidence evidence = mEvidence.get(part);
+    public Optional<RefutationReport> unreportedRefutation(Suspect suspect) {
+        SuspectEvidence evidence = mEvidence.get(suspect);
         if (evidence == null || !isRefutationNeeded(evidence)) {
             return Optional.empty();
         }
         return Optional.of(
-                new RefutationReport(part, mName, mTime.instant(), evidence.refutedHere()));
+                new RefutationReport(suspect, mName, mTime.instant(), evidence.refutedHere()));
     }
 
     private static boolean isRefutationNeeded(SuspectEvidence evidence) {
         return evidence.reportedLength() >= SUSPECT_LENGTH && evidence.hasUnreportedRefutations();
     }
 
-    /** Sets or ends an operator's decision on a part. */
-    public void setOverride(Suspect part, Optional<QuarantineOverride> override) {
+    /** Sets or ends an operator's decision on a suspect. */
+    public void setOverride(Suspect suspect, Optional<QuarantineOverride> override) {
         if (override.isPresent()) {
-            mOverrides.put(part, override.get());
+            mOverrides.put(suspect, override.get());
         } else {
-            mOverrides.remove(part);
+            mOverrides.remove(suspect);
         }
         findCulprits();
     }
 
-    /** Returns why a request with the given parts must not be sent, if it must not. */
-    public Optional<QuarantineBlock> findBlock(Collection<Suspect> parts) {
-        for (Suspect part : parts) {
-            QuarantineOverride override = mOverrides.get(part);
+    /** Returns why a request with the given suspects must not be sent, if it must not. */
+    public Optional<QuarantineBlock> findBlock(Collection<Suspect> suspects) {
+        for (Suspect suspect : suspects) {
+            QuarantineOverride override = mOverrides.get(suspect);
             if (override == QuarantineOverride.ALLOW) {
                 continue;
             }
             if (override == QuarantineOverride.BLOCK) {
                 return Optional.of(
-                        new QuarantineBlock(part, 0, "", Duration.ZERO, mBlockTimes.confirmed()));
+                        new QuarantineBlock(
+                                suspect, 0, "", Duration.ZERO, mBlockTimes.confirmed()));
             }
-            if (!mCulprits.containsKey(part) || !isCulpritOf(part, parts)) {
+            if (!mCulprits.containsKey(suspect) || !isCulpritOf(suspect, suspects)) {
                 continue;
             }
-            Duration remaining = remainingBlock(part);
+            Duration remaining = remainingBlock(suspect);
             if (!remaining.isZero()) {
-                return Optional.of(block(part, remaining));
+                return Optional.of(block(suspect, remaining));
             }
         }
         return Optional.empty();
@@ -263,43 +267,44 @@
      * Returns whether the evidence against a culprit is conclusive without the crashes that its
      * companions explain which the request does not have.
      */
-    private boolean isCulpritOf(Suspect culprit, Collection<Suspect> parts) {
+    private boolean isCulpritOf(Suspect culprit, Collection<Suspect> suspects) {
         SuspectEvidence evidence = mConclusive.get(culprit);
         Set<String> unexplained = evidence.crashes();
         for (Suspect companion : mCulprits.get(culprit)) {
-            if (!parts.contains(companion)) {
+            if (!suspects.contains(companion)) {
                 unexplained.removeAll(mConclusive.get(companion).crashes());
             }
         }
         return evidence.sequence(unexplained).isConclusive();
     }
 
-    private QuarantineBlock block(Suspect part, Duration remaining) {
-        SuspectEvidence evidence = mEvidence.get(part);
+    private QuarantineBlock block(Suspect suspect, Duration remaining) {
+        SuspectEvidence evidence = mEvidence.get(suspect);
         return new QuarantineBlock(
-                part,
+                suspect,
                 evidence.crashes().size(),
                 evidence.firstReporter(),
                 mTime.since(evidence.lastCrashNanos()),
                 remaining);
     }
 
-    private Duration remainingBlock(Suspect part) {
-        SuspectEvidence evidence = mEvidence.get(part);
+    private Duration remainingBlock(Suspect suspect) {
+        SuspectEvidence evidence = mEvidence.get(suspect);
         Duration age = mTime.since(evidence.lastCrashNanos());
         Duration blockTime = blockTime(evidence);
         // Spreads the first trials of the processes, so that one learns of the crash of another.
-        Duration whole = blockTime.plusNanos((long) (SPREAD * blockTime.toNanos() * spread(part)));
+        Duration whole =
+                blockTime.plusNanos((long) (SPREAD * blockTime.toNanos() * spread(suspect)));
         if (age.compareTo(whole) < 0) {
             return whole.minus(age);
         }
-        return untilTrial(part);
+        return untilTrial(suspect);
     }
 
     /** Returns the time until this process may send one more request as a trial. */
-    private Duration untilTrial(Suspect part) {
-        Long trial = mTrials.get(part);
-        Duration interval = trialInterval(part);
+    private Duration untilTrial(Suspect suspect) {
+        Long trial = mTrials.get(suspect);
+        Duration interval = trialInterval(suspect);
         if (trial == null || mTime.since(trial).compareTo(interval) >= 0) {
             return Duration.ZERO;
         }
@@ -307,9 +312,9 @@
     }
 
     /** Returns the time between two trials of one process; the first has ended by the second. */
-    private Duration trialInterval(Suspect part) {
+    private Duration trialInterval(Suspect suspect) {
         return max(
-                blockTime(mEvidence.get(part)).dividedBy(TRIAL_FRACTION),
+                blockTime(mEvidence.get(suspect)).dividedBy(TRIAL_FRACTION),
                 mBlockTimes.provisional().dividedBy(2));
     }
 
@@ -322,27 +327,27 @@
         return mBlockTimes.confirmed().multipliedBy(1L << doublings);
     }
 
-    private double spread(Suspect part) {
-        long hash = Hashing.komihash5_0().hashCharsToLong(mName + "/" + part);
+    private double spread(Suspect suspect) {
+        long hash = Hashing.komihash5_0().hashCharsToLong(mName + "/" + suspect);
         return (hash >>> 11) * 0x1.0p-53;
     }
 
-    /** Records that a request is sent, which may be the trial of a part. */
-    public void onSent(Collection<Suspect> parts) {
-        for (Suspect part : parts) {
-            if (mCulprits.containsKey(part)) {
-                mTrials.put(part, mTime.nanoTime());
+    /** Records that a request is sent, which may be the trial of a suspect. */
+    public void onSent(Collection<Suspect> suspects) {
+        for (Suspect suspect : suspects) {
+            if (mCulprits.containsKey(suspect)) {
+                mTrials.put(suspect, mTime.nanoTime());
             }
         }
     }
 
     /**
-     * Returns whether one of the parts may have caused several crashes, so that a request that was
-     * broken off should not be repeated at another upstream.
+     * Returns whether one of the suspects may have caused several crashes, so that a request that
+     * was broken off should not be repeated at another upstream.
      */
-    public boolean isSuspect(Collection<Suspect> parts) {
-        for (Suspect part : parts) {
-            SuspectEvidence evidence = mEvidence.get(part);
+    public boolean isSuspect(Collection<Suspect> suspects) {
+        for (Suspect suspect : suspects) {
+            SuspectEvidence evidence = mEvidence.get(suspect);
             if (evidence != null && evidence.sequence().length() >= SUSPECT_LENGTH) {
                 return true;
             }
@@ -350,30 +355,30 @@
         return false;
     }
 
-    /** Returns the parts that are blocked now. */
+    /** Returns the suspects that are blocked now. */
     public List<QuarantineBlock> blocks() {
         List<QuarantineBlock> blocks = new ArrayList<>();
-        for (Suspect part : mCulprits.keySet()) {
-            blocks.add(block(part, remainingBlock(part)));
+        for (Suspect suspect : mCulprits.keySet()) {
+            blocks.add(block(suspect, remainingBlock(suspect)));
         }
         return blocks;
     }
 
-    /** Forgets parts under which nothing crashed for long. */
+    /** Forgets suspects under which nothing crashed for long. */
     public void expire() {
         Set<Suspect> expired = new HashSet<>();
         mEvidence.forEach(
-                (part, evidence) -> {
-                    if (mTime.since(evidence.lastCrashNanos()).compareTo(lifetime(part)) > 0) {
-                        expired.add(part);
+                (suspect, evidence) -> {
+                    if (mTime.since(evidence.lastCrashNanos()).compareTo(lifetime(suspect)) > 0) {
+                        expired.add(suspect);
                     }
                 });
         expired.forEach(this::forget);
     }
 
-    private Duration lifetime(Suspect part) {
-        SuspectEvidence evidence = mEvidence.get(part);
-        return mConclusive.containsKey(part)
+    private Duration lifetime(Suspect suspect) {
+        SuspectEvidence evidence = mEvidence.get(suspect);
+        return mConclusive.containsKey(suspect)
                 ? max(blockTime(evidence), mBlockTimes.confirmed()).multipliedBy(FORGET_MULTIPLE)
                 : mBlockTimes.confirmed();
     }
@@ -382,58 +387,59 @@
         return a.compareTo(b) > 0 ? a : b;
     }
 
-    /** Returns whether reports on a part are kept. */
-    public boolean hasEvidence(Suspect part) {
-        return mEvidence.containsKey(part);
+    /** Returns whether reports on a suspect are kept. */
+    public boolean hasEvidence(Suspect suspect) {
+        return mEvidence.containsKey(suspect);
     }
 
-    private void judge(Suspect part) {
-        SuspectEvidence evidence = mEvidence.get(part);
+    private void judge(Suspect suspect) {
+        SuspectEvidence evidence = mEvidence.get(suspect);
         if (isRefutationNeeded(evidence)) {
-            mListener.onRefutable(part);
+            mListener.onRefutable(suspect);
         }
         if (evidence.sequence().isConclusive()) {
-            mConclusive.put(part, evidence);
+            mConclusive.put(suspect, evidence);
         } else {
-            mConclusive.remove(part);
+            mConclusive.remove(suspect);
         }
     }
 
     private void findCulprits() {
         Map<Suspect, Set<Suspect>> previous = mCulprits;
         Map<Suspect, SuspectEvidence> suspects = new HashMap<>(mConclusive);
-        suspects.keySet().removeIf(part -> mOverrides.get(part) == QuarantineOverride.ALLOW);
+        suspects.keySet().removeIf(suspect -> mOverrides.get(suspect) == QuarantineOverride.ALLOW);
         mCulprits = new CulpritSearch(suspects).find();
-        for (Suspect part : previous.keySet()) {
-            if (!mCulprits.containsKey(part)) {
-                mListener.onUnblocked(part);
+        for (Suspect suspect : previous.keySet()) {
+            if (!mCulprits.containsKey(suspect)) {
+                mListener.onUnblocked(suspect);
             }
         }
-        for (Suspect part : mCulprits.keySet()) {
-            if (!previous.containsKey(part)) {
-                mListener.onBlocked(block(part, remainingBlock(part)));
+        for (Suspect suspect : mCulprits.keySet()) {
+            if (!previous.containsKey(suspect)) {
+                mListener.onBlocked(block(suspect, remainingBlock(suspect)));
             }
         }
     }
 
     private void dropLeastEvidence() {
-        if (mEvidence.size() <= MAX_PARTS) {
+        if (mEvidence.size() <= MAX_SUSPECTS) {
             return;
         }
-        List<Suspect> parts = new ArrayList<>(mEvidence.keySet());
-        parts.sort(
-                Comparator.<Suspect>comparingInt(part -> mEvidence.get(part).sequence().length())
-                        .thenComparingLong(part -> mEvidence.get(part).lastCrashNanos()));
-        parts.subList(0, MAX_PARTS / DROPPED_FRACTION).forEach(this::forget);
+        List<Suspect> suspects = new ArrayList<>(mEvidence.keySet());
+        suspects.sort(
+                Comparator.<Suspect>comparingInt(
+                                suspect -> mEvidence.get(suspect).sequence().length())
+                        .thenComparingLong(suspect -> mEvidence.get(suspect).lastCrashNanos()));
+        suspects.subList(0, MAX_SUSPECTS / DROPPED_FRACTION).forEach(this::forget);
     }
 
-    private void forget(Suspect part) {
-        if (mEvidence.remove(part) != null && part.isRequest()) {
+    private void forget(Suspect suspect) {
+        if (mEvidence.remove(suspect) != null && suspect.isRequest()) {
             mRequestSuspects.computeIfPresent(
-                    part.group(), (group, count) -> count > 1 ? count - 1 : null);
+                    suspect.group(), (group, count) -> count > 1 ? count - 1 : null);
         }
-        mTrials.remove(part);
-        if (mConclusive.remove(part) != null) {
+        mTrials.remove(suspect);
+        if (mConclusive.remove(suspect) != null) {
             findCulprits();
         }
     }
--- a/core/src/main/java/org/boragethread/core/quarantine/SuspectEvidence.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/SuspectEvidence.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 
-/** The crashes under one part, without those that are refuted. Not thread-safe. */
+/** The crashes under one suspect, without those that are refuted. Not thread-safe. */
 final class SuspectEvidence {
 
     /** Further crashes are not kept; the evidence has long been conclusive then. */
--- a/core/src/main/java/org/boragethread/core/quarantine/package-info.java
+++ b/core/src/main/java/org/boragethread/core/quarantine/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Finds parts of prompts that crash upstreams, from what all processes report about crashes, and
- * keeps them from further upstreams.
+ * Finds parts of prompts and requests that crash upstreams, from what all processes report about
+ * crashes, and keeps them from further upstreams.
  */
 package org.boragethread.core.quarantine;
--- a/core/src/test/java/org/boragethread/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/org/boragethread/core/quarantine/QuarantineTest.java
@@ -137,8 +137,8 @@
         for (Collection<Suspect> parts :
                 List.of(List.of(BAD), List.of(SOUND), List.of(BAD, SOUND))) {
             assertEquals(
-                    other.findBlock(parts).map(QuarantineBlock::part),
-                    mQuarantine.findBlock(parts).map(QuarantineBlock::part));
+                    other.findBlock(parts).map(QuarantineBlock::suspect),
+                    mQuarantine.findBlock(parts).map(QuarantineBlock::suspect));
         }
         assertEquals(other.findBlock(List.of(BAD)).orElseThrow().crashes(), 4);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/QuarantineGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/QuarantineGuard.java
@@ -53,13 +53,13 @@
             return false;
         }
         mTrace.blocked(block.get());
-        boolean request = block.get().part().isRequest();
+        boolean request = block.get().suspect().isRequest();
         String detail =
                 "upstreams crashed %d times under %s %s"
                         .formatted(
                                 block.get().crashes(),
                                 request ? "request" : "part",
-                                block.get().part());
+                                block.get().suspect());
         RefusalReason reason =
                 request ? RefusalReason.REQUEST_BLOCKED : RefusalReason.PROMPT_BLOCKED;
         end.fail(reason, detail, block.get().remaining());
--- a/entry/src/main/java/org/boragethread/entry/gateway/QuarantineSync.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/QuarantineSync.java
@@ -21,8 +21,7 @@
 import org.boragethread.platform.store.QuarantineCodec;
 
 /**
- * Shares the reports about crashing parts of prompts with the other entries, through a topic of the
- * store.
+ * Shares the reports about crashing upstreams with the other entries, through a topic of the store.
  */
 final class QuarantineSync implements TopicListener, Quarantine.Listener {
 
@@ -55,7 +54,7 @@
         mPublisher = Optional.of(publisher);
     }
 
-    /** Forgets old evidence, and deletes the records that no part needs any more. */
+    /** Forgets old evidence, and deletes the records that no suspect needs any more. */
     void expire() {
         Quarantine quarantine = mQuarantine.get();
         quarantine.expire();
@@ -123,7 +122,7 @@
         mGateway.log()
                 .event("quarantine")
                 .with("outcome", "blocked")
-                .with("part", block.part())
+                .with("part", block.suspect())
                 .with("crashes", block.crashes())
                 .with("firstReporter", block.firstReporter())
                 .with("ageMs", block.age().toMillis())
@@ -193,7 +192,7 @@
             quarantine.addCrash(report);
         } else if (kind == QuarantineCodec.Kind.REFUTATION) {
             RefutationReport report = QuarantineCodec.decodeRefutation(value.get());
-            mStoredRecords.put(key, Set.of(report.part()));
+            mStoredRecords.put(key, Set.of(report.suspect()));
             quarantine.addRefutation(report);
         }
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -58,7 +58,7 @@
     void blocked(QuarantineBlock block) {
         mGateway.log()
                 .event("part-blocked", mRequest.id())
-                .with("part", block.part())
+                .with("part", block.suspect())
                 .with("crashes", block.crashes())
                 .with("firstReporter", block.firstReporter())
                 .with("ageMs", block.age().toMillis())
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -237,8 +237,8 @@
     }
 
     /**
-     * Clears the parts of the prompt of earlier crashes. The end of the connection is no proof that
-     * the upstream has not crashed, even if the body looks complete.
+     * Clears the suspects of the request of earlier crashes. The end of the connection is no proof
+     * that the upstream has not crashed, even if the body looks complete.
      */
     private void judgePrompt() {
         if (mFraming == BodyFraming.CONNECTION_END) {
