Test that calls to upstreams are sent only where they are counted

LIMIT counts every call against the rate that an upstream names. A class that sends calls past UpstreamAttempt and HttpBatchClient would not be noticed otherwise.

--- a/standins/src/test/java/org/boragethread/standins/system/LayerTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/LayerTest.java
@@ -1,11 +1,21 @@
 package org.boragethread.standins.system;
 
+import static com.tngtech.archunit.base.DescribedPredicate.not;
+import static com.tngtech.archunit.core.domain.JavaCall.Predicates.target;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.type;
+import static com.tngtech.archunit.core.domain.properties.HasName.Predicates.name;
+import static com.tngtech.archunit.core.domain.properties.HasOwner.Predicates.With.owner;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.util.List;
+import org.boragethread.wire.http.BufferedResponse;
+import org.boragethread.wire.http.HttpConnectionPool;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 
@@ -14,6 +24,19 @@
 
     private static final String ROOT = "org.boragethread.";
 
+    private static final String GATEWAY = ROOT + "entry.gateway.";
+
+    /** Classes that call upstreams, and count each call in {@code UpstreamNode}. */
+    private static final List<String> UPSTREAM_CALLERS =
+            List.of(GATEWAY + "UpstreamAttempt", GATEWAY + "HttpBatchClient");
+
+    /** Classes that call other entries, or this process itself to load classes. */
+    private static final List<String> PEER_CALLERS =
+            List.of(
+                    GATEWAY + "PeerClient",
+                    GATEWAY + "PeerTopicClient",
+                    GATEWAY + "LoadClassesCommand");
+
     private JavaClasses mClasses;
 
     @BeforeClass
@@ -94,6 +117,29 @@
                 .check(mClasses);
     }
 
+    // Guards against a new kind of call to upstreams that is not counted against their limits.
+    @Test
+    public void callsAreSentOnlyWhereTheyAreCounted() {
+        noClasses()
+                .that()
+                .resideInAPackage(ROOT + "entry.gateway..")
+                .and(not(belongToAnyOf(UPSTREAM_CALLERS)))
+                .and(not(belongToAnyOf(PEER_CALLERS)))
+                .should()
+                .callMethodWhere(
+                        target(owner(type(HttpConnectionPool.class))).and(target(name("send"))))
+                .orShould()
+                .callMethodWhere(
+                        target(owner(type(BufferedResponse.class))).and(target(name("fetch"))))
+                .check(mClasses);
+    }
+
+    private static DescribedPredicate<JavaClass> belongToAnyOf(List<String> names) {
+        return DescribedPredicate.describe(
+                "belong to any of " + names,
+                type -> names.stream().anyMatch(type.getName()::startsWith));
+    }
+
     @Test
     public void coreTakesTimeFromItsClockOnly() {
         noClasses()
