Wait for log lines that tests expect

Traced with 60 repetitions under load: the caller's connection was cut off each time, and in 22 of 60 the line came 0.7 to 24 ms after that, as logs are written by another thread; it came each time. The test looked only once. It waits now, as strictly as before that the line comes; three other tests that looked once wait too.

--- a/standins/src/test/java/org/boragethread/standins/system/CrashingPromptTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/CrashingPromptTest.java
@@ -157,7 +157,7 @@
         assertEquals(refusal.statusCode(), 503);
         assertTrue(refusal.body().contains("\"reason\":\"prompt-blocked\",\"ran\":\"no\""));
         assertTrue(Double.parseDouble(refusal.headers().firstValue("Retry-After").get()) > 1);
-        assertTrue(mGateways.get(0).hasLogLine("\"part\":\"engines/bad0\""));
+        mGateways.get(0).awaitLogLine("\"part\":\"engines/bad0\"");
     }
 
     // Guards against an entry that starts in the middle and sends the part to further engines.
--- a/standins/src/test/java/org/boragethread/standins/system/GatewayGroupTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/GatewayGroupTest.java
@@ -1,7 +1,6 @@
 package org.boragethread.standins.system;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
 
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
@@ -104,7 +103,7 @@
                 () -> mOrders.executedRequestIds().contains("id-held"));
         mOldest.process().kill();
         postUntilScheduledBy(mMiddle, "id-after-");
-        assertTrue(mYoungest.hasLogLine("\"event\":\"held-results\""));
+        mYoungest.awaitLogLine("\"event\":\"held-results\"");
         assertEquals(held.get().intValue(), 504);
         Await.until(
                 "the results are freed through the next gateway",
--- a/standins/src/test/java/org/boragethread/standins/system/NamedRateLimitTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/NamedRateLimitTest.java
@@ -157,7 +157,7 @@
         }
         sendFor(STABLE_WINDOW);
         for (TestGateway gateway : mGateways) {
-            assertTrue(gateway.hasLogLine("\"outcome\":\"named\""));
+            gateway.awaitLogLine("\"outcome\":\"named\"");
         }
         UPSTREAMS.forEach(mUpstreams::withdrawLimit);
         Await.until("the limits end", TestGateway.TIMEOUT, this::areLimitsGone);
--- a/standins/src/test/java/org/boragethread/standins/system/RerunStagesTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/RerunStagesTest.java
@@ -129,7 +129,7 @@
     @Test
     public void streamIsCutOffAndNotFollowedByARefusal() {
         expectThrows(IOException.class, () -> post("/stream/x", "id-1"));
-        assertTrue(mGateway.hasLogLine("\"event\":\"broken-off\",\"request\":\"id-1\""));
+        mGateway.awaitLogLine("\"event\":\"broken-off\",\"request\":\"id-1\"");
     }
 
     // Guards against 'not run' for a request that an upstream ran before its stages were lost.
--- a/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
+++ b/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
@@ -112,6 +112,11 @@
         return mCalls.post(path, "body", allHeaders);
     }
 
+    /** Waits until a line of the log contains all of the given texts; logs are written late. */
+    void awaitLogLine(String... parts) {
+        Await.until("a log line with " + List.of(parts), TIMEOUT, () -> hasLogLine(parts));
+    }
+
     /** Returns whether any line of the log contains all of the given texts. */
     boolean hasLogLine(String... parts) {
         return mProcess.lines().stream()
