Log software versions of upstreams and the streams that callers take up

The logs could not tell whether a stream goes on at another software version: no line had a version, 'sent' did not say after which event it resumes, and a caller's resumed attempt looked like a new request. A change of the version alone is no longer dropped by relays.

--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
@@ -130,6 +130,7 @@
                 entry.dataCentre(),
                 false,
                 0,
-                Optional.of(2L));
+                Optional.of(2L),
+                entry.softwareVersion());
     }
 }
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamEntries.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamEntries.java
@@ -4,6 +4,7 @@
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.model.upstream.UpstreamId;
 
 /** Creates announcements of upstreams for tests. */
@@ -26,6 +27,7 @@
                 new DataCentreId(dataCentre),
                 leaving,
                 coldMillis,
-                Optional.of(1L));
+                Optional.of(1L),
+                Optional.of(new SoftwareVersion("v1")));
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -174,7 +174,7 @@
                         prefillMillis);
         mPrompt.onSent();
         mAdmitted.countPrompt(node.get(), mGroup, prefillMillis);
-        mTrace.sent(node.get(), mSends, remaining());
+        mTrace.sent(node.get(), mSends, remaining(), mStream.lastEventId());
         mAttempt.start(
                 mGateway.connections(),
                 OutgoingRequest.of(mRequest, mAdmitted, node.get(), remaining())
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -1,5 +1,6 @@
 package org.boragethread.entry.gateway;
 
+import io.netty.util.AsciiString;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -8,6 +9,8 @@
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.upstream.SoftwareVersion;
+import org.boragethread.platform.store.PlatformHeaders;
 import org.boragethread.process.log.EventLog;
 
 /** Logs and counts the decisions taken for one request. */
@@ -15,6 +18,8 @@
 
     private static final int MAX_LOGGED_PARTS = 16;
 
+    private static final int MAX_LOGGED_HEADER = 64;
+
     /** Shorter waits are those between two searches for an upstream. */
     private static final Duration MIN_LOGGED_WAIT = UpstreamSearch.INTERVAL.plusMillis(1);
 
@@ -31,20 +36,31 @@
 
     void admitted(AdmittedRequest admitted, Duration remaining) {
         mTeam = admitted.team();
-        mGateway.log()
-                .event("admitted", mRequest.id())
-                .with("route", admitted.route().name())
-                .with("team", admitted.team())
-                .with(
-                        "configVersion",
-                        mGateway.routingTable()
-                                .config()
-                                .map(config -> config.version())
-                                .orElse(-1L))
-                .with("configAgeMs", configAgeMillis())
-                .with("remainingMs", remaining.toMillis())
-                .with("parts", formatParts(admitted.sharedParts()))
-                .info();
+        EventLog.Line line =
+                mGateway.log()
+                        .event("admitted", mRequest.id())
+                        .with("route", admitted.route().name())
+                        .with("team", admitted.team())
+                        .with(
+                                "configVersion",
+                                mGateway.routingTable()
+                                        .config()
+                                        .map(config -> config.version())
+                                        .orElse(-1L))
+                        .with("configAgeMs", configAgeMillis())
+                        .with("remainingMs", remaining.toMillis())
+                        .with("parts", formatParts(admitted.sharedParts()));
+        logHeader(line, "lastEvent", PlatformHeaders.LAST_EVENT_ID);
+        logHeader(line, "resumes", PlatformHeaders.RESUMES);
+        line.info();
+    }
+
+    /** Adds the value of a header if the caller sent one, cut off to bound the line. */
+    private void logHeader(EventLog.Line line, String field, AsciiString name) {
+        String value = mRequest.headers().get(name);
+        if (value != null) {
+            line.with(field, value.substring(0, Math.min(value.length(), MAX_LOGGED_HEADER)));
+        }
     }
 
     /** Formats the IDs of parts of a prompt; a long list is cut off to bound the line. */
@@ -66,7 +82,7 @@
                 .info();
     }
 
-    void sent(UpstreamNode node, int sends, Duration remaining) {
+    void sent(UpstreamNode node, int sends, Duration remaining, Optional<String> lastEvent) {
         EventLog.Line line =
                 mGateway.log()
                         .event("sent", mRequest.id())
@@ -76,11 +92,17 @@
                         .with("sends", sends)
                         .with("unfinishedCalls", node.inFlight())
                         .with("slowness", Math.round(node.slowness() * 100) / 100.0)
-                        .with("remainingMs", remaining.toMillis());
+                        .with("remainingMs", remaining.toMillis())
+                        .with("version", softwareVersion(node));
+        lastEvent.ifPresent(id -> line.with("resumedAfter", id));
         node.namedRateLimit().perSecond().ifPresent(rate -> line.with("rateLimit", rate));
         line.info();
     }
 
+    private static String softwareVersion(UpstreamNode node) {
+        return node.entry().softwareVersion().map(SoftwareVersion::value).orElse("");
+    }
+
     /** Logs the first longer wait for an upstream that pauses or names a limit. */
     void waiting(Duration delay) {
         if (mHeldBack || delay.compareTo(MIN_LOGGED_WAIT) < 0) {
@@ -153,6 +175,7 @@
         mGateway.log()
                 .event("response-broken", mRequest.id())
                 .with("upstream", node.entry().id())
+                .with("version", softwareVersion(node))
                 .with("detail", detail)
                 .with("framing", progress.framing())
                 .with("bytes", progress.bytes())
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
@@ -9,6 +9,7 @@
 import org.boragethread.core.follow.TopicListener;
 import org.boragethread.model.Names;
 import org.boragethread.model.routing.UpstreamAnnouncement;
+import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.platform.store.MalformedRecordException;
 import org.boragethread.platform.store.UpstreamDecoder;
@@ -68,7 +69,8 @@
         boolean unchanged =
                 previous != null
                         && previous.draining() == entry.draining()
-                        && previous.isSameIncarnation(entry);
+                        && previous.isSameIncarnation(entry)
+                        && previous.softwareVersion().equals(entry.softwareVersion());
         if (!unchanged) {
             mGateway.log()
                     .event("upstream")
@@ -77,11 +79,16 @@
                     .with("address", entry.address())
                     .with("dataCentre", entry.dataCentre())
                     .with("coldMs", entry.coldMillis())
+                    .with("version", softwareVersion(entry))
                     .with("outcome", entry.draining() ? "leaving" : "in")
                     .info();
         }
     }
 
+    private static String softwareVersion(UpstreamAnnouncement entry) {
+        return entry.softwareVersion().map(SoftwareVersion::value).orElse("");
+    }
+
     private Optional<UpstreamAnnouncement> decode(String key, byte[] value) {
         try {
             return Optional.of(UpstreamDecoder.decode(key, value));
--- a/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
@@ -91,7 +91,15 @@
 
     private static UpstreamAnnouncement announcement(String id) {
         return new UpstreamAnnouncement(
-                new UpstreamId(id), ORDERS, "10.0.0.1", 80, NORTH, false, 0, Optional.empty());
+                new UpstreamId(id),
+                ORDERS,
+                "10.0.0.1",
+                80,
+                NORTH,
+                false,
+                0,
+                Optional.empty(),
+                Optional.empty());
     }
 
     private void pauseAll() {
--- a/model/src/main/java/org/boragethread/model/routing/UpstreamAnnouncement.java
+++ b/model/src/main/java/org/boragethread/model/routing/UpstreamAnnouncement.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.model.upstream.UpstreamId;
 
 /**
@@ -17,6 +18,7 @@
  * @param draining whether the upstream accepts no new work
  * @param coldMillis remaining time in the cold state, in milliseconds from the announcement
  * @param startedMillis start time in Unix milliseconds, if announced
+ * @param softwareVersion version of its software, if announced
  */
 public record UpstreamAnnouncement(
         UpstreamId id,
@@ -26,7 +28,8 @@
         DataCentreId dataCentre,
         boolean draining,
         long coldMillis,
-        Optional<Long> startedMillis) {
+        Optional<Long> startedMillis,
+        Optional<SoftwareVersion> softwareVersion) {
 
     /** Returns the address as IP:port. */
     public String address() {
