--- a/core/src/main/java/org/boragethread/core/upstream/ChoiceRequest.java
+++ b/core/src/main/java/org/boragethread/core/upstream/ChoiceRequest.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.RoutedGroup;
+import org.boragethread.model.upstream.SoftwareVersion;
 
 /**
  * Input to the choice of an upstream for a request.
@@ -11,6 +12,7 @@
  * @param group group of the upstreams
  * @param regions allowed regions; empty for all
  * @param excluded upstreams that refused or failed this request
+ * @param softwareVersion version at which a stream must go on; empty for any
  * @param affinity hash of the prompt prefix that the request shares with others; 0 if there is none
  * @param prefixTokens length of that prefix in tokens
  * @param times response times of the group
@@ -23,6 +25,7 @@
         RoutedGroup group,
         Set<String> regions,
         Set<UpstreamNode> excluded,
+        Optional<SoftwareVersion> softwareVersion,
         long affinity,
         double prefixTokens,
         ResponseTimeModel times,
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -168,14 +168,18 @@
     }
 
     /**
-     * Returns whether the group has upstreams, but each is leaving or excluded, so that only a new
-     * one could get the request.
+     * Returns whether the group has upstreams, but each is leaving, excluded or of another software
+     * version than the request needs, so that only a new one could get the request.
      */
     public boolean isGroupExhausted(ChoiceRequest request) {
         List<UpstreamNode> nodes = mDirectory.of(request.group().id());
         return !nodes.isEmpty()
                 && nodes.stream()
-                        .allMatch(node -> node.isLeaving() || request.excluded().contains(node));
+                        .allMatch(
+                                node ->
+                                        node.isLeaving()
+                                                || request.excluded().contains(node)
+                                                || !hasNeededVersion(node, request));
     }
 
     private List<UpstreamNode> candidates(ChoiceRequest request) {
@@ -193,6 +197,9 @@
         if (node.isLeaving() || request.excluded().contains(node)) {
             return false;
         }
+        if (!hasNeededVersion(node, request)) {
+            return false;
+        }
         if (request.evacuated().contains(dataCentre)) {
             return false;
         }
@@ -200,6 +207,11 @@
                 || request.regions().contains(mRegions.getOrDefault(dataCentre, ""));
     }
 
+    private static boolean hasNeededVersion(UpstreamNode node, ChoiceRequest request) {
+        return request.softwareVersion().isEmpty()
+                || request.softwareVersion().equals(node.softwareVersion());
+    }
+
     private static List<UpstreamNode> rendezvousOrder(List<UpstreamNode> nodes, long affinity) {
         List<UpstreamNode> ranked = new ArrayList<>(nodes);
         ranked.sort(Comparator.comparingLong(node -> weight(node, affinity)));
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
@@ -23,7 +23,7 @@
 public final class UpstreamDirectory {
 
     /** Upstreams renew their announcements within about two seconds after an outage. */
-    private static final Duration RENEWAL_GRACE = Duration.ofMillis(2200);
+    static final Duration RENEWAL_GRACE = Duration.ofMillis(2200);
 
     /** Removed upstreams whose state is kept; only recent ones are announced again. */
     private static final int MAX_REMOVED = 1024;
@@ -33,6 +33,7 @@
     private final Map<GroupId, List<UpstreamNode>> mGroups = new HashMap<>();
     private final Map<UpstreamId, UpstreamNode> mRemoved = new LinkedHashMap<>();
     private boolean mStoreUnavailable;
+    private boolean mStoreRestored;
     private long mGraceEnd;
 
     /** Creates an empty directory. */
@@ -98,6 +99,11 @@
                 remove(id);
             }
         }
+        if (mStoreRestored) {
+            mStoreRestored = false;
+            long now = mTime.nanoTime();
+            mNodes.values().forEach(node -> node.doubtRun(now));
+        }
     }
 
     /** Called when the store becomes unreadable; upstreams are not removed until it is back. */
@@ -116,9 +122,19 @@
      * there are removed only if they are not renewed in the grace period.
      */
     public void onStoreRestored() {
+        mStoreRestored = true;
         mGraceEnd = mTime.nanoTime() + RENEWAL_GRACE.toNanos();
     }
 
+    /**
+     * Called when all announcements are known that had been written at a time.
+     *
+     * @param at monotonic time in nanoseconds
+     */
+    public void onUpToDate(long at) {
+        mNodes.values().forEach(node -> node.confirmRun(at));
+    }
+
     /** Returns the upstreams of a group, including those that are leaving. */
     public List<UpstreamNode> of(GroupId id) {
         List<UpstreamNode> nodes = group(id);
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -1,7 +1,9 @@
 package org.boragethread.core.upstream;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.boragethread.model.routing.UpstreamAnnouncement;
+import org.boragethread.model.upstream.SoftwareVersion;
 
 /** What this process knows about one upstream. Not thread-safe. */
 public final class UpstreamNode {
@@ -11,6 +13,9 @@
 
     private static final int MAX_DOUBLINGS = 4;
 
+    /** Time in which an upstream that has started again announces it. */
+    private static final long RENEWAL_NANOS = UpstreamDirectory.RENEWAL_GRACE.toNanos();
+
     /** Weight of the newest sample in the moving average of the slowness. */
     private static final double SAMPLE_WEIGHT = 0.2;
 
@@ -28,6 +33,7 @@
     private long mRemovedAt = Long.MAX_VALUE;
     private long mPausedUntil = Long.MIN_VALUE;
     private boolean mLeaving;
+    private Optional<Long> mDoubtedAt = Optional.empty();
     private int mConsecutiveFailures;
     private int mInFlight;
     private double mSlowness = 1;
@@ -45,6 +51,7 @@
             mBusyUntil = Long.MIN_VALUE;
             mPausedUntil = Long.MIN_VALUE;
             mLeaving = false;
+            mDoubtedAt = isOlder(entry) ? Optional.of(now) : Optional.empty();
             mConsecutiveFailures = 0;
             mSlowness = 1;
             mPromptLoad.clearPrefixes();
@@ -58,11 +65,43 @@
         }
     }
 
+    /** Returns whether an announcement is of an earlier run than the latest one. */
+    private boolean isOlder(UpstreamAnnouncement entry) {
+        return entry.startedMillis().isPresent()
+                && mEntry.startedMillis().isPresent()
+                && entry.startedMillis().get() < mEntry.startedMillis().get();
+    }
+
     /** Returns the latest announcement. */
     public UpstreamAnnouncement entry() {
         return mEntry;
     }
 
+    /**
+     * Returns the version of the software that runs; empty if it is not announced, or if the
+     * upstream may have started again with another one that is not announced yet.
+     */
+    public Optional<SoftwareVersion> softwareVersion() {
+        return mDoubtedAt.isPresent() ? Optional.empty() : mEntry.softwareVersion();
+    }
+
+    /**
+     * Records that the announcement may be outdated, because the upstream refused a connection or
+     * the announcement comes from an older copy of the store.
+     */
+    public void doubtRun(long now) {
+        mDoubtedAt = Optional.of(now);
+    }
+
+    /**
+     * Called when no announcement of another run had been written at a time.
+     *
+     * @param at monotonic time in nanoseconds
+     */
+    void confirmRun(long at) {
+        mDoubtedAt = mDoubtedAt.filter(doubtedAt -> at - doubtedAt < RENEWAL_NANOS);
+    }
+
     /** Returns the milliseconds since this run of the upstream was first announced. */
     public long ageMillis(long now) {
         return Duration.ofNanos(now - mFirstSeenAt).toMillis();
--- /dev/null
+++ b/core/src/test/java/org/boragethread/core/resume/StreamOriginTableTest.java
@@ -0,0 +1,66 @@
+package org.boragethread.core.resume;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.SoftwareVersion;
+import org.testng.annotations.Test;
+
+/** Tests what an entry remembers of streams. */
+public class StreamOriginTableTest {
+
+    private static final GroupId ENGINES = new GroupId("engines");
+    private static final StreamKey KEY = StreamKey.of("team", "id");
+
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final StreamOriginTable mTable = new StreamOriginTable(mTime);
+
+    private static StreamOrigin origin(String version) {
+        return new StreamOrigin(ENGINES, Optional.of(new SoftwareVersion(version)));
+    }
+
+    // Guards against a guess between two reports that contradict each other.
+    @Test
+    public void reportsThatDifferLeaveTheVersionUncertain() {
+        mTable.put(KEY, origin("v1"));
+        mTable.put(KEY, origin("v1"));
+        assertEquals(mTable.find(KEY), Optional.of(origin("v1")));
+        mTable.put(KEY, origin("v2"));
+        mTable.put(KEY, origin("v2"));
+        assertEquals(mTable.find(KEY).flatMap(StreamOrigin::version), Optional.empty());
+    }
+
+    // Guards against a stream that goes on in another group, whose versions mean something else.
+    @Test
+    public void versionHoldsInItsGroupOnly() {
+        assertTrue(origin("v1").versionIn(ENGINES).isPresent());
+        assertEquals(origin("v1").versionIn(new GroupId("others")), Optional.empty());
+    }
+
+    // Guards against callers that name the streams of another team.
+    @Test
+    public void keysOfTeamsDiffer() {
+        assertEquals(StreamKey.of("team", "id"), KEY);
+        assertNotEquals(StreamKey.of("team-2", "id"), KEY);
+        assertNotEquals(StreamKey.of("tea", "mid"), KEY);
+    }
+
+    // Guards against memory that grows with the number of streams.
+    @Test
+    public void oldestStreamsAreForgotten() {
+        mTable.put(KEY, origin("v1"));
+        mTime.advance(StreamOriginTable.LIFETIME.plus(Duration.ofSeconds(1)));
+        assertEquals(mTable.find(KEY), Optional.empty());
+        for (int i = 0; i <= StreamOriginTable.MAX_STREAMS; i++) {
+            mTable.put(StreamKey.of("team", "id-" + i), origin("v1"));
+        }
+        assertEquals(mTable.size(), StreamOriginTable.MAX_STREAMS);
+        assertEquals(mTable.find(StreamKey.of("team", "id-0")), Optional.empty());
+        assertTrue(mTable.find(StreamKey.of("team", "id-1")).isPresent());
+    }
+}
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
@@ -20,6 +20,7 @@
 import org.boragethread.model.routing.EngineLimits;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.SoftwareVersion;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -86,6 +87,7 @@
                 mGroup,
                 regions,
                 excluded,
+                Optional.empty(),
                 affinity,
                 PREFIX_TOKENS,
                 new ResponseTimeModel(),
@@ -106,6 +108,32 @@
         assertEquals(chooser(SOUTH).choose(request).orElseThrow(), engine);
     }
 
+    // Guards against a stream that goes on at an upstream of another, or of an uncertain, version.
+    @Test
+    public void streamGoesOnOnlyAtUpstreamsWhoseVersionIsCertain() {
+        ChoiceRequest any = request(0, Set.of());
+        assertTrue(mChooser.hasCandidate(withVersion(any, "v1")));
+        assertFalse(mChooser.hasCandidate(withVersion(any, "v2")));
+        assertTrue(mChooser.isGroupExhausted(withVersion(any, "v2")));
+        mDirectory.all().forEach(node -> node.doubtRun(mTime.nanoTime()));
+        assertFalse(mChooser.hasCandidate(withVersion(any, "v1")));
+        assertTrue(mChooser.hasCandidate(any));
+    }
+
+    private static ChoiceRequest withVersion(ChoiceRequest request, String version) {
+        return new ChoiceRequest(
+                request.group(),
+                request.regions(),
+                request.excluded(),
+                Optional.of(new SoftwareVersion(version)),
+                request.affinity(),
+                request.prefixTokens(),
+                request.times(),
+                request.evacuated(),
+                request.inputDataCentre(),
+                request.remoteMillis());
+    }
+
     @Test
     public void prefixesAreDistributedOverAllEngines() {
         Set<UpstreamNode> used = new HashSet<>();
@@ -203,6 +231,7 @@
                         mGroup,
                         Set.of(),
                         Set.of(),
+                        Optional.empty(),
                         42,
                         0,
                         new ResponseTimeModel(),
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
@@ -117,6 +117,37 @@
         assertFalse(node.isPaused(mTime.nanoTime()));
     }
 
+    // Guards against streams that go on at an upstream whose software may have changed unnoticed.
+    @Test
+    public void softwareVersionIsUncertainUntilAnUnreachableUpstreamIsAnnouncedAgain() {
+        mDirectory.put(UpstreamEntries.of("a", "engines", "north"));
+        UpstreamNode node = mDirectory.find(new UpstreamId("a")).orElseThrow();
+        assertTrue(node.softwareVersion().isPresent());
+        node.doubtRun(mTime.nanoTime());
+        mDirectory.put(UpstreamEntries.of("a", "engines", "north"));
+        mDirectory.onUpToDate(mTime.nanoTime() + Duration.ofSeconds(1).toNanos());
+        assertFalse(node.softwareVersion().isPresent());
+        mDirectory.onUpToDate(mTime.nanoTime() + Duration.ofSeconds(3).toNanos());
+        assertTrue(node.softwareVersion().isPresent());
+        node.doubtRun(mTime.nanoTime());
+        mDirectory.put(restarted(UpstreamEntries.of("a", "engines", "north")));
+        assertTrue(node.softwareVersion().isPresent());
+    }
+
+    // Guards against the version of an earlier run that an older copy of the store brings back.
+    @Test
+    public void softwareVersionIsUncertainAfterAnOlderAnnouncement() {
+        mDirectory.put(restarted(UpstreamEntries.of("a", "engines", "north")));
+        UpstreamNode node = mDirectory.find(new UpstreamId("a")).orElseThrow();
+        mDirectory.put(UpstreamEntries.of("a", "engines", "north"));
+        assertFalse(node.softwareVersion().isPresent());
+        mDirectory.put(restarted(UpstreamEntries.of("a", "engines", "north")));
+        assertTrue(node.softwareVersion().isPresent());
+        mDirectory.onStoreRestored();
+        mDirectory.replaceAll(List.of(restarted(UpstreamEntries.of("a", "engines", "north"))));
+        assertFalse(node.softwareVersion().isPresent());
+    }
+
     private boolean isLeaving(String id) {
         return mDirectory.find(new UpstreamId(id)).orElseThrow().isLeaving();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/CrashDetector.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CrashDetector.java
@@ -67,7 +67,7 @@
             known.add(precedents);
             return;
         }
-        Probe probe = new Probe(run, called);
+        Probe probe = new Probe(run, node, called);
         probe.add(precedents);
         mProbes.put(run, probe);
         if (mProbes.size() > MAX_PROBES) {
@@ -83,14 +83,16 @@
     private final class Probe {
 
         private final String mRun;
+        private final UpstreamNode mNode;
         private final UpstreamAnnouncement mCalled;
         private final long mStartedAt = mTime.nanoTime();
         private final Map<Suspect, Set<String>> mPrecedents = new HashMap<>();
         private boolean mPending = true;
         private boolean mCrashed;
 
-        Probe(String run, UpstreamAnnouncement called) {
+        Probe(String run, UpstreamNode node, UpstreamAnnouncement called) {
             mRun = run;
+            mNode = node;
             mCalled = called;
         }
 
@@ -113,6 +115,9 @@
         void onResult(ProbeResult result) {
             mPending = false;
             mCrashed = result == ProbeResult.REFUSED;
+            if (result != ProbeResult.ACCEPTED && mNode.entry().isSameIncarnation(mCalled)) {
+                mNode.doubtRun(mTime.nanoTime());
+            }
             mLog.event("upstream")
                     .with("id", mCalled.id())
                     .with("outcome", mCrashed ? "crashed" : "connection-ended")
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -6,7 +6,6 @@
 import org.boragethread.core.stage.StageFailure;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.upstream.ChoiceRequest;
-import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
@@ -22,11 +21,6 @@
     /** Time after the caller's deadline in which a finished response may still be forwarded. */
     private static final Duration DEADLINE_SLACK = Duration.ofMillis(40);
 
-    /** Time for which an upstream is avoided after another process responded at its address. */
-    private static final Duration MISDIRECTED_AVOIDANCE = Duration.ofSeconds(5);
-
-    private static final Duration BUSY_TIME = Duration.ofMillis(150);
-    private static final int MISDIRECTED = 421;
     private static final int INPUTS_LOST = 409;
     private static final int OK = 200;
     private static final int SERVER_ERROR = 500;
@@ -41,17 +35,17 @@
     private final ForwardedStream mStream;
     private AdmittedRequest mAdmitted;
     private RoutedGroup mGroup;
+    private UpstreamFeedback mFeedback;
     private Placement mPlacement;
     private Scheduler.Timer mDeadlineTimer = () -> {};
     private final QuarantineGuard mPrompt;
     private final StagePhase mStages;
     private final StallWatch mStallWatch;
     private final UpstreamSearch mSearch;
+    private final StreamContinuation mContinuation;
+    private final AttemptCounts mCounts = new AttemptCounts();
     private UpstreamAttempt mAttempt;
     private long mUncachedTokens;
-    private int mExecutions;
-    private int mSends;
-    private int mRejections;
     private boolean mEnded;
 
     ForwardedRequest(Gateway gateway, CallerRequest request, CallerResponseWriter responseWriter) {
@@ -64,6 +58,7 @@
         mStages = new StagePhase(gateway, request, this);
         mStallWatch = new StallWatch(gateway.scheduler());
         mSearch = new UpstreamSearch(gateway.chooser(), gateway.time());
+        mContinuation = new StreamContinuation(gateway, request, mTrace);
     }
 
     /** Admits the request and starts processing it. */
@@ -81,7 +76,14 @@
             return;
         }
         mGroup = group.get();
-        mPlacement = new Placement(mGroup, mAdmitted, mGateway.routingTable(), responseTimes());
+        mFeedback = new UpstreamFeedback(mGateway, mGroup);
+        mPlacement =
+                new Placement(
+                        mGroup,
+                        mAdmitted,
+                        mGateway.routingTable(),
+                        mFeedback.responseTimes(),
+                        mContinuation::requiredVersion);
         mTrace.admitted(mAdmitted, remaining());
         mPrompt.start(mRequest, mAdmitted, target, this::onPartBlocked);
         mSearch.start(mGateway.rateLimitQueue(target), mAdmitted.priority());
@@ -92,7 +94,13 @@
         Duration left =
                 remaining().plus(mAdmitted.isRouteTimeout() ? Duration.ZERO : DEADLINE_SLACK);
         mDeadlineTimer = mGateway.scheduler().schedule(left, this::onDeadline);
-        runStages();
+        mContinuation.start(mAdmitted, target, this::onOriginKnown, this::fail);
+    }
+
+    private void onOriginKnown() {
+        if (!mContinuation.isRefused(mPlacement.choiceRequest(), this::fail)) {
+            runStages();
+        }
     }
 
     /** Refuses a request that is not at an upstream as soon as a part of its prompt is blocked. */
@@ -117,7 +125,7 @@
             return;
         }
         mPlacement.chooseStageDataCentre(mGateway.chooser());
-        mStages.run(mAdmitted, mPlacement.stageDataCentre(), responseTimes());
+        mStages.run(mAdmitted, mPlacement.stageDataCentre(), mFeedback.responseTimes());
     }
 
     @Override
@@ -133,7 +141,7 @@
             return;
         }
         if (failure.kind() == StageFailure.Kind.INPUT_MISSING && mStages.canRerun()) {
-            mTrace.retried("stage-input-missing", mSends, remaining());
+            mTrace.retried("stage-input-missing", mCounts.sends(), remaining());
             runStages();
             return;
         }
@@ -156,13 +164,12 @@
             return;
         }
         mSearch.reset();
-        if (mSends == 0) {
+        if (mCounts.sends() == 0) {
             mGateway.retryBudget(mGroup.id()).recordFirstCall();
         }
-        mSends++;
-        long now = mGateway.time().nanoTime();
+        mCounts.onSent();
         mUncachedTokens = mAdmitted.uncachedTokens(node.get());
-        double prefillMillis = responseTimes().prefillMillis(mUncachedTokens);
+        double prefillMillis = mFeedback.responseTimes().prefillMillis(mUncachedTokens);
         mAttempt =
                 new UpstreamAttempt(
                         node.get(),
@@ -170,11 +177,11 @@
                         mPrompt.suspects(),
                         mAdmitted.isStreaming(),
                         this,
-                        now,
+                        mGateway.time().nanoTime(),
                         prefillMillis);
         mPrompt.onSent();
         mAdmitted.countPrompt(node.get(), mGroup, prefillMillis);
-        mTrace.sent(node.get(), mSends, remaining(), mStream.lastEventId());
+        mTrace.sent(node.get(), mCounts.sends(), remaining(), mStream.lastEventId());
         mAttempt.start(
                 mGateway.connections(),
                 OutgoingRequest.of(mRequest, mAdmitted, node.get(), remaining())
@@ -188,7 +195,13 @@
         mSearch.next(choice, remaining(), mRequest.unitHash())
                 .peek(mTrace::waiting)
                 .peek(delay -> mGateway.scheduler().schedule(delay, this::send))
-                .peekLeft(f -> fail(RefusalReason.NO_UPSTREAM, f.detail(), f.retryAfter()));
+                .peekLeft(this::failSearch);
+    }
+
+    private void failSearch(UpstreamSearch.Failure failure) {
+        if (!mContinuation.isRefused(mPlacement.choiceRequest(), this::fail)) {
+            fail(RefusalReason.NO_UPSTREAM, failure.detail(), failure.retryAfter());
+        }
     }
 
     /** Retries an idempotent request at another upstream if the current one stays silent. */
@@ -205,7 +218,7 @@
     }
 
     private Duration firstResponseTimeout() {
-        return StallTimeouts.first(mAdmitted.route(), mUncachedTokens, responseTimes());
+        return StallTimeouts.first(mAdmitted.route(), mUncachedTokens, mFeedback.responseTimes());
     }
 
     private void onStall(UpstreamAttempt stalled) {
@@ -213,39 +226,42 @@
             return;
         }
         boolean canSwitch =
-                (!stalled.isForwarding() || mStream.canResume())
-                        && mExecutions + 1 < mAdmitted.route().maxAttempts()
+                (!stalled.isForwarding() || canResume())
+                        && mCounts.executions() + 1 < mAdmitted.route().maxAttempts()
                         && mGateway.chooser()
                                 .hasCallableCandidate(mPlacement.choiceWithout(stalled.node()))
                         && remaining().compareTo(firstResponseTimeout()) > 0;
         if (!canSwitch) {
             return;
         }
-        stalled.cancel();
         if (stalled.isForwarding()) {
-            onStreamBroken(stalled.node(), "no event before the stall timeout");
+            mContinuation.onInterrupted(stalled.softwareVersion());
+        }
+        giveUp(stalled, "no progress before the stall timeout");
+    }
+
+    /** Cancels an attempt and goes on as if its upstream had broken it off. */
+    private void giveUp(UpstreamAttempt attempt, String detail) {
+        attempt.cancel();
+        if (attempt.isForwarding() && mStream.isStarted()) {
+            resume(attempt.node(), detail);
         } else {
-            onFailed(stalled.node(), "no response before the stall timeout");
+            onFailed(attempt.node(), detail);
         }
     }
 
     @Override
     public void onNotExecuted(UpstreamNode node, int status) {
-        long now = mGateway.time().nanoTime();
-        if (status == MISDIRECTED) {
-            node.avoidUntil(now + MISDIRECTED_AVOIDANCE.toNanos());
-        } else {
-            node.setBusyUntil(now + BUSY_TIME.toNanos());
-        }
-        mRejections++;
+        mFeedback.onRejected(node, status);
+        mCounts.onRejected();
         if (status == INPUTS_LOST && mStages.canRerun() && tryRetry("inputs-lost")) {
             restartStages();
             return;
         }
-        if (!node.isPaused(now)) {
+        if (!node.isPaused(mGateway.time().nanoTime())) {
             mPlacement.exclude(node);
         }
-        if (mRejections < MAX_REJECTIONS && tryRetry("status-" + status)) {
+        if (mCounts.rejections() < MAX_REJECTIONS && tryRetry("status-" + status)) {
             send();
             return;
         }
@@ -257,11 +273,11 @@
 
     @Override
     public void onNotSent(UpstreamNode node, String detail) {
-        recordFailure(node);
+        mFeedback.onFailure(node);
         mPlacement.exclude(node);
-        mRejections++;
-        if (mRejections <= MAX_REJECTIONS && !isDeadlineNear()) {
-            mTrace.retried("unreachable", mSends, remaining());
+        mCounts.onRejected();
+        if (mCounts.rejections() <= MAX_REJECTIONS && !isDeadlineNear()) {
+            mTrace.retried("unreachable", mCounts.sends(), remaining());
             send();
             return;
         }
@@ -271,9 +287,9 @@
     @Override
     public void onFailed(UpstreamNode node, String detail) {
         mTrace.responseBroken(node, detail, mAttempt.progress(), mStream.lastEventId());
-        recordFailure(node);
+        mFeedback.onFailure(node);
         mPlacement.exclude(node);
-        mExecutions++;
+        mCounts.onExecuted();
         if (canRetry() && tryRetry("broken")) {
             send();
             return;
@@ -283,11 +299,16 @@
 
     @Override
     public void onStreamBroken(UpstreamNode node, String detail) {
+        mContinuation.onInterrupted(mAttempt.softwareVersion());
+        resume(node, detail);
+    }
+
+    private void resume(UpstreamNode node, String detail) {
         mTrace.responseBroken(node, detail, mAttempt.progress(), mStream.lastEventId());
-        recordFailure(node);
+        mFeedback.onFailure(node);
         mPlacement.exclude(node);
-        mExecutions++;
-        if (mStream.canResume() && canRetry() && tryRetry("resume")) {
+        mCounts.onExecuted();
+        if (canResume() && canRetry() && tryRetry("resume")) {
             mStream.prepareResume();
             restartStages();
             return;
@@ -298,33 +319,38 @@
     @Override
     public void onResponse(UpstreamNode node, int status, ByteBuf body) {
         if (status >= SERVER_ERROR) {
-            mExecutions++;
+            mCounts.onExecuted();
             mPlacement.exclude(node);
             if (canRetry() && tryRetry("status-" + status)) {
                 send();
                 return;
             }
         } else {
-            recordResponseTime(node);
+            mFeedback.onResponse(node, mAttempt.sentAt(), mUncachedTokens);
         }
         if (mStream.isStarted()) {
             abortResponse(
                     "upstream %s responded %d on resume".formatted(node.entry().id(), status));
             return;
         }
-        mTrace.answered(node, status, mSends, mAttempt.progress());
+        mTrace.answered(node, status, mCounts.sends(), mAttempt.progress());
         end();
         mResponseWriter.sendResponse(status, mAttempt.forwardedHeaders(), body);
     }
 
     @Override
     public void onStreamHead(UpstreamNode node, int status) {
-        recordResponseTime(node);
+        if (!mContinuation.accepts(mAttempt.softwareVersion())) {
+            giveUp(mAttempt, "the upstream may run another software version by now");
+            return;
+        }
+        mFeedback.onResponse(node, mAttempt.sentAt(), mUncachedTokens);
         mTrace.responseStarted();
         mStages.release();
         if (!mStream.isStarted()) {
             boolean resumable = mAdmitted.route().resumable() && mAttempt.isEventStream();
-            mStream.start(status, mAttempt.forwardedHeaders(), resumable);
+            Runnable onBegin = () -> mContinuation.onBegin(mAttempt.softwareVersion());
+            mStream.start(status, mAttempt.forwardedHeaders(), resumable, onBegin);
         } else if (!mAttempt.isEventStream()) {
             abortResponse("upstream %s resumed without events".formatted(node.entry().id()));
         }
@@ -343,7 +369,7 @@
 
     @Override
     public void onStreamEnd(UpstreamNode node) {
-        mTrace.answered(node, OK, mSends, mAttempt.progress());
+        mTrace.answered(node, OK, mCounts.sends(), mAttempt.progress());
         end();
         mStream.end();
     }
@@ -360,19 +386,14 @@
         if (mEnded) {
             return;
         }
-        mTrace.cancelled(mSends);
+        mTrace.cancelled(mCounts.sends());
         end();
     }
 
     private void onDeadline() {
-        if (mEnded) {
-            return;
-        }
-        if (mStream.isStarted()) {
-            abortResponse("the deadline passed");
-            return;
+        if (!mEnded) {
+            fail(RefusalReason.DEADLINE_EXCEEDED, "the deadline passed");
         }
-        fail(RefusalReason.DEADLINE_EXCEEDED, "the deadline passed");
     }
 
     /** Ends the request because the process exits. A response that has started is cut off. */
@@ -382,9 +403,13 @@
         }
     }
 
+    private boolean canResume() {
+        return mStream.canResume() && mContinuation.canGoOn();
+    }
+
     private boolean canRetry() {
         return mAdmitted.route().isIdempotent()
-                && mExecutions < mAdmitted.route().maxAttempts()
+                && mCounts.executions() < mAdmitted.route().maxAttempts()
                 && !isDeadlineNear()
                 && !mPrompt.isSuspect();
     }
@@ -405,7 +430,7 @@
             mTrace.retryDenied(reason);
             return false;
         }
-        mTrace.retried(reason, mSends, remaining());
+        mTrace.retried(reason, mCounts.sends(), remaining());
         return true;
     }
 
@@ -414,20 +439,6 @@
         runStages();
     }
 
-    private void recordFailure(UpstreamNode node) {
-        node.onFailure(mGateway.time().nanoTime(), mGroup.coldRate() > 0, mGroup.coldTime());
-    }
-
-    private ResponseTimeModel responseTimes() {
-        return mGateway.responseTimes(mGroup.id());
-    }
-
-    private void recordResponseTime(UpstreamNode node) {
-        Duration time = mGateway.time().since(mAttempt.sentAt());
-        mGateway.metrics().onAttempt(mGroup.id().value(), time);
-        node.onSuccess(responseTimes().addAndCompare(mUncachedTokens, time.toNanos() / 1e6));
-    }
-
     private void fail(RefusalReason reason, String detail) {
         fail(reason, detail, RetryDelays.SHORT);
     }
@@ -442,21 +453,7 @@
             abortResponse(detail);
             return;
         }
-        boolean pending = mSends > mRejections + mExecutions;
-        boolean mayHaveRun = mExecutions > 0 || mAttempt != null && pending;
-        if (mayHaveRun) {
-            RefusalReason unknown =
-                    reason == RefusalReason.DEADLINE_EXCEEDED
-                            ? reason
-                            : RefusalReason.UPSTREAM_FAILED;
-            refuse(Refusal.unknown(unknown, detail));
-            return;
-        }
-        RefusalReason notRun =
-                reason == RefusalReason.DEADLINE_EXCEEDED
-                        ? RefusalReason.DEADLINE_HOPELESS
-                        : reason;
-        refuse(Refusal.notRun(notRun, detail, retryAfter));
+        refuse(mCounts.refusal(reason, detail, retryAfter));
     }
 
     private Duration backlogRetryAfter() {
@@ -464,13 +461,16 @@
     }
 
     private void refuse(Refusal refusal) {
-        mTrace.refused(refusal, mSends);
+        mTrace.refused(refusal, mCounts.sends());
         end();
         mResponseWriter.refuse(refusal);
     }
 
     private void abortResponse(String detail) {
         mTrace.aborted(detail);
+        if (mAttempt.isActive()) {
+            mContinuation.onInterrupted(mAttempt.softwareVersion());
+        }
         end();
         mResponseWriter.abort();
     }
@@ -482,6 +482,7 @@
         mEnded = true;
         mDeadlineTimer.cancel();
         mPrompt.stop();
+        mContinuation.stop();
         mSearch.reset();
         mStallWatch.stop();
         if (mAttempt != null) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedStream.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedStream.java
@@ -15,6 +15,8 @@
     private final EventStreamBuffer mEvents = new EventStreamBuffer();
     private boolean mStarted;
     private boolean mResumable;
+    private boolean mBegun;
+    private Runnable mOnBegin = () -> {};
 
     ForwardedStream(CallerResponseWriter writer) {
         mWriter = writer;
@@ -30,10 +32,12 @@
      *
      * @param resumable whether another upstream may continue the body; only an event stream tells
      *     after which part
+     * @param onBegin called before the first event of a resumable stream is forwarded
      */
-    void start(int status, HttpHeaders headers, boolean resumable) {
+    void start(int status, HttpHeaders headers, boolean resumable, Runnable onBegin) {
         mStarted = true;
         mResumable = resumable;
+        mOnBegin = onBegin;
         mWriter.sendHead(status, headers);
     }
 
@@ -41,11 +45,19 @@
     boolean forward(ByteBuf data) {
         ByteBuf output = mResumable ? mEvents.append(data) : Unpooled.copiedBuffer(data);
         if (output.isReadable()) {
+            begin();
             mWriter.sendBody(output);
         }
         return mWriter.isWritable();
     }
 
+    private void begin() {
+        if (mResumable && !mBegun) {
+            mBegun = true;
+            mOnBegin.run();
+        }
+    }
+
     /** Returns whether another upstream may continue the body after what was forwarded. */
     boolean canResume() {
         return mStarted && mResumable && mEvents.isResumable();
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import org.boragethread.core.member.PartitionLease;
 import org.boragethread.core.quarantine.BlockTimes;
 import org.boragethread.core.quarantine.Quarantine;
+import org.boragethread.core.resume.StreamOriginDirectory;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.core.stage.BatchClient;
@@ -54,6 +55,7 @@
     private final QuarantineSync mQuarantineSync;
     private final Quarantine mQuarantine;
     private final CrashDetector mCrashDetector;
+    private final StreamOriginDirectory mStreamOrigins;
     private final UpstreamChooser mChooser;
     private final BatchClient mBatchClient;
     private final CoordinatorTable mCoordinators;
@@ -99,6 +101,12 @@
                         mQuarantineSync);
         mCrashDetector = new CrashDetector(mConnections, time, mLog, metrics, mQuarantine);
         mRateLimitSync = new RateLimitSync(this);
+        mStreamOrigins =
+                new StreamOriginDirectory(
+                        settings.peerAddress(),
+                        time,
+                        new StreamOriginClient(mConnections, mScheduler),
+                        () -> metrics.onStreamOrigin("not-recorded"));
         mUpstreamSignals = new UpstreamSignals(mScheduler, time, mLog, metrics, mRateLimitSync);
         mBatchClient =
                 new HttpBatchClient(
@@ -174,6 +182,11 @@
         return mCrashDetector;
     }
 
+    /** Returns where streams began, as far as the entries know. */
+    StreamOriginDirectory streamOrigins() {
+        return mStreamOrigins;
+    }
+
     UpstreamChooser chooser() {
         return mChooser;
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -67,6 +67,11 @@
         increment("boragethread.gateway.quarantine", "change", "blocked");
     }
 
+    /** Counts streams that callers take up, and origins that other entries were not told. */
+    void onStreamOrigin(String outcome) {
+        increment("boragethread.gateway.stream.origins", "outcome", outcome);
+    }
+
     void onAttempt(String group, Duration time) {
         recordTime("boragethread.gateway.attempt", "group", group, time);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -137,8 +137,9 @@
     }
 
     private void onMembers(List<String> members) {
-        mGateway.coordinators()
-                .setMembers(members.stream().flatMap(name -> Member.parse(name).stream()).toList());
+        List<Member> live = members.stream().flatMap(name -> Member.parse(name).stream()).toList();
+        mGateway.coordinators().setMembers(live);
+        mGateway.streamOrigins().setMembers(live);
         mGateway.stageRouter().onMembersChanged();
         mGateway.log().event("members").with("names", String.join(" ", members)).info();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/OutgoingRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/OutgoingRequest.java
@@ -58,7 +58,8 @@
                     Math.max(HIGHEST_PRIORITY, Math.min(LOWEST_PRIORITY, mAdmitted.priority()));
             mHeaders.set(PlatformHeaders.PRIORITY, priority);
         }
-        if (!mAdmitted.route().resumable()) {
+        if (!mAdmitted.route().resumable()
+                || mHeaders.get(PlatformHeaders.LAST_EVENT_ID, "").isBlank()) {
             mHeaders.remove(PlatformHeaders.LAST_EVENT_ID);
         }
         int length = mRequest.body().readableBytes();
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -24,6 +24,7 @@
 import org.boragethread.core.follow.ReadFailure;
 import org.boragethread.core.follow.StoreEra;
 import org.boragethread.core.follow.TopicRelay;
+import org.boragethread.core.resume.StreamKey;
 import org.boragethread.core.stage.HeldResult;
 import org.boragethread.core.stage.PendingPiece;
 import org.boragethread.core.stage.PieceListener;
@@ -40,11 +41,14 @@
 import org.boragethread.wire.proto.ResultsHeld;
 import org.boragethread.wire.proto.StageWork;
 import org.boragethread.wire.proto.StageWorkDone;
+import org.boragethread.wire.proto.StreamBegun;
+import org.boragethread.wire.proto.StreamOrigins;
+import org.boragethread.wire.proto.StreamQuery;
 import org.boragethread.wire.proto.TopicRead;
 
 /**
- * Handles a connection from another entry that has its pieces of stages scheduled by this one, or
- * reads topics of the store through it.
+ * Handles a connection from another entry that has its pieces of stages scheduled by this one,
+ * reads topics of the store through it, or has it remember where streams began.
  */
 final class PeerEndpoint extends SimpleChannelInboundHandler<FullHttpRequest> {
 
@@ -71,6 +75,15 @@
             respond(context, HttpResponseStatus.OK);
             return;
         }
+        if (request.uri().equals(StreamOriginClient.RECORD_PATH)) {
+            rememberStreams(StreamOrigins.parseFrom(body));
+            respond(context, HttpResponseStatus.OK);
+            return;
+        }
+        if (request.uri().equals(StreamOriginClient.QUERY_PATH)) {
+            respond(context, findStream(StreamQuery.parseFrom(body)));
+            return;
+        }
         if (mGateway.isStopping() || !mPendingPieces.isEmpty()) {
             respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
@@ -82,6 +95,29 @@
         schedulePieces(context, StageWork.parseFrom(body));
     }
 
+    private void rememberStreams(StreamOrigins streams) {
+        for (StreamBegun stream : streams.getStreamsList()) {
+            mGateway.streamOrigins()
+                    .remember(
+                            StreamOriginClient.decodeKey(stream),
+                            StreamOriginClient.decodeOrigin(stream));
+        }
+    }
+
+    private StreamOrigins findStream(StreamQuery query) {
+        StreamKey key = new StreamKey(query.getKeyHigh(), query.getKeyLow());
+        StreamOrigins.Builder streams = StreamOrigins.newBuilder();
+        mGateway.streamOrigins()
+                .recall(key)
+                .ifPresent(origin -> streams.addStreams(StreamOriginClient.encode(key, origin)));
+        return streams.build();
+    }
+
+    private static void respond(ChannelHandlerContext context, StreamOrigins streams) {
+        ByteBuf body = Unpooled.wrappedBuffer(streams.toByteArray());
+        respond(context, HttpResponseStatus.OK, body);
+    }
+
     private void freeResults(ResultsFree free) {
         mGateway.stageRouter()
                 .freeAtUpstream(new UpstreamId(free.getMaker()), free.getHandlesList());
--- a/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.ResponseTimeModel;
@@ -10,6 +11,7 @@
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.RoutedGroup;
+import org.boragethread.model.upstream.SoftwareVersion;
 
 /**
  * Tracks the upstreams that one request may use: those its route allows, except any that refused or
@@ -21,6 +23,7 @@
     private final AdmittedRequest mAdmitted;
     private final RoutingTable mRouting;
     private final ResponseTimeModel mTimes;
+    private final Supplier<Optional<SoftwareVersion>> mVersion;
     private final Set<UpstreamNode> mExcludedNodes = new HashSet<>();
     private Optional<DataCentreId> mPreferredDataCentre = Optional.empty();
 
@@ -28,16 +31,19 @@
      * Creates a placement without excluded upstreams.
      *
      * @param times response times of the group
+     * @param version version at which the request must run at present; empty for any
      */
     Placement(
             RoutedGroup group,
             AdmittedRequest admitted,
             RoutingTable routing,
-            ResponseTimeModel times) {
+            ResponseTimeModel times,
+            Supplier<Optional<SoftwareVersion>> version) {
         mGroup = group;
         mAdmitted = admitted;
         mRouting = routing;
         mTimes = times;
+        mVersion = version;
     }
 
     /** Returns the selection criteria for the next attempt. */
@@ -75,6 +81,7 @@
                 mGroup,
                 mAdmitted.route().regions(),
                 excluded,
+                mVersion.get(),
                 mAdmitted.affinity(),
                 mAdmitted.prefixTokens(),
                 mTimes,
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.boragethread.core.quarantine.QuarantineBlock;
+import org.boragethread.core.resume.StreamOrigin;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
@@ -103,6 +104,21 @@
         return node.entry().softwareVersion().map(SoftwareVersion::value).orElse("");
     }
 
+    /** Records what is known of a stream that the caller takes up. */
+    void takenUp(Optional<StreamOrigin> origin) {
+        String version =
+                origin.flatMap(StreamOrigin::version).map(SoftwareVersion::value).orElse("");
+        String outcome = origin.isEmpty() ? "unknown" : version.isEmpty() ? "uncertain" : "known";
+        mGateway.metrics().onStreamOrigin(outcome);
+        mGateway.log()
+                .event("taken-up", mRequest.id())
+                .with("outcome", outcome)
+                .with("version", version)
+                .with("group", origin.map(known -> known.group().value()).orElse(""))
+                .with("ageMs", age().toMillis())
+                .info();
+    }
+
     /** Logs the first longer wait for an upstream that pauses or names a limit. */
     void waiting(Duration delay) {
         if (mHeldBack || delay.compareTo(MIN_LOGGED_WAIT) < 0) {
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
@@ -0,0 +1,168 @@
+package org.boragethread.entry.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.core.resume.StreamKey;
+import org.boragethread.core.resume.StreamOrigin;
+import org.boragethread.core.upstream.ChoiceRequest;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.SoftwareVersion;
+import org.boragethread.platform.store.PlatformHeaders;
+
+/**
+ * Keeps a resumable stream at the software version that began it, within one response and over the
+ * attempts of its caller.
+ */
+final class StreamContinuation {
+
+    private final Gateway mGateway;
+    private final CallerRequest mRequest;
+    private final RequestTrace mTrace;
+    private GroupId mGroup;
+    private Optional<StreamKey> mKey = Optional.empty();
+    private Optional<SoftwareVersion> mVersion = Optional.empty();
+    private boolean mTakenUp;
+    private boolean mBegun;
+    private boolean mStopped;
+
+    StreamContinuation(Gateway gateway, CallerRequest request, RequestTrace trace) {
+        mGateway = gateway;
+        mRequest = request;
+        mTrace = trace;
+    }
+
+    /**
+     * Finds out where the stream began if the caller takes one up.
+     *
+     * @param onReady called when the request may be sent
+     * @param end ends the request if it must not be sent
+     */
+    void start(AdmittedRequest admitted, GroupId group, Runnable onReady, RequestEnd end) {
+        mGroup = group;
+        if (!admitted.route().resumable()) {
+            onReady.run();
+            return;
+        }
+        HttpHeaders headers = mRequest.headers();
+        List<String> lastEvents = headers.getAll(PlatformHeaders.LAST_EVENT_ID);
+        List<String> streams = headers.getAll(PlatformHeaders.RESUMES);
+        if (lastEvents.size() > 1 || streams.size() > 1) {
+            String detail = "more than one last event, or more than one stream to continue";
+            end.fail(RefusalReason.BAD_REQUEST, detail, Duration.ZERO);
+            return;
+        }
+        mTakenUp = lastEvents.stream().anyMatch(id -> !id.isBlank());
+        if (!mTakenUp) {
+            mKey = key(admitted, mRequest.id());
+            onReady.run();
+            return;
+        }
+        mKey = streams.stream().findFirst().flatMap(id -> key(admitted, id.strip()));
+        if (mKey.isEmpty()) {
+            onOrigin(Optional.empty(), onReady, end);
+            return;
+        }
+        mGateway.streamOrigins().find(mKey.get(), origin -> onOrigin(origin, onReady, end));
+    }
+
+    private static Optional<StreamKey> key(AdmittedRequest admitted, String firstAttempt) {
+        return firstAttempt.isEmpty()
+                ? Optional.empty()
+                : Optional.of(StreamKey.of(admitted.team(), firstAttempt));
+    }
+
+    private void onOrigin(Optional<StreamOrigin> origin, Runnable onReady, RequestEnd end) {
+        if (mStopped) {
+            return;
+        }
+        mTrace.takenUp(origin);
+        mVersion = origin.flatMap(known -> known.versionIn(mGroup));
+        if (mVersion.isEmpty()) {
+            String detail = "the software version that began the stream is not known";
+            end.fail(RefusalReason.STREAM_VERSION_UNKNOWN, detail, RetryDelays.SHORT);
+            return;
+        }
+        onReady.run();
+    }
+
+    /**
+     * Ends the request and returns true if it continues a stream and no upstream of the group runs
+     * the version that began it.
+     */
+    boolean isRefused(ChoiceRequest choice, RequestEnd end) {
+        if (!mTakenUp || !mGateway.chooser().isGroupExhausted(choice)) {
+            return false;
+        }
+        String detail =
+                "no upstream of %s can continue a stream of software version %s"
+                        .formatted(mGroup, mVersion.map(SoftwareVersion::value).orElse(""));
+        end.fail(RefusalReason.STREAM_VERSION_UNAVAILABLE, detail, RetryDelays.SHORT);
+        return true;
+    }
+
+    void stop() {
+        mStopped = true;
+    }
+
+    /** Returns the version at which the request must run; empty for any. */
+    Optional<SoftwareVersion> requiredVersion() {
+        return mVersion;
+    }
+
+    /** Returns whether the request continues a stream of an earlier attempt. */
+    boolean isTakenUp() {
+        return mTakenUp;
+    }
+
+    /** Returns whether the version that writes the next events matters. */
+    private boolean isFixed() {
+        return mTakenUp || mBegun;
+    }
+
+    /** Returns whether any other upstream may continue the stream. */
+    boolean canGoOn() {
+        return !isFixed() || mVersion.isPresent();
+    }
+
+    /**
+     * Returns whether the events of an upstream may follow those before.
+     *
+     * @param version version of its software; empty if it is not certain
+     */
+    boolean accepts(Optional<SoftwareVersion> version) {
+        return !isFixed() || version.isPresent() && version.equals(mVersion);
+    }
+
+    /**
+     * Called before the first event of the response is forwarded.
+     *
+     * @param version version of the software that wrote it; empty if it is not certain
+     */
+    void onBegin(Optional<SoftwareVersion> version) {
+        mBegun = true;
+        mVersion = version;
+        record(version);
+    }
+
+    /**
+     * Called when an upstream whose events were forwarded does not go on with the stream.
+     *
+     * @param version version of the software that wrote them; empty if it is not certain any more
+     */
+    void onInterrupted(Optional<SoftwareVersion> version) {
+        if (mBegun && version.isEmpty()) {
+            mVersion = Optional.empty();
+        }
+        if (mBegun) {
+            record(version);
+        }
+    }
+
+    private void record(Optional<SoftwareVersion> version) {
+        StreamOrigin origin = new StreamOrigin(mGroup, version);
+        mKey.ifPresent(key -> mGateway.streamOrigins().record(key, origin));
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -8,10 +8,12 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.boragethread.core.quarantine.Suspect;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.UpstreamAnnouncement;
+import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.platform.store.PlatformHeaders;
 import org.boragethread.wire.http.BodyFraming;
 import org.boragethread.wire.http.CallControl;
@@ -32,6 +34,7 @@
 
     private final UpstreamNode mNode;
     private final UpstreamAnnouncement mCalledEntry;
+    private Optional<SoftwareVersion> mVersion;
     private final Gateway mGateway;
     private final UpstreamSignals mSignals;
     private final RequestSuspects mSuspects;
@@ -70,6 +73,7 @@
             double prefillMillis) {
         mNode = node;
         mCalledEntry = node.entry();
+        mVersion = node.softwareVersion();
         mGateway = gateway;
         mSignals = gateway.upstreamSignals();
         mSuspects = suspects;
@@ -109,6 +113,18 @@
         return mIsEventStream;
     }
 
+    /**
+     * Returns the version of the software that responds; empty if it is not certain, for example
+     * because the upstream has announced another run since it was called.
+     */
+    Optional<SoftwareVersion> softwareVersion() {
+        UpstreamAnnouncement latest = mNode.entry();
+        boolean isSameSoftware =
+                latest.isSameIncarnation(mCalledEntry)
+                        && latest.softwareVersion().equals(mCalledEntry.softwareVersion());
+        return isSameSoftware ? mVersion : Optional.empty();
+    }
+
     /** Returns the headers of the response that are forwarded to the caller. */
     HttpHeaders forwardedHeaders() {
         return mIsEventStream
@@ -154,6 +170,9 @@
         mStatus = head.status().code();
         mHeaders = head.headers();
         mFraming = BodyFraming.of(mMethod, head);
+        if (!mVersion.equals(mNode.softwareVersion())) {
+            mVersion = Optional.empty();
+        }
         mSignals.apply(mNode, mCalledEntry, mSentAt, mStatus, mHeaders);
         mIsEventStream = mFraming != BodyFraming.NO_BODY && isEventStream(head);
         boolean notExecuted =
@@ -201,6 +220,9 @@
         if (!mForwarding && (large || success && mStreaming)) {
             startForwarding();
         }
+        if (mEnded) {
+            return;
+        }
         if (mForwarding) {
             mListener.onStreamData(data);
             return;
@@ -215,7 +237,7 @@
         mForwarding = true;
         endPrefill();
         mListener.onStreamHead(mNode, mStatus);
-        if (mBuffered.isReadable()) {
+        if (!mEnded && mBuffered.isReadable()) {
             mListener.onStreamData(mBuffered);
         }
     }
@@ -279,6 +301,9 @@
         }
         end();
         if (!failure.maybeSent()) {
+            if (mNode.entry().isSameIncarnation(mCalledEntry)) {
+                mNode.doubtRun(mGateway.time().nanoTime());
+            }
             mListener.onNotSent(mNode, failure.detail());
             return;
         }
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
@@ -105,7 +105,7 @@
 
     @Override
     public void onUpToDate(ClockReading moment) {
-        // Not tracked: only the freshness of the configuration affects requests.
+        mGateway.directory().onUpToDate(moment.nanos());
     }
 
     @Override
--- a/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
@@ -81,6 +81,7 @@
                 mGroup,
                 Set.of(),
                 excluded,
+                Optional.empty(),
                 0,
                 0,
                 new ResponseTimeModel(),
--- a/model/src/main/java/org/boragethread/model/outcome/RefusalReason.java
+++ b/model/src/main/java/org/boragethread/model/outcome/RefusalReason.java
@@ -68,6 +68,13 @@
     /** The same request crashed several upstreams. */
     REQUEST_BLOCKED(
             503, "change the request, or retry after the given time; operators: see it in the log"),
+    /** The caller continues a stream of which no software version is known. */
+    STREAM_VERSION_UNKNOWN(
+            503,
+            "retry at another entry, naming the attempt that received the first event, or begin the"
+                    + " stream again without a last event"),
+    /** The caller continues a stream, and no upstream runs the software version that began it. */
+    STREAM_VERSION_UNAVAILABLE(503, "begin the stream again without a last event"),
     /** A stage that the request depends on failed. */
     STAGE_FAILED(503, "retry after the given time"),
     /** The head of the request is larger than the configuration allows. */
--- a/standins/src/test/java/org/boragethread/standins/system/ScriptedUpstream.java
+++ b/standins/src/test/java/org/boragethread/standins/system/ScriptedUpstream.java
@@ -41,16 +41,29 @@
     }
 
     ScriptedUpstream(Function<Request, ResponseScript> scripts) throws IOException {
+        this(0, scripts);
+    }
+
+    /** Starts an upstream at a port; 0 for any. */
+    ScriptedUpstream(int port, Function<Request, ResponseScript> scripts) throws IOException {
         mScripts = scripts;
-        mServer = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        mServer = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
         mThreads.execute(this::accept);
     }
 
+    int port() {
+        return mServer.getLocalPort();
+    }
+
     String announcement(String group) {
+        return announcement(group, "v1");
+    }
+
+    String announcement(String group, String softwareVersion) {
         return """
         {"service":"%s","address":"127.0.0.1:%d","zone":"north","state":"ready",
-         "cold_left_ms":0,"seq":1}"""
-                .formatted(group, mServer.getLocalPort());
+         "version":"%s","cold_left_ms":0,"seq":1}"""
+                .formatted(group, mServer.getLocalPort(), softwareVersion);
     }
 
     private void accept() {
--- a/standins/src/test/java/org/boragethread/standins/system/SoftwareVersionTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoftwareVersionTest.java
@@ -4,11 +4,13 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.locks.LockSupport;
 import org.boragethread.standins.harness.ProcessHarness;
 import org.boragethread.standins.store.StoreStandIn;
 import org.boragethread.standins.system.StreamCaller.Received;
@@ -21,6 +23,13 @@
 public class SoftwareVersionTest {
 
     private static final int STREAMS = 12;
+    private static final Duration REQUEST_INTERVAL = Duration.ofMillis(20);
+
+    /**
+     * Less than the time after which an upstream that was not announced again counts as the same.
+     */
+    private static final Duration UNANNOUNCED_TIME = Duration.ofMillis(1500);
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int EVENTS = VersionedEngines.EVENTS;
@@ -89,6 +98,48 @@
         assertTrue(wholeOld > 0, "no stream began at the version with two engines");
     }
 
+    // Guards against a stream that an upstream began after it had started again with other
+    // software.
+    @Test
+    public void streamOfAnUpstreamThatRestartedUnannouncedDoesNotGoOn() throws Exception {
+        mEngines.start("old-1", "v1").start("old-2", "v1");
+        startGateways("first");
+        TestGateway gateway = mGateways.get("first");
+        String preferred = mEngines.lastEngine();
+        mEngines.crash(preferred);
+        mCaller.request(gateway, "/draft/whole", "while-down");
+        mEngines.runAgain(preferred, "v2");
+        long end = System.nanoTime() + UNANNOUNCED_TIME.toNanos();
+        int begunAtNew = 0;
+        for (int i = 0; System.nanoTime() < end; i++) {
+            Received received = mCaller.request(gateway, "/draft/begin-2", "id-" + i);
+            assertEquals(received.versions().size(), 1, received.body());
+            begunAtNew += received.versions().contains("v2") ? 1 : 0;
+            LockSupport.parkNanos(REQUEST_INTERVAL.toNanos());
+        }
+        assertTrue(begunAtNew > 0, "no stream began at the restarted upstream");
+    }
+
+    // Guards against a caller that tries again and again what no upstream can do any more.
+    @Test
+    public void streamOfAVersionThatIsGoneIsRefusedAtOnceAsNotRun() throws Exception {
+        mEngines.start("old-1", "v1");
+        startGateways("first", "second");
+        Received begun = mCaller.request(mGateways.get("first"), "/once/every-2", "id-1");
+        mEngines.start("new-1", "v2").stop("old-1");
+        for (TestGateway gateway : mGateways.values()) {
+            gateway.awaitLogLine("\"outcome\":\"gone\"");
+            gateway.awaitLogLine("\"version\":\"v2\"");
+            Received refused = mCaller.takeUp(gateway, "/once/whole", "later", "id-1", begun);
+            assertEquals(refused.status(), UNAVAILABLE, refused.body());
+            assertTrue(refused.body().contains("stream-version-unavailable"), refused.body());
+            assertTrue(refused.body().contains("\"ran\":\"no\""), refused.body());
+            Received anew = mCaller.request(gateway, "/once/whole", "anew");
+            assertTrue(anew.complete(), anew.body());
+        }
+        assertFalse(mEngines.receivedIds().contains("later"));
+    }
+
     @DataProvider
     public Object[][] entries() {
         return new Object[][] {{"same"}, {"other"}, {"other, first killed"}, {"started later"}};
--- a/standins/src/test/java/org/boragethread/standins/system/VersionedEngines.java
+++ b/standins/src/test/java/org/boragethread/standins/system/VersionedEngines.java
@@ -28,6 +28,7 @@
     private final Map<String, ScriptedUpstream> mEngines = new HashMap<>();
     private final Map<String, String> mVersions = new HashMap<>();
     private final List<String> mReceivedIds = new ArrayList<>();
+    private String mLastEngine = "";
 
     VersionedEngines(StoreStandIn store) {
         mStore = store;
@@ -40,19 +41,26 @@
         return this;
     }
 
-    /** Runs another version at the same address under the same ID, without announcing it. */
-    synchronized void run(String id, String version) throws IOException {
+    private synchronized void run(String id, String version) throws IOException {
         mVersions.put(id, version);
-        if (!mEngines.containsKey(id)) {
-            mEngines.put(id, new ScriptedUpstream(request -> respond(id, request)));
-        }
+        mEngines.put(id, new ScriptedUpstream(request -> respond(id, request)));
+    }
+
+    /** Closes an engine, which stays announced. */
+    synchronized void crash(String id) throws IOException {
+        mEngines.get(id).close();
+    }
+
+    /** Runs a crashed engine again under its ID and at its address, without announcing it. */
+    synchronized void runAgain(String id, String version) throws IOException {
+        mVersions.put(id, version);
+        int port = mEngines.get(id).port();
+        mEngines.put(id, new ScriptedUpstream(port, request -> respond(id, request)));
     }
 
-    /** Announces a version, whatever runs. */
-    synchronized void announce(String id, String version) {
-        String announcement = mEngines.get(id).announcement(GROUP);
-        String value = announcement.replaceFirst("\\{", "{\"version\":\"" + version + "\",");
-        mStore.put(StoreStandIn.UPSTREAM_TOPIC, id, value);
+    private synchronized void announce(String id, String version) {
+        String announcement = mEngines.get(id).announcement(GROUP, version);
+        mStore.put(StoreStandIn.UPSTREAM_TOPIC, id, announcement);
     }
 
     /** Closes an engine and removes its announcement. */
@@ -66,8 +74,14 @@
         return List.copyOf(mReceivedIds);
     }
 
+    /** Returns the engine that received the last request. */
+    synchronized String lastEngine() {
+        return mLastEngine;
+    }
+
     private synchronized ResponseScript respond(String id, ScriptedUpstream.Request request) {
         mReceivedIds.add(request.id());
+        mLastEngine = id;
         String lastEvent = request.headers().getOrDefault("last-event-id", "");
         int first = lastEvent.isEmpty() ? 1 : Integer.parseInt(lastEvent) + 1;
         int last = Math.min(EVENTS, first + eventsBeforeBreak(request, lastEvent) - 1);
@@ -89,7 +103,10 @@
         String chunk = Integer.toHexString(events.length()) + "\r\n" + events + "\r\n";
         String end = last == EVENTS ? "0\r\n\r\n" : "";
         byte[] bytes = (head + chunk + end).getBytes(StandardCharsets.US_ASCII);
-        return new ResponseScript(bytes, Optional.empty(), Ending.CLOSE);
+        // A caller must have received the events before its connection is reset.
+        Optional<Integer> pauseAt =
+                last == EVENTS ? Optional.empty() : Optional.of(bytes.length - 1);
+        return new ResponseScript(bytes, pauseAt, Ending.CLOSE);
     }
 
     private static int eventsBeforeBreak(ScriptedUpstream.Request request, String lastEvent) {
