Read pauses of stage upstreams from the head of a response

Upstreams of stages that had rejected a call and asked for a pause got further calls in it (17 in PauseTest, 2 allowed) if the body of the rejection did not end: what a response says of its upstream was read only when it was complete, and not at all when it broke off or took too long. Class: a signal in the head that waits for the body. Single requests read it from the head already. The same holds for leaving marks and rate limits of stages, which are mended with it.

--- a/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
@@ -95,8 +96,8 @@
                 request,
                 true,
                 timeout,
+                head -> applySignals(upstream, entry, sentAt, head),
                 response -> {
-                    applySignals(upstream, entry, sentAt, response);
                     Either<BatchFailure, BatchResponse> result =
                             decodeResponse(response, pieces.size());
                     logBatch(
@@ -110,12 +111,8 @@
     }
 
     private void applySignals(
-            UpstreamNode upstream,
-            UpstreamAnnouncement entry,
-            long sentAt,
-            Either<CallFailure, BufferedResponse> response) {
-        response.peek(
-                whole -> mSignals.apply(upstream, entry, sentAt, whole.status(), whole.headers()));
+            UpstreamNode upstream, UpstreamAnnouncement entry, long sentAt, HttpResponse head) {
+        mSignals.apply(upstream, entry, sentAt, head.status().code(), head.headers());
     }
 
     private void logBatch(
@@ -221,8 +218,8 @@
                 request,
                 false,
                 FREE_TIMEOUT,
+                head -> applySignals(upstream, entry, now, head),
                 response -> {
-                    applySignals(upstream, entry, now, response);
                     // Before this response the upstream may lack memory for other results.
                     upstream.resultMemory().remove(handles);
                     mOnFreed.accept(entry.group());
@@ -245,6 +242,7 @@
             FullHttpRequest request,
             boolean newConnection,
             Duration timeout,
+            Consumer<HttpResponse> onHead,
             Consumer<Either<CallFailure, BufferedResponse>> callback) {
         InetSocketAddress address = new InetSocketAddress(entry.host(), entry.port());
         HttpCall call =
@@ -255,7 +253,7 @@
                         OutgoingRequest.CONNECT_TIMEOUT,
                         Optional.empty());
         BufferedResponse.fetch(
-                mConnections, mScheduler, call, timeout, MAX_RESPONSE_BYTES, callback);
+                mConnections, mScheduler, call, timeout, MAX_RESPONSE_BYTES, onHead, callback);
     }
 
     private static FullHttpRequest postRequest(
--- a/wire/src/main/java/org/boragethread/wire/http/BufferedResponse.java
+++ b/wire/src/main/java/org/boragethread/wire/http/BufferedResponse.java
@@ -32,7 +32,26 @@
             Duration timeout,
             int maxBytes,
             Consumer<Either<CallFailure, BufferedResponse>> receiver) {
-        ResponseCollector collector = new ResponseCollector(maxBytes, receiver);
+        return fetch(connections, scheduler, call, timeout, maxBytes, head -> {}, receiver);
+    }
+
+    /**
+     * Sends a call and buffers its response.
+     *
+     * @param timeout maximum time until the response is complete
+     * @param maxBytes maximum size of the body, in bytes
+     * @param onHead called with the head of the response, whether or not its body is complete later
+     * @return control of the call, which allows cancelling it
+     */
+    public static CallControl fetch(
+            HttpConnectionPool connections,
+            Scheduler scheduler,
+            HttpCall call,
+            Duration timeout,
+            int maxBytes,
+            Consumer<HttpResponse> onHead,
+            Consumer<Either<CallFailure, BufferedResponse>> receiver) {
+        ResponseCollector collector = new ResponseCollector(maxBytes, onHead, receiver);
         CallControl control = connections.send(call, collector);
         collector.mControl = control;
         collector.mTimer =
@@ -49,20 +68,26 @@
     private static final class ResponseCollector implements CallListener, CallControl {
 
         private final int mMaxBytes;
+        private final Consumer<HttpResponse> mOnHead;
         private final Consumer<Either<CallFailure, BufferedResponse>> mReceiver;
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
         private HttpResponse mHead;
         private CallControl mControl;
         private Scheduler.Timer mTimer;
 
-        ResponseCollector(int maxBytes, Consumer<Either<CallFailure, BufferedResponse>> receiver) {
+        ResponseCollector(
+                int maxBytes,
+                Consumer<HttpResponse> onHead,
+                Consumer<Either<CallFailure, BufferedResponse>> receiver) {
             mMaxBytes = maxBytes;
+            mOnHead = onHead;
             mReceiver = receiver;
         }
 
         @Override
         public void onHead(HttpResponse head) {
             mHead = head;
+            mOnHead.accept(head);
         }
 
         @Override
