Keep pauses and leaving marks until a later run is announced

An upstream that had asked for a pause got requests in it (6 in PauseTest, 2 allowed) if its announcement came back without a start time, or with an earlier one, as from an older copy of the store: any difference counted as another run, and each change ended the pause. Class: the absence of a proof taken for the proof of the opposite. Now only a later start time or another address is another run. The software version is uncertain after an announcement of an earlier run, as before.

Both cases of pauseHoldsThoughAnAnnouncementHas failed on; the test of UpstreamDirectory guards the other direction.

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -27,6 +27,7 @@
     private final NamedRateLimit mNamedRateLimit = new NamedRateLimit();
     private UpstreamAnnouncement mEntry;
     private long mFirstSeenAt;
+    private long mLatestStart = Long.MIN_VALUE;
     private long mColdUntil = Long.MIN_VALUE;
     private long mAvoidUntil = Long.MIN_VALUE;
     private long mBusyUntil = Long.MIN_VALUE;
@@ -45,18 +46,25 @@
     }
 
     void update(UpstreamAnnouncement entry, long now) {
-        if (!entry.isSameIncarnation(mEntry)) {
+        boolean isLaterRun = isLaterRun(entry);
+        if (isEarlierRun(entry)) {
+            mDoubtedAt = Optional.of(now);
+        } else if (isLaterRun || !entry.isSameIncarnation(mEntry)) {
+            mDoubtedAt = Optional.empty();
+        }
+        if (isLaterRun) {
+            mLatestStart = Long.MIN_VALUE;
             mFirstSeenAt = now;
             mAvoidUntil = Long.MIN_VALUE;
             mBusyUntil = Long.MIN_VALUE;
             mPausedUntil = Long.MIN_VALUE;
             mLeaving = false;
-            mDoubtedAt = isOlder(entry) ? Optional.of(now) : Optional.empty();
             mConsecutiveFailures = 0;
             mSlowness = 1;
             mPromptLoad.clearPrefixes();
             mNamedRateLimit.clear();
         }
+        mLatestStart = Math.max(mLatestStart, entry.startedMillis().orElse(mLatestStart));
         mEntry = entry;
         mLeaving |= entry.draining();
         mRemovedAt = Long.MAX_VALUE;
@@ -65,11 +73,24 @@
         }
     }
 
-    /** Returns whether an announcement is of an earlier run than the latest one. */
-    private boolean isOlder(UpstreamAnnouncement entry) {
-        return entry.startedMillis().isPresent()
-                && mEntry.startedMillis().isPresent()
-                && entry.startedMillis().get() < mEntry.startedMillis().get();
+    /** Returns whether an announcement is of an earlier run than one that was known before. */
+    private boolean isEarlierRun(UpstreamAnnouncement entry) {
+        return hasSameAddress(entry) && entry.startedMillis().orElse(mLatestStart) < mLatestStart;
+    }
+
+    /**
+     * Returns whether an announcement is of a run that was not known before. An older copy of the
+     * store may bring back the announcement of an earlier one while the latest still runs.
+     */
+    private boolean isLaterRun(UpstreamAnnouncement entry) {
+        boolean isLater =
+                mLatestStart != Long.MIN_VALUE
+                        && entry.startedMillis().orElse(mLatestStart) > mLatestStart;
+        return !hasSameAddress(entry) || isLater;
+    }
+
+    private boolean hasSameAddress(UpstreamAnnouncement entry) {
+        return entry.address().equals(mEntry.address());
     }
 
     /** Returns the latest announcement. */
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
@@ -117,6 +117,39 @@
         assertFalse(node.isPaused(mTime.nanoTime()));
     }
 
+    // Guards against a restart that is hidden by an announcement without a start time.
+    @Test
+    public void marksHoldWithoutAStartTimeAndEndWithALaterOne() {
+        mDirectory.put(started(7));
+        UpstreamNode node = mDirectory.find(new UpstreamId("a")).orElseThrow();
+        node.pauseUntil(mTime.nanoTime() + Duration.ofSeconds(9).toNanos());
+        node.markLeaving();
+        mDirectory.put(started(-1));
+        mDirectory.put(started(6));
+        mDirectory.put(started(7));
+        assertTrue(node.isPaused(mTime.nanoTime()));
+        assertTrue(node.isLeaving());
+        mDirectory.put(started(-1));
+        mDirectory.put(started(8));
+        assertFalse(node.isPaused(mTime.nanoTime()));
+        assertFalse(node.isLeaving());
+    }
+
+    /** Returns an announcement with a start time, or without one if it is negative. */
+    private static UpstreamAnnouncement started(long millis) {
+        UpstreamAnnouncement entry = UpstreamEntries.of("a", "engines", "north");
+        return new UpstreamAnnouncement(
+                entry.id(),
+                entry.group(),
+                entry.host(),
+                entry.port(),
+                entry.dataCentre(),
+                false,
+                0,
+                millis < 0 ? Optional.empty() : Optional.of(millis),
+                entry.softwareVersion());
+    }
+
     // Guards against streams that go on at an upstream whose software may have changed unnoticed.
     @Test
     public void softwareVersionIsUncertainUntilAnUnreachableUpstreamIsAnnouncedAgain() {
--- a/model/src/main/java/org/boragethread/model/routing/UpstreamAnnouncement.java
+++ b/model/src/main/java/org/boragethread/model/routing/UpstreamAnnouncement.java
@@ -36,10 +36,15 @@
         return host + ":" + port;
     }
 
-    /** Returns whether both announcements come from the same run of the same process. */
+    /**
+     * Returns whether both announcements come from the same run of the same process. A missing
+     * start time is no sign of another run.
+     */
     public boolean isSameIncarnation(UpstreamAnnouncement other) {
-        return id.equals(other.id)
-                && address().equals(other.address())
-                && startedMillis.equals(other.startedMillis);
+        boolean isSameStart =
+                startedMillis.isEmpty()
+                        || other.startedMillis.isEmpty()
+                        || startedMillis.equals(other.startedMillis);
+        return id.equals(other.id) && address().equals(other.address()) && isSameStart;
     }
 }
--- a/standins/src/test/java/org/boragethread/standins/system/PauseTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/PauseTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -17,6 +18,7 @@
 import org.boragethread.standins.system.ResponseScript.Ending;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests upstreams that ask for a pause while something else happens to them. */
@@ -173,4 +175,56 @@
         int arrivals = mArrivals.get() - before;
         assertTrue(arrivals <= MAX_ARRIVALS, arrivals + " calls in the pause");
     }
+
+    // Guards against a pause that is lost because the announcement ended while a request ran.
+    @Test
+    public void pauseHoldsThoughTheAnnouncementReturnsAfterTheResponse() throws Exception {
+        LockSupport.parkNanos(RENEWAL_GRACE.toNanos());
+        mPausing = true;
+        mBlocking = true;
+        CompletableFuture<Integer> first = CompletableFuture.supplyAsync(() -> post("/lookup/x"));
+        Await.until("the request arrives", TestGateway.TIMEOUT, () -> mArrivals.get() > 0);
+        mStore.put(StoreStandIn.UPSTREAM_TOPIC, "orders-1", "");
+        mGateway.awaitLogLine("\"outcome\":\"gone\"");
+        mBlocking = false;
+        mMayRespond.countDown();
+        first.join();
+        announceOrders(",\"born\":7");
+        mGateway.awaitLogLine("\"coldMs\"", "\"id\":\"orders-1\"");
+        LockSupport.parkNanos(GRACE.toNanos());
+        int arrivals = arrivalsDuringRequests(REQUEST_TIME);
+        assertTrue(arrivals <= MAX_ARRIVALS, arrivals + " requests in the pause");
+    }
+
+    @DataProvider
+    public Object[][] otherAnnouncements() {
+        return new Object[][] {{"no start time", ""}, {"an earlier start", ",\"born\":6"}};
+    }
+
+    // Guards against a pause that ends with an announcement which is no proof of a restart.
+    @Test(dataProvider = "otherAnnouncements")
+    public void pauseHoldsThoughAnAnnouncementHas(String name, String fields) throws Exception {
+        mPausing = true;
+        assertEquals(post("/lookup/x"), 503);
+        LockSupport.parkNanos(GRACE.toNanos());
+        int arrivals = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            announceOrders(fields);
+            arrivals += arrivalsDuringRequests(ANNOUNCEMENT_TIME);
+            announceOrders(",\"born\":7");
+            arrivals += arrivalsDuringRequests(ANNOUNCEMENT_TIME);
+        }
+        assertTrue(arrivals <= MAX_ARRIVALS, arrivals + " requests with " + name);
+    }
+
+    // Guards against a pause that outlives the run that asked for it.
+    @Test
+    public void pauseEndsWithAnAnnouncementOfALaterRun() throws Exception {
+        mPausing = true;
+        assertEquals(post("/lookup/x"), 503);
+        mPausing = false;
+        announceOrders(",\"born\":8");
+        Await.until("it serves", TestGateway.TIMEOUT, () -> post("/lookup/x") == 200);
+        assertEquals(List.of(post("/lookup/x"), post("/lookup/x")), List.of(200, 200));
+    }
 }
