Keep reading the log of a test process that is asked to stop

Process.destroy() closes the streams of the child besides sending SIGTERM, so no test has seen what a gateway logs while it stops: a test that waited for the line of the stop failed after 20 s although the process ended with exit code 0 after 1.5 s. ProcessHandle.destroy() sends the signal only.

--- a/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
+++ b/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
@@ -79,7 +79,8 @@
 
     /** Asks the process to stop (SIGTERM). */
     public void terminate() {
-        mProcess.destroy();
+        // Process.destroy() would also close the output, and with it the log of the stop.
+        mProcess.toHandle().destroy();
     }
 
     /** Kills the process (SIGKILL). */
