Keep a stopping entry's share of common limits for its last requests

Callers of an entry that had been asked to stop got 502, or streams that ended early, where a request had to be sent again: a stop gave up the leased partitions before anything else, and with them the entry's part of the retry budget, of the rate of cold upstreams and of named limits, though it serves for up to 7 s more. StoppingEntryTest failed before (502 for a lookup whose first upstream had reset the connection; 200 until the signal).

Whoever is assigned a partition waits for the lifetime of the lease and the window of the limit, so leaving does not require to stop using it. An entry now stays a member until a lease lasts for the rest of its grace period, renews it once more and leaves; at the end it gives up what is left.

--- a/core/src/main/java/org/boragethread/core/member/GroupMembership.java
+++ b/core/src/main/java/org/boragethread/core/member/GroupMembership.java
@@ -25,7 +25,7 @@
     private long mGeneration;
     private StoreEra mEra = StoreEra.UNKNOWN;
     private long mReportedGeneration = -1;
-    private boolean mStopped;
+    private boolean mLeaving;
 
     /**
      * Creates a membership that has not started.
@@ -51,21 +51,54 @@
 
     /** Joins the group, and renews the membership until {@link #stop} is called. */
     public void start() {
-        if (!mStopped) {
+        if (!mLeaving) {
             ClockReading sentAt = ClockReading.now(mTime);
             mGroup.join(mGeneration, response -> onJoined(sentAt, response));
         }
     }
 
-    /** Stops the renewals and leaves the group. */
-    public void stop(Consumer<Either<ReadFailure, Boolean>> callback) {
-        mStopped = true;
-        mLease.release();
-        mGroup.leave(callback);
+    /**
+     * Leaves the group, as soon as the lease holds for the rest of a time, and gives up the leased
+     * partitions at its end. Others that get them do not use them before the lease would have
+     * expired.
+     *
+     * @param remaining time for which this process still serves
+     * @param callback gets the response to leaving
+     */
+    public void stop(Duration remaining, Consumer<Either<ReadFailure, Boolean>> callback) {
+        Duration membership = remaining.minus(mLease.lifetime());
+        if (membership.isNegative() || membership.isZero()) {
+            leave(callback);
+        } else {
+            mScheduler.schedule(membership, () -> leave(callback));
+        }
+        mScheduler.schedule(remaining, mLease::release);
+    }
+
+    /** Renews the lease once more and leaves, also if the renewal fails. */
+    private void leave(Consumer<Either<ReadFailure, Boolean>> callback) {
+        mLeaving = true;
+        ClockReading sentAt = ClockReading.now(mTime);
+        mGroup.join(
+                mGeneration,
+                response -> {
+                    if (response.isRight() && isUnchanged(response.get())) {
+                        mLease.renew(sentAt, response.get().partitions());
+                    }
+                    mGroup.leave(callback);
+                });
+    }
+
+    /**
+     * Returns whether no partition has moved since the last renewal. A partition that moves here
+     * and away again within the last renewal would not be seen to move by its holder.
+     */
+    private boolean isUnchanged(JoinedGroup joined) {
+        return joined.generation() == mGeneration && !joined.era().differsFrom(mEra);
     }
 
     private void onJoined(ClockReading sentAt, Either<ReadFailure, JoinedGroup> response) {
-        if (mStopped) {
+        if (mLeaving) {
             return;
         }
         if (response.isRight()) {
@@ -84,7 +117,7 @@
     }
 
     private void onMembers(Either<ReadFailure, List<String>> response) {
-        if (mStopped || response.isLeft()) {
+        if (mLeaving || response.isLeft()) {
             return;
         }
         mReportedGeneration = mGeneration;
--- a/core/src/main/java/org/boragethread/core/member/PartitionLease.java
+++ b/core/src/main/java/org/boragethread/core/member/PartitionLease.java
@@ -60,6 +60,11 @@
         mRenewedAt = Optional.of(sentAt);
     }
 
+    /** Returns the time from sending a renewal until the lease expires. */
+    Duration lifetime() {
+        return mLifetime;
+    }
+
     /** Gives up all partitions. */
     public void release() {
         mHeldSince.clear();
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -286,10 +286,12 @@
     @Override
     public void stop() {
         long startNanos = mTime.nanoTime();
+        Duration abortAfter = mSettings.gracePeriod().minus(EXIT_MARGIN);
         callOnLoop(
                 () -> {
                     mGateway.setStopping();
                     mMembership.stop(
+                            abortAfter,
                             left ->
                                     mGateway.log()
                                             .event("members")
@@ -303,7 +305,6 @@
             sleepBetweenPolls();
         }
         boolean open = callOnLoop(this::stopAccepting);
-        Duration abortAfter = mSettings.gracePeriod().minus(EXIT_MARGIN);
         while (open && mTime.since(startNanos).compareTo(abortAfter) < 0) {
             sleepBetweenPolls();
             open = callOnLoop(this::closeIdle);
