Cut the time to exit down to a fraction of a short grace period

With a grace period below 5.4 s, a stopping entry aborted requests before the last sixth of it, while their upstreams were at work: 900 ms were taken off whatever its length. StoppingEntryTest failed before: with 4 s of grace an order whose upstream responds after 3.33 s got 502 after 3.1 s. The time to exit is a ninth of the grace period now, 900 ms at the most; the platform's 8 s give 880 ms.

--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -86,8 +86,13 @@
      */
     private static final Duration MIN_IDLE_TIME = Duration.ofMillis(300);
 
-    /** Time before the end of the grace period at which the process aborts active requests. */
-    private static final Duration EXIT_MARGIN = Duration.ofMillis(900);
+    /**
+     * Fraction of the grace period at whose end the process aborts active requests and exits. Until
+     * the last sixth of it a request whose upstream is at work must not be cut off.
+     */
+    private static final double EXIT_FRACTION = 0.11;
+
+    private static final Duration MAX_EXIT_TIME = Duration.ofMillis(900);
 
     /** Maximum size of a request from another entry: a stage's pieces with their input handles. */
     private static final int MAX_PEER_REQUEST_BYTES = 1 << 20;
@@ -286,7 +291,7 @@
     @Override
     public void stop() {
         long startNanos = mTime.nanoTime();
-        Duration abortAfter = mSettings.gracePeriod().minus(EXIT_MARGIN);
+        Duration abortAfter = mSettings.gracePeriod().minus(exitTime());
         callOnLoop(
                 () -> {
                     mGateway.setStopping();
@@ -322,6 +327,12 @@
         mLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
+    /** Returns the time before the end of the grace period at which active requests are aborted. */
+    private Duration exitTime() {
+        Duration time = fraction(mSettings.gracePeriod(), EXIT_FRACTION);
+        return time.compareTo(MAX_EXIT_TIME) < 0 ? time : MAX_EXIT_TIME;
+    }
+
     private boolean stopAccepting() {
         mCallerServer.stopAccepting();
         return mCallerServer.connectionCount() > 0;
--- a/standins/src/test/java/org/boragethread/standins/system/StoppingEntryTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/StoppingEntryTest.java
@@ -3,10 +3,13 @@
 import static org.testng.Assert.assertEquals;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.boragethread.standins.harness.Await;
 import org.boragethread.standins.harness.ProcessHarness;
 import org.boragethread.standins.store.StoreStandIn;
@@ -22,7 +25,9 @@
             """
             {"version":1,"routes":[
             {"name":"lookup","hostname":"127.0.0.1","path_prefix":"/lookup/","kind":"safe",
-             "timeout_ms":2000,"target_latency_ms":400,"service":"orders","max_attempts":2}],
+             "timeout_ms":2000,"target_latency_ms":400,"service":"orders","max_attempts":2},
+            {"name":"order","hostname":"127.0.0.1","path_prefix":"/order/","kind":"unsafe",
+             "timeout_ms":9000,"target_latency_ms":400,"service":"orders","max_attempts":1}],
             "services":[{"name":"orders","max_conns":100}],
             "tenants":[{"name":"team-1","api_keys":["key-1"]}]}""";
 
@@ -35,13 +40,25 @@
             retry_window_s = 1
             """;
 
+    private static final String HEAD =
+            "HTTP/1.1 200 OK\r\nX-Boragethread-Request-Id: %s\r\n"
+                    + "X-Boragethread-Response-Seal: seal\r\nContent-Length: 2\r\n\r\n";
+
+    private static final String LOOKUP = "/lookup/x";
+    private static final String BODY = "ok";
+
+    /** An upstream that is still at work in the last sixth of the grace period may be cut off. */
+    private static final Duration SERVED = TestGateway.GRACE_PERIOD.multipliedBy(5).dividedBy(6);
+
     private final Map<String, AtomicInteger> mArrivals = new ConcurrentHashMap<>();
     private final AtomicInteger mRequests = new AtomicInteger();
+    private final CompletableFuture<Long> mStopNanos = new CompletableFuture<>();
     private StoreStandIn mStore;
     private ScriptedUpstream mFirst;
     private ScriptedUpstream mSecond;
     private ProcessHarness mHarness;
     private TestGateway mGateway;
+    private volatile boolean mOrderArrived;
 
     @BeforeMethod
     public void start() throws Exception {
@@ -64,26 +81,36 @@
         mSecond.close();
     }
 
-    /** Breaks the first attempt of each request off. */
     private ResponseScript respond(ScriptedUpstream.Request request) {
+        if (!request.path().startsWith("/order/")) {
+            return respondToLookup(request);
+        }
+        mOrderArrived = true;
+        LockSupport.parkNanos(mStopNanos.join() + SERVED.toNanos() - System.nanoTime());
+        return response(HEAD.formatted(request.id()) + BODY, Ending.STAY_OPEN);
+    }
+
+    /** Breaks the first attempt of each lookup off. */
+    private ResponseScript respondToLookup(ScriptedUpstream.Request request) {
         int arrival =
                 mArrivals
                         .computeIfAbsent(request.id(), id -> new AtomicInteger())
                         .incrementAndGet();
-        String head =
-                "HTTP/1.1 200 OK\r\nX-Boragethread-Request-Id: %s\r\n".formatted(request.id())
-                        + "X-Boragethread-Response-Seal: seal\r\nContent-Length: 2\r\n\r\n";
-        String response = arrival == 1 ? head : head + "ok";
-        return new ResponseScript(
-                response.getBytes(StandardCharsets.US_ASCII),
-                Optional.empty(),
-                arrival == 1 ? Ending.RESET : Ending.STAY_OPEN);
+        String head = HEAD.formatted(request.id());
+        return arrival == 1
+                ? response(head, Ending.RESET)
+                : response(head + BODY, Ending.STAY_OPEN);
     }
 
-    private int call() {
+    private static ResponseScript response(String text, Ending ending) {
+        byte[] bytes = text.getBytes(StandardCharsets.US_ASCII);
+        return new ResponseScript(bytes, Optional.empty(), ending);
+    }
+
+    private int call(String path) {
         try {
             String id = "id-" + mRequests.incrementAndGet();
-            return mGateway.postWithKey("/lookup/x", id).statusCode();
+            return mGateway.postWithKey(path, id).statusCode();
         } catch (Exception e) {
             throw new IllegalStateException(e);
         }
@@ -92,9 +119,19 @@
     // Guards against a stop that gives up the retry budget which the last requests still need.
     @Test
     public void retryBudgetIsHeldUntilTheLastRequestsHaveEnded() {
-        Await.until("the entry has its share", TestGateway.TIMEOUT, () -> call() == 200);
+        Await.until("the entry has its share", TestGateway.TIMEOUT, () -> call(LOOKUP) == 200);
         mGateway.process().terminate();
         mGateway.awaitLogLine("\"event\":\"stop\"", "begun");
-        assertEquals(call(), 200);
+        assertEquals(call(LOOKUP), 200);
+    }
+
+    // Guards against a grace period of which a fixed time is cut off, however short it is.
+    @Test
+    public void upstreamAtWorkIsAwaitedUntilTheLastSixthOfTheGracePeriod() throws Exception {
+        CompletableFuture<Integer> order = CompletableFuture.supplyAsync(() -> call("/order/x"));
+        Await.until("the order arrives", TestGateway.TIMEOUT, () -> mOrderArrived);
+        mGateway.process().terminate();
+        mStopNanos.complete(System.nanoTime());
+        assertEquals((int) order.get(), 200);
     }
 }
--- a/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
+++ b/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
@@ -18,6 +18,10 @@
 final class TestGateway {
 
     static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+    /** Time from the signal to stop until the process must have ended. */
+    static final Duration GRACE_PERIOD = Duration.ofSeconds(4);
+
     private static final String AUTHORIZATION = "Token key-1";
 
     private final JavaProcess mProcess;
@@ -54,9 +58,15 @@
                 north = "region-1"
                 [bounds]
                 revoke_ms = 3000
-                grace_s = 4
+                grace_s = %d
                 """
-                        .formatted(name, ports.get(0), ports.get(1), ports.get(2), store);
+                        .formatted(
+                                name,
+                                ports.get(0),
+                                ports.get(1),
+                                ports.get(2),
+                                store,
+                                GRACE_PERIOD.toSeconds());
         Path file = Files.createTempFile(name, ".toml");
         Files.writeString(file, settings + moreSettings);
         JavaProcess process =
