Show the stops of an entry among the events of a request

Callers saw a request cut around a stop, and explain printed its events without the stop. It now adds starts, stops, reloads, leases and members of the entries that had the request, marked as such, 50 at most; a stop that had begun before; and the next start or stop of a request without an end.

--- a/entry/src/main/java/org/boragethread/entry/command/ExplainCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/command/ExplainCommand.java
@@ -1,27 +1,27 @@
 package org.boragethread.entry.command;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.List;
-import java.util.Optional;
+import java.util.Set;
 import org.boragethread.process.command.Command;
 import org.boragethread.process.command.ExitCode;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
-/** Prints the events of one request from a saved log, in chronological order. */
+/**
+ * Prints the events of one request from a saved log, in chronological order, and among them what
+ * the entries that had it say about themselves.
+ */
 public final class ExplainCommand implements Command {
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
     @Option(
             name = "--log",
             required = true,
@@ -48,39 +48,33 @@
     }
 
     int print(List<String> lines, PrintStream out) {
-        List<JsonNode> events = new ArrayList<>();
-        lines.forEach(line -> parse(line).filter(this::isAboutRequest).ifPresent(events::add));
+        List<LogLine> all = new ArrayList<>();
+        lines.forEach(line -> LogLine.parse(line).ifPresent(all::add));
+        all.sort(Comparator.comparing(LogLine::time));
+        Set<LogLine> events = Collections.newSetFromMap(new IdentityHashMap<>());
+        all.stream().filter(line -> line.isAbout(mId)).forEach(events::add);
         if (events.isEmpty()) {
             out.println("no event of request " + mId + " found; another entry may have logged it");
             return ExitCode.FAILED;
         }
-        events.sort(Comparator.comparing(event -> event.path("time").asText()));
-        events.forEach(event -> out.println(describe(event)));
-        return ExitCode.OK;
-    }
-
-    /** Parses a line, which may start with a prefix added by a log collector. */
-    private static Optional<JsonNode> parse(String line) {
-        int start = line.indexOf('{');
-        if (start < 0) {
-            return Optional.empty();
+        ExplainContext context = new ExplainContext(all, events);
+        for (LogLine line : all) {
+            if (events.contains(line)) {
+                out.println(describe(line, ""));
+            } else if (context.contains(line)) {
+                out.println(describe(line, " (entry)"));
+            }
         }
-        try {
-            return Optional.of(MAPPER.readTree(line.substring(start)));
-        } catch (JsonProcessingException e) {
-            return Optional.empty();
+        if (context.omitted() > 0) {
+            out.println(context.omitted() + " more lines about the entry are not shown");
         }
+        return ExitCode.OK;
     }
 
-    private boolean isAboutRequest(JsonNode event) {
-        String ids = event.path("data").path("request").asText();
-        return Arrays.asList(ids.split(" ")).contains(mId);
-    }
-
-    private static String describe(JsonNode event) {
-        JsonNode data = event.path("data");
-        StringBuilder text = new StringBuilder(event.path("time").asText());
-        text.append(' ').append(data.path("event").asText());
+    private static String describe(LogLine line, String mark) {
+        JsonNode data = line.data();
+        StringBuilder text = new StringBuilder(line.time());
+        text.append(mark).append(' ').append(line.event());
         data.fieldNames()
                 .forEachRemaining(
                         name -> {
