Log how callers' connections end, and what a stop finds and ends

Callers saw closed connections of which the log said nothing, or nothing that led to their requests: rejections had no ID and no peer, the exception that ended a connection was dropped, idle and stopped connections closed without a line, pipelined requests vanished, and a stop named no request. Each end now has a line with the IDs; a stop says how many connections and requests are open and which it ends.

--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
@@ -28,13 +28,17 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import org.boragethread.core.follow.ClockReading;
+import org.boragethread.entry.gateway.ConnectionTrace.PartialRequest;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.routing.CallerBounds;
@@ -64,31 +68,46 @@
     private boolean mClosing;
     private long mIdleSinceNanos;
     private long mReceivingSinceNanos = -1;
+    private long mReceivedBytes;
+    private Optional<HttpRequest> mPartialHead = Optional.empty();
+    private String mActiveId = "";
+    private String mEndCause = "closed by the caller";
+    private final ConnectionTrace mTrace;
 
     CallerConnection(Gateway gateway, Channel channel, CallerBounds bounds) {
         mGateway = gateway;
         mBounds = bounds;
         mChannel = channel;
+        mTrace = new ConnectionTrace(gateway, channel);
         mIdleSinceNanos = gateway.time().nanoTime();
     }
 
     /** Records that bytes arrived, before they are decoded. */
-    void onBytesReceived() {
-        if (mActiveRequest == null && mReceivingSinceNanos < 0) {
+    void onBytesReceived(int bytes) {
+        if (mActiveRequest != null) {
+            return;
+        }
+        if (mReceivingSinceNanos < 0) {
             mReceivingSinceNanos = mGateway.time().nanoTime();
         }
+        mReceivedBytes += bytes;
     }
 
-    /** Closes the connection if it exceeded the idle, header or body timeout. */
-    void closeIfTimedOut(long now) {
+    /**
+     * Closes the connection if it exceeded the idle, header or body timeout.
+     *
+     * @return whether it was closed because it was idle, which its server logs
+     */
+    boolean closeIfTimedOut(long now) {
         if (mActiveRequest != null || mClosing) {
-            return;
+            return false;
         }
         if (mReceivingSinceNanos < 0) {
-            if (now - mIdleSinceNanos > mBounds.idleTimeout().toNanos()) {
-                close();
+            boolean expired = now - mIdleSinceNanos > mBounds.idleTimeout().toNanos();
+            if (expired) {
+                close("idle");
             }
-            return;
+            return expired;
         }
         long limit = mBounds.headerTimeout().toNanos();
         if (mRequestHead == null && now - mReceivingSinceNanos > limit) {
@@ -97,17 +116,21 @@
                 && now - mReceivingSinceNanos > limit + EXTRA_BODY_TIMEOUT.toNanos()) {
             reject(RefusalReason.BODY_TIMEOUT, "the request body did not arrive in time");
         }
+        return false;
     }
 
     /**
      * Closes the connection if it has had no active request for a time and is not receiving one.
      *
      * @param minIdle time in which a request that the caller has already sent arrives
+     * @return whether it was closed
      */
-    void closeIfIdle(long now, Duration minIdle) {
-        if (!isBusy() && now - mIdleSinceNanos >= minIdle.toNanos()) {
-            close();
+    boolean closeIfIdle(long now, Duration minIdle) {
+        if (isBusy() || mClosing || now - mIdleSinceNanos < minIdle.toNanos()) {
+            return false;
         }
+        close("stop");
+        return true;
     }
 
     /** Ends the active request, or the one that is being received, because the process exits. */
@@ -123,9 +146,19 @@
         return mActiveRequest != null || mReceivingSinceNanos >= 0;
     }
 
+    /** Returns the identifier of the active request; empty if there is none. */
+    Optional<String> activeRequestId() {
+        return mActiveRequest == null ? Optional.empty() : Optional.of(mActiveId);
+    }
+
+    String peer() {
+        return mTrace.peer();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (mClosing) {
+            logDiscarded(List.of(message));
             ReferenceCountUtil.release(message);
             return;
         }
@@ -144,6 +177,9 @@
     }
 
     private void read(Object message) {
+        if (message instanceof HttpRequest head) {
+            mPartialHead = Optional.of(head);
+        }
         if (((HttpObject) message).decoderResult().isFailure()) {
             onDecoderFailure(((HttpObject) message).decoderResult().cause());
             return;
@@ -219,12 +255,18 @@
         mRequestHead = null;
         mRequestBody = null;
         mReceivingSinceNanos = -1;
+        mReceivedBytes = 0;
+        mPartialHead = Optional.empty();
+        mActiveId = id;
         mActiveRequest = new ForwardedRequest(mGateway, request, this);
         mActiveRequest.start();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (mReceivingSinceNanos >= 0 && !mClosing) {
+            mTrace.abandoned(mEndCause, partialRequest());
+        }
         mClosing = true;
         releaseInput();
         ForwardedRequest running = mActiveRequest;
@@ -237,7 +279,8 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // The connection failed; channelInactive follows and cancels the active request.
-        mGateway.metrics().onBrokenConnection("caller-connection");
+        mTrace.failed(cause, activeRequestId().orElse(""), isBusy());
+        mEndCause = "connection failed";
         mChannel.close();
     }
 
@@ -315,7 +358,7 @@
             // Without lingering, closing resets the connection.
             mChannel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
-        close();
+        close("response cut off");
     }
 
     @Override
@@ -331,10 +374,13 @@
     }
 
     private void finish(ChannelFuture written) {
+        String id = mActiveId;
         mActiveRequest = null;
         mIdleSinceNanos = mGateway.time().nanoTime();
+        written.addListener(done -> onWritten(done, id));
         if (!mKeepAlive) {
             mClosing = true;
+            mEndCause = mGateway.isStopping() ? "stop" : "last response";
             written.addListener(ChannelFutureListener.CLOSE);
             return;
         }
@@ -344,9 +390,15 @@
         }
     }
 
+    private void onWritten(Future<? super Void> written, String id) {
+        if (!written.isSuccess()) {
+            mTrace.notDelivered(written.cause(), id);
+        }
+    }
+
     private void readQueued() {
         while (mActiveRequest == null && !mClosing && !mQueuedMessages.isEmpty()) {
-            onBytesReceived();
+            onBytesReceived(0);
             Object message = mQueuedMessages.poll();
             try {
                 read(message);
@@ -362,17 +414,34 @@
     /** Refuses a request that was not fully read, and closes the connection. */
     private void reject(RefusalReason reason, String detail) {
         mKeepAlive = false;
-        mGateway.metrics().onRefused(reason);
-        mGateway.log()
-                .event("rejected")
-                .with("reason", reason.label())
-                .with("detail", detail)
-                .warn();
+        PartialRequest received = partialRequest();
+        mTrace.rejected(reason, detail, received);
+        mActiveId = received.id();
+        mEndCause = "request rejected";
         releaseInput();
         refuse(Refusal.notRun(reason, detail));
     }
 
+    private PartialRequest partialRequest() {
+        return mPartialHead
+                .map(head -> PartialRequest.of(head, mReceivedBytes))
+                .orElseGet(() -> PartialRequest.withoutHead(mReceivedBytes));
+    }
+
+    private void logDiscarded(Collection<Object> messages) {
+        List<String> ids =
+                messages.stream()
+                        .filter(HttpRequest.class::isInstance)
+                        .map(head -> PartialRequest.of((HttpRequest) head, 0).id())
+                        .toList();
+        if (!ids.isEmpty()) {
+            mTrace.discarded(mEndCause, ids);
+        }
+    }
+
     private void releaseInput() {
+        logDiscarded(mQueuedMessages);
+        mPartialHead = Optional.empty();
         mRequestHead = null;
         if (mRequestBody != null) {
             mRequestBody.release();
@@ -383,7 +452,8 @@
         }
     }
 
-    private void close() {
+    private void close(String cause) {
+        mEndCause = cause;
         mClosing = true;
         mChannel.close();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerServer.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerServer.java
@@ -1,5 +1,6 @@
 package org.boragethread.entry.gateway;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -11,9 +12,10 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.boragethread.model.routing.CallerBounds;
 import org.boragethread.model.routing.RoutingConfig;
 import org.boragethread.wire.server.ServerBootstraps;
@@ -26,6 +28,7 @@
 
     private static final int BACKLOG = 1024;
     private static final int MAX_DECODED_CHUNK_BYTES = 65536;
+    private static final int MAX_LOGGED_PEERS = 8;
 
     private final Gateway mGateway;
     private final EventLoopGroup mLoops;
@@ -66,7 +69,29 @@
     /** Closes connections that exceeded the idle, header or body timeout. */
     void closeTimedOut() {
         long now = mGateway.time().nanoTime();
-        new ArrayList<>(mConnections).forEach(connection -> connection.closeIfTimedOut(now));
+        List<CallerConnection> idle =
+                connections().stream()
+                        .filter(connection -> connection.closeIfTimedOut(now))
+                        .toList();
+        logClosed("idle", idle);
+    }
+
+    /** Logs connections without a request, with some of their callers' addresses. */
+    private void logClosed(String cause, List<CallerConnection> closed) {
+        if (closed.isEmpty()) {
+            return;
+        }
+        String peers =
+                closed.stream()
+                        .limit(MAX_LOGGED_PEERS)
+                        .map(CallerConnection::peer)
+                        .collect(Collectors.joining(" "));
+        mGateway.log()
+                .event("connections-closed")
+                .with("cause", cause)
+                .with("connections", closed.size())
+                .with("peers", peers)
+                .info();
     }
 
     /** Stops accepting connections. */
@@ -77,12 +102,33 @@
     /** Closes the connections that have been idle for a time. */
     void closeIdle(Duration minIdle) {
         long now = mGateway.time().nanoTime();
-        new ArrayList<>(mConnections).forEach(connection -> connection.closeIfIdle(now, minIdle));
+        List<CallerConnection> idle =
+                connections().stream()
+                        .filter(connection -> connection.closeIfIdle(now, minIdle))
+                        .toList();
+        logClosed("stop", idle);
     }
 
     /** Responds to all requests that are still active, because the process exits. */
     void endActiveRequests() {
-        new ArrayList<>(mConnections).forEach(CallerConnection::onShutdown);
+        connections().forEach(CallerConnection::onShutdown);
+    }
+
+    /** Returns the connections, also for tasks that close some of them. */
+    private List<CallerConnection> connections() {
+        return List.copyOf(mConnections);
+    }
+
+    /** Returns the identifiers of the active requests. */
+    List<String> activeRequestIds() {
+        return mConnections.stream()
+                .flatMap(connection -> connection.activeRequestId().stream())
+                .toList();
+    }
+
+    /** Returns the connections that have an active request or are receiving one. */
+    int busyCount() {
+        return (int) mConnections.stream().filter(CallerConnection::isBusy).count();
     }
 
     int connectionCount() {
@@ -113,7 +159,7 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            mConnection.onBytesReceived();
+            mConnection.onBytesReceived(((ByteBuf) message).readableBytes());
             context.fireChannelRead(message);
         }
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -295,7 +295,7 @@
                                             .event("members")
                                             .with("outcome", left.isRight() ? "left" : "not-left")
                                             .info());
-                    mGateway.log().event("stop").with("outcome", "begun").info();
+                    logStop("begun", mCallerServer.activeRequestIds()).info();
                     return true;
                 });
         Duration closeAfter = fraction(mSettings.gracePeriod(), ACCEPT_FRACTION);
@@ -308,19 +308,38 @@
             sleepBetweenPolls();
             open = callOnLoop(this::closeIdle);
         }
+        boolean busy = open;
         callOnLoop(
                 () -> {
-                    mCallerServer.endActiveRequests();
+                    endRequests(busy, startNanos);
                     return true;
                 });
-        mGateway.log()
-                .event("stop")
-                .with("outcome", open ? "requests-ended" : "complete")
-                .with("millis", mTime.since(startNanos).toMillis())
-                .info();
         mLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
+    private void endRequests(boolean busy, long stopNanos) {
+        List<String> ended = mCallerServer.activeRequestIds();
+        EventLog.Line line = logStop(busy ? "requests-ended" : "complete", ended);
+        try {
+            mCallerServer.endActiveRequests();
+        } finally {
+            line.with("unanswered", ConnectionTrace.join(mCallerServer.activeRequestIds()))
+                    .with("millis", mTime.since(stopNanos).toMillis())
+                    .info();
+        }
+    }
+
+    /** Starts a line about a stop, with the requests and connections at this time. */
+    private EventLog.Line logStop(String outcome, List<String> requestIds) {
+        EventLog.Line line = mGateway.log().event("stop").with("outcome", outcome);
+        if (!requestIds.isEmpty()) {
+            line.with("request", ConnectionTrace.join(requestIds));
+        }
+        return line.with("connections", mCallerServer.connectionCount())
+                .with("requests", requestIds.size())
+                .with("receiving", mCallerServer.busyCount() - requestIds.size());
+    }
+
     private boolean stopAccepting() {
         mCallerServer.stopAccepting();
         return mCallerServer.connectionCount() > 0;
