Ask a limited upstream again whether its limit holds

Upstreams of equal cost are taken in a fixed order, so an entry with a share of the other one's limit did not call it while no calls overlapped, and no entry could see that the limit had ended.

An entry that has neither called an upstream nor learned of its limit for a stable window sends it the next request, within its share. No call is made beyond the limit.

The simulation of entries suspends all but one of them at most, so that one works.

--- a/core/src/main/java/org/boragethread/core/upstream/NamedRateLimit.java
+++ b/core/src/main/java/org/boragethread/core/upstream/NamedRateLimit.java
@@ -21,6 +21,7 @@
     private final Deque<Long> mSentAt = new ArrayDeque<>();
     private OptionalDouble mPerSecond = OptionalDouble.empty();
     private long mLearnedAt = Long.MIN_VALUE;
+    private long mCalledAt = Long.MIN_VALUE;
 
     /** Returns the calls per second; empty if the upstream names no limit. */
     public OptionalDouble perSecond() {
@@ -69,11 +70,20 @@
 
     /** Counts a call that is being sent. */
     void onSent(long now) {
+        mCalledAt = now;
         if (mPerSecond.isPresent()) {
             mSentAt.add(now);
         }
     }
 
+    /**
+     * Returns whether the upstream names a limit and this process has neither learned of it nor
+     * called the upstream since a monotonic time, so that it can't know whether the limit holds.
+     */
+    boolean isUnconfirmedSince(long nanos) {
+        return mPerSecond.isPresent() && mLearnedAt <= nanos && mCalledAt <= nanos;
+    }
+
     /**
      * Returns the monotonic time from which on an allowance permits one more call; empty if it
      * permits none at all.
--- a/core/src/main/java/org/boragethread/core/upstream/RateLimitShare.java
+++ b/core/src/main/java/org/boragethread/core/upstream/RateLimitShare.java
@@ -29,10 +29,26 @@
     private static final double MAX_RATE = 1e8;
 
     private final PartitionLease mLease;
+    private final Duration mConfirmInterval;
 
-    /** Creates the share of the process that holds the given lease. */
-    public RateLimitShare(PartitionLease lease) {
+    /**
+     * Creates the share of the process that holds the given lease.
+     *
+     * @param confirmInterval time without a call after which an upstream is asked again whether its
+     *     limit holds
+     */
+    public RateLimitShare(PartitionLease lease, Duration confirmInterval) {
         mLease = lease;
+        mConfirmInterval = confirmInterval;
+    }
+
+    /**
+     * Returns whether the next request should go to an upstream so that its response tells whether
+     * its limit still holds. Only processes with a share of the limit can find that out.
+     */
+    public boolean isConfirmationDue(UpstreamNode node, long now) {
+        return node.namedRateLimit().isUnconfirmedSince(now - mConfirmInterval.toNanos())
+                && isCallAllowed(node, now);
     }
 
     /** Returns whether the limit that an upstream names, if any, allows one more call now. */
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -71,7 +71,11 @@
         mRateLimitShare = rateLimitShare;
     }
 
-    /** Returns the upstream with the lowest cost among those that may get the request now. */
+    /**
+     * Returns the upstream with the lowest cost among those that may get the request now, or one
+     * whose limit is to be confirmed: among upstreams of equal cost the same one always comes
+     * first, so the end of another one's limit might never be noticed.
+     */
     public Optional<UpstreamNode> choose(ChoiceRequest request) {
         long now = mTime.nanoTime();
         List<UpstreamNode> candidates = candidates(request);
@@ -83,6 +87,9 @@
             if (!isCallAllowed(node, request.group(), now)) {
                 continue;
             }
+            if (isConfirmationDue(node, now)) {
+                return Optional.of(node);
+            }
             double cost = cost(node, rank, request, now);
             if (cost < lowestCost) {
                 lowestCost = cost;
@@ -92,6 +99,12 @@
         return Optional.ofNullable(best);
     }
 
+    private boolean isConfirmationDue(UpstreamNode node, long now) {
+        return !node.isAvoided(now)
+                && now >= node.busyUntil()
+                && mRateLimitShare.isConfirmationDue(node, now);
+    }
+
     private boolean isCallAllowed(UpstreamNode node, RoutedGroup group, long now) {
         if (node.isPaused(now) || !mRateLimitShare.isCallAllowed(node, now)) {
             return false;
--- a/core/src/test/java/org/boragethread/core/member/SharedLimitSimulation.java
+++ b/core/src/test/java/org/boragethread/core/member/SharedLimitSimulation.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.time.TimeSource;
@@ -94,6 +95,34 @@
         }
     }
 
+    /** Kills the entries whose leases match and starts others in their places. */
+    public void replace(Predicate<PartitionLease> leases) {
+        for (int i = 0; i < mEntries.size(); i++) {
+            if (leases.test(mEntries.get(i).mLease)) {
+                mEntries.set(i, new Entry());
+            }
+        }
+    }
+
+    /**
+     * Suspends the entries whose leases match, except for the last entry, so that one works on;
+     * their monotonic clocks stand still.
+     */
+    public void suspend(Predicate<PartitionLease> leases, Duration length) {
+        mEntries.subList(0, mEntries.size() - 1).stream()
+                .filter(entry -> leases.test(entry.mLease))
+                .forEach(entry -> entry.mSuspendedUntil = mStep + steps(length));
+    }
+
+    /** Cuts all entries off from the store. */
+    public void cutOffAll(Duration length) {
+        mEntries.forEach(entry -> entry.mCutOffUntil = mStep + steps(length));
+    }
+
+    private static int steps(Duration length) {
+        return (int) (length.toNanos() / STEP.toNanos());
+    }
+
     /** Returns whether a disturbance begins that strikes in one of the given number of steps. */
     private boolean happens(int steps) {
         return mDisturbed && mRandom.nextInt(steps) == 0;
--- a/core/src/test/java/org/boragethread/core/upstream/RateLimitShareTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/RateLimitShareTest.java
@@ -32,7 +32,7 @@
     /** An entry that sends the limited upstream as much as it may. */
     private static SharedLimitSimulation.User user(
             TimeSource time, PartitionLease lease, double perSecond) {
-        RateLimitShare share = new RateLimitShare(lease);
+        RateLimitShare share = new RateLimitShare(lease, Duration.ofSeconds(3));
         UpstreamNode node = new UpstreamNode(UpstreamEntries.of("a", "group", "north"), 0);
         node.namedRateLimit().learn(OptionalDouble.of(perSecond), time.nanoTime());
         return () -> {
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
@@ -71,7 +71,7 @@
                 localDataCentre,
                 Map.of(NORTH, "r1", SOUTH, "r2"),
                 new ColdRateShare(new ColdRateBound(1.5, 5), lease),
-                new RateLimitShare(lease));
+                new RateLimitShare(lease, Duration.ofSeconds(3)));
     }
 
     private ChoiceRequest request(long affinity, Set<UpstreamNode> excluded) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -83,7 +83,7 @@
                         StoreGroup.partitions(settings.storePartitions()),
                         settings.revokeTime());
         mLease = new FreshnessLease(time, settings.revokeTime().minus(REVOKE_MARGIN));
-        mRateLimitShare = new RateLimitShare(mSharedLimits);
+        mRateLimitShare = new RateLimitShare(mSharedLimits, settings.stableWindow());
         mChooser =
                 new UpstreamChooser(
                         mDirectory,
--- a/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
@@ -63,7 +63,7 @@
                         NORTH,
                         Map.of(NORTH, "region"),
                         new ColdRateShare(new ColdRateShare.ColdRateBound(1.5, 5), mLease),
-                        new RateLimitShare(mLease));
+                        new RateLimitShare(mLease, Duration.ofSeconds(3)));
         mGroup =
                 new RoutedGroup(
                         ORDERS,
