--- a/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
+++ b/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
@@ -77,7 +77,7 @@
         }
     }
 
-    /** Asks the process to stop (SIGTERM). */
+    /** Asks the process to stop (SIGTERM). Its output until its end can still be read. */
     public void terminate() {
         // Process.destroy() would also close the output, and with it the log of the stop.
         mProcess.toHandle().destroy();
