Write and read what a process logs at its end

The last lines of a stop were missing. The harness stopped processes with Process.destroy(), which closes the streams of their output, so no test saw a line after SIGTERM. And a process halted while lines were still in the queue of its log, so that warnings after the line "stop" could be dropped.

The harness sends SIGTERM through the process handle, which leaves the streams open.

GatewayStopTest#endOfTheStopIsLogged fails with the harness before (no such line within 20 s) and passes now. No test shows the drop from the queue.

--- a/process/src/main/java/org/boragethread/process/command/ServiceRunner.java
+++ b/process/src/main/java/org/boragethread/process/command/ServiceRunner.java
@@ -49,6 +49,8 @@
     private void onSignal() {
         mStopRequested.countDown();
         awaitQuietly(mStopped);
+        // Writes what is still queued, which halt() would drop.
+        LogManager.shutdown();
         // Without this, the exit code would be 128 plus the number of the signal.
         Runtime.getRuntime().halt(mExitCode);
     }
--- a/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
+++ b/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
@@ -77,9 +77,10 @@
         }
     }
 
-    /** Asks the process to stop (SIGTERM). */
+    /** Asks the process to stop (SIGTERM). What it prints until its end is still read. */
     public void terminate() {
-        mProcess.destroy();
+        // Process.destroy() would close the streams of the output.
+        mProcess.toHandle().destroy();
     }
 
     /** Kills the process (SIGKILL). */
--- a/standins/src/test/java/org/boragethread/standins/system/GatewayStopTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/GatewayStopTest.java
@@ -211,6 +211,14 @@
         return good && !head.toLowerCase(Locale.ROOT).contains("connection: close");
     }
 
+    // Guards against a stop of which the log does not show the end.
+    @Test
+    public void endOfTheStopIsLogged() {
+        mGateway.process().terminate();
+        assertEquals(mGateway.process().awaitExit(TestGateway.TIMEOUT), 0);
+        mGateway.awaitLogLine("\"event\":\"stop\"", "\"outcome\":\"complete\"");
+    }
+
     @Test
     public void idleConnectionsAreClosedAndTheProcessExits() throws Exception {
         try (Socket idle = connect()) {
