Report calls whose connection fails at once later, and end those that throw

At the end of a process, netty logged that a listener of HttpConnectionPool threw. While the event loop shuts down, the future of a connection attempt has failed already when it is returned, and notifies its listener at once, during send(), though send() promises the opposite. BufferedResponse had not set its timer then: a NullPointerException ("this.mTimer" is null), and no result for the receiver. A channel that can't be created, for lack of file descriptors, is worse: its listener runs on another thread, and closing the channel throws, so that a probe has no result and no crash of that upstream is noticed again.

The pool now checks whether an attempt is complete, and runs what follows as a task of the event loop. An event loop that has ended is logged, not thrown at the sender. The pool can be closed: all calls fail, and later ones too.

Callbacks of calls and probes run in a CallbackGuard, which tells the owner that was present when the call was sent, for example a request, if one throws. The call is closed, and its listener gets onFailure unless it has had its end.

With the former connect() and probe() behind the new constructors, 7 of 9 tests of ConnectionFailureTest fail (NullPointerException, "channel not registered to an event loop", a probe without a result in 10 s). With a guard that only rethrows, 6 of 6 tests of ThrowingListenerTest fail. All pass now.

--- a/wire/src/main/java/org/boragethread/wire/http/CallFailure.java
+++ b/wire/src/main/java/org/boragethread/wire/http/CallFailure.java
@@ -16,6 +16,8 @@
         /** The connection was closed before the response was complete. */
         BROKEN,
         /** The peer sent something other than valid HTTP, or responses to other requests. */
-        PROTOCOL
+        PROTOCOL,
+        /** The listener threw while it handled a part of the response. */
+        LISTENER
     }
 }
--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnectionPool.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnectionPool.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -11,17 +12,24 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.internal.logging.InternalLogger;
+import io.netty.util.internal.logging.InternalLoggerFactory;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
+import org.boragethread.core.callback.CallbackGuard;
 import org.boragethread.core.time.TimeSource;
 
 /** Pool of HTTP client connections by address. Confined to one event loop. */
@@ -33,10 +41,17 @@
     private static final int KEEP_ALIVE_PROBES = 2;
     private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofSeconds(1);
 
+    private static final InternalLogger LOGGER =
+            InternalLoggerFactory.getInstance(HttpConnectionPool.class);
+
+    private final EventLoop mLoop;
     private final TimeSource mTime;
+    private final CallbackGuard mGuard;
     private final Bootstrap mBootstrap;
+    private final Set<ActiveCall> mActive = new HashSet<>();
     private final Map<InetSocketAddress, Deque<HttpConnection>> mIdle = new HashMap<>();
     private long mConnectionAttempts;
+    private boolean mClosed;
 
     /** Result of a connection attempt that sends nothing. */
     public enum ProbeResult {
@@ -48,13 +63,33 @@
         UNKNOWN
     }
 
-    /** Creates a pool whose connections are run by the given event loop. */
+    /** Creates a pool that logs the exceptions of all callbacks. */
     public HttpConnectionPool(EventLoop loop, TimeSource time) {
+        this(loop, time, new CallbackGuard(cause -> LOGGER.warn("A callback threw.", cause)));
+    }
+
+    /**
+     * Creates a pool.
+     *
+     * @param loop runs the connections and all callbacks
+     * @param guard runs the callbacks for the owner that was the present one when a call was sent
+     */
+    public HttpConnectionPool(EventLoop loop, TimeSource time, CallbackGuard guard) {
+        this(loop, time, guard, NioSocketChannel::new);
+    }
+
+    HttpConnectionPool(
+            EventLoop loop,
+            TimeSource time,
+            CallbackGuard guard,
+            ChannelFactory<SocketChannel> channels) {
+        mLoop = loop;
         mTime = time;
+        mGuard = guard;
         mBootstrap =
                 new Bootstrap()
                         .group(loop)
-                        .channel(NioSocketChannel.class)
+                        .channelFactory(channels)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.SO_KEEPALIVE, true)
                         // Tells the end of the peer's data from any other close.
@@ -67,12 +102,21 @@
                                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
                                 KEEP_ALIVE_PROBES);
         long interval = EXPIRY_CHECK_INTERVAL.toMillis();
-        loop.scheduleWithFixedDelay(this::closeExpired, interval, interval, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                guard.bind(this::closeExpired), interval, interval, TimeUnit.MILLISECONDS);
     }
 
-    /** Sends a call. The listener is called later, never during this invocation. */
+    /**
+     * Sends a call. The listener is called later on the event loop, never during this invocation.
+     * It is not called if the event loop ends before; see {@link #close}.
+     */
     public CallControl send(HttpCall call, CallListener listener) {
-        ActiveCall state = new ActiveCall(call, listener);
+        ActiveCall state = new ActiveCall(call, listener, mGuard, mActive::remove);
+        mActive.add(state);
+        if (mClosed) {
+            executeLater(() -> state.failBeforeSending("the process is stopping"));
+            return state;
+        }
         if (!call.newConnectionRequired()) {
             HttpConnection idle = takeIdle(call.address());
             if (idle != null) {
@@ -84,19 +128,65 @@
         return state;
     }
 
-    /** Checks whether a process listens at an address, without sending anything. */
+    /**
+     * Checks whether a process listens at an address, without sending anything. The callback is
+     * called later on the event loop, never during this invocation.
+     */
     public void probe(InetSocketAddress address, Duration timeout, Consumer<ProbeResult> callback) {
         mConnectionAttempts++;
-        mBootstrap
-                .clone()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
-                .handler(new ChannelInboundHandlerAdapter())
-                .connect(address)
-                .addListener(
-                        (ChannelFuture completed) -> {
-                            completed.channel().close();
-                            callback.accept(probeResult(completed));
-                        });
+        CallbackGuard.Owner owner = mGuard.current();
+        ChannelFuture attempt =
+                mBootstrap
+                        .clone()
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+                        .handler(new ChannelInboundHandlerAdapter())
+                        .connect(address);
+        whenComplete(
+                attempt,
+                () -> {
+                    closeIfRegistered(attempt.channel());
+                    mGuard.run(owner, () -> callback.accept(probeResult(attempt)));
+                });
+    }
+
+    /**
+     * Fails all calls and closes all connections. Later calls fail without being sent. After this,
+     * the event loop can end without a call that waits for its result.
+     */
+    public void close() {
+        mClosed = true;
+        for (ActiveCall call : List.copyOf(mActive)) {
+            call.abort(CallFailure.Kind.BROKEN, "the process is stopping");
+        }
+        mIdle.values().forEach(idle -> List.copyOf(idle).forEach(HttpConnection::close));
+        mIdle.clear();
+    }
+
+    /**
+     * Runs a task on the event loop when a connection attempt is complete, also if it already is.
+     * The future of one that fails at once may notify its listeners at once or on another thread.
+     */
+    private void whenComplete(ChannelFuture attempt, Runnable task) {
+        if (attempt.isDone()) {
+            executeLater(task);
+        } else {
+            attempt.addListener(completed -> task.run());
+        }
+    }
+
+    private void executeLater(Runnable task) {
+        try {
+            mLoop.execute(task);
+        } catch (RejectedExecutionException e) {
+            LOGGER.warn("A call has no result because the event loop has ended.", e);
+        }
+    }
+
+    /** Closes a channel; one that could not be created or registered can't be closed. */
+    private static void closeIfRegistered(Channel channel) {
+        if (channel.isRegistered()) {
+            channel.close();
+        }
     }
 
     private static ProbeResult probeResult(ChannelFuture completed) {
@@ -118,7 +208,7 @@
         mConnectionAttempts++;
         HttpCall call = state.call();
         HttpConnection connection = new HttpConnection(this, call.address());
-        ChannelFuture connectFuture =
+        ChannelFuture attempt =
                 mBootstrap
                         .clone()
                         .option(
@@ -132,15 +222,19 @@
                                     }
                                 })
                         .connect(call.address());
-        state.attach(connectFuture.channel());
-        connectFuture.addListener(
-                completed -> {
-                    if (completed.isSuccess()) {
-                        connection.start(state);
-                    } else {
-                        state.failBeforeSending(String.valueOf(completed.cause().getMessage()));
-                    }
-                });
+        if (!attempt.isDone()) {
+            state.attach(attempt.channel());
+        }
+        whenComplete(attempt, () -> onConnected(attempt, connection, state));
+    }
+
+    private static void onConnected(
+            ChannelFuture attempt, HttpConnection connection, ActiveCall state) {
+        if (attempt.isSuccess()) {
+            connection.start(state);
+        } else {
+            state.failBeforeSending(String.valueOf(attempt.cause().getMessage()));
+        }
     }
 
     /** Returns the number of idle connections. */
