Do not take a stream for another that its caller names

Callers that named the wrong stream received text of two versions, with nothing in the answer to show it: a caller that named the stream of another request of its team, and one that had begun anew without a last event, still naming the stream that it had given up.

Cause: a stream was known by its team and the ID of an attempt alone, and an entry that knew a stream did not ask its owners what others had reported.

The key of a stream includes a hash of the body and the prompt, so attempts at another request do not find it. A stream begun anew leaves the version of the one it names uncertain. Owners are always asked, and contradictions leave the version uncertain, as before.

--- a/core/src/main/java/org/boragethread/core/resume/StreamOriginDirectory.java
+++ b/core/src/main/java/org/boragethread/core/resume/StreamOriginDirectory.java
@@ -69,15 +69,18 @@
         return mTable.find(key);
     }
 
-    /** Finds out where a stream began, here or at its owners. */
+    /**
+     * Finds out where a stream began. The owners are also asked if it is known here, since others
+     * may have reported something else to them.
+     */
     public void find(StreamKey key, Consumer<Optional<StreamOrigin>> callback) {
         Optional<StreamOrigin> known = mTable.find(key);
         List<String> owners = otherOwners(key);
-        if (known.isPresent() || owners.isEmpty()) {
+        if (owners.isEmpty()) {
             callback.accept(known);
             return;
         }
-        Answers answers = new Answers(owners.size(), callback);
+        Answers answers = new Answers(known, owners.size(), callback);
         owners.forEach(owner -> mPeers.query(owner, key, answers::add));
     }
 
@@ -88,7 +91,11 @@
         private final Consumer<Optional<StreamOrigin>> mCallback;
         private int mMissing;
 
-        Answers(int missing, Consumer<Optional<StreamOrigin>> callback) {
+        Answers(
+                Optional<StreamOrigin> known,
+                int missing,
+                Consumer<Optional<StreamOrigin>> callback) {
+            known.ifPresent(mOrigins::add);
             mMissing = missing;
             mCallback = callback;
         }
--- a/core/src/test/java/org/boragethread/core/resume/StreamOriginSimulationTest.java
+++ b/core/src/test/java/org/boragethread/core/resume/StreamOriginSimulationTest.java
@@ -159,7 +159,7 @@
 
     private void begin(List<Stream> begun, int round) {
         for (int i = 0; i < STREAMS; i++) {
-            StreamKey key = StreamKey.of("team", round + "/" + i);
+            StreamKey key = StreamKey.of("team", round + "/" + i, i);
             SoftwareVersion version = new SoftwareVersion("v" + mRandom.nextInt(3));
             StreamOrigin origin = new StreamOrigin(ENGINES, Optional.of(version));
             mEntries.get(mRandom.nextInt(mEntries.size())).mDirectory.record(key, origin);
--- a/core/src/test/java/org/boragethread/core/resume/StreamOriginTableTest.java
+++ b/core/src/test/java/org/boragethread/core/resume/StreamOriginTableTest.java
@@ -15,7 +15,8 @@
 public class StreamOriginTableTest {
 
     private static final GroupId ENGINES = new GroupId("engines");
-    private static final StreamKey KEY = StreamKey.of("team", "id");
+    private static final long CONTENT = 7;
+    private static final StreamKey KEY = StreamKey.of("team", "id", CONTENT);
 
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final StreamOriginTable mTable = new StreamOriginTable(mTime);
@@ -45,9 +46,15 @@
     // Guards against callers that name the streams of another team.
     @Test
     public void keysOfTeamsDiffer() {
-        assertEquals(StreamKey.of("team", "id"), KEY);
-        assertNotEquals(StreamKey.of("team-2", "id"), KEY);
-        assertNotEquals(StreamKey.of("tea", "mid"), KEY);
+        assertEquals(StreamKey.of("team", "id", CONTENT), KEY);
+        assertNotEquals(StreamKey.of("team-2", "id", CONTENT), KEY);
+        assertNotEquals(StreamKey.of("tea", "mid", CONTENT), KEY);
+    }
+
+    // Guards against callers that name the stream of another request of their team.
+    @Test
+    public void keysOfRequestsWithDifferentContentDiffer() {
+        assertNotEquals(StreamKey.of("team", "id", CONTENT + 1), KEY);
     }
 
     // Guards against memory that grows with the number of streams.
@@ -57,10 +64,10 @@
         mTime.advance(StreamOriginTable.LIFETIME.plus(Duration.ofSeconds(1)));
         assertEquals(mTable.find(KEY), Optional.empty());
         for (int i = 0; i <= StreamOriginTable.MAX_STREAMS; i++) {
-            mTable.put(StreamKey.of("team", "id-" + i), origin("v1"));
+            mTable.put(StreamKey.of("team", "id-" + i, CONTENT), origin("v1"));
         }
         assertEquals(mTable.size(), StreamOriginTable.MAX_STREAMS);
-        assertEquals(mTable.find(StreamKey.of("team", "id-0")), Optional.empty());
-        assertTrue(mTable.find(StreamKey.of("team", "id-1")).isPresent());
+        assertEquals(mTable.find(StreamKey.of("team", "id-0", CONTENT)), Optional.empty());
+        assertTrue(mTable.find(StreamKey.of("team", "id-1", CONTENT)).isPresent());
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestFingerprint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestFingerprint.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import org.boragethread.platform.store.PlatformHeaders;
 
 /**
  * Identifies requests that are the same to an upstream: of one team, with the same method, path,
@@ -30,17 +31,31 @@
         return ByteBuffer.wrap(digest.digest()).getLong();
     }
 
+    /**
+     * Returns the fingerprint of what all attempts at one stream have in common: the body and the
+     * parts of the prompt. Path and query may differ.
+     */
+    static long ofContent(CallerRequest request) {
+        MessageDigest digest = create();
+        add(digest, request.headers().get(PlatformHeaders.PROMPT, ""));
+        addBody(digest, request.body());
+        return ByteBuffer.wrap(digest.digest()).getLong();
+    }
+
     private static MessageDigest digest(CallerRequest request, String team) {
         MessageDigest digest = create();
         add(digest, request.method().name());
         add(digest, request.target());
         add(digest, team);
-        ByteBuf body = request.body();
+        addBody(digest, request.body());
+        return digest;
+    }
+
+    private static void addBody(MessageDigest digest, ByteBuf body) {
         addLength(digest, body.readableBytes());
         for (ByteBuffer part : body.nioBuffers(body.readerIndex(), body.readableBytes())) {
             digest.update(part);
         }
-        return digest;
     }
 
     private static MessageDigest create() {
--- a/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
@@ -23,6 +23,7 @@
     private final RequestTrace mTrace;
     private GroupId mGroup;
     private Optional<StreamKey> mKey = Optional.empty();
+    private Optional<StreamKey> mReplaced = Optional.empty();
     private Optional<SoftwareVersion> mVersion = Optional.empty();
     private boolean mTakenUp;
     private boolean mBegun;
@@ -55,12 +56,16 @@
             return;
         }
         mTakenUp = lastEvents.stream().anyMatch(id -> !id.isBlank());
+        long content = RequestFingerprint.ofContent(mRequest);
+        Optional<StreamKey> named =
+                streams.stream().findFirst().flatMap(id -> key(admitted, id.strip(), content));
         if (!mTakenUp) {
-            mKey = key(admitted, mRequest.id());
+            mKey = key(admitted, mRequest.id(), content);
+            mReplaced = named;
             onReady.run();
             return;
         }
-        mKey = streams.stream().findFirst().flatMap(id -> key(admitted, id.strip()));
+        mKey = named;
         if (mKey.isEmpty()) {
             onOrigin(Optional.empty(), onReady, end);
             return;
@@ -68,10 +73,11 @@
         mGateway.streamOrigins().find(mKey.get(), origin -> onOrigin(origin, onReady, end));
     }
 
-    private static Optional<StreamKey> key(AdmittedRequest admitted, String firstAttempt) {
+    private static Optional<StreamKey> key(
+            AdmittedRequest admitted, String firstAttempt, long content) {
         return firstAttempt.isEmpty()
                 ? Optional.empty()
-                : Optional.of(StreamKey.of(admitted.team(), firstAttempt));
+                : Optional.of(StreamKey.of(admitted.team(), firstAttempt, content));
     }
 
     private void onOrigin(Optional<StreamOrigin> origin, Runnable onReady, RequestEnd end) {
@@ -145,6 +151,8 @@
         mBegun = true;
         mVersion = version;
         record(version);
+        // A caller that goes on naming the stream that it gave up has events of this one.
+        mReplaced.ifPresent(key -> record(key, Optional.empty()));
     }
 
     /**
@@ -162,7 +170,10 @@
     }
 
     private void record(Optional<SoftwareVersion> version) {
-        StreamOrigin origin = new StreamOrigin(mGroup, version);
-        mKey.ifPresent(key -> mGateway.streamOrigins().record(key, origin));
+        mKey.ifPresent(key -> record(key, version));
+    }
+
+    private void record(StreamKey key, Optional<SoftwareVersion> version) {
+        mGateway.streamOrigins().record(key, new StreamOrigin(mGroup, version));
     }
 }
--- a/standins/src/test/java/org/boragethread/standins/system/ScriptedUpstream.java
+++ b/standins/src/test/java/org/boragethread/standins/system/ScriptedUpstream.java
@@ -14,18 +14,22 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /** An upstream that answers each request with the bytes of a script. */
 final class ScriptedUpstream implements AutoCloseable {
 
     private static final int BACKLOG = 50;
+    private static final int ACCEPT_END_SECONDS = 5;
 
     private final Function<Request, ResponseScript> mScripts;
     private final ServerSocket mServer;
     private final List<Socket> mConnections = new CopyOnWriteArrayList<>();
+    private final CountDownLatch mAcceptEnded = new CountDownLatch(1);
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
 
     /**
@@ -78,6 +82,7 @@
                 }
             }
         }
+        mAcceptEnded.countDown();
     }
 
     private void serve(Socket connection) {
@@ -159,5 +164,15 @@
             connection.close();
         }
         mThreads.shutdownNow();
+        awaitFreePort();
+    }
+
+    /** The port is in use until the thread that accepts connections has returned. */
+    private void awaitFreePort() {
+        try {
+            mAcceptEnded.await(ACCEPT_END_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/standins/src/test/java/org/boragethread/standins/system/StreamCaller.java
+++ b/standins/src/test/java/org/boragethread/standins/system/StreamCaller.java
@@ -18,6 +18,7 @@
 final class StreamCaller {
 
     private static final String KEY = "Token key-1";
+    private static final String BODY = "body";
 
     private final HttpClient mClient =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -57,12 +58,19 @@
     /** Requests a stream; further headers are pairs of names and values. */
     Received request(TestGateway gateway, String path, String id, String... headers)
             throws Exception {
+        return requestWithBody(gateway, path, id, BODY, headers);
+    }
+
+    /** Requests a stream with a body; further headers are pairs of names and values. */
+    Received requestWithBody(
+            TestGateway gateway, String path, String id, String body, String... headers)
+            throws Exception {
         HttpRequest.Builder request =
                 gateway.calls()
                         .request(path)
                         .header("X-Boragethread-Request-Id", id)
                         .header("Authorization", KEY)
-                        .POST(HttpRequest.BodyPublishers.ofString("body"));
+                        .POST(HttpRequest.BodyPublishers.ofString(body));
         for (int i = 0; i < headers.length; i += 2) {
             request.setHeader(headers[i], headers[i + 1]);
         }
