Keep the output of a test's process readable after SIGTERM

Process.destroy() closes the pipe from the process as well as sending the signal, so no test could see what a gateway logs during its stop, and the gateway wrote into a closed pipe. ProcessHandle.destroy() sends the signal only. Seen with a gateway under SilentUpstreamTest: the last line read was that before the signal, without 'stop'.

--- a/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
+++ b/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
@@ -77,9 +77,10 @@
         }
     }
 
-    /** Asks the process to stop (SIGTERM). */
+    /** Asks the process to stop (SIGTERM). What it prints until its end can still be read. */
     public void terminate() {
-        mProcess.destroy();
+        // Process.destroy() would close the output too.
+        mProcess.toHandle().destroy();
     }
 
     /** Kills the process (SIGKILL). */
