Keep a silent upstream until another one has responded

Callers saw a resumable stream cut in its middle, or a 502 before its first event, while the upstream was sound and went on a moment later.

Cause: after the stall timeout the attempt was cancelled first, and only then a permit of the retry budget, an upstream and its acceptance were asked for. Whatever of these was missing ended the response.

Now a silent upstream is never given up for its silence alone. SilenceGuard secures an attempt the route allows, the software version, the inputs of stages, an upstream that may be called now, time and (last) a permit, and starts a second attempt beside the first. The first of both to make progress (an event of the first; the head of an acceptable response of the second) goes on, and the other is cancelled at once. A second attempt that is rejected, unreachable, failing, of another version or silent changes nothing for the caller; if the first ends meanwhile, the second goes on. If nothing can be secured, the first is kept, and the timeout doubles up to 16 times. Only the end of the upstream, the caller, the deadline and the end of the grace period end such a response.

While the caller reads too slowly, and for time in which the process ran late, no silence counts.

New lines 'stalled' and 'standby' and a counter tell each decision with what it was based on; 'refused' and 'broken-off' carry 'decidedBy'.

The cases of a stop give a budget in proportion to calls, so that they do not depend on when the partitions are released.

--- a/core/src/main/java/org/boragethread/core/retry/SharedRetryBudget.java
+++ b/core/src/main/java/org/boragethread/core/retry/SharedRetryBudget.java
@@ -52,11 +52,17 @@
 
     /** Charges one retry to the budget; returns false if the budget is exhausted. */
     public boolean tryAcquire() {
-        long now = mTime.nanoTime();
-        if (mRetries.total(now) + 1 > mFirstCalls.total(now) * mRatio + mFixed.getAsInt()) {
+        if (available() < 1) {
             return false;
         }
-        mRetries.increment(now);
+        mRetries.increment(mTime.nanoTime());
         return true;
     }
+
+    /** Returns the number of retries that are left at present. */
+    public long available() {
+        long now = mTime.nanoTime();
+        double allowed = mFirstCalls.total(now) * mRatio + mFixed.getAsInt();
+        return (long) Math.max(0, Math.floor(allowed - mRetries.total(now)));
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptListener.java
@@ -12,6 +12,9 @@
     /** The request was not sent, because no connection could be established. */
     void onNotSent(UpstreamNode node, String detail);
 
+    /** The head of a successful response arrived; nothing of its body is known yet. */
+    default void onSuccessHead() {}
+
     /** The attempt failed before any of its response was forwarded; the request may have run. */
     void onFailed(UpstreamNode node, String detail);
 
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
@@ -0,0 +1,67 @@
+package org.boragethread.entry.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.boragethread.core.upstream.ResponseTimeModel;
+import org.boragethread.core.upstream.UpstreamNode;
+
+/** Creates and sends the attempts of one request. */
+final class AttemptSender {
+
+    private final Gateway mGateway;
+    private final RequestParts mParts;
+
+    AttemptSender(Gateway gateway, RequestParts parts) {
+        mGateway = gateway;
+        mParts = parts;
+    }
+
+    /** Returns the time until the deadline of the request; zero after it. */
+    Duration remaining() {
+        long nanos = mParts.admitted().deadlineNanos() - mGateway.time().nanoTime();
+        return Duration.ofNanos(Math.max(0, nanos));
+    }
+
+    /** Creates an attempt that has not started. */
+    UpstreamAttempt create(UpstreamNode node, AttemptListener listener) {
+        long uncachedTokens = mParts.admitted().uncachedTokens(node);
+        return new UpstreamAttempt(
+                node,
+                mGateway,
+                mParts.prompt().suspects(),
+                mParts.admitted().isStreaming(),
+                listener,
+                mGateway.time().nanoTime(),
+                uncachedTokens,
+                responseTimes().prefillMillis(uncachedTokens));
+    }
+
+    private ResponseTimeModel responseTimes() {
+        return mParts.feedback().responseTimes();
+    }
+
+    /**
+     * Counts an attempt and sends it.
+     *
+     * @param lastEvent event after which the upstream continues the stream, if it does
+     */
+    void send(UpstreamAttempt attempt, Optional<String> lastEvent) {
+        UpstreamNode node = attempt.node();
+        AdmittedRequest admitted = mParts.admitted();
+        AttemptCounts counts = mParts.counts();
+        if (counts.sends() == 0) {
+            mGateway.retryBudget(mParts.group().id()).recordFirstCall();
+        }
+        counts.onSent();
+        mParts.prompt().onSent();
+        double prefillMillis = responseTimes().prefillMillis(attempt.uncachedTokens());
+        admitted.countPrompt(node, mParts.group(), prefillMillis);
+        mParts.trace().sent(node, counts.sends(), remaining(), lastEvent);
+        attempt.start(
+                mGateway.connections(),
+                OutgoingRequest.of(mParts.request(), admitted, node, remaining())
+                        .withInputs(mParts.stages().resultHandles(), admitted.pieceCount() > 0)
+                        .resumeAfter(lastEvent)
+                        .toHttpCall());
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -16,7 +16,7 @@
  * Processes one request until its final response: runs its stages, then tries upstreams until one
  * responds or no further attempt is allowed.
  */
-final class ForwardedRequest implements StagePhase.Listener, AttemptListener {
+final class ForwardedRequest implements StagePhase.Listener, SilenceGuard.Response {
 
     /** Time after the caller's deadline in which a finished response may still be forwarded. */
     private static final Duration DEADLINE_SLACK = Duration.ofMillis(40);
@@ -40,12 +40,12 @@
     private Scheduler.Timer mDeadlineTimer = () -> {};
     private final QuarantineGuard mPrompt;
     private final StagePhase mStages;
-    private final StallWatch mStallWatch;
     private final UpstreamSearch mSearch;
     private final StreamContinuation mContinuation;
     private final AttemptCounts mCounts = new AttemptCounts();
+    private AttemptSender mSender;
+    private Optional<SilenceGuard> mSilence = Optional.empty();
     private UpstreamAttempt mAttempt;
-    private long mUncachedTokens;
     private boolean mEnded;
 
     ForwardedRequest(Gateway gateway, CallerRequest request, CallerResponseWriter responseWriter) {
@@ -56,7 +56,6 @@
         mTrace = new RequestTrace(gateway, request);
         mPrompt = new QuarantineGuard(gateway, mTrace);
         mStages = new StagePhase(gateway, request, this);
-        mStallWatch = new StallWatch(gateway.scheduler());
         mSearch = new UpstreamSearch(gateway.chooser(), gateway.time());
         mContinuation = new StreamContinuation(gateway, request, mTrace);
     }
@@ -65,7 +64,7 @@
     void start() {
         var admission = new Admission(mGateway).admit(mRequest);
         if (admission.isLeft()) {
-            refuse(admission.getLeft());
+            refuse(admission.getLeft(), decider(admission.getLeft().reason()));
             return;
         }
         mAdmitted = admission.get();
@@ -84,6 +83,21 @@
                         mGateway.routingTable(),
                         mFeedback.responseTimes(),
                         mContinuation::requiredVersion);
+        RequestParts parts =
+                new RequestParts(
+                        mRequest,
+                        mAdmitted,
+                        mGroup,
+                        mFeedback,
+                        mPlacement,
+                        mCounts,
+                        mPrompt,
+                        mStages,
+                        mStream,
+                        mContinuation,
+                        mTrace);
+        mSender = new AttemptSender(mGateway, parts);
+        mSilence = Optional.of(new SilenceGuard(mGateway, parts, mSender, this));
         mTrace.admitted(mAdmitted, remaining());
         mPrompt.start(mRequest, mAdmitted, target, this::onPartBlocked);
         mSearch.start(mGateway.rateLimitQueue(target), mAdmitted.priority());
@@ -164,31 +178,9 @@
             return;
         }
         mSearch.reset();
-        if (mCounts.sends() == 0) {
-            mGateway.retryBudget(mGroup.id()).recordFirstCall();
-        }
-        mCounts.onSent();
-        mUncachedTokens = mAdmitted.uncachedTokens(node.get());
-        double prefillMillis = mFeedback.responseTimes().prefillMillis(mUncachedTokens);
-        mAttempt =
-                new UpstreamAttempt(
-                        node.get(),
-                        mGateway,
-                        mPrompt.suspects(),
-                        mAdmitted.isStreaming(),
-                        this,
-                        mGateway.time().nanoTime(),
-                        prefillMillis);
-        mPrompt.onSent();
-        mAdmitted.countPrompt(node.get(), mGroup, prefillMillis);
-        mTrace.sent(node.get(), mCounts.sends(), remaining(), mStream.lastEventId());
-        mAttempt.start(
-                mGateway.connections(),
-                OutgoingRequest.of(mRequest, mAdmitted, node.get(), remaining())
-                        .withInputs(mStages.resultHandles(), mAdmitted.pieceCount() > 0)
-                        .resumeAfter(mStream.lastEventId())
-                        .toHttpCall());
-        startStallTimer();
+        mAttempt = mSender.create(node.get(), this);
+        mSender.send(mAttempt, mStream.lastEventId());
+        silence().onActivity();
     }
 
     private void searchAgain(ChoiceRequest choice) {
@@ -204,40 +196,18 @@
         }
     }
 
-    /** Retries an idempotent request at another upstream if the current one stays silent. */
-    private void startStallTimer() {
-        if (!mAdmitted.route().isIdempotent() || !mAttempt.hasProgressed()) {
-            return;
-        }
-        UpstreamAttempt attempt = mAttempt;
-        Duration timeout =
-                mStream.isStarted()
-                        ? StallTimeouts.betweenEvents(mAdmitted.route())
-                        : firstResponseTimeout();
-        mStallWatch.start(attempt::isActive, timeout, () -> onStall(attempt));
+    private SilenceGuard silence() {
+        return mSilence.orElseThrow();
     }
 
-    private Duration firstResponseTimeout() {
-        return StallTimeouts.first(mAdmitted.route(), mUncachedTokens, mFeedback.responseTimes());
+    @Override
+    public UpstreamAttempt attempt() {
+        return mAttempt;
     }
 
-    private void onStall(UpstreamAttempt stalled) {
-        if (mEnded || mAttempt != stalled) {
-            return;
-        }
-        boolean canSwitch =
-                (!stalled.isForwarding() || canResume())
-                        && mCounts.executions() + 1 < mAdmitted.route().maxAttempts()
-                        && mGateway.chooser()
-                                .hasCallableCandidate(mPlacement.choiceWithout(stalled.node()))
-                        && remaining().compareTo(firstResponseTimeout()) > 0;
-        if (!canSwitch) {
-            return;
-        }
-        if (stalled.isForwarding()) {
-            mContinuation.onInterrupted(stalled.softwareVersion());
-        }
-        giveUp(stalled, "no progress before the stall timeout");
+    @Override
+    public void onTakenOver(UpstreamAttempt attempt) {
+        mAttempt = attempt;
     }
 
     /** Cancels an attempt and goes on as if its upstream had broken it off. */
@@ -254,6 +224,9 @@
     public void onNotExecuted(UpstreamNode node, int status) {
         mFeedback.onRejected(node, status);
         mCounts.onRejected();
+        if (silence().takeOver()) {
+            return;
+        }
         if (status == INPUTS_LOST && mStages.canRerun() && tryRetry("inputs-lost")) {
             restartStages();
             return;
@@ -276,6 +249,9 @@
         mFeedback.onFailure(node);
         mPlacement.exclude(node);
         mCounts.onRejected();
+        if (silence().takeOver()) {
+            return;
+        }
         if (mCounts.rejections() <= MAX_REJECTIONS && !isDeadlineNear()) {
             mTrace.retried("unreachable", mCounts.sends(), remaining());
             send();
@@ -290,6 +266,9 @@
         mFeedback.onFailure(node);
         mPlacement.exclude(node);
         mCounts.onExecuted();
+        if (silence().takeOver()) {
+            return;
+        }
         if (canRetry() && tryRetry("broken")) {
             send();
             return;
@@ -308,12 +287,15 @@
         mFeedback.onFailure(node);
         mPlacement.exclude(node);
         mCounts.onExecuted();
+        if (silence().takeOver()) {
+            return;
+        }
         if (canResume() && canRetry() && tryRetry("resume")) {
             mStream.prepareResume();
             restartStages();
             return;
         }
-        abortResponse("upstream %s: %s".formatted(node.entry().id(), detail));
+        abortResponse(Decider.UPSTREAM, "upstream %s: %s".formatted(node.entry().id(), detail));
     }
 
     @Override
@@ -321,15 +303,19 @@
         if (status >= SERVER_ERROR) {
             mCounts.onExecuted();
             mPlacement.exclude(node);
+            if (silence().takeOver()) {
+                return;
+            }
             if (canRetry() && tryRetry("status-" + status)) {
                 send();
                 return;
             }
         } else {
-            mFeedback.onResponse(node, mAttempt.sentAt(), mUncachedTokens);
+            mFeedback.onResponse(node, mAttempt.sentAt(), mAttempt.uncachedTokens());
         }
         if (mStream.isStarted()) {
             abortResponse(
+                    Decider.UPSTREAM,
                     "upstream %s responded %d on resume".formatted(node.entry().id(), status));
             return;
         }
@@ -344,7 +330,7 @@
             giveUp(mAttempt, "the upstream may run another software version by now");
             return;
         }
-        mFeedback.onResponse(node, mAttempt.sentAt(), mUncachedTokens);
+        mFeedback.onResponse(node, mAttempt.sentAt(), mAttempt.uncachedTokens());
         mTrace.responseStarted();
         mStages.release();
         if (!mStream.isStarted()) {
@@ -352,7 +338,9 @@
             Runnable onBegin = () -> mContinuation.onBegin(mAttempt.softwareVersion());
             mStream.start(status, mAttempt.forwardedHeaders(), resumable, onBegin);
         } else if (!mAttempt.isEventStream()) {
-            abortResponse("upstream %s resumed without events".formatted(node.entry().id()));
+            abortResponse(
+                    Decider.UPSTREAM,
+                    "upstream %s resumed without events".formatted(node.entry().id()));
         }
     }
 
@@ -361,9 +349,9 @@
         if (mEnded) {
             return;
         }
-        startStallTimer();
+        silence().onActivity();
         if (!mStream.forward(data)) {
-            mAttempt.setReading(false);
+            setReading(false);
         }
     }
 
@@ -377,10 +365,15 @@
     /** Resumes or pauses reading when the caller's connection becomes writable or not. */
     void onWritabilityChanged(boolean writable) {
         if (mAttempt != null && !mEnded) {
-            mAttempt.setReading(writable);
+            setReading(writable);
         }
     }
 
+    private void setReading(boolean reading) {
+        mAttempt.setReading(reading);
+        silence().onReading(reading);
+    }
+
     /** Cancels all work on the request because the caller disconnected. */
     void onCallerDisconnected() {
         if (mEnded) {
@@ -450,24 +443,29 @@
      */
     private void fail(RefusalReason reason, String detail, Duration retryAfter) {
         if (mStream.isStarted()) {
-            abortResponse(detail);
+            abortResponse(decider(reason), detail);
             return;
         }
-        refuse(mCounts.refusal(reason, detail, retryAfter));
+        refuse(mCounts.refusal(reason, detail, retryAfter), decider(reason));
     }
 
     private Duration backlogRetryAfter() {
         return RetryDelays.afterBacklog(remaining(), mAdmitted.expectedStageTime(mGateway));
     }
 
-    private void refuse(Refusal refusal) {
-        mTrace.refused(refusal, mCounts.sends());
+    private Decider decider(RefusalReason reason) {
+        boolean isStop = reason == RefusalReason.NOT_READY && mGateway.isStopping();
+        return isStop ? Decider.STOP : Decider.of(reason);
+    }
+
+    private void refuse(Refusal refusal, Decider decidedBy) {
+        mTrace.refused(refusal, decidedBy, mCounts.sends());
         end();
         mResponseWriter.refuse(refusal);
     }
 
-    private void abortResponse(String detail) {
-        mTrace.aborted(detail);
+    private void abortResponse(Decider decidedBy, String detail) {
+        mTrace.aborted(decidedBy, detail);
         if (mAttempt.isActive()) {
             mContinuation.onInterrupted(mAttempt.softwareVersion());
         }
@@ -484,7 +482,7 @@
         mPrompt.stop();
         mContinuation.stop();
         mSearch.reset();
-        mStallWatch.stop();
+        mSilence.ifPresent(SilenceGuard::stop);
         if (mAttempt != null) {
             mAttempt.cancel();
         }
@@ -493,7 +491,6 @@
     }
 
     private Duration remaining() {
-        return Duration.ofNanos(
-                Math.max(0, mAdmitted.deadlineNanos() - mGateway.time().nanoTime()));
+        return mSender.remaining();
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -43,6 +43,11 @@
         increment("boragethread.gateway.retries", "reason", reason);
     }
 
+    /** Counts decisions at silent upstreams and the ends of second attempts beside them. */
+    void onStall(String outcome) {
+        increment("boragethread.gateway.stalls", "outcome", outcome);
+    }
+
     void onBrokenConnection(String reason) {
         increment("boragethread.gateway.broken", "reason", reason);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
@@ -1,5 +1,6 @@
 package org.boragethread.entry.gateway;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -51,10 +52,10 @@
         return choiceRequest(mExcludedNodes);
     }
 
-    /** Returns the selection criteria if the given upstream were excluded too. */
-    ChoiceRequest choiceWithout(UpstreamNode node) {
+    /** Returns the selection criteria if the given upstreams were excluded too. */
+    ChoiceRequest choiceWithout(Collection<UpstreamNode> nodes) {
         Set<UpstreamNode> excluded = new HashSet<>(mExcludedNodes);
-        excluded.add(node);
+        excluded.addAll(nodes);
         return choiceRequest(excluded);
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/QuarantineGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/QuarantineGuard.java
@@ -66,6 +66,11 @@
         return true;
     }
 
+    /** Returns whether a suspect of the request is blocked now. */
+    boolean isBlocked() {
+        return mGateway.quarantine().findBlock(suspects().known()).isPresent();
+    }
+
     /** Returns whether the request should not be repeated after an upstream broke it off. */
     boolean isSuspect() {
         return mSentAfterCrash || mGateway.quarantine().isSuspect(suspects().known());
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -168,11 +168,42 @@
                 .info();
     }
 
-    void refused(Refusal refusal, int sends) {
+    /** Records a decision at an upstream that is silent. */
+    void stalled(StallDecision decision) {
+        String outcome = decision.keptBecause().isEmpty() ? "second-attempt" : "kept";
+        mGateway.metrics().onStall(outcome);
+        mGateway.log()
+                .event("stalled", mRequest.id())
+                .with("upstream", decision.node().entry().id())
+                .with("outcome", outcome)
+                .with("keptBecause", decision.keptBecause().orElse(""))
+                .with("silentMs", decision.silence().toMillis())
+                .with("timeoutMs", decision.timeout().toMillis())
+                .with("begun", decision.begun())
+                .with("attemptsLeft", decision.attemptsLeft())
+                .with("retriesLeft", decision.retriesLeft())
+                .with("otherCallable", decision.callable())
+                .with("remainingMs", decision.remaining().toMillis())
+                .warn();
+    }
+
+    /** Records how a second attempt beside that of a silent upstream ended, or that it goes on. */
+    void standbyEnded(UpstreamNode node, String outcome, Duration remaining) {
+        mGateway.metrics().onStall(outcome);
+        mGateway.log()
+                .event("standby", mRequest.id())
+                .with("upstream", node.entry().id())
+                .with("outcome", outcome)
+                .with("remainingMs", remaining.toMillis())
+                .info();
+    }
+
+    void refused(Refusal refusal, Decider decidedBy, int sends) {
         mGateway.metrics().onRefused(refusal.reason());
         mGateway.log()
                 .event("refused", mRequest.id())
                 .with("reason", refusal.reason().label())
+                .with("decidedBy", decidedBy.label())
                 .with("ran", refusal.ran())
                 .with("detail", refusal.detail())
                 .with("sends", sends)
@@ -204,10 +235,11 @@
                 .warn();
     }
 
-    void aborted(String detail) {
+    void aborted(Decider decidedBy, String detail) {
         mGateway.metrics().onBrokenConnection("stream");
         mGateway.log()
                 .event("broken-off", mRequest.id())
+                .with("decidedBy", decidedBy.label())
                 .with("detail", detail)
                 .with("ageMs", age().toMillis())
                 .warn();
--- a/entry/src/main/java/org/boragethread/entry/gateway/StallWatch.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StallWatch.java
@@ -3,18 +3,25 @@
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 import org.boragethread.core.time.Scheduler;
+import org.boragethread.core.time.TimeSource;
 
 /**
  * Notices that an upstream stays silent during an attempt. Silence after the end of the attempt
- * does not count: the request may wait for its stages then, or for another attempt.
+ * does not count: the request may wait for its stages then, or for another attempt. Neither does
+ * time in which this process ran late, since it could not read then what had arrived.
  */
 final class StallWatch {
 
+    /** Delay of a timer in a process that is not late. */
+    private static final Duration MAX_TIMER_DELAY = Duration.ofMillis(20);
+
     private final Scheduler mScheduler;
+    private final TimeSource mTime;
     private Scheduler.Timer mTimer = () -> {};
 
-    StallWatch(Scheduler scheduler) {
+    StallWatch(Scheduler scheduler, TimeSource time) {
         mScheduler = scheduler;
+        mTime = time;
     }
 
     /**
@@ -25,14 +32,20 @@
      */
     void start(BooleanSupplier isActive, Duration timeout, Runnable onStall) {
         stop();
-        mTimer =
-                mScheduler.schedule(
-                        timeout,
-                        () -> {
-                            if (isActive.getAsBoolean()) {
-                                onStall.run();
-                            }
-                        });
+        long dueAt = mTime.nanoTime() + timeout.toNanos();
+        mTimer = mScheduler.schedule(timeout, () -> onDue(isActive, timeout, dueAt, onStall));
+    }
+
+    private void onDue(BooleanSupplier isActive, Duration timeout, long dueAt, Runnable onStall) {
+        if (!isActive.getAsBoolean()) {
+            return;
+        }
+        Duration late = mTime.since(dueAt);
+        if (late.compareTo(MAX_TIMER_DELAY) > 0) {
+            start(isActive, late.compareTo(timeout) < 0 ? late : timeout, onStall);
+            return;
+        }
+        onStall.run();
     }
 
     void stop() {
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -42,6 +42,7 @@
     private final boolean mStreaming;
     private final AttemptListener mListener;
     private final long mSentAt;
+    private final long mUncachedTokens;
     private double mPrefillMillis;
     private CallControl mControl;
     private int mStatus;
@@ -61,6 +62,7 @@
      * Creates an attempt that has not started.
      *
      * @param suspects what about the request may crash upstreams
+     * @param uncachedTokens prompt tokens that the upstream has to process
      * @param prefillMillis prefill time of the prompt at the upstream
      */
     UpstreamAttempt(
@@ -70,6 +72,7 @@
             boolean streaming,
             AttemptListener listener,
             long sentAt,
+            long uncachedTokens,
             double prefillMillis) {
         mNode = node;
         mCalledEntry = node.entry();
@@ -81,6 +84,7 @@
         mStreaming = streaming;
         mListener = listener;
         mSentAt = sentAt;
+        mUncachedTokens = uncachedTokens;
         mPrefillMillis = prefillMillis;
     }
 
@@ -98,6 +102,11 @@
         return mSentAt;
     }
 
+    /** Returns the number of prompt tokens that the upstream has to process. */
+    long uncachedTokens() {
+        return mUncachedTokens;
+    }
+
     /** Returns whether the attempt has not ended. */
     boolean isActive() {
         return !mEnded;
@@ -186,6 +195,8 @@
         if (success && !mHeaders.contains(PlatformHeaders.SEAL)) {
             cancel();
             mListener.onFailed(mNode, "successful response without a signature header");
+        } else if (success) {
+            mListener.onSuccessHead();
         }
     }
 
--- a/entry/src/test/java/org/boragethread/entry/gateway/StallWatchTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/StallWatchTest.java
@@ -20,7 +20,7 @@
     @BeforeMethod
     public void createWatch() {
         mTime = new ManualTimeSource();
-        mWatch = new StallWatch(mTime);
+        mWatch = new StallWatch(mTime, mTime);
         mActive = true;
         mStalls = 0;
     }
--- a/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
+++ b/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
@@ -34,6 +34,12 @@
 
     /** Starts a gateway and waits until it is ready. */
     static TestGateway start(ProcessHarness harness, String name, String store) throws Exception {
+        return start(harness, name, store, "");
+    }
+
+    /** Starts a gateway with further settings and waits until it is ready. */
+    static TestGateway start(ProcessHarness harness, String name, String store, String more)
+            throws Exception {
         List<Integer> ports = freePorts();
         String settings =
                 """
@@ -49,8 +55,9 @@
                 [bounds]
                 revoke_ms = 3000
                 grace_s = 4
+                %s
                 """
-                        .formatted(name, ports.get(0), ports.get(1), ports.get(2), store);
+                        .formatted(name, ports.get(0), ports.get(1), ports.get(2), store, more);
         Path file = Files.createTempFile(name, ".toml");
         Files.writeString(file, settings);
         JavaProcess process =
