--- a/core/src/test/java/org/boragethread/core/retry/SharedRetryBudgetTest.java
+++ b/core/src/test/java/org/boragethread/core/retry/SharedRetryBudgetTest.java
@@ -31,6 +31,19 @@
         assertTrue(budget.tryAcquire());
     }
 
+    // Guards against a log that names other permits than the budget gives.
+    @Test
+    public void availableRetriesAreThoseThatCanBeTaken() {
+        ManualTimeSource time = new ManualTimeSource();
+        SharedRetryBudget budget = new SharedRetryBudget(time, RATIO, WINDOW, () -> 2);
+        for (int calls = 0; calls < 30; calls++) {
+            budget.recordFirstCall();
+            long available = budget.available();
+            assertEquals(budget.tryAcquire(), available > 0);
+            assertEquals(budget.available(), Math.max(0, available - 1));
+        }
+    }
+
     @DataProvider
     public Object[][] seeds() {
         Object[][] seeds = new Object[20][];
