--- a/standins/src/test/java/org/boragethread/standins/system/SilentUpstreamTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SilentUpstreamTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -32,6 +34,16 @@
 
     private static final String SERVICE = "{\"name\":\"%s\",\"max_conns\":100}";
 
+    private static final String REQUEST =
+            """
+            POST /%s/x HTTP/1.1\r
+            Host: 127.0.0.1\r
+            Authorization: Token key-1\r
+            X-Boragethread-Request-Id: %s\r
+            Content-Length: 0\r
+            \r
+            """;
+
     private static final String HEAD =
             """
             HTTP/1.1 200 OK\r
@@ -97,7 +109,7 @@
             for (Second second : Second.values()) {
                 addGroup(group(second, begun));
             }
-            for (String name : List.of("none", "stop", "won", "broken", "race")) {
+            for (String name : List.of("none", "stop", "won", "broken", "race", "left")) {
                 addGroup(name + "-" + begun);
             }
         }
@@ -299,6 +311,26 @@
         assertWhole(exchange);
     }
 
+    // Guards against an upstream that works on for a caller who has left.
+    @Test(dataProvider = "phases")
+    public void callerThatLeavesEndsBothAttempts(boolean begun) throws Exception {
+        String id = "left-id-" + begun;
+        Call first;
+        Call second;
+        try (Socket caller = new Socket("127.0.0.1", mWithRetries.port())) {
+            String request = REQUEST.formatted("left-" + begun, id);
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            first = awaitCall(id, 0);
+            if (begun) {
+                first.write(HEAD.formatted(id) + FIRST);
+            }
+            second = awaitCall(id, 1);
+        }
+        first.awaitCancelled();
+        second.awaitCancelled();
+        assertEquals(calls(id).size(), 2);
+    }
+
     // Guards against two silent streams that both rely on the last retry of the budget.
     @Test(dataProvider = "phases")
     public void lastRetryIsUsedByOneOfTwoSilentStreams(boolean begun) throws Exception {
