Ask a limited upstream of a stage again whether its limit holds

Upstreams of a stage have a fixed order too: a coordinator with few pieces sent them to the same one, and would not learn that the limit of another one had ended. An upstream that is due to be asked again, and not busy, now comes first.

DirectoryBatchGroupTest fails on the code before (the limited upstream comes second) and passes now, with 52 tests of entry and 29 system tests (GatewayTest, RerunStagesTest, GatewayGroupTest and the architecture tests).

--- a/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
@@ -51,12 +51,17 @@
         }
         List<UpstreamNode> candidates = usable.isEmpty() ? avoided : usable;
         candidates.sort(
-                Comparator.comparingLong((UpstreamNode node) -> busyMillis(node, now))
+                Comparator.comparing((UpstreamNode node) -> !isConfirmationDue(node, now))
+                        .thenComparingLong(node -> busyMillis(node, now))
                         .thenComparingDouble(node -> Math.round(node.slowness()))
                         .thenComparingLong(this::tieBreaker));
         return candidates;
     }
 
+    private boolean isConfirmationDue(UpstreamNode node, long now) {
+        return now >= node.busyUntil() && mGateway.rateLimitShare().isConfirmationDue(node, now);
+    }
+
     private static long busyMillis(UpstreamNode node, long now) {
         return Math.max(0, (node.busyUntil() - now) / 1_000_000);
     }
