Wait for the announcements of runs that began while an entry was down

An entry that had just started trusted announcements of upstreams that had started again with other software meanwhile, or that an older copy of the store had brought back. A stream that its caller took up there, known to other entries or begun since, could go on at another version, unmarked.

Cause: an entry notices a restart by its connections, and has none yet.

An entry takes announcements as settled once it knows those written 2.2 s after its first read. Until then streams that are taken up wait (at most 3 s, then refused as not run), and the origin of a stream is recorded only afterwards, if its upstream announced no other run. What is unknown is still refused at once. The simulation announces the restarted upstream after 0.7 s, as upstreams do; before, it never did.

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
@@ -35,6 +35,8 @@
     private boolean mStoreUnavailable;
     private boolean mStoreRestored;
     private long mGraceEnd;
+    private Optional<Long> mFirstReadAt = Optional.empty();
+    private boolean mSettled;
 
     /** Creates an empty directory. */
     public UpstreamDirectory(TimeSource time) {
@@ -89,6 +91,7 @@
 
     /** Replaces all announcements. */
     public void replaceAll(Collection<UpstreamAnnouncement> entries) {
+        mFirstReadAt = mFirstReadAt.or(() -> Optional.of(mTime.nanoTime()));
         Set<UpstreamId> present = new HashSet<>();
         for (UpstreamAnnouncement entry : entries) {
             present.add(entry.id());
@@ -133,6 +136,16 @@
      */
     public void onUpToDate(long at) {
         mNodes.values().forEach(node -> node.confirmRun(at));
+        mSettled |= mFirstReadAt.filter(first -> at - first >= RENEWAL_GRACE.toNanos()).isPresent();
+    }
+
+    /**
+     * Returns whether all runs are known that began before announcements were read for the first
+     * time. Until then an announcement may be of a run that has ended, for example because the
+     * upstream started again while this process was down.
+     */
+    public boolean isSettled() {
+        return mSettled;
     }
 
     /** Returns the upstreams of a group, including those that are leaving. */
--- a/core/src/test/java/org/boragethread/core/resume/StreamRejoinSimulationTest.java
+++ b/core/src/test/java/org/boragethread/core/resume/StreamRejoinSimulationTest.java
@@ -38,6 +38,9 @@
     private static final int TRIES = 3;
     private static final Duration STEP = Duration.ofMillis(100);
 
+    /** Time in which an upstream that has started again announces it. */
+    private static final Duration ANNOUNCED_AFTER = Duration.ofMillis(700);
+
     private static final Duration BETWEEN_TRIES = Duration.ofMillis(300);
 
     private enum Kill {
@@ -66,6 +69,7 @@
     private final Map<String, String> mRunning = new HashMap<>();
     private SplittableRandom mRandom = new SplittableRandom(0);
     private int mStarts;
+    private Optional<Long> mAnnounceAt = Optional.empty();
 
     /** A simulated entry; a restarted one keeps its address and knows nothing. */
     private final class Entry implements StreamOriginPeers {
@@ -73,6 +77,7 @@
         private final Member mMember;
         private StreamOriginDirectory mOrigins;
         private UpstreamDirectory mUpstreams;
+        private final List<Runnable> mUnsettled = new ArrayList<>();
         private boolean mAlive;
 
         Entry(int number) {
@@ -83,6 +88,7 @@
 
         void start() {
             mAlive = true;
+            mUnsettled.clear();
             mOrigins = new StreamOriginDirectory(mMember.address(), mTime, this, () -> {});
             mUpstreams = new UpstreamDirectory(mTime);
             mUpstreams.replaceAll(mStore.values());
@@ -96,6 +102,25 @@
                     .filter(id -> !mStore.containsKey(id.value()))
                     .forEach(mUpstreams::remove);
             mUpstreams.onUpToDate(mTime.nanoTime());
+            if (mUpstreams.isSettled()) {
+                mUnsettled.forEach(Runnable::run);
+                mUnsettled.clear();
+            }
+        }
+
+        /** Remembers a stream as soon as the announcements can be trusted. */
+        void recordWhenSettled(StreamKey key, UpstreamNode node) {
+            UpstreamAnnouncement called = node.entry();
+            Optional<SoftwareVersion> version = node.softwareVersion();
+            mUnsettled.add(
+                    () -> {
+                        boolean isSame = node.entry().isSameIncarnation(called);
+                        Optional<SoftwareVersion> certain = isSame ? version : Optional.empty();
+                        mOrigins.record(key, new StreamOrigin(ENGINES, certain));
+                    });
+            if (mUpstreams.isSettled()) {
+                readStore();
+            }
         }
 
         void readOlderCopy() {
@@ -221,6 +246,7 @@
         mEntries.clear();
         mStore.clear();
         mRunning.clear();
+        mAnnounceAt = Optional.empty();
         run("old-1", "v1");
         run("old-2", "v1");
         run("new-1", "v2");
@@ -257,6 +283,10 @@
     private void advance(Duration time) {
         for (Duration t = Duration.ZERO; t.compareTo(time) < 0; t = t.plus(STEP)) {
             mTime.advance(STEP);
+            if (mAnnounceAt.filter(at -> mTime.nanoTime() >= at).isPresent()) {
+                mAnnounceAt = Optional.empty();
+                announce("old-1", "v2");
+            }
             alive().forEach(Entry::readStore);
         }
     }
@@ -272,7 +302,7 @@
                             .orElseThrow();
             StreamKey key = StreamKey.of(TEAM, name + i, i);
             StreamKey keyOfAnother = StreamKey.of(TEAM, name + (i + 1) % STREAMS, i);
-            entry.mOrigins.record(key, new StreamOrigin(ENGINES, node.softwareVersion()));
+            entry.recordWhenSettled(key, node);
             begun.add(new Stream(key, keyOfAnother, mRunning.get(node.entry().id().value())));
         }
         return begun;
@@ -335,11 +365,11 @@
             }
             case OTHER_SOFTWARE_ANNOUNCED -> run("old-1", "v2");
             case OTHER_SOFTWARE_WITH_AN_OLDER_COPY_OF_THE_STORE -> {
-                mRunning.put("old-1", "v2");
+                runUnannounced();
                 alive().forEach(Entry::readOlderCopy);
             }
             case OTHER_SOFTWARE_NOT_ANNOUNCED -> {
-                mRunning.put("old-1", "v2");
+                runUnannounced();
                 // Entries that had connections have seen them end and be refused.
                 alive().forEach(
                                 entry ->
@@ -353,6 +383,11 @@
         alive().forEach(Entry::readStore);
     }
 
+    private void runUnannounced() {
+        mRunning.put("old-1", "v2");
+        mAnnounceAt = Optional.of(mTime.nanoTime() + ANNOUNCED_AFTER.toNanos());
+    }
+
     /** Returns whether the stream went on. */
     private boolean takeUp(Stream stream, Outcomes outcomes) {
         List<Entry> alive = alive();
@@ -367,6 +402,9 @@
             outcomes.mUnknown++;
             return false;
         }
+        while (!entry.mUpstreams.isSettled()) {
+            advance(STEP);
+        }
         List<UpstreamNode> candidates =
                 entry.mUpstreams.of(ENGINES).stream()
                         .filter(node -> node.softwareVersion().equals(version))
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
@@ -181,6 +181,18 @@
         assertFalse(node.softwareVersion().isPresent());
     }
 
+    // Guards against an announcement of a run that ended while this process was down.
+    @Test
+    public void announcementsAreSettledOnceRunsBeforeTheFirstReadAreAnnounced() {
+        long readAt = mTime.nanoTime();
+        mDirectory.replaceAll(List.of(UpstreamEntries.of("a", "engines", "north")));
+        mDirectory.onUpToDate(readAt);
+        mDirectory.onUpToDate(readAt + Duration.ofMillis(2100).toNanos());
+        assertFalse(mDirectory.isSettled());
+        mDirectory.onUpToDate(readAt + UpstreamDirectory.RENEWAL_GRACE.toNanos());
+        assertTrue(mDirectory.isSettled());
+    }
+
     private boolean isLeaving(String id) {
         return mDirectory.find(new UpstreamId(id)).orElseThrow().isLeaving();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -349,7 +349,7 @@
         mStages.release();
         if (!mStream.isStarted()) {
             boolean resumable = mAdmitted.route().resumable() && mAttempt.isEventStream();
-            Runnable onBegin = () -> mContinuation.onBegin(mAttempt.softwareVersion());
+            Runnable onBegin = () -> mContinuation.onBegin(mAttempt::softwareVersion);
             mStream.start(status, mAttempt.forwardedHeaders(), resumable, onBegin);
         } else if (!mAttempt.isEventStream()) {
             abortResponse("upstream %s resumed without events".formatted(node.entry().id()));
--- a/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
@@ -4,8 +4,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.boragethread.core.resume.StreamKey;
 import org.boragethread.core.resume.StreamOrigin;
+import org.boragethread.core.resume.StreamOriginDirectory;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.upstream.GroupId;
@@ -18,6 +21,9 @@
  */
 final class StreamContinuation {
 
+    /** Longest wait for announcements; if the store can be read, they are known earlier. */
+    private static final Duration MAX_WAIT = Duration.ofSeconds(3);
+
     private final Gateway mGateway;
     private final CallerRequest mRequest;
     private final RequestTrace mTrace;
@@ -70,7 +76,25 @@
             onOrigin(Optional.empty(), onReady, end);
             return;
         }
-        mGateway.streamOrigins().find(mKey.get(), origin -> onOrigin(origin, onReady, end));
+        find(mKey.get(), mGateway.time().nanoTime() + MAX_WAIT.toNanos(), onReady, end);
+    }
+
+    /** Asks again until a stream is recorded that began here before announcements were certain. */
+    private void find(StreamKey key, long endNanos, Runnable onReady, RequestEnd end) {
+        StreamOriginDirectory origins = mGateway.streamOrigins();
+        origins.find(
+                key,
+                origin -> {
+                    boolean inTime = mGateway.time().nanoTime() < endNanos;
+                    if (origin.isPresent() || !origins.isPending(key) || !inTime || mStopped) {
+                        onOrigin(origin, onReady, end);
+                        return;
+                    }
+                    mGateway.scheduler()
+                            .schedule(
+                                    UpstreamSearch.INTERVAL,
+                                    () -> find(key, endNanos, onReady, end));
+                });
     }
 
     private static Optional<StreamKey> key(
@@ -91,9 +115,39 @@
             end.fail(RefusalReason.STREAM_VERSION_UNKNOWN, detail, RetryDelays.SHORT);
             return;
         }
+        whenSettled(settled -> onSettled(settled, onReady, end));
+    }
+
+    private void onSettled(boolean settled, Runnable onReady, RequestEnd end) {
+        if (mStopped) {
+            return;
+        }
+        if (!settled) {
+            String detail = "the software versions of the upstreams are not certain yet";
+            end.fail(RefusalReason.STREAM_VERSION_UNKNOWN, detail, RetryDelays.SHORT);
+            return;
+        }
         onReady.run();
     }
 
+    /**
+     * Waits until the announcements can be trusted after the start of this process.
+     *
+     * @param callback is told whether they can
+     */
+    private void whenSettled(Consumer<Boolean> callback) {
+        whenSettled(mGateway.time().nanoTime() + MAX_WAIT.toNanos(), callback);
+    }
+
+    private void whenSettled(long end, Consumer<Boolean> callback) {
+        boolean settled = mGateway.directory().isSettled();
+        if (settled || mGateway.time().nanoTime() >= end) {
+            callback.accept(settled);
+            return;
+        }
+        mGateway.scheduler().schedule(UpstreamSearch.INTERVAL, () -> whenSettled(end, callback));
+    }
+
     /**
      * Ends the request and returns true if it continues a stream and no upstream of the group runs
      * the version that began it.
@@ -145,12 +199,14 @@
     /**
      * Called before the first event of the response is forwarded.
      *
-     * @param version version of the software that wrote it; empty if it is not certain
+     * @param version returns the version of the software that wrote it, as known when it is called;
+     *     empty if it is not certain
      */
-    void onBegin(Optional<SoftwareVersion> version) {
+    void onBegin(Supplier<Optional<SoftwareVersion>> version) {
         mBegun = true;
-        mVersion = version;
-        record(version);
+        mVersion = version.get();
+        mKey.ifPresent(mGateway.streamOrigins()::addPending);
+        whenSettled(settled -> record(settled ? version.get() : Optional.empty()));
         // A caller that goes on naming the stream that it gave up has events of this one.
         mReplaced.ifPresent(key -> record(key, Optional.empty()));
     }
@@ -165,7 +221,7 @@
             mVersion = Optional.empty();
         }
         if (mBegun) {
-            record(version);
+            whenSettled(settled -> record(settled ? version : Optional.empty()));
         }
     }
 
--- a/standins/src/test/java/org/boragethread/standins/system/StreamRejoinTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/StreamRejoinTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.boragethread.standins.harness.ProcessHarness;
 import org.boragethread.standins.store.StoreStandIn;
 import org.boragethread.standins.system.StreamCaller.Received;
@@ -181,6 +182,38 @@
         assertEquals(mixed, 0, "of " + begunAtNew + " streams begun at the restarted upstream");
     }
 
+    // Guards against a later attempt that an entry which has just started sends to an unannounced
+    // run.
+    @Test
+    public void streamTakenUpWhileAnUpstreamRestartsWithTheEntryIsNotMixed() throws Exception {
+        mEngines.start("old-1", "v1").start("old-2", "v1");
+        startGateways(List.of("first", "second"));
+        mCaller.request(mGateways.get("first"), "/once/whole", "before");
+        String preferred = mEngines.lastEngine();
+        Received begun = mCaller.request(mGateways.get("second"), "/once/every-2", "id-1");
+        mCaller.takeUp(mGateways.get("second"), "/once/every-2", "id-2", "id-1", begun);
+        mGateways.get("first").process().kill();
+        mEngines.crash(preferred);
+        mEngines.runAgain(preferred, "v2");
+        startGateways(List.of("first"));
+        TestGateway gateway = mGateways.get("first");
+        CompletableFuture<Received> later =
+                CompletableFuture.supplyAsync(() -> takeUp(gateway, begun));
+        gateway.awaitLogLine("\"event\":\"taken-up\"");
+        mEngines.announce(preferred, "v2");
+        Received received = later.get();
+        assertEquals(received.versions(), Set.of("v1"), received.body());
+        assertTrue(received.complete(), received.body());
+    }
+
+    private Received takeUp(TestGateway gateway, Received begun) {
+        try {
+            return mCaller.takeUp(gateway, "/once/whole", "id-3", "id-1", begun);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @DataProvider
     public Object[][] requestsBegunAnew() {
         return new Object[][] {{List.of()}, {List.of("Last-Event-Id", "")}};
--- a/standins/src/test/java/org/boragethread/standins/system/VersionedEngines.java
+++ b/standins/src/test/java/org/boragethread/standins/system/VersionedEngines.java
@@ -58,7 +58,8 @@
         mEngines.put(id, new ScriptedUpstream(port, request -> respond(id, request)));
     }
 
-    private synchronized void announce(String id, String version) {
+    /** Announces an engine with a version. */
+    synchronized void announce(String id, String version) {
         String announcement = mEngines.get(id).announcement(GROUP, version);
         mStore.put(StoreStandIn.UPSTREAM_TOPIC, id, announcement);
     }
