Tell callers of unknown streams to begin anew

Owners are asked by every entry, so callers that tried the same at another one, as the remedy said, wasted their tries. 84 tests of core and 2 of entry that concern refusals and streams pass.

--- a/model/src/main/java/org/boragethread/model/outcome/RefusalReason.java
+++ b/model/src/main/java/org/boragethread/model/outcome/RefusalReason.java
@@ -71,8 +71,8 @@
     /** The caller continues a stream of which no software version is known. */
     STREAM_VERSION_UNKNOWN(
             503,
-            "retry at another entry, naming the attempt that received the first event, or begin the"
-                    + " stream again without a last event"),
+            "begin the stream again without a last event, unless the request named another attempt"
+                    + " than the one that received the first event, or its content has changed"),
     /** The caller continues a stream, and no upstream runs the software version that began it. */
     STREAM_VERSION_UNAVAILABLE(503, "begin the stream again without a last event"),
     /** A stage that the request depends on failed. */
