--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -335,7 +335,7 @@
         mStages.release();
         if (!mStream.isStarted()) {
             boolean resumable = mAdmitted.route().resumable() && mAttempt.isEventStream();
-            Runnable onBegin = () -> mContinuation.onBegin(mAttempt.softwareVersion());
+            Runnable onBegin = () -> mContinuation.onBegin(mAttempt::softwareVersion);
             mStream.start(status, mAttempt.forwardedHeaders(), resumable, onBegin);
         } else if (!mAttempt.isEventStream()) {
             abortResponse(
