Clear the reports of CallbackGuardTest before each test

Two of its three tests failed in a run of all of core (1,117 tests): TestNG runs all tests on one instance, so reports of earlier tests were counted. What each test demands is unchanged.

--- a/core/src/test/java/org/boragethread/core/callback/CallbackGuardTest.java
+++ b/core/src/test/java/org/boragethread/core/callback/CallbackGuardTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests {@link CallbackGuard}. */
@@ -14,6 +15,11 @@
     private final CallbackGuard mGuard =
             new CallbackGuard(cause -> mReports.add("process: " + cause.getMessage()));
 
+    @BeforeMethod
+    public void clearReports() {
+        mReports.clear();
+    }
+
     private void report(Throwable cause) {
         mReports.add("request: " + cause.getMessage());
     }
