End a request at once when a callback that acts for it throws

An exception in a timer task or in a listener of an attempt was logged by netty, without the request's id, and the request waited for its deadline, or for ever if its deadline timer had been cancelled already. An exception in a task that repeats ended the repetition. At a stop, pending calls were failed by the event loop's own shutdown, during which no connection can be opened and no timer fires.

A request is now the owner of what it starts: timers of the gateway's scheduler and calls of its pool run in the CallbackGuard for it. If one throws, the request ends with 502 and "ran": unknown, never 'not run', or its connection is closed if the response has started. A line "callback-failed" has the request's id and the stack, and the counter boragethread_gateway_callback_failures_total counts it by owner. Exceptions in the handler of a caller's connection close it, are counted and logged too. Tasks that repeat go on, and one connection that fails at a stop does not keep the others from their responses. Before the event loop of a gateway ends, its pool is closed and all pending calls have had their failures.

--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptCounts.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptCounts.java
@@ -38,14 +38,15 @@
     }
 
     /**
-     * Returns the refusal of the request, which says 'not run' only if that is certain.
+     * Returns the refusal of the request, which says 'not run' only if that is certain. After an
+     * internal error, the counts may be wrong.
      *
      * @param retryAfter delay before a retry, given to the caller if the request did not run
      */
     Refusal refusal(RefusalReason reason, String detail, Duration retryAfter) {
         boolean isPending = mSends > mRejections + mExecutions;
         boolean isLate = reason == RefusalReason.DEADLINE_EXCEEDED;
-        if (mExecutions > 0 || isPending) {
+        if (mExecutions > 0 || isPending || reason == RefusalReason.INTERNAL) {
             RefusalReason unknown = isLate ? reason : RefusalReason.UPSTREAM_FAILED;
             return Refusal.unknown(unknown, detail);
         }
--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
@@ -29,6 +29,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -136,7 +137,7 @@
     /** Ends the active request, or the one that is being received, because the process exits. */
     void onShutdown() {
         if (mActiveRequest != null) {
-            mActiveRequest.onShutdown();
+            mActiveRequest.abandon(RefusalReason.NOT_READY, "the process is stopping");
         } else if (isBusy() && !mClosing) {
             reject(RefusalReason.NOT_READY, "the process is stopping");
         }
@@ -258,8 +259,24 @@
         mReceivedBytes = 0;
         mPartialHead = Optional.empty();
         mActiveId = id;
-        mActiveRequest = new ForwardedRequest(mGateway, request, this);
-        mActiveRequest.start();
+        ForwardedRequest forwarded = new ForwardedRequest(mGateway, request, this);
+        mActiveRequest = forwarded;
+        mGateway.guard().run(cause -> onCallbackFailed(forwarded, id, cause), forwarded::start);
+    }
+
+    /** Ends a request of which a callback threw, unless it has had its end. */
+    private void onCallbackFailed(ForwardedRequest failed, String id, Throwable cause) {
+        try {
+            mGateway.metrics().onCallbackFailed("request");
+            mGateway.log().event("callback-failed", id).with("owner", "request").warn(cause);
+            if (mActiveRequest == failed) {
+                failed.abandon(RefusalReason.INTERNAL, "a callback of this entry failed");
+            }
+        } finally {
+            if (mActiveRequest == failed) {
+                abort();
+            }
+        }
     }
 
     @Override
@@ -278,10 +295,21 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        // The connection failed; channelInactive follows and cancels the active request.
+        closeAfter(cause);
+    }
+
+    /**
+     * Closes the connection because it failed, or a callback for it threw. The active request is
+     * cancelled then.
+     */
+    void closeAfter(Throwable cause) {
+        mChannel.close();
         mTrace.failed(cause, activeRequestId().orElse(""), isBusy());
         mEndCause = "connection failed";
-        mChannel.close();
+        if (!(cause instanceof IOException)) {
+            mGateway.metrics().onCallbackFailed("caller-connection");
+            mGateway.log().event("callback-failed").with("owner", "caller-connection").warn(cause);
+        }
     }
 
     @Override
@@ -386,7 +414,8 @@
         }
         // Scheduled as a separate task, so that immediate responses do not cause recursion.
         if (!mQueuedMessages.isEmpty()) {
-            mChannel.eventLoop().execute(this::readQueued);
+            mChannel.eventLoop()
+                    .execute(() -> mGateway.guard().run(this::closeAfter, this::readQueued));
         }
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerServer.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerServer.java
@@ -12,9 +12,11 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.boragethread.model.routing.CallerBounds;
 import org.boragethread.model.routing.RoutingConfig;
@@ -69,11 +71,7 @@
     /** Closes connections that exceeded the idle, header or body timeout. */
     void closeTimedOut() {
         long now = mGateway.time().nanoTime();
-        List<CallerConnection> idle =
-                connections().stream()
-                        .filter(connection -> connection.closeIfTimedOut(now))
-                        .toList();
-        logClosed("idle", idle);
+        logClosed("idle", forEach(connection -> connection.closeIfTimedOut(now)));
     }
 
     /** Logs connections without a request, with some of their callers' addresses. */
@@ -102,21 +100,37 @@
     /** Closes the connections that have been idle for a time. */
     void closeIdle(Duration minIdle) {
         long now = mGateway.time().nanoTime();
-        List<CallerConnection> idle =
-                connections().stream()
-                        .filter(connection -> connection.closeIfIdle(now, minIdle))
-                        .toList();
-        logClosed("stop", idle);
+        logClosed("stop", forEach(connection -> connection.closeIfIdle(now, minIdle)));
     }
 
     /** Responds to all requests that are still active, because the process exits. */
     void endActiveRequests() {
-        connections().forEach(CallerConnection::onShutdown);
+        forEach(
+                connection -> {
+                    connection.onShutdown();
+                    return true;
+                });
     }
 
-    /** Returns the connections, also for tasks that close some of them. */
-    private List<CallerConnection> connections() {
-        return List.copyOf(mConnections);
+    /**
+     * Performs an action for each connection, also if it closes some of them; one whose action
+     * throws is closed.
+     *
+     * @return the connections for which the action returned true
+     */
+    private List<CallerConnection> forEach(Predicate<CallerConnection> action) {
+        List<CallerConnection> matching = new ArrayList<>();
+        for (CallerConnection connection : List.copyOf(mConnections)) {
+            mGateway.guard()
+                    .run(
+                            connection::closeAfter,
+                            () -> {
+                                if (action.test(connection)) {
+                                    matching.add(connection);
+                                }
+                            });
+        }
+        return matching;
     }
 
     /** Returns the identifiers of the active requests. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -389,10 +389,10 @@
         }
     }
 
-    /** Ends the request because the process exits. A response that has started is cut off. */
-    void onShutdown() {
+    /** Ends the request on behalf of this process. A response that has started is cut off. */
+    void abandon(RefusalReason reason, String detail) {
         if (!mEnded) {
-            fail(RefusalReason.NOT_READY, "the process is stopping");
+            fail(reason, detail);
         }
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
+import org.boragethread.core.callback.CallbackGuard;
 import org.boragethread.core.follow.FreshnessLease;
 import org.boragethread.core.follow.TopicRelay;
 import org.boragethread.core.member.PartitionLease;
@@ -41,6 +42,7 @@
 
     private final GatewaySettings mSettings;
     private final TimeSource mTime;
+    private final CallbackGuard mGuard = new CallbackGuard(this::onCallbackFailed);
     private final Scheduler mScheduler;
     private final HttpConnectionPool mConnections;
     private final UpstreamSignals mUpstreamSignals;
@@ -72,10 +74,10 @@
     Gateway(GatewaySettings settings, TimeSource time, EventLoop loop, GatewayMetrics metrics) {
         mSettings = settings;
         mTime = time;
-        mScheduler = new EventLoopScheduler(loop);
-        mConnections = new HttpConnectionPool(loop, time);
         mLog = new EventLog(LogManager.getLogger(Gateway.class), time);
         mMetrics = metrics;
+        mScheduler = new EventLoopScheduler(loop, mGuard);
+        mConnections = new HttpConnectionPool(loop, time, mGuard);
         mDirectory = new UpstreamDirectory(time);
         mSharedLimits =
                 new PartitionLease(
@@ -138,6 +140,16 @@
         return mTime;
     }
 
+    /** Returns what runs callbacks, so that one that throws ends what it acts for. */
+    CallbackGuard guard() {
+        return mGuard;
+    }
+
+    private void onCallbackFailed(Throwable cause) {
+        mMetrics.onCallbackFailed("process");
+        mLog.event("callback-failed").with("owner", "process").warn(cause);
+    }
+
     Scheduler scheduler() {
         return mScheduler;
     }
@@ -293,12 +305,13 @@
                 && mLease.isHeld();
     }
 
-    /** Schedules tasks on the event loop. */
-    private record EventLoopScheduler(EventLoop loop) implements Scheduler {
+    /** Schedules tasks on the event loop, for the owner of the callback that schedules them. */
+    private record EventLoopScheduler(EventLoop loop, CallbackGuard guard) implements Scheduler {
 
         @Override
         public Timer schedule(Duration delay, Runnable task) {
-            Future<?> future = loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+            Future<?> future =
+                    loop.schedule(guard.bind(task), delay.toNanos(), TimeUnit.NANOSECONDS);
             return () -> future.cancel(false);
         }
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -52,6 +52,11 @@
         increment("boragethread.gateway.broken", "reason", reason);
     }
 
+    /** Counts callbacks that threw, by what they acted for. */
+    void onCallbackFailed(String owner) {
+        increment("boragethread.gateway.callback.failures", "owner", owner);
+    }
+
     void onStoreRestored() {
         increment("boragethread.gateway.store.eras", "change", "restored");
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -75,7 +75,7 @@
     private static final Duration MEMBER_TTL = Duration.ofMillis(2500);
 
     private static final Duration JOIN_INTERVAL = Duration.ofMillis(900);
-    private static final long TIMEOUT_CHECK_MILLIS = 250;
+    private static final Duration TIMEOUT_CHECK_INTERVAL = Duration.ofMillis(250);
 
     /** Fraction of the grace period after which no new requests are accepted. */
     private static final double ACCEPT_FRACTION = 0.34;
@@ -159,11 +159,7 @@
             bindStatusServer(mSettings.metricsListen().get(), endpoint);
         }
         mLoop.execute(this::startFollowers);
-        mLoop.scheduleWithFixedDelay(
-                mCallerServer::closeTimedOut,
-                TIMEOUT_CHECK_MILLIS,
-                TIMEOUT_CHECK_MILLIS,
-                TimeUnit.MILLISECONDS);
+        repeat(TIMEOUT_CHECK_INTERVAL, mCallerServer::closeTimedOut);
         registerGauges();
         mGateway.log()
                 .event("start")
@@ -224,9 +220,15 @@
                         new TopicListeners(List.of(rateLimits, quarantine)),
                         (key, previous, value) -> Arrays.equals(previous, value))
                 .start();
-        long interval = REPORT_EXPIRY_INTERVAL.toMillis();
-        mLoop.scheduleWithFixedDelay(quarantine::expire, interval, interval, TimeUnit.MILLISECONDS);
-        mLoop.scheduleWithFixedDelay(rateLimits::expire, interval, interval, TimeUnit.MILLISECONDS);
+        repeat(REPORT_EXPIRY_INTERVAL, quarantine::expire);
+        repeat(REPORT_EXPIRY_INTERVAL, rateLimits::expire);
+    }
+
+    /** Repeats a task on the event loop, also after it threw. */
+    private void repeat(Duration interval, Runnable task) {
+        long millis = interval.toMillis();
+        mLoop.scheduleWithFixedDelay(
+                () -> mGateway.guard().bind(task).run(), millis, millis, TimeUnit.MILLISECONDS);
     }
 
     private TopicFollower follower(
@@ -318,8 +320,11 @@
         callOnLoop(
                 () -> {
                     endRequests(busy, startNanos);
+                    mGateway.connections().close();
                     return true;
                 });
+        // The calls that were closed get their ends before this task runs.
+        callOnLoop(() -> true);
         mLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -226,7 +226,7 @@
         mGateway.log()
                 .event("peer-connection")
                 .with("outcome", "closed")
-                .with("detail", cause.getMessage())
+                .with("detail", cause)
                 .warn();
         context.close();
     }
--- a/process/src/main/java/org/boragethread/process/log/EventLog.java
+++ b/process/src/main/java/org/boragethread/process/log/EventLog.java
@@ -1,5 +1,6 @@
 package org.boragethread.process.log;
 
+import java.util.Optional;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -48,7 +49,7 @@
         return mTotalDropped;
     }
 
-    private void write(Level level, LogRateLimiter limiter, Line line) {
+    private void write(Level level, LogRateLimiter limiter, Line line, Optional<Throwable> cause) {
         if (!limiter.tryAcquire(mTime.nanoTime())) {
             mDroppedSinceLastLine++;
             mTotalDropped++;
@@ -58,7 +59,7 @@
             line.with("linesDropped", mDroppedSinceLastLine);
             mDroppedSinceLastLine = 0;
         }
-        mLogger.log(level, line.mMessage);
+        mLogger.log(level, line.mMessage, cause.orElse(null));
     }
 
     /** Builder for one line. */
@@ -74,12 +75,17 @@
 
         /** Writes a routine line. */
         public void info() {
-            write(Level.INFO, mRoutineLimiter, this);
+            write(Level.INFO, mRoutineLimiter, this, Optional.empty());
         }
 
         /** Writes a line about a refusal, a failure or an unavailable dependency. */
         public void warn() {
-            write(Level.WARN, mWarningLimiter, this);
+            write(Level.WARN, mWarningLimiter, this, Optional.empty());
+        }
+
+        /** Writes a line about an exception that was not expected, with its stack. */
+        public void warn(Throwable cause) {
+            write(Level.WARN, mWarningLimiter, this, Optional.of(cause));
         }
     }
 }
--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
@@ -232,14 +232,26 @@
             close();
             return;
         }
-        if (mKeepAlive && mChannel.isActive() && !mDecoder.hasUndecodedBytes()) {
-            mChannel.config().setAutoRead(true);
-            mIdleSinceNanos = mPool.time().nanoTime();
-            mPool.release(this);
-        } else {
-            close();
+        boolean released = false;
+        try {
+            released = tryRelease();
+        } finally {
+            if (!released) {
+                close();
+            }
+            call.complete();
         }
-        call.complete();
+    }
+
+    /** Returns the connection to the pool if it can be used again; returns whether it did. */
+    private boolean tryRelease() {
+        if (!mKeepAlive || !mChannel.isActive() || mDecoder.hasUndecodedBytes()) {
+            return false;
+        }
+        mChannel.config().setAutoRead(true);
+        mIdleSinceNanos = mPool.time().nanoTime();
+        mPool.release(this);
+        return true;
     }
 
     private void fail(CallFailure.Kind kind, String detail) {
