Read what a process prints after the harness has signalled it

Callers saw: nothing; tests were blind. Process.destroy closes the output of a process in its parent, so the harness lost every line from SIGTERM on: the lines of the stop itself, and exceptions that listeners throw while a process ends. Change: SIGTERM and SIGKILL are sent through the process's handle, which leaves the output open. Result: ProcessHarnessTest#outputAfterTheStopSignalIsRead fails on the code before (1 of 4 tests, the line is not read within 10 s) and passes with the change (4 of 4).

--- a/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
+++ b/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
@@ -77,14 +77,15 @@
         }
     }
 
-    /** Asks the process to stop (SIGTERM). */
+    /** Asks the process to stop (SIGTERM); what it prints until its end is still read. */
     public void terminate() {
-        mProcess.destroy();
+        // Process.destroy would close the output.
+        mProcess.toHandle().destroy();
     }
 
     /** Kills the process (SIGKILL). */
     public void kill() {
-        mProcess.destroyForcibly();
+        mProcess.toHandle().destroyForcibly();
     }
 
     /** Pauses the process (SIGSTOP). */
--- a/standins/src/test/java/org/boragethread/standins/harness/ProcessHarnessTest.java
+++ b/standins/src/test/java/org/boragethread/standins/harness/ProcessHarnessTest.java
@@ -7,6 +7,7 @@
 
 import java.net.http.HttpTimeoutException;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import java.util.regex.Pattern;
 import org.boragethread.standins.HttpCalls;
 import org.boragethread.standins.platform.PlatformMain;
@@ -57,6 +58,36 @@
         }
     }
 
+    // Guards against a harness that does not see what a process prints while it stops.
+    @Test
+    public void outputAfterTheStopSignalIsRead() {
+        try (ProcessHarness harness = new ProcessHarness()) {
+            JavaProcess process =
+                    harness.start(Launch.of("last-words", LastWords.class.getName()).build());
+            process.awaitLine(Pattern.compile(LastWords.STARTED), TIMEOUT);
+            process.terminate();
+            Await.until(
+                    "the last line is read",
+                    Duration.ofSeconds(10),
+                    () -> process.lines().contains(LastWords.STOPPED));
+        }
+    }
+
+    /** A process that prints a line when it is asked to stop. */
+    static final class LastWords {
+
+        static final String STARTED = "started";
+        static final String STOPPED = "stopped";
+
+        /** Runs until a signal. */
+        public static void main(String[] args) throws InterruptedException {
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(() -> System.out.println(STOPPED), "last-words"));
+            System.out.println(STARTED);
+            new CountDownLatch(1).await();
+        }
+    }
+
     private static Launch launch(String... args) {
         return Launch.of("platform", PlatformMain.class.getName())
                 .jvm("-Xmx64m")
