Test requests through stops, kills and pauses while engines fall silent

Callers saw streams cut, and requests answered 502, though their engine was at work; and gateways logged exceptions of listeners. Cause: onStall cancels the attempt at a silent engine before a permit of the retry budget is there; a listener of HttpConnectionPool finds a timer that is not set yet (mTimer is null; PeerClient or BufferedResponse, not traced). No run put both beside stops, kills, pauses, restarts, configurations and a store that is away or back from an older copy. Change: PlannedStopSoakTest runs 3 gateway processes, 4 engines of two versions and 40 callers, by seed. SoakVerdict compares what each caller received with what the engines did and names who ended every response; faults are those that neither an engine, a time limit, the grace period, a kill nor a pause explain. Logs and findings of a failing seed are in target/soak/SEED. By hand: -Dsoak.first, -Dsoak.seeds, -Dsoak.gateways, -Dsoak.callers.

--- a/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
+++ b/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
@@ -88,6 +88,11 @@
         mProcess.toHandle().destroyForcibly();
     }
 
+    /** Asks the process to load its settings again (SIGHUP). */
+    public void hangUp() {
+        signal("-HUP");
+    }
+
     /** Pauses the process (SIGSTOP). */
     public void pause() {
         signal("-STOP");
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/PlannedStopSoakTest.java
@@ -0,0 +1,42 @@
+package org.boragethread.standins.system;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.testng.Reporter;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Runs gateway processes that are stopped, killed, paused and configured while their engines fall
+ * silent. The properties {@code soak.first} and {@code soak.seeds} select the seeds, {@code
+ * soak.gateways} and {@code soak.callers} the size.
+ */
+public class PlannedStopSoakTest {
+
+    private static final Path LOGS = Path.of("target", "soak");
+
+    @DataProvider
+    public Object[] seeds() {
+        long first = Long.getLong("soak.first", 1);
+        return LongStream.range(first, first + Long.getLong("soak.seeds", 2)).boxed().toArray();
+    }
+
+    // Guards against requests that are cut off, mixed, lost or run twice around a planned stop.
+    @Test(dataProvider = "seeds")
+    public void everyRequestEndsWholeOrWithAReason(long seed) throws Exception {
+        int gateways = Integer.getInteger("soak.gateways", 3);
+        int callers = Integer.getInteger("soak.callers", 40);
+        try (SoakRun run = new SoakRun(seed, gateways, callers)) {
+            run.run();
+            SoakVerdict verdict = new SoakVerdict(run);
+            Reporter.log("seed %d: %s".formatted(seed, verdict.summary()), true);
+            if (!verdict.findings().isEmpty()) {
+                verdict.write(LOGS.resolve(Long.toString(seed)));
+            }
+            assertEquals(verdict.findings(), List.of(), "seed " + seed);
+        }
+    }
+}
--- a/standins/src/test/java/org/boragethread/standins/system/ScriptedUpstream.java
+++ b/standins/src/test/java/org/boragethread/standins/system/ScriptedUpstream.java
@@ -18,13 +18,14 @@
 import java.util.concurrent.Executors;
 import java.util.function.Function;
 
-/** An upstream that answers each request with the bytes of a script. */
+/** An upstream that answers each request with the bytes of a script, or as a handler does. */
 final class ScriptedUpstream implements AutoCloseable {
 
     private static final int BACKLOG = 50;
 
-    private final Function<Request, ResponseScript> mScripts;
-    private final ServerSocket mServer;
+    private final Handler mHandler;
+    private final int mPort;
+    private volatile ServerSocket mServer;
     private final List<Socket> mConnections = new CopyOnWriteArrayList<>();
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
 
@@ -40,19 +41,50 @@
         }
     }
 
+    /** Responds to requests. */
+    interface Handler {
+        /**
+         * Writes a response to a connection, and closes it if no further request may follow.
+         *
+         * @throws IOException if the gateway has closed the connection
+         */
+        void respond(Request request, Socket connection) throws IOException, InterruptedException;
+    }
+
     ScriptedUpstream(Function<Request, ResponseScript> scripts) throws IOException {
         this(0, scripts);
     }
 
     /** Starts an upstream at a port; 0 for any. */
     ScriptedUpstream(int port, Function<Request, ResponseScript> scripts) throws IOException {
-        mScripts = scripts;
-        mServer = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
-        mThreads.execute(this::accept);
+        this(port, (request, connection) -> send(scripts.apply(request), connection));
+    }
+
+    /** Starts an upstream at a port; 0 for any. */
+    ScriptedUpstream(int port, Handler handler) throws IOException {
+        mHandler = handler;
+        mServer = listen(port);
+        mPort = mServer.getLocalPort();
+    }
+
+    private ServerSocket listen(int port) throws IOException {
+        ServerSocket server = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
+        mThreads.execute(() -> accept(server));
+        return server;
+    }
+
+    /** Refuses new connections; open ones stay. */
+    void refuseConnections() throws IOException {
+        mServer.close();
+    }
+
+    /** Accepts connections again after {@link #refuseConnections}. */
+    void acceptConnections() throws IOException {
+        mServer = listen(mPort);
     }
 
     int port() {
-        return mServer.getLocalPort();
+        return mPort;
     }
 
     String announcement(String group) {
@@ -63,17 +95,17 @@
         return """
         {"service":"%s","address":"127.0.0.1:%d","zone":"north","state":"ready",
          "version":"%s","cold_left_ms":0,"seq":1}"""
-                .formatted(group, mServer.getLocalPort(), softwareVersion);
+                .formatted(group, mPort, softwareVersion);
     }
 
-    private void accept() {
-        while (!mServer.isClosed()) {
+    private void accept(ServerSocket server) {
+        while (!server.isClosed()) {
             try {
-                Socket connection = mServer.accept();
+                Socket connection = server.accept();
                 mConnections.add(connection);
                 mThreads.execute(() -> serve(connection));
             } catch (IOException e) {
-                if (!mServer.isClosed()) {
+                if (!server.isClosed()) {
                     throw new IllegalStateException(e);
                 }
             }
@@ -87,7 +119,7 @@
                             new InputStreamReader(
                                     connection.getInputStream(), StandardCharsets.US_ASCII));
             while (!connection.isClosed()) {
-                send(mScripts.apply(read(reader)), connection);
+                mHandler.respond(read(reader), connection);
             }
         } catch (IOException e) {
             // The gateway has closed the connection; the test checks what its caller saw.
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakEngine.java
@@ -0,0 +1,122 @@
+package org.boragethread.standins.system;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.Objects;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.boragethread.standins.system.SoakResponse.Behaviour;
+
+/**
+ * An engine that falls silent for a while, rejects requests or breaks responses off, by seed. It
+ * records each request and notices at once when the gateway closes the connection.
+ */
+final class SoakEngine implements AutoCloseable {
+
+    static final int EVENTS = 8;
+
+    private static final int REJECTED_SHARE = 6;
+    private static final int BROKEN_SHARE = 9;
+    private static final int SILENT_SHARE = 30;
+    private static final int MIN_SILENCE_MILLIS = 300;
+    private static final int MAX_SILENCE_MILLIS = 3000;
+
+    private final String mId;
+    private final String mVersion;
+    private final long mSeed;
+    private final Queue<Run> mRuns = new ConcurrentLinkedQueue<>();
+    private final ScriptedUpstream mServer;
+
+    /** How the work on a request ended. */
+    enum End {
+        AT_WORK,
+        WHOLE,
+        REJECTED,
+        BROKEN_OFF,
+        /** The gateway closed the connection. */
+        CANCELLED
+    }
+
+    /** One request as the engine saw it. */
+    static final class Run {
+        final String mRequestId;
+        final String mEngine;
+        volatile End mEnd = End.AT_WORK;
+        volatile long mEndNanos;
+
+        Run(String requestId, String engine) {
+            mRequestId = requestId;
+            mEngine = engine;
+        }
+
+        private void end(End end) {
+            mEndNanos = System.nanoTime();
+            mEnd = end;
+        }
+
+        /** Returns whether the engine worked until the gateway left it, or still does. */
+        boolean isLeftAfter(long time) {
+            return mEnd == End.AT_WORK || mEnd == End.CANCELLED && mEndNanos > time;
+        }
+    }
+
+    SoakEngine(String id, String version, long seed) throws IOException {
+        mId = id;
+        mVersion = version;
+        mSeed = seed;
+        mServer = new ScriptedUpstream(0, this::respond);
+    }
+
+    String id() {
+        return mId;
+    }
+
+    ScriptedUpstream server() {
+        return mServer;
+    }
+
+    Queue<Run> runs() {
+        return mRuns;
+    }
+
+    String announcement() {
+        return mServer.announcement("engines", mVersion);
+    }
+
+    private void respond(ScriptedUpstream.Request request, Socket connection) throws IOException {
+        Run run = new Run(request.id(), mId);
+        mRuns.add(run);
+        try {
+            run.end(new SoakResponse(connection, request, mVersion, plan(request)).send());
+        } catch (IOException e) {
+            run.end(End.CANCELLED);
+            throw e;
+        }
+        connection.setSoTimeout(0);
+        if (run.mEnd == End.BROKEN_OFF) {
+            connection.close();
+        }
+    }
+
+    private SoakResponse.Plan plan(ScriptedUpstream.Request request) {
+        SplittableRandom random = new SplittableRandom(Objects.hash(mSeed, request.id(), mId));
+        int share = random.nextInt(100);
+        Behaviour behaviour = Behaviour.NORMAL;
+        if (share < REJECTED_SHARE) {
+            behaviour = Behaviour.REJECT;
+        } else if (share < BROKEN_SHARE) {
+            behaviour = Behaviour.BREAK_OFF;
+        } else if (share < SILENT_SHARE) {
+            behaviour = Behaviour.FALL_SILENT;
+        }
+        int at = random.nextBoolean() ? 0 : 1 + random.nextInt(EVENTS - 1);
+        int silence = random.nextInt(MIN_SILENCE_MILLIS, MAX_SILENCE_MILLIS + 1);
+        return new SoakResponse.Plan(behaviour, at, silence);
+    }
+
+    @Override
+    public void close() throws IOException {
+        mServer.close();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakGateway.java
@@ -0,0 +1,185 @@
+package org.boragethread.standins.system;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.locks.LockSupport;
+import org.boragethread.standins.harness.ProcessHarness;
+
+/** A gateway that is stopped, killed, paused and started again, one thing after the other. */
+final class SoakGateway implements AutoCloseable {
+
+    static final Duration GRACE = Duration.ofSeconds(6);
+
+    /** Time after a pause in which its consequences are still felt. */
+    private static final long PAUSE_SLACK_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private static final int READINESS_TIMEOUT_MILLIS = 300;
+    private static final String READINESS =
+            "GET /v1/readiness HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n\r\n";
+
+    /** Few repeats, so that the budget is often used up. */
+    private static final String SECTIONS =
+            "[shares]\nretry_ratio = 0.05\nretry_slack = 3\nretry_window_s = 4\n";
+
+    private final ProcessHarness mHarness;
+    private final ExecutorService mThread = Executors.newSingleThreadExecutor();
+    private final List<Life> mLives = new CopyOnWriteArrayList<>();
+    private final List<Future<?>> mTasks = new CopyOnWriteArrayList<>();
+    private volatile boolean mReady;
+
+    /** A process from its start to its end; times are those of {@link System#nanoTime}. */
+    static final class Life {
+        final TestGateway mGateway;
+        volatile long mTerminated = Long.MAX_VALUE;
+        volatile long mKilled = Long.MAX_VALUE;
+        final List<long[]> mPauses = new CopyOnWriteArrayList<>();
+
+        Life(TestGateway gateway) {
+            mGateway = gateway;
+        }
+
+        /** Returns whether the process was killed before a time's end, or paused around it. */
+        boolean isDisturbed(long begin, long end) {
+            return mKilled <= end
+                    || mPauses.stream()
+                            .anyMatch(
+                                    pause ->
+                                            pause[0] < end && pause[1] + PAUSE_SLACK_NANOS > begin);
+        }
+
+        /** Returns for how long the process had been asked to stop, or a negative time. */
+        long stoppingMillis(long time) {
+            return mTerminated > time ? -1 : Duration.ofNanos(time - mTerminated).toMillis();
+        }
+
+        /** Returns whether the last sixth of the grace period had begun. */
+        boolean isGraceOver(long time) {
+            return mTerminated != Long.MAX_VALUE && time - mTerminated > GRACE.toNanos() / 6 * 5;
+        }
+
+        List<String> lines() {
+            return mGateway.process().lines();
+        }
+    }
+
+    SoakGateway(ProcessHarness harness, String name, String store) throws Exception {
+        mHarness = harness;
+        mLives.add(new Life(TestGateway.start(harness, name, store, GRACE, SECTIONS)));
+    }
+
+    Life life() {
+        return mLives.get(mLives.size() - 1);
+    }
+
+    List<Life> lives() {
+        return mLives;
+    }
+
+    boolean isReady() {
+        return mReady;
+    }
+
+    /** Returns whether something is being done to the process. */
+    boolean isBusy() {
+        return mTasks.stream().anyMatch(task -> !task.isDone());
+    }
+
+    private void execute(Runnable task) {
+        mTasks.add(CompletableFuture.runAsync(task, mThread));
+    }
+
+    /** Waits until everything has been done that was asked for; fails if something has failed. */
+    void awaitTasks() throws Exception {
+        for (Future<?> task : mTasks) {
+            task.get();
+        }
+    }
+
+    /** Asks the process whether it is ready, as a load balancer does. */
+    void checkReadiness() {
+        int port = life().mGateway.readinessPort();
+        try (Socket connection = new Socket()) {
+            connection.connect(new InetSocketAddress("127.0.0.1", port), READINESS_TIMEOUT_MILLIS);
+            connection.setSoTimeout(READINESS_TIMEOUT_MILLIS);
+            connection.getOutputStream().write(READINESS.getBytes(StandardCharsets.US_ASCII));
+            byte[] status = connection.getInputStream().readNBytes(12);
+            mReady = new String(status, StandardCharsets.US_ASCII).endsWith(" 200");
+        } catch (IOException e) {
+            mReady = false;
+        }
+    }
+
+    /** Stops the process as planned; signals follow each other after the times. */
+    void stop(boolean withHangUp, List<Duration> furtherSignals) {
+        execute(
+                () -> {
+                    Life life = life();
+                    if (withHangUp) {
+                        life.mGateway.process().hangUp();
+                    }
+                    life.mTerminated = System.nanoTime();
+                    life.mGateway.process().terminate();
+                    for (Duration delay : furtherSignals) {
+                        LockSupport.parkNanos(delay.toNanos());
+                        life.mGateway.process().terminate();
+                    }
+                    awaitEnd(life);
+                });
+    }
+
+    private static void awaitEnd(Life life) {
+        long end = life.mTerminated + GRACE.toNanos();
+        while (life.mGateway.process().isAlive()) {
+            if (System.nanoTime() > end) {
+                kill(life);
+            }
+            LockSupport.parkNanos(Duration.ofMillis(5).toNanos());
+        }
+    }
+
+    private static void kill(Life life) {
+        life.mKilled = System.nanoTime();
+        life.mGateway.process().kill();
+        life.mGateway.process().awaitExit(TestGateway.TIMEOUT);
+    }
+
+    void kill() {
+        execute(() -> kill(life()));
+    }
+
+    void startAgain() {
+        execute(() -> mLives.add(new Life(life().mGateway.startAgain(mHarness))));
+    }
+
+    void hangUp() {
+        execute(() -> life().mGateway.process().hangUp());
+    }
+
+    void pause(Duration time) {
+        execute(
+                () -> {
+                    Life life = life();
+                    long begin = System.nanoTime();
+                    long[] pause = {begin, begin + time.toNanos()};
+                    life.mPauses.add(pause);
+                    life.mGateway.process().pause();
+                    LockSupport.parkNanos(time.toNanos());
+                    life.mGateway.process().resume();
+                    pause[1] = System.nanoTime();
+                });
+    }
+
+    @Override
+    public void close() {
+        mThread.shutdownNow();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakRun.java
@@ -0,0 +1,235 @@
+package org.boragethread.standins.system;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.boragethread.standins.harness.ProcessHarness;
+import org.boragethread.standins.store.StoreStandIn;
+
+/** One run: gateways, engines of two versions, callers, and what happens to them by seed. */
+final class SoakRun implements AutoCloseable {
+
+    private static final Duration RUN_TIME = Duration.ofSeconds(12);
+    private static final Duration READINESS_INTERVAL = Duration.ofMillis(100);
+    private static final int MAX_STEP_MILLIS = 800;
+    private static final int ENGINES = 4;
+
+    private final SplittableRandom mRandom;
+    private final StoreStandIn mStore = new StoreStandIn();
+    private final ProcessHarness mHarness = new ProcessHarness();
+    private final List<SoakGateway> mGateways = new ArrayList<>();
+    private final List<SoakEngine> mEngines = new ArrayList<>();
+    private final List<SoakCaller> mCallers = new ArrayList<>();
+    private final ExecutorService mThreads = Executors.newCachedThreadPool();
+    private final List<String> mEvents = new ArrayList<>();
+    private final long mBegin = System.nanoTime();
+    private int mConfigVersion = 1;
+    private volatile boolean mEnded;
+
+    /** What happens to a gateway, the store or an engine. */
+    private enum Disturbance {
+        STOP(true),
+        STOP_TWICE(true),
+        STOP_WITH_HANG_UP(true),
+        HANG_UP(true),
+        KILL(true),
+        PAUSE(true),
+        CONFIG(false),
+        STORE_DOWN(false),
+        STORE_FROM_COPY(false),
+        ENGINE_REFUSES(false);
+
+        final boolean mOfGateway;
+
+        Disturbance(boolean ofGateway) {
+            mOfGateway = ofGateway;
+        }
+    }
+
+    SoakRun(long seed, int gateways, int callers) throws Exception {
+        mRandom = new SplittableRandom(seed);
+        mStore.start();
+        mStore.put(StoreStandIn.OPERATOR_TOPIC, "config", SoakRoute.config(mConfigVersion));
+        for (int i = 0; i < ENGINES; i++) {
+            mEngines.add(new SoakEngine("engine-" + i, i % 2 == 0 ? "v1" : "v2", seed));
+        }
+        announceEngines();
+        List<Future<SoakGateway>> starting = new ArrayList<>();
+        for (int i = 0; i < gateways; i++) {
+            String name = "gateway-" + i;
+            starting.add(mThreads.submit(() -> new SoakGateway(mHarness, name, mStore.address())));
+        }
+        for (Future<SoakGateway> gateway : starting) {
+            mGateways.add(gateway.get());
+        }
+        for (int i = 0; i < callers; i++) {
+            mCallers.add(new SoakCaller("c" + seed + "-" + i, mGateways, mRandom.nextLong()));
+        }
+    }
+
+    private void announceEngines() {
+        for (SoakEngine engine : mEngines) {
+            mStore.put(StoreStandIn.UPSTREAM_TOPIC, engine.id(), engine.announcement());
+        }
+    }
+
+    /** Runs until all gateways were disturbed, and at last stopped, and all callers have ended. */
+    void run() throws Exception {
+        mThreads.execute(this::checkReadiness);
+        List<CompletableFuture<Void>> callers =
+                mCallers.stream()
+                        .map(caller -> CompletableFuture.runAsync(caller, mThreads))
+                        .toList();
+        long end = System.nanoTime() + RUN_TIME.toNanos();
+        while (System.nanoTime() < end) {
+            park(mRandom.nextInt(MAX_STEP_MILLIS));
+            disturb(Disturbance.values()[mRandom.nextInt(Disturbance.values().length)]);
+        }
+        for (SoakGateway gateway : mGateways) {
+            record("last stop of " + gateway.life().mGateway.process().name());
+            gateway.stop(false, List.of());
+            park(mRandom.nextInt(MAX_STEP_MILLIS));
+        }
+        for (SoakGateway gateway : mGateways) {
+            gateway.awaitTasks();
+        }
+        mCallers.forEach(SoakCaller::stop);
+        for (CompletableFuture<Void> caller : callers) {
+            caller.get();
+        }
+        mEnded = true;
+    }
+
+    private void checkReadiness() {
+        while (!mEnded) {
+            mGateways.forEach(SoakGateway::checkReadiness);
+            LockSupport.parkNanos(READINESS_INTERVAL.toNanos());
+        }
+    }
+
+    private void disturb(Disturbance disturbance) throws IOException {
+        SoakGateway gateway = mGateways.get(mRandom.nextInt(mGateways.size()));
+        if (disturbance.mOfGateway && gateway.isBusy()) {
+            return;
+        }
+        SoakEngine engine = mEngines.get(mRandom.nextInt(mEngines.size()));
+        Duration time = Duration.ofMillis(200 + mRandom.nextInt(1000));
+        record(
+                "%s %s %s %s"
+                        .formatted(
+                                disturbance,
+                                gateway.life().mGateway.process().name(),
+                                engine.id(),
+                                time));
+        switch (disturbance) {
+            case STOP -> restart(gateway, false, List.of());
+            case STOP_TWICE -> restart(gateway, false, List.of(time));
+            case STOP_WITH_HANG_UP -> restart(gateway, true, List.of());
+            case HANG_UP -> gateway.hangUp();
+            case KILL -> {
+                gateway.kill();
+                gateway.startAgain();
+            }
+            case PAUSE -> gateway.pause(time);
+            case CONFIG -> configure();
+            case STORE_DOWN -> {
+                mStore.setDown(true);
+                later(time, () -> mStore.setDown(false));
+            }
+            case STORE_FROM_COPY -> restoreStore(time);
+            default -> {
+                engine.server().refuseConnections();
+                later(time, engine.server()::acceptConnections);
+            }
+        }
+    }
+
+    private static void restart(SoakGateway gateway, boolean hangUp, List<Duration> signals) {
+        gateway.stop(hangUp, signals);
+        gateway.startAgain();
+    }
+
+    private void configure() {
+        mConfigVersion++;
+        mStore.put(StoreStandIn.OPERATOR_TOPIC, "config", SoakRoute.config(mConfigVersion));
+    }
+
+    private void restoreStore(Duration time) {
+        mStore.copyRecords();
+        configure();
+        later(
+                time,
+                () -> {
+                    mStore.restoreCopy();
+                    mStore.put(
+                            StoreStandIn.OPERATOR_TOPIC,
+                            "config",
+                            SoakRoute.config(mConfigVersion));
+                });
+    }
+
+    /** A step that ends a disturbance. */
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    private void later(Duration delay, Step step) {
+        CompletableFuture.runAsync(
+                () -> {
+                    try {
+                        step.run();
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    }
+                },
+                CompletableFuture.delayedExecutor(
+                        delay.toMillis(), TimeUnit.MILLISECONDS, mThreads));
+    }
+
+    private void record(String event) {
+        long millis = Duration.ofNanos(System.nanoTime() - mBegin).toMillis();
+        mEvents.add(millis + " ms " + event);
+    }
+
+    private static void park(int millis) {
+        LockSupport.parkNanos(Duration.ofMillis(millis).toNanos());
+    }
+
+    /** Returns what happened, in its order. */
+    List<String> events() {
+        return mEvents;
+    }
+
+    List<SoakGateway> gateways() {
+        return mGateways;
+    }
+
+    List<SoakEngine.Run> engineRuns() {
+        return mEngines.stream().flatMap(engine -> engine.runs().stream()).toList();
+    }
+
+    List<SoakCaller.Attempt> attempts() {
+        return mCallers.stream().flatMap(caller -> caller.attempts().stream()).toList();
+    }
+
+    @Override
+    public void close() throws IOException {
+        mEnded = true;
+        mCallers.forEach(SoakCaller::stop);
+        mGateways.forEach(SoakGateway::close);
+        mHarness.close();
+        for (SoakEngine engine : mEngines) {
+            engine.close();
+        }
+        mStore.close();
+        mThreads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakVerdict.java
@@ -0,0 +1,253 @@
+package org.boragethread.standins.system;
+
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.boragethread.standins.system.SoakCaller.Attempt;
+
+/** Compares what callers received with what engines and gateways did, and lists every fault. */
+final class SoakVerdict {
+
+    /** Time between a gateway's closing of one connection and its end at the other. */
+    private static final long CLOSE_NANOS = Duration.ofMillis(300).toNanos();
+
+    private static final long LIMIT_SLACK_MILLIS = 150;
+    private static final long READ_MILLIS = 500;
+    private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
+    private static final Set<Integer> MAY_HAVE_RUN = Set.of(502, 504);
+    private static final List<String> EXCEPTIONS =
+            List.of("An exception was thrown by", "Exception in thread", "\"level\":\"ERROR\"");
+
+    private final SoakRun mRun;
+    private final Map<String, List<SoakEngine.Run>> mRuns;
+    private final List<Finding> mFindings = new ArrayList<>();
+
+    /** Who ended a response that is not whole. */
+    private enum Cause {
+        KILL_OR_PAUSE,
+        TIME_LIMIT,
+        GRACE_PERIOD,
+        /** The connection was closed before the request was read. */
+        NOT_READ,
+        ENGINE,
+        GATEWAY
+    }
+
+    /** A kind of fault. */
+    enum Fault {
+        /** A response ended before it was whole, though its upstream was sound. */
+        CUT,
+        /** A failure was answered though the upstream was sound and time was left. */
+        FAILED,
+        MIXED_VERSIONS,
+        /** Events are missing or came twice. */
+        WRONG_EVENTS,
+        UNANSWERED,
+        EXCEPTION,
+        RUN_TWICE,
+        RUN_THOUGH_REFUSED
+    }
+
+    /**
+     * A fault that was found.
+     *
+     * @param id ID of the request, or empty
+     */
+    record Finding(Fault fault, String id, String detail) {}
+
+    SoakVerdict(SoakRun run) {
+        mRun = run;
+        mRuns =
+                run.engineRuns().stream()
+                        .collect(Collectors.groupingBy(engineRun -> engineRun.mRequestId));
+        run.attempts().forEach(this::judge);
+        findMixedVersions();
+        findExceptions();
+    }
+
+    private List<SoakEngine.Run> runs(Attempt attempt) {
+        return mRuns.getOrDefault(attempt.id(), List.of());
+    }
+
+    private void judge(Attempt attempt) {
+        long executions =
+                runs(attempt).stream().filter(run -> run.mEnd != SoakEngine.End.REJECTED).count();
+        if (attempt.route().runsOnce() && executions > 1) {
+            add(Fault.RUN_TWICE, attempt, executions + " runs");
+        }
+        if (NOT_RUN.contains(attempt.status()) && executions > 0) {
+            add(Fault.RUN_THOUGH_REFUSED, attempt, attempt.status() + ": " + attempt.body());
+        }
+        if (attempt.end() == SoakExchange.End.WHOLE) {
+            judgeWhole(attempt);
+        } else {
+            judgeCut(attempt);
+        }
+    }
+
+    private void judgeWhole(Attempt attempt) {
+        if (attempt.status() == 200 && attempt.route().isStreaming()) {
+            List<String> ids = attempt.values("id: ");
+            List<String> expected =
+                    IntStream.rangeClosed(attempt.after() + 1, SoakEngine.EVENTS)
+                            .mapToObj(Integer::toString)
+                            .toList();
+            if (!ids.equals(expected)) {
+                add(Fault.WRONG_EVENTS, attempt, ids.toString());
+            }
+        }
+        if (MAY_HAVE_RUN.contains(attempt.status()) && cause(attempt) == Cause.GATEWAY) {
+            add(Fault.FAILED, attempt, attempt.body());
+        }
+    }
+
+    private void judgeCut(Attempt attempt) {
+        if (cause(attempt) != Cause.GATEWAY) {
+            return;
+        }
+        if (attempt.status() > 0) {
+            add(Fault.CUT, attempt, attempt.values("id: ").size() + " events");
+        } else {
+            add(Fault.UNANSWERED, attempt, attempt.end().toString());
+        }
+    }
+
+    /** Returns who ended a response that is not whole. */
+    private Cause cause(Attempt attempt) {
+        if (attempt.life().isDisturbed(attempt.written(), attempt.ended())) {
+            return Cause.KILL_OR_PAUSE;
+        }
+        boolean timedOut = attempt.end() == SoakExchange.End.TIMED_OUT;
+        if (!timedOut && attempt.millis() > attempt.limitMillis() - LIMIT_SLACK_MILLIS) {
+            return Cause.TIME_LIMIT;
+        }
+        if (attempt.life().isGraceOver(attempt.ended())) {
+            return Cause.GRACE_PERIOD;
+        }
+        if (attempt.status() == 0) {
+            boolean read = !runs(attempt).isEmpty() || !logLines(attempt.id()).isEmpty();
+            return read || attempt.millis() > READ_MILLIS ? Cause.GATEWAY : Cause.NOT_READ;
+        }
+        boolean soundEngineLeft =
+                runs(attempt).stream()
+                        .anyMatch(run -> run.isLeftAfter(attempt.ended() - CLOSE_NANOS));
+        return soundEngineLeft ? Cause.GATEWAY : Cause.ENGINE;
+    }
+
+    private void findMixedVersions() {
+        Map<String, Set<String>> versions = new TreeMap<>();
+        for (Attempt attempt : mRun.attempts()) {
+            if (attempt.route().isStreaming()) {
+                versions.computeIfAbsent(attempt.stream(), key -> new LinkedHashSet<>())
+                        .addAll(attempt.values("data: "));
+            }
+        }
+        versions.forEach(
+                (stream, found) -> {
+                    if (found.size() > 1) {
+                        mFindings.add(new Finding(Fault.MIXED_VERSIONS, stream, found.toString()));
+                    }
+                });
+    }
+
+    private void findExceptions() {
+        for (SoakGateway.Life life : lives()) {
+            String name = life.mGateway.process().name();
+            life.lines().stream()
+                    .filter(line -> EXCEPTIONS.stream().anyMatch(line::contains))
+                    .forEach(line -> mFindings.add(new Finding(Fault.EXCEPTION, "", name + line)));
+        }
+    }
+
+    private List<SoakGateway.Life> lives() {
+        return mRun.gateways().stream().flatMap(gateway -> gateway.lives().stream()).toList();
+    }
+
+    private void add(Fault fault, Attempt attempt, String detail) {
+        String text =
+                "%s at %s after %d ms, stopping for %d ms, status %d, %s"
+                        .formatted(
+                                attempt.route(),
+                                attempt.life().mGateway.process().name(),
+                                attempt.millis(),
+                                attempt.life().stoppingMillis(attempt.ended()),
+                                attempt.status(),
+                                detail);
+        mFindings.add(new Finding(fault, attempt.id(), text));
+    }
+
+    private List<String> logLines(String id) {
+        String quoted = "\"" + id + "\"";
+        return lives().stream()
+                .flatMap(life -> life.lines().stream())
+                .filter(line -> line.contains(quoted))
+                .toList();
+    }
+
+    List<Finding> findings() {
+        return mFindings;
+    }
+
+    /** Returns the number of findings by fault, and of attempts by how they ended. */
+    String summary() {
+        return "faults %s, attempts %s"
+                .formatted(
+                        count(mFindings.stream().map(finding -> finding.fault().toString())),
+                        count(mRun.attempts().stream().map(this::describeEnd)));
+    }
+
+    private String describeEnd(Attempt attempt) {
+        String end = attempt.end() + " " + attempt.status();
+        boolean good = attempt.end() == SoakExchange.End.WHOLE && attempt.status() < 502;
+        return good || attempt.status() == 503 ? end : end + " " + cause(attempt);
+    }
+
+    private static Map<String, Long> count(Stream<String> names) {
+        return names.collect(
+                Collectors.groupingBy(name -> name, TreeMap::new, Collectors.counting()));
+    }
+
+    private static void deleteFiles(Path directory) throws IOException {
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(directory)) {
+            for (Path file : files) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    /** Writes the findings with their log lines, and the logs of all gateways. */
+    void write(Path directory) throws IOException {
+        Files.createDirectories(directory);
+        deleteFiles(directory);
+        List<String> lines = new ArrayList<>(mRun.events());
+        lines.add(summary());
+        for (Finding finding : mFindings) {
+            lines.add(finding.toString());
+            for (SoakEngine.Run run : mRuns.getOrDefault(finding.id(), List.of())) {
+                lines.add("    %s %s".formatted(run.mEngine, run.mEnd));
+            }
+            if (!finding.id().isEmpty()) {
+                logLines(finding.id()).forEach(line -> lines.add("    " + line));
+            }
+        }
+        Files.write(directory.resolve("findings.txt"), lines);
+        for (SoakGateway gateway : mRun.gateways()) {
+            for (int i = 0; i < gateway.lives().size(); i++) {
+                SoakGateway.Life life = gateway.lives().get(i);
+                String name = life.mGateway.process().name() + "-" + i + ".log";
+                Files.write(directory.resolve(name), life.lines());
+            }
+        }
+    }
+}
--- a/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
+++ b/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
@@ -20,20 +20,31 @@
     static final Duration TIMEOUT = Duration.ofSeconds(20);
     private static final String AUTHORIZATION = "Token key-1";
 
+    private static final Duration GRACE = Duration.ofSeconds(4);
+
     private final JavaProcess mProcess;
-    private final int mPort;
+    private final Path mSettings;
+    private final List<Integer> mPorts;
     private final HttpCalls mCalls;
     private final HttpCalls mReadiness;
 
-    private TestGateway(JavaProcess process, int port, HttpCalls calls, HttpCalls readiness) {
-        mPort = port;
+    private TestGateway(JavaProcess process, Path settings, List<Integer> ports) {
         mProcess = process;
-        mCalls = calls;
-        mReadiness = readiness;
+        mSettings = settings;
+        mPorts = ports;
+        mCalls = new HttpCalls("127.0.0.1:" + ports.get(0));
+        mReadiness = new HttpCalls("127.0.0.1:" + ports.get(1));
     }
 
     /** Starts a gateway and waits until it is ready. */
     static TestGateway start(ProcessHarness harness, String name, String store) throws Exception {
+        return start(harness, name, store, GRACE, "");
+    }
+
+    /** Starts a gateway with more sections of settings and waits until it is ready. */
+    static TestGateway start(
+            ProcessHarness harness, String name, String store, Duration grace, String sections)
+            throws Exception {
         List<Integer> ports = freePorts();
         String settings =
                 """
@@ -48,23 +59,34 @@
                 north = "region-1"
                 [bounds]
                 revoke_ms = 3000
-                grace_s = 4
+                grace_s = %d
                 """
-                        .formatted(name, ports.get(0), ports.get(1), ports.get(2), store);
+                        .formatted(
+                                name,
+                                ports.get(0),
+                                ports.get(1),
+                                ports.get(2),
+                                store,
+                                grace.toSeconds());
         Path file = Files.createTempFile(name, ".toml");
-        Files.writeString(file, settings);
+        Files.writeString(file, settings + sections);
+        return launch(harness, name, file, ports);
+    }
+
+    /** Starts a process with the settings of this one, which has ended. */
+    TestGateway startAgain(ProcessHarness harness) {
+        return launch(harness, mProcess.name(), mSettings, mPorts);
+    }
+
+    private static TestGateway launch(
+            ProcessHarness harness, String name, Path settings, List<Integer> ports) {
         JavaProcess process =
                 harness.start(
                         Launch.of(name, "org.boragethread.entry.EntryMain")
                                 .jvm("-Xmx96m", "-Dlog4j2.configurationFile=log4j2-gateway.xml")
-                                .args("gateway", "--settings", file.toString())
+                                .args("gateway", "--settings", settings.toString())
                                 .build());
-        TestGateway gateway =
-                new TestGateway(
-                        process,
-                        ports.get(0),
-                        new HttpCalls("127.0.0.1:" + ports.get(0)),
-                        new HttpCalls("127.0.0.1:" + ports.get(1)));
+        TestGateway gateway = new TestGateway(process, settings, ports);
         Await.until(name + " is ready", TIMEOUT, () -> gateway.readiness() == 200);
         return gateway;
     }
@@ -83,7 +105,12 @@
 
     /** Returns the port for callers. */
     int port() {
-        return mPort;
+        return mPorts.get(0);
+    }
+
+    /** Returns the port for readiness checks. */
+    int readinessPort() {
+        return mPorts.get(1);
     }
 
     HttpCalls calls() {
