Count the end of an engine that was moved to as the engine's own

An engine that broke off explains an end only if it was the last one asked and had sent its head; one that rejects, or closes before its head, doesn't.

--- a/standins/src/test/java/org/boragethread/standins/system/SoakEngine.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakEngine.java
@@ -33,7 +33,10 @@
         AT_WORK,
         WHOLE,
         REJECTED,
+        /** The connection was closed after some events. */
         BROKEN_OFF,
+        /** The connection was closed before the head. */
+        NO_RESPONSE,
         /** The gateway closed the connection. */
         CANCELLED
     }
@@ -42,6 +45,7 @@
     static final class Run {
         final String mRequestId;
         final String mEngine;
+        final long mBegin = System.nanoTime();
         volatile End mEnd = End.AT_WORK;
         volatile long mEndNanos;
 
@@ -94,7 +98,7 @@
             throw e;
         }
         connection.setSoTimeout(0);
-        if (run.mEnd == End.BROKEN_OFF) {
+        if (run.mEnd == End.BROKEN_OFF || run.mEnd == End.NO_RESPONSE) {
             connection.close();
         }
     }
--- a/standins/src/test/java/org/boragethread/standins/system/SoakResponse.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakResponse.java
@@ -49,7 +49,7 @@
             return SoakEngine.End.REJECTED;
         }
         if (mPlan.at() == 0 && isBrokenOffOrSilent()) {
-            return SoakEngine.End.BROKEN_OFF;
+            return SoakEngine.End.NO_RESPONSE;
         }
         boolean streaming = SoakRoute.of(mRequest.path()).isStreaming();
         String type = streaming ? "text/event-stream" : "text/plain";
--- a/standins/src/test/java/org/boragethread/standins/system/SoakVerdict.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakVerdict.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -139,10 +140,22 @@
             boolean read = !runs(attempt).isEmpty() || !logLines(attempt.id()).isEmpty();
             return read || attempt.millis() > READ_MILLIS ? Cause.GATEWAY : Cause.NOT_READ;
         }
-        boolean soundEngineLeft =
-                runs(attempt).stream()
-                        .anyMatch(run -> run.isLeftAfter(attempt.ended() - CLOSE_NANOS));
-        return soundEngineLeft ? Cause.GATEWAY : Cause.ENGINE;
+        return isSoundEngineLeft(attempt) ? Cause.GATEWAY : Cause.ENGINE;
+    }
+
+    /**
+     * Returns whether the gateway left an engine at work at the end, other than for one that had
+     * begun to respond since, and broke off.
+     */
+    private boolean isSoundEngineLeft(Attempt attempt) {
+        List<SoakEngine.Run> runs = runs(attempt);
+        boolean lastBrokeOff =
+                runs.stream()
+                        .max(Comparator.comparingLong(run -> run.mBegin))
+                        .filter(run -> run.mEnd == SoakEngine.End.BROKEN_OFF)
+                        .isPresent();
+        return !lastBrokeOff
+                && runs.stream().anyMatch(run -> run.isLeftAfter(attempt.ended() - CLOSE_NANOS));
     }
 
     private void findMixedVersions() {
