--- a/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
+++ b/standins/src/main/java/org/boragethread/standins/harness/JavaProcess.java
@@ -85,7 +85,12 @@
 
     /** Kills the process (SIGKILL). */
     public void kill() {
-        mProcess.destroyForcibly();
+        mProcess.toHandle().destroyForcibly();
+    }
+
+    /** Asks the process to load its settings again (SIGHUP). */
+    public void hangUp() {
+        signal("-HUP");
     }
 
     /** Pauses the process (SIGSTOP). */
