Keep a stream whose second upstream responds without events

Callers would have seen a stream cut off in its middle while the upstream that had begun it was at work: while it was silent, another one was called, and that one's 404, 204 or JSON document counted as the response that wins. The stream could not go on with it and ended. Only an event stream may win over an upstream whose stream has begun now. A resumed stream that gets an error goes on with the second attempt, if there is one.

--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -314,6 +314,9 @@
             mFeedback.onResponse(node, mAttempt.sentAt(), mAttempt.uncachedTokens());
         }
         if (mStream.isStarted()) {
+            if (silence().takeOver()) {
+                return;
+            }
             abortResponse(
                     Decider.UPSTREAM,
                     "upstream %s responded %d on resume".formatted(node.entry().id(), status));
--- a/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
@@ -213,6 +213,7 @@
         boolean isUsable =
                 mReading
                         && continuesResponse(standby)
+                        && isAcceptable(standby.attempt())
                         && isOfStreamVersion(silent)
                         && mParts.continuation().accepts(standby.attempt().softwareVersion());
         if (!isUsable) {
@@ -244,6 +245,11 @@
                 || stream.canResume() && stream.lastEventId().equals(standby.lastEvent());
     }
 
+    /** Returns whether a response that has begun to arrive is one that the caller can receive. */
+    private boolean isAcceptable(UpstreamAttempt responding) {
+        return !mParts.stream().isStarted() || responding.isEventStream();
+    }
+
     private void replace(String outcome) {
         StandbyAttempt standby = mStandby.orElseThrow();
         mStandby = Optional.empty();
--- a/standins/src/test/java/org/boragethread/standins/system/SilentUpstreamTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SilentUpstreamTest.java
@@ -74,8 +74,19 @@
             \r
             """;
 
+    private static final String NOT_FOUND = FAILURE.replace("500 Internal Server Error", "404 No");
+    private static final String NO_CONTENT = FAILURE.replace("500 Internal Server Error", "204 No");
+    private static final String NO_EVENTS =
+            HEAD.replace("text/event-stream", "application/json")
+                    .replace("Connection:", "Content-Length: 2\r\nConnection:");
+
     private static final String FIRST = "id: 0\ndata: one\n\n";
     private static final String REST = "id: 1\ndata: two\n\nid: 2\ndata: three\n\n";
+
+    /** Responses that cannot continue a stream. */
+    private static final List<String> OTHER_RESPONSES =
+            List.of(NOT_FOUND, NO_CONTENT, NO_EVENTS + "{}");
+
     private static final String WHOLE = (FIRST + REST).strip();
 
     private static final String NO_RETRIES = "[shares]\nretry_ratio = 0\nretry_slack = 0";
@@ -113,6 +124,9 @@
                 addGroup(name + "-" + begun);
             }
         }
+        for (int i = 0; i < OTHER_RESPONSES.size(); i++) {
+            addGroup("other-" + i);
+        }
         mStore.put(StoreStandIn.OPERATOR_TOPIC, "config", config());
         mHarness = new ProcessHarness();
         mWithoutRetries = startGateway("gateway-1", NO_RETRIES);
@@ -284,6 +298,23 @@
         }
     }
 
+    @DataProvider
+    private static Object[][] otherResponses() {
+        return new Object[][] {{0}, {1}, {2}};
+    }
+
+    // Guards against a stream that ends because another upstream responds without events.
+    @Test(dataProvider = "otherResponses")
+    public void silentUpstreamIsKeptIfTheSecondDoesNotContinueTheStream(int response)
+            throws Exception {
+        Exchange exchange = send(mWithRetries, "other-" + response, "other-id-" + response, true);
+        Call second = awaitCall(exchange.id(), 1);
+        second.write(OTHER_RESPONSES.get(response).formatted(exchange.id()));
+        awaitOrEnd(exchange, "the second has ended", () -> exchange.isLogged("standby"));
+        exchange.goOn();
+        assertWhole(exchange);
+    }
+
     // Guards against a silent upstream that works on after the second one has responded.
     @Test(dataProvider = "phases")
     public void secondUpstreamThatRespondsGoesOn(boolean begun) throws Exception {
