Do not give up the version of a stream whose first attempt names itself

A caller that sends its own request's ID in Resumes from the first attempt on had each later attempt refused: the stream was recorded as one that the same caller had begun anew, so its version became uncertain. StreamRejoinTest has the case. In an entry's first seconds, while announced versions may be of runs that have ended, no second attempt is started beside a silent upstream whose stream has begun; it is kept. That part is by reading, without a test.

--- a/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
@@ -174,7 +174,9 @@
         if (begun && mParts.admitted().pieceCount() > 0) {
             return Optional.of("inputs-released");
         }
-        if (!mParts.continuation().canGoOn() || !isOfStreamVersion(silent)) {
+        if (!mParts.continuation().isSettled()
+                || !mParts.continuation().canGoOn()
+                || !isOfStreamVersion(silent)) {
             return Optional.of("version");
         }
         if (attemptsLeft() < 1 || mParts.counts().rejections() >= MAX_REJECTIONS) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
@@ -67,7 +67,7 @@
                 streams.stream().findFirst().flatMap(id -> key(admitted, id.strip(), content));
         if (!mTakenUp) {
             mKey = key(admitted, mRequest.id(), content);
-            mReplaced = named;
+            mReplaced = named.filter(key -> !mKey.equals(Optional.of(key)));
             onReady.run();
             return;
         }
@@ -182,6 +182,11 @@
         return mTakenUp || mBegun;
     }
 
+    /** Returns whether the announced versions can be trusted, if they matter. */
+    boolean isSettled() {
+        return !isFixed() || mGateway.directory().isSettled();
+    }
+
     /** Returns whether any other upstream may continue the stream. */
     boolean canGoOn() {
         return !isFixed() || mVersion.isPresent();
--- a/standins/src/test/java/org/boragethread/standins/system/StreamRejoinTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/StreamRejoinTest.java
@@ -238,6 +238,17 @@
         assertNotMixed(anew, "id-1", "body");
     }
 
+    // Guards against a stream that is lost because its first attempt names itself.
+    @Test
+    public void streamWhoseFirstAttemptNamesItselfGoesOn() throws Exception {
+        mEngines.start("old-1", "v1");
+        startGateways(List.of("first"));
+        TestGateway gateway = mGateways.get("first");
+        Received begun = mCaller.request(gateway, "/once/every-2", "id-1", "Resumes", "id-1");
+        Received later = mCaller.takeUp(gateway, "/once/whole", "id-2", "id-1", begun);
+        assertTrue(later.complete(), later.body());
+    }
+
     // Guards against a caller that names the stream of another request of its team.
     @Test
     public void streamDoesNotGoOnAsThatOfAnotherRequest() throws Exception {
