Take pieces and relay topics until a stopping entry leaves the group

It now serves them until it begins to leave, with a lease's lifetime left to finish them. An entry whose callers have all gone before that leaves at once; with a grace period of more than 9 s it ended without leaving. Found by review; GroupMembershipTest has the early end. That other entries are served meanwhile has no test of its own; GatewayGroupTest and GatewayStopTest pass.

--- a/core/src/main/java/org/boragethread/core/member/GroupMembership.java
+++ b/core/src/main/java/org/boragethread/core/member/GroupMembership.java
@@ -25,6 +25,7 @@
     private long mGeneration;
     private StoreEra mEra = StoreEra.UNKNOWN;
     private long mReportedGeneration = -1;
+    private Consumer<Either<ReadFailure, Boolean>> mOnLeft = left -> {};
     private boolean mLeaving;
 
     /**
@@ -63,20 +64,37 @@
      * expired.
      *
      * @param remaining time for which this process still serves
-     * @param callback gets the response to leaving
+     * @param onLeft gets the response to leaving
      */
-    public void stop(Duration remaining, Consumer<Either<ReadFailure, Boolean>> callback) {
+    public void stop(Duration remaining, Consumer<Either<ReadFailure, Boolean>> onLeft) {
+        mOnLeft = onLeft;
         Duration membership = remaining.minus(mLease.lifetime());
         if (membership.isNegative() || membership.isZero()) {
-            leave(callback);
+            renewAndLeave();
         } else {
-            mScheduler.schedule(membership, () -> leave(callback));
+            mScheduler.schedule(membership, this::renewAndLeave);
         }
         mScheduler.schedule(remaining, mLease::release);
     }
 
+    /** Leaves the group at once, unless that has begun, because this process has nothing to do. */
+    public void leave() {
+        if (!mLeaving) {
+            mLeaving = true;
+            mGroup.leave(mOnLeft);
+        }
+    }
+
+    /** Returns whether this process has begun to leave the group. */
+    public boolean isLeaving() {
+        return mLeaving;
+    }
+
     /** Renews the lease once more and leaves, also if the renewal fails. */
-    private void leave(Consumer<Either<ReadFailure, Boolean>> callback) {
+    private void renewAndLeave() {
+        if (mLeaving) {
+            return;
+        }
         mLeaving = true;
         ClockReading sentAt = ClockReading.now(mTime);
         mGroup.join(
@@ -85,7 +103,7 @@
                     if (response.isRight() && isUnchanged(response.get())) {
                         mLease.renew(sentAt, response.get().partitions());
                     }
-                    mGroup.leave(callback);
+                    mGroup.leave(mOnLeft);
                 });
     }
 
--- a/core/src/test/java/org/boragethread/core/member/GroupMembershipTest.java
+++ b/core/src/test/java/org/boragethread/core/member/GroupMembershipTest.java
@@ -1,6 +1,7 @@
 package org.boragethread.core.member;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.vavr.control.Either;
@@ -122,6 +123,18 @@
         assertEquals(units(), 0);
     }
 
+    // Guards against a process that ends early without leaving, or that leaves twice.
+    @Test
+    public void processThatEndsBeforeItsStopLeavesOnce() {
+        mMembership.start();
+        mMembership.stop(Duration.ofSeconds(20), left -> {});
+        assertFalse(mMembership.isLeaving());
+        mMembership.leave();
+        assertTrue(mMembership.isLeaving());
+        mTime.advance(Duration.ofSeconds(30));
+        assertEquals(mGroup.mLeaves, 1);
+    }
+
     private int units() {
         return mLease.units("limit", 12, Duration.ofSeconds(1));
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.boragethread.core.callback.CallbackGuard;
 import org.boragethread.core.follow.FreshnessLease;
@@ -70,6 +71,7 @@
     private boolean mUpstreamsKnown;
     private boolean mQuarantineKnown;
     private boolean mStopping;
+    private BooleanSupplier mLeaving = () -> false;
 
     Gateway(GatewaySettings settings, TimeSource time, EventLoop loop, GatewayMetrics metrics) {
         mSettings = settings;
@@ -296,6 +298,16 @@
         return mStopping;
     }
 
+    /** Sets what tells whether this process has begun to leave the group of entries. */
+    void setLeaving(BooleanSupplier leaving) {
+        mLeaving = leaving;
+    }
+
+    /** Returns whether other entries should not delegate more to this one. */
+    boolean isLeaving() {
+        return mLeaving.getAsBoolean();
+    }
+
     /** Returns whether the load balancer should send new connections here. */
     boolean isReady() {
         return !mStopping
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -139,6 +139,7 @@
                         mGateway.sharedLimits(),
                         JOIN_INTERVAL,
                         this::onMembers);
+        mGateway.setLeaving(mMembership::isLeaving);
     }
 
     private void onMembers(List<String> members) {
@@ -320,6 +321,7 @@
         callOnLoop(
                 () -> {
                     endRequests(busy, startNanos);
+                    mMembership.leave();
                     mGateway.connections().close();
                     return true;
                 });
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -84,7 +84,7 @@
             respond(context, findStream(StreamQuery.parseFrom(body)));
             return;
         }
-        if (mGateway.isStopping() || !mPendingPieces.isEmpty()) {
+        if (mGateway.isLeaving() || !mPendingPieces.isEmpty()) {
             respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
         }
