Log when the announcements of upstreams are settled, and wait for it in a test

Cause: since the origin of a stream that begins in an entry's first 2.2 s is recorded afterwards only. The test needs a stream of a known version; on an idle machine its entries start and answer 60 calls in less than that. The refusal was safe, but not the one that the test is about. It now waits for the log line that says so; its checks are unchanged.

--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
@@ -105,7 +105,15 @@
 
     @Override
     public void onUpToDate(ClockReading moment) {
+        boolean wasSettled = mGateway.directory().isSettled();
         mGateway.directory().onUpToDate(moment.nanos());
+        if (!wasSettled && mGateway.directory().isSettled()) {
+            mGateway.log()
+                    .event("upstreams")
+                    .with("known", mGateway.directory().size())
+                    .with("outcome", "settled")
+                    .info();
+        }
     }
 
     @Override
--- a/standins/src/test/java/org/boragethread/standins/system/SoftwareVersionTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoftwareVersionTest.java
@@ -125,6 +125,7 @@
     public void streamOfAVersionThatIsGoneIsRefusedAtOnceAsNotRun() throws Exception {
         mEngines.start("old-1", "v1");
         startGateways("first", "second");
+        mGateways.get("first").awaitSettledUpstreams();
         Received begun = mCaller.request(mGateways.get("first"), "/once/every-2", "id-1");
         mEngines.start("new-1", "v2").stop("old-1");
         for (TestGateway gateway : mGateways.values()) {
--- a/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
+++ b/standins/src/test/java/org/boragethread/standins/system/TestGateway.java
@@ -152,6 +152,16 @@
         Await.until("a log line with " + List.of(parts), TIMEOUT, () -> hasLogLine(parts));
     }
 
+    /** Waits until the entry knows all runs of upstreams that began before it did. */
+    void awaitSettledUpstreams() {
+        Await.until(mProcess.name() + " knows upstreams", TIMEOUT, this::hasSettledUpstreams);
+    }
+
+    /** Returns whether the entry knows all runs of upstreams that began before it did. */
+    boolean hasSettledUpstreams() {
+        return hasLogLine("\"event\":\"upstreams\"", "\"outcome\":\"settled\"");
+    }
+
     /** Returns whether any line of the log contains all of the given texts. */
     boolean hasLogLine(String... parts) {
         return mProcess.lines().stream()
