Let others wait for the origin of a stream that an entry is about to confirm

Callers whose stream had begun in the first 2.2 s of an entry's life, and who took it up at another entry in that time, were refused: nobody but the first entry knew that the origin would be recorded. After a kill of all entries this is each stream that begins at once.

The origin is now told at the first event as provisional, with the announced version, and confirmed or withdrawn later. Whoever asks for a provisional one asks again for 3 s at most; it is never used before it is confirmed. A provisional origin is a field of its own, so that entries of earlier builds take it as uncertain. This replaces the set of pending streams of one entry.

--- a/core/src/main/java/org/boragethread/core/resume/StreamOriginDirectory.java
+++ b/core/src/main/java/org/boragethread/core/resume/StreamOriginDirectory.java
@@ -1,10 +1,8 @@
 package org.boragethread.core.resume;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.boragethread.core.member.Member;
 import org.boragethread.core.time.TimeSource;
@@ -20,7 +18,6 @@
     private final Runnable mOnNotRecorded;
     private final StreamOriginTable mTable;
     private final StreamOwners mOwners = new StreamOwners();
-    private final Set<StreamKey> mPending = new HashSet<>();
 
     /**
      * Creates a directory that knows no stream.
@@ -41,19 +38,8 @@
         mOwners.setMembers(members);
     }
 
-    /** Called before a stream is recorded whose origin is not certain yet, but will be soon. */
-    public void addPending(StreamKey key) {
-        mPending.add(key);
-    }
-
-    /** Returns whether a stream that began here is about to be recorded. */
-    public boolean isPending(StreamKey key) {
-        return mPending.contains(key);
-    }
-
     /** Remembers here and at the owners where a stream began. */
     public void record(StreamKey key, StreamOrigin origin) {
-        mPending.remove(key);
         mTable.put(key, origin);
         List<String> owners = otherOwners(key);
         for (int i = 0; i < Math.min(StreamOwners.REPLICAS, owners.size()); i++) {
--- a/core/src/main/java/org/boragethread/core/resume/StreamOriginTable.java
+++ b/core/src/main/java/org/boragethread/core/resume/StreamOriginTable.java
@@ -16,6 +16,9 @@
     /** About 4 MB. */
     static final int MAX_STREAMS = 32_768;
 
+    /** An entry that can read the store finds out earlier whether an origin is final. */
+    public static final Duration PROVISIONAL_TIME = Duration.ofSeconds(3);
+
     private final TimeSource mTime;
     private final Map<StreamKey, Entry> mEntries = new LinkedHashMap<>();
 
@@ -26,9 +29,12 @@
 
     /** Adds what is known of a stream to what was known before, and remembers it anew. */
     public void put(StreamKey key, StreamOrigin origin) {
-        Entry previous = mEntries.remove(key);
-        StreamOrigin merged = previous == null ? origin : previous.origin().merge(origin);
-        mEntries.put(key, new Entry(merged, mTime.nanoTime()));
+        Optional<Entry> previous = Optional.ofNullable(mEntries.remove(key));
+        StreamOrigin report = new StreamOrigin(origin.group(), origin.version());
+        StreamOrigin merged = previous.map(entry -> entry.origin().merge(report)).orElse(report);
+        int provisional = previous.map(Entry::provisionalReports).orElse(0);
+        int remaining = origin.provisional() ? provisional + 1 : Math.max(0, provisional - 1);
+        mEntries.put(key, new Entry(merged, remaining, mTime.nanoTime()));
         removeOldest();
     }
 
@@ -47,7 +53,18 @@
     public Optional<StreamOrigin> find(StreamKey key) {
         return Optional.ofNullable(mEntries.get(key))
                 .filter(entry -> mTime.since(entry.at()).compareTo(LIFETIME) <= 0)
-                .map(Entry::origin);
+                .map(this::originOf);
+    }
+
+    private StreamOrigin originOf(Entry entry) {
+        StreamOrigin origin = entry.origin();
+        if (entry.provisionalReports() == 0 || origin.version().isEmpty()) {
+            return origin;
+        }
+        boolean isAwaited = mTime.since(entry.at()).compareTo(PROVISIONAL_TIME) < 0;
+        return isAwaited
+                ? new StreamOrigin(origin.group(), origin.version(), true)
+                : new StreamOrigin(origin.group(), Optional.empty());
     }
 
     /** Returns the number of streams remembered. */
@@ -58,7 +75,8 @@
     /**
      * A remembered stream.
      *
+     * @param provisionalReports reports that are not followed by a final one yet
      * @param at monotonic time in nanoseconds at which it was remembered last
      */
-    private record Entry(StreamOrigin origin, long at) {}
+    private record Entry(StreamOrigin origin, int provisionalReports, long at) {}
 }
--- a/core/src/test/java/org/boragethread/core/resume/StreamOriginTableTest.java
+++ b/core/src/test/java/org/boragethread/core/resume/StreamOriginTableTest.java
@@ -9,6 +9,7 @@
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.SoftwareVersion;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests what an entry remembers of streams. */
@@ -19,7 +20,12 @@
     private static final StreamKey KEY = StreamKey.of("team", "id", CONTENT);
 
     private final ManualTimeSource mTime = new ManualTimeSource();
-    private final StreamOriginTable mTable = new StreamOriginTable(mTime);
+    private StreamOriginTable mTable;
+
+    @BeforeMethod
+    public void createTable() {
+        mTable = new StreamOriginTable(mTime);
+    }
 
     private static StreamOrigin origin(String version) {
         return new StreamOrigin(ENGINES, Optional.of(new SoftwareVersion(version)));
@@ -36,6 +42,38 @@
         assertEquals(mTable.find(KEY).flatMap(StreamOrigin::version), Optional.empty());
     }
 
+    // Guards against a stream that goes on at an announced version before it is confirmed.
+    @Test
+    public void provisionalVersionIsNotUsedUntilItIsConfirmed() {
+        StreamOrigin provisional = new StreamOrigin(ENGINES, origin("v1").version(), true);
+        mTable.put(KEY, provisional);
+        assertEquals(mTable.find(KEY), Optional.of(provisional));
+        assertEquals(provisional.versionIn(ENGINES), Optional.empty());
+        mTable.put(KEY, origin("v1"));
+        assertEquals(mTable.find(KEY), Optional.of(origin("v1")));
+    }
+
+    // Guards against one of two entries that confirms what the other one has not confirmed yet.
+    @Test
+    public void versionIsProvisionalUntilEachReportIsConfirmed() {
+        StreamOrigin provisional = new StreamOrigin(ENGINES, origin("v1").version(), true);
+        mTable.put(KEY, provisional);
+        mTable.put(KEY, provisional);
+        mTable.put(KEY, origin("v1"));
+        assertEquals(mTable.find(KEY), Optional.of(provisional));
+        mTable.put(KEY, new StreamOrigin(ENGINES, Optional.empty()));
+        assertEquals(mTable.find(KEY).flatMap(StreamOrigin::version), Optional.empty());
+    }
+
+    // Guards against callers that wait for an entry that was killed before it could confirm.
+    @Test
+    public void versionThatIsNotConfirmedInTimeIsUncertain() {
+        mTable.put(KEY, new StreamOrigin(ENGINES, origin("v1").version(), true));
+        mTime.advance(StreamOriginTable.PROVISIONAL_TIME);
+        StreamOrigin uncertain = new StreamOrigin(ENGINES, Optional.empty());
+        assertEquals(mTable.find(KEY), Optional.of(uncertain));
+    }
+
     // Guards against a stream that goes on in another group, whose versions mean something else.
     @Test
     public void versionHoldsInItsGroupOnly() {
--- a/core/src/test/java/org/boragethread/core/resume/StreamRejoinSimulationTest.java
+++ b/core/src/test/java/org/boragethread/core/resume/StreamRejoinSimulationTest.java
@@ -120,6 +120,8 @@
                     });
             if (mUpstreams.isSettled()) {
                 readStore();
+            } else {
+                mOrigins.record(key, new StreamOrigin(ENGINES, version, true));
             }
         }
 
@@ -223,6 +225,18 @@
         play(size, kill, Fate.OTHER_SOFTWARE_WITH_AN_OLDER_COPY_OF_THE_STORE, reverse);
     }
 
+    // Guards against streams of entries that have just started which others take for unknown.
+    @Test(dataProvider = "cells")
+    public void streamsBegunAfterTheKillAreTakenUpAtOnce(int size, Kill kill, boolean reverse) {
+        start(size);
+        killAndRestart(kill, Fate.SERVING, reverse);
+        List<Stream> begun = begin("after", alive());
+        Outcomes outcomes = new Outcomes();
+        begun.forEach(stream -> takeUp(stream, outcomes));
+        assertEquals(outcomes.mMixed, 0, outcomes.toString());
+        assertTrue(outcomes.mServed >= STREAMS * 3 / 4, outcomes.toString());
+    }
+
     private void play(int size, Kill kill, Fate fate, boolean reverse) {
         start(size);
         List<Stream> before = begin("before", mEntries);
@@ -388,16 +402,26 @@
         mAnnounceAt = Optional.of(mTime.nanoTime() + ANNOUNCED_AFTER.toNanos());
     }
 
+    private static Optional<StreamOrigin> find(Entry entry, StreamKey key) {
+        List<Optional<StreamOrigin>> answers = new ArrayList<>();
+        entry.mOrigins.find(key, answers::add);
+        return answers.get(0);
+    }
+
     /** Returns whether the stream went on. */
     private boolean takeUp(Stream stream, Outcomes outcomes) {
         List<Entry> alive = alive();
         Entry entry = alive.get(mRandom.nextInt(alive.size()));
-        List<Optional<StreamOrigin>> answers = new ArrayList<>();
-        entry.mOrigins.find(stream.key(), answers::add);
-        entry.mOrigins.find(stream.keyOfAnother(), answers::add);
-        assertEquals(answers.get(1), Optional.empty(), "a stream of another request");
-        Optional<SoftwareVersion> version =
-                answers.get(0).flatMap(origin -> origin.versionIn(ENGINES));
+        assertEquals(
+                find(entry, stream.keyOfAnother()),
+                Optional.empty(),
+                "a stream of another request");
+        Optional<StreamOrigin> origin = find(entry, stream.key());
+        while (origin.filter(StreamOrigin::provisional).isPresent()) {
+            advance(STEP);
+            origin = find(entry, stream.key());
+        }
+        Optional<SoftwareVersion> version = origin.flatMap(known -> known.versionIn(ENGINES));
         if (version.isEmpty()) {
             outcomes.mUnknown++;
             return false;
--- a/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
@@ -8,7 +8,7 @@
 import java.util.function.Supplier;
 import org.boragethread.core.resume.StreamKey;
 import org.boragethread.core.resume.StreamOrigin;
-import org.boragethread.core.resume.StreamOriginDirectory;
+import org.boragethread.core.resume.StreamOriginTable;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.upstream.GroupId;
@@ -22,7 +22,7 @@
 final class StreamContinuation {
 
     /** Longest wait for announcements; if the store can be read, they are known earlier. */
-    private static final Duration MAX_WAIT = Duration.ofSeconds(3);
+    private static final Duration MAX_WAIT = StreamOriginTable.PROVISIONAL_TIME;
 
     private final Gateway mGateway;
     private final CallerRequest mRequest;
@@ -79,22 +79,24 @@
         find(mKey.get(), mGateway.time().nanoTime() + MAX_WAIT.toNanos(), onReady, end);
     }
 
-    /** Asks again until a stream is recorded that began here before announcements were certain. */
+    /** Asks again while the entry that forwarded the stream is about to confirm its origin. */
     private void find(StreamKey key, long endNanos, Runnable onReady, RequestEnd end) {
-        StreamOriginDirectory origins = mGateway.streamOrigins();
-        origins.find(
-                key,
-                origin -> {
-                    boolean inTime = mGateway.time().nanoTime() < endNanos;
-                    if (origin.isPresent() || !origins.isPending(key) || !inTime || mStopped) {
-                        onOrigin(origin, onReady, end);
-                        return;
-                    }
-                    mGateway.scheduler()
-                            .schedule(
-                                    UpstreamSearch.INTERVAL,
-                                    () -> find(key, endNanos, onReady, end));
-                });
+        mGateway.streamOrigins()
+                .find(
+                        key,
+                        origin -> {
+                            boolean inTime = mGateway.time().nanoTime() < endNanos;
+                            boolean isProvisional =
+                                    origin.filter(StreamOrigin::provisional).isPresent();
+                            if (!isProvisional || !inTime || mStopped) {
+                                onOrigin(origin, onReady, end);
+                                return;
+                            }
+                            mGateway.scheduler()
+                                    .schedule(
+                                            UpstreamSearch.INTERVAL,
+                                            () -> find(key, endNanos, onReady, end));
+                        });
     }
 
     private static Optional<StreamKey> key(
@@ -210,10 +212,12 @@
     void onBegin(Supplier<Optional<SoftwareVersion>> version) {
         mBegun = true;
         mVersion = version.get();
-        mKey.ifPresent(mGateway.streamOrigins()::addPending);
+        if (!mGateway.directory().isSettled()) {
+            mKey.ifPresent(key -> record(key, new StreamOrigin(mGroup, mVersion, true)));
+        }
         whenSettled(settled -> record(settled ? version.get() : Optional.empty()));
         // A caller that goes on naming the stream that it gave up has events of this one.
-        mReplaced.ifPresent(key -> record(key, Optional.empty()));
+        mReplaced.ifPresent(key -> record(key, new StreamOrigin(mGroup, Optional.empty())));
     }
 
     /**
@@ -231,10 +235,10 @@
     }
 
     private void record(Optional<SoftwareVersion> version) {
-        mKey.ifPresent(key -> record(key, version));
+        mKey.ifPresent(key -> record(key, new StreamOrigin(mGroup, version)));
     }
 
-    private void record(StreamKey key, Optional<SoftwareVersion> version) {
-        mGateway.streamOrigins().record(key, new StreamOrigin(mGroup, version));
+    private void record(StreamKey key, StreamOrigin origin) {
+        mGateway.streamOrigins().record(key, origin);
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/StreamOriginClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StreamOriginClient.java
@@ -86,12 +86,18 @@
     }
 
     static StreamBegun encode(StreamKey key, StreamOrigin origin) {
-        return StreamBegun.newBuilder()
-                .setKeyHigh(key.high())
-                .setKeyLow(key.low())
-                .setGroup(origin.group().value())
-                .setSoftwareVersion(origin.version().map(SoftwareVersion::value).orElse(""))
-                .build();
+        StreamBegun.Builder stream =
+                StreamBegun.newBuilder()
+                        .setKeyHigh(key.high())
+                        .setKeyLow(key.low())
+                        .setGroup(origin.group().value());
+        String version = origin.version().map(SoftwareVersion::value).orElse("");
+        if (origin.provisional()) {
+            stream.setProvisionalVersion(version);
+        } else {
+            stream.setSoftwareVersion(version);
+        }
+        return stream.build();
     }
 
     static StreamKey decodeKey(StreamBegun stream) {
@@ -104,11 +110,15 @@
      * @throws IllegalArgumentException if the message is malformed
      */
     static StreamOrigin decodeOrigin(StreamBegun stream) {
+        boolean isProvisional = !stream.getProvisionalVersion().isEmpty();
         Optional<SoftwareVersion> version =
-                Optional.of(stream.getSoftwareVersion())
+                Optional.of(
+                                isProvisional
+                                        ? stream.getProvisionalVersion()
+                                        : stream.getSoftwareVersion())
                         .filter(text -> !text.isEmpty())
                         .map(SoftwareVersion::new);
-        return new StreamOrigin(new GroupId(stream.getGroup()), version);
+        return new StreamOrigin(new GroupId(stream.getGroup()), version, isProvisional);
     }
 
     /** A stream that an entry is to remember. */
--- a/standins/src/test/java/org/boragethread/standins/system/StreamRejoinTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/StreamRejoinTest.java
@@ -206,6 +206,19 @@
         assertTrue(received.complete(), received.body());
     }
 
+    // Guards against a stream of an entry that has just started which others take for unknown.
+    @Test
+    public void streamBegunAtAnEntryThatHasJustStartedIsTakenUpAtAnother() throws Exception {
+        mEngines.start("old-1", "v1").start("new-1", "v2");
+        startGateways(List.of("first", "second"));
+        Received begun = mCaller.request(mGateways.get("second"), "/once/every-2", "id-1");
+        assertFalse(mGateways.get("second").hasSettledUpstreams());
+        Received later =
+                mCaller.takeUp(mGateways.get("first"), "/once/whole", "id-2", "id-1", begun);
+        assertEquals(later.versions(), begun.versions(), later.body());
+        assertTrue(later.complete(), later.body());
+    }
+
     private Received takeUp(TestGateway gateway, Received begun) {
         try {
             return mCaller.takeUp(gateway, "/once/whole", "id-3", "id-1", begun);
--- a/wire/src/main/java/org/boragethread/wire/proto/Peer.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Peer.java
@@ -118,13 +118,14 @@
       "ord\022\023\n\013next_offset\030\003 \001(\003\022\021\n\tage_nanos\030\004 " +
       "\001(\003\022\021\n\tstore_era\030\005 \001(\003\"@\n\rStreamOrigins\022" +
       "/\n\007streams\030\001 \003(\0132\036.boragethread.peer.Str" +
-      "eamBegun\"Y\n\013StreamBegun\022\020\n\010key_high\030\001 \001(" +
+      "eamBegun\"v\n\013StreamBegun\022\020\n\010key_high\030\001 \001(" +
       "\006\022\017\n\007key_low\030\002 \001(\006\022\r\n\005group\030\003 \001(\t\022\030\n\020sof" +
-      "tware_version\030\004 \001(\t\"0\n\013StreamQuery\022\020\n\010ke" +
-      "y_high\030\001 \001(\006\022\017\n\007key_low\030\002 \001(\006\"H\n\013TopicRe" +
-      "cord\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\022\n\005val" +
-      "ue\030\003 \001(\014H\000\210\001\001B\010\n\006_valueB\037\n\033org.boragethr" +
-      "ead.wire.protoP\001b\006proto3"
+      "tware_version\030\004 \001(\t\022\033\n\023provisional_versi" +
+      "on\030\005 \001(\t\"0\n\013StreamQuery\022\020\n\010key_high\030\001 \001(" +
+      "\006\022\017\n\007key_low\030\002 \001(\006\"H\n\013TopicRecord\022\016\n\006off" +
+      "set\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\022\n\005value\030\003 \001(\014H\000\210" +
+      "\001\001B\010\n\006_valueB\037\n\033org.boragethread.wire.pr" +
+      "otoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -189,7 +190,7 @@
     internal_static_boragethread_peer_StreamBegun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_StreamBegun_descriptor,
-        new java.lang.String[] { "KeyHigh", "KeyLow", "Group", "SoftwareVersion", });
+        new java.lang.String[] { "KeyHigh", "KeyLow", "Group", "SoftwareVersion", "ProvisionalVersion", });
     internal_static_boragethread_peer_StreamQuery_descriptor =
       getDescriptor().getMessageTypes().get(10);
     internal_static_boragethread_peer_StreamQuery_fieldAccessorTable = new
--- a/wire/src/main/java/org/boragethread/wire/proto/StreamBegun.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/StreamBegun.java
@@ -29,6 +29,7 @@
   private StreamBegun() {
     group_ = "";
     softwareVersion_ = "";
+    provisionalVersion_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -156,6 +157,55 @@
     }
   }
 
+  public static final int PROVISIONAL_VERSION_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object provisionalVersion_ = "";
+  /**
+   * <pre>
+   * Version that is announced, instead of software_version, while it may be of an earlier run.
+   * Another message follows.
+   * </pre>
+   *
+   * <code>string provisional_version = 5;</code>
+   * @return The provisionalVersion.
+   */
+  @java.lang.Override
+  public java.lang.String getProvisionalVersion() {
+    java.lang.Object ref = provisionalVersion_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      provisionalVersion_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Version that is announced, instead of software_version, while it may be of an earlier run.
+   * Another message follows.
+   * </pre>
+   *
+   * <code>string provisional_version = 5;</code>
+   * @return The bytes for provisionalVersion.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getProvisionalVersionBytes() {
+    java.lang.Object ref = provisionalVersion_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      provisionalVersion_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -182,6 +232,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 4, softwareVersion_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(provisionalVersion_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, provisionalVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -205,6 +258,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(4, softwareVersion_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(provisionalVersion_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, provisionalVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -228,6 +284,8 @@
         .equals(other.getGroup())) return false;
     if (!getSoftwareVersion()
         .equals(other.getSoftwareVersion())) return false;
+    if (!getProvisionalVersion()
+        .equals(other.getProvisionalVersion())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -249,6 +307,8 @@
     hash = (53 * hash) + getGroup().hashCode();
     hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + getSoftwareVersion().hashCode();
+    hash = (37 * hash) + PROVISIONAL_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + getProvisionalVersion().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -384,6 +444,7 @@
       keyLow_ = 0L;
       group_ = "";
       softwareVersion_ = "";
+      provisionalVersion_ = "";
       return this;
     }
 
@@ -429,6 +490,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.softwareVersion_ = softwareVersion_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.provisionalVersion_ = provisionalVersion_;
+      }
     }
 
     @java.lang.Override
@@ -459,6 +523,11 @@
         bitField0_ |= 0x00000008;
         onChanged();
       }
+      if (!other.getProvisionalVersion().isEmpty()) {
+        provisionalVersion_ = other.provisionalVersion_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -505,6 +574,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 42: {
+              provisionalVersion_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -762,6 +836,103 @@
       return this;
     }
 
+    private java.lang.Object provisionalVersion_ = "";
+    /**
+     * <pre>
+     * Version that is announced, instead of software_version, while it may be of an earlier run.
+     * Another message follows.
+     * </pre>
+     *
+     * <code>string provisional_version = 5;</code>
+     * @return The provisionalVersion.
+     */
+    public java.lang.String getProvisionalVersion() {
+      java.lang.Object ref = provisionalVersion_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        provisionalVersion_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Version that is announced, instead of software_version, while it may be of an earlier run.
+     * Another message follows.
+     * </pre>
+     *
+     * <code>string provisional_version = 5;</code>
+     * @return The bytes for provisionalVersion.
+     */
+    public com.google.protobuf.ByteString
+        getProvisionalVersionBytes() {
+      java.lang.Object ref = provisionalVersion_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        provisionalVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Version that is announced, instead of software_version, while it may be of an earlier run.
+     * Another message follows.
+     * </pre>
+     *
+     * <code>string provisional_version = 5;</code>
+     * @param value The provisionalVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProvisionalVersion(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      provisionalVersion_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version that is announced, instead of software_version, while it may be of an earlier run.
+     * Another message follows.
+     * </pre>
+     *
+     * <code>string provisional_version = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProvisionalVersion() {
+      provisionalVersion_ = getDefaultInstance().getProvisionalVersion();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version that is announced, instead of software_version, while it may be of an earlier run.
+     * Another message follows.
+     * </pre>
+     *
+     * <code>string provisional_version = 5;</code>
+     * @param value The bytes for provisionalVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProvisionalVersionBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      provisionalVersion_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:boragethread.peer.StreamBegun)
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/StreamBegunOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/StreamBegunOrBuilder.java
@@ -56,4 +56,26 @@
    */
   com.google.protobuf.ByteString
       getSoftwareVersionBytes();
+
+  /**
+   * <pre>
+   * Version that is announced, instead of software_version, while it may be of an earlier run.
+   * Another message follows.
+   * </pre>
+   *
+   * <code>string provisional_version = 5;</code>
+   * @return The provisionalVersion.
+   */
+  java.lang.String getProvisionalVersion();
+  /**
+   * <pre>
+   * Version that is announced, instead of software_version, while it may be of an earlier run.
+   * Another message follows.
+   * </pre>
+   *
+   * <code>string provisional_version = 5;</code>
+   * @return The bytes for provisionalVersion.
+   */
+  com.google.protobuf.ByteString
+      getProvisionalVersionBytes();
 }
