Call stage upstreams that were never called before busy ones

A coordinator took an upstream of a stage that it had never called, or that had restarted, for the busiest of its group: the time until which it was busy is unset, the smallest number, and subtracting the present time overflowed. Pieces went to upstreams that were at work instead.

upstreamThatWasNeverCalledGoesBeforeABusyOne failed before.

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -220,6 +220,15 @@
         return mBusyUntil;
     }
 
+    /** Returns the time for which calls of other processes are expected to occupy it from now. */
+    public Duration busyTime(long now) {
+        return timeUntil(mBusyUntil, now);
+    }
+
+    private static Duration timeUntil(long end, long now) {
+        return now < end ? Duration.ofNanos(end - now) : Duration.ZERO;
+    }
+
     public void setBusyUntil(long nanos) {
         mBusyUntil = nanos;
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
@@ -52,7 +52,7 @@
         List<UpstreamNode> candidates = usable.isEmpty() ? avoided : usable;
         candidates.sort(
                 Comparator.comparing((UpstreamNode node) -> !isConfirmationDue(node, now))
-                        .thenComparingLong(node -> busyMillis(node, now))
+                        .thenComparingLong(node -> node.busyTime(now).toMillis())
                         .thenComparingDouble(node -> Math.round(node.slowness()))
                         .thenComparingLong(this::tieBreaker));
         return candidates;
@@ -62,10 +62,6 @@
         return now >= node.busyUntil() && mGateway.rateLimitShare().isConfirmationDue(node, now);
     }
 
-    private static long busyMillis(UpstreamNode node, long now) {
-        return Math.max(0, (node.busyUntil() - now) / 1_000_000);
-    }
-
     /** Orders equal upstreams differently for each entry, so that entries collide less often. */
     private long tieBreaker(UpstreamNode node) {
         String pair = mGateway.settings().name() + '/' + node.entry().id().value();
--- a/entry/src/test/java/org/boragethread/entry/gateway/DirectoryBatchGroupTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/DirectoryBatchGroupTest.java
@@ -104,4 +104,13 @@
         lease(Duration.ofSeconds(10));
         assertEquals(mGroup.upstreams().get(0), limited);
     }
+
+    // Guards against an upstream that this entry never called and that it takes for the busiest.
+    @Test
+    public void upstreamThatWasNeverCalledGoesBeforeABusyOne() {
+        mTime.advance(Duration.ofSeconds(1));
+        UpstreamNode busy = mGroup.upstreams().get(0);
+        busy.setBusyUntil(mTime.nanoTime() + Duration.ofSeconds(1).toNanos());
+        assertNotEquals(mGroup.upstreams().get(0), busy);
+    }
 }
