Log the end of a pause of an upstream that started again

'pause-ended' was never logged for an upstream that had started again during its pause: the time until which it pauses is unset then, and subtracting the present time overflowed to a delay of centuries. No test failed before: the computation stood in the log's timer only.

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -174,10 +174,7 @@
         if (candidates.stream().anyMatch(node -> !node.isPaused(now))) {
             return Optional.empty();
         }
-        return candidates.stream()
-                .map(UpstreamNode::pausedUntil)
-                .min(Comparator.naturalOrder())
-                .map(until -> Duration.ofNanos(until - now));
+        return candidates.stream().map(node -> node.pauseTime(now)).min(Comparator.naturalOrder());
     }
 
     /**
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -147,9 +147,9 @@
         mPausedUntil = Math.max(mPausedUntil, nanos);
     }
 
-    /** Returns the time until which the upstream accepts no call of this process. */
-    public long pausedUntil() {
-        return mPausedUntil;
+    /** Returns the remaining time in which the upstream accepts no call of this process. */
+    public Duration pauseTime(long now) {
+        return timeUntil(mPausedUntil, now);
     }
 
     /** Returns whether the upstream accepts no call of this process now. */
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamDirectoryTest.java
@@ -193,6 +193,17 @@
         assertTrue(mDirectory.isSettled());
     }
 
+    // Guards against the end of a pause that never comes, as the upstream has started again.
+    @Test
+    public void pauseOfAnUpstreamThatStartedAgainIsOver() {
+        mDirectory.put(started(1));
+        UpstreamNode node = mDirectory.find(new UpstreamId("a")).orElseThrow();
+        node.pauseUntil(mTime.nanoTime() + Duration.ofSeconds(5).toNanos());
+        assertEquals(node.pauseTime(mTime.nanoTime()), Duration.ofSeconds(5));
+        mDirectory.put(started(2));
+        assertEquals(node.pauseTime(mTime.nanoTime()), Duration.ZERO);
+    }
+
     private boolean isLeaving(String id) {
         return mDirectory.find(new UpstreamId(id)).orElseThrow().isLeaving();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
@@ -195,8 +195,7 @@
     private void sendFreeRequest(UpstreamNode upstream, Set<String> handles) {
         long now = mTime.nanoTime();
         if (upstream.isPaused(now)) {
-            Duration pause = Duration.ofNanos(upstream.pausedUntil() - now);
-            mScheduler.schedule(pause, () -> free(upstream, handles));
+            mScheduler.schedule(upstream.pauseTime(now), () -> free(upstream, handles));
             return;
         }
         Optional<Long> allowedAt = mRateLimitShare.nextCallAt(upstream, now);
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
@@ -112,12 +112,12 @@
 
     /** Logs the end of a pause, which later responses may have extended. */
     private void awaitEndOfPause(UpstreamNode node) {
-        long remaining = node.pausedUntil() - mTime.nanoTime();
-        if (remaining <= 0) {
+        Duration remaining = node.pauseTime(mTime.nanoTime());
+        if (remaining.isZero()) {
             line(node, "pause-ended").info();
             return;
         }
-        mScheduler.schedule(Duration.ofNanos(remaining), () -> awaitEndOfPause(node));
+        mScheduler.schedule(remaining, () -> awaitEndOfPause(node));
     }
 
     private void logMalformed(UpstreamNode node, CharSequence header, List<String> values) {
