Test that a limited upstream gets its work back after the limit's end

Two equal upstreams, two calls a step that overlap, 3, 30 and 1,200 entries on the paused clock: half of the calls within a tenth, from 5 s after the end on.

--- a/core/src/test/java/org/boragethread/core/upstream/RateLimitEndTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/RateLimitEndTest.java
@@ -1,9 +1,13 @@
 package org.boragethread.core.upstream;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,6 +38,11 @@
     private static final double EXPIRY_SECONDS = 2.6;
     private static final double OUTAGE_SECONDS = 12;
 
+    private static final int CALLS_IN_A_STEP = 2;
+    private static final int ACTIVE_CALLS = 6;
+    private static final String LIMITED = "limited";
+    private static final String OTHER = "other";
+
     private static final RoutedGroup GROUP =
             new RoutedGroup(
                     new GroupId("orders"),
@@ -45,6 +54,7 @@
                     Optional.empty());
 
     private final List<UpstreamDirectory> mDirectories = new ArrayList<>();
+    private final Map<String, Integer> mCalls = new HashMap<>();
     private OptionalDouble mNamed = OptionalDouble.empty();
     private boolean mNoticed;
 
@@ -59,6 +69,7 @@
     @BeforeMethod
     public void clear() {
         mDirectories.clear();
+        mCalls.clear();
         mNoticed = false;
     }
 
@@ -67,14 +78,7 @@
         UpstreamDirectory directory = new UpstreamDirectory(time);
         directory.put(UpstreamEntries.of("a", "orders", "north"));
         directory.put(UpstreamEntries.of("b", "orders", "north"));
-        UpstreamChooser chooser =
-                new UpstreamChooser(
-                        directory,
-                        time,
-                        NORTH,
-                        Map.of(NORTH, "r1"),
-                        new ColdRateShare(new ColdRateBound(1000, 1000), lease),
-                        new RateLimitShare(lease, CONFIRM_INTERVAL));
+        UpstreamChooser chooser = chooser(directory, time, lease);
         UpstreamNode limited = limited(directory, chooser);
         limited.namedRateLimit().learn(OptionalDouble.of(rate), time.nanoTime());
         mDirectories.add(directory);
@@ -87,6 +91,17 @@
         };
     }
 
+    private static UpstreamChooser chooser(
+            UpstreamDirectory directory, TimeSource time, PartitionLease lease) {
+        return new UpstreamChooser(
+                directory,
+                time,
+                NORTH,
+                Map.of(NORTH, "r1"),
+                new ColdRateShare(new ColdRateBound(1000, 1000), lease),
+                new RateLimitShare(lease, CONFIRM_INTERVAL));
+    }
+
     /** Returns the upstream that is not preferred among equal ones. */
     private static UpstreamNode limited(UpstreamDirectory directory, UpstreamChooser chooser) {
         UpstreamNode preferred = chooser.choose(request()).orElseThrow();
@@ -149,6 +164,64 @@
         assertTrue(mNoticed, "not within " + bound + " s");
     }
 
+    @DataProvider
+    public Object[][] sizes() {
+        return new Object[][] {{3}, {30}, {1200}};
+    }
+
+    // Guards against an upstream that stays below an equal one after its limit ended everywhere.
+    @Test(dataProvider = "sizes")
+    public void halfOfTheWorkIsBackFiveSecondsAfterTheEnd(int entries) {
+        double rate = 0.5;
+        SharedLimitSimulation simulation =
+                new SharedLimitSimulation(
+                        entries, 1, (time, lease) -> busyUser(time, lease, rate), STEP, false);
+        double window = Math.max(5, 5 / rate);
+        Duration end = seconds(3 * (LEASE_SECONDS + window));
+        simulation.run(end);
+        // A record reaches the other entries within the spread of reports and half a stable window.
+        simulation.run(end.plus(seconds(0.1)).plus(CONFIRM_INTERVAL.dividedBy(2)));
+        mDirectories.forEach(RateLimitEndTest::endLimits);
+        simulation.run(end.plus(seconds(5)));
+        mCalls.clear();
+        simulation.run(end.plus(seconds(10)));
+        double all = mCalls.values().stream().mapToInt(Integer::intValue).sum();
+        assertEquals(mCalls.get(LIMITED) / all, 0.5, 0.1, mCalls.toString());
+    }
+
+    private static void endLimits(UpstreamDirectory directory) {
+        directory.all().forEach(node -> node.namedRateLimit().learn(OptionalDouble.empty(), 0));
+    }
+
+    /** An entry with two calls in each step, which overlap with those of the two steps before. */
+    private SharedLimitSimulation.User busyUser(
+            TimeSource time, PartitionLease lease, double rate) {
+        UpstreamDirectory directory = new UpstreamDirectory(time);
+        directory.put(UpstreamEntries.of("a", "orders", "north"));
+        directory.put(UpstreamEntries.of("b", "orders", "north"));
+        UpstreamChooser chooser = chooser(directory, time, lease);
+        UpstreamNode limited = limited(directory, chooser);
+        limited.namedRateLimit().learn(OptionalDouble.of(rate), time.nanoTime());
+        mDirectories.add(directory);
+        Deque<Optional<UpstreamNode>> active = new ArrayDeque<>();
+        return () -> {
+            for (int i = 0; i < CALLS_IN_A_STEP; i++) {
+                Optional<UpstreamNode> node = chooser.choose(request());
+                node.ifPresent(chosen -> chosen.onSent(time.nanoTime()));
+                node.ifPresent(chosen -> count(chosen == limited ? LIMITED : OTHER));
+                active.add(node);
+            }
+            while (active.size() > ACTIVE_CALLS) {
+                active.poll().ifPresent(UpstreamNode::onEnded);
+            }
+            return false;
+        };
+    }
+
+    private void count(String upstream) {
+        mCalls.merge(upstream, 1, Integer::sum);
+    }
+
     private static void strike(
             SharedLimitSimulation simulation, Event event, double rate, double window) {
         int units = Math.max(5, (int) Math.ceil(rate * window));
