Follow a topic on after its listener threw

If a listener of a topic threw, the exception ended in the event loop's guard (one log line "callback-failed" of the process), and the follower never read again. An entry then went on with old configuration, announcements, limits and quarantine; for the configuration until its lease ended, for the other topics without any end. In a topic with two listeners, the second did not get the record either, and a relay that responds to several waiting reads left those behind the one that threw without a response.

Existing tests get the new constructor argument, a supervisor that turns any exception into a failure of the test; nothing else in them has changed.

--- a/core/src/main/java/org/boragethread/core/follow/TopicListeners.java
+++ b/core/src/main/java/org/boragethread/core/follow/TopicListeners.java
@@ -4,8 +4,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.boragethread.core.callback.Callbacks;
 
-/** Passes the content of a topic to several listeners, each of which ignores the others' keys. */
+/**
+ * Passes the content of a topic to several listeners, each of which ignores the others' keys. If
+ * one throws, the others are called too before the exception is passed on.
+ */
 public final class TopicListeners implements TopicListener {
 
     private final List<TopicListener> mListeners;
@@ -16,7 +20,7 @@
     }
 
     private void forEach(Consumer<TopicListener> call) {
-        mListeners.forEach(call);
+        Callbacks.forEach(mListeners, call);
     }
 
     @Override
--- a/core/src/main/java/org/boragethread/core/follow/TopicRelay.java
+++ b/core/src/main/java/org/boragethread/core/follow/TopicRelay.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.boragethread.core.callback.Callbacks;
 import org.boragethread.core.time.TimeSource;
 
 /**
@@ -119,7 +120,7 @@
         }
         mUpToDateAt = Optional.of(asOf);
         mUpdate++;
-        takeWaiters().forEach(Waiter::respond);
+        Callbacks.forEach(takeWaiters(), Waiter::respond);
     }
 
     /** Refuses all reads until the topic was read from the store again. */
@@ -128,7 +129,7 @@
             return;
         }
         mUpToDateAt = Optional.empty();
-        takeWaiters().forEach(waiter -> waiter.mCallback.accept(refuse()));
+        Callbacks.forEach(takeWaiters(), waiter -> waiter.mCallback.accept(refuse()));
     }
 
     private List<Waiter> takeWaiters() {
--- a/core/src/test/java/org/boragethread/core/follow/RelaySimulation.java
+++ b/core/src/test/java/org/boragethread/core/follow/RelaySimulation.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import org.boragethread.core.callback.Supervisors;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
@@ -159,7 +160,9 @@
         void start() {
             RelayedTopic topic =
                     new RelayedTopic(this, KEY, this, this::relay, this, RELAY_TIMEOUT);
-            new TopicFollower(topic, this, this, TIMING, this, mTopicRelay).start();
+            new TopicFollower(
+                            topic, this, this, TIMING, this, mTopicRelay, Supervisors.rethrowing())
+                    .start();
         }
 
         private Optional<String> relay() {
--- a/core/src/test/java/org/boragethread/core/follow/TopicFollowerTest.java
+++ b/core/src/test/java/org/boragethread/core/follow/TopicFollowerTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.boragethread.core.callback.Supervisors;
 import org.boragethread.core.time.ManualTimeSource;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -36,7 +37,8 @@
 
     private void start() {
         TopicRelay relay = new TopicRelay(mTime, (key, previous, value) -> false);
-        new TopicFollower(mTopic, mTime, mTime, TIMING, mRecorder, relay).start();
+        new TopicFollower(mTopic, mTime, mTime, TIMING, mRecorder, relay, Supervisors.rethrowing())
+                .start();
     }
 
     private void run(int millis) {
--- a/core/src/test/java/org/boragethread/core/follow/TopicRelayTest.java
+++ b/core/src/test/java/org/boragethread/core/follow/TopicRelayTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.boragethread.core.callback.Supervisors;
 import org.boragethread.core.time.ManualTimeSource;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -81,7 +82,8 @@
                         mTime,
                         new ReadTiming(Duration.ofSeconds(1), Duration.ZERO, Duration.ZERO),
                         new IgnoringListener(),
-                        mRelay)
+                        mRelay,
+                        Supervisors.rethrowing())
                 .start();
         mTime.advance(Duration.ofMillis(10));
         mRelay.read(10, ERA, 0, mResponses::add);
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.boragethread.core.callback.CallbackGuard;
+import org.boragethread.core.callback.Supervisor;
 import org.boragethread.core.follow.FreshnessLease;
 import org.boragethread.core.follow.TopicRelay;
 import org.boragethread.core.member.PartitionLease;
@@ -147,6 +148,16 @@
         return mGuard;
     }
 
+    /** Returns what keeps an activity of this process going, and reports its failures. */
+    Supervisor supervisor(String owner, String name) {
+        return new Supervisor(mGuard, cause -> onActivityFailed(owner, name, cause));
+    }
+
+    private void onActivityFailed(String owner, String name, Throwable cause) {
+        mMetrics.onCallbackFailed(owner);
+        mLog.event("callback-failed").with("owner", owner).with("name", name).warn(cause);
+    }
+
     private void onCallbackFailed(Throwable cause) {
         mMetrics.onCallbackFailed("process");
         mLog.event("callback-failed").with("owner", "process").warn(cause);
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -248,7 +248,14 @@
                         () -> mGateway.coordinators().relayFor(mSettings.peerAddress()),
                         mTime,
                         pace.longPollTime().plus(pace.pause()).plus(RELAY_MARGIN));
-        return new TopicFollower(source, mGateway.scheduler(), mTime, pace, listener, relay);
+        return new TopicFollower(
+                source,
+                mGateway.scheduler(),
+                mTime,
+                pace,
+                listener,
+                relay,
+                mGateway.supervisor("follower", topic));
     }
 
     private void bindPeerServer() throws InterruptedException {
