Renew the membership and write reports again after a callback threw

The membership of the group of entries scheduled its next renewal at the end of the callback of the last one. An exception in it, in the call, or in what the members are passed to ended the renewals: the entry lost its partitions and its shares of common limits after 2.5 s, and still served. Members whose listener threw were not reported again until the group changed. A last renewal that threw kept a stopping entry from leaving.

A publisher of reports about upstreams whose write threw never wrote again, and the exception ended whichever request had put the report.

Both are activities now: the failure is reported and counted (owners "membership" and "publisher"), and the step is repeated after the interval.

Existing tests get the new constructor argument only.

--- a/core/src/main/java/org/boragethread/core/follow/RecordPublisher.java
+++ b/core/src/main/java/org/boragethread/core/follow/RecordPublisher.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.boragethread.core.callback.Activity;
+import org.boragethread.core.callback.Supervisor;
 import org.boragethread.core.time.Scheduler;
 
 /**
@@ -24,14 +26,25 @@
     private final TopicAppender mAppender;
     private final Scheduler mScheduler;
     private final Duration mRetryDelay;
+    private final Activity mActivity;
     private final Map<String, Optional<byte[]>> mPending = new LinkedHashMap<>();
     private boolean mWriting;
 
-    /** Creates a publisher that repeats a failed write after the given delay. */
-    public RecordPublisher(TopicAppender appender, Scheduler scheduler, Duration retryDelay) {
+    /**
+     * Creates a publisher.
+     *
+     * @param retryDelay delay after which a failed write is repeated
+     * @param supervisor told of each callback that threw; the write is repeated then
+     */
+    public RecordPublisher(
+            TopicAppender appender,
+            Scheduler scheduler,
+            Duration retryDelay,
+            Supervisor supervisor) {
         mAppender = appender;
         mScheduler = scheduler;
         mRetryDelay = retryDelay;
+        mActivity = supervisor.supervise(this::retry);
     }
 
     /** Writes a value as soon as possible; an empty one deletes the key. */
@@ -40,7 +53,7 @@
         if (mPending.size() > MAX_PENDING) {
             mPending.remove(mPending.keySet().iterator().next());
         }
-        write();
+        mActivity.run(this::write);
     }
 
     private void write() {
@@ -55,19 +68,13 @@
             }
             batch.add(new KeyedRecord(-1, entry.getKey(), entry.getValue()));
         }
-        mAppender.append(batch, result -> onWritten(batch, result));
+        mAppender.append(batch, mActivity.bind(result -> onWritten(batch, result)));
     }
 
     private void onWritten(List<KeyedRecord> batch, Either<ReadFailure, Boolean> result) {
         mWriting = false;
         if (result.isLeft()) {
-            mWriting = true;
-            mScheduler.schedule(
-                    mRetryDelay,
-                    () -> {
-                        mWriting = false;
-                        write();
-                    });
+            retry();
             return;
         }
         for (KeyedRecord record : batch) {
@@ -78,4 +85,15 @@
         }
         write();
     }
+
+    private void retry() {
+        mWriting = true;
+        mScheduler.schedule(
+                mRetryDelay,
+                mActivity.bind(
+                        () -> {
+                            mWriting = false;
+                            write();
+                        }));
+    }
 }
--- a/core/src/main/java/org/boragethread/core/member/GroupMembership.java
+++ b/core/src/main/java/org/boragethread/core/member/GroupMembership.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
+import org.boragethread.core.callback.Activity;
+import org.boragethread.core.callback.Supervisor;
 import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.follow.ReadFailure;
 import org.boragethread.core.follow.StoreEra;
@@ -22,18 +24,22 @@
     private final PartitionLease mLease;
     private final Duration mInterval;
     private final Consumer<List<String>> mListener;
+    private final Activity mActivity;
     private long mGeneration;
     private StoreEra mEra = StoreEra.UNKNOWN;
     private long mReportedGeneration = -1;
     private Consumer<Either<ReadFailure, Boolean>> mOnLeft = left -> {};
     private boolean mLeaving;
+    private boolean mLeft;
 
     /**
      * Creates a membership that has not started.
      *
      * @param lease lease of the partitions that are assigned to this process
      * @param interval time between renewals
-     * @param listener gets the names of all members whenever they may have changed
+     * @param listener gets the names of all members whenever they may have changed, and again if it
+     *     threw
+     * @param supervisor told of each callback that threw
      */
     public GroupMembership(
             MemberGroup group,
@@ -41,20 +47,34 @@
             TimeSource time,
             PartitionLease lease,
             Duration interval,
-            Consumer<List<String>> listener) {
+            Consumer<List<String>> listener,
+            Supervisor supervisor) {
         mGroup = group;
         mScheduler = scheduler;
         mTime = time;
         mLease = lease;
         mInterval = interval;
         mListener = listener;
+        mActivity = supervisor.supervise(this::restart);
     }
 
     /** Joins the group, and renews the membership until {@link #stop} is called. */
     public void start() {
+        mActivity.run(this::join);
+    }
+
+    private void join() {
         if (!mLeaving) {
             ClockReading sentAt = ClockReading.now(mTime);
-            mGroup.join(mGeneration, response -> onJoined(sentAt, response));
+            mGroup.join(mGeneration, mActivity.bind(response -> onJoined(sentAt, response)));
+        }
+    }
+
+    private void restart() {
+        if (mLeaving) {
+            leaveOnce();
+        } else {
+            mScheduler.schedule(mInterval, mActivity.bind(this::join));
         }
     }
 
@@ -70,9 +90,9 @@
         mOnLeft = onLeft;
         Duration membership = remaining.minus(mLease.lifetime());
         if (membership.isNegative() || membership.isZero()) {
-            renewAndLeave();
+            mActivity.run(this::renewAndLeave);
         } else {
-            mScheduler.schedule(membership, this::renewAndLeave);
+            mScheduler.schedule(membership, () -> mActivity.run(this::renewAndLeave));
         }
         mScheduler.schedule(remaining, mLease::release);
     }
@@ -81,6 +101,13 @@
     public void leave() {
         if (!mLeaving) {
             mLeaving = true;
+            mActivity.run(this::leaveOnce);
+        }
+    }
+
+    private void leaveOnce() {
+        if (!mLeft) {
+            mLeft = true;
             mGroup.leave(mOnLeft);
         }
     }
@@ -99,12 +126,13 @@
         ClockReading sentAt = ClockReading.now(mTime);
         mGroup.join(
                 mGeneration,
-                response -> {
-                    if (response.isRight() && isUnchanged(response.get())) {
-                        mLease.renew(sentAt, response.get().partitions());
-                    }
-                    mGroup.leave(mOnLeft);
-                });
+                mActivity.bind(
+                        response -> {
+                            if (response.isRight() && isUnchanged(response.get())) {
+                                mLease.renew(sentAt, response.get().partitions());
+                            }
+                            leaveOnce();
+                        }));
     }
 
     /**
@@ -119,6 +147,7 @@
         if (mLeaving) {
             return;
         }
+        mScheduler.schedule(mInterval, mActivity.bind(this::join));
         if (response.isRight()) {
             mLease.renew(sentAt, response.get().partitions());
             mGeneration = response.get().generation();
@@ -128,17 +157,16 @@
             }
             mEra = response.get().era().orIfUnknown(mEra);
             if (mGeneration != mReportedGeneration) {
-                mGroup.members(this::onMembers);
+                mGroup.members(mActivity.bind(this::onMembers));
             }
         }
-        mScheduler.schedule(mInterval, this::start);
     }
 
     private void onMembers(Either<ReadFailure, List<String>> response) {
         if (mLeaving || response.isLeft()) {
             return;
         }
-        mReportedGeneration = mGeneration;
         mListener.accept(response.get());
+        mReportedGeneration = mGeneration;
     }
 }
--- a/core/src/test/java/org/boragethread/core/follow/RecordPublisherTest.java
+++ b/core/src/test/java/org/boragethread/core/follow/RecordPublisherTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.boragethread.core.callback.Supervisors;
 import org.boragethread.core.time.ManualTimeSource;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -35,7 +36,8 @@
                             mCallbacks.add(callback);
                         },
                         mTime,
-                        RETRY_DELAY);
+                        RETRY_DELAY,
+                        Supervisors.rethrowing());
     }
 
     private void put(String key, int value) {
--- a/core/src/test/java/org/boragethread/core/member/GroupMembershipTest.java
+++ b/core/src/test/java/org/boragethread/core/member/GroupMembershipTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.boragethread.core.callback.Supervisors;
 import org.boragethread.core.follow.ReadFailure;
 import org.boragethread.core.follow.StoreEra;
 import org.boragethread.core.time.ManualTimeSource;
@@ -33,7 +34,13 @@
         mGroup = new FakeGroup();
         mMembership =
                 new GroupMembership(
-                        mGroup, mTime, mTime, mLease, Duration.ofSeconds(1), mReportedMembers::add);
+                        mGroup,
+                        mTime,
+                        mTime,
+                        mLease,
+                        Duration.ofSeconds(1),
+                        mReportedMembers::add,
+                        Supervisors.rethrowing());
     }
 
     @Test
@@ -58,7 +65,15 @@
         ManualTimeSource time = new ManualTimeSource();
         FakeGroup group = new FakeGroup();
         PartitionLease lease = new PartitionLease(time, 12, Duration.ofSeconds(5));
-        new GroupMembership(group, time, time, lease, Duration.ofSeconds(1), members -> {}).start();
+        new GroupMembership(
+                        group,
+                        time,
+                        time,
+                        lease,
+                        Duration.ofSeconds(1),
+                        members -> {},
+                        Supervisors.rethrowing())
+                .start();
         time.advance(Duration.ofSeconds(2));
         assertEquals(group.mMemberReads, 1);
         group.mEra = new StoreEra(2);
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -138,7 +138,8 @@
                         mTime,
                         mGateway.sharedLimits(),
                         JOIN_INTERVAL,
-                        this::onMembers);
+                        this::onMembers,
+                        mGateway.supervisor("membership", MEMBER_GROUP));
         mGateway.setLeaving(mMembership::isLeaving);
     }
 
@@ -209,7 +210,8 @@
                 new RecordPublisher(
                         new StoreAppender(mStore, StoreTopic.REPORT_TOPIC),
                         mGateway.scheduler(),
-                        STORE_RETRY_DELAY);
+                        STORE_RETRY_DELAY,
+                        mGateway.supervisor("publisher", StoreTopic.REPORT_TOPIC));
         QuarantineSync quarantine = mGateway.quarantineSync();
         RateLimitSync rateLimits = mGateway.rateLimitSync();
         quarantine.setPublisher(publisher);
