Give all requests of a call the outcomes of their pieces

Pieces of several requests share one call to an upstream. When the listener of one of them threw, the outcomes of those behind it in the call were lost: their requests waited for their deadlines and were refused. The request that was told was whichever had happened to start the call. A call that threw while it was sent or while its response was read lost all its pieces, and stayed counted at its upstream as in flight, with its memory.

Listeners now run for the owner that submitted their piece. A call that throws is reported (owner "stages", with the group), taken back at its upstream, and its pieces without an outcome fail, so that their requests end at once.

Existing tests get the new constructor argument only.

--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -8,6 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
+import org.boragethread.core.callback.CallbackGuard;
+import org.boragethread.core.callback.Supervisor;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
@@ -16,7 +19,9 @@
 
 /**
  * Sends the pieces of one upstream group in batches. The number of concurrent calls to an upstream
- * is limited, so that pieces submitted during a call share the next one. Not thread-safe.
+ * is limited, so that pieces submitted during a call share the next one. Listeners run for the
+ * owner of callbacks that submitted their piece, so that one that throws does not cost other
+ * requests their results. Not thread-safe.
  */
 public final class BatchScheduler {
 
@@ -56,22 +61,29 @@
     private final SharedRetryBudget mRetryBudget;
     private final Scheduler mScheduler;
     private final TimeSource mTime;
+    private final Supervisor mSupervisor;
     private final List<PendingPiece> mPending = new ArrayList<>();
     private final Map<UpstreamNode, Long> mExpectedEnds = new HashMap<>();
     private boolean mPollScheduled;
 
-    /** Creates a scheduler for one group. */
+    /**
+     * Creates a scheduler for one group.
+     *
+     * @param supervisor told of each callback that threw and that acts for no single piece
+     */
     public BatchScheduler(
             BatchGroup group,
             BatchClient batchClient,
             SharedRetryBudget retryBudget,
             Scheduler scheduler,
-            TimeSource time) {
+            TimeSource time,
+            Supervisor supervisor) {
         mGroup = group;
         mBatchClient = batchClient;
         mRetryBudget = retryBudget;
         mScheduler = scheduler;
         mTime = time;
+        mSupervisor = supervisor;
     }
 
     /**
@@ -79,6 +91,8 @@
      * once.
      */
     public void submit(List<PendingPiece> pieces) {
+        CallbackGuard.Owner owner = mSupervisor.guard().current();
+        pieces.forEach(piece -> piece.setOwner(owner));
         mPending.addAll(pieces);
         dispatch();
     }
@@ -108,6 +122,10 @@
 
     /** Sends pending pieces to all upstreams that can take a call now. */
     public void dispatch() {
+        mSupervisor.run(this::sendPending, this::schedulePoll);
+    }
+
+    private void sendPending() {
         removeObsolete();
         if (mPending.isEmpty()) {
             return;
@@ -131,7 +149,8 @@
             if (canTakeCall(upstream, limits.get(), now)) {
                 List<PendingPiece> batch = selectBatch(upstream, upstreams, limits.get());
                 if (!batch.isEmpty()) {
-                    send(upstream, batch, limits.get());
+                    BatchCall call = new BatchCall(upstream, batch);
+                    mSupervisor.run(() -> send(call, limits.get()), () -> abandon(call));
                 }
             }
         }
@@ -243,47 +262,62 @@
         return Math.max(upstream.busyUntil(), expectedEnd);
     }
 
-    private void send(UpstreamNode upstream, List<PendingPiece> batch, BatchLimits limits) {
+    private void send(BatchCall call, BatchLimits limits) {
         List<PieceWork> work = new ArrayList<>();
         long latestDeadline = Long.MIN_VALUE;
-        for (PendingPiece piece : batch) {
+        for (PendingPiece piece : call.pieces()) {
             work.add(piece.work());
             latestDeadline = Math.max(latestDeadline, piece.work().deadlineNanos());
-            upstream.resultMemory().reserve(piece.work().resultBytes());
         }
         long now = mTime.nanoTime();
-        Duration expected = limits.expectedTime(batch.size());
+        Duration expected = limits.expectedTime(work.size());
         long maxNanos = fullCalls(limits, TIMEOUT_FACTOR);
         Duration timeout = Duration.ofNanos(Math.max(1, Math.min(maxNanos, latestDeadline - now)));
+        UpstreamNode upstream = call.upstream();
         mExpectedEnds.put(
                 upstream,
                 Math.max(now, mExpectedEnds.getOrDefault(upstream, now)) + expected.toNanos());
         dispatchAfter(expected.toNanos() - CALL_OVERHEAD_NANOS);
         mRetryBudget.recordFirstCall();
-        upstream.onSent(now);
+        call.onSent(now);
         mBatchClient.execute(
                 upstream,
                 work,
                 timeout,
-                response -> onCallEnded(upstream, batch, expected, now, response));
+                response ->
+                        mSupervisor.run(
+                                () -> onCallEnded(call, expected, now, response),
+                                () -> abandon(call)));
+    }
+
+    /** Ends a call of which a callback threw; its pieces without a result fail. */
+    private void abandon(BatchCall call) {
+        endCall(call);
+        call.takeUnhandled().forEach(piece -> fail(piece, StageFailure.Kind.FAILED));
+        dispatch();
+    }
+
+    private void endCall(BatchCall call) {
+        call.onEnded();
+        if (call.upstream().inFlight() == 0) {
+            mExpectedEnds.remove(call.upstream());
+        }
     }
 
     private void onCallEnded(
-            UpstreamNode upstream,
-            List<PendingPiece> batch,
+            BatchCall call,
             Duration expected,
             long sentAt,
             Either<BatchFailure, BatchResponse> response) {
-        upstream.onEnded();
-        if (upstream.inFlight() == 0) {
-            mExpectedEnds.remove(upstream);
+        if (call.isEnded()) {
+            return;
         }
-        batch.forEach(piece -> upstream.resultMemory().unreserve(piece.work().resultBytes()));
+        endCall(call);
         if (response.isLeft()) {
-            onFailure(upstream, batch, expected, response.getLeft());
+            onFailure(call, expected, response.getLeft());
         } else {
-            updateUpstream(upstream, expected, sentAt, response.get());
-            handleResults(upstream, batch, response.get().results());
+            updateUpstream(call.upstream(), expected, sentAt, response.get());
+            handleResults(call, response.get().results());
         }
         dispatch();
     }
@@ -296,20 +330,21 @@
         upstream.setBusyUntil(now + callsOfOthers * expected.toNanos());
     }
 
-    private void handleResults(
-            UpstreamNode upstream, List<PendingPiece> batch, List<PieceResult> results) {
+    private void handleResults(BatchCall call, List<PieceResult> results) {
         List<PendingPiece> outOfMemory = new ArrayList<>();
-        for (int i = 0; i < batch.size(); i++) {
-            PendingPiece piece = batch.get(i);
+        for (int i = 0; i < results.size(); i++) {
+            PendingPiece piece = call.pieces().get(i);
             boolean full = results.get(i).isFailure(PieceResult.Failure.OUT_OF_MEMORY);
             if (!full) {
-                handleResult(upstream, piece, results.get(i));
+                handleResult(call.upstream(), piece, results.get(i));
+                call.onHandled(piece);
             } else if (!piece.isCancelled()) {
                 outOfMemory.add(piece);
             }
         }
         if (!outOfMemory.isEmpty()) {
-            onOutOfMemory(upstream, outOfMemory);
+            onOutOfMemory(call.upstream(), outOfMemory);
+            outOfMemory.forEach(call::onHandled);
         }
     }
 
@@ -320,9 +355,7 @@
             if (piece.isCancelled()) {
                 mBatchClient.free(upstream, List.of(handle));
             } else {
-                piece.listener()
-                        .onCompleted(
-                                piece.work(), new ResultLocation(handle, upstream.entry().id()));
+                complete(piece, new ResultLocation(handle, upstream.entry().id()));
             }
             return;
         }
@@ -355,11 +388,8 @@
         mPending.addAll(pieces);
     }
 
-    private void onFailure(
-            UpstreamNode upstream,
-            List<PendingPiece> batch,
-            Duration expected,
-            BatchFailure failure) {
+    private void onFailure(BatchCall call, Duration expected, BatchFailure failure) {
+        UpstreamNode upstream = call.upstream();
         long now = mTime.nanoTime();
         switch (failure.kind()) {
             case REJECTED -> upstream.setBusyUntil(now + expected.toNanos());
@@ -372,9 +402,10 @@
                         mRetryBudget.tryAcquire()
                                 ? RETRY_DELAY_CALLS
                                 : OVER_BUDGET_RETRY_DELAY_CALLS);
-        for (PendingPiece piece : batch) {
+        for (PendingPiece piece : call.pieces()) {
             if (!piece.isCancelled()) {
                 retry(upstream, piece, mayHaveRun, delay);
+                call.onHandled(piece);
             }
         }
     }
@@ -396,8 +427,17 @@
         mScheduler.schedule(delay, () -> submit(List.of(piece)));
     }
 
+    private void complete(PendingPiece piece, ResultLocation location) {
+        notify(piece, listener -> listener.onCompleted(piece.work(), location));
+    }
+
     private void fail(PendingPiece piece, StageFailure.Kind kind) {
-        piece.listener().onFailed(piece.work(), new StageFailure(kind, mGroup.name()));
+        StageFailure failure = new StageFailure(kind, mGroup.name());
+        notify(piece, listener -> listener.onFailed(piece.work(), failure));
+    }
+
+    private void notify(PendingPiece piece, Consumer<PieceListener> call) {
+        mSupervisor.guard().run(piece.owner(), () -> call.accept(piece.listener()));
     }
 
     private void failAll(StageFailure.Kind kind) {
--- a/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
+++ b/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
@@ -1,6 +1,7 @@
 package org.boragethread.core.stage;
 
 import java.util.Optional;
+import org.boragethread.core.callback.CallbackGuard;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.place.DataCentreId;
 
@@ -16,6 +17,7 @@
     private final PieceListener mListener;
     private final long mSubmittedAt;
     private Optional<UpstreamNode> mFailedAt = Optional.empty();
+    private Optional<CallbackGuard.Owner> mOwner = Optional.empty();
     private Runnable mOnCancel = () -> {};
     private int mAttempts;
     private boolean mStagePartlySent;
@@ -58,6 +60,18 @@
         return mListener;
     }
 
+    /** Sets what the listener acts for, unless that is set. */
+    void setOwner(CallbackGuard.Owner owner) {
+        if (mOwner.isEmpty()) {
+            mOwner = Optional.of(owner);
+        }
+    }
+
+    /** Returns what the listener acts for, for example a request. */
+    CallbackGuard.Owner owner() {
+        return mOwner.orElseThrow();
+    }
+
     long submittedAt() {
         return mSubmittedAt;
     }
--- a/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.boragethread.core.callback.Supervisors;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.model.place.DataCentreId;
@@ -55,7 +56,8 @@
     private BatchScheduler scheduler(int retries) {
         SharedRetryBudget budget =
                 new SharedRetryBudget(mTime, 0, Duration.ofSeconds(10), () -> retries);
-        return new BatchScheduler(mUpstreams, mUpstreams, budget, mTime, mTime);
+        return new BatchScheduler(
+                mUpstreams, mUpstreams, budget, mTime, mTime, Supervisors.rethrowing());
     }
 
     private String submit(int pieces) {
--- a/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
+++ b/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import org.boragethread.core.callback.Supervisors;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.upstream.UpstreamDirectory;
@@ -185,7 +186,10 @@
         mUpstreams.put(id, upstreams);
         SharedRetryBudget budget =
                 new SharedRetryBudget(mTime, 0.2, Duration.ofSeconds(10), () -> 56);
-        mSchedulers.put(id, new BatchScheduler(upstreams, upstreams, budget, mTime, mTime));
+        mSchedulers.put(
+                id,
+                new BatchScheduler(
+                        upstreams, upstreams, budget, mTime, mTime, Supervisors.rethrowing()));
     }
 
     /** Schedules requests of one kind that arrive at random (a Poisson process) for a while. */
--- a/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
+import org.boragethread.core.callback.Supervisors;
 import org.boragethread.core.member.Member;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.time.ManualTimeSource;
@@ -49,7 +50,9 @@
         mUpstreams = new SimUpstreams(mTime, limits, "north");
         SharedRetryBudget budget =
                 new SharedRetryBudget(mTime, 0, Duration.ofSeconds(10), () -> 10);
-        BatchScheduler local = new BatchScheduler(mUpstreams, mUpstreams, budget, mTime, mTime);
+        BatchScheduler local =
+                new BatchScheduler(
+                        mUpstreams, mUpstreams, budget, mTime, mTime, Supervisors.rethrowing());
         mCoordinators = new CoordinatorTable(mTime, new DataCentreId("north"));
         mCoordinatorClient = new FakeCoordinatorClient();
         mRouter =
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -284,7 +284,8 @@
                                 mBatchClient,
                                 retryBudget(id),
                                 mScheduler,
-                                mTime));
+                                mTime,
+                                supervisor("stages", id.value())));
     }
 
     /** Returns the configuration of a group, if it is configured. */
