Run shared timers of a gateway to their end when one request throws

Two timers act for several requests. The one that tells watching requests of a new block ended at the first that threw; the others went on to an upstream, or waited. The one that frees results at upstreams cleared its list at the end: after one exception it was never cleared, and as the next flush is scheduled only for an empty list, this entry freed no result any more until its next start.

Watchers are bound to the owner that was present when they were added. The list of results is taken before it is processed, and one upstream that throws does not keep the others from being told.

--- a/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.boragethread.core.callback.Callbacks;
 import org.boragethread.core.stage.BatchClient;
 import org.boragethread.core.stage.BatchFailure;
 import org.boragethread.core.stage.BatchResponse;
@@ -188,8 +189,11 @@
     }
 
     private void flushFrees() {
-        mPendingFrees.forEach(this::sendFreeRequest);
+        Map<UpstreamNode, Set<String>> frees = new HashMap<>(mPendingFrees);
+        // Cleared first, as the next flush is scheduled only if there is nothing pending.
         mPendingFrees.clear();
+        Callbacks.forEach(
+                frees.entrySet(), free -> sendFreeRequest(free.getKey(), free.getValue()));
     }
 
     private void sendFreeRequest(UpstreamNode upstream, Set<String> handles) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/QuarantineSync.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/QuarantineSync.java
@@ -72,10 +72,14 @@
         }
     }
 
-    /** Adds a callback for new blocks; returns what removes it. */
+    /**
+     * Adds a callback for new blocks, which acts for the present owner of callbacks; returns what
+     * removes it.
+     */
     Runnable watch(Runnable onBlocked) {
-        mWatchers.add(onBlocked);
-        return () -> mWatchers.remove(onBlocked);
+        Runnable watcher = mGateway.guard().bind(onBlocked);
+        mWatchers.add(watcher);
+        return () -> mWatchers.remove(watcher);
     }
 
     @Override
