Keep other calls of an agent's connection when one callback throws

Entry mode: a listener of a call that threw ended in the connection's exceptionCaught, which closed the connection as "damaged-frame" without a line in the log. All other calls of the connection were lost (ran=unknown). When a connection was lost, the first listener that threw kept those behind it from their refusals, and the table of upstreams from learning of it; their requests waited for their deadlines. A call that could not be encoded had no end. A connector whose event counter threw never connected again, and one whose attempt failed at once was notified on another thread. Each closed connection left its ping timer behind for ever.

Agent: a handler that threw closed the connection as well, and a cancel action that threw kept the calls behind it running, with their slots.

Each callback now runs by itself: one that throws is logged with the attempt's ID, counted (boragethread_connections_callback_failures_total), and its call is cancelled and refused (internal, ran=unknown) unless it has ended. An exception of a handler closes its connection as "handler-failed", with the stack in the log; "damaged-frame" is left to what the decoders throw. The ping timer ends with its connection; no test shows that.

--- a/process/src/main/java/org/boragethread/process/monitor/WireMetrics.java
+++ b/process/src/main/java/org/boragethread/process/monitor/WireMetrics.java
@@ -12,6 +12,7 @@
 
     private final Map<CloseReason, Counter> mClosed = new EnumMap<>(CloseReason.class);
     private final Counter mUnmatchedResults;
+    private final Counter mCallbackFailures;
 
     /** Registers all counters, so that each is exported from the start. */
     public WireMetrics(MeterRegistry registry) {
@@ -27,6 +28,10 @@
                 Counter.builder("boragethread.results.stray")
                         .description("Results that matched no waiting attempt")
                         .register(registry);
+        mCallbackFailures =
+                Counter.builder("boragethread.connections.callback.failures")
+                        .description("Callbacks for calls and connections that threw")
+                        .register(registry);
     }
 
     @Override
@@ -38,4 +43,9 @@
     public void onUnmatchedResult() {
         mUnmatchedResults.increment();
     }
+
+    @Override
+    public void onCallbackFailed() {
+        mCallbackFailures.increment();
+    }
 }
--- a/wire/src/main/java/org/boragethread/wire/client/AgentConnector.java
+++ b/wire/src/main/java/org/boragethread/wire/client/AgentConnector.java
@@ -13,6 +13,8 @@
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.boragethread.core.dispatch.UpstreamLink;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.wire.frame.CloseReason;
@@ -24,6 +26,8 @@
 /** Maintains a connection to one agent, reconnecting with exponential backoff until closed. */
 public final class AgentConnector implements AutoCloseable {
 
+    private static final Logger LOGGER = LogManager.getLogger(AgentConnector.class);
+
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final long INITIAL_BACKOFF_MILLIS = 50;
     private static final long MAX_BACKOFF_MILLIS = 2000;
@@ -102,6 +106,20 @@
         if (mClosed) {
             return;
         }
+        try {
+            openConnection();
+        } catch (RuntimeException | Error e) {
+            onCallbackFailed(e);
+            scheduleReconnect();
+        }
+    }
+
+    private void onCallbackFailed(Throwable cause) {
+        mEvents.onCallbackFailed();
+        LOGGER.error("a callback for the connection to agent {} failed", mAddress, cause);
+    }
+
+    private void openConnection() {
         AgentLink link =
                 new AgentLink(
                         mIdentity, mSettings, mEvents, mConfig, mTime, new BackoffResetListener());
@@ -122,13 +140,19 @@
                                     }
                                 });
         ChannelFuture future = bootstrap.connect(mAddress);
-        future.addListener(completed -> onConnected(future, link));
+        // An attempt that fails at once notifies its listener on another thread.
+        future.addListener(completed -> mLoop.execute(() -> onConnected(future, link)));
     }
 
     private void onConnected(ChannelFuture future, AgentLink link) {
         if (!future.isSuccess()) {
-            mEvents.onClosed(CloseReason.CONNECT_FAILED);
-            scheduleReconnect();
+            try {
+                mEvents.onClosed(CloseReason.CONNECT_FAILED);
+            } catch (RuntimeException | Error e) {
+                onCallbackFailed(e);
+            } finally {
+                scheduleReconnect();
+            }
             return;
         }
         mLink = link;
--- a/wire/src/main/java/org/boragethread/wire/client/AgentLink.java
+++ b/wire/src/main/java/org/boragethread/wire/client/AgentLink.java
@@ -3,12 +3,11 @@
 import com.google.protobuf.UnsafeByteOperations;
 import io.netty.channel.ChannelHandlerContext;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -46,6 +45,7 @@
 import org.boragethread.wire.proto.Ping;
 import org.boragethread.wire.proto.ResultChunk;
 import org.boragethread.wire.proto.ResultEnd;
+import org.boragethread.wire.proto.ResultHead;
 import org.boragethread.wire.proto.Welcome;
 
 /**
@@ -73,6 +73,7 @@
     private ChannelHandlerContext mContext;
     private long mPingToken;
     private boolean mClosed;
+    private Optional<Future<?>> mPings = Optional.empty();
     private UpstreamId mUpstream;
     private GroupId mGroup;
     private DataCentreId mDataCentre;
@@ -144,9 +145,14 @@
         mWelcome = welcome;
         mAccepting = !welcome.getLoad().getLeaving();
         long interval = mSettings.pingInterval().toNanos();
-        context.executor()
-                .scheduleAtFixedRate(
-                        this::sendPingInLoop, interval, interval, TimeUnit.NANOSECONDS);
+        mPings =
+                Optional.of(
+                        context.executor()
+                                .scheduleAtFixedRate(
+                                        this::sendPingInLoop,
+                                        interval,
+                                        interval,
+                                        TimeUnit.NANOSECONDS));
         LOGGER.info(
                 "connected to agent of upstream {} as entry {}", upstream(), mIdentity.entryId());
         pullNewerConfig(context, frame);
@@ -155,26 +161,16 @@
 
     private void handle(ChannelHandlerContext context, Frame frame) {
         switch (frame.getBodyCase()) {
-            case RESULT_HEAD -> {
-                PendingCall call =
-                        mPending.get(ProtoConversions.fromProto(frame.getResultHead().getId()));
-                if (call == null) {
-                    events().onUnmatchedResult();
-                    return;
-                }
-                call.listener()
-                        .onHead(
-                                frame.getResultHead().getStatus(),
-                                frame.getResultHead().getContentType());
-            }
+            case RESULT_HEAD -> onHead(frame.getResultHead());
             case RESULT_CHUNK -> onChunk(context, frame.getResultChunk());
             case RESULT_END -> onEnd(context, frame.getResultEnd());
             case CALL_REFUSED -> {
                 updateLoad(frame.getCallRefused().getLoad());
-                PendingCall call =
-                        removePending(ProtoConversions.fromProto(frame.getCallRefused().getId()));
+                AttemptId id = ProtoConversions.fromProto(frame.getCallRefused().getId());
+                PendingCall call = removePending(id);
                 if (call != null) {
-                    call.listener().onRefused(ProtoConversions.fromProto(frame.getCallRefused()));
+                    Refusal refusal = ProtoConversions.fromProto(frame.getCallRefused());
+                    attempt(id, () -> call.listener().onRefused(refusal));
                 }
             }
             case PONG -> updateLoad(frame.getPong().getLoad());
@@ -185,8 +181,33 @@
         }
     }
 
+    private void onHead(ResultHead head) {
+        AttemptId id = ProtoConversions.fromProto(head.getId());
+        PendingCall call = mPending.get(id);
+        if (call == null) {
+            events().onUnmatchedResult();
+            return;
+        }
+        deliver(id, () -> call.listener().onHead(head.getStatus(), head.getContentType()));
+    }
+
+    /** Delivers a part of a response; the call is cancelled and fails if the listener throws. */
+    private void deliver(AttemptId id, Runnable delivery) {
+        if (attempt(id, delivery)) {
+            return;
+        }
+        PendingCall call = mPending.get(id);
+        if (call != null) {
+            cancelCall(id);
+            Refusal refusal =
+                    Refusal.unknown(RefusalReason.INTERNAL, "the receiver of the response failed");
+            attempt(id, () -> call.listener().onRefused(refusal));
+        }
+    }
+
     private void onChunk(ChannelHandlerContext context, ResultChunk chunk) {
-        PendingCall call = mPending.get(ProtoConversions.fromProto(chunk.getId()));
+        AttemptId id = ProtoConversions.fromProto(chunk.getId());
+        PendingCall call = mPending.get(id);
         if (call == null) {
             events().onUnmatchedResult();
             return;
@@ -195,25 +216,24 @@
             close(context, CloseReason.UNEXPECTED_FRAME);
             return;
         }
-        call.listener().onChunk(chunk.getData().asReadOnlyByteBuffer());
+        deliver(id, () -> call.listener().onChunk(chunk.getData().asReadOnlyByteBuffer()));
     }
 
     private void onEnd(ChannelHandlerContext context, ResultEnd end) {
         updateLoad(end.getLoad());
-        PendingCall pending = mPending.get(ProtoConversions.fromProto(end.getId()));
+        AttemptId id = ProtoConversions.fromProto(end.getId());
+        PendingCall pending = mPending.get(id);
         if (pending != null && !pending.isComplete(end)) {
             close(context, CloseReason.UNEXPECTED_FRAME);
             return;
         }
-        PendingCall call = removePending(ProtoConversions.fromProto(end.getId()));
+        PendingCall call = removePending(id);
         if (call != null) {
-            call.listener()
-                    .onEnd(
-                            new CallSummary(
-                                    Duration.ofNanos(
-                                            TimeUnit.MICROSECONDS.toNanos(end.getServiceMicros())),
-                                    Duration.ofNanos(
-                                            TimeUnit.MICROSECONDS.toNanos(end.getQueueMicros()))));
+            CallSummary summary =
+                    new CallSummary(
+                            Duration.ofNanos(TimeUnit.MICROSECONDS.toNanos(end.getServiceMicros())),
+                            Duration.ofNanos(TimeUnit.MICROSECONDS.toNanos(end.getQueueMicros())));
+            attempt(id, () -> call.listener().onEnd(summary));
         }
     }
 
@@ -246,15 +266,16 @@
                 Refusal.unknown(
                         RefusalReason.CONNECTION_LOST,
                         "the connection to the agent was closed: " + reason.label());
-        List<PendingCall> lostCalls = new ArrayList<>(mPending.values());
+        mPings.ifPresent(pings -> pings.cancel(false));
+        Map<AttemptId, PendingCall> lostCalls = new HashMap<>(mPending);
         mPending.clear();
         mOwnCalls.addAndGet(-lostCalls.size());
-        lostCalls.forEach(call -> call.listener().onRefused(refusal));
+        lostCalls.forEach((id, call) -> attempt(id, () -> call.listener().onRefused(refusal)));
         mPendingQueries.completeAllEmpty();
         if (mWelcome != null) {
             LOGGER.info(
                     "connection to agent of upstream {} closed: {}", upstream(), reason.label());
-            mListener.onDown(this);
+            attempt(upstream(), () -> mListener.onDown(this));
         }
     }
 
@@ -264,24 +285,44 @@
         try {
             mContext.executor().execute(() -> sendCall(call, listener));
         } catch (RejectedExecutionException e) {
-            refuseUnsentCall(listener);
+            refuseUnsentCall(call, listener);
         }
         return new Handle(call.id());
     }
 
     private void sendCall(StageCall call, CallListener listener) {
         if (mClosed) {
-            refuseUnsentCall(listener);
+            refuseUnsentCall(call, listener);
+            return;
+        }
+        Frame.Builder frame = Frame.newBuilder();
+        if (!attempt(call.id(), () -> frame.setCall(encode(call)))) {
+            Refusal refusal =
+                    Refusal.notRun(RefusalReason.INTERNAL, "the call could not be encoded");
+            refuseUnsentCall(call, listener, refusal);
             return;
         }
         mPending.put(call.id(), new PendingCall(listener));
-        send(mContext, Frame.newBuilder().setCall(encode(call)));
+        send(mContext, frame);
+    }
+
+    private void refuseUnsentCall(StageCall call, CallListener listener) {
+        Refusal refusal =
+                Refusal.notRun(RefusalReason.NO_UPSTREAM, "the connection to the agent is closed");
+        refuseUnsentCall(call, listener, refusal);
     }
 
-    private void refuseUnsentCall(CallListener listener) {
+    private void refuseUnsentCall(StageCall call, CallListener listener, Refusal refusal) {
         mOwnCalls.decrementAndGet();
-        listener.onRefused(
-                Refusal.notRun(RefusalReason.NO_UPSTREAM, "the connection to the agent is closed"));
+        attempt(call.id(), () -> listener.onRefused(refusal));
+    }
+
+    private void cancelCall(AttemptId id) {
+        if (mPending.remove(id) != null) {
+            mOwnCalls.decrementAndGet();
+            Cancel cancel = Cancel.newBuilder().setId(ProtoConversions.toProto(id)).build();
+            send(mContext, Frame.newBuilder().setCancel(cancel));
+        }
     }
 
     private Call encode(StageCall call) {
@@ -397,15 +438,7 @@
 
         @Override
         public void cancel() {
-            execute(this::cancelInLoop);
-        }
-
-        private void cancelInLoop() {
-            if (mPending.remove(mId) != null) {
-                mOwnCalls.decrementAndGet();
-                Cancel cancel = Cancel.newBuilder().setId(ProtoConversions.toProto(mId)).build();
-                send(mContext, Frame.newBuilder().setCancel(cancel));
-            }
+            execute(() -> cancelCall(mId));
         }
 
         @Override
--- a/wire/src/main/java/org/boragethread/wire/frame/CloseReason.java
+++ b/wire/src/main/java/org/boragethread/wire/frame/CloseReason.java
@@ -12,6 +12,8 @@
     CLOSED_HERE,
     /** A frame was corrupted or not a valid message. */
     DAMAGED_FRAME,
+    /** A handler of this process threw; the exception is in the log. */
+    HANDLER_FAILED,
     /** A frame exceeded the maximum length. */
     FRAME_TOO_LARGE,
     /** A message was unknown, or not allowed in the current state. */
--- a/wire/src/main/java/org/boragethread/wire/frame/FrameHandler.java
+++ b/wire/src/main/java/org/boragethread/wire/frame/FrameHandler.java
@@ -1,15 +1,17 @@
 package org.boragethread.wire.frame;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.wire.proto.Frame;
 
@@ -20,6 +22,8 @@
  */
 public abstract class FrameHandler extends SimpleChannelInboundHandler<Frame> {
 
+    private static final Logger LOGGER = LogManager.getLogger(FrameHandler.class);
+
     private static final Duration PULL_TIMEOUT = Duration.ofSeconds(1);
 
     private final WireEvents mEvents;
@@ -101,13 +105,30 @@
         context.close();
     }
 
+    /**
+     * Runs a callback; one that throws is logged and counted.
+     *
+     * @param subject what the callback acts for, for example a call
+     * @return whether it returned without an exception
+     */
+    protected final boolean attempt(Object subject, Runnable callback) {
+        try {
+            callback.run();
+            return true;
+        } catch (RuntimeException | Error e) {
+            mEvents.onCallbackFailed();
+            LOGGER.error("callback for {} failed", subject, e);
+            return false;
+        }
+    }
+
     /** Releases the resources of the connection. Called once, on the event loop. */
     protected abstract void onClosed(CloseReason reason);
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         CloseReason reason = mCloseReason == null ? CloseReason.CLOSED_BY_PEER : mCloseReason;
-        mEvents.onClosed(reason);
+        attempt("a closed connection", () -> mEvents.onClosed(reason));
         onClosed(reason);
     }
 
@@ -120,19 +141,24 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        close(context, closeReasonFor(cause));
+        CloseReason reason = closeReasonFor(cause);
+        if (reason == CloseReason.HANDLER_FAILED) {
+            mEvents.onCallbackFailed();
+            LOGGER.error("handler of connection {} failed", context.channel(), cause);
+        }
+        close(context, reason);
     }
 
     private static CloseReason closeReasonFor(Throwable cause) {
         if (cause instanceof TooLongFrameException) {
             return CloseReason.FRAME_TOO_LARGE;
         }
-        if (cause.getCause() instanceof InvalidProtocolBufferException) {
+        if (cause instanceof DecoderException) {
             return CloseReason.DAMAGED_FRAME;
         }
         if (cause instanceof IOException) {
             return CloseReason.CLOSED_BY_PEER;
         }
-        return CloseReason.DAMAGED_FRAME;
+        return CloseReason.HANDLER_FAILED;
     }
 }
--- a/wire/src/main/java/org/boragethread/wire/frame/WireEvents.java
+++ b/wire/src/main/java/org/boragethread/wire/frame/WireEvents.java
@@ -18,4 +18,7 @@
 
     /** Called when a result was discarded because it matches no pending attempt. */
     void onUnmatchedResult();
+
+    /** Called when a callback for a call or a connection threw. */
+    default void onCallbackFailed() {}
 }
--- a/wire/src/main/java/org/boragethread/wire/server/AgentChannel.java
+++ b/wire/src/main/java/org/boragethread/wire/server/AgentChannel.java
@@ -13,6 +13,9 @@
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.claim.ClaimRef;
 import org.boragethread.model.outcome.AttemptId;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.upstream.UpstreamLoad;
 import org.boragethread.wire.frame.ClaimProtoConversions;
 import org.boragethread.wire.frame.CloseReason;
 import org.boragethread.wire.frame.FrameHandler;
@@ -110,14 +113,15 @@
                 IncomingCall call =
                         mCalls.remove(ProtoConversions.fromProto(frame.getCancel().getId()));
                 if (call != null) {
-                    call.cancel();
+                    attempt(call.id(), call::cancel);
                 }
             }
             case CREDIT -> {
                 IncomingCall call =
                         mCalls.get(ProtoConversions.fromProto(frame.getCredit().getId()));
                 if (call != null) {
-                    call.addCredit(frame.getCredit().getChunks());
+                    int chunks = frame.getCredit().getChunks();
+                    attempt(call.id(), () -> call.addCredit(chunks));
                 }
             }
             case PING -> {
@@ -147,7 +151,15 @@
             close(context, CloseReason.UNEXPECTED_FRAME);
             return;
         }
-        mServer.handler().onCall(call);
+        if (!attempt(call.id(), () -> mServer.handler().onCall(call))) {
+            attempt(call.id(), () -> refuseFailed(call));
+        }
+    }
+
+    /** Refuses a call whose handler threw; whether it ran is not known. */
+    private void refuseFailed(IncomingCall call) {
+        Refusal refusal = Refusal.unknown(RefusalReason.INTERNAL, "the handler of the call failed");
+        call.refuse(refusal, UpstreamLoad.UNKNOWN);
     }
 
     void send(Frame.Builder frame) {
@@ -176,6 +188,6 @@
         mServer.removeChannel(this);
         List<IncomingCall> calls = new ArrayList<>(mCalls.values());
         mCalls.clear();
-        calls.forEach(IncomingCall::cancel);
+        calls.forEach(call -> attempt(call.id(), call::cancel));
     }
 }
