Let a job run again after a step of its run threw

A job whose outcome could not be recorded, because a step threw inside a future, stayed leased: the entry renewed its lease for ever without a run, and no line said so. An acquisition that threw kept its place among the jobs that may run at once; after max_running of them the entry ran no more jobs.

A step of a run that throws is logged with the job's ID and stops the run, whose lease then expires, so that an entry continues the job under the usual rules for effects. An acquisition or a checkpoint that throws is logged and tried again.

--- a/core/src/main/java/org/boragethread/core/job/JobCheckpointer.java
+++ b/core/src/main/java/org/boragethread/core/job/JobCheckpointer.java
@@ -76,15 +76,25 @@
                 return;
             }
             if (isMyTurn(job, now - age) && mWriting.add(job.id())) {
-                checkpoint(job.id())
-                        .whenComplete((isWritten, error) -> onCheckpointed(job.id(), isWritten));
+                attemptCheckpoint(job.id());
             }
         }
     }
 
+    private void attemptCheckpoint(JobId id) {
+        try {
+            checkpoint(id).whenComplete((isWritten, error) -> onCheckpointed(id, isWritten, error));
+        } catch (RuntimeException | Error e) {
+            onCheckpointed(id, false, e);
+        }
+    }
+
     // A failure is retried only at the next tick, so as not to overload an unavailable log.
-    private void onCheckpointed(JobId id, Boolean isWritten) {
+    private void onCheckpointed(JobId id, Boolean isWritten, Throwable error) {
         mWriting.remove(id);
+        if (error != null) {
+            LOGGER.error("failed to write a checkpoint of job {}", id, error);
+        }
         if (Boolean.TRUE.equals(isWritten)) {
             checkpointOldJobs();
         }
--- a/core/src/main/java/org/boragethread/core/job/JobRun.java
+++ b/core/src/main/java/org/boragethread/core/job/JobRun.java
@@ -59,7 +59,11 @@
                             stage, "the claim of stage %d is too old".formatted(stage)));
             return;
         }
-        mContext.service().blobs().read(mJob.input()).thenAccept(this::onInput);
+        mContext.service()
+                .blobs()
+                .read(mJob.input())
+                .thenAccept(this::onInput)
+                .exceptionally(this::onStepFailed);
     }
 
     // Claims expire after their retention; an older effect could then run a second time.
@@ -91,7 +95,10 @@
             return;
         }
         mRun = Optional.of(run);
-        run.outcome().exceptionally(this::failedInPipeline).thenAccept(this::recordOutcome);
+        run.outcome()
+                .exceptionally(this::failedInPipeline)
+                .thenAccept(this::recordOutcome)
+                .exceptionally(this::onStepFailed);
         if (mEnded.get()) {
             run.cancel();
         }
@@ -103,8 +110,24 @@
                 renewalInterval(), false, "fault in the entry that ran the job");
     }
 
+    /** Stops the run, whose lease then expires, so that the job can be continued. */
+    private Void onStepFailed(Throwable error) {
+        LOGGER.error("a step of the run of job {} failed", id(), error);
+        stop("a step failed");
+        return null;
+    }
+
+    /** Runs a step; if it throws, the run is stopped. */
+    private void attempt(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            onStepFailed(e);
+        }
+    }
+
     private void scheduleRenewal() {
-        mContext.scheduler().schedule(renewalInterval(), this::renew);
+        mContext.scheduler().schedule(renewalInterval(), () -> attempt(this::renew));
     }
 
     private void renew() {
@@ -117,7 +140,8 @@
         JobRecord record = new JobRecord.LeaseRenewed(id(), mFence, leaseMillis);
         mContext.service()
                 .write(record, EMPTY, renewalInterval())
-                .thenAccept(result -> onRenewed(startNanos, result));
+                .thenAccept(result -> onRenewed(startNanos, result))
+                .exceptionally(this::onStepFailed);
     }
 
     private void onRenewed(long startNanos, Either<Refusal, JobApplyResult> result) {
@@ -129,7 +153,7 @@
             mLeaseEndNanos = startNanos + leaseNanos();
             scheduleRenewal();
         } else {
-            mContext.scheduler().schedule(RETRY_DELAY, this::renew);
+            retryLater(this::renew);
         }
     }
 
@@ -229,7 +253,8 @@
                             } else {
                                 retryLater(() -> storeResult(result, toRecord));
                             }
-                        });
+                        })
+                .exceptionally(this::onStepFailed);
     }
 
     // Retries until the outcome is recorded or the lease is lost.
@@ -246,11 +271,12 @@
                             } else {
                                 onOutcomeRecorded();
                             }
-                        });
+                        })
+                .exceptionally(this::onStepFailed);
     }
 
     private void retryLater(Runnable task) {
-        mContext.scheduler().schedule(RETRY_DELAY, task);
+        mContext.scheduler().schedule(RETRY_DELAY, () -> attempt(task));
     }
 
     private void onOutcomeRecorded() {
--- a/core/src/main/java/org/boragethread/core/job/JobRunner.java
+++ b/core/src/main/java/org/boragethread/core/job/JobRunner.java
@@ -106,7 +106,7 @@
                 return;
             }
             if (isMyTurn(job, now) && !mRuns.containsKey(job.id()) && mAcquiring.add(job.id())) {
-                acquire(job);
+                attemptToAcquire(job);
             }
         }
     }
@@ -116,12 +116,30 @@
         return now >= job.availableFromMillis() + rankDelay;
     }
 
+    private void attemptToAcquire(Job job) {
+        try {
+            acquire(job);
+        } catch (RuntimeException | Error e) {
+            onAcquisitionFailed(job.id(), e);
+        }
+    }
+
+    private void onAcquisitionFailed(JobId id, Throwable error) {
+        LOGGER.error("failed to acquire job {}", id, error);
+        mAcquiring.remove(id);
+    }
+
     private void acquire(Job job) {
         long startNanos = mTime.nanoTime();
         long leaseMillis = mService.settings().lease().toMillis();
         JobRecord record = new JobRecord.LeaseAcquired(job.id(), mService.entry(), leaseMillis);
         mService.write(record, EMPTY, mService.settings().appendTimeout())
-                .thenAccept(result -> onAcquired(job.id(), startNanos, result));
+                .thenAccept(result -> onAcquired(job.id(), startNanos, result))
+                .exceptionally(
+                        error -> {
+                            onAcquisitionFailed(job.id(), error);
+                            return null;
+                        });
     }
 
     private void onAcquired(JobId id, long startNanos, Either<Refusal, JobApplyResult> result) {
