Keep following streams and the list of VMs after a callback threw

In the entry mode and in agents, an exception in a timer's task was kept in a future that nobody reads: no log line, and a task that starts its own next run never ran again. An error, other than an exception, in one listener of the configuration kept all later changes from all listeners.

Each of these steps is now repeated after its usual pause and logged; a timer's task that throws is logged and counted (boragethread_timers_failures_total). Listeners of a claim's key and of admissions no longer lose their call to one that threw before them; no test of its own shows these two.

--- a/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
+++ b/agent/src/main/java/org/boragethread/agent/serve/AgentProcess.java
@@ -30,6 +30,7 @@
 import org.boragethread.core.limit.FixedLimit;
 import org.boragethread.core.metrics.AdmissionMetrics;
 import org.boragethread.core.metrics.DecisionMetrics;
+import org.boragethread.core.metrics.TimerFailureCounter;
 import org.boragethread.core.time.ExecutorScheduler;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.SystemTimeSource;
@@ -64,9 +65,10 @@
     private final long mIncarnation = new SecureRandom().nextLong();
     private final ClaimGuard mClaims = new ClaimGuard(mIncarnation, mTime);
     private final ScheduledExecutorService mTimers = TimerThreads.create(1);
-    private final Scheduler mScheduler = new ExecutorScheduler(mTimers);
     private final PrometheusMeterRegistry mRegistry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Scheduler mScheduler =
+            new ExecutorScheduler(mTimers, new TimerFailureCounter(mRegistry));
     private final ConfigStore mConfig = new ConfigStore(HISTORY_RECORDS, HISTORY_BYTES);
     private final AdmissionControllerHolder mAdmission = new AdmissionControllerHolder();
     private final EventLoopGroup mLoops = new NioEventLoopGroup(EVENT_LOOPS);
--- a/core/src/main/java/org/boragethread/core/admission/DeferredCallbacks.java
+++ b/core/src/main/java/org/boragethread/core/admission/DeferredCallbacks.java
@@ -24,7 +24,7 @@
         for (Runnable callback : mCallbacks) {
             try {
                 callback.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LOGGER.error(
                         "An admission listener threw an exception; the listener must be fixed", e);
             }
--- a/core/src/main/java/org/boragethread/core/claim/KeyListeners.java
+++ b/core/src/main/java/org/boragethread/core/claim/KeyListeners.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.boragethread.core.callback.Callbacks;
 
 /** Listeners that are notified when the state of a key changes. Thread-safe. */
 final class KeyListeners {
@@ -28,7 +29,7 @@
     }
 
     void fire(KeyHash key) {
-        copy(key).forEach(Runnable::run);
+        Callbacks.forEach(copy(key), Runnable::run);
     }
 
     private synchronized List<Runnable> copy(KeyHash key) {
--- a/core/src/main/java/org/boragethread/core/config/NotificationQueue.java
+++ b/core/src/main/java/org/boragethread/core/config/NotificationQueue.java
@@ -50,7 +50,7 @@
         for (ConfigListener listener : mListeners) {
             try {
                 notification.accept(listener);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LOGGER.error("configuration listener {} failed", listener, e);
             }
         }
--- a/core/src/main/java/org/boragethread/core/config/SnapshotWriter.java
+++ b/core/src/main/java/org/boragethread/core/config/SnapshotWriter.java
@@ -72,7 +72,7 @@
     /** Starts checking the age of the newest snapshot. */
     public synchronized void start() {
         mRunning = true;
-        mScheduler.schedule(mSettings.checkInterval(), this::check);
+        scheduleCheck();
     }
 
     /** Stops the checks. If a write is interrupted, another entry writes the next snapshot. */
@@ -103,16 +103,32 @@
         }
     }
 
+    /** Runs a step; if it throws, the next check still takes place. */
+    private void attempt(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            LOGGER.error("check whether a snapshot is due failed", e);
+            scheduleCheck();
+        }
+    }
+
+    private synchronized void scheduleCheck() {
+        if (mRunning) {
+            mScheduler.schedule(mSettings.checkInterval(), () -> attempt(this::check));
+        }
+    }
+
     private synchronized void check() {
         if (!mRunning) {
             return;
         }
         if (!isDue()) {
-            mScheduler.schedule(mSettings.checkInterval(), this::check);
+            scheduleCheck();
             return;
         }
         long jitter = (long) (mRandom.nextDouble() * mSettings.maxJitter().toNanos());
-        mScheduler.schedule(Duration.ofNanos(jitter), this::recheck);
+        mScheduler.schedule(Duration.ofNanos(jitter), () -> attempt(this::recheck));
     }
 
     private void recheck() {
@@ -121,11 +137,11 @@
                 return;
             }
             if (!isDue()) {
-                mScheduler.schedule(mSettings.checkInterval(), this::check);
+                scheduleCheck();
                 return;
             }
         }
-        write().whenComplete((done, failure) -> start());
+        write().whenComplete((done, failure) -> scheduleCheck());
     }
 
     private boolean isDue() {
--- a/core/src/main/java/org/boragethread/core/log/BatchingAppender.java
+++ b/core/src/main/java/org/boragethread/core/log/BatchingAppender.java
@@ -152,7 +152,15 @@
             }
         }
         List<LogEntry> entries = batch.stream().map(PendingWrite::entry).toList();
-        mLog.append(mStream, entries).whenComplete((result, e) -> onAppendResult(batch, result, e));
+        append(entries).whenComplete((result, e) -> onAppendResult(batch, result, e));
+    }
+
+    private CompletableFuture<Either<LogError, List<Long>>> append(List<LogEntry> entries) {
+        try {
+            return mLog.append(mStream, entries);
+        } catch (RuntimeException | Error e) {
+            return CompletableFuture.failedFuture(e);
+        }
     }
 
     private void removeCompletedHead() {
--- a/core/src/main/java/org/boragethread/core/log/StreamFollower.java
+++ b/core/src/main/java/org/boragethread/core/log/StreamFollower.java
@@ -94,6 +94,10 @@
             Duration wait = mCaughtUpAt.isPresent() ? mSettings.maxWait() : Duration.ZERO;
             read = new LogRead(mStream, mNextOffset, mSettings.maxRecords(), wait);
         }
+        attempt(generation, () -> read(read, generation));
+    }
+
+    private void read(LogRead read, long generation) {
         long startNanos = mTime.nanoTime();
         mLog.read(read)
                 .whenComplete(
@@ -104,10 +108,22 @@
                                 retry(generation);
                                 return;
                             }
-                            onReadResult(result, read, startNanos, generation);
+                            attempt(
+                                    generation,
+                                    () -> onReadResult(result, read, startNanos, generation));
                         });
     }
 
+    /** Runs a step; if it throws, the read is repeated. */
+    private void attempt(long generation, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            LOGGER.error("a step of reading stream {} failed", mStream, e);
+            retry(generation);
+        }
+    }
+
     private void onReadResult(
             Either<LogError, LogBatch> result, LogRead read, long startNanos, long generation) {
         synchronized (this) {
@@ -126,7 +142,7 @@
         }
         try {
             deliver(batch, read.from(), generation);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOGGER.error(
                     "handler failed for records of stream {} from offset {}",
                     mStream,
--- a/entry/src/main/java/org/boragethread/entry/membership/MembershipController.java
+++ b/entry/src/main/java/org/boragethread/entry/membership/MembershipController.java
@@ -56,15 +56,26 @@
 
     /** Fetches the list now and again after each interval. */
     public void start() {
-        mDirectory
-                .fetch()
-                .whenComplete(
-                        (result, error) -> {
-                            if (error == null) {
-                                onResult(result);
-                            }
-                            scheduleNext();
-                        });
+        try {
+            mDirectory.fetch().whenComplete(this::onFetched);
+        } catch (RuntimeException | Error e) {
+            LOGGER.error("failed to request the VM list", e);
+            scheduleNext();
+        }
+    }
+
+    private void onFetched(Either<LogError, VmList> result, Throwable failure) {
+        try {
+            if (failure == null) {
+                onResult(result);
+            } else {
+                LOGGER.error("client error while reading the VM list", failure);
+            }
+        } catch (RuntimeException | Error e) {
+            LOGGER.error("failed to apply the VM list", e);
+        } finally {
+            scheduleNext();
+        }
     }
 
     private synchronized void scheduleNext() {
--- a/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/serve/EntryProcess.java
@@ -31,6 +31,7 @@
 import org.boragethread.core.log.AppendRateLimiter;
 import org.boragethread.core.log.PlatformLog;
 import org.boragethread.core.metrics.ClaimMetrics;
+import org.boragethread.core.metrics.TimerFailureCounter;
 import org.boragethread.core.pipeline.DefaultJobPipeline;
 import org.boragethread.core.pipeline.PipelineController;
 import org.boragethread.core.time.ExecutorScheduler;
@@ -92,10 +93,11 @@
     private final EntryId mEntryId;
     private final TimeSource mTime = new SystemTimeSource();
     private final ScheduledExecutorService mTimerExecutor = TimerThreads.create(2);
-    private final Scheduler mScheduler = new ExecutorScheduler(mTimerExecutor);
-    private final SplittableRandom mRandom = new SplittableRandom();
     private final PrometheusMeterRegistry mRegistry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Scheduler mScheduler =
+            new ExecutorScheduler(mTimerExecutor, new TimerFailureCounter(mRegistry));
+    private final SplittableRandom mRandom = new SplittableRandom();
     private final RequestMetrics mRequests = new RequestMetrics(mRegistry);
     private final ConfigStore mConfig =
             new ConfigStore(CONFIG_HISTORY_RECORDS, CONFIG_HISTORY_BYTES);
