Fail a call whose request could not be written

A request that its encoder rejects fails the write, and leaves the connection open. The call had no end then, only the timer of its owner, which a call to an upstream does not have for each step. It now fails (broken, maybe sent) later on the event loop, as send() promises, with the cause in its detail.

ConnectionFailureTest#callWhoseRequestCannotBeWrittenFails: on the code before it times out after 10 s; it passes now.

--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
@@ -109,6 +109,20 @@
                             mRequestWritten = written.isSuccess();
                             if (mResponseComplete) {
                                 finish();
+                            } else if (!written.isSuccess()) {
+                                failLater(call, written.cause());
+                            }
+                        });
+    }
+
+    /** Fails a call whose request was not written, also if that is known during its start. */
+    private void failLater(ActiveCall call, Throwable cause) {
+        String detail = "the request was not written: " + cause.getMessage();
+        mChannel.eventLoop()
+                .execute(
+                        () -> {
+                            if (mCall == call && !mResponseComplete) {
+                                fail(CallFailure.Kind.BROKEN, detail);
                             }
                         });
     }
--- a/wire/src/test/java/org/boragethread/wire/http/ConnectionFailureTest.java
+++ b/wire/src/test/java/org/boragethread/wire/http/ConnectionFailureTest.java
@@ -177,6 +177,41 @@
         }
     }
 
+    // Guards against a call that waits for the response to a request that could not be written.
+    @Test
+    public void callWhoseRequestCannotBeWrittenFails() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            mAddress = new InetSocketAddress(silent.getInetAddress(), silent.getLocalPort());
+            List<String> trace = run(NioSocketChannel::new, this::sendUnwritable);
+            assertEquals(trace, List.of("sent", "BROKEN maybe sent"));
+        }
+    }
+
+    private void sendUnwritable(HttpConnectionPool pool, Consumer<String> trace, Runnable end) {
+        FullHttpRequest released =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.POST,
+                        "/",
+                        Unpooled.buffer(8).writeZero(8));
+        released.release();
+        HttpCall call =
+                new HttpCall(
+                        mAddress,
+                        released,
+                        true,
+                        Duration.ofSeconds(WAIT_SECONDS),
+                        Optional.empty());
+        pool.send(
+                call,
+                new FailureListener(
+                        event -> {
+                            trace.accept(event);
+                            end.run();
+                        }));
+        trace.accept("sent");
+    }
+
     private void sendAroundClose(HttpConnectionPool pool, Consumer<String> trace, Runnable end) {
         pool.send(createCall(), new FailureListener(trace));
         pool.close();
