Judge the run of real processes more strictly

A request sent later than 3 s after the signal must now end whole or not run. Events name their request and are compared also in responses that were cut off and on routes that do not stream. New faults: LATE, DENIED, PROCESS_END, TOO_MANY_RUNS.

--- a/standins/src/test/java/org/boragethread/standins/system/SoakEngine.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakEngine.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Queue;
 import java.util.SplittableRandom;
@@ -16,6 +17,9 @@
 
     static final int EVENTS = 8;
 
+    /** Time between a gateway's closing of one connection and its end at the other. */
+    private static final long CLOSE_NANOS = Duration.ofMillis(300).toNanos();
+
     private static final int REJECTED_SHARE = 6;
     private static final int BROKEN_SHARE = 9;
     private static final int SILENT_SHARE = 30;
@@ -59,9 +63,16 @@
             mEnd = end;
         }
 
-        /** Returns whether the engine worked until the gateway left it, or still does. */
-        boolean isLeftAfter(long time) {
-            return mEnd == End.AT_WORK || mEnd == End.CANCELLED && mEndNanos > time;
+        /** Returns whether the gateway left the engine at work. */
+        boolean isLeft() {
+            return mEnd == End.AT_WORK || mEnd == End.CANCELLED;
+        }
+
+        /** Returns whether this response broke off once another run had been left. */
+        boolean brokeOffAfter(Run left) {
+            return mEnd == End.BROKEN_OFF
+                    && left.mEnd == End.CANCELLED
+                    && mEndNanos > left.mEndNanos - CLOSE_NANOS;
         }
     }
 
--- a/standins/src/test/java/org/boragethread/standins/system/SoakGateway.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakGateway.java
@@ -6,12 +6,14 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.locks.LockSupport;
+import org.boragethread.standins.harness.JavaProcess;
 import org.boragethread.standins.harness.ProcessHarness;
 
 /** A gateway that is stopped, killed, paused and started again, one thing after the other. */
@@ -22,6 +24,9 @@
     /** Time after a pause in which its consequences are still felt. */
     private static final long PAUSE_SLACK_NANOS = Duration.ofSeconds(1).toNanos();
 
+    /** Time after the signal to stop from which a request must end whole or not run. */
+    private static final long LATE_NANOS = Duration.ofSeconds(3).toNanos();
+
     private static final int READINESS_TIMEOUT_MILLIS = 300;
     private static final String READINESS =
             "GET /v1/readiness HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n\r\n";
@@ -41,6 +46,7 @@
         final TestGateway mGateway;
         volatile long mTerminated = Long.MAX_VALUE;
         volatile long mKilled = Long.MAX_VALUE;
+        volatile boolean mOutlivedGrace;
         final List<long[]> mPauses = new CopyOnWriteArrayList<>();
 
         Life(TestGateway gateway) {
@@ -61,9 +67,29 @@
             return mTerminated > time ? -1 : Duration.ofNanos(time - mTerminated).toMillis();
         }
 
-        /** Returns whether the last sixth of the grace period had begun. */
-        boolean isGraceOver(long time) {
-            return mTerminated != Long.MAX_VALUE && time - mTerminated > GRACE.toNanos() / 6 * 5;
+        /**
+         * Returns whether a request ended in the last sixth of the grace period and was written
+         * soon enough after the signal that the process could not refuse it in good time.
+         */
+        boolean isGraceOver(long written, long ended) {
+            return mTerminated != Long.MAX_VALUE
+                    && ended - mTerminated > GRACE.toNanos() / 6 * 5
+                    && written - mTerminated <= LATE_NANOS;
+        }
+
+        /** Returns what is wrong with the end of the process, or empty. */
+        Optional<String> wrongEnd() {
+            if (mOutlivedGrace) {
+                return Optional.of("still running after its grace period");
+            }
+            JavaProcess process = mGateway.process();
+            if (process.isAlive() || mKilled != Long.MAX_VALUE) {
+                return Optional.empty();
+            }
+            int code = process.awaitExit(TestGateway.TIMEOUT);
+            return mTerminated != Long.MAX_VALUE && code == 0
+                    ? Optional.empty()
+                    : Optional.of("ended with code " + code);
         }
 
         List<String> lines() {
@@ -140,7 +166,9 @@
         long end = life.mTerminated + GRACE.toNanos();
         while (life.mGateway.process().isAlive()) {
             if (System.nanoTime() > end) {
-                kill(life);
+                life.mOutlivedGrace = true;
+                life.mGateway.process().kill();
+                life.mGateway.process().awaitExit(TestGateway.TIMEOUT);
             }
             LockSupport.parkNanos(Duration.ofMillis(5).toNanos());
         }
--- a/standins/src/test/java/org/boragethread/standins/system/SoakResponse.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakResponse.java
@@ -62,7 +62,8 @@
         int after = Integer.parseInt(mRequest.headers().getOrDefault("last-event-id", "0"));
         for (int event = after + 1; event <= SoakEngine.EVENTS; event++) {
             pause(streaming ? EVENT_MILLIS : 1);
-            String text = "id: %d\ndata: %s\n\n".formatted(event, mVersion);
+            String text =
+                    "id: %d\nevent: %s\ndata: %s\n\n".formatted(event, mRequest.id(), mVersion);
             write("%x\r\n%s\r\n".formatted(text.length(), text));
             if (event == mPlan.at() && isBrokenOffOrSilent()) {
                 return SoakEngine.End.BROKEN_OFF;
--- a/standins/src/test/java/org/boragethread/standins/system/SoakRoute.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakRoute.java
@@ -43,6 +43,10 @@
         return this == UNSAFE || this == PINNED;
     }
 
+    int maxAttempts() {
+        return mMaxAttempts;
+    }
+
     static SoakRoute of(String path) {
         return valueOf(path.split("/")[1]);
     }
--- a/standins/src/test/java/org/boragethread/standins/system/SoakVerdict.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakVerdict.java
@@ -4,9 +4,7 @@
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -20,11 +18,12 @@
 /** Compares what callers received with what engines and gateways did, and lists every fault. */
 final class SoakVerdict {
 
-    /** Time between a gateway's closing of one connection and its end at the other. */
-    private static final long CLOSE_NANOS = Duration.ofMillis(300).toNanos();
-
     private static final long LIMIT_SLACK_MILLIS = 150;
     private static final long READ_MILLIS = 500;
+
+    /** Time after its limit within which every request has its end. */
+    private static final long LATE_MILLIS = 500;
+
     private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
     private static final Set<Integer> MAY_HAVE_RUN = Set.of(502, 504);
     private static final List<String> EXCEPTIONS =
@@ -52,11 +51,19 @@
         /** A failure was answered though the upstream was sound and time was left. */
         FAILED,
         MIXED_VERSIONS,
-        /** Events are missing or came twice. */
+        /** Events are missing, came twice or belong to another request. */
         WRONG_EVENTS,
         UNANSWERED,
+        /** The response ended long after the time limit. */
+        LATE,
+        /** A proper request was refused as improper. */
+        DENIED,
         EXCEPTION,
+        /** A process ended by itself, failed to stop in time or stopped with a failure. */
+        PROCESS_END,
         RUN_TWICE,
+        /** More executions than the route allows. */
+        TOO_MANY_RUNS,
         RUN_THOUGH_REFUSED
     }
 
@@ -74,7 +81,7 @@
                         .collect(Collectors.groupingBy(engineRun -> engineRun.mRequestId));
         run.attempts().forEach(this::judge);
         findMixedVersions();
-        findExceptions();
+        findFaultsOfProcesses();
     }
 
     private List<SoakEngine.Run> runs(Attempt attempt) {
@@ -87,6 +94,16 @@
         if (attempt.route().runsOnce() && executions > 1) {
             add(Fault.RUN_TWICE, attempt, executions + " runs");
         }
+        if (executions > attempt.route().maxAttempts()) {
+            add(Fault.TOO_MANY_RUNS, attempt, executions + " runs");
+        }
+        if (!isAllowed(attempt.status())) {
+            add(Fault.DENIED, attempt, attempt.body());
+        }
+        if (attempt.millis() > attempt.limitMillis() + LATE_MILLIS && !isDisturbed(attempt)) {
+            add(Fault.LATE, attempt, "limit " + attempt.limitMillis() + " ms");
+        }
+        judgeEvents(attempt);
         if (NOT_RUN.contains(attempt.status()) && executions > 0) {
             add(Fault.RUN_THOUGH_REFUSED, attempt, attempt.status() + ": " + attempt.body());
         }
@@ -97,17 +114,37 @@
         }
     }
 
-    private void judgeWhole(Attempt attempt) {
-        if (attempt.status() == 200 && attempt.route().isStreaming()) {
-            List<String> ids = attempt.values("id: ");
-            List<String> expected =
-                    IntStream.rangeClosed(attempt.after() + 1, SoakEngine.EVENTS)
-                            .mapToObj(Integer::toString)
-                            .toList();
-            if (!ids.equals(expected)) {
-                add(Fault.WRONG_EVENTS, attempt, ids.toString());
-            }
+    private static boolean isAllowed(int status) {
+        return status == 0
+                || status == 200
+                || NOT_RUN.contains(status)
+                || MAY_HAVE_RUN.contains(status);
+    }
+
+    private static boolean isDisturbed(Attempt attempt) {
+        return attempt.life().isDisturbed(attempt.written(), attempt.ended());
+    }
+
+    /** The events are those of this request in their order, and all of them if it is whole. */
+    private void judgeEvents(Attempt attempt) {
+        if (attempt.status() != 200) {
+            return;
         }
+        boolean whole = attempt.end() == SoakExchange.End.WHOLE;
+        List<String> ids = attempt.values("id: ");
+        int last = whole ? SoakEngine.EVENTS : attempt.after() + ids.size();
+        List<String> expected =
+                IntStream.rangeClosed(attempt.after() + 1, last)
+                        .mapToObj(Integer::toString)
+                        .toList();
+        List<String> owners = attempt.values("event: ");
+        boolean others = owners.stream().anyMatch(owner -> !owner.equals(attempt.id()));
+        if (!ids.equals(expected) || others) {
+            add(Fault.WRONG_EVENTS, attempt, ids + " of " + owners);
+        }
+    }
+
+    private void judgeWhole(Attempt attempt) {
         if (MAY_HAVE_RUN.contains(attempt.status()) && cause(attempt) == Cause.GATEWAY) {
             add(Fault.FAILED, attempt, attempt.body());
         }
@@ -126,14 +163,14 @@
 
     /** Returns who ended a response that is not whole. */
     private Cause cause(Attempt attempt) {
-        if (attempt.life().isDisturbed(attempt.written(), attempt.ended())) {
+        if (isDisturbed(attempt)) {
             return Cause.KILL_OR_PAUSE;
         }
         boolean timedOut = attempt.end() == SoakExchange.End.TIMED_OUT;
         if (!timedOut && attempt.millis() > attempt.limitMillis() - LIMIT_SLACK_MILLIS) {
             return Cause.TIME_LIMIT;
         }
-        if (attempt.life().isGraceOver(attempt.ended())) {
+        if (attempt.life().isGraceOver(attempt.written(), attempt.ended())) {
             return Cause.GRACE_PERIOD;
         }
         if (attempt.status() == 0) {
@@ -144,18 +181,13 @@
     }
 
     /**
-     * Returns whether the gateway left an engine at work at the end, other than for one that had
-     * begun to respond since, and broke off.
+     * Returns whether the gateway left an engine at work without one that had begun to respond
+     * instead, and broke off.
      */
     private boolean isSoundEngineLeft(Attempt attempt) {
-        List<SoakEngine.Run> runs = runs(attempt);
-        boolean lastBrokeOff =
-                runs.stream()
-                        .max(Comparator.comparingLong(run -> run.mBegin))
-                        .filter(run -> run.mEnd == SoakEngine.End.BROKEN_OFF)
-                        .isPresent();
-        return !lastBrokeOff
-                && runs.stream().anyMatch(run -> run.isLeftAfter(attempt.ended() - CLOSE_NANOS));
+        return runs(attempt).stream()
+                .filter(SoakEngine.Run::isLeft)
+                .anyMatch(left -> runs(attempt).stream().noneMatch(run -> run.brokeOffAfter(left)));
     }
 
     private void findMixedVersions() {
@@ -174,12 +206,17 @@
                 });
     }
 
-    private void findExceptions() {
+    private void findFaultsOfProcesses() {
         for (SoakGateway.Life life : lives()) {
             String name = life.mGateway.process().name();
             life.lines().stream()
                     .filter(line -> EXCEPTIONS.stream().anyMatch(line::contains))
                     .forEach(line -> mFindings.add(new Finding(Fault.EXCEPTION, "", name + line)));
+            life.wrongEnd()
+                    .ifPresent(
+                            end ->
+                                    mFindings.add(
+                                            new Finding(Fault.PROCESS_END, "", name + " " + end)));
         }
     }
 
