--- a/standins/src/test/java/org/boragethread/standins/system/SoakRoute.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakRoute.java
@@ -51,6 +51,11 @@
         return valueOf(path.split("/")[1]);
     }
 
+    /** Returns further lines of the head of each request. */
+    String headers() {
+        return "";
+    }
+
     String path() {
         return "/" + name() + "/x";
     }
