--- a/standins/src/main/java/org/boragethread/standins/store/StoreStandIn.java
+++ b/standins/src/main/java/org/boragethread/standins/store/StoreStandIn.java
@@ -46,6 +46,7 @@
                     });
     private final Map<String, Topic> mTopics = new HashMap<>();
     private final TreeSet<String> mMembers = new TreeSet<>();
+    private final Map<String, Long> mExpiries = new HashMap<>();
     private long mGeneration;
     private boolean mDown;
     private long mEra = 1;
@@ -120,7 +121,7 @@
             case "/v1/log-read" -> read(exchange);
             case "/v1/log-append" -> append(exchange);
             case "/v1/log-join" -> joinGroup(exchange);
-            case "/v1/log-leave" -> respond(exchange, StandInResponse.json(200, Map.of()));
+            case "/v1/log-leave" -> leaveGroup(exchange);
             case "/v1/log-owners" -> listOwners(exchange);
             default -> respond(exchange, StandInResponse.text(404, "unknown call"));
         }
@@ -211,23 +212,49 @@
         respond(exchange, new StandInResponse(200, BYTES, Map.of(), body.toByteArray()));
     }
 
-    private void joinGroup(Exchange exchange) {
-        JsonNode body;
+    private JsonNode parse(Exchange exchange) {
         try {
-            body = mMapper.readTree(exchange.body());
+            return mMapper.readTree(exchange.body());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+    }
+
+    private void joinGroup(Exchange exchange) {
+        JsonNode body = parse(exchange);
         String member = body.path("member").asText();
+        removeExpiredMembers();
         if (mMembers.add(member)) {
             mGeneration++;
         }
+        long ttlNanos = TimeUnit.MILLISECONDS.toNanos(body.path("ttl_ms").asLong());
+        mExpiries.put(member, System.nanoTime() + ttlNanos);
         respond(
                 exchange,
                 StandInResponse.json(
                         200, Map.of("generation", mGeneration, "parts", partitions(member, body))));
     }
 
+    private void leaveGroup(Exchange exchange) {
+        removeMember(parse(exchange).path("member").asText());
+        respond(exchange, StandInResponse.json(200, Map.of()));
+    }
+
+    private void removeMember(String member) {
+        mExpiries.remove(member);
+        if (mMembers.remove(member)) {
+            mGeneration++;
+        }
+    }
+
+    /** Removes the members that have not joined again within their time to live. */
+    private void removeExpiredMembers() {
+        long now = System.nanoTime();
+        List.copyOf(mMembers).stream()
+                .filter(member -> mExpiries.get(member) - now < 0)
+                .forEach(this::removeMember);
+    }
+
     /** Returns every partition of the joined topics whose turn it is to belong to the member. */
     private List<List<Object>> partitions(String member, JsonNode join) {
         int place = new ArrayList<>(mMembers).indexOf(member);
@@ -243,6 +270,7 @@
     }
 
     private void listOwners(Exchange exchange) {
+        removeExpiredMembers();
         List<List<Object>> owners = new ArrayList<>();
         mMembers.forEach(member -> owners.add(List.of("entries-0", owners.size(), member, 0)));
         respond(exchange, StandInResponse.json(200, Map.of("parts", owners)));
--- a/standins/src/test/java/org/boragethread/standins/system/SoakResponse.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakResponse.java
@@ -14,6 +14,7 @@
     private final ScriptedUpstream.Request mRequest;
     private final String mVersion;
     private final Plan mPlan;
+    private boolean mBegun;
 
     /** What an engine does with a request. */
     enum Behaviour {
@@ -65,6 +66,7 @@
             String text =
                     "id: %d\nevent: %s\ndata: %s\n\n".formatted(event, mRequest.id(), mVersion);
             write("%x\r\n%s\r\n".formatted(text.length(), text));
+            mBegun = true;
             if (event == mPlan.at() && isBrokenOffOrSilent()) {
                 return SoakEngine.End.BROKEN_OFF;
             }
@@ -73,6 +75,11 @@
         return SoakEngine.End.WHOLE;
     }
 
+    /** Returns how a response ends that its engine breaks off now. */
+    SoakEngine.End endOfBroken() {
+        return mBegun ? SoakEngine.End.BROKEN_OFF : SoakEngine.End.NO_RESPONSE;
+    }
+
     /** Does what the plan says at its event; returns whether the response ends there. */
     private boolean isBrokenOffOrSilent() throws IOException {
         if (mPlan.behaviour() == Behaviour.FALL_SILENT) {
