Read what has arrived before connections are closed at a stop

A stop closed connections that had been idle for 300 ms by the clock, and the listener at once. An event loop that is behind had not read those connections in that time, and had not accepted the others; both were closed with the requests that waited in them.

Both now wait for the next poll of the event loop; the listener is closed once a poll has accepted nothing more, 64 polls later at most.

--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerServer.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerServer.java
@@ -6,10 +6,13 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -32,10 +35,14 @@
     private static final int MAX_DECODED_CHUNK_BYTES = 65536;
     private static final int MAX_LOGGED_PEERS = 8;
 
+    /** Maximum number of times that waiting connections are accepted at a stop, 16 each time. */
+    private static final int MAX_LAST_POLLS = BACKLOG / 16;
+
     private final Gateway mGateway;
     private final EventLoopGroup mLoops;
     private final Set<CallerConnection> mConnections = new LinkedHashSet<>();
     private Channel mChannel;
+    private long mAccepted;
 
     CallerServer(Gateway gateway, EventLoopGroup loops) {
         mGateway = gateway;
@@ -60,6 +67,7 @@
                         .orElse(CallerBounds.INITIAL);
         CallerConnection connection = new CallerConnection(mGateway, channel, bounds);
         mConnections.add(connection);
+        mAccepted++;
         channel.closeFuture().addListener(done -> mConnections.remove(connection));
         channel.pipeline()
                 .addLast(new ReceiveObserver(connection))
@@ -92,15 +100,46 @@
                 .info();
     }
 
-    /** Stops accepting connections. */
-    void stopAccepting() {
-        mChannel.close();
+    /**
+     * Stops accepting connections once all are accepted that wait for it.
+     *
+     * @return a future that is done when no further connection will be accepted
+     */
+    Future<Void> stopAccepting() {
+        Promise<Void> stopped = mChannel.eventLoop().newPromise();
+        acceptRest(MAX_LAST_POLLS, stopped);
+        return stopped;
+    }
+
+    private void acceptRest(int polls, Promise<Void> stopped) {
+        long before = mAccepted;
+        afterPoll(
+                () -> {
+                    if (mAccepted > before && polls > 1) {
+                        acceptRest(polls - 1, stopped);
+                        return;
+                    }
+                    mChannel.close().addListener(done -> stopped.setSuccess(null));
+                });
     }
 
-    /** Closes the connections that have been idle for a time. */
+    /**
+     * Runs a task after the event loop has read what has arrived by now. A busy loop may not have
+     * read for longer than a connection has to be idle.
+     */
+    private void afterPoll(Runnable task) {
+        // What is executed at the end of an iteration runs after the poll of the next one.
+        SingleThreadEventLoop loop = (SingleThreadEventLoop) mChannel.eventLoop();
+        loop.executeAfterEventLoopIteration(() -> loop.execute(mGateway.guard().bind(task)));
+    }
+
+    /** Closes the connections that have been idle for a time and have sent nothing by now. */
     void closeIdle(Duration minIdle) {
-        long now = mGateway.time().nanoTime();
-        logClosed("stop", forEach(connection -> connection.closeIfIdle(now, minIdle)));
+        afterPoll(
+                () -> {
+                    long now = mGateway.time().nanoTime();
+                    logClosed("stop", forEach(connection -> connection.closeIfIdle(now, minIdle)));
+                });
     }
 
     /** Responds to all requests that are still active, because the process exits. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -312,7 +312,9 @@
         while (mTime.since(startNanos).compareTo(closeAfter) < 0) {
             sleepBetweenPolls();
         }
-        boolean open = callOnLoop(this::stopAccepting);
+        callOnLoop(mCallerServer::stopAccepting)
+                .awaitUninterruptibly(abortAfter.minus(closeAfter).toMillis());
+        boolean open = callOnLoop(this::closeIdle);
         while (open && mTime.since(startNanos).compareTo(abortAfter) < 0) {
             sleepBetweenPolls();
             open = callOnLoop(this::closeIdle);
@@ -359,12 +361,7 @@
                 .with("receiving", mCallerServer.busyCount() - requestIds.size());
     }
 
-    private boolean stopAccepting() {
-        mCallerServer.stopAccepting();
-        return mCallerServer.connectionCount() > 0;
-    }
-
-    /** Closes idle connections; returns whether others are open. */
+    /** Closes idle connections soon; returns whether any are open now. */
     private boolean closeIdle() {
         mCallerServer.closeIdle(MIN_IDLE_TIME);
         return mCallerServer.connectionCount() > 0;
