Refuse requests that arrive too late to be answered

A request that arrived late in a stop was sent although the process would abort it before its deadline.

During a stop this holds from the time on at which no more connections are accepted; requests that came before go on as they did.

--- a/entry/src/main/java/org/boragethread/entry/gateway/Admission.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Admission.java
@@ -72,7 +72,24 @@
                             RefusalReason.BAD_REQUEST,
                             "missing or malformed header with the number of pieces"));
         }
-        return Either.right(createAdmitted(request, route.get(), keyHolder, pieces.get()));
+        return refuseIfTooLate(createAdmitted(request, route.get(), keyHolder, pieces.get()));
+    }
+
+    /** Refuses a request that no upstream could finish in time, or before this process stops. */
+    private Either<Refusal, AdmittedRequest> refuseIfTooLate(AdmittedRequest admitted) {
+        if (admitted.deadlineNanos() - mGateway.time().nanoTime() <= 0) {
+            return Either.left(
+                    Refusal.notRun(
+                            RefusalReason.DEADLINE_HOPELESS,
+                            "no time was left when the request had arrived"));
+        }
+        if (mGateway.mayAbort(admitted.deadlineNanos())) {
+            return Either.left(
+                    Refusal.notRun(
+                            RefusalReason.NOT_READY,
+                            "the process may stop before the request's deadline"));
+        }
+        return Either.right(admitted);
     }
 
     private static AdmittedRequest createAdmitted(
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -71,6 +71,8 @@
     private boolean mUpstreamsKnown;
     private boolean mQuarantineKnown;
     private boolean mStopping;
+    private long mLastCallsNanos;
+    private long mAbortNanos;
     private BooleanSupplier mLeaving = () -> false;
 
     Gateway(GatewaySettings settings, TimeSource time, EventLoop loop, GatewayMetrics metrics) {
@@ -290,8 +292,23 @@
         mQuarantineKnown = true;
     }
 
-    void setStopping() {
+    /**
+     * Sets that this process stops.
+     *
+     * @param lastCallsAfter time from now after which no request is admitted that may last too long
+     * @param abortAfter time from now after which active requests are aborted
+     */
+    void setStopping(Duration lastCallsAfter, Duration abortAfter) {
         mStopping = true;
+        mLastCallsNanos = mTime.nanoTime() + lastCallsAfter.toNanos();
+        mAbortNanos = mTime.nanoTime() + abortAfter.toNanos();
+    }
+
+    /** Returns whether a request that arrives now may be aborted by the stop of this process. */
+    boolean mayAbort(long deadlineNanos) {
+        return mStopping
+                && mTime.nanoTime() - mLastCallsNanos > 0
+                && deadlineNanos - mAbortNanos > 0;
     }
 
     boolean isStopping() {
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -77,7 +77,10 @@
     private static final Duration JOIN_INTERVAL = Duration.ofMillis(900);
     private static final Duration TIMEOUT_CHECK_INTERVAL = Duration.ofMillis(250);
 
-    /** Fraction of the grace period after which no new requests are accepted. */
+    /**
+     * Fraction of the grace period after which no new connections are accepted, and no requests
+     * that may last beyond the stop.
+     */
     private static final double ACCEPT_FRACTION = 0.34;
 
     /**
@@ -295,9 +298,10 @@
     public void stop() {
         long startNanos = mTime.nanoTime();
         Duration abortAfter = mSettings.gracePeriod().minus(exitTime());
+        Duration closeAfter = fraction(mSettings.gracePeriod(), ACCEPT_FRACTION);
         callOnLoop(
                 () -> {
-                    mGateway.setStopping();
+                    mGateway.setStopping(closeAfter, abortAfter);
                     mMembership.stop(
                             abortAfter,
                             left ->
@@ -308,7 +312,6 @@
                     logStop("begun", mCallerServer.activeRequestIds()).info();
                     return true;
                 });
-        Duration closeAfter = fraction(mSettings.gracePeriod(), ACCEPT_FRACTION);
         while (mTime.since(startNanos).compareTo(closeAfter) < 0) {
             sleepBetweenPolls();
         }
