--- a/standins/src/main/java/org/boragethread/standins/store/DirectUpstream.java
+++ b/standins/src/main/java/org/boragethread/standins/store/DirectUpstream.java
@@ -5,10 +5,13 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.boragethread.standins.http.Exchange;
 import org.boragethread.standins.http.StandInResponse;
@@ -38,6 +41,7 @@
     private volatile boolean mRejecting;
     private volatile String mPauseSeconds = "";
     private volatile boolean mLeaving;
+    private volatile Duration mBatchTime = Duration.ZERO;
 
     /** Creates an upstream that is not yet listening. */
     public DirectUpstream(String id, String group) {
@@ -88,6 +92,11 @@
         mPauseSeconds = seconds;
     }
 
+    /** Sets the time that a batch of pieces takes. */
+    public void setBatchTime(Duration time) {
+        mBatchTime = time;
+    }
+
     /** Sets whether responses say that this upstream is leaving. */
     public void setLeaving(boolean leaving) {
         mLeaving = leaving;
@@ -168,7 +177,13 @@
                                     item.path("piece").asText());
             results.add(Map.of("handle", handle));
         }
-        exchange.respond(StandInResponse.json(200, Map.of("items", results)));
+        StandInResponse response = StandInResponse.json(200, Map.of("items", results));
+        if (mBatchTime.isZero()) {
+            exchange.respond(response);
+            return;
+        }
+        CompletableFuture.delayedExecutor(mBatchTime.toMillis(), TimeUnit.MILLISECONDS)
+                .execute(() -> exchange.respond(response));
     }
 
     private void releaseResults(Exchange exchange) {
--- a/standins/src/test/java/org/boragethread/standins/system/SoakEngine.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakEngine.java
@@ -49,6 +49,10 @@
     static final class Run {
         final String mRequestId;
         final String mEngine;
+
+        /** Handles of the pieces that were given to the engine. */
+        final String mInputs;
+
         final long mBegin = System.nanoTime();
         volatile End mEnd = End.AT_WORK;
         volatile long mEndNanos;
@@ -56,6 +60,7 @@
         Run(ScriptedUpstream.Request request, String engine) {
             mRequestId = request.id();
             mEngine = engine;
+            mInputs = request.headers().getOrDefault("x-boragethread-inputs", "");
         }
 
         private void end(End end) {
--- a/standins/src/test/java/org/boragethread/standins/system/SoakRun.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakRun.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.boragethread.standins.harness.ProcessHarness;
+import org.boragethread.standins.store.DirectUpstream;
 import org.boragethread.standins.store.StoreStandIn;
 
 /** One run: gateways, engines of two versions, callers, and what happens to them by seed. */
@@ -22,6 +23,7 @@
     private static final Duration RUN_TIME = Duration.ofSeconds(12);
     private static final Duration READINESS_INTERVAL = Duration.ofMillis(100);
     private static final int MAX_STEP_MILLIS = 800;
+    private static final Duration BATCH_TIME = Duration.ofMillis(120);
     private static final int ENGINES = 6;
     private static final int MAX_UNANNOUNCED_MILLIS = 700;
     private static final int[] GRACE_SECONDS = {6, 4, 10};
@@ -31,6 +33,7 @@
     private final ProcessHarness mHarness = new ProcessHarness();
     private final List<SoakGateway> mGateways = new ArrayList<>();
     private final List<SoakEngine> mEngines = new ArrayList<>();
+    private final List<DirectUpstream> mPieces = new ArrayList<>();
     private final List<SoakCaller> mCallers = new ArrayList<>();
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
     private final List<String> mEvents = new ArrayList<>();
@@ -74,6 +77,7 @@
             mEngines.add(new SoakEngine("engine-" + i, group, version, seed));
         }
         announceEngines();
+        startPieces();
         List<Future<SoakGateway>> starting = new ArrayList<>();
         for (int i = 0; i < gateways; i++) {
             String name = "gateway-" + i;
@@ -90,6 +94,16 @@
         }
     }
 
+    private void startPieces() throws IOException {
+        for (String id : List.of("pieces-1", "pieces-2")) {
+            DirectUpstream upstream = new DirectUpstream(id, "pieces");
+            upstream.start();
+            upstream.setBatchTime(BATCH_TIME);
+            mPieces.add(upstream);
+            mStore.put(StoreStandIn.UPSTREAM_TOPIC, id, upstream.announcement(false));
+        }
+    }
+
     private void announceEngines() {
         mEngines.forEach(this::announce);
     }
@@ -305,6 +319,7 @@
         for (SoakEngine engine : mEngines) {
             engine.close();
         }
+        mPieces.forEach(DirectUpstream::close);
         mStore.close();
         mThreads.shutdownNow();
     }
