--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -77,7 +77,10 @@
     private static final Duration JOIN_INTERVAL = Duration.ofMillis(900);
     private static final Duration TIMEOUT_CHECK_INTERVAL = Duration.ofMillis(250);
 
-    /** Fraction of the grace period after which no new requests are accepted. */
+    /**
+     * Fraction of the grace period after which no new connections are accepted, and no requests
+     * that may last beyond the stop.
+     */
     private static final double ACCEPT_FRACTION = 0.34;
 
     /**
@@ -304,9 +307,10 @@
     public void stop() {
         long startNanos = mTime.nanoTime();
         Duration abortAfter = mSettings.gracePeriod().minus(exitTime());
+        Duration closeAfter = fraction(mSettings.gracePeriod(), ACCEPT_FRACTION);
         callOnLoop(
                 () -> {
-                    mGateway.setStopping();
+                    mGateway.setStopping(closeAfter, abortAfter);
                     mMembership.stop(
                             abortAfter,
                             left ->
@@ -317,11 +321,12 @@
                     logStop("begun", mCallerServer.activeRequestIds()).info();
                     return true;
                 });
-        Duration closeAfter = fraction(mSettings.gracePeriod(), ACCEPT_FRACTION);
         while (mTime.since(startNanos).compareTo(closeAfter) < 0) {
             sleepBetweenPolls();
         }
-        boolean open = callOnLoop(this::stopAccepting);
+        callOnLoop(mCallerServer::stopAccepting)
+                .awaitUninterruptibly(abortAfter.minus(closeAfter).toMillis());
+        boolean open = callOnLoop(this::closeIdle);
         while (open && mTime.since(startNanos).compareTo(abortAfter) < 0) {
             sleepBetweenPolls();
             open = callOnLoop(this::closeIdle);
@@ -368,12 +373,7 @@
                 .with("receiving", mCallerServer.busyCount() - requestIds.size());
     }
 
-    private boolean stopAccepting() {
-        mCallerServer.stopAccepting();
-        return mCallerServer.connectionCount() > 0;
-    }
-
-    /** Closes idle connections; returns whether others are open. */
+    /** Closes idle connections soon; returns whether any are open now. */
     private boolean closeIdle() {
         mCallerServer.closeIdle(MIN_IDLE_TIME);
         return mCallerServer.connectionCount() > 0;
