Renew shares again if the last renewal of a stop fails

Callers: in the last 0.9 s of a stop, a request whose upstream broke or fell silent could not be repeated, since the entry's shares of common limits had ended. Cause: a stopping entry renewed its lease once, at the time from which the lease lasts to the end of the stop, and left the group whether or not that succeeded. Change: a renewal that fails is repeated four times per interval while the lease would expire before the process stops serving. The entry leaves as before if the lease lasts anyway, if partitions have moved, or at the end. Leaving without the renewal would not do: the partitions may have moved since the last one, and their new holder would use them as well.

--- a/core/src/main/java/org/boragethread/core/member/GroupMembership.java
+++ b/core/src/main/java/org/boragethread/core/member/GroupMembership.java
@@ -18,6 +18,9 @@
  */
 public final class GroupMembership {
 
+    /** Renewals per interval while they fail during a stop. */
+    private static final int RENEWALS_PER_INTERVAL = 4;
+
     private final MemberGroup mGroup;
     private final Scheduler mScheduler;
     private final TimeSource mTime;
@@ -31,6 +34,7 @@
     private Consumer<Either<ReadFailure, Boolean>> mOnLeft = left -> {};
     private boolean mLeaving;
     private boolean mLeft;
+    private long mStopNanos;
 
     /**
      * Creates a membership that has not started.
@@ -88,6 +92,7 @@
      */
     public void stop(Duration remaining, Consumer<Either<ReadFailure, Boolean>> onLeft) {
         mOnLeft = onLeft;
+        mStopNanos = mTime.nanoTime() + remaining.toNanos();
         Duration membership = remaining.minus(mLease.lifetime());
         if (membership.isNegative() || membership.isZero()) {
             mActivity.run(this::renewAndLeave);
@@ -97,12 +102,10 @@
         mScheduler.schedule(remaining, mLease::release);
     }
 
-    /** Leaves the group at once, unless that has begun, because this process has nothing to do. */
+    /** Leaves the group at once, unless it has left, because this process has nothing to do. */
     public void leave() {
-        if (!mLeaving) {
-            mLeaving = true;
-            mActivity.run(this::leaveOnce);
-        }
+        mLeaving = true;
+        mActivity.run(this::leaveOnce);
     }
 
     private void leaveOnce() {
@@ -117,22 +120,34 @@
         return mLeaving;
     }
 
-    /** Renews the lease once more and leaves, also if the renewal fails. */
+    /**
+     * Renews the lease once more and leaves. A renewal that fails is repeated while the lease would
+     * expire before the process stops serving.
+     */
     private void renewAndLeave() {
-        if (mLeaving) {
+        if (mLeft) {
             return;
         }
         mLeaving = true;
         ClockReading sentAt = ClockReading.now(mTime);
-        mGroup.join(
-                mGeneration,
-                mActivity.bind(
-                        response -> {
-                            if (response.isRight() && isUnchanged(response.get())) {
-                                mLease.renew(sentAt, response.get().partitions());
-                            }
-                            leaveOnce();
-                        }));
+        mGroup.join(mGeneration, mActivity.bind(response -> onLastRenewal(sentAt, response)));
+    }
+
+    private void onLastRenewal(ClockReading sentAt, Either<ReadFailure, JoinedGroup> response) {
+        if (mLeft) {
+            return;
+        }
+        if (response.isRight() && isUnchanged(response.get())) {
+            mLease.renew(sentAt, response.get().partitions());
+        }
+        boolean isServing = mTime.nanoTime() < mStopNanos;
+        if (response.isLeft() && isServing && mLease.expiresBefore(mStopNanos)) {
+            mScheduler.schedule(
+                    mInterval.dividedBy(RENEWALS_PER_INTERVAL),
+                    mActivity.bind(this::renewAndLeave));
+            return;
+        }
+        leaveOnce();
     }
 
     /**
--- a/core/src/main/java/org/boragethread/core/member/PartitionLease.java
+++ b/core/src/main/java/org/boragethread/core/member/PartitionLease.java
@@ -65,6 +65,11 @@
         return mLifetime;
     }
 
+    /** Returns whether the lease is held now and expires before a monotonic time. */
+    boolean expiresBefore(long nanos) {
+        return isHeld() && mRenewedAt.get().nanos() + mLifetime.toNanos() - nanos < 0;
+    }
+
     /** Gives up all partitions. */
     public void release() {
         mHeldSince.clear();
--- a/core/src/test/java/org/boragethread/core/member/GroupMembershipTest.java
+++ b/core/src/test/java/org/boragethread/core/member/GroupMembershipTest.java
@@ -150,6 +150,42 @@
         assertEquals(mGroup.mLeaves, 1);
     }
 
+    // Guards against shares that end before the last requests because one renewal failed.
+    @Test
+    public void stopRenewsTheLeaseAgainIfTheLastRenewalFails() {
+        mMembership.start();
+        mTime.advance(Duration.ofMillis(9900));
+        mMembership.stop(Duration.ofSeconds(7), left -> {});
+        mTime.advance(Duration.ofMillis(1800));
+        mGroup.mUnreachable = true;
+        mTime.advance(Duration.ofMillis(700));
+        assertEquals(mGroup.mLeaves, 0);
+        mGroup.mUnreachable = false;
+        for (int millis = 2500; millis < 7000; millis += 100) {
+            assertEquals(units(), 2, millis + " ms after the beginning of the stop");
+            mTime.advance(Duration.ofMillis(100));
+        }
+        assertEquals(units(), 0);
+        assertEquals(mGroup.mLeaves, 1);
+    }
+
+    // Guards against a stop without the store that never leaves the group, or leaves it twice.
+    @Test
+    public void stopLeavesOnceIfEveryRenewalFails() {
+        mMembership.start();
+        mTime.advance(Duration.ofMillis(9900));
+        mMembership.stop(Duration.ofSeconds(7), left -> {});
+        mGroup.mUnreachable = true;
+        mTime.advance(Duration.ofSeconds(7));
+        mMembership.leave();
+        assertEquals(units(), 0);
+        assertEquals(mGroup.mLeaves, 1);
+        int joins = mGroup.mJoins;
+        mTime.advance(Duration.ofSeconds(5));
+        assertEquals(mGroup.mJoins, joins);
+        assertEquals(mGroup.mLeaves, 1);
+    }
+
     private int units() {
         return mLease.units("limit", 12, Duration.ofSeconds(1));
     }
