Continue a stream at a further upstream, and log why not

Callers: a stream whose upstream had broken off was cut off if the next upstream responded without events or with a status below 500, though the route allowed another attempt and the retry budget had permits. Cause: such a response ended the stream at once; only errors from 500 on were repeated. The decision moves to RetryPermit. Every denial is logged now, not only that of an empty budget: repeat-denied has the cause, attempts and retries left and the remaining time. cancelled and rejected have decidedBy, broken-off sends and begunMs.

--- a/entry/src/main/java/org/boragethread/entry/gateway/ConnectionTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ConnectionTrace.java
@@ -34,6 +34,7 @@
         mGateway.metrics().onRefused(reason);
         withReceived(line("rejected", received.id()), received)
                 .with("reason", reason.label())
+                .with("decidedBy", Decider.ofPartial(reason).label())
                 .with("detail", shorten(detail))
                 .warn();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/Decider.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Decider.java
@@ -36,6 +36,11 @@
         };
     }
 
+    /** Returns who decides that a request is refused before it is fully read. */
+    static Decider ofPartial(RefusalReason reason) {
+        return reason == RefusalReason.NOT_READY ? STOP : of(reason);
+    }
+
     /** Returns the name used in logs. */
     String label() {
         return name().toLowerCase(Locale.ROOT);
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -44,6 +44,7 @@
     private final StreamContinuation mContinuation;
     private final AttemptCounts mCounts = new AttemptCounts();
     private AttemptSender mSender;
+    private RetryPermit mRetries;
     private Optional<SilenceGuard> mSilence = Optional.empty();
     private UpstreamAttempt mAttempt;
     private boolean mEnded;
@@ -97,6 +98,7 @@
                         mContinuation,
                         mTrace);
         mSender = new AttemptSender(mGateway, parts);
+        mRetries = new RetryPermit(mGateway, parts, mSearch, mSender);
         mSilence = Optional.of(new SilenceGuard(mGateway, parts, mSender, this));
         mTrace.admitted(mAdmitted, remaining());
         mPrompt.start(mRequest, mAdmitted, target, this::onPartBlocked);
@@ -227,14 +229,17 @@
         if (silence().takeOver()) {
             return;
         }
-        if (status == INPUTS_LOST && mStages.canRerun() && tryRetry("inputs-lost")) {
+        if (status == INPUTS_LOST
+                && mStages.canRerun()
+                && mRetries.tryAfterRejection("inputs-lost")) {
             restartStages();
             return;
         }
         if (!node.isPaused(mGateway.time().nanoTime())) {
             mPlacement.exclude(node);
         }
-        if (mCounts.rejections() < MAX_REJECTIONS && tryRetry("status-" + status)) {
+        if (mCounts.rejections() < MAX_REJECTIONS
+                && mRetries.tryAfterRejection("status-" + status)) {
             send();
             return;
         }
@@ -269,7 +274,7 @@
         if (silence().takeOver()) {
             return;
         }
-        if (canRetry() && tryRetry("broken")) {
+        if (mRetries.tryAfterExecution("broken")) {
             send();
             return;
         }
@@ -290,7 +295,7 @@
         if (silence().takeOver()) {
             return;
         }
-        if (canResume() && canRetry() && tryRetry("resume")) {
+        if (mRetries.tryResume()) {
             mStream.prepareResume();
             restartStages();
             return;
@@ -300,28 +305,23 @@
 
     @Override
     public void onResponse(UpstreamNode node, int status, ByteBuf body) {
+        if (mStream.isStarted()) {
+            resume(node, "responded %d on resume".formatted(status));
+            return;
+        }
         if (status >= SERVER_ERROR) {
             mCounts.onExecuted();
             mPlacement.exclude(node);
             if (silence().takeOver()) {
                 return;
             }
-            if (canRetry() && tryRetry("status-" + status)) {
+            if (mRetries.tryAfterExecution("status-" + status)) {
                 send();
                 return;
             }
         } else {
             mFeedback.onResponse(node, mAttempt.sentAt(), mAttempt.uncachedTokens());
         }
-        if (mStream.isStarted()) {
-            if (silence().takeOver()) {
-                return;
-            }
-            abortResponse(
-                    Decider.UPSTREAM,
-                    "upstream %s responded %d on resume".formatted(node.entry().id(), status));
-            return;
-        }
         mTrace.answered(node, status, mCounts.sends(), mAttempt.progress());
         end();
         mResponseWriter.sendResponse(status, mAttempt.forwardedHeaders(), body);
@@ -341,9 +341,7 @@
             Runnable onBegin = () -> mContinuation.onBegin(mAttempt::softwareVersion);
             mStream.start(status, mAttempt.forwardedHeaders(), resumable, onBegin);
         } else if (!mAttempt.isEventStream()) {
-            abortResponse(
-                    Decider.UPSTREAM,
-                    "upstream %s resumed without events".formatted(node.entry().id()));
+            giveUp(mAttempt, "resumed without events");
         }
     }
 
@@ -382,7 +380,7 @@
         if (mEnded) {
             return;
         }
-        mTrace.cancelled(mCounts.sends());
+        mTrace.cancelled(mCounts.sends(), Optional.ofNullable(mAttempt));
         end();
     }
 
@@ -399,37 +397,10 @@
         }
     }
 
-    private boolean canResume() {
-        return mStream.canResume() && mContinuation.canGoOn();
-    }
-
-    private boolean canRetry() {
-        return mAdmitted.route().isIdempotent()
-                && mCounts.executions() < mAdmitted.route().maxAttempts()
-                && !isDeadlineNear()
-                && !mPrompt.isSuspect();
-    }
-
     private boolean isDeadlineNear() {
         return remaining().compareTo(UpstreamSearch.INTERVAL) < 0;
     }
 
-    private boolean tryRetry(String reason) {
-        ChoiceRequest choice = mPlacement.choiceRequest();
-        boolean possible =
-                mGateway.chooser().hasCandidate(choice)
-                        || mSearch.isPauseShort(choice, remaining());
-        if (isDeadlineNear() || !possible) {
-            return false;
-        }
-        if (!mGateway.retryBudget(mGroup.id()).tryAcquire()) {
-            mTrace.retryDenied(reason);
-            return false;
-        }
-        mTrace.retried(reason, mCounts.sends(), remaining());
-        return true;
-    }
-
     private void restartStages() {
         mStages.release();
         runStages();
@@ -468,7 +439,7 @@
     }
 
     private void abortResponse(Decider decidedBy, String detail) {
-        mTrace.aborted(decidedBy, detail);
+        mTrace.aborted(decidedBy, detail, mCounts.sends());
         if (mAttempt.isActive()) {
             mContinuation.onInterrupted(mAttempt.softwareVersion());
         }
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -143,8 +143,15 @@
                 .info();
     }
 
-    void retryDenied(String reason) {
-        mGateway.log().event("repeat-denied", mRequest.id()).with("reason", reason).warn();
+    void retryDenied(RetryPermit.Denial denial) {
+        mGateway.log()
+                .event("repeat-denied", mRequest.id())
+                .with("reason", denial.reason())
+                .with("cause", denial.cause())
+                .with("attemptsLeft", denial.attemptsLeft())
+                .with("retriesLeft", denial.retriesLeft())
+                .with("remainingMs", denial.remaining().toMillis())
+                .warn();
     }
 
     /** Records the time at which the first part of the response body arrived. */
@@ -235,23 +242,36 @@
                 .warn();
     }
 
-    void aborted(Decider decidedBy, String detail) {
+    void aborted(Decider decidedBy, String detail, int sends) {
         mGateway.metrics().onBrokenConnection("stream");
         mGateway.log()
                 .event("broken-off", mRequest.id())
                 .with("decidedBy", decidedBy.label())
                 .with("detail", detail)
+                .with("sends", sends)
+                .with("begunMs", mFirstByteMillis)
                 .with("ageMs", age().toMillis())
+                .with("configAgeMs", configAgeMillis())
                 .warn();
     }
 
-    void cancelled(int sends) {
+    /** Records that the caller left, with the latest attempt. */
+    void cancelled(int sends, Optional<UpstreamAttempt> attempt) {
         mGateway.metrics().onRefused(RefusalReason.CANCELLED);
-        mGateway.log()
-                .event("cancelled", mRequest.id())
-                .with("sends", sends)
-                .with("ageMs", age().toMillis())
-                .info();
+        EventLog.Line line =
+                mGateway.log()
+                        .event("cancelled", mRequest.id())
+                        .with("decidedBy", Decider.CALLER.label())
+                        .with("sends", sends)
+                        .with("begunMs", mFirstByteMillis)
+                        .with("ageMs", age().toMillis());
+        attempt.ifPresent(
+                latest ->
+                        line.with("upstream", latest.node().entry().id())
+                                .with("active", latest.isActive())
+                                .with("bytes", latest.progress().bytes())
+                                .with("events", latest.progress().events()));
+        line.info();
     }
 
     private Duration age() {
