Keep a held response until another one is whole

Callers: 502 or 504 though an upstream was sending its response. A response that is held until it is complete (plain routes, up to 256 KiB) did not count as progress while it arrived, so a second attempt was sent beside an upstream at work, and its head cancelled the first, also one that had sent most of its body. Cause: only forwarded parts were reported as progress, and heads were compared with nothing. Change: the head and each held part are progress and withdraw the second attempt. If the first has sent the head of a held response, the second wins only with a whole response or with one too large to be held. Both run for that time, which the attempt count and the budget already include.

--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptListener.java
@@ -15,6 +15,9 @@
     /** The head of a successful response arrived; nothing of its body is known yet. */
     default void onSuccessHead() {}
 
+    /** A part of a body that is held until it is complete has arrived. */
+    default void onBuffered() {}
+
     /** The attempt failed before any of its response was forwarded; the request may have run. */
     void onFailed(UpstreamNode node, String detail);
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -327,6 +327,16 @@
         mResponseWriter.sendResponse(status, mAttempt.forwardedHeaders(), body);
     }
 
+    @Override
+    public void onSuccessHead() {
+        silence().onActivity();
+    }
+
+    @Override
+    public void onBuffered() {
+        silence().onActivity();
+    }
+
     @Override
     public void onStreamHead(UpstreamNode node, int status) {
         if (!mContinuation.accepts(mAttempt.softwareVersion())) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
@@ -208,6 +208,15 @@
         mSender.send(standby.attempt(), lastEvent);
     }
 
+    @Override
+    public void onStandbyHead() {
+        if (mResponse.attempt().isHeld()) {
+            startWatch();
+        } else {
+            onStandbyResponds();
+        }
+    }
+
     @Override
     public void onStandbyResponds() {
         StandbyAttempt standby = mStandby.orElseThrow();
--- a/entry/src/main/java/org/boragethread/entry/gateway/StandbyAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StandbyAttempt.java
@@ -21,6 +21,9 @@
     /** Decides whether the attempt goes on with the response. */
     interface Owner {
 
+        /** The head of a successful response arrived; the attempt may take over the response. */
+        void onStandbyHead();
+
         /** The upstream responds; the attempt must take over the response or be cancelled. */
         void onStandbyResponds();
 
@@ -85,8 +88,17 @@
 
     @Override
     public void onSuccessHead() {
-        if (!mInCharge) {
-            mOwner.onStandbyResponds();
+        if (mInCharge) {
+            mResponse.onSuccessHead();
+        } else {
+            mOwner.onStandbyHead();
+        }
+    }
+
+    @Override
+    public void onBuffered() {
+        if (mInCharge) {
+            mResponse.onBuffered();
         }
     }
 
@@ -118,7 +130,12 @@
 
     @Override
     public void onStreamHead(UpstreamNode node, int status) {
-        mResponse.onStreamHead(node, status);
+        if (!mInCharge) {
+            mOwner.onStandbyResponds();
+        }
+        if (mInCharge) {
+            mResponse.onStreamHead(node, status);
+        }
     }
 
     @Override
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -149,15 +149,25 @@
 
     /**
      * Returns whether the response has progressed since the last invocation, in events if it is a
-     * stream of them. The start of the attempt is progress too.
+     * stream of them. The start of the attempt and the head are progress too.
      */
     boolean hasProgressed() {
-        long extent = mIsEventStream ? mPosition.events() : mBodyBytes;
+        long head = hasHead() ? 1 : 0;
+        long extent = head + (mIsEventStream ? mPosition.events() : mBodyBytes);
         boolean progressed = extent != mLastExtent;
         mLastExtent = extent;
         return progressed;
     }
 
+    private boolean hasHead() {
+        return mStatus > 0;
+    }
+
+    /** Returns whether the response has begun and is held until it is complete. */
+    boolean isHeld() {
+        return hasHead() && mStatus < SERVER_ERROR && !mStreaming && !mForwarding;
+    }
+
     /** Cancels the attempt, so that the upstream stops working on it. */
     void cancel() {
         if (mEnded) {
@@ -242,6 +252,7 @@
             mBuffered = Unpooled.buffer(data.readableBytes());
         }
         mBuffered.writeBytes(data);
+        mListener.onBuffered();
     }
 
     private void startForwarding() {
