Refuse requests that a stopping entry cannot end

Callers: a request that arrived on an open connection late in a stop was begun and cut off at the end of the grace period: 502, or a closed connection inside a stream. Change: while stopping, a request is admitted if its own deadline is in time, or if the expected time of its stages, twice the expected response time and, for streams, the learned time from first part to end fit into the time left. The stream times are learned for each group (StreamDurationModel).

--- a/entry/src/main/java/org/boragethread/entry/gateway/Admission.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Admission.java
@@ -72,7 +72,9 @@
                             RefusalReason.BAD_REQUEST,
                             "missing or malformed header with the number of pieces"));
         }
-        return refuseIfTooLate(createAdmitted(request, route.get(), keyHolder, pieces.get()));
+        AdmittedRequest admitted = createAdmitted(request, route.get(), keyHolder, pieces.get());
+        return refuseIfTooLate(admitted)
+                .flatMap(inTime -> new StopAdmission(mGateway).admit(request, inTime));
     }
 
     /** Refuses a request that no upstream could finish in time, or before this process stops. */
@@ -87,7 +89,8 @@
             return Either.left(
                     Refusal.notRun(
                             RefusalReason.NOT_READY,
-                            "the process may stop before the request's deadline"));
+                            "the process may stop before the request's deadline",
+                            RetryDelays.SHORT));
         }
         return Either.right(admitted);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.boragethread.core.upstream.ColdRateShare;
 import org.boragethread.core.upstream.RateLimitShare;
 import org.boragethread.core.upstream.ResponseTimeModel;
+import org.boragethread.core.upstream.StreamDurationModel;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamDirectory;
 import org.boragethread.model.routing.RoutedGroup;
@@ -67,6 +68,7 @@
     private final Map<GroupId, RateLimitQueue> mRateLimitQueues = new HashMap<>();
     private final Map<GroupId, SharedRetryBudget> mRetryBudgets = new HashMap<>();
     private final Map<GroupId, ResponseTimeModel> mResponseTimes = new HashMap<>();
+    private final Map<GroupId, StreamDurationModel> mStreamDurations = new HashMap<>();
     private final Map<GroupId, BatchScheduler> mBatchSchedulers = new HashMap<>();
     private final Map<String, TopicRelay> mTopicRelays = new HashMap<>();
     private boolean mUpstreamsKnown;
@@ -276,6 +278,11 @@
         return mResponseTimes.computeIfAbsent(group, id -> new ResponseTimeModel());
     }
 
+    /** Returns how long forwarded responses of a group take from their first part on. */
+    StreamDurationModel streamDurations(GroupId group) {
+        return mStreamDurations.computeIfAbsent(group, id -> new StreamDurationModel());
+    }
+
     /** Returns the scheduler of a group's pieces, used while this entry coordinates the group. */
     BatchScheduler batchScheduler(GroupId group) {
         return mBatchSchedulers.computeIfAbsent(
@@ -323,6 +330,11 @@
                 && deadlineNanos - mAbortNanos > 0;
     }
 
+    /** Returns the time until a stopping process ends its requests; zero after it. */
+    Duration timeToServe() {
+        return Duration.ofNanos(Math.max(0, mAbortNanos - mTime.nanoTime()));
+    }
+
     boolean isStopping() {
         return mStopping;
     }
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StopAdmission.java
@@ -0,0 +1,52 @@
+package org.boragethread.entry.gateway;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import org.boragethread.core.upstream.ResponseTimeModel;
+import org.boragethread.model.outcome.Refusal;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.upstream.GroupId;
+
+/**
+ * Refuses requests that a stopping process would have to cut off. Their callers reach other entries
+ * with a new connection.
+ */
+final class StopAdmission {
+
+    /** Multiple of the expected time within which most healthy upstreams respond. */
+    private static final int RESPONSE_MULTIPLE = 2;
+
+    private final Gateway mGateway;
+
+    StopAdmission(Gateway gateway) {
+        mGateway = gateway;
+    }
+
+    /** Admits a request if it probably ends while this process serves, or by its own deadline. */
+    Either<Refusal, AdmittedRequest> admit(CallerRequest request, AdmittedRequest admitted) {
+        if (!mGateway.isStopping()) {
+            return Either.right(admitted);
+        }
+        Duration left = mGateway.timeToServe();
+        Duration remaining =
+                Duration.ofNanos(admitted.deadlineNanos() - mGateway.time().nanoTime());
+        GroupId group = admitted.route().groupAt(request.unitHash()).group();
+        Duration needed = expectedTime(admitted, group);
+        if (remaining.compareTo(left) <= 0 || needed.compareTo(left) <= 0) {
+            return Either.right(admitted);
+        }
+        return Either.left(
+                Refusal.notRun(
+                        RefusalReason.NOT_READY,
+                        "the process is stopping: the request needs %d ms, %d ms remain"
+                                .formatted(needed.toMillis(), left.toMillis()),
+                        RetryDelays.SHORT));
+    }
+
+    private Duration expectedTime(AdmittedRequest admitted, GroupId group) {
+        ResponseTimeModel times = mGateway.responseTimes(group);
+        return admitted.expectedStageTime(mGateway)
+                .plusNanos(admitted.expectedResponseNanos(times) * RESPONSE_MULTIPLE)
+                .plus(mGateway.streamDurations(group).bound());
+    }
+}
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -56,6 +56,7 @@
     private long mReportsAtStart;
     private ByteBuf mBuffered = Unpooled.EMPTY_BUFFER;
     private boolean mForwarding;
+    private long mForwardingSince;
     private boolean mEnded;
 
     /**
@@ -257,6 +258,7 @@
 
     private void startForwarding() {
         mForwarding = true;
+        mForwardingSince = mGateway.time().nanoTime();
         endPrefill();
         mListener.onStreamHead(mNode, mStatus);
         if (!mEnded && mBuffered.isReadable()) {
@@ -274,6 +276,8 @@
         if (!isBodyComplete()) {
             reportBroken("the event stream ended inside an event or without any");
         } else if (mForwarding) {
+            mGateway.streamDurations(mCalledEntry.group())
+                    .add(mGateway.time().since(mForwardingSince));
             mListener.onStreamEnd(mNode);
         } else {
             mListener.onResponse(mNode, mStatus, mBuffered);
