Refuse what came late in a stop by its first byte

The rule for late requests, that their deadlines must be in time, now goes by the time of the first byte; earlier ones are served if they probably end in time. Both rules stand in one place.

--- a/entry/src/main/java/org/boragethread/entry/gateway/Admission.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Admission.java
@@ -77,7 +77,7 @@
                 .flatMap(inTime -> new StopAdmission(mGateway).admit(request, inTime));
     }
 
-    /** Refuses a request that no upstream could finish in time, or before this process stops. */
+    /** Refuses a request that no upstream could finish in time. */
     private Either<Refusal, AdmittedRequest> refuseIfTooLate(AdmittedRequest admitted) {
         if (admitted.deadlineNanos() - mGateway.time().nanoTime() <= 0) {
             return Either.left(
@@ -85,13 +85,6 @@
                             RefusalReason.DEADLINE_HOPELESS,
                             "no time was left when the request had arrived"));
         }
-        if (mGateway.mayAbort(admitted.deadlineNanos())) {
-            return Either.left(
-                    Refusal.notRun(
-                            RefusalReason.NOT_READY,
-                            "the process may stop before the request's deadline",
-                            RetryDelays.SHORT));
-        }
         return Either.right(admitted);
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerConnection.java
@@ -252,6 +252,7 @@
                         mRequestHead.uri(),
                         mRequestHead.headers(),
                         mRequestBody,
+                        mReceivingSinceNanos,
                         mHeadReceivedAt);
         mRequestHead = null;
         mRequestBody = null;
--- a/entry/src/main/java/org/boragethread/entry/gateway/CallerRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/CallerRequest.java
@@ -14,6 +14,7 @@
  * @param target request target as sent: path and query
  * @param headers all headers as sent
  * @param body complete body, owned by the request
+ * @param begunNanos monotonic time at which the first byte of the request arrived
  * @param arrivedAt time at which the request head arrived
  */
 record CallerRequest(
@@ -22,6 +23,7 @@
         String target,
         HttpHeaders headers,
         ByteBuf body,
+        long begunNanos,
         ClockReading arrivedAt) {
 
     /** Returns the path without its query. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -314,7 +314,8 @@
     /**
      * Sets that this process stops.
      *
-     * @param lastCallsAfter time from now after which no request is admitted that may last too long
+     * @param lastCallsAfter time from now after which requests that begin to arrive are admitted
+     *     only if their deadlines are in time
      * @param abortAfter time from now after which active requests are aborted
      */
     void setStopping(Duration lastCallsAfter, Duration abortAfter) {
@@ -323,11 +324,9 @@
         mAbortNanos = mTime.nanoTime() + abortAfter.toNanos();
     }
 
-    /** Returns whether a request that arrives now may be aborted by the stop of this process. */
-    boolean mayAbort(long deadlineNanos) {
-        return mStopping
-                && mTime.nanoTime() - mLastCallsNanos > 0
-                && deadlineNanos - mAbortNanos > 0;
+    /** Returns whether a request that began to arrive at a time came late in a stop. */
+    boolean isAfterLastCalls(long nanos) {
+        return mStopping && nanos - mLastCallsNanos > 0;
     }
 
     /** Returns the time until a stopping process ends its requests; zero after it. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/StopAdmission.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StopAdmission.java
@@ -22,7 +22,10 @@
         mGateway = gateway;
     }
 
-    /** Admits a request if it probably ends while this process serves, or by its own deadline. */
+    /**
+     * Admits a request if its deadline is in time, or if it probably ends while this process
+     * serves. The latter is not enough if it began to arrive late in the stop.
+     */
     Either<Refusal, AdmittedRequest> admit(CallerRequest request, AdmittedRequest admitted) {
         if (!mGateway.isStopping()) {
             return Either.right(admitted);
@@ -30,16 +33,27 @@
         Duration left = mGateway.timeToServe();
         Duration remaining =
                 Duration.ofNanos(admitted.deadlineNanos() - mGateway.time().nanoTime());
+        if (remaining.compareTo(left) <= 0) {
+            return Either.right(admitted);
+        }
+        if (mGateway.isAfterLastCalls(request.begunNanos())) {
+            return refuse("it has %d ms, %d ms remain", remaining, left);
+        }
         GroupId group = admitted.route().groupAt(request.unitHash()).group();
         Duration needed = expectedTime(admitted, group);
-        if (remaining.compareTo(left) <= 0 || needed.compareTo(left) <= 0) {
+        if (needed.compareTo(left) <= 0) {
             return Either.right(admitted);
         }
+        return refuse("it needs %d ms, %d ms remain", needed, left);
+    }
+
+    private static Either<Refusal, AdmittedRequest> refuse(
+            String detail, Duration time, Duration left) {
         return Either.left(
                 Refusal.notRun(
                         RefusalReason.NOT_READY,
-                        "the process is stopping: the request needs %d ms, %d ms remain"
-                                .formatted(needed.toMillis(), left.toMillis()),
+                        "the process is stopping: "
+                                + detail.formatted(time.toMillis(), left.toMillis()),
                         RetryDelays.SHORT));
     }
 
--- a/entry/src/test/java/org/boragethread/entry/gateway/RequestFingerprintTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/RequestFingerprintTest.java
@@ -21,6 +21,7 @@
                 target,
                 new DefaultHttpHeaders().set("Deadline", id),
                 Unpooled.copiedBuffer(body, StandardCharsets.UTF_8),
+                0,
                 ClockReading.now(new ManualTimeSource()));
     }
 
