--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -77,7 +77,10 @@
     private static final Duration JOIN_INTERVAL = Duration.ofMillis(900);
     private static final Duration TIMEOUT_CHECK_INTERVAL = Duration.ofMillis(250);
 
-    /** Fraction of the grace period after which no new connections are accepted. */
+    /**
+     * Fraction of the grace period after which no new connections are accepted, and no requests
+     * that may last beyond the stop.
+     */
     private static final double ACCEPT_FRACTION = 0.34;
 
     /**
@@ -94,12 +97,6 @@
 
     private static final Duration MAX_EXIT_TIME = Duration.ofMillis(900);
 
-    /**
-     * Time after the signal from which requests are refused that may last beyond the stop. The
-     * platform excuses no request that is cut off if it was sent 3 s after the signal or later.
-     */
-    private static final Duration LAST_CALLS_TIME = Duration.ofMillis(2800);
-
     /** Maximum size of a request from another entry: a stage's pieces with their input handles. */
     private static final int MAX_PEER_REQUEST_BYTES = 1 << 20;
 
@@ -313,7 +310,7 @@
         Duration closeAfter = fraction(mSettings.gracePeriod(), ACCEPT_FRACTION);
         callOnLoop(
                 () -> {
-                    mGateway.setStopping(LAST_CALLS_TIME, abortAfter);
+                    mGateway.setStopping(closeAfter, abortAfter);
                     mMembership.stop(
                             abortAfter,
                             left ->
