Play restarts of engines in a case of their own

Engines that start again with other software were one of the disturbances of each run. They get a test method of their own, with all disturbances, so that seeds of that kind keep their meaning; the other one is played without them.

--- a/standins/src/test/java/org/boragethread/standins/system/PlannedStopSoakTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/PlannedStopSoakTest.java
@@ -27,14 +27,24 @@
     // Guards against requests that are cut off, mixed, lost or run twice around a planned stop.
     @Test(dataProvider = "seeds")
     public void everyRequestEndsWholeOrWithAReason(long seed) throws Exception {
+        play(seed, false);
+    }
+
+    // Guards against streams of two versions, and those above, while engines start again.
+    @Test(dataProvider = "seeds")
+    public void everyStreamKeepsItsVersionWhileEnginesRestart(long seed) throws Exception {
+        play(seed, true);
+    }
+
+    private static void play(long seed, boolean engineRestarts) throws Exception {
         int gateways = Integer.getInteger("soak.gateways", 3);
         int callers = Integer.getInteger("soak.callers", 40);
-        try (SoakRun run = new SoakRun(seed, gateways, callers)) {
+        try (SoakRun run = new SoakRun(seed, gateways, callers, engineRestarts)) {
             run.run();
             SoakVerdict verdict = new SoakVerdict(run);
             Reporter.log("seed %d: %s".formatted(seed, verdict.summary()), true);
             if (!verdict.findings().isEmpty()) {
-                verdict.write(LOGS.resolve(Long.toString(seed)));
+                verdict.write(LOGS.resolve((engineRestarts ? "restarts-" : "") + seed));
             }
             assertEquals(verdict.findings(), List.of(), "seed " + seed);
         }
--- a/standins/src/test/java/org/boragethread/standins/system/SoakRun.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakRun.java
@@ -37,6 +37,7 @@
     private final List<SoakCaller> mCallers = new ArrayList<>();
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
     private final List<String> mEvents = new ArrayList<>();
+    private final List<Disturbance> mDisturbances;
     private final long mBegin = System.nanoTime();
     private final SoakConfig mConfig = new SoakConfig();
     private final Set<SoakEngine> mBusyEngines = ConcurrentHashMap.newKeySet();
@@ -67,8 +68,17 @@
         }
     }
 
-    SoakRun(long seed, int gateways, int callers) throws Exception {
+    /**
+     * Starts all processes.
+     *
+     * @param engineRestarts whether engines start again with other software
+     */
+    SoakRun(long seed, int gateways, int callers, boolean engineRestarts) throws Exception {
         mRandom = new SplittableRandom(seed);
+        mDisturbances = new ArrayList<>(List.of(Disturbance.values()));
+        if (!engineRestarts) {
+            mDisturbances.remove(Disturbance.ENGINE_RESTARTS);
+        }
         mStore.start();
         configure();
         for (int i = 0; i < ENGINES; i++) {
@@ -122,7 +132,7 @@
         long end = System.nanoTime() + RUN_TIME.toNanos();
         while (System.nanoTime() < end) {
             park(mRandom.nextInt(MAX_STEP_MILLIS));
-            disturb(Disturbance.values()[mRandom.nextInt(Disturbance.values().length)]);
+            disturb(mDisturbances.get(mRandom.nextInt(mDisturbances.size())));
         }
         for (SoakGateway gateway : mGateways) {
             record("last stop of " + gateway.life().mGateway.process().name());
