Stop a job's run that could not start

A run whose start threw kept its place and renewed its lease, so that no entry continued the job until the process ended. The start is a step of the run like others now: if it throws, the run stops and its lease expires.

jobWhoseInputCouldNotBeReadRunsAgain failed before. Found by a review of the callbacks that throw.

--- a/core/src/main/java/org/boragethread/core/job/JobRun.java
+++ b/core/src/main/java/org/boragethread/core/job/JobRun.java
@@ -51,6 +51,10 @@
     }
 
     void start() {
+        attempt(this::begin);
+    }
+
+    private void begin() {
         scheduleRenewal();
         if (isEffectTooOld()) {
             int stage = mJob.stagesDone();
--- a/core/src/test/java/org/boragethread/core/job/ThrowingJobStepTest.java
+++ b/core/src/test/java/org/boragethread/core/job/ThrowingJobStepTest.java
@@ -43,6 +43,7 @@
     private JobService mService;
     private List<CompletableFuture<JobRunOutcome>> mRuns;
     private boolean mThrows;
+    private boolean mReadThrows;
     private int mIds;
 
     @BeforeMethod
@@ -52,6 +53,7 @@
         mProcess = new SimProcess(mLog);
         mRuns = new ArrayList<>();
         mThrows = false;
+        mReadThrows = false;
         mIds = 0;
         RecordSink sink = this::append;
         mService =
@@ -59,7 +61,7 @@
                         .entry(new EntryId("entry-1"))
                         .settings(SETTINGS)
                         .sink(sink)
-                        .source(mProcess)
+                        .source(this::read)
                         .scheduler(mProcess)
                         .time(mTime)
                         .recordIds(() -> "entry-1-" + mIds++)
@@ -78,6 +80,13 @@
         return mProcess.append(stream, id, data, timeout);
     }
 
+    private CompletableFuture<Optional<byte[]>> read(String stream, long offset) {
+        if (mReadThrows) {
+            throw new IllegalStateException("read");
+        }
+        return mProcess.read(stream, offset);
+    }
+
     private void startRunner() {
         new JobRunner(
                         mService,
@@ -158,6 +167,18 @@
         assertEquals(mService.find(id).orElseThrow().status(), JobStatus.FINISHED);
     }
 
+    // Guards against a job whose lease is renewed for ever since its run could not start.
+    @Test
+    public void jobWhoseInputCouldNotBeReadRunsAgain() {
+        startRunner();
+        mReadThrows = true;
+        submit("a");
+        run(Duration.ofSeconds(5));
+        mReadThrows = false;
+        run(SETTINGS.lease().multipliedBy(3));
+        assertEquals(mRuns.size(), 1);
+    }
+
     // Guards against jobs that expire in the log because some checkpoints threw.
     @Test
     public void checkpointsAreWrittenAfterSomeThrew() {
