Forget a provisional origin that was not confirmed in time

If the message that confirms an origin was lost, or went to other owners since the members had changed, the owner with the provisional one took the stream for uncertain, which contradicted the others: the stream was refused for 10 minutes. A provisional report without a final one now says nothing once its time is over. Beside a final one it still leaves the version uncertain.

Found by a review.

--- a/core/src/main/java/org/boragethread/core/resume/StreamOriginTable.java
+++ b/core/src/main/java/org/boragethread/core/resume/StreamOriginTable.java
@@ -34,7 +34,8 @@
         StreamOrigin merged = previous.map(entry -> entry.origin().merge(report)).orElse(report);
         int provisional = previous.map(Entry::provisionalReports).orElse(0);
         int remaining = origin.provisional() ? provisional + 1 : Math.max(0, provisional - 1);
-        mEntries.put(key, new Entry(merged, remaining, mTime.nanoTime()));
+        boolean isFinal = !origin.provisional() || previous.filter(Entry::hasFinal).isPresent();
+        mEntries.put(key, new Entry(merged, remaining, isFinal, mTime.nanoTime()));
         removeOldest();
     }
 
@@ -53,18 +54,23 @@
     public Optional<StreamOrigin> find(StreamKey key) {
         return Optional.ofNullable(mEntries.get(key))
                 .filter(entry -> mTime.since(entry.at()).compareTo(LIFETIME) <= 0)
-                .map(this::originOf);
+                .flatMap(this::originOf);
     }
 
-    private StreamOrigin originOf(Entry entry) {
+    /**
+     * A report that was not confirmed in time says nothing: its final one may have gone to other
+     * owners only. Beside a final one it leaves the version uncertain.
+     */
+    private Optional<StreamOrigin> originOf(Entry entry) {
         StreamOrigin origin = entry.origin();
         if (entry.provisionalReports() == 0 || origin.version().isEmpty()) {
-            return origin;
+            return Optional.of(origin);
+        }
+        if (mTime.since(entry.at()).compareTo(PROVISIONAL_TIME) < 0) {
+            return Optional.of(new StreamOrigin(origin.group(), origin.version(), true));
         }
-        boolean isAwaited = mTime.since(entry.at()).compareTo(PROVISIONAL_TIME) < 0;
-        return isAwaited
-                ? new StreamOrigin(origin.group(), origin.version(), true)
-                : new StreamOrigin(origin.group(), Optional.empty());
+        StreamOrigin uncertain = new StreamOrigin(origin.group(), Optional.empty());
+        return entry.hasFinal() ? Optional.of(uncertain) : Optional.empty();
     }
 
     /** Returns the number of streams remembered. */
@@ -76,7 +82,8 @@
      * A remembered stream.
      *
      * @param provisionalReports reports that are not followed by a final one yet
+     * @param hasFinal whether there was a final report
      * @param at monotonic time in nanoseconds at which it was remembered last
      */
-    private record Entry(StreamOrigin origin, int provisionalReports, long at) {}
+    private record Entry(StreamOrigin origin, int provisionalReports, boolean hasFinal, long at) {}
 }
