--- a/standins/src/test/java/org/boragethread/standins/system/ScriptedUpstream.java
+++ b/standins/src/test/java/org/boragethread/standins/system/ScriptedUpstream.java
@@ -30,7 +30,7 @@
     private final int mPort;
     private volatile ServerSocket mServer;
     private final List<Socket> mConnections = new CopyOnWriteArrayList<>();
-    private final CountDownLatch mAcceptEnded = new CountDownLatch(1);
+    private volatile CountDownLatch mAcceptEnded;
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
 
     /**
@@ -73,13 +73,16 @@
 
     private ServerSocket listen(int port) throws IOException {
         ServerSocket server = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
-        mThreads.execute(() -> accept(server));
+        CountDownLatch ended = new CountDownLatch(1);
+        mAcceptEnded = ended;
+        mThreads.execute(() -> accept(server, ended));
         return server;
     }
 
     /** Refuses new connections; open ones stay. */
     void refuseConnections() throws IOException {
         mServer.close();
+        awaitFreePort();
     }
 
     /** Accepts connections again after {@link #refuseConnections}. */
@@ -102,7 +105,7 @@
                 .formatted(group, mPort, softwareVersion);
     }
 
-    private void accept(ServerSocket server) {
+    private void accept(ServerSocket server, CountDownLatch ended) {
         while (!server.isClosed()) {
             try {
                 Socket connection = server.accept();
@@ -114,7 +117,7 @@
                 }
             }
         }
-        mAcceptEnded.countDown();
+        ended.countDown();
     }
 
     private void serve(Socket connection) {
