Keep the moment of doubt of each call to an upstream

Whether the announced version is that of the software that processes a call was looked at once, and could not become certain later. Another run, a removed announcement, or an earlier one from an older copy of the store never make it certain. Upstreams in doubt can be told from those of another version.

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -10,6 +10,7 @@
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.RoutedGroup;
+import org.boragethread.model.upstream.SoftwareVersion;
 
 /**
  * Chooses the upstream with the lowest expected cost for a request. Requests with the same prompt
@@ -178,8 +179,23 @@
     }
 
     /**
-     * Returns whether the group has upstreams, but each is leaving, excluded or of another software
-     * version than the request needs, so that only a new one could get the request.
+     * Returns whether an upstream could get the request soon, because its announcement is doubtful
+     * for a moment and names the software version that the request needs.
+     */
+    public boolean hasDoubtfulCandidate(ChoiceRequest request) {
+        return mDirectory.of(request.group().id()).stream()
+                .anyMatch(
+                        node ->
+                                node.doubtedAt().isPresent()
+                                        && isPlaceAllowed(node, request)
+                                        && isOfNeededVersion(
+                                                request, node.entry().softwareVersion()));
+    }
+
+    /**
+     * Returns whether the group has upstreams, but each is leaving, excluded or announced with
+     * another software version than the request needs, so that only a new one could get the
+     * request.
      */
     public boolean isGroupExhausted(ChoiceRequest request) {
         List<UpstreamNode> nodes = mDirectory.of(request.group().id());
@@ -189,7 +205,8 @@
                                 node ->
                                         node.isLeaving()
                                                 || request.excluded().contains(node)
-                                                || !hasNeededVersion(node, request));
+                                                || !isOfNeededVersion(
+                                                        request, node.entry().softwareVersion()));
     }
 
     private List<UpstreamNode> candidates(ChoiceRequest request) {
@@ -203,13 +220,14 @@
     }
 
     private boolean isAllowed(UpstreamNode node, ChoiceRequest request) {
+        return isPlaceAllowed(node, request) && isOfNeededVersion(request, node.softwareVersion());
+    }
+
+    private boolean isPlaceAllowed(UpstreamNode node, ChoiceRequest request) {
         DataCentreId dataCentre = node.entry().dataCentre();
         if (node.isLeaving() || request.excluded().contains(node)) {
             return false;
         }
-        if (!hasNeededVersion(node, request)) {
-            return false;
-        }
         if (request.evacuated().contains(dataCentre)) {
             return false;
         }
@@ -217,9 +235,9 @@
                 || request.regions().contains(mRegions.getOrDefault(dataCentre, ""));
     }
 
-    private static boolean hasNeededVersion(UpstreamNode node, ChoiceRequest request) {
-        return request.softwareVersion().isEmpty()
-                || request.softwareVersion().equals(node.softwareVersion());
+    private static boolean isOfNeededVersion(
+            ChoiceRequest request, Optional<SoftwareVersion> version) {
+        return request.softwareVersion().isEmpty() || request.softwareVersion().equals(version);
     }
 
     private static List<UpstreamNode> rendezvousOrder(List<UpstreamNode> nodes, long affinity) {
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
@@ -148,6 +148,11 @@
         return mSettled;
     }
 
+    /** Returns when announcements were first read, if they are not settled since. */
+    Optional<Long> unsettledSince() {
+        return mSettled ? Optional.empty() : mFirstReadAt;
+    }
+
     /** Returns the upstreams of a group, including those that are leaving. */
     public List<UpstreamNode> of(GroupId id) {
         List<UpstreamNode> nodes = group(id);
@@ -180,6 +185,7 @@
 
     private void delete(UpstreamNode node) {
         mNodes.remove(node.entry().id());
+        node.delist();
         group(node.entry().group()).remove(node);
         mRemoved.put(node.entry().id(), node);
         if (mRemoved.size() > MAX_REMOVED) {
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -35,6 +35,8 @@
     private long mPausedUntil = Long.MIN_VALUE;
     private boolean mLeaving;
     private Optional<Long> mDoubtedAt = Optional.empty();
+    private Optional<Long> mConfirmedAt = Optional.empty();
+    private boolean mListed = true;
     private int mConsecutiveFailures;
     private int mInFlight;
     private double mSlowness = 1;
@@ -47,6 +49,10 @@
 
     void update(UpstreamAnnouncement entry, long now) {
         boolean isLaterRun = isLaterRun(entry);
+        if (!entry.isSameIncarnation(mEntry)
+                || !entry.softwareVersion().equals(mEntry.softwareVersion())) {
+            mConfirmedAt = Optional.empty();
+        }
         if (isEarlierRun(entry)) {
             mDoubtedAt = Optional.of(now);
         } else if (isLaterRun || !entry.isSameIncarnation(mEntry)) {
@@ -68,6 +74,7 @@
         mEntry = entry;
         mLeaving |= entry.draining();
         mRemovedAt = Long.MAX_VALUE;
+        mListed = true;
         if (entry.coldMillis() > 0) {
             mColdUntil = now + Duration.ofMillis(entry.coldMillis()).toNanos();
         }
@@ -114,15 +121,46 @@
         mDoubtedAt = Optional.of(now);
     }
 
+    /** Returns when the announcement became doubtful; empty if it is not. */
+    public Optional<Long> doubtedAt() {
+        return mDoubtedAt;
+    }
+
     /**
-     * Called when no announcement of another run had been written at a time.
+     * Called when no announcement of another run had been written at a time. An upstream that is
+     * not announced at present is not confirmed.
      *
      * @param at monotonic time in nanoseconds
      */
     void confirmRun(long at) {
+        if (mRemovedAt != Long.MAX_VALUE) {
+            return;
+        }
+        if (!isEarlierRun(mEntry)) {
+            mConfirmedAt = Optional.of(at);
+        }
         mDoubtedAt = mDoubtedAt.filter(doubtedAt -> at - doubtedAt < RENEWAL_NANOS);
     }
 
+    /**
+     * Returns whether the latest announcement is known to be that of the run at a time.
+     *
+     * @param doubtedAt monotonic time in nanoseconds
+     */
+    boolean isConfirmedSince(long doubtedAt) {
+        return mConfirmedAt.filter(at -> at - doubtedAt >= RENEWAL_NANOS).isPresent();
+    }
+
+    /** Records that the upstream was removed from the directory. */
+    void delist() {
+        mListed = false;
+    }
+
+    /** Returns whether the upstream is in the directory. */
+    boolean isListed() {
+        return mListed;
+    }
+
     /** Returns the milliseconds since this run of the upstream was first announced. */
     public long ageMillis(long now) {
         return Duration.ofNanos(now - mFirstSeenAt).toMillis();
