Let responses wait while the version of their upstream is uncertain

Callers saw streams cut off, though no upstream had changed its software, after a refused connection or an older copy of the store; and streams mixed of two versions in an entry's first 2.2 s. Both looked once at a version that is uncertain for a moment: the one gave up, the other did not look.

A stream that breaks off, the head of the response that is to continue it, and that of a second attempt beside a silent upstream now wait until announcements decide the version, 3 s at most; deadline, caller and stop end the wait. Upstreams that are in doubt are neither chosen nor taken as gone. A response that is held is not read. version-wait lines tell it.

SoftwareVersionTest#streamOfAnUpstreamThatRestartedUnannouncedDoesNotGoOn and StreamRejoinTest#streamOfAnUpstreamThatRestartedWithTheEntriesDoesNotGoOn: their engine never announced its new run, which the platform's do within 0.7 s; a response that waits would take it for the old one. It now announces at the end of UNANNOUNCED_TIME, and streams are sent side by side, since each may wait. The checks are the same.

--- a/core/src/main/java/org/boragethread/core/upstream/CalledRun.java
+++ b/core/src/main/java/org/boragethread/core/upstream/CalledRun.java
@@ -42,7 +42,15 @@
      * example because the upstream has announced another run since it was called.
      */
     public Optional<SoftwareVersion> softwareVersion() {
-        return isSameSoftware() && !isDoubted() ? mCalled.softwareVersion() : Optional.empty();
+        return isDoubted() ? Optional.empty() : announcedVersion();
+    }
+
+    /**
+     * Returns the version of the announcement when the upstream was called, which may be outdated;
+     * empty if the upstream has announced another run since.
+     */
+    public Optional<SoftwareVersion> announcedVersion() {
+        return isSameSoftware() ? mCalled.softwareVersion() : Optional.empty();
     }
 
     /** Returns whether later announcements may make the version certain. */
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -183,13 +183,14 @@
      * for a moment and names the software version that the request needs.
      */
     public boolean hasDoubtfulCandidate(ChoiceRequest request) {
-        return mDirectory.of(request.group().id()).stream()
-                .anyMatch(
-                        node ->
-                                node.doubtedAt().isPresent()
-                                        && isPlaceAllowed(node, request)
-                                        && isOfNeededVersion(
-                                                request, node.entry().softwareVersion()));
+        return request.softwareVersion().isPresent()
+                && mDirectory.of(request.group().id()).stream()
+                        .anyMatch(
+                                node ->
+                                        node.doubtedAt().isPresent()
+                                                && isPlaceAllowed(node, request)
+                                                && isOfNeededVersion(
+                                                        request, node.entry().softwareVersion()));
     }
 
     /**
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -45,6 +45,8 @@
     private final AttemptCounts mCounts = new AttemptCounts();
     private AttemptSender mSender;
     private Optional<SilenceGuard> mSilence = Optional.empty();
+    private Optional<RetryDecision> mRetries = Optional.empty();
+    private final VersionWait mVersions;
     private UpstreamAttempt mAttempt;
     private boolean mEnded;
 
@@ -58,6 +60,7 @@
         mStages = new StagePhase(gateway, request, this);
         mSearch = new UpstreamSearch(gateway.chooser(), gateway.time());
         mContinuation = new StreamContinuation(gateway, request, mTrace);
+        mVersions = new VersionWait(gateway, mTrace, mContinuation);
     }
 
     /** Admits the request and starts processing it. */
@@ -95,9 +98,11 @@
                         mStages,
                         mStream,
                         mContinuation,
+                        mVersions,
                         mTrace);
         mSender = new AttemptSender(mGateway, parts);
         mSilence = Optional.of(new SilenceGuard(mGateway, parts, mSender, this));
+        mRetries = Optional.of(new RetryDecision(mGateway, parts, mSender, mSearch));
         mTrace.admitted(mAdmitted, remaining());
         mPrompt.start(mRequest, mAdmitted, target, this::onPartBlocked);
         mSearch.start(mGateway.rateLimitQueue(target), mAdmitted.priority());
@@ -200,6 +205,10 @@
         return mSilence.orElseThrow();
     }
 
+    private RetryDecision retries() {
+        return mRetries.orElseThrow();
+    }
+
     @Override
     public UpstreamAttempt attempt() {
         return mAttempt;
@@ -214,7 +223,8 @@
     private void giveUp(UpstreamAttempt attempt, String detail) {
         attempt.cancel();
         if (attempt.isForwarding() && mStream.isStarted()) {
-            resume(attempt.node(), detail);
+            countBroken(attempt.node(), detail);
+            goOn(attempt.node(), detail);
         } else {
             onFailed(attempt.node(), detail);
         }
@@ -227,14 +237,14 @@
         if (silence().takeOver()) {
             return;
         }
-        if (status == INPUTS_LOST && mStages.canRerun() && tryRetry("inputs-lost")) {
+        if (status == INPUTS_LOST && mStages.canRerun() && retries().tryAcquire("inputs-lost")) {
             restartStages();
             return;
         }
         if (!node.isPaused(mGateway.time().nanoTime())) {
             mPlacement.exclude(node);
         }
-        if (mCounts.rejections() < MAX_REJECTIONS && tryRetry("status-" + status)) {
+        if (mCounts.rejections() < MAX_REJECTIONS && retries().tryAcquire("status-" + status)) {
             send();
             return;
         }
@@ -252,7 +262,7 @@
         if (silence().takeOver()) {
             return;
         }
-        if (mCounts.rejections() <= MAX_REJECTIONS && !isDeadlineNear()) {
+        if (mCounts.rejections() <= MAX_REJECTIONS && !retries().isDeadlineNear()) {
             mTrace.retried("unreachable", mCounts.sends(), remaining());
             send();
             return;
@@ -262,14 +272,11 @@
 
     @Override
     public void onFailed(UpstreamNode node, String detail) {
-        mTrace.responseBroken(node, detail, mAttempt.progress(), mStream.lastEventId());
-        mFeedback.onFailure(node);
-        mPlacement.exclude(node);
-        mCounts.onExecuted();
+        countBroken(node, detail);
         if (silence().takeOver()) {
             return;
         }
-        if (canRetry() && tryRetry("broken")) {
+        if (retries().isAllowed() && retries().tryAcquire("broken")) {
             send();
             return;
         }
@@ -278,19 +285,35 @@
 
     @Override
     public void onStreamBroken(UpstreamNode node, String detail) {
-        mContinuation.onInterrupted(mAttempt.softwareVersion());
-        resume(node, detail);
+        countBroken(node, detail);
+        boolean mayGoOn = mStream.canResume() && retries().isAllowed();
+        boolean isPending = mVersions.isPending(mAttempt);
+        mVersions.onInterrupted(mAttempt, () -> goOn(node, detail));
+        if (isPending && !mayGoOn) {
+            goOn(node, detail);
+        }
     }
 
-    private void resume(UpstreamNode node, String detail) {
+    private void countBroken(UpstreamNode node, String detail) {
         mTrace.responseBroken(node, detail, mAttempt.progress(), mStream.lastEventId());
         mFeedback.onFailure(node);
         mPlacement.exclude(node);
         mCounts.onExecuted();
-        if (silence().takeOver()) {
+    }
+
+    /** Goes on with a stream at another upstream, or cuts it off. */
+    private void goOn(UpstreamNode node, String detail) {
+        if (mEnded || silence().takeOver()) {
             return;
         }
-        if (canResume() && canRetry() && tryRetry("resume")) {
+        retries().awaitUpstream(node, () -> resume(node, detail));
+    }
+
+    private void resume(UpstreamNode node, String detail) {
+        if (mEnded) {
+            return;
+        }
+        if (canResume() && retries().isAllowed() && retries().tryAcquire("resume")) {
             mStream.prepareResume();
             restartStages();
             return;
@@ -306,12 +329,12 @@
             if (silence().takeOver()) {
                 return;
             }
-            if (canRetry() && tryRetry("status-" + status)) {
+            if (retries().isAllowed() && retries().tryAcquire("status-" + status)) {
                 send();
                 return;
             }
         } else {
-            mFeedback.onResponse(node, mAttempt.sentAt(), mAttempt.uncachedTokens());
+            mFeedback.onResponse(node, mAttempt.timedFrom(), mAttempt.uncachedTokens());
         }
         if (mStream.isStarted()) {
             if (silence().takeOver()) {
@@ -327,18 +350,23 @@
         mResponseWriter.sendResponse(status, mAttempt.forwardedHeaders(), body);
     }
 
+    @Override
+    public void onSuccessHead() {
+        mVersions.hold(VersionWait.Cause.RESPONDS, mAttempt, mAttempt::release);
+    }
+
     @Override
     public void onStreamHead(UpstreamNode node, int status) {
         if (!mContinuation.accepts(mAttempt.softwareVersion())) {
             giveUp(mAttempt, "the upstream may run another software version by now");
             return;
         }
-        mFeedback.onResponse(node, mAttempt.sentAt(), mAttempt.uncachedTokens());
+        mFeedback.onResponse(node, mAttempt.timedFrom(), mAttempt.uncachedTokens());
         mTrace.responseStarted();
         mStages.release();
         if (!mStream.isStarted()) {
             boolean resumable = mAdmitted.route().resumable() && mAttempt.isEventStream();
-            Runnable onBegin = () -> mContinuation.onBegin(mAttempt::softwareVersion);
+            Runnable onBegin = () -> mContinuation.onBegin(mAttempt);
             mStream.start(status, mAttempt.forwardedHeaders(), resumable, onBegin);
         } else if (!mAttempt.isEventStream()) {
             abortResponse(
@@ -403,33 +431,6 @@
         return mStream.canResume() && mContinuation.canGoOn();
     }
 
-    private boolean canRetry() {
-        return mAdmitted.route().isIdempotent()
-                && mCounts.executions() < mAdmitted.route().maxAttempts()
-                && !isDeadlineNear()
-                && !mPrompt.isSuspect();
-    }
-
-    private boolean isDeadlineNear() {
-        return remaining().compareTo(UpstreamSearch.INTERVAL) < 0;
-    }
-
-    private boolean tryRetry(String reason) {
-        ChoiceRequest choice = mPlacement.choiceRequest();
-        boolean possible =
-                mGateway.chooser().hasCandidate(choice)
-                        || mSearch.isPauseShort(choice, remaining());
-        if (isDeadlineNear() || !possible) {
-            return false;
-        }
-        if (!mGateway.retryBudget(mGroup.id()).tryAcquire()) {
-            mTrace.retryDenied(reason);
-            return false;
-        }
-        mTrace.retried(reason, mCounts.sends(), remaining());
-        return true;
-    }
-
     private void restartStages() {
         mStages.release();
         runStages();
@@ -470,7 +471,7 @@
     private void abortResponse(Decider decidedBy, String detail) {
         mTrace.aborted(decidedBy, detail);
         if (mAttempt.isActive()) {
-            mContinuation.onInterrupted(mAttempt.softwareVersion());
+            mVersions.onInterrupted(mAttempt, () -> {});
         }
         end();
         mResponseWriter.abort();
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -48,6 +48,11 @@
         increment("boragethread.gateway.stalls", "outcome", outcome);
     }
 
+    /** Counts waits for a software version that was uncertain, by how they ended. */
+    void onVersionWait(String outcome) {
+        increment("boragethread.gateway.version.waits", "outcome", outcome);
+    }
+
     void onBrokenConnection(String reason) {
         increment("boragethread.gateway.broken", "reason", reason);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestParts.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestParts.java
@@ -13,6 +13,7 @@
  * @param stages stages whose results it takes as input
  * @param stream response to the caller, as far as it is forwarded while it arrives
  * @param continuation software version at which the stream goes on
+ * @param versions waits while a software version is uncertain for a moment
  */
 record RequestParts(
         CallerRequest request,
@@ -25,4 +26,5 @@
         StagePhase stages,
         ForwardedStream stream,
         StreamContinuation continuation,
+        VersionWait versions,
         RequestTrace trace) {}
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -198,6 +198,38 @@
                 .info();
     }
 
+    /** Records that a response waits until the software version of an upstream is certain. */
+    void versionAwaited(UpstreamNode node, VersionWait.Cause cause) {
+        mGateway.log()
+                .event("version-wait", mRequest.id())
+                .with("upstream", node.entry().id())
+                .with("reason", cause.label())
+                .with("outcome", "waiting")
+                .with("version", softwareVersion(node))
+                .with("ageMs", age().toMillis())
+                .info();
+    }
+
+    /**
+     * Records the end of such a wait.
+     *
+     * @param pending whether the version is still not decided
+     */
+    void versionDecided(
+            UpstreamNode node, VersionWait.Cause cause, boolean pending, Duration waited) {
+        String outcome = pending ? "timeout" : "decided";
+        mGateway.metrics().onVersionWait(outcome);
+        mGateway.log()
+                .event("version-wait", mRequest.id())
+                .with("upstream", node.entry().id())
+                .with("reason", cause.label())
+                .with("outcome", outcome)
+                .with("version", softwareVersion(node))
+                .with("waitedMs", waited.toMillis())
+                .with("ageMs", age().toMillis())
+                .info();
+    }
+
     void refused(Refusal refusal, Decider decidedBy, int sends) {
         mGateway.metrics().onRefused(refusal.reason());
         mGateway.log()
--- a/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
@@ -176,7 +176,8 @@
         }
         if (!mParts.continuation().isSettled()
                 || !mParts.continuation().canGoOn()
-                || !isOfStreamVersion(silent)) {
+                || !isOfStreamVersion(silent)
+                || mStandby.filter(standby -> standby.attempt().isHeld()).isPresent()) {
             return Optional.of("version");
         }
         if (attemptsLeft() < 1 || mParts.counts().rejections() >= MAX_REJECTIONS) {
@@ -211,12 +212,35 @@
     @Override
     public void onStandbyResponds() {
         StandbyAttempt standby = mStandby.orElseThrow();
-        UpstreamAttempt silent = mResponse.attempt();
+        UpstreamAttempt responding = standby.attempt();
+        if (!responding.isActive() || !mayGoOn(standby)) {
+            decide(standby);
+            return;
+        }
+        mParts.versions()
+                .hold(
+                        VersionWait.Cause.SECOND_RESPONDS,
+                        responding,
+                        () -> onVersionDecided(standby));
+    }
+
+    private void onVersionDecided(StandbyAttempt standby) {
+        if (mStandby.filter(standby::equals).isPresent()) {
+            decide(standby);
+        }
+        standby.attempt().release();
+    }
+
+    private boolean mayGoOn(StandbyAttempt standby) {
+        return mReading
+                && continuesResponse(standby)
+                && isAcceptable(standby.attempt())
+                && isOfStreamVersion(mResponse.attempt());
+    }
+
+    private void decide(StandbyAttempt standby) {
         boolean isUsable =
-                mReading
-                        && continuesResponse(standby)
-                        && isAcceptable(standby.attempt())
-                        && isOfStreamVersion(silent)
+                mayGoOn(standby)
                         && mParts.continuation().accepts(standby.attempt().softwareVersion());
         if (!isUsable) {
             mParts.placement().exclude(standby.attempt().node());
@@ -224,6 +248,7 @@
             startWatch();
             return;
         }
+        UpstreamAttempt silent = mResponse.attempt();
         silent.cancel();
         mParts.trace()
                 .responseBroken(
--- a/entry/src/main/java/org/boragethread/entry/gateway/StandbyAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StandbyAttempt.java
@@ -85,7 +85,9 @@
 
     @Override
     public void onSuccessHead() {
-        if (!mInCharge) {
+        if (mInCharge) {
+            mResponse.onSuccessHead();
+        } else {
             mOwner.onStandbyResponds();
         }
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
@@ -8,7 +8,6 @@
 import java.util.function.Supplier;
 import org.boragethread.core.resume.StreamKey;
 import org.boragethread.core.resume.StreamOrigin;
-import org.boragethread.core.resume.StreamOriginTable;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.upstream.GroupId;
@@ -21,9 +20,6 @@
  */
 final class StreamContinuation {
 
-    /** Longest wait for announcements; if the store can be read, they are known earlier. */
-    private static final Duration MAX_WAIT = StreamOriginTable.PROVISIONAL_TIME;
-
     private final Gateway mGateway;
     private final CallerRequest mRequest;
     private final RequestTrace mTrace;
@@ -31,6 +27,7 @@
     private Optional<StreamKey> mKey = Optional.empty();
     private Optional<StreamKey> mReplaced = Optional.empty();
     private Optional<SoftwareVersion> mVersion = Optional.empty();
+    private Supplier<Optional<SoftwareVersion>> mBeginning = Optional::empty;
     private boolean mTakenUp;
     private boolean mBegun;
     private boolean mStopped;
@@ -76,7 +73,7 @@
             onOrigin(Optional.empty(), onReady, end);
             return;
         }
-        find(mKey.get(), mGateway.time().nanoTime() + MAX_WAIT.toNanos(), onReady, end);
+        find(mKey.get(), mGateway.time().nanoTime() + VersionWait.MAX_TIME.toNanos(), onReady, end);
     }
 
     /** Asks again while the entry that forwarded the stream is about to confirm its origin. */
@@ -138,7 +135,7 @@
      * @param callback is told whether they can
      */
     private void whenSettled(Consumer<Boolean> callback) {
-        whenSettled(mGateway.time().nanoTime() + MAX_WAIT.toNanos(), callback);
+        whenSettled(mGateway.time().nanoTime() + VersionWait.MAX_TIME.toNanos(), callback);
     }
 
     private void whenSettled(long end, Consumer<Boolean> callback) {
@@ -171,6 +168,9 @@
 
     /** Returns the version at which the request must run; empty for any. */
     Optional<SoftwareVersion> requiredVersion() {
+        if (mVersion.isEmpty()) {
+            mVersion = mBeginning.get();
+        }
         return mVersion;
     }
 
@@ -180,7 +180,7 @@
     }
 
     /** Returns whether the version that writes the next events matters. */
-    private boolean isFixed() {
+    boolean isFixed() {
         return mTakenUp || mBegun;
     }
 
@@ -191,7 +191,7 @@
 
     /** Returns whether any other upstream may continue the stream. */
     boolean canGoOn() {
-        return !isFixed() || mVersion.isPresent();
+        return !isFixed() || requiredVersion().isPresent();
     }
 
     /**
@@ -200,22 +200,19 @@
      * @param version version of its software; empty if it is not certain
      */
     boolean accepts(Optional<SoftwareVersion> version) {
-        return !isFixed() || version.isPresent() && version.equals(mVersion);
+        return !isFixed() || version.isPresent() && version.equals(requiredVersion());
     }
 
-    /**
-     * Called before the first event of the response is forwarded.
-     *
-     * @param version returns the version of the software that wrote it, as known when it is called;
-     *     empty if it is not certain
-     */
-    void onBegin(Supplier<Optional<SoftwareVersion>> version) {
+    /** Called before the first event of the response is forwarded; an attempt has received it. */
+    void onBegin(UpstreamAttempt attempt) {
         mBegun = true;
-        mVersion = version.get();
+        mVersion = attempt.softwareVersion();
+        mBeginning = attempt::softwareVersion;
         if (!mGateway.directory().isSettled()) {
-            mKey.ifPresent(key -> record(key, new StreamOrigin(mGroup, mVersion, true)));
+            StreamOrigin provisional = new StreamOrigin(mGroup, attempt.announcedVersion(), true);
+            mKey.ifPresent(key -> record(key, provisional));
         }
-        whenSettled(settled -> record(settled ? version.get() : Optional.empty()));
+        whenSettled(settled -> record(settled ? attempt.softwareVersion() : Optional.empty()));
         // A caller that goes on naming the stream that it gave up has events of this one.
         mReplaced.ifPresent(key -> record(key, new StreamOrigin(mGroup, Optional.empty())));
     }
@@ -226,10 +223,9 @@
      * @param version version of the software that wrote them; empty if it is not certain any more
      */
     void onInterrupted(Optional<SoftwareVersion> version) {
-        if (mBegun && version.isEmpty()) {
-            mVersion = Optional.empty();
-        }
         if (mBegun) {
+            mVersion = version;
+            mBeginning = Optional::empty;
             whenSettled(settled -> record(settled ? version : Optional.empty()));
         }
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.boragethread.core.quarantine.Suspect;
+import org.boragethread.core.upstream.CalledRun;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.SoftwareVersion;
@@ -34,7 +35,7 @@
 
     private final UpstreamNode mNode;
     private final UpstreamAnnouncement mCalledEntry;
-    private Optional<SoftwareVersion> mVersion;
+    private final CalledRun mRun;
     private final Gateway mGateway;
     private final UpstreamSignals mSignals;
     private final RequestSuspects mSuspects;
@@ -56,6 +57,12 @@
     private long mReportsAtStart;
     private ByteBuf mBuffered = Unpooled.EMPTY_BUFFER;
     private boolean mForwarding;
+    private boolean mReading = true;
+    private boolean mHeld;
+    private boolean mHeldEnd;
+    private long mHeldAt;
+    private long mHeldNanos;
+    private ByteBuf mHeldBody = Unpooled.EMPTY_BUFFER;
     private boolean mEnded;
 
     /**
@@ -75,8 +82,8 @@
             long uncachedTokens,
             double prefillMillis) {
         mNode = node;
-        mCalledEntry = node.entry();
-        mVersion = node.softwareVersion();
+        mRun = new CalledRun(gateway.directory(), node);
+        mCalledEntry = mRun.calledEntry();
         mGateway = gateway;
         mSignals = gateway.upstreamSignals();
         mSuspects = suspects;
@@ -98,8 +105,12 @@
         return mNode;
     }
 
-    long sentAt() {
-        return mSentAt;
+    /**
+     * Returns the monotonic time from which the response time of the upstream counts: when the
+     * attempt was sent, later by the time for which its response was held.
+     */
+    long timedFrom() {
+        return mSentAt + mHeldNanos;
     }
 
     /** Returns the number of prompt tokens that the upstream has to process. */
@@ -127,11 +138,17 @@
      * because the upstream has announced another run since it was called.
      */
     Optional<SoftwareVersion> softwareVersion() {
-        UpstreamAnnouncement latest = mNode.entry();
-        boolean isSameSoftware =
-                latest.isSameIncarnation(mCalledEntry)
-                        && latest.softwareVersion().equals(mCalledEntry.softwareVersion());
-        return isSameSoftware ? mVersion : Optional.empty();
+        return mRun.softwareVersion();
+    }
+
+    /** Returns the version that is announced, which may be outdated. */
+    Optional<SoftwareVersion> announcedVersion() {
+        return mRun.announcedVersion();
+    }
+
+    /** Returns whether later announcements may make the version certain. */
+    boolean isVersionPending() {
+        return mRun.isPending();
     }
 
     /** Returns the headers of the response that are forwarded to the caller. */
@@ -168,7 +185,41 @@
     }
 
     void setReading(boolean reading) {
-        mControl.setReading(reading);
+        mReading = reading;
+        mControl.setReading(reading && !mHeld);
+    }
+
+    /**
+     * Stops reading, and keeps what has arrived of the body, until {@link #release}. A response
+     * that fails meanwhile counts as failed before its start.
+     */
+    void hold() {
+        mHeld = true;
+        mHeldAt = mGateway.time().nanoTime();
+        mControl.setReading(false);
+    }
+
+    /** Goes on with a response that was held; without effect if it has ended. */
+    void release() {
+        if (!mHeld || mEnded) {
+            return;
+        }
+        mHeld = false;
+        mHeldNanos = mGateway.time().nanoTime() - mHeldAt;
+        mControl.setReading(mReading);
+        ByteBuf data = mHeldBody;
+        mHeldBody = Unpooled.EMPTY_BUFFER;
+        if (data.isReadable()) {
+            onBody(data);
+        }
+        if (mHeldEnd) {
+            onEnd();
+        }
+    }
+
+    /** Returns whether the response is held. */
+    boolean isHeld() {
+        return mHeld && !mEnded;
     }
 
     @Override
@@ -179,9 +230,7 @@
         mStatus = head.status().code();
         mHeaders = head.headers();
         mFraming = BodyFraming.of(mMethod, head);
-        if (!mVersion.equals(mNode.softwareVersion())) {
-            mVersion = Optional.empty();
-        }
+        mRun.onResponse();
         mSignals.apply(mNode, mCalledEntry, mSentAt, mStatus, mHeaders);
         mIsEventStream = mFraming != BodyFraming.NO_BODY && isEventStream(head);
         boolean notExecuted =
@@ -214,6 +263,10 @@
         if (mEnded) {
             return;
         }
+        if (mHeld) {
+            mHeldBody = append(mHeldBody, data);
+            return;
+        }
         if (mBodyBytes == 0) {
             mReportsAtStart = mGateway.quarantine().learnedReports();
         }
@@ -238,10 +291,13 @@
             mListener.onStreamData(data);
             return;
         }
-        if (mBuffered == Unpooled.EMPTY_BUFFER) {
-            mBuffered = Unpooled.buffer(data.readableBytes());
-        }
-        mBuffered.writeBytes(data);
+        mBuffered = append(mBuffered, data);
+    }
+
+    private static ByteBuf append(ByteBuf buffer, ByteBuf data) {
+        ByteBuf target =
+                buffer == Unpooled.EMPTY_BUFFER ? Unpooled.buffer(data.readableBytes()) : buffer;
+        return target.writeBytes(data);
     }
 
     private void startForwarding() {
@@ -258,6 +314,10 @@
         if (mEnded) {
             return;
         }
+        if (mHeld) {
+            mHeldEnd = true;
+            return;
+        }
         end();
         judgePrompt();
         if (!isBodyComplete()) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSearch.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSearch.java
@@ -93,13 +93,20 @@
         }
         boolean any = mChooser.hasCandidate(choice);
         long limit = any ? MAX_TIME.toNanos() : MAX_TIME.toNanos() / 3;
-        if (now - mStartNanos > Math.min(limit, remaining.toNanos() / 3)) {
+        if (now - mStartNanos > Math.min(limit, remaining.toNanos() / 3)
+                && !isVersionPending(choice, any, now)) {
             String detail = any ? "all upstreams are cold" : "no upstream of " + group;
             return Either.left(new Failure(detail, RetryDelays.SHORT));
         }
         return Either.right(INTERVAL);
     }
 
+    private boolean isVersionPending(ChoiceRequest choice, boolean any, long now) {
+        return !any
+                && now - mStartNanos < VersionWait.MAX_TIME.toNanos()
+                && mChooser.hasDoubtfulCandidate(choice);
+    }
+
     /** Ends the request and returns true if the limits of the upstreams leave it no time. */
     boolean isRefused(ChoiceRequest choice, Duration remaining, RequestEnd end) {
         Optional<Failure> hopeless = findHopelessLimit(choice, remaining);
--- a/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSearchTest.java
@@ -26,6 +26,7 @@
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.model.upstream.UpstreamId;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -77,11 +78,15 @@
     }
 
     private ChoiceRequest choiceWithout(Set<UpstreamNode> excluded) {
+        return choice(excluded, Optional.empty());
+    }
+
+    private ChoiceRequest choice(Set<UpstreamNode> excluded, Optional<SoftwareVersion> version) {
         return new ChoiceRequest(
                 mGroup,
                 Set.of(),
                 excluded,
-                Optional.empty(),
+                version,
                 0,
                 0,
                 new ResponseTimeModel(),
@@ -91,6 +96,10 @@
     }
 
     private static UpstreamAnnouncement announcement(String id) {
+        return announcement(id, Optional.empty());
+    }
+
+    private static UpstreamAnnouncement announcement(String id, Optional<SoftwareVersion> version) {
         return new UpstreamAnnouncement(
                 new UpstreamId(id),
                 ORDERS,
@@ -100,7 +109,7 @@
                 false,
                 0,
                 Optional.empty(),
-                Optional.empty());
+                version);
     }
 
     private void pauseAll() {
@@ -116,6 +125,39 @@
         return search.next(mChoice, remaining, jitter);
     }
 
+    // Guards against a stream that ends because its upstreams are uncertain for a moment.
+    @Test
+    public void upstreamsThatAreUncertainForAMomentAreAwaited() {
+        Optional<SoftwareVersion> version = Optional.of(new SoftwareVersion("v1"));
+        mDirectory.replaceAll(List.of(announcement("orders-5", version)));
+        UpstreamNode node = mDirectory.find(new UpstreamId("orders-5")).orElseThrow();
+        node.doubtRun(mTime.nanoTime());
+        ChoiceRequest choice = choice(Set.of(), version);
+        UpstreamSearch search = new UpstreamSearch(mChooser, mTime);
+        search.start(mQueue, 0);
+        Duration waited = Duration.ZERO;
+        while (waited.compareTo(VersionWait.MAX_TIME) < 0) {
+            Duration delay = search.next(choice, Duration.ofSeconds(4).minus(waited), 0).get();
+            mTime.advance(delay);
+            waited = waited.plus(delay);
+        }
+        assertTrue(search.next(choice, Duration.ofSeconds(1), 0).isLeft());
+        mDirectory.onUpToDate(mTime.nanoTime());
+        assertEquals(mChooser.choose(choice), Optional.of(node));
+    }
+
+    // Guards against a search that goes on although its version is gone.
+    @Test
+    public void uncertainUpstreamsOfAnotherVersionAreNotAwaited() {
+        mDirectory.replaceAll(
+                List.of(announcement("orders-5", Optional.of(new SoftwareVersion("v2")))));
+        mDirectory.find(new UpstreamId("orders-5")).orElseThrow().doubtRun(mTime.nanoTime());
+        ChoiceRequest choice = choice(Set.of(), Optional.of(new SoftwareVersion("v1")));
+        UpstreamSearch search = new UpstreamSearch(mChooser, mTime);
+        search.start(mQueue, 0);
+        assertTrue(search.next(choice, Duration.ofSeconds(4), 0).isLeft());
+    }
+
     /** A burst meets a group that pauses as a whole: waiting callers all returned at one moment. */
     @Test
     public void requestsReturnAfterThePauseInTheOrderOfTheirPriority() {
--- a/standins/src/test/java/org/boragethread/standins/system/SoftwareVersionTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoftwareVersionTest.java
@@ -5,15 +5,20 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.locks.LockSupport;
 import org.boragethread.standins.harness.ProcessHarness;
 import org.boragethread.standins.store.StoreStandIn;
 import org.boragethread.standins.system.StreamCaller.Received;
+import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -47,6 +52,7 @@
             "tenants":[{"name":"team-1","api_keys":["key-1"]},
              {"name":"team-2","api_keys":["key-2"]}]}""";
 
+    private final ExecutorService mThreads = Executors.newCachedThreadPool();
     private final StreamCaller mCaller = new StreamCaller();
     private final Map<String, TestGateway> mGateways = new HashMap<>();
     private StoreStandIn mStore;
@@ -63,6 +69,11 @@
         mGateways.clear();
     }
 
+    @AfterClass(alwaysRun = true)
+    public void stopThreads() {
+        mThreads.shutdownNow();
+    }
+
     private void startGateways(String... names) throws Exception {
         for (String name : names) {
             TestGateway gateway = TestGateway.start(mHarness, name, mStore.address());
@@ -109,17 +120,32 @@
         mEngines.crash(preferred);
         mCaller.request(gateway, "/draft/whole", "while-down");
         mEngines.runAgain(preferred, "v2");
-        long end = System.nanoTime() + UNANNOUNCED_TIME.toNanos();
+        CompletableFuture<Void> announced =
+                mEngines.announceLater(preferred, "v2", UNANNOUNCED_TIME);
+        List<CompletableFuture<Received>> streams = new ArrayList<>();
+        for (int i = 0; !announced.isDone(); i++) {
+            String id = "id-" + i;
+            streams.add(CompletableFuture.supplyAsync(() -> begin(gateway, id), mThreads));
+            LockSupport.parkNanos(REQUEST_INTERVAL.toNanos());
+        }
+        announced.get();
         int begunAtNew = 0;
-        for (int i = 0; System.nanoTime() < end; i++) {
-            Received received = mCaller.request(gateway, "/draft/begin-2", "id-" + i);
+        for (CompletableFuture<Received> stream : streams) {
+            Received received = stream.get();
             assertEquals(received.versions().size(), 1, received.body());
             begunAtNew += received.versions().contains("v2") ? 1 : 0;
-            LockSupport.parkNanos(REQUEST_INTERVAL.toNanos());
         }
         assertTrue(begunAtNew > 0, "no stream began at the restarted upstream");
     }
 
+    private Received begin(TestGateway gateway, String id) {
+        try {
+            return mCaller.request(gateway, "/draft/begin-2", id);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     // Guards against a caller that tries again and again what no upstream can do any more.
     @Test
     public void streamOfAVersionThatIsGoneIsRefusedAtOnceAsNotRun() throws Exception {
--- a/standins/src/test/java/org/boragethread/standins/system/StreamRejoinTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/StreamRejoinTest.java
@@ -13,9 +13,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.boragethread.standins.harness.ProcessHarness;
 import org.boragethread.standins.store.StoreStandIn;
 import org.boragethread.standins.system.StreamCaller.Received;
+import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -49,6 +52,7 @@
             "services":[{"name":"engines","health_path":"/health","max_conns":100}],
             "tenants":[{"name":"team-1","api_keys":["key-1"]}]}""";
 
+    private final ExecutorService mThreads = Executors.newCachedThreadPool();
     private final StreamCaller mCaller = new StreamCaller();
     private final Map<String, TestGateway> mGateways = new LinkedHashMap<>();
     private StoreStandIn mStore;
@@ -78,6 +82,11 @@
         mStore.close();
     }
 
+    @AfterClass(alwaysRun = true)
+    public void stopThreads() {
+        mThreads.shutdownNow();
+    }
+
     /** What became of the engine that began the streams. */
     private enum Engine {
         SERVING,
@@ -167,14 +176,21 @@
         mEngines.runAgain(preferred, "v2");
         startGateways(List.of("first"));
         TestGateway gateway = mGateways.get("first");
-        long end = System.nanoTime() + UNANNOUNCED_TIME.toNanos();
-        int begunAtNew = 0;
-        int mixed = 0;
-        for (int i = 0; System.nanoTime() < end; i++) {
+        CompletableFuture<Void> announced =
+                mEngines.announceLater(preferred, "v2", UNANNOUNCED_TIME);
+        List<CompletableFuture<Received>> streams = new ArrayList<>();
+        for (int i = 0; !announced.isDone(); i++) {
             for (int call = 0; call < CALLS_FOR_A_RETRY; call++) {
                 mCaller.request(gateway, "/draft/whole", "whole-" + i + "-" + call);
             }
-            Received received = mCaller.request(gateway, "/draft/begin-2", "id-" + i);
+            String id = "id-" + i;
+            streams.add(CompletableFuture.supplyAsync(() -> begin(gateway, id), mThreads));
+        }
+        announced.get();
+        int begunAtNew = 0;
+        int mixed = 0;
+        for (CompletableFuture<Received> stream : streams) {
+            Received received = stream.get();
             begunAtNew += received.versions().contains("v2") ? 1 : 0;
             mixed += received.versions().size() > 1 ? 1 : 0;
         }
@@ -182,6 +198,14 @@
         assertEquals(mixed, 0, "of " + begunAtNew + " streams begun at the restarted upstream");
     }
 
+    private Received begin(TestGateway gateway, String id) {
+        try {
+            return mCaller.request(gateway, "/draft/begin-2", id);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     // Guards against a later attempt that an entry which has just started sends to an unannounced
     // run.
     @Test
--- a/standins/src/test/java/org/boragethread/standins/system/VersionedEngines.java
+++ b/standins/src/test/java/org/boragethread/standins/system/VersionedEngines.java
@@ -2,11 +2,14 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.boragethread.standins.store.StoreStandIn;
@@ -64,6 +67,13 @@
         mStore.put(StoreStandIn.UPSTREAM_TOPIC, id, announcement);
     }
 
+    /** Announces an engine with a version after a delay, as one does that has started again. */
+    CompletableFuture<Void> announceLater(String id, String version, Duration delay) {
+        return CompletableFuture.runAsync(
+                () -> announce(id, version),
+                CompletableFuture.delayedExecutor(delay.toMillis(), TimeUnit.MILLISECONDS));
+    }
+
     /** Closes an engine and removes its announcement. */
     synchronized void stop(String id) throws IOException {
         mEngines.remove(id).close();
