Merge the waits for uncertain versions

From a review: a response that is held is not watched for silence; the wait after an interruption does not act once another attempt has taken over, and an upstream that has ended is not counted again; the origin of a stream whose upstream is in doubt at its first event is provisional until that is decided, not unknown for good.

--- a/entry/src/main/java/org/boragethread/entry/gateway/RetryPermit.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RetryPermit.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.boragethread.core.retry.SharedRetryBudget;
 import org.boragethread.core.upstream.ChoiceRequest;
+import org.boragethread.core.upstream.UpstreamNode;
 
 /** Decides whether a request is sent again after an attempt that has ended, and logs why not. */
 final class RetryPermit {
@@ -49,6 +50,33 @@
                 findObstacleToResume().or(this::findObstacleToRerun).or(this::findObstacle));
     }
 
+    /** Returns whether the route, the deadline and the prompt allow a further execution. */
+    boolean isRerunAllowed() {
+        return findObstacleToRerun().isEmpty() && !isDeadlineNear();
+    }
+
+    boolean isDeadlineNear() {
+        return mSender.remaining().compareTo(UpstreamSearch.INTERVAL) < 0;
+    }
+
+    /**
+     * Invokes a callback when an upstream may continue the stream that another one has broken off,
+     * or none will soon.
+     */
+    void awaitUpstream(UpstreamNode broken, Runnable callback) {
+        mParts.versions()
+                .await(VersionWait.Cause.NO_UPSTREAM, broken, this::isUpstreamPending, callback);
+    }
+
+    private boolean isUpstreamPending() {
+        ChoiceRequest choice = mParts.placement().choiceRequest();
+        return isRerunAllowed()
+                && findObstacleToResume().isEmpty()
+                && mParts.continuation().isFixed()
+                && !mGateway.chooser().hasCandidate(choice)
+                && mGateway.chooser().hasDoubtfulCandidate(choice);
+    }
+
     private boolean take(String reason, Optional<String> obstacle) {
         SharedRetryBudget budget = mGateway.retryBudget(mParts.group().id());
         Optional<String> cause = obstacle;
@@ -92,12 +120,13 @@
     }
 
     private Optional<String> findObstacle() {
-        if (mSender.remaining().compareTo(UpstreamSearch.INTERVAL) < 0) {
+        if (isDeadlineNear()) {
             return Optional.of("time");
         }
         ChoiceRequest choice = mParts.placement().choiceRequest();
         boolean possible =
                 mGateway.chooser().hasCandidate(choice)
+                        || mGateway.chooser().hasDoubtfulCandidate(choice)
                         || mSearch.isPauseShort(choice, mSender.remaining());
         return possible ? Optional.empty() : Optional.of("no-upstream");
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
@@ -176,7 +176,9 @@
         }
         if (!mParts.continuation().isSettled()
                 || !mParts.continuation().canGoOn()
-                || !isOfStreamVersion(silent)) {
+                || !isOfStreamVersion(silent)
+                || silent.isHeld()
+                || mStandby.filter(standby -> standby.attempt().isHeld()).isPresent()) {
             return Optional.of("version");
         }
         if (attemptsLeft() < 1 || mParts.counts().rejections() >= MAX_REJECTIONS) {
@@ -210,7 +212,7 @@
 
     @Override
     public void onStandbyHead() {
-        if (mResponse.attempt().isHeld()) {
+        if (mResponse.attempt().isBuffering()) {
             startWatch();
         } else {
             onStandbyResponds();
@@ -220,12 +222,35 @@
     @Override
     public void onStandbyResponds() {
         StandbyAttempt standby = mStandby.orElseThrow();
-        UpstreamAttempt silent = mResponse.attempt();
+        UpstreamAttempt responding = standby.attempt();
+        if (!responding.isActive() || !mayGoOn(standby)) {
+            decide(standby);
+            return;
+        }
+        mParts.versions()
+                .hold(
+                        VersionWait.Cause.SECOND_RESPONDS,
+                        responding,
+                        () -> onVersionDecided(standby));
+    }
+
+    private void onVersionDecided(StandbyAttempt standby) {
+        if (mStandby.filter(standby::equals).isPresent()) {
+            decide(standby);
+        }
+        standby.attempt().release();
+    }
+
+    private boolean mayGoOn(StandbyAttempt standby) {
+        return mReading
+                && continuesResponse(standby)
+                && isAcceptable(standby.attempt())
+                && isOfStreamVersion(mResponse.attempt());
+    }
+
+    private void decide(StandbyAttempt standby) {
         boolean isUsable =
-                mReading
-                        && continuesResponse(standby)
-                        && isAcceptable(standby.attempt())
-                        && isOfStreamVersion(silent)
+                mayGoOn(standby)
                         && mParts.continuation().accepts(standby.attempt().softwareVersion());
         if (!isUsable) {
             mParts.placement().exclude(standby.attempt().node());
@@ -233,6 +258,17 @@
             startWatch();
             return;
         }
+        UpstreamAttempt silent = mResponse.attempt();
+        if (silent.isActive()) {
+            giveUp(silent);
+        }
+        if (silent.isForwarding()) {
+            mParts.continuation().onInterrupted(silent.softwareVersion());
+        }
+        replace("moved");
+    }
+
+    private void giveUp(UpstreamAttempt silent) {
         silent.cancel();
         mParts.trace()
                 .responseBroken(
@@ -243,10 +279,6 @@
         mParts.feedback().onFailure(silent.node());
         mParts.placement().exclude(silent.node());
         mParts.counts().onExecuted();
-        if (silent.isForwarding()) {
-            mParts.continuation().onInterrupted(silent.softwareVersion());
-        }
-        replace("moved");
     }
 
     /** Returns whether the response of an attempt may follow what the caller has received. */
