Test streams whose upstreams are in doubt as they begin, or leave

LateRequestTest sends its earlier requests one route after the other: 120 connections at once are more than its upstream's queue takes, and one got 503 on a busy machine; its checks are unchanged.

--- a/standins/src/test/java/org/boragethread/standins/system/LateRequestTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/LateRequestTest.java
@@ -124,6 +124,8 @@
     private void sendEarlierRequests() {
         List<CompletableFuture<HttpResponse<String>>> earlier = new ArrayList<>();
         for (String route : new String[] {"slow", "fast", "long", "short"}) {
+            // More calls at once than the upstream accepts would be refused.
+            earlier.forEach(CompletableFuture::join);
             for (int i = 0; i < EARLIER; i++) {
                 String id = "earlier-" + route + "-" + i;
                 earlier.add(
--- a/standins/src/test/java/org/boragethread/standins/system/StreamRejoinTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/StreamRejoinTest.java
@@ -243,6 +243,23 @@
         assertTrue(later.complete(), later.body());
     }
 
+    // Guards against an upstream that left before its announcement could be confirmed.
+    @Test
+    public void streamOfAnUpstreamThatLeftWhileItsEntryStartedIsRefusedAsNotRun() throws Exception {
+        mEngines.start("old-1", "v1");
+        startGateways(List.of("first", "second"));
+        Received begun = mCaller.request(mGateways.get("second"), "/once/every-2", "id-1");
+        assertFalse(mGateways.get("second").hasSettledUpstreams());
+        replaceEngine("old-1", "old-2", "v1");
+        for (TestGateway gateway : mGateways.values()) {
+            Received later = mCaller.takeUp(gateway, "/once/whole", "later", "id-1", begun);
+            assertEquals(later.status(), UNAVAILABLE, later.body());
+            assertTrue(later.body().contains("stream-version-unknown"), later.body());
+            assertTrue(later.body().contains("\"ran\":\"no\""), later.body());
+        }
+        assertFalse(mEngines.receivedIds().contains("later"));
+    }
+
     private Received takeUp(TestGateway gateway, Received begun) {
         try {
             return mCaller.takeUp(gateway, "/once/whole", "id-3", "id-1", begun);
--- a/standins/src/test/java/org/boragethread/standins/system/UncertainVersionTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/UncertainVersionTest.java
@@ -347,8 +347,7 @@
         return cases.toArray(new Object[0][]);
     }
 
-    // Guards against a second attempt beside a silent upstream that is dropped, or mixed in,
-    // because
+    // Guards against a second attempt beside a silent upstream that is dropped, or mixed in, since
     // its version is uncertain when it responds.
     @Test(dataProvider = "firstsAndOutcomes")
     public void secondUpstreamIsHeldWhileItsVersionIsUncertain(First first, Outcome outcome)
@@ -429,6 +428,35 @@
         assertEquals(calls(exchange.id()).size(), 1);
     }
 
+    // Guards against a stream that nobody can take up since its upstream was in doubt as it began.
+    @Test
+    public void streamBegunWhileItsVersionIsUncertainIsTakenUp() throws Exception {
+        doubt(mGateway);
+        Exchange exchange = send(mGateway, SHORT, "begun-in-doubt");
+        exchange.first().write(HEAD.formatted(exchange.id()) + FIRST);
+        decide(SHORT, Outcome.CONFIRMED);
+        assertCutOffAfterFirst(exchange);
+        awaitCertain(mGateway);
+        Received begun = exchange.received().get();
+        CompletableFuture<Received> later =
+                CompletableFuture.supplyAsync(() -> takeUp(exchange.id(), begun), mThreads);
+        Await.until(
+                "the stream is taken up, or refused",
+                TestGateway.TIMEOUT,
+                () -> !calls("later").isEmpty() || later.isDone());
+        assertFalse(calls("later").isEmpty(), "not sent to an upstream");
+        continueAt(calls("later").get(0));
+        assertTrue(later.get().complete(), later.get().body());
+    }
+
+    private Received takeUp(String firstId, Received begun) {
+        try {
+            return mCaller.takeUp(mGateway, "/" + SHORT + "/x", "later", firstId, begun);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     // Guards against a stop that cuts off a stream that waits for a version, or waits without end.
     @Test(dataProvider = "outcomes")
     public void streamWaitsForItsVersionDuringAStop(Outcome outcome) throws Exception {
