Keep two tests independent of the retry budget and of a closing listener

UncertainVersionTest.secondUpstreamIsHeldWhileItsVersionIsUncertain got no second attempt, 'keptBecause budget, retriesLeft 0': its set-up allowed one retry for each request, and the cases before had used them. It allows more now; the budget is not what it is about. LateRequestTest waited for a refused connection, and a probe that stood in the queue of the closing listener was reset instead; it probes again now. All checks are unchanged.

--- a/standins/src/test/java/org/boragethread/standins/system/LateRequestTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/LateRequestTest.java
@@ -179,7 +179,8 @@
         } catch (ConnectException e) {
             return true;
         } catch (IOException e) {
-            throw new IllegalStateException(e);
+            // A connection in the queue of a listener is reset as the listener closes.
+            return false;
         }
     }
 
--- a/standins/src/test/java/org/boragethread/standins/system/UncertainVersionTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/UncertainVersionTest.java
@@ -61,7 +61,8 @@
     private static final String REST = "id: 1\ndata: two\n\nid: 2\ndata: three\n\n";
     private static final String WHOLE = (FIRST + REST).strip();
 
-    private static final String ONE_RETRY_FOR_EACH = "[shares]\nretry_ratio = 1\nretry_slack = 0";
+    /** More retries than all cases need, so that a missing one decides nothing here. */
+    private static final String MANY_RETRIES = "[shares]\nretry_ratio = 1\nretry_slack = 40";
 
     private static final int TIMEOUT_MILLIS = 8000;
 
@@ -132,7 +133,7 @@
     }
 
     private TestGateway startGateway(String name) throws Exception {
-        return TestGateway.start(mHarness, name, mStore.address(), ONE_RETRY_FOR_EACH);
+        return TestGateway.start(mHarness, name, mStore.address(), MANY_RETRIES);
     }
 
     @BeforeMethod
