Review: take ports of the scripts below those of outgoing connections

A port that the system hands out can be taken by an outgoing connection before the entry binds it. The entry's ports now come from a range below.

--- a/review/src/review/Entry.java
+++ b/review/src/review/Entry.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -12,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
@@ -21,6 +23,9 @@
 final class Entry implements AutoCloseable {
     private static final String SETTINGS = "/etc/boragethread/local.toml";
 
+    private static final int MIN_PORT = 20_000;
+    private static final int MAX_PORT = 32_000;
+
     private final Path mRepository;
     private final Path mFolder;
     private final String mName;
@@ -70,9 +75,15 @@
                 """.formatted(name, zone, mListen, mReady, freePort(), freePort(), store.address()));
     }
 
+    /** Returns a free port below those that outgoing connections get. */
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // Another process has it.
+            }
         }
     }
 
