Review: keep cases 3 and 4 inside the largest shares of the site

Cause: case 3 took away 16 of 18 engines and case 4 replaced both of two, beyond the largest shares of the site file, 0.25 and 0.587.

--- a/review/src/review/GoneCase.java
+++ b/review/src/review/GoneCase.java
@@ -15,8 +15,9 @@
 final class GoneCase extends Case {
     private static final String SERVERS = "keyed.servers";
     private static final long HEARTBEAT_MS = 1200;
-    private static final int ENGINES = 18;
-    private static final int LEAVING = 16;
+    /** A quarter leaves, the largest share of the site file. */
+    private static final int ENGINES = 32;
+    private static final int LEAVING = 8;
     private static final long STEP_MS = 900;
     private static final double DRAIN_S = 2;
 
@@ -49,7 +50,7 @@
                 Entry entry = new Entry(repository, folder, "front-montevideo-1", "montevideo", store)) {
             store.put("keyed.op", "config", config(7, 4_194_304));
             for (int i = 1; i <= ENGINES; i++) {
-                engines.add(new Engine(this, "i-" + i, DESK, i % 2 == 0 ? "montevideo" : "canelones", store, 5));
+                engines.add(new Engine(this, "i-" + i, DESK, i <= LEAVING ? "montevideo" : "canelones", store, 5));
             }
             entry.start();
             if (!entry.awaitReady(30_000)) {
--- a/review/src/review/VersionCase.java
+++ b/review/src/review/VersionCase.java
@@ -40,7 +40,10 @@
     boolean run() throws Exception {
         try (Store store = new Store();
                 Restarting first = new Restarting("i-1", "montevideo", store);
-                Restarting second = new Restarting("i-2", "canelones", store);
+                Restarting second = new Restarting("i-2", "montevideo", store);
+                // Half of the engines are replaced; these two are in another zone and are not.
+                Restarting third = new Restarting("i-3", "canelones", store);
+                Restarting fourth = new Restarting("i-4", "canelones", store);
                 Entry entry = new Entry(repository, folder, "front-montevideo-1", "montevideo", store)) {
             store.put("keyed.op", "config", resumableConfig());
             entry.start();
@@ -66,6 +69,7 @@
                     running.restart("v" + (round + 1));
                 }
                 caller.join();
+                note("engines of the other zone ran it: " + third.runs(id) + ", " + fourth.runs(id));
                 joined += judge(id, text.get(0)) ? 0 : 1;
             }
             log("%d of %d streams were joined from two versions of the software".formatted(joined, ROUNDS));
