Apply the records of a topic one by one

RecordApplier gives each record its own application: one that cannot be used is passed over, logged once and counted, and names no upstream. Removals come first. The same holds for rate limits and crash reports; evacuations apply beside a configuration that throws, whose lease ends as before.

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
@@ -4,12 +4,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.GroupId;
@@ -89,19 +89,22 @@
         }
     }
 
-    /** Replaces all announcements. */
-    public void replaceAll(Collection<UpstreamAnnouncement> entries) {
+    /**
+     * Removes the upstreams that are not in a snapshot of all announcements, which is put next.
+     *
+     * @param keys identifiers of the upstreams in the snapshot
+     */
+    public void retain(Set<String> keys) {
         mFirstReadAt = mFirstReadAt.or(() -> Optional.of(mTime.nanoTime()));
-        Set<UpstreamId> present = new HashSet<>();
-        for (UpstreamAnnouncement entry : entries) {
-            present.add(entry.id());
-            put(entry);
-        }
         for (UpstreamId id : new ArrayList<>(mNodes.keySet())) {
-            if (!present.contains(id)) {
+            if (!keys.contains(id.value())) {
                 remove(id);
             }
         }
+    }
+
+    /** Called when all announcements of a snapshot were put. */
+    public void onSnapshotApplied() {
         if (mStoreRestored) {
             mStoreRestored = false;
             long now = mTime.nanoTime();
@@ -109,6 +112,13 @@
         }
     }
 
+    /** Replaces all announcements. */
+    public void replaceAll(Collection<UpstreamAnnouncement> entries) {
+        retain(entries.stream().map(entry -> entry.id().value()).collect(Collectors.toSet()));
+        entries.forEach(this::put);
+        onSnapshotApplied();
+    }
+
     /** Called when the store becomes unreadable; upstreams are not removed until it is back. */
     public void onStoreUnavailable() {
         mStoreUnavailable = true;
--- a/entry/src/main/java/org/boragethread/entry/gateway/ConfigListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ConfigListener.java
@@ -1,10 +1,13 @@
 package org.boragethread.entry.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.boragethread.core.callback.Callbacks;
 import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.follow.TopicListener;
 import org.boragethread.model.place.DataCentreId;
@@ -39,8 +42,11 @@
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
         mEvacuatedInStore.clear();
-        values.forEach((key, value) -> onChange(key, Optional.of(value)));
-        endMissingEvacuations();
+        List<Runnable> steps = new ArrayList<>();
+        values.forEach((key, value) -> steps.add(() -> onChange(key, Optional.of(value))));
+        steps.add(this::endMissingEvacuations);
+        // All evacuations apply, even if the configuration can't be; the lease ends then.
+        Callbacks.forEach(steps, Runnable::run);
     }
 
     /** Ends the evacuations that the store does not have, once they would be written again. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -62,6 +62,11 @@
         increment("boragethread.gateway.callback.failures", "owner", owner);
     }
 
+    /** Counts records of the store that cannot be used, by the event that is logged for them. */
+    void onUnusableRecord(String event) {
+        increment("boragethread.gateway.unusable.records", "event", event);
+    }
+
     void onStoreRestored() {
         increment("boragethread.gateway.store.eras", "change", "restored");
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/QuarantineSync.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/QuarantineSync.java
@@ -37,6 +37,7 @@
     private final Gateway mGateway;
     private final Supplier<Quarantine> mQuarantine;
     private final DependencyLog mStoreLog;
+    private final RecordApplier mRecords;
     private final Map<String, byte[]> mOwnRecords = new LinkedHashMap<>();
     private final Map<String, Set<Suspect>> mStoredRecords = new HashMap<>();
     private final Set<Suspect> mRefutable = new LinkedHashSet<>();
@@ -47,6 +48,7 @@
         mGateway = gateway;
         mQuarantine = quarantine;
         mStoreLog = new DependencyLog(gateway.log(), "store-quarantine");
+        mRecords = new RecordApplier(gateway, "quarantine", this::apply);
     }
 
     /** Sets where reports are written; without it they stay in this process. */
@@ -149,7 +151,7 @@
 
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
-        values.forEach((key, value) -> onChange(key, Optional.of(value)));
+        mRecords.applyAll(values);
         mOwnRecords.forEach(
                 (key, value) -> {
                     if (!values.containsKey(key)) {
@@ -161,16 +163,7 @@
 
     @Override
     public void onChange(String key, Optional<byte[]> value) {
-        try {
-            apply(key, value);
-        } catch (MalformedRecordException e) {
-            mGateway.log()
-                    .event("quarantine")
-                    .with("outcome", "unreadable")
-                    .with("key", key)
-                    .with("detail", e.getMessage())
-                    .info();
-        }
+        mRecords.apply(key, value);
     }
 
     private void apply(String key, Optional<byte[]> value) throws MalformedRecordException {
--- a/entry/src/main/java/org/boragethread/entry/gateway/RateLimitSync.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RateLimitSync.java
@@ -35,6 +35,7 @@
     private static final Duration MIN_INTERVAL = Duration.ofSeconds(1);
 
     private final Gateway mGateway;
+    private final RecordApplier mRecords;
     private final Map<UpstreamId, RateLimitReport> mReports = new HashMap<>();
     private final Map<UpstreamId, Long> mPublishedAt = new HashMap<>();
     private final Set<UpstreamId> mPending = new HashSet<>();
@@ -43,6 +44,7 @@
 
     RateLimitSync(Gateway gateway) {
         mGateway = gateway;
+        mRecords = new RecordApplier(gateway, "rate-limit", this::apply);
     }
 
     /** Sets where reports are written; without it they stay in this process. */
@@ -169,7 +171,7 @@
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
         mReports.clear();
-        values.forEach((key, value) -> onChange(key, Optional.of(value)));
+        mRecords.applyAll(values);
         for (UpstreamNode node : mGateway.directory().all()) {
             UpstreamId upstream = node.entry().id();
             boolean limited = node.namedRateLimit().perSecond().isPresent();
@@ -181,25 +183,20 @@
 
     @Override
     public void onChange(String key, Optional<byte[]> value) {
+        mRecords.apply(key, value);
+    }
+
+    private void apply(String key, Optional<byte[]> value) throws MalformedRecordException {
         if (!RateLimitCodec.isRateLimit(key)) {
             return;
         }
-        try {
-            if (value.isEmpty()) {
-                mReports.remove(RateLimitCodec.decodeKey(key));
-                return;
-            }
-            RateLimitReport report = RateLimitCodec.decode(key, value.get());
-            mReports.put(report.upstream(), report);
-            apply(report);
-        } catch (MalformedRecordException e) {
-            mGateway.log()
-                    .event("rate-limit")
-                    .with("outcome", "unreadable")
-                    .with("key", key)
-                    .with("detail", e.getMessage())
-                    .info();
+        if (value.isEmpty()) {
+            mReports.remove(RateLimitCodec.decodeKey(key));
+            return;
         }
+        RateLimitReport report = RateLimitCodec.decode(key, value.get());
+        mReports.put(report.upstream(), report);
+        apply(report);
     }
 
     @Override
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
@@ -1,12 +1,11 @@
 package org.boragethread.entry.gateway;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.follow.TopicListener;
+import org.boragethread.core.upstream.UpstreamDirectory;
 import org.boragethread.model.Names;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.SoftwareVersion;
@@ -18,52 +17,65 @@
 final class UpstreamListener implements TopicListener {
 
     private final Gateway mGateway;
+    private final UpstreamDirectory mDirectory;
     private final DependencyLog mStoreLog;
+    private final RecordApplier mRecords;
     private final Map<String, UpstreamAnnouncement> mKnownEntries = new HashMap<>();
 
     UpstreamListener(Gateway gateway) {
         mGateway = gateway;
+        mDirectory = gateway.directory();
+        mRecords = new RecordApplier(gateway, "upstream", this::apply);
         mStoreLog = new DependencyLog(gateway.log(), "store-upstreams");
     }
 
     @Override
     public void onStoreRestored() {
-        mGateway.directory().onStoreRestored();
+        mDirectory.onStoreRestored();
     }
 
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
-        List<UpstreamAnnouncement> entries = new ArrayList<>();
-        values.forEach((key, value) -> decode(key, value).ifPresent(entries::add));
-        mGateway.directory().replaceAll(entries);
-        entries.forEach(entry -> mGateway.rateLimitSync().onAnnounced(entry.id()));
-        mKnownEntries.clear();
-        entries.forEach(entry -> mKnownEntries.put(entry.id().value(), entry));
+        mDirectory.retain(values.keySet());
+        mKnownEntries.keySet().retainAll(values.keySet());
+        mRecords.applyAll(values);
+        mDirectory.onSnapshotApplied();
         mGateway.setUpstreamsKnown();
-        mGateway.log().event("upstreams").with("known", mGateway.directory().size()).info();
+        mGateway.log().event("upstreams").with("known", mDirectory.size()).info();
     }
 
     @Override
     public void onChange(String key, Optional<byte[]> value) {
-        if (value.isEmpty()) {
-            remove(key);
-            return;
+        mRecords.apply(key, value);
+    }
+
+    /** Applies a record. One that cannot be used names no upstream, as if it were removed. */
+    private void apply(String key, Optional<byte[]> value) throws MalformedRecordException {
+        boolean usable = false;
+        try {
+            if (value.isPresent()) {
+                put(UpstreamDecoder.decode(key, value.get()));
+                usable = true;
+            }
+        } finally {
+            if (!usable) {
+                remove(key);
+            }
         }
-        decode(key, value.get()).ifPresent(this::put);
     }
 
     private void remove(String key) {
         if (!Names.isValid(key)) {
             return;
         }
-        mGateway.directory().remove(new UpstreamId(key));
+        mDirectory.remove(new UpstreamId(key));
         if (mKnownEntries.remove(key) != null) {
             mGateway.log().event("upstream").with("id", key).with("outcome", "gone").info();
         }
     }
 
     private void put(UpstreamAnnouncement entry) {
-        mGateway.directory().put(entry);
+        mDirectory.put(entry);
         mGateway.rateLimitSync().onAnnounced(entry.id());
         UpstreamAnnouncement previous = mKnownEntries.put(entry.id().value(), entry);
         boolean unchanged =
@@ -89,28 +101,14 @@
         return entry.softwareVersion().map(SoftwareVersion::value).orElse("");
     }
 
-    private Optional<UpstreamAnnouncement> decode(String key, byte[] value) {
-        try {
-            return Optional.of(UpstreamDecoder.decode(key, value));
-        } catch (MalformedRecordException e) {
-            mGateway.log()
-                    .event("upstream")
-                    .with("id", key)
-                    .with("outcome", "unreadable")
-                    .with("detail", e.getMessage())
-                    .info();
-            return Optional.empty();
-        }
-    }
-
     @Override
     public void onUpToDate(ClockReading moment) {
-        boolean wasSettled = mGateway.directory().isSettled();
-        mGateway.directory().onUpToDate(moment.nanos());
-        if (!wasSettled && mGateway.directory().isSettled()) {
+        boolean wasSettled = mDirectory.isSettled();
+        mDirectory.onUpToDate(moment.nanos());
+        if (!wasSettled && mDirectory.isSettled()) {
             mGateway.log()
                     .event("upstreams")
-                    .with("known", mGateway.directory().size())
+                    .with("known", mDirectory.size())
                     .with("outcome", "settled")
                     .info();
         }
@@ -118,13 +116,13 @@
 
     @Override
     public void onStoreUnavailable(String detail) {
-        mGateway.directory().onStoreUnavailable();
+        mDirectory.onStoreUnavailable();
         mStoreLog.lost(detail);
     }
 
     @Override
     public void onStoreAvailable() {
-        mGateway.directory().onStoreAvailable();
+        mDirectory.onStoreAvailable();
         mStoreLog.regained();
     }
 }
