Continue streams only with announcements that were read lately

Cause: once an entry had settled, the last announcement that it had read counted as the proof of a version, however old it was. The doubt after a refused connection does not help an entry that had no connection then.

The directory knows when it was read last, by both clocks. If that is longer ago than one and a quarter of the interval between readings, no version is certain: streams that are taken up or go on wait for the next reading, or are refused at once as not run if the store is known to be away; the origin of a stream that begins is provisional until a reading that began later. An entry in touch is not affected.

--- a/core/src/main/java/org/boragethread/core/upstream/CalledRun.java
+++ b/core/src/main/java/org/boragethread/core/upstream/CalledRun.java
@@ -13,14 +13,20 @@
     private final UpstreamDirectory mDirectory;
     private final UpstreamNode mNode;
     private final UpstreamAnnouncement mCalled;
+    private final Optional<Long> mCalledUnreadAt;
     private Optional<Long> mDoubtedAt;
 
-    /** Creates the run of an upstream that is about to be called. */
-    public CalledRun(UpstreamDirectory directory, UpstreamNode node) {
+    /**
+     * Creates the run of an upstream that is about to be called.
+     *
+     * @param now monotonic time in nanoseconds
+     */
+    public CalledRun(UpstreamDirectory directory, UpstreamNode node, long now) {
         mDirectory = directory;
         mNode = node;
         mCalled = node.entry();
         mDoubtedAt = doubtedAt();
+        mCalledUnreadAt = directory.isOutdated() ? Optional.of(now) : Optional.empty();
     }
 
     /** Called when the upstream begins to respond; from then on it cannot start again unnoticed. */
@@ -62,7 +68,8 @@
     }
 
     private boolean isDoubted() {
-        return mDoubtedAt.filter(at -> !mNode.isConfirmedSince(at)).isPresent();
+        return mDoubtedAt.filter(at -> !mNode.isConfirmedSince(at)).isPresent()
+                || mCalledUnreadAt.filter(at -> !mNode.isReadSince(at)).isPresent();
     }
 
     private boolean isSameSoftware() {
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -180,14 +180,14 @@
 
     /**
      * Returns whether an upstream could get the request soon, because its announcement is doubtful
-     * for a moment and names the software version that the request needs.
+     * or outdated for a moment and names the software version that the request needs.
      */
     public boolean hasDoubtfulCandidate(ChoiceRequest request) {
         return request.softwareVersion().isPresent()
                 && mDirectory.of(request.group().id()).stream()
                         .anyMatch(
                                 node ->
-                                        node.doubtedAt().isPresent()
+                                        isDoubtful(node)
                                                 && isPlaceAllowed(node, request)
                                                 && isOfNeededVersion(
                                                         request, node.entry().softwareVersion()));
@@ -221,7 +221,15 @@
     }
 
     private boolean isAllowed(UpstreamNode node, ChoiceRequest request) {
-        return isPlaceAllowed(node, request) && isOfNeededVersion(request, node.softwareVersion());
+        return isPlaceAllowed(node, request) && isOfNeededVersion(request, certainVersion(node));
+    }
+
+    private boolean isDoubtful(UpstreamNode node) {
+        return node.doubtedAt().isPresent() || mDirectory.isOutdated();
+    }
+
+    private Optional<SoftwareVersion> certainVersion(UpstreamNode node) {
+        return isDoubtful(node) ? Optional.empty() : node.softwareVersion();
     }
 
     private boolean isPlaceAllowed(UpstreamNode node, ChoiceRequest request) {
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamDirectory.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.boragethread.core.follow.ClockReading;
+import org.boragethread.core.follow.FreshnessLease;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.GroupId;
@@ -35,12 +37,27 @@
     private boolean mStoreUnavailable;
     private boolean mStoreRestored;
     private long mGraceEnd;
+    private final Optional<FreshnessLease> mFreshness;
     private Optional<Long> mFirstReadAt = Optional.empty();
     private boolean mSettled;
 
-    /** Creates an empty directory. */
+    /** Creates an empty directory whose announcements are never outdated. */
     public UpstreamDirectory(TimeSource time) {
+        this(time, Optional.empty());
+    }
+
+    /**
+     * Creates an empty directory.
+     *
+     * @param readTimeout time after which announcements that were not read again are outdated
+     */
+    public UpstreamDirectory(TimeSource time, Duration readTimeout) {
+        this(time, Optional.of(new FreshnessLease(time, readTimeout)));
+    }
+
+    private UpstreamDirectory(TimeSource time, Optional<FreshnessLease> freshness) {
         mTime = time;
+        mFreshness = freshness;
         mGraceEnd = time.nanoTime();
     }
 
@@ -139,8 +156,15 @@
         mGraceEnd = mTime.nanoTime() + RENEWAL_GRACE.toNanos();
     }
 
+    /** Called when all announcements are known that had been written at a time. */
+    public void onUpToDate(ClockReading asOf) {
+        mFreshness.ifPresent(freshness -> freshness.renew(asOf));
+        onUpToDate(asOf.nanos());
+    }
+
     /**
-     * Called when all announcements are known that had been written at a time.
+     * Called when all announcements are known that had been written at a time, without any effect
+     * on whether they are outdated.
      *
      * @param at monotonic time in nanoseconds
      */
@@ -158,6 +182,19 @@
         return mSettled;
     }
 
+    /**
+     * Returns whether the last reading of announcements is older than usual, because this process
+     * stood still or is cut off. An upstream may have started again with other software since.
+     */
+    public boolean isOutdated() {
+        return mSettled && mFreshness.filter(freshness -> !freshness.isHeld()).isPresent();
+    }
+
+    /** Returns whether the announcements are outdated and the store cannot be read. */
+    public boolean isCutOff() {
+        return mStoreUnavailable && isOutdated();
+    }
+
     /** Returns when announcements were first read, if they are not settled since. */
     Optional<Long> unsettledSince() {
         return mSettled ? Optional.empty() : mFirstReadAt;
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -151,6 +151,15 @@
         return mConfirmedAt.filter(at -> at - doubtedAt >= RENEWAL_NANOS).isPresent();
     }
 
+    /**
+     * Returns whether the latest announcement was still the latest one at a time.
+     *
+     * @param at monotonic time in nanoseconds
+     */
+    boolean isReadSince(long at) {
+        return mConfirmedAt.filter(confirmedAt -> confirmedAt - at >= 0).isPresent();
+    }
+
     /** Records that the upstream was removed from the directory. */
     void delist() {
         mListed = false;
--- a/core/src/test/java/org/boragethread/core/upstream/CalledRunTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/CalledRunTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.SoftwareVersion;
@@ -55,7 +56,7 @@
     }
 
     private CalledRun call() {
-        return new CalledRun(mDirectory, mNode);
+        return new CalledRun(mDirectory, mNode, mTime.nanoTime());
     }
 
     private static void assertPending(CalledRun run) {
@@ -154,4 +155,49 @@
         mDirectory.put(started(5));
         assertCertain(run);
     }
+
+    private CalledRun callOf(UpstreamDirectory directory) {
+        UpstreamNode node = directory.find(new UpstreamId("a")).orElseThrow();
+        return new CalledRun(directory, node, mTime.nanoTime());
+    }
+
+    private UpstreamDirectory readEvery(Duration interval) {
+        UpstreamDirectory directory = new UpstreamDirectory(mTime, interval);
+        directory.replaceAll(List.of(started(5)));
+        mTime.advance(UpstreamDirectory.RENEWAL_GRACE);
+        directory.onUpToDate(ClockReading.now(mTime));
+        return directory;
+    }
+
+    // Guards against a run of which nothing was read while the process stood still or was cut off.
+    @Test
+    public void runCalledWithOutdatedAnnouncementsIsPendingUntilTheNextReading() {
+        UpstreamDirectory directory = readEvery(SHORTLY);
+        assertCertain(callOf(directory));
+        mTime.advance(SHORTLY);
+        assertTrue(directory.isOutdated());
+        CalledRun unchanged = callOf(directory);
+        CalledRun restarted = callOf(directory);
+        assertPending(unchanged);
+        // This reading began before the call.
+        directory.onUpToDate(ClockReading.now(mTime).minus(Duration.ofMillis(1)));
+        assertPending(unchanged);
+        directory.onUpToDate(ClockReading.now(mTime));
+        assertCertain(unchanged);
+        directory.put(started(6));
+        assertUncertain(restarted);
+    }
+
+    // Guards against a store that is taken for readable, or for away after a single lost reading.
+    @Test
+    public void directoryIsCutOffOnlyWhileItIsOutdatedAndTheStoreIsAway() {
+        UpstreamDirectory directory = readEvery(SHORTLY);
+        directory.onStoreUnavailable();
+        assertFalse(directory.isCutOff());
+        mTime.advance(SHORTLY);
+        assertTrue(directory.isCutOff());
+        directory.onStoreAvailable();
+        assertFalse(directory.isCutOff());
+        assertTrue(directory.isOutdated());
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -85,7 +85,7 @@
         mMetrics = metrics;
         mScheduler = new EventLoopScheduler(loop, mGuard);
         mConnections = new HttpConnectionPool(loop, time, mGuard);
-        mDirectory = new UpstreamDirectory(time);
+        mDirectory = new UpstreamDirectory(time, settings.upstreamReadTimeout());
         mSharedLimits =
                 new PartitionLease(
                         time,
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -49,9 +49,6 @@
      */
     private static final double CONFIG_POLL_FRACTION = 0.16;
 
-    /** Interval between reads of upstream announcements, as a fraction of the leave time. */
-    private static final double UPSTREAM_POLL_FRACTION = 0.35;
-
     /**
      * Long-poll time of a read of reports about upstreams, as a fraction of the stable window. A
      * read that is lost in a cut must be noticed within the window.
@@ -190,7 +187,6 @@
 
     private void startFollowers() {
         Duration configPollTime = fraction(mSettings.revokeTime(), CONFIG_POLL_FRACTION);
-        Duration upstreamPollInterval = fraction(mSettings.leaveTime(), UPSTREAM_POLL_FRACTION);
         mMembership.start();
         follower(
                         StoreTopic.OPERATOR_TOPIC,
@@ -200,7 +196,8 @@
                 .start();
         follower(
                         StoreTopic.UPSTREAM_TOPIC,
-                        new ReadTiming(Duration.ZERO, upstreamPollInterval, STORE_RETRY_DELAY),
+                        new ReadTiming(
+                                Duration.ZERO, mSettings.upstreamReadInterval(), STORE_RETRY_DELAY),
                         new UpstreamListener(mGateway),
                         UpstreamDecoder::isUnchanged)
                 .start();
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
@@ -58,6 +58,12 @@
     private static final double MAX_SLACK = 1e6;
     private static final double MAX_CORES = 1024;
 
+    /** Interval between readings of upstream announcements, as a fraction of the leave time. */
+    private static final double UPSTREAM_READ_FRACTION = 0.35;
+
+    /** Intervals after which a reading is overdue, with the time that it takes. */
+    private static final double OVERDUE_INTERVALS = 1.25;
+
     /**
      * Bound on the retries of calls to one upstream group, over all entries.
      *
@@ -67,6 +73,20 @@
      */
     public record RetryBound(double ratio, double slack, Duration window) {}
 
+    /** Returns the time between two readings of the announcements of upstreams. */
+    Duration upstreamReadInterval() {
+        return fraction(leaveTime, UPSTREAM_READ_FRACTION);
+    }
+
+    /** Returns the time after which announcements that were not read again are outdated. */
+    Duration upstreamReadTimeout() {
+        return fraction(leaveTime, UPSTREAM_READ_FRACTION * OVERDUE_INTERVALS);
+    }
+
+    private static Duration fraction(Duration total, double factor) {
+        return Duration.ofMillis((long) (total.toMillis() * factor));
+    }
+
     /** Reads the settings; problems are recorded in the reader. */
     public static GatewaySettings read(SettingsReader reader) {
         SettingsSection gateway = reader.section("gateway");
--- a/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StreamContinuation.java
@@ -4,11 +4,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.boragethread.core.resume.StreamKey;
 import org.boragethread.core.resume.StreamOrigin;
 import org.boragethread.core.upstream.ChoiceRequest;
+import org.boragethread.core.upstream.UpstreamDirectory;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.SoftwareVersion;
@@ -73,7 +75,7 @@
             onOrigin(Optional.empty(), onReady, end);
             return;
         }
-        find(mKey.get(), mGateway.time().nanoTime() + VersionWait.MAX_TIME.toNanos(), onReady, end);
+        find(mKey.get(), endOfWait(), onReady, end);
     }
 
     /** Asks again while the entry that forwarded the stream is about to confirm its origin. */
@@ -114,14 +116,14 @@
             end.fail(RefusalReason.STREAM_VERSION_UNKNOWN, detail, RetryDelays.SHORT);
             return;
         }
-        whenSettled(settled -> onSettled(settled, onReady, end));
+        whenCertain(certain -> onDecided(certain, onReady, end));
     }
 
-    private void onSettled(boolean settled, Runnable onReady, RequestEnd end) {
+    private void onDecided(boolean certain, Runnable onReady, RequestEnd end) {
         if (mStopped) {
             return;
         }
-        if (!settled) {
+        if (!certain) {
             String detail = "the software versions of the upstreams are not certain yet";
             end.fail(RefusalReason.STREAM_VERSION_UNKNOWN, detail, RetryDelays.SHORT);
             return;
@@ -130,21 +132,47 @@
     }
 
     /**
-     * Waits until the announcements can be trusted after the start of this process.
+     * Waits until the announcements can be trusted, after the start of this process or when it
+     * stood still. There is no wait while the store cannot be read.
      *
      * @param callback is told whether they can
      */
+    private void whenCertain(Consumer<Boolean> callback) {
+        BooleanSupplier isHopeless = mGateway.directory()::isCutOff;
+        await(this::areAnnouncementsCertain, isHopeless, endOfWait(), callback);
+    }
+
+    /**
+     * Waits until all runs are known that began before this process did.
+     *
+     * @param callback is told whether they are
+     */
     private void whenSettled(Consumer<Boolean> callback) {
-        whenSettled(mGateway.time().nanoTime() + VersionWait.MAX_TIME.toNanos(), callback);
+        await(mGateway.directory()::isSettled, () -> false, endOfWait(), callback);
     }
 
-    private void whenSettled(long end, Consumer<Boolean> callback) {
-        boolean settled = mGateway.directory().isSettled();
-        if (settled || mGateway.time().nanoTime() >= end) {
-            callback.accept(settled);
+    private boolean areAnnouncementsCertain() {
+        UpstreamDirectory directory = mGateway.directory();
+        return directory.isSettled() && !directory.isOutdated();
+    }
+
+    private long endOfWait() {
+        return mGateway.time().nanoTime() + VersionWait.MAX_TIME.toNanos();
+    }
+
+    private void await(
+            BooleanSupplier condition,
+            BooleanSupplier isHopeless,
+            long end,
+            Consumer<Boolean> callback) {
+        boolean holds = condition.getAsBoolean();
+        if (holds || isHopeless.getAsBoolean() || mGateway.time().nanoTime() >= end) {
+            callback.accept(holds);
             return;
         }
-        mGateway.scheduler().schedule(UpstreamSearch.INTERVAL, () -> whenSettled(end, callback));
+        mGateway.scheduler()
+                .schedule(
+                        UpstreamSearch.INTERVAL, () -> await(condition, isHopeless, end, callback));
     }
 
     /**
@@ -186,7 +214,7 @@
 
     /** Returns whether the announced versions can be trusted, if they matter. */
     boolean isSettled() {
-        return !isFixed() || mGateway.directory().isSettled();
+        return !isFixed() || areAnnouncementsCertain();
     }
 
     /** Returns whether any other upstream may continue the stream. */
@@ -212,7 +240,7 @@
             StreamOrigin provisional = new StreamOrigin(mGroup, attempt.announcedVersion(), true);
             mKey.ifPresent(key -> record(key, provisional));
         }
-        recordWhenDecided(attempt, mGateway.time().nanoTime() + VersionWait.MAX_TIME.toNanos());
+        recordWhenDecided(attempt, endOfWait());
         // A caller that goes on naming the stream that it gave up has events of this one.
         mReplaced.ifPresent(key -> record(key, new StreamOrigin(mGroup, Optional.empty())));
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -83,7 +83,7 @@
             long uncachedTokens,
             double prefillMillis) {
         mNode = node;
-        mRun = new CalledRun(gateway.directory(), node);
+        mRun = new CalledRun(gateway.directory(), node, sentAt);
         mCalledEntry = mRun.calledEntry();
         mGateway = gateway;
         mSignals = gateway.upstreamSignals();
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
@@ -104,7 +104,7 @@
     @Override
     public void onUpToDate(ClockReading moment) {
         boolean wasSettled = mDirectory.isSettled();
-        mDirectory.onUpToDate(moment.nanos());
+        mDirectory.onUpToDate(moment);
         if (!wasSettled && mDirectory.isSettled()) {
             mGateway.log()
                     .event("upstreams")
