Refuse late requests of a long stop that could be cut off

What callers saw: with a grace period of 10 s, requests that came up to 3.4 s after SIGTERM were passed on by what was learned of their upstream; when it fell silent, a stream was cut off without an answer at the end. So was a stream whose last byte came at any time of the stop, since only the beginning of its request counted. The platform excuses a cut only of requests sent within 3 s of the signal (LOST).

Cause: the time in which such requests are admitted was a share of the grace period without an upper bound, and a request that arrives slowly was judged by its first byte.

The time is bounded by 2.7 s, and streams are judged by their last byte.

Grace periods up to 7.9 s are not affected by the bound.

--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -80,6 +80,13 @@
      */
     private static final double ACCEPT_FRACTION = 0.34;
 
+    /**
+     * Upper bound of that time. The platform excuses a request that is cut off at the end of the
+     * grace period if it was sent within three seconds of the signal, which is handled a little
+     * later.
+     */
+    private static final Duration MAX_ACCEPT_TIME = Duration.ofMillis(2700);
+
     /**
      * Time for which a connection must be idle before it is closed at a stop. A request that its
      * caller has just sent arrives within it.
@@ -304,7 +311,7 @@
     public void stop() {
         long startNanos = mTime.nanoTime();
         Duration abortAfter = mSettings.gracePeriod().minus(exitTime());
-        Duration closeAfter = fraction(mSettings.gracePeriod(), ACCEPT_FRACTION);
+        Duration closeAfter = acceptTime();
         callOnLoop(
                 () -> {
                     mGateway.setStopping(closeAfter, abortAfter);
@@ -341,10 +348,14 @@
         mLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
+    /** Returns the time from the signal in which requests are admitted that may be cut off. */
+    private Duration acceptTime() {
+        return min(fraction(mSettings.gracePeriod(), ACCEPT_FRACTION), MAX_ACCEPT_TIME);
+    }
+
     /** Returns the time before the end of the grace period at which active requests are aborted. */
     private Duration exitTime() {
-        Duration time = fraction(mSettings.gracePeriod(), EXIT_FRACTION);
-        return time.compareTo(MAX_EXIT_TIME) < 0 ? time : MAX_EXIT_TIME;
+        return min(fraction(mSettings.gracePeriod(), EXIT_FRACTION), MAX_EXIT_TIME);
     }
 
     private void endRequests(boolean busy, long stopNanos) {
@@ -400,6 +411,10 @@
         }
     }
 
+    private static Duration min(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
+
     private static Duration fraction(Duration total, double factor) {
         return Duration.ofMillis((long) (total.toMillis() * factor));
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/StopAdmission.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StopAdmission.java
@@ -5,6 +5,7 @@
 import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.routing.RequestKind;
 import org.boragethread.model.upstream.GroupId;
 
 /**
@@ -24,7 +25,8 @@
 
     /**
      * Admits a request if its deadline is in time, or if it probably ends while this process
-     * serves. The latter is not enough if it began to arrive late in the stop.
+     * serves. The latter is not enough if it began to arrive late in the stop, nor for a stream
+     * that was complete only then: if its upstream falls silent, it is cut off without an answer.
      */
     Either<Refusal, AdmittedRequest> admit(CallerRequest request, AdmittedRequest admitted) {
         if (!mGateway.isStopping()) {
@@ -36,7 +38,7 @@
         if (remaining.compareTo(left) <= 0) {
             return Either.right(admitted);
         }
-        if (mGateway.isAfterLastCalls(request.begunNanos())) {
+        if (isLate(request, admitted)) {
             return refuse("it has %d ms, %d ms remain", remaining, left);
         }
         GroupId group = admitted.route().groupAt(request.unitHash()).group();
@@ -47,6 +49,12 @@
         return refuse("it needs %d ms, %d ms remain", needed, left);
     }
 
+    private boolean isLate(CallerRequest request, AdmittedRequest admitted) {
+        boolean isStream = admitted.route().kind() == RequestKind.STREAMING;
+        long arrival = isStream ? mGateway.time().nanoTime() : request.begunNanos();
+        return mGateway.isAfterLastCalls(arrival);
+    }
+
     private static Either<Refusal, AdmittedRequest> refuse(
             String detail, Duration time, Duration left) {
         return Either.left(
