Bound the response of a peer to delegated pieces

The answer of another entry to delegated pieces was bounded in time only. Whoever listens at the address of a peer by now could fill the memory of the entry that waits for it until the deadline of its pieces.

It is given up beyond 1 MiB, as the answers of upstreams to pieces are, and the pieces go the way of a peer that does not respond.

--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -62,6 +62,9 @@
 
     private static final int MAX_CONFIRMATION_BYTES = 1024;
 
+    /** More than the handles of all pieces that one call delegates. */
+    private static final int MAX_RESPONSE_BYTES = 1 << 20;
+
     private final HttpConnectionPool mConnections;
     private final Scheduler mScheduler;
     private final TimeSource mTime;
@@ -211,6 +214,9 @@
             byte[] bytes = new byte[data.readableBytes()];
             data.readBytes(bytes);
             mBody.writeBytes(bytes);
+            if (mBody.size() > MAX_RESPONSE_BYTES) {
+                giveUp("the response is larger than " + MAX_RESPONSE_BYTES + " bytes");
+            }
         }
 
         @Override
--- a/entry/src/test/java/org/boragethread/entry/gateway/PeerClientTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/PeerClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -40,12 +41,16 @@
     private static final int WAIT_SECONDS = 10;
     private static final String ACCEPTED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+    private static final String CHUNK = "4000\r\n" + "x".repeat(0x4000) + "\r\n";
+
     private final TimeSource mTime = new SystemTimeSource();
     private EventLoopGroup mLoops;
     private ServerSocket mServer;
+    private volatile boolean mEndless;
 
     @BeforeMethod
     public void openPeer() throws IOException {
+        mEndless = false;
         mLoops = new NioEventLoopGroup(1);
         mServer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         Thread peer = new Thread(this::confirmOnly, "silent-peer");
@@ -70,6 +75,18 @@
         assertFalse(fallbackRan.get(), "a peer that confirmed the pieces must not be avoided");
     }
 
+    // Guards against a peer, or whoever has its address by now, that fills the memory.
+    @Test
+    public void responseWithoutEndIsGivenUp() throws Exception {
+        mEndless = true;
+        CompletableFuture<StageFailure> failure = new CompletableFuture<>();
+        CompletableFuture<Boolean> fallback = new CompletableFuture<>();
+        EventLoop loop = mLoops.next();
+        loop.execute(() -> submit(loop, failure, () -> fallback.complete(true)));
+        assertTrue(fallback.get(WAIT_SECONDS, TimeUnit.SECONDS));
+        assertFalse(failure.isDone());
+    }
+
     private void submit(
             EventLoop loop, CompletableFuture<StageFailure> failure, Runnable fallback) {
         HttpConnectionPool connections = new HttpConnectionPool(loop, mTime);
@@ -110,6 +127,9 @@
         try (Socket socket = mServer.accept()) {
             socket.getInputStream().read(new byte[1024]);
             socket.getOutputStream().write(ACCEPTED.getBytes(StandardCharsets.US_ASCII));
+            while (mEndless) {
+                socket.getOutputStream().write(CHUNK.getBytes(StandardCharsets.US_ASCII));
+            }
             while (socket.getInputStream().read() >= 0) {
                 // The remaining request is ignored.
             }
