--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewaySettings.java
@@ -30,6 +30,8 @@
  * @param gracePeriod time from the stop signal until the process is killed
  * @param retryBound bound on retries, shared by all entries
  * @param coldRateBound bound on calls to a cold upstream, shared by all entries
+ * @param scheduling how the entries share upstreams
+ * @param rollouts bounds of roll-outs; empty if the deployment has none
  */
 public record GatewaySettings(
         String name,
@@ -48,7 +50,9 @@
         Duration blockTime,
         Duration gracePeriod,
         RetryBound retryBound,
-        ColdRateBound coldRateBound) {
+        ColdRateBound coldRateBound,
+        SchedulingSettings scheduling,
+        Optional<RolloutSettings> rollouts) {
 
     private static final Duration MAX_DURATION = Duration.ofHours(1);
     private static final Duration MIN_DURATION = Duration.ofMillis(100);
@@ -120,7 +124,9 @@
                                 seconds(shares, "retry_window_s", 10)),
                         new ColdRateBound(
                                 shares.number("cold_overshoot", 1, 0, MAX_SLACK),
-                                shares.number("cold_slack", 0, 0, MAX_SLACK)));
+                                shares.number("cold_slack", 0, 0, MAX_SLACK)),
+                        SchedulingSettings.read(reader.section("scheduling")),
+                        RolloutSettings.read(reader.section("rollouts")));
         gateway.reportUnknownKeys();
         bounds.reportUnknownKeys();
         shares.reportUnknownKeys();
--- a/entry/src/test/java/org/boragethread/entry/gateway/AdmissionTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/AdmissionTest.java
@@ -78,7 +78,9 @@
                 Duration.ofMinutes(10),
                 Duration.ofSeconds(8),
                 new GatewaySettings.RetryBound(0.2, 10, Duration.ofSeconds(10)),
-                new ColdRateBound(1, 1));
+                new ColdRateBound(1, 1),
+                SchedulingSettings.local(),
+                Optional.empty());
     }
 
     /** Admits a request whose body arrives some time after its head. */
--- a/entry/src/test/java/org/boragethread/entry/gateway/ThrowingCallbackTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/ThrowingCallbackTest.java
@@ -127,7 +127,9 @@
                 Duration.ofMinutes(10),
                 Duration.ofSeconds(1),
                 new GatewaySettings.RetryBound(0.2, 10, Duration.ofSeconds(10)),
-                new ColdRateBound(1, 1));
+                new ColdRateBound(1, 1),
+                SchedulingSettings.local(),
+                Optional.empty());
     }
 
     private void configure(Gateway gateway) {
--- a/entry/src/test/java/org/boragethread/entry/gateway/ThrowingTimerTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/ThrowingTimerTest.java
@@ -82,7 +82,9 @@
                 Duration.ofMinutes(10),
                 Duration.ofSeconds(1),
                 new GatewaySettings.RetryBound(0.2, 10, Duration.ofSeconds(10)),
-                new ColdRateBound(1, 1));
+                new ColdRateBound(1, 1),
+                SchedulingSettings.local(),
+                Optional.empty());
     }
 
     private <T> T onLoop(Callable<T> task) throws Exception {
