--- a/entry/src/test/java/org/boragethread/entry/gateway/ThrowingCallbackTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/ThrowingCallbackTest.java
@@ -53,7 +53,8 @@
 
     private static final String ANNOUNCEMENT =
             """
-            {"service":"orders","address":"127.0.0.1:%d","zone":"north","state":"ready",
+            {"service":"orders","address":"127.0.0.1:%d","zone":"north","version":"v1","slots":4,
+            "state":"ready",
             "cold_left_ms":0,"seq":1}""";
 
     private static final String REQUEST =
--- a/entry/src/test/java/org/boragethread/entry/gateway/ThrowingTimerTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/ThrowingTimerTest.java
@@ -40,7 +40,8 @@
 
     private static final String ANNOUNCEMENT =
             """
-            {"service":"orders","address":"127.0.0.1:%d","zone":"north","state":"ready",
+            {"service":"orders","address":"127.0.0.1:%d","zone":"north","version":"v1","slots":4,
+            "state":"ready",
             "cold_left_ms":0,"seq":1}""";
 
     private final FailingTimeSource mTime = new FailingTimeSource();
--- a/entry/src/test/java/org/boragethread/entry/gateway/UpstreamListenerTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/UpstreamListenerTest.java
@@ -26,7 +26,8 @@
 
     private static final String RECORD =
             """
-            {"service":"orders","address":"127.0.0.1:%d","zone":"north","state":"ready",
+            {"service":"orders","address":"127.0.0.1:%d","zone":"north","version":"v1","slots":4,
+            "state":"ready",
             "cold_left_ms":%s,"born":%s,"seq":%d}""";
 
     private GatewayMetrics mMetrics;
--- a/standins/src/main/java/org/boragethread/standins/store/DirectUpstream.java
+++ b/standins/src/main/java/org/boragethread/standins/store/DirectUpstream.java
@@ -58,7 +58,8 @@
     /** Returns the value of this upstream's announcement in the store. */
     public String announcement(boolean leaving) {
         return """
-        {"service":"%s","address":"%s","zone":"north","state":"%s","cold_left_ms":0,"seq":1}"""
+        {"service":"%s","address":"%s","zone":"north","state":"%s",
+         "version":"v1","slots":64,"cold_left_ms":0,"seq":1}"""
                 .formatted(mGroup, mServer.address(), leaving ? "draining" : "ready");
     }
 
--- a/standins/src/test/java/org/boragethread/standins/system/EndlessBodyTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/EndlessBodyTest.java
@@ -66,7 +66,7 @@
                 "engine-1",
                 """
                 {"service":"engines","address":"127.0.0.1:%d","zone":"north","state":"ready",
-                 "cold_left_ms":0,"seq":1}"""
+                 "version":"v1","slots":64,"cold_left_ms":0,"seq":1}"""
                         .formatted(mEngine.getLocalPort()));
         mStore.put(StoreStandIn.OPERATOR_TOPIC, "config", CONFIG);
         mHarness = new ProcessHarness();
--- a/standins/src/test/java/org/boragethread/standins/system/SlowStreamTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SlowStreamTest.java
@@ -96,7 +96,7 @@
     private String announcement() {
         return """
         {"service":"engines","address":"127.0.0.1:%d","zone":"north","state":"ready",
-         "version":"v1","cold_left_ms":0,"seq":1}"""
+         "version":"v1","slots":64,"cold_left_ms":0,"seq":1}"""
                 .formatted(mEngine.getLocalPort());
     }
 
--- a/standins/src/test/java/org/boragethread/standins/system/SoakEngine.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakEngine.java
@@ -141,7 +141,7 @@
         Process process = mProcess;
         return """
         {"service":"%s","address":"127.0.0.1:%d","zone":"north","state":"ready",
-         "version":"%s","cold_left_ms":0,"seq":1,"born":%d}"""
+         "version":"%s","slots":64,"cold_left_ms":0,"seq":1,"born":%d}"""
                 .formatted(mGroup, process.mServer.port(), process.mVersion, process.mBorn);
     }
 
--- a/standins/src/test/java/org/boragethread/standins/system/SteppedUpstream.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SteppedUpstream.java
@@ -36,7 +36,7 @@
     String announcement(String group, String softwareVersion) {
         return """
         {"service":"%s","address":"127.0.0.1:%d","zone":"north","state":"ready",
-         "version":"%s","cold_left_ms":0,"seq":1}"""
+         "version":"%s","slots":64,"cold_left_ms":0,"seq":1}"""
                 .formatted(group, mServer.getLocalPort(), softwareVersion);
     }
 
