Decode a load header that also reports the speed of the upstream

HeaderDecoder.load rejected four figures, so that the queue of such an upstream was ignored too. With shared scheduling, the reported speed changes the expected end and the timeout of calls for pieces and the choice of their upstream. Half of a reported deviation is assumed to be over after 200 ms, since the speed changes many times a second. A malformed header is logged and counted as the other ones are.

--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -62,6 +62,7 @@
     private final Scheduler mScheduler;
     private final TimeSource mTime;
     private final Supervisor mSupervisor;
+    private final StagePolicy mPolicy;
     private final List<PendingPiece> mPending = new ArrayList<>();
     private final Map<UpstreamNode, Long> mExpectedEnds = new HashMap<>();
     private boolean mPollScheduled;
@@ -77,13 +78,15 @@
             SharedRetryBudget retryBudget,
             Scheduler scheduler,
             TimeSource time,
-            Supervisor supervisor) {
+            Supervisor supervisor,
+            StagePolicy policy) {
         mGroup = group;
         mBatchClient = batchClient;
         mRetryBudget = retryBudget;
         mScheduler = scheduler;
         mTime = time;
         mSupervisor = supervisor;
+        mPolicy = policy;
     }
 
     /**
@@ -270,10 +273,12 @@
             latestDeadline = Math.max(latestDeadline, piece.work().deadlineNanos());
         }
         long now = mTime.nanoTime();
-        Duration expected = limits.expectedTime(work.size());
-        long maxNanos = fullCalls(limits, TIMEOUT_FACTOR);
-        Duration timeout = Duration.ofNanos(Math.max(1, Math.min(maxNanos, latestDeadline - now)));
         UpstreamNode upstream = call.upstream();
+        double factor = mPolicy.timeFactor(upstream, now);
+        Duration expected =
+                Duration.ofNanos((long) (limits.expectedTime(work.size()).toNanos() * factor));
+        long maxNanos = fullCalls(limits, TIMEOUT_FACTOR * Math.max(1, factor));
+        Duration timeout = Duration.ofNanos(Math.max(1, Math.min(maxNanos, latestDeadline - now)));
         mExpectedEnds.put(
                 upstream,
                 Math.max(now, mExpectedEnds.getOrDefault(upstream, now)) + expected.toNanos());
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -21,6 +21,17 @@
 
     private static final double MAX_SLOWNESS = 20;
 
+    /** Bounds of the reported time factor; a value beyond them is a fault of the report. */
+    private static final double MIN_TIME_FACTOR = 0.2;
+
+    private static final double MAX_TIME_FACTOR = 20;
+
+    /**
+     * Time after which half of a reported deviation is assumed to be over. The speed of an upstream
+     * changes many times a second.
+     */
+    private static final double REPORT_HALF_LIFE_NANOS = 2e8;
+
     private final ColdRateLimit mColdRateLimit = new ColdRateLimit();
     private final ResultMemory mResultMemory = new ResultMemory();
     private final PromptLoad mPromptLoad = new PromptLoad();
@@ -40,6 +51,8 @@
     private int mConsecutiveFailures;
     private int mInFlight;
     private double mSlowness = 1;
+    private double mTimeFactor = 1;
+    private long mTimeFactorAt;
 
     UpstreamNode(UpstreamAnnouncement entry, long now) {
         mEntry = entry;
@@ -67,6 +80,7 @@
             mLeaving = false;
             mConsecutiveFailures = 0;
             mSlowness = 1;
+            mTimeFactor = 1;
             mPromptLoad.clearPrefixes();
             mNamedRateLimit.clear();
         }
@@ -260,6 +274,25 @@
         return mSlowness;
     }
 
+    /**
+     * Records how long work takes at the upstream at this moment, as the upstream reports it.
+     *
+     * @param factor multiple of the usual time
+     */
+    public void reportTimeFactor(double factor, long now) {
+        mTimeFactor = Math.max(MIN_TIME_FACTOR, Math.min(MAX_TIME_FACTOR, factor));
+        mTimeFactorAt = now;
+    }
+
+    /**
+     * Returns how long work probably takes at the upstream now, as a multiple of the usual time.
+     * The latest report counts the less, the older it is.
+     */
+    public double timeFactor(long now) {
+        double weight = Math.pow(0.5, (now - mTimeFactorAt) / REPORT_HALF_LIFE_NANOS);
+        return 1 + weight * (mTimeFactor - 1);
+    }
+
     /**
      * Returns the time until which calls of other processes are expected to occupy the upstream.
      */
--- a/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
@@ -54,10 +54,14 @@
     }
 
     private BatchScheduler scheduler(int retries) {
+        return scheduler(retries, new LocalStagePolicy());
+    }
+
+    private BatchScheduler scheduler(int retries, StagePolicy policy) {
         SharedRetryBudget budget =
                 new SharedRetryBudget(mTime, 0, Duration.ofSeconds(10), () -> retries);
         return new BatchScheduler(
-                mUpstreams, mUpstreams, budget, mTime, mTime, Supervisors.rethrowing());
+                mUpstreams, mUpstreams, budget, mTime, mTime, Supervisors.rethrowing(), policy);
     }
 
     private String submit(int pieces) {
@@ -243,6 +247,23 @@
         assertEquals(mUpstreams.calls().size(), 2);
     }
 
+    /**
+     * An upstream reports that work takes ten times as long at this moment. Guards against a call
+     * that is given up, and an upstream that is avoided, because of a slow moment.
+     */
+    @Test
+    public void callToASlowUpstreamIsGivenMoreTime() {
+        use(limits(1 << 30), "north");
+        mScheduler = scheduler(100, new SharedStagePolicy());
+        submit(BATCH);
+        long usual = mUpstreams.lastTimeout().toMillis();
+        run(1000);
+        mUpstreams.upstreams().get(0).reportTimeFactor(10, mTime.nanoTime());
+        submit(BATCH);
+        long slow = mUpstreams.lastTimeout().toMillis();
+        assertTrue(slow >= 3 * usual, slow + " ms after " + usual);
+    }
+
     /** Other schedulers keep all upstreams busy for a while. */
     @Test
     public void rejectedPiecesAreExecutedOnceUpstreamsHaveCapacity() {
--- a/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
+++ b/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
@@ -189,7 +189,13 @@
         mSchedulers.put(
                 id,
                 new BatchScheduler(
-                        upstreams, upstreams, budget, mTime, mTime, Supervisors.rethrowing()));
+                        upstreams,
+                        upstreams,
+                        budget,
+                        mTime,
+                        mTime,
+                        Supervisors.rethrowing(),
+                        new LocalStagePolicy()));
     }
 
     /** Schedules requests of one kind that arrive at random (a Poisson process) for a while. */
--- a/core/src/test/java/org/boragethread/core/stage/SimUpstreams.java
+++ b/core/src/test/java/org/boragethread/core/stage/SimUpstreams.java
@@ -33,6 +33,7 @@
     private boolean mRejecting;
     private int mNextHandle;
     private int mOutOfMemory;
+    private Duration mLastTimeout = Duration.ZERO;
 
     /** Creates one upstream in each of the given data centres. */
     SimUpstreams(ManualTimeSource time, BatchLimits limits, String... dataCentres) {
@@ -53,6 +54,11 @@
         return mOutOfMemory;
     }
 
+    /** Returns the time within which the response to the latest call must arrive. */
+    Duration lastTimeout() {
+        return mLastTimeout;
+    }
+
     UpstreamDirectory directory() {
         return mDirectory;
     }
@@ -84,6 +90,7 @@
             Duration timeout,
             Consumer<Either<BatchFailure, BatchResponse>> callback) {
         mCalls.add(pieces);
+        mLastTimeout = timeout;
         if (mFailing.contains(upstream.entry().id().value())) {
             BatchFailure failure = new BatchFailure(BatchFailure.Kind.BROKEN, "broken");
             mTime.schedule(Duration.ofMillis(5), () -> callback.accept(Either.left(failure)));
--- a/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/StageRouterTest.java
@@ -52,7 +52,13 @@
                 new SharedRetryBudget(mTime, 0, Duration.ofSeconds(10), () -> 10);
         BatchScheduler local =
                 new BatchScheduler(
-                        mUpstreams, mUpstreams, budget, mTime, mTime, Supervisors.rethrowing());
+                        mUpstreams,
+                        mUpstreams,
+                        budget,
+                        mTime,
+                        mTime,
+                        Supervisors.rethrowing(),
+                        new LocalStagePolicy());
         mCoordinators = new CoordinatorTable(mTime, new DataCentreId("north"));
         mCoordinatorClient = new FakeCoordinatorClient();
         mRouter =
--- a/core/src/test/java/org/boragethread/core/stage/ThrowingPieceListenerTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/ThrowingPieceListenerTest.java
@@ -62,7 +62,8 @@
                         new SharedRetryBudget(mTime, 0, Duration.ofSeconds(10), () -> 100),
                         mTime,
                         mTime,
-                        new Supervisor(mGuard, cause -> mReports.add("stages")));
+                        new Supervisor(mGuard, cause -> mReports.add("stages")),
+                        new LocalStagePolicy());
     }
 
     private void submit(String request) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.boragethread.core.stage.BatchGroup;
+import org.boragethread.core.stage.StagePolicy;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.BatchLimits;
 import org.boragethread.model.routing.RoutedGroup;
@@ -16,10 +17,12 @@
 
     private final Gateway mGateway;
     private final GroupId mGroup;
+    private final StagePolicy mPolicy;
 
-    DirectoryBatchGroup(Gateway gateway, GroupId group) {
+    DirectoryBatchGroup(Gateway gateway, GroupId group, StagePolicy policy) {
         mGateway = gateway;
         mGroup = group;
+        mPolicy = policy;
     }
 
     @Override
@@ -53,11 +56,15 @@
         candidates.sort(
                 Comparator.comparing((UpstreamNode node) -> !isConfirmationDue(node, now))
                         .thenComparingLong(node -> node.busyTime(now).toMillis())
-                        .thenComparingDouble(node -> Math.round(node.slowness()))
+                        .thenComparingDouble(node -> Math.round(slowness(node, now)))
                         .thenComparingLong(this::tieBreaker));
         return candidates;
     }
 
+    private double slowness(UpstreamNode node, long now) {
+        return node.slowness() * mPolicy.timeFactor(node, now);
+    }
+
     private boolean isConfirmationDue(UpstreamNode node, long now) {
         return now >= node.busyUntil() && mGateway.rateLimitShare().isConfirmationDue(node, now);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -22,6 +22,9 @@
 import org.boragethread.core.stage.BatchClient;
 import org.boragethread.core.stage.BatchScheduler;
 import org.boragethread.core.stage.CoordinatorTable;
+import org.boragethread.core.stage.LocalStagePolicy;
+import org.boragethread.core.stage.SharedStagePolicy;
+import org.boragethread.core.stage.StagePolicy;
 import org.boragethread.core.stage.StageRouter;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
@@ -285,16 +288,22 @@
 
     /** Returns the scheduler of a group's pieces, used while this entry coordinates the group. */
     BatchScheduler batchScheduler(GroupId group) {
-        return mBatchSchedulers.computeIfAbsent(
-                group,
-                id ->
-                        new BatchScheduler(
-                                new DirectoryBatchGroup(this, id),
-                                mBatchClient,
-                                retryBudget(id),
-                                mScheduler,
-                                mTime,
-                                supervisor("stages", id.value())));
+        return mBatchSchedulers.computeIfAbsent(group, this::createBatchScheduler);
+    }
+
+    private BatchScheduler createBatchScheduler(GroupId group) {
+        StagePolicy policy =
+                mSettings.scheduling().isShared()
+                        ? new SharedStagePolicy()
+                        : new LocalStagePolicy();
+        return new BatchScheduler(
+                new DirectoryBatchGroup(this, group, policy),
+                mBatchClient,
+                retryBudget(group),
+                mScheduler,
+                mTime,
+                supervisor("stages", group.value()),
+                policy);
     }
 
     /** Returns the configuration of a group, if it is configured. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
@@ -30,6 +30,7 @@
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.ServerLoad;
 import org.boragethread.platform.store.HeaderDecoder;
 import org.boragethread.platform.store.MalformedRecordException;
 import org.boragethread.platform.store.PlatformHeaders;
@@ -172,7 +173,7 @@
         try {
             Optional<Integer> waiting =
                     HeaderDecoder.load(whole.headers().get(PlatformHeaders.LOAD))
-                            .map(load -> load[1]);
+                            .map(ServerLoad::queued);
             return Either.right(
                     new BatchResponse(StageCodec.decodeRun(whole.body(), pieces), waiting));
         } catch (MalformedRecordException e) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.UpstreamAnnouncement;
+import org.boragethread.model.upstream.ServerLoad;
 import org.boragethread.platform.store.HeaderDecoder;
 import org.boragethread.platform.store.PlatformHeaders;
 import org.boragethread.process.log.EventLog;
@@ -18,6 +20,7 @@
 
     private static final int MISDIRECTED = 421;
     private static final int UNAVAILABLE = 503;
+    private static final double PERCENT = 100;
     private static final String LEAVING_VALUE = "1";
 
     private final Scheduler mScheduler;
@@ -56,12 +59,26 @@
             return;
         }
         applyLeaving(node, headers.getAll(PlatformHeaders.LEAVING));
+        applyLoad(node, headers.get(PlatformHeaders.LOAD));
         applyRateLimit(node, sentAt, headers.getAll(PlatformHeaders.RATE_LIMIT));
         if (status == UNAVAILABLE) {
             applyPause(node, headers.getAll(PlatformHeaders.RETRY_AFTER));
         }
     }
 
+    private void applyLoad(UpstreamNode node, String value) {
+        Optional<ServerLoad> load = HeaderDecoder.load(value);
+        if (value != null && load.isEmpty()) {
+            logMalformed(node, PlatformHeaders.LOAD, List.of(value));
+        }
+        load.map(ServerLoad::timePercent)
+                .filter(OptionalInt::isPresent)
+                .ifPresent(
+                        percent ->
+                                node.reportTimeFactor(
+                                        percent.getAsInt() / PERCENT, mTime.nanoTime()));
+    }
+
     private void applyLeaving(UpstreamNode node, List<String> values) {
         if (values.isEmpty()) {
             return;
--- a/entry/src/test/java/org/boragethread/entry/gateway/DirectoryBatchGroupTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/DirectoryBatchGroupTest.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.boragethread.core.follow.ClockReading;
+import org.boragethread.core.stage.SharedStagePolicy;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.place.DataCentreId;
@@ -59,7 +60,7 @@
         mGateway = new Gateway(settings, mTime, mLoop, new GatewayMetrics());
         mGateway.directory().put(announcement("a"));
         mGateway.directory().put(announcement("b"));
-        mGroup = new DirectoryBatchGroup(mGateway, ENCODERS);
+        mGroup = new DirectoryBatchGroup(mGateway, ENCODERS, new SharedStagePolicy());
     }
 
     @AfterMethod(alwaysRun = true)
@@ -105,6 +106,17 @@
         assertEquals(mGroup.upstreams().get(0), limited);
     }
 
+    // Guards against calls to an upstream that is slow at this moment beside one that is not, and
+    // against a slow moment that is remembered for long.
+    @Test
+    public void upstreamThatReportsASlowMomentGoesLast() {
+        UpstreamNode slow = mGroup.upstreams().get(0);
+        slow.reportTimeFactor(3, mTime.nanoTime());
+        assertNotEquals(mGroup.upstreams().get(0), slow);
+        mTime.advance(Duration.ofSeconds(1));
+        assertEquals(mGroup.upstreams().get(0), slow);
+    }
+
     // Guards against an upstream that this entry never called and that it takes for the busiest.
     @Test
     public void upstreamThatWasNeverCalledGoesBeforeABusyOne() {
