End stages by the gap after which a stream's caller gives up

Requests were kept in the queue until their deadline although their callers cancel after a gap without an event: 2 s, four times the target latency or eight times the target gap, whichever is longest. With shared scheduling, stages and the search for an upstream use the earlier of both times, counted from the last event that was delivered if the stream resumes. The message StageWork carries the team and whether the request continues a stream, for the order at the coordinator.

--- a/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
@@ -8,9 +8,16 @@
  *     answered in time
  * @param holdsInputs whether its inputs occupy scarce memory until it is complete
  * @param hasDependents whether other stages need its result
+ * @param team team that its request belongs to; empty if it is not known
+ * @param isContinuation whether its request continues a stream of which the caller has a part
  */
 public record PieceUrgency(
-        int priority, long targetNanos, boolean holdsInputs, boolean hasDependents) {
+        int priority,
+        long targetNanos,
+        boolean holdsInputs,
+        boolean hasDependents,
+        String team,
+        boolean isContinuation) {
 
     /**
      * Added to the priority of a request that will miss its target. The request then yields to
@@ -19,6 +26,12 @@
      */
     private static final double LATE_PENALTY = 1.5;
 
+    /** Creates the urgency of a piece of a new stream whose team is not known. */
+    public PieceUrgency(
+            int priority, long targetNanos, boolean holdsInputs, boolean hasDependents) {
+        this(priority, targetNanos, holdsInputs, hasDependents, "", false);
+    }
+
     /**
      * Returns the priority used for scheduling; lower values go first. A request that will miss its
      * target anyway is deferred.
--- a/core/src/main/java/org/boragethread/core/stage/StageRequest.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRequest.java
@@ -16,6 +16,8 @@
  * @param targetNanos monotonic time by which the request should be answered to have its full value
  * @param priority 0 is the most urgent
  * @param destination data centre in which the results will be used, if known
+ * @param team team that the request belongs to; empty if it is not known
+ * @param isContinuation whether the request continues a stream of which its caller has a part
  */
 public record StageRequest(
         String requestId,
@@ -25,4 +27,6 @@
         long deadlineNanos,
         long targetNanos,
         int priority,
-        Optional<DataCentreId> destination) {}
+        Optional<DataCentreId> destination,
+        String team,
+        boolean isContinuation) {}
--- a/core/src/main/java/org/boragethread/core/stage/StageRun.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRun.java
@@ -164,7 +164,9 @@
                         mRequest.priority(),
                         mRequest.targetNanos() - expectedTimeAfter,
                         holdsInputs(stage),
-                        hasDependents(stage));
+                        hasDependents(stage),
+                        mRequest.team(),
+                        mRequest.isContinuation());
         List<PendingPiece> pieces = new ArrayList<>();
         for (int number = 0; number < mRequest.pieces()[stage]; number++) {
             PieceWork work =
--- a/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
+++ b/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
@@ -311,7 +311,9 @@
                                     + Duration.ofMillis(mKind.mDeadlineMillis - reserve).toNanos(),
                             mArrivedAt + Duration.ofMillis(mKind.mTargetMillis - reserve).toNanos(),
                             mKind.mPriority,
-                            Optional.of(mDestination));
+                            Optional.of(mDestination),
+                            "",
+                            false);
             StageRun run =
                     new StageRun(request, mRouter::queue, mRouter, this::dataCentreOf, mTime, this);
             mRun = Optional.of(run);
--- a/core/src/test/java/org/boragethread/core/stage/StageRunTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/StageRunTest.java
@@ -53,7 +53,9 @@
                         Duration.ofSeconds(6).toNanos(),
                         Duration.ofSeconds(2).toNanos(),
                         0,
-                        Optional.of(SOUTH));
+                        Optional.of(SOUTH),
+                        "team",
+                        false);
         StageRun run =
                 new StageRun(
                         request,
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -54,10 +54,10 @@
         mGateway = gateway;
         mRequest = request;
         mResponseWriter = responseWriter;
-        mStream = new ForwardedStream(responseWriter);
+        mStream = new ForwardedStream(responseWriter, gateway.time());
         mTrace = new RequestTrace(gateway, request);
         mPrompt = new QuarantineGuard(gateway, mTrace);
-        mStages = new StagePhase(gateway, request, this);
+        mStages = new StagePhase(gateway, request, mStream, this);
         mSearch = new UpstreamSearch(gateway.chooser(), gateway.time());
         mContinuation = new StreamContinuation(gateway, request, mTrace);
         mVersions = new VersionWait(gateway, mTrace, mContinuation);
@@ -135,11 +135,11 @@
             return;
         }
         Duration needed = mAdmitted.expectedStageTime(mGateway);
-        if (needed.compareTo(remaining()) > 0) {
+        Duration left = mStages.timeLeft(mAdmitted, mFeedback.responseTimes());
+        if (needed.compareTo(left) > 0) {
             fail(
                     RefusalReason.DEADLINE_HOPELESS,
-                    "stages need %d ms, %d ms remain"
-                            .formatted(needed.toMillis(), remaining().toMillis()),
+                    "stages need %d ms, %d ms remain".formatted(needed.toMillis(), left.toMillis()),
                     backlogRetryAfter());
             return;
         }
@@ -189,7 +189,7 @@
     }
 
     private void searchAgain(ChoiceRequest choice) {
-        mSearch.next(choice, remaining(), mRequest.unitHash())
+        mSearch.next(choice, mStages.remaining(mAdmitted), mRequest.unitHash())
                 .peek(mTrace::waiting)
                 .peek(delay -> mGateway.scheduler().schedule(delay, this::send))
                 .peekLeft(this::failSearch);
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedStream.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedStream.java
@@ -4,6 +4,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import java.util.OptionalLong;
+import org.boragethread.core.time.TimeSource;
 
 /**
  * The response to one caller whose body is forwarded while it arrives. A resumable event stream is
@@ -12,14 +14,17 @@
 final class ForwardedStream {
 
     private final CallerResponseWriter mWriter;
+    private final TimeSource mTime;
     private final EventStreamBuffer mEvents = new EventStreamBuffer();
     private boolean mStarted;
     private boolean mResumable;
     private boolean mBegun;
+    private OptionalLong mLastEventAt = OptionalLong.empty();
     private Runnable mOnBegin = () -> {};
 
-    ForwardedStream(CallerResponseWriter writer) {
+    ForwardedStream(CallerResponseWriter writer, TimeSource time) {
         mWriter = writer;
+        mTime = time;
     }
 
     /** Returns whether the head of the response was forwarded. */
@@ -46,6 +51,7 @@
         ByteBuf output = mResumable ? mEvents.append(data) : Unpooled.copiedBuffer(data);
         if (output.isReadable()) {
             begin();
+            mLastEventAt = OptionalLong.of(mTime.nanoTime());
             mWriter.sendBody(output);
         }
         return mWriter.isWritable();
@@ -68,6 +74,11 @@
         mEvents.dropPartial();
     }
 
+    /** Returns the monotonic time at which a part of the body was last forwarded. */
+    OptionalLong lastEventAt() {
+        return mLastEventAt;
+    }
+
     /** Returns the ID of the last event that was forwarded. */
     Optional<String> lastEventId() {
         return mEvents.lastId();
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -106,6 +106,8 @@
                         .setPriority(first.urgency().priority())
                         .setHoldsInputs(first.urgency().holdsInputs())
                         .setFollowed(first.urgency().hasDependents())
+                        .setTeam(first.urgency().team())
+                        .setContinues(first.urgency().isContinuation())
                         .setPreferred(
                                 first.preferred().map(dataCentre -> dataCentre.value()).orElse(""));
         pieces.forEach(piece -> builder.addNumbers(piece.work().number()));
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -172,7 +172,9 @@
                         work.getPriority(),
                         now + work.getTargetLeftNanos(),
                         work.getHoldsInputs(),
-                        work.getFollowed());
+                        work.getFollowed(),
+                        work.getTeam(),
+                        work.getContinues());
         Optional<DataCentreId> preferred =
                 Optional.of(work.getPreferred())
                         .filter(name -> !name.isEmpty())
--- a/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
@@ -1,5 +1,6 @@
 package org.boragethread.entry.gateway;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.boragethread.core.stage.StageFailure;
@@ -17,6 +18,8 @@
 
     private final Gateway mGateway;
     private final CallerRequest mRequest;
+    private final ForwardedStream mStream;
+    private final EventDeadline mDeadline;
     private final Listener mListener;
     private Optional<StageRun> mRun = Optional.empty();
     private List<String> mResults = List.of();
@@ -32,12 +35,30 @@
         void onStagesFailed(StageFailure failure);
     }
 
-    StagePhase(Gateway gateway, CallerRequest request, Listener listener) {
+    StagePhase(Gateway gateway, CallerRequest request, ForwardedStream stream, Listener listener) {
         mGateway = gateway;
         mRequest = request;
+        mStream = stream;
+        mDeadline =
+                new EventDeadline(
+                        gateway.settings().scheduling(),
+                        gateway.time(),
+                        request.arrivedAt().nanos(),
+                        stream::lastEventAt);
         mListener = listener;
     }
 
+    /** Returns the time after which no work on the request is of use. */
+    Duration remaining(AdmittedRequest admitted) {
+        long left = mDeadline.nanos(admitted) - mGateway.time().nanoTime();
+        return Duration.ofNanos(Math.max(0, left));
+    }
+
+    /** Returns the time in which the stages have to end. */
+    Duration timeLeft(AdmittedRequest admitted, ResponseTimeModel responseTimes) {
+        return mDeadline.timeLeft(admitted, responseTimes);
+    }
+
     /**
      * Runs all stages. Large results are placed in the data centre that will use them.
      *
@@ -56,10 +77,12 @@
                         admitted.route().stages(),
                         admitted.pieces(),
                         mRequest.headers().get(PlatformHeaders.PIECE_KEY, ""),
-                        admitted.deadlineNanos() - responseNanos,
+                        mDeadline.nanos(admitted) - responseNanos,
                         admitted.targetNanos() - responseNanos,
                         admitted.priority(),
-                        preferred);
+                        preferred,
+                        admitted.team(),
+                        mStream.lastEventAt().isPresent());
         StageRun run =
                 new StageRun(
                         request,
--- a/wire/src/main/java/org/boragethread/wire/proto/StageWork.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/StageWork.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Asks the coordinator of a group to make the pieces of one stage of one request.
+ * Requests that the coordinator of a group runs pieces of one stage of a request.
  * </pre>
  *
  * Protobuf type {@code boragethread.peer.StageWork}
@@ -38,6 +38,7 @@
     inputs_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     preferred_ = "";
+    team_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -215,7 +216,7 @@
   private boolean needsInputs_ = false;
   /**
    * <pre>
-   * Whether the stage needs results, even if their list is empty.
+   * Whether the stage needs input results, even if the list of inputs is empty.
    * </pre>
    *
    * <code>bool needs_inputs = 6;</code>
@@ -278,7 +279,7 @@
   private long deadlineLeftNanos_ = 0L;
   /**
    * <pre>
-   * Time left, in nanoseconds, as clocks differ between processes.
+   * Remaining time in nanoseconds, since the clocks of processes are not synchronized.
    * </pre>
    *
    * <code>int64 deadline_left_nanos = 9;</code>
@@ -316,7 +317,7 @@
   private volatile java.lang.Object preferred_ = "";
   /**
    * <pre>
-   * Data centre in which the results are wanted; empty if any will do.
+   * Preferred data centre for the results; empty if there is no preference.
    * </pre>
    *
    * <code>string preferred = 12;</code>
@@ -337,7 +338,7 @@
   }
   /**
    * <pre>
-   * Data centre in which the results are wanted; empty if any will do.
+   * Preferred data centre for the results; empty if there is no preference.
    * </pre>
    *
    * <code>string preferred = 12;</code>
@@ -362,7 +363,7 @@
   private boolean holdsInputs_ = false;
   /**
    * <pre>
-   * Whether inputs of the stage occupy scarce memory until it is made.
+   * Whether inputs of the stage occupy scarce memory until the stage has run.
    * </pre>
    *
    * <code>bool holds_inputs = 13;</code>
@@ -388,6 +389,68 @@
     return followed_;
   }
 
+  public static final int TEAM_FIELD_NUMBER = 15;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object team_ = "";
+  /**
+   * <pre>
+   * Team that the request belongs to; empty if it is not known.
+   * </pre>
+   *
+   * <code>string team = 15;</code>
+   * @return The team.
+   */
+  @java.lang.Override
+  public java.lang.String getTeam() {
+    java.lang.Object ref = team_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      team_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Team that the request belongs to; empty if it is not known.
+   * </pre>
+   *
+   * <code>string team = 15;</code>
+   * @return The bytes for team.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getTeamBytes() {
+    java.lang.Object ref = team_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      team_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int CONTINUES_FIELD_NUMBER = 16;
+  private boolean continues_ = false;
+  /**
+   * <pre>
+   * Whether the request continues a stream of which its caller has a part.
+   * </pre>
+   *
+   * <code>bool continues = 16;</code>
+   * @return The continues.
+   */
+  @java.lang.Override
+  public boolean getContinues() {
+    return continues_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -449,6 +512,12 @@
     if (followed_ != false) {
       output.writeBool(14, followed_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(team_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 15, team_);
+    }
+    if (continues_ != false) {
+      output.writeBool(16, continues_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -524,6 +593,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(14, followed_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(team_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(15, team_);
+    }
+    if (continues_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(16, continues_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -567,6 +643,10 @@
         != other.getHoldsInputs()) return false;
     if (getFollowed()
         != other.getFollowed()) return false;
+    if (!getTeam()
+        .equals(other.getTeam())) return false;
+    if (getContinues()
+        != other.getContinues()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -616,6 +696,11 @@
     hash = (37 * hash) + FOLLOWED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getFollowed());
+    hash = (37 * hash) + TEAM_FIELD_NUMBER;
+    hash = (53 * hash) + getTeam().hashCode();
+    hash = (37 * hash) + CONTINUES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getContinues());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -715,7 +800,7 @@
   }
   /**
    * <pre>
-   * Asks the coordinator of a group to make the pieces of one stage of one request.
+   * Requests that the coordinator of a group runs pieces of one stage of a request.
    * </pre>
    *
    * Protobuf type {@code boragethread.peer.StageWork}
@@ -766,6 +851,8 @@
       preferred_ = "";
       holdsInputs_ = false;
       followed_ = false;
+      team_ = "";
+      continues_ = false;
       return this;
     }
 
@@ -843,6 +930,12 @@
       if (((from_bitField0_ & 0x00002000) != 0)) {
         result.followed_ = followed_;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.team_ = team_;
+      }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.continues_ = continues_;
+      }
     }
 
     @java.lang.Override
@@ -922,6 +1015,14 @@
       if (other.getFollowed() != false) {
         setFollowed(other.getFollowed());
       }
+      if (!other.getTeam().isEmpty()) {
+        team_ = other.team_;
+        bitField0_ |= 0x00004000;
+        onChanged();
+      }
+      if (other.getContinues() != false) {
+        setContinues(other.getContinues());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1030,6 +1131,16 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 112
+            case 122: {
+              team_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 122
+            case 128: {
+              continues_ = input.readBool();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 128
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1382,7 +1493,7 @@
     private boolean needsInputs_ ;
     /**
      * <pre>
-     * Whether the stage needs results, even if their list is empty.
+     * Whether the stage needs input results, even if the list of inputs is empty.
      * </pre>
      *
      * <code>bool needs_inputs = 6;</code>
@@ -1394,7 +1505,7 @@
     }
     /**
      * <pre>
-     * Whether the stage needs results, even if their list is empty.
+     * Whether the stage needs input results, even if the list of inputs is empty.
      * </pre>
      *
      * <code>bool needs_inputs = 6;</code>
@@ -1410,7 +1521,7 @@
     }
     /**
      * <pre>
-     * Whether the stage needs results, even if their list is empty.
+     * Whether the stage needs input results, even if the list of inputs is empty.
      * </pre>
      *
      * <code>bool needs_inputs = 6;</code>
@@ -1569,7 +1680,7 @@
     private long deadlineLeftNanos_ ;
     /**
      * <pre>
-     * Time left, in nanoseconds, as clocks differ between processes.
+     * Remaining time in nanoseconds, since the clocks of processes are not synchronized.
      * </pre>
      *
      * <code>int64 deadline_left_nanos = 9;</code>
@@ -1581,7 +1692,7 @@
     }
     /**
      * <pre>
-     * Time left, in nanoseconds, as clocks differ between processes.
+     * Remaining time in nanoseconds, since the clocks of processes are not synchronized.
      * </pre>
      *
      * <code>int64 deadline_left_nanos = 9;</code>
@@ -1597,7 +1708,7 @@
     }
     /**
      * <pre>
-     * Time left, in nanoseconds, as clocks differ between processes.
+     * Remaining time in nanoseconds, since the clocks of processes are not synchronized.
      * </pre>
      *
      * <code>int64 deadline_left_nanos = 9;</code>
@@ -1677,7 +1788,7 @@
     private java.lang.Object preferred_ = "";
     /**
      * <pre>
-     * Data centre in which the results are wanted; empty if any will do.
+     * Preferred data centre for the results; empty if there is no preference.
      * </pre>
      *
      * <code>string preferred = 12;</code>
@@ -1697,7 +1808,7 @@
     }
     /**
      * <pre>
-     * Data centre in which the results are wanted; empty if any will do.
+     * Preferred data centre for the results; empty if there is no preference.
      * </pre>
      *
      * <code>string preferred = 12;</code>
@@ -1718,7 +1829,7 @@
     }
     /**
      * <pre>
-     * Data centre in which the results are wanted; empty if any will do.
+     * Preferred data centre for the results; empty if there is no preference.
      * </pre>
      *
      * <code>string preferred = 12;</code>
@@ -1735,7 +1846,7 @@
     }
     /**
      * <pre>
-     * Data centre in which the results are wanted; empty if any will do.
+     * Preferred data centre for the results; empty if there is no preference.
      * </pre>
      *
      * <code>string preferred = 12;</code>
@@ -1749,7 +1860,7 @@
     }
     /**
      * <pre>
-     * Data centre in which the results are wanted; empty if any will do.
+     * Preferred data centre for the results; empty if there is no preference.
      * </pre>
      *
      * <code>string preferred = 12;</code>
@@ -1769,7 +1880,7 @@
     private boolean holdsInputs_ ;
     /**
      * <pre>
-     * Whether inputs of the stage occupy scarce memory until it is made.
+     * Whether inputs of the stage occupy scarce memory until the stage has run.
      * </pre>
      *
      * <code>bool holds_inputs = 13;</code>
@@ -1781,7 +1892,7 @@
     }
     /**
      * <pre>
-     * Whether inputs of the stage occupy scarce memory until it is made.
+     * Whether inputs of the stage occupy scarce memory until the stage has run.
      * </pre>
      *
      * <code>bool holds_inputs = 13;</code>
@@ -1797,7 +1908,7 @@
     }
     /**
      * <pre>
-     * Whether inputs of the stage occupy scarce memory until it is made.
+     * Whether inputs of the stage occupy scarce memory until the stage has run.
      * </pre>
      *
      * <code>bool holds_inputs = 13;</code>
@@ -1854,6 +1965,142 @@
       return this;
     }
 
+    private java.lang.Object team_ = "";
+    /**
+     * <pre>
+     * Team that the request belongs to; empty if it is not known.
+     * </pre>
+     *
+     * <code>string team = 15;</code>
+     * @return The team.
+     */
+    public java.lang.String getTeam() {
+      java.lang.Object ref = team_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        team_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Team that the request belongs to; empty if it is not known.
+     * </pre>
+     *
+     * <code>string team = 15;</code>
+     * @return The bytes for team.
+     */
+    public com.google.protobuf.ByteString
+        getTeamBytes() {
+      java.lang.Object ref = team_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        team_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Team that the request belongs to; empty if it is not known.
+     * </pre>
+     *
+     * <code>string team = 15;</code>
+     * @param value The team to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTeam(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      team_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Team that the request belongs to; empty if it is not known.
+     * </pre>
+     *
+     * <code>string team = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTeam() {
+      team_ = getDefaultInstance().getTeam();
+      bitField0_ = (bitField0_ & ~0x00004000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Team that the request belongs to; empty if it is not known.
+     * </pre>
+     *
+     * <code>string team = 15;</code>
+     * @param value The bytes for team to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTeamBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      team_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+
+    private boolean continues_ ;
+    /**
+     * <pre>
+     * Whether the request continues a stream of which its caller has a part.
+     * </pre>
+     *
+     * <code>bool continues = 16;</code>
+     * @return The continues.
+     */
+    @java.lang.Override
+    public boolean getContinues() {
+      return continues_;
+    }
+    /**
+     * <pre>
+     * Whether the request continues a stream of which its caller has a part.
+     * </pre>
+     *
+     * <code>bool continues = 16;</code>
+     * @param value The continues to set.
+     * @return This builder for chaining.
+     */
+    public Builder setContinues(boolean value) {
+
+      continues_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the request continues a stream of which its caller has a part.
+     * </pre>
+     *
+     * <code>bool continues = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearContinues() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      continues_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:boragethread.peer.StageWork)
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/StageWorkOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/StageWorkOrBuilder.java
@@ -70,7 +70,7 @@
 
   /**
    * <pre>
-   * Whether the stage needs results, even if their list is empty.
+   * Whether the stage needs input results, even if the list of inputs is empty.
    * </pre>
    *
    * <code>bool needs_inputs = 6;</code>
@@ -111,7 +111,7 @@
 
   /**
    * <pre>
-   * Time left, in nanoseconds, as clocks differ between processes.
+   * Remaining time in nanoseconds, since the clocks of processes are not synchronized.
    * </pre>
    *
    * <code>int64 deadline_left_nanos = 9;</code>
@@ -133,7 +133,7 @@
 
   /**
    * <pre>
-   * Data centre in which the results are wanted; empty if any will do.
+   * Preferred data centre for the results; empty if there is no preference.
    * </pre>
    *
    * <code>string preferred = 12;</code>
@@ -142,7 +142,7 @@
   java.lang.String getPreferred();
   /**
    * <pre>
-   * Data centre in which the results are wanted; empty if any will do.
+   * Preferred data centre for the results; empty if there is no preference.
    * </pre>
    *
    * <code>string preferred = 12;</code>
@@ -153,7 +153,7 @@
 
   /**
    * <pre>
-   * Whether inputs of the stage occupy scarce memory until it is made.
+   * Whether inputs of the stage occupy scarce memory until the stage has run.
    * </pre>
    *
    * <code>bool holds_inputs = 13;</code>
@@ -170,4 +170,34 @@
    * @return The followed.
    */
   boolean getFollowed();
+
+  /**
+   * <pre>
+   * Team that the request belongs to; empty if it is not known.
+   * </pre>
+   *
+   * <code>string team = 15;</code>
+   * @return The team.
+   */
+  java.lang.String getTeam();
+  /**
+   * <pre>
+   * Team that the request belongs to; empty if it is not known.
+   * </pre>
+   *
+   * <code>string team = 15;</code>
+   * @return The bytes for team.
+   */
+  com.google.protobuf.ByteString
+      getTeamBytes();
+
+  /**
+   * <pre>
+   * Whether the request continues a stream of which its caller has a part.
+   * </pre>
+   *
+   * <code>bool continues = 16;</code>
+   * @return The continues.
+   */
+  boolean getContinues();
 }
