Reserve result memory for stages that fit nowhere, and share evenly among teams

Requests with large results were passed by small ones that found memory, and waited until their callers cancelled. With shared scheduling, an upstream is reserved for a stage that fits nowhere (a third of the upstreams at most, at least one): it takes only more urgent stages, and others while the reserved one still fits as soon as the older results are freed. Stages in time precede late ones, then priority and latest start count, teams that wait get equal shares, and one batch in eight is led by the stage that has waited longest. A continued stream ranks as in time. A stage that waits is refused when the next call would end too late, not at its deadline.

The local order is unchanged.

--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -129,29 +128,33 @@
     }
 
     private void sendPending() {
-        removeObsolete();
+        mPending.removeIf(PendingPiece::isCancelled);
         if (mPending.isEmpty()) {
             return;
         }
         long now = mTime.nanoTime();
-        long callNanos = minTime(1);
-        mPending.sort(
-                Comparator.comparingDouble(
-                                (PendingPiece piece) -> piece.effectivePriority(now, callNanos))
-                        .thenComparingLong(piece -> piece.urgency().targetNanos()));
         Optional<BatchLimits> limits = mGroup.limits();
         if (limits.isEmpty()) {
             failAll(StageFailure.Kind.NO_UPSTREAM);
             return;
         }
         List<UpstreamNode> upstreams = mGroup.upstreams();
+        failLatePieces(limits.get(), upstreams, now);
+        replacePending(mPolicy.order(mPending, limits.get(), now));
+        mPolicy.beginDispatch(mPending, upstreams, limits.get(), now);
+        BatchSelection selection =
+                new BatchSelection(
+                        mPolicy, mPending, upstreams, limits.get(), this::availableAt, now);
         for (UpstreamNode upstream : upstreams) {
             if (mPending.isEmpty()) {
                 return;
             }
             if (canTakeCall(upstream, limits.get(), now)) {
-                List<PendingPiece> batch = selectBatch(upstream, upstreams, limits.get());
+                boolean backlogged = isBacklogged(upstreams, limits.get());
+                List<PendingPiece> batch = selection.select(upstream, backlogged);
+                mPending.removeAll(batch);
                 if (!batch.isEmpty()) {
+                    mPolicy.onSelected(upstream, batch, limits.get());
                     BatchCall call = new BatchCall(upstream, batch);
                     mSupervisor.run(() -> send(call, limits.get()), () -> abandon(call));
                 }
@@ -160,6 +163,11 @@
         schedulePoll();
     }
 
+    private void replacePending(List<PendingPiece> pieces) {
+        mPending.clear();
+        mPending.addAll(pieces);
+    }
+
     /**
      * Returns whether an upstream can take a call now: a slot is free, or a call sent now would
      * arrive just as the previous one ends.
@@ -176,46 +184,6 @@
         return endsSoon && upstream.inFlight() == limits.slots() && limits.queue() > 0;
     }
 
-    /**
-     * Removes the most urgent pieces that the given upstream should execute from the pending ones.
-     * Pieces of one stage of a request stay together if they fit into one call: the stage ends with
-     * its last piece, and until then the results of the others occupy memory without use.
-     */
-    private List<PendingPiece> selectBatch(
-            UpstreamNode upstream, List<UpstreamNode> upstreams, BatchLimits limits) {
-        List<PendingPiece> batch = new ArrayList<>();
-        long usedBytes = upstream.resultMemory().usedBytes(mTime.nanoTime());
-        long freeBytes = usableBytes(limits) - usedBytes;
-        boolean backlogged = isBacklogged(upstreams, limits);
-        PreferredDataCentres preferred =
-                new PreferredDataCentres(upstreams, limits, this::availableAt, mTime.nanoTime());
-        int next = 0;
-        while (next < mPending.size() && batch.size() < limits.batch()) {
-            List<PendingPiece> stage = piecesOfSameStage(next);
-            next += stage.size();
-            int pieces = stage.size();
-            PendingPiece first = stage.get(0);
-            boolean waits = preferred.shouldWait(first, pieces, upstream);
-            preferred.addPiecesAhead(first, pieces);
-            stage.removeIf(piece -> waits || piece.failedAt(upstream) && upstreams.size() > 1);
-            if (stage.isEmpty()) {
-                continue;
-            }
-            int size = Math.min(stage.size(), limits.batch());
-            int freePieces = limits.batch() - batch.size();
-            int selected = Math.min(size, freePieces);
-            long bytes = selected * stage.get(0).work().resultBytes();
-            boolean fitsMemory = bytes <= freeBytes || usedBytes == 0 && batch.isEmpty();
-            if (fitsMemory && (size <= freePieces || backlogged)) {
-                batch.addAll(stage.subList(0, selected));
-                stage.subList(selected, stage.size()).forEach(PendingPiece::markStagePartlySent);
-                freeBytes -= bytes;
-            }
-        }
-        mPending.removeAll(batch);
-        return batch;
-    }
-
     /** Returns the time of the given number of full calls, in nanoseconds. */
     private static long fullCalls(BatchLimits limits, double calls) {
         return (long) (limits.expectedTime(limits.batch()).toNanos() * calls);
@@ -227,7 +195,8 @@
                 .orElse(POLL_INTERVAL);
     }
 
-    private static long usableBytes(BatchLimits limits) {
+    /** Returns the memory of an upstream that results may fill, in bytes. */
+    static long usableBytes(BatchLimits limits) {
         return (long) (limits.resultBytes() * USABLE_MEMORY_SHARE);
     }
 
@@ -241,24 +210,6 @@
         return mPending.size() > available * limits.batch();
     }
 
-    /**
-     * Returns the pending pieces from the given index on that belong to the same stage of the same
-     * request. Sorting leaves them next to each other.
-     */
-    private List<PendingPiece> piecesOfSameStage(int from) {
-        List<PendingPiece> pieces = new ArrayList<>();
-        PieceListener listener = mPending.get(from).listener();
-        int stage = mPending.get(from).work().stage();
-        for (int i = from; i < mPending.size(); i++) {
-            PendingPiece piece = mPending.get(i);
-            if (piece.listener() != listener || piece.work().stage() != stage) {
-                break;
-            }
-            pieces.add(piece);
-        }
-        return pieces;
-    }
-
     /** Returns the monotonic time at which an upstream is expected to start another call. */
     private long availableAt(UpstreamNode upstream) {
         long expectedEnd = mExpectedEnds.getOrDefault(upstream, Long.MIN_VALUE);
@@ -455,14 +406,16 @@
         }
     }
 
-    /** Removes cancelled pieces, and fails those that can no longer meet their deadline. */
-    private void removeObsolete() {
-        mPending.removeIf(PendingPiece::isCancelled);
-        long now = mTime.nanoTime();
-        long callNanos = minTime(1);
+    /** Fails the pieces that can no longer meet their deadline. */
+    private void failLatePieces(BatchLimits limits, List<UpstreamNode> upstreams, long now) {
+        long earliest =
+                upstreams.stream()
+                        .mapToLong(upstream -> Math.max(now, availableAt(upstream)))
+                        .min()
+                        .orElse(now);
         List<PendingPiece> late = new ArrayList<>();
         for (PendingPiece piece : mPending) {
-            if (piece.cannotMeetDeadline(now, callNanos)) {
+            if (mPolicy.cannotMeetDeadline(piece, limits, now, earliest)) {
                 late.add(piece);
             }
         }
--- a/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
+++ b/core/src/main/java/org/boragethread/core/stage/PendingPiece.java
@@ -101,6 +101,10 @@
         mStagePartlySent = true;
     }
 
+    boolean isStagePartlySent() {
+        return mStagePartlySent;
+    }
+
     /** Returns the priority used for scheduling at the given time; lower values go first. */
     double effectivePriority(long now, long callNanos) {
         return mStagePartlySent ? PARTLY_SENT_PRIORITY : mUrgency.effectivePriority(now, callNanos);
--- a/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
@@ -57,7 +57,7 @@
      * progress in this group, and its successors for one in the next group. There is no reserve
      * once inputs occupy scarce memory.
      */
-    private int requiredCalls() {
+    int requiredCalls() {
         if (holdsInputs) {
             return 1;
         }
--- a/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
@@ -1,10 +1,46 @@
 package org.boragethread.core.stage;
 
+import java.util.List;
 import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.routing.BatchLimits;
 
 /** How the pieces of one group share its upstreams. Not thread-safe. */
 public interface StagePolicy {
 
     /** Returns how long work takes at an upstream now, as a multiple of the usual time. */
     double timeFactor(UpstreamNode upstream, long now);
+
+    /**
+     * Returns pending pieces in the order in which they should be sent; those of one stage are next
+     * to each other.
+     */
+    List<PendingPiece> order(List<PendingPiece> pending, BatchLimits limits, long now);
+
+    /**
+     * Returns whether the result of a piece would come too late to be useful.
+     *
+     * @param earliestStart monotonic time at which an upstream can start another call
+     */
+    boolean cannotMeetDeadline(
+            PendingPiece piece, BatchLimits limits, long now, long earliestStart);
+
+    /**
+     * Prepares a dispatch of pieces.
+     *
+     * @param ordered all pending pieces in their order
+     * @param upstreams upstreams that may be called
+     */
+    void beginDispatch(
+            List<PendingPiece> ordered, List<UpstreamNode> upstreams, BatchLimits limits, long now);
+
+    /**
+     * Returns whether pieces of one stage may be sent to an upstream that has memory for them.
+     *
+     * @param first first of the pieces
+     * @param bytes size of their results
+     */
+    boolean mayUse(UpstreamNode upstream, PendingPiece first, long bytes);
+
+    /** Called when pieces were selected for a call. */
+    void onSelected(UpstreamNode upstream, List<PendingPiece> batch, BatchLimits limits);
 }
--- a/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
@@ -29,9 +29,13 @@
     private BatchScheduler mScheduler;
     private Recorder mRecorder;
     private int mRequests;
+    private String mTeam;
+    private boolean mContinuation;
 
     @BeforeMethod
     public void makeScheduler() {
+        mTeam = "";
+        mContinuation = false;
         use(limits(1 << 30), "north", "south");
     }
 
@@ -75,7 +79,12 @@
         long now = mTime.nanoTime();
         PieceUrgency urgency =
                 new PieceUrgency(
-                        priority, now + Duration.ofMillis(targetMillis).toNanos(), false, false);
+                        priority,
+                        now + Duration.ofMillis(targetMillis).toNanos(),
+                        false,
+                        false,
+                        mTeam,
+                        mContinuation);
         Stage stage = new Stage(request, pieces);
         List<PendingPiece> pending = new ArrayList<>();
         for (int number = 0; number < pieces; number++) {
@@ -301,6 +310,78 @@
         assertTrue(mRecorder.mFailures.contains(StageFailure.Kind.DEADLINE));
     }
 
+    private void useSharedPolicy(long resultBytes) {
+        use(limits(resultBytes), "north");
+        mScheduler = scheduler(100, new SharedStagePolicy());
+        mRecorder.mFreeAfter = Duration.ofMillis(700);
+    }
+
+    /**
+     * Less urgent small stages arrive without end and always find memory. Guards against a large
+     * one that they pass until its caller gives up.
+     */
+    @Test
+    public void memoryIsKeptForALargeStageThatFitsNowhere() {
+        useSharedPolicy(9 * RESULT_BYTES);
+        for (int i = 0; i < 10; i++) {
+            submit(2, 1, 3000, Optional.empty());
+            run(60);
+        }
+        String large = submit(BATCH, 0, 5000, Optional.empty());
+        for (int i = 0; i < 30; i++) {
+            submit(2, 1, 3000, Optional.empty());
+            run(60);
+        }
+        assertTrue(mRecorder.mDone.contains(large), "passed by " + mRecorder.mDone.size());
+    }
+
+    /** Guards against a priority that is never served while more urgent requests wait. */
+    @Test
+    public void oneBatchInEightIsLedByTheStageThatHasWaitedLongest() {
+        useSharedPolicy(1 << 30);
+        String low = submit(BATCH, 2, 9000, Optional.empty());
+        String lowToo = submit(BATCH, 2, 9000, Optional.empty());
+        run(1);
+        for (int i = 0; i < 15; i++) {
+            submit(BATCH, 0, 9000, Optional.empty());
+        }
+        run(5800);
+        assertEquals(mRecorder.mDone.get(0), low);
+        assertEquals(mRecorder.mDone.indexOf(lowToo), 7);
+    }
+
+    /** Guards against a team whose few requests wait behind the many of another one. */
+    @Test
+    public void teamsShareEvenlyWhilePiecesWait() {
+        useSharedPolicy(1 << 30);
+        mTeam = "many";
+        for (int i = 0; i < 16; i++) {
+            submit(BATCH, 0, 9000, Optional.empty());
+        }
+        mTeam = "few";
+        List<String> few = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            few.add(submit(BATCH, 0, 9000, Optional.empty()));
+        }
+        run(5800);
+        assertTrue(mRecorder.mDone.subList(0, 11).containsAll(few), mRecorder.mDone.toString());
+    }
+
+    /** Guards against a resumed stream, whose caller is reading, behind all that are in time. */
+    @Test
+    public void continuedStreamRanksAsInTime() {
+        useSharedPolicy(1 << 30);
+        submit(BATCH);
+        String late = submit(BATCH, 0, 0, Optional.empty());
+        mContinuation = true;
+        String continued = submit(BATCH, 0, 0, Optional.empty());
+        mContinuation = false;
+        submit(BATCH, 1, 3000, Optional.empty());
+        run(5000);
+        assertEquals(mRecorder.mDone.indexOf(continued), 1);
+        assertEquals(mRecorder.mDone.indexOf(late), 3);
+    }
+
     /** Records the outcomes of stages. */
     private static final class Recorder {
 
