Reject new stages at once that cannot end in time

With shared scheduling the coordinator estimates from its queue, the free memory, the time that results stay and the upstreams' speed when a new stage would start at its rank; one that would be late by then only gets the share of the work that late stages got recently. If it would end after its deadline, it fails before any piece is made. The entry refuses with 503, not run, and a Retry-After of the expected delay, spread over a second by the request's unit hash. Stages with inputs, of continued streams and retried ones are not rejected. The failure is still of kind DEADLINE between entries, with the delay in a new field, so that entries of the previous version can read it.

--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -95,10 +95,30 @@
     public void submit(List<PendingPiece> pieces) {
         CallbackGuard.Owner owner = mSupervisor.guard().current();
         pieces.forEach(piece -> piece.setOwner(owner));
+        Optional<Duration> delay = findHopelessDelay(pieces);
+        if (delay.isPresent()) {
+            StageFailure failure =
+                    new StageFailure(StageFailure.Kind.DEADLINE, mGroup.name(), delay);
+            pieces.forEach(piece -> fail(piece, failure));
+            return;
+        }
         mPending.addAll(pieces);
         dispatch();
     }
 
+    private Optional<Duration> findHopelessDelay(List<PendingPiece> pieces) {
+        return mGroup.limits()
+                .flatMap(
+                        limits ->
+                                mPolicy.findHopelessDelay(
+                                        pieces,
+                                        mPending,
+                                        mGroup.upstreams(),
+                                        limits,
+                                        this::availableAt,
+                                        mTime.nanoTime()));
+    }
+
     /** Returns the time that a stage takes without queueing, in nanoseconds. */
     public long minTime(int pieces) {
         Optional<BatchLimits> limits = mGroup.limits();
@@ -388,7 +408,10 @@
     }
 
     private void fail(PendingPiece piece, StageFailure.Kind kind) {
-        StageFailure failure = new StageFailure(kind, mGroup.name());
+        fail(piece, new StageFailure(kind, mGroup.name()));
+    }
+
+    private void fail(PendingPiece piece, StageFailure failure) {
         notify(piece, listener -> listener.onFailed(piece.work(), failure));
     }
 
--- a/core/src/main/java/org/boragethread/core/stage/LocalStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/LocalStagePolicy.java
@@ -1,8 +1,11 @@
 package org.boragethread.core.stage;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.BatchLimits;
 
@@ -14,6 +17,17 @@
         return 1;
     }
 
+    @Override
+    public Optional<Duration> findHopelessDelay(
+            List<PendingPiece> pieces,
+            List<PendingPiece> pending,
+            List<UpstreamNode> upstreams,
+            BatchLimits limits,
+            ToLongFunction<UpstreamNode> availableAt,
+            long now) {
+        return Optional.empty();
+    }
+
     @Override
     public List<PendingPiece> order(List<PendingPiece> pending, BatchLimits limits, long now) {
         long callNanos = limits.expectedTime(1).toNanos();
--- a/core/src/main/java/org/boragethread/core/stage/MemoryReservations.java
+++ b/core/src/main/java/org/boragethread/core/stage/MemoryReservations.java
@@ -20,8 +20,13 @@
     /** Largest share of the upstreams that are reserved at a time; one may always be. */
     private static final double MAX_SHARE = 1 / 3.0;
 
+    private final StageObserver mObserver;
     private final Map<UpstreamNode, Reservation> mReservations = new HashMap<>();
 
+    MemoryReservations(StageObserver observer) {
+        mObserver = observer;
+    }
+
     /**
      * Updates the reservations.
      *
@@ -50,15 +55,16 @@
             }
             if (!reserved.contains(stage.key()) && !fits(stage, upstreams, limits, now)) {
                 Optional<UpstreamNode> upstream = emptiest(stage, upstreams, now);
-                upstream.ifPresent(
-                        node ->
-                                mReservations.put(
-                                        node,
-                                        new Reservation(stage, ranks.get(stage.key()), limits)));
+                upstream.ifPresent(node -> reserve(node, stage, ranks.get(stage.key()), limits));
             }
         }
     }
 
+    private void reserve(UpstreamNode upstream, PendingStage stage, int rank, BatchLimits limits) {
+        mReservations.put(upstream, new Reservation(stage, rank, limits));
+        mObserver.onReserved(upstream, stage.first().work(), stage.pieces().size());
+    }
+
     private boolean fits(
             PendingStage stage, List<UpstreamNode> upstreams, BatchLimits limits, long now) {
         long bytes = stage.callBytes(limits);
@@ -99,11 +105,6 @@
         }
     }
 
-    /** Returns the number of upstreams that are reserved. */
-    int count() {
-        return mReservations.size();
-    }
-
     /** Memory of one upstream that is kept for one stage. */
     private static final class Reservation {
 
--- a/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
@@ -1,12 +1,16 @@
 package org.boragethread.core.stage;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.BatchLimits;
@@ -22,17 +26,105 @@
     /** One of this number of batches is led by the stage that has waited longest. */
     private static final int BATCHES_PER_TURN = 8;
 
+    /** Share of an upstream's memory that is free again and again even while it is called full. */
+    private static final double SMALL_MEMORY_SHARE = 0.01;
+
+    /** A call may take longer than expected by this share. */
+    private static final double TIME_TOLERANCE = 0.2;
+
+    private final StageObserver mObserver;
     private final TeamShares mTeams = new TeamShares();
-    private final MemoryReservations mReservations = new MemoryReservations();
+    private final MemoryReservations mReservations;
+    private final MemoryTurnover mTurnover = new MemoryTurnover();
+    private final LateShare mLateShare = new LateShare();
     private Map<PendingStage.Key, Integer> mRanks = Map.of();
+    private Set<PendingStage.Key> mLate = Set.of();
     private Optional<PendingStage.Key> mTurn = Optional.empty();
     private int mBatchesSinceTurn;
 
+    /** Creates the policy of one group. */
+    public SharedStagePolicy(StageObserver observer) {
+        mObserver = observer;
+        mReservations = new MemoryReservations(observer);
+    }
+
     @Override
     public double timeFactor(UpstreamNode upstream, long now) {
         return upstream.timeFactor(now);
     }
 
+    /**
+     * Stages that have inputs, continue a stream or are retried have begun, and are finished if
+     * they can be.
+     */
+    @Override
+    public Optional<Duration> findHopelessDelay(
+            List<PendingPiece> pieces,
+            List<PendingPiece> pending,
+            List<UpstreamNode> upstreams,
+            BatchLimits limits,
+            ToLongFunction<UpstreamNode> availableAt,
+            long now) {
+        PendingPiece first = pieces.get(0);
+        boolean hasBegun =
+                first.work().inputs().isPresent()
+                        || first.urgency().isContinuation()
+                        || first.hasFailed();
+        if (hasBegun || upstreams.isEmpty()) {
+            return Optional.empty();
+        }
+        StageStartEstimate estimate = new StageStartEstimate(upstreams, limits, availableAt, now);
+        long start = nanosUntilStart(pieces, pending, estimate, limits, now);
+        int callPieces = Math.min(pieces.size(), limits.batch());
+        long end = now + start + limits.expectedTime(callPieces).toNanos();
+        if (end < first.work().deadlineNanos()) {
+            return Optional.empty();
+        }
+        Duration delay = Duration.ofNanos(start);
+        mObserver.onRejected(first.work(), pieces.size(), delay);
+        return Optional.of(delay);
+    }
+
+    /**
+     * Returns the expected time until a new stage starts at its rank. If it would then end after
+     * its target, it will rank as late before it starts, and only gets the share of late stages.
+     */
+    private long nanosUntilStart(
+            List<PendingPiece> pieces,
+            List<PendingPiece> pending,
+            StageStartEstimate estimate,
+            BatchLimits limits,
+            long now) {
+        List<PendingPiece> all = new ArrayList<>(pending);
+        all.addAll(pieces);
+        WorkAhead ahead = new WorkAhead();
+        WorkAhead inTime = new WorkAhead();
+        WorkAhead late = new WorkAhead();
+        PendingStage.Key key = PendingStage.Key.of(pieces.get(0));
+        boolean reached = false;
+        for (PendingPiece piece : order(all, limits, now)) {
+            boolean own = PendingStage.Key.of(piece).equals(key);
+            reached |= own;
+            if (own || !reached) {
+                ahead.add(piece);
+            }
+            boolean isLate = own || mLate.contains(PendingStage.Key.of(piece));
+            (isLate ? late : inTime).add(piece);
+        }
+        OptionalDouble residence =
+                isSmall(pieces, limits) ? OptionalDouble.empty() : mTurnover.residenceNanos();
+        long start = estimate.nanosUntilStart(ahead.mPieces, ahead.mBytes, residence);
+        boolean isInTime =
+                !mLate.contains(key)
+                        && now + start <= latestStart(new PendingStage(pieces), limits);
+        if (isInTime) {
+            return start;
+        }
+        double lateNanos = estimate.nanosToServe(late.mPieces, late.mBytes, residence);
+        return estimate.nanosUntilStart(inTime.mPieces, inTime.mBytes, residence)
+                + (long) (lateNanos / mLateShare.get());
+    }
+
     @Override
     public List<PendingPiece> order(List<PendingPiece> pending, BatchLimits limits, long now) {
         List<PendingStage> stages = PendingStage.group(pending);
@@ -41,13 +133,17 @@
                         .map(stage -> stage.first().urgency().team())
                         .collect(Collectors.toSet()));
         updateTurn(stages);
+        mLate =
+                stages.stream()
+                        .filter(stage -> isLate(stage, limits, now))
+                        .map(PendingStage::key)
+                        .collect(Collectors.toSet());
         Map<Rank, List<PendingStage>> byRank = new TreeMap<>();
         stages.stream()
                 .sorted(Comparator.comparingLong(stage -> latestStart(stage, limits)))
                 .forEach(
                         stage ->
-                                byRank.computeIfAbsent(
-                                                rank(stage, limits, now), key -> new ArrayList<>())
+                                byRank.computeIfAbsent(rank(stage), key -> new ArrayList<>())
                                         .add(stage));
         List<PendingPiece> ordered = new ArrayList<>();
         for (List<PendingStage> equals : byRank.values()) {
@@ -67,7 +163,7 @@
         }
     }
 
-    private Rank rank(PendingStage stage, BatchLimits limits, long now) {
+    private Rank rank(PendingStage stage) {
         PieceUrgency urgency = stage.first().urgency();
         if (stage.pieces().stream().anyMatch(PendingPiece::isStagePartlySent)) {
             return new Rank(RankClass.PARTLY_SENT, 0);
@@ -75,8 +171,19 @@
         if (mTurn.isPresent() && mTurn.get().equals(stage.key())) {
             return new Rank(RankClass.TURN, 0);
         }
-        boolean inTime = urgency.isContinuation() || now <= latestStart(stage, limits);
-        return new Rank(inTime ? RankClass.IN_TIME : RankClass.LATE, urgency.priority());
+        boolean late = mLate.contains(stage.key());
+        return new Rank(late ? RankClass.LATE : RankClass.IN_TIME, urgency.priority());
+    }
+
+    private static boolean isLate(PendingStage stage, BatchLimits limits, long now) {
+        boolean isContinuation = stage.first().urgency().isContinuation();
+        return !isContinuation && now > latestStart(stage, limits);
+    }
+
+    /** Returns whether results find memory beside those that wait for it. */
+    private static boolean isSmall(List<PendingPiece> pieces, BatchLimits limits) {
+        long bytes = new PendingStage(pieces).callBytes(limits);
+        return bytes <= limits.resultBytes() * SMALL_MEMORY_SHARE;
     }
 
     /** Returns the monotonic time at which a stage must start for its request to be in time. */
@@ -93,7 +200,8 @@
     public boolean cannotMeetDeadline(
             PendingPiece piece, BatchLimits limits, long now, long earliestStart) {
         int pieces = now > piece.submittedAt() ? limits.batch() : 1;
-        long end = earliestStart + limits.expectedTime(pieces).toNanos();
+        double call = limits.expectedTime(pieces).toNanos() * (1 + TIME_TOLERANCE);
+        long end = earliestStart + (long) call;
         return end >= piece.work().deadlineNanos();
     }
 
@@ -107,6 +215,8 @@
         mRanks = new HashMap<>();
         stages.forEach(stage -> mRanks.put(stage.key(), mRanks.size()));
         mReservations.update(stages, upstreams, limits, now);
+        mLateShare.update(now);
+        mTurnover.update(StageStartEstimate.usedBytes(upstreams, now), now);
     }
 
     @Override
@@ -118,6 +228,13 @@
     @Override
     public void onSelected(UpstreamNode upstream, List<PendingPiece> batch, BatchLimits limits) {
         mTeams.onSent(batch, limits);
+        for (PendingPiece piece : batch) {
+            mTurnover.onSent(piece.work().resultBytes());
+            if (!mLate.isEmpty()) {
+                boolean late = mLate.contains(PendingStage.Key.of(piece));
+                mLateShare.onSent(TeamShares.work(piece, limits), late);
+            }
+        }
         mReservations.onSent(upstream, batch);
         mBatchesSinceTurn++;
         boolean wasTurn =
@@ -130,6 +247,18 @@
         }
     }
 
+    /** An amount of work. */
+    private static final class WorkAhead {
+
+        private int mPieces;
+        private long mBytes;
+
+        void add(PendingPiece piece) {
+            mPieces++;
+            mBytes += piece.work().resultBytes();
+        }
+    }
+
     /** What goes first, whatever the priority. */
     private enum RankClass {
         PARTLY_SENT,
--- a/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
@@ -1,6 +1,9 @@
 package org.boragethread.core.stage;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.BatchLimits;
 
@@ -10,6 +13,21 @@
     /** Returns how long work takes at an upstream now, as a multiple of the usual time. */
     double timeFactor(UpstreamNode upstream, long now);
 
+    /**
+     * Returns the expected time until a new stage would start, if it would then end too late.
+     *
+     * @param pieces pieces of the stage
+     * @param pending pieces that are pending already
+     * @param availableAt monotonic time at which an upstream can start another call
+     */
+    Optional<Duration> findHopelessDelay(
+            List<PendingPiece> pieces,
+            List<PendingPiece> pending,
+            List<UpstreamNode> upstreams,
+            BatchLimits limits,
+            ToLongFunction<UpstreamNode> availableAt,
+            long now);
+
     /**
      * Returns pending pieces in the order in which they should be sent; those of one stage are next
      * to each other.
--- a/core/src/main/java/org/boragethread/core/stage/TeamShares.java
+++ b/core/src/main/java/org/boragethread/core/stage/TeamShares.java
@@ -74,7 +74,8 @@
         return mServed.getOrDefault(team, 0.0);
     }
 
-    private static double work(PendingPiece piece, BatchLimits limits) {
+    /** Returns the work of a piece, where 1 occupies a call or an upstream's result memory. */
+    static double work(PendingPiece piece, BatchLimits limits) {
         double memoryShare = piece.work().resultBytes() / (double) limits.resultBytes();
         return Math.max(1.0 / limits.batch(), memoryShare);
     }
--- a/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
@@ -263,7 +263,7 @@
     @Test
     public void callToASlowUpstreamIsGivenMoreTime() {
         use(limits(1 << 30), "north");
-        mScheduler = scheduler(100, new SharedStagePolicy());
+        mScheduler = scheduler(100, new SharedStagePolicy(new IgnoringObserver()));
         submit(BATCH);
         long usual = mUpstreams.lastTimeout().toMillis();
         run(1000);
@@ -312,7 +312,7 @@
 
     private void useSharedPolicy(long resultBytes) {
         use(limits(resultBytes), "north");
-        mScheduler = scheduler(100, new SharedStagePolicy());
+        mScheduler = scheduler(100, new SharedStagePolicy(new IgnoringObserver()));
         mRecorder.mFreeAfter = Duration.ofMillis(700);
     }
 
@@ -382,12 +382,34 @@
         assertEquals(mRecorder.mDone.indexOf(late), 3);
     }
 
+    /**
+     * Guards against a new stage that waits until its deadline although the queue shows at once
+     * that it cannot be done, and against one that is refused although it has begun.
+     */
+    @Test
+    public void newStageThatCannotEndInTimeIsRejectedAtOnce() {
+        useSharedPolicy(1 << 30);
+        for (int i = 0; i < 40; i++) {
+            submit(BATCH, 0, 20_000, Optional.empty());
+        }
+        assertTrue(mRecorder.mDelays.size() > 0, "none rejected at once");
+        int rejected = mRecorder.mDelays.size();
+        assertTrue(mRecorder.mDelays.get(0).toMillis() >= 5000, mRecorder.mDelays.toString());
+        mContinuation = true;
+        submit(BATCH, 0, 20_000, Optional.empty());
+        assertEquals(mRecorder.mDelays.size(), rejected, "a continued stream was rejected");
+        run(10_000);
+        int least = 40 - rejected / BATCH - 1;
+        assertTrue(mRecorder.mDone.size() >= least, mRecorder.mDone.size() + " of " + least);
+    }
+
     /** Records the outcomes of stages. */
     private static final class Recorder {
 
         private final List<String> mDone = new ArrayList<>();
         private final List<ResultLocation> mLocations = new ArrayList<>();
         private final List<StageFailure.Kind> mFailures = new ArrayList<>();
+        private final List<Duration> mDelays = new ArrayList<>();
         private Duration mFreeAfter = Duration.ZERO;
     }
 
@@ -425,6 +447,7 @@
         @Override
         public void onFailed(PieceWork work, StageFailure failure) {
             mRecorder.mFailures.add(failure.kind());
+            failure.delay().ifPresent(mRecorder.mDelays::add);
         }
     }
 }
--- a/core/src/test/java/org/boragethread/core/stage/BurstLoad.java
+++ b/core/src/test/java/org/boragethread/core/stage/BurstLoad.java
@@ -66,6 +66,7 @@
         private int mRefused;
         private int mCancelled;
         private long mLongestWaitMillis;
+        private long mRefusedWaitMillis;
 
         double servedShare() {
             return (mInTime + mLate) / (double) mStarted;
@@ -81,14 +82,16 @@
 
         @Override
         public String toString() {
-            return "started %d in time %.3f late %.3f refused %.3f cancelled %.3f longest %d ms"
+            return ("started %d in time %.3f late %.3f refused %.3f cancelled %.3f"
+                            + " longest %d ms refused after %d ms")
                     .formatted(
                             mStarted,
                             inTimeShare(),
                             mLate / (double) mStarted,
                             mRefused / (double) mStarted,
                             mCancelled / (double) mStarted,
-                            mLongestWaitMillis);
+                            mLongestWaitMillis,
+                            mRefusedWaitMillis / Math.max(1, mRefused));
         }
     }
 
@@ -284,6 +287,8 @@
                 mPieces.forEach(PendingPiece::cancel);
                 free();
                 end(outcomes -> outcomes.mRefused++);
+                long waited = (mTime.nanoTime() - mArrivedAt) / 1_000_000;
+                count(outcomes -> outcomes.mRefusedWaitMillis += waited);
             }
         }
     }
--- a/core/src/test/java/org/boragethread/core/stage/BurstLoadTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BurstLoadTest.java
@@ -27,6 +27,10 @@
         return outcomes;
     }
 
+    private static StagePolicy sharedPolicy() {
+        return new SharedStagePolicy(new IgnoringObserver());
+    }
+
     /**
      * Guards against large results that are passed by small ones until their callers give up: with
      * the local policy a third of those with 6 to 10 pieces were cancelled. What cannot be done is
@@ -34,7 +38,7 @@
      */
     @Test
     public void noKindSizeOrTeamIsStarved() {
-        Map<String, BurstLoad.Outcomes> outcomes = run(SharedStagePolicy::new, true);
+        Map<String, BurstLoad.Outcomes> outcomes = run(BurstLoadTest::sharedPolicy, true);
         outcomes.forEach(
                 (name, outcome) -> {
                     String kind = name.split(" ")[0];
@@ -49,7 +53,7 @@
     public void mostRequestsWithLargeResultsAreServed() {
         String largest = BurstLoad.Kind.LARGE + " with 6 to 10 pieces";
         double local = run(LocalStagePolicy::new, false).get(largest).servedShare();
-        double shared = run(SharedStagePolicy::new, true).get(largest).servedShare();
+        double shared = run(BurstLoadTest::sharedPolicy, true).get(largest).servedShare();
         assertTrue(shared > local, shared + " served, " + local + " with the local policy");
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -140,7 +140,7 @@
             fail(
                     RefusalReason.DEADLINE_HOPELESS,
                     "stages need %d ms, %d ms remain".formatted(needed.toMillis(), left.toMillis()),
-                    backlogRetryAfter());
+                    mStages.retryAfter(mAdmitted));
             return;
         }
         mPlacement.chooseStageDataCentre(mGateway.chooser());
@@ -166,7 +166,7 @@
         }
         String detail = "stage group %s: %s".formatted(failure.detail(), failure.kind());
         if (failure.kind() == StageFailure.Kind.DEADLINE) {
-            fail(RefusalReason.DEADLINE_HOPELESS, detail, backlogRetryAfter());
+            fail(RefusalReason.DEADLINE_HOPELESS, detail, mStages.retryAfter(mAdmitted));
         } else {
             fail(RefusalReason.STAGE_FAILED, detail);
         }
@@ -453,10 +453,6 @@
         refuse(mCounts.refusal(reason, detail, retryAfter), decider(reason));
     }
 
-    private Duration backlogRetryAfter() {
-        return RetryDelays.afterBacklog(remaining(), mAdmitted.expectedStageTime(mGateway));
-    }
-
     private Decider decider(RefusalReason reason) {
         boolean isStop = reason == RefusalReason.NOT_READY && mGateway.isStopping();
         return isStop ? Decider.STOP : Decider.of(reason);
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -294,7 +294,7 @@
     private BatchScheduler createBatchScheduler(GroupId group) {
         StagePolicy policy =
                 mSettings.scheduling().isShared()
-                        ? new SharedStagePolicy()
+                        ? new SharedStagePolicy(new StageLog(group, mLog, mMetrics))
                         : new LocalStagePolicy();
         return new BatchScheduler(
                 new DirectoryBatchGroup(this, group, policy),
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -83,6 +83,11 @@
         increment("boragethread.gateway.held.back", "cause", "upstream-limit-or-pause");
     }
 
+    /** Counts stages that this entry delayed or rejected as the coordinator of their group. */
+    void onStageDelayed(String outcome) {
+        increment("boragethread.gateway.stage.delays", "outcome", outcome);
+    }
+
     void onPartBlocked() {
         increment("boragethread.gateway.quarantine", "change", "blocked");
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -294,7 +294,12 @@
                     done == null
                             ? StageFailure.Kind.FAILED
                             : StageFailure.Kind.valueOf(done.getFailure());
-            piece.listener().onFailed(piece.work(), new StageFailure(kind, "peer " + mPeer));
+            Optional<Duration> delay =
+                    Optional.ofNullable(done)
+                            .map(PieceDone::getDelayNanos)
+                            .filter(nanos -> nanos > 0)
+                            .map(Duration::ofNanos);
+            piece.listener().onFailed(piece.work(), new StageFailure(kind, "peer " + mPeer, delay));
         }
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -267,7 +268,11 @@
 
         @Override
         public void onFailed(PieceWork work, StageFailure failure) {
-            add(PieceDone.newBuilder().setNumber(work.number()).setFailure(failure.kind().name()));
+            add(
+                    PieceDone.newBuilder()
+                            .setNumber(work.number())
+                            .setFailure(failure.kind().name())
+                            .setDelayNanos(failure.delay().map(Duration::toNanos).orElse(0L)));
         }
 
         private void add(PieceDone.Builder piece) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
@@ -14,6 +14,9 @@
     /** Distance between the returns of two priorities after a pause. */
     private static final Duration PRIORITY_STEP = Duration.ofMillis(20);
 
+    /** Time over which the returns of requests that were rejected together are spread. */
+    private static final Duration REJECTION_SPREAD = Duration.ofSeconds(1);
+
     private RetryDelays() {}
 
     /**
@@ -27,6 +30,18 @@
         return pause.plusNanos((long) (PRIORITY_STEP.toNanos() * (priority + jitter)));
     }
 
+    /**
+     * Returns the delay for a request whose stages were rejected for lack of capacity. Requests
+     * that are rejected together return at different moments.
+     *
+     * @param delay expected time until there is capacity
+     * @param jitter number from 0 to 1
+     */
+    static Duration afterRejection(Duration delay, double jitter) {
+        Duration least = delay.compareTo(SHORT) < 0 ? SHORT : delay;
+        return least.plusNanos((long) (REJECTION_SPREAD.toNanos() * jitter));
+    }
+
     /**
      * Returns the delay for a request whose stages cannot finish in time. A retry with too little
      * time left would be refused again, so it is then delayed until after the deadline.
--- a/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
@@ -24,6 +24,7 @@
     private Optional<StageRun> mRun = Optional.empty();
     private List<String> mResults = List.of();
     private int mRunCount;
+    private Optional<Duration> mRejectionDelay = Optional.empty();
 
     /** Receives the outcome of the stages. */
     interface Listener {
@@ -95,6 +96,16 @@
         run.start();
     }
 
+    /** Returns the delay before a retry of a request whose stages cannot end in time. */
+    Duration retryAfter(AdmittedRequest admitted) {
+        if (mRejectionDelay.isPresent()) {
+            return RetryDelays.afterRejection(mRejectionDelay.get(), mRequest.unitHash());
+        }
+        long nanos = admitted.deadlineNanos() - mGateway.time().nanoTime();
+        return RetryDelays.afterBacklog(
+                Duration.ofNanos(Math.max(0, nanos)), admitted.expectedStageTime(mGateway));
+    }
+
     /** Returns the handles of the results that the request takes as input. */
     List<String> resultHandles() {
         return mResults;
@@ -126,6 +137,7 @@
     @Override
     public void onStagesFailed(StageFailure failure) {
         mRun = Optional.empty();
+        mRejectionDelay = failure.delay();
         mListener.onStagesFailed(failure);
     }
 }
--- a/entry/src/test/java/org/boragethread/entry/gateway/DirectoryBatchGroupTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/DirectoryBatchGroupTest.java
@@ -60,7 +60,12 @@
         mGateway = new Gateway(settings, mTime, mLoop, new GatewayMetrics());
         mGateway.directory().put(announcement("a"));
         mGateway.directory().put(announcement("b"));
-        mGroup = new DirectoryBatchGroup(mGateway, ENCODERS, new SharedStagePolicy());
+        mGroup =
+                new DirectoryBatchGroup(
+                        mGateway,
+                        ENCODERS,
+                        new SharedStagePolicy(
+                                new StageLog(ENCODERS, mGateway.log(), mGateway.metrics())));
     }
 
     @AfterMethod(alwaysRun = true)
--- a/wire/src/main/java/org/boragethread/wire/proto/Peer.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Peer.java
@@ -104,29 +104,29 @@
       "\n\014holds_inputs\030\r \001(\010\022\020\n\010followed\030\016 \001(\010\022\014" +
       "\n\004team\030\017 \001(\t\022\021\n\tcontinues\030\020 \001(\010\"=\n\rStage" +
       "WorkDone\022,\n\006pieces\030\001 \003(\0132\034.boragethread." +
-      "peer.PieceDone\"K\n\tPieceDone\022\016\n\006number\030\001 " +
+      "peer.PieceDone\"`\n\tPieceDone\022\016\n\006number\030\001 " +
       "\001(\005\022\016\n\006handle\030\002 \001(\t\022\r\n\005maker\030\003 \001(\t\022\017\n\007fa" +
-      "ilure\030\004 \001(\t\"<\n\013ResultsFree\022\r\n\005group\030\001 \001(" +
-      "\t\022\r\n\005maker\030\002 \001(\t\022\017\n\007handles\030\003 \003(\t\"L\n\013Res" +
-      "ultsHeld\022\r\n\005group\030\001 \001(\t\022.\n\007results\030\002 \003(\013" +
-      "2\035.boragethread.peer.ResultHeld\"N\n\nResul" +
-      "tHeld\022\r\n\005maker\030\001 \001(\t\022\016\n\006handle\030\002 \001(\t\022\r\n\005" +
-      "bytes\030\003 \001(\003\022\022\n\nleft_nanos\030\004 \001(\003\"R\n\tTopic" +
-      "Read\022\r\n\005topic\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\023\n\013s" +
-      "een_update\030\003 \001(\003\022\021\n\tstore_era\030\004 \001(\003\"\211\001\n\013" +
-      "TopicUpdate\022\016\n\006update\030\001 \001(\003\022/\n\007records\030\002" +
-      " \003(\0132\036.boragethread.peer.TopicRecord\022\023\n\013" +
-      "next_offset\030\003 \001(\003\022\021\n\tage_nanos\030\004 \001(\003\022\021\n\t" +
-      "store_era\030\005 \001(\003\"@\n\rStreamOrigins\022/\n\007stre" +
-      "ams\030\001 \003(\0132\036.boragethread.peer.StreamBegu" +
-      "n\"v\n\013StreamBegun\022\020\n\010key_high\030\001 \001(\006\022\017\n\007ke" +
-      "y_low\030\002 \001(\006\022\r\n\005group\030\003 \001(\t\022\030\n\020software_v" +
-      "ersion\030\004 \001(\t\022\033\n\023provisional_version\030\005 \001(" +
-      "\t\"0\n\013StreamQuery\022\020\n\010key_high\030\001 \001(\006\022\017\n\007ke" +
-      "y_low\030\002 \001(\006\"H\n\013TopicRecord\022\016\n\006offset\030\001 \001" +
-      "(\003\022\013\n\003key\030\002 \001(\t\022\022\n\005value\030\003 \001(\014H\000\210\001\001B\010\n\006_" +
-      "valueB\037\n\033org.boragethread.wire.protoP\001b\006" +
-      "proto3"
+      "ilure\030\004 \001(\t\022\023\n\013delay_nanos\030\005 \001(\003\"<\n\013Resu" +
+      "ltsFree\022\r\n\005group\030\001 \001(\t\022\r\n\005maker\030\002 \001(\t\022\017\n" +
+      "\007handles\030\003 \003(\t\"L\n\013ResultsHeld\022\r\n\005group\030\001" +
+      " \001(\t\022.\n\007results\030\002 \003(\0132\035.boragethread.pee" +
+      "r.ResultHeld\"N\n\nResultHeld\022\r\n\005maker\030\001 \001(" +
+      "\t\022\016\n\006handle\030\002 \001(\t\022\r\n\005bytes\030\003 \001(\003\022\022\n\nleft" +
+      "_nanos\030\004 \001(\003\"R\n\tTopicRead\022\r\n\005topic\030\001 \001(\t" +
+      "\022\016\n\006offset\030\002 \001(\003\022\023\n\013seen_update\030\003 \001(\003\022\021\n" +
+      "\tstore_era\030\004 \001(\003\"\211\001\n\013TopicUpdate\022\016\n\006upda" +
+      "te\030\001 \001(\003\022/\n\007records\030\002 \003(\0132\036.boragethread" +
+      ".peer.TopicRecord\022\023\n\013next_offset\030\003 \001(\003\022\021" +
+      "\n\tage_nanos\030\004 \001(\003\022\021\n\tstore_era\030\005 \001(\003\"@\n\r" +
+      "StreamOrigins\022/\n\007streams\030\001 \003(\0132\036.boraget" +
+      "hread.peer.StreamBegun\"v\n\013StreamBegun\022\020\n" +
+      "\010key_high\030\001 \001(\006\022\017\n\007key_low\030\002 \001(\006\022\r\n\005grou" +
+      "p\030\003 \001(\t\022\030\n\020software_version\030\004 \001(\t\022\033\n\023pro" +
+      "visional_version\030\005 \001(\t\"0\n\013StreamQuery\022\020\n" +
+      "\010key_high\030\001 \001(\006\022\017\n\007key_low\030\002 \001(\006\"H\n\013Topi" +
+      "cRecord\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\022\n\005" +
+      "value\030\003 \001(\014H\000\210\001\001B\010\n\006_valueB\037\n\033org.borage" +
+      "thread.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -149,7 +149,7 @@
     internal_static_boragethread_peer_PieceDone_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_PieceDone_descriptor,
-        new java.lang.String[] { "Number", "Handle", "Maker", "Failure", });
+        new java.lang.String[] { "Number", "Handle", "Maker", "Failure", "DelayNanos", });
     internal_static_boragethread_peer_ResultsFree_descriptor =
       getDescriptor().getMessageTypes().get(3);
     internal_static_boragethread_peer_ResultsFree_fieldAccessorTable = new
--- a/wire/src/main/java/org/boragethread/wire/proto/PieceDone.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/PieceDone.java
@@ -61,7 +61,7 @@
   private volatile java.lang.Object handle_ = "";
   /**
    * <pre>
-   * Where the result lies; empty if it was not made.
+   * Handle of the result; empty if the piece failed.
    * </pre>
    *
    * <code>string handle = 2;</code>
@@ -82,7 +82,7 @@
   }
   /**
    * <pre>
-   * Where the result lies; empty if it was not made.
+   * Handle of the result; empty if the piece failed.
    * </pre>
    *
    * <code>string handle = 2;</code>
@@ -155,7 +155,7 @@
   private volatile java.lang.Object failure_ = "";
   /**
    * <pre>
-   * Why the piece was not made; empty if it was.
+   * Reason of the failure; empty if the piece succeeded.
    * </pre>
    *
    * <code>string failure = 4;</code>
@@ -176,7 +176,7 @@
   }
   /**
    * <pre>
-   * Why the piece was not made; empty if it was.
+   * Reason of the failure; empty if the piece succeeded.
    * </pre>
    *
    * <code>string failure = 4;</code>
@@ -197,6 +197,22 @@
     }
   }
 
+  public static final int DELAY_NANOS_FIELD_NUMBER = 5;
+  private long delayNanos_ = 0L;
+  /**
+   * <pre>
+   * Expected time until the group has capacity, in nanoseconds; 0 if the piece was not refused for
+   * lack of it.
+   * </pre>
+   *
+   * <code>int64 delay_nanos = 5;</code>
+   * @return The delayNanos.
+   */
+  @java.lang.Override
+  public long getDelayNanos() {
+    return delayNanos_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -223,6 +239,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failure_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 4, failure_);
     }
+    if (delayNanos_ != 0L) {
+      output.writeInt64(5, delayNanos_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -245,6 +264,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failure_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(4, failure_);
     }
+    if (delayNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, delayNanos_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -268,6 +291,8 @@
         .equals(other.getMaker())) return false;
     if (!getFailure()
         .equals(other.getFailure())) return false;
+    if (getDelayNanos()
+        != other.getDelayNanos()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -287,6 +312,9 @@
     hash = (53 * hash) + getMaker().hashCode();
     hash = (37 * hash) + FAILURE_FIELD_NUMBER;
     hash = (53 * hash) + getFailure().hashCode();
+    hash = (37 * hash) + DELAY_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDelayNanos());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -422,6 +450,7 @@
       handle_ = "";
       maker_ = "";
       failure_ = "";
+      delayNanos_ = 0L;
       return this;
     }
 
@@ -467,6 +496,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.failure_ = failure_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.delayNanos_ = delayNanos_;
+      }
     }
 
     @java.lang.Override
@@ -499,6 +531,9 @@
         bitField0_ |= 0x00000008;
         onChanged();
       }
+      if (other.getDelayNanos() != 0L) {
+        setDelayNanos(other.getDelayNanos());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -545,6 +580,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              delayNanos_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -597,7 +637,7 @@
     private java.lang.Object handle_ = "";
     /**
      * <pre>
-     * Where the result lies; empty if it was not made.
+     * Handle of the result; empty if the piece failed.
      * </pre>
      *
      * <code>string handle = 2;</code>
@@ -617,7 +657,7 @@
     }
     /**
      * <pre>
-     * Where the result lies; empty if it was not made.
+     * Handle of the result; empty if the piece failed.
      * </pre>
      *
      * <code>string handle = 2;</code>
@@ -638,7 +678,7 @@
     }
     /**
      * <pre>
-     * Where the result lies; empty if it was not made.
+     * Handle of the result; empty if the piece failed.
      * </pre>
      *
      * <code>string handle = 2;</code>
@@ -655,7 +695,7 @@
     }
     /**
      * <pre>
-     * Where the result lies; empty if it was not made.
+     * Handle of the result; empty if the piece failed.
      * </pre>
      *
      * <code>string handle = 2;</code>
@@ -669,7 +709,7 @@
     }
     /**
      * <pre>
-     * Where the result lies; empty if it was not made.
+     * Handle of the result; empty if the piece failed.
      * </pre>
      *
      * <code>string handle = 2;</code>
@@ -781,7 +821,7 @@
     private java.lang.Object failure_ = "";
     /**
      * <pre>
-     * Why the piece was not made; empty if it was.
+     * Reason of the failure; empty if the piece succeeded.
      * </pre>
      *
      * <code>string failure = 4;</code>
@@ -801,7 +841,7 @@
     }
     /**
      * <pre>
-     * Why the piece was not made; empty if it was.
+     * Reason of the failure; empty if the piece succeeded.
      * </pre>
      *
      * <code>string failure = 4;</code>
@@ -822,7 +862,7 @@
     }
     /**
      * <pre>
-     * Why the piece was not made; empty if it was.
+     * Reason of the failure; empty if the piece succeeded.
      * </pre>
      *
      * <code>string failure = 4;</code>
@@ -839,7 +879,7 @@
     }
     /**
      * <pre>
-     * Why the piece was not made; empty if it was.
+     * Reason of the failure; empty if the piece succeeded.
      * </pre>
      *
      * <code>string failure = 4;</code>
@@ -853,7 +893,7 @@
     }
     /**
      * <pre>
-     * Why the piece was not made; empty if it was.
+     * Reason of the failure; empty if the piece succeeded.
      * </pre>
      *
      * <code>string failure = 4;</code>
@@ -870,6 +910,53 @@
       return this;
     }
 
+    private long delayNanos_ ;
+    /**
+     * <pre>
+     * Expected time until the group has capacity, in nanoseconds; 0 if the piece was not refused for
+     * lack of it.
+     * </pre>
+     *
+     * <code>int64 delay_nanos = 5;</code>
+     * @return The delayNanos.
+     */
+    @java.lang.Override
+    public long getDelayNanos() {
+      return delayNanos_;
+    }
+    /**
+     * <pre>
+     * Expected time until the group has capacity, in nanoseconds; 0 if the piece was not refused for
+     * lack of it.
+     * </pre>
+     *
+     * <code>int64 delay_nanos = 5;</code>
+     * @param value The delayNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDelayNanos(long value) {
+
+      delayNanos_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Expected time until the group has capacity, in nanoseconds; 0 if the piece was not refused for
+     * lack of it.
+     * </pre>
+     *
+     * <code>int64 delay_nanos = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDelayNanos() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      delayNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:boragethread.peer.PieceDone)
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/PieceDoneOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/PieceDoneOrBuilder.java
@@ -17,7 +17,7 @@
 
   /**
    * <pre>
-   * Where the result lies; empty if it was not made.
+   * Handle of the result; empty if the piece failed.
    * </pre>
    *
    * <code>string handle = 2;</code>
@@ -26,7 +26,7 @@
   java.lang.String getHandle();
   /**
    * <pre>
-   * Where the result lies; empty if it was not made.
+   * Handle of the result; empty if the piece failed.
    * </pre>
    *
    * <code>string handle = 2;</code>
@@ -57,7 +57,7 @@
 
   /**
    * <pre>
-   * Why the piece was not made; empty if it was.
+   * Reason of the failure; empty if the piece succeeded.
    * </pre>
    *
    * <code>string failure = 4;</code>
@@ -66,7 +66,7 @@
   java.lang.String getFailure();
   /**
    * <pre>
-   * Why the piece was not made; empty if it was.
+   * Reason of the failure; empty if the piece succeeded.
    * </pre>
    *
    * <code>string failure = 4;</code>
@@ -74,4 +74,15 @@
    */
   com.google.protobuf.ByteString
       getFailureBytes();
+
+  /**
+   * <pre>
+   * Expected time until the group has capacity, in nanoseconds; 0 if the piece was not refused for
+   * lack of it.
+   * </pre>
+   *
+   * <code>int64 delay_nanos = 5;</code>
+   * @return The delayNanos.
+   */
+  long getDelayNanos();
 }
