--- a/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
@@ -29,9 +29,13 @@
     private BatchScheduler mScheduler;
     private Recorder mRecorder;
     private int mRequests;
+    private String mTeam;
+    private boolean mContinuation;
 
     @BeforeMethod
     public void makeScheduler() {
+        mTeam = "";
+        mContinuation = false;
         use(limits(1 << 30), "north", "south");
     }
 
@@ -54,10 +58,14 @@
     }
 
     private BatchScheduler scheduler(int retries) {
+        return scheduler(retries, new LocalStagePolicy());
+    }
+
+    private BatchScheduler scheduler(int retries, StagePolicy policy) {
         SharedRetryBudget budget =
                 new SharedRetryBudget(mTime, 0, Duration.ofSeconds(10), () -> retries);
         return new BatchScheduler(
-                mUpstreams, mUpstreams, budget, mTime, mTime, Supervisors.rethrowing());
+                mUpstreams, mUpstreams, budget, mTime, mTime, Supervisors.rethrowing(), policy);
     }
 
     private String submit(int pieces) {
@@ -71,7 +79,12 @@
         long now = mTime.nanoTime();
         PieceUrgency urgency =
                 new PieceUrgency(
-                        priority, now + Duration.ofMillis(targetMillis).toNanos(), false, false);
+                        priority,
+                        now + Duration.ofMillis(targetMillis).toNanos(),
+                        false,
+                        false,
+                        mTeam,
+                        mContinuation);
         Stage stage = new Stage(request, pieces);
         List<PendingPiece> pending = new ArrayList<>();
         for (int number = 0; number < pieces; number++) {
@@ -243,6 +256,23 @@
         assertEquals(mUpstreams.calls().size(), 2);
     }
 
+    /**
+     * An upstream reports that work takes ten times as long at this moment. Guards against a call
+     * that is given up, and an upstream that is avoided, because of a slow moment.
+     */
+    @Test
+    public void callToASlowUpstreamIsGivenMoreTime() {
+        use(limits(1 << 30), "north");
+        mScheduler = scheduler(100, new SharedStagePolicy(new IgnoringObserver()));
+        submit(BATCH);
+        long usual = mUpstreams.lastTimeout().toMillis();
+        run(1000);
+        mUpstreams.upstreams().get(0).reportTimeFactor(10, mTime.nanoTime());
+        submit(BATCH);
+        long slow = mUpstreams.lastTimeout().toMillis();
+        assertTrue(slow >= 3 * usual, slow + " ms after " + usual);
+    }
+
     /** Other schedulers keep all upstreams busy for a while. */
     @Test
     public void rejectedPiecesAreExecutedOnceUpstreamsHaveCapacity() {
@@ -280,12 +310,106 @@
         assertTrue(mRecorder.mFailures.contains(StageFailure.Kind.DEADLINE));
     }
 
+    private void useSharedPolicy(long resultBytes) {
+        use(limits(resultBytes), "north");
+        mScheduler = scheduler(100, new SharedStagePolicy(new IgnoringObserver()));
+        mRecorder.mFreeAfter = Duration.ofMillis(700);
+    }
+
+    /**
+     * Less urgent small stages arrive without end and always find memory. Guards against a large
+     * one that they pass until its caller gives up.
+     */
+    @Test
+    public void memoryIsKeptForALargeStageThatFitsNowhere() {
+        useSharedPolicy(9 * RESULT_BYTES);
+        for (int i = 0; i < 10; i++) {
+            submit(2, 1, 3000, Optional.empty());
+            run(60);
+        }
+        String large = submit(BATCH, 0, 5000, Optional.empty());
+        for (int i = 0; i < 30; i++) {
+            submit(2, 1, 3000, Optional.empty());
+            run(60);
+        }
+        assertTrue(mRecorder.mDone.contains(large), "passed by " + mRecorder.mDone.size());
+    }
+
+    /** Guards against a priority that is never served while more urgent requests wait. */
+    @Test
+    public void oneBatchInEightIsLedByTheStageThatHasWaitedLongest() {
+        useSharedPolicy(1 << 30);
+        String low = submit(BATCH, 2, 9000, Optional.empty());
+        String lowToo = submit(BATCH, 2, 9000, Optional.empty());
+        run(1);
+        for (int i = 0; i < 15; i++) {
+            submit(BATCH, 0, 9000, Optional.empty());
+        }
+        run(5800);
+        assertEquals(mRecorder.mDone.get(0), low);
+        assertEquals(mRecorder.mDone.indexOf(lowToo), 7);
+    }
+
+    /** Guards against a team whose few requests wait behind the many of another one. */
+    @Test
+    public void teamsShareEvenlyWhilePiecesWait() {
+        useSharedPolicy(1 << 30);
+        mTeam = "many";
+        for (int i = 0; i < 16; i++) {
+            submit(BATCH, 0, 9000, Optional.empty());
+        }
+        mTeam = "few";
+        List<String> few = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            few.add(submit(BATCH, 0, 9000, Optional.empty()));
+        }
+        run(5800);
+        assertTrue(mRecorder.mDone.subList(0, 11).containsAll(few), mRecorder.mDone.toString());
+    }
+
+    /** Guards against a resumed stream, whose caller is reading, behind all that are in time. */
+    @Test
+    public void continuedStreamRanksAsInTime() {
+        useSharedPolicy(1 << 30);
+        submit(BATCH);
+        String late = submit(BATCH, 0, 0, Optional.empty());
+        mContinuation = true;
+        String continued = submit(BATCH, 0, 0, Optional.empty());
+        mContinuation = false;
+        submit(BATCH, 1, 3000, Optional.empty());
+        run(5000);
+        assertEquals(mRecorder.mDone.indexOf(continued), 1);
+        assertEquals(mRecorder.mDone.indexOf(late), 3);
+    }
+
+    /**
+     * Guards against a new stage that waits until its deadline although the queue shows at once
+     * that it cannot be done, and against one that is refused although it has begun.
+     */
+    @Test
+    public void newStageThatCannotEndInTimeIsRejectedAtOnce() {
+        useSharedPolicy(1 << 30);
+        for (int i = 0; i < 40; i++) {
+            submit(BATCH, 0, 20_000, Optional.empty());
+        }
+        assertTrue(mRecorder.mDelays.size() > 0, "none rejected at once");
+        int rejected = mRecorder.mDelays.size();
+        assertTrue(mRecorder.mDelays.get(0).toMillis() >= 5000, mRecorder.mDelays.toString());
+        mContinuation = true;
+        submit(BATCH, 0, 20_000, Optional.empty());
+        assertEquals(mRecorder.mDelays.size(), rejected, "a continued stream was rejected");
+        run(10_000);
+        int least = 40 - rejected / BATCH - 1;
+        assertTrue(mRecorder.mDone.size() >= least, mRecorder.mDone.size() + " of " + least);
+    }
+
     /** Records the outcomes of stages. */
     private static final class Recorder {
 
         private final List<String> mDone = new ArrayList<>();
         private final List<ResultLocation> mLocations = new ArrayList<>();
         private final List<StageFailure.Kind> mFailures = new ArrayList<>();
+        private final List<Duration> mDelays = new ArrayList<>();
         private Duration mFreeAfter = Duration.ZERO;
     }
 
@@ -323,6 +447,7 @@
         @Override
         public void onFailed(PieceWork work, StageFailure failure) {
             mRecorder.mFailures.add(failure.kind());
+            failure.delay().ifPresent(mRecorder.mDelays::add);
         }
     }
 }
--- a/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
+++ b/core/src/test/java/org/boragethread/core/stage/ChainLoad.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.boragethread.core.callback.Supervisors;
 import org.boragethread.core.retry.SharedRetryBudget;
@@ -144,12 +145,12 @@
         }
     }
 
-    ChainLoad(Deployment deployment, long seed) {
+    ChainLoad(Deployment deployment, Supplier<StagePolicy> policies, long seed) {
         mDeployment = deployment;
         mRandom = new Random(seed);
-        addGroup(INTAKE, deployment.mIntake, Duration.ZERO);
-        addGroup(ACCOUNTS, deployment.mAccounts, Duration.ZERO);
-        addGroup(NOTICES, deployment.mNotices, Duration.ofMillis(2));
+        addGroup(INTAKE, deployment.mIntake, Duration.ZERO, policies.get());
+        addGroup(ACCOUNTS, deployment.mAccounts, Duration.ZERO, policies.get());
+        addGroup(NOTICES, deployment.mNotices, Duration.ofMillis(2), policies.get());
         mRouter =
                 new StageRouter(
                         "self",
@@ -164,7 +165,7 @@
         }
     }
 
-    private void addGroup(GroupId id, GroupShape shape, Duration fetchTime) {
+    private void addGroup(GroupId id, GroupShape shape, Duration fetchTime, StagePolicy policy) {
         BatchLimits limits =
                 new BatchLimits(
                         1,
@@ -189,7 +190,13 @@
         mSchedulers.put(
                 id,
                 new BatchScheduler(
-                        upstreams, upstreams, budget, mTime, mTime, Supervisors.rethrowing()));
+                        upstreams,
+                        upstreams,
+                        budget,
+                        mTime,
+                        mTime,
+                        Supervisors.rethrowing(),
+                        policy));
     }
 
     /** Schedules requests of one kind that arrive at random (a Poisson process) for a while. */
@@ -305,7 +312,9 @@
                                     + Duration.ofMillis(mKind.mDeadlineMillis - reserve).toNanos(),
                             mArrivedAt + Duration.ofMillis(mKind.mTargetMillis - reserve).toNanos(),
                             mKind.mPriority,
-                            Optional.of(mDestination));
+                            Optional.of(mDestination),
+                            "",
+                            false);
             StageRun run =
                     new StageRun(request, mRouter::queue, mRouter, this::dataCentreOf, mTime, this);
             mRun = Optional.of(run);
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -54,10 +54,10 @@
         mGateway = gateway;
         mRequest = request;
         mResponseWriter = responseWriter;
-        mStream = new ForwardedStream(responseWriter);
+        mStream = new ForwardedStream(responseWriter, gateway.time());
         mTrace = new RequestTrace(gateway, request);
         mPrompt = new QuarantineGuard(gateway, mTrace);
-        mStages = new StagePhase(gateway, request, this);
+        mStages = new StagePhase(gateway, request, mStream, this);
         mSearch = new UpstreamSearch(gateway.chooser(), gateway.time());
         mContinuation = new StreamContinuation(gateway, request, mTrace);
         mVersions = new VersionWait(gateway, mTrace, mContinuation);
@@ -135,12 +135,12 @@
             return;
         }
         Duration needed = mAdmitted.expectedStageTime(mGateway);
-        if (needed.compareTo(remaining()) > 0) {
+        Duration left = mStages.timeLeft(mAdmitted, mFeedback.responseTimes());
+        if (needed.compareTo(left) > 0) {
             fail(
                     RefusalReason.DEADLINE_HOPELESS,
-                    "stages need %d ms, %d ms remain"
-                            .formatted(needed.toMillis(), remaining().toMillis()),
-                    backlogRetryAfter());
+                    "stages need %d ms, %d ms remain".formatted(needed.toMillis(), left.toMillis()),
+                    mStages.retryAfter(mAdmitted));
             return;
         }
         mPlacement.chooseStageDataCentre(mGateway.chooser());
@@ -166,7 +166,7 @@
         }
         String detail = "stage group %s: %s".formatted(failure.detail(), failure.kind());
         if (failure.kind() == StageFailure.Kind.DEADLINE) {
-            fail(RefusalReason.DEADLINE_HOPELESS, detail, backlogRetryAfter());
+            fail(RefusalReason.DEADLINE_HOPELESS, detail, mStages.retryAfter(mAdmitted));
         } else {
             fail(RefusalReason.STAGE_FAILED, detail);
         }
@@ -189,7 +189,7 @@
     }
 
     private void searchAgain(ChoiceRequest choice) {
-        mSearch.next(choice, remaining(), mRequest.unitHash())
+        mSearch.next(choice, mStages.remaining(mAdmitted), mRequest.unitHash())
                 .peek(mTrace::waiting)
                 .peek(delay -> mGateway.scheduler().schedule(delay, this::send))
                 .peekLeft(this::failSearch);
@@ -453,10 +453,6 @@
         refuse(mCounts.refusal(reason, detail, retryAfter), decider(reason));
     }
 
-    private Duration backlogRetryAfter() {
-        return RetryDelays.afterBacklog(remaining(), mAdmitted.expectedStageTime(mGateway));
-    }
-
     private Decider decider(RefusalReason reason) {
         boolean isStop = reason == RefusalReason.NOT_READY && mGateway.isStopping();
         return isStop ? Decider.STOP : Decider.of(reason);
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -106,6 +106,8 @@
                         .setPriority(first.urgency().priority())
                         .setHoldsInputs(first.urgency().holdsInputs())
                         .setFollowed(first.urgency().hasDependents())
+                        .setTeam(first.urgency().team())
+                        .setContinues(first.urgency().isContinuation())
                         .setPreferred(
                                 first.preferred().map(dataCentre -> dataCentre.value()).orElse(""));
         pieces.forEach(piece -> builder.addNumbers(piece.work().number()));
@@ -292,7 +294,12 @@
                     done == null
                             ? StageFailure.Kind.FAILED
                             : StageFailure.Kind.valueOf(done.getFailure());
-            piece.listener().onFailed(piece.work(), new StageFailure(kind, "peer " + mPeer));
+            Optional<Duration> delay =
+                    Optional.ofNullable(done)
+                            .map(PieceDone::getDelayNanos)
+                            .filter(nanos -> nanos > 0)
+                            .map(Duration::ofNanos);
+            piece.listener().onFailed(piece.work(), new StageFailure(kind, "peer " + mPeer, delay));
         }
     }
 }
