--- a/core/src/main/java/org/boragethread/core/placement/EngineChoice.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineChoice.java
@@ -83,7 +83,8 @@
     }
 
     /**
-     * Returns the cheapest engine that has room for a request; empty if there is none now.
+     * Returns the cheapest engine that has room for a request and could produce its first event
+     * before the deadline; empty if there is none now.
      *
      * @param openOnly whether to leave out engines that cannot be given a prompt now
      */
@@ -103,6 +104,10 @@
                 continue;
             }
             double wait = mRemaining[index] + mAwaited.getOrDefault(engine, 0.0);
+            double firstEvent = wait + mCost.promptMillis(engine, request, mNow);
+            if (firstEvent > (request.deadlineNanos() - mNow) / 1e6) {
+                continue;
+            }
             int rank =
                     hasPrefix
                             ? PrefixRanks.rank(
--- a/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
@@ -94,30 +94,31 @@
     }
 
     /** Removes a request that has ended. */
-    void remove(PlacedRequest placed) {
+    void remove(PlacedRequest placed, long now) {
         mPlaced--;
         mTokens -= placed.request().memoryTokens();
-        removePending(placed);
+        dropPrompt(placed, now);
     }
 
     /** Removes a request that the engine has not run. */
-    void removeNotRun(PlacedRequest placed) {
-        remove(placed);
+    void removeNotRun(PlacedRequest placed, long now) {
+        remove(placed, now);
         if (placed.isPrefixAdded()) {
             mPrefixes.remove(placed.request().prefixHash());
         }
     }
 
-    /** Stops counting the prompt of a request whose first event was not reported in time. */
-    void dropPrompt(PlacedRequest placed) {
-        removePending(placed);
-    }
-
-    private void removePending(PlacedRequest placed) {
+    /** Stops counting a prompt that is no longer processed, or about which no report came. */
+    void dropPrompt(PlacedRequest placed, long now) {
+        boolean first = !mPending.isEmpty() && mPending.values().iterator().next() == placed;
         if (mPending.remove(placed.request().key()) == null) {
             return;
         }
         mPendingMillis = mPending.isEmpty() ? 0 : mPendingMillis - placed.workMillis();
+        if (first) {
+            // The next prompt starts now; it is not slow because of the one before it.
+            mLastCompletion = Math.max(mLastCompletion, now);
+        }
     }
 
     /**
@@ -132,14 +133,7 @@
         if (!mPending.containsKey(placed.request().key())) {
             return OptionalDouble.empty();
         }
-        Iterator<PlacedRequest> ahead = mPending.values().iterator();
-        boolean first = true;
-        for (PlacedRequest next = ahead.next(); next != placed; next = ahead.next()) {
-            mPendingMillis -= next.workMillis();
-            ahead.remove();
-            first = false;
-        }
-        removePending(placed);
+        boolean first = dropThrough(placed);
         long startedAt = Math.max(placed.placedAt(), mLastCompletion);
         mLastCompletion = Math.max(mLastCompletion, completedAt);
         if (!first || completedAt <= startedAt) {
@@ -150,6 +144,22 @@
         return OptionalDouble.of(millis);
     }
 
+    /** Removes the prompts up to one, and returns whether there was none before it. */
+    private boolean dropThrough(PlacedRequest placed) {
+        Iterator<PlacedRequest> pending = mPending.values().iterator();
+        boolean first = true;
+        PlacedRequest next = pending.next();
+        while (next != placed) {
+            mPendingMillis -= next.workMillis();
+            pending.remove();
+            first = false;
+            next = pending.next();
+        }
+        pending.remove();
+        mPendingMillis = mPending.isEmpty() ? 0 : mPendingMillis - placed.workMillis();
+        return first;
+    }
+
     /**
      * Returns the expected time until all prompts are processed, in milliseconds.
      *
--- a/core/src/main/java/org/boragethread/core/placement/EngineReservations.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineReservations.java
@@ -40,6 +40,7 @@
         Optional<EngineLoad> yielding =
                 mReserved.entrySet().stream()
                         .filter(entry -> isTurn || yields(entry.getValue(), waiting, now))
+                        .filter(entry -> EngineTable.isUsable(entry.getKey(), waiting.request()))
                         .map(Map.Entry::getKey)
                         .findFirst();
         yielding.ifPresent(reserved -> mReserved.put(reserved, waiting));
--- a/core/src/main/java/org/boragethread/core/placement/EngineSpeed.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineSpeed.java
@@ -16,8 +16,8 @@
     private static final double MIN_SLOWNESS = 0.2;
     private static final double MAX_SLOWNESS = 20;
 
-    /** Age of the last sample at which the difference from 1 has halved. */
-    private static final double HALF_LIFE_NANOS = Duration.ofSeconds(2).toNanos();
+    /** Age of the last sample at which the difference from 1 has fallen to a quarter. */
+    private static final double MEMORY_NANOS = Duration.ofSeconds(2).toNanos();
 
     /**
      * An unfinished prompt that has taken longer than expected probably takes longer still, by this
@@ -39,7 +39,8 @@
 
     /** Returns the present slowness. */
     double slowness(long now) {
-        return 1 + (mSlowness - 1) / (1 + (now - mSampledAt) / HALF_LIFE_NANOS);
+        double age = 1 + (now - mSampledAt) / MEMORY_NANOS;
+        return 1 + (mSlowness - 1) / (age * age);
     }
 
     /**
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -168,7 +168,8 @@
      * The entry then asks again with another attempt, with that engine as unusable.
      */
     public void reject(PlacementKey key) {
-        mPlaced.remove(key).ifPresent(placed -> placed.engine().removeNotRun(placed));
+        mPlaced.remove(key)
+                .ifPresent(placed -> placed.engine().removeNotRun(placed, mTime.nanoTime()));
         dispatch();
     }
 
@@ -197,7 +198,7 @@
 
     /** Called when a placed request has ended successfully or was cancelled. */
     public void onEnded(PlacementKey key) {
-        mPlaced.remove(key).ifPresent(placed -> placed.engine().remove(placed));
+        mPlaced.remove(key).ifPresent(placed -> placed.engine().remove(placed, mTime.nanoTime()));
         dispatch();
     }
 
@@ -206,12 +207,13 @@
         Optional<PlacedRequest> placed = mPlaced.remove(key);
         if (placed.isPresent()) {
             EngineLoad engine = placed.get().engine();
+            long now = mTime.nanoTime();
             if (failure == PlacementFailure.REFUSED) {
-                engine.removeNotRun(placed.get());
+                engine.removeNotRun(placed.get(), now);
             } else {
-                engine.remove(placed.get());
+                engine.remove(placed.get(), now);
             }
-            engine.onFailure(mTime.nanoTime());
+            engine.onFailure(now);
         }
         dispatch();
     }
@@ -407,9 +409,9 @@
             PlacedRequest placed = expired.get();
             if (placed.isFirstEventSeen()) {
                 mPlaced.remove(placed.request().key());
-                placed.engine().remove(placed);
+                placed.engine().remove(placed, now);
             } else {
-                placed.engine().dropPrompt(placed);
+                placed.engine().dropPrompt(placed, now);
                 mPlaced.markFirstEventSeen(placed);
             }
             expired = mPlaced.firstExpired(now);
--- a/core/src/main/java/org/boragethread/core/placement/WaitEstimate.java
+++ b/core/src/main/java/org/boragethread/core/placement/WaitEstimate.java
@@ -9,6 +9,9 @@
     /** Shortest time after which a refused request is worth another try. */
     private static final double MIN_RETRY_MILLIS = 100;
 
+    /** Least rate of placements that is assumed, as a share of that of idle engines. */
+    private static final double MIN_RATE_SHARE = 0.05;
+
     private static final double MAX_RETRY_MILLIS = Duration.ofSeconds(30).toMillis();
 
     private final EngineTable mEngines;
@@ -40,10 +43,7 @@
     }
 
     private double millisInQueue(WaitingRequest waiting, long now, int engines) {
-        double rate = mRate.get().orElse(engines);
-        if (rate <= 0) {
-            return 0;
-        }
+        double rate = Math.max(MIN_RATE_SHARE * engines, mRate.get().orElse(engines));
         double wait = mQueue.millisAhead(waiting, waiting.isLate(now), now) / rate;
         if (now + wait * 1e6 > waiting.latestStart()) {
             wait = Math.max(wait, mQueue.millisAhead(waiting, true, now) / rate);
