Compare fewer engines for each placement

The work ahead of a request is kept as sums by lane and team, engines whose wait alone exceeds the lowest cost are skipped, and the directory is only worked through if it changed. Fewer waiting requests are looked at in one round: 8, and 2 for each engine that can be given a prompt.

--- a/core/src/main/java/org/boragethread/core/placement/EngineChoice.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineChoice.java
@@ -1,10 +1,9 @@
 package org.boragethread.core.placement;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.boragethread.model.routing.EngineLimits;
+import org.boragethread.model.upstream.UpstreamId;
 
 /**
  * Chooses engines for waiting requests at one moment. A request whose cheapest engine is busy waits
@@ -19,6 +18,8 @@
      */
     static final double SHORT_PROMPT_MILLIS = 100;
 
+    private static final UpstreamId[] NO_ENGINES = {};
+
     private final EngineTable mEngines;
     private final EngineReservations mReservations;
     private final EngineCost mCost;
@@ -26,13 +27,14 @@
     private final boolean mLimitMemory;
     private final long mNow;
     private final double[] mRemaining;
-    private final Map<EngineLoad, Double> mAwaited = new HashMap<>();
+    private final double[] mAwaited;
+    private final double[] mSlowness;
     private double mMissWeight;
     private double mNextOpenMillis = Double.MAX_VALUE;
     private int mOpen;
 
     /** Result of a choice: the engine, and whether it can be given the prompt now. */
-    record Candidate(EngineLoad engine, double waitMillis, boolean open) {}
+    record Candidate(EngineLoad engine, int index, boolean open) {}
 
     /**
      * Reads the load of all engines.
@@ -54,10 +56,13 @@
         mLimitMemory = limitMemory;
         mNow = now;
         mRemaining = new double[engines.listed().size()];
+        mAwaited = new double[mRemaining.length];
+        mSlowness = new double[mRemaining.length];
         int busy = 0;
         for (int i = 0; i < mRemaining.length; i++) {
             EngineLoad engine = engines.listed().get(i);
             mRemaining[i] = engine.remainingMillis(now, reportMillis);
+            mSlowness[i] = engine.slowness(now);
             busy += mRemaining[i] > 0 ? 1 : 0;
             double untilOpen = mRemaining[i] - SHORT_PROMPT_MILLIS;
             if (engine.isAvoided(now)) {
@@ -91,7 +96,11 @@
     Optional<Candidate> choose(WaitingRequest waiting, boolean openOnly) {
         PlacementRequest request = waiting.request();
         List<EngineLoad> engines = mEngines.listed();
-        boolean hasPrefix = request.prefixHash() != 0;
+        UpstreamId[] first =
+                request.prefixHash() == 0
+                        ? NO_ENGINES
+                        : mEngines.ranks().first(request.prefixHash());
+        double timeLeft = (request.deadlineNanos() - mNow) / 1e6;
         double missWeight = waiting.isLate(mNow) ? 1 : mMissWeight;
         Candidate best = null;
         double lowestCost = Double.MAX_VALUE;
@@ -99,25 +108,26 @@
         for (int i = 0; i < engines.size(); i++) {
             int index = i + offset < engines.size() ? i + offset : i + offset - engines.size();
             EngineLoad engine = engines.get(index);
+            if (mRemaining[index] + mAwaited[index] >= lowestCost) {
+                // The cost is never less than the wait.
+                continue;
+            }
             boolean open = mRemaining[index] < SHORT_PROMPT_MILLIS;
             if (openOnly && !open || engine.isAvoided(mNow) || !hasRoom(engine, waiting)) {
                 continue;
             }
-            double wait = mRemaining[index] + mAwaited.getOrDefault(engine, 0.0);
-            double firstEvent = wait + mCost.promptMillis(engine, request, mNow);
-            if (firstEvent > (request.deadlineNanos() - mNow) / 1e6) {
+            double firstEvent =
+                    mRemaining[index]
+                            + mAwaited[index]
+                            + mCost.promptMillis(engine, request, mSlowness[index]);
+            if (firstEvent > timeLeft) {
                 continue;
             }
-            int rank =
-                    hasPrefix
-                            ? PrefixRanks.rank(
-                                    mEngines.ranks().first(request.prefixHash()),
-                                    engine.status().id())
-                            : 0;
-            double cost = mCost.of(engine, request, wait, rank, missWeight, mNow);
+            int rank = PrefixRanks.rank(first, engine.status().id());
+            double cost = mCost.of(engine, request, firstEvent, rank, missWeight);
             if (cost < lowestCost) {
                 lowestCost = cost;
-                best = new Candidate(engine, wait, open);
+                best = new Candidate(engine, index, open);
             }
         }
         return Optional.ofNullable(best);
@@ -130,8 +140,10 @@
     }
 
     /** Counts the prompt of a request that waits for a busy engine. */
-    void await(EngineLoad engine, WaitingRequest waiting) {
-        mAwaited.merge(engine, mCost.promptMillis(engine, waiting.request(), mNow), Double::sum);
+    void await(Candidate candidate, WaitingRequest waiting) {
+        int index = candidate.index();
+        mAwaited[index] +=
+                mCost.promptMillis(candidate.engine(), waiting.request(), mSlowness[index]);
     }
 
     /**
--- a/core/src/main/java/org/boragethread/core/placement/EngineCost.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineCost.java
@@ -33,9 +33,9 @@
         return request.promptTokens() - (cached ? request.prefixTokens() : 0);
     }
 
-    /** Returns the time that an engine needs for a prompt at its present speed. */
-    double promptMillis(EngineLoad engine, PlacementRequest request, long now) {
-        return mTimes.expectedMillis(prefillTokens(engine, request)) * engine.slowness(now);
+    /** Returns the time that an engine needs for a prompt at a speed. */
+    double promptMillis(EngineLoad engine, PlacementRequest request, double slowness) {
+        return mTimes.expectedMillis(prefillTokens(engine, request)) * slowness;
     }
 
     /** Returns the weight of a prefix that is not cached. */
@@ -46,18 +46,17 @@
     /**
      * Returns the cost.
      *
-     * @param waitMillis time until the engine can start with the prompt
+     * @param firstEventMillis time until the engine has processed the prompt
      * @param rank rank of the engine in the order of the prefix
      * @param missWeight weight of the prefix if it is not cached
      */
     double of(
             EngineLoad engine,
             PlacementRequest request,
-            double waitMillis,
+            double firstEventMillis,
             int rank,
-            double missWeight,
-            long now) {
-        double cost = waitMillis + promptMillis(engine, request, now);
+            double missWeight) {
+        double cost = firstEventMillis;
         cost += engine.placed() * RUNNING_PREFILLS * mTimes.meanPrefillMillis();
         if (request.prefixHash() != 0) {
             cost += rank * RANK_MILLIS;
--- a/core/src/main/java/org/boragethread/core/placement/EngineTable.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineTable.java
@@ -14,12 +14,20 @@
     private final Map<UpstreamId, EngineLoad> mById = new HashMap<>();
     private final PrefixRanks mRanks = new PrefixRanks();
     private List<EngineLoad> mListed = List.of();
+    private List<EngineStatus> mStatuses = List.of();
 
     /**
      * Replaces the list of engines. The load of one that is missing for a while is kept as long as
      * requests are placed there; a new run starts without load.
+     *
+     * @return whether anything changed
      */
-    void update(Collection<EngineStatus> engines) {
+    boolean update(Collection<EngineStatus> engines) {
+        List<EngineStatus> statuses = List.copyOf(engines);
+        if (statuses.equals(mStatuses)) {
+            return false;
+        }
+        mStatuses = statuses;
         Map<UpstreamId, EngineLoad> previous = new HashMap<>(mById);
         List<EngineLoad> listed = new ArrayList<>(engines.size());
         List<UpstreamId> ids = new ArrayList<>(engines.size());
@@ -39,6 +47,7 @@
         mById.putAll(previous);
         mListed = listed;
         mRanks.setEngines(ids);
+        return true;
     }
 
     /** Returns the engines in the directory, in its order. */
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -30,9 +30,9 @@
     private static final double MIN_WAKE_MILLIS = 2;
 
     /** Requests that are looked at for each engine that can be given a prompt, and at least. */
-    private static final int REQUESTS_PER_ENGINE = 4;
+    private static final int REQUESTS_PER_ENGINE = 2;
 
-    private static final int MIN_REQUESTS = 16;
+    private static final int MIN_REQUESTS = 8;
 
     /** A refused request that no engine may or can run is worth another try after this time. */
     private static final Duration NO_ENGINE_RETRY = Duration.ofSeconds(1);
@@ -66,6 +66,7 @@
     private long mNextPlaced;
     private Optional<Scheduler.Timer> mTimer = Optional.empty();
     private long mTimerAt;
+    private double mNextOpenMillis;
 
     /**
      * Creates a coordinator without load.
@@ -232,6 +233,26 @@
         dispatch();
     }
 
+    /**
+     * Removes the waiting requests of an entry that is gone. Placed ones may still run, so their
+     * load is kept until they expire.
+     *
+     * @param entry run of the entry, as in the keys of its requests
+     */
+    public void onEntryGone(String entry) {
+        List<WaitingRequest> gone = new ArrayList<>();
+        for (WaitingRequest waiting : mQueue.all()) {
+            if (waiting.request().key().entry().equals(entry)) {
+                gone.add(waiting);
+            }
+        }
+        for (WaitingRequest waiting : gone) {
+            mQueue.remove(waiting.request().key());
+            mReservations.release(waiting);
+        }
+        dispatch();
+    }
+
     /** Called when the directory has changed, so that waiting requests may be placed. */
     public void onEnginesChanged() {
         mDirectoryRead = false;
@@ -276,8 +297,13 @@
         }
         mDirectoryRead = true;
         mDirectoryReadAt = now;
-        mEngines.update(mDirectory.engines());
-        mReservations.retainUsable(mEngines);
+        if (mEngines.update(mDirectory.engines())) {
+            mReservations.retainUsable(mEngines);
+            refuseWithoutEngine(now);
+        }
+    }
+
+    private void refuseWithoutEngine(long now) {
         List<WaitingRequest> without = new ArrayList<>();
         for (WaitingRequest waiting : mQueue.all()) {
             if (mEngines.listed().stream()
@@ -292,6 +318,7 @@
     private void placeWaiting(long now) {
         while (mQueue.size() > 0) {
             EngineChoice choice = choice(now);
+            mNextOpenMillis = choice.nextOpenMillis();
             if (choice.open() == 0 || !placeFirst(choice, now)) {
                 return;
             }
@@ -322,7 +349,7 @@
                 place(waiting, candidate.get(), now);
                 return true;
             } else {
-                choice.await(candidate.get().engine(), waiting);
+                choice.await(candidate.get(), waiting);
             }
         }
         return false;
@@ -424,7 +451,7 @@
             next = Math.min(next, mPlaced.nextExpiry().getAsLong());
         }
         if (mQueue.size() > 0) {
-            double open = Math.max(MIN_WAKE_MILLIS, choice(now).nextOpenMillis());
+            double open = Math.max(MIN_WAKE_MILLIS, mNextOpenMillis);
             next = Math.min(next, now + (long) (Math.min(POLL_MILLIS, open) * 1e6));
             next = Math.min(next, mQueue.nextExpiry().getAsLong());
         }
--- a/core/src/main/java/org/boragethread/core/placement/PlacementQueue.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementQueue.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -133,32 +132,38 @@
      * @param late whether the request will be late when its turn comes
      */
     double millisAhead(WaitingRequest waiting, boolean late, long now) {
-        double ahead = 0;
+        deferLate(now);
         int priority = waiting.request().priority();
-        Map<String, Double> byTeam = new HashMap<>();
-        for (WaitingRequest other : mByKey.values()) {
-            boolean isOtherLate = other.isLate(now);
-            if (other == waiting || isOtherLate && !late) {
-                continue;
-            }
-            if (late && !isOtherLate || other.request().priority() < priority) {
-                ahead += other.workMillis();
-            } else if (other.request().priority() == priority && precedes(other, waiting)) {
-                byTeam.merge(other.request().team(), other.workMillis(), Double::sum);
-            }
+        if (!late) {
+            return millisBefore(mInTime, priority, waiting);
+        }
+        double inTime = 0;
+        for (TeamShares shares : mInTime.values()) {
+            inTime += shares.millis();
         }
-        Double own = byTeam.remove(waiting.request().team());
-        double share = (own == null ? 0 : own) + waiting.workMillis();
-        for (double other : byTeam.values()) {
-            ahead += Math.min(other, share);
+        return inTime + millisBefore(mLate, priority, waiting);
+    }
+
+    private static double millisBefore(
+            TreeMap<Integer, TeamShares> lane, int priority, WaitingRequest waiting) {
+        double millis = 0;
+        for (TeamShares shares : lane.headMap(priority).values()) {
+            millis += shares.millis();
         }
-        return ahead + share - waiting.workMillis();
+        TeamShares own = lane.get(priority);
+        return own == null ? millis : millis + own.millisBefore(waiting);
     }
 
-    /** Returns whether a request of the same priority precedes another one by latest start. */
-    private static boolean precedes(WaitingRequest other, WaitingRequest waiting) {
-        return !other.request().team().equals(waiting.request().team())
-                || other.latestStart() <= waiting.latestStart();
+    /** Returns the mean work of a waiting request, in milliseconds. */
+    double meanMillis() {
+        double millis = 0;
+        for (TeamShares shares : mInTime.values()) {
+            millis += shares.millis();
+        }
+        for (TeamShares shares : mLate.values()) {
+            millis += shares.millis();
+        }
+        return mByKey.isEmpty() ? 0 : millis / mByKey.size();
     }
 
     Collection<WaitingRequest> all() {
--- a/core/src/main/java/org/boragethread/core/placement/TeamShares.java
+++ b/core/src/main/java/org/boragethread/core/placement/TeamShares.java
@@ -20,6 +20,7 @@
 
     private final Map<String, TreeSet<WaitingRequest>> mWaiting = new HashMap<>();
     private final Map<String, Double> mGiven = new HashMap<>();
+    private final Map<String, Double> mMillis = new HashMap<>();
 
     boolean isEmpty() {
         return mWaiting.isEmpty();
@@ -34,6 +35,7 @@
             mWaiting.put(team, new TreeSet<>(BY_LATEST_START));
         }
         mWaiting.get(team).add(waiting);
+        mMillis.merge(team, waiting.workMillis(), Double::sum);
     }
 
     boolean remove(WaitingRequest waiting) {
@@ -42,8 +44,10 @@
         if (requests == null || !requests.remove(waiting)) {
             return false;
         }
+        mMillis.merge(team, -waiting.workMillis(), Double::sum);
         if (requests.isEmpty()) {
             mWaiting.remove(team);
+            mMillis.remove(team);
         }
         if (mWaiting.isEmpty()) {
             mGiven.clear();
@@ -56,6 +60,33 @@
         mGiven.merge(waiting.request().team(), waiting.workMillis(), Double::sum);
     }
 
+    /** Returns the work of all requests, in milliseconds. */
+    double millis() {
+        double millis = 0;
+        for (double team : mMillis.values()) {
+            millis += team;
+        }
+        return millis;
+    }
+
+    /** Returns the work that is placed before a request, in milliseconds. */
+    double millisBefore(WaitingRequest waiting) {
+        String team = waiting.request().team();
+        double own = 0;
+        if (mWaiting.containsKey(team)) {
+            for (WaitingRequest other : mWaiting.get(team).headSet(waiting)) {
+                own += other.workMillis();
+            }
+        }
+        double millis = own;
+        for (Map.Entry<String, Double> other : mMillis.entrySet()) {
+            if (!other.getKey().equals(team)) {
+                millis += Math.min(other.getValue(), own + waiting.workMillis());
+            }
+        }
+        return millis;
+    }
+
     /** Adds requests to a list in the order in which they would be placed, up to a size. */
     void addInOrder(List<WaitingRequest> ordered, int maxSize) {
         List<Turn> turns = new ArrayList<>();
--- a/core/src/main/java/org/boragethread/core/placement/WaitEstimate.java
+++ b/core/src/main/java/org/boragethread/core/placement/WaitEstimate.java
@@ -48,19 +48,13 @@
         if (now + wait * 1e6 > waiting.latestStart()) {
             wait = Math.max(wait, mQueue.millisAhead(waiting, true, now) / rate);
         }
-        return Math.min(wait, millisUntilTurn(waiting, rate));
+        return Math.min(wait, millisUntilTurn(rate));
     }
 
-    /** Returns the time until the request is the one that has waited longest and has its turn. */
-    private double millisUntilTurn(WaitingRequest waiting, double rate) {
-        int older = 0;
-        double work = 0;
-        for (WaitingRequest other : mQueue.all()) {
-            work += other.workMillis();
-            older += other.sequence() < waiting.sequence() ? 1 : 0;
-        }
-        double mean = work / Math.max(1, mQueue.size());
-        return (older + 1) * PlacementQueue.TURN_INTERVAL * mean / rate;
+    /** Returns the time until the newest request is the oldest and has its turn. */
+    private double millisUntilTurn(double rate) {
+        double mean = mQueue.meanMillis();
+        return mQueue.size() * PlacementQueue.TURN_INTERVAL * mean / rate;
     }
 
     /** Returns the time after which such a request could be served if no other one arrived. */
