Avoid an engine only after two failure responses, and none if all are avoided

The coordinator avoids an engine for all entries, so that a few requests that always fail would take engines from everyone.

--- a/core/src/main/java/org/boragethread/core/placement/EngineChoice.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineChoice.java
@@ -26,6 +26,7 @@
     private final EngineLimits mLimits;
     private final boolean mLimitMemory;
     private final long mNow;
+    private final boolean mIgnoreAvoidance;
     private final double[] mRemaining;
     private final double[] mAwaited;
     private final double[] mSlowness;
@@ -55,6 +56,7 @@
         mLimits = limits;
         mLimitMemory = limitMemory;
         mNow = now;
+        mIgnoreAvoidance = engines.areAllAvoided(now);
         mRemaining = new double[engines.listed().size()];
         mAwaited = new double[mRemaining.length];
         mSlowness = new double[mRemaining.length];
@@ -65,7 +67,7 @@
             mSlowness[i] = engine.slowness(now);
             busy += mRemaining[i] > 0 ? 1 : 0;
             double untilOpen = mRemaining[i] - SHORT_PROMPT_MILLIS;
-            if (engine.isAvoided(now)) {
+            if (isAvoided(engine)) {
                 untilOpen = Math.max(untilOpen, (engine.avoidedUntil() - now) / 1e6);
             }
             if (untilOpen < 0) {
@@ -113,7 +115,7 @@
                 continue;
             }
             boolean open = mRemaining[index] < SHORT_PROMPT_MILLIS;
-            if (openOnly && !open || engine.isAvoided(mNow) || !hasRoom(engine, waiting)) {
+            if (openOnly && !open || isAvoided(engine) || !hasRoom(engine, waiting)) {
                 continue;
             }
             double firstEvent =
@@ -133,6 +135,10 @@
         return Optional.ofNullable(best);
     }
 
+    private boolean isAvoided(EngineLoad engine) {
+        return !mIgnoreAvoidance && engine.isAvoided(mNow);
+    }
+
     private boolean hasRoom(EngineLoad engine, WaitingRequest waiting) {
         return mReservations.isFree(engine, waiting)
                 && EngineTable.isUsable(engine, waiting.request())
@@ -153,7 +159,7 @@
     Optional<EngineLoad> engineToReserve(WaitingRequest waiting) {
         EngineLoad best = null;
         for (EngineLoad engine : mEngines.listed()) {
-            if (engine.isAvoided(mNow) || !EngineTable.isUsable(engine, waiting.request())) {
+            if (isAvoided(engine) || !EngineTable.isUsable(engine, waiting.request())) {
                 continue;
             }
             if (mReservations.isFree(engine, waiting)
--- a/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
@@ -175,11 +175,18 @@
         return Math.max(0, mPendingMillis * slowness - elapsed);
     }
 
-    /** Avoids the engine for a while. Failures during that time are of the same cause. */
-    void onFailure(long now) {
+    /**
+     * Avoids the engine for a while. Failures during that time are of the same cause. A single
+     * failure response may be due to the request, and the engine is avoided for all entries.
+     */
+    void onFailure(PlacementFailure failure, long now) {
         if (isAvoided(now)) {
             return;
         }
+        if (failure == PlacementFailure.FAILED && mConsecutiveFailures == 0) {
+            mConsecutiveFailures++;
+            return;
+        }
         int doublings = Math.min(MAX_DOUBLINGS, mConsecutiveFailures);
         mConsecutiveFailures++;
         mAvoidUntil = now + (INITIAL_AVOIDANCE_NANOS << doublings);
--- a/core/src/main/java/org/boragethread/core/placement/EngineTable.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineTable.java
@@ -63,6 +63,16 @@
         return Optional.ofNullable(mById.get(id));
     }
 
+    /** Returns whether all engines are avoided; then avoiding them is of no use. */
+    boolean areAllAvoided(long now) {
+        for (EngineLoad engine : mListed) {
+            if (!engine.isAvoided(now)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Returns the engines that a request may use, busy ones included. */
     List<EngineLoad> usable(PlacementRequest request) {
         List<EngineLoad> usable = new ArrayList<>(mListed.size());
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -214,7 +214,7 @@
             } else {
                 engine.remove(placed.get(), now);
             }
-            engine.onFailure(now);
+            engine.onFailure(failure, now);
         }
         dispatch();
     }
--- a/core/src/main/java/org/boragethread/core/placement/WaitEstimate.java
+++ b/core/src/main/java/org/boragethread/core/placement/WaitEstimate.java
@@ -30,14 +30,14 @@
      */
     double waitMillis(WaitingRequest waiting, long now, double reportMillis) {
         List<EngineLoad> usable = mEngines.usable(waiting.request());
+        boolean ignoreAvoidance = mEngines.areAllAvoided(now);
         double shortest = Double.MAX_VALUE;
         for (EngineLoad engine : usable) {
-            double remaining = engine.remainingMillis(now, reportMillis);
-            double avoidance = Math.max(0, (engine.avoidedUntil() - now) / 1e6);
-            shortest =
-                    Math.min(
-                            shortest,
-                            engine.isAvoided(now) ? Math.max(remaining, avoidance) : remaining);
+            double wait = engine.remainingMillis(now, reportMillis);
+            if (!ignoreAvoidance && engine.isAvoided(now)) {
+                wait = Math.max(wait, (engine.avoidedUntil() - now) / 1e6);
+            }
+            shortest = Math.min(shortest, wait);
         }
         return Math.max(shortest, millisInQueue(waiting, now, usable.size()));
     }
--- a/core/src/test/java/org/boragethread/core/placement/PlacementCoordinatorTest.java
+++ b/core/src/test/java/org/boragethread/core/placement/PlacementCoordinatorTest.java
@@ -11,10 +11,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.boragethread.core.callback.Supervisors;
 import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.model.upstream.UpstreamId;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -274,30 +276,34 @@
         int copies = used.values().stream().mapToInt(Set::size).sum();
         assertTrue(copies <= 1.5 * used.size(), used.toString());
         advance(5000);
-        Set<UpstreamId> popular = new HashSet<>();
+        List<PlacementKey> burst = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
-            popular.add(engine(place(request(2000, 9000).prefix(99, 8000).tokens(9500, 10))));
+            burst.add(place(request(2000, 9000).prefix(99, 8000).tokens(9500, 10)));
         }
         advance(5000);
+        Set<UpstreamId> popular = new HashSet<>();
+        burst.forEach(key -> popular.add(engine(key)));
         assertTrue(popular.size() > 2, "a burst of one prefix uses " + popular);
     }
 
     // Guards against requests at an engine that has become slow while others are idle.
     @Test
     public void slowEngineIsNoticedQuickly() {
-        use(4, false, 1);
-        Map<UpstreamId, Integer> sent = new HashMap<>();
-        for (int i = 0; i < 400; i++) {
-            if (i == 200) {
-                mSlowness.put(mEngines.get(0).id(), 6.0);
-                sent.clear();
+        for (int gap : new int[] {60, 150}) {
+            use(4, false, 1);
+            Map<UpstreamId, Integer> sent = new HashMap<>();
+            for (int i = 0; i < 400; i++) {
+                if (i == 200) {
+                    mSlowness.put(mEngines.get(0).id(), 6.0);
+                    sent.clear();
+                }
+                PlacementKey key = place(request(1000, 9000));
+                advance(gap);
+                sent.merge(engine(key), 1, Integer::sum);
             }
-            PlacementKey key = place(request(1000, 9000));
-            advance(60);
-            sent.merge(engine(key), 1, Integer::sum);
+            int slow = sent.getOrDefault(mEngines.get(0).id(), 0);
+            assertTrue(slow < 0.1 * 200, sent.toString());
         }
-        int slow = sent.getOrDefault(mEngines.get(0).id(), 0);
-        assertTrue(slow < 0.1 * 200, sent.toString());
     }
 
     // Guards against a new coordinator that takes busy engines for idle ones, and against engines
@@ -318,4 +324,30 @@
         PlacementKey none = place(request(1000, 9000).unusable(all));
         assertEquals(reason(none), PlacementRefusal.Reason.NO_ENGINE);
     }
+
+    // Guards against load of a crashed run that keeps its next run from being used, against reports
+    // about the old run that change the new one, and against requests at another version.
+    @Test
+    public void newRunStartsWithoutLoad() {
+        use(1, true, 1);
+        PlacementKey old = place(request(1000, 9000).tokens(1000, MEMORY - 1000));
+        EngineStatus status = mEngines.get(0);
+        SoftwareVersion version = new SoftwareVersion("v2");
+        mEngines.set(
+                0,
+                new EngineStatus(
+                        status.id(), 2, status.dataCentre(), false, false, Optional.of(version)));
+        mCoordinator.onEnginesChanged();
+        PlacementKey other = place(request(1000, 9000).forbiddenVersions(Set.of(version)));
+        assertEquals(reason(other), PlacementRefusal.Reason.NO_ENGINE);
+        PlacementKey next =
+                place(request(1000, 9000).requiredVersion(version).tokens(1000, MEMORY - 1000));
+        assertEquals(engine(next), status.id());
+        mCoordinator.onFailed(old, PlacementFailure.BROKEN);
+        assertEquals(mCoordinator.placedAt(status.id()), 1);
+        PlacementKey waits = place(request(5000, 9000).tokens(1000, MEMORY - 1000));
+        assertNull(outcome(waits), "the old run's end has freed memory of the new one");
+        advance(2000);
+        assertEquals(engine(waits), status.id());
+    }
 }
--- a/core/src/test/java/org/boragethread/core/placement/PlacementSimulation.java
+++ b/core/src/test/java/org/boragethread/core/placement/PlacementSimulation.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.boragethread.core.callback.Supervisors;
 import org.boragethread.core.member.PartitionLease;
 import org.boragethread.core.time.ManualTimeSource;
@@ -68,11 +69,6 @@
     /** A request at one entry. */
     record Job(int number, int entry, long tokens, long arrivedAt) {}
 
-    /** How requests reach an engine. */
-    interface Policy {
-        void onArrival(Job job);
-    }
-
     PlacementSimulation(Case simulated) {
         mCase = simulated;
         for (int i = 0; i < simulated.engines(); i++) {
@@ -156,9 +152,7 @@
 
                     private void send(Placement placement) {
                         long sentAt = mTime.nanoTime();
-                        String id = placement.engine().value();
-                        int engine = Integer.parseInt(id.substring(id.indexOf('-') + 1));
-                        mEngines.get(engine).add(job, () -> report(mTime.since(sentAt)));
+                        engine(placement.engine()).add(job, () -> report(mTime.since(sentAt)));
                     }
 
                     private void report(Duration response) {
@@ -175,7 +169,11 @@
         mTime.schedule(delay, () -> coordinator.place(request, listener));
     }
 
-    private Result run(Policy policy) {
+    private Engine engine(UpstreamId id) {
+        return mEngines.get(Integer.parseInt(id.value().substring("engine-".length())));
+    }
+
+    private Result run(Consumer<Job> policy) {
         SplittableRandom random = new SplittableRandom(20_261_206);
         double[] shares = new double[mCase.entries()];
         double sum = 0;
@@ -194,7 +192,7 @@
             int entry = Math.min(shares.length - 1, found < 0 ? -found - 1 : found);
             long nanos = (long) (at * 1e6);
             Job job = new Job(i, entry, random.nextInt(MIN_TOKENS, MAX_TOKENS), nanos);
-            mTime.schedule(Duration.ofNanos(nanos), () -> policy.onArrival(job));
+            mTime.schedule(Duration.ofNanos(nanos), () -> policy.accept(job));
         }
         mTime.advance(Duration.ofMillis((long) at + 60_000));
         return result();
@@ -319,9 +317,7 @@
             long sentAt = mTime.nanoTime();
             node.onSent(sentAt);
             node.prompts().onPromptSent(0, 0, LIMITS.cacheTokens(), prefill);
-            String id = node.entry().id().value();
-            int engine = Integer.parseInt(id.substring(id.indexOf('-') + 1));
-            mEngines.get(engine).add(job, () -> onFirstEvent(node, job, prefill, sentAt));
+            engine(node.entry().id()).add(job, () -> onFirstEvent(node, job, prefill, sentAt));
         }
 
         private void onFirstEvent(UpstreamNode node, Job job, double prefill, long sentAt) {
