Define the peer messages of shared placement

The head of a held response acknowledges a placement request at once; its body has the engine or the refusal. Reports are batched; a restore replaces what a coordinator knows of an entry.

--- a/wire/src/main/java/org/boragethread/wire/proto/Peer.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Peer.java
@@ -85,6 +85,46 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_boragethread_peer_TopicRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementAsked_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementAsked_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementSender_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementSender_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementNeeds_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementNeeds_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementDecision_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementDecision_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementReports_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementReports_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementRestore_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementRestore_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementHeld_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementHeld_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementReport_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -124,8 +164,48 @@
       "on\030\005 \001(\t\"0\n\013StreamQuery\022\020\n\010key_high\030\001 \001(" +
       "\006\022\017\n\007key_low\030\002 \001(\006\"H\n\013TopicRecord\022\016\n\006off" +
       "set\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\022\n\005value\030\003 \001(\014H\000\210" +
-      "\001\001B\010\n\006_valueB\037\n\033org.boragethread.wire.pr" +
-      "otoP\001b\006proto3"
+      "\001\001B\010\n\006_value\"\205\001\n\016PlacementAsked\022\r\n\005group" +
+      "\030\001 \001(\t\0222\n\006sender\030\002 \001(\0132\".boragethread.pe" +
+      "er.PlacementSender\0220\n\005needs\030\003 \001(\0132!.bora" +
+      "gethread.peer.PlacementNeeds\"/\n\017Placemen" +
+      "tSender\022\017\n\007address\030\001 \001(\t\022\013\n\003run\030\002 \001(\003\"\214\003" +
+      "\n\016PlacementNeeds\022\016\n\006number\030\001 \001(\005\022\022\n\nrequ" +
+      "est_id\030\002 \001(\t\022\023\n\013prefix_hash\030\003 \001(\006\022\025\n\rpre" +
+      "fix_tokens\030\004 \001(\003\022\025\n\rprompt_tokens\030\005 \001(\003\022" +
+      "\025\n\routput_tokens\030\006 \001(\003\022\020\n\010priority\030\007 \001(\005" +
+      "\022\014\n\004team\030\010 \001(\t\022\031\n\021target_left_nanos\030\t \001(" +
+      "\003\022\033\n\023deadline_left_nanos\030\n \001(\003\022\031\n\021expiry" +
+      "_left_nanos\030\013 \001(\003\022\031\n\021input_data_centre\030\014" +
+      " \001(\t\022\025\n\rremote_millis\030\r \001(\001\022\020\n\010unusable\030" +
+      "\016 \003(\t\022\017\n\007regions\030\017 \003(\t\022\030\n\020required_versi" +
+      "on\030\020 \001(\t\022\032\n\022forbidden_versions\030\021 \003(\t\"\240\001\n" +
+      "\021PlacementDecision\022\016\n\006engine\030\001 \001(\t\022\024\n\014wa" +
+      "ited_nanos\030\002 \001(\003\022\"\n\032expected_first_event" +
+      "_nanos\030\003 \001(\003\022\025\n\rprefix_cached\030\004 \001(\010\022\017\n\007r" +
+      "efusal\030\005 \001(\t\022\031\n\021retry_after_nanos\030\006 \001(\003\"" +
+      "\201\002\n\020PlacementReports\022\r\n\005group\030\001 \001(\t\0222\n\006s" +
+      "ender\030\002 \001(\0132\".boragethread.peer.Placemen" +
+      "tSender\0229\n\007restore\030\003 \001(\0132#.boragethread." +
+      "peer.PlacementRestoreH\000\210\001\001\022.\n\004held\030\004 \003(\013" +
+      "2 .boragethread.peer.PlacementHeld\0223\n\007re" +
+      "ports\030\005 \003(\0132\".boragethread.peer.Placemen" +
+      "tReportB\n\n\010_restore\"Z\n\020PlacementRestore\022" +
+      "\026\n\016complete_below\030\001 \001(\005\022.\n\004held\030\002 \003(\0132 ." +
+      "boragethread.peer.PlacementHeld\"~\n\rPlace" +
+      "mentHeld\0220\n\005needs\030\001 \001(\0132!.boragethread.p" +
+      "eer.PlacementNeeds\022\016\n\006engine\030\002 \001(\t\022\021\n\tag" +
+      "e_nanos\030\003 \001(\003\022\030\n\020first_event_seen\030\004 \001(\010\"" +
+      "p\n\017PlacementReport\022\016\n\006number\030\001 \001(\005\0220\n\005ev" +
+      "ent\030\002 \001(\0162!.boragethread.peer.PlacementE" +
+      "vent\022\033\n\023response_time_nanos\030\003 \001(\003*\377\001\n\016Pl" +
+      "acementEvent\022\037\n\033PLACEMENT_EVENT_UNSPECIF" +
+      "IED\020\000\022\037\n\033PLACEMENT_EVENT_FIRST_EVENT\020\001\022\031" +
+      "\n\025PLACEMENT_EVENT_ENDED\020\002\022\035\n\031PLACEMENT_E" +
+      "VENT_WITHDRAWN\020\003\022\034\n\030PLACEMENT_EVENT_REJE" +
+      "CTED\020\004\022\033\n\027PLACEMENT_EVENT_REFUSED\020\005\022\032\n\026P" +
+      "LACEMENT_EVENT_FAILED\020\006\022\032\n\026PLACEMENT_EVE" +
+      "NT_BROKEN\020\007B\037\n\033org.boragethread.wire.pro" +
+      "toP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -203,6 +283,54 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_TopicRecord_descriptor,
         new java.lang.String[] { "Offset", "Key", "Value", });
+    internal_static_boragethread_peer_PlacementAsked_descriptor =
+      getDescriptor().getMessageTypes().get(12);
+    internal_static_boragethread_peer_PlacementAsked_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementAsked_descriptor,
+        new java.lang.String[] { "Group", "Sender", "Needs", });
+    internal_static_boragethread_peer_PlacementSender_descriptor =
+      getDescriptor().getMessageTypes().get(13);
+    internal_static_boragethread_peer_PlacementSender_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementSender_descriptor,
+        new java.lang.String[] { "Address", "Run", });
+    internal_static_boragethread_peer_PlacementNeeds_descriptor =
+      getDescriptor().getMessageTypes().get(14);
+    internal_static_boragethread_peer_PlacementNeeds_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementNeeds_descriptor,
+        new java.lang.String[] { "Number", "RequestId", "PrefixHash", "PrefixTokens", "PromptTokens", "OutputTokens", "Priority", "Team", "TargetLeftNanos", "DeadlineLeftNanos", "ExpiryLeftNanos", "InputDataCentre", "RemoteMillis", "Unusable", "Regions", "RequiredVersion", "ForbiddenVersions", });
+    internal_static_boragethread_peer_PlacementDecision_descriptor =
+      getDescriptor().getMessageTypes().get(15);
+    internal_static_boragethread_peer_PlacementDecision_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementDecision_descriptor,
+        new java.lang.String[] { "Engine", "WaitedNanos", "ExpectedFirstEventNanos", "PrefixCached", "Refusal", "RetryAfterNanos", });
+    internal_static_boragethread_peer_PlacementReports_descriptor =
+      getDescriptor().getMessageTypes().get(16);
+    internal_static_boragethread_peer_PlacementReports_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementReports_descriptor,
+        new java.lang.String[] { "Group", "Sender", "Restore", "Held", "Reports", });
+    internal_static_boragethread_peer_PlacementRestore_descriptor =
+      getDescriptor().getMessageTypes().get(17);
+    internal_static_boragethread_peer_PlacementRestore_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementRestore_descriptor,
+        new java.lang.String[] { "CompleteBelow", "Held", });
+    internal_static_boragethread_peer_PlacementHeld_descriptor =
+      getDescriptor().getMessageTypes().get(18);
+    internal_static_boragethread_peer_PlacementHeld_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementHeld_descriptor,
+        new java.lang.String[] { "Needs", "Engine", "AgeNanos", "FirstEventSeen", });
+    internal_static_boragethread_peer_PlacementReport_descriptor =
+      getDescriptor().getMessageTypes().get(19);
+    internal_static_boragethread_peer_PlacementReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementReport_descriptor,
+        new java.lang.String[] { "Number", "Event", "ResponseTimeNanos", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
