--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -4,13 +4,16 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.SoftwareVersion;
+import org.boragethread.model.upstream.UpstreamId;
 
 /**
  * Chooses the upstream with the lowest expected cost for a request. Requests with the same prompt
@@ -100,6 +103,40 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns the upstreams that could get the request but not now, or whose calls are likely to
+     * fail; empty if there is no other one, or one whose limit is to be confirmed comes first.
+     */
+    public Optional<Set<UpstreamId>> unusable(ChoiceRequest request) {
+        long now = mTime.nanoTime();
+        Set<UpstreamId> unusable = new HashSet<>();
+        boolean any = false;
+        for (UpstreamNode node : mDirectory.of(request.group().id())) {
+            if (request.excluded().contains(node)) {
+                unusable.add(node.entry().id());
+            } else if (isAllowed(node, request)) {
+                boolean callable = isCallAllowed(node, request.group(), now);
+                if (callable && isConfirmationDue(node, now)) {
+                    return Optional.empty();
+                }
+                if (callable && !node.isAvoided(now)) {
+                    any = true;
+                } else {
+                    unusable.add(node.entry().id());
+                }
+            }
+        }
+        return any ? Optional.of(unusable) : Optional.empty();
+    }
+
+    /** Returns whether an upstream is known and may get the request now. */
+    public boolean isCallable(ChoiceRequest request, UpstreamNode node) {
+        return node.isListed()
+                && node.entry().group().equals(request.group().id())
+                && isAllowed(node, request)
+                && isCallAllowed(node, request.group(), mTime.nanoTime());
+    }
+
     private boolean isConfirmationDue(UpstreamNode node, long now) {
         return !node.isAvoided(now)
                 && now >= node.busyUntil()
