Ask the coordinator of a group where requests run, and report to it

A restore replaces what a coordinator knows of an entry, so that lost reports don't count as load until they expire.

--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementCodec.java
@@ -0,0 +1,87 @@
+package org.boragethread.entry.placement;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.boragethread.core.placement.Placement;
+import org.boragethread.core.placement.PlacementKey;
+import org.boragethread.core.placement.PlacementRefusal;
+import org.boragethread.core.placement.PlacementRequest;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.upstream.SoftwareVersion;
+import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.wire.proto.PlacementDecision;
+import org.boragethread.wire.proto.PlacementNeeds;
+
+/** Converts the messages about placements to and from the types of the coordinator. */
+final class PlacementCodec {
+
+    private PlacementCodec() {}
+
+    static PlacementKey key(EntryRun entry, PlacementNeeds needs) {
+        return new PlacementKey(entry.name(), needs.getRequestId(), needs.getNumber());
+    }
+
+    /**
+     * Decodes what a request needs.
+     *
+     * @param unusable engines that it must not reach, in addition to those of the message
+     * @param now monotonic time of this process
+     * @throws IllegalArgumentException if the message is malformed
+     */
+    static PlacementRequest decode(
+            PlacementKey key, PlacementNeeds needs, Set<UpstreamId> unusable, long now) {
+        Set<UpstreamId> allUnusable = new HashSet<>(unusable);
+        needs.getUnusableList().forEach(id -> allUnusable.add(new UpstreamId(id)));
+        Set<SoftwareVersion> forbidden =
+                needs.getForbiddenVersionsList().stream()
+                        .map(SoftwareVersion::new)
+                        .collect(Collectors.toSet());
+        long deadline = now + needs.getDeadlineLeftNanos();
+        PlacementRequest.Builder request =
+                PlacementRequest.builder(key)
+                        .prefix(needs.getPrefixHash(), needs.getPrefixTokens())
+                        .tokens(needs.getPromptTokens(), needs.getOutputTokens())
+                        .priority(needs.getPriority())
+                        .team(needs.getTeam())
+                        .firstEventBy(now + needs.getTargetLeftNanos(), deadline)
+                        .expiry(Math.max(deadline, now + needs.getExpiryLeftNanos()))
+                        .unusable(allUnusable)
+                        .forbiddenVersions(forbidden);
+        if (!needs.getInputDataCentre().isEmpty()) {
+            request.input(new DataCentreId(needs.getInputDataCentre()), needs.getRemoteMillis());
+        }
+        if (!needs.getRequiredVersion().isEmpty()) {
+            request.requiredVersion(new SoftwareVersion(needs.getRequiredVersion()));
+        }
+        return request.build();
+    }
+
+    /** Returns what a request still needs some time after it was asked for. */
+    static PlacementNeeds later(PlacementNeeds needs, Duration elapsed) {
+        long nanos = elapsed.toNanos();
+        return needs.toBuilder()
+                .setTargetLeftNanos(needs.getTargetLeftNanos() - nanos)
+                .setDeadlineLeftNanos(needs.getDeadlineLeftNanos() - nanos)
+                .setExpiryLeftNanos(needs.getExpiryLeftNanos() - nanos)
+                .build();
+    }
+
+    static PlacementDecision encode(Placement placement) {
+        return PlacementDecision.newBuilder()
+                .setEngine(placement.engine().value())
+                .setWaitedNanos(placement.waited().toNanos())
+                .setExpectedFirstEventNanos(placement.expectedFirstEvent().toNanos())
+                .setPrefixCached(placement.prefixCached())
+                .build();
+    }
+
+    static PlacementDecision encode(PlacementRefusal refusal) {
+        return PlacementDecision.newBuilder()
+                .setRefusal(refusal.reason().name())
+                .setRetryAfterNanos(refusal.retryAfter().toNanos())
+                .setWaitedNanos(refusal.waited().toNanos())
+                .build();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
@@ -0,0 +1,369 @@
+package org.boragethread.entry.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.boragethread.core.callback.CallbackGuard;
+import org.boragethread.core.callback.Supervisor;
+import org.boragethread.core.placement.HeldPlacement;
+import org.boragethread.core.placement.Placement;
+import org.boragethread.core.placement.PlacementCoordinator;
+import org.boragethread.core.placement.PlacementFailure;
+import org.boragethread.core.placement.PlacementKey;
+import org.boragethread.core.placement.PlacementListener;
+import org.boragethread.core.placement.PlacementRefusal;
+import org.boragethread.core.placement.PlacementRequest;
+import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.wire.proto.PlacementAsked;
+import org.boragethread.wire.proto.PlacementDecision;
+import org.boragethread.wire.proto.PlacementHeld;
+import org.boragethread.wire.proto.PlacementNeeds;
+import org.boragethread.wire.proto.PlacementReport;
+import org.boragethread.wire.proto.PlacementReports;
+import org.boragethread.wire.proto.PlacementRestore;
+
+/**
+ * Places the requests of all entries while this entry coordinates groups of engines. Knows which
+ * placements each entry has, so that those of an entry that has ended don't count as load. Not
+ * thread-safe.
+ */
+public final class PlacementServer {
+
+    /** Withdrawals that may overtake their requests, for each entry. */
+    private static final int MAX_EARLY_WITHDRAWALS = 1024;
+
+    /** Number of placements after which those that have expired unreported are looked for. */
+    private static final int PRUNE_INTERVAL = 256;
+
+    private static final Decided DECIDED = () -> {};
+
+    private final Groups mGroups;
+    private final TimeSource mTime;
+    private final Map<GroupId, Coordination> mCoordinations = new HashMap<>();
+    private Set<String> mMembers = Set.of();
+
+    /** The groups of engines that may be coordinated. */
+    public interface Groups {
+
+        /** Returns a new coordinator of a group; empty if this entry knows no such group. */
+        Optional<PlacementCoordinator> createCoordinator(GroupId group);
+
+        /** Returns what runs the callbacks of a coordinator. */
+        Supervisor supervisor(GroupId group);
+
+        /** Returns the engines of a group that are outside of all the given regions. */
+        Set<UpstreamId> outside(GroupId group, Set<String> regions);
+    }
+
+    /** A request that may still wait. */
+    public interface Decided {
+
+        /** Withdraws the request, whether it waits or was placed. */
+        void withdraw();
+    }
+
+    /** Creates a server that coordinates no group yet. */
+    public PlacementServer(Groups groups, TimeSource time) {
+        mGroups = groups;
+        mTime = time;
+    }
+
+    /** Returns whether this entry can coordinate a group. */
+    public boolean coordinates(GroupId group) {
+        return coordination(group).isPresent();
+    }
+
+    /**
+     * Places a request.
+     *
+     * @param receiver gets the decision, possibly at once
+     * @return empty if this entry can't decide, and the receiver is not called
+     */
+    public Optional<Decided> place(PlacementAsked asked, Consumer<PlacementDecision> receiver) {
+        Optional<Coordination> found = coordination(new GroupId(asked.getGroup()));
+        if (found.isEmpty()) {
+            return Optional.empty();
+        }
+        Coordination coordination = found.get();
+        Optional<Sender> sender = coordination.sender(EntryRun.decode(asked.getSender()));
+        if (sender.isEmpty()) {
+            return Optional.empty();
+        }
+        int number = asked.getNeeds().getNumber();
+        if (sender.get().mWithdrawn.remove(number)) {
+            return Optional.of(DECIDED);
+        }
+        PlacementRequest request = coordination.decode(sender.get(), asked.getNeeds(), mTime);
+        sender.get().track(request, mTime.nanoTime());
+        boolean accepted =
+                coordination.run(
+                        () ->
+                                coordination.mCoordinator.place(
+                                        request, new Reply(sender.get(), receiver)));
+        Decided decided = () -> coordination.withdraw(sender.get(), number, false);
+        if (!accepted) {
+            decided.withdraw();
+            return Optional.empty();
+        }
+        return Optional.of(decided);
+    }
+
+    /** Applies what has happened to requests of an entry. */
+    public void apply(PlacementReports reports) {
+        Optional<Coordination> found = coordination(new GroupId(reports.getGroup()));
+        if (found.isEmpty()) {
+            return;
+        }
+        Coordination coordination = found.get();
+        Optional<Sender> sender = coordination.sender(EntryRun.decode(reports.getSender()));
+        if (sender.isEmpty()) {
+            return;
+        }
+        if (reports.hasRestore()) {
+            coordination.restore(sender.get(), reports.getRestore(), mTime);
+        }
+        coordination.add(sender.get(), reports.getHeldList(), mTime);
+        for (PlacementReport report : reports.getReportsList()) {
+            coordination.apply(sender.get(), report);
+        }
+    }
+
+    /**
+     * Removes the load of entries that have ended.
+     *
+     * @param members addresses of the live entries
+     */
+    public void onMembersChanged(Set<String> members) {
+        Set<String> ended = new HashSet<>(mMembers);
+        ended.removeAll(members);
+        mMembers = Set.copyOf(members);
+        for (Coordination coordination : mCoordinations.values()) {
+            ended.forEach(coordination::onEntryEnded);
+        }
+    }
+
+    /** Called when announcements of engines may have changed. */
+    public void onEnginesChanged() {
+        for (Coordination coordination : mCoordinations.values()) {
+            if (coordination.mCoordinator.waiting() > 0) {
+                coordination.run(coordination.mCoordinator::onEnginesChanged);
+            }
+        }
+    }
+
+    /** Returns the number of requests that wait here for an engine. */
+    public int waiting() {
+        return mCoordinations.values().stream()
+                .mapToInt(coordination -> coordination.mCoordinator.waiting())
+                .sum();
+    }
+
+    /** Returns the number of requests that are at engines as far as this entry coordinates them. */
+    public int placed() {
+        return mCoordinations.values().stream()
+                .mapToInt(coordination -> coordination.mCoordinator.placed())
+                .sum();
+    }
+
+    private Optional<Coordination> coordination(GroupId group) {
+        Coordination known = mCoordinations.get(group);
+        if (known != null) {
+            return Optional.of(known);
+        }
+        Optional<Coordination> created =
+                mGroups.createCoordinator(group)
+                        .map(coordinator -> new Coordination(group, coordinator));
+        created.ifPresent(coordination -> mCoordinations.put(group, coordination));
+        return created;
+    }
+
+    /** Delivers the decision about one request. */
+    private record Reply(Sender sender, Consumer<PlacementDecision> receiver)
+            implements PlacementListener {
+
+        @Override
+        public void onPlaced(Placement placement) {
+            receiver.accept(PlacementCodec.encode(placement));
+        }
+
+        @Override
+        public void onRefused(PlacementRefusal refusal) {
+            sender.mPlacements.remove(refusal.key().attempt());
+            receiver.accept(PlacementCodec.encode(refusal));
+        }
+    }
+
+    /**
+     * A placement that has not ended, as far as it is known.
+     *
+     * @param expiryNanos monotonic time after which it has certainly ended
+     */
+    private record Tracked(PlacementKey key, long expiryNanos) {}
+
+    /** What the run of one entry has at the engines of a group. */
+    private static final class Sender {
+
+        private final EntryRun mRun;
+        private final Map<Integer, Tracked> mPlacements = new HashMap<>();
+        private final Set<Integer> mWithdrawn = new LinkedHashSet<>();
+        private int mTracked;
+
+        Sender(EntryRun run) {
+            mRun = run;
+        }
+
+        void track(PlacementRequest request, long now) {
+            mPlacements.put(
+                    request.key().attempt(), new Tracked(request.key(), request.expiryNanos()));
+            mTracked++;
+            if (mTracked % PRUNE_INTERVAL == 0) {
+                mPlacements.values().removeIf(placement -> now - placement.expiryNanos() > 0);
+            }
+        }
+
+        void withdrawEarly(int number) {
+            mWithdrawn.add(number);
+            if (mWithdrawn.size() > MAX_EARLY_WITHDRAWALS) {
+                Iterator<Integer> eldest = mWithdrawn.iterator();
+                eldest.next();
+                eldest.remove();
+            }
+        }
+    }
+
+    /** The coordination of one group. */
+    private final class Coordination {
+
+        private final GroupId mGroup;
+        private final PlacementCoordinator mCoordinator;
+        private final Supervisor mSupervisor;
+        private final Map<String, Sender> mSenders = new HashMap<>();
+
+        Coordination(GroupId group, PlacementCoordinator coordinator) {
+            mGroup = group;
+            mCoordinator = coordinator;
+            mSupervisor = mGroups.supervisor(group);
+        }
+
+        /** Runs a step of the coordinator, whose failures are not those of a request. */
+        boolean run(Runnable step) {
+            CallbackGuard guard = mSupervisor.guard();
+            return guard.run(mSupervisor.report(), step);
+        }
+
+        /** Returns the run of an entry; empty if a later run of it is known. */
+        Optional<Sender> sender(EntryRun run) {
+            Sender known = mSenders.get(run.address());
+            if (known != null && known.mRun.number() > run.number()) {
+                return Optional.empty();
+            }
+            if (known != null && known.mRun.number() < run.number()) {
+                onEntryEnded(run.address());
+            }
+            return Optional.of(mSenders.computeIfAbsent(run.address(), address -> new Sender(run)));
+        }
+
+        void onEntryEnded(String address) {
+            Sender ended = mSenders.remove(address);
+            if (ended != null) {
+                ended.mPlacements
+                        .values()
+                        .forEach(placement -> run(() -> mCoordinator.withdraw(placement.key())));
+            }
+        }
+
+        PlacementRequest decode(Sender sender, PlacementNeeds needs, TimeSource time) {
+            Set<UpstreamId> outside =
+                    needs.getRegionsCount() == 0
+                            ? Set.of()
+                            : mGroups.outside(mGroup, Set.copyOf(needs.getRegionsList()));
+            PlacementKey key = PlacementCodec.key(sender.mRun, needs);
+            return PlacementCodec.decode(key, needs, outside, time.nanoTime());
+        }
+
+        void withdraw(Sender sender, int number, boolean remember) {
+            Tracked placement = sender.mPlacements.remove(number);
+            if (placement != null) {
+                run(() -> mCoordinator.withdraw(placement.key()));
+            } else if (remember) {
+                sender.withdrawEarly(number);
+            }
+        }
+
+        void restore(Sender sender, PlacementRestore restore, TimeSource time) {
+            Set<Integer> listed =
+                    restore.getHeldList().stream()
+                            .map(held -> held.getNeeds().getNumber())
+                            .collect(Collectors.toSet());
+            for (int number : List.copyOf(sender.mPlacements.keySet())) {
+                if (number < restore.getCompleteBelow() && !listed.contains(number)) {
+                    withdraw(sender, number, false);
+                }
+            }
+            add(sender, restore.getHeldList(), time);
+        }
+
+        void add(Sender sender, List<PlacementHeld> held, TimeSource time) {
+            long now = time.nanoTime();
+            List<HeldPlacement> added = new ArrayList<>();
+            for (PlacementHeld placement : held) {
+                if (!sender.mPlacements.containsKey(placement.getNeeds().getNumber())) {
+                    PlacementRequest request = decode(sender, placement.getNeeds(), time);
+                    sender.track(request, now);
+                    added.add(
+                            new HeldPlacement(
+                                    request,
+                                    new UpstreamId(placement.getEngine()),
+                                    now - placement.getAgeNanos(),
+                                    placement.getFirstEventSeen()));
+                }
+            }
+            if (!added.isEmpty()) {
+                run(() -> mCoordinator.restore(added));
+            }
+        }
+
+        void apply(Sender sender, PlacementReport report) {
+            switch (report.getEvent()) {
+                case PLACEMENT_EVENT_FIRST_EVENT -> {
+                    Tracked placement = sender.mPlacements.get(report.getNumber());
+                    if (placement != null) {
+                        Duration time = Duration.ofNanos(report.getResponseTimeNanos());
+                        run(() -> mCoordinator.onFirstEvent(placement.key(), time));
+                    }
+                }
+                case PLACEMENT_EVENT_WITHDRAWN -> withdraw(sender, report.getNumber(), true);
+                case PLACEMENT_EVENT_ENDED -> end(sender, report, mCoordinator::onEnded);
+                case PLACEMENT_EVENT_REJECTED -> end(sender, report, mCoordinator::reject);
+                case PLACEMENT_EVENT_REFUSED -> fail(sender, report, PlacementFailure.REFUSED);
+                case PLACEMENT_EVENT_FAILED -> fail(sender, report, PlacementFailure.FAILED);
+                case PLACEMENT_EVENT_BROKEN -> fail(sender, report, PlacementFailure.BROKEN);
+                default -> {
+                    // A later version of the sender reports something that is not known here.
+                }
+            }
+        }
+
+        private void fail(Sender sender, PlacementReport report, PlacementFailure failure) {
+            end(sender, report, key -> mCoordinator.onFailed(key, failure));
+        }
+
+        private void end(Sender sender, PlacementReport report, Consumer<PlacementKey> end) {
+            Tracked placement = sender.mPlacements.remove(report.getNumber());
+            if (placement != null) {
+                run(() -> end.accept(placement.key()));
+            }
+        }
+    }
+}
