Place requests to engines through the coordinator of their group

Only with scheduling mode shared and for groups with engine limits; other requests take the same path as before.

--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
@@ -8,6 +8,9 @@
 /** Creates and sends the attempts of one request. */
 final class AttemptSender {
 
+    /** Time after the caller's deadline in which a finished response may still be forwarded. */
+    private static final Duration DEADLINE_SLACK = Duration.ofMillis(40);
+
     private final Gateway mGateway;
     private final RequestParts mParts;
 
@@ -22,9 +25,19 @@
         return Duration.ofNanos(Math.max(0, nanos));
     }
 
+    /** Returns the time in which a response may still be forwarded. */
+    Duration timeToForward() {
+        return mParts.admitted().isRouteTimeout() ? remaining() : remaining().plus(DEADLINE_SLACK);
+    }
+
+    /** Returns the delay before a retry of a request whose stages cannot finish in time. */
+    Duration backlogRetryAfter() {
+        return RetryDelays.afterBacklog(remaining(), mParts.admitted().expectedStageTime(mGateway));
+    }
+
     /** Creates an attempt that has not started. */
     UpstreamAttempt create(UpstreamNode node, AttemptListener listener) {
-        long uncachedTokens = mParts.admitted().uncachedTokens(node);
+        long uncachedTokens = mParts.selection().uncachedTokens(node);
         return new UpstreamAttempt(
                 node,
                 mGateway,
@@ -53,6 +66,7 @@
             mGateway.retryBudget(mParts.group().id()).recordFirstCall();
         }
         counts.onSent();
+        mParts.selection().onSending(attempt);
         mParts.prompt().onSent();
         double prefillMillis = responseTimes().prefillMillis(attempt.uncachedTokens());
         admitted.countPrompt(node, mParts.group(), prefillMillis);
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -18,9 +18,6 @@
  */
 final class ForwardedRequest implements StagePhase.Listener, SilenceGuard.Response {
 
-    /** Time after the caller's deadline in which a finished response may still be forwarded. */
-    private static final Duration DEADLINE_SLACK = Duration.ofMillis(40);
-
     private static final int INPUTS_LOST = 409;
     private static final int OK = 200;
     private static final int SERVER_ERROR = 500;
@@ -41,6 +38,7 @@
     private final QuarantineGuard mPrompt;
     private final StagePhase mStages;
     private final UpstreamSearch mSearch;
+    private final UpstreamSelection mSelection;
     private final StreamContinuation mContinuation;
     private final AttemptCounts mCounts = new AttemptCounts();
     private AttemptSender mSender;
@@ -59,6 +57,7 @@
         mPrompt = new QuarantineGuard(gateway, mTrace);
         mStages = new StagePhase(gateway, request, this);
         mSearch = new UpstreamSearch(gateway.chooser(), gateway.time());
+        mSelection = new UpstreamSelection(gateway, request, mTrace);
         mContinuation = new StreamContinuation(gateway, request, mTrace);
         mVersions = new VersionWait(gateway, mTrace, mContinuation);
     }
@@ -99,7 +98,9 @@
                         mStream,
                         mContinuation,
                         mVersions,
+                        mSelection,
                         mTrace);
+        mSelection.start(parts);
         mSender = new AttemptSender(mGateway, parts);
         mRetries = new RetryPermit(mGateway, parts, mSearch, mSender);
         mSilence = Optional.of(new SilenceGuard(mGateway, parts, mSender, this));
@@ -110,9 +111,7 @@
                 || mSearch.isRefused(mPlacement.choiceRequest(), remaining(), this::fail)) {
             return;
         }
-        Duration left =
-                remaining().plus(mAdmitted.isRouteTimeout() ? Duration.ZERO : DEADLINE_SLACK);
-        mDeadlineTimer = mGateway.scheduler().schedule(left, this::onDeadline);
+        mDeadlineTimer = mGateway.scheduler().schedule(mSender.timeToForward(), this::onDeadline);
         mContinuation.start(mAdmitted, target, this::onOriginKnown, this::fail);
     }
 
@@ -140,7 +139,7 @@
                     RefusalReason.DEADLINE_HOPELESS,
                     "stages need %d ms, %d ms remain"
                             .formatted(needed.toMillis(), remaining().toMillis()),
-                    backlogRetryAfter());
+                    mSender.backlogRetryAfter());
             return;
         }
         mPlacement.chooseStageDataCentre(mGateway.chooser());
@@ -166,7 +165,7 @@
         }
         String detail = "stage group %s: %s".formatted(failure.detail(), failure.kind());
         if (failure.kind() == StageFailure.Kind.DEADLINE) {
-            fail(RefusalReason.DEADLINE_HOPELESS, detail, backlogRetryAfter());
+            fail(RefusalReason.DEADLINE_HOPELESS, detail, mSender.backlogRetryAfter());
         } else {
             fail(RefusalReason.STAGE_FAILED, detail);
         }
@@ -176,10 +175,12 @@
         if (mEnded || mAttempt != null && mAttempt.isActive() || mPrompt.isRefused(this::fail)) {
             return;
         }
-        ChoiceRequest choice = mPlacement.choiceRequest();
-        Optional<UpstreamNode> node = mGateway.chooser().choose(choice);
+        mSelection.select(this::sendTo, this::fail);
+    }
+
+    private void sendTo(Optional<UpstreamNode> node) {
         if (node.isEmpty()) {
-            searchAgain(choice);
+            searchAgain(mPlacement.choiceRequest());
             return;
         }
         mSearch.reset();
@@ -387,6 +388,7 @@
             return;
         }
         silence().onActivity();
+        mSelection.onForwarded();
         if (!mStream.forward(data)) {
             setReading(false);
         }
@@ -453,10 +455,6 @@
         refuse(mCounts.refusal(reason, detail, retryAfter), decider(reason));
     }
 
-    private Duration backlogRetryAfter() {
-        return RetryDelays.afterBacklog(remaining(), mAdmitted.expectedStageTime(mGateway));
-    }
-
     private Decider decider(RefusalReason reason) {
         boolean isStop = reason == RefusalReason.NOT_READY && mGateway.isStopping();
         return isStop ? Decider.STOP : Decider.of(reason);
@@ -486,6 +484,7 @@
         mPrompt.stop();
         mContinuation.stop();
         mSearch.reset();
+        mSelection.stop();
         mSilence.ifPresent(SilenceGuard::stop);
         if (mAttempt != null) {
             mAttempt.cancel();
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -31,6 +31,10 @@
 import org.boragethread.core.upstream.StreamDurationModel;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamDirectory;
+import org.boragethread.entry.placement.EntryRun;
+import org.boragethread.entry.placement.PeerCoordinatorLink;
+import org.boragethread.entry.placement.PlacementRouter;
+import org.boragethread.entry.placement.PlacementServer;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.platform.store.StoreGroup;
@@ -65,6 +69,8 @@
     private final BatchClient mBatchClient;
     private final CoordinatorTable mCoordinators;
     private final StageRouter mStageRouter;
+    private final PlacementServer mPlacementServer;
+    private final PlacementRouter mPlacements;
     private final Map<GroupId, RateLimitQueue> mRateLimitQueues = new HashMap<>();
     private final Map<GroupId, SharedRetryBudget> mRetryBudgets = new HashMap<>();
     private final Map<GroupId, ResponseTimeModel> mResponseTimes = new HashMap<>();
@@ -128,15 +134,33 @@
                         mRateLimitShare,
                         group -> batchScheduler(group).dispatch());
         mCoordinators = new CoordinatorTable(time, settings.dataCentre());
-        mStageRouter =
-                new StageRouter(
-                        settings.peerAddress(),
-                        mCoordinators,
-                        this::batchScheduler,
-                        new PeerClient(mConnections, mScheduler, time, mLog),
-                        mBatchClient,
-                        mDirectory,
-                        time);
+        mStageRouter = createStageRouter();
+        mPlacementServer = new PlacementServer(new DirectoryEngines(this), time);
+        mPlacements = createPlacementRouter();
+    }
+
+    private StageRouter createStageRouter() {
+        return new StageRouter(
+                mSettings.peerAddress(),
+                mCoordinators,
+                this::batchScheduler,
+                new PeerClient(mConnections, mScheduler, mTime, mLog),
+                mBatchClient,
+                mDirectory,
+                mTime);
+    }
+
+    private PlacementRouter createPlacementRouter() {
+        return new PlacementRouter(
+                new EntryRun(mSettings.peerAddress(), mTime.instant().toEpochMilli()),
+                mCoordinators,
+                new PeerCoordinatorLink(mConnections, mScheduler, PeerClient::createCall),
+                mPlacementServer,
+                mScheduler,
+                mTime,
+                mGuard,
+                mLog,
+                mMetrics);
     }
 
     GatewaySettings settings() {
@@ -257,6 +281,16 @@
         return mStageRouter;
     }
 
+    /** Returns what asks the coordinators of groups where requests run. */
+    PlacementRouter placements() {
+        return mPlacements;
+    }
+
+    /** Returns what places the requests of all entries while this entry is a coordinator. */
+    PlacementServer placementServer() {
+        return mPlacementServer;
+    }
+
     /** Returns the retry budget of a group. */
     SharedRetryBudget retryBudget(GroupId group) {
         return mRetryBudgets.computeIfAbsent(group, this::createRetryBudget);
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -8,10 +8,11 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.boragethread.entry.placement.PlacementMetrics;
 import org.boragethread.model.outcome.RefusalReason;
 
 /** Prometheus counters and latency histograms of a gateway. */
-final class GatewayMetrics {
+final class GatewayMetrics implements PlacementMetrics {
 
     private static final Duration[] LATENCY_BUCKETS = {
         Duration.ofMillis(50),
@@ -104,6 +105,27 @@
         }
     }
 
+    @Override
+    public void onPlacement(String decidedBy, Duration waited) {
+        increment("boragethread.gateway.placements", "decided.by", decidedBy);
+        recordTime("boragethread.gateway.placement.wait", "decided.by", decidedBy, waited);
+    }
+
+    @Override
+    public void onPlacementRefused(String reason) {
+        increment("boragethread.gateway.placement.refusals", "reason", reason);
+    }
+
+    @Override
+    public void onPlacementRejected() {
+        increment("boragethread.gateway.placement.rejections", "cause", "not-usable");
+    }
+
+    @Override
+    public void onPlacementCoordinator() {
+        increment("boragethread.gateway.placement.coordinators", "change", "changed");
+    }
+
     void gauge(String name, Supplier<Number> value) {
         mRegistry.gauge("boragethread.gateway." + name, this, metrics -> value.get().doubleValue());
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.boragethread.core.follow.CompactedTopic;
 import org.boragethread.core.follow.ReadTiming;
 import org.boragethread.core.follow.RecordPublisher;
@@ -155,6 +156,9 @@
         mGateway.coordinators().setMembers(live);
         mGateway.streamOrigins().setMembers(live);
         mGateway.stageRouter().onMembersChanged();
+        mGateway.placementServer()
+                .onMembersChanged(live.stream().map(Member::address).collect(Collectors.toSet()));
+        mGateway.placements().onMembersChanged();
         mGateway.log().event("members").with("names", String.join(" ", members)).info();
     }
 
@@ -182,6 +186,8 @@
     private void registerGauges() {
         mMetrics.gauge("callers", mCallerServer::connectionCount);
         mMetrics.gauge("upstreams", mGateway.directory()::size);
+        mMetrics.gauge("placement.waiting", mGateway.placementServer()::waiting);
+        mMetrics.gauge("placement.placed", mGateway.placementServer()::placed);
         mMetrics.gauge("connections.opened", mGateway.connections()::connectionAttempts);
         mMetrics.gauge("log.lines.dropped", mGateway.log()::droppedLines);
         mMetrics.gauge(
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -32,10 +32,15 @@
 import org.boragethread.core.stage.PieceWork;
 import org.boragethread.core.stage.ResultLocation;
 import org.boragethread.core.stage.StageFailure;
+import org.boragethread.entry.placement.PeerCoordinatorLink;
+import org.boragethread.entry.placement.PlacementServer;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.wire.proto.PieceDone;
+import org.boragethread.wire.proto.PlacementAsked;
+import org.boragethread.wire.proto.PlacementDecision;
+import org.boragethread.wire.proto.PlacementReports;
 import org.boragethread.wire.proto.ResultHeld;
 import org.boragethread.wire.proto.ResultsFree;
 import org.boragethread.wire.proto.ResultsHeld;
@@ -56,6 +61,7 @@
     private List<PendingPiece> mPendingPieces = List.of();
     private Optional<PieceCollector> mCollector = Optional.empty();
     private TopicRelay.PendingRead mPendingRead = () -> {};
+    private Optional<PlacementServer.Decided> mPlacement = Optional.empty();
 
     PeerEndpoint(Gateway gateway) {
         mGateway = gateway;
@@ -84,7 +90,12 @@
             respond(context, findStream(StreamQuery.parseFrom(body)));
             return;
         }
-        if (mGateway.isLeaving() || !mPendingPieces.isEmpty()) {
+        if (request.uri().equals(PeerCoordinatorLink.REPORT_PATH)) {
+            mGateway.placementServer().apply(PlacementReports.parseFrom(body));
+            respond(context, HttpResponseStatus.OK);
+            return;
+        }
+        if (mGateway.isLeaving() || !mPendingPieces.isEmpty() || mPlacement.isPresent()) {
             respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
         }
@@ -92,9 +103,58 @@
             relayTopic(context, TopicRead.parseFrom(body));
             return;
         }
+        if (request.uri().equals(PeerCoordinatorLink.ASK_PATH)) {
+            placeRequest(context, PlacementAsked.parseFrom(body));
+            return;
+        }
         schedulePieces(context, StageWork.parseFrom(body));
     }
 
+    /** Acknowledges a question about a placement at once; the decision follows. */
+    private void placeRequest(ChannelHandlerContext context, PlacementAsked asked) {
+        if (!mGateway.placementServer().coordinates(new GroupId(asked.getGroup()))) {
+            respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
+            return;
+        }
+        context.write(chunkedHead());
+        boolean[] decided = {false};
+        Optional<PlacementServer.Decided> placement =
+                mGateway.placementServer()
+                        .place(
+                                asked,
+                                decision -> {
+                                    decided[0] = true;
+                                    onDecided(context, decision);
+                                });
+        if (placement.isEmpty()) {
+            context.close();
+            return;
+        }
+        if (!decided[0]) {
+            mPlacement = placement;
+        }
+        context.flush();
+    }
+
+    private void onDecided(ChannelHandlerContext context, PlacementDecision decision) {
+        Optional<PlacementServer.Decided> placement = mPlacement;
+        mPlacement = Optional.empty();
+        context.write(new DefaultHttpContent(Unpooled.wrappedBuffer(decision.toByteArray())));
+        context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                .addListener(
+                        written -> {
+                            if (!written.isSuccess()) {
+                                placement.ifPresent(PlacementServer.Decided::withdraw);
+                            }
+                        });
+    }
+
+    private static HttpResponse chunkedHead() {
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        return head;
+    }
+
     private void rememberStreams(StreamOrigins streams) {
         for (StreamBegun stream : streams.getStreamsList()) {
             mGateway.streamOrigins()
@@ -160,9 +220,7 @@
     }
 
     private void schedulePieces(ChannelHandlerContext context, StageWork work) {
-        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-        head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        context.writeAndFlush(head);
+        context.writeAndFlush(chunkedHead());
         GroupId group = new GroupId(work.getGroup());
         PieceCollector collector = new PieceCollector(context, work.getNumbersCount());
         mCollector = Optional.of(collector);
@@ -219,6 +277,8 @@
         mPendingPieces = List.of();
         mCollector.ifPresent(PieceCollector::abandon);
         mPendingRead.cancel();
+        mPlacement.ifPresent(PlacementServer.Decided::withdraw);
+        mPlacement = Optional.empty();
     }
 
     @Override
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestParts.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestParts.java
@@ -14,6 +14,7 @@
  * @param stream response to the caller, as far as it is forwarded while it arrives
  * @param continuation software version at which the stream goes on
  * @param versions waits while a software version is uncertain for a moment
+ * @param selection selects the upstreams of its attempts
  */
 record RequestParts(
         CallerRequest request,
@@ -27,4 +28,5 @@
         ForwardedStream stream,
         StreamContinuation continuation,
         VersionWait versions,
+        UpstreamSelection selection,
         RequestTrace trace) {}
--- a/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RequestTrace.java
@@ -11,6 +11,7 @@
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.upstream.SoftwareVersion;
+import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.platform.store.PlatformHeaders;
 import org.boragethread.process.log.EventLog;
 
@@ -133,6 +134,16 @@
                 .info();
     }
 
+    /** Records that this process may not use the engine that a coordinator has chosen. */
+    void placementRejected(UpstreamId engine, boolean known) {
+        mGateway.log()
+                .event("placement", mRequest.id())
+                .with("outcome", "rejected")
+                .with("upstream", engine)
+                .with("reason", known ? "not-callable" : "unknown")
+                .info();
+    }
+
     void retried(String reason, int sends, Duration remaining) {
         mGateway.metrics().onRetry(reason);
         mGateway.log()
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -7,12 +7,15 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.boragethread.core.placement.PlacementFailure;
 import org.boragethread.core.quarantine.Suspect;
 import org.boragethread.core.upstream.CalledRun;
 import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.entry.placement.PlacedAttempt;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.platform.store.PlatformHeaders;
@@ -65,6 +68,7 @@
     private long mHeldNanos;
     private ByteBuf mHeldBody = Unpooled.EMPTY_BUFFER;
     private boolean mEnded;
+    private PlacedAttempt mPlaced = PlacedAttempt.UNREPORTED;
 
     /**
      * Creates an attempt that has not started.
@@ -102,6 +106,11 @@
         mControl = connections.send(call, this);
     }
 
+    /** Sets who is told of the course of the attempt; called before it starts. */
+    void reportTo(PlacedAttempt placed) {
+        mPlaced = placed;
+    }
+
     UpstreamNode node() {
         return mNode;
     }
@@ -247,12 +256,14 @@
         boolean notExecuted =
                 mStatus == MISDIRECTED || mHeaders.contains(PlatformHeaders.NOT_EXECUTED);
         if (notExecuted) {
+            mPlaced.onFailed(PlacementFailure.REFUSED);
             end();
             mListener.onNotExecuted(mNode, mStatus);
             return;
         }
         boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
         if (success && !mHeaders.contains(PlatformHeaders.SEAL)) {
+            mPlaced.onFailed(PlacementFailure.FAILED);
             cancel();
             mListener.onFailed(mNode, "successful response without a signature header");
         } else if (success) {
@@ -288,6 +299,7 @@
         boolean success = HttpStatusClass.valueOf(mStatus) == HttpStatusClass.SUCCESS;
         boolean large = mBuffered.readableBytes() + data.readableBytes() > MAX_BUFFERED_BYTES;
         if (large && mStatus >= SERVER_ERROR) {
+            mPlaced.onFailed(PlacementFailure.FAILED);
             cancel();
             mListener.onFailed(mNode, "status %d with a body too large".formatted(mStatus));
             return;
@@ -315,6 +327,7 @@
     private void startForwarding() {
         mForwarding = true;
         mForwardingSince = mGateway.time().nanoTime();
+        mPlaced.onFirstEvent(Duration.ofNanos(mForwardingSince - mSentAt - mHeldNanos));
         endPrefill();
         mListener.onStreamHead(mNode, mStatus);
         if (!mEnded && mBuffered.isReadable()) {
@@ -331,6 +344,9 @@
             mHeldEnd = true;
             return;
         }
+        if (mStatus >= SERVER_ERROR || !isBodyComplete()) {
+            mPlaced.onFailed(PlacementFailure.FAILED);
+        }
         end();
         judgePrompt();
         if (!isBodyComplete()) {
@@ -385,6 +401,7 @@
         if (mEnded) {
             return;
         }
+        mPlaced.onFailed(PlacementFailure.BROKEN);
         end();
         if (!failure.maybeSent()) {
             if (mNode.entry().isSameIncarnation(mCalledEntry)) {
@@ -412,6 +429,7 @@
     private void end() {
         mEnded = true;
         endPrefill();
+        mPlaced.onEnded();
         mNode.onEnded();
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
@@ -105,6 +105,7 @@
     public void onUpToDate(ClockReading moment) {
         boolean wasSettled = mDirectory.isSettled();
         mDirectory.onUpToDate(moment);
+        mGateway.placementServer().onEnginesChanged();
         if (!wasSettled && mDirectory.isSettled()) {
             mGateway.log()
                     .event("upstreams")
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -0,0 +1,283 @@
+package org.boragethread.entry.gateway;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.boragethread.core.placement.PlacementRefusal;
+import org.boragethread.core.upstream.ChoiceRequest;
+import org.boragethread.core.upstream.UpstreamChooser;
+import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.entry.placement.PlacedAttempt;
+import org.boragethread.entry.placement.PlacementOutcome;
+import org.boragethread.entry.placement.PlacementRouter;
+import org.boragethread.model.outcome.RefusalReason;
+import org.boragethread.model.routing.EngineLimits;
+import org.boragethread.model.routing.Route;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.SoftwareVersion;
+import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.platform.store.HeaderDecoder;
+import org.boragethread.platform.store.PlatformHeaders;
+import org.boragethread.wire.proto.PlacementNeeds;
+
+/**
+ * Selects the upstream of each attempt of one request. If the entries share the engines of its
+ * group, the coordinator of the group selects it, else this process does.
+ */
+final class UpstreamSelection {
+
+    /** Number of engines that this process may reject before it selects one by itself. */
+    private static final int MAX_REJECTED = 2;
+
+    /** Shortest gap without an event after which the caller of a stream gives up. */
+    private static final Duration MIN_CALLER_GAP = Duration.ofSeconds(2);
+
+    /** The gap as a multiple of the target latency of the route. */
+    private static final int CALLER_GAP_LATENCIES = 4;
+
+    /** The gap as a multiple of the target pause between events. */
+    private static final int CALLER_GAP_PAUSES = 8;
+
+    /** Time after the deadline in which an attempt ends. */
+    private static final Duration EXPIRY_SLACK = Duration.ofSeconds(1);
+
+    /** Time over which the retries of refused callers are spread. */
+    private static final Duration RETRY_SPREAD = Duration.ofSeconds(1);
+
+    private final Gateway mGateway;
+    private final CallerRequest mRequest;
+    private final RequestTrace mTrace;
+    private Optional<RequestParts> mParts = Optional.empty();
+    private final Set<UpstreamId> mRejected = new HashSet<>();
+    private Optional<Selected> mSelected = Optional.empty();
+    private long mLastEventAt;
+    private boolean mShared;
+    private boolean mPending;
+    private PlacementRouter.Waiting mWaiting = () -> {};
+
+    /**
+     * The engine that a coordinator has selected for the next attempt.
+     *
+     * @param uncachedTokens prompt tokens that it probably has to process
+     */
+    private record Selected(UpstreamNode node, long uncachedTokens, PlacedAttempt attempt) {}
+
+    UpstreamSelection(Gateway gateway, CallerRequest request, RequestTrace trace) {
+        mGateway = gateway;
+        mRequest = request;
+        mTrace = trace;
+        mLastEventAt = request.arrivedAt().nanos();
+    }
+
+    void start(RequestParts parts) {
+        mParts = Optional.of(parts);
+        mShared = parts.group().engine().isPresent() && mGateway.settings().scheduling().isShared();
+    }
+
+    /**
+     * Selects an upstream, at once or when the coordinator has decided.
+     *
+     * @param receiver gets the upstream; empty if none may be called now
+     * @param end ends the request if it is hopeless
+     */
+    void select(Consumer<Optional<UpstreamNode>> receiver, RequestEnd end) {
+        if (!mShared) {
+            receiver.accept(selectLocally());
+        } else if (!mPending) {
+            mRejected.clear();
+            ask(receiver, end);
+        }
+    }
+
+    private Optional<UpstreamNode> selectLocally() {
+        return mGateway.chooser().choose(parts().placement().choiceRequest());
+    }
+
+    private void ask(Consumer<Optional<UpstreamNode>> receiver, RequestEnd end) {
+        ChoiceRequest choice = parts().placement().choiceRequest();
+        Optional<Set<UpstreamId>> unusable = mGateway.chooser().unusable(choice);
+        if (unusable.isEmpty()) {
+            receiver.accept(selectLocally());
+            return;
+        }
+        unusable.get().addAll(mRejected);
+        PlacementNeeds.Builder needs = needs(choice);
+        unusable.get().forEach(id -> needs.addUnusable(id.value()));
+        mPending = true;
+        mWaiting = mGateway.placements().place(group(), needs, new Outcome(receiver, end));
+    }
+
+    /** Describes the request. All times are those that remain. */
+    private PlacementNeeds.Builder needs(ChoiceRequest choice) {
+        AdmittedRequest admitted = parts().admitted();
+        long now = mGateway.time().nanoTime();
+        boolean begun = parts().stream().isStarted();
+        // A caller that is reading has waited from the last event on, not from the beginning.
+        long target =
+                begun ? now + admitted.route().targetLatency().toNanos() : admitted.targetNanos();
+        PlacementNeeds.Builder needs =
+                PlacementNeeds.newBuilder()
+                        .setRequestId(mRequest.id())
+                        .setPrefixHash(admitted.affinity())
+                        .setPrefixTokens(admitted.prefixTokens())
+                        .setPromptTokens(admitted.promptTokens())
+                        .setOutputTokens(
+                                HeaderDecoder.maxOutputTokens(
+                                                mRequest.headers().get(PlatformHeaders.TOKENS))
+                                        .orElse(0))
+                        .setPriority(admitted.priority())
+                        .setTeam(admitted.team())
+                        .setTargetLeftNanos(target - now)
+                        .setDeadlineLeftNanos(firstEventDeadline() - now)
+                        .setExpiryLeftNanos(admitted.deadlineNanos() + EXPIRY_SLACK.toNanos() - now)
+                        .setInputDataCentre(
+                                choice.inputDataCentre()
+                                        .orElse(mGateway.settings().dataCentre())
+                                        .value())
+                        .setRemoteMillis(choice.remoteMillis())
+                        .addAllRegions(choice.regions());
+        choice.softwareVersion().map(SoftwareVersion::value).ifPresent(needs::setRequiredVersion);
+        return needs;
+    }
+
+    /** Returns when the first event is of no use any more: its caller has given up by then. */
+    private long firstEventDeadline() {
+        AdmittedRequest admitted = parts().admitted();
+        if (!admitted.isStreaming()) {
+            return admitted.deadlineNanos();
+        }
+        Route route = admitted.route();
+        long gap =
+                Math.max(
+                        MIN_CALLER_GAP.toNanos(),
+                        Math.max(
+                                CALLER_GAP_LATENCIES * route.targetLatency().toNanos(),
+                                CALLER_GAP_PAUSES * route.targetGap().toNanos()));
+        return Math.min(admitted.deadlineNanos(), mLastEventAt + gap);
+    }
+
+    /** Called when a part of a stream is forwarded. */
+    void onForwarded() {
+        if (mShared) {
+            mLastEventAt = mGateway.time().nanoTime();
+        }
+    }
+
+    /** Returns the number of prompt tokens that an upstream probably has to process. */
+    long uncachedTokens(UpstreamNode node) {
+        return mSelected
+                .filter(selected -> selected.node() == node)
+                .map(Selected::uncachedTokens)
+                .orElseGet(() -> parts().admitted().uncachedTokens(node));
+    }
+
+    /** Called before an attempt is sent, so that the coordinator is told what becomes of it. */
+    void onSending(UpstreamAttempt attempt) {
+        if (!mShared) {
+            return;
+        }
+        Optional<Selected> selected = mSelected.filter(present -> present.node() == attempt.node());
+        mSelected = Optional.empty();
+        attempt.reportTo(
+                selected.map(Selected::attempt)
+                        .orElseGet(
+                                () ->
+                                        mGateway.placements()
+                                                .track(
+                                                        group(),
+                                                        needs(parts().placement().choiceRequest()),
+                                                        attempt.node().entry().id())));
+    }
+
+    /** Ends the selection, because the request has ended. */
+    void stop() {
+        mWaiting.cancel();
+        mPending = false;
+    }
+
+    private RequestParts parts() {
+        return mParts.orElseThrow();
+    }
+
+    private GroupId group() {
+        return parts().group().id();
+    }
+
+    /** Handles the decision about one question. */
+    private final class Outcome implements PlacementOutcome {
+
+        private final Consumer<Optional<UpstreamNode>> mReceiver;
+        private final RequestEnd mEnd;
+
+        Outcome(Consumer<Optional<UpstreamNode>> receiver, RequestEnd end) {
+            mReceiver = receiver;
+            mEnd = end;
+        }
+
+        @Override
+        public void onPlaced(UpstreamId engine, boolean prefixCached, PlacedAttempt attempt) {
+            mPending = false;
+            UpstreamChooser chooser = mGateway.chooser();
+            ChoiceRequest choice = parts().placement().choiceRequest();
+            Optional<UpstreamNode> known = mGateway.directory().find(engine);
+            Optional<UpstreamNode> usable = known.filter(node -> chooser.isCallable(choice, node));
+            if (usable.isEmpty()) {
+                attempt.onRejected();
+                mTrace.placementRejected(engine, known.isPresent());
+                mRejected.add(engine);
+                if (mRejected.size() <= MAX_REJECTED) {
+                    ask(mReceiver, mEnd);
+                } else {
+                    mReceiver.accept(selectLocally());
+                }
+                return;
+            }
+            AdmittedRequest admitted = parts().admitted();
+            long cachedTokens = prefixCached ? admitted.prefixTokens() : 0;
+            mSelected =
+                    Optional.of(
+                            new Selected(
+                                    usable.get(), admitted.promptTokens() - cachedTokens, attempt));
+            mReceiver.accept(usable);
+        }
+
+        @Override
+        public void onRefused(PlacementRefusal.Reason reason, Duration retryAfter) {
+            mPending = false;
+            if (reason == PlacementRefusal.Reason.NO_ENGINE) {
+                // The coordinator may know fewer engines than this process.
+                mReceiver.accept(selectLocally());
+                return;
+            }
+            long spread = (long) (mRequest.unitHash() * RETRY_SPREAD.toNanos());
+            Duration shortest =
+                    retryAfter.compareTo(RetryDelays.SHORT) > 0 ? retryAfter : RetryDelays.SHORT;
+            boolean isTooLarge = reason == PlacementRefusal.Reason.TOO_LARGE;
+            mEnd.fail(
+                    isTooLarge ? RefusalReason.NO_UPSTREAM : RefusalReason.DEADLINE_HOPELESS,
+                    isTooLarge ? tooLarge() : hopeless(reason),
+                    shortest.plusNanos(spread));
+        }
+
+        private String hopeless(PlacementRefusal.Reason reason) {
+            return reason == PlacementRefusal.Reason.EXPIRED
+                    ? "no engine of %s was free in time".formatted(group())
+                    : "no engine of %s can respond in time".formatted(group());
+        }
+
+        private String tooLarge() {
+            return "prompt and output exceed the memory of an engine of %s, %d tokens: ask for less"
+                    .formatted(
+                            group(),
+                            parts().group().engine().map(EngineLimits::cacheTokens).orElse(0L));
+        }
+
+        @Override
+        public void onUnavailable() {
+            mPending = false;
+            mReceiver.accept(selectLocally());
+        }
+    }
+}
