--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
@@ -0,0 +1,177 @@
+package org.boragethread.core.placement;
+
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalDouble;
+import org.boragethread.model.routing.EngineLimits;
+
+/**
+ * Load of one run of an engine: prompts that it has yet to process, which it does one after
+ * another, running requests, the tokens that these hold, and cached prefixes. Not thread-safe.
+ */
+final class EngineLoad {
+
+    /** Time for which an engine is avoided after a failure; doubles with each further failure. */
+    private static final long INITIAL_AVOIDANCE_NANOS = Duration.ofMillis(300).toNanos();
+
+    private static final int MAX_DOUBLINGS = 4;
+
+    private final EngineSpeed mSpeed = new EngineSpeed();
+    private final PrefixCache mPrefixes = new PrefixCache();
+    private final Map<PlacementKey, PlacedRequest> mPending = new LinkedHashMap<>();
+    private EngineStatus mStatus;
+    private double mPendingMillis;
+    private int mPlaced;
+    private long mTokens;
+    private long mLastCompletion = Long.MIN_VALUE;
+    private long mAvoidUntil = Long.MIN_VALUE;
+    private int mConsecutiveFailures;
+
+    EngineLoad(EngineStatus status) {
+        mStatus = status;
+    }
+
+    EngineStatus status() {
+        return mStatus;
+    }
+
+    /** Replaces the status by a later one of the same run. */
+    void setStatus(EngineStatus status) {
+        mStatus = status;
+    }
+
+    /** Returns the number of placed requests that have not ended. */
+    int placed() {
+        return mPlaced;
+    }
+
+    /** Returns the tokens that placed requests may hold. */
+    long tokens() {
+        return mTokens;
+    }
+
+    boolean isPrefixCached(long prefix) {
+        return prefix != 0 && mPrefixes.contains(prefix);
+    }
+
+    double slowness(long now) {
+        return mSpeed.slowness(now);
+    }
+
+    boolean isAvoided(long now) {
+        return now < mAvoidUntil;
+    }
+
+    long avoidedUntil() {
+        return mAvoidUntil;
+    }
+
+    /** Returns whether a request can be added within the limits of slots and, if set, memory. */
+    boolean hasRoom(PlacementRequest request, EngineLimits limits, boolean limitMemory) {
+        if (mPlaced >= limits.slots()) {
+            return false;
+        }
+        return !limitMemory || mTokens + request.memoryTokens() <= limits.cacheTokens();
+    }
+
+    /** Adds a request. */
+    void add(PlacedRequest placed, EngineLimits limits) {
+        PlacementRequest request = placed.request();
+        mPlaced++;
+        mTokens += request.memoryTokens();
+        if (!placed.isFirstEventSeen()) {
+            mPending.put(request.key(), placed);
+            mPendingMillis += placed.workMillis();
+        }
+        if (request.prefixHash() != 0) {
+            long capacity = limits.cacheTokens() - mTokens;
+            if (mPrefixes.use(request.prefixHash(), request.prefixTokens(), capacity)) {
+                placed.markPrefixAdded();
+            }
+        }
+    }
+
+    /** Removes a request that has ended. */
+    void remove(PlacedRequest placed) {
+        mPlaced--;
+        mTokens -= placed.request().memoryTokens();
+        removePending(placed);
+    }
+
+    /** Removes a request that the engine has not run. */
+    void removeNotRun(PlacedRequest placed) {
+        remove(placed);
+        if (placed.isPrefixAdded()) {
+            mPrefixes.remove(placed.request().prefixHash());
+        }
+    }
+
+    /** Stops counting the prompt of a request whose first event was not reported in time. */
+    void dropPrompt(PlacedRequest placed) {
+        removePending(placed);
+    }
+
+    private void removePending(PlacedRequest placed) {
+        if (mPending.remove(placed.request().key()) == null) {
+            return;
+        }
+        mPendingMillis = mPending.isEmpty() ? 0 : mPendingMillis - placed.workMillis();
+    }
+
+    /**
+     * Records that a prompt is processed. Prompts are processed in order, so those before it are
+     * processed too, even if a report of that was lost.
+     *
+     * @param completedAt monotonic time at which it was processed, less the delay of messages
+     * @return the time that the prompt took, in milliseconds; empty if it is not known
+     */
+    OptionalDouble onProcessed(PlacedRequest placed, long completedAt, long now) {
+        mConsecutiveFailures = 0;
+        if (!mPending.containsKey(placed.request().key())) {
+            return OptionalDouble.empty();
+        }
+        Iterator<PlacedRequest> ahead = mPending.values().iterator();
+        boolean first = true;
+        for (PlacedRequest next = ahead.next(); next != placed; next = ahead.next()) {
+            mPendingMillis -= next.workMillis();
+            ahead.remove();
+            first = false;
+        }
+        removePending(placed);
+        long startedAt = Math.max(placed.placedAt(), mLastCompletion);
+        mLastCompletion = Math.max(mLastCompletion, completedAt);
+        if (!first || completedAt <= startedAt) {
+            return OptionalDouble.empty();
+        }
+        double millis = (completedAt - startedAt) / 1e6;
+        mSpeed.add(millis / placed.workMillis(), now);
+        return OptionalDouble.of(millis);
+    }
+
+    /**
+     * Returns the expected time until all prompts are processed, in milliseconds.
+     *
+     * @param reportMillis delay of reports, within which a prompt may be processed unnoticed
+     */
+    double remainingMillis(long now, double reportMillis) {
+        if (mPending.isEmpty()) {
+            return 0;
+        }
+        PlacedRequest head = mPending.values().iterator().next();
+        double elapsed = (now - Math.max(head.placedAt(), mLastCompletion)) / 1e6;
+        double slowness = mSpeed.slowness(now, head.workMillis(), elapsed - reportMillis);
+        return Math.max(0, mPendingMillis * slowness - elapsed);
+    }
+
+    /** Avoids the engine for a while. Failures during that time are of the same cause. */
+    void onFailure(long now) {
+        if (isAvoided(now)) {
+            return;
+        }
+        int doublings = Math.min(MAX_DOUBLINGS, mConsecutiveFailures);
+        mConsecutiveFailures++;
+        mAvoidUntil = now + (INITIAL_AVOIDANCE_NANOS << doublings);
+    }
+}
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -1,7 +1,13 @@
 package org.boragethread.core.placement;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import org.boragethread.core.callback.Supervisor;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
@@ -17,6 +23,50 @@
     /** Maximum age of the engines' states as read from the directory. */
     public static final Duration DIRECTORY_INTERVAL = Duration.ofMillis(20);
 
+    /** Time after which waiting requests are looked at again if nothing else happens. */
+    private static final double POLL_MILLIS = 50;
+
+    /** Shortest time between two looks at waiting requests without an event. */
+    private static final double MIN_WAKE_MILLIS = 2;
+
+    /** Requests that are looked at for each engine that can be given a prompt, and at least. */
+    private static final int REQUESTS_PER_ENGINE = 4;
+
+    private static final int MIN_REQUESTS = 16;
+
+    /** A refused request that no engine may or can run is worth another try after this time. */
+    private static final Duration NO_ENGINE_RETRY = Duration.ofSeconds(1);
+
+    private static final Duration TOO_LARGE_RETRY = Duration.ofSeconds(30);
+
+    /** Weight of the newest report in the average delay of reports. */
+    private static final double REPORT_WEIGHT = 0.05;
+
+    private static final double INITIAL_REPORT_MILLIS = 20;
+
+    private final EngineDirectory mDirectory;
+    private final boolean mLimitMemory;
+    private final Scheduler mScheduler;
+    private final TimeSource mTime;
+    private final Supervisor mSupervisor;
+    private final EngineTable mEngines = new EngineTable();
+    private final PlacedTable mPlaced = new PlacedTable();
+    private final PlacementQueue mQueue = new PlacementQueue();
+    private final PlacementRate mRate = new PlacementRate();
+    private final EngineReservations mReservations = new EngineReservations();
+    private final PromptTimes mTimes = new PromptTimes();
+    private final EngineCost mCost = new EngineCost(mTimes);
+    private final WaitEstimate mWait = new WaitEstimate(mEngines, mQueue, mRate);
+    private final Deque<Runnable> mOutcomes = new ArrayDeque<>();
+    private double mReportMillis = INITIAL_REPORT_MILLIS;
+    private long mDirectoryReadAt;
+    private boolean mDirectoryRead;
+    private boolean mDelivering;
+    private long mNextArrival;
+    private long mNextPlaced;
+    private Optional<Scheduler.Timer> mTimer = Optional.empty();
+    private long mTimerAt;
+
     /**
      * Creates a coordinator without load.
      *
@@ -29,57 +79,381 @@
             boolean limitMemory,
             Scheduler scheduler,
             TimeSource time,
-            Supervisor supervisor) {}
+            Supervisor supervisor) {
+        mDirectory = engines;
+        mLimitMemory = limitMemory;
+        mScheduler = scheduler;
+        mTime = time;
+        mSupervisor = supervisor;
+    }
 
     /**
      * Places a request now or later, or refuses it. A repeated request for a waiting one replaces
      * its listener; one for a placed one gets the same engine again.
      */
-    public void place(PlacementRequest request, PlacementListener listener) {}
+    public void place(PlacementRequest request, PlacementListener listener) {
+        PlacementRecipient recipient = new PlacementRecipient(mSupervisor.guard(), listener);
+        Optional<PlacedRequest> placed = mPlaced.find(request.key());
+        if (placed.isPresent()) {
+            announce(placed.get(), recipient, Duration.ZERO);
+            deliver();
+            return;
+        }
+        Optional<WaitingRequest> repeated = mQueue.find(request.key());
+        if (repeated.isPresent()) {
+            repeated.get().recipient().replace(listener);
+            return;
+        }
+        long now = mTime.nanoTime();
+        readDirectory(now);
+        WaitingRequest waiting = waiting(request, recipient, now);
+        Optional<PlacementRefusal.Reason> impossible = impossible(request);
+        if (impossible.isPresent()) {
+            refuse(waiting, impossible.get(), now);
+        } else if (waiting.lastStart() < now) {
+            refuse(waiting, PlacementRefusal.Reason.HOPELESS, now);
+        } else {
+            refuseExpired(now);
+            mQueue.add(waiting, now);
+            placeWaiting(now);
+            refuseIfHopeless(waiting, now);
+        }
+        finish(now);
+    }
+
+    private WaitingRequest waiting(
+            PlacementRequest request, PlacementRecipient recipient, long now) {
+        mTimes.resetIfOld(now);
+        boolean cached =
+                mEngines.listed().stream()
+                        .anyMatch(engine -> engine.isPrefixCached(request.prefixHash()));
+        long tokens = request.promptTokens() - (cached ? request.prefixTokens() : 0);
+        double work = mTimes.expectedMillis(tokens);
+        return new WaitingRequest(request, recipient, now, mNextArrival++, work);
+    }
+
+    private Optional<PlacementRefusal.Reason> impossible(PlacementRequest request) {
+        if (mLimitMemory && request.memoryTokens() > mDirectory.limits().cacheTokens()) {
+            return Optional.of(PlacementRefusal.Reason.TOO_LARGE);
+        }
+        for (EngineLoad engine : mEngines.listed()) {
+            if (EngineTable.isUsable(engine, request)) {
+                return Optional.empty();
+            }
+        }
+        return Optional.of(PlacementRefusal.Reason.NO_ENGINE);
+    }
+
+    private void refuseIfHopeless(WaitingRequest waiting, long now) {
+        if (mQueue.find(waiting.request().key()).isEmpty()) {
+            return;
+        }
+        double wait = mWait.waitMillis(waiting, now, mReportMillis);
+        if (now + wait * 1e6 > waiting.lastStart()) {
+            refuse(waiting, PlacementRefusal.Reason.HOPELESS, now);
+        }
+    }
 
     /**
      * Removes a request whose caller has gone, whether it waits or was placed. An engine that was
      * sent a request is assumed to stop it.
      */
-    public void withdraw(PlacementKey key) {}
+    public void withdraw(PlacementKey key) {
+        mQueue.remove(key).ifPresent(mReservations::release);
+        onEnded(key);
+    }
 
     /**
      * Removes a placed request that its entry did not send, because it may not use the engine now.
      * The entry then asks again with another attempt, with that engine as unusable.
      */
-    public void reject(PlacementKey key) {}
+    public void reject(PlacementKey key) {
+        mPlaced.remove(key).ifPresent(placed -> placed.engine().removeNotRun(placed));
+        dispatch();
+    }
 
     /**
      * Called when the first event of a placed request has come, so that its prompt is processed.
      *
      * @param responseTime time from sending the request to the first event, measured by the entry
      */
-    public void onFirstEvent(PlacementKey key, Duration responseTime) {}
+    public void onFirstEvent(PlacementKey key, Duration responseTime) {
+        Optional<PlacedRequest> found = mPlaced.find(key);
+        if (found.isPresent() && !found.get().isFirstEventSeen()) {
+            onProcessed(found.get(), responseTime);
+        }
+        dispatch();
+    }
+
+    private void onProcessed(PlacedRequest placed, Duration responseTime) {
+        long now = mTime.nanoTime();
+        long completedAt = Math.min(now, placed.placedAt() + Math.max(0, responseTime.toNanos()));
+        double delay = (now - completedAt) / 1e6;
+        mReportMillis += REPORT_WEIGHT * (delay - mReportMillis);
+        OptionalDouble millis = placed.engine().onProcessed(placed, completedAt, now);
+        millis.ifPresent(value -> mTimes.add(placed.prefillTokens(), value, now));
+        mPlaced.markFirstEventSeen(placed);
+    }
 
     /** Called when a placed request has ended successfully or was cancelled. */
-    public void onEnded(PlacementKey key) {}
+    public void onEnded(PlacementKey key) {
+        mPlaced.remove(key).ifPresent(placed -> placed.engine().remove(placed));
+        dispatch();
+    }
 
     /** Called when a placed request has failed at its engine, before or after its first event. */
-    public void onFailed(PlacementKey key, PlacementFailure failure) {}
+    public void onFailed(PlacementKey key, PlacementFailure failure) {
+        Optional<PlacedRequest> placed = mPlaced.remove(key);
+        if (placed.isPresent()) {
+            EngineLoad engine = placed.get().engine();
+            if (failure == PlacementFailure.REFUSED) {
+                engine.removeNotRun(placed.get());
+            } else {
+                engine.remove(placed.get());
+            }
+            engine.onFailure(mTime.nanoTime());
+        }
+        dispatch();
+    }
 
     /** Adds requests that an entry has at engines, after a change of the coordinator. */
-    public void restore(Collection<HeldPlacement> placements) {}
+    public void restore(Collection<HeldPlacement> placements) {
+        readDirectory(mTime.nanoTime());
+        for (HeldPlacement held : placements) {
+            PlacementKey key = held.request().key();
+            Optional<EngineLoad> engine = mEngines.find(held.engine());
+            if (engine.isPresent() && mPlaced.find(key).isEmpty()) {
+                mQueue.remove(key).ifPresent(mReservations::release);
+                add(held.request(), engine.get(), held.sentNanos(), held.firstEventSeen());
+            }
+        }
+        dispatch();
+    }
 
     /** Called when the directory has changed, so that waiting requests may be placed. */
-    public void onEnginesChanged() {}
+    public void onEnginesChanged() {
+        mDirectoryRead = false;
+        dispatch();
+    }
 
     /** Returns the number of requests that wait for an engine. */
     public int waiting() {
-        return 0;
+        return mQueue.size();
     }
 
     /** Returns the number of requests that are placed and have not ended. */
     public int placed() {
-        return 0;
+        return mPlaced.size();
     }
 
     /** Returns the number of requests that are placed at an engine and have not ended. */
     public int placedAt(UpstreamId engine) {
-        return 0;
+        return mEngines.find(engine).map(EngineLoad::placed).orElse(0);
+    }
+
+    private void dispatch() {
+        long now = mTime.nanoTime();
+        dropExpired(now);
+        refuseExpired(now);
+        if (mQueue.size() > 0) {
+            readDirectory(now);
+            placeWaiting(now);
+        }
+        finish(now);
+    }
+
+    private void finish(long now) {
+        mRate.update(mQueue.size() > 0, now);
+        scheduleWake(now);
+        deliver();
+    }
+
+    private void readDirectory(long now) {
+        if (mDirectoryRead && now - mDirectoryReadAt < DIRECTORY_INTERVAL.toNanos()) {
+            return;
+        }
+        mDirectoryRead = true;
+        mDirectoryReadAt = now;
+        mEngines.update(mDirectory.engines());
+        mReservations.retainUsable(mEngines);
+        List<WaitingRequest> without = new ArrayList<>();
+        for (WaitingRequest waiting : mQueue.all()) {
+            if (mEngines.listed().stream()
+                    .noneMatch(engine -> EngineTable.isUsable(engine, waiting.request()))) {
+                without.add(waiting);
+            }
+        }
+        without.forEach(waiting -> refuse(waiting, PlacementRefusal.Reason.NO_ENGINE, now));
+    }
+
+    /** Places waiting requests in order until no engine can be given a prompt. */
+    private void placeWaiting(long now) {
+        while (mQueue.size() > 0) {
+            EngineChoice choice = choice(now);
+            if (choice.open() == 0 || !placeFirst(choice, now)) {
+                return;
+            }
+        }
+    }
+
+    private EngineChoice choice(long now) {
+        return new EngineChoice(
+                mEngines,
+                mReservations,
+                mCost,
+                mDirectory.limits(),
+                mLimitMemory,
+                now,
+                mReportMillis);
+    }
+
+    /** Places the first waiting request whose cheapest engine can be given a prompt now. */
+    private boolean placeFirst(EngineChoice choice, long now) {
+        int maxSize = MIN_REQUESTS + REQUESTS_PER_ENGINE * choice.open();
+        boolean turn = mQueue.isTurnOfOldest();
+        for (WaitingRequest waiting : mQueue.inOrder(now, maxSize)) {
+            boolean isTurn = turn && mQueue.oldest().get() == waiting;
+            Optional<EngineChoice.Candidate> candidate = choice.choose(waiting, isTurn);
+            if (candidate.isEmpty()) {
+                reserve(waiting, choice, isTurn, now);
+            } else if (candidate.get().open()) {
+                place(waiting, candidate.get(), now);
+                return true;
+            } else {
+                choice.await(candidate.get().engine(), waiting);
+            }
+        }
+        return false;
+    }
+
+    private void reserve(WaitingRequest waiting, EngineChoice choice, boolean isTurn, long now) {
+        if (mReservations.isHolder(waiting)) {
+            return;
+        }
+        choice.engineToReserve(waiting)
+                .ifPresent(
+                        engine ->
+                                mReservations.reserve(
+                                        engine, waiting, mEngines.listed().size(), isTurn, now));
+    }
+
+    private void place(WaitingRequest waiting, EngineChoice.Candidate candidate, long now) {
+        EngineLoad engine = candidate.engine();
+        mQueue.removePlaced(waiting);
+        mReservations.release(waiting);
+        mRate.add(waiting.workMillis());
+        Duration waited = Duration.ofNanos(now - waiting.arrivedAt());
+        announce(add(waiting.request(), engine, now, false), waiting.recipient(), waited);
+    }
+
+    private PlacedRequest add(
+            PlacementRequest request, EngineLoad engine, long at, boolean firstEventSeen) {
+        double tokens = EngineCost.prefillTokens(engine, request);
+        double work = mTimes.expectedMillis(tokens);
+        PlacedRequest placed = new PlacedRequest(request, engine, work, tokens, at, mNextPlaced++);
+        if (firstEventSeen) {
+            placed.markFirstEventSeen();
+        }
+        engine.add(placed, mDirectory.limits());
+        mPlaced.add(placed);
+        return placed;
+    }
+
+    private void announce(PlacedRequest placed, PlacementRecipient recipient, Duration waited) {
+        double millis = placed.engine().remainingMillis(mTime.nanoTime(), mReportMillis);
+        Placement placement =
+                new Placement(
+                        placed.request().key(),
+                        placed.engine().status().id(),
+                        waited,
+                        Duration.ofNanos((long) (millis * 1e6)),
+                        placed.request().prefixHash() != 0 && !placed.isPrefixAdded());
+        mOutcomes.add(() -> recipient.notify(listener -> listener.onPlaced(placement)));
+    }
+
+    private void refuse(WaitingRequest waiting, PlacementRefusal.Reason reason, long now) {
+        mQueue.remove(waiting.request().key());
+        mReservations.release(waiting);
+        Duration retryAfter =
+                switch (reason) {
+                    case NO_ENGINE -> NO_ENGINE_RETRY;
+                    case TOO_LARGE -> TOO_LARGE_RETRY;
+                    default -> mWait.retryAfter(waiting, now, mReportMillis);
+                };
+        PlacementRefusal refusal =
+                new PlacementRefusal(
+                        waiting.request().key(),
+                        reason,
+                        retryAfter,
+                        Duration.ofNanos(now - waiting.arrivedAt()));
+        mOutcomes.add(() -> waiting.recipient().notify(listener -> listener.onRefused(refusal)));
+    }
+
+    private void refuseExpired(long now) {
+        Optional<WaitingRequest> expired = mQueue.firstExpired(now);
+        while (expired.isPresent()) {
+            refuse(expired.get(), PlacementRefusal.Reason.EXPIRED, now);
+            expired = mQueue.firstExpired(now);
+        }
+    }
+
+    /**
+     * Drops what no report was received about in time. A prompt counts as processed at the deadline
+     * of the first event; the memory of the request is released when it has certainly ended.
+     */
+    private void dropExpired(long now) {
+        Optional<PlacedRequest> expired = mPlaced.firstExpired(now);
+        while (expired.isPresent()) {
+            PlacedRequest placed = expired.get();
+            if (placed.isFirstEventSeen()) {
+                mPlaced.remove(placed.request().key());
+                placed.engine().remove(placed);
+            } else {
+                placed.engine().dropPrompt(placed);
+                mPlaced.markFirstEventSeen(placed);
+            }
+            expired = mPlaced.firstExpired(now);
+        }
+    }
+
+    private void scheduleWake(long now) {
+        long next = Long.MAX_VALUE;
+        if (mPlaced.nextExpiry().isPresent()) {
+            next = Math.min(next, mPlaced.nextExpiry().getAsLong());
+        }
+        if (mQueue.size() > 0) {
+            double open = Math.max(MIN_WAKE_MILLIS, choice(now).nextOpenMillis());
+            next = Math.min(next, now + (long) (Math.min(POLL_MILLIS, open) * 1e6));
+            next = Math.min(next, mQueue.nextExpiry().getAsLong());
+        }
+        if (next == Long.MAX_VALUE || mTimer.isPresent() && mTimerAt <= next) {
+            return;
+        }
+        mTimer.ifPresent(Scheduler.Timer::cancel);
+        mTimerAt = next;
+        Duration delay = Duration.ofNanos(Math.max(0, next - now));
+        mTimer = Optional.of(mScheduler.schedule(delay, this::onTimer));
+    }
+
+    private void onTimer() {
+        mTimer = Optional.empty();
+        mSupervisor.run(this::dispatch, () -> {});
+    }
+
+    /** Notifies listeners when the state is consistent, since they may call back. */
+    private void deliver() {
+        if (mDelivering) {
+            return;
+        }
+        mDelivering = true;
+        try {
+            Runnable next = mOutcomes.poll();
+            while (next != null) {
+                next.run();
+                next = mOutcomes.poll();
+            }
+        } finally {
+            mDelivering = false;
+        }
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementQueue.java
@@ -0,0 +1,183 @@
+package org.boragethread.core.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Requests that wait for an engine, in the order in which they are placed: those that can meet
+ * their target before late ones, then by priority, then equal shares for teams, then by latest
+ * start. At least one of eight placements goes to the request that has waited longest, so that none
+ * starves. Not thread-safe.
+ */
+final class PlacementQueue {
+
+    /** Of this many placements while there is a queue, one goes to the longest waiting request. */
+    static final int TURN_INTERVAL = 8;
+
+    private final Map<PlacementKey, WaitingRequest> mByKey = new LinkedHashMap<>();
+    private final TreeMap<Integer, TeamShares> mInTime = new TreeMap<>();
+    private final TreeMap<Integer, TeamShares> mLate = new TreeMap<>();
+
+    /** Those in time, by the time at which they become late. */
+    private final TreeSet<WaitingRequest> mByLatestStart =
+            new TreeSet<>(
+                    Comparator.comparingLong(WaitingRequest::latestStart)
+                            .thenComparingLong(WaitingRequest::sequence));
+
+    private final TreeSet<WaitingRequest> mByLastStart =
+            new TreeSet<>(
+                    Comparator.comparingLong(WaitingRequest::lastStart)
+                            .thenComparingLong(WaitingRequest::sequence));
+
+    private int mPlacementsSinceTurn;
+
+    void add(WaitingRequest waiting, long now) {
+        mByKey.put(waiting.request().key(), waiting);
+        mByLastStart.add(waiting);
+        if (waiting.isLate(now)) {
+            shares(mLate, waiting).add(waiting);
+        } else {
+            mByLatestStart.add(waiting);
+            shares(mInTime, waiting).add(waiting);
+        }
+    }
+
+    Optional<WaitingRequest> find(PlacementKey key) {
+        return Optional.ofNullable(mByKey.get(key));
+    }
+
+    Optional<WaitingRequest> remove(PlacementKey key) {
+        WaitingRequest waiting = mByKey.remove(key);
+        if (waiting == null) {
+            return Optional.empty();
+        }
+        mByLastStart.remove(waiting);
+        if (mByLatestStart.remove(waiting)) {
+            removeFrom(mInTime, waiting);
+        } else {
+            removeFrom(mLate, waiting);
+        }
+        if (mByKey.isEmpty()) {
+            mPlacementsSinceTurn = 0;
+        }
+        return Optional.of(waiting);
+    }
+
+    /** Removes a request that is placed, and charges its team. */
+    void removePlaced(WaitingRequest waiting) {
+        boolean isOldest = oldest().filter(oldest -> oldest == waiting).isPresent();
+        mPlacementsSinceTurn = isOldest ? 0 : mPlacementsSinceTurn + 1;
+        shares(mByLatestStart.contains(waiting) ? mInTime : mLate, waiting).charge(waiting);
+        remove(waiting.request().key());
+    }
+
+    /** Returns whether the next placement belongs to the request that has waited longest. */
+    boolean isTurnOfOldest() {
+        return mPlacementsSinceTurn >= TURN_INTERVAL - 1;
+    }
+
+    Optional<WaitingRequest> oldest() {
+        return mByKey.isEmpty() ? Optional.empty() : Optional.of(mByKey.values().iterator().next());
+    }
+
+    /** Returns the first requests in order, up to a number. */
+    List<WaitingRequest> inOrder(long now, int maxSize) {
+        deferLate(now);
+        List<WaitingRequest> ordered = new ArrayList<>();
+        if (isTurnOfOldest()) {
+            oldest().ifPresent(ordered::add);
+        }
+        for (TeamShares shares : mInTime.values()) {
+            shares.addInOrder(ordered, maxSize);
+        }
+        for (TeamShares shares : mLate.values()) {
+            shares.addInOrder(ordered, maxSize);
+        }
+        return ordered;
+    }
+
+    /** Moves the requests that can no longer meet their target behind the others. */
+    private void deferLate(long now) {
+        while (!mByLatestStart.isEmpty() && mByLatestStart.first().isLate(now)) {
+            WaitingRequest late = mByLatestStart.pollFirst();
+            removeFrom(mInTime, late);
+            shares(mLate, late).add(late);
+        }
+    }
+
+    /** Returns the request that can no longer meet its deadline for the longest time, if any. */
+    Optional<WaitingRequest> firstExpired(long now) {
+        return mByLastStart.isEmpty() || mByLastStart.first().lastStart() > now
+                ? Optional.empty()
+                : Optional.of(mByLastStart.first());
+    }
+
+    OptionalLong nextExpiry() {
+        return mByLastStart.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(mByLastStart.first().lastStart());
+    }
+
+    /**
+     * Returns the work that is placed before a request if no other one arrives, in milliseconds.
+     *
+     * @param late whether the request will be late when its turn comes
+     */
+    double millisAhead(WaitingRequest waiting, boolean late, long now) {
+        double ahead = 0;
+        int priority = waiting.request().priority();
+        Map<String, Double> byTeam = new HashMap<>();
+        for (WaitingRequest other : mByKey.values()) {
+            boolean isOtherLate = other.isLate(now);
+            if (other == waiting || isOtherLate && !late) {
+                continue;
+            }
+            if (late && !isOtherLate || other.request().priority() < priority) {
+                ahead += other.workMillis();
+            } else if (other.request().priority() == priority && precedes(other, waiting)) {
+                byTeam.merge(other.request().team(), other.workMillis(), Double::sum);
+            }
+        }
+        Double own = byTeam.remove(waiting.request().team());
+        double share = (own == null ? 0 : own) + waiting.workMillis();
+        for (double other : byTeam.values()) {
+            ahead += Math.min(other, share);
+        }
+        return ahead + share - waiting.workMillis();
+    }
+
+    /** Returns whether a request of the same priority precedes another one by latest start. */
+    private static boolean precedes(WaitingRequest other, WaitingRequest waiting) {
+        return !other.request().team().equals(waiting.request().team())
+                || other.latestStart() <= waiting.latestStart();
+    }
+
+    Collection<WaitingRequest> all() {
+        return mByKey.values();
+    }
+
+    int size() {
+        return mByKey.size();
+    }
+
+    private static TeamShares shares(Map<Integer, TeamShares> lane, WaitingRequest waiting) {
+        return lane.computeIfAbsent(waiting.request().priority(), key -> new TeamShares());
+    }
+
+    private static void removeFrom(Map<Integer, TeamShares> lane, WaitingRequest waiting) {
+        TeamShares shares = shares(lane, waiting);
+        shares.remove(waiting);
+        if (shares.isEmpty()) {
+            lane.remove(waiting.request().priority());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/placement/WaitEstimate.java
@@ -0,0 +1,73 @@
+package org.boragethread.core.placement;
+
+import java.time.Duration;
+import java.util.List;
+
+/** Estimates how long a request will wait, from the queue and the load of the engines. */
+final class WaitEstimate {
+
+    /** Shortest time after which a refused request is worth another try. */
+    private static final double MIN_RETRY_MILLIS = 100;
+
+    private static final double MAX_RETRY_MILLIS = Duration.ofSeconds(30).toMillis();
+
+    private final EngineTable mEngines;
+    private final PlacementQueue mQueue;
+    private final PlacementRate mRate;
+
+    WaitEstimate(EngineTable engines, PlacementQueue queue, PlacementRate rate) {
+        mEngines = engines;
+        mQueue = queue;
+        mRate = rate;
+    }
+
+    /**
+     * Returns the time until the request can be placed and its engine has finished earlier prompts,
+     * in milliseconds. It is a lower bound if no engine becomes faster.
+     */
+    double waitMillis(WaitingRequest waiting, long now, double reportMillis) {
+        List<EngineLoad> usable = mEngines.usable(waiting.request());
+        double shortest = Double.MAX_VALUE;
+        for (EngineLoad engine : usable) {
+            double remaining = engine.remainingMillis(now, reportMillis);
+            double avoidance = Math.max(0, (engine.avoidedUntil() - now) / 1e6);
+            shortest =
+                    Math.min(
+                            shortest,
+                            engine.isAvoided(now) ? Math.max(remaining, avoidance) : remaining);
+        }
+        return Math.max(shortest, millisInQueue(waiting, now, usable.size()));
+    }
+
+    private double millisInQueue(WaitingRequest waiting, long now, int engines) {
+        double rate = mRate.get().orElse(engines);
+        if (rate <= 0) {
+            return 0;
+        }
+        double wait = mQueue.millisAhead(waiting, waiting.isLate(now), now) / rate;
+        if (now + wait * 1e6 > waiting.latestStart()) {
+            wait = Math.max(wait, mQueue.millisAhead(waiting, true, now) / rate);
+        }
+        return Math.min(wait, millisUntilTurn(waiting, rate));
+    }
+
+    /** Returns the time until the request is the one that has waited longest and has its turn. */
+    private double millisUntilTurn(WaitingRequest waiting, double rate) {
+        int older = 0;
+        double work = 0;
+        for (WaitingRequest other : mQueue.all()) {
+            work += other.workMillis();
+            older += other.sequence() < waiting.sequence() ? 1 : 0;
+        }
+        double mean = work / Math.max(1, mQueue.size());
+        return (older + 1) * PlacementQueue.TURN_INTERVAL * mean / rate;
+    }
+
+    /** Returns the time after which such a request could be served if no other one arrived. */
+    Duration retryAfter(WaitingRequest waiting, long now, double reportMillis) {
+        double wait = waitMillis(waiting, now, reportMillis) + waiting.workMillis();
+        double allowed = (waiting.request().deadlineNanos() - waiting.arrivedAt()) / 1e6;
+        double millis = Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, wait - allowed));
+        return Duration.ofNanos((long) (millis * 1e6));
+    }
+}
