--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -106,7 +106,11 @@
         PlacementNeeds.Builder needs = needs(choice);
         unusable.get().forEach(id -> needs.addUnusable(id.value()));
         mPending = true;
-        mWaiting = mGateway.placements().place(group(), needs, new Outcome(receiver, end));
+        Outcome outcome = new Outcome(receiver, end);
+        PlacementRouter.Waiting waiting = mGateway.placements().place(group(), needs, outcome);
+        if (!outcome.mDecided) {
+            mWaiting = waiting;
+        }
     }
 
     /** Describes the request. All times are those that remain. */
@@ -210,15 +214,21 @@
 
         private final Consumer<Optional<UpstreamNode>> mReceiver;
         private final RequestEnd mEnd;
+        private boolean mDecided;
 
         Outcome(Consumer<Optional<UpstreamNode>> receiver, RequestEnd end) {
             mReceiver = receiver;
             mEnd = end;
         }
 
+        private void onDecided() {
+            mDecided = true;
+            mPending = false;
+        }
+
         @Override
         public void onPlaced(UpstreamId engine, boolean prefixCached, PlacedAttempt attempt) {
-            mPending = false;
+            onDecided();
             UpstreamChooser chooser = mGateway.chooser();
             ChoiceRequest choice = parts().placement().choiceRequest();
             Optional<UpstreamNode> known = mGateway.directory().find(engine);
@@ -245,7 +255,7 @@
 
         @Override
         public void onRefused(PlacementRefusal.Reason reason, Duration retryAfter) {
-            mPending = false;
+            onDecided();
             if (reason == PlacementRefusal.Reason.NO_ENGINE) {
                 // The coordinator may know fewer engines than this process.
                 mReceiver.accept(selectLocally());
@@ -276,7 +286,7 @@
 
         @Override
         public void onUnavailable() {
-            mPending = false;
+            onDecided();
             mReceiver.accept(selectLocally());
         }
     }
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
@@ -70,7 +70,7 @@
     public PlacementRouter(
             EntryRun self,
             CoordinatorTable coordinators,
-            PeerCoordinatorLink peers,
+            CoordinatorLink peers,
             PlacementServer server,
             Scheduler scheduler,
             TimeSource time,
@@ -163,13 +163,17 @@
     /** Gives up a coordinator that does not respond, and all requests that wait there. */
     private void onUnresponsive(String coordinator) {
         mGroups.keySet().forEach(group -> avoid(group, coordinator));
-        for (Group group : List.copyOf(mGroups.values())) {
-            for (Question question : List.copyOf(group.mQuestions.values())) {
-                if (question.mTerm.mCoordinator.equals(coordinator)) {
-                    question.giveUp("unresponsive");
-                }
-            }
-        }
+        List<Question> givenUp =
+                mGroups.values().stream()
+                        .flatMap(group -> group.mQuestions.values().stream())
+                        .filter(question -> question.mTerm.mCoordinator.equals(coordinator))
+                        .toList();
+        givenUp.forEach(Question::withdraw);
+        givenUp.stream()
+                .map(question -> question.mTerm.mOutbox)
+                .distinct()
+                .forEach(ReportOutbox::probe);
+        givenUp.forEach(question -> question.fallBackForOwner("unresponsive"));
     }
 
     /** The time during which one entry coordinates a group. */
@@ -305,15 +309,15 @@
             return ends;
         }
 
+        /** Cancels the call; the coordinator may have placed the request meanwhile. */
         void withdraw() {
             if (end()) {
-                abandon();
+                mCall.ifPresent(CoordinatorLink.Call::cancel);
+                reportWithdrawn();
             }
         }
 
-        /** Cancels the call; the coordinator may have placed the request meanwhile. */
-        private void abandon() {
-            mCall.ifPresent(CoordinatorLink.Call::cancel);
+        private void reportWithdrawn() {
             mTerm.mOutbox.add(
                     PlacementReport.newBuilder()
                             .setNumber(mNeeds.getNumber())
@@ -321,11 +325,8 @@
                             .build());
         }
 
-        void giveUp(String reason) {
-            if (end()) {
-                abandon();
-                mGuard.run(mOwner, () -> fallBack(reason));
-            }
+        void fallBackForOwner(String reason) {
+            mGuard.run(mOwner, () -> fallBack(reason));
         }
 
         @Override
@@ -340,6 +341,7 @@
             }
             if (!mTerm.isLocal()) {
                 avoid(mGroup.mId, mTerm.mCoordinator);
+                reportWithdrawn();
                 mTerm.mOutbox.restore();
                 mTerm.mOutbox.probe();
             }
--- a/entry/src/main/java/org/boragethread/entry/placement/ReportOutbox.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/ReportOutbox.java
@@ -94,13 +94,13 @@
         }
     }
 
-    /** Sends no more reports; the coordinator can still be probed. */
+    /** Restores nothing any more, because another entry coordinates the group. */
     void close() {
         mClosed = true;
     }
 
     private void schedule(Duration delay) {
-        if (!mScheduled && !mClosed) {
+        if (!mScheduled) {
             mScheduled = true;
             mScheduler.schedule(delay, this::onTimer);
         }
@@ -108,19 +108,19 @@
 
     private void onTimer() {
         mScheduled = false;
-        if (!mSending && !mClosed) {
+        if (!mSending) {
             send();
         }
     }
 
     private void send() {
         mSending = true;
-        mTransport.send(mClosed ? mEnvelope : takeReports(), this::onReported);
+        mTransport.send(takeReports(), this::onReported);
     }
 
     private PlacementReports takeReports() {
         PlacementReports.Builder message = mEnvelope.toBuilder();
-        if (mRestoreNeeded) {
+        if (mRestoreNeeded && !mClosed) {
             // It has everything that is at engines, so that only reports add to it.
             message.setRestore(mRestore.get());
             mRestoreNeeded = false;
@@ -139,7 +139,9 @@
         } else {
             mRestoreNeeded = true;
             mOnLost.run();
-            schedule(RETRY_TIME);
+            if (!mClosed) {
+                schedule(RETRY_TIME);
+            }
         }
         if (!mReports.isEmpty() || !mHeld.isEmpty()) {
             schedule(BATCH_TIME);
