--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -198,6 +198,8 @@
     /** Ends the selection, because the request has ended. */
     void stop() {
         mWaiting.cancel();
+        mSelected.ifPresent(selected -> selected.attempt().onRejected());
+        mSelected = Optional.empty();
         mPending = false;
     }
 
