--- a/core/src/test/java/org/boragethread/core/placement/PlacementLoadTest.java
+++ b/core/src/test/java/org/boragethread/core/placement/PlacementLoadTest.java
@@ -4,8 +4,6 @@
 
 import java.time.Duration;
 import java.util.Locale;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.boragethread.core.placement.PlacementSimulation.Case;
 import org.boragethread.core.placement.PlacementSimulation.Result;
 import org.testng.annotations.DataProvider;
@@ -14,8 +12,6 @@
 /** Compares shared placement with blind choice and with one shared queue. */
 public class PlacementLoadTest {
 
-    private static final Logger LOG = LogManager.getLogger(PlacementLoadTest.class);
-
     /** Goal for the 95th percentile, as a multiple of that of one shared queue. */
     private static final double MAX_RELATIVE_P95 = 1.6;
 
@@ -58,11 +54,12 @@
     }
 
     private static void log(Case simulated, String name, Result result, Result shared) {
-        LOG.info(
-                "{} {}: {} ({} of one queue)",
+        System.out.printf(
+                Locale.ROOT,
+                "%s %-9s: %s (%.2f of one queue)%n",
                 simulated,
-                String.format(Locale.ROOT, "%-9s", name),
+                name,
                 result,
-                String.format(Locale.ROOT, "%.2f", result.p95() / shared.p95()));
+                result.p95() / shared.p95());
     }
 }
