--- a/core/src/test/java/org/boragethread/core/placement/PlacementCoordinatorTest.java
+++ b/core/src/test/java/org/boragethread/core/placement/PlacementCoordinatorTest.java
@@ -222,7 +222,8 @@
     }
 
     // Guards against refusals that come after the time has run out, or that let a hopeless request
-    // wait: on the heaviest day urgent requests waited 6 s and were then cancelled by their callers.
+    // wait: on the heaviest day urgent requests waited 6 s and were then cancelled by their
+    // callers.
     @Test
     public void hopelessRequestsAreRefusedAtOnceAndOthersWhenTheirTimeRunsOut() {
         use(1, false, 1);
@@ -266,8 +267,7 @@
         Map<Long, Set<UpstreamId>> used = new HashMap<>();
         for (int i = 0; i < 600; i++) {
             long prefix = 1 + mRandom.nextInt(16);
-            PlacementKey key =
-                    place(request(2000, 9000).prefix(prefix, 8000).tokens(8500, 10));
+            PlacementKey key = place(request(2000, 9000).prefix(prefix, 8000).tokens(8500, 10));
             advance(60);
             used.computeIfAbsent(prefix, p -> new HashSet<>()).add(engine(key));
         }
