Tell a new coordinator of requests at engines within a second

An entry that asks nothing probes its coordinator once a second while it has requests at engines; else the next coordinator learns of them only when the members change, up to 3.4 s later.

--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -61,7 +61,7 @@
     private List<PendingPiece> mPendingPieces = List.of();
     private Optional<PieceCollector> mCollector = Optional.empty();
     private TopicRelay.PendingRead mPendingRead = () -> {};
-    private Optional<PlacementServer.Decided> mPlacement = Optional.empty();
+    private Optional<PlacementResponse> mPlacement = Optional.empty();
 
     PeerEndpoint(Gateway gateway) {
         mGateway = gateway;
@@ -117,38 +117,19 @@
             return;
         }
         context.write(chunkedHead());
-        boolean[] decided = {false};
+        PlacementResponse response = new PlacementResponse(context);
+        mPlacement = Optional.of(response);
         Optional<PlacementServer.Decided> placement =
-                mGateway.placementServer()
-                        .place(
-                                asked,
-                                decision -> {
-                                    decided[0] = true;
-                                    onDecided(context, decision);
-                                });
+                mGateway.placementServer().place(asked, response::send);
         if (placement.isEmpty()) {
+            mPlacement = Optional.empty();
             context.close();
             return;
         }
-        if (!decided[0]) {
-            mPlacement = placement;
-        }
+        response.mPlacement = placement;
         context.flush();
     }
 
-    private void onDecided(ChannelHandlerContext context, PlacementDecision decision) {
-        Optional<PlacementServer.Decided> placement = mPlacement;
-        mPlacement = Optional.empty();
-        context.write(new DefaultHttpContent(Unpooled.wrappedBuffer(decision.toByteArray())));
-        context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                .addListener(
-                        written -> {
-                            if (!written.isSuccess()) {
-                                placement.ifPresent(PlacementServer.Decided::withdraw);
-                            }
-                        });
-    }
-
     private static HttpResponse chunkedHead() {
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
@@ -277,7 +258,7 @@
         mPendingPieces = List.of();
         mCollector.ifPresent(PieceCollector::abandon);
         mPendingRead.cancel();
-        mPlacement.ifPresent(PlacementServer.Decided::withdraw);
+        mPlacement.ifPresent(PlacementResponse::withdraw);
         mPlacement = Optional.empty();
     }
 
@@ -291,6 +272,34 @@
         context.close();
     }
 
+    /** Sends the decision about a placement. */
+    private final class PlacementResponse {
+
+        private final ChannelHandlerContext mContext;
+        private Optional<PlacementServer.Decided> mPlacement = Optional.empty();
+
+        PlacementResponse(ChannelHandlerContext context) {
+            mContext = context;
+        }
+
+        void send(PlacementDecision decision) {
+            PeerEndpoint.this.mPlacement = Optional.empty();
+            ByteBuf body = Unpooled.wrappedBuffer(decision.toByteArray());
+            mContext.write(new DefaultHttpContent(body));
+            mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                    .addListener(
+                            written -> {
+                                if (!written.isSuccess()) {
+                                    withdraw();
+                                }
+                            });
+        }
+
+        void withdraw() {
+            mPlacement.ifPresent(PlacementServer.Decided::withdraw);
+        }
+    }
+
     /** Collects the outcomes of the pieces and responds once all are known. */
     private final class PieceCollector implements PieceListener {
 
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
@@ -38,6 +38,12 @@
     /** Time without a sign of a coordinator after which one at which requests wait is probed. */
     private static final Duration PROBE_TIME = Duration.ofMillis(250);
 
+    /**
+     * The same while requests are at engines and none waits. Within it, a new coordinator is told
+     * of them after the death of the one before.
+     */
+    private static final Duration SLOW_PROBE_TIME = Duration.ofSeconds(1);
+
     private static final String COORDINATOR = "coordinator";
     private static final String LOCAL = "local-shortcut";
 
@@ -118,17 +124,14 @@
         mLastNumber++;
         Attempt attempt = new Attempt(state, number(needs), mTime.nanoTime(), engine);
         state.mAttempts.put(mLastNumber, attempt);
+        state.watch();
         term.ifPresent(current -> current.mOutbox.add(attempt.encode()));
         return attempt;
     }
 
     /** Restores what coordinators know that have changed. */
     public void onMembersChanged() {
-        for (Group group : mGroups.values()) {
-            if (!group.mAttempts.isEmpty() || !group.mQuestions.isEmpty()) {
-                group.currentTerm();
-            }
-        }
+        mGroups.values().stream().filter(Group::isActive).forEach(Group::currentTerm);
     }
 
     /** Returns the number of requests of this entry that wait for a decision. */
@@ -174,6 +177,7 @@
                 .distinct()
                 .forEach(ReportOutbox::probe);
         givenUp.forEach(question -> question.fallBackForOwner("unresponsive"));
+        onMembersChanged();
     }
 
     /** The time during which one entry coordinates a group. */
@@ -204,6 +208,10 @@
         boolean isLocal() {
             return mLink == mLocal;
         }
+
+        boolean isSilentFor(Duration time) {
+            return !isLocal() && mOutbox.silence().compareTo(time) >= 0;
+        }
     }
 
     /** What this entry asks and has at the engines of one group. */
@@ -248,9 +256,13 @@
             return restore.build();
         }
 
-        /** Probes the coordinator as long as requests wait there. */
+        boolean isActive() {
+            return !mAttempts.isEmpty() || !mQuestions.isEmpty();
+        }
+
+        /** Probes the coordinator as long as requests wait there or are at engines. */
         void watch() {
-            if (mWatching || mQuestions.isEmpty()) {
+            if (mWatching || !isActive()) {
                 return;
             }
             mWatching = true;
@@ -262,12 +274,12 @@
             List<Term> probed = new ArrayList<>();
             for (Question question : mQuestions.values()) {
                 Term term = question.mTerm;
-                if (!term.isLocal()
-                        && !probed.contains(term)
-                        && term.mOutbox.silence().compareTo(PROBE_TIME) >= 0) {
+                if (!probed.contains(term) && term.isSilentFor(PROBE_TIME)) {
                     probed.add(term);
                 }
             }
+            mTerm.filter(term -> !probed.contains(term) && term.isSilentFor(SLOW_PROBE_TIME))
+                    .ifPresent(probed::add);
             probed.forEach(term -> term.mOutbox.probe());
             watch();
         }
