--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -33,6 +33,7 @@
 import org.boragethread.core.upstream.UpstreamDirectory;
 import org.boragethread.entry.placement.EntryRun;
 import org.boragethread.entry.placement.PeerCoordinatorLink;
+import org.boragethread.entry.placement.PlacementRehearsal;
 import org.boragethread.entry.placement.PlacementRouter;
 import org.boragethread.entry.placement.PlacementServer;
 import org.boragethread.model.routing.RoutedGroup;
@@ -286,6 +287,16 @@
         return mPlacements;
     }
 
+    /** Places sample requests, so that this entry can become a coordinator at any moment. */
+    void rehearsePlacements() {
+        long startNanos = mTime.nanoTime();
+        int placed = PlacementRehearsal.run(supervisor("placement", "rehearsal"), mTime);
+        mLog.event("placement-rehearsal")
+                .with("placed", placed)
+                .with("millis", mTime.since(startNanos).toMillis())
+                .info();
+    }
+
     /** Returns what places the requests of all entries while this entry is a coordinator. */
     PlacementServer placementServer() {
         return mPlacementServer;
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -200,6 +200,9 @@
 
     private void startFollowers() {
         Duration configPollTime = fraction(mSettings.revokeTime(), CONFIG_POLL_FRACTION);
+        if (mSettings.scheduling().isShared()) {
+            mGateway.rehearsePlacements();
+        }
         mMembership.start();
         follower(
                         StoreTopic.OPERATOR_TOPIC,
