--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -34,6 +34,11 @@
 import org.boragethread.core.upstream.StreamDurationModel;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamDirectory;
+import org.boragethread.entry.placement.EntryRun;
+import org.boragethread.entry.placement.PeerCoordinatorLink;
+import org.boragethread.entry.placement.PlacementRehearsal;
+import org.boragethread.entry.placement.PlacementRouter;
+import org.boragethread.entry.placement.PlacementServer;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.platform.store.StoreGroup;
@@ -68,6 +73,8 @@
     private final BatchClient mBatchClient;
     private final CoordinatorTable mCoordinators;
     private final StageRouter mStageRouter;
+    private final PlacementServer mPlacementServer;
+    private final PlacementRouter mPlacements;
     private final Map<GroupId, RateLimitQueue> mRateLimitQueues = new HashMap<>();
     private final Map<GroupId, SharedRetryBudget> mRetryBudgets = new HashMap<>();
     private final Map<GroupId, ResponseTimeModel> mResponseTimes = new HashMap<>();
@@ -131,15 +138,33 @@
                         mRateLimitShare,
                         group -> batchScheduler(group).dispatch());
         mCoordinators = new CoordinatorTable(time, settings.dataCentre());
-        mStageRouter =
-                new StageRouter(
-                        settings.peerAddress(),
-                        mCoordinators,
-                        this::batchScheduler,
-                        new PeerClient(mConnections, mScheduler, time, mLog),
-                        mBatchClient,
-                        mDirectory,
-                        time);
+        mStageRouter = createStageRouter();
+        mPlacementServer = new PlacementServer(new DirectoryEngines(this), time);
+        mPlacements = createPlacementRouter();
+    }
+
+    private StageRouter createStageRouter() {
+        return new StageRouter(
+                mSettings.peerAddress(),
+                mCoordinators,
+                this::batchScheduler,
+                new PeerClient(mConnections, mScheduler, mTime, mLog),
+                mBatchClient,
+                mDirectory,
+                mTime);
+    }
+
+    private PlacementRouter createPlacementRouter() {
+        return new PlacementRouter(
+                new EntryRun(mSettings.peerAddress(), mTime.instant().toEpochMilli()),
+                mCoordinators,
+                new PeerCoordinatorLink(mConnections, mScheduler, PeerClient::createCall),
+                mPlacementServer,
+                mScheduler,
+                mTime,
+                mGuard,
+                mLog,
+                mMetrics);
     }
 
     GatewaySettings settings() {
@@ -260,6 +285,26 @@
         return mStageRouter;
     }
 
+    /** Returns what asks the coordinators of groups where requests run. */
+    PlacementRouter placements() {
+        return mPlacements;
+    }
+
+    /** Places sample requests, so that this entry can become a coordinator at any moment. */
+    void rehearsePlacements() {
+        long startNanos = mTime.nanoTime();
+        int placed = PlacementRehearsal.run(supervisor("placement", "rehearsal"), mTime);
+        mLog.event("placement-rehearsal")
+                .with("placed", placed)
+                .with("millis", mTime.since(startNanos).toMillis())
+                .info();
+    }
+
+    /** Returns what places the requests of all entries while this entry is a coordinator. */
+    PlacementServer placementServer() {
+        return mPlacementServer;
+    }
+
     /** Returns the retry budget of a group. */
     SharedRetryBudget retryBudget(GroupId group) {
         return mRetryBudgets.computeIfAbsent(group, this::createRetryBudget);
--- a/wire/src/main/java/org/boragethread/wire/proto/Peer.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Peer.java
@@ -85,6 +85,46 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_boragethread_peer_TopicRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementAsked_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementAsked_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementSender_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementSender_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementNeeds_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementNeeds_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementDecision_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementDecision_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementReports_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementReports_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementRestore_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementRestore_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementHeld_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementHeld_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_PlacementReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_PlacementReport_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -125,8 +165,48 @@
       "visional_version\030\005 \001(\t\"0\n\013StreamQuery\022\020\n" +
       "\010key_high\030\001 \001(\006\022\017\n\007key_low\030\002 \001(\006\"H\n\013Topi" +
       "cRecord\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\022\n\005" +
-      "value\030\003 \001(\014H\000\210\001\001B\010\n\006_valueB\037\n\033org.borage" +
-      "thread.wire.protoP\001b\006proto3"
+      "value\030\003 \001(\014H\000\210\001\001B\010\n\006_value\"\205\001\n\016Placement" +
+      "Asked\022\r\n\005group\030\001 \001(\t\0222\n\006sender\030\002 \001(\0132\".b" +
+      "oragethread.peer.PlacementSender\0220\n\005need" +
+      "s\030\003 \001(\0132!.boragethread.peer.PlacementNee" +
+      "ds\"/\n\017PlacementSender\022\017\n\007address\030\001 \001(\t\022\013" +
+      "\n\003run\030\002 \001(\003\"\214\003\n\016PlacementNeeds\022\016\n\006number" +
+      "\030\001 \001(\005\022\022\n\nrequest_id\030\002 \001(\t\022\023\n\013prefix_has" +
+      "h\030\003 \001(\006\022\025\n\rprefix_tokens\030\004 \001(\003\022\025\n\rprompt" +
+      "_tokens\030\005 \001(\003\022\025\n\routput_tokens\030\006 \001(\003\022\020\n\010" +
+      "priority\030\007 \001(\005\022\014\n\004team\030\010 \001(\t\022\031\n\021target_l" +
+      "eft_nanos\030\t \001(\003\022\033\n\023deadline_left_nanos\030\n" +
+      " \001(\003\022\031\n\021expiry_left_nanos\030\013 \001(\003\022\031\n\021input" +
+      "_data_centre\030\014 \001(\t\022\025\n\rremote_millis\030\r \001(" +
+      "\001\022\020\n\010unusable\030\016 \003(\t\022\017\n\007regions\030\017 \003(\t\022\030\n\020" +
+      "required_version\030\020 \001(\t\022\032\n\022forbidden_vers" +
+      "ions\030\021 \003(\t\"\240\001\n\021PlacementDecision\022\016\n\006engi" +
+      "ne\030\001 \001(\t\022\024\n\014waited_nanos\030\002 \001(\003\022\"\n\032expect" +
+      "ed_first_event_nanos\030\003 \001(\003\022\025\n\rprefix_cac" +
+      "hed\030\004 \001(\010\022\017\n\007refusal\030\005 \001(\t\022\031\n\021retry_afte" +
+      "r_nanos\030\006 \001(\003\"\201\002\n\020PlacementReports\022\r\n\005gr" +
+      "oup\030\001 \001(\t\0222\n\006sender\030\002 \001(\0132\".boragethread" +
+      ".peer.PlacementSender\0229\n\007restore\030\003 \001(\0132#" +
+      ".boragethread.peer.PlacementRestoreH\000\210\001\001" +
+      "\022.\n\004held\030\004 \003(\0132 .boragethread.peer.Place" +
+      "mentHeld\0223\n\007reports\030\005 \003(\0132\".boragethread" +
+      ".peer.PlacementReportB\n\n\010_restore\"Z\n\020Pla" +
+      "cementRestore\022\026\n\016complete_below\030\001 \001(\005\022.\n" +
+      "\004held\030\002 \003(\0132 .boragethread.peer.Placemen" +
+      "tHeld\"~\n\rPlacementHeld\0220\n\005needs\030\001 \001(\0132!." +
+      "boragethread.peer.PlacementNeeds\022\016\n\006engi" +
+      "ne\030\002 \001(\t\022\021\n\tage_nanos\030\003 \001(\003\022\030\n\020first_eve" +
+      "nt_seen\030\004 \001(\010\"p\n\017PlacementReport\022\016\n\006numb" +
+      "er\030\001 \001(\005\0220\n\005event\030\002 \001(\0162!.boragethread.p" +
+      "eer.PlacementEvent\022\033\n\023response_time_nano" +
+      "s\030\003 \001(\003*\377\001\n\016PlacementEvent\022\037\n\033PLACEMENT_" +
+      "EVENT_UNSPECIFIED\020\000\022\037\n\033PLACEMENT_EVENT_F" +
+      "IRST_EVENT\020\001\022\031\n\025PLACEMENT_EVENT_ENDED\020\002\022" +
+      "\035\n\031PLACEMENT_EVENT_WITHDRAWN\020\003\022\034\n\030PLACEM" +
+      "ENT_EVENT_REJECTED\020\004\022\033\n\027PLACEMENT_EVENT_" +
+      "REFUSED\020\005\022\032\n\026PLACEMENT_EVENT_FAILED\020\006\022\032\n" +
+      "\026PLACEMENT_EVENT_BROKEN\020\007B\037\n\033org.boraget" +
+      "hread.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -204,6 +284,54 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_TopicRecord_descriptor,
         new java.lang.String[] { "Offset", "Key", "Value", });
+    internal_static_boragethread_peer_PlacementAsked_descriptor =
+      getDescriptor().getMessageTypes().get(12);
+    internal_static_boragethread_peer_PlacementAsked_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementAsked_descriptor,
+        new java.lang.String[] { "Group", "Sender", "Needs", });
+    internal_static_boragethread_peer_PlacementSender_descriptor =
+      getDescriptor().getMessageTypes().get(13);
+    internal_static_boragethread_peer_PlacementSender_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementSender_descriptor,
+        new java.lang.String[] { "Address", "Run", });
+    internal_static_boragethread_peer_PlacementNeeds_descriptor =
+      getDescriptor().getMessageTypes().get(14);
+    internal_static_boragethread_peer_PlacementNeeds_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementNeeds_descriptor,
+        new java.lang.String[] { "Number", "RequestId", "PrefixHash", "PrefixTokens", "PromptTokens", "OutputTokens", "Priority", "Team", "TargetLeftNanos", "DeadlineLeftNanos", "ExpiryLeftNanos", "InputDataCentre", "RemoteMillis", "Unusable", "Regions", "RequiredVersion", "ForbiddenVersions", });
+    internal_static_boragethread_peer_PlacementDecision_descriptor =
+      getDescriptor().getMessageTypes().get(15);
+    internal_static_boragethread_peer_PlacementDecision_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementDecision_descriptor,
+        new java.lang.String[] { "Engine", "WaitedNanos", "ExpectedFirstEventNanos", "PrefixCached", "Refusal", "RetryAfterNanos", });
+    internal_static_boragethread_peer_PlacementReports_descriptor =
+      getDescriptor().getMessageTypes().get(16);
+    internal_static_boragethread_peer_PlacementReports_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementReports_descriptor,
+        new java.lang.String[] { "Group", "Sender", "Restore", "Held", "Reports", });
+    internal_static_boragethread_peer_PlacementRestore_descriptor =
+      getDescriptor().getMessageTypes().get(17);
+    internal_static_boragethread_peer_PlacementRestore_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementRestore_descriptor,
+        new java.lang.String[] { "CompleteBelow", "Held", });
+    internal_static_boragethread_peer_PlacementHeld_descriptor =
+      getDescriptor().getMessageTypes().get(18);
+    internal_static_boragethread_peer_PlacementHeld_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementHeld_descriptor,
+        new java.lang.String[] { "Needs", "Engine", "AgeNanos", "FirstEventSeen", });
+    internal_static_boragethread_peer_PlacementReport_descriptor =
+      getDescriptor().getMessageTypes().get(19);
+    internal_static_boragethread_peer_PlacementReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_PlacementReport_descriptor,
+        new java.lang.String[] { "Number", "Event", "ResponseTimeNanos", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/ResultHeld.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ResultHeld.java
@@ -137,7 +137,7 @@
   private long leftNanos_ = 0L;
   /**
    * <pre>
-   * Time until the upstream drops the result, in nanoseconds, as clocks differ.
+   * Time until the upstream discards the result, in nanoseconds, since clocks are not synchronized.
    * </pre>
    *
    * <code>int64 left_nanos = 4;</code>
@@ -693,7 +693,7 @@
     private long leftNanos_ ;
     /**
      * <pre>
-     * Time until the upstream drops the result, in nanoseconds, as clocks differ.
+     * Time until the upstream discards the result, in nanoseconds, since clocks are not synchronized.
      * </pre>
      *
      * <code>int64 left_nanos = 4;</code>
@@ -705,7 +705,7 @@
     }
     /**
      * <pre>
-     * Time until the upstream drops the result, in nanoseconds, as clocks differ.
+     * Time until the upstream discards the result, in nanoseconds, since clocks are not synchronized.
      * </pre>
      *
      * <code>int64 left_nanos = 4;</code>
@@ -721,7 +721,7 @@
     }
     /**
      * <pre>
-     * Time until the upstream drops the result, in nanoseconds, as clocks differ.
+     * Time until the upstream discards the result, in nanoseconds, since clocks are not synchronized.
      * </pre>
      *
      * <code>int64 left_nanos = 4;</code>
--- a/wire/src/main/java/org/boragethread/wire/proto/ResultHeldOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ResultHeldOrBuilder.java
@@ -41,7 +41,7 @@
 
   /**
    * <pre>
-   * Time until the upstream drops the result, in nanoseconds, as clocks differ.
+   * Time until the upstream discards the result, in nanoseconds, since clocks are not synchronized.
    * </pre>
    *
    * <code>int64 left_nanos = 4;</code>
--- a/wire/src/main/java/org/boragethread/wire/proto/ResultsFree.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ResultsFree.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Results that are no longer needed.
+ * Releases results that are no longer needed.
  * </pre>
  *
  * Protobuf type {@code boragethread.peer.ResultsFree}
@@ -350,7 +350,7 @@
   }
   /**
    * <pre>
-   * Results that are no longer needed.
+   * Releases results that are no longer needed.
    * </pre>
    *
    * Protobuf type {@code boragethread.peer.ResultsFree}
--- a/wire/src/main/java/org/boragethread/wire/proto/ResultsHeld.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/ResultsHeld.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Results that requests of the sender hold, for an entry that begins to schedule their group.
+ * Lists results held by requests of the sender, for an entry that starts to coordinate the group.
  * </pre>
  *
  * Protobuf type {@code boragethread.peer.ResultsHeld}
@@ -299,7 +299,7 @@
   }
   /**
    * <pre>
-   * Results that requests of the sender hold, for an entry that begins to schedule their group.
+   * Lists results held by requests of the sender, for an entry that starts to coordinate the group.
    * </pre>
    *
    * Protobuf type {@code boragethread.peer.ResultsHeld}
--- a/wire/src/main/java/org/boragethread/wire/proto/StageWorkDone.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/StageWorkDone.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * The fate of the pieces.
+ * Outcome of the pieces.
  * </pre>
  *
  * Protobuf type {@code boragethread.peer.StageWorkDone}
@@ -249,7 +249,7 @@
   }
   /**
    * <pre>
-   * The fate of the pieces.
+   * Outcome of the pieces.
    * </pre>
    *
    * Protobuf type {@code boragethread.peer.StageWorkDone}
