End the avoidance of a coordinator that responds after all

One late acknowledgement had an entry choose another coordinator for 1.5 s, and the entries divided the group among several.

--- a/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
+++ b/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
@@ -111,6 +111,17 @@
         mAvoidances.put(address, new Avoidance(now + length, length));
     }
 
+    /**
+     * Called when an entry responds, perhaps after it was excluded because a response was late. Its
+     * exclusion ends then, unless it is the second one in a short time.
+     */
+    public void onResponse(String address) {
+        Avoidance avoidance = mAvoidances.get(address);
+        if (avoidance != null && avoidance.length() == MIN_AVOIDANCE_NANOS && isAvoided(address)) {
+            mAvoidances.put(address, new Avoidance(mTime.nanoTime(), avoidance.length()));
+        }
+    }
+
     private boolean isAvoided(String address) {
         Avoidance avoidance = mAvoidances.get(address);
         return avoidance != null && mTime.nanoTime() < avoidance.until();
--- a/core/src/test/java/org/boragethread/core/stage/CoordinatorTableTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/CoordinatorTableTest.java
@@ -157,6 +157,22 @@
         assertEquals(table.coordinator(GROUP).orElseThrow(), first);
     }
 
+    // Guards against entries that divide a group for seconds after one late response, and against
+    // requests that are delayed again and again by an entry that responds too late.
+    @Test
+    public void memberThatRespondsAfterAllIsAvoidedOnlyIfThatHappensAgain() {
+        CoordinatorTable table = table("a", "b", "c");
+        String first = table.coordinator(GROUP).orElseThrow();
+        table.avoid(first);
+        table.onResponse(first);
+        assertEquals(table.coordinator(GROUP).orElseThrow(), first);
+        mTime.advance(Duration.ofMillis(300));
+        table.avoid(first);
+        table.onResponse(first);
+        mTime.advance(Duration.ofMillis(2900));
+        assertNotEquals(table.coordinator(GROUP).orElseThrow(), first);
+    }
+
     @Test
     public void onlyEntryOfACutOffDataCentreCoordinatesItself() {
         CoordinatorTable table = new CoordinatorTable(mTime, new DataCentreId("south"));
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
@@ -181,7 +181,7 @@
     }
 
     /** The time during which one entry coordinates a group. */
-    private final class Term {
+    private final class Term implements ReportOutbox.Listener {
 
         private final String mCoordinator;
         private final CoordinatorLink mLink;
@@ -200,11 +200,21 @@
                             (reports, receiver) -> mLink.report(coordinator, reports, receiver),
                             envelope,
                             group::encodeAttempts,
-                            () -> onUnresponsive(coordinator),
+                            this,
                             mScheduler,
                             mTime);
         }
 
+        @Override
+        public void onConfirmed() {
+            mCoordinators.onResponse(mCoordinator);
+        }
+
+        @Override
+        public void onLost() {
+            onUnresponsive(mCoordinator);
+        }
+
         boolean isLocal() {
             return mLink == mLocal;
         }
--- a/entry/src/main/java/org/boragethread/entry/placement/ReportOutbox.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/ReportOutbox.java
@@ -26,7 +26,7 @@
     private final Transport mTransport;
     private final PlacementReports mEnvelope;
     private final Supplier<PlacementRestore> mRestore;
-    private final Runnable mOnLost;
+    private final Listener mListener;
     private final Scheduler mScheduler;
     private final TimeSource mTime;
     private List<PlacementReport> mReports = new ArrayList<>();
@@ -37,6 +37,15 @@
     private boolean mClosed;
     private long mConfirmedAt;
 
+    /** Told whether the coordinator responds. */
+    interface Listener {
+
+        void onConfirmed();
+
+        /** A message was not confirmed in time. */
+        void onLost();
+    }
+
     /** Sends a message to the coordinator. */
     interface Transport {
         void send(PlacementReports reports, CoordinatorLink.Receipt receiver);
@@ -47,19 +56,18 @@
      *
      * @param envelope message without reports
      * @param restore returns what this entry has at the engines
-     * @param onLost called when a message was not confirmed
      */
     ReportOutbox(
             Transport transport,
             PlacementReports envelope,
             Supplier<PlacementRestore> restore,
-            Runnable onLost,
+            Listener listener,
             Scheduler scheduler,
             TimeSource time) {
         mTransport = transport;
         mEnvelope = envelope;
         mRestore = restore;
-        mOnLost = onLost;
+        mListener = listener;
         mScheduler = scheduler;
         mTime = time;
         mConfirmedAt = time.nanoTime();
@@ -136,9 +144,10 @@
         mSending = false;
         if (confirmed) {
             mConfirmedAt = mTime.nanoTime();
+            mListener.onConfirmed();
         } else {
             mRestoreNeeded = true;
-            mOnLost.run();
+            mListener.onLost();
             if (!mClosed) {
                 schedule(RETRY_TIME);
             }
