--- a/core/src/main/java/org/boragethread/core/stage/MemoryReservations.java
+++ b/core/src/main/java/org/boragethread/core/stage/MemoryReservations.java
@@ -30,21 +30,24 @@
     /**
      * Updates the reservations.
      *
-     * @param stages pending stages in their order
+     * @param stages pending stages that may get reservations, in their order; others lose theirs
+     * @param ranks position of each pending stage in the order
      * @param upstreams upstreams that may be called
      */
     void update(
-            List<PendingStage> stages, List<UpstreamNode> upstreams, BatchLimits limits, long now) {
-        Map<PendingStage.Key, Integer> ranks = new HashMap<>();
-        for (PendingStage stage : stages) {
-            ranks.put(stage.key(), ranks.size());
-        }
+            List<PendingStage> stages,
+            Map<PendingStage.Key, Integer> ranks,
+            List<UpstreamNode> upstreams,
+            BatchLimits limits,
+            long now) {
+        Set<PendingStage.Key> eligible = new HashSet<>();
+        stages.forEach(stage -> eligible.add(stage.key()));
         mReservations
                 .entrySet()
                 .removeIf(
                         entry ->
                                 !upstreams.contains(entry.getKey())
-                                        || !ranks.containsKey(entry.getValue().mStage));
+                                        || !eligible.contains(entry.getValue().mStage));
         mReservations.values().forEach(held -> held.mRank = ranks.get(held.mStage));
         int max = Math.max(1, (int) (upstreams.size() * MAX_SHARE));
         Set<PendingStage.Key> reserved = new HashSet<>();
--- a/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
@@ -132,12 +132,12 @@
                 stages.stream()
                         .map(stage -> stage.first().urgency().team())
                         .collect(Collectors.toSet()));
-        updateTurn(stages);
         mLate =
                 stages.stream()
                         .filter(stage -> isLate(stage, limits, now))
                         .map(PendingStage::key)
                         .collect(Collectors.toSet());
+        updateTurn(stages);
         Map<Rank, List<PendingStage>> byRank = new TreeMap<>();
         stages.stream()
                 .sorted(Comparator.comparingLong(stage -> latestStart(stage, limits)))
@@ -154,10 +154,16 @@
 
     /** Chooses the stage that leads the next batch, if it is time for the longest waiting one. */
     private void updateTurn(List<PendingStage> stages) {
-        mTurn = mTurn.filter(turn -> stages.stream().anyMatch(stage -> stage.key().equals(turn)));
+        mTurn =
+                mTurn.filter(
+                        turn ->
+                                !mLate.contains(turn)
+                                        && stages.stream()
+                                                .anyMatch(stage -> stage.key().equals(turn)));
         if (mTurn.isEmpty() && mBatchesSinceTurn >= BATCHES_PER_TURN - 1) {
             mTurn =
                     stages.stream()
+                            .filter(stage -> !mLate.contains(stage.key()))
                             .min(Comparator.comparingLong(stage -> stage.first().submittedAt()))
                             .map(PendingStage::key);
         }
@@ -219,7 +225,9 @@
         List<PendingStage> stages = PendingStage.group(ordered);
         mRanks = new HashMap<>();
         stages.forEach(stage -> mRanks.put(stage.key(), mRanks.size()));
-        mReservations.update(stages, upstreams, limits, now);
+        List<PendingStage> inTime =
+                stages.stream().filter(stage -> !mLate.contains(stage.key())).toList();
+        mReservations.update(inTime, mRanks, upstreams, limits, now);
         mLateShare.update(now);
         mTurnover.update(StageStartEstimate.usedBytes(upstreams, now), now);
     }
--- a/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
@@ -348,7 +348,7 @@
                         new AttemptCounts(),
                         new QuarantineGuard(mEntry, trace),
                         null,
-                        new ForwardedStream(null),
+                        new ForwardedStream(null, mEntry.time()),
                         null,
                         null,
                         selection,
