--- a/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
@@ -305,7 +305,7 @@
         run(
                 mLoop,
                 () -> {
-                    createSelection()
+                    createSelection(20)
                             .select(
                                     node -> selected.complete(node.get().entry().id().value()),
                                     (reason, detail, retryAfter) -> selected.complete(detail));
@@ -317,7 +317,26 @@
         awaitLoad(0, 0);
     }
 
-    private UpstreamSelection createSelection() {
+    // Guards against a request that is said not to have run without a time for its retry.
+    @Test
+    public void hopelessRequestIsRefusedWithATimeForItsRetry() throws Exception {
+        CompletableFuture<String> end = new CompletableFuture<>();
+        run(
+                mLoop,
+                () -> {
+                    createSelection(0)
+                            .select(
+                                    node -> end.complete("selected"),
+                                    (reason, detail, retryAfter) ->
+                                            end.complete(
+                                                    reason + " " + (retryAfter.toMillis() >= 300)));
+                    return true;
+                });
+        assertEquals(end.get(WAIT_SECONDS, TimeUnit.SECONDS), "DEADLINE_HOPELESS true");
+        awaitLoad(0, 0);
+    }
+
+    private UpstreamSelection createSelection(int secondsLeft) {
         CallerRequest request =
                 new CallerRequest(
                         "id-1",
@@ -329,7 +348,7 @@
                         ClockReading.now(mTime));
         RequestTrace trace = new RequestTrace(mEntry, request);
         UpstreamSelection selection = new UpstreamSelection(mEntry, request, trace);
-        AdmittedRequest admitted = admitted();
+        AdmittedRequest admitted = admitted(secondsLeft);
         RoutedGroup group = mEntry.groupConfig(ENGINES).get();
         Placement placement =
                 new Placement(
@@ -356,13 +375,13 @@
         return selection;
     }
 
-    private AdmittedRequest admitted() {
+    private AdmittedRequest admitted(int secondsLeft) {
         Route route = mEntry.routingTable().config().get().routes().get(0);
         long now = mTime.nanoTime();
         return new AdmittedRequest(
                 route,
                 Optional.empty(),
-                now + seconds(20),
+                now + seconds(secondsLeft),
                 now + seconds(5),
                 false,
                 0,
