--- a/core/src/main/java/org/boragethread/core/placement/EngineCost.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineCost.java
@@ -17,7 +17,8 @@
 
     /**
      * Extra delay for each request that runs at the engine, as a share of the mean prefill time.
-     * The learned speed of the engine has most of the effect of running requests.
+     * The learned speed of the engine has most of the effect of running requests, so this is only
+     * large enough to prefer the engine with fewer of them if engines are otherwise equal.
      */
     private static final double RUNNING_PREFILLS = 0.02;
 
--- a/core/src/main/java/org/boragethread/core/placement/EngineSpeed.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineSpeed.java
@@ -9,10 +9,17 @@
  */
 final class EngineSpeed {
 
-    /** Weights of a sample above and below the average; a slow engine is noticed quickly. */
+    /**
+     * Weight of a sample above the average. With more than half, two slow prompts in a row set most
+     * of the average, as each prompt that is sent to a slow engine is late.
+     */
     private static final double SLOWER_WEIGHT = 0.6;
 
+    /**
+     * Weight of a sample below the average; lower, as one fast prompt of a slow engine is chance.
+     */
     private static final double FASTER_WEIGHT = 0.4;
+
     private static final double MIN_SLOWNESS = 0.2;
     private static final double MAX_SLOWNESS = 20;
 
@@ -21,7 +28,7 @@
 
     /**
      * An unfinished prompt that has taken longer than expected probably takes longer still, by this
-     * share of its time so far.
+     * share of its time so far. Without it, a hung engine would always seem to be about to finish.
      */
     private static final double OVERDUE_EXCESS = 0.25;
 
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -29,14 +29,20 @@
     /** Shortest time between two looks at waiting requests without an event. */
     private static final double MIN_WAKE_MILLIS = 2;
 
-    /** Requests that are looked at for each engine that can be given a prompt, and at least. */
+    /**
+     * Requests that are looked at for each engine that can be given a prompt. The first one in
+     * order may wait for a busy engine that suits it better, so that one request for each engine
+     * would leave engines idle.
+     */
     private static final int REQUESTS_PER_ENGINE = 2;
 
+    /** Requests that are looked at in addition, so that some that have no room can be passed. */
     private static final int MIN_REQUESTS = 8;
 
-    /** A refused request that no engine may or can run is worth another try after this time. */
+    /** The list of engines can change with every announcement, so a retry may soon succeed. */
     private static final Duration NO_ENGINE_RETRY = Duration.ofSeconds(1);
 
+    /** Only a change of the configuration makes room for such a request, so retries are useless. */
     private static final Duration TOO_LARGE_RETRY = Duration.ofSeconds(30);
 
     /** Weight of the newest report in the average delay of reports. */
