Bound the memory of requests with huge or unknown output

A huge maximum output overflowed the sum of tokens and passed the limit of memory. With limited memory, an unknown one now counts as all that the prompt leaves, since engines crash if their memory is exceeded.

--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -113,8 +113,8 @@
         }
         long now = mTime.nanoTime();
         readDirectory(now);
-        WaitingRequest waiting = waiting(request, recipient, now);
-        Optional<PlacementRefusal.Reason> impossible = impossible(request);
+        WaitingRequest waiting = waiting(withBoundedOutput(request), recipient, now);
+        Optional<PlacementRefusal.Reason> impossible = impossible(waiting.request());
         if (impossible.isPresent()) {
             refuse(waiting, impossible.get(), now);
         } else if (waiting.lastStart() < now) {
@@ -128,6 +128,18 @@
         finish(now);
     }
 
+    /**
+     * With limited memory, an unknown output may need all memory that the prompt leaves: engines
+     * crash if their requests exceed it.
+     */
+    private PlacementRequest withBoundedOutput(PlacementRequest request) {
+        if (!mLimitMemory) {
+            return request;
+        }
+        long rest = mDirectory.limits().cacheTokens() - request.promptTokens();
+        return request.withDefaultOutput(Math.max(0, rest));
+    }
+
     private WaitingRequest waiting(
             PlacementRequest request, PlacementRecipient recipient, long now) {
         mTimes.resetIfOld(now);
@@ -233,7 +245,8 @@
             Optional<EngineLoad> engine = mEngines.find(held.engine());
             if (engine.isPresent() && mPlaced.find(key).isEmpty()) {
                 mQueue.remove(key).ifPresent(mReservations::release);
-                add(held.request(), engine.get(), held.sentNanos(), held.firstEventSeen());
+                PlacementRequest request = withBoundedOutput(held.request());
+                add(request, engine.get(), held.sentNanos(), held.firstEventSeen());
             }
         }
         dispatch();
--- a/core/src/main/java/org/boragethread/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementRequest.java
@@ -16,7 +16,7 @@
  *     none
  * @param prefixTokens length of that prefix in tokens
  * @param promptTokens length of the whole prompt in tokens, prefix included
- * @param maxOutputTokens maximum number of tokens that are generated
+ * @param maxOutputTokens maximum number of tokens that are generated; 0 if it is not known
  * @param priority 0 is the most urgent
  * @param team team on whose behalf the request runs; empty if it is not known
  * @param targetNanos time by which the first event should come for the request to have its value
@@ -46,6 +46,9 @@
         Optional<SoftwareVersion> requiredVersion,
         Set<SoftwareVersion> forbiddenVersions) {
 
+    /** More than any engine holds, and so small that the sum of all requests cannot overflow. */
+    private static final long MAX_TOKENS = 1L << 40;
+
     /**
      * Creates a request.
      *
@@ -65,9 +68,34 @@
         forbiddenVersions = Set.copyOf(forbiddenVersions);
     }
 
-    /** Returns the tokens that the request may hold in an engine's memory. */
+    /**
+     * Returns the tokens that the request may hold in an engine's memory. Numbers of callers may be
+     * arbitrarily large.
+     */
     public long memoryTokens() {
-        return promptTokens + maxOutputTokens;
+        return Math.min(promptTokens, MAX_TOKENS) + Math.min(maxOutputTokens, MAX_TOKENS);
+    }
+
+    /** Returns this request with a maximum number of generated tokens if it has none. */
+    PlacementRequest withDefaultOutput(long tokens) {
+        return maxOutputTokens > 0
+                ? this
+                : new PlacementRequest(
+                        key,
+                        prefixHash,
+                        prefixTokens,
+                        promptTokens,
+                        tokens,
+                        priority,
+                        team,
+                        targetNanos,
+                        deadlineNanos,
+                        expiryNanos,
+                        inputDataCentre,
+                        remoteMillis,
+                        unusable,
+                        requiredVersion,
+                        forbiddenVersions);
     }
 
     /** Returns a builder of a request with the given identity. */
@@ -104,7 +132,9 @@
             return this;
         }
 
-        /** Sets the length of the prompt and the maximum number of generated tokens. */
+        /**
+         * Sets the length of the prompt and the maximum number of generated tokens, 0 if unknown.
+         */
         public Builder tokens(long prompt, long maxOutput) {
             mPromptTokens = prompt;
             mMaxOutputTokens = maxOutput;
