Keep engines available that are too slow for one request or failed one request

An engine is reserved only for a request that it could serve in time. A refusal or failure response leads to avoidance only if another request failed before, and a request that may use only avoided engines uses one of them. Reservations of engines that are not listed end, restored prompts are in the order in which they were sent, and a timer whose callback threw is scheduled again.

--- a/core/src/main/java/org/boragethread/core/placement/EngineChoice.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineChoice.java
@@ -1,5 +1,7 @@
 package org.boragethread.core.placement;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.boragethread.model.routing.EngineLimits;
@@ -26,7 +28,6 @@
     private final EngineLimits mLimits;
     private final boolean mLimitMemory;
     private final long mNow;
-    private final boolean mIgnoreAvoidance;
     private final double[] mRemaining;
     private final double[] mAwaited;
     private final double[] mSlowness;
@@ -56,7 +57,6 @@
         mLimits = limits;
         mLimitMemory = limitMemory;
         mNow = now;
-        mIgnoreAvoidance = engines.areAllAvoided(now);
         mRemaining = new double[engines.listed().size()];
         mAwaited = new double[mRemaining.length];
         mSlowness = new double[mRemaining.length];
@@ -67,12 +67,13 @@
             mSlowness[i] = engine.slowness(now);
             busy += mRemaining[i] > 0 ? 1 : 0;
             double untilOpen = mRemaining[i] - SHORT_PROMPT_MILLIS;
-            if (isAvoided(engine)) {
-                untilOpen = Math.max(untilOpen, (engine.avoidedUntil() - now) / 1e6);
-            }
             if (untilOpen < 0) {
                 mOpen++;
-            } else {
+            }
+            if (engine.isAvoided(now)) {
+                untilOpen = Math.max(untilOpen, (engine.avoidedUntil() - now) / 1e6);
+            }
+            if (untilOpen >= 0) {
                 mNextOpenMillis = Math.min(mNextOpenMillis, untilOpen);
             }
         }
@@ -104,6 +105,7 @@
                         : mEngines.ranks().first(request.prefixHash());
         double timeLeft = (request.deadlineNanos() - mNow) / 1e6;
         double missWeight = waiting.isLate(mNow) ? 1 : mMissWeight;
+        boolean onlyAvoided = mEngines.areAllAvoided(request, mNow);
         Candidate best = null;
         double lowestCost = Double.MAX_VALUE;
         int offset = (int) (waiting.sequence() % Math.max(1, engines.size()));
@@ -115,13 +117,11 @@
                 continue;
             }
             boolean open = mRemaining[index] < SHORT_PROMPT_MILLIS;
-            if (openOnly && !open || isAvoided(engine) || !hasRoom(engine, waiting)) {
+            boolean avoided = !onlyAvoided && engine.isAvoided(mNow);
+            if (openOnly && !open || avoided || !hasRoom(engine, waiting)) {
                 continue;
             }
-            double firstEvent =
-                    mRemaining[index]
-                            + mAwaited[index]
-                            + mCost.promptMillis(engine, request, mSlowness[index]);
+            double firstEvent = firstEventMillis(index, request);
             if (firstEvent > timeLeft) {
                 continue;
             }
@@ -135,8 +135,11 @@
         return Optional.ofNullable(best);
     }
 
-    private boolean isAvoided(EngineLoad engine) {
-        return !mIgnoreAvoidance && engine.isAvoided(mNow);
+    private double firstEventMillis(int index, PlacementRequest request) {
+        EngineLoad engine = mEngines.listed().get(index);
+        return mRemaining[index]
+                + mAwaited[index]
+                + mCost.promptMillis(engine, request, mSlowness[index]);
     }
 
     private boolean hasRoom(EngineLoad engine, WaitingRequest waiting) {
@@ -153,20 +156,28 @@
     }
 
     /**
-     * Returns the engine to reserve for a request that has no room anywhere: the one that holds the
-     * fewest tokens. Empty if it is only kept from engines that have room by other causes.
+     * Returns the engines that could serve a request in time and have no room for it, those that
+     * are not reserved for another request first, then those that hold the fewest tokens. An engine
+     * that is too slow for the deadline would only idle if it were reserved.
      */
-    Optional<EngineLoad> engineToReserve(WaitingRequest waiting) {
-        EngineLoad best = null;
-        for (EngineLoad engine : mEngines.listed()) {
-            if (isAvoided(engine) || !EngineTable.isUsable(engine, waiting.request())) {
-                continue;
-            }
-            if (mReservations.isFree(engine, waiting)
-                    && (best == null || engine.tokens() < best.tokens())) {
-                best = engine;
+    List<EngineLoad> enginesToReserve(WaitingRequest waiting) {
+        PlacementRequest request = waiting.request();
+        double timeLeft = (request.deadlineNanos() - mNow) / 1e6;
+        boolean onlyAvoided = mEngines.areAllAvoided(request, mNow);
+        List<EngineLoad> candidates = new ArrayList<>();
+        for (int i = 0; i < mRemaining.length; i++) {
+            EngineLoad engine = mEngines.listed().get(i);
+            boolean avoided = !onlyAvoided && engine.isAvoided(mNow);
+            if (!avoided
+                    && EngineTable.isUsable(engine, request)
+                    && !hasRoom(engine, waiting)
+                    && firstEventMillis(i, request) <= timeLeft) {
+                candidates.add(engine);
             }
         }
-        return Optional.ofNullable(best);
+        candidates.sort(
+                Comparator.comparing((EngineLoad engine) -> !mReservations.isFree(engine, waiting))
+                        .thenComparingLong(EngineLoad::tokens));
+        return candidates;
     }
 }
--- a/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
@@ -1,10 +1,11 @@
 package org.boragethread.core.placement;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.TreeSet;
 import org.boragethread.model.routing.EngineLimits;
 
 /**
@@ -20,7 +21,16 @@
 
     private final EngineSpeed mSpeed = new EngineSpeed();
     private final PrefixCache mPrefixes = new PrefixCache();
-    private final Map<PlacementKey, PlacedRequest> mPending = new LinkedHashMap<>();
+
+    /**
+     * Prompts in the order in which the engine processes them. Requests of other entries may be
+     * restored after later ones were placed.
+     */
+    private final TreeSet<PlacedRequest> mPending =
+            new TreeSet<>(
+                    Comparator.comparingLong(PlacedRequest::placedAt)
+                            .thenComparingLong(PlacedRequest::sequence));
+
     private EngineStatus mStatus;
     private double mPendingMillis;
     private int mPlaced;
@@ -28,6 +38,7 @@
     private long mLastCompletion = Long.MIN_VALUE;
     private long mAvoidUntil = Long.MIN_VALUE;
     private int mConsecutiveFailures;
+    private Optional<PlacementKey> mLastFailed = Optional.empty();
 
     EngineLoad(EngineStatus status) {
         mStatus = status;
@@ -82,7 +93,7 @@
         mPlaced++;
         mTokens += request.memoryTokens();
         if (!placed.isFirstEventSeen()) {
-            mPending.put(request.key(), placed);
+            mPending.add(placed);
             mPendingMillis += placed.workMillis();
         }
         if (request.prefixHash() != 0) {
@@ -110,8 +121,8 @@
 
     /** Stops counting a prompt that is no longer processed, or about which no report came. */
     void dropPrompt(PlacedRequest placed, long now) {
-        boolean first = !mPending.isEmpty() && mPending.values().iterator().next() == placed;
-        if (mPending.remove(placed.request().key()) == null) {
+        boolean first = !mPending.isEmpty() && mPending.first() == placed;
+        if (!mPending.remove(placed)) {
             return;
         }
         mPendingMillis = mPending.isEmpty() ? 0 : mPendingMillis - placed.workMillis();
@@ -130,7 +141,8 @@
      */
     OptionalDouble onProcessed(PlacedRequest placed, long completedAt, long now) {
         mConsecutiveFailures = 0;
-        if (!mPending.containsKey(placed.request().key())) {
+        mLastFailed = Optional.empty();
+        if (!mPending.contains(placed)) {
             return OptionalDouble.empty();
         }
         boolean first = dropThrough(placed);
@@ -146,7 +158,7 @@
 
     /** Removes the prompts up to one, and returns whether there was none before it. */
     private boolean dropThrough(PlacedRequest placed) {
-        Iterator<PlacedRequest> pending = mPending.values().iterator();
+        Iterator<PlacedRequest> pending = mPending.iterator();
         boolean first = true;
         PlacedRequest next = pending.next();
         while (next != placed) {
@@ -169,26 +181,35 @@
         if (mPending.isEmpty()) {
             return 0;
         }
-        PlacedRequest head = mPending.values().iterator().next();
+        PlacedRequest head = mPending.first();
         double elapsed = (now - Math.max(head.placedAt(), mLastCompletion)) / 1e6;
         double slowness = mSpeed.slowness(now, head.workMillis(), elapsed - reportMillis);
         return Math.max(0, mPendingMillis * slowness - elapsed);
     }
 
     /**
-     * Avoids the engine for a while. Failures during that time are of the same cause. A single
-     * failure response may be due to the request, and the engine is avoided for all entries.
+     * Avoids the engine for a while if it is probably the cause of a failure. Failures during that
+     * time are of the same cause. A refusal or a failure response may be due to the request, so it
+     * counts only if a different request failed before, with no prompt processed in between.
+     * Without that, an engine that refuses everything at once would look idle and be chosen first.
      */
-    void onFailure(PlacementFailure failure, long now) {
+    void onFailure(PlacementKey key, PlacementFailure failure, long now) {
         if (isAvoided(now)) {
             return;
         }
-        if (failure == PlacementFailure.FAILED && mConsecutiveFailures == 0) {
-            mConsecutiveFailures++;
+        boolean isOtherRequest = mLastFailed.filter(last -> !isSameRequest(last, key)).isPresent();
+        mLastFailed = Optional.of(key);
+        if (failure != PlacementFailure.BROKEN && !isOtherRequest) {
             return;
         }
         int doublings = Math.min(MAX_DOUBLINGS, mConsecutiveFailures);
-        mConsecutiveFailures++;
-        mAvoidUntil = now + (INITIAL_AVOIDANCE_NANOS << doublings);
+        // A full engine has room again soon, however often it refused.
+        boolean refused = failure == PlacementFailure.REFUSED;
+        mConsecutiveFailures += refused ? 0 : 1;
+        mAvoidUntil = now + (INITIAL_AVOIDANCE_NANOS << (refused ? 0 : doublings));
+    }
+
+    private static boolean isSameRequest(PlacementKey one, PlacementKey other) {
+        return one.entry().equals(other.entry()) && one.request().equals(other.request());
     }
 }
--- a/core/src/main/java/org/boragethread/core/placement/EngineReservations.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineReservations.java
@@ -1,6 +1,7 @@
 package org.boragethread.core.placement;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -22,26 +23,36 @@
         return holder == null || holder == waiting;
     }
 
-    boolean isHolder(WaitingRequest waiting) {
-        return mReserved.containsValue(waiting);
-    }
-
     /**
      * Reserves an engine for a request if the limit allows it, or takes over the reservation of a
-     * less urgent one.
+     * less urgent one. A request keeps the reservation that it has while that engine is suitable.
      *
+     * @param suitable engines that could serve the request, the best one first
+     * @param engines number of engines of the group
      * @param isTurn whether the request has waited longest and it is its turn
      */
-    void reserve(EngineLoad engine, WaitingRequest waiting, int engines, boolean isTurn, long now) {
-        if (!mReserved.containsKey(engine) && mReserved.size() < Math.max(1, engines / MAX_PART)) {
-            mReserved.put(engine, waiting);
+    void reserve(
+            List<EngineLoad> suitable,
+            WaitingRequest waiting,
+            int engines,
+            boolean isTurn,
+            long now) {
+        mReserved
+                .entrySet()
+                .removeIf(
+                        entry -> entry.getValue() == waiting && !suitable.contains(entry.getKey()));
+        if (suitable.isEmpty() || mReserved.containsValue(waiting)) {
+            return;
+        }
+        EngineLoad best = suitable.get(0);
+        if (!mReserved.containsKey(best) && mReserved.size() < Math.max(1, engines / MAX_PART)) {
+            mReserved.put(best, waiting);
             return;
         }
         Optional<EngineLoad> yielding =
-                mReserved.entrySet().stream()
-                        .filter(entry -> isTurn || yields(entry.getValue(), waiting, now))
-                        .filter(entry -> EngineTable.isUsable(entry.getKey(), waiting.request()))
-                        .map(Map.Entry::getKey)
+                suitable.stream()
+                        .filter(mReserved::containsKey)
+                        .filter(engine -> isTurn || yields(mReserved.get(engine), waiting, now))
                         .findFirst();
         yielding.ifPresent(reserved -> mReserved.put(reserved, waiting));
     }
@@ -55,15 +66,16 @@
         mReserved.values().removeIf(holder -> holder == waiting);
     }
 
-    /** Ends the reservations of engines that are gone or that their request may not use. */
+    /**
+     * Ends the reservations of engines that are not listed, even if requests still run there, or
+     * that their request may not use.
+     */
     void retainUsable(EngineTable engines) {
         mReserved
                 .entrySet()
                 .removeIf(
                         entry ->
-                                engines.find(entry.getKey().status().id())
-                                                .filter(load -> load == entry.getKey())
-                                                .isEmpty()
+                                !engines.listed().contains(entry.getKey())
                                         || !EngineTable.isUsable(
                                                 entry.getKey(), entry.getValue().request()));
     }
--- a/core/src/main/java/org/boragethread/core/placement/EngineTable.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineTable.java
@@ -63,10 +63,13 @@
         return Optional.ofNullable(mById.get(id));
     }
 
-    /** Returns whether all engines are avoided; then avoiding them is of no use. */
-    boolean areAllAvoided(long now) {
+    /**
+     * Returns whether all engines that a request may use are avoided. It then uses one of them, as
+     * waiting for another one is of no use.
+     */
+    boolean areAllAvoided(PlacementRequest request, long now) {
         for (EngineLoad engine : mListed) {
-            if (!engine.isAvoided(now)) {
+            if (!engine.isAvoided(now) && isUsable(engine, request)) {
                 return false;
             }
         }
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -232,7 +232,7 @@
             } else {
                 engine.remove(placed.get(), now);
             }
-            engine.onFailure(failure, now);
+            engine.onFailure(key, failure, now);
         }
         dispatch();
     }
@@ -363,7 +363,8 @@
             boolean isTurn = turn && mQueue.oldest().get() == waiting;
             Optional<EngineChoice.Candidate> candidate = choice.choose(waiting, isTurn);
             if (candidate.isEmpty()) {
-                reserve(waiting, choice, isTurn, now);
+                List<EngineLoad> suitable = choice.enginesToReserve(waiting);
+                mReservations.reserve(suitable, waiting, mEngines.listed().size(), isTurn, now);
             } else if (candidate.get().open()) {
                 place(waiting, candidate.get(), now);
                 return true;
@@ -374,17 +375,6 @@
         return false;
     }
 
-    private void reserve(WaitingRequest waiting, EngineChoice choice, boolean isTurn, long now) {
-        if (mReservations.isHolder(waiting)) {
-            return;
-        }
-        choice.engineToReserve(waiting)
-                .ifPresent(
-                        engine ->
-                                mReservations.reserve(
-                                        engine, waiting, mEngines.listed().size(), isTurn, now));
-    }
-
     private void place(WaitingRequest waiting, EngineChoice.Candidate candidate, long now) {
         EngineLoad engine = candidate.engine();
         mQueue.removePlaced(waiting);
@@ -485,7 +475,8 @@
 
     private void onTimer() {
         mTimer = Optional.empty();
-        mSupervisor.run(this::dispatch, () -> {});
+        // Without another timer, requests would wait for ever if no message comes.
+        mSupervisor.run(this::dispatch, () -> scheduleWake(mTime.nanoTime()));
     }
 
     /** Notifies listeners when the state is consistent, since they may call back. */
--- a/core/src/main/java/org/boragethread/core/placement/WaitEstimate.java
+++ b/core/src/main/java/org/boragethread/core/placement/WaitEstimate.java
@@ -30,7 +30,7 @@
      */
     double waitMillis(WaitingRequest waiting, long now, double reportMillis) {
         List<EngineLoad> usable = mEngines.usable(waiting.request());
-        boolean ignoreAvoidance = mEngines.areAllAvoided(now);
+        boolean ignoreAvoidance = mEngines.areAllAvoided(waiting.request(), now);
         double shortest = Double.MAX_VALUE;
         for (EngineLoad engine : usable) {
             double wait = engine.remainingMillis(now, reportMillis);
