Send late retries in a call of their own, and fail late pieces by their deadline

A piece that has waited was assumed to ride in a full call even if no other piece was pending. Without limits, late pieces failed as without an upstream. Upstreams are read again after listeners were called.

--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -1,5 +1,6 @@
 package org.boragethread.core.stage;
 
+import io.vavr.Lazy;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -149,17 +150,17 @@
 
     private void sendPending() {
         mPending.removeIf(PendingPiece::isCancelled);
+        long now = mTime.nanoTime();
+        failLatePieces(now);
         if (mPending.isEmpty()) {
             return;
         }
-        long now = mTime.nanoTime();
         Optional<BatchLimits> limits = mGroup.limits();
         if (limits.isEmpty()) {
             failAll(StageFailure.Kind.NO_UPSTREAM);
             return;
         }
         List<UpstreamNode> upstreams = mGroup.upstreams();
-        failLatePieces(limits.get(), upstreams, now);
         replacePending(mPolicy.order(mPending, limits.get(), now));
         mPolicy.beginDispatch(mPending, upstreams, limits.get(), now);
         BatchSelection selection =
@@ -429,16 +430,18 @@
         }
     }
 
-    /** Fails the pieces that can no longer meet their deadline. */
-    private void failLatePieces(BatchLimits limits, List<UpstreamNode> upstreams, long now) {
-        long earliest =
-                upstreams.stream()
-                        .mapToLong(upstream -> Math.max(now, availableAt(upstream)))
-                        .min()
-                        .orElse(now);
+    /** Fails the pieces that can no longer meet their deadline, also if there are no limits. */
+    private void failLatePieces(long now) {
+        Optional<BatchLimits> limits = mGroup.limits();
+        Lazy<Long> earliestStart = Lazy.of(() -> earliestStart(now));
         List<PendingPiece> late = new ArrayList<>();
         for (PendingPiece piece : mPending) {
-            if (mPolicy.cannotMeetDeadline(piece, limits, now, earliest)) {
+            boolean isLate =
+                    limits.isEmpty()
+                            ? piece.cannotMeetDeadline(now, 0)
+                            : mPolicy.cannotMeetDeadline(
+                                    piece, mPending.size(), limits.get(), now, earliestStart::get);
+            if (isLate) {
                 late.add(piece);
             }
         }
@@ -446,6 +449,13 @@
         late.forEach(piece -> fail(piece, StageFailure.Kind.DEADLINE));
     }
 
+    private long earliestStart(long now) {
+        return mGroup.upstreams().stream()
+                .mapToLong(upstream -> Math.max(now, availableAt(upstream)))
+                .min()
+                .orElse(now);
+    }
+
     private void dispatchAfter(long delayNanos) {
         mScheduler.schedule(Duration.ofNanos(Math.max(0, delayNanos)), this::dispatch);
     }
--- a/core/src/main/java/org/boragethread/core/stage/LocalStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/LocalStagePolicy.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.function.ToLongFunction;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.BatchLimits;
@@ -41,7 +42,11 @@
 
     @Override
     public boolean cannotMeetDeadline(
-            PendingPiece piece, BatchLimits limits, long now, long earliestStart) {
+            PendingPiece piece,
+            int pending,
+            BatchLimits limits,
+            long now,
+            LongSupplier earliestStart) {
         return piece.cannotMeetDeadline(now, limits.expectedTime(1).toNanos());
     }
 
--- a/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import org.boragethread.core.upstream.UpstreamNode;
@@ -200,13 +201,19 @@
         return urgency.targetNanos() - own - reserve;
     }
 
-    /** A piece that has waited shares its call with others, as calls are full while pieces wait. */
+    /**
+     * A piece that has waited shares its call with those that are pending too, up to a full call.
+     */
     @Override
     public boolean cannotMeetDeadline(
-            PendingPiece piece, BatchLimits limits, long now, long earliestStart) {
-        int pieces = now > piece.submittedAt() ? limits.batch() : 1;
+            PendingPiece piece,
+            int pending,
+            BatchLimits limits,
+            long now,
+            LongSupplier earliestStart) {
+        int pieces = now > piece.submittedAt() ? Math.min(limits.batch(), pending) : 1;
         double call = limits.expectedTime(pieces).toNanos() * (1 + TIME_TOLERANCE);
-        long end = earliestStart + (long) call;
+        long end = earliestStart.getAsLong() + (long) call;
         return end >= piece.work().deadlineNanos();
     }
 
--- a/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.function.ToLongFunction;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.BatchLimits;
@@ -37,10 +38,15 @@
     /**
      * Returns whether the result of a piece would come too late to be useful.
      *
-     * @param earliestStart monotonic time at which an upstream can start another call
+     * @param pending number of pending pieces, this one included
+     * @param earliestStart returns the monotonic time at which an upstream can start another call
      */
     boolean cannotMeetDeadline(
-            PendingPiece piece, BatchLimits limits, long now, long earliestStart);
+            PendingPiece piece,
+            int pending,
+            BatchLimits limits,
+            long now,
+            LongSupplier earliestStart);
 
     /**
      * Prepares a dispatch of pieces.
--- a/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BatchSchedulerTest.java
@@ -31,11 +31,13 @@
     private int mRequests;
     private String mTeam;
     private boolean mContinuation;
+    private Duration mDeadline;
 
     @BeforeMethod
     public void makeScheduler() {
         mTeam = "";
         mContinuation = false;
+        mDeadline = Duration.ofSeconds(6);
         use(limits(1 << 30), "north", "south");
     }
 
@@ -93,7 +95,7 @@
                             request,
                             0,
                             number,
-                            now + Duration.ofSeconds(6).toNanos(),
+                            now + mDeadline.toNanos(),
                             "key",
                             RESULT_BYTES,
                             Optional.empty());
@@ -403,6 +405,39 @@
         assertTrue(mRecorder.mDone.size() >= least, mRecorder.mDone.size() + " of " + least);
     }
 
+    /**
+     * Guards against a retried piece that fails beside an idle upstream because a full call, which
+     * it does not need, would end too late.
+     */
+    @Test
+    public void retriedPieceIsSentIfACallOfItsOwnEndsInTime() {
+        use(limits(1 << 30), "north", "south");
+        mScheduler = scheduler(100, new SharedStagePolicy(new IgnoringObserver()));
+        mUpstreams.failCalls("maker-0");
+        mDeadline = Duration.ofMillis(330);
+        String retried = submit(1);
+        run(1000);
+        assertEquals(mUpstreams.calls().size(), 2);
+        assertEquals(mRecorder.mDone, List.of(retried));
+    }
+
+    /**
+     * Guards against pieces whose time is over that fail as if there had been no upstream, when the
+     * group has no limits any more.
+     */
+    @Test
+    public void latePieceFailsAtItsDeadlineAlsoWithoutLimits() {
+        use(limits(1 << 30), "north");
+        mScheduler = scheduler(0);
+        mUpstreams.setRejecting(true);
+        mDeadline = Duration.ofMillis(300);
+        submit(1);
+        run(5);
+        mUpstreams.removeLimits();
+        run(1000);
+        assertEquals(mRecorder.mFailures, List.of(StageFailure.Kind.DEADLINE));
+    }
+
     /** Records the outcomes of stages. */
     private static final class Recorder {
 
--- a/core/src/test/java/org/boragethread/core/stage/SimUpstreams.java
+++ b/core/src/test/java/org/boragethread/core/stage/SimUpstreams.java
@@ -25,6 +25,7 @@
 
     private final ManualTimeSource mTime;
     private final BatchLimits mLimits;
+    private boolean mLimitsKnown = true;
     private final UpstreamDirectory mDirectory;
     private final Map<UpstreamNode, Long> mBusyUntil = new HashMap<>();
     private final Map<UpstreamNode, Map<String, Long>> mHeld = new HashMap<>();
@@ -68,6 +69,11 @@
         mRejecting = reject;
     }
 
+    /** Removes the limits of the group from its configuration. */
+    void removeLimits() {
+        mLimitsKnown = false;
+    }
+
     /** Makes all calls to an upstream fail with a lost connection. */
     void failCalls(String id) {
         mFailing.add(id);
@@ -139,7 +145,7 @@
 
     @Override
     public Optional<BatchLimits> limits() {
-        return Optional.of(mLimits);
+        return mLimitsKnown ? Optional.of(mLimits) : Optional.empty();
     }
 
     @Override
