--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -29,14 +29,20 @@
     /** Shortest time between two looks at waiting requests without an event. */
     private static final double MIN_WAKE_MILLIS = 2;
 
-    /** Requests that are looked at for each engine that can be given a prompt, and at least. */
+    /**
+     * Requests that are looked at for each engine that can be given a prompt. The first one in
+     * order may wait for a busy engine that suits it better, so that one request for each engine
+     * would leave engines idle.
+     */
     private static final int REQUESTS_PER_ENGINE = 2;
 
+    /** Requests that are looked at in addition, so that some that have no room can be passed. */
     private static final int MIN_REQUESTS = 8;
 
-    /** A refused request that no engine may or can run is worth another try after this time. */
+    /** The list of engines can change with every announcement, so a retry may soon succeed. */
     private static final Duration NO_ENGINE_RETRY = Duration.ofSeconds(1);
 
+    /** Only a change of the configuration makes room for such a request, so retries are useless. */
     private static final Duration TOO_LARGE_RETRY = Duration.ofSeconds(30);
 
     /** Weight of the newest report in the average delay of reports. */
@@ -107,8 +113,8 @@
         }
         long now = mTime.nanoTime();
         readDirectory(now);
-        WaitingRequest waiting = waiting(request, recipient, now);
-        Optional<PlacementRefusal.Reason> impossible = impossible(request);
+        WaitingRequest waiting = waiting(withBoundedOutput(request), recipient, now);
+        Optional<PlacementRefusal.Reason> impossible = impossible(waiting.request());
         if (impossible.isPresent()) {
             refuse(waiting, impossible.get(), now);
         } else if (waiting.lastStart() < now) {
@@ -122,6 +128,18 @@
         finish(now);
     }
 
+    /**
+     * With limited memory, an unknown output may need all memory that the prompt leaves: engines
+     * crash if their requests exceed it.
+     */
+    private PlacementRequest withBoundedOutput(PlacementRequest request) {
+        if (!mLimitMemory) {
+            return request;
+        }
+        long rest = mDirectory.limits().cacheTokens() - request.promptTokens();
+        return request.withDefaultOutput(Math.max(0, rest));
+    }
+
     private WaitingRequest waiting(
             PlacementRequest request, PlacementRecipient recipient, long now) {
         mTimes.resetIfOld(now);
@@ -214,7 +232,7 @@
             } else {
                 engine.remove(placed.get(), now);
             }
-            engine.onFailure(failure, now);
+            engine.onFailure(key, failure, now);
         }
         dispatch();
     }
@@ -227,7 +245,8 @@
             Optional<EngineLoad> engine = mEngines.find(held.engine());
             if (engine.isPresent() && mPlaced.find(key).isEmpty()) {
                 mQueue.remove(key).ifPresent(mReservations::release);
-                add(held.request(), engine.get(), held.sentNanos(), held.firstEventSeen());
+                PlacementRequest request = withBoundedOutput(held.request());
+                add(request, engine.get(), held.sentNanos(), held.firstEventSeen());
             }
         }
         dispatch();
@@ -344,7 +363,8 @@
             boolean isTurn = turn && mQueue.oldest().get() == waiting;
             Optional<EngineChoice.Candidate> candidate = choice.choose(waiting, isTurn);
             if (candidate.isEmpty()) {
-                reserve(waiting, choice, isTurn, now);
+                List<EngineLoad> suitable = choice.enginesToReserve(waiting);
+                mReservations.reserve(suitable, waiting, mEngines.listed().size(), isTurn, now);
             } else if (candidate.get().open()) {
                 place(waiting, candidate.get(), now);
                 return true;
@@ -355,17 +375,6 @@
         return false;
     }
 
-    private void reserve(WaitingRequest waiting, EngineChoice choice, boolean isTurn, long now) {
-        if (mReservations.isHolder(waiting)) {
-            return;
-        }
-        choice.engineToReserve(waiting)
-                .ifPresent(
-                        engine ->
-                                mReservations.reserve(
-                                        engine, waiting, mEngines.listed().size(), isTurn, now));
-    }
-
     private void place(WaitingRequest waiting, EngineChoice.Candidate candidate, long now) {
         EngineLoad engine = candidate.engine();
         mQueue.removePlaced(waiting);
@@ -466,7 +475,8 @@
 
     private void onTimer() {
         mTimer = Optional.empty();
-        mSupervisor.run(this::dispatch, () -> {});
+        // Without another timer, requests would wait for ever if no message comes.
+        mSupervisor.run(this::dispatch, () -> scheduleWake(mTime.nanoTime()));
     }
 
     /** Notifies listeners when the state is consistent, since they may call back. */
