--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -388,7 +388,6 @@
             return;
         }
         silence().onActivity();
-        mSelection.onForwarded();
         if (!mStream.forward(data)) {
             setReading(false);
         }
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -14,7 +14,6 @@
 import org.boragethread.entry.placement.PlacementRouter;
 import org.boragethread.model.outcome.RefusalReason;
 import org.boragethread.model.routing.EngineLimits;
-import org.boragethread.model.routing.Route;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.model.upstream.UpstreamId;
@@ -31,15 +30,6 @@
     /** Number of engines that this process may reject before it selects one by itself. */
     private static final int MAX_REJECTED = 2;
 
-    /** Shortest gap without an event after which the caller of a stream gives up. */
-    private static final Duration MIN_CALLER_GAP = Duration.ofSeconds(2);
-
-    /** The gap as a multiple of the target latency of the route. */
-    private static final int CALLER_GAP_LATENCIES = 4;
-
-    /** The gap as a multiple of the target pause between events. */
-    private static final int CALLER_GAP_PAUSES = 8;
-
     /** Time after the deadline in which an attempt ends. */
     private static final Duration EXPIRY_SLACK = Duration.ofSeconds(1);
 
@@ -52,7 +42,6 @@
     private Optional<RequestParts> mParts = Optional.empty();
     private final Set<UpstreamId> mRejected = new HashSet<>();
     private Optional<Selected> mSelected = Optional.empty();
-    private long mLastEventAt;
     private boolean mShared;
     private boolean mPending;
     private PlacementRouter.Waiting mWaiting = () -> {};
@@ -68,7 +57,6 @@
         mGateway = gateway;
         mRequest = request;
         mTrace = trace;
-        mLastEventAt = request.arrivedAt().nanos();
     }
 
     void start(RequestParts parts) {
@@ -134,7 +122,7 @@
                         .setPriority(admitted.priority())
                         .setTeam(admitted.team())
                         .setTargetLeftNanos(target - now)
-                        .setDeadlineLeftNanos(firstEventDeadline() - now)
+                        .setDeadlineLeftNanos(deadline() - now)
                         .setExpiryLeftNanos(admitted.deadlineNanos() + EXPIRY_SLACK.toNanos() - now)
                         .setInputDataCentre(
                                 choice.inputDataCentre()
@@ -147,26 +135,14 @@
     }
 
     /** Returns when the first event is of no use any more: its caller has given up by then. */
-    private long firstEventDeadline() {
-        AdmittedRequest admitted = parts().admitted();
-        if (!admitted.isStreaming()) {
-            return admitted.deadlineNanos();
-        }
-        Route route = admitted.route();
-        long gap =
-                Math.max(
-                        MIN_CALLER_GAP.toNanos(),
-                        Math.max(
-                                CALLER_GAP_LATENCIES * route.targetLatency().toNanos(),
-                                CALLER_GAP_PAUSES * route.targetGap().toNanos()));
-        return Math.min(admitted.deadlineNanos(), mLastEventAt + gap);
-    }
-
-    /** Called when a part of a stream is forwarded. */
-    void onForwarded() {
-        if (mShared) {
-            mLastEventAt = mGateway.time().nanoTime();
-        }
+    private long deadline() {
+        EventDeadline deadline =
+                new EventDeadline(
+                        mGateway.settings().scheduling(),
+                        mGateway.time(),
+                        mRequest.arrivedAt().nanos(),
+                        parts().stream()::lastEventAt);
+        return deadline.nanos(parts().admitted());
     }
 
     /** Returns the number of prompt tokens that an upstream probably has to process. */
