--- a/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
@@ -18,6 +18,9 @@
 
     private static final int MAX_DOUBLINGS = 4;
 
+    /** Share of the expected time from which an unprocessed prompt is overdue; reports are late. */
+    private static final double OVERDUE_FACTOR = 1.25;
+
     private final EngineSpeed mSpeed = new EngineSpeed();
     private final PrefixCache mPrefixes = new PrefixCache();
     private final Map<PlacementKey, PlacedRequest> mPending = new LinkedHashMap<>();
@@ -95,21 +98,42 @@
 
     /** Removes a request that has ended. */
     void remove(PlacedRequest placed, long now) {
+        dropPrompt(placed, now);
         mPlaced--;
         mTokens -= placed.request().memoryTokens();
-        dropPrompt(placed, now);
     }
 
     /** Removes a request that the engine has not run. */
     void removeNotRun(PlacedRequest placed, long now) {
+        endPrompt(placed, now);
         remove(placed, now);
         if (placed.isPrefixAdded()) {
             mPrefixes.remove(placed.request().prefixHash());
         }
     }
 
-    /** Stops counting a prompt that is no longer processed, or about which no report came. */
+    /** Called when the engine has responded without a failure. */
+    void onSuccess() {
+        mConsecutiveFailures = 0;
+    }
+
+    /**
+     * Stops counting a prompt that is no longer processed, or about which no report came. If the
+     * engine was at it for longer than expected, it is slow or hangs, and must not look idle.
+     */
     void dropPrompt(PlacedRequest placed, long now) {
+        if (!mPending.isEmpty() && mPending.values().iterator().next() == placed) {
+            double elapsed = (now - Math.max(placed.placedAt(), mLastCompletion)) / 1e6;
+            double expected = placed.workMillis() * mSpeed.slowness(now);
+            if (elapsed > OVERDUE_FACTOR * expected) {
+                mSpeed.add(elapsed / placed.workMillis(), now);
+            }
+        }
+        endPrompt(placed, now);
+    }
+
+    /** Stops counting a prompt without learning from its time. */
+    void endPrompt(PlacedRequest placed, long now) {
         boolean first = !mPending.isEmpty() && mPending.values().iterator().next() == placed;
         if (mPending.remove(placed.request().key()) == null) {
             return;
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -177,7 +177,8 @@
     /**
      * Called when the first event of a placed request has come, so that its prompt is processed.
      *
-     * @param responseTime time from sending the request to the first event, measured by the entry
+     * @param responseTime time from sending the request to the first event, measured by the entry;
+     *     zero if it is not known, because the response is buffered until it is complete
      */
     public void onFirstEvent(PlacementKey key, Duration responseTime) {
         Optional<PlacedRequest> found = mPlaced.find(key);
@@ -189,6 +190,11 @@
 
     private void onProcessed(PlacedRequest placed, Duration responseTime) {
         long now = mTime.nanoTime();
+        if (responseTime.isZero()) {
+            placed.engine().endPrompt(placed, now);
+            mPlaced.markFirstEventSeen(placed);
+            return;
+        }
         long completedAt = Math.min(now, placed.placedAt() + Math.max(0, responseTime.toNanos()));
         double delay = (now - completedAt) / 1e6;
         mReportMillis += REPORT_WEIGHT * (delay - mReportMillis);
@@ -197,7 +203,13 @@
         mPlaced.markFirstEventSeen(placed);
     }
 
-    /** Called when a placed request has ended successfully or was cancelled. */
+    /** Called when the response to a placed request is complete. */
+    public void onCompleted(PlacementKey key) {
+        mPlaced.find(key).ifPresent(placed -> placed.engine().onSuccess());
+        onEnded(key);
+    }
+
+    /** Called when a placed request was cancelled. */
     public void onEnded(PlacementKey key) {
         mPlaced.remove(key).ifPresent(placed -> placed.engine().remove(placed, mTime.nanoTime()));
         dispatch();
--- a/core/src/main/java/org/boragethread/core/placement/PlacementKey.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementKey.java
@@ -7,4 +7,4 @@
  * @param request identifier of the request
  * @param attempt number of the attempt; each further placement of a request has another one
  */
-public record PlacementKey(String entry, String request, int attempt) {}
+public record PlacementKey(String entry, String request, long attempt) {}
