--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -34,7 +34,7 @@
 import org.boragethread.core.upstream.StreamDurationModel;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamDirectory;
-import org.boragethread.entry.placement.EntryRun;
+import org.boragethread.entry.placement.EntryIncarnation;
 import org.boragethread.entry.placement.PeerCoordinatorLink;
 import org.boragethread.entry.placement.PlacementRehearsal;
 import org.boragethread.entry.placement.PlacementRouter;
@@ -126,7 +126,9 @@
                         time,
                         new StreamOriginClient(mConnections, mScheduler),
                         () -> metrics.onStreamOrigin("not-recorded"));
-        mUpstreamSignals = new UpstreamSignals(mScheduler, time, mLog, metrics, mRateLimitSync);
+        mUpstreamSignals =
+                new UpstreamSignals(
+                        mScheduler, time, mLog, metrics, mRateLimitSync, settings.scheduling());
         mBatchClient =
                 new HttpBatchClient(
                         mConnections,
@@ -156,13 +158,13 @@
 
     private PlacementRouter createPlacementRouter() {
         return new PlacementRouter(
-                new EntryRun(mSettings.peerAddress(), mTime.instant().toEpochMilli()),
+                new EntryIncarnation(mSettings.peerAddress(), mTime.instant().toEpochMilli()),
                 mCoordinators,
                 new PeerCoordinatorLink(mConnections, mScheduler, PeerClient::createCall),
                 mPlacementServer,
                 mScheduler,
                 mTime,
-                mGuard,
+                supervisor("placement", "router"),
                 mLog,
                 mMetrics);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -35,13 +35,16 @@
 import org.boragethread.core.stage.StageFailure;
 import org.boragethread.entry.placement.PeerCoordinatorLink;
 import org.boragethread.entry.placement.PlacementServer;
+import org.boragethread.entry.placement.ReportResult;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.process.log.EventLog;
 import org.boragethread.wire.proto.PieceDone;
-import org.boragethread.wire.proto.PlacementAsked;
 import org.boragethread.wire.proto.PlacementDecision;
+import org.boragethread.wire.proto.PlacementQuery;
 import org.boragethread.wire.proto.PlacementReports;
+import org.boragethread.wire.proto.PlacementSender;
 import org.boragethread.wire.proto.ResultHeld;
 import org.boragethread.wire.proto.ResultsFree;
 import org.boragethread.wire.proto.ResultsHeld;
@@ -92,8 +95,7 @@
             return;
         }
         if (request.uri().equals(PeerCoordinatorLink.REPORT_PATH)) {
-            mGateway.placementServer().apply(PlacementReports.parseFrom(body));
-            respond(context, HttpResponseStatus.OK);
+            applyPlacementReports(context, PlacementReports.parseFrom(body));
             return;
         }
         if (mGateway.isLeaving() || !mPendingPieces.isEmpty() || mPlacement.isPresent()) {
@@ -105,30 +107,61 @@
             return;
         }
         if (request.uri().equals(PeerCoordinatorLink.ASK_PATH)) {
-            placeRequest(context, PlacementAsked.parseFrom(body));
+            placeRequest(context, PlacementQuery.parseFrom(body));
             return;
         }
         schedulePieces(context, StageWork.parseFrom(body));
     }
 
     /** Acknowledges a question about a placement at once; the decision follows. */
-    private void placeRequest(ChannelHandlerContext context, PlacementAsked asked) {
+    private void placeRequest(ChannelHandlerContext context, PlacementQuery asked) {
         if (!mGateway.placementServer().coordinates(new GroupId(asked.getGroup()))) {
             respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
         }
-        context.write(chunkedHead());
         PlacementResponse response = new PlacementResponse(context);
         mPlacement = Optional.of(response);
-        Optional<PlacementServer.Decided> placement =
-                mGateway.placementServer().place(asked, response::send);
+        Optional<PlacementServer.PlacementHandle> placement;
+        try {
+            placement = mGateway.placementServer().place(asked, response);
+        } catch (IllegalArgumentException e) {
+            mPlacement = Optional.empty();
+            logPlacement(asked.getSender()).with("outcome", "invalid").with("detail", e).warn();
+            respond(context, HttpResponseStatus.valueOf(PeerCoordinatorLink.INVALID));
+            return;
+        }
         if (placement.isEmpty()) {
             mPlacement = Optional.empty();
-            context.close();
+            response.refuse();
             return;
         }
         response.mPlacement = placement;
-        context.flush();
+        response.acknowledge();
+    }
+
+    private void applyPlacementReports(ChannelHandlerContext context, PlacementReports reports) {
+        ReportResult result = mGateway.placementServer().apply(reports);
+        switch (result) {
+            case CONFIRMED -> respond(context, HttpResponseStatus.OK);
+            case RESTORE_NEEDED ->
+                    respond(
+                            context,
+                            HttpResponseStatus.valueOf(PeerCoordinatorLink.RESTORE_NEEDED));
+            default -> {
+                logPlacement(reports.getSender())
+                        .with("outcome", "refused")
+                        .with(
+                                "detail",
+                                "a later start of this entry is known: check the clock of its"
+                                        + " machine")
+                        .warn();
+                respond(context, HttpResponseStatus.valueOf(PeerCoordinatorLink.REFUSED));
+            }
+        }
+    }
+
+    private EventLog.Line logPlacement(PlacementSender sender) {
+        return mGateway.log().event("placement-sender").with("peer", sender.getAddress());
     }
 
     private static HttpResponse chunkedHead() {
@@ -276,17 +309,46 @@
     }
 
     /** Sends the decision about a placement. */
-    private final class PlacementResponse {
+    private final class PlacementResponse implements PlacementServer.Receiver {
 
         private final ChannelHandlerContext mContext;
-        private Optional<PlacementServer.Decided> mPlacement = Optional.empty();
+        private Optional<PlacementServer.PlacementHandle> mPlacement = Optional.empty();
+        private boolean mAcknowledged;
 
         PlacementResponse(ChannelHandlerContext context) {
             mContext = context;
         }
 
-        void send(PlacementDecision decision) {
+        /** Sends the head, unless the decision came at once and the head with it. */
+        void acknowledge() {
+            if (!mAcknowledged) {
+                mAcknowledged = true;
+                mContext.writeAndFlush(chunkedHead());
+            }
+        }
+
+        void refuse() {
+            if (mAcknowledged) {
+                mContext.close();
+            } else {
+                respond(mContext, HttpResponseStatus.SERVICE_UNAVAILABLE);
+            }
+        }
+
+        /** Closes the connection, which tells the sender to decide by itself. */
+        @Override
+        public void onSenderEnded() {
             PeerEndpoint.this.mPlacement = Optional.empty();
+            mContext.close();
+        }
+
+        @Override
+        public void onDecision(PlacementDecision decision) {
+            PeerEndpoint.this.mPlacement = Optional.empty();
+            if (!mAcknowledged) {
+                mAcknowledged = true;
+                mContext.write(chunkedHead());
+            }
             ByteBuf body = Unpooled.wrappedBuffer(decision.toByteArray());
             mContext.write(new DefaultHttpContent(body));
             mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
@@ -299,7 +361,7 @@
         }
 
         void withdraw() {
-            mPlacement.ifPresent(PlacementServer.Decided::withdraw);
+            mPlacement.ifPresent(PlacementServer.PlacementHandle::withdraw);
         }
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
@@ -201,6 +201,7 @@
     private void startStandby(UpstreamNode node) {
         if (mStandby.isPresent()) {
             mParts.placement().exclude(mStandby.get().attempt().node());
+            mStandby.get().attempt().giveUp();
             withdraw("silent");
         }
         Optional<String> lastEvent = mParts.stream().lastEventId();
@@ -269,7 +270,7 @@
     }
 
     private void giveUp(UpstreamAttempt silent) {
-        silent.cancel();
+        silent.giveUp();
         mParts.trace()
                 .responseBroken(
                         silent.node(),
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import org.boragethread.core.placement.PlacementFailure;
 import org.boragethread.core.quarantine.Suspect;
+import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.upstream.CalledRun;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.entry.placement.PlacedAttempt;
@@ -69,6 +70,7 @@
     private ByteBuf mHeldBody = Unpooled.EMPTY_BUFFER;
     private boolean mEnded;
     private PlacedAttempt mPlaced = PlacedAttempt.UNREPORTED;
+    private Scheduler.Timer mPromptTimer = () -> {};
 
     /**
      * Creates an attempt that has not started.
@@ -104,6 +106,10 @@
         mMethod = call.request().method();
         mNode.onSent(mSentAt);
         mControl = connections.send(call, this);
+        if (!mStreaming && mPlaced != PlacedAttempt.UNREPORTED) {
+            Duration prefill = Duration.ofNanos((long) (mPrefillMillis * 1e6));
+            mPromptTimer = mGateway.scheduler().schedule(prefill, mPlaced::onPromptProcessed);
+        }
     }
 
     /** Sets who is told of the course of the attempt; called before it starts. */
@@ -204,6 +210,12 @@
         mControl.cancel();
     }
 
+    /** Cancels the attempt because its upstream does not respond as it should. */
+    void giveUp() {
+        mPlaced.onFailed(PlacementFailure.FAILED);
+        cancel();
+    }
+
     void setReading(boolean reading) {
         mReading = reading;
         mControl.setReading(reading && !mHeld);
@@ -346,6 +358,8 @@
         }
         if (mStatus >= SERVER_ERROR || !isBodyComplete()) {
             mPlaced.onFailed(PlacementFailure.FAILED);
+        } else {
+            mPlaced.onCompleted();
         }
         end();
         judgePrompt();
@@ -428,6 +442,7 @@
 
     private void end() {
         mEnded = true;
+        mPromptTimer.cancel();
         endPrefill();
         mPlaced.onEnded();
         mNode.onEnded();
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
@@ -28,18 +28,21 @@
     private final EventLog mLog;
     private final GatewayMetrics mMetrics;
     private final RateLimitSync mRateLimitSync;
+    private final SchedulingSettings mScheduling;
 
     UpstreamSignals(
             Scheduler scheduler,
             TimeSource time,
             EventLog log,
             GatewayMetrics metrics,
-            RateLimitSync rateLimitSync) {
+            RateLimitSync rateLimitSync,
+            SchedulingSettings scheduling) {
         mScheduler = scheduler;
         mTime = time;
         mLog = log;
         mMetrics = metrics;
         mRateLimitSync = rateLimitSync;
+        mScheduling = scheduling;
     }
 
     /**
@@ -59,7 +62,9 @@
             return;
         }
         applyLeaving(node, headers.getAll(PlatformHeaders.LEAVING));
-        applyLoad(node, headers.get(PlatformHeaders.LOAD));
+        if (mScheduling.isShared()) {
+            applyLoad(node, headers.get(PlatformHeaders.LOAD));
+        }
         applyRateLimit(node, sentAt, headers.getAll(PlatformHeaders.RATE_LIMIT));
         if (status == UNAVAILABLE) {
             applyPause(node, headers.getAll(PlatformHeaders.RETRY_AFTER));
--- a/entry/src/main/java/org/boragethread/entry/placement/CoordinatorLink.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/CoordinatorLink.java
@@ -1,10 +1,10 @@
 package org.boragethread.entry.placement;
 
-import org.boragethread.wire.proto.PlacementAsked;
 import org.boragethread.wire.proto.PlacementDecision;
+import org.boragethread.wire.proto.PlacementQuery;
 import org.boragethread.wire.proto.PlacementReports;
 
-/** The way from this entry to coordinators. */
+/** Sends messages to coordinators. */
 interface CoordinatorLink {
 
     /**
@@ -12,26 +12,26 @@
      *
      * @param coordinator address of the coordinator
      */
-    Call ask(String coordinator, PlacementAsked asked, Listener listener);
+    Call ask(String coordinator, PlacementQuery asked, Listener listener);
 
     /**
      * Reports what has happened to placed requests.
      *
-     * @param receiver told whether the coordinator has confirmed it in time
+     * @param listener told how the coordinator has responded
      */
-    void report(String coordinator, PlacementReports reports, Receipt receiver);
+    void report(String coordinator, PlacementReports reports, ReportListener listener);
 
-    /** A question in progress. */
+    /** A query in progress. */
     interface Call {
 
-        /** Withdraws the question; its listener is not called any more. */
+        /** Withdraws the query; its listener is not called any more. */
         void cancel();
     }
 
-    /** Receives the answer to a question: a decision or a failure, possibly at once. */
+    /** Receives the answer to a query: a decision or a failure, possibly at once. */
     interface Listener {
 
-        /** The coordinator has taken the question and decides later. */
+        /** The coordinator has taken the query and decides later. */
         void onAcknowledged();
 
         void onDecision(PlacementDecision decision);
@@ -42,11 +42,14 @@
          * @param reason for logs and metrics
          */
         void onFailed(String reason);
+
+        /** The coordinator responds, but can't read the query. */
+        void onInvalid();
     }
 
     /** Told how reports have arrived. */
-    interface Receipt {
+    interface ReportListener {
 
-        void onReported(boolean confirmed);
+        void onReported(ReportResult result);
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/placement/EntryRun.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/EntryIncarnation.java
@@ -8,15 +8,15 @@
  * @param address address at which other entries reach it
  * @param number differs for each start at the address; a later one has a greater number
  */
-public record EntryRun(String address, long number) {
+public record EntryIncarnation(String address, long number) {
 
     /** Returns the name that distinguishes the run from all others. */
     String name() {
         return address + '#' + number;
     }
 
-    static EntryRun decode(PlacementSender sender) {
-        return new EntryRun(sender.getAddress(), sender.getRun());
+    static EntryIncarnation decode(PlacementSender sender) {
+        return new EntryIncarnation(sender.getAddress(), sender.getRun());
     }
 
     PlacementSender encode() {
--- a/entry/src/main/java/org/boragethread/entry/placement/PeerCoordinatorLink.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PeerCoordinatorLink.java
@@ -13,8 +13,8 @@
 import org.boragethread.wire.http.CallListener;
 import org.boragethread.wire.http.HttpCall;
 import org.boragethread.wire.http.HttpConnectionPool;
-import org.boragethread.wire.proto.PlacementAsked;
 import org.boragethread.wire.proto.PlacementDecision;
+import org.boragethread.wire.proto.PlacementQuery;
 import org.boragethread.wire.proto.PlacementReports;
 
 /** Reaches coordinators at the servers for entries. */
@@ -24,7 +24,7 @@
     public static final String REPORT_PATH = "/placement-reports";
 
     /**
-     * Time in which a coordinator must acknowledge a question. A live one does so at once; the
+     * Time in which a coordinator must acknowledge a pending. A live one does so at once; the
      * caller waits meanwhile.
      */
     private static final Duration ACKNOWLEDGE_TIMEOUT = Duration.ofMillis(100);
@@ -33,6 +33,16 @@
     static final Duration REPORT_TIMEOUT = Duration.ofMillis(250);
 
     private static final int OK = 200;
+
+    /** Status of a query that can't be read. */
+    public static final int INVALID = 400;
+
+    /** Status of reports whose sender is of an earlier incarnation than a known one. */
+    public static final int REFUSED = 403;
+
+    /** Status of reports that the coordinator needs a restore with. */
+    public static final int RESTORE_NEEDED = 412;
+
     private static final int MAX_RESPONSE_BYTES = 4096;
 
     private final HttpConnectionPool mConnections;
@@ -54,18 +64,17 @@
     }
 
     @Override
-    public Call ask(String coordinator, PlacementAsked asked, Listener listener) {
-        Question question = new Question(listener);
-        question.mControl =
-                mConnections.send(mCalls.create(coordinator, ASK_PATH, asked), question);
-        question.mTimer =
+    public Call ask(String coordinator, PlacementQuery asked, Listener listener) {
+        PendingQuery pending = new PendingQuery(listener);
+        pending.mControl = mConnections.send(mCalls.create(coordinator, ASK_PATH, asked), pending);
+        pending.mTimer =
                 mScheduler.schedule(
-                        ACKNOWLEDGE_TIMEOUT, () -> question.giveUp("no-acknowledgement"));
-        return question::cancel;
+                        ACKNOWLEDGE_TIMEOUT, () -> pending.giveUp("no-acknowledgement"));
+        return pending::cancel;
     }
 
     @Override
-    public void report(String coordinator, PlacementReports reports, Receipt receiver) {
+    public void report(String coordinator, PlacementReports reports, ReportListener listener) {
         BufferedResponse.fetch(
                 mConnections,
                 mScheduler,
@@ -73,11 +82,23 @@
                 REPORT_TIMEOUT,
                 MAX_RESPONSE_BYTES,
                 response ->
-                        receiver.onReported(response.isRight() && response.get().status() == OK));
+                        listener.onReported(
+                                response.isRight()
+                                        ? result(response.get().status())
+                                        : ReportResult.LOST));
     }
 
-    /** One question to a coordinator. */
-    private static final class Question implements CallListener {
+    private static ReportResult result(int status) {
+        return switch (status) {
+            case OK -> ReportResult.CONFIRMED;
+            case RESTORE_NEEDED -> ReportResult.RESTORE_NEEDED;
+            case REFUSED -> ReportResult.REFUSED;
+            default -> ReportResult.LOST;
+        };
+    }
+
+    /** One query to a coordinator. */
+    private static final class PendingQuery implements CallListener {
 
         private final Listener mListener;
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
@@ -85,7 +106,7 @@
         private Scheduler.Timer mTimer;
         private int mStatus;
 
-        Question(Listener listener) {
+        PendingQuery(Listener listener) {
             mListener = listener;
         }
 
@@ -110,6 +131,10 @@
 
         @Override
         public void onEnd() {
+            if (mStatus == INVALID) {
+                mListener.onInvalid();
+                return;
+            }
             if (mStatus != OK) {
                 mListener.onFailed("status-" + mStatus);
                 return;
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacedAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacedAttempt.java
@@ -15,6 +15,12 @@
                 @Override
                 public void onFirstEvent(Duration responseTime) {}
 
+                @Override
+                public void onPromptProcessed() {}
+
+                @Override
+                public void onCompleted() {}
+
                 @Override
                 public void onEnded() {}
 
@@ -32,7 +38,16 @@
      */
     void onFirstEvent(Duration responseTime);
 
-    /** Called when the response is complete or the attempt was cancelled. */
+    /**
+     * Called when the prompt is probably processed, if the response is buffered until it is
+     * complete and so has no first event. The engine then counts as free for the next prompt.
+     */
+    void onPromptProcessed();
+
+    /** Called when the response is complete. */
+    void onCompleted();
+
+    /** Called when the attempt was cancelled. */
     void onEnded();
 
     /** Called when the attempt has failed. */
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementCodec.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementCodec.java
@@ -19,7 +19,7 @@
 
     private PlacementCodec() {}
 
-    static PlacementKey key(EntryRun entry, PlacementNeeds needs) {
+    static PlacementKey key(EntryIncarnation entry, PlacementNeeds needs) {
         return new PlacementKey(entry.name(), needs.getRequestId(), needs.getNumber());
     }
 
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementRehearsal.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementRehearsal.java
@@ -15,10 +15,10 @@
 import org.boragethread.model.routing.EngineLimits;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
-import org.boragethread.wire.proto.PlacementAsked;
 import org.boragethread.wire.proto.PlacementDecision;
 import org.boragethread.wire.proto.PlacementEvent;
 import org.boragethread.wire.proto.PlacementNeeds;
+import org.boragethread.wire.proto.PlacementQuery;
 import org.boragethread.wire.proto.PlacementReport;
 import org.boragethread.wire.proto.PlacementReports;
 
@@ -30,7 +30,7 @@
 
     private static final int REQUESTS = 20;
     private static final GroupId GROUP = new GroupId("rehearsal");
-    private static final EntryRun ENTRY = new EntryRun("127.0.0.1:1", 1);
+    private static final EntryIncarnation ENTRY = new EntryIncarnation("127.0.0.1:1", 1);
     private static final DataCentreId DATA_CENTRE = new DataCentreId("here");
     private static final EngineLimits LIMITS = new EngineLimits(4, 1000);
 
@@ -46,8 +46,8 @@
         int[] placed = {0};
         try {
             for (int i = 1; i <= REQUESTS; i++) {
-                PlacementAsked asked = PlacementAsked.parseFrom(ask(i).toByteArray());
-                server.place(asked, decision -> placed[0] += isPlaced(decision) ? 1 : 0);
+                PlacementQuery asked = PlacementQuery.parseFrom(ask(i).toByteArray());
+                server.place(asked, new Counter(placed));
                 server.apply(PlacementReports.parseFrom(report(i).toByteArray()));
             }
         } catch (InvalidProtocolBufferException e) {
@@ -60,9 +60,9 @@
         return decision.getRefusal().isEmpty() && decision.toByteArray().length > 0;
     }
 
-    private static PlacementAsked ask(int number) {
+    private static PlacementQuery ask(int number) {
         long left = Duration.ofSeconds(10).toNanos();
-        return PlacementAsked.newBuilder()
+        return PlacementQuery.newBuilder()
                 .setGroup(GROUP.value())
                 .setSender(ENTRY.encode())
                 .setNeeds(
@@ -92,6 +92,20 @@
         return PlacementReport.newBuilder().setNumber(number).setEvent(event).build();
     }
 
+    /** Counts the requests that are placed. */
+    private record Counter(int[] placed) implements PlacementServer.Receiver {
+
+        @Override
+        public void onDecision(PlacementDecision decision) {
+            placed[0] += isPlaced(decision) ? 1 : 0;
+        }
+
+        @Override
+        public void onSenderEnded() {
+            throw new IllegalStateException("the members do not change during the rehearsal");
+        }
+    }
+
     /** One group with one engine. */
     private record Groups(Supervisor supervisor, TimeSource time)
             implements PlacementServer.Groups, EngineDirectory {
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.boragethread.core.callback.CallbackGuard;
-import org.boragethread.core.placement.PlacementFailure;
+import org.boragethread.core.callback.Supervisor;
 import org.boragethread.core.placement.PlacementRefusal;
 import org.boragethread.core.stage.CoordinatorTable;
 import org.boragethread.core.time.Scheduler;
@@ -19,11 +19,10 @@
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.process.log.EventLog;
-import org.boragethread.wire.proto.PlacementAsked;
 import org.boragethread.wire.proto.PlacementDecision;
 import org.boragethread.wire.proto.PlacementEvent;
-import org.boragethread.wire.proto.PlacementHeld;
 import org.boragethread.wire.proto.PlacementNeeds;
+import org.boragethread.wire.proto.PlacementQuery;
 import org.boragethread.wire.proto.PlacementReport;
 import org.boragethread.wire.proto.PlacementReports;
 import org.boragethread.wire.proto.PlacementRestore;
@@ -44,20 +43,24 @@
      */
     private static final Duration SLOW_PROBE_TIME = Duration.ofSeconds(1);
 
+    /** Time after the deadline at which a decision is no longer awaited; messages take less. */
+    private static final Duration DECISION_SLACK = Duration.ofMillis(250);
+
     private static final String COORDINATOR = "coordinator";
-    private static final String LOCAL = "local-shortcut";
+    private static final String SELF = "self";
 
-    private final EntryRun mSelf;
+    private final EntryIncarnation mSelf;
     private final CoordinatorTable mCoordinators;
     private final CoordinatorLink mPeers;
     private final CoordinatorLink mLocal;
     private final Scheduler mScheduler;
     private final TimeSource mTime;
+    private final Supervisor mSupervisor;
     private final CallbackGuard mGuard;
     private final EventLog mLog;
     private final PlacementMetrics mMetrics;
     private final Map<GroupId, Group> mGroups = new HashMap<>();
-    private int mLastNumber;
+    private long mLastNumber;
 
     /** A request for a placement that is not decided. */
     public interface Waiting {
@@ -71,25 +74,27 @@
      *
      * @param self this entry, with its address as in the coordinator table
      * @param server places requests while this entry is the coordinator
-     * @param guard runs the callbacks of each request for its owner
+     * @param supervisor runs what is done for no request in particular, and its guard runs the
+     *     callbacks of each request for its owner
      */
     public PlacementRouter(
-            EntryRun self,
+            EntryIncarnation self,
             CoordinatorTable coordinators,
             CoordinatorLink peers,
             PlacementServer server,
             Scheduler scheduler,
             TimeSource time,
-            CallbackGuard guard,
+            Supervisor supervisor,
             EventLog log,
             PlacementMetrics metrics) {
         mSelf = self;
         mCoordinators = coordinators;
         mPeers = peers;
-        mLocal = new LocalCoordinatorLink(server, guard);
+        mSupervisor = supervisor;
+        mGuard = supervisor.guard();
+        mLocal = new LocalCoordinatorLink(server, mGuard);
         mScheduler = scheduler;
         mTime = time;
-        mGuard = guard;
         mLog = log;
         mMetrics = metrics;
     }
@@ -110,11 +115,16 @@
             return () -> {};
         }
         mLastNumber++;
-        Question question = new Question(state, term.get(), number(needs), outcome);
-        state.mQuestions.put(mLastNumber, question);
-        question.start();
+        PendingPlacement pending = new PendingPlacement(state, term.get(), number(needs), outcome);
+        state.mPending.put(mLastNumber, pending);
+        try {
+            pending.start();
+        } catch (RuntimeException e) {
+            pending.withdraw();
+            throw e;
+        }
         state.watch();
-        return question::withdraw;
+        return pending::withdraw;
     }
 
     /** Returns what is told of an attempt at an engine that this entry chose by itself. */
@@ -122,7 +132,8 @@
         Group state = group(group);
         Optional<Term> term = state.currentTerm();
         mLastNumber++;
-        Attempt attempt = new Attempt(state, number(needs), mTime.nanoTime(), engine);
+        ReportedAttempt attempt =
+                new ReportedAttempt(state, number(needs), engine, mTime, mMetrics);
         state.mAttempts.put(mLastNumber, attempt);
         state.watch();
         term.ifPresent(current -> current.mOutbox.add(attempt.encode()));
@@ -136,7 +147,7 @@
 
     /** Returns the number of requests of this entry that wait for a decision. */
     public int waiting() {
-        return mGroups.values().stream().mapToInt(group -> group.mQuestions.size()).sum();
+        return mGroups.values().stream().mapToInt(group -> group.mPending.size()).sum();
     }
 
     private PlacementNeeds number(PlacementNeeds.Builder needs) {
@@ -166,28 +177,30 @@
     /** Gives up a coordinator that does not respond, and all requests that wait there. */
     private void onUnresponsive(String coordinator) {
         mGroups.keySet().forEach(group -> avoid(group, coordinator));
-        List<Question> givenUp =
+        List<PendingPlacement> givenUp =
                 mGroups.values().stream()
-                        .flatMap(group -> group.mQuestions.values().stream())
-                        .filter(question -> question.mTerm.mCoordinator.equals(coordinator))
+                        .flatMap(group -> group.mPending.values().stream())
+                        .filter(pending -> pending.mTerm.mCoordinator.equals(coordinator))
                         .toList();
-        givenUp.forEach(Question::withdraw);
+        givenUp.forEach(PendingPlacement::withdraw);
         givenUp.stream()
-                .map(question -> question.mTerm.mOutbox)
+                .map(pending -> pending.mTerm.mOutbox)
                 .distinct()
                 .forEach(ReportOutbox::probe);
-        givenUp.forEach(question -> question.fallBackForOwner("unresponsive"));
+        givenUp.forEach(pending -> pending.fallBackForOwner("unresponsive"));
         onMembersChanged();
     }
 
     /** The time during which one entry coordinates a group. */
     private final class Term implements ReportOutbox.Listener {
 
+        private final Group mGroup;
         private final String mCoordinator;
         private final CoordinatorLink mLink;
         private final ReportOutbox mOutbox;
 
         Term(Group group, String coordinator) {
+            mGroup = group;
             mCoordinator = coordinator;
             mLink = coordinator.equals(mSelf.address()) ? mLocal : mPeers;
             PlacementReports envelope =
@@ -197,14 +210,20 @@
                             .build();
             mOutbox =
                     new ReportOutbox(
-                            (reports, receiver) -> mLink.report(coordinator, reports, receiver),
+                            (reports, listener) -> mLink.report(coordinator, reports, listener),
                             envelope,
                             group::encodeAttempts,
                             this,
                             mScheduler,
+                            mSupervisor,
                             mTime);
         }
 
+        @Override
+        public boolean isActive() {
+            return mGroup.isActive();
+        }
+
         @Override
         public void onConfirmed() {
             mCoordinators.onResponse(mCoordinator);
@@ -225,11 +244,11 @@
     }
 
     /** What this entry asks and has at the engines of one group. */
-    private final class Group {
+    private final class Group implements ReportedAttempt.Listener {
 
         private final GroupId mId;
-        private final Map<Integer, Attempt> mAttempts = new HashMap<>();
-        private final TreeMap<Integer, Question> mQuestions = new TreeMap<>();
+        private final Map<Long, ReportedAttempt> mAttempts = new HashMap<>();
+        private final TreeMap<Long, PendingPlacement> mPending = new TreeMap<>();
         private Optional<Term> mTerm = Optional.empty();
         private boolean mWatching;
 
@@ -261,13 +280,23 @@
             PlacementRestore.Builder restore =
                     PlacementRestore.newBuilder()
                             .setCompleteBelow(
-                                    mQuestions.isEmpty() ? mLastNumber + 1 : mQuestions.firstKey());
+                                    mPending.isEmpty() ? mLastNumber + 1 : mPending.firstKey());
             mAttempts.values().forEach(attempt -> restore.addHeld(attempt.encode()));
             return restore.build();
         }
 
+        @Override
+        public void onReport(PlacementReport report) {
+            currentTerm().ifPresent(term -> term.mOutbox.add(report));
+        }
+
+        @Override
+        public void onEnded(long number) {
+            mAttempts.remove(number);
+        }
+
         boolean isActive() {
-            return !mAttempts.isEmpty() || !mQuestions.isEmpty();
+            return !mAttempts.isEmpty() || !mPending.isEmpty();
         }
 
         /** Probes the coordinator as long as requests wait there or are at engines. */
@@ -276,14 +305,16 @@
                 return;
             }
             mWatching = true;
-            mScheduler.schedule(PROBE_TIME, this::onWatchTimer);
+            mSupervisor.run(
+                    () -> mScheduler.schedule(PROBE_TIME, this::onWatchTimer),
+                    () -> mWatching = false);
         }
 
         private void onWatchTimer() {
             mWatching = false;
             List<Term> probed = new ArrayList<>();
-            for (Question question : mQuestions.values()) {
-                Term term = question.mTerm;
+            for (PendingPlacement pending : mPending.values()) {
+                Term term = pending.mTerm;
                 if (!probed.contains(term) && term.isSilentFor(PROBE_TIME)) {
                     probed.add(term);
                 }
@@ -296,7 +327,7 @@
     }
 
     /** A request for a placement. */
-    private final class Question implements CoordinatorLink.Listener {
+    private final class PendingPlacement implements CoordinatorLink.Listener {
 
         private final Group mGroup;
         private final Term mTerm;
@@ -305,9 +336,10 @@
         private final CallbackGuard.Owner mOwner = mGuard.current();
         private final long mAskedAt = mTime.nanoTime();
         private Optional<CoordinatorLink.Call> mCall = Optional.empty();
+        private Scheduler.Timer mTimer = () -> {};
         private boolean mEnded;
 
-        Question(Group group, Term term, PlacementNeeds needs, PlacementOutcome outcome) {
+        PendingPlacement(Group group, Term term, PlacementNeeds needs, PlacementOutcome outcome) {
             mGroup = group;
             mTerm = term;
             mNeeds = needs;
@@ -315,19 +347,32 @@
         }
 
         void start() {
-            PlacementAsked asked =
-                    PlacementAsked.newBuilder()
+            PlacementQuery asked =
+                    PlacementQuery.newBuilder()
                             .setGroup(mGroup.mId.value())
                             .setSender(mSelf.encode())
                             .setNeeds(mNeeds)
                             .build();
             mCall = Optional.of(mTerm.mLink.ask(mTerm.mCoordinator, asked, this));
+            if (!mEnded) {
+                Duration left = Duration.ofNanos(Math.max(0, mNeeds.getDeadlineLeftNanos()));
+                mTimer = mScheduler.schedule(left.plus(DECISION_SLACK), this::onOverdue);
+            }
+        }
+
+        /** The coordinator responds to probes, but has neither placed nor refused in time. */
+        private void onOverdue() {
+            if (!mEnded) {
+                withdraw();
+                fallBack("overdue");
+            }
         }
 
         private boolean end() {
             boolean ends = !mEnded;
             mEnded = true;
-            mGroup.mQuestions.remove(mNeeds.getNumber());
+            mTimer.cancel();
+            mGroup.mPending.remove(mNeeds.getNumber());
             return ends;
         }
 
@@ -370,6 +415,13 @@
             fallBack(reason);
         }
 
+        @Override
+        public void onInvalid() {
+            if (end()) {
+                fallBack("invalid");
+            }
+        }
+
         private void fallBack(String reason) {
             mMetrics.onPlacement("fallback-" + reason, mTime.since(mAskedAt));
             logFallback(mNeeds.getRequestId(), mGroup.mId, mTerm.mCoordinator, reason);
@@ -390,10 +442,10 @@
                 return;
             }
             Duration waited = mTime.since(mAskedAt);
-            mMetrics.onPlacement(mTerm.isLocal() ? LOCAL : COORDINATOR, waited);
+            mMetrics.onPlacement(mTerm.isLocal() ? SELF : COORDINATOR, waited);
             UpstreamId engine = new UpstreamId(decision.getEngine());
             PlacementNeeds needs = PlacementCodec.later(mNeeds, waited);
-            Attempt attempt = new Attempt(mGroup, needs, mTime.nanoTime(), engine);
+            ReportedAttempt attempt = new ReportedAttempt(mGroup, needs, engine, mTime, mMetrics);
             mGroup.mAttempts.put(mNeeds.getNumber(), attempt);
             if (!mGroup.currentTerm().equals(Optional.of(mTerm))) {
                 mGroup.mTerm.ifPresent(term -> term.mOutbox.add(attempt.encode()));
@@ -414,78 +466,4 @@
             }
         }
     }
-
-    /** A request at an engine. */
-    private final class Attempt implements PlacedAttempt {
-
-        private final Group mGroup;
-        private final PlacementNeeds mNeeds;
-        private final long mSentAt;
-        private final UpstreamId mEngine;
-        private boolean mFirstEventSeen;
-        private boolean mEnded;
-
-        Attempt(Group group, PlacementNeeds needs, long sentAt, UpstreamId engine) {
-            mGroup = group;
-            mNeeds = needs;
-            mSentAt = sentAt;
-            mEngine = engine;
-        }
-
-        PlacementHeld encode() {
-            Duration age = mTime.since(mSentAt);
-            return PlacementHeld.newBuilder()
-                    .setNeeds(PlacementCodec.later(mNeeds, age))
-                    .setEngine(mEngine.value())
-                    .setAgeNanos(age.toNanos())
-                    .setFirstEventSeen(mFirstEventSeen)
-                    .build();
-        }
-
-        @Override
-        public void onFirstEvent(Duration responseTime) {
-            if (mEnded || mFirstEventSeen) {
-                return;
-            }
-            mFirstEventSeen = true;
-            report(
-                    PlacementReport.newBuilder()
-                            .setEvent(PlacementEvent.PLACEMENT_EVENT_FIRST_EVENT)
-                            .setResponseTimeNanos(responseTime.toNanos()));
-        }
-
-        @Override
-        public void onEnded() {
-            end(PlacementEvent.PLACEMENT_EVENT_ENDED);
-        }
-
-        @Override
-        public void onFailed(PlacementFailure failure) {
-            end(
-                    switch (failure) {
-                        case REFUSED -> PlacementEvent.PLACEMENT_EVENT_REFUSED;
-                        case FAILED -> PlacementEvent.PLACEMENT_EVENT_FAILED;
-                        case BROKEN -> PlacementEvent.PLACEMENT_EVENT_BROKEN;
-                    });
-        }
-
-        @Override
-        public void onRejected() {
-            mMetrics.onPlacementRejected();
-            end(PlacementEvent.PLACEMENT_EVENT_REJECTED);
-        }
-
-        private void end(PlacementEvent event) {
-            if (!mEnded) {
-                mEnded = true;
-                mGroup.mAttempts.remove(mNeeds.getNumber());
-                report(PlacementReport.newBuilder().setEvent(event));
-            }
-        }
-
-        private void report(PlacementReport.Builder report) {
-            PlacementReport numbered = report.setNumber(mNeeds.getNumber()).build();
-            mGroup.currentTerm().ifPresent(term -> term.mOutbox.add(numbered));
-        }
-    }
 }
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,10 +26,10 @@
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
-import org.boragethread.wire.proto.PlacementAsked;
 import org.boragethread.wire.proto.PlacementDecision;
 import org.boragethread.wire.proto.PlacementHeld;
 import org.boragethread.wire.proto.PlacementNeeds;
+import org.boragethread.wire.proto.PlacementQuery;
 import org.boragethread.wire.proto.PlacementReport;
 import org.boragethread.wire.proto.PlacementReports;
 import org.boragethread.wire.proto.PlacementRestore;
@@ -46,7 +47,7 @@
     /** Number of placements after which those that have expired unreported are looked for. */
     private static final int PRUNE_INTERVAL = 256;
 
-    private static final Decided DECIDED = () -> {};
+    private static final PlacementHandle WITHDRAWN = () -> {};
 
     private final Groups mGroups;
     private final TimeSource mTime;
@@ -66,8 +67,20 @@
         Set<UpstreamId> outside(GroupId group, Set<String> regions);
     }
 
+    /** Receives what becomes of a request that waits: one of the two, once, possibly at once. */
+    public interface Receiver {
+
+        void onDecision(PlacementDecision decision);
+
+        /**
+         * The sender is not a live entry as far as this one knows, so the request is not placed.
+         * The sender may be alive, but unable to renew its membership; it then decides by itself.
+         */
+        void onSenderEnded();
+    }
+
     /** A request that may still wait. */
-    public interface Decided {
+    public interface PlacementHandle {
 
         /** Withdraws the request, whether it waits or was placed. */
         void withdraw();
@@ -89,29 +102,29 @@
      *
      * @param receiver gets the decision, possibly at once
      * @return empty if this entry can't decide, and the receiver is not called
+     * @throws IllegalArgumentException if the message is malformed
      */
-    public Optional<Decided> place(PlacementAsked asked, Consumer<PlacementDecision> receiver) {
+    public Optional<PlacementHandle> place(PlacementQuery asked, Receiver receiver) {
         Optional<Coordination> found = coordination(new GroupId(asked.getGroup()));
         if (found.isEmpty()) {
             return Optional.empty();
         }
         Coordination coordination = found.get();
-        Optional<Sender> sender = coordination.sender(EntryRun.decode(asked.getSender()));
+        Optional<Sender> sender = coordination.sender(EntryIncarnation.decode(asked.getSender()));
         if (sender.isEmpty()) {
             return Optional.empty();
         }
-        int number = asked.getNeeds().getNumber();
+        long number = asked.getNeeds().getNumber();
         if (sender.get().mWithdrawn.remove(number)) {
-            return Optional.of(DECIDED);
+            return Optional.of(WITHDRAWN);
         }
         PlacementRequest request = coordination.decode(sender.get(), asked.getNeeds(), mTime);
         sender.get().track(request, mTime.nanoTime());
+        sender.get().mReceivers.put(number, receiver);
         boolean accepted =
                 coordination.run(
-                        () ->
-                                coordination.mCoordinator.place(
-                                        request, new Reply(sender.get(), receiver)));
-        Decided decided = () -> coordination.withdraw(sender.get(), number, false);
+                        () -> coordination.mCoordinator.place(request, new Reply(sender.get())));
+        PlacementHandle decided = () -> coordination.withdraw(sender.get(), number, false);
         if (!accepted) {
             decided.withdraw();
             return Optional.empty();
@@ -119,24 +132,26 @@
         return Optional.of(decided);
     }
 
-    /** Applies what has happened to requests of an entry. */
-    public void apply(PlacementReports reports) {
+    /** Applies what has happened to requests of an entry. Malformed items have no effect. */
+    public ReportResult apply(PlacementReports reports) {
         Optional<Coordination> found = coordination(new GroupId(reports.getGroup()));
         if (found.isEmpty()) {
-            return;
+            return ReportResult.CONFIRMED;
         }
         Coordination coordination = found.get();
-        Optional<Sender> sender = coordination.sender(EntryRun.decode(reports.getSender()));
+        Optional<Sender> sender = coordination.sender(EntryIncarnation.decode(reports.getSender()));
         if (sender.isEmpty()) {
-            return;
+            return ReportResult.REFUSED;
         }
         if (reports.hasRestore()) {
+            sender.get().mRestored = true;
             coordination.restore(sender.get(), reports.getRestore(), mTime);
         }
         coordination.add(sender.get(), reports.getHeldList(), mTime);
         for (PlacementReport report : reports.getReportsList()) {
             coordination.apply(sender.get(), report);
         }
+        return sender.get().mRestored ? ReportResult.CONFIRMED : ReportResult.RESTORE_NEEDED;
     }
 
     /**
@@ -189,18 +204,24 @@
     }
 
     /** Delivers the decision about one request. */
-    private record Reply(Sender sender, Consumer<PlacementDecision> receiver)
-            implements PlacementListener {
+    private record Reply(Sender sender) implements PlacementListener {
 
         @Override
         public void onPlaced(Placement placement) {
-            receiver.accept(PlacementCodec.encode(placement));
+            deliver(placement.key(), PlacementCodec.encode(placement));
         }
 
         @Override
         public void onRefused(PlacementRefusal refusal) {
             sender.mPlacements.remove(refusal.key().attempt());
-            receiver.accept(PlacementCodec.encode(refusal));
+            deliver(refusal.key(), PlacementCodec.encode(refusal));
+        }
+
+        private void deliver(PlacementKey key, PlacementDecision decision) {
+            Receiver receiver = sender.mReceivers.remove(key.attempt());
+            if (receiver != null) {
+                receiver.onDecision(decision);
+            }
         }
     }
 
@@ -214,12 +235,14 @@
     /** What the run of one entry has at the engines of a group. */
     private static final class Sender {
 
-        private final EntryRun mRun;
-        private final Map<Integer, Tracked> mPlacements = new HashMap<>();
-        private final Set<Integer> mWithdrawn = new LinkedHashSet<>();
+        private final EntryIncarnation mRun;
+        private final Map<Long, Tracked> mPlacements = new HashMap<>();
+        private final Map<Long, Receiver> mReceivers = new LinkedHashMap<>();
+        private final Set<Long> mWithdrawn = new LinkedHashSet<>();
+        private boolean mRestored;
         private int mTracked;
 
-        Sender(EntryRun run) {
+        Sender(EntryIncarnation run) {
             mRun = run;
         }
 
@@ -232,10 +255,10 @@
             }
         }
 
-        void withdrawEarly(int number) {
+        void withdrawEarly(long number) {
             mWithdrawn.add(number);
             if (mWithdrawn.size() > MAX_EARLY_WITHDRAWALS) {
-                Iterator<Integer> eldest = mWithdrawn.iterator();
+                Iterator<Long> eldest = mWithdrawn.iterator();
                 eldest.next();
                 eldest.remove();
             }
@@ -263,7 +286,7 @@
         }
 
         /** Returns the run of an entry; empty if a later run of it is known. */
-        Optional<Sender> sender(EntryRun run) {
+        Optional<Sender> sender(EntryIncarnation run) {
             Sender known = mSenders.get(run.address());
             if (known != null && known.mRun.number() > run.number()) {
                 return Optional.empty();
@@ -276,11 +299,15 @@
 
         void onEntryEnded(String address) {
             Sender ended = mSenders.remove(address);
-            if (ended != null) {
-                ended.mPlacements
-                        .values()
-                        .forEach(placement -> run(() -> mCoordinator.withdraw(placement.key())));
+            if (ended == null) {
+                return;
             }
+            // Nothing is delivered for what is placed while the others are withdrawn.
+            List<Receiver> waiting = List.copyOf(ended.mReceivers.values());
+            ended.mReceivers.clear();
+            List.copyOf(ended.mPlacements.values())
+                    .forEach(placement -> run(() -> mCoordinator.withdraw(placement.key())));
+            waiting.forEach(receiver -> run(receiver::onSenderEnded));
         }
 
         PlacementRequest decode(Sender sender, PlacementNeeds needs, TimeSource time) {
@@ -292,8 +319,9 @@
             return PlacementCodec.decode(key, needs, outside, time.nanoTime());
         }
 
-        void withdraw(Sender sender, int number, boolean remember) {
+        void withdraw(Sender sender, long number, boolean remember) {
             Tracked placement = sender.mPlacements.remove(number);
+            sender.mReceivers.remove(number);
             if (placement != null) {
                 run(() -> mCoordinator.withdraw(placement.key()));
             } else if (remember) {
@@ -302,11 +330,11 @@
         }
 
         void restore(Sender sender, PlacementRestore restore, TimeSource time) {
-            Set<Integer> listed =
+            Set<Long> listed =
                     restore.getHeldList().stream()
                             .map(held -> held.getNeeds().getNumber())
                             .collect(Collectors.toSet());
-            for (int number : List.copyOf(sender.mPlacements.keySet())) {
+            for (long number : List.copyOf(sender.mPlacements.keySet())) {
                 if (number < restore.getCompleteBelow() && !listed.contains(number)) {
                     withdraw(sender, number, false);
                 }
@@ -319,21 +347,30 @@
             List<HeldPlacement> added = new ArrayList<>();
             for (PlacementHeld placement : held) {
                 if (!sender.mPlacements.containsKey(placement.getNeeds().getNumber())) {
-                    PlacementRequest request = decode(sender, placement.getNeeds(), time);
-                    sender.track(request, now);
-                    added.add(
-                            new HeldPlacement(
-                                    request,
-                                    new UpstreamId(placement.getEngine()),
-                                    now - placement.getAgeNanos(),
-                                    placement.getFirstEventSeen()));
+                    decode(sender, placement, time, now).ifPresent(added::add);
                 }
             }
+            added.forEach(placement -> sender.track(placement.request(), now));
             if (!added.isEmpty()) {
                 run(() -> mCoordinator.restore(added));
             }
         }
 
+        /** Returns a held placement; empty if it is malformed, so that others still count. */
+        private Optional<HeldPlacement> decode(
+                Sender sender, PlacementHeld placement, TimeSource time, long now) {
+            try {
+                return Optional.of(
+                        new HeldPlacement(
+                                decode(sender, placement.getNeeds(), time),
+                                new UpstreamId(placement.getEngine()),
+                                now - placement.getAgeNanos(),
+                                placement.getFirstEventSeen()));
+            } catch (IllegalArgumentException e) {
+                return Optional.empty();
+            }
+        }
+
         void apply(Sender sender, PlacementReport report) {
             switch (report.getEvent()) {
                 case PLACEMENT_EVENT_FIRST_EVENT -> {
@@ -344,6 +381,7 @@
                     }
                 }
                 case PLACEMENT_EVENT_WITHDRAWN -> withdraw(sender, report.getNumber(), true);
+                case PLACEMENT_EVENT_COMPLETED -> end(sender, report, mCoordinator::onCompleted);
                 case PLACEMENT_EVENT_ENDED -> end(sender, report, mCoordinator::onEnded);
                 case PLACEMENT_EVENT_REJECTED -> end(sender, report, mCoordinator::reject);
                 case PLACEMENT_EVENT_REFUSED -> fail(sender, report, PlacementFailure.REFUSED);
--- a/entry/src/main/java/org/boragethread/entry/placement/ReportOutbox.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/ReportOutbox.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
+import org.boragethread.core.callback.Supervisor;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.wire.proto.PlacementHeld;
@@ -23,15 +24,23 @@
     /** Time after which a restore that was lost is sent again. */
     private static final Duration RETRY_TIME = Duration.ofMillis(500);
 
+    /**
+     * Restores that are sent again although there is nothing to restore, in case the coordinator
+     * lives and counts requests whose end was lost. The next request restores too.
+     */
+    private static final int MAX_IDLE_RETRIES = 10;
+
     private final Transport mTransport;
     private final PlacementReports mEnvelope;
     private final Supplier<PlacementRestore> mRestore;
     private final Listener mListener;
     private final Scheduler mScheduler;
+    private final Supervisor mSupervisor;
     private final TimeSource mTime;
     private List<PlacementReport> mReports = new ArrayList<>();
     private List<PlacementHeld> mHeld = new ArrayList<>();
     private boolean mRestoreNeeded = true;
+    private int mRetries;
     private boolean mScheduled;
     private boolean mSending;
     private boolean mClosed;
@@ -40,6 +49,9 @@
     /** Told whether the coordinator responds. */
     interface Listener {
 
+        /** Returns whether requests wait at the coordinator or are at engines. */
+        boolean isActive();
+
         void onConfirmed();
 
         /** A message was not confirmed in time. */
@@ -48,7 +60,7 @@
 
     /** Sends a message to the coordinator. */
     interface Transport {
-        void send(PlacementReports reports, CoordinatorLink.Receipt receiver);
+        void send(PlacementReports reports, CoordinatorLink.ReportListener listener);
     }
 
     /**
@@ -56,6 +68,7 @@
      *
      * @param envelope message without reports
      * @param restore returns what this entry has at the engines
+     * @param supervisor told of failures of sending
      */
     ReportOutbox(
             Transport transport,
@@ -63,12 +76,14 @@
             Supplier<PlacementRestore> restore,
             Listener listener,
             Scheduler scheduler,
+            Supervisor supervisor,
             TimeSource time) {
         mTransport = transport;
         mEnvelope = envelope;
         mRestore = restore;
         mListener = listener;
         mScheduler = scheduler;
+        mSupervisor = supervisor;
         mTime = time;
         mConfirmedAt = time.nanoTime();
     }
@@ -110,7 +125,8 @@
     private void schedule(Duration delay) {
         if (!mScheduled) {
             mScheduled = true;
-            mScheduler.schedule(delay, this::onTimer);
+            mSupervisor.run(
+                    () -> mScheduler.schedule(delay, this::onTimer), () -> mScheduled = false);
         }
     }
 
@@ -121,9 +137,24 @@
         }
     }
 
+    /** Sends a message for no request in particular, so that a failure is not that of a request. */
     private void send() {
         mSending = true;
-        mTransport.send(takeReports(), this::onReported);
+        mSupervisor.run(() -> mTransport.send(takeReports(), this::onReported), this::onSendFailed);
+    }
+
+    /** Restores everything, since the reports of the message are no longer known. */
+    private void onSendFailed() {
+        mSending = false;
+        mRestoreNeeded = true;
+        scheduleRetry();
+    }
+
+    private void scheduleRetry() {
+        mRetries++;
+        if (!mClosed && (mListener.isActive() || mRetries <= MAX_IDLE_RETRIES)) {
+            schedule(RETRY_TIME);
+        }
     }
 
     private PlacementReports takeReports() {
@@ -140,17 +171,19 @@
         return message.build();
     }
 
-    private void onReported(boolean confirmed) {
+    private void onReported(ReportResult result) {
         mSending = false;
-        if (confirmed) {
+        if (result == ReportResult.CONFIRMED || result == ReportResult.RESTORE_NEEDED) {
             mConfirmedAt = mTime.nanoTime();
+            mRetries = 0;
+            if (result == ReportResult.RESTORE_NEEDED && !mClosed) {
+                restore();
+            }
             mListener.onConfirmed();
         } else {
             mRestoreNeeded = true;
             mListener.onLost();
-            if (!mClosed) {
-                schedule(RETRY_TIME);
-            }
+            scheduleRetry();
         }
         if (!mReports.isEmpty() || !mHeld.isEmpty()) {
             schedule(BATCH_TIME);
--- a/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
@@ -348,7 +348,7 @@
                         new AttemptCounts(),
                         new QuarantineGuard(mEntry, trace),
                         null,
-                        new ForwardedStream(null),
+                        new ForwardedStream(null, mTime),
                         null,
                         null,
                         selection,
--- /dev/null
+++ b/entry/src/test/java/org/boragethread/entry/placement/PlacementServerTest.java
@@ -0,0 +1,170 @@
+package org.boragethread.entry.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.boragethread.wire.proto.PlacementDecision;
+import org.boragethread.wire.proto.PlacementEvent;
+import org.boragethread.wire.proto.PlacementHeld;
+import org.boragethread.wire.proto.PlacementNeeds;
+import org.boragethread.wire.proto.PlacementQuery;
+import org.boragethread.wire.proto.PlacementReport;
+import org.boragethread.wire.proto.PlacementReports;
+import org.boragethread.wire.proto.PlacementRestore;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests what a coordinator does for entries that are not listed, restarted or malformed. */
+public class PlacementServerTest {
+
+    private static final String ENTRY = "127.0.0.1:1";
+    private static final String SELF = "127.0.0.1:2";
+    private static final EntryIncarnation SENDER = new EntryIncarnation(ENTRY, 2);
+
+    private OneEngine mEngine;
+    private PlacementServer mServer;
+    private List<String> mOutcomes;
+
+    @BeforeMethod
+    public void start() {
+        mEngine = new OneEngine();
+        mServer = new PlacementServer(mEngine, mEngine.time());
+        mServer.onMembersChanged(Set.of(ENTRY, SELF));
+        mOutcomes = new ArrayList<>();
+    }
+
+    private static PlacementNeeds needs(long number, long promptTokens) {
+        long left = Duration.ofSeconds(10).toNanos();
+        return PlacementNeeds.newBuilder()
+                .setNumber(number)
+                .setRequestId("r" + number)
+                .setPromptTokens(promptTokens)
+                .setTargetLeftNanos(left)
+                .setDeadlineLeftNanos(left)
+                .setExpiryLeftNanos(left)
+                .build();
+    }
+
+    private void place(long number) {
+        PlacementQuery query =
+                PlacementQuery.newBuilder()
+                        .setGroup(OneEngine.GROUP.value())
+                        .setSender(SENDER.encode())
+                        .setNeeds(needs(number, OneEngine.PROMPT_TOKENS))
+                        .build();
+        mServer.place(query, new Outcome("r" + number));
+    }
+
+    private static PlacementReports.Builder reports(EntryIncarnation sender) {
+        return PlacementReports.newBuilder()
+                .setGroup(OneEngine.GROUP.value())
+                .setSender(sender.encode());
+    }
+
+    private static PlacementHeld held(PlacementNeeds needs) {
+        return PlacementHeld.newBuilder()
+                .setNeeds(needs)
+                .setEngine(OneEngine.ENGINE.value())
+                .build();
+    }
+
+    private ReportResult restore(PlacementHeld... held) {
+        PlacementRestore.Builder restore = PlacementRestore.newBuilder().setCompleteBelow(100);
+        return mServer.apply(reports(SENDER).setRestore(restore.addAllHeld(List.of(held))).build());
+    }
+
+    // Guards against requests that hang until their deadline, since the entry still gets responses.
+    @Test
+    public void waitingRequestsOfUnlistedEntryAreEnded() {
+        place(1);
+        place(2);
+        assertEquals(mOutcomes, List.of("r1 engine"));
+        mServer.onMembersChanged(Set.of(SELF));
+        assertEquals(mOutcomes, List.of("r1 engine", "r2 ended"));
+        assertEquals(mServer.waiting(), 0);
+    }
+
+    // Guards against running requests that no longer count, so that engines are overfilled.
+    @Test
+    public void unlistedEntryIsAskedToRestore() {
+        assertEquals(restore(), ReportResult.CONFIRMED);
+        place(1);
+        assertEquals(mServer.apply(reports(SENDER).build()), ReportResult.CONFIRMED);
+        mServer.onMembersChanged(Set.of(SELF));
+        assertEquals(mServer.placed(), 0);
+        assertEquals(mServer.apply(reports(SENDER).build()), ReportResult.RESTORE_NEEDED);
+        assertEquals(restore(held(needs(1, 600))), ReportResult.CONFIRMED);
+        assertEquals(mServer.placed(), 1);
+        assertEquals(mServer.apply(reports(SENDER).build()), ReportResult.CONFIRMED);
+    }
+
+    // Guards against a malformed request that stops all reports of its entry.
+    @Test
+    public void malformedHeldRequestIsSkipped() {
+        PlacementNeeds malformed = needs(1, 10).toBuilder().setPrefixTokens(20).build();
+        assertEquals(restore(held(malformed), held(needs(2, 600))), ReportResult.CONFIRMED);
+        assertEquals(mServer.placed(), 1);
+    }
+
+    @Test
+    public void malformedRequestIsInvalid() {
+        PlacementQuery query =
+                PlacementQuery.newBuilder()
+                        .setGroup(OneEngine.GROUP.value())
+                        .setSender(SENDER.encode())
+                        .setNeeds(needs(1, -1))
+                        .build();
+        assertThrows(IllegalArgumentException.class, () -> mServer.place(query, new Outcome("r1")));
+        place(2);
+        assertEquals(mOutcomes, List.of("r2 engine"));
+    }
+
+    // Guards against an entry whose clock was set back, and whose reports are lost unnoticed.
+    @Test
+    public void reportsOfEarlierIncarnationAreRefused() {
+        assertEquals(restore(), ReportResult.CONFIRMED);
+        EntryIncarnation earlier = new EntryIncarnation(ENTRY, 1);
+        assertEquals(mServer.apply(reports(earlier).build()), ReportResult.REFUSED);
+    }
+
+    // Guards against numbers of requests that do not fit into 32 bits.
+    @Test
+    public void largeNumbersAreDistinct() {
+        place(1);
+        place((1L << 32) + 1);
+        assertEquals(mServer.placed(), 1);
+        assertEquals(mServer.waiting(), 1);
+        PlacementReport ended =
+                PlacementReport.newBuilder()
+                        .setNumber(1)
+                        .setEvent(PlacementEvent.PLACEMENT_EVENT_COMPLETED)
+                        .build();
+        mServer.apply(reports(SENDER).addReports(ended).build());
+        assertTrue(mOutcomes.contains("r" + ((1L << 32) + 1) + " engine"), "" + mOutcomes);
+    }
+
+    /** Records what becomes of one request. */
+    private final class Outcome implements PlacementServer.Receiver {
+
+        private final String mId;
+
+        Outcome(String id) {
+            mId = id;
+        }
+
+        @Override
+        public void onDecision(PlacementDecision decision) {
+            mOutcomes.add(mId + " " + decision.getEngine() + decision.getRefusal());
+        }
+
+        @Override
+        public void onSenderEnded() {
+            mOutcomes.add(mId + " ended");
+        }
+    }
+}
--- a/wire/src/main/java/org/boragethread/wire/proto/Peer.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Peer.java
@@ -86,10 +86,10 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_boragethread_peer_TopicRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_boragethread_peer_PlacementAsked_descriptor;
+    internal_static_boragethread_peer_PlacementQuery_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_boragethread_peer_PlacementAsked_fieldAccessorTable;
+      internal_static_boragethread_peer_PlacementQuery_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_boragethread_peer_PlacementSender_descriptor;
   static final 
@@ -166,12 +166,12 @@
       "\010key_high\030\001 \001(\006\022\017\n\007key_low\030\002 \001(\006\"H\n\013Topi" +
       "cRecord\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\022\n\005" +
       "value\030\003 \001(\014H\000\210\001\001B\010\n\006_value\"\205\001\n\016Placement" +
-      "Asked\022\r\n\005group\030\001 \001(\t\0222\n\006sender\030\002 \001(\0132\".b" +
+      "Query\022\r\n\005group\030\001 \001(\t\0222\n\006sender\030\002 \001(\0132\".b" +
       "oragethread.peer.PlacementSender\0220\n\005need" +
       "s\030\003 \001(\0132!.boragethread.peer.PlacementNee" +
       "ds\"/\n\017PlacementSender\022\017\n\007address\030\001 \001(\t\022\013" +
       "\n\003run\030\002 \001(\003\"\214\003\n\016PlacementNeeds\022\016\n\006number" +
-      "\030\001 \001(\005\022\022\n\nrequest_id\030\002 \001(\t\022\023\n\013prefix_has" +
+      "\030\001 \001(\003\022\022\n\nrequest_id\030\002 \001(\t\022\023\n\013prefix_has" +
       "h\030\003 \001(\006\022\025\n\rprefix_tokens\030\004 \001(\003\022\025\n\rprompt" +
       "_tokens\030\005 \001(\003\022\025\n\routput_tokens\030\006 \001(\003\022\020\n\010" +
       "priority\030\007 \001(\005\022\014\n\004team\030\010 \001(\t\022\031\n\021target_l" +
@@ -191,22 +191,23 @@
       "\022.\n\004held\030\004 \003(\0132 .boragethread.peer.Place" +
       "mentHeld\0223\n\007reports\030\005 \003(\0132\".boragethread" +
       ".peer.PlacementReportB\n\n\010_restore\"Z\n\020Pla" +
-      "cementRestore\022\026\n\016complete_below\030\001 \001(\005\022.\n" +
+      "cementRestore\022\026\n\016complete_below\030\001 \001(\003\022.\n" +
       "\004held\030\002 \003(\0132 .boragethread.peer.Placemen" +
       "tHeld\"~\n\rPlacementHeld\0220\n\005needs\030\001 \001(\0132!." +
       "boragethread.peer.PlacementNeeds\022\016\n\006engi" +
       "ne\030\002 \001(\t\022\021\n\tage_nanos\030\003 \001(\003\022\030\n\020first_eve" +
       "nt_seen\030\004 \001(\010\"p\n\017PlacementReport\022\016\n\006numb" +
-      "er\030\001 \001(\005\0220\n\005event\030\002 \001(\0162!.boragethread.p" +
+      "er\030\001 \001(\003\0220\n\005event\030\002 \001(\0162!.boragethread.p" +
       "eer.PlacementEvent\022\033\n\023response_time_nano" +
-      "s\030\003 \001(\003*\377\001\n\016PlacementEvent\022\037\n\033PLACEMENT_" +
+      "s\030\003 \001(\003*\236\002\n\016PlacementEvent\022\037\n\033PLACEMENT_" +
       "EVENT_UNSPECIFIED\020\000\022\037\n\033PLACEMENT_EVENT_F" +
       "IRST_EVENT\020\001\022\031\n\025PLACEMENT_EVENT_ENDED\020\002\022" +
       "\035\n\031PLACEMENT_EVENT_WITHDRAWN\020\003\022\034\n\030PLACEM" +
       "ENT_EVENT_REJECTED\020\004\022\033\n\027PLACEMENT_EVENT_" +
       "REFUSED\020\005\022\032\n\026PLACEMENT_EVENT_FAILED\020\006\022\032\n" +
-      "\026PLACEMENT_EVENT_BROKEN\020\007B\037\n\033org.boraget" +
-      "hread.wire.protoP\001b\006proto3"
+      "\026PLACEMENT_EVENT_BROKEN\020\007\022\035\n\031PLACEMENT_E" +
+      "VENT_COMPLETED\020\010B\037\n\033org.boragethread.wir" +
+      "e.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -284,11 +285,11 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_TopicRecord_descriptor,
         new java.lang.String[] { "Offset", "Key", "Value", });
-    internal_static_boragethread_peer_PlacementAsked_descriptor =
+    internal_static_boragethread_peer_PlacementQuery_descriptor =
       getDescriptor().getMessageTypes().get(12);
-    internal_static_boragethread_peer_PlacementAsked_fieldAccessorTable = new
+    internal_static_boragethread_peer_PlacementQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_boragethread_peer_PlacementAsked_descriptor,
+        internal_static_boragethread_peer_PlacementQuery_descriptor,
         new java.lang.String[] { "Group", "Sender", "Needs", });
     internal_static_boragethread_peer_PlacementSender_descriptor =
       getDescriptor().getMessageTypes().get(13);
--- a/wire/src/main/java/org/boragethread/wire/proto/PlacementEvent.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/PlacementEvent.java
@@ -20,7 +20,7 @@
   PLACEMENT_EVENT_FIRST_EVENT(1),
   /**
    * <pre>
-   * The response is complete, or was cancelled at the engine.
+   * The request was cancelled at the engine.
    * </pre>
    *
    * <code>PLACEMENT_EVENT_ENDED = 2;</code>
@@ -66,6 +66,14 @@
    * <code>PLACEMENT_EVENT_BROKEN = 7;</code>
    */
   PLACEMENT_EVENT_BROKEN(7),
+  /**
+   * <pre>
+   * The response is complete.
+   * </pre>
+   *
+   * <code>PLACEMENT_EVENT_COMPLETED = 8;</code>
+   */
+  PLACEMENT_EVENT_COMPLETED(8),
   UNRECOGNIZED(-1),
   ;
 
@@ -88,7 +96,7 @@
   public static final int PLACEMENT_EVENT_FIRST_EVENT_VALUE = 1;
   /**
    * <pre>
-   * The response is complete, or was cancelled at the engine.
+   * The request was cancelled at the engine.
    * </pre>
    *
    * <code>PLACEMENT_EVENT_ENDED = 2;</code>
@@ -134,6 +142,14 @@
    * <code>PLACEMENT_EVENT_BROKEN = 7;</code>
    */
   public static final int PLACEMENT_EVENT_BROKEN_VALUE = 7;
+  /**
+   * <pre>
+   * The response is complete.
+   * </pre>
+   *
+   * <code>PLACEMENT_EVENT_COMPLETED = 8;</code>
+   */
+  public static final int PLACEMENT_EVENT_COMPLETED_VALUE = 8;
 
 
   public final int getNumber() {
@@ -168,6 +184,7 @@
       case 5: return PLACEMENT_EVENT_REFUSED;
       case 6: return PLACEMENT_EVENT_FAILED;
       case 7: return PLACEMENT_EVENT_BROKEN;
+      case 8: return PLACEMENT_EVENT_COMPLETED;
       default: return null;
     }
   }
--- a/wire/src/main/java/org/boragethread/wire/proto/PlacementNeeds.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/PlacementNeeds.java
@@ -58,17 +58,17 @@
   }
 
   public static final int NUMBER_FIELD_NUMBER = 1;
-  private int number_ = 0;
+  private long number_ = 0L;
   /**
    * <pre>
    * Number of the placement; a later one of the same run of the entry has a greater number.
    * </pre>
    *
-   * <code>int32 number = 1;</code>
+   * <code>int64 number = 1;</code>
    * @return The number.
    */
   @java.lang.Override
-  public int getNumber() {
+  public long getNumber() {
     return number_;
   }
 
@@ -528,8 +528,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (number_ != 0) {
-      output.writeInt32(1, number_);
+    if (number_ != 0L) {
+      output.writeInt64(1, number_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, requestId_);
@@ -588,9 +588,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (number_ != 0) {
+    if (number_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(1, number_);
+        .computeInt64Size(1, number_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, requestId_);
@@ -726,7 +726,8 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + NUMBER_FIELD_NUMBER;
-    hash = (53 * hash) + getNumber();
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getNumber());
     hash = (37 * hash) + REQUEST_ID_FIELD_NUMBER;
     hash = (53 * hash) + getRequestId().hashCode();
     hash = (37 * hash) + PREFIX_HASH_FIELD_NUMBER;
@@ -909,7 +910,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      number_ = 0;
+      number_ = 0L;
       requestId_ = "";
       prefixHash_ = 0L;
       prefixTokens_ = 0L;
@@ -1030,7 +1031,7 @@
 
     public Builder mergeFrom(org.boragethread.wire.proto.PlacementNeeds other) {
       if (other == org.boragethread.wire.proto.PlacementNeeds.getDefaultInstance()) return this;
-      if (other.getNumber() != 0) {
+      if (other.getNumber() != 0L) {
         setNumber(other.getNumber());
       }
       if (!other.getRequestId().isEmpty()) {
@@ -1137,7 +1138,7 @@
               done = true;
               break;
             case 8: {
-              number_ = input.readInt32();
+              number_ = input.readInt64();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
@@ -1241,17 +1242,17 @@
     }
     private int bitField0_;
 
-    private int number_ ;
+    private long number_ ;
     /**
      * <pre>
      * Number of the placement; a later one of the same run of the entry has a greater number.
      * </pre>
      *
-     * <code>int32 number = 1;</code>
+     * <code>int64 number = 1;</code>
      * @return The number.
      */
     @java.lang.Override
-    public int getNumber() {
+    public long getNumber() {
       return number_;
     }
     /**
@@ -1259,11 +1260,11 @@
      * Number of the placement; a later one of the same run of the entry has a greater number.
      * </pre>
      *
-     * <code>int32 number = 1;</code>
+     * <code>int64 number = 1;</code>
      * @param value The number to set.
      * @return This builder for chaining.
      */
-    public Builder setNumber(int value) {
+    public Builder setNumber(long value) {
 
       number_ = value;
       bitField0_ |= 0x00000001;
@@ -1275,12 +1276,12 @@
      * Number of the placement; a later one of the same run of the entry has a greater number.
      * </pre>
      *
-     * <code>int32 number = 1;</code>
+     * <code>int64 number = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearNumber() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      number_ = 0;
+      number_ = 0L;
       onChanged();
       return this;
     }
--- a/wire/src/main/java/org/boragethread/wire/proto/PlacementNeedsOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/PlacementNeedsOrBuilder.java
@@ -14,10 +14,10 @@
    * Number of the placement; a later one of the same run of the entry has a greater number.
    * </pre>
    *
-   * <code>int32 number = 1;</code>
+   * <code>int64 number = 1;</code>
    * @return The number.
    */
-  int getNumber();
+  long getNumber();
 
   /**
    * <code>string request_id = 2;</code>
--- a/wire/src/main/java/org/boragethread/wire/proto/PlacementAsked.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/PlacementQuery.java
@@ -12,12 +12,12 @@
  * available. Closing the connection before that withdraws the request.
  * </pre>
  *
- * Protobuf type {@code boragethread.peer.PlacementAsked}
+ * Protobuf type {@code boragethread.peer.PlacementQuery}
  */
-public final class PlacementAsked extends
+public final class PlacementQuery extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:boragethread.peer.PlacementAsked)
-    PlacementAskedOrBuilder {
+    // @@protoc_insertion_point(message_implements:boragethread.peer.PlacementQuery)
+    PlacementQueryOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -26,27 +26,27 @@
       /* minor= */ 29,
       /* patch= */ 3,
       /* suffix= */ "",
-      PlacementAsked.class.getName());
+      PlacementQuery.class.getName());
   }
-  // Use PlacementAsked.newBuilder() to construct.
-  private PlacementAsked(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use PlacementQuery.newBuilder() to construct.
+  private PlacementQuery(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private PlacementAsked() {
+  private PlacementQuery() {
     group_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.boragethread.wire.proto.Peer.internal_static_boragethread_peer_PlacementAsked_descriptor;
+    return org.boragethread.wire.proto.Peer.internal_static_boragethread_peer_PlacementQuery_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.boragethread.wire.proto.Peer.internal_static_boragethread_peer_PlacementAsked_fieldAccessorTable
+    return org.boragethread.wire.proto.Peer.internal_static_boragethread_peer_PlacementQuery_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.boragethread.wire.proto.PlacementAsked.class, org.boragethread.wire.proto.PlacementAsked.Builder.class);
+            org.boragethread.wire.proto.PlacementQuery.class, org.boragethread.wire.proto.PlacementQuery.Builder.class);
   }
 
   private int bitField0_;
@@ -194,10 +194,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.boragethread.wire.proto.PlacementAsked)) {
+    if (!(obj instanceof org.boragethread.wire.proto.PlacementQuery)) {
       return super.equals(obj);
     }
-    org.boragethread.wire.proto.PlacementAsked other = (org.boragethread.wire.proto.PlacementAsked) obj;
+    org.boragethread.wire.proto.PlacementQuery other = (org.boragethread.wire.proto.PlacementQuery) obj;
 
     if (!getGroup()
         .equals(other.getGroup())) return false;
@@ -237,44 +237,44 @@
     return hash;
   }
 
-  public static org.boragethread.wire.proto.PlacementAsked parseFrom(
+  public static org.boragethread.wire.proto.PlacementQuery parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.boragethread.wire.proto.PlacementAsked parseFrom(
+  public static org.boragethread.wire.proto.PlacementQuery parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.boragethread.wire.proto.PlacementAsked parseFrom(
+  public static org.boragethread.wire.proto.PlacementQuery parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.boragethread.wire.proto.PlacementAsked parseFrom(
+  public static org.boragethread.wire.proto.PlacementQuery parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.boragethread.wire.proto.PlacementAsked parseFrom(byte[] data)
+  public static org.boragethread.wire.proto.PlacementQuery parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.boragethread.wire.proto.PlacementAsked parseFrom(
+  public static org.boragethread.wire.proto.PlacementQuery parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.boragethread.wire.proto.PlacementAsked parseFrom(java.io.InputStream input)
+  public static org.boragethread.wire.proto.PlacementQuery parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.boragethread.wire.proto.PlacementAsked parseFrom(
+  public static org.boragethread.wire.proto.PlacementQuery parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -282,26 +282,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.boragethread.wire.proto.PlacementAsked parseDelimitedFrom(java.io.InputStream input)
+  public static org.boragethread.wire.proto.PlacementQuery parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.boragethread.wire.proto.PlacementAsked parseDelimitedFrom(
+  public static org.boragethread.wire.proto.PlacementQuery parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.boragethread.wire.proto.PlacementAsked parseFrom(
+  public static org.boragethread.wire.proto.PlacementQuery parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.boragethread.wire.proto.PlacementAsked parseFrom(
+  public static org.boragethread.wire.proto.PlacementQuery parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -314,7 +314,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.boragethread.wire.proto.PlacementAsked prototype) {
+  public static Builder newBuilder(org.boragethread.wire.proto.PlacementQuery prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -336,26 +336,26 @@
    * available. Closing the connection before that withdraws the request.
    * </pre>
    *
-   * Protobuf type {@code boragethread.peer.PlacementAsked}
+   * Protobuf type {@code boragethread.peer.PlacementQuery}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:boragethread.peer.PlacementAsked)
-      org.boragethread.wire.proto.PlacementAskedOrBuilder {
+      // @@protoc_insertion_point(builder_implements:boragethread.peer.PlacementQuery)
+      org.boragethread.wire.proto.PlacementQueryOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.boragethread.wire.proto.Peer.internal_static_boragethread_peer_PlacementAsked_descriptor;
+      return org.boragethread.wire.proto.Peer.internal_static_boragethread_peer_PlacementQuery_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.boragethread.wire.proto.Peer.internal_static_boragethread_peer_PlacementAsked_fieldAccessorTable
+      return org.boragethread.wire.proto.Peer.internal_static_boragethread_peer_PlacementQuery_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.boragethread.wire.proto.PlacementAsked.class, org.boragethread.wire.proto.PlacementAsked.Builder.class);
+              org.boragethread.wire.proto.PlacementQuery.class, org.boragethread.wire.proto.PlacementQuery.Builder.class);
     }
 
-    // Construct using org.boragethread.wire.proto.PlacementAsked.newBuilder()
+    // Construct using org.boragethread.wire.proto.PlacementQuery.newBuilder()
     private Builder() {
       maybeForceBuilderInitialization();
     }
@@ -393,17 +393,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.boragethread.wire.proto.Peer.internal_static_boragethread_peer_PlacementAsked_descriptor;
+      return org.boragethread.wire.proto.Peer.internal_static_boragethread_peer_PlacementQuery_descriptor;
     }
 
     @java.lang.Override
-    public org.boragethread.wire.proto.PlacementAsked getDefaultInstanceForType() {
-      return org.boragethread.wire.proto.PlacementAsked.getDefaultInstance();
+    public org.boragethread.wire.proto.PlacementQuery getDefaultInstanceForType() {
+      return org.boragethread.wire.proto.PlacementQuery.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.boragethread.wire.proto.PlacementAsked build() {
-      org.boragethread.wire.proto.PlacementAsked result = buildPartial();
+    public org.boragethread.wire.proto.PlacementQuery build() {
+      org.boragethread.wire.proto.PlacementQuery result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -411,14 +411,14 @@
     }
 
     @java.lang.Override
-    public org.boragethread.wire.proto.PlacementAsked buildPartial() {
-      org.boragethread.wire.proto.PlacementAsked result = new org.boragethread.wire.proto.PlacementAsked(this);
+    public org.boragethread.wire.proto.PlacementQuery buildPartial() {
+      org.boragethread.wire.proto.PlacementQuery result = new org.boragethread.wire.proto.PlacementQuery(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.boragethread.wire.proto.PlacementAsked result) {
+    private void buildPartial0(org.boragethread.wire.proto.PlacementQuery result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.group_ = group_;
@@ -441,16 +441,16 @@
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.boragethread.wire.proto.PlacementAsked) {
-        return mergeFrom((org.boragethread.wire.proto.PlacementAsked)other);
+      if (other instanceof org.boragethread.wire.proto.PlacementQuery) {
+        return mergeFrom((org.boragethread.wire.proto.PlacementQuery)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.boragethread.wire.proto.PlacementAsked other) {
-      if (other == org.boragethread.wire.proto.PlacementAsked.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.boragethread.wire.proto.PlacementQuery other) {
+      if (other == org.boragethread.wire.proto.PlacementQuery.getDefaultInstance()) return this;
       if (!other.getGroup().isEmpty()) {
         group_ = other.group_;
         bitField0_ |= 0x00000001;
@@ -838,23 +838,23 @@
       return needsBuilder_;
     }
 
-    // @@protoc_insertion_point(builder_scope:boragethread.peer.PlacementAsked)
+    // @@protoc_insertion_point(builder_scope:boragethread.peer.PlacementQuery)
   }
 
-  // @@protoc_insertion_point(class_scope:boragethread.peer.PlacementAsked)
-  private static final org.boragethread.wire.proto.PlacementAsked DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:boragethread.peer.PlacementQuery)
+  private static final org.boragethread.wire.proto.PlacementQuery DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.boragethread.wire.proto.PlacementAsked();
+    DEFAULT_INSTANCE = new org.boragethread.wire.proto.PlacementQuery();
   }
 
-  public static org.boragethread.wire.proto.PlacementAsked getDefaultInstance() {
+  public static org.boragethread.wire.proto.PlacementQuery getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<PlacementAsked>
-      PARSER = new com.google.protobuf.AbstractParser<PlacementAsked>() {
+  private static final com.google.protobuf.Parser<PlacementQuery>
+      PARSER = new com.google.protobuf.AbstractParser<PlacementQuery>() {
     @java.lang.Override
-    public PlacementAsked parsePartialFrom(
+    public PlacementQuery parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -873,17 +873,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<PlacementAsked> parser() {
+  public static com.google.protobuf.Parser<PlacementQuery> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<PlacementAsked> getParserForType() {
+  public com.google.protobuf.Parser<PlacementQuery> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.boragethread.wire.proto.PlacementAsked getDefaultInstanceForType() {
+  public org.boragethread.wire.proto.PlacementQuery getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/PlacementAskedOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/PlacementQueryOrBuilder.java
@@ -5,8 +5,8 @@
 
 package org.boragethread.wire.proto;
 
-public interface PlacementAskedOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:boragethread.peer.PlacementAsked)
+public interface PlacementQueryOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:boragethread.peer.PlacementQuery)
     com.google.protobuf.MessageOrBuilder {
 
   /**
--- a/wire/src/main/java/org/boragethread/wire/proto/PlacementReport.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/PlacementReport.java
@@ -44,17 +44,17 @@
   }
 
   public static final int NUMBER_FIELD_NUMBER = 1;
-  private int number_ = 0;
+  private long number_ = 0L;
   /**
    * <pre>
    * Number of the placement.
    * </pre>
    *
-   * <code>int32 number = 1;</code>
+   * <code>int64 number = 1;</code>
    * @return The number.
    */
   @java.lang.Override
-  public int getNumber() {
+  public long getNumber() {
     return number_;
   }
 
@@ -80,7 +80,7 @@
   private long responseTimeNanos_ = 0L;
   /**
    * <pre>
-   * Time from sending the request to the first event, in nanoseconds.
+   * Time from sending the request to the first event, in nanoseconds; 0 if it is not known.
    * </pre>
    *
    * <code>int64 response_time_nanos = 3;</code>
@@ -105,8 +105,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (number_ != 0) {
-      output.writeInt32(1, number_);
+    if (number_ != 0L) {
+      output.writeInt64(1, number_);
     }
     if (event_ != org.boragethread.wire.proto.PlacementEvent.PLACEMENT_EVENT_UNSPECIFIED.getNumber()) {
       output.writeEnum(2, event_);
@@ -123,9 +123,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (number_ != 0) {
+    if (number_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(1, number_);
+        .computeInt64Size(1, number_);
     }
     if (event_ != org.boragethread.wire.proto.PlacementEvent.PLACEMENT_EVENT_UNSPECIFIED.getNumber()) {
       size += com.google.protobuf.CodedOutputStream
@@ -167,7 +167,8 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + NUMBER_FIELD_NUMBER;
-    hash = (53 * hash) + getNumber();
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getNumber());
     hash = (37 * hash) + EVENT_FIELD_NUMBER;
     hash = (53 * hash) + event_;
     hash = (37 * hash) + RESPONSE_TIME_NANOS_FIELD_NUMBER;
@@ -304,7 +305,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      number_ = 0;
+      number_ = 0L;
       event_ = 0;
       responseTimeNanos_ = 0L;
       return this;
@@ -363,7 +364,7 @@
 
     public Builder mergeFrom(org.boragethread.wire.proto.PlacementReport other) {
       if (other == org.boragethread.wire.proto.PlacementReport.getDefaultInstance()) return this;
-      if (other.getNumber() != 0) {
+      if (other.getNumber() != 0L) {
         setNumber(other.getNumber());
       }
       if (other.event_ != 0) {
@@ -399,7 +400,7 @@
               done = true;
               break;
             case 8: {
-              number_ = input.readInt32();
+              number_ = input.readInt64();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
@@ -430,17 +431,17 @@
     }
     private int bitField0_;
 
-    private int number_ ;
+    private long number_ ;
     /**
      * <pre>
      * Number of the placement.
      * </pre>
      *
-     * <code>int32 number = 1;</code>
+     * <code>int64 number = 1;</code>
      * @return The number.
      */
     @java.lang.Override
-    public int getNumber() {
+    public long getNumber() {
       return number_;
     }
     /**
@@ -448,11 +449,11 @@
      * Number of the placement.
      * </pre>
      *
-     * <code>int32 number = 1;</code>
+     * <code>int64 number = 1;</code>
      * @param value The number to set.
      * @return This builder for chaining.
      */
-    public Builder setNumber(int value) {
+    public Builder setNumber(long value) {
 
       number_ = value;
       bitField0_ |= 0x00000001;
@@ -464,12 +465,12 @@
      * Number of the placement.
      * </pre>
      *
-     * <code>int32 number = 1;</code>
+     * <code>int64 number = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearNumber() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      number_ = 0;
+      number_ = 0L;
       onChanged();
       return this;
     }
@@ -530,7 +531,7 @@
     private long responseTimeNanos_ ;
     /**
      * <pre>
-     * Time from sending the request to the first event, in nanoseconds.
+     * Time from sending the request to the first event, in nanoseconds; 0 if it is not known.
      * </pre>
      *
      * <code>int64 response_time_nanos = 3;</code>
@@ -542,7 +543,7 @@
     }
     /**
      * <pre>
-     * Time from sending the request to the first event, in nanoseconds.
+     * Time from sending the request to the first event, in nanoseconds; 0 if it is not known.
      * </pre>
      *
      * <code>int64 response_time_nanos = 3;</code>
@@ -558,7 +559,7 @@
     }
     /**
      * <pre>
-     * Time from sending the request to the first event, in nanoseconds.
+     * Time from sending the request to the first event, in nanoseconds; 0 if it is not known.
      * </pre>
      *
      * <code>int64 response_time_nanos = 3;</code>
--- a/wire/src/main/java/org/boragethread/wire/proto/PlacementReportOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/PlacementReportOrBuilder.java
@@ -14,10 +14,10 @@
    * Number of the placement.
    * </pre>
    *
-   * <code>int32 number = 1;</code>
+   * <code>int64 number = 1;</code>
    * @return The number.
    */
-  int getNumber();
+  long getNumber();
 
   /**
    * <code>.boragethread.peer.PlacementEvent event = 2;</code>
@@ -32,7 +32,7 @@
 
   /**
    * <pre>
-   * Time from sending the request to the first event, in nanoseconds.
+   * Time from sending the request to the first event, in nanoseconds; 0 if it is not known.
    * </pre>
    *
    * <code>int64 response_time_nanos = 3;</code>
--- a/wire/src/main/java/org/boragethread/wire/proto/PlacementRestore.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/PlacementRestore.java
@@ -49,17 +49,17 @@
   }
 
   public static final int COMPLETE_BELOW_FIELD_NUMBER = 1;
-  private int completeBelow_ = 0;
+  private long completeBelow_ = 0L;
   /**
    * <pre>
    * Placements with a lower number that are not listed have ended.
    * </pre>
    *
-   * <code>int32 complete_below = 1;</code>
+   * <code>int64 complete_below = 1;</code>
    * @return The completeBelow.
    */
   @java.lang.Override
-  public int getCompleteBelow() {
+  public long getCompleteBelow() {
     return completeBelow_;
   }
 
@@ -118,8 +118,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (completeBelow_ != 0) {
-      output.writeInt32(1, completeBelow_);
+    if (completeBelow_ != 0L) {
+      output.writeInt64(1, completeBelow_);
     }
     for (int i = 0; i < held_.size(); i++) {
       output.writeMessage(2, held_.get(i));
@@ -133,9 +133,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (completeBelow_ != 0) {
+    if (completeBelow_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(1, completeBelow_);
+        .computeInt64Size(1, completeBelow_);
     }
     for (int i = 0; i < held_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
@@ -172,7 +172,8 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + COMPLETE_BELOW_FIELD_NUMBER;
-    hash = (53 * hash) + getCompleteBelow();
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getCompleteBelow());
     if (getHeldCount() > 0) {
       hash = (37 * hash) + HELD_FIELD_NUMBER;
       hash = (53 * hash) + getHeldList().hashCode();
@@ -313,7 +314,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      completeBelow_ = 0;
+      completeBelow_ = 0L;
       if (heldBuilder_ == null) {
         held_ = java.util.Collections.emptyList();
       } else {
@@ -384,7 +385,7 @@
 
     public Builder mergeFrom(org.boragethread.wire.proto.PlacementRestore other) {
       if (other == org.boragethread.wire.proto.PlacementRestore.getDefaultInstance()) return this;
-      if (other.getCompleteBelow() != 0) {
+      if (other.getCompleteBelow() != 0L) {
         setCompleteBelow(other.getCompleteBelow());
       }
       if (heldBuilder_ == null) {
@@ -440,7 +441,7 @@
               done = true;
               break;
             case 8: {
-              completeBelow_ = input.readInt32();
+              completeBelow_ = input.readInt64();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
@@ -474,17 +475,17 @@
     }
     private int bitField0_;
 
-    private int completeBelow_ ;
+    private long completeBelow_ ;
     /**
      * <pre>
      * Placements with a lower number that are not listed have ended.
      * </pre>
      *
-     * <code>int32 complete_below = 1;</code>
+     * <code>int64 complete_below = 1;</code>
      * @return The completeBelow.
      */
     @java.lang.Override
-    public int getCompleteBelow() {
+    public long getCompleteBelow() {
       return completeBelow_;
     }
     /**
@@ -492,11 +493,11 @@
      * Placements with a lower number that are not listed have ended.
      * </pre>
      *
-     * <code>int32 complete_below = 1;</code>
+     * <code>int64 complete_below = 1;</code>
      * @param value The completeBelow to set.
      * @return This builder for chaining.
      */
-    public Builder setCompleteBelow(int value) {
+    public Builder setCompleteBelow(long value) {
 
       completeBelow_ = value;
       bitField0_ |= 0x00000001;
@@ -508,12 +509,12 @@
      * Placements with a lower number that are not listed have ended.
      * </pre>
      *
-     * <code>int32 complete_below = 1;</code>
+     * <code>int64 complete_below = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearCompleteBelow() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      completeBelow_ = 0;
+      completeBelow_ = 0L;
       onChanged();
       return this;
     }
--- a/wire/src/main/java/org/boragethread/wire/proto/PlacementRestoreOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/PlacementRestoreOrBuilder.java
@@ -14,10 +14,10 @@
    * Placements with a lower number that are not listed have ended.
    * </pre>
    *
-   * <code>int32 complete_below = 1;</code>
+   * <code>int64 complete_below = 1;</code>
    * @return The completeBelow.
    */
-  int getCompleteBelow();
+  long getCompleteBelow();
 
   /**
    * <code>repeated .boragethread.peer.PlacementHeld held = 2;</code>
