--- a/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
@@ -103,10 +103,15 @@
         mTokens -= placed.request().memoryTokens();
     }
 
-    /** Removes a request that the engine has not run. */
-    void removeNotRun(PlacedRequest placed, long now) {
+    /** Removes a request whose entry has gone or may not have sent it, which says nothing here. */
+    void withdraw(PlacedRequest placed, long now) {
         endPrompt(placed, now);
         remove(placed, now);
+    }
+
+    /** Removes a request that the engine has not run. */
+    void removeNotRun(PlacedRequest placed, long now) {
+        withdraw(placed, now);
         if (placed.isPrefixAdded()) {
             mPrefixes.remove(placed.request().prefixHash());
         }
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -161,7 +161,8 @@
      */
     public void withdraw(PlacementKey key) {
         mQueue.remove(key).ifPresent(mReservations::release);
-        onEnded(key);
+        mPlaced.remove(key).ifPresent(placed -> placed.engine().withdraw(placed, mTime.nanoTime()));
+        dispatch();
     }
 
     /**
@@ -196,8 +197,7 @@
             return;
         }
         long completedAt = Math.min(now, placed.placedAt() + Math.max(0, responseTime.toNanos()));
-        double delay = (now - completedAt) / 1e6;
-        mReportMillis += REPORT_WEIGHT * (delay - mReportMillis);
+        mReportMillis += REPORT_WEIGHT * ((now - completedAt) / 1e6 - mReportMillis);
         OptionalDouble millis = placed.engine().onProcessed(placed, completedAt, now);
         millis.ifPresent(value -> mTimes.add(placed.prefillTokens(), value, now));
         mPlaced.markFirstEventSeen(placed);
