--- a/standins/src/main/java/org/boragethread/standins/store/StoreStandIn.java
+++ b/standins/src/main/java/org/boragethread/standins/store/StoreStandIn.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.Executors;
@@ -27,6 +28,9 @@
     /** Topic of the records that operators write. */
     public static final String OPERATOR_TOPIC = "keyed.op";
 
+    /** Topic of the states of operators' orders. */
+    public static final String STATUS_TOPIC = "keyed.status";
+
     /** Topic of upstream announcements. */
     public static final String UPSTREAM_TOPIC = "keyed.servers";
 
@@ -85,6 +89,26 @@
         return new ArrayList<>(topic(topic).mLatest.keySet());
     }
 
+    /** Returns the value of a key; empty if the topic does not have it. */
+    public synchronized Optional<String> value(String topic, String key) {
+        return Optional.ofNullable(topic(topic).mLatest.get(key))
+                .map(bytes -> new String(bytes, StandardCharsets.UTF_8));
+    }
+
+    /** Returns all values that a key has ever had, oldest first; empty ones removed it. */
+    public synchronized List<String> history(String topic, String key) {
+        List<String> values = new ArrayList<>();
+        for (byte[] record : topic(topic).mLog) {
+            int length = Byte.toUnsignedInt(record[0]);
+            if (key.equals(new String(record, 1, length, StandardCharsets.UTF_8))) {
+                int start = 1 + length;
+                values.add(
+                        new String(record, start, record.length - start, StandardCharsets.UTF_8));
+            }
+        }
+        return values;
+    }
+
     /** Sets whether every call is answered with status 503. */
     public synchronized void setDown(boolean down) {
         mDown = down;
@@ -155,6 +179,11 @@
 
     private void append(Exchange exchange) {
         String topic = exchange.query("topic").orElse("");
+        long end = topicSize(topic);
+        if (exchange.queryLong("at", end) != end) {
+            respond(exchange, StandInResponse.json(412, Map.of("end_offset", end)));
+            return;
+        }
         ByteBuffer body = ByteBuffer.wrap(exchange.body());
         while (body.hasRemaining()) {
             byte[] record = new byte[body.getInt()];
