--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
@@ -0,0 +1,72 @@
+package org.boragethread.core.rollout;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.boragethread.model.upstream.SoftwareVersion;
+
+/**
+ * State of the latest order of a group, as recorded in {@code rollout-state/SERVICE}.
+ *
+ * @param order the order
+ * @param phase its phase
+ * @param revision number of the state; increases with each state of the group, over all orders
+ * @param withdrawn whether the operator removed the request; the same request is a new order then
+ * @param rejected versions that earlier orders rolled back, the oldest first; at most {@link
+ *     #MAX_REJECTED}
+ */
+public record RolloutState(
+        RolloutOrder order,
+        RolloutPhase phase,
+        long revision,
+        boolean withdrawn,
+        List<SoftwareVersion> rejected) {
+
+    /** Upstreams of a rejected version drain within seconds, so that few versions are kept. */
+    public static final int MAX_REJECTED = 8;
+
+    public RolloutState {
+        rejected = List.copyOf(rejected);
+    }
+
+    /** Returns the first state of an order. */
+    static RolloutState begin(
+            RolloutRequest request, long nowMillis, long revision, List<SoftwareVersion> rejected) {
+        return new RolloutState(
+                new RolloutOrder(request, nowMillis),
+                RolloutPhase.TRIAL,
+                revision,
+                false,
+                rejected);
+    }
+
+    /** Returns the next state of the same order. */
+    RolloutState next(RolloutPhase phase) {
+        return new RolloutState(order, phase, revision + 1, withdrawn, rejected);
+    }
+
+    /** Returns this state, with the request removed. */
+    RolloutState withdraw() {
+        return new RolloutState(order, phase, revision + 1, true, rejected);
+    }
+
+    /** Returns the versions that are rejected when another version is rolled out next. */
+    List<SoftwareVersion> rejectedBefore(SoftwareVersion nextTarget) {
+        List<SoftwareVersion> versions = new ArrayList<>(rejected);
+        versions.remove(target());
+        if (phase == RolloutPhase.ROLLED_BACK) {
+            versions.add(target());
+        }
+        versions.remove(nextTarget);
+        int first = Math.max(0, versions.size() - MAX_REJECTED);
+        return versions.subList(first, versions.size());
+    }
+
+    public SoftwareVersion target() {
+        return order.request().target();
+    }
+
+    /** Returns whether the state is the one of a request that has not been removed since. */
+    boolean isOf(RolloutRequest request) {
+        return !withdrawn && order.request().equals(request);
+    }
+}
