--- a/wire/src/main/java/org/boragethread/wire/proto/Peer.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Peer.java
@@ -85,6 +85,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_boragethread_peer_TopicRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_RolloutReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_RolloutReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_RolloutRouteCounts_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_RolloutRouteCounts_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_RolloutVersionCounts_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_RolloutVersionCounts_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -124,8 +139,18 @@
       "on\030\005 \001(\t\"0\n\013StreamQuery\022\020\n\010key_high\030\001 \001(" +
       "\006\022\017\n\007key_low\030\002 \001(\006\"H\n\013TopicRecord\022\016\n\006off" +
       "set\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\022\n\005value\030\003 \001(\014H\000\210" +
-      "\001\001B\010\n\006_valueB\037\n\033org.boragethread.wire.pr" +
-      "otoP\001b\006proto3"
+      "\001\001B\010\n\006_value\"\243\001\n\rRolloutReport\022\017\n\007addres" +
+      "s\030\001 \001(\t\022\022\n\nstarted_at\030\002 \001(\003\022\020\n\010sequence\030" +
+      "\003 \001(\003\022\r\n\005state\030\004 \001(\014\022\025\n\rold_in_flight\030\005 " +
+      "\001(\003\0225\n\006routes\030\006 \003(\0132%.boragethread.peer." +
+      "RolloutRouteCounts\"\222\001\n\022RolloutRouteCount" +
+      "s\022\r\n\005route\030\001 \001(\t\0224\n\003old\030\002 \001(\0132\'.borageth" +
+      "read.peer.RolloutVersionCounts\0227\n\006target" +
+      "\030\003 \001(\0132\'.boragethread.peer.RolloutVersio" +
+      "nCounts\"`\n\024RolloutVersionCounts\022\021\n\trespo" +
+      "nses\030\001 \001(\003\022\020\n\010failures\030\002 \001(\003\022\024\n\014all_fail" +
+      "ures\030\003 \001(\003\022\r\n\005times\030\004 \003(\003B\037\n\033org.boraget" +
+      "hread.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -203,6 +228,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_TopicRecord_descriptor,
         new java.lang.String[] { "Offset", "Key", "Value", });
+    internal_static_boragethread_peer_RolloutReport_descriptor =
+      getDescriptor().getMessageTypes().get(12);
+    internal_static_boragethread_peer_RolloutReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_RolloutReport_descriptor,
+        new java.lang.String[] { "Address", "StartedAt", "Sequence", "State", "OldInFlight", "Routes", });
+    internal_static_boragethread_peer_RolloutRouteCounts_descriptor =
+      getDescriptor().getMessageTypes().get(13);
+    internal_static_boragethread_peer_RolloutRouteCounts_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_RolloutRouteCounts_descriptor,
+        new java.lang.String[] { "Route", "Old", "Target", });
+    internal_static_boragethread_peer_RolloutVersionCounts_descriptor =
+      getDescriptor().getMessageTypes().get(14);
+    internal_static_boragethread_peer_RolloutVersionCounts_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_RolloutVersionCounts_descriptor,
+        new java.lang.String[] { "Responses", "Failures", "AllFailures", "Times", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
