Restrict the choice of an upstream by version, and stop a follower

A request for an upstream carries the rule of a roll-out, which allows every upstream without one. A follower can be stopped, since the states of roll-outs are read only while there is an order.

--- a/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
+++ b/core/src/main/java/org/boragethread/core/follow/TopicFollower.java
@@ -39,6 +39,7 @@
     private boolean mIncomplete;
     private boolean mSnapshotDue;
     private int mRetryFactor = 1;
+    private boolean mStopped;
 
     /**
      * Creates a follower that has not started.
@@ -69,11 +70,20 @@
         mActivity.run(this::readSnapshot);
     }
 
+    /** Stops reading for good; the listener is not called any more. */
+    public void stop() {
+        mStopped = true;
+        mRelay.stop();
+    }
+
     private void restart() {
         mScheduler.schedule(mTiming.retry(), mActivity.bind(this::readSnapshot));
     }
 
     private void readSnapshot() {
+        if (mStopped) {
+            return;
+        }
         readSnapshotPart(Optional.empty(), new Snapshot(ClockReading.now(mTime)));
     }
 
@@ -83,6 +93,9 @@
     }
 
     private void onSnapshotPart(Either<ReadFailure, SnapshotPart> response, Snapshot snapshot) {
+        if (mStopped) {
+            return;
+        }
         if (response.isLeft()) {
             onFailure(response.getLeft());
             runAfter(mTiming.retry(), this::readSnapshot);
@@ -116,6 +129,9 @@
     }
 
     private void readRecords() {
+        if (mStopped) {
+            return;
+        }
         if (mSnapshotDue) {
             readSnapshot();
             return;
@@ -127,6 +143,9 @@
     }
 
     private void onPage(Either<ReadFailure, RecordPage> response, ClockReading sentAt) {
+        if (mStopped) {
+            return;
+        }
         if (response.isLeft()) {
             if (response.getLeft().trimmed()) {
                 readSnapshot();
--- a/core/src/main/java/org/boragethread/core/upstream/ChoiceRequest.java
+++ b/core/src/main/java/org/boragethread/core/upstream/ChoiceRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.boragethread.core.rollout.VersionRule;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.SoftwareVersion;
@@ -20,6 +21,7 @@
  * @param inputDataCentre data centre that stores the inputs of the request; empty for that of this
  *     process
  * @param remoteMillis delay assumed for a call to another data centre, transfer time included
+ * @param versions upstreams that a roll-out allows at present
  */
 public record ChoiceRequest(
         RoutedGroup group,
@@ -31,8 +33,51 @@
         ResponseTimeModel times,
         Set<DataCentreId> evacuated,
         Optional<DataCentreId> inputDataCentre,
-        double remoteMillis) {
+        double remoteMillis,
+        VersionRule versions) {
 
     /** Delay assumed for a call to another data centre if little data is transferred. */
     public static final double REMOTE_MILLIS = 4;
+
+    /** Creates a request that no roll-out restricts. */
+    public ChoiceRequest(
+            RoutedGroup group,
+            Set<String> regions,
+            Set<UpstreamNode> excluded,
+            Optional<SoftwareVersion> softwareVersion,
+            long affinity,
+            double prefixTokens,
+            ResponseTimeModel times,
+            Set<DataCentreId> evacuated,
+            Optional<DataCentreId> inputDataCentre,
+            double remoteMillis) {
+        this(
+                group,
+                regions,
+                excluded,
+                softwareVersion,
+                affinity,
+                prefixTokens,
+                times,
+                evacuated,
+                inputDataCentre,
+                remoteMillis,
+                VersionRule.ANY);
+    }
+
+    /** Returns the request with other upstreams allowed by a roll-out. */
+    public ChoiceRequest withVersions(VersionRule rule) {
+        return new ChoiceRequest(
+                group,
+                regions,
+                excluded,
+                softwareVersion,
+                affinity,
+                prefixTokens,
+                times,
+                evacuated,
+                inputDataCentre,
+                remoteMillis,
+                rule);
+    }
 }
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -190,7 +190,11 @@
                                         isDoubtful(node)
                                                 && isPlaceAllowed(node, request)
                                                 && isOfNeededVersion(
-                                                        request, node.entry().softwareVersion()));
+                                                        request, node.entry().softwareVersion())
+                                                && request.versions()
+                                                        .allows(
+                                                                node.entry().id(),
+                                                                node.entry().softwareVersion()));
     }
 
     /**
@@ -221,7 +225,9 @@
     }
 
     private boolean isAllowed(UpstreamNode node, ChoiceRequest request) {
-        return isPlaceAllowed(node, request) && isOfNeededVersion(request, certainVersion(node));
+        return isPlaceAllowed(node, request)
+                && isOfNeededVersion(request, certainVersion(node))
+                && request.versions().allows(node.entry().id(), node.softwareVersion());
     }
 
     private boolean isDoubtful(UpstreamNode node) {
