Take part in roll-outs

Orders are read with the configuration, states are followed while there is an order, and sends of every kind are counted with their ends by version and route. Without [rollouts] in the settings nothing changes, and an order is logged as not served.

--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.boragethread.core.rollout.SendKind;
 import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamNode;
 
@@ -40,6 +41,18 @@
         return mParts.feedback().responseTimes();
     }
 
+    /**
+     * Counts a send to an upstream for the roll-out of the group, just before the attempt is
+     * created.
+     *
+     * @return whether the request may be sent there
+     */
+    boolean tryCount(UpstreamNode node) {
+        SendKind kind = mParts.counts().sends() == 0 ? SendKind.FIRST : SendKind.FURTHER;
+        return mGateway.rollouts()
+                .trySend(mParts.group().id(), mParts.admitted().route().label(), kind, node);
+    }
+
     /**
      * Counts an attempt and sends it.
      *
@@ -62,6 +75,7 @@
                 OutgoingRequest.of(mParts.request(), admitted, node, remaining())
                         .withInputs(mParts.stages().resultHandles(), admitted.pieceCount() > 0)
                         .resumeAfter(lastEvent)
-                        .toHttpCall());
+                        .toHttpCall(),
+                mGateway.rollouts().begin(mParts.group().id(), admitted.route().label(), node));
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/DirectoryBatchGroup.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.boragethread.core.rollout.VersionRule;
 import org.boragethread.core.stage.BatchGroup;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.BatchLimits;
@@ -16,10 +17,12 @@
 
     private final Gateway mGateway;
     private final GroupId mGroup;
+    private final StageRollouts mRollouts;
 
     DirectoryBatchGroup(Gateway gateway, GroupId group) {
         mGateway = gateway;
         mGroup = group;
+        mRollouts = new StageRollouts(gateway);
     }
 
     @Override
@@ -34,6 +37,16 @@
 
     @Override
     public List<UpstreamNode> upstreams() {
+        VersionRule trial = mRollouts.trialRule(mGroup);
+        if (!trial.isTrial()) {
+            return upstreams(mRollouts.rule(mGroup));
+        }
+        List<UpstreamNode> candidates = upstreams(trial);
+        candidates.addAll(upstreams(mRollouts.rule(mGroup)));
+        return candidates;
+    }
+
+    private List<UpstreamNode> upstreams(VersionRule versions) {
         long now = mGateway.time().nanoTime();
         List<UpstreamNode> usable = new ArrayList<>();
         List<UpstreamNode> avoided = new ArrayList<>();
@@ -41,6 +54,7 @@
             boolean excluded =
                     node.isLeaving()
                             || node.isPaused(now)
+                            || !versions.allows(node.entry().id(), node.softwareVersion())
                             || !mGateway.rateLimitShare().isCallAllowed(node, now)
                             || mGateway.routingTable()
                                     .evacuated()
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
 import java.util.Optional;
+import org.boragethread.core.rollout.SendKind;
+import org.boragethread.core.rollout.VersionRule;
 import org.boragethread.core.stage.StageFailure;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.upstream.ChoiceRequest;
@@ -85,7 +87,8 @@
                         mAdmitted,
                         mGateway.routingTable(),
                         mFeedback.responseTimes(),
-                        mContinuation::requiredVersion);
+                        mContinuation::requiredVersion,
+                        () -> rolloutRule(SendKind.FURTHER));
         RequestParts parts =
                 new RequestParts(
                         mRequest,
@@ -177,8 +180,9 @@
             return;
         }
         ChoiceRequest choice = mPlacement.choiceRequest();
-        Optional<UpstreamNode> node = mGateway.chooser().choose(choice);
-        if (node.isEmpty()) {
+        Optional<UpstreamNode> node =
+                chooseTrial(choice).or(() -> mGateway.chooser().choose(choice));
+        if (node.isEmpty() || !mSender.tryCount(node.get())) {
             searchAgain(choice);
             return;
         }
@@ -188,6 +192,18 @@
         silence().onActivity();
     }
 
+    /** Returns an upstream of a version on trial if the request is one of its share. */
+    private Optional<UpstreamNode> chooseTrial(ChoiceRequest choice) {
+        VersionRule trial = mCounts.sends() == 0 ? rolloutRule(SendKind.FIRST) : VersionRule.ANY;
+        return trial.isTrial()
+                ? mGateway.chooser().choose(choice.withVersions(trial))
+                : Optional.empty();
+    }
+
+    private VersionRule rolloutRule(SendKind kind) {
+        return mGateway.rollouts().rule(mGroup.id(), mAdmitted.route().label(), kind);
+    }
+
     private void searchAgain(ChoiceRequest choice) {
         mSearch.next(choice, remaining(), mRequest.unitHash())
                 .peek(mTrace::waiting)
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import org.boragethread.core.quarantine.Quarantine;
 import org.boragethread.core.resume.StreamOriginDirectory;
 import org.boragethread.core.retry.SharedRetryBudget;
+import org.boragethread.core.rollout.RolloutBounds;
 import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.core.stage.BatchClient;
 import org.boragethread.core.stage.BatchScheduler;
@@ -31,6 +33,9 @@
 import org.boragethread.core.upstream.StreamDurationModel;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamDirectory;
+import org.boragethread.entry.rollout.RolloutContext;
+import org.boragethread.entry.rollout.Rollouts;
+import org.boragethread.model.routing.Route;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.platform.store.StoreGroup;
@@ -65,6 +70,7 @@
     private final BatchClient mBatchClient;
     private final CoordinatorTable mCoordinators;
     private final StageRouter mStageRouter;
+    private final Rollouts mRollouts;
     private final Map<GroupId, RateLimitQueue> mRateLimitQueues = new HashMap<>();
     private final Map<GroupId, SharedRetryBudget> mRetryBudgets = new HashMap<>();
     private final Map<GroupId, ResponseTimeModel> mResponseTimes = new HashMap<>();
@@ -117,6 +123,8 @@
                         new StreamOriginClient(mConnections, mScheduler),
                         () -> metrics.onStreamOrigin("not-recorded"));
         mUpstreamSignals = new UpstreamSignals(mScheduler, time, mLog, metrics, mRateLimitSync);
+        mCoordinators = new CoordinatorTable(time, settings.dataCentre());
+        mRollouts = createRollouts();
         mBatchClient =
                 new HttpBatchClient(
                         mConnections,
@@ -126,8 +134,8 @@
                         metrics,
                         mUpstreamSignals,
                         mRateLimitShare,
+                        new StageRollouts(this),
                         group -> batchScheduler(group).dispatch());
-        mCoordinators = new CoordinatorTable(time, settings.dataCentre());
         mStageRouter =
                 new StageRouter(
                         settings.peerAddress(),
@@ -139,6 +147,46 @@
                         time);
     }
 
+    private Rollouts createRollouts() {
+        RolloutContext context =
+                new RolloutContext(
+                        mTime,
+                        mScheduler,
+                        mLog,
+                        mMetrics.registry(),
+                        mDirectory,
+                        mCoordinators,
+                        new RolloutReportClient(mConnections, mScheduler),
+                        group -> groupConfig(group).isPresent(),
+                        this::departureTime);
+        return new Rollouts(
+                context,
+                mSettings
+                        .rollouts()
+                        .map(
+                                rollouts ->
+                                        new RolloutBounds(
+                                                rollouts.trialShare(),
+                                                rollouts.rollbackTime(),
+                                                mSettings.revokeTime())));
+    }
+
+    /** Returns the time after which an entry that is cut off or gone has no request in flight. */
+    private Duration departureTime() {
+        Duration longest =
+                mRoutingTable.config().stream()
+                        .flatMap(config -> config.routes().stream())
+                        .map(Route::timeout)
+                        .max(Comparator.naturalOrder())
+                        .orElse(Duration.ZERO);
+        return mSettings.revokeTime().plus(longest);
+    }
+
+    /** Returns the roll-outs in which this process takes part. */
+    Rollouts rollouts() {
+        return mRollouts;
+    }
+
     GatewaySettings settings() {
         return mSettings;
     }
@@ -354,6 +402,7 @@
                 && mRoutingTable.config().isPresent()
                 && mUpstreamsKnown
                 && mQuarantineKnown
+                && mRollouts.isReady()
                 && mLease.isHeld();
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayMetrics.java
@@ -1,6 +1,7 @@
 package org.boragethread.entry.gateway;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -108,6 +109,10 @@
         mRegistry.gauge("boragethread.gateway." + name, this, metrics -> value.get().doubleValue());
     }
 
+    MeterRegistry registry() {
+        return mRegistry;
+    }
+
     String scrape() {
         return mRegistry.scrape();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -26,11 +26,15 @@
 import org.boragethread.core.follow.TopicRelay;
 import org.boragethread.core.member.GroupMembership;
 import org.boragethread.core.member.Member;
+import org.boragethread.core.rollout.EntryReport;
+import org.boragethread.core.rollout.RolloutCoordinator;
 import org.boragethread.core.time.SystemTimeSource;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.entry.rollout.Rollouts;
 import org.boragethread.platform.store.StoreAppender;
 import org.boragethread.platform.store.StoreClient;
 import org.boragethread.platform.store.StoreGroup;
+import org.boragethread.platform.store.StoreRolloutLog;
 import org.boragethread.platform.store.StoreTopic;
 import org.boragethread.platform.store.UpstreamDecoder;
 import org.boragethread.process.command.Service;
@@ -55,6 +59,12 @@
      */
     private static final double REPORT_POLL_FRACTION = 0.5;
 
+    /**
+     * Long-poll time of a read of the states of roll-outs. In a trial an entry that has not read
+     * them for 3.5 s stops sending to the new version, so a lost read must not take that long.
+     */
+    private static final Duration ROLLOUT_POLL = Duration.ofMillis(700);
+
     private static final Duration REPORT_EXPIRY_INTERVAL = Duration.ofSeconds(30);
 
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
@@ -115,6 +125,7 @@
     private final CallerServer mCallerServer;
     private final StoreClient mStore;
     private final GroupMembership mMembership;
+    private final Member mSelf;
 
     GatewayProcess(GatewaySettings settings) {
         mSettings = settings;
@@ -127,7 +138,7 @@
                         settings.store(),
                         STORE_TIMEOUT,
                         new StoreEraLog(mGateway.log(), mMetrics));
-        Member self =
+        mSelf =
                 new Member(
                         settings.peerAddress(),
                         mTime.instant().toEpochMilli(),
@@ -138,7 +149,7 @@
                         new StoreGroup(
                                 mStore,
                                 MEMBER_GROUP,
-                                self.name(),
+                                mSelf.name(),
                                 MEMBER_TTL,
                                 settings.storePartitions()),
                         mGateway.scheduler(),
@@ -154,6 +165,7 @@
         List<Member> live = members.stream().flatMap(name -> Member.parse(name).stream()).toList();
         mGateway.coordinators().setMembers(live);
         mGateway.streamOrigins().setMembers(live);
+        mGateway.rollouts().setMembers(live);
         mGateway.stageRouter().onMembersChanged();
         mGateway.log().event("members").with("names", String.join(" ", members)).info();
     }
@@ -195,10 +207,14 @@
     private void startFollowers() {
         Duration configPollTime = fraction(mSettings.revokeTime(), CONFIG_POLL_FRACTION);
         mMembership.start();
+        startRollouts();
         follower(
                         StoreTopic.OPERATOR_TOPIC,
                         new ReadTiming(configPollTime, Duration.ZERO, STORE_RETRY_DELAY),
-                        new ConfigListener(mGateway),
+                        new TopicListeners(
+                                List.of(
+                                        new ConfigListener(mGateway),
+                                        mGateway.rollouts().orders())),
                         (key, previous, value) -> Arrays.equals(previous, value))
                 .start();
         follower(
@@ -211,6 +227,25 @@
         startReports();
     }
 
+    /** Starts to take part in roll-outs, if any are to be carried out. */
+    private void startRollouts() {
+        Rollouts rollouts = mGateway.rollouts();
+        StoreTopic topic = new StoreTopic(mStore, StoreTopic.STATUS_TOPIC);
+        rollouts.start(
+                mSelf,
+                new StoreRolloutLog(topic, new StoreAppender(mStore, StoreTopic.STATUS_TOPIC)),
+                listener ->
+                        follower(
+                                StoreTopic.STATUS_TOPIC,
+                                new ReadTiming(ROLLOUT_POLL, Duration.ZERO, STORE_RETRY_DELAY),
+                                listener,
+                                (key, previous, value) -> Arrays.equals(previous, value)));
+        if (mSettings.rollouts().isPresent()) {
+            repeat(Duration.ofMillis(EntryReport.PERIOD_MILLIS), rollouts::reportAll);
+            repeat(Duration.ofMillis(RolloutCoordinator.TICK_MILLIS), rollouts::tick);
+        }
+    }
+
     /** Starts to share what entries find out about upstreams. */
     private void startReports() {
         RecordPublisher publisher =
--- a/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/HttpBatchClient.java
@@ -28,6 +28,7 @@
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.core.upstream.RateLimitShare;
 import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.entry.rollout.UpstreamUse;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.platform.store.HeaderDecoder;
@@ -58,6 +59,7 @@
     private final GatewayMetrics mMetrics;
     private final UpstreamSignals mSignals;
     private final RateLimitShare mRateLimitShare;
+    private final StageRollouts mRollouts;
     private final Consumer<GroupId> mOnFreed;
     private final Map<UpstreamNode, Set<String>> mPendingFrees = new HashMap<>();
 
@@ -69,6 +71,7 @@
             GatewayMetrics metrics,
             UpstreamSignals signals,
             RateLimitShare rateLimitShare,
+            StageRollouts rollouts,
             Consumer<GroupId> onFreed) {
         mConnections = connections;
         mScheduler = scheduler;
@@ -77,6 +80,7 @@
         mMetrics = metrics;
         mSignals = signals;
         mRateLimitShare = rateLimitShare;
+        mRollouts = rollouts;
         mOnFreed = onFreed;
     }
 
@@ -86,6 +90,13 @@
             List<PieceWork> pieces,
             Duration timeout,
             Consumer<Either<BatchFailure, BatchResponse>> callback) {
+        if (!mRollouts.tryCount(upstream, pieces.size())) {
+            BatchFailure failure =
+                    new BatchFailure(BatchFailure.Kind.REJECTED, "the version is not in use now");
+            mScheduler.schedule(Duration.ZERO, () -> callback.accept(Either.left(failure)));
+            return;
+        }
+        UpstreamUse use = mRollouts.begin(upstream);
         UpstreamAnnouncement entry = upstream.entry();
         long sentAt = mTime.nanoTime();
         byte[] body = StageCodec.encodeRun(pieces, sentAt);
@@ -101,6 +112,7 @@
                 response -> {
                     Either<BatchFailure, BatchResponse> result =
                             decodeResponse(response, pieces.size());
+                    countEnd(use, upstream, pieces.size(), sentAt, result);
                     logBatch(
                             entry,
                             pieces,
@@ -111,6 +123,22 @@
                 });
     }
 
+    private void countEnd(
+            UpstreamUse use,
+            UpstreamNode upstream,
+            int pieces,
+            long sentAt,
+            Either<BatchFailure, BatchResponse> result) {
+        if (result.isLeft()) {
+            mRollouts.onEnded(use, result.getLeft().kind());
+            return;
+        }
+        boolean failed =
+                result.get().results().stream()
+                        .anyMatch(piece -> piece.isFailure(PieceResult.Failure.ERROR));
+        mRollouts.onEnded(use, upstream, pieces, mTime.since(sentAt), failed);
+    }
+
     private void applySignals(
             UpstreamNode upstream, UpstreamAnnouncement entry, long sentAt, HttpResponse head) {
         mSignals.apply(upstream, entry, sentAt, head.status().code(), head.headers());
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -32,13 +32,16 @@
 import org.boragethread.core.stage.PieceWork;
 import org.boragethread.core.stage.ResultLocation;
 import org.boragethread.core.stage.StageFailure;
+import org.boragethread.entry.rollout.RolloutReportCodec;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.platform.store.MalformedRecordException;
 import org.boragethread.wire.proto.PieceDone;
 import org.boragethread.wire.proto.ResultHeld;
 import org.boragethread.wire.proto.ResultsFree;
 import org.boragethread.wire.proto.ResultsHeld;
+import org.boragethread.wire.proto.RolloutReport;
 import org.boragethread.wire.proto.StageWork;
 import org.boragethread.wire.proto.StageWorkDone;
 import org.boragethread.wire.proto.StreamBegun;
@@ -84,6 +87,10 @@
             respond(context, findStream(StreamQuery.parseFrom(body)));
             return;
         }
+        if (request.uri().equals(RolloutReportClient.PATH)) {
+            respond(context, takeRolloutReport(RolloutReport.parseFrom(body)));
+            return;
+        }
         if (mGateway.isLeaving() || !mPendingPieces.isEmpty()) {
             respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
@@ -95,6 +102,15 @@
         schedulePieces(context, StageWork.parseFrom(body));
     }
 
+    private HttpResponseStatus takeRolloutReport(RolloutReport report) {
+        try {
+            mGateway.rollouts().onReport(RolloutReportCodec.decode(report));
+            return HttpResponseStatus.OK;
+        } catch (MalformedRecordException e) {
+            return HttpResponseStatus.BAD_REQUEST;
+        }
+    }
+
     private void rememberStreams(StreamOrigins streams) {
         for (StreamBegun stream : streams.getStreamsList()) {
             mGateway.streamOrigins()
--- a/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.boragethread.core.rollout.VersionRule;
 import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.ResponseTimeModel;
@@ -25,6 +26,7 @@
     private final RoutingTable mRouting;
     private final ResponseTimeModel mTimes;
     private final Supplier<Optional<SoftwareVersion>> mVersion;
+    private final Supplier<VersionRule> mRolloutRule;
     private final Set<UpstreamNode> mExcludedNodes = new HashSet<>();
     private Optional<DataCentreId> mPreferredDataCentre = Optional.empty();
 
@@ -33,18 +35,21 @@
      *
      * @param times response times of the group
      * @param version version at which the request must run at present; empty for any
+     * @param rolloutRule upstreams that a roll-out allows at present, apart from trials
      */
     Placement(
             RoutedGroup group,
             AdmittedRequest admitted,
             RoutingTable routing,
             ResponseTimeModel times,
-            Supplier<Optional<SoftwareVersion>> version) {
+            Supplier<Optional<SoftwareVersion>> version,
+            Supplier<VersionRule> rolloutRule) {
         mGroup = group;
         mAdmitted = admitted;
         mRouting = routing;
         mTimes = times;
         mVersion = version;
+        mRolloutRule = rolloutRule;
     }
 
     /** Returns the selection criteria for the next attempt. */
@@ -88,6 +93,7 @@
                 mTimes,
                 mRouting.evacuated(),
                 mPreferredDataCentre,
-                ChoiceRequest.REMOTE_MILLIS + mAdmitted.transferCostMillis());
+                ChoiceRequest.REMOTE_MILLIS + mAdmitted.transferCostMillis(),
+                mRolloutRule.get());
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
@@ -139,6 +139,9 @@
         if (keptBecause.isEmpty() && !budget.tryAcquire()) {
             keptBecause = Optional.of("budget");
         }
+        if (keptBecause.isEmpty() && !mSender.tryCount(next.orElseThrow())) {
+            keptBecause = Optional.of("rollout");
+        }
         mParts.trace()
                 .stalled(
                         new StallDecision(
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -9,10 +9,12 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.boragethread.core.quarantine.Suspect;
 import org.boragethread.core.upstream.CalledRun;
 import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.entry.rollout.UpstreamUse;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.platform.store.PlatformHeaders;
@@ -45,6 +47,7 @@
     private final long mSentAt;
     private final long mUncachedTokens;
     private double mPrefillMillis;
+    private UpstreamUse mUse = UpstreamUse.NONE;
     private CallControl mControl;
     private int mStatus;
     private HttpHeaders mHeaders;
@@ -96,7 +99,8 @@
         mPrefillMillis = prefillMillis;
     }
 
-    void start(HttpConnectionPool connections, HttpCall call) {
+    void start(HttpConnectionPool connections, HttpCall call, UpstreamUse use) {
+        mUse = use;
         mMethod = call.request().method();
         mNode.onSent(mSentAt);
         mControl = connections.send(call, this);
@@ -191,10 +195,22 @@
         if (mEnded) {
             return;
         }
+        mUse.onAbandoned(relativeTime());
         end();
         mControl.cancel();
     }
 
+    /** Returns the time since the attempt was sent as a multiple of the predicted response time. */
+    private double relativeTime() {
+        double expected =
+                mGateway.responseTimes(mCalledEntry.group()).expectedMillis(mUncachedTokens);
+        return mGateway.time().since(timedFrom()).toNanos() / 1e6 / expected;
+    }
+
+    private void countResponse() {
+        mUse.onResponse(OptionalDouble.of(relativeTime()));
+    }
+
     void setReading(boolean reading) {
         mReading = reading;
         mControl.setReading(reading && !mHeld);
@@ -253,6 +269,7 @@
         }
         boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
         if (success && !mHeaders.contains(PlatformHeaders.SEAL)) {
+            mUse.onFailure();
             cancel();
             mListener.onFailed(mNode, "successful response without a signature header");
         } else if (success) {
@@ -288,6 +305,7 @@
         boolean success = HttpStatusClass.valueOf(mStatus) == HttpStatusClass.SUCCESS;
         boolean large = mBuffered.readableBytes() + data.readableBytes() > MAX_BUFFERED_BYTES;
         if (large && mStatus >= SERVER_ERROR) {
+            mUse.onFailure();
             cancel();
             mListener.onFailed(mNode, "status %d with a body too large".formatted(mStatus));
             return;
@@ -316,6 +334,7 @@
         mForwarding = true;
         mForwardingSince = mGateway.time().nanoTime();
         endPrefill();
+        countResponse();
         mListener.onStreamHead(mNode, mStatus);
         if (!mEnded && mBuffered.isReadable()) {
             mListener.onStreamData(mBuffered);
@@ -340,10 +359,19 @@
                     .add(mGateway.time().since(mForwardingSince));
             mListener.onStreamEnd(mNode);
         } else {
+            countWhole();
             mListener.onResponse(mNode, mStatus, mBuffered);
         }
     }
 
+    private void countWhole() {
+        if (mStatus >= SERVER_ERROR) {
+            mUse.onFailure();
+        } else {
+            countResponse();
+        }
+    }
+
     /**
      * Clears the suspects of the request of earlier crashes. The end of the connection is no proof
      * that the upstream has not crashed, even if the body looks complete.
@@ -373,6 +401,7 @@
     }
 
     private void reportBroken(String detail) {
+        mUse.onFailure();
         if (mForwarding) {
             mListener.onStreamBroken(mNode, detail);
         } else {
@@ -413,5 +442,6 @@
         mEnded = true;
         endPrefill();
         mNode.onEnded();
+        mUse.onEnded();
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamListener.java
@@ -37,6 +37,11 @@
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
         mDirectory.retain(values.keySet());
+        for (UpstreamAnnouncement known : mKnownEntries.values()) {
+            if (!values.containsKey(known.id().value())) {
+                mGateway.rollouts().onUpstreamsChanged(known.group());
+            }
+        }
         mKnownEntries.keySet().retainAll(values.keySet());
         mRecords.applyAll(values);
         mDirectory.onSnapshotApplied();
@@ -69,7 +74,9 @@
             return;
         }
         mDirectory.remove(new UpstreamId(key));
-        if (mKnownEntries.remove(key) != null) {
+        UpstreamAnnouncement known = mKnownEntries.remove(key);
+        if (known != null) {
+            mGateway.rollouts().onUpstreamsChanged(known.group());
             mGateway.log().event("upstream").with("id", key).with("outcome", "gone").info();
         }
     }
@@ -83,7 +90,11 @@
                         && previous.draining() == entry.draining()
                         && previous.isSameIncarnation(entry)
                         && previous.softwareVersion().equals(entry.softwareVersion());
+        if (previous != null && !previous.group().equals(entry.group())) {
+            mGateway.rollouts().onUpstreamsChanged(previous.group());
+        }
         if (!unchanged) {
+            mGateway.rollouts().onUpstreamsChanged(entry.group());
             mGateway.log()
                     .event("upstream")
                     .with("id", entry.id())
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSearch.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSearch.java
@@ -66,6 +66,12 @@
      */
     Either<Failure, Duration> next(ChoiceRequest choice, Duration remaining, double jitter) {
         String group = "group " + choice.group().id();
+        if (choice.versions().isRefused()) {
+            return Either.left(
+                    new Failure(
+                            "it is not known which version of " + group + " is in use",
+                            RetryDelays.SHORT));
+        }
         if (mChooser.isGroupExhausted(choice)) {
             return Either.left(
                     new Failure(
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
@@ -0,0 +1,186 @@
+package org.boragethread.entry.rollout;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.boragethread.core.follow.ClockReading;
+import org.boragethread.core.member.Member;
+import org.boragethread.core.rollout.EntryReport;
+import org.boragethread.core.rollout.RolloutBounds;
+import org.boragethread.core.rollout.RolloutCoordinator;
+import org.boragethread.core.rollout.RolloutEvents;
+import org.boragethread.core.rollout.RolloutLog;
+import org.boragethread.core.rollout.RolloutOrder;
+import org.boragethread.core.rollout.RolloutRequest;
+import org.boragethread.core.rollout.RolloutState;
+import org.boragethread.core.rollout.RolloutTable;
+import org.boragethread.core.rollout.Verdict;
+import org.boragethread.core.rollout.VersionSide;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.SoftwareVersion;
+import org.boragethread.process.log.EventLog;
+
+/** The roll-outs of one group at this process. Not thread-safe. */
+final class GroupRollout implements RolloutEvents {
+
+    private final GroupId mId;
+    private final RolloutContext mContext;
+    private final RolloutTable mTable;
+    private final Member mSelf;
+    private final RolloutMetrics mMetrics;
+    private final Consumer<RolloutState> mOnRecorded;
+    private final GroupUses mUses;
+    private final RolloutCoordinator mCoordinator;
+    private Optional<RolloutRequest> mRequest = Optional.empty();
+    private List<Verdict.Kind> mLoggedVerdicts = List.of();
+    private String mLogFailure = "";
+    private long mSequence;
+
+    /**
+     * Creates a group of which no order is known.
+     *
+     * @param onRecorded called when this process has recorded a state
+     */
+    GroupRollout(
+            GroupId id,
+            RolloutContext context,
+            RolloutBounds bounds,
+            RolloutTable table,
+            RolloutLog log,
+            Member self,
+            RolloutMetrics metrics,
+            Consumer<RolloutState> onRecorded) {
+        mId = id;
+        mContext = context;
+        mTable = table;
+        mSelf = self;
+        mMetrics = metrics;
+        mOnRecorded = onRecorded;
+        mUses = new GroupUses(id, table, context.time(), metrics);
+        mCoordinator = new RolloutCoordinator(id, context.time(), bounds, log, this);
+    }
+
+    GroupId id() {
+        return mId;
+    }
+
+    GroupUses uses() {
+        return mUses;
+    }
+
+    /** Returns whether an order is recorded as running. */
+    boolean isRunning() {
+        return mTable.state(mId).filter(state -> !state.phase().isEnded()).isPresent();
+    }
+
+    void setRequest(Optional<RolloutRequest> request, ClockReading asOf) {
+        mRequest = request;
+        mCoordinator.setRequest(request, asOf);
+    }
+
+    void setMembers(Collection<Member> members) {
+        mCoordinator.setMembers(members);
+    }
+
+    void onState(RolloutState state) {
+        mCoordinator.onState(state);
+        mTable.state(mId).ifPresent(known -> mUses.setOrder(known.order()));
+    }
+
+    void onReport(EntryReport report) {
+        mCoordinator.onReport(report);
+    }
+
+    /** Returns a report for the coordinator; empty if no order is running. */
+    Optional<EntryReport> nextReport() {
+        if (!isRunning()) {
+            return Optional.empty();
+        }
+        RolloutState state = mTable.state(mId).orElseThrow();
+        mSequence++;
+        return Optional.of(
+                new EntryReport(
+                        mSelf.address(),
+                        mSelf.startedAt(),
+                        mSequence,
+                        state,
+                        mUses.inFlightOutside(state.target()),
+                        mUses.evidence()));
+    }
+
+    /** Decides on the roll-out, as the coordinator of the group. */
+    void tick() {
+        if (mRequest.isEmpty() && !isRunning()) {
+            return;
+        }
+        mCoordinator.setVersions(announcedVersions());
+        mCoordinator.tick();
+        logVerdicts();
+    }
+
+    private Set<SoftwareVersion> announcedVersions() {
+        Set<SoftwareVersion> versions = new HashSet<>();
+        mContext.directory()
+                .of(mId)
+                .forEach(node -> node.entry().softwareVersion().ifPresent(versions::add));
+        return versions;
+    }
+
+    private void logVerdicts() {
+        List<Verdict> verdicts = mCoordinator.verdicts();
+        List<Verdict.Kind> kinds = verdicts.stream().map(Verdict::kind).toList();
+        if (kinds.equals(mLoggedVerdicts)) {
+            return;
+        }
+        mLoggedVerdicts = kinds;
+        for (Verdict verdict : verdicts) {
+            line("rollout-verdict")
+                    .with("route", verdict.route())
+                    .with("outcome", verdict.kind())
+                    .with("detail", verdict.reason())
+                    .info();
+        }
+    }
+
+    private EventLog.Line line(String event) {
+        return mContext.log().event(event).with("group", mId);
+    }
+
+    @Override
+    public void onRecorded(RolloutState state, String reason) {
+        mMetrics.onDecision(mId, state.phase());
+        EventLog.Line line =
+                line("rollout")
+                        .with("target", state.target())
+                        .with("phase", state.phase())
+                        .with("revision", state.revision())
+                        .with("started", state.order().startedMillis());
+        for (VersionSide side : VersionSide.values()) {
+            var counts = mCoordinator.evidence().total(side);
+            line.with(side + ".responses", counts.responses())
+                    .with(side + ".failures", counts.allFailures());
+        }
+        line.with("outcome", "recorded").with("reason", reason).info();
+        mOnRecorded.accept(state);
+    }
+
+    @Override
+    public void onHindered(RolloutOrder order, String message) {
+        line("rollout")
+                .with("target", order.request().target())
+                .with("outcome", "hindered")
+                .with("remedy", message)
+                .warn();
+    }
+
+    @Override
+    public void onLogFailure(String message) {
+        if (!message.equals(mLogFailure)) {
+            mLogFailure = message;
+            line("rollout").with("outcome", "not-recorded").with("detail", message).warn();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -0,0 +1,365 @@
+package org.boragethread.entry.rollout;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.boragethread.core.follow.ClockReading;
+import org.boragethread.core.follow.TopicFollower;
+import org.boragethread.core.follow.TopicListener;
+import org.boragethread.core.member.Member;
+import org.boragethread.core.rollout.EntryReport;
+import org.boragethread.core.rollout.RolloutBounds;
+import org.boragethread.core.rollout.RolloutLog;
+import org.boragethread.core.rollout.RolloutRequest;
+import org.boragethread.core.rollout.RolloutState;
+import org.boragethread.core.rollout.RolloutTable;
+import org.boragethread.core.rollout.SendKind;
+import org.boragethread.core.rollout.VersionRule;
+import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.model.routing.UpstreamAnnouncement;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.process.log.EventLog;
+
+/**
+ * The roll-outs of all groups, as far as this process takes part in them. Without bounds in the
+ * settings no roll-out is carried out, and every upstream may be used. Not thread-safe.
+ */
+public final class Rollouts implements RolloutOrders.Receiver, RolloutStatus.Receiver {
+
+    private final RolloutContext mContext;
+    private final Optional<RolloutBounds> mBounds;
+    private final Optional<RolloutTable> mTable;
+    private final RolloutMetrics mMetrics;
+    private final Map<GroupId, GroupRollout> mGroups = new HashMap<>();
+    private final Set<GroupId> mChangedGroups = new LinkedHashSet<>();
+    private Map<GroupId, RolloutRequest> mRequests = Map.of();
+    private Optional<Long> mUpstreamsKnownAt = Optional.empty();
+    private Optional<ClockReading> mOrdersReadAt = Optional.empty();
+    private boolean mStatusKnown;
+    private Optional<Participation> mParticipation = Optional.empty();
+    private Optional<TopicFollower> mFollower = Optional.empty();
+    private Collection<Member> mMembers = List.of();
+
+    /**
+     * What this process needs to take part.
+     *
+     * @param self membership of this process
+     * @param log where states are recorded
+     * @param createFollower creates a follower of the topic of the states, for a listener
+     */
+    private record Participation(
+            Member self, RolloutLog log, Function<TopicListener, TopicFollower> createFollower) {}
+
+    /**
+     * Creates roll-outs of which nothing is known.
+     *
+     * @param bounds bounds of roll-outs; empty if none is to be carried out
+     */
+    public Rollouts(RolloutContext context, Optional<RolloutBounds> bounds) {
+        mContext = context;
+        mBounds = bounds;
+        mTable = bounds.map(limits -> new RolloutTable(context.time(), limits));
+        mMetrics = new RolloutMetrics(context.meters());
+    }
+
+    /** Starts to read the states; to be called before the orders are read. */
+    public void start(
+            Member self, RolloutLog log, Function<TopicListener, TopicFollower> createFollower) {
+        mParticipation = Optional.of(new Participation(self, log, createFollower));
+        followWhileNeeded();
+    }
+
+    /** Returns what applies the orders in the topic of operators' records. */
+    public TopicListener orders() {
+        return new RolloutOrders(this, mContext.time(), mContext.scheduler(), mContext.log());
+    }
+
+    /**
+     * Returns whether it is known which versions may be used, or no roll-out is to be carried out.
+     */
+    public boolean isReady() {
+        return mTable.isEmpty() || areOrdersKnown() && (mRequests.isEmpty() || mStatusKnown);
+    }
+
+    /** Returns whether the orders are known that came before the first upstreams. */
+    private boolean areOrdersKnown() {
+        return mOrdersReadAt
+                .filter(at -> mUpstreamsKnownAt.map(known -> at.nanos() - known > 0).orElse(true))
+                .isPresent();
+    }
+
+    /** Returns which upstreams of a group a request may be sent to now. */
+    public VersionRule rule(GroupId group, String route, SendKind kind) {
+        if (mTable.isEmpty()) {
+            return VersionRule.ANY;
+        }
+        updateUpstreams();
+        return mTable.get().rule(group, route, kind);
+    }
+
+    /**
+     * Counts a send, immediately before it.
+     *
+     * @return whether the request may be sent to the upstream
+     */
+    public boolean trySend(GroupId group, String route, SendKind kind, UpstreamNode node) {
+        if (mTable.isEmpty()) {
+            return true;
+        }
+        updateUpstreams();
+        RolloutTable table = mTable.get();
+        if (!table.trySend(group, route, kind, node.entry().id(), node.softwareVersion())) {
+            mMetrics.onHeldBack(group);
+            return false;
+        }
+        table.side(group, node.softwareVersion())
+                .ifPresent(side -> mMetrics.onSend(group, route, side, kind));
+        return true;
+    }
+
+    /** Called when a request is sent to an upstream; returns what counts how it ends. */
+    public UpstreamUse begin(GroupId group, String route, UpstreamNode node) {
+        return mTable.isEmpty() ? UpstreamUse.NONE : group(group).uses().begin(route, node);
+    }
+
+    /** Called when an upstream of a group, or the version of one, was announced or removed. */
+    public void onUpstreamsChanged(GroupId group) {
+        if (mTable.isEmpty()) {
+            return;
+        }
+        if (mUpstreamsKnownAt.isEmpty()) {
+            mUpstreamsKnownAt = Optional.of(mContext.time().nanoTime());
+        }
+        // A snapshot changes thousands of upstreams, whose versions are then updated together.
+        if (mChangedGroups.isEmpty()) {
+            mContext.scheduler().schedule(Duration.ZERO, this::updateUpstreams);
+        }
+        mChangedGroups.add(group);
+    }
+
+    private void updateUpstreams() {
+        if (mChangedGroups.isEmpty()) {
+            return;
+        }
+        List<GroupId> changed = List.copyOf(mChangedGroups);
+        mChangedGroups.clear();
+        for (GroupId group : changed) {
+            List<UpstreamAnnouncement> entries = new ArrayList<>();
+            mContext.directory().of(group).forEach(node -> entries.add(node.entry()));
+            mTable.orElseThrow().setUpstreams(group, entries);
+        }
+    }
+
+    @Override
+    public void onRequests(Map<GroupId, RolloutRequest> requests) {
+        if (requests.equals(mRequests)) {
+            return;
+        }
+        Map<GroupId, RolloutRequest> previous = mRequests;
+        mRequests = requests;
+        requests.forEach(
+                (group, request) -> {
+                    if (!request.equals(previous.get(group))) {
+                        logOrder(request);
+                    }
+                });
+        for (GroupId group : previous.keySet()) {
+            if (!requests.containsKey(group)) {
+                order(group).with("outcome", "removed").info();
+            }
+        }
+        if (mTable.isPresent()) {
+            mTable.get().setRequests(requests);
+            requests.keySet().forEach(this::group);
+            followWhileNeeded();
+        }
+    }
+
+    private EventLog.Line order(GroupId group) {
+        return mContext.log().event("rollout-order").with("group", group);
+    }
+
+    private void logOrder(RolloutRequest request) {
+        EventLog.Line line =
+                order(request.group())
+                        .with("target", request.target())
+                        .with("periodMs", request.period().toMillis());
+        if (mTable.isEmpty()) {
+            line.with("outcome", "not-served")
+                    .with("remedy", "set trial_share in [rollouts] of the entries' settings")
+                    .warn();
+        } else if (!mContext.isConfigured().test(request.group())) {
+            line.with("outcome", "unknown-service")
+                    .with("remedy", "configure the service, or remove the order")
+                    .warn();
+        } else {
+            line.with("outcome", "read").info();
+        }
+    }
+
+    @Override
+    public void onOrdersRead(ClockReading asOf) {
+        if (mTable.isEmpty()) {
+            return;
+        }
+        mTable.get().onOrdersRead(asOf);
+        mOrdersReadAt = Optional.of(asOf);
+        mGroups.forEach(
+                (id, group) -> group.setRequest(Optional.ofNullable(mRequests.get(id)), asOf));
+    }
+
+    @Override
+    public void onState(RolloutState state) {
+        GroupId id = state.order().request().group();
+        RolloutTable table = mTable.orElseThrow();
+        Optional<RolloutState> previous = table.state(id);
+        table.setState(state);
+        GroupRollout group = group(id);
+        group.onState(state);
+        Optional<RolloutState> current = table.state(id);
+        if (!current.equals(previous)) {
+            mContext.log()
+                    .event("rollout")
+                    .with("group", id)
+                    .with("target", state.target())
+                    .with("phase", state.phase())
+                    .with("revision", state.revision())
+                    .with("started", state.order().startedMillis())
+                    .with("outcome", "in-force")
+                    .info();
+            report(group);
+        }
+    }
+
+    @Override
+    public void onStatusRead(ClockReading asOf) {
+        mTable.orElseThrow().onStatusRead(asOf);
+        mStatusKnown = true;
+        followWhileNeeded();
+    }
+
+    @Override
+    public void onStatusLost(String detail) {
+        dependency("lost").with("detail", detail).warn();
+    }
+
+    @Override
+    public void onStatusRegained() {
+        dependency("regained").info();
+    }
+
+    private EventLog.Line dependency(String outcome) {
+        return mContext.log()
+                .event("dependency")
+                .with("name", "store-rollouts")
+                .with("outcome", outcome);
+    }
+
+    /** Follows the states once at the start, then while there is an order or one has not ended. */
+    private void followWhileNeeded() {
+        if (mParticipation.isEmpty() || mTable.isEmpty()) {
+            return;
+        }
+        boolean needed =
+                !mStatusKnown
+                        || !mRequests.isEmpty()
+                        || mGroups.values().stream().anyMatch(GroupRollout::isRunning);
+        if (needed && mFollower.isEmpty()) {
+            RolloutStatus listener = new RolloutStatus(this, mContext.log());
+            mFollower = Optional.of(mParticipation.get().createFollower().apply(listener));
+            mFollower.get().start();
+        } else if (!needed && mFollower.isPresent()) {
+            mFollower.get().stop();
+            mFollower = Optional.empty();
+        }
+    }
+
+    /** Replaces the live entries, this one included. */
+    public void setMembers(Collection<Member> members) {
+        mMembers = members;
+        mGroups.values().forEach(group -> group.setMembers(members));
+    }
+
+    /** Tells the coordinators what this process has seen; to be called periodically. */
+    public void reportAll() {
+        mGroups.values().forEach(this::report);
+    }
+
+    private void report(GroupRollout group) {
+        Optional<EntryReport> report = group.nextReport();
+        if (report.isEmpty()) {
+            return;
+        }
+        Optional<String> coordinator = mContext.coordinators().coordinator(group.id());
+        if (coordinator.isEmpty() || isSelf(coordinator.get())) {
+            group.onReport(report.get());
+            return;
+        }
+        String peer = coordinator.get();
+        mContext.peers().send(peer, report.get(), () -> onReportLost(group.id(), peer));
+    }
+
+    private void onReportLost(GroupId group, String peer) {
+        mMetrics.onReport("lost");
+        mContext.coordinators().avoid(peer);
+        mContext.log()
+                .event("rollout-report")
+                .with("group", group)
+                .with("peer", peer)
+                .with("outcome", "lost")
+                .warn();
+    }
+
+    /** Takes a report of another entry. */
+    public void onReport(EntryReport report) {
+        if (mTable.isPresent()) {
+            mMetrics.onReport("received");
+            group(report.state().order().request().group()).onReport(report);
+        }
+    }
+
+    /** Decides on the roll-outs that this process coordinates; to be called periodically. */
+    public void tick() {
+        for (GroupRollout group : List.copyOf(mGroups.values())) {
+            Optional<String> coordinator = mContext.coordinators().coordinator(group.id());
+            if (coordinator.map(this::isSelf).orElse(true)) {
+                group.tick();
+            }
+        }
+    }
+
+    private boolean isSelf(String address) {
+        return mParticipation.filter(part -> part.self().address().equals(address)).isPresent();
+    }
+
+    private GroupRollout group(GroupId id) {
+        return mGroups.computeIfAbsent(id, this::createGroup);
+    }
+
+    private GroupRollout createGroup(GroupId id) {
+        Participation part = mParticipation.orElseThrow();
+        RolloutBounds bounds = mBounds.orElseThrow();
+        GroupRollout group =
+                new GroupRollout(
+                        id,
+                        mContext,
+                        new RolloutBounds(
+                                bounds.share(),
+                                bounds.rollbackTime(),
+                                mContext.departureTime().get()),
+                        mTable.orElseThrow(),
+                        part.log(),
+                        part.self(),
+                        mMetrics,
+                        this::onState);
+        group.setMembers(mMembers);
+        return group;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/boragethread/entry/rollout/package-info.java
@@ -0,0 +1,2 @@
+/** Carries out roll-outs of software versions in a gateway process. */
+package org.boragethread.entry.rollout;
--- a/entry/src/test/java/org/boragethread/entry/gateway/ThrowingTimerTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/ThrowingTimerTest.java
@@ -141,6 +141,7 @@
                                         mGateway.metrics(),
                                         mGateway.upstreamSignals(),
                                         mGateway.rateLimitShare(),
+                                        new StageRollouts(mGateway),
                                         group -> {}));
         mTime.mFailing = true;
         onLoop(() -> free(client, upstream, "h-1"));
--- a/model/src/main/java/org/boragethread/model/routing/Route.java
+++ b/model/src/main/java/org/boragethread/model/routing/Route.java
@@ -51,6 +51,11 @@
         }
     }
 
+    /** Returns the name, or the host and path prefix of a route without one. */
+    public String label() {
+        return name.isEmpty() ? host + pathPrefix : name;
+    }
+
     /** Returns whether a request may run more than once. */
     public boolean isIdempotent() {
         return kind == RequestKind.SAFE || kind == RequestKind.STREAMING && resumable;
--- a/standins/src/main/java/org/boragethread/standins/store/StoreStandIn.java
+++ b/standins/src/main/java/org/boragethread/standins/store/StoreStandIn.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.boragethread.standins.http.Exchange;
 import org.boragethread.standins.http.StandInResponse;
 import org.boragethread.standins.http.StandInServer;
@@ -51,6 +52,7 @@
     private final Map<String, Topic> mTopics = new HashMap<>();
     private final TreeSet<String> mMembers = new TreeSet<>();
     private final Map<String, Long> mExpiries = new HashMap<>();
+    private BiConsumer<String, String> mAppendListener = (key, value) -> {};
     private long mGeneration;
     private boolean mDown;
     private long mEra = 1;
@@ -79,11 +81,17 @@
         } else {
             target.mLatest.put(key, bytes);
         }
+        mAppendListener.accept(key, value);
         List<Runnable> reads = new ArrayList<>(target.mWaitingReads);
         target.mWaitingReads.clear();
         reads.forEach(Runnable::run);
     }
 
+    /** Sets what is told the key and value of each record before any reader gets it. */
+    public synchronized void setAppendListener(BiConsumer<String, String> listener) {
+        mAppendListener = listener;
+    }
+
     /** Returns the keys of a topic. */
     public synchronized List<String> keys(String topic) {
         return new ArrayList<>(topic(topic).mLatest.keySet());
