--- a/core/src/main/java/org/boragethread/core/rollout/GroupVersions.java
+++ b/core/src/main/java/org/boragethread/core/rollout/GroupVersions.java
@@ -1,7 +1,12 @@
 package org.boragethread.core.rollout;
 
+import java.time.Duration;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.time.TimeSource;
@@ -9,24 +14,97 @@
 import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.model.upstream.UpstreamId;
 
-/** Versions of one group, for {@link RolloutTable}. */
+/** Versions of one group, for {@link RolloutTable}. Not thread-safe. */
 final class GroupVersions {
 
+    /** Time in which the announcements of upstreams that stop at the end of an order disappear. */
+    private static final long STOP_NANOS = Duration.ofSeconds(10).toNanos();
+
+    private final TimeSource mTime;
+    private final RolloutBounds mBounds;
+    private final VersionSightings mSightings;
+    private final Map<UpstreamId, SoftwareVersion> mUpstreams = new HashMap<>();
+    private final Set<SoftwareVersion> mAnnounced = new HashSet<>();
+    private Optional<RolloutRequest> mRequest = Optional.empty();
+    private Optional<RolloutState> mState = Optional.empty();
+    private long mPhaseSince;
+    private TrialBudget mBudget;
+    private Set<UpstreamId> mTrialUpstreams = Set.of();
+
     GroupVersions(
-            TimeSource time, RolloutBounds bounds, Supplier<Optional<ClockReading>> ordersReadAt) {}
+            TimeSource time, RolloutBounds bounds, Supplier<Optional<ClockReading>> ordersReadAt) {
+        mTime = time;
+        mBounds = bounds;
+        mSightings = new VersionSightings(time, ordersReadAt);
+        mBudget = new TrialBudget(bounds.entryShare());
+    }
 
-    void setUpstreams(Collection<UpstreamAnnouncement> upstreams) {}
+    void setUpstreams(Collection<UpstreamAnnouncement> upstreams) {
+        mUpstreams.clear();
+        mAnnounced.clear();
+        for (UpstreamAnnouncement upstream : upstreams) {
+            upstream.softwareVersion()
+                    .ifPresent(
+                            version -> {
+                                mSightings.onAnnounced(version);
+                                mAnnounced.add(version);
+                                mUpstreams.put(upstream.id(), version);
+                            });
+        }
+        selectTrialUpstreams();
+    }
 
-    void setRequest(Optional<RolloutRequest> request) {}
+    void setRequest(Optional<RolloutRequest> request) {
+        mRequest = request;
+    }
 
-    void setState(RolloutState state) {}
+    void setState(RolloutState state) {
+        boolean isSameOrder = mState.filter(known -> isSameOrder(known, state)).isPresent();
+        if (isSameOrder && state.revision() <= mState.get().revision()) {
+            return;
+        }
+        if (!isSameOrder) {
+            mBudget = new TrialBudget(mBounds.entryShare());
+        }
+        if (!isSameOrder || state.phase() != mState.get().phase()) {
+            mPhaseSince = mTime.nanoTime();
+        }
+        mState = Optional.of(state);
+        selectTrialUpstreams();
+    }
+
+    private static boolean isSameOrder(RolloutState a, RolloutState b) {
+        return a.order().equals(b.order());
+    }
+
+    private void selectTrialUpstreams() {
+        mTrialUpstreams = mState.map(this::trialUpstreams).orElse(Set.of());
+    }
+
+    private Set<UpstreamId> trialUpstreams(RolloutState state) {
+        Set<UpstreamId> target = new HashSet<>();
+        mUpstreams.forEach(
+                (upstream, version) -> {
+                    if (version.equals(state.target())) {
+                        target.add(upstream);
+                    }
+                });
+        int oldCount = mUpstreams.size() - target.size();
+        return TrialUpstreams.select(state.order(), target, oldCount, mBounds.share());
+    }
 
     Optional<RolloutState> state() {
-        return Optional.empty();
+        return mState;
     }
 
     VersionRule rule(String route, SendKind kind, boolean statusFresh) {
-        return VersionRule.ANY;
+        if (isRefusing(statusFresh)) {
+            return VersionRule.NONE;
+        }
+        if (kind == SendKind.FIRST && isTrialOpen(statusFresh) && mBudget.isDue(route)) {
+            return VersionRule.trial(mState.get().target(), mTrialUpstreams);
+        }
+        return (upstream, version) -> isOrdinary(version);
     }
 
     boolean trySend(
@@ -35,10 +113,92 @@
             UpstreamId upstream,
             Optional<SoftwareVersion> version,
             boolean statusFresh) {
-        return true;
+        if (isRefusing(statusFresh)) {
+            return false;
+        }
+        if (isOrdinary(version)) {
+            if (kind == SendKind.FIRST) {
+                mBudget.onFirstAttempt(route);
+            }
+            return true;
+        }
+        return version.isPresent()
+                && isTrialOpen(statusFresh)
+                && version.get().equals(mState.get().target())
+                && mTrialUpstreams.contains(upstream)
+                && mBudget.tryUse(route, kind);
     }
 
     Optional<VersionSide> side(Optional<SoftwareVersion> version) {
-        return Optional.empty();
+        return mState.filter(state -> !state.phase().isEnded())
+                .flatMap(
+                        state ->
+                                version.map(
+                                        known ->
+                                                known.equals(state.target())
+                                                        ? VersionSide.TARGET
+                                                        : VersionSide.OLD));
+    }
+
+    private boolean isRefusing(boolean statusFresh) {
+        return isIn(RolloutPhase.SWITCHING) && !statusFresh;
+    }
+
+    /** Returns whether requests may go to a target version on trial, within the budget. */
+    private boolean isTrialOpen(boolean statusFresh) {
+        return statusFresh
+                && isIn(RolloutPhase.TRIAL)
+                && mRequest.filter(mState.get()::isOf).isPresent()
+                && !mTrialUpstreams.isEmpty()
+                && mSightings.isCleared(mState.get().target());
+    }
+
+    /**
+     * Returns whether requests that are no trials may go to a version. While a version is not
+     * allowed that some upstream announces, an upstream of unknown version may run it.
+     */
+    private boolean isOrdinary(Optional<SoftwareVersion> version) {
+        return version.map(this::isAllowed)
+                .orElseGet(() -> mAnnounced.stream().allMatch(this::isAllowed));
+    }
+
+    private boolean isAllowed(SoftwareVersion version) {
+        return mSightings.isCleared(version)
+                && !isPendingTarget(version)
+                && mState.map(state -> isAllowed(version, state)).orElse(true);
+    }
+
+    /** Returns whether a version is the target of a request that is not recorded as running yet. */
+    private boolean isPendingTarget(SoftwareVersion version) {
+        boolean isPending =
+                mRequest.filter(request -> request.target().equals(version))
+                        .filter(request -> mState.filter(state -> state.isOf(request)).isEmpty())
+                        .isPresent();
+        // The only version of a group is in use already, and remains so.
+        return isPending && mAnnounced.stream().anyMatch(other -> !other.equals(version));
+    }
+
+    private boolean isAllowed(SoftwareVersion version, RolloutState state) {
+        if (state.rejected().contains(version)) {
+            return false;
+        }
+        boolean isTarget = version.equals(state.target());
+        switch (state.phase()) {
+            case TRIAL:
+            case ROLLED_BACK:
+                return !isTarget;
+            case SWITCHING:
+                return isTarget;
+            default:
+                // The old upstreams stop without draining; a version that came later is none of
+                // them.
+                return isTarget
+                        || mSightings.isFirstSeenAfter(version, mPhaseSince + STOP_NANOS)
+                        || !mAnnounced.contains(state.target());
+        }
+    }
+
+    private boolean isIn(RolloutPhase phase) {
+        return mState.filter(state -> state.phase() == phase).isPresent();
     }
 }
--- a/core/src/main/java/org/boragethread/core/rollout/ResponseCounter.java
+++ b/core/src/main/java/org/boragethread/core/rollout/ResponseCounter.java
@@ -1,5 +1,11 @@
 package org.boragethread.core.rollout;
 
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.OptionalDouble;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.upstream.UpstreamId;
@@ -10,8 +16,19 @@
  */
 public final class ResponseCounter {
 
+    /** Failures of one upstream that count within {@link #CRASH_NANOS}: a crash is one event. */
+    private static final int MAX_CRASH_FAILURES = 3;
+
+    private static final long CRASH_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final TimeSource mTime;
+    private final Map<String, Map<VersionSide, Tally>> mTallies = new HashMap<>();
+    private final Map<UpstreamId, Deque<Long>> mCountedFailures = new HashMap<>();
+
     /** Creates a counter without responses. */
-    public ResponseCounter(TimeSource time) {}
+    public ResponseCounter(TimeSource time) {
+        mTime = time;
+    }
 
     /**
      * Counts a response.
@@ -19,16 +36,63 @@
      * @param relativeTime response time as a multiple of the predicted one; empty if the upstream
      *     is cold
      */
-    public void onResponse(String route, VersionSide side, OptionalDouble relativeTime) {}
+    public void onResponse(String route, VersionSide side, OptionalDouble relativeTime) {
+        Tally tally = tally(route, side);
+        tally.mResponses++;
+        relativeTime.ifPresent(time -> tally.mTimes[VersionCounts.bucket(time)]++);
+    }
 
     /**
      * Counts a failure: a 5xx, broken or missing response. A refusal that says that the request was
      * not run is none, and a request that its caller cancelled is not counted at all.
      */
-    public void onFailure(String route, VersionSide side, UpstreamId upstream) {}
+    public void onFailure(String route, VersionSide side, UpstreamId upstream) {
+        Tally tally = tally(route, side);
+        tally.mResponses++;
+        tally.mAllFailures++;
+        if (isCounted(upstream)) {
+            tally.mFailures++;
+        }
+    }
+
+    private boolean isCounted(UpstreamId upstream) {
+        long now = mTime.nanoTime();
+        Deque<Long> counted = mCountedFailures.computeIfAbsent(upstream, key -> new ArrayDeque<>());
+        while (!counted.isEmpty() && now - counted.peekFirst() >= CRASH_NANOS) {
+            counted.removeFirst();
+        }
+        if (counted.size() >= MAX_CRASH_FAILURES) {
+            return false;
+        }
+        counted.addLast(now);
+        return true;
+    }
 
     /** Returns the totals. */
     public RolloutEvidence evidence() {
-        return RolloutEvidence.NONE;
+        Map<String, Map<VersionSide, VersionCounts>> counts = new HashMap<>();
+        mTallies.forEach(
+                (route, sides) -> {
+                    Map<VersionSide, VersionCounts> copy = new EnumMap<>(VersionSide.class);
+                    sides.forEach((side, tally) -> copy.put(side, tally.counts()));
+                    counts.put(route, copy);
+                });
+        return new RolloutEvidence(counts);
+    }
+
+    private Tally tally(String route, VersionSide side) {
+        return mTallies.computeIfAbsent(route, key -> new EnumMap<>(VersionSide.class))
+                .computeIfAbsent(side, key -> new Tally());
+    }
+
+    private static final class Tally {
+        private final long[] mTimes = new long[VersionCounts.BUCKETS];
+        private long mResponses;
+        private long mFailures;
+        private long mAllFailures;
+
+        private VersionCounts counts() {
+            return new VersionCounts(mResponses, mFailures, mAllFailures, mTimes);
+        }
     }
 }
--- a/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
@@ -44,8 +44,8 @@
         return new RolloutState(order, phase, revision + 1, withdrawn, rejected);
     }
 
-    /** Returns this state, with the request removed. */
-    RolloutState withdraw() {
+    /** Returns the next state of the same order, with the request removed. */
+    RolloutState withdraw(RolloutPhase phase) {
         return new RolloutState(order, phase, revision + 1, true, rejected);
     }
 
--- a/core/src/main/java/org/boragethread/core/rollout/RolloutTable.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutTable.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.boragethread.core.follow.ClockReading;
+import org.boragethread.core.follow.FreshnessLease;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.GroupId;
@@ -19,14 +20,15 @@
 
     private final TimeSource mTime;
     private final RolloutBounds mBounds;
+    private final FreshnessLease mStatus;
     private final Map<GroupId, GroupVersions> mGroups = new HashMap<>();
     private Optional<ClockReading> mOrdersReadAt = Optional.empty();
-    private Optional<ClockReading> mStatusReadAt = Optional.empty();
 
     /** Creates a table that has read nothing, and allows no upstream until orders were read. */
     public RolloutTable(TimeSource time, RolloutBounds bounds) {
         mTime = time;
         mBounds = bounds;
+        mStatus = new FreshnessLease(time, bounds.statusLifetime());
     }
 
     /** Replaces the announced upstreams of a group; to be called before requests can choose one. */
@@ -51,8 +53,8 @@
     }
 
     /**
-     * Replaces the state of a group, read from the status topic or heard from another entry that
-     * read it. A state that is older than the known one of the same order is ignored.
+     * Replaces the state of a group that was read from the status topic. A state that is older than
+     * the known one of the same order comes from an older copy of the store and is ignored.
      */
     public void setState(RolloutState state) {
         group(state.order().request().group()).setState(state);
@@ -60,7 +62,7 @@
 
     /** Records that the status topic was read completely by a read sent at a time. */
     public void onStatusRead(ClockReading sentAt) {
-        mStatusReadAt = Optional.of(sentAt);
+        mStatus.renew(sentAt);
     }
 
     /** Returns the known state of a group. */
@@ -70,12 +72,13 @@
 
     /**
      * Returns which upstreams a request may be sent to now. Nothing is counted; {@link #trySend}
-     * decides for the upstream that was chosen.
+     * decides for the upstream that was chosen. If the rule of a first attempt is a trial and none
+     * of its upstreams is available, the choice is repeated with the rule of a further attempt.
      *
      * @param route name of the route of the request
      */
     public VersionRule rule(GroupId group, String route, SendKind kind) {
-        return group(group).rule(route, kind, isStatusFresh());
+        return group(group).rule(route, kind, mStatus.isHeld());
     }
 
     /**
@@ -90,7 +93,7 @@
             SendKind kind,
             UpstreamId upstream,
             Optional<SoftwareVersion> version) {
-        return group(group).trySend(route, kind, upstream, version, isStatusFresh());
+        return group(group).trySend(route, kind, upstream, version, mStatus.isHeld());
     }
 
     /**
@@ -101,12 +104,6 @@
         return group(group).side(version);
     }
 
-    private boolean isStatusFresh() {
-        return mStatusReadAt
-                .filter(sentAt -> sentAt.age(mTime).compareTo(mBounds.statusLifetime()) < 0)
-                .isPresent();
-    }
-
     private GroupVersions group(GroupId id) {
         return mGroups.computeIfAbsent(
                 id, key -> new GroupVersions(mTime, mBounds, () -> mOrdersReadAt));
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/rollout/SeenState.java
@@ -0,0 +1,68 @@
+package org.boragethread.core.rollout;
+
+import java.util.Optional;
+
+/**
+ * The newest state of a group that any entry is known to have read. It is newer than the recorded
+ * one after the store was restored from an older copy. Not thread-safe.
+ */
+final class SeenState {
+
+    private Optional<RolloutState> mNewest = Optional.empty();
+
+    void add(RolloutState state) {
+        if (mNewest.filter(known -> !isNewer(state, known)).isEmpty()) {
+            mNewest = Optional.of(state);
+        }
+    }
+
+    Optional<RolloutState> newest() {
+        return mNewest;
+    }
+
+    /** Forgets all states, because the store has another order than the operators ask for. */
+    void replace(Optional<RolloutState> state) {
+        mNewest = state;
+    }
+
+    private static boolean isNewer(RolloutState state, RolloutState known) {
+        boolean isSameOrder = state.order().equals(known.order());
+        if (isSameOrder && state.phase().isEnded() != known.phase().isEnded()) {
+            return state.phase().isEnded();
+        }
+        return state.revision() > known.revision();
+    }
+
+    /**
+     * Returns the state to record again instead of the one that was read, if an entry has seen a
+     * newer one of an order that is still to be carried out.
+     */
+    Optional<RolloutState> lost(Optional<RolloutState> read, Optional<RolloutRequest> request) {
+        if (mNewest.isEmpty() || read.equals(mNewest)) {
+            return Optional.empty();
+        }
+        RolloutState newest = mNewest.get();
+        if (read.isEmpty()) {
+            boolean isWanted = request.filter(newest::isOf).isPresent();
+            return mNewest.filter(state -> isWanted || !state.phase().isEnded());
+        }
+        RolloutState recorded = read.get();
+        boolean isSameOrder = newest.order().equals(recorded.order());
+        boolean isLater = isNewer(newest, recorded);
+        if (!isLater || isSameOrder && recorded.phase().isEnded()) {
+            return Optional.empty();
+        }
+        if (!isSameOrder && request.filter(newest::isOf).isEmpty()) {
+            return Optional.empty();
+        }
+        // Entries ignore an older revision of the same order.
+        long revision = Math.max(newest.revision(), recorded.revision() + 1);
+        return Optional.of(
+                new RolloutState(
+                        newest.order(),
+                        newest.phase(),
+                        revision,
+                        newest.withdrawn(),
+                        newest.rejected()));
+    }
+}
--- a/core/src/main/java/org/boragethread/core/rollout/VersionCounts.java
+++ b/core/src/main/java/org/boragethread/core/rollout/VersionCounts.java
@@ -17,13 +17,16 @@
 public record VersionCounts(long responses, long failures, long allFailures, long[] times) {
 
     /** Number of buckets of response times. */
-    public static final int BUCKETS = 48;
+    public static final int BUCKETS = 96;
+
+    /** Length of the array that {@link #addTo} needs. */
+    static final int ARRAY_LENGTH = BUCKETS + 3;
 
     /** No responses. */
     public static final VersionCounts NONE = new VersionCounts(0, 0, 0, new long[BUCKETS]);
 
-    private static final int BUCKETS_PER_DOUBLING = 4;
-    private static final int BUCKET_OF_ONE = 16;
+    private static final int BUCKETS_PER_DOUBLING = 8;
+    private static final int BUCKET_OF_ONE = 32;
 
     /**
      * Creates counts.
@@ -47,13 +50,31 @@
         return times.clone();
     }
 
-    /** Returns the bucket of a response time relative to the prediction; four for each doubling. */
+    /**
+     * Returns the bucket of a response time relative to the prediction; eight for each doubling.
+     */
     public static int bucket(double relativeTime) {
         double doublings = Math.log(Math.max(relativeTime, Double.MIN_NORMAL)) / Math.log(2);
         long bucket = BUCKET_OF_ONE + Math.round(BUCKETS_PER_DOUBLING * doublings);
         return (int) Math.max(0, Math.min(BUCKETS - 1, bucket));
     }
 
+    /** Adds the counts to an array, in which sums over many entries are made without copies. */
+    void addTo(long[] sum) {
+        for (int i = 0; i < BUCKETS; i++) {
+            sum[i] += times[i];
+        }
+        sum[BUCKETS] += responses;
+        sum[BUCKETS + 1] += failures;
+        sum[BUCKETS + 2] += allFailures;
+    }
+
+    /** Returns the counts in an array to which {@link #addTo} added some. */
+    static VersionCounts fromArray(long[] sum) {
+        return new VersionCounts(
+                sum[BUCKETS], sum[BUCKETS + 1], sum[BUCKETS + 2], Arrays.copyOf(sum, BUCKETS));
+    }
+
     /** Returns the sum. */
     public VersionCounts plus(VersionCounts other) {
         long[] sums = times.clone();
