Keep requests from the old version where a roll-out may have ended, and notice a lost coordinator early

An entry that stood still for longer than its lease could send to the old version after the coordinator completed the roll-out without its reports; it now refuses, not run, until it has read the state. Streams of the version on trial go on there within the share.

--- a/core/src/main/java/org/boragethread/core/rollout/GroupVersions.java
+++ b/core/src/main/java/org/boragethread/core/rollout/GroupVersions.java
@@ -107,6 +107,14 @@
         return (upstream, version) -> isOrdinary(version);
     }
 
+    /** Returns the rule of a request that only a given version can continue. */
+    VersionRule continuationRule(SoftwareVersion version, boolean statusFresh) {
+        boolean isOnTrial = isTrialOpen(statusFresh) && mState.get().target().equals(version);
+        return isOnTrial && mBudget.isFurtherAvailable()
+                ? VersionRule.trial(version, mTrialUpstreams)
+                : rule("", SendKind.FURTHER, statusFresh);
+    }
+
     boolean trySend(
             String route,
             SendKind kind,
--- a/core/src/main/java/org/boragethread/core/rollout/RolloutTable.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutTable.java
@@ -81,6 +81,14 @@
         return group(group).rule(route, kind, mStatus.isHeld());
     }
 
+    /**
+     * Returns which upstreams may get a request now that continues a stream of a version. One of
+     * the version on trial may go on there within the share.
+     */
+    public VersionRule continuationRule(GroupId group, SoftwareVersion version) {
+        return group(group).continuationRule(version, mStatus.isHeld());
+    }
+
     /**
      * Counts a send, immediately before it. If it returns false, the request must not be sent to
      * this upstream, and the choice is repeated with the rule of a further attempt.
--- a/core/src/main/java/org/boragethread/core/rollout/TrialBudget.java
+++ b/core/src/main/java/org/boragethread/core/rollout/TrialBudget.java
@@ -35,6 +35,11 @@
         return isInTurn && isAvailable(1);
     }
 
+    /** Returns whether a further attempt may go to the version on trial. */
+    boolean isFurtherAvailable() {
+        return isAvailable(0);
+    }
+
     /** Counts a first attempt to any version but the one on trial. */
     void onFirstAttempt(String route) {
         mFirstAttempts++;
--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.boragethread.core.rollout.SendKind;
+import org.boragethread.core.rollout.VersionRule;
+import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamNode;
 
@@ -41,6 +43,26 @@
         return mParts.feedback().responseTimes();
     }
 
+    /**
+     * Chooses an upstream and counts the send to it, which follows at once. A request that is one
+     * of a trial's share goes to the version on trial if an upstream is available there.
+     */
+    Optional<UpstreamNode> choose(ChoiceRequest choice) {
+        VersionRule trial =
+                mParts.counts().sends() == 0
+                        ? mGateway.rollouts().rule(mParts.group().id(), route(), SendKind.FIRST)
+                        : VersionRule.ANY;
+        Optional<UpstreamNode> onTrial =
+                trial.isTrial()
+                        ? mGateway.chooser().choose(choice.withVersions(trial))
+                        : Optional.empty();
+        return onTrial.or(() -> mGateway.chooser().choose(choice)).filter(this::tryCount);
+    }
+
+    private String route() {
+        return mParts.admitted().route().label();
+    }
+
     /**
      * Counts a send to an upstream for the roll-out of the group, just before the attempt is
      * created.
@@ -49,8 +71,7 @@
      */
     boolean tryCount(UpstreamNode node) {
         SendKind kind = mParts.counts().sends() == 0 ? SendKind.FIRST : SendKind.FURTHER;
-        return mGateway.rollouts()
-                .trySend(mParts.group().id(), mParts.admitted().route().label(), kind, node);
+        return mGateway.rollouts().trySend(mParts.group().id(), route(), kind, node);
     }
 
     /**
@@ -76,6 +97,6 @@
                         .withInputs(mParts.stages().resultHandles(), admitted.pieceCount() > 0)
                         .resumeAfter(lastEvent)
                         .toHttpCall(),
-                mGateway.rollouts().begin(mParts.group().id(), admitted.route().label(), node));
+                mGateway.rollouts().begin(mParts.group().id(), route(), node));
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -3,8 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
 import java.util.Optional;
-import org.boragethread.core.rollout.SendKind;
-import org.boragethread.core.rollout.VersionRule;
 import org.boragethread.core.stage.StageFailure;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.upstream.ChoiceRequest;
@@ -85,10 +83,9 @@
                 new Placement(
                         mGroup,
                         mAdmitted,
-                        mGateway.routingTable(),
+                        mGateway,
                         mFeedback.responseTimes(),
-                        mContinuation::requiredVersion,
-                        () -> rolloutRule(SendKind.FURTHER));
+                        mContinuation::requiredVersion);
         RequestParts parts =
                 new RequestParts(
                         mRequest,
@@ -180,9 +177,8 @@
             return;
         }
         ChoiceRequest choice = mPlacement.choiceRequest();
-        Optional<UpstreamNode> node =
-                chooseTrial(choice).or(() -> mGateway.chooser().choose(choice));
-        if (node.isEmpty() || !mSender.tryCount(node.get())) {
+        Optional<UpstreamNode> node = mSender.choose(choice);
+        if (node.isEmpty()) {
             searchAgain(choice);
             return;
         }
@@ -192,18 +188,6 @@
         silence().onActivity();
     }
 
-    /** Returns an upstream of a version on trial if the request is one of its share. */
-    private Optional<UpstreamNode> chooseTrial(ChoiceRequest choice) {
-        VersionRule trial = mCounts.sends() == 0 ? rolloutRule(SendKind.FIRST) : VersionRule.ANY;
-        return trial.isTrial()
-                ? mGateway.chooser().choose(choice.withVersions(trial))
-                : Optional.empty();
-    }
-
-    private VersionRule rolloutRule(SendKind kind) {
-        return mGateway.rollouts().rule(mGroup.id(), mAdmitted.route().label(), kind);
-    }
-
     private void searchAgain(ChoiceRequest choice) {
         mSearch.next(choice, remaining(), mRequest.unitHash())
                 .peek(mTrace::waiting)
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -125,17 +125,7 @@
         mUpstreamSignals = new UpstreamSignals(mScheduler, time, mLog, metrics, mRateLimitSync);
         mCoordinators = new CoordinatorTable(time, settings.dataCentre());
         mRollouts = createRollouts();
-        mBatchClient =
-                new HttpBatchClient(
-                        mConnections,
-                        mScheduler,
-                        time,
-                        mLog,
-                        metrics,
-                        mUpstreamSignals,
-                        mRateLimitShare,
-                        new StageRollouts(this),
-                        group -> batchScheduler(group).dispatch());
+        mBatchClient = createBatchClient();
         mStageRouter =
                 new StageRouter(
                         settings.peerAddress(),
@@ -147,6 +137,19 @@
                         time);
     }
 
+    private BatchClient createBatchClient() {
+        return new HttpBatchClient(
+                mConnections,
+                mScheduler,
+                mTime,
+                mLog,
+                mMetrics,
+                mUpstreamSignals,
+                mRateLimitShare,
+                new StageRollouts(this),
+                group -> batchScheduler(group).dispatch());
+    }
+
     private Rollouts createRollouts() {
         RolloutContext context =
                 new RolloutContext(
@@ -168,7 +171,8 @@
                                         new RolloutBounds(
                                                 rollouts.trialShare(),
                                                 rollouts.rollbackTime(),
-                                                mSettings.revokeTime())));
+                                                mSettings.revokeTime())),
+                mSettings.revokeTime().minus(REVOKE_MARGIN));
     }
 
     /** Returns the time after which an entry that is cut off or gone has no request in flight. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -103,6 +103,10 @@
     }
 
     private HttpResponseStatus takeRolloutReport(RolloutReport report) {
+        if (report.equals(RolloutReport.getDefaultInstance())) {
+            // Another entry has nothing to report, and wants to know whether this one responds.
+            return HttpResponseStatus.OK;
+        }
         try {
             mGateway.rollouts().onReport(RolloutReportCodec.decode(report));
             return HttpResponseStatus.OK;
--- a/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
@@ -5,12 +5,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.boragethread.core.rollout.SendKind;
 import org.boragethread.core.rollout.VersionRule;
-import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.ResponseTimeModel;
 import org.boragethread.core.upstream.UpstreamChooser;
 import org.boragethread.core.upstream.UpstreamNode;
+import org.boragethread.entry.rollout.Rollouts;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.SoftwareVersion;
@@ -23,10 +24,9 @@
 
     private final RoutedGroup mGroup;
     private final AdmittedRequest mAdmitted;
-    private final RoutingTable mRouting;
+    private final Gateway mGateway;
     private final ResponseTimeModel mTimes;
     private final Supplier<Optional<SoftwareVersion>> mVersion;
-    private final Supplier<VersionRule> mRolloutRule;
     private final Set<UpstreamNode> mExcludedNodes = new HashSet<>();
     private Optional<DataCentreId> mPreferredDataCentre = Optional.empty();
 
@@ -35,21 +35,18 @@
      *
      * @param times response times of the group
      * @param version version at which the request must run at present; empty for any
-     * @param rolloutRule upstreams that a roll-out allows at present, apart from trials
      */
     Placement(
             RoutedGroup group,
             AdmittedRequest admitted,
-            RoutingTable routing,
+            Gateway gateway,
             ResponseTimeModel times,
-            Supplier<Optional<SoftwareVersion>> version,
-            Supplier<VersionRule> rolloutRule) {
+            Supplier<Optional<SoftwareVersion>> version) {
         mGroup = group;
         mAdmitted = admitted;
-        mRouting = routing;
+        mGateway = gateway;
         mTimes = times;
         mVersion = version;
-        mRolloutRule = rolloutRule;
     }
 
     /** Returns the selection criteria for the next attempt. */
@@ -83,17 +80,28 @@
     }
 
     private ChoiceRequest choiceRequest(Set<UpstreamNode> excluded) {
+        Optional<SoftwareVersion> version = mVersion.get();
         return new ChoiceRequest(
                 mGroup,
                 mAdmitted.route().regions(),
                 excluded,
-                mVersion.get(),
+                version,
                 mAdmitted.affinity(),
                 mAdmitted.prefixTokens(),
                 mTimes,
-                mRouting.evacuated(),
+                mGateway.routingTable().evacuated(),
                 mPreferredDataCentre,
                 ChoiceRequest.REMOTE_MILLIS + mAdmitted.transferCostMillis(),
-                mRolloutRule.get());
+                rolloutRule(version));
+    }
+
+    /** Returns which upstreams a roll-out allows for an attempt that is no trial. */
+    private VersionRule rolloutRule(Optional<SoftwareVersion> version) {
+        Rollouts rollouts = mGateway.rollouts();
+        return version.map(needed -> rollouts.continuationRule(mGroup.id(), needed))
+                .orElseGet(
+                        () ->
+                                rollouts.rule(
+                                        mGroup.id(), mAdmitted.route().label(), SendKind.FURTHER));
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/RolloutReportClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RolloutReportClient.java
@@ -7,6 +7,7 @@
 import org.boragethread.entry.rollout.RolloutReportCodec;
 import org.boragethread.wire.http.BufferedResponse;
 import org.boragethread.wire.http.HttpConnectionPool;
+import org.boragethread.wire.proto.RolloutReport;
 
 /** Sends reports on roll-outs to other entries over HTTP. */
 final class RolloutReportClient implements RolloutPeers {
@@ -29,10 +30,19 @@
 
     @Override
     public void send(String peer, EntryReport report, Runnable onFailure) {
+        send(peer, RolloutReportCodec.encode(report), onFailure);
+    }
+
+    @Override
+    public void probe(String peer, Runnable onFailure) {
+        send(peer, RolloutReport.getDefaultInstance(), onFailure);
+    }
+
+    private void send(String peer, RolloutReport message, Runnable onFailure) {
         BufferedResponse.fetch(
                 mConnections,
                 mScheduler,
-                PeerClient.createCall(peer, PATH, RolloutReportCodec.encode(report)),
+                PeerClient.createCall(peer, PATH, message),
                 TIMEOUT,
                 MAX_RESPONSE_BYTES,
                 response -> {
--- a/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
@@ -61,6 +61,7 @@
         mOnRecorded = onRecorded;
         mUses = new GroupUses(id, table, context.time(), metrics);
         mCoordinator = new RolloutCoordinator(id, context.time(), bounds, log, this);
+        metrics.showPhase(id, () -> table.state(id).map(s -> s.phase().ordinal()).orElse(-1));
     }
 
     GroupId id() {
@@ -94,6 +95,16 @@
         mCoordinator.onReport(report);
     }
 
+    /** Returns whether the coordinator is to decide something. */
+    boolean needsCoordinator() {
+        boolean isPending =
+                mRequest.isPresent()
+                        && mTable.state(mId)
+                                .filter(state -> state.order().request().equals(mRequest.get()))
+                                .isEmpty();
+        return isPending || isRunning();
+    }
+
     /** Returns a report for the coordinator; empty if no order is running. */
     Optional<EntryReport> nextReport() {
         if (!isRunning()) {
--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutMetrics.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutMetrics.java
@@ -1,7 +1,9 @@
 package org.boragethread.entry.rollout;
 
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.Locale;
+import java.util.function.Supplier;
 import org.boragethread.core.rollout.RolloutPhase;
 import org.boragethread.core.rollout.SendKind;
 import org.boragethread.core.rollout.VersionSide;
@@ -62,6 +64,11 @@
         mMeters.counter(PREFIX + "reports", "outcome", outcome).increment();
     }
 
+    /** Shows the phase of a group. */
+    void showPhase(GroupId group, Supplier<Number> phase) {
+        Gauge.builder(PREFIX + "phase", phase).tag(GROUP, group.value()).register(mMeters);
+    }
+
     private static String label(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT);
     }
--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutPeers.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutPeers.java
@@ -3,7 +3,6 @@
 import org.boragethread.core.rollout.EntryReport;
 
 /** Sends reports on roll-outs to other entries. */
-@FunctionalInterface
 public interface RolloutPeers {
 
     /**
@@ -13,4 +12,11 @@
      * @param onFailure called once if the entry did not confirm the report in time
      */
     void send(String peer, EntryReport report, Runnable onFailure);
+
+    /**
+     * Finds out whether an entry responds.
+     *
+     * @param onFailure called once if it did not in time
+     */
+    void probe(String peer, Runnable onFailure);
 }
--- a/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.boragethread.core.follow.ClockReading;
+import org.boragethread.core.follow.FreshnessLease;
 import org.boragethread.core.follow.TopicFollower;
 import org.boragethread.core.follow.TopicListener;
 import org.boragethread.core.member.Member;
@@ -25,6 +26,7 @@
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.UpstreamAnnouncement;
 import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.process.log.EventLog;
 
 /**
@@ -36,6 +38,7 @@
     private final RolloutContext mContext;
     private final Optional<RolloutBounds> mBounds;
     private final Optional<RolloutTable> mTable;
+    private final FreshnessLease mStatusLease;
     private final RolloutMetrics mMetrics;
     private final Map<GroupId, GroupRollout> mGroups = new HashMap<>();
     private final Set<GroupId> mChangedGroups = new LinkedHashSet<>();
@@ -61,11 +64,13 @@
      * Creates roll-outs of which nothing is known.
      *
      * @param bounds bounds of roll-outs; empty if none is to be carried out
+     * @param leaseTime lifetime of the configuration lease, in which the states must be read too
      */
-    public Rollouts(RolloutContext context, Optional<RolloutBounds> bounds) {
+    public Rollouts(RolloutContext context, Optional<RolloutBounds> bounds, Duration leaseTime) {
         mContext = context;
         mBounds = bounds;
         mTable = bounds.map(limits -> new RolloutTable(context.time(), limits));
+        mStatusLease = new FreshnessLease(context.time(), leaseTime);
         mMetrics = new RolloutMetrics(context.meters());
     }
 
@@ -101,7 +106,18 @@
             return VersionRule.ANY;
         }
         updateUpstreams();
-        return mTable.get().rule(group, route, kind);
+        return isUncertain(group) ? VersionRule.NONE : mTable.get().rule(group, route, kind);
+    }
+
+    /** Returns which upstreams may get a request now that continues a stream of a version. */
+    public VersionRule continuationRule(GroupId group, SoftwareVersion version) {
+        if (mTable.isEmpty()) {
+            return VersionRule.ANY;
+        }
+        updateUpstreams();
+        return isUncertain(group)
+                ? VersionRule.NONE
+                : mTable.get().continuationRule(group, version);
     }
 
     /**
@@ -115,7 +131,8 @@
         }
         updateUpstreams();
         RolloutTable table = mTable.get();
-        if (!table.trySend(group, route, kind, node.entry().id(), node.softwareVersion())) {
+        if (isUncertain(group)
+                || !table.trySend(group, route, kind, node.entry().id(), node.softwareVersion())) {
             mMetrics.onHeldBack(group);
             return false;
         }
@@ -124,6 +141,18 @@
         return true;
     }
 
+    /**
+     * Returns whether the old version may be out of use by now: the coordinator completes a
+     * roll-out without the reports of an entry that was gone for the lifetime of its lease.
+     */
+    private boolean isUncertain(GroupId group) {
+        Optional<RolloutState> state = mTable.orElseThrow().state(group);
+        if (state.isEmpty()) {
+            return !mStatusKnown && mRequests.containsKey(group);
+        }
+        return !state.get().phase().isEnded() && !mStatusLease.isHeld();
+    }
+
     /** Called when a request is sent to an upstream; returns what counts how it ends. */
     public UpstreamUse begin(GroupId group, String route, UpstreamNode node) {
         return mTable.isEmpty() ? UpstreamUse.NONE : group(group).uses().begin(route, node);
@@ -241,6 +270,7 @@
     @Override
     public void onStatusRead(ClockReading asOf) {
         mTable.orElseThrow().onStatusRead(asOf);
+        mStatusLease.renew(asOf);
         mStatusKnown = true;
         followWhileNeeded();
     }
@@ -293,17 +323,23 @@
     }
 
     private void report(GroupRollout group) {
-        Optional<EntryReport> report = group.nextReport();
-        if (report.isEmpty()) {
+        if (!group.needsCoordinator()) {
             return;
         }
+        Optional<EntryReport> report = group.nextReport();
         Optional<String> coordinator = mContext.coordinators().coordinator(group.id());
-        if (coordinator.isEmpty() || isSelf(coordinator.get())) {
-            group.onReport(report.get());
+        if (coordinator.map(this::isSelf).orElse(true)) {
+            report.ifPresent(group::onReport);
             return;
         }
         String peer = coordinator.get();
-        mContext.peers().send(peer, report.get(), () -> onReportLost(group.id(), peer));
+        Runnable onFailure = () -> onReportLost(group.id(), peer);
+        if (report.isPresent()) {
+            mContext.peers().send(peer, report.get(), onFailure);
+        } else {
+            // Without a state that is recorded, a coordinator that ended would not be noticed.
+            mContext.peers().probe(peer, onFailure);
+        }
     }
 
     private void onReportLost(GroupId group, String peer) {
@@ -319,7 +355,7 @@
 
     /** Takes a report of another entry. */
     public void onReport(EntryReport report) {
-        if (mTable.isPresent()) {
+        if (mTable.isPresent() && mParticipation.isPresent()) {
             mMetrics.onReport("received");
             group(report.state().order().request().group()).onReport(report);
         }
--- /dev/null
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutReportCodecTest.java
@@ -0,0 +1,72 @@
+package org.boragethread.entry.rollout;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.boragethread.core.rollout.EntryReport;
+import org.boragethread.core.rollout.RolloutEvidence;
+import org.boragethread.core.rollout.RolloutOrder;
+import org.boragethread.core.rollout.RolloutPhase;
+import org.boragethread.core.rollout.RolloutRequest;
+import org.boragethread.core.rollout.RolloutState;
+import org.boragethread.core.rollout.VersionCounts;
+import org.boragethread.core.rollout.VersionSide;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.SoftwareVersion;
+import org.boragethread.platform.store.MalformedRecordException;
+import org.boragethread.wire.proto.RolloutReport;
+import org.boragethread.wire.proto.RolloutRouteCounts;
+import org.testng.annotations.Test;
+
+/** Tests the reports of entries on roll-outs. */
+public class RolloutReportCodecTest {
+
+    private static EntryReport report() {
+        long[] times = new long[VersionCounts.BUCKETS];
+        times[3] = 7;
+        RolloutRequest request =
+                new RolloutRequest(
+                        new GroupId("chat"), new SoftwareVersion("v2"), Duration.ofSeconds(60));
+        RolloutState state =
+                new RolloutState(
+                        new RolloutOrder(request, 5),
+                        RolloutPhase.SWITCHING,
+                        2,
+                        false,
+                        List.of(new SoftwareVersion("v0")));
+        RolloutEvidence evidence =
+                new RolloutEvidence(
+                        Map.of(
+                                "lookup",
+                                Map.of(
+                                        VersionSide.OLD,
+                                        new VersionCounts(9, 1, 2, times),
+                                        VersionSide.TARGET,
+                                        VersionCounts.NONE)));
+        return new EntryReport("127.0.0.1:1", 11, 12, state, 3, evidence);
+    }
+
+    @Test
+    public void reportsAreDecodedAsTheyWereEncoded() throws Exception {
+        assertEquals(RolloutReportCodec.decode(RolloutReportCodec.encode(report())), report());
+    }
+
+    // Guards against a report of another build that throws in the coordinator's event loop.
+    @Test
+    public void malformedReportsAreRefused() {
+        RolloutReport valid = RolloutReportCodec.encode(report());
+        for (RolloutReport malformed :
+                List.of(
+                        RolloutReport.getDefaultInstance(),
+                        valid.toBuilder().clearState().build(),
+                        valid.toBuilder()
+                                .addRoutes(RolloutRouteCounts.newBuilder().setRoute("x"))
+                                .build())) {
+            assertThrows(
+                    MalformedRecordException.class, () -> RolloutReportCodec.decode(malformed));
+        }
+    }
+}
