--- a/core/src/test/java/org/boragethread/core/follow/TopicFollowerTest.java
+++ b/core/src/test/java/org/boragethread/core/follow/TopicFollowerTest.java
@@ -35,10 +35,13 @@
         mRecorder = new Recorder();
     }
 
-    private void start() {
+    private TopicFollower start() {
         TopicRelay relay = new TopicRelay(mTime, (key, previous, value) -> false);
-        new TopicFollower(mTopic, mTime, mTime, TIMING, mRecorder, relay, Supervisors.rethrowing())
-                .start();
+        TopicFollower follower =
+                new TopicFollower(
+                        mTopic, mTime, mTime, TIMING, mRecorder, relay, Supervisors.rethrowing());
+        follower.start();
+        return follower;
     }
 
     private void run(int millis) {
@@ -54,6 +57,17 @@
         assertEquals(mRecorder.mValues, Map.of("a", "1", "b", "2"));
     }
 
+    // Guards against calls to the store for a topic that nobody needs any more.
+    @Test
+    public void stoppedFollowerDeliversNothing() {
+        TopicFollower follower = start();
+        run(300);
+        follower.stop();
+        mTopic.put("b", "2");
+        run(3000);
+        assertEquals(mRecorder.mValues, Map.of());
+    }
+
     @Test
     public void removedKeyIsDelivered() {
         mTopic.put("a", "1");
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.member.PartitionLease;
+import org.boragethread.core.rollout.VersionRule;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.upstream.ColdRateShare.ColdRateBound;
 import org.boragethread.model.place.DataCentreId;
@@ -120,6 +121,18 @@
         assertTrue(mChooser.hasCandidate(any));
     }
 
+    // Guards against a request that a roll-out keeps from a version and that goes there anyway.
+    @Test
+    public void onlyUpstreamsThatARolloutAllowsAreChosen() {
+        ChoiceRequest any = request(42, Set.of());
+        UpstreamNode usual = choose(42);
+        ChoiceRequest restricted =
+                any.withVersions((upstream, version) -> !upstream.equals(usual.entry().id()));
+        assertFalse(mChooser.choose(restricted).filter(usual::equals).isPresent());
+        assertTrue(mChooser.hasCandidate(restricted));
+        assertFalse(mChooser.hasCandidate(any.withVersions(VersionRule.NONE)));
+    }
+
     private static ChoiceRequest withVersion(ChoiceRequest request, String version) {
         return new ChoiceRequest(
                 request.group(),
