--- a/core/src/test/java/org/boragethread/core/rollout/RolloutSimulation.java
+++ b/core/src/test/java/org/boragethread/core/rollout/RolloutSimulation.java
@@ -84,7 +84,6 @@
             mUpstreams.add(upstream("new-" + i, TARGET));
         }
         mIsOrdered = true;
-        mAttemptsBeforeOrder = mFirstAttempts;
     }
 
     void removeOrder() {
@@ -129,6 +128,9 @@
                 mEntries.get(mRandom.nextInt(mEntries.size())).send();
             }
             noteOutcome(before);
+            if (before.isEmpty()) {
+                mAttemptsBeforeOrder = mFirstAttempts;
+            }
             double share = BOUNDS.entryShare() * (mFirstAttempts - mAttemptsBeforeOrder);
             mTrialsOverShare = Math.max(mTrialsOverShare, mTrials - share);
         }
