--- a/core/src/test/java/org/boragethread/core/rollout/SimulatedLog.java
+++ b/core/src/test/java/org/boragethread/core/rollout/SimulatedLog.java
@@ -83,7 +83,7 @@
     }
 
     void restore() {
-        int kept = Math.max(0, mRecords.size() - 1 - mRandom.nextInt(4));
+        int kept = mRandom.nextInt(mRecords.size() + 1);
         mRecords = new ArrayList<>(mRecords.subList(0, kept));
         mLate.clear();
         mEra++;
