--- a/core/src/test/java/org/boragethread/core/rollout/VerdictTest.java
+++ b/core/src/test/java/org/boragethread/core/rollout/VerdictTest.java
@@ -20,7 +20,7 @@
     private static final Duration PERIOD = Duration.ofSeconds(60);
     private static final int STEP_MILLIS = 500;
     private static final double TRIAL_SHARE = 0.08;
-    private static final double SWITCH_SHARE = 0.6;
+    private static final double FORCED_SHARE = 0.9;
     private static final int ROUTES = 5;
 
     /** Share of bad responses, and factor of response times, of the target version. */
@@ -167,7 +167,7 @@
     public void nothingIsDecidedWhileBothVersionsFail() {
         for (long seed = 0; seed < 100; seed++) {
             Outcome outcome = trial(new Badness(0, 1, 0, false), 0.5, 100, seed);
-            assertTrue(outcome.seconds() > SWITCH_SHARE * PERIOD.toSeconds(), "seed " + seed);
+            assertTrue(outcome.seconds() > FORCED_SHARE * PERIOD.toSeconds(), "seed " + seed);
         }
     }
 }
