Merge roll-outs by version into the gateway

During a roll-out an entry selects upstreams by itself, since it limits and counts what it sends to each version; otherwise the coordinator of a group of engines places requests as before.

--- a/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineLoad.java
@@ -131,6 +131,7 @@
     /** Called when the engine has responded without a failure. */
     void onSuccess() {
         mConsecutiveFailures = 0;
+        mLastFailed = Optional.empty();
     }
 
     /**
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -112,7 +112,9 @@
         Set<UpstreamId> unusable = new HashSet<>();
         boolean any = false;
         for (UpstreamNode node : mDirectory.of(request.group().id())) {
-            if (request.excluded().contains(node)) {
+            boolean isVersionAllowed =
+                    request.versions().allows(node.entry().id(), node.softwareVersion());
+            if (request.excluded().contains(node) || !isVersionAllowed) {
                 unusable.add(node.entry().id());
             } else if (isAllowed(node, request)) {
                 boolean callable = isCallAllowed(node, request.group(), now);
@@ -227,7 +229,11 @@
                                         isDoubtful(node)
                                                 && isPlaceAllowed(node, request)
                                                 && isOfNeededVersion(
-                                                        request, node.entry().softwareVersion()));
+                                                        request, node.entry().softwareVersion())
+                                                && request.versions()
+                                                        .allows(
+                                                                node.entry().id(),
+                                                                node.entry().softwareVersion()));
     }
 
     /**
@@ -258,7 +264,9 @@
     }
 
     private boolean isAllowed(UpstreamNode node, ChoiceRequest request) {
-        return isPlaceAllowed(node, request) && isOfNeededVersion(request, certainVersion(node));
+        return isPlaceAllowed(node, request)
+                && isOfNeededVersion(request, certainVersion(node))
+                && request.versions().allows(node.entry().id(), node.softwareVersion());
     }
 
     private boolean isDoubtful(UpstreamNode node) {
--- a/core/src/test/java/org/boragethread/core/placement/EngineLoadTest.java
+++ b/core/src/test/java/org/boragethread/core/placement/EngineLoadTest.java
@@ -66,11 +66,11 @@
     // Guards against single failures that add up over hours.
     @Test
     public void completedResponseEndsRowOfFailures() {
-        mEngine.onFailure(PlacementFailure.FAILED, 1);
+        mEngine.onFailure(add(1).request().key(), PlacementFailure.FAILED, 1);
         mEngine.onSuccess();
-        mEngine.onFailure(PlacementFailure.FAILED, 2);
+        mEngine.onFailure(add(2).request().key(), PlacementFailure.FAILED, 2);
         assertFalse(mEngine.isAvoided(3));
-        mEngine.onFailure(PlacementFailure.FAILED, 3);
+        mEngine.onFailure(add(3).request().key(), PlacementFailure.FAILED, 3);
         assertTrue(mEngine.isAvoided(4));
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -82,7 +82,7 @@
                 new Placement(
                         mGroup,
                         mAdmitted,
-                        mGateway.routingTable(),
+                        mGateway,
                         mFeedback.responseTimes(),
                         mContinuation::requiredVersion);
         RequestParts parts =
@@ -175,7 +175,7 @@
         if (mEnded || mAttempt != null && mAttempt.isActive() || mPrompt.isRefused(this::fail)) {
             return;
         }
-        mSelection.select(this::sendTo, this::fail);
+        mSelection.select(mSender::choose, this::sendTo, this::fail);
     }
 
     private void sendTo(Optional<UpstreamNode> node) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import org.boragethread.core.quarantine.Quarantine;
 import org.boragethread.core.resume.StreamOriginDirectory;
 import org.boragethread.core.retry.SharedRetryBudget;
+import org.boragethread.core.rollout.RolloutBounds;
 import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.core.stage.BatchClient;
 import org.boragethread.core.stage.BatchScheduler;
@@ -39,6 +41,9 @@
 import org.boragethread.entry.placement.PlacementRehearsal;
 import org.boragethread.entry.placement.PlacementRouter;
 import org.boragethread.entry.placement.PlacementServer;
+import org.boragethread.entry.rollout.RolloutContext;
+import org.boragethread.entry.rollout.Rollouts;
+import org.boragethread.model.routing.Route;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.platform.store.StoreGroup;
@@ -75,6 +80,7 @@
     private final StageRouter mStageRouter;
     private final PlacementServer mPlacementServer;
     private final PlacementRouter mPlacements;
+    private final Rollouts mRollouts;
     private final Map<GroupId, RateLimitQueue> mRateLimitQueues = new HashMap<>();
     private final Map<GroupId, SharedRetryBudget> mRetryBudgets = new HashMap<>();
     private final Map<GroupId, ResponseTimeModel> mResponseTimes = new HashMap<>();
@@ -129,17 +135,9 @@
         mUpstreamSignals =
                 new UpstreamSignals(
                         mScheduler, time, mLog, metrics, mRateLimitSync, settings.scheduling());
-        mBatchClient =
-                new HttpBatchClient(
-                        mConnections,
-                        mScheduler,
-                        time,
-                        mLog,
-                        metrics,
-                        mUpstreamSignals,
-                        mRateLimitShare,
-                        group -> batchScheduler(group).dispatch());
         mCoordinators = new CoordinatorTable(time, settings.dataCentre());
+        mRollouts = createRollouts();
+        mBatchClient = createBatchClient();
         mStageRouter = createStageRouter();
         mPlacementServer = new PlacementServer(new DirectoryEngines(this), time);
         mPlacements = createPlacementRouter();
@@ -169,6 +167,60 @@
                 mMetrics);
     }
 
+    private BatchClient createBatchClient() {
+        return new HttpBatchClient(
+                mConnections,
+                mScheduler,
+                mTime,
+                mLog,
+                mMetrics,
+                mUpstreamSignals,
+                mRateLimitShare,
+                new StageRollouts(this),
+                group -> batchScheduler(group).dispatch());
+    }
+
+    private Rollouts createRollouts() {
+        RolloutContext context =
+                new RolloutContext(
+                        mTime,
+                        mScheduler,
+                        mLog,
+                        mMetrics.registry(),
+                        mDirectory,
+                        mCoordinators,
+                        new RolloutReportClient(mConnections, mScheduler),
+                        group -> groupConfig(group).isPresent(),
+                        this::departureTime);
+        return new Rollouts(
+                context,
+                mSettings
+                        .rollouts()
+                        .map(
+                                rollouts ->
+                                        new RolloutBounds(
+                                                rollouts.trialShare(),
+                                                rollouts.rollbackTime(),
+                                                mSettings.revokeTime())),
+                mSettings.revokeTime().minus(REVOKE_MARGIN));
+    }
+
+    /** Returns the time after which an entry that is cut off or gone has no request in flight. */
+    private Duration departureTime() {
+        Duration longest =
+                mRoutingTable.config().stream()
+                        .flatMap(config -> config.routes().stream())
+                        .map(Route::timeout)
+                        .max(Comparator.naturalOrder())
+                        .orElse(Duration.ZERO);
+        return mSettings.revokeTime().plus(longest);
+    }
+
+    /** Returns the roll-outs in which this process takes part. */
+    Rollouts rollouts() {
+        return mRollouts;
+    }
+
     GatewaySettings settings() {
         return mSettings;
     }
@@ -410,6 +462,7 @@
                 && mRoutingTable.config().isPresent()
                 && mUpstreamsKnown
                 && mQuarantineKnown
+                && mRollouts.isReady()
                 && mLease.isHeld();
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -36,9 +36,11 @@
 import org.boragethread.entry.placement.PeerCoordinatorLink;
 import org.boragethread.entry.placement.PlacementServer;
 import org.boragethread.entry.placement.ReportResult;
+import org.boragethread.entry.rollout.RolloutReportCodec;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
+import org.boragethread.platform.store.MalformedRecordException;
 import org.boragethread.process.log.EventLog;
 import org.boragethread.wire.proto.PieceDone;
 import org.boragethread.wire.proto.PlacementDecision;
@@ -48,6 +50,7 @@
 import org.boragethread.wire.proto.ResultHeld;
 import org.boragethread.wire.proto.ResultsFree;
 import org.boragethread.wire.proto.ResultsHeld;
+import org.boragethread.wire.proto.RolloutReport;
 import org.boragethread.wire.proto.StageWork;
 import org.boragethread.wire.proto.StageWorkDone;
 import org.boragethread.wire.proto.StreamBegun;
@@ -98,6 +101,10 @@
             applyPlacementReports(context, PlacementReports.parseFrom(body));
             return;
         }
+        if (request.uri().equals(RolloutReportClient.PATH)) {
+            respond(context, takeRolloutReport(RolloutReport.parseFrom(body)));
+            return;
+        }
         if (mGateway.isLeaving() || !mPendingPieces.isEmpty() || mPlacement.isPresent()) {
             respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
@@ -170,6 +177,19 @@
         return head;
     }
 
+    private HttpResponseStatus takeRolloutReport(RolloutReport report) {
+        if (report.equals(RolloutReport.getDefaultInstance())) {
+            // Another entry has nothing to report, and wants to know whether this one responds.
+            return HttpResponseStatus.OK;
+        }
+        try {
+            mGateway.rollouts().onReport(RolloutReportCodec.decode(report));
+            return HttpResponseStatus.OK;
+        } catch (MalformedRecordException e) {
+            return HttpResponseStatus.BAD_REQUEST;
+        }
+    }
+
     private void rememberStreams(StreamOrigins streams) {
         for (StreamBegun stream : streams.getStreamsList()) {
             mGateway.streamOrigins()
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.boragethread.core.placement.PlacementRefusal;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.UpstreamChooser;
@@ -42,6 +43,7 @@
     private Optional<RequestParts> mParts = Optional.empty();
     private final Set<UpstreamId> mRejected = new HashSet<>();
     private Optional<Selected> mSelected = Optional.empty();
+    private Function<ChoiceRequest, Optional<UpstreamNode>> mLocal = choice -> Optional.empty();
     private boolean mShared;
     private boolean mPending;
     private PlacementRouter.Waiting mWaiting = () -> {};
@@ -65,13 +67,19 @@
     }
 
     /**
-     * Selects an upstream, at once or when the coordinator has decided.
+     * Selects an upstream, at once or when the coordinator has decided. During a roll-out of the
+     * group this process selects by itself, since it limits what it sends to each version.
      *
+     * @param local selects an upstream by what this process knows
      * @param receiver gets the upstream; empty if none may be called now
      * @param end ends the request if it is hopeless
      */
-    void select(Consumer<Optional<UpstreamNode>> receiver, RequestEnd end) {
-        if (!mShared) {
+    void select(
+            Function<ChoiceRequest, Optional<UpstreamNode>> local,
+            Consumer<Optional<UpstreamNode>> receiver,
+            RequestEnd end) {
+        mLocal = local;
+        if (!mShared || mGateway.rollouts().isRunning(group())) {
             receiver.accept(selectLocally());
         } else if (!mPending) {
             mRejected.clear();
@@ -80,7 +88,7 @@
     }
 
     private Optional<UpstreamNode> selectLocally() {
-        return mGateway.chooser().choose(parts().placement().choiceRequest());
+        return mLocal.apply(parts().placement().choiceRequest());
     }
 
     private void ask(Consumer<Optional<UpstreamNode>> receiver, RequestEnd end) {
--- a/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
@@ -307,6 +307,7 @@
                 () -> {
                     createSelection(20)
                             .select(
+                                    mEntry.chooser()::choose,
                                     node -> selected.complete(node.get().entry().id().value()),
                                     (reason, detail, retryAfter) -> selected.complete(detail));
                     return true;
@@ -326,6 +327,7 @@
                 () -> {
                     createSelection(0)
                             .select(
+                                    mEntry.chooser()::choose,
                                     node -> end.complete("selected"),
                                     (reason, detail, retryAfter) ->
                                             end.complete(
