--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -1,10 +1,8 @@
 package org.boragethread.core.placement;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -63,11 +61,10 @@
     private final PromptTimes mTimes = new PromptTimes();
     private final EngineCost mCost = new EngineCost(mTimes);
     private final WaitEstimate mWait = new WaitEstimate(mEngines, mQueue, mRate);
-    private final Deque<Runnable> mOutcomes = new ArrayDeque<>();
+    private final OutcomeQueue mOutcomes = new OutcomeQueue();
     private double mReportMillis = INITIAL_REPORT_MILLIS;
     private long mDirectoryReadAt;
     private boolean mDirectoryRead;
-    private boolean mDelivering;
     private long mNextArrival;
     private long mNextPlaced;
     private Optional<Scheduler.Timer> mTimer = Optional.empty();
@@ -103,7 +100,7 @@
         Optional<PlacedRequest> placed = mPlaced.find(request.key());
         if (placed.isPresent()) {
             announce(placed.get(), recipient, Duration.ZERO);
-            deliver();
+            mOutcomes.deliver();
             return;
         }
         Optional<WaitingRequest> repeated = mQueue.find(request.key());
@@ -319,7 +316,7 @@
     private void finish(long now) {
         mRate.update(mQueue.size() > 0, now);
         scheduleWake(now);
-        deliver();
+        mOutcomes.deliver();
     }
 
     private void readDirectory(long now) {
@@ -490,21 +487,4 @@
         // Without another timer, requests would wait for ever if no message comes.
         mSupervisor.run(this::dispatch, () -> scheduleWake(mTime.nanoTime()));
     }
-
-    /** Notifies listeners when the state is consistent, since they may call back. */
-    private void deliver() {
-        if (mDelivering) {
-            return;
-        }
-        mDelivering = true;
-        try {
-            Runnable next = mOutcomes.poll();
-            while (next != null) {
-                next.run();
-                next = mOutcomes.poll();
-            }
-        } finally {
-            mDelivering = false;
-        }
-    }
 }
--- a/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
@@ -354,11 +354,7 @@
         RoutedGroup group = mEntry.groupConfig(ENGINES).get();
         Placement placement =
                 new Placement(
-                        group,
-                        admitted,
-                        mEntry.routingTable(),
-                        mEntry.responseTimes(ENGINES),
-                        Optional::empty);
+                        group, admitted, mEntry, mEntry.responseTimes(ENGINES), Optional::empty);
         selection.start(
                 new RequestParts(
                         request,
