--- a/entry/src/main/java/org/boragethread/entry/placement/PeerCoordinatorLink.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PeerCoordinatorLink.java
@@ -103,7 +103,7 @@
         private final Listener mListener;
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
         private CallControl mControl;
-        private Scheduler.Timer mTimer;
+        private Scheduler.Timer mTimer = () -> {};
         private int mStatus;
 
         PendingQuery(Listener listener) {
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
@@ -41,7 +41,10 @@
  */
 public final class PlacementServer {
 
-    /** Withdrawals that may overtake their requests, for each entry. */
+    /**
+     * Withdrawals that may overtake their requests, for each entry. An entry has fewer requests on
+     * their way within the 100 ms after which it withdraws; older ones have arrived.
+     */
     private static final int MAX_EARLY_WITHDRAWALS = 1024;
 
     /** Number of placements after which those that have expired unreported are looked for. */
