--- a/entry/src/test/java/org/boragethread/entry/placement/OneEngine.java
+++ b/entry/src/test/java/org/boragethread/entry/placement/OneEngine.java
@@ -11,6 +11,7 @@
 import org.boragethread.core.placement.EngineStatus;
 import org.boragethread.core.placement.PlacementCoordinator;
 import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.core.time.Scheduler;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.EngineLimits;
 import org.boragethread.model.upstream.GroupId;
@@ -32,6 +33,11 @@
         return mTime;
     }
 
+    /** Returns a scheduler whose tasks run for the owner that schedules them. */
+    Scheduler scheduler() {
+        return (delay, task) -> mTime.schedule(delay, mSupervisor.guard().bind(task));
+    }
+
     Supervisor supervisor() {
         return mSupervisor;
     }
--- a/entry/src/test/java/org/boragethread/entry/placement/ReportOutboxTest.java
+++ b/entry/src/test/java/org/boragethread/entry/placement/ReportOutboxTest.java
@@ -22,6 +22,7 @@
     private boolean mActive;
     private int mFailing;
     private int mConfirmed;
+    private boolean mThrowing;
 
     @BeforeMethod
     public void start() {
@@ -31,13 +32,14 @@
         mActive = false;
         mFailing = 0;
         mConfirmed = 0;
+        mThrowing = false;
         mOutbox =
                 new ReportOutbox(
                         this::send,
                         PlacementReports.getDefaultInstance(),
                         PlacementRestore::getDefaultInstance,
                         new Listener(),
-                        mEngine.time(),
+                        mEngine.scheduler(),
                         mEngine.supervisor(),
                         mEngine.time());
     }
@@ -67,6 +69,19 @@
         assertTrue(mSent.get(1).hasRestore());
     }
 
+    // Guards against a request that fails because a report for others could not be handled.
+    @Test
+    public void failureOfTimerIsNotThatOfARequest() {
+        List<Throwable> ofRequest = new ArrayList<>();
+        mThrowing = true;
+        mEngine.supervisor()
+                .guard()
+                .run(ofRequest::add, () -> mOutbox.add(PlacementReport.getDefaultInstance()));
+        advance(1);
+        assertEquals(ofRequest, List.of());
+        assertTrue(!mEngine.failures().isEmpty());
+    }
+
     @Test
     public void restoreIsSentWhenCoordinatorNeedsIt() {
         mOutbox.probe();
@@ -106,6 +121,9 @@
         @Override
         public void onConfirmed() {
             mConfirmed++;
+            if (mThrowing) {
+                throw new IllegalStateException("cannot handle");
+            }
         }
 
         @Override
