--- a/entry/src/test/java/org/boragethread/entry/placement/PlacementRouterTest.java
+++ b/entry/src/test/java/org/boragethread/entry/placement/PlacementRouterTest.java
@@ -9,9 +9,11 @@
 import java.util.List;
 import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
+import org.boragethread.core.callback.CallbackGuard;
 import org.boragethread.core.member.Member;
 import org.boragethread.core.placement.PlacementRefusal;
 import org.boragethread.core.stage.CoordinatorTable;
+import org.boragethread.core.time.Scheduler;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.process.log.EventLog;
@@ -32,11 +34,13 @@
     private Link mLink;
     private PlacementRouter mRouter;
     private List<String> mOutcomes;
+    private List<CallbackGuard.Owner> mOwners;
 
     @BeforeMethod
     public void start() {
         mEngine = new OneEngine();
         mOutcomes = new ArrayList<>();
+        mOwners = new ArrayList<>();
         mLink = new Link();
         mCoordinators = new CoordinatorTable(mEngine.time(), DATA_CENTRE);
         mCoordinators.setMembers(List.of(new Member(COORDINATOR, 1, 100, DATA_CENTRE)));
@@ -46,7 +50,7 @@
                         mCoordinators,
                         mLink,
                         new PlacementServer(mEngine, mEngine.time()),
-                        mEngine.time(),
+                        this::schedule,
                         mEngine.time(),
                         mEngine.supervisor(),
                         new EventLog(
@@ -65,6 +69,11 @@
         mRouter.place(OneEngine.GROUP, needs(), new Outcome());
     }
 
+    private Scheduler.Timer schedule(Duration delay, Runnable task) {
+        mOwners.add(mEngine.supervisor().guard().current());
+        return mEngine.scheduler().schedule(delay, task);
+    }
+
     private void advance(int millis) {
         mEngine.time().advance(Duration.ofMillis(millis));
     }
@@ -84,11 +93,21 @@
     @Test
     public void invalidRequestDoesNotAvoidCoordinator() {
         mLink.mInvalid = true;
+        mLink.mSilent = true;
         place();
         assertEquals(mOutcomes, List.of("unavailable"));
         assertEquals(mCoordinators.coordinator(OneEngine.GROUP), Optional.of(COORDINATOR));
     }
 
+    // Guards against a request that fails because a timer for others threw.
+    @Test
+    public void onlyTheTimerOfTheDeadlineRunsForTheRequest() {
+        CallbackGuard.Owner request = cause -> mOutcomes.add("failed");
+        mEngine.supervisor().guard().run(request, this::place);
+        mOwners.removeIf(owner -> owner != request);
+        assertEquals(mOwners.size(), 1);
+    }
+
     // Guards against a request that waits for ever because it could not be sent.
     @Test
     public void requestThatCannotBeSentDoesNotWait() {
@@ -114,6 +133,7 @@
         private final List<PlacementReports> mReports = new ArrayList<>();
         private boolean mInvalid;
         private boolean mThrowing;
+        private boolean mSilent;
 
         @Override
         public Call ask(String coordinator, PlacementQuery asked, Listener listener) {
@@ -131,7 +151,9 @@
         @Override
         public void report(String coordinator, PlacementReports reports, ReportListener listener) {
             mReports.add(reports);
-            listener.onReported(ReportResult.CONFIRMED);
+            if (!mSilent) {
+                listener.onReported(ReportResult.CONFIRMED);
+            }
         }
     }
 
