Count a response of a roll-out once, at its end

A version whose streams stall, or that this process gives up or whose deadline passes after the first event, counted as good. A stream that its caller leaves is not counted.

--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -377,6 +377,7 @@
             Runnable onBegin = () -> mContinuation.onBegin(mAttempt);
             mStream.start(status, mAttempt.forwardedHeaders(), resumable, onBegin);
         } else if (!mAttempt.isEventStream()) {
+            mAttempt.countGivenUp();
             giveUp(mAttempt, "resumed without events");
         }
     }
@@ -421,6 +422,7 @@
     }
 
     private void onDeadline() {
+        Optional.ofNullable(mAttempt).ifPresent(UpstreamAttempt::countGivenUp);
         abandon(RefusalReason.DEADLINE_EXCEEDED, "the deadline passed");
     }
 
@@ -487,9 +489,7 @@
         mContinuation.stop();
         mSearch.reset();
         mSilence.ifPresent(SilenceGuard::stop);
-        if (mAttempt != null) {
-            mAttempt.cancel();
-        }
+        Optional.ofNullable(mAttempt).ifPresent(UpstreamAttempt::cancel);
         mStages.cancel();
         mRequest.body().release();
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
@@ -272,7 +272,7 @@
     }
 
     private void giveUp(UpstreamAttempt silent) {
-        silent.cancel();
+        silent.giveUp();
         mParts.trace()
                 .responseBroken(
                         silent.node(),
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -200,6 +200,22 @@
         mControl.cancel();
     }
 
+    /** Cancels the attempt because the response does not go on. */
+    void giveUp() {
+        countGivenUp();
+        cancel();
+    }
+
+    /**
+     * Counts that the response is given up. That is no failure of the upstream while the response
+     * is not read, for example because the caller does not read it.
+     */
+    void countGivenUp() {
+        if (!mEnded && mReading) {
+            mUse.onGivenUp(relativeTime());
+        }
+    }
+
     /** Returns the time since the attempt was sent as a multiple of the predicted response time. */
     private double relativeTime() {
         double expected =
@@ -334,7 +350,7 @@
         mForwarding = true;
         mForwardingSince = mGateway.time().nanoTime();
         endPrefill();
-        countResponse();
+        mUse.onStarted(OptionalDouble.of(relativeTime()));
         mListener.onStreamHead(mNode, mStatus);
         if (!mEnded && mBuffered.isReadable()) {
             mListener.onStreamData(mBuffered);
@@ -355,6 +371,7 @@
         if (!isBodyComplete()) {
             reportBroken("the event stream ended inside an event or without any");
         } else if (mForwarding) {
+            countResponse();
             mGateway.streamDurations(mCalledEntry.group())
                     .add(mGateway.time().since(mForwardingSince));
             mListener.onStreamEnd(mNode);
--- a/entry/src/main/java/org/boragethread/entry/rollout/GroupUses.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/GroupUses.java
@@ -78,6 +78,7 @@
         private final Optional<RolloutOrder> mSentUnder;
         private final Optional<VersionSide> mSide;
         private final boolean mCold;
+        private Optional<OptionalDouble> mStarted = Optional.empty();
         private boolean mCounted;
         private boolean mEnded;
 
@@ -100,19 +101,36 @@
             return mSide.isPresent() && mSentUnder.equals(mOrder);
         }
 
+        @Override
+        public void onStarted(OptionalDouble relativeTime) {
+            mStarted = Optional.of(relativeTime);
+        }
+
         @Override
         public void onResponse(OptionalDouble relativeTime) {
-            countResponse(relativeTime, "responded");
+            countResponse(mStarted.orElse(relativeTime), "responded");
         }
 
         @Override
         public void onAbandoned(double relativeTime) {
-            if (!mCounted && relativeTime >= SLOW_RELATIVE_TIME) {
+            if (mStarted.isEmpty() && relativeTime >= SLOW_RELATIVE_TIME) {
                 countResponse(OptionalDouble.of(relativeTime), "abandoned");
             }
         }
 
+        @Override
+        public void onGivenUp(double relativeTime) {
+            if (mStarted.isPresent()) {
+                onFailure();
+            } else {
+                onAbandoned(relativeTime);
+            }
+        }
+
         private void countResponse(OptionalDouble relativeTime, String outcome) {
+            if (mCounted) {
+                return;
+            }
             mCounted = true;
             if (isRelevant()) {
                 OptionalDouble time = mCold ? OptionalDouble.empty() : relativeTime;
@@ -123,6 +141,9 @@
 
         @Override
         public void onFailure() {
+            if (mCounted) {
+                return;
+            }
             mCounted = true;
             if (isRelevant()) {
                 mCounter.onFailure(mRoute, mSide.get(), mUpstream);
