Know configuration, states and late appends before roll-outs are decided

The coordinator is created once the configuration is known, whose longest timeout it needs. An entry is ready only when the states are known, also without an order: a version may be rejected. States are followed for ten seconds after an order was removed. Lost reports no longer take the stages of a group from their coordinator: roll-outs have their own table.

--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -158,7 +158,7 @@
                         mLog,
                         mMetrics.registry(),
                         mDirectory,
-                        mCoordinators,
+                        new CoordinatorTable(mTime, mSettings.dataCentre()),
                         new RolloutReportClient(mConnections, mScheduler),
                         group -> groupConfig(group).isPresent(),
                         this::departureTime);
@@ -175,15 +175,20 @@
                 mSettings.revokeTime().minus(REVOKE_MARGIN));
     }
 
-    /** Returns the time after which an entry that is cut off or gone has no request in flight. */
-    private Duration departureTime() {
-        Duration longest =
-                mRoutingTable.config().stream()
-                        .flatMap(config -> config.routes().stream())
-                        .map(Route::timeout)
-                        .max(Comparator.naturalOrder())
-                        .orElse(Duration.ZERO);
-        return mSettings.revokeTime().plus(longest);
+    /**
+     * Returns the time after which an entry that is cut off or gone has no request in flight; empty
+     * until the configuration is known.
+     */
+    private Optional<Duration> departureTime() {
+        return mRoutingTable
+                .config()
+                .map(
+                        config ->
+                                config.routes().stream()
+                                        .map(Route::timeout)
+                                        .max(Comparator.naturalOrder())
+                                        .orElse(Duration.ZERO))
+                .map(mSettings.revokeTime()::plus);
     }
 
     /** Returns the roll-outs in which this process takes part. */
--- a/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
@@ -1,5 +1,6 @@
 package org.boragethread.entry.rollout;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -33,7 +34,11 @@
     private final RolloutMetrics mMetrics;
     private final Consumer<RolloutState> mOnRecorded;
     private final GroupUses mUses;
-    private final RolloutCoordinator mCoordinator;
+    private final RolloutBounds mBounds;
+    private final RolloutLog mLog;
+    private Optional<RolloutCoordinator> mCoordinator = Optional.empty();
+    private Optional<ClockReading> mRequestReadAt = Optional.empty();
+    private Collection<Member> mMembers = List.of();
     private Optional<RolloutRequest> mRequest = Optional.empty();
     private List<Verdict.Kind> mLoggedVerdicts = List.of();
     private String mLogFailure = "";
@@ -60,7 +65,8 @@
         mMetrics = metrics;
         mOnRecorded = onRecorded;
         mUses = new GroupUses(id, table, context.time(), metrics);
-        mCoordinator = new RolloutCoordinator(id, context.time(), bounds, log, this);
+        mBounds = bounds;
+        mLog = log;
         metrics.showPhase(id, () -> table.state(id).map(s -> s.phase().ordinal()).orElse(-1));
     }
 
@@ -79,20 +85,22 @@
 
     void setRequest(Optional<RolloutRequest> request, ClockReading asOf) {
         mRequest = request;
-        mCoordinator.setRequest(request, asOf);
+        mRequestReadAt = Optional.of(asOf);
+        coordinator().ifPresent(coordinator -> coordinator.setRequest(request, asOf));
     }
 
     void setMembers(Collection<Member> members) {
-        mCoordinator.setMembers(members);
+        mMembers = members;
+        coordinator().ifPresent(coordinator -> coordinator.setMembers(members));
     }
 
     void onState(RolloutState state) {
-        mCoordinator.onState(state);
+        coordinator().ifPresent(coordinator -> coordinator.onState(state));
         mTable.state(mId).ifPresent(known -> mUses.setOrder(known.order()));
     }
 
     void onReport(EntryReport report) {
-        mCoordinator.onReport(report);
+        coordinator().ifPresent(coordinator -> coordinator.onReport(report));
     }
 
     /** Returns whether the coordinator is to decide something. */
@@ -127,9 +135,35 @@
         if (mRequest.isEmpty() && !isRunning()) {
             return;
         }
-        mCoordinator.setVersions(announcedVersions());
-        mCoordinator.tick();
-        logVerdicts();
+        coordinator()
+                .ifPresent(
+                        coordinator -> {
+                            coordinator.setVersions(announcedVersions());
+                            coordinator.tick();
+                            logVerdicts(coordinator.verdicts());
+                        });
+    }
+
+    /**
+     * Returns the coordinator; empty until the configuration is known, which limits how long an
+     * entry that ended may have requests in flight.
+     */
+    private Optional<RolloutCoordinator> coordinator() {
+        if (mCoordinator.isEmpty()) {
+            mCoordinator = mContext.departureTime().get().map(this::createCoordinator);
+        }
+        return mCoordinator;
+    }
+
+    private RolloutCoordinator createCoordinator(Duration departureTime) {
+        RolloutBounds bounds =
+                new RolloutBounds(mBounds.share(), mBounds.rollbackTime(), departureTime);
+        RolloutCoordinator coordinator =
+                new RolloutCoordinator(mId, mContext.time(), bounds, mLog, this);
+        mRequestReadAt.ifPresent(asOf -> coordinator.setRequest(mRequest, asOf));
+        coordinator.setMembers(mMembers);
+        mTable.state(mId).ifPresent(coordinator::onState);
+        return coordinator;
     }
 
     private Set<SoftwareVersion> announcedVersions() {
@@ -140,8 +174,7 @@
         return versions;
     }
 
-    private void logVerdicts() {
-        List<Verdict> verdicts = mCoordinator.verdicts();
+    private void logVerdicts(List<Verdict> verdicts) {
         List<Verdict.Kind> kinds = verdicts.stream().map(Verdict::kind).toList();
         if (kinds.equals(mLoggedVerdicts)) {
             return;
@@ -170,7 +203,7 @@
                         .with("revision", state.revision())
                         .with("started", state.order().startedMillis());
         for (VersionSide side : VersionSide.values()) {
-            var counts = mCoordinator.evidence().total(side);
+            var counts = mCoordinator.orElseThrow().evidence().total(side);
             line.with(side + ".responses", counts.responses())
                     .with(side + ".failures", counts.allFailures());
         }
--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutContext.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutContext.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.boragethread.core.stage.CoordinatorTable;
@@ -15,10 +16,12 @@
  * What roll-outs need from the process.
  *
  * @param directory upstreams and the versions that they announce
- * @param coordinators which entry decides for a group
+ * @param coordinators which entry decides on the roll-outs of a group; for roll-outs only, so that
+ *     a lost report changes nothing about stages
  * @param peers sends reports to other entries
  * @param isConfigured whether the configuration has a group
- * @param departureTime time after which an entry that ended has no request in flight
+ * @param departureTime time after which an entry that ended has no request in flight; empty until
+ *     the configuration is known
  */
 public record RolloutContext(
         TimeSource time,
@@ -29,4 +32,4 @@
         CoordinatorTable coordinators,
         RolloutPeers peers,
         Predicate<GroupId> isConfigured,
-        Supplier<Duration> departureTime) {}
+        Supplier<Optional<Duration>> departureTime) {}
--- a/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -35,6 +35,12 @@
  */
 public final class Rollouts implements RolloutOrders.Receiver, RolloutStatus.Receiver {
 
+    /**
+     * Time after the removal of an order in which the states are still followed: an append that got
+     * no response may be executed seconds later, and would record the order as running.
+     */
+    private static final long REMOVAL_NANOS = Duration.ofSeconds(10).toNanos();
+
     private final RolloutContext mContext;
     private final Optional<RolloutBounds> mBounds;
     private final Optional<RolloutTable> mTable;
@@ -46,6 +52,7 @@
     private Optional<Long> mUpstreamsKnownAt = Optional.empty();
     private Optional<ClockReading> mOrdersReadAt = Optional.empty();
     private boolean mStatusKnown;
+    private Optional<Long> mLateStateUntil = Optional.empty();
     private Optional<Participation> mParticipation = Optional.empty();
     private Optional<TopicFollower> mFollower = Optional.empty();
     private Collection<Member> mMembers = List.of();
@@ -63,7 +70,8 @@
     /**
      * Creates roll-outs of which nothing is known.
      *
-     * @param bounds bounds of roll-outs; empty if none is to be carried out
+     * @param bounds bounds of roll-outs, whose departure time is replaced by that of the context;
+     *     empty if none is to be carried out
      * @param leaseTime lifetime of the configuration lease, in which the states must be read too
      */
     public Rollouts(RolloutContext context, Optional<RolloutBounds> bounds, Duration leaseTime) {
@@ -90,7 +98,7 @@
      * Returns whether it is known which versions may be used, or no roll-out is to be carried out.
      */
     public boolean isReady() {
-        return mTable.isEmpty() || areOrdersKnown() && (mRequests.isEmpty() || mStatusKnown);
+        return mTable.isEmpty() || areOrdersKnown() && mStatusKnown;
     }
 
     /** Returns whether the orders are known that came before the first upstreams. */
@@ -202,6 +210,7 @@
         for (GroupId group : previous.keySet()) {
             if (!requests.containsKey(group)) {
                 order(group).with("outcome", "removed").info();
+                mLateStateUntil = Optional.of(mContext.time().nanoTime() + REMOVAL_NANOS);
             }
         }
         if (mTable.isPresent()) {
@@ -265,6 +274,9 @@
                     .info();
             report(group);
         }
+        if (mFollower.isEmpty()) {
+            followWhileNeeded();
+        }
     }
 
     @Override
@@ -272,6 +284,7 @@
         mTable.orElseThrow().onStatusRead(asOf);
         mStatusLease.renew(asOf);
         mStatusKnown = true;
+        mLateStateUntil = mLateStateUntil.filter(until -> asOf.nanos() - until < 0);
         followWhileNeeded();
     }
 
@@ -292,7 +305,10 @@
                 .with("outcome", outcome);
     }
 
-    /** Follows the states once at the start, then while there is an order or one has not ended. */
+    /**
+     * Follows the states once at the start, then while there is an order or one has not ended, and
+     * until it is certain that one that was removed is not recorded as running later.
+     */
     private void followWhileNeeded() {
         if (mParticipation.isEmpty() || mTable.isEmpty()) {
             return;
@@ -300,6 +316,7 @@
         boolean needed =
                 !mStatusKnown
                         || !mRequests.isEmpty()
+                        || mLateStateUntil.isPresent()
                         || mGroups.values().stream().anyMatch(GroupRollout::isRunning);
         if (needed && mFollower.isEmpty()) {
             RolloutStatus listener = new RolloutStatus(this, mContext.log());
@@ -314,6 +331,7 @@
     /** Replaces the live entries, this one included. */
     public void setMembers(Collection<Member> members) {
         mMembers = members;
+        mContext.coordinators().setMembers(List.copyOf(members));
         mGroups.values().forEach(group -> group.setMembers(members));
     }
 
@@ -386,10 +404,7 @@
                 new GroupRollout(
                         id,
                         mContext,
-                        new RolloutBounds(
-                                bounds.share(),
-                                bounds.rollbackTime(),
-                                mContext.departureTime().get()),
+                        bounds,
                         mTable.orElseThrow(),
                         part.log(),
                         part.self(),
--- /dev/null
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
@@ -0,0 +1,192 @@
+package org.boragethread.entry.rollout;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.boragethread.core.callback.CallbackGuard;
+import org.boragethread.core.callback.Supervisor;
+import org.boragethread.core.follow.ClockReading;
+import org.boragethread.core.follow.CompactedTopic;
+import org.boragethread.core.follow.ReadFailure;
+import org.boragethread.core.follow.ReadTiming;
+import org.boragethread.core.follow.RecordPage;
+import org.boragethread.core.follow.SnapshotPart;
+import org.boragethread.core.follow.TopicFollower;
+import org.boragethread.core.follow.TopicListener;
+import org.boragethread.core.follow.TopicRelay;
+import org.boragethread.core.member.Member;
+import org.boragethread.core.rollout.EntryReport;
+import org.boragethread.core.rollout.RolloutBounds;
+import org.boragethread.core.rollout.RolloutLog;
+import org.boragethread.core.rollout.RolloutRead;
+import org.boragethread.core.rollout.RolloutRequest;
+import org.boragethread.core.rollout.RolloutState;
+import org.boragethread.core.stage.CoordinatorTable;
+import org.boragethread.core.time.ManualTimeSource;
+import org.boragethread.core.upstream.UpstreamDirectory;
+import org.boragethread.model.place.DataCentreId;
+import org.boragethread.model.upstream.GroupId;
+import org.boragethread.model.upstream.SoftwareVersion;
+import org.boragethread.process.log.EventLog;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests how this process takes part in roll-outs. */
+public class RolloutsTest implements RolloutPeers, RolloutLog, CompactedTopic {
+
+    private static final GroupId GROUP = new GroupId("chat");
+    private static final RolloutRequest REQUEST =
+            new RolloutRequest(GROUP, new SoftwareVersion("v2"), Duration.ofSeconds(60));
+    private static final DataCentreId NORTH = new DataCentreId("north");
+    private static final Duration LEASE_TIME = Duration.ofSeconds(4);
+    private static final ReadTiming TIMING =
+            new ReadTiming(Duration.ofMillis(700), Duration.ZERO, Duration.ofMillis(100));
+
+    private ManualTimeSource mTime;
+    private Optional<Duration> mDepartureTime;
+    private CoordinatorTable mCoordinators;
+    private Rollouts mRollouts;
+    private TopicListener mStates;
+    private List<GroupId> mReads;
+    private List<Runnable> mLostReports;
+
+    @BeforeMethod
+    public void start() {
+        mTime = new ManualTimeSource();
+        mDepartureTime = Optional.of(Duration.ofSeconds(10));
+        mCoordinators = new CoordinatorTable(mTime, NORTH);
+        mReads = new ArrayList<>();
+        mLostReports = new ArrayList<>();
+        EventLog log = new EventLog(LogManager.getLogger(RolloutsTest.class), mTime);
+        RolloutContext context =
+                new RolloutContext(
+                        mTime,
+                        mTime,
+                        log,
+                        new SimpleMeterRegistry(),
+                        new UpstreamDirectory(mTime),
+                        mCoordinators,
+                        this,
+                        group -> true,
+                        () -> mDepartureTime);
+        RolloutBounds bounds = new RolloutBounds(0.1, Duration.ofSeconds(5), Duration.ZERO);
+        mRollouts = new Rollouts(context, Optional.of(bounds), LEASE_TIME);
+        mRollouts.start(member("self", 2), this, this::follow);
+    }
+
+    private static Member member(String address, long startedAt) {
+        return new Member(address, startedAt, 1000, NORTH);
+    }
+
+    private TopicFollower follow(TopicListener listener) {
+        mStates = listener;
+        return new TopicFollower(
+                this,
+                mTime,
+                mTime,
+                TIMING,
+                listener,
+                new TopicRelay(mTime, (key, previous, value) -> false),
+                new Supervisor(new CallbackGuard(RolloutsTest::fail), RolloutsTest::fail));
+    }
+
+    private static void fail(Throwable cause) {
+        throw new AssertionError("a callback threw", cause);
+    }
+
+    @Override
+    public void readSnapshotPart(
+            Optional<String> after, Consumer<Either<ReadFailure, SnapshotPart>> callback) {}
+
+    @Override
+    public void read(
+            long offset, Duration wait, Consumer<Either<ReadFailure, RecordPage>> callback) {}
+
+    @Override
+    public void read(GroupId group, Consumer<Either<ReadFailure, RolloutRead>> callback) {
+        mReads.add(group);
+    }
+
+    @Override
+    public void append(RolloutState state, long end, Consumer<AppendResult> callback) {}
+
+    @Override
+    public void send(String peer, EntryReport report, Runnable onFailure) {
+        mLostReports.add(onFailure);
+    }
+
+    @Override
+    public void probe(String peer, Runnable onFailure) {
+        mLostReports.add(onFailure);
+    }
+
+    private void order() {
+        mRollouts.onRequests(Map.of(GROUP, REQUEST));
+        mRollouts.onOrdersRead(ClockReading.now(mTime));
+    }
+
+    // Guards against a coordinator that takes the configuration lease alone, without the longest
+    // timeout of a route, as the time for which an entry that ended may have requests in flight.
+    @Test
+    public void nothingIsDecidedBeforeTheConfigurationIsKnown() {
+        mDepartureTime = Optional.empty();
+        order();
+        mRollouts.tick();
+        assertEquals(mReads, List.of());
+        mDepartureTime = Optional.of(Duration.ofSeconds(10));
+        mRollouts.tick();
+        assertEquals(mReads, List.of(GROUP));
+    }
+
+    // Guards against an entry that starts after a roll-back and uses the rejected version, because
+    // the order was removed.
+    @Test
+    public void entryIsReadyOnlyWhenTheStatesAreKnown() {
+        mRollouts.onOrdersRead(ClockReading.now(mTime));
+        assertFalse(mRollouts.isReady());
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        assertTrue(mRollouts.isReady());
+    }
+
+    // Guards against a roll-out that runs for ever, because the append that began it was executed
+    // after its order was removed and no entry read the states any more.
+    @Test
+    public void statesAreFollowedForAWhileAfterAnOrderIsRemoved() {
+        order();
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        mRollouts.onRequests(Map.of());
+        mTime.advance(Duration.ofSeconds(5));
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        TopicListener before = mStates;
+        order();
+        assertEquals(mStates, before, "the states were not followed any more");
+        mRollouts.onRequests(Map.of());
+        mTime.advance(Duration.ofSeconds(11));
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        order();
+        assertFalse(mStates.equals(before), "the states were followed for ever");
+    }
+
+    // Guards against a table of the coordinators of roll-outs that never learns of other entries,
+    // or
+    // that goes on with one that does not respond.
+    @Test
+    public void coordinatorThatDoesNotRespondIsAvoided() {
+        mRollouts.setMembers(List.of(member("self", 2), member("other", 1)));
+        order();
+        mRollouts.reportAll();
+        assertEquals(mCoordinators.coordinator(GROUP), Optional.of("other"));
+        mLostReports.forEach(Runnable::run);
+        assertEquals(mCoordinators.coordinator(GROUP), Optional.of("self"));
+    }
+}
