--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -217,10 +217,21 @@
 
     /** Cancels the attempt because its upstream does not respond as it should. */
     void giveUp() {
+        countGivenUp();
         mPlaced.onFailed(PlacementFailure.FAILED);
         cancel();
     }
 
+    /**
+     * Counts that the response is given up. That is no failure of the upstream while the response
+     * is not read, for example because the caller does not read it.
+     */
+    void countGivenUp() {
+        if (!mEnded && mReading) {
+            mUse.onGivenUp(relativeTime());
+        }
+    }
+
     /** Returns the time since the attempt was sent as a multiple of the predicted response time. */
     private double relativeTime() {
         double expected =
@@ -359,7 +370,7 @@
         mForwardingSince = mGateway.time().nanoTime();
         mPlaced.onFirstEvent(Duration.ofNanos(mForwardingSince - mSentAt - mHeldNanos));
         endPrefill();
-        countResponse();
+        mUse.onStarted(OptionalDouble.of(relativeTime()));
         mListener.onStreamHead(mNode, mStatus);
         if (!mEnded && mBuffered.isReadable()) {
             mListener.onStreamData(mBuffered);
@@ -385,6 +396,7 @@
         if (!isBodyComplete()) {
             reportBroken("the event stream ended inside an event or without any");
         } else if (mForwarding) {
+            countResponse();
             mGateway.streamDurations(mCalledEntry.group())
                     .add(mGateway.time().since(mForwardingSince));
             mListener.onStreamEnd(mNode);
