Limit the failures of one crash over all entries, and switch only after trials

Entries name counted failures by upstream and second, so that the sums limit them. The limit of bad responses needs nine limited ones in excess. A version without any trial response is not switched to if the old one had many. An infinite relative time counts as slow.

--- a/core/src/main/java/org/boragethread/core/rollout/EvidenceReview.java
+++ b/core/src/main/java/org/boragethread/core/rollout/EvidenceReview.java
@@ -24,6 +24,13 @@
     /** Bad responses at which a version is rolled back, whatever the test says. */
     private static final int MAX_BAD = 40;
 
+    /**
+     * Bad responses in excess, of which those of one crash count three times in each second, that
+     * the limit needs too: one crash in flight at the end of a second has six. With 40, a bad
+     * version was completed (2 entries, seed 1), as nothing else rolls back while switching.
+     */
+    private static final int MIN_LIMITED_BAD = 9;
+
     private static final int MIN_RESPONSES = 30;
     private static final int MIN_ROUTE_RESPONSES = 5;
 
@@ -83,7 +90,11 @@
             String route, VersionComparison comparison, long bad, double expected, long responses) {
         // The limit is on all bad responses, so that it does not depend on how many routes there
         // are.
-        boolean isOverLimit = route.isEmpty() && bad >= MAX_BAD && 2 * expected < bad;
+        boolean isOverLimit =
+                route.isEmpty()
+                        && bad >= MAX_BAD
+                        && 2 * expected < bad
+                        && limitedBad() >= expected + MIN_LIMITED_BAD;
         Verdict.Kind kind = Verdict.Kind.UNDECIDED;
         if (isOverLimit || comparison.isBad()) {
             kind = Verdict.Kind.BAD;
@@ -134,20 +145,37 @@
                         .anyMatch(review -> isLarge(review) && review.mComparison.isRatherBad());
     }
 
-    /** Returns whether no more responses were bad than with the old version. */
+    /**
+     * Returns whether there are too few responses for the test, and no more of them were bad than
+     * with the old version, on any large route. Without any response of the target version, that
+     * holds only if the old version had few too.
+     */
     boolean hasNoExcess() {
-        return bad() <= Math.round(expected());
+        boolean isTried = responses() > 0 || allResponses() < MIN_RESPONSES;
+        return isTried
+                && !isEnough()
+                && mRoutes.values().stream()
+                        .filter(this::isLarge)
+                        .allMatch(review -> review.mBad <= Math.round(review.mExpected));
+    }
+
+    private long allResponses() {
+        return mRoutes.values().stream().mapToLong(review -> review.mAllResponses).sum();
     }
 
     private boolean isLarge(RouteReview review) {
-        long all = mRoutes.values().stream().mapToLong(other -> other.mAllResponses).sum();
-        return review.mAllResponses >= MIN_ROUTE_SHARE * all;
+        return review.mAllResponses >= MIN_ROUTE_SHARE * allResponses();
     }
 
     private long bad() {
         return mRoutes.values().stream().mapToLong(review -> review.mBad).sum();
     }
 
+    /** Returns the bad responses, of which those of one crash count three times. */
+    private long limitedBad() {
+        return mRoutes.values().stream().mapToLong(review -> review.mLimitedBad).sum();
+    }
+
     private double expected() {
         return mRoutes.values().stream().mapToDouble(review -> review.mExpected).sum();
     }
@@ -163,6 +191,7 @@
         private long mAllResponses;
         private long mResponses;
         private long mBad;
+        private long mLimitedBad;
         private double mExpected;
 
         private RouteReview(double error) {
@@ -180,6 +209,7 @@
             mBad += target.allFailures() + mOld.slow(target);
             mExpected += target.responses() * mOld.allBadShare();
             long bad = mOld.bad(target);
+            mLimitedBad += bad;
             long responses = OldVersionWindow.responses(target);
             mComparison.add(bad, responses, mOld);
             overall.add(bad, responses, mOld);
--- a/core/src/main/java/org/boragethread/core/rollout/ResponseCounter.java
+++ b/core/src/main/java/org/boragethread/core/rollout/ResponseCounter.java
@@ -2,9 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import org.boragethread.core.time.TimeSource;
@@ -16,14 +19,15 @@
  */
 public final class ResponseCounter {
 
-    /** Failures of one upstream that count within {@link #CRASH_NANOS}: a crash is one event. */
-    private static final int MAX_CRASH_FAILURES = 3;
+    /** Failures that a report names by upstream; 250 take about 10 KB. The newest are kept. */
+    private static final int MAX_NAMED = 250;
 
     private static final long CRASH_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final TimeSource mTime;
     private final Map<String, Map<VersionSide, Tally>> mTallies = new HashMap<>();
     private final Map<UpstreamId, Deque<Long>> mCountedFailures = new HashMap<>();
+    private final Map<FailureKey, Long> mNamed = new LinkedHashMap<>();
 
     /** Creates a counter without responses. */
     public ResponseCounter(TimeSource time) {
@@ -52,6 +56,11 @@
         tally.mAllFailures++;
         if (isCounted(upstream)) {
             tally.mFailures++;
+            long second = Math.floorDiv(mTime.millis(), 1000L);
+            mNamed.merge(new FailureKey(route, side, upstream, second), 1L, Long::sum);
+            if (mNamed.size() > MAX_NAMED) {
+                mNamed.remove(mNamed.keySet().iterator().next());
+            }
         }
     }
 
@@ -61,7 +70,7 @@
         while (!counted.isEmpty() && now - counted.peekFirst() >= CRASH_NANOS) {
             counted.removeFirst();
         }
-        if (counted.size() >= MAX_CRASH_FAILURES) {
+        if (counted.size() >= UpstreamFailures.MAX_COUNT) {
             return false;
         }
         counted.addLast(now);
@@ -77,7 +86,9 @@
                     sides.forEach((side, tally) -> copy.put(side, tally.counts()));
                     counts.put(route, copy);
                 });
-        return new RolloutEvidence(counts);
+        List<UpstreamFailures> failures = new ArrayList<>();
+        mNamed.forEach((key, count) -> failures.add(key.failures(count)));
+        return new RolloutEvidence(counts, failures);
     }
 
     private Tally tally(String route, VersionSide side) {
@@ -85,6 +96,13 @@
                 .computeIfAbsent(side, key -> new Tally());
     }
 
+    /** What failures are counted by. */
+    private record FailureKey(String route, VersionSide side, UpstreamId upstream, long second) {
+        private UpstreamFailures failures(long count) {
+            return new UpstreamFailures(route, side, upstream, second, count);
+        }
+    }
+
     private static final class Tally {
         private final long[] mTimes = new long[VersionCounts.BUCKETS];
         private long mResponses;
--- a/core/src/main/java/org/boragethread/core/rollout/RolloutEvidence.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutEvidence.java
@@ -1,6 +1,7 @@
 package org.boragethread.core.rollout;
 
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -16,13 +17,26 @@
     public static final RolloutEvidence NONE = new RolloutEvidence(Map.of());
 
     private final Map<String, Map<VersionSide, VersionCounts>> mCounts;
+    private final List<UpstreamFailures> mFailures;
 
     /**
-     * Creates evidence.
+     * Creates evidence that names no upstreams.
      *
      * @param counts counts by name of the route and side; a missing side has none
      */
     public RolloutEvidence(Map<String, Map<VersionSide, VersionCounts>> counts) {
+        this(counts, List.of());
+    }
+
+    /**
+     * Creates evidence of one entry.
+     *
+     * @param counts counts by name of the route and side; a missing side has none
+     * @param failures the latest of the counted failures, which the counts include
+     */
+    public RolloutEvidence(
+            Map<String, Map<VersionSide, VersionCounts>> counts, List<UpstreamFailures> failures) {
+        mFailures = List.copyOf(failures);
         Map<String, Map<VersionSide, VersionCounts>> copy = new TreeMap<>();
         counts.forEach((route, sides) -> copy.put(route, Map.copyOf(sides)));
         mCounts = copy;
@@ -32,6 +46,11 @@
         return Set.copyOf(mCounts.keySet());
     }
 
+    /** Returns the latest counted failures by upstream and second; sums have none. */
+    public List<UpstreamFailures> failures() {
+        return mFailures;
+    }
+
     /** Returns the counts of one side on one route. */
     public VersionCounts counts(String route, VersionSide side) {
         return mCounts.getOrDefault(route, Map.of()).getOrDefault(side, VersionCounts.NONE);
@@ -74,7 +93,9 @@
 
     @Override
     public boolean equals(Object object) {
-        return object instanceof RolloutEvidence other && mCounts.equals(other.mCounts);
+        return object instanceof RolloutEvidence other
+                && mCounts.equals(other.mCounts)
+                && mFailures.equals(other.mFailures);
     }
 
     @Override
--- a/core/src/main/java/org/boragethread/core/rollout/VersionCounts.java
+++ b/core/src/main/java/org/boragethread/core/rollout/VersionCounts.java
@@ -55,8 +55,9 @@
      */
     public static int bucket(double relativeTime) {
         double doublings = Math.log(Math.max(relativeTime, Double.MIN_NORMAL)) / Math.log(2);
-        long bucket = BUCKET_OF_ONE + Math.round(BUCKETS_PER_DOUBLING * doublings);
-        return (int) Math.max(0, Math.min(BUCKETS - 1, bucket));
+        // Clamped before the addition, which overflows for an infinite time.
+        long offset = Math.min(BUCKETS, Math.round(BUCKETS_PER_DOUBLING * doublings));
+        return (int) Math.max(0, Math.min(BUCKETS - 1, BUCKET_OF_ONE + offset));
     }
 
     /** Adds the counts to an array, in which sums over many entries are made without copies. */
