--- a/core/src/main/java/org/boragethread/core/rollout/SwitchBarrier.java
+++ b/core/src/main/java/org/boragethread/core/rollout/SwitchBarrier.java
@@ -19,7 +19,7 @@
 
     private final TimeSource mTime;
     private final Duration mDepartureTime;
-    private final Map<Incarnation, EntryReport> mReports = new HashMap<>();
+    private final Map<Incarnation, Progress> mReports = new HashMap<>();
     private final Map<Incarnation, Long> mGoneSince = new HashMap<>();
     private Set<Incarnation> mLive = Set.of();
     private Optional<Long> mMembersSince = Optional.empty();
@@ -36,19 +36,23 @@
         long now = mTime.nanoTime();
         mLive.forEach(member -> mGoneSince.putIfAbsent(member, now));
         mGoneSince.keySet().removeAll(live);
-        mGoneSince.entrySet().removeIf(gone -> forgetIfDeparted(gone.getKey(), gone.getValue()));
+        mGoneSince.values().removeIf(this::isDeparted);
         mLive = live;
+        mReports.entrySet().removeIf(report -> isForgotten(report.getKey(), report.getValue()));
         if (!live.isEmpty() && mMembersSince.isEmpty()) {
             mMembersSince = Optional.of(now);
         }
     }
 
-    private boolean forgetIfDeparted(Incarnation member, long goneSince) {
-        if (!isDeparted(goneSince)) {
-            return false;
-        }
-        mReports.remove(member);
-        return true;
+    private boolean isForgotten(Incarnation entry, Progress report) {
+        return !mLive.contains(entry)
+                && !mGoneSince.containsKey(entry)
+                && isDeparted(report.receivedAt());
+    }
+
+    /** Forgets the reports on earlier orders. */
+    void beginOrder(RolloutOrder order) {
+        mReports.values().removeIf(report -> !report.order().equals(order));
     }
 
     /**
@@ -63,10 +67,20 @@
     void onReport(EntryReport report) {
         mReports.merge(
                 new Incarnation(report.address(), report.startedAt()),
-                report,
+                new Progress(
+                        report.sequence(),
+                        report.state().order(),
+                        report.state().revision(),
+                        report.oldInFlight(),
+                        mTime.nanoTime()),
                 (known, other) -> other.sequence() > known.sequence() ? other : known);
     }
 
+    /** Returns the number of starts of entries whose reports are kept. */
+    int reportCount() {
+        return mReports.size();
+    }
+
     /** Returns whether all live members have reported in the order of a state. */
     boolean haveAllReported(RolloutState state) {
         return !mLive.isEmpty()
@@ -81,6 +95,7 @@
         return areMembersKnown
                 && !mLive.isEmpty()
                 && mLive.stream().allMatch(member -> hasLeftOldVersion(member, state))
+                && mReports.keySet().stream().allMatch(entry -> isUnblocked(entry, state))
                 && mGoneSince.entrySet().stream()
                         .allMatch(
                                 gone ->
@@ -88,22 +103,31 @@
                                                 || hasLeftOldVersion(gone.getKey(), state));
     }
 
+    /** An entry that still reports is in use, also if its membership has expired. */
+    private boolean isUnblocked(Incarnation entry, RolloutState state) {
+        return hasLeftOldVersion(entry, state) || isDeparted(mReports.get(entry).receivedAt());
+    }
+
     private boolean hasLeftOldVersion(Incarnation member, RolloutState state) {
         return report(member, state)
-                .filter(report -> report.state().revision() >= state.revision())
+                .filter(report -> report.revision() >= state.revision())
                 .filter(report -> report.oldInFlight() == 0)
                 .isPresent();
     }
 
-    private Optional<EntryReport> report(Incarnation member, RolloutState state) {
+    private Optional<Progress> report(Incarnation member, RolloutState state) {
         return Optional.ofNullable(mReports.get(member))
-                .filter(report -> report.state().order().equals(state.order()));
+                .filter(report -> report.order().equals(state.order()));
     }
 
     private boolean isDeparted(long sinceNanos) {
         return mTime.since(sinceNanos).compareTo(mDepartureTime) >= 0;
     }
 
+    /** What the barrier needs of the newest report of an entry. */
+    private record Progress(
+            long sequence, RolloutOrder order, long revision, long oldInFlight, long receivedAt) {}
+
     /** One start of an entry. */
     private record Incarnation(String address, long startedAt) {}
 }
