--- a/core/src/main/java/org/boragethread/core/rollout/AnnouncedVersions.java
+++ b/core/src/main/java/org/boragethread/core/rollout/AnnouncedVersions.java
@@ -54,9 +54,15 @@
         return mTarget.filter(mEver::contains).isPresent();
     }
 
-    /** Returns whether the target is announced, and no other version ever was. */
+    /**
+     * Returns whether only the target is announced. A group that had another version may lose its
+     * announcements for a moment, so that they must be missing for {@link PhaseDecision#ABSENCE}.
+     */
     boolean isOnlyTarget() {
-        return mTarget.filter(mNow::contains).isPresent() && !hasOther(mEver);
+        boolean isOtherAbsent = otherAbsence().compareTo(PhaseDecision.ABSENCE) > 0;
+        return mTarget.filter(mNow::contains).isPresent()
+                && !hasOther(mNow)
+                && (isOtherAbsent || !hasOther(mEver));
     }
 
     private boolean hasOther(Set<SoftwareVersion> versions) {
--- a/core/src/main/java/org/boragethread/core/rollout/GroupVersions.java
+++ b/core/src/main/java/org/boragethread/core/rollout/GroupVersions.java
@@ -30,6 +30,8 @@
     private long mPhaseSince;
     private TrialBudget mBudget;
     private Set<UpstreamId> mTrialUpstreams = Set.of();
+    private Optional<Long> mOnlyForbiddenSince = Optional.empty();
+    private final Set<SoftwareVersion> mEverAnnounced = new HashSet<>();
 
     GroupVersions(
             TimeSource time, RolloutBounds bounds, Supplier<Optional<ClockReading>> ordersReadAt) {
@@ -48,10 +50,12 @@
                             version -> {
                                 mSightings.onAnnounced(version);
                                 mAnnounced.add(version);
+                                mEverAnnounced.add(version);
                                 mUpstreams.put(upstream.id(), version);
                             });
         }
         selectTrialUpstreams();
+        updateOnlyForbidden();
     }
 
     void setRequest(Optional<RolloutRequest> request) {
@@ -71,6 +75,43 @@
         }
         mState = Optional.of(state);
         selectTrialUpstreams();
+        updateOnlyForbidden();
+    }
+
+    private void updateOnlyForbidden() {
+        boolean hasUsable = mAnnounced.stream().anyMatch(version -> !isForbidden(version));
+        if (hasUsable || mAnnounced.isEmpty()) {
+            mOnlyForbiddenSince = Optional.empty();
+        } else if (mOnlyForbiddenSince.isEmpty()) {
+            mOnlyForbiddenSince = Optional.of(mTime.nanoTime());
+        }
+    }
+
+    /** Returns whether the state excludes a version: it is on trial or was rolled back. */
+    private boolean isForbidden(SoftwareVersion version) {
+        return mState.filter(
+                        state -> {
+                            RolloutPhase phase = state.phase();
+                            boolean isExcluding =
+                                    phase == RolloutPhase.TRIAL
+                                            || phase == RolloutPhase.ROLLED_BACK;
+                            return state.rejected().contains(version)
+                                    || isExcluding && state.target().equals(version);
+                        })
+                .isPresent();
+    }
+
+    /**
+     * Returns whether all announced versions are forbidden, so that the group would be out of
+     * service. Other announcements may be missing for a moment only, if there were any.
+     */
+    private boolean isOnlyForbiddenLeft() {
+        return mOnlyForbiddenSince
+                .filter(
+                        since ->
+                                mEverAnnounced.stream().allMatch(this::isForbidden)
+                                        || mTime.since(since).compareTo(PhaseDecision.ABSENCE) > 0)
+                .isPresent();
     }
 
     private static boolean isSameOrder(RolloutState a, RolloutState b) {
@@ -182,19 +223,25 @@
                 mRequest.filter(request -> request.target().equals(version))
                         .filter(request -> mState.filter(state -> state.isOf(request)).isEmpty())
                         .isPresent();
+        boolean isInUse =
+                mState.filter(state -> state.phase() == RolloutPhase.COMPLETED)
+                        .filter(state -> state.target().equals(version))
+                        .isPresent();
         // The only version of a group is in use already, and remains so.
-        return isPending && mAnnounced.stream().anyMatch(other -> !other.equals(version));
+        return isPending
+                && !isInUse
+                && mAnnounced.stream().anyMatch(other -> !other.equals(version));
     }
 
     private boolean isAllowed(SoftwareVersion version, RolloutState state) {
-        if (state.rejected().contains(version)) {
-            return false;
+        if (isForbidden(version)) {
+            return isOnlyForbiddenLeft();
         }
         boolean isTarget = version.equals(state.target());
         switch (state.phase()) {
             case TRIAL:
             case ROLLED_BACK:
-                return !isTarget;
+                return true;
             case SWITCHING:
                 return isTarget;
             default:
--- a/core/src/main/java/org/boragethread/core/rollout/OrderDecision.java
+++ b/core/src/main/java/org/boragethread/core/rollout/OrderDecision.java
@@ -36,14 +36,19 @@
         }
         if (request.isPresent()) {
             RolloutRequest wanted = request.get();
-            return Optional.of(
-                    new Proposal(
-                            RolloutState.begin(
-                                    wanted,
-                                    nowMillis,
-                                    state.revision() + 1,
-                                    state.rejectedBefore(wanted.target())),
-                            "order after one that has ended"));
+            RolloutState begun =
+                    RolloutState.begin(
+                            wanted,
+                            nowMillis,
+                            state.revision() + 1,
+                            state.rejectedBefore(wanted.target()));
+            if (state.phase() == RolloutPhase.COMPLETED && state.target().equals(wanted.target())) {
+                return Optional.of(
+                        new Proposal(
+                                begun.next(RolloutPhase.SWITCHING),
+                                "the version was rolled out last"));
+            }
+            return Optional.of(new Proposal(begun, "order after one that has ended"));
         }
         return state.withdrawn()
                 ? Optional.empty()
--- a/core/src/main/java/org/boragethread/core/rollout/PhaseDecision.java
+++ b/core/src/main/java/org/boragethread/core/rollout/PhaseDecision.java
@@ -31,7 +31,8 @@
      * @param situation what else the coordinator knows
      */
     static Optional<Step> next(RolloutState state, EvidenceReview review, Situation situation) {
-        Optional<Step> rollBack = rollBack(review);
+        // Without another version, a roll-back would leave the group without any.
+        Optional<Step> rollBack = situation.isOnlyVersion() ? Optional.empty() : rollBack(review);
         if (rollBack.isPresent()) {
             return rollBack;
         }
@@ -114,7 +115,7 @@
      * @param targetAbsence time for which no upstream has announced the target version
      * @param isOldGone whether no upstream has announced another version for so long that no
      *     request can be in flight there
-     * @param isOnlyVersion whether the group never had another version
+     * @param isOnlyVersion whether the group has no other version
      * @param isEvidenceComplete whether all live entries have reported
      * @param isBarrierClear whether no request is in flight at the old version
      */
