--- a/core/src/main/java/org/boragethread/core/rollout/RolloutCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutCoordinator.java
@@ -1,5 +1,7 @@
 package org.boragethread.core.rollout;
 
+import io.vavr.control.Either;
+import io.vavr.control.Try;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashSet;
@@ -8,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.boragethread.core.follow.ClockReading;
+import org.boragethread.core.follow.ReadFailure;
 import org.boragethread.core.follow.StoreEra;
 import org.boragethread.core.member.Member;
 import org.boragethread.core.time.TimeSource;
@@ -130,6 +133,7 @@
         mReview = new EvidenceReview();
         mLogged.clear();
         mVersions.setTarget(state.target());
+        mBarrier.beginOrder(state.order());
     }
 
     /** Decides and records; to be called periodically at the coordinator of the group only. */
@@ -147,16 +151,20 @@
         }
         mIsCalling = true;
         mReadAt = Optional.of(now);
-        mLog.read(
-                mGroup,
-                result -> {
-                    mIsCalling = false;
-                    result.peek(this::onRead)
-                            .peekLeft(
-                                    failure ->
-                                            mEvents.onLogFailure(
-                                                    "state of roll-out not read: " + failure));
-                });
+        Try.run(() -> mLog.read(mGroup, this::onReadResult))
+                .onFailure(
+                        failure -> {
+                            // A call that was never sent has no callback.
+                            mIsCalling = false;
+                            mEvents.onLogFailure("state of roll-out not read: " + failure);
+                        });
+    }
+
+    private void onReadResult(Either<ReadFailure, RolloutRead> result) {
+        mIsCalling = false;
+        result.peek(this::onRead)
+                .peekLeft(
+                        failure -> mEvents.onLogFailure("state of roll-out not read: " + failure));
     }
 
     private void review() {
@@ -217,7 +225,8 @@
         Optional<RolloutState> running = recorded.filter(state -> !state.phase().isEnded());
         if (!isSettledFor(REPORT_TIME)) {
             // A bad version is not kept in use while the reports are still incomplete.
-            return running.flatMap(state -> PhaseDecision.rollBack(mReview).map(by(state)));
+            return running.filter(state -> !mVersions.isOnlyTarget())
+                    .flatMap(state -> PhaseDecision.rollBack(mReview).map(by(state)));
         }
         // A request that was read before the state may be older than the state.
         if (mRequestReadAt.filter(at -> at.nanos() - mStateSince > 0).isPresent()) {
@@ -271,25 +280,39 @@
 
     private void record(OrderDecision.Proposal proposal, long end) {
         mIsCalling = true;
-        mLog.append(
-                proposal.state(),
-                end,
-                result -> {
-                    mIsCalling = false;
-                    // Whatever the result, the state is read before the next decision.
-                    mReadAt = Optional.empty();
-                    if (result == RolloutLog.AppendResult.UNKNOWN) {
-                        mDoubtfulEnd = Optional.of(end);
-                    }
-                    if (result == RolloutLog.AppendResult.APPENDED) {
-                        onState(proposal.state());
-                        mEvents.onRecorded(proposal.state(), proposal.reason());
-                    } else {
-                        mEvents.onLogFailure(
-                                "%s of roll-out of %s not recorded: %s; the state is read again"
-                                        .formatted(proposal.state().phase(), mGroup, result));
-                    }
-                });
+        // Reports on a lost state must not pass for reports on the one that is recorded again.
+        RolloutState state = proposal.state().above(mSeen.highestRevision());
+        Try.run(
+                        () ->
+                                mLog.append(
+                                        state,
+                                        end,
+                                        result ->
+                                                onAppended(state, proposal.reason(), end, result)))
+                .onFailure(
+                        failure -> {
+                            mEvents.onLogFailure("append of a roll-out failed: " + failure);
+                            onAppended(
+                                    state, proposal.reason(), end, RolloutLog.AppendResult.UNKNOWN);
+                        });
+    }
+
+    private void onAppended(
+            RolloutState state, String reason, long end, RolloutLog.AppendResult result) {
+        mIsCalling = false;
+        // Whatever the result, the state is read before the next decision.
+        mReadAt = Optional.empty();
+        if (result == RolloutLog.AppendResult.UNKNOWN) {
+            mDoubtfulEnd = Optional.of(end);
+        }
+        if (result == RolloutLog.AppendResult.APPENDED) {
+            onState(state);
+            mEvents.onRecorded(state, reason);
+        } else {
+            mEvents.onLogFailure(
+                    "%s of roll-out of %s not recorded: %s; the state is read again"
+                            .formatted(state.phase(), mGroup, result));
+        }
     }
 
     private boolean isSettledFor(Duration time) {
--- a/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
@@ -49,6 +49,12 @@
         return new RolloutState(order, phase, revision + 1, true, rejected);
     }
 
+    /** Returns the same state with a revision above another one. */
+    RolloutState above(long otherRevision) {
+        return new RolloutState(
+                order, phase, Math.max(revision, otherRevision + 1), withdrawn, rejected);
+    }
+
     /** Returns the versions that are rejected when another version is rolled out next. */
     List<SoftwareVersion> rejectedBefore(SoftwareVersion nextTarget) {
         List<SoftwareVersion> versions = new ArrayList<>(rejected);
--- a/core/src/main/java/org/boragethread/core/rollout/SeenState.java
+++ b/core/src/main/java/org/boragethread/core/rollout/SeenState.java
@@ -9,8 +9,10 @@
 final class SeenState {
 
     private Optional<RolloutState> mNewest = Optional.empty();
+    private long mHighestRevision;
 
     void add(RolloutState state) {
+        mHighestRevision = Math.max(mHighestRevision, state.revision());
         if (mNewest.filter(known -> !isNewer(state, known)).isEmpty()) {
             mNewest = Optional.of(state);
         }
@@ -20,9 +22,15 @@
         return mNewest;
     }
 
+    /** Returns the highest revision of all states of all orders; 0 if there was none. */
+    long highestRevision() {
+        return mHighestRevision;
+    }
+
     /** Forgets all states, because the store has another order than the operators ask for. */
     void replace(Optional<RolloutState> state) {
         mNewest = state;
+        state.ifPresent(other -> mHighestRevision = Math.max(mHighestRevision, other.revision()));
     }
 
     private static boolean isNewer(RolloutState state, RolloutState known) {
@@ -55,14 +63,6 @@
         if (!isSameOrder && request.filter(newest::isOf).isEmpty()) {
             return Optional.empty();
         }
-        // Entries ignore an older revision of the same order.
-        long revision = Math.max(newest.revision(), recorded.revision() + 1);
-        return Optional.of(
-                new RolloutState(
-                        newest.order(),
-                        newest.phase(),
-                        revision,
-                        newest.withdrawn(),
-                        newest.rejected()));
+        return mNewest;
     }
 }
