--- a/core/src/main/java/org/boragethread/core/rollout/EvidenceReview.java
+++ b/core/src/main/java/org/boragethread/core/rollout/EvidenceReview.java
@@ -118,7 +118,11 @@
      */
     boolean isDisrupted() {
         return mRoutes.values().stream()
-                .anyMatch(review -> isLarge(review) && VersionComparison.isDisrupted(review.mOld));
+                .anyMatch(
+                        review ->
+                                isLarge(review)
+                                        && review.mOld.isShareKnown()
+                                        && VersionComparison.isDisrupted(review.mOld));
     }
 
     /** Returns whether there are enough responses, overall and on each large route. */
--- a/core/src/main/java/org/boragethread/core/rollout/OldVersionWindow.java
+++ b/core/src/main/java/org/boragethread/core/rollout/OldVersionWindow.java
@@ -21,6 +21,11 @@
      */
     private static final int MIN_LATEST = 10;
 
+    /**
+     * Responses from which a great share of bad ones is a disruption; of one good one it is 0.25.
+     */
+    private static final int MIN_DISRUPTED = 20;
+
     /** Response times that the median is taken from at least. */
     private static final int MIN_TIMES = 10;
 
@@ -75,6 +80,11 @@
         return counts.responses() - counts.allFailures() + counts.failures();
     }
 
+    /** Returns whether there are enough responses to tell a disruption. */
+    boolean isShareKnown() {
+        return mSum.responses() >= MIN_DISRUPTED;
+    }
+
     /** Returns the share of bad responses now; a half if nothing is known. */
     double badShare() {
         return Math.max(mLatestShare, share(mBad, responses(mSum)));
--- a/core/src/test/java/org/boragethread/core/rollout/RolloutCoordinatorTest.java
+++ b/core/src/test/java/org/boragethread/core/rollout/RolloutCoordinatorTest.java
@@ -207,6 +207,18 @@
         }
     }
 
+    /** Guards against a good version that is rolled back as disrupted for want of traffic. */
+    @Test
+    public void fewOldResponsesAreNoDisruption() {
+        EvidenceReview review = new EvidenceReview();
+        review.update(evidence(1, 1, 0), 0, 0.76);
+        PhaseDecision.Situation situation =
+                new PhaseDecision.Situation(0.76, true, Duration.ZERO, false, false, true, false);
+        assertEquals(
+                PhaseDecision.next(trial(), review, situation).map(PhaseDecision.Step::phase),
+                Optional.of(RolloutPhase.SWITCHING));
+    }
+
     /** Guards against times without a finite ratio that count as the fastest ones. */
     @Test
     public void infiniteTimeIsInTheLastBucket() {
