--- a/core/src/main/java/org/boragethread/core/rollout/RolloutCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutCoordinator.java
@@ -274,7 +274,7 @@
 
     private void hinder(RolloutState state, String message) {
         if (mLogged.add(message)) {
-            mEvents.onHindered(state.order(), message);
+            mEvents.onBlocked(state.order(), message);
         }
     }
 
--- a/core/src/main/java/org/boragethread/core/rollout/RolloutEvents.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutEvents.java
@@ -14,7 +14,7 @@
     default void onRecorded(RolloutState state, String reason) {}
 
     /** Called once per order if something keeps it from going on; the message names the remedy. */
-    default void onHindered(RolloutOrder order, String message) {}
+    default void onBlocked(RolloutOrder order, String message) {}
 
     /** Called when the log could not be read or an append failed. */
     default void onLogFailure(String message) {}
--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -38,9 +38,9 @@
 import org.boragethread.core.upstream.UpstreamDirectory;
 import org.boragethread.entry.placement.EntryIncarnation;
 import org.boragethread.entry.placement.PeerCoordinatorLink;
-import org.boragethread.entry.placement.PlacementRehearsal;
 import org.boragethread.entry.placement.PlacementRouter;
 import org.boragethread.entry.placement.PlacementServer;
+import org.boragethread.entry.placement.PlacementWarmUp;
 import org.boragethread.entry.rollout.RolloutContext;
 import org.boragethread.entry.rollout.Rollouts;
 import org.boragethread.model.routing.Route;
@@ -350,10 +350,10 @@
     }
 
     /** Places sample requests, so that this entry can become a coordinator at any moment. */
-    void rehearsePlacements() {
+    void warmUpPlacements() {
         long startNanos = mTime.nanoTime();
-        int placed = PlacementRehearsal.run(supervisor("placement", "rehearsal"), mTime);
-        mLog.event("placement-rehearsal")
+        int placed = PlacementWarmUp.run(supervisor("placement", "warm-up"), mTime);
+        mLog.event("placement-warm-up")
                 .with("placed", placed)
                 .with("millis", mTime.since(startNanos).toMillis())
                 .info();
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -213,7 +213,7 @@
     private void startFollowers() {
         Duration configPollTime = fraction(mSettings.revokeTime(), CONFIG_POLL_FRACTION);
         if (mSettings.scheduling().isShared()) {
-            mGateway.rehearsePlacements();
+            mGateway.warmUpPlacements();
         }
         mMembership.start();
         startRollouts();
--- a/entry/src/main/java/org/boragethread/entry/gateway/LoadClassesCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/LoadClassesCommand.java
@@ -66,7 +66,7 @@
         List<InetSocketAddress> addresses = freeAddresses(5);
         GatewayProcess process = new GatewayProcess(settings(addresses));
         process.start();
-        process.execute(Gateway::rehearsePlacements);
+        process.execute(Gateway::warmUpPlacements);
         CountDownLatch responses = new CountDownLatch(REQUEST_COUNT);
         for (int i = 0; i < REQUEST_COUNT; i++) {
             InetSocketAddress address = addresses.get(i % 3);
--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -121,8 +121,8 @@
     }
 
     /** Acknowledges a question about a placement at once; the decision follows. */
-    private void placeRequest(ChannelHandlerContext context, PlacementQuery asked) {
-        if (!mGateway.placementServer().coordinates(new GroupId(asked.getGroup()))) {
+    private void placeRequest(ChannelHandlerContext context, PlacementQuery query) {
+        if (!mGateway.placementServer().coordinates(new GroupId(query.getGroup()))) {
             respond(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
         }
@@ -130,10 +130,10 @@
         mPlacement = Optional.of(response);
         Optional<PlacementServer.PlacementHandle> placement;
         try {
-            placement = mGateway.placementServer().place(asked, response);
+            placement = mGateway.placementServer().place(query, response);
         } catch (IllegalArgumentException e) {
             mPlacement = Optional.empty();
-            logPlacement(asked.getSender()).with("outcome", "invalid").with("detail", e).warn();
+            logPlacement(query.getSender()).with("outcome", "invalid").with("detail", e).warn();
             respond(context, HttpResponseStatus.valueOf(PeerCoordinatorLink.INVALID));
             return;
         }
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementRehearsal.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementWarmUp.java
@@ -26,15 +26,15 @@
  * Places sample requests while a process starts. An entry that becomes the coordinator must
  * acknowledge the first requests in time, before which its classes would have to be loaded.
  */
-public final class PlacementRehearsal {
+public final class PlacementWarmUp {
 
     private static final int REQUESTS = 20;
-    private static final GroupId GROUP = new GroupId("rehearsal");
+    private static final GroupId GROUP = new GroupId("warm-up");
     private static final EntryIncarnation ENTRY = new EntryIncarnation("127.0.0.1:1", 1);
     private static final DataCentreId DATA_CENTRE = new DataCentreId("here");
     private static final EngineLimits LIMITS = new EngineLimits(4, 1000);
 
-    private PlacementRehearsal() {}
+    private PlacementWarmUp() {}
 
     /**
      * Places the requests at an engine that does not exist, one after the other.
@@ -46,8 +46,8 @@
         int[] placed = {0};
         try {
             for (int i = 1; i <= REQUESTS; i++) {
-                PlacementQuery asked = PlacementQuery.parseFrom(ask(i).toByteArray());
-                server.place(asked, new Counter(placed));
+                PlacementQuery query = PlacementQuery.parseFrom(ask(i).toByteArray());
+                server.place(query, new Counter(placed));
                 server.apply(PlacementReports.parseFrom(report(i).toByteArray()));
             }
         } catch (InvalidProtocolBufferException e) {
--- a/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
@@ -212,10 +212,10 @@
     }
 
     @Override
-    public void onHindered(RolloutOrder order, String message) {
+    public void onBlocked(RolloutOrder order, String message) {
         line("rollout")
                 .with("target", order.request().target())
-                .with("outcome", "hindered")
+                .with("outcome", "blocked")
                 .with("remedy", message)
                 .warn();
     }
