--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutStatus.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutStatus.java
@@ -63,7 +63,7 @@
                     .with("key", key)
                     .with("outcome", "unreadable")
                     .with("detail", e.getMessage())
-                    .with("remedy", "only entries may write this key of keyed.status")
+                    .with("remedy", "only entries may write this key of the status topic")
                     .warn();
         }
     }
