Report the failures of each upstream and second to the coordinator of a roll-out

The report carried only counts that each entry had limited by itself, so one crash that several entries saw counted three times for each of them. RolloutReportCodecTest failed on the code before: the failures were lost on the way.

--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutReportCodec.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutReportCodec.java
@@ -1,16 +1,21 @@
 package org.boragethread.entry.rollout;
 
 import com.google.protobuf.ByteString;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.boragethread.core.rollout.EntryReport;
 import org.boragethread.core.rollout.RolloutEvidence;
+import org.boragethread.core.rollout.UpstreamFailures;
 import org.boragethread.core.rollout.VersionCounts;
 import org.boragethread.core.rollout.VersionSide;
+import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.platform.store.MalformedRecordException;
 import org.boragethread.platform.store.RolloutCodec;
 import org.boragethread.wire.proto.RolloutReport;
 import org.boragethread.wire.proto.RolloutRouteCounts;
+import org.boragethread.wire.proto.RolloutUpstreamFailures;
 import org.boragethread.wire.proto.RolloutVersionCounts;
 
 /** Encodes and decodes what entries tell each other about roll-outs. */
@@ -35,9 +40,20 @@
                             .setOld(encode(evidence.counts(route, VersionSide.OLD)))
                             .setTarget(encode(evidence.counts(route, VersionSide.TARGET))));
         }
+        evidence.failures().forEach(failures -> message.addFailures(encode(failures)));
         return message.build();
     }
 
+    private static RolloutUpstreamFailures encode(UpstreamFailures failures) {
+        return RolloutUpstreamFailures.newBuilder()
+                .setRoute(failures.route())
+                .setTarget(failures.side() == VersionSide.TARGET)
+                .setUpstream(failures.upstream().value())
+                .setSecond(failures.second())
+                .setCount(failures.count())
+                .build();
+    }
+
     private static RolloutVersionCounts encode(VersionCounts counts) {
         RolloutVersionCounts.Builder message =
                 RolloutVersionCounts.newBuilder()
@@ -67,12 +83,26 @@
                     message.getSequence(),
                     RolloutCodec.decodeState(message.getState().toByteArray()),
                     message.getOldInFlight(),
-                    new RolloutEvidence(counts));
+                    new RolloutEvidence(counts, decode(message.getFailuresList())));
         } catch (IllegalArgumentException e) {
             throw new MalformedRecordException(e.getMessage());
         }
     }
 
+    private static List<UpstreamFailures> decode(List<RolloutUpstreamFailures> messages) {
+        List<UpstreamFailures> failures = new ArrayList<>();
+        for (RolloutUpstreamFailures message : messages) {
+            failures.add(
+                    new UpstreamFailures(
+                            message.getRoute(),
+                            message.getTarget() ? VersionSide.TARGET : VersionSide.OLD,
+                            new UpstreamId(message.getUpstream()),
+                            message.getSecond(),
+                            message.getCount()));
+        }
+        return failures;
+    }
+
     private static VersionCounts decode(RolloutVersionCounts message) {
         long[] times = message.getTimesList().stream().mapToLong(Long::longValue).toArray();
         return new VersionCounts(
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutReportCodecTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutReportCodecTest.java
@@ -12,10 +12,12 @@
 import org.boragethread.core.rollout.RolloutPhase;
 import org.boragethread.core.rollout.RolloutRequest;
 import org.boragethread.core.rollout.RolloutState;
+import org.boragethread.core.rollout.UpstreamFailures;
 import org.boragethread.core.rollout.VersionCounts;
 import org.boragethread.core.rollout.VersionSide;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.SoftwareVersion;
+import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.platform.store.MalformedRecordException;
 import org.boragethread.wire.proto.RolloutReport;
 import org.boragethread.wire.proto.RolloutRouteCounts;
@@ -45,7 +47,14 @@
                                         VersionSide.OLD,
                                         new VersionCounts(9, 1, 2, times),
                                         VersionSide.TARGET,
-                                        VersionCounts.NONE)));
+                                        VersionCounts.NONE)),
+                        List.of(
+                                new UpstreamFailures(
+                                        "lookup",
+                                        VersionSide.TARGET,
+                                        new UpstreamId("engine-1"),
+                                        1_764_936_000,
+                                        3)));
         return new EntryReport("127.0.0.1:1", 11, 12, state, 3, evidence);
     }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/Peer.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/Peer.java
@@ -130,6 +130,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_boragethread_peer_RolloutReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_boragethread_peer_RolloutUpstreamFailures_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_boragethread_peer_RolloutUpstreamFailures_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_boragethread_peer_RolloutRouteCounts_descriptor;
   static final 
@@ -214,25 +219,29 @@
       "nt_seen\030\004 \001(\010\"p\n\017PlacementReport\022\016\n\006numb" +
       "er\030\001 \001(\003\0220\n\005event\030\002 \001(\0162!.boragethread.p" +
       "eer.PlacementEvent\022\033\n\023response_time_nano" +
-      "s\030\003 \001(\003\"\243\001\n\rRolloutReport\022\017\n\007address\030\001 \001" +
+      "s\030\003 \001(\003\"\341\001\n\rRolloutReport\022\017\n\007address\030\001 \001" +
       "(\t\022\022\n\nstarted_at\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003" +
       "\022\r\n\005state\030\004 \001(\014\022\025\n\rold_in_flight\030\005 \001(\003\0225" +
       "\n\006routes\030\006 \003(\0132%.boragethread.peer.Rollo" +
-      "utRouteCounts\"\222\001\n\022RolloutRouteCounts\022\r\n\005" +
-      "route\030\001 \001(\t\0224\n\003old\030\002 \001(\0132\'.boragethread." +
-      "peer.RolloutVersionCounts\0227\n\006target\030\003 \001(" +
-      "\0132\'.boragethread.peer.RolloutVersionCoun" +
-      "ts\"`\n\024RolloutVersionCounts\022\021\n\tresponses\030" +
-      "\001 \001(\003\022\020\n\010failures\030\002 \001(\003\022\024\n\014all_failures\030" +
-      "\003 \001(\003\022\r\n\005times\030\004 \003(\003*\236\002\n\016PlacementEvent\022" +
-      "\037\n\033PLACEMENT_EVENT_UNSPECIFIED\020\000\022\037\n\033PLAC" +
-      "EMENT_EVENT_FIRST_EVENT\020\001\022\031\n\025PLACEMENT_E" +
-      "VENT_ENDED\020\002\022\035\n\031PLACEMENT_EVENT_WITHDRAW" +
-      "N\020\003\022\034\n\030PLACEMENT_EVENT_REJECTED\020\004\022\033\n\027PLA" +
-      "CEMENT_EVENT_REFUSED\020\005\022\032\n\026PLACEMENT_EVEN" +
-      "T_FAILED\020\006\022\032\n\026PLACEMENT_EVENT_BROKEN\020\007\022\035" +
-      "\n\031PLACEMENT_EVENT_COMPLETED\020\010B\037\n\033org.bor" +
-      "agethread.wire.protoP\001b\006proto3"
+      "utRouteCounts\022<\n\010failures\030\007 \003(\0132*.borage" +
+      "thread.peer.RolloutUpstreamFailures\"i\n\027R" +
+      "olloutUpstreamFailures\022\r\n\005route\030\001 \001(\t\022\016\n" +
+      "\006target\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\t\022\016\n\006secon" +
+      "d\030\004 \001(\003\022\r\n\005count\030\005 \001(\003\"\222\001\n\022RolloutRouteC" +
+      "ounts\022\r\n\005route\030\001 \001(\t\0224\n\003old\030\002 \001(\0132\'.bora" +
+      "gethread.peer.RolloutVersionCounts\0227\n\006ta" +
+      "rget\030\003 \001(\0132\'.boragethread.peer.RolloutVe" +
+      "rsionCounts\"`\n\024RolloutVersionCounts\022\021\n\tr" +
+      "esponses\030\001 \001(\003\022\020\n\010failures\030\002 \001(\003\022\024\n\014all_" +
+      "failures\030\003 \001(\003\022\r\n\005times\030\004 \003(\003*\236\002\n\016Placem" +
+      "entEvent\022\037\n\033PLACEMENT_EVENT_UNSPECIFIED\020" +
+      "\000\022\037\n\033PLACEMENT_EVENT_FIRST_EVENT\020\001\022\031\n\025PL" +
+      "ACEMENT_EVENT_ENDED\020\002\022\035\n\031PLACEMENT_EVENT" +
+      "_WITHDRAWN\020\003\022\034\n\030PLACEMENT_EVENT_REJECTED" +
+      "\020\004\022\033\n\027PLACEMENT_EVENT_REFUSED\020\005\022\032\n\026PLACE" +
+      "MENT_EVENT_FAILED\020\006\022\032\n\026PLACEMENT_EVENT_B" +
+      "ROKEN\020\007\022\035\n\031PLACEMENT_EVENT_COMPLETED\020\010B\037" +
+      "\n\033org.boragethread.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -363,15 +372,21 @@
     internal_static_boragethread_peer_RolloutReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_RolloutReport_descriptor,
-        new java.lang.String[] { "Address", "StartedAt", "Sequence", "State", "OldInFlight", "Routes", });
-    internal_static_boragethread_peer_RolloutRouteCounts_descriptor =
+        new java.lang.String[] { "Address", "StartedAt", "Sequence", "State", "OldInFlight", "Routes", "Failures", });
+    internal_static_boragethread_peer_RolloutUpstreamFailures_descriptor =
       getDescriptor().getMessageTypes().get(21);
+    internal_static_boragethread_peer_RolloutUpstreamFailures_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_boragethread_peer_RolloutUpstreamFailures_descriptor,
+        new java.lang.String[] { "Route", "Target", "Upstream", "Second", "Count", });
+    internal_static_boragethread_peer_RolloutRouteCounts_descriptor =
+      getDescriptor().getMessageTypes().get(22);
     internal_static_boragethread_peer_RolloutRouteCounts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_RolloutRouteCounts_descriptor,
         new java.lang.String[] { "Route", "Old", "Target", });
     internal_static_boragethread_peer_RolloutVersionCounts_descriptor =
-      getDescriptor().getMessageTypes().get(22);
+      getDescriptor().getMessageTypes().get(23);
     internal_static_boragethread_peer_RolloutVersionCounts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_boragethread_peer_RolloutVersionCounts_descriptor,
--- a/wire/src/main/java/org/boragethread/wire/proto/RolloutReport.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/RolloutReport.java
@@ -34,6 +34,7 @@
     address_ = "";
     state_ = com.google.protobuf.ByteString.EMPTY;
     routes_ = java.util.Collections.emptyList();
+    failures_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -189,6 +190,67 @@
     return routes_.get(index);
   }
 
+  public static final int FAILURES_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private java.util.List<org.boragethread.wire.proto.RolloutUpstreamFailures> failures_;
+  /**
+   * <pre>
+   * The latest of the failures that the counts include.
+   * </pre>
+   *
+   * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.boragethread.wire.proto.RolloutUpstreamFailures> getFailuresList() {
+    return failures_;
+  }
+  /**
+   * <pre>
+   * The latest of the failures that the counts include.
+   * </pre>
+   *
+   * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.boragethread.wire.proto.RolloutUpstreamFailuresOrBuilder> 
+      getFailuresOrBuilderList() {
+    return failures_;
+  }
+  /**
+   * <pre>
+   * The latest of the failures that the counts include.
+   * </pre>
+   *
+   * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+   */
+  @java.lang.Override
+  public int getFailuresCount() {
+    return failures_.size();
+  }
+  /**
+   * <pre>
+   * The latest of the failures that the counts include.
+   * </pre>
+   *
+   * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+   */
+  @java.lang.Override
+  public org.boragethread.wire.proto.RolloutUpstreamFailures getFailures(int index) {
+    return failures_.get(index);
+  }
+  /**
+   * <pre>
+   * The latest of the failures that the counts include.
+   * </pre>
+   *
+   * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+   */
+  @java.lang.Override
+  public org.boragethread.wire.proto.RolloutUpstreamFailuresOrBuilder getFailuresOrBuilder(
+      int index) {
+    return failures_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -221,6 +283,9 @@
     for (int i = 0; i < routes_.size(); i++) {
       output.writeMessage(6, routes_.get(i));
     }
+    for (int i = 0; i < failures_.size(); i++) {
+      output.writeMessage(7, failures_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -253,6 +318,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, routes_.get(i));
     }
+    for (int i = 0; i < failures_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, failures_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -280,6 +349,8 @@
         != other.getOldInFlight()) return false;
     if (!getRoutesList()
         .equals(other.getRoutesList())) return false;
+    if (!getFailuresList()
+        .equals(other.getFailuresList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -308,6 +379,10 @@
       hash = (37 * hash) + ROUTES_FIELD_NUMBER;
       hash = (53 * hash) + getRoutesList().hashCode();
     }
+    if (getFailuresCount() > 0) {
+      hash = (37 * hash) + FAILURES_FIELD_NUMBER;
+      hash = (53 * hash) + getFailuresList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -455,6 +530,13 @@
         routesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      if (failuresBuilder_ == null) {
+        failures_ = java.util.Collections.emptyList();
+      } else {
+        failures_ = null;
+        failuresBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000040);
       return this;
     }
 
@@ -497,6 +579,15 @@
       } else {
         result.routes_ = routesBuilder_.build();
       }
+      if (failuresBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0)) {
+          failures_ = java.util.Collections.unmodifiableList(failures_);
+          bitField0_ = (bitField0_ & ~0x00000040);
+        }
+        result.failures_ = failures_;
+      } else {
+        result.failures_ = failuresBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.boragethread.wire.proto.RolloutReport result) {
@@ -573,6 +664,32 @@
           }
         }
       }
+      if (failuresBuilder_ == null) {
+        if (!other.failures_.isEmpty()) {
+          if (failures_.isEmpty()) {
+            failures_ = other.failures_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+          } else {
+            ensureFailuresIsMutable();
+            failures_.addAll(other.failures_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.failures_.isEmpty()) {
+          if (failuresBuilder_.isEmpty()) {
+            failuresBuilder_.dispose();
+            failuresBuilder_ = null;
+            failures_ = other.failures_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+            failuresBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 getFailuresFieldBuilder() : null;
+          } else {
+            failuresBuilder_.addAllMessages(other.failures_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -637,6 +754,19 @@
               }
               break;
             } // case 50
+            case 58: {
+              org.boragethread.wire.proto.RolloutUpstreamFailures m =
+                  input.readMessage(
+                      org.boragethread.wire.proto.RolloutUpstreamFailures.parser(),
+                      extensionRegistry);
+              if (failuresBuilder_ == null) {
+                ensureFailuresIsMutable();
+                failures_.add(m);
+              } else {
+                failuresBuilder_.addMessage(m);
+              }
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1142,6 +1272,318 @@
       return routesBuilder_;
     }
 
+    private java.util.List<org.boragethread.wire.proto.RolloutUpstreamFailures> failures_ =
+      java.util.Collections.emptyList();
+    private void ensureFailuresIsMutable() {
+      if (!((bitField0_ & 0x00000040) != 0)) {
+        failures_ = new java.util.ArrayList<org.boragethread.wire.proto.RolloutUpstreamFailures>(failures_);
+        bitField0_ |= 0x00000040;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.boragethread.wire.proto.RolloutUpstreamFailures, org.boragethread.wire.proto.RolloutUpstreamFailures.Builder, org.boragethread.wire.proto.RolloutUpstreamFailuresOrBuilder> failuresBuilder_;
+
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public java.util.List<org.boragethread.wire.proto.RolloutUpstreamFailures> getFailuresList() {
+      if (failuresBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(failures_);
+      } else {
+        return failuresBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public int getFailuresCount() {
+      if (failuresBuilder_ == null) {
+        return failures_.size();
+      } else {
+        return failuresBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public org.boragethread.wire.proto.RolloutUpstreamFailures getFailures(int index) {
+      if (failuresBuilder_ == null) {
+        return failures_.get(index);
+      } else {
+        return failuresBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public Builder setFailures(
+        int index, org.boragethread.wire.proto.RolloutUpstreamFailures value) {
+      if (failuresBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureFailuresIsMutable();
+        failures_.set(index, value);
+        onChanged();
+      } else {
+        failuresBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public Builder setFailures(
+        int index, org.boragethread.wire.proto.RolloutUpstreamFailures.Builder builderForValue) {
+      if (failuresBuilder_ == null) {
+        ensureFailuresIsMutable();
+        failures_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        failuresBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public Builder addFailures(org.boragethread.wire.proto.RolloutUpstreamFailures value) {
+      if (failuresBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureFailuresIsMutable();
+        failures_.add(value);
+        onChanged();
+      } else {
+        failuresBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public Builder addFailures(
+        int index, org.boragethread.wire.proto.RolloutUpstreamFailures value) {
+      if (failuresBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureFailuresIsMutable();
+        failures_.add(index, value);
+        onChanged();
+      } else {
+        failuresBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public Builder addFailures(
+        org.boragethread.wire.proto.RolloutUpstreamFailures.Builder builderForValue) {
+      if (failuresBuilder_ == null) {
+        ensureFailuresIsMutable();
+        failures_.add(builderForValue.build());
+        onChanged();
+      } else {
+        failuresBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public Builder addFailures(
+        int index, org.boragethread.wire.proto.RolloutUpstreamFailures.Builder builderForValue) {
+      if (failuresBuilder_ == null) {
+        ensureFailuresIsMutable();
+        failures_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        failuresBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public Builder addAllFailures(
+        java.lang.Iterable<? extends org.boragethread.wire.proto.RolloutUpstreamFailures> values) {
+      if (failuresBuilder_ == null) {
+        ensureFailuresIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, failures_);
+        onChanged();
+      } else {
+        failuresBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public Builder clearFailures() {
+      if (failuresBuilder_ == null) {
+        failures_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+      } else {
+        failuresBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public Builder removeFailures(int index) {
+      if (failuresBuilder_ == null) {
+        ensureFailuresIsMutable();
+        failures_.remove(index);
+        onChanged();
+      } else {
+        failuresBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public org.boragethread.wire.proto.RolloutUpstreamFailures.Builder getFailuresBuilder(
+        int index) {
+      return getFailuresFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public org.boragethread.wire.proto.RolloutUpstreamFailuresOrBuilder getFailuresOrBuilder(
+        int index) {
+      if (failuresBuilder_ == null) {
+        return failures_.get(index);  } else {
+        return failuresBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public java.util.List<? extends org.boragethread.wire.proto.RolloutUpstreamFailuresOrBuilder> 
+         getFailuresOrBuilderList() {
+      if (failuresBuilder_ != null) {
+        return failuresBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(failures_);
+      }
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public org.boragethread.wire.proto.RolloutUpstreamFailures.Builder addFailuresBuilder() {
+      return getFailuresFieldBuilder().addBuilder(
+          org.boragethread.wire.proto.RolloutUpstreamFailures.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public org.boragethread.wire.proto.RolloutUpstreamFailures.Builder addFailuresBuilder(
+        int index) {
+      return getFailuresFieldBuilder().addBuilder(
+          index, org.boragethread.wire.proto.RolloutUpstreamFailures.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The latest of the failures that the counts include.
+     * </pre>
+     *
+     * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+     */
+    public java.util.List<org.boragethread.wire.proto.RolloutUpstreamFailures.Builder> 
+         getFailuresBuilderList() {
+      return getFailuresFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.boragethread.wire.proto.RolloutUpstreamFailures, org.boragethread.wire.proto.RolloutUpstreamFailures.Builder, org.boragethread.wire.proto.RolloutUpstreamFailuresOrBuilder> 
+        getFailuresFieldBuilder() {
+      if (failuresBuilder_ == null) {
+        failuresBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.boragethread.wire.proto.RolloutUpstreamFailures, org.boragethread.wire.proto.RolloutUpstreamFailures.Builder, org.boragethread.wire.proto.RolloutUpstreamFailuresOrBuilder>(
+                failures_,
+                ((bitField0_ & 0x00000040) != 0),
+                getParentForChildren(),
+                isClean());
+        failures_ = null;
+      }
+      return failuresBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:boragethread.peer.RolloutReport)
   }
 
--- a/wire/src/main/java/org/boragethread/wire/proto/RolloutReportOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/RolloutReportOrBuilder.java
@@ -84,4 +84,48 @@
    */
   org.boragethread.wire.proto.RolloutRouteCountsOrBuilder getRoutesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The latest of the failures that the counts include.
+   * </pre>
+   *
+   * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+   */
+  java.util.List<org.boragethread.wire.proto.RolloutUpstreamFailures> 
+      getFailuresList();
+  /**
+   * <pre>
+   * The latest of the failures that the counts include.
+   * </pre>
+   *
+   * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+   */
+  org.boragethread.wire.proto.RolloutUpstreamFailures getFailures(int index);
+  /**
+   * <pre>
+   * The latest of the failures that the counts include.
+   * </pre>
+   *
+   * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+   */
+  int getFailuresCount();
+  /**
+   * <pre>
+   * The latest of the failures that the counts include.
+   * </pre>
+   *
+   * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+   */
+  java.util.List<? extends org.boragethread.wire.proto.RolloutUpstreamFailuresOrBuilder> 
+      getFailuresOrBuilderList();
+  /**
+   * <pre>
+   * The latest of the failures that the counts include.
+   * </pre>
+   *
+   * <code>repeated .boragethread.peer.RolloutUpstreamFailures failures = 7;</code>
+   */
+  org.boragethread.wire.proto.RolloutUpstreamFailuresOrBuilder getFailuresOrBuilder(
+      int index);
 }
