--- a/standins/src/test/java/org/boragethread/standins/system/LayerTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/LayerTest.java
@@ -35,6 +35,7 @@
             List.of(
                     GATEWAY + "PeerClient",
                     GATEWAY + "PeerTopicClient",
+                    GATEWAY + "RolloutReportClient",
                     GATEWAY + "StreamOriginClient",
                     GATEWAY + "LoadClassesCommand");
 
