Play the soak with shared scheduling too

Cause: the soak knew only entries that choose engines and schedule stages by themselves. A third case starts the entries with the platform's rules pool and pressure and engines with few slots, under the same disturbances and verdict.

--- a/standins/src/test/java/org/boragethread/standins/system/PlannedStopSoakTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/PlannedStopSoakTest.java
@@ -3,7 +3,10 @@
 import static org.testng.Assert.assertEquals;
 
 import java.nio.file.Path;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.testng.Reporter;
 import org.testng.annotations.DataProvider;
@@ -27,24 +30,33 @@
     // Guards against requests that are cut off, mixed, lost or run twice around a planned stop.
     @Test(dataProvider = "seeds")
     public void everyRequestEndsWholeOrWithAReason(long seed) throws Exception {
-        play(seed, false);
+        play(seed, Set.of());
     }
 
     // Guards against streams of two versions, and those above, while engines start again.
     @Test(dataProvider = "seeds")
     public void everyStreamKeepsItsVersionWhileEnginesRestart(long seed) throws Exception {
-        play(seed, true);
+        play(seed, EnumSet.of(SoakOption.ENGINE_RESTARTS));
     }
 
-    private static void play(long seed, boolean engineRestarts) throws Exception {
+    // Guards against the same faults while one entry places the requests of all, and is stopped,
+    // killed and paused like the others.
+    @Test(dataProvider = "seeds")
+    public void everyRequestEndsWholeOrWithAReasonWithSharedScheduling(long seed) throws Exception {
+        play(seed, EnumSet.of(SoakOption.SHARED_SCHEDULING));
+    }
+
+    private static void play(long seed, Set<SoakOption> options) throws Exception {
         int gateways = Integer.getInteger("soak.gateways", 3);
         int callers = Integer.getInteger("soak.callers", 40);
-        try (SoakRun run = new SoakRun(seed, gateways, callers, engineRestarts)) {
+        try (SoakRun run = new SoakRun(seed, gateways, callers, options)) {
             run.run();
             SoakVerdict verdict = new SoakVerdict(run);
             Reporter.log("seed %d: %s".formatted(seed, verdict.summary()), true);
             if (!verdict.findings().isEmpty()) {
-                verdict.write(LOGS.resolve((engineRestarts ? "restarts-" : "") + seed));
+                String prefix =
+                        options.stream().map(option -> option + "-").collect(Collectors.joining());
+                verdict.write(LOGS.resolve(prefix + seed));
             }
             assertEquals(verdict.findings(), List.of(), "seed " + seed);
         }
--- a/standins/src/test/java/org/boragethread/standins/system/SoakConfig.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakConfig.java
@@ -30,7 +30,11 @@
             {"name":"pieces","pieces":{"slots":1,"queue":4,"batch":4,"call_ms":50,"item_ms":1,
              "headroom_mb":10,"handle_s":20}}""";
 
-    private static final String GROUP = "{\"name\":\"%s\",\"max_conns\":200}";
+    private static final String GROUP = "{\"name\":\"%s\",\"max_conns\":200%s}";
+
+    /** Few slots, so that requests wait for a placement while engines are silent. */
+    private static final String ENGINE = ",\"engine\":{\"slots\":8,\"kv_capacity\":100000}";
+
     private static final int TARGET_MILLIS = 400;
 
     /** Time after its return within which every gateway must know a route again. */
@@ -39,6 +43,7 @@
     private final Map<SoakRoute, String> mGroups = new EnumMap<>(SoakRoute.class);
     private final Set<SoakRoute> mGone = EnumSet.noneOf(SoakRoute.class);
     private final Queue<Absence> mAbsences = new ConcurrentLinkedQueue<>();
+    private final boolean mSharedScheduling;
     private int mVersion;
 
     /** The time in which a route was gone, of {@link System#nanoTime}. */
@@ -52,7 +57,8 @@
         }
     }
 
-    SoakConfig() {
+    SoakConfig(boolean sharedScheduling) {
+        mSharedScheduling = sharedScheduling;
         for (SoakRoute route : SoakRoute.values()) {
             mGroups.put(route, GROUPS.get(0));
         }
@@ -102,7 +108,10 @@
                         .filter(route -> !mGone.contains(route))
                         .map(route -> text(route, targetMillis))
                         .collect(Collectors.joining(","));
-        String groups = GROUPS.stream().map(GROUP::formatted).collect(Collectors.joining(","));
+        String groups =
+                GROUPS.stream()
+                        .map(name -> GROUP.formatted(name, mSharedScheduling ? ENGINE : ""))
+                        .collect(Collectors.joining(","));
         return """
         {"version":%d,"routes":[%s],"services":[%s,%s],
          "tenants":[{"name":"team-1","api_keys":["key-1"]}]}"""
--- a/standins/src/test/java/org/boragethread/standins/system/SoakGateway.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakGateway.java
@@ -33,6 +33,9 @@
     private static final String SECTIONS =
             "[shares]\nretry_ratio = 0.05\nretry_slack = 3\nretry_window_s = 4\n";
 
+    private static final String SHARED_SCHEDULING =
+            "[scheduling]\nplatform_rules = \"pool,pressure\"\n";
+
     private final ProcessHarness mHarness;
     private final Duration mGrace;
     private final ExecutorService mThread = Executors.newSingleThreadExecutor();
@@ -101,11 +104,17 @@
         }
     }
 
-    SoakGateway(ProcessHarness harness, String name, String store, Duration grace)
+    SoakGateway(
+            ProcessHarness harness,
+            String name,
+            String store,
+            Duration grace,
+            boolean sharedScheduling)
             throws Exception {
         mHarness = harness;
         mGrace = grace;
-        mLives.add(new Life(TestGateway.start(harness, name, store, grace, SECTIONS), grace));
+        String sections = sharedScheduling ? SECTIONS + SHARED_SCHEDULING : SECTIONS;
+        mLives.add(new Life(TestGateway.start(harness, name, store, grace, sections), grace));
     }
 
     Life life() {
--- a/standins/src/test/java/org/boragethread/standins/system/SoakRun.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakRun.java
@@ -39,7 +39,7 @@
     private final List<String> mEvents = new ArrayList<>();
     private final List<Disturbance> mDisturbances;
     private final long mBegin = System.nanoTime();
-    private final SoakConfig mConfig = new SoakConfig();
+    private final SoakConfig mConfig;
     private final Set<SoakEngine> mBusyEngines = ConcurrentHashMap.newKeySet();
     private volatile boolean mEnded;
 
@@ -71,12 +71,14 @@
     /**
      * Starts all processes.
      *
-     * @param engineRestarts whether engines start again with other software
+     * @param options what the run has beside its usual disturbances
      */
-    SoakRun(long seed, int gateways, int callers, boolean engineRestarts) throws Exception {
+    SoakRun(long seed, int gateways, int callers, Set<SoakOption> options) throws Exception {
         mRandom = new SplittableRandom(seed);
+        boolean sharedScheduling = options.contains(SoakOption.SHARED_SCHEDULING);
+        mConfig = new SoakConfig(sharedScheduling);
         mDisturbances = new ArrayList<>(List.of(Disturbance.values()));
-        if (!engineRestarts) {
+        if (!options.contains(SoakOption.ENGINE_RESTARTS)) {
             mDisturbances.remove(Disturbance.ENGINE_RESTARTS);
         }
         mStore.start();
@@ -94,7 +96,13 @@
             Duration grace = Duration.ofSeconds(GRACE_SECONDS[i % GRACE_SECONDS.length]);
             starting.add(
                     mThreads.submit(
-                            () -> new SoakGateway(mHarness, name, mStore.address(), grace)));
+                            () ->
+                                    new SoakGateway(
+                                            mHarness,
+                                            name,
+                                            mStore.address(),
+                                            grace,
+                                            sharedScheduling)));
         }
         for (Future<SoakGateway> gateway : starting) {
             mGateways.add(gateway.get());
