Estimate how long results stay without counting idle time

Memory in use was sampled only while pieces were pending. After an idle period the whole of it counted as time for which the last results had been held, so that the next stages were rejected with a delay of half a minute.

The policy now observes the state before each submission and dispatch, also if nothing is pending. A time without a sample counts for at most the time after which results are dropped, and the estimate does not exceed it.

--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -96,6 +96,7 @@
     public void submit(List<PendingPiece> pieces) {
         CallbackGuard.Owner owner = mSupervisor.guard().current();
         pieces.forEach(piece -> piece.setOwner(owner));
+        observe();
         Optional<Duration> delay = findHopelessDelay(pieces);
         if (delay.isPresent()) {
             StageFailure failure =
@@ -107,6 +108,14 @@
         dispatch();
     }
 
+    private void observe() {
+        mGroup.limits()
+                .ifPresent(
+                        limits ->
+                                mPolicy.observe(
+                                        mPending, mGroup::upstreams, limits, mTime.nanoTime()));
+    }
+
     private Optional<Duration> findHopelessDelay(List<PendingPiece> pieces) {
         return mGroup.limits()
                 .flatMap(
@@ -152,6 +161,7 @@
         mPending.removeIf(PendingPiece::isCancelled);
         long now = mTime.nanoTime();
         failLatePieces(now);
+        observe();
         if (mPending.isEmpty()) {
             return;
         }
--- a/core/src/main/java/org/boragethread/core/stage/LocalStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/LocalStagePolicy.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.BatchLimits;
@@ -13,6 +14,13 @@
 /** Serves the most urgent pieces that fit, at upstreams that are assumed to be equally fast. */
 public final class LocalStagePolicy implements StagePolicy {
 
+    @Override
+    public void observe(
+            List<PendingPiece> pending,
+            Supplier<List<UpstreamNode>> upstreams,
+            BatchLimits limits,
+            long now) {}
+
     @Override
     public double timeFactor(UpstreamNode upstream, long now) {
         return 1;
--- a/core/src/main/java/org/boragethread/core/stage/MemoryTurnover.java
+++ b/core/src/main/java/org/boragethread/core/stage/MemoryTurnover.java
@@ -1,5 +1,6 @@
 package org.boragethread.core.stage;
 
+import java.time.Duration;
 import java.util.OptionalDouble;
 
 /**
@@ -20,6 +21,7 @@
     private long mSentBytes;
     private long mUsedBytes;
     private long mUpdatedAt;
+    private double mMaxNanos;
     private boolean mStarted;
 
     /** Counts memory that results of a call will occupy. */
@@ -27,12 +29,19 @@
         mSentBytes += bytes;
     }
 
-    /** Records the memory in use in all upstreams. */
-    void update(long usedBytes, long now) {
+    /**
+     * Records the memory in use in all upstreams.
+     *
+     * @param maxResidence time after which a result that was not freed is dropped
+     */
+    void update(long usedBytes, Duration maxResidence, long now) {
+        mMaxNanos = maxResidence.toNanos();
         if (mStarted) {
             double nanos = now - mUpdatedAt;
             double kept = Math.exp(-nanos / MEMORY_NANOS);
-            mByteNanos = mByteNanos * kept + nanos * (mUsedBytes + mSentBytes);
+            // Results are dropped in a longer time without a sample: the rest of it was idle.
+            double occupiedNanos = Math.min(nanos, mMaxNanos);
+            mByteNanos = mByteNanos * kept + occupiedNanos * (mUsedBytes + mSentBytes);
             mFreedBytes = mFreedBytes * kept + Math.max(0, mUsedBytes + mSentBytes - usedBytes);
             mObservedNanos = mObservedNanos * kept + nanos;
         }
@@ -45,6 +54,8 @@
     /** Returns the mean time that a result occupies memory, in nanoseconds, if it is known. */
     OptionalDouble residenceNanos() {
         boolean isKnown = mObservedNanos >= MIN_OBSERVED_NANOS && mFreedBytes > 0;
-        return isKnown ? OptionalDouble.of(mByteNanos / mFreedBytes) : OptionalDouble.empty();
+        return isKnown
+                ? OptionalDouble.of(Math.min(mMaxNanos, mByteNanos / mFreedBytes))
+                : OptionalDouble.empty();
     }
 }
--- a/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import org.boragethread.core.upstream.UpstreamNode;
@@ -49,6 +50,16 @@
         mReservations = new MemoryReservations(observer);
     }
 
+    @Override
+    public void observe(
+            List<PendingPiece> pending,
+            Supplier<List<UpstreamNode>> upstreams,
+            BatchLimits limits,
+            long now) {
+        long usedBytes = StageStartEstimate.usedBytes(upstreams.get(), now);
+        mTurnover.update(usedBytes, limits.resultTime(), now);
+    }
+
     @Override
     public double timeFactor(UpstreamNode upstream, long now) {
         return upstream.timeFactor(now);
@@ -236,7 +247,6 @@
                 stages.stream().filter(stage -> !mLate.contains(stage.key())).toList();
         mReservations.update(inTime, mRanks, upstreams, limits, now);
         mLateShare.update(now);
-        mTurnover.update(StageStartEstimate.usedBytes(upstreams, now), now);
     }
 
     @Override
--- a/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.BatchLimits;
@@ -11,6 +12,19 @@
 /** How the pieces of one group share its upstreams. Not thread-safe. */
 public interface StagePolicy {
 
+    /**
+     * Observes the present state. Called before each submission and dispatch, also if no piece is
+     * pending, so that idle time is told from time under load.
+     *
+     * @param pending pieces that are pending
+     * @param upstreams returns the upstreams that may be called
+     */
+    void observe(
+            List<PendingPiece> pending,
+            Supplier<List<UpstreamNode>> upstreams,
+            BatchLimits limits,
+            long now);
+
     /** Returns how long work takes at an upstream now, as a multiple of the usual time. */
     double timeFactor(UpstreamNode upstream, long now);
 
