Estimate the share of late stages from what they get

The share that late stages get was assumed to be at least an eighth, because of turns that they have no longer; and the share of a burst stayed until other late stages had waited. Stages were therefore accepted that got nothing, or rejected at idle upstreams after a burst.

The share is now that of the last seconds, with one call added, since less cannot be told from none. It is 1 again once no stage in time has waited for half a second. It can be small now, so the delay of a rejected stage is at most the time until all that waits has started: a retry is a new request with a target of its own.

LateShareTest failed before (12.5 % instead of 100 % after a burst and of 1 % during it, and not a number with a clock that starts below zero).

--- a/core/src/main/java/org/boragethread/core/stage/LateShare.java
+++ b/core/src/main/java/org/boragethread/core/stage/LateShare.java
@@ -9,28 +9,49 @@
     /** Time constant with which observations are forgotten. */
     private static final double MEMORY_NANOS = 2e9;
 
-    /** Least share: late stages lead one batch in eight if they have waited longest. */
-    private static final double MIN_SHARE = 0.125;
+    /**
+     * Time after which observations are discarded if no stage in time has waited: some calls, so
+     * that a moment without one does not count.
+     */
+    private static final long MAX_AGE_NANOS = 500_000_000;
+
+    /**
+     * Work of late stages that is assumed beside what was observed, in full calls. Less than one
+     * call in the observed time cannot be told from none, so no share is zero.
+     */
+    private static final double ASSUMED_WORK = 1;
 
     private double mLateWork;
     private double mWork;
     private long mUpdatedAt;
+    private long mCompetedAt;
+    private boolean mStarted;
 
-    /** Forgets what was observed long before the given time. */
-    void update(long now) {
-        double kept = Math.exp(-(now - mUpdatedAt) / MEMORY_NANOS);
+    /**
+     * Forgets what was observed long before the given time, or before a time without competition.
+     *
+     * @param isCompeting whether stages in time have been waiting
+     */
+    void update(boolean isCompeting, long now) {
+        if (isCompeting || !mStarted) {
+            mCompetedAt = now;
+        }
+        boolean isOutdated = now - mCompetedAt >= MAX_AGE_NANOS;
+        double kept = mStarted && !isOutdated ? Math.exp(-(now - mUpdatedAt) / MEMORY_NANOS) : 0;
         mLateWork *= kept;
         mWork *= kept;
         mUpdatedAt = now;
+        mStarted = true;
     }
 
-    /** Counts work that was sent while late stages waited. */
+    /** Counts work that was sent while late stages waited, in full calls. */
     void onSent(double work, boolean late) {
         mWork += work;
         mLateWork += late ? work : 0;
     }
 
+    /** Returns the share, above 0 and at most 1: without observations late stages get all. */
     double get() {
-        return mWork == 0 ? 1 : Math.max(MIN_SHARE, mLateWork / mWork);
+        return (mLateWork + ASSUMED_WORK) / (mWork + ASSUMED_WORK);
     }
 }
--- a/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
@@ -58,6 +58,7 @@
             long now) {
         long usedBytes = StageStartEstimate.usedBytes(upstreams.get(), now);
         mTurnover.update(usedBytes, limits.resultTime(), now);
+        mLateShare.update(isInTimeWaiting(pending, now), now);
     }
 
     @Override
@@ -65,6 +66,12 @@
         return upstream.timeFactor(now);
     }
 
+    private boolean isInTimeWaiting(List<PendingPiece> pending, long now) {
+        return pending.stream()
+                .filter(piece -> piece.submittedAt() < now)
+                .anyMatch(piece -> !mLate.contains(PendingStage.Key.of(piece)));
+    }
+
     /**
      * Stages that have inputs, continue a stream or are retried have begun, and are finished if
      * they can be.
@@ -92,7 +99,12 @@
         if (end < first.work().deadlineNanos()) {
             return Optional.empty();
         }
-        Duration delay = Duration.ofNanos(start);
+        // A retry has a target of its own and is late again only behind what waits now.
+        WorkAhead queue = new WorkAhead();
+        pending.forEach(queue::add);
+        pieces.forEach(queue::add);
+        long queueNanos = queue.nanosUntilStart(estimate, residence(pieces, limits));
+        Duration delay = Duration.ofNanos(Math.min(start, queueNanos));
         mObserver.onRejected(first.work(), pieces.size(), delay);
         return Optional.of(delay);
     }
@@ -123,9 +135,8 @@
             boolean isLate = own || mLate.contains(PendingStage.Key.of(piece));
             (isLate ? late : inTime).add(piece);
         }
-        OptionalDouble residence =
-                isSmall(pieces, limits) ? OptionalDouble.empty() : mTurnover.residenceNanos();
-        long start = estimate.nanosUntilStart(ahead.mPieces, ahead.mBytes, residence);
+        OptionalDouble residence = residence(pieces, limits);
+        long start = ahead.nanosUntilStart(estimate, residence);
         boolean isInTime =
                 !mLate.contains(key)
                         && now + start <= latestStart(new PendingStage(pieces), limits);
@@ -133,8 +144,11 @@
             return start;
         }
         double lateNanos = estimate.nanosToServe(late.mPieces, late.mBytes, residence);
-        return estimate.nanosUntilStart(inTime.mPieces, inTime.mBytes, residence)
-                + (long) (lateNanos / mLateShare.get());
+        return inTime.nanosUntilStart(estimate, residence) + (long) (lateNanos / mLateShare.get());
+    }
+
+    private OptionalDouble residence(List<PendingPiece> pieces, BatchLimits limits) {
+        return isSmall(pieces, limits) ? OptionalDouble.empty() : mTurnover.residenceNanos();
     }
 
     @Override
@@ -246,7 +260,6 @@
         List<PendingStage> inTime =
                 stages.stream().filter(stage -> !mLate.contains(stage.key())).toList();
         mReservations.update(inTime, mRanks, upstreams, limits, now);
-        mLateShare.update(now);
     }
 
     @Override
@@ -287,6 +300,10 @@
             mPieces++;
             mBytes += piece.work().resultBytes();
         }
+
+        long nanosUntilStart(StageStartEstimate estimate, OptionalDouble residence) {
+            return estimate.nanosUntilStart(mPieces, mBytes, residence);
+        }
     }
 
     /** What goes first, whatever the priority. */
