Test that each kind of request is served during a burst

BurstLoadTest compared parts of a kind with the whole of it, so it passed if nothing of a kind was served. It now requires of each kind, during the burst, the share that follows from the order in the design note: one batch in eight is led by the stage that has waited longest, so it serves at least one stage of a kind that all others pass (6 to 18 % of the requests, by their rate).

--- a/core/src/test/java/org/boragethread/core/stage/BurstLoad.java
+++ b/core/src/test/java/org/boragethread/core/stage/BurstLoad.java
@@ -30,6 +30,19 @@
     private static final double STAGED_SHARE = 0.7;
     private static final int LARGE_RESULT = 3_000_000;
     private static final int SMALL_RESULT = 8_000;
+    private static final int BURST_START_MILLIS = 3000;
+    private static final int BURST_END_MILLIS = 9000;
+    private static final String[] DATA_CENTRES = {"north", "north", "south", "west"};
+
+    private static final BatchLimits LIMITS =
+            new BatchLimits(
+                    1,
+                    2,
+                    8,
+                    Duration.ofMillis(150),
+                    Duration.ofMillis(16),
+                    40_000_000,
+                    Duration.ofSeconds(4));
 
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final UpstreamDirectory mDirectory = new UpstreamDirectory(mTime);
@@ -42,19 +55,37 @@
 
     /** Kinds of requests: priority, target latency, gap after which the caller gives up. */
     enum Kind {
-        LARGE(0, 1500, 6000),
-        SMALL(1, 2000, 8000),
-        SMALLEST(2, 2500, 8000);
+        LARGE(0, USUAL_RATE * STAGED_SHARE, 1500, 6000),
+        SMALL(1, 10, 2000, 8000),
+        SMALLEST(2, 14, 2500, 8000);
 
         private final int mPriority;
+        private final double mUsualRate;
         private final Duration mTarget;
         private final Duration mGapLimit;
 
-        Kind(int priority, int targetMillis, int gapMillis) {
+        Kind(int priority, double usualRate, int targetMillis, int gapMillis) {
             mPriority = priority;
+            mUsualRate = usualRate;
             mTarget = Duration.ofMillis(targetMillis);
             mGapLimit = Duration.ofMillis(gapMillis);
         }
+
+        /** Returns the requests per second during the burst. */
+        double burstRate() {
+            return this == LARGE ? mUsualRate * BURST_FACTOR : mUsualRate;
+        }
+
+        /** Returns the key of the outcomes of requests that arrived during the burst. */
+        String duringBurst() {
+            return this + " during the burst";
+        }
+    }
+
+    /** Returns the number of full calls per second that all upstreams execute. */
+    static double callsPerSecond() {
+        double callNanos = LIMITS.expectedTime(LIMITS.batch()).toNanos();
+        return DATA_CENTRES.length * LIMITS.slots() * 1e9 / callNanos;
     }
 
     /** Outcomes of requests that have something in common. */
@@ -99,7 +130,7 @@
      * Creates the load.
      *
      * @param gapIsDeadline whether the scheduler knows when callers give up
-     * @param outcomes where outcomes are counted, by kind, size and team
+     * @param outcomes where outcomes are counted, by kind, size, team and time of arrival
      */
     BurstLoad(
             StagePolicy policy, boolean gapIsDeadline, long seed, Map<String, Outcomes> outcomes) {
@@ -107,27 +138,15 @@
         mOutcomes = outcomes;
         mRandom = new Random(seed);
         Random upstreamRandom = new Random(seed + 1000);
-        BatchLimits limits =
-                new BatchLimits(
-                        1,
-                        2,
-                        8,
-                        Duration.ofMillis(150),
-                        Duration.ofMillis(16),
-                        40_000_000,
-                        Duration.ofSeconds(4));
         mUpstreams =
                 new RandomUpstreams(
                         "encoders",
                         mTime,
-                        limits,
+                        LIMITS,
                         mDirectory,
                         upstreamRandom,
                         Duration.ZERO,
-                        "north",
-                        "north",
-                        "south",
-                        "west");
+                        DATA_CENTRES);
         SharedRetryBudget budget =
                 new SharedRetryBudget(mTime, 0.2, Duration.ofSeconds(10), () -> 56);
         mScheduler =
@@ -143,11 +162,11 @@
 
     /** Runs the load: the burst lasts from the third to the ninth second of twenty. */
     void run() {
-        scheduleArrivals(Kind.LARGE, USUAL_RATE * STAGED_SHARE, 0, 20_000);
-        double more = USUAL_RATE * STAGED_SHARE * (BURST_FACTOR - 1);
-        scheduleArrivals(Kind.LARGE, more, 3000, 9000);
-        scheduleArrivals(Kind.SMALL, 10, 0, 20_000);
-        scheduleArrivals(Kind.SMALLEST, 14, 0, 20_000);
+        scheduleArrivals(Kind.LARGE, Kind.LARGE.mUsualRate, 0, 20_000);
+        double more = Kind.LARGE.burstRate() - Kind.LARGE.mUsualRate;
+        scheduleArrivals(Kind.LARGE, more, BURST_START_MILLIS, BURST_END_MILLIS);
+        scheduleArrivals(Kind.SMALL, Kind.SMALL.mUsualRate, 0, 20_000);
+        scheduleArrivals(Kind.SMALLEST, Kind.SMALLEST.mUsualRate, 0, 20_000);
         mTime.advance(Duration.ofSeconds(35));
     }
 
@@ -228,6 +247,10 @@
             if (mKind == Kind.LARGE) {
                 keys.add(mKind + " with " + size + " pieces");
             }
+            long arrivedMillis = mArrivedAt / 1_000_000;
+            if (arrivedMillis >= BURST_START_MILLIS && arrivedMillis < BURST_END_MILLIS) {
+                keys.add(mKind.duringBurst());
+            }
             for (String key : keys) {
                 change.accept(mOutcomes.computeIfAbsent(key, k -> new Outcomes()));
             }
--- a/core/src/test/java/org/boragethread/core/stage/BurstLoadTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/BurstLoadTest.java
@@ -17,6 +17,12 @@
 
     private static final int SEEDS = 12;
 
+    /**
+     * One batch in eight is led by the stage that has waited longest, whatever its priority
+     * (docs/design/stage-admission.md).
+     */
+    private static final double TURNS_PER_CALL = 1 / 8.0;
+
     private static Map<String, BurstLoad.Outcomes> run(
             Supplier<StagePolicy> policies, boolean gapIsDeadline) {
         Map<String, BurstLoad.Outcomes> outcomes = BurstLoad.newOutcomes();
@@ -48,6 +54,21 @@
                 });
     }
 
+    /**
+     * Guards against a kind of which nothing is served during the burst. The stages of a kind that
+     * all others pass have waited longest, so each turn serves at least one of them.
+     */
+    @Test
+    public void eachKindIsServedByTheTurnsAtLeast() {
+        Map<String, BurstLoad.Outcomes> outcomes = run(BurstLoadTest::sharedPolicy, true);
+        double turnsPerSecond = BurstLoad.callsPerSecond() * TURNS_PER_CALL;
+        for (BurstLoad.Kind kind : BurstLoad.Kind.values()) {
+            double least = turnsPerSecond / kind.burstRate();
+            double served = outcomes.get(kind.duringBurst()).servedShare();
+            assertTrue(served >= least, kind + ": " + served + " served, least " + least);
+        }
+    }
+
     /** Guards against a policy that serves fewer requests than the one that ignores sizes. */
     @Test
     public void mostRequestsWithLargeResultsAreServed() {
