Start the shares of teams even after an idle time

The shares of teams end when no stage waits, but the policy was not told that nothing waits: the queue was looked at only while pieces were pending. A team that had been given more than others before an idle time was therefore passed by all their stages after it.

SharedStagePolicyTest.teamsStartEvenOnceNothingHasWaited failed before.

--- a/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
@@ -59,6 +59,9 @@
         long usedBytes = StageStartEstimate.usedBytes(upstreams.get(), now);
         mTurnover.update(usedBytes, limits.resultTime(), now);
         mLateShare.update(isInTimeWaiting(pending, now), now);
+        if (pending.isEmpty()) {
+            mTeams.setWaiting(Set.of());
+        }
     }
 
     @Override
--- a/core/src/test/java/org/boragethread/core/stage/SharedStagePolicyTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/SharedStagePolicyTest.java
@@ -93,6 +93,29 @@
         assertEquals(mDone.size(), 3);
     }
 
+    /**
+     * Guards against a team whose stages wait behind all those of another one because it was given
+     * more before an idle time: the other one had a late stage, which was sent last.
+     */
+    @Test
+    public void teamsStartEvenOnceNothingHasWaited() {
+        submit("other", BATCH, 0);
+        submit("other", BATCH, 0);
+        for (int i = 0; i < 6; i++) {
+            submit("early", BATCH, 5000);
+        }
+        run(60_000);
+        mDone.clear();
+        for (int i = 0; i < 3; i++) {
+            submit("other", BATCH, 5000);
+        }
+        for (int i = 0; i < 3; i++) {
+            submit("early", BATCH, 5000);
+        }
+        run(5000);
+        assertEquals(mDone, List.of("other", "other", "early", "other", "early", "early"));
+    }
+
     /** Frees the results of one stage some time after it is complete. */
     private final class Stage implements PieceListener {
 
