Compute the retry delays of refused requests in one place

UpstreamSelection computed the delay after a refused placement by itself, as RetryDelays does after a rejected stage, and AttemptSender had an unused copy of the delay of StagePhase. In shared mode, refusals of stages without the estimate of a coordinator all named two seconds, so that callers returned together.

RetryDelays now has all of them. Without the estimate of a coordinator, the delay in shared mode is the time that stages take at present, spread over a second as after a rejection. Local mode is unchanged.

--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
@@ -33,11 +33,6 @@
         return mParts.admitted().isRouteTimeout() ? remaining() : remaining().plus(DEADLINE_SLACK);
     }
 
-    /** Returns the delay before a retry of a request whose stages cannot finish in time. */
-    Duration backlogRetryAfter() {
-        return RetryDelays.afterBacklog(remaining(), mParts.admitted().expectedStageTime(mGateway));
-    }
-
     /** Creates an attempt that has not started. */
     UpstreamAttempt create(UpstreamNode node, AttemptListener listener) {
         long uncachedTokens = mParts.selection().uncachedTokens(node);
--- a/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
@@ -1,6 +1,7 @@
 package org.boragethread.entry.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /** Delays after which callers may repeat requests that were refused. */
 final class RetryDelays {
@@ -31,7 +32,7 @@
     }
 
     /**
-     * Returns the delay for a request whose stages were rejected for lack of capacity. Requests
+     * Returns the delay for a request that a coordinator rejected for lack of capacity. Requests
      * that are rejected together return at different moments.
      *
      * @param delay expected time until there is capacity
@@ -42,6 +43,28 @@
         return least.plusNanos((long) (REJECTION_SPREAD.toNanos() * jitter));
     }
 
+    /**
+     * Returns the delay for a request whose stages cannot end in time.
+     *
+     * @param isShared whether entries share the upstreams, so that the time that stages take is
+     *     that of the load of all entries
+     * @param rejection expected time until there is capacity, if a coordinator rejected a stage
+     * @param remaining time until the caller's deadline
+     * @param stageTime time that the stages currently take
+     * @param jitter number from 0 to 1
+     */
+    static Duration afterStages(
+            boolean isShared,
+            Optional<Duration> rejection,
+            Duration remaining,
+            Duration stageTime,
+            double jitter) {
+        return rejection
+                .or(() -> isShared ? Optional.of(stageTime) : Optional.empty())
+                .map(delay -> afterRejection(delay, jitter))
+                .orElseGet(() -> afterBacklog(remaining, stageTime));
+    }
+
     /**
      * Returns the delay for a request whose stages cannot finish in time. A retry with too little
      * time left would be refused again, so it is then delayed until after the deadline.
@@ -49,7 +72,7 @@
      * @param remaining time until the caller's deadline
      * @param stageTime time that the stages currently take
      */
-    static Duration afterBacklog(Duration remaining, Duration stageTime) {
+    private static Duration afterBacklog(Duration remaining, Duration stageTime) {
         Duration needed = BACKLOG.plus(stageTime).plus(SHORT);
         Duration afterDeadline = remaining.plus(SHORT);
         boolean enough = remaining.compareTo(needed) >= 0;
--- a/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
@@ -98,12 +98,13 @@
 
     /** Returns the delay before a retry of a request whose stages cannot end in time. */
     Duration retryAfter(AdmittedRequest admitted) {
-        if (mRejectionDelay.isPresent()) {
-            return RetryDelays.afterRejection(mRejectionDelay.get(), mRequest.unitHash());
-        }
         long nanos = admitted.deadlineNanos() - mGateway.time().nanoTime();
-        return RetryDelays.afterBacklog(
-                Duration.ofNanos(Math.max(0, nanos)), admitted.expectedStageTime(mGateway));
+        return RetryDelays.afterStages(
+                mGateway.settings().scheduling().isShared(),
+                mRejectionDelay,
+                Duration.ofNanos(Math.max(0, nanos)),
+                admitted.expectedStageTime(mGateway),
+                mRequest.unitHash());
     }
 
     /** Returns the handles of the results that the request takes as input. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -34,9 +34,6 @@
     /** Time after the deadline in which an attempt ends. */
     private static final Duration EXPIRY_SLACK = Duration.ofSeconds(1);
 
-    /** Time over which the retries of refused callers are spread. */
-    private static final Duration RETRY_SPREAD = Duration.ofSeconds(1);
-
     private final Gateway mGateway;
     private final CallerRequest mRequest;
     private final RequestTrace mTrace;
@@ -247,14 +244,11 @@
                 mReceiver.accept(selectLocally());
                 return;
             }
-            long spread = (long) (mRequest.unitHash() * RETRY_SPREAD.toNanos());
-            Duration shortest =
-                    retryAfter.compareTo(RetryDelays.SHORT) > 0 ? retryAfter : RetryDelays.SHORT;
             boolean isTooLarge = reason == PlacementRefusal.Reason.TOO_LARGE;
             mEnd.fail(
                     isTooLarge ? RefusalReason.NO_UPSTREAM : RefusalReason.DEADLINE_HOPELESS,
                     isTooLarge ? tooLarge() : hopeless(reason),
-                    shortest.plusNanos(spread));
+                    RetryDelays.afterRejection(retryAfter, mRequest.unitHash()));
         }
 
         private String hopeless(PlacementRefusal.Reason reason) {
--- a/entry/src/test/java/org/boragethread/entry/gateway/RetryDelaysTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/RetryDelaysTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.testng.annotations.Test;
 
 /** Guards against callers that were rejected together and all return at the same moment. */
@@ -15,4 +16,20 @@
         assertEquals(RetryDelays.afterRejection(delay, 0.5), Duration.ofMillis(2200));
         assertEquals(RetryDelays.afterRejection(Duration.ZERO, 0), RetryDelays.SHORT);
     }
+
+    /** Guards against refusals without an estimate of a coordinator that all name two seconds. */
+    @Test
+    public void returnsAfterOtherRefusalsOfSharedStagesFollowTheirTimeAndAreSpread() {
+        Duration left = Duration.ofSeconds(9);
+        Duration stageTime = Duration.ofMillis(700);
+        Optional<Duration> none = Optional.empty();
+        assertEquals(
+                RetryDelays.afterStages(true, none, left, stageTime, 0.5), Duration.ofMillis(1200));
+        assertEquals(
+                RetryDelays.afterStages(false, none, left, stageTime, 0.5), Duration.ofSeconds(2));
+        Optional<Duration> rejection = Optional.of(Duration.ofMillis(300));
+        assertEquals(
+                RetryDelays.afterStages(true, rejection, left, stageTime, 0.5),
+                Duration.ofMillis(800));
+    }
 }
