Treat requests for which work was done as continued ones

Only streams that are resumed within their response counted as continued when their stages were submitted. Requests that take up a stream of an earlier response, and those whose stages run again because inputs were lost, could be rejected as new ones and yielded to stages in time, so that the work that was done for them was wasted.

--- a/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
+++ b/core/src/main/java/org/boragethread/core/stage/PieceUrgency.java
@@ -9,7 +9,8 @@
  * @param holdsInputs whether its inputs occupy scarce memory until it is complete
  * @param hasDependents whether other stages need its result
  * @param team team that its request belongs to; empty if it is not known
- * @param isContinuation whether its request continues a stream of which the caller has a part
+ * @param isContinuation whether work was done for its request before: the caller has a part of the
+ *     stream, or its stages are run again
  */
 public record PieceUrgency(
         int priority,
--- a/core/src/main/java/org/boragethread/core/stage/StageRequest.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageRequest.java
@@ -17,7 +17,8 @@
  * @param priority 0 is the most urgent
  * @param destination data centre in which the results will be used, if known
  * @param team team that the request belongs to; empty if it is not known
- * @param isContinuation whether the request continues a stream of which its caller has a part
+ * @param isContinuation whether work was done for the request before: its caller has a part of the
+ *     stream, or its stages are run again
  */
 public record StageRequest(
         String requestId,
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -55,10 +55,10 @@
         mStream = new ForwardedStream(responseWriter, gateway.time());
         mTrace = new RequestTrace(gateway, request);
         mPrompt = new QuarantineGuard(gateway, mTrace);
-        mStages = new StagePhase(gateway, request, mStream, this);
         mSearch = new UpstreamSearch(gateway.chooser(), gateway.time());
         mSelection = new UpstreamSelection(gateway, request, mTrace);
         mContinuation = new StreamContinuation(gateway, request, mTrace);
+        mStages = new StagePhase(gateway, request, mStream, mContinuation::isTakenUp, this);
         mVersions = new VersionWait(gateway, mTrace, mContinuation);
     }
 
--- a/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/StagePhase.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.boragethread.core.stage.StageFailure;
 import org.boragethread.core.stage.StageListener;
 import org.boragethread.core.stage.StageRequest;
@@ -20,6 +21,7 @@
     private final CallerRequest mRequest;
     private final ForwardedStream mStream;
     private final EventDeadline mDeadline;
+    private final BooleanSupplier mTakenUp;
     private final Listener mListener;
     private Optional<StageRun> mRun = Optional.empty();
     private List<String> mResults = List.of();
@@ -36,7 +38,17 @@
         void onStagesFailed(StageFailure failure);
     }
 
-    StagePhase(Gateway gateway, CallerRequest request, ForwardedStream stream, Listener listener) {
+    /**
+     * Creates the stages of one request.
+     *
+     * @param takenUp returns whether the caller takes up a stream of which it has a part
+     */
+    StagePhase(
+            Gateway gateway,
+            CallerRequest request,
+            ForwardedStream stream,
+            BooleanSupplier takenUp,
+            Listener listener) {
         mGateway = gateway;
         mRequest = request;
         mStream = stream;
@@ -46,9 +58,20 @@
                         gateway.time(),
                         request.arrivedAt().nanos(),
                         stream::lastEventAt);
+        mTakenUp = takenUp;
         mListener = listener;
     }
 
+    /**
+     * Returns whether stages continue a request for which work was done: its caller has a part of
+     * the stream, from this response or an earlier one, or its stages ran before.
+     *
+     * @param run number of this run of the stages, 1 for the first
+     */
+    static boolean isContinuation(boolean takenUp, boolean hasForwarded, int run) {
+        return takenUp || hasForwarded || run > 1;
+    }
+
     /** Returns the time after which no work on the request is of use. */
     Duration remaining(AdmittedRequest admitted) {
         long left = mDeadline.nanos(admitted) - mGateway.time().nanoTime();
@@ -83,7 +106,10 @@
                         admitted.priority(),
                         preferred,
                         admitted.team(),
-                        mStream.lastEventAt().isPresent());
+                        isContinuation(
+                                mTakenUp.getAsBoolean(),
+                                mStream.lastEventAt().isPresent(),
+                                mRunCount));
         StageRun run =
                 new StageRun(
                         request,
