Compute an upstream's time factor with any clock

The age of a report was counted from 0 of the clock before there was one. With a clock that starts below zero the factor was not a number, and all estimates that use it. UpstreamNodeTest failed before (NaN instead of 1).

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -57,6 +57,7 @@
     UpstreamNode(UpstreamAnnouncement entry, long now) {
         mEntry = entry;
         mFirstSeenAt = now;
+        mTimeFactorAt = now;
         update(entry, now);
     }
 
