Bound the delays that coordinators report in messages

The delay of a rejected stage and of a refused placement went into Retry-After as a peer had sent it, up to 292 years.

--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerClient.java
@@ -26,6 +26,7 @@
 import org.boragethread.core.stage.StageFailure;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.entry.placement.ReportedDelay;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.process.log.EventLog;
@@ -298,7 +299,7 @@
                     Optional.ofNullable(done)
                             .map(PieceDone::getDelayNanos)
                             .filter(nanos -> nanos > 0)
-                            .map(Duration::ofNanos);
+                            .map(ReportedDelay::decode);
             piece.listener().onFailed(piece.work(), new StageFailure(kind, "peer " + mPeer, delay));
         }
     }
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
@@ -462,7 +462,8 @@
                 onFailed("malformed");
             } else if (end()) {
                 mMetrics.onPlacementRefused(reason.get().name().toLowerCase(Locale.ROOT));
-                mOutcome.onRefused(reason.get(), Duration.ofNanos(decision.getRetryAfterNanos()));
+                mOutcome.onRefused(
+                        reason.get(), ReportedDelay.decode(decision.getRetryAfterNanos()));
             }
         }
     }
