Order pending stages once for each submission

Whether a new stage is rejected was found by ordering all stages, which changed the shares of teams, the turn and the late stages also if the stage was rejected; the same order was then computed again for the dispatch. Local mode listed the upstreams for each submission without using them.

The order is now a value that the dispatch takes over if nothing has changed. A rejection is reported to the policy when it takes place. Upstreams are listed only if the policy needs them.

LocalStagePolicyTest failed before (2 lists instead of 1). TeamSharesTest has a case for the copy of the shares, which is new. The outcomes of BurstLoadTest are the same as before this change.

--- a/core/src/main/java/org/boragethread/core/fairness/EvenShares.java
+++ b/core/src/main/java/org/boragethread/core/fairness/EvenShares.java
@@ -49,6 +49,15 @@
         teams.forEach(this::join);
     }
 
+    /** Returns a copy of these shares in which the given teams have items waiting. */
+    public EvenShares withWaiting(Set<String> teams) {
+        EvenShares copy = new EvenShares();
+        copy.mGiven.putAll(mGiven);
+        copy.mWaiting.addAll(mWaiting);
+        copy.setWaiting(teams);
+        return copy;
+    }
+
     /** Counts work that a team was given. */
     public void add(String team, double work) {
         mGiven.merge(team, work, Double::sum);
--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.boragethread.core.callback.CallbackGuard;
 import org.boragethread.core.callback.Supervisor;
 import org.boragethread.core.retry.SharedRetryBudget;
@@ -96,9 +97,11 @@
     public void submit(List<PendingPiece> pieces) {
         CallbackGuard.Owner owner = mSupervisor.guard().current();
         pieces.forEach(piece -> piece.setOwner(owner));
-        observe();
-        Optional<Duration> delay = findHopelessDelay(pieces);
+        Lazy<List<UpstreamNode>> upstreams = Lazy.of(mGroup::upstreams);
+        observe(upstreams);
+        Optional<Duration> delay = findHopelessDelay(pieces, upstreams);
         if (delay.isPresent()) {
+            mPolicy.onRejected(pieces, delay.get());
             StageFailure failure =
                     new StageFailure(StageFailure.Kind.DEADLINE, mGroup.name(), delay);
             pieces.forEach(piece -> fail(piece, failure));
@@ -108,22 +111,20 @@
         dispatch();
     }
 
-    private void observe() {
-        mGroup.limits()
-                .ifPresent(
-                        limits ->
-                                mPolicy.observe(
-                                        mPending, mGroup::upstreams, limits, mTime.nanoTime()));
+    private void observe(Supplier<List<UpstreamNode>> upstreams) {
+        long now = mTime.nanoTime();
+        mGroup.limits().ifPresent(limits -> mPolicy.observe(mPending, upstreams, limits, now));
     }
 
-    private Optional<Duration> findHopelessDelay(List<PendingPiece> pieces) {
+    private Optional<Duration> findHopelessDelay(
+            List<PendingPiece> pieces, Supplier<List<UpstreamNode>> upstreams) {
         return mGroup.limits()
                 .flatMap(
                         limits ->
                                 mPolicy.findHopelessDelay(
                                         pieces,
                                         mPending,
-                                        mGroup.upstreams(),
+                                        upstreams,
                                         limits,
                                         this::availableAt,
                                         mTime.nanoTime()));
@@ -161,7 +162,7 @@
         mPending.removeIf(PendingPiece::isCancelled);
         long now = mTime.nanoTime();
         failLatePieces(now);
-        observe();
+        observe(mGroup::upstreams);
         if (mPending.isEmpty()) {
             return;
         }
--- a/core/src/main/java/org/boragethread/core/stage/LocalStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/LocalStagePolicy.java
@@ -30,13 +30,16 @@
     public Optional<Duration> findHopelessDelay(
             List<PendingPiece> pieces,
             List<PendingPiece> pending,
-            List<UpstreamNode> upstreams,
+            Supplier<List<UpstreamNode>> upstreams,
             BatchLimits limits,
             ToLongFunction<UpstreamNode> availableAt,
             long now) {
         return Optional.empty();
     }
 
+    @Override
+    public void onRejected(List<PendingPiece> pieces, Duration delay) {}
+
     @Override
     public List<PendingPiece> order(List<PendingPiece> pending, BatchLimits limits, long now) {
         long callNanos = limits.expectedTime(1).toNanos();
--- a/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
@@ -34,14 +34,18 @@
     /** A call may take longer than expected by this share. */
     private static final double TIME_TOLERANCE = 0.2;
 
+    /** Age up to which an order is used again; the clock goes on within one submission. */
+    private static final long MAX_ORDER_AGE_NANOS = 1_000_000;
+
     private final StageObserver mObserver;
-    private final TeamShares mTeams = new TeamShares();
     private final MemoryReservations mReservations;
     private final MemoryTurnover mTurnover = new MemoryTurnover();
     private final LateShare mLateShare = new LateShare();
+    private TeamShares mTeams = new TeamShares();
     private Map<PendingStage.Key, Integer> mRanks = Map.of();
     private Set<PendingStage.Key> mLate = Set.of();
     private Optional<PendingStage.Key> mTurn = Optional.empty();
+    private Optional<Ordering> mProposed = Optional.empty();
     private int mBatchesSinceTurn;
 
     /** Creates the policy of one group. */
@@ -83,7 +87,7 @@
     public Optional<Duration> findHopelessDelay(
             List<PendingPiece> pieces,
             List<PendingPiece> pending,
-            List<UpstreamNode> upstreams,
+            Supplier<List<UpstreamNode>> upstreams,
             BatchLimits limits,
             ToLongFunction<UpstreamNode> availableAt,
             long now) {
@@ -92,10 +96,11 @@
                 first.work().inputs().isPresent()
                         || first.urgency().isContinuation()
                         || first.hasFailed();
-        if (hasBegun || upstreams.isEmpty()) {
+        if (hasBegun || upstreams.get().isEmpty()) {
             return Optional.empty();
         }
-        StageStartEstimate estimate = new StageStartEstimate(upstreams, limits, availableAt, now);
+        StageStartEstimate estimate =
+                new StageStartEstimate(upstreams.get(), limits, availableAt, now);
         long start = nanosUntilStart(pieces, pending, estimate, limits, now);
         int callPieces = Math.min(pieces.size(), limits.batch());
         long end = now + start + limits.expectedTime(callPieces).toNanos();
@@ -107,9 +112,13 @@
         pending.forEach(queue::add);
         pieces.forEach(queue::add);
         long queueNanos = queue.nanosUntilStart(estimate, residence(pieces, limits));
-        Duration delay = Duration.ofNanos(Math.min(start, queueNanos));
-        mObserver.onRejected(first.work(), pieces.size(), delay);
-        return Optional.of(delay);
+        return Optional.of(Duration.ofNanos(Math.min(start, queueNanos)));
+    }
+
+    @Override
+    public void onRejected(List<PendingPiece> pieces, Duration delay) {
+        mProposed = Optional.empty();
+        mObserver.onRejected(pieces.get(0).work(), pieces.size(), delay);
     }
 
     /**
@@ -129,19 +138,21 @@
         WorkAhead late = new WorkAhead();
         PendingStage.Key key = PendingStage.Key.of(pieces.get(0));
         boolean reached = false;
-        for (PendingPiece piece : order(all, limits, now)) {
+        Ordering ordering = arrange(all, limits, now);
+        mProposed = Optional.of(ordering);
+        for (PendingPiece piece : ordering.pieces()) {
             boolean own = PendingStage.Key.of(piece).equals(key);
             reached |= own;
             if (own || !reached) {
                 ahead.add(piece);
             }
-            boolean isLate = own || mLate.contains(PendingStage.Key.of(piece));
+            boolean isLate = own || ordering.late().contains(PendingStage.Key.of(piece));
             (isLate ? late : inTime).add(piece);
         }
         OptionalDouble residence = residence(pieces, limits);
         long start = ahead.nanosUntilStart(estimate, residence);
         boolean isInTime =
-                !mLate.contains(key)
+                !ordering.late().contains(key)
                         && now + start <= latestStart(new PendingStage(pieces), limits);
         if (isInTime) {
             return start;
@@ -154,60 +165,77 @@
         return isSmall(pieces, limits) ? OptionalDouble.empty() : mTurnover.residenceNanos();
     }
 
+    /** Uses the order that was found for a new stage if nothing has changed since. */
     @Override
     public List<PendingPiece> order(List<PendingPiece> pending, BatchLimits limits, long now) {
+        Ordering ordering =
+                mProposed
+                        .filter(proposed -> proposed.isOf(pending, now))
+                        .orElseGet(() -> arrange(pending, limits, now));
+        mProposed = Optional.empty();
+        mTeams = ordering.teams();
+        mLate = ordering.late();
+        mTurn = ordering.turn();
+        return ordering.pieces();
+    }
+
+    private Ordering arrange(List<PendingPiece> pending, BatchLimits limits, long now) {
         List<PendingStage> stages = PendingStage.group(pending);
-        mTeams.setWaiting(
-                stages.stream()
-                        .map(stage -> stage.first().urgency().team())
-                        .collect(Collectors.toSet()));
-        mLate =
+        TeamShares teams =
+                mTeams.withWaiting(
+                        stages.stream()
+                                .map(stage -> stage.first().urgency().team())
+                                .collect(Collectors.toSet()));
+        Set<PendingStage.Key> late =
                 stages.stream()
                         .filter(stage -> isLate(stage, limits, now))
                         .map(PendingStage::key)
                         .collect(Collectors.toSet());
-        updateTurn(stages);
+        Optional<PendingStage.Key> turn = findTurn(stages, late);
         Map<Rank, List<PendingStage>> byRank = new TreeMap<>();
         stages.stream()
                 .sorted(Comparator.comparingLong(stage -> latestStart(stage, limits)))
                 .forEach(
                         stage ->
-                                byRank.computeIfAbsent(rank(stage), key -> new ArrayList<>())
+                                byRank.computeIfAbsent(
+                                                rank(stage, late, turn), key -> new ArrayList<>())
                                         .add(stage));
         List<PendingPiece> ordered = new ArrayList<>();
         for (List<PendingStage> equals : byRank.values()) {
-            mTeams.arrange(equals, limits).forEach(stage -> ordered.addAll(stage.pieces()));
+            teams.arrange(equals, limits).forEach(stage -> ordered.addAll(stage.pieces()));
         }
-        return ordered;
+        return new Ordering(List.copyOf(pending), now, ordered, teams, late, turn);
     }
 
     /** Chooses the stage that leads the next batch, if it is time for the longest waiting one. */
-    private void updateTurn(List<PendingStage> stages) {
-        mTurn =
+    private Optional<PendingStage.Key> findTurn(
+            List<PendingStage> stages, Set<PendingStage.Key> late) {
+        Optional<PendingStage.Key> present =
                 mTurn.filter(
                         turn ->
-                                !mLate.contains(turn)
+                                !late.contains(turn)
                                         && stages.stream()
                                                 .anyMatch(stage -> stage.key().equals(turn)));
-        if (mTurn.isEmpty() && mBatchesSinceTurn >= BATCHES_PER_TURN - 1) {
-            mTurn =
-                    stages.stream()
-                            .filter(stage -> !mLate.contains(stage.key()))
-                            .min(Comparator.comparingLong(stage -> stage.first().submittedAt()))
-                            .map(PendingStage::key);
+        if (present.isPresent() || mBatchesSinceTurn < BATCHES_PER_TURN - 1) {
+            return present;
         }
+        return stages.stream()
+                .filter(stage -> !late.contains(stage.key()))
+                .min(Comparator.comparingLong(stage -> stage.first().submittedAt()))
+                .map(PendingStage::key);
     }
 
-    private Rank rank(PendingStage stage) {
+    private static Rank rank(
+            PendingStage stage, Set<PendingStage.Key> late, Optional<PendingStage.Key> turn) {
         PieceUrgency urgency = stage.first().urgency();
         if (stage.pieces().stream().anyMatch(PendingPiece::isStagePartlySent)) {
             return new Rank(RankClass.PARTLY_SENT, 0);
         }
-        if (mTurn.isPresent() && mTurn.get().equals(stage.key())) {
+        if (turn.isPresent() && turn.get().equals(stage.key())) {
             return new Rank(RankClass.TURN, 0);
         }
-        boolean late = mLate.contains(stage.key());
-        return new Rank(late ? RankClass.LATE : RankClass.IN_TIME, urgency.priority());
+        boolean isLate = late.contains(stage.key());
+        return new Rank(isLate ? RankClass.LATE : RankClass.IN_TIME, urgency.priority());
     }
 
     /**
@@ -273,6 +301,7 @@
 
     @Override
     public void onSelected(UpstreamNode upstream, List<PendingPiece> batch, BatchLimits limits) {
+        mProposed = Optional.empty();
         mTeams.onSent(batch, limits);
         for (PendingPiece piece : batch) {
             mTurnover.onSent(piece.work().resultBytes());
@@ -293,6 +322,29 @@
         }
     }
 
+    /**
+     * An order of pending pieces.
+     *
+     * @param pending the pieces as they were given
+     * @param now monotonic time for which it holds
+     * @param pieces the pieces in their order
+     * @param teams shares of the teams that have pieces among them
+     * @param late stages that will miss their targets
+     * @param turn stage that leads the next batch since it has waited longest
+     */
+    private record Ordering(
+            List<PendingPiece> pending,
+            long now,
+            List<PendingPiece> pieces,
+            TeamShares teams,
+            Set<PendingStage.Key> late,
+            Optional<PendingStage.Key> turn) {
+
+        boolean isOf(List<PendingPiece> others, long time) {
+            return time - now <= MAX_ORDER_AGE_NANOS && pending.equals(others);
+        }
+    }
+
     /** An amount of work. */
     private static final class WorkAhead {
 
--- a/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
@@ -29,20 +29,25 @@
     double timeFactor(UpstreamNode upstream, long now);
 
     /**
-     * Returns the expected time until a new stage would start, if it would then end too late.
+     * Returns the expected time until a new stage would start, if it would then end too late. It
+     * has no effect on the order of other stages.
      *
      * @param pieces pieces of the stage
      * @param pending pieces that are pending already
+     * @param upstreams returns the upstreams that may be called
      * @param availableAt monotonic time at which an upstream can start another call
      */
     Optional<Duration> findHopelessDelay(
             List<PendingPiece> pieces,
             List<PendingPiece> pending,
-            List<UpstreamNode> upstreams,
+            Supplier<List<UpstreamNode>> upstreams,
             BatchLimits limits,
             ToLongFunction<UpstreamNode> availableAt,
             long now);
 
+    /** Called when a new stage was rejected since it would end too late. */
+    void onRejected(List<PendingPiece> pieces, Duration delay);
+
     /**
      * Returns pending pieces in the order in which they should be sent; those of one stage are next
      * to each other.
--- a/core/src/main/java/org/boragethread/core/stage/TeamShares.java
+++ b/core/src/main/java/org/boragethread/core/stage/TeamShares.java
@@ -15,7 +15,21 @@
  */
 final class TeamShares {
 
-    private final EvenShares mShares = new EvenShares();
+    private final EvenShares mShares;
+
+    /** Creates even shares. */
+    TeamShares() {
+        this(new EvenShares());
+    }
+
+    private TeamShares(EvenShares shares) {
+        mShares = shares;
+    }
+
+    /** Returns a copy of these shares in which the given teams have pieces waiting. */
+    TeamShares withWaiting(Set<String> teams) {
+        return new TeamShares(mShares.withWaiting(teams));
+    }
 
     /** Sets the teams that have pieces waiting. */
     void setWaiting(Set<String> teams) {
--- a/core/src/test/java/org/boragethread/core/stage/TeamSharesTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/TeamSharesTest.java
@@ -69,4 +69,17 @@
         assertEquals(
                 shares.arrange(List.of(old, first, second), LIMITS), List.of(old, first, second));
     }
+
+    // Guards against a stage that is rejected at once and changes the shares of others.
+    @Test
+    public void copyForOtherTeamsLeavesSharesAsTheyAre() {
+        TeamShares shares = new TeamShares();
+        PendingStage old = stage("old");
+        PendingStage other = stage("other");
+        shares.setWaiting(Set.of("old"));
+        shares.onSent(old.pieces(), LIMITS);
+        TeamShares copy = shares.withWaiting(Set.of("other"));
+        assertEquals(copy.arrange(List.of(old, other), LIMITS), List.of(old, other));
+        assertEquals(shares.arrange(List.of(old, other), LIMITS), List.of(other, old));
+    }
 }
