--- a/core/src/main/java/org/boragethread/core/stage/LocalStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/LocalStagePolicy.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.boragethread.core.upstream.UpstreamNode;
 import org.boragethread.model.routing.BatchLimits;
@@ -13,6 +14,13 @@
 /** Serves the most urgent pieces that fit, at upstreams that are assumed to be equally fast. */
 public final class LocalStagePolicy implements StagePolicy {
 
+    @Override
+    public void observe(
+            List<PendingPiece> pending,
+            Supplier<List<UpstreamNode>> upstreams,
+            BatchLimits limits,
+            long now) {}
+
     @Override
     public double timeFactor(UpstreamNode upstream, long now) {
         return 1;
@@ -22,13 +30,16 @@
     public Optional<Duration> findHopelessDelay(
             List<PendingPiece> pieces,
             List<PendingPiece> pending,
-            List<UpstreamNode> upstreams,
+            Supplier<List<UpstreamNode>> upstreams,
             BatchLimits limits,
             ToLongFunction<UpstreamNode> availableAt,
             long now) {
         return Optional.empty();
     }
 
+    @Override
+    public void onRejected(List<PendingPiece> pieces, Duration delay) {}
+
     @Override
     public List<PendingPiece> order(List<PendingPiece> pending, BatchLimits limits, long now) {
         long callNanos = limits.expectedTime(1).toNanos();
