Record the removal of an order that has ended

An entry ticked its coordinator only while there was a request or a running order. The removal of an ended order was therefore never recorded, and the same order written again was taken for the one that had ended. The coordinator now runs, and the states are followed, until the removal is recorded. A coordinator also keeps a removal that it has read until it is recorded, as the same request may be written again before.

Failed before, pass now: RolloutsTest.orderThatIsRemovedAfterItsEndIsWithdrawn, RolloutCoordinatorTest.requestThatIsWrittenAgainBeforeItsRemovalIsRecordedIsAnotherOrder.

--- a/core/src/main/java/org/boragethread/core/rollout/RolloutCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutCoordinator.java
@@ -55,6 +55,7 @@
     private Optional<ClockReading> mRequestReadAt = Optional.empty();
     private Optional<RolloutState> mFollowed = Optional.empty();
     private Optional<RolloutOrder> mOrder = Optional.empty();
+    private Optional<RolloutOrder> mRemoved = Optional.empty();
     private EvidenceTotals mTotals = new EvidenceTotals();
     private EvidenceReview mReview = new EvidenceReview();
     private Optional<Long> mTickedAt = Optional.empty();
@@ -91,6 +92,16 @@
     public void setRequest(Optional<RolloutRequest> request, ClockReading sentAt) {
         mRequest = request;
         mRequestReadAt = Optional.of(sentAt);
+        // Kept until the removal is recorded: the same request may be written again before.
+        mFollowed
+                .filter(state -> isReadSinceState())
+                .filter(state -> request.filter(state.order().request()::equals).isEmpty())
+                .ifPresent(state -> mRemoved = Optional.of(state.order()));
+    }
+
+    /** Returns whether the request was read later than the state was first seen. */
+    private boolean isReadSinceState() {
+        return mRequestReadAt.filter(at -> at.nanos() - mStateSince > 0).isPresent();
     }
 
     /** Replaces the versions that upstreams of the group announce now. */
@@ -229,9 +240,17 @@
                     .flatMap(state -> PhaseDecision.rollBack(mReview).map(by(state)));
         }
         // A request that was read before the state may be older than the state.
-        if (mRequestReadAt.filter(at -> at.nanos() - mStateSince > 0).isPresent()) {
+        if (isReadSinceState()) {
+            // The same request is a new order after a removal, which is recorded first.
+            Optional<RolloutRequest> request =
+                    mRequest.filter(
+                            wanted ->
+                                    recorded.filter(state -> state.isOf(wanted))
+                                            .map(RolloutState::order)
+                                            .filter(order -> mRemoved.equals(Optional.of(order)))
+                                            .isEmpty());
             Optional<OrderDecision.Proposal> proposal =
-                    OrderDecision.next(recorded, mRequest, mTime.millis());
+                    OrderDecision.next(recorded, request, mTime.millis());
             if (proposal.isPresent()) {
                 return proposal;
             }
--- a/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
@@ -72,7 +72,7 @@
     }
 
     /** Returns whether the state is the one of a request that has not been removed since. */
-    boolean isOf(RolloutRequest request) {
+    public boolean isOf(RolloutRequest request) {
         return !withdrawn && order.request().equals(request);
     }
 }
--- a/core/src/test/java/org/boragethread/core/rollout/RolloutCoordinatorTest.java
+++ b/core/src/test/java/org/boragethread/core/rollout/RolloutCoordinatorTest.java
@@ -124,35 +124,56 @@
         RolloutState switching = trial().next(RolloutPhase.SWITCHING);
         SimulatedLog log = new SimulatedLog(mTime, new SplittableRandom(1));
         log.append(trial(), 0, false, false, result -> {});
-        RolloutCoordinator coordinator =
-                new RolloutCoordinator(
-                        RolloutSimulation.GROUP,
-                        mTime,
-                        new RolloutBounds(0.1, Duration.ofSeconds(5), DEPARTURE),
-                        new RolloutLog() {
-                            @Override
-                            public void read(
-                                    GroupId group,
-                                    Consumer<Either<ReadFailure, RolloutRead>> callback) {
-                                log.read(false, callback);
-                            }
-
-                            @Override
-                            public void append(
-                                    RolloutState state, long end, Consumer<AppendResult> callback) {
-                                log.append(state, end, false, false, callback);
-                            }
-                        },
-                        RolloutEvents.NONE);
+        RolloutCoordinator coordinator = coordinator(log);
         coordinator.onState(switching);
-        for (int i = 0; i < 20; i++) {
+        runTicks(coordinator, 20);
+        assertEquals(log.state().map(RolloutState::phase), Optional.of(RolloutPhase.SWITCHING));
+        assertTrue(log.state().orElseThrow().revision() > switching.revision());
+    }
+
+    /** Guards against an order that is ignored, because its predecessor was not withdrawn yet. */
+    @Test
+    public void requestThatIsWrittenAgainBeforeItsRemovalIsRecordedIsAnotherOrder() {
+        RolloutState ended = trial().next(RolloutPhase.ROLLED_BACK);
+        SimulatedLog log = new SimulatedLog(mTime, new SplittableRandom(1));
+        log.append(ended, 0, false, false, result -> {});
+        RolloutCoordinator coordinator = coordinator(log);
+        coordinator.onState(ended);
+        mTime.advance(Duration.ofMillis(100));
+        coordinator.setRequest(Optional.empty(), ClockReading.now(mTime));
+        runTicks(coordinator, 20);
+        assertEquals(log.state().map(RolloutState::phase), Optional.of(RolloutPhase.TRIAL));
+        assertTrue(log.state().orElseThrow().order().startedMillis() > 0);
+    }
+
+    private RolloutCoordinator coordinator(SimulatedLog log) {
+        return new RolloutCoordinator(
+                RolloutSimulation.GROUP,
+                mTime,
+                new RolloutBounds(0.1, Duration.ofSeconds(5), DEPARTURE),
+                new RolloutLog() {
+                    @Override
+                    public void read(
+                            GroupId group, Consumer<Either<ReadFailure, RolloutRead>> callback) {
+                        log.read(false, callback);
+                    }
+
+                    @Override
+                    public void append(
+                            RolloutState state, long end, Consumer<AppendResult> callback) {
+                        log.append(state, end, false, false, callback);
+                    }
+                },
+                RolloutEvents.NONE);
+    }
+
+    private void runTicks(RolloutCoordinator coordinator, int ticks) {
+        for (int i = 0; i < ticks; i++) {
             mTime.advance(Duration.ofMillis(RolloutCoordinator.TICK_MILLIS));
             coordinator.setRequest(Optional.of(REQUEST), ClockReading.now(mTime));
             coordinator.setVersions(Set.of(RolloutSimulation.OLD, RolloutSimulation.TARGET));
             coordinator.tick();
         }
-        assertEquals(log.state().map(RolloutState::phase), Optional.of(RolloutPhase.SWITCHING));
-        assertTrue(log.state().orElseThrow().revision() > switching.revision());
     }
 
     /** Guards against an end while an entry without membership still uses the old version. */
--- a/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
@@ -83,6 +83,18 @@
         return mTable.state(mId).filter(state -> !state.phase().isEnded()).isPresent();
     }
 
+    /** Returns whether an order is recorded that is running, or whose removal is not recorded. */
+    boolean isUnsettled() {
+        return isRunning() || isWithdrawalDue();
+    }
+
+    /** Returns whether the removal of an order is not recorded yet. */
+    private boolean isWithdrawalDue() {
+        return mRequestReadAt.isPresent()
+                && mRequest.isEmpty()
+                && mTable.state(mId).filter(state -> !state.withdrawn()).isPresent();
+    }
+
     void setRequest(Optional<RolloutRequest> request, ClockReading asOf) {
         mRequest = request;
         mRequestReadAt = Optional.of(asOf);
@@ -107,10 +119,8 @@
     boolean needsCoordinator() {
         boolean isPending =
                 mRequest.isPresent()
-                        && mTable.state(mId)
-                                .filter(state -> state.order().request().equals(mRequest.get()))
-                                .isEmpty();
-        return isPending || isRunning();
+                        && mTable.state(mId).filter(state -> state.isOf(mRequest.get())).isEmpty();
+        return isPending || isUnsettled();
     }
 
     /** Returns a report for the coordinator; empty if no order is running. */
@@ -132,7 +142,7 @@
 
     /** Decides on the roll-out, as the coordinator of the group. */
     void tick() {
-        if (mRequest.isEmpty() && !isRunning()) {
+        if (mRequest.isEmpty() && !isUnsettled()) {
             return;
         }
         coordinator()
--- a/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -261,6 +261,7 @@
         mOrdersReadAt = Optional.of(asOf);
         mGroups.forEach(
                 (id, group) -> group.setRequest(Optional.ofNullable(mRequests.get(id)), asOf));
+        followWhileNeeded();
     }
 
     @Override
@@ -316,8 +317,9 @@
     }
 
     /**
-     * Follows the states once at the start, then while there is an order or one has not ended, and
-     * until it is certain that one that was removed is not recorded as running later.
+     * Follows the states once at the start, then while there is an order, while one has not ended
+     * or its removal is not recorded, and until it is certain that one that was removed is not
+     * recorded as running later.
      */
     private void followWhileNeeded() {
         if (mParticipation.isEmpty() || mTable.isEmpty()) {
@@ -327,7 +329,7 @@
                 !mStatusKnown
                         || !mRequests.isEmpty()
                         || mLateStateUntil.isPresent()
-                        || mGroups.values().stream().anyMatch(GroupRollout::isRunning);
+                        || mGroups.values().stream().anyMatch(GroupRollout::isUnsettled);
         if (needed && mFollower.isEmpty()) {
             RolloutStatus listener = new RolloutStatus(this, mContext.log());
             mFollower = Optional.of(mParticipation.get().createFollower().apply(listener));
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
@@ -21,6 +21,7 @@
 import org.boragethread.core.follow.ReadTiming;
 import org.boragethread.core.follow.RecordPage;
 import org.boragethread.core.follow.SnapshotPart;
+import org.boragethread.core.follow.StoreEra;
 import org.boragethread.core.follow.TopicFollower;
 import org.boragethread.core.follow.TopicListener;
 import org.boragethread.core.follow.TopicRelay;
@@ -28,6 +29,8 @@
 import org.boragethread.core.rollout.EntryReport;
 import org.boragethread.core.rollout.RolloutBounds;
 import org.boragethread.core.rollout.RolloutLog;
+import org.boragethread.core.rollout.RolloutOrder;
+import org.boragethread.core.rollout.RolloutPhase;
 import org.boragethread.core.rollout.RolloutRead;
 import org.boragethread.core.rollout.RolloutRequest;
 import org.boragethread.core.rollout.RolloutState;
@@ -59,6 +62,7 @@
     private TopicListener mStates;
     private List<GroupId> mReads;
     private List<Runnable> mLostReports;
+    private Optional<RolloutState> mRecorded;
 
     @BeforeMethod
     public void start() {
@@ -67,6 +71,7 @@
         mCoordinators = new CoordinatorTable(mTime, NORTH);
         mReads = new ArrayList<>();
         mLostReports = new ArrayList<>();
+        mRecorded = Optional.empty();
         EventLog log = new EventLog(LogManager.getLogger(RolloutsTest.class), mTime);
         RolloutContext context =
                 new RolloutContext(
@@ -115,10 +120,16 @@
     @Override
     public void read(GroupId group, Consumer<Either<ReadFailure, RolloutRead>> callback) {
         mReads.add(group);
+        if (mRecorded.isPresent()) {
+            callback.accept(Either.right(new RolloutRead(mRecorded, 1, StoreEra.UNKNOWN)));
+        }
     }
 
     @Override
-    public void append(RolloutState state, long end, Consumer<AppendResult> callback) {}
+    public void append(RolloutState state, long end, Consumer<AppendResult> callback) {
+        mRecorded = Optional.of(state);
+        callback.accept(AppendResult.APPENDED);
+    }
 
     @Override
     public void send(String peer, EntryReport report, Runnable onFailure) {
@@ -177,6 +188,33 @@
         assertFalse(mStates.equals(before), "the states were followed for ever");
     }
 
+    // Guards against an order that is ignored, because the same one had ended before and its
+    // removal
+    // was never recorded.
+    @Test
+    public void orderThatIsRemovedAfterItsEndIsWithdrawn() {
+        order();
+        RolloutState ended = state(RolloutPhase.COMPLETED);
+        mRecorded = Optional.of(ended);
+        mRollouts.onState(ended);
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        mRollouts.onRequests(Map.of());
+        for (int i = 0; i < 20; i++) {
+            mTime.advance(Duration.ofMillis(250));
+            mRollouts.onOrdersRead(ClockReading.now(mTime));
+            mRollouts.tick();
+        }
+        assertTrue(mRecorded.get().withdrawn());
+        assertEquals(mRecorded.get().phase(), RolloutPhase.COMPLETED);
+        int reads = mReads.size();
+        mRollouts.tick();
+        assertEquals(mReads.size(), reads, "the state is read for ever");
+    }
+
+    private static RolloutState state(RolloutPhase phase) {
+        return new RolloutState(new RolloutOrder(REQUEST, 1), phase, 5, false, List.of());
+    }
+
     // Guards against a table of the coordinators of roll-outs that never learns of other entries,
     // or
     // that goes on with one that does not respond.
