Take the states of roll-outs for unknown after an entry was cut off

That the states had been read once was never reset, so an entry that learned of an order while it could not read its state, or of another order after one that had ended, sent to the old version as if nothing had been decided; and one that missed an order and its removal never read the states again. The lease on the states now decides for every order that has not ended. While there is no order, reads of the orders renew it; if they were missing for its lifetime, the states are read again before the entry is ready.

--- a/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -164,11 +164,17 @@
      * roll-out without the reports of an entry that was gone for the lifetime of its lease.
      */
     private boolean isUncertain(GroupId group) {
+        return !mStatusLease.isHeld() && hasOrderInProgress(group);
+    }
+
+    /** Returns whether an order has not ended, as far as this process knows. */
+    private boolean hasOrderInProgress(GroupId group) {
         Optional<RolloutState> state = mTable.orElseThrow().state(group);
-        if (state.isEmpty()) {
-            return !mStatusKnown && mRequests.containsKey(group);
-        }
-        return !state.get().phase().isEnded() && !mStatusLease.isHeld();
+        Optional<RolloutRequest> request = Optional.ofNullable(mRequests.get(group));
+        boolean isPending =
+                request.filter(wanted -> state.filter(known -> known.isOf(wanted)).isEmpty())
+                        .isPresent();
+        return isPending || state.filter(known -> !known.phase().isEnded()).isPresent();
     }
 
     /** Called when a request is sent to an upstream; returns what counts how it ends. */
@@ -261,9 +267,26 @@
         mOrdersReadAt = Optional.of(asOf);
         mGroups.forEach(
                 (id, group) -> group.setRequest(Optional.ofNullable(mRequests.get(id)), asOf));
+        confirmWithoutOrder(asOf);
         followWhileNeeded();
     }
 
+    /**
+     * Confirms the states that are not followed: without an order none of them changes. If the
+     * orders were not read for the lifetime of the lease, one may have begun and ended meanwhile,
+     * so that the states are unknown until they are read again.
+     */
+    private void confirmWithoutOrder(ClockReading asOf) {
+        if (mFollower.isPresent()) {
+            return;
+        }
+        if (mStatusLease.isHeld()) {
+            mStatusLease.renew(asOf);
+        } else {
+            mStatusKnown = false;
+        }
+    }
+
     @Override
     public void onState(RolloutState state) {
         GroupId id = state.order().request().group();
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
@@ -34,6 +34,7 @@
 import org.boragethread.core.rollout.RolloutRead;
 import org.boragethread.core.rollout.RolloutRequest;
 import org.boragethread.core.rollout.RolloutState;
+import org.boragethread.core.rollout.SendKind;
 import org.boragethread.core.stage.CoordinatorTable;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.upstream.UpstreamDirectory;
@@ -215,6 +216,47 @@
         return new RolloutState(new RolloutOrder(REQUEST, 1), phase, 5, false, List.of());
     }
 
+    // Guards against an entry that was cut off from the store, learns of an order and sends to the
+    // old version as if the order had not been carried out meanwhile.
+    @Test
+    public void statesAreUnknownAfterTheStoreWasOutOfReach() {
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        for (int i = 0; i < 10; i++) {
+            mTime.advance(Duration.ofSeconds(1));
+            mRollouts.onOrdersRead(ClockReading.now(mTime));
+        }
+        order();
+        assertFalse(isRefused(), "the states were confirmed before the order came");
+        mTime.advance(LEASE_TIME);
+        assertTrue(isRefused(), "the states were never read since the order came");
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        assertFalse(isRefused(), "the states were read");
+        mRollouts.onState(state(RolloutPhase.COMPLETED));
+        mTime.advance(LEASE_TIME);
+        assertFalse(isRefused(), "an outcome is never reversed");
+        RolloutRequest next =
+                new RolloutRequest(GROUP, new SoftwareVersion("v3"), Duration.ofSeconds(60));
+        mRollouts.onRequests(Map.of(GROUP, next));
+        assertTrue(isRefused(), "the state of the next order is unknown");
+    }
+
+    private boolean isRefused() {
+        return mRollouts.rule(GROUP, "route", SendKind.FIRST).isRefused();
+    }
+
+    // Guards against an entry that never learns of a roll-back of which it missed order and
+    // removal.
+    @Test
+    public void statesAreReadAgainAfterTheOrdersWereOutOfReach() {
+        mRollouts.onOrdersRead(ClockReading.now(mTime));
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        TopicListener before = mStates;
+        mTime.advance(LEASE_TIME);
+        mRollouts.onOrdersRead(ClockReading.now(mTime));
+        assertFalse(mRollouts.isReady());
+        assertFalse(mStates.equals(before), "the states are not read again");
+    }
+
     // Guards against a table of the coordinators of roll-outs that never learns of other entries,
     // or
     // that goes on with one that does not respond.
