Record the end of a roll-out again if a restored store lost it

Entries reported only orders that were running, and ticked the coordinator only for these. After the store came back from an older copy, a coordinator that had not seen the end itself decided the order anew, and the end of an order that was removed stayed lost. Entries now report an end that they know until they have read it from the store again, keep it against older states, and the coordinator records it again, also if the older copy has an earlier order that nobody asks for. A recorded end is never replaced by another one.

RolloutPropertiesTest passes.

--- a/core/src/main/java/org/boragethread/core/rollout/GroupVersions.java
+++ b/core/src/main/java/org/boragethread/core/rollout/GroupVersions.java
@@ -64,7 +64,7 @@
 
     void setState(RolloutState state) {
         boolean isSameOrder = mState.filter(known -> isSameOrder(known, state)).isPresent();
-        if (isSameOrder && state.revision() <= mState.get().revision()) {
+        if (mState.filter(known -> isOutdated(state, known)).isPresent()) {
             return;
         }
         if (!isSameOrder) {
@@ -78,6 +78,15 @@
         updateOnlyForbidden();
     }
 
+    /** Returns whether a state is of an older copy of the store; an outcome is never reversed. */
+    private boolean isOutdated(RolloutState state, RolloutState known) {
+        if (!isSameOrder(state, known)) {
+            return state.isOutdatedBy(known, mRequest);
+        }
+        return state.revision() <= known.revision()
+                || known.phase().isEnded() && !state.phase().isEnded();
+    }
+
     private void updateOnlyForbidden() {
         boolean hasUsable = mAnnounced.stream().anyMatch(version -> !isForbidden(version));
         if (hasUsable || mAnnounced.isEmpty()) {
--- a/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.boragethread.model.upstream.SoftwareVersion;
 
 /**
@@ -75,4 +76,20 @@
     public boolean isOf(RolloutRequest request) {
         return !withdrawn && order.request().equals(request);
     }
+
+    /** Returns whether another state of the same order says the same, under whatever revision. */
+    public boolean isRepeatedBy(RolloutState other) {
+        return order.equals(other.order) && phase == other.phase && withdrawn == other.withdrawn;
+    }
+
+    /**
+     * Returns whether a later order has ended, and this one is not asked for: the store that has
+     * this state was restored from an older copy.
+     */
+    boolean isOutdatedBy(RolloutState known, Optional<RolloutRequest> request) {
+        return known.phase().isEnded()
+                && known.revision() > revision
+                && known.order().startedMillis() > order.startedMillis()
+                && request.filter(this::isOf).isEmpty();
+    }
 }
--- a/core/src/main/java/org/boragethread/core/rollout/RolloutTable.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutTable.java
@@ -54,7 +54,8 @@
 
     /**
      * Replaces the state of a group that was read from the status topic. A state that is older than
-     * the known one of the same order comes from an older copy of the store and is ignored.
+     * the known one of the same order, or than the end of a later order, comes from an older copy
+     * of the store and is ignored.
      */
     public void setState(RolloutState state) {
         group(state.order().request().group()).setState(state);
--- a/core/src/main/java/org/boragethread/core/rollout/SeenState.java
+++ b/core/src/main/java/org/boragethread/core/rollout/SeenState.java
@@ -43,21 +43,20 @@
 
     /**
      * Returns the state to record again instead of the one that was read, if an entry has seen a
-     * newer one of an order that is still to be carried out.
+     * newer one of an order that is still to be carried out, or the end of a later order.
      */
     Optional<RolloutState> lost(Optional<RolloutState> read, Optional<RolloutRequest> request) {
-        if (mNewest.isEmpty() || read.equals(mNewest)) {
-            return Optional.empty();
+        if (mNewest.isEmpty() || read.isEmpty() || read.equals(mNewest)) {
+            return read.isEmpty() ? mNewest : Optional.empty();
         }
         RolloutState newest = mNewest.get();
-        if (read.isEmpty()) {
-            boolean isWanted = request.filter(newest::isOf).isPresent();
-            return mNewest.filter(state -> isWanted || !state.phase().isEnded());
-        }
         RolloutState recorded = read.get();
+        if (recorded.isOutdatedBy(newest, request)) {
+            return mNewest;
+        }
         boolean isSameOrder = newest.order().equals(recorded.order());
-        boolean isLater = isNewer(newest, recorded);
-        if (!isLater || isSameOrder && recorded.phase().isEnded()) {
+        boolean isOtherOutcome = recorded.phase().isEnded() && recorded.phase() != newest.phase();
+        if (!isNewer(newest, recorded) || isSameOrder && isOtherOutcome) {
             return Optional.empty();
         }
         if (!isSameOrder && request.filter(newest::isOf).isEmpty()) {
--- a/core/src/test/java/org/boragethread/core/rollout/RolloutCoordinatorTest.java
+++ b/core/src/test/java/org/boragethread/core/rollout/RolloutCoordinatorTest.java
@@ -146,6 +146,31 @@
         assertTrue(log.state().orElseThrow().order().startedMillis() > 0);
     }
 
+    /** Guards against an outcome that a restored store lost, and that is decided again. */
+    @Test
+    public void endThatTheStoreLostIsRecordedAgain() {
+        RolloutState ended =
+                RolloutState.begin(REQUEST, 100, 7, List.of()).next(RolloutPhase.ROLLED_BACK);
+        SeenState seen = new SeenState();
+        seen.add(ended);
+        RolloutRequest before =
+                new RolloutRequest(
+                        RolloutSimulation.GROUP, RolloutSimulation.OLD, Duration.ofSeconds(60));
+        RolloutState older = RolloutState.begin(before, 0, 1, List.of());
+        assertEquals(seen.lost(Optional.empty(), Optional.empty()), Optional.of(ended));
+        assertEquals(seen.lost(Optional.of(older), Optional.empty()), Optional.of(ended));
+        assertEquals(
+                seen.lost(Optional.of(older), Optional.of(before)),
+                Optional.empty(),
+                "the older order is asked for");
+        RolloutState other =
+                new RolloutState(ended.order(), RolloutPhase.COMPLETED, 3, false, List.of());
+        assertEquals(
+                seen.lost(Optional.of(other), Optional.empty()),
+                Optional.empty(),
+                "an outcome that is recorded stays");
+    }
+
     private RolloutCoordinator coordinator(SimulatedLog log) {
         return new RolloutCoordinator(
                 RolloutSimulation.GROUP,
--- a/core/src/test/java/org/boragethread/core/rollout/RolloutTableTest.java
+++ b/core/src/test/java/org/boragethread/core/rollout/RolloutTableTest.java
@@ -1,5 +1,6 @@
 package org.boragethread.core.rollout;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -101,4 +102,20 @@
         mTable.setState(TRIAL.next(RolloutPhase.COMPLETED).withdraw(RolloutPhase.COMPLETED));
         assertTrue(isUsed(RolloutSimulation.TARGET));
     }
+
+    /** Guards against an entry that takes the state of an older copy of the store for a new one. */
+    @Test
+    public void endIsKeptWhenTheStoreIsRestored() {
+        read(RolloutSimulation.OLD, RolloutSimulation.TARGET);
+        RolloutState ended =
+                RolloutState.begin(REQUEST, 100, 7, List.of()).next(RolloutPhase.ROLLED_BACK);
+        mTable.setState(ended);
+        RolloutRequest before =
+                new RolloutRequest(
+                        RolloutSimulation.GROUP, RolloutSimulation.OLD, Duration.ofSeconds(60));
+        mTable.setState(RolloutState.begin(before, 0, 1, List.of()));
+        mTable.setState(
+                new RolloutState(ended.order(), RolloutPhase.SWITCHING, 9, false, List.of()));
+        assertEquals(mTable.state(RolloutSimulation.GROUP), Optional.of(ended));
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
@@ -43,6 +43,7 @@
     private List<Verdict.Kind> mLoggedVerdicts = List.of();
     private String mLogFailure = "";
     private long mSequence;
+    private boolean mLost;
 
     /**
      * Creates a group of which no order is known.
@@ -83,9 +84,17 @@
         return mTable.state(mId).filter(state -> !state.phase().isEnded()).isPresent();
     }
 
-    /** Returns whether an order is recorded that is running, or whose removal is not recorded. */
+    /**
+     * Returns whether something is to be recorded: an order is running, or its removal or its end
+     * is not in the store.
+     */
     boolean isUnsettled() {
-        return isRunning() || isWithdrawalDue();
+        return isRunning() || isWithdrawalDue() || mLost;
+    }
+
+    /** Called when the store came back from an older copy, which may lack the known state. */
+    void onStoreRestored() {
+        mLost = mTable.state(mId).isPresent();
     }
 
     /** Returns whether the removal of an order is not recorded yet. */
@@ -106,7 +115,9 @@
         coordinator().ifPresent(coordinator -> coordinator.setMembers(members));
     }
 
+    /** Takes a state that the store has, after the table took it. */
     void onState(RolloutState state) {
+        mLost = mLost && !mTable.state(mId).filter(state::isRepeatedBy).isPresent();
         coordinator().ifPresent(coordinator -> coordinator.onState(state));
         mTable.state(mId).ifPresent(known -> mUses.setOrder(known.order()));
     }
@@ -123,9 +134,9 @@
         return isPending || isUnsettled();
     }
 
-    /** Returns a report for the coordinator; empty if no order is running. */
+    /** Returns a report for the coordinator; empty if nothing is to be recorded. */
     Optional<EntryReport> nextReport() {
-        if (!isRunning()) {
+        if (!isUnsettled()) {
             return Optional.empty();
         }
         RolloutState state = mTable.state(mId).orElseThrow();
--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutOrders.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutOrders.java
@@ -40,6 +40,9 @@
 
         /** All orders are known that had been written at a time. */
         void onOrdersRead(ClockReading asOf);
+
+        /** The store came back from an older copy, which may lack states that are known. */
+        void onOrdersRestored();
     }
 
     RolloutOrders(Receiver receiver, TimeSource time, Scheduler scheduler, EventLog log) {
@@ -53,6 +56,7 @@
     @Override
     public void onStoreRestored() {
         mRewriteEndNanos = mTime.nanoTime() + REWRITE_TIME.toNanos();
+        mReceiver.onOrdersRestored();
     }
 
     @Override
--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutStatus.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutStatus.java
@@ -26,6 +26,9 @@
         /** All states are known that had been recorded at a time. */
         void onStatusRead(ClockReading asOf);
 
+        /** The store came back from an older copy, whose states are told next. */
+        void onStatusRestored();
+
         /** The states can't be read. */
         void onStatusLost(String detail);
 
@@ -39,7 +42,9 @@
     }
 
     @Override
-    public void onStoreRestored() {}
+    public void onStoreRestored() {
+        mReceiver.onStatusRestored();
+    }
 
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
--- a/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -287,6 +287,20 @@
         }
     }
 
+    @Override
+    public void onOrdersRestored() {
+        onStatusRestored();
+        // Reads all states of the older copy, as it is not known which copy was read so far.
+        mFollower.ifPresent(TopicFollower::stop);
+        mFollower = Optional.empty();
+        followWhileNeeded();
+    }
+
+    @Override
+    public void onStatusRestored() {
+        mGroups.values().forEach(GroupRollout::onStoreRestored);
+    }
+
     @Override
     public void onState(RolloutState state) {
         GroupId id = state.order().request().group();
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutOrdersTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutOrdersTest.java
@@ -53,6 +53,9 @@
     @Override
     public void onOrdersRead(ClockReading asOf) {}
 
+    @Override
+    public void onOrdersRestored() {}
+
     // Guards against a roll-out that ends because somebody wrote a record that can't be read.
     @Test
     public void malformedOrderChangesNothing() {
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
@@ -63,6 +63,7 @@
     private TopicListener mStates;
     private List<GroupId> mReads;
     private List<Runnable> mLostReports;
+    private List<RolloutPhase> mReported;
     private Optional<RolloutState> mRecorded;
 
     @BeforeMethod
@@ -72,6 +73,7 @@
         mCoordinators = new CoordinatorTable(mTime, NORTH);
         mReads = new ArrayList<>();
         mLostReports = new ArrayList<>();
+        mReported = new ArrayList<>();
         mRecorded = Optional.empty();
         EventLog log = new EventLog(LogManager.getLogger(RolloutsTest.class), mTime);
         RolloutContext context =
@@ -134,6 +136,7 @@
 
     @Override
     public void send(String peer, EntryReport report, Runnable onFailure) {
+        mReported.add(report.state().phase());
         mLostReports.add(onFailure);
     }
 
@@ -212,6 +215,27 @@
         assertEquals(mReads.size(), reads, "the state is read for ever");
     }
 
+    // Guards against another outcome, decided by a coordinator that knows the older copy only.
+    @Test
+    public void endIsReportedUntilARestoredStoreHasIt() {
+        mRollouts.setMembers(List.of(member("self", 2), member("other", 1)));
+        order();
+        RolloutState ended = state(RolloutPhase.COMPLETED);
+        mRollouts.onState(ended);
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        mReported.clear();
+        mRollouts.reportAll();
+        assertEquals(mReported, List.of());
+        mRollouts.onRequests(Map.of());
+        mRollouts.onOrdersRestored();
+        mRollouts.onState(new RolloutState(ended.order(), RolloutPhase.TRIAL, 1, false, List.of()));
+        mRollouts.reportAll();
+        assertEquals(mReported, List.of(RolloutPhase.COMPLETED));
+        mRollouts.onState(ended);
+        mRollouts.reportAll();
+        assertEquals(mReported.size(), 1, "reported for ever");
+    }
+
     private static RolloutState state(RolloutPhase phase) {
         return new RolloutState(new RolloutOrder(REQUEST, 1), phase, 5, false, List.of());
     }
