Refuse reports on roll-outs at entries that have none in their settings

An entry without bounds of roll-outs confirmed reports and probes, and did nothing with them, so that the others waited for its decisions. It responds with 503 now, which makes the sender avoid it as a coordinator.

--- a/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/PeerEndpoint.java
@@ -36,11 +36,10 @@
 import org.boragethread.entry.placement.PeerCoordinatorLink;
 import org.boragethread.entry.placement.PlacementServer;
 import org.boragethread.entry.placement.ReportResult;
-import org.boragethread.entry.rollout.RolloutReportCodec;
+import org.boragethread.entry.rollout.RolloutReportReceiver;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
-import org.boragethread.platform.store.MalformedRecordException;
 import org.boragethread.process.log.EventLog;
 import org.boragethread.wire.proto.PieceDone;
 import org.boragethread.wire.proto.PlacementDecision;
@@ -178,15 +177,16 @@
     }
 
     private HttpResponseStatus takeRolloutReport(RolloutReport report) {
-        if (report.equals(RolloutReport.getDefaultInstance())) {
-            // Another entry has nothing to report, and wants to know whether this one responds.
-            return HttpResponseStatus.OK;
-        }
-        try {
-            mGateway.rollouts().onReport(RolloutReportCodec.decode(report));
-            return HttpResponseStatus.OK;
-        } catch (MalformedRecordException e) {
-            return HttpResponseStatus.BAD_REQUEST;
+        RolloutReportReceiver.Answer answer =
+                new RolloutReportReceiver(mGateway.rollouts()).receive(report);
+        switch (answer) {
+            case TAKEN:
+                return HttpResponseStatus.OK;
+            case MALFORMED:
+                return HttpResponseStatus.BAD_REQUEST;
+            default:
+                // The sender avoids an entry that does not confirm its report.
+                return HttpResponseStatus.SERVICE_UNAVAILABLE;
         }
     }
 
--- a/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -420,12 +420,15 @@
                 .warn();
     }
 
-    /** Takes a report of another entry. */
-    public void onReport(EntryReport report) {
-        if (mTable.isPresent() && mParticipation.isPresent()) {
-            mMetrics.onReport("received");
-            group(report.state().order().request().group()).onReport(report);
-        }
+    /** Returns whether this process can decide on roll-outs. */
+    boolean canCoordinate() {
+        return mTable.isPresent() && mParticipation.isPresent();
+    }
+
+    /** Takes a report of another entry, if this process can decide on roll-outs. */
+    void onReport(EntryReport report) {
+        mMetrics.onReport("received");
+        group(report.state().order().request().group()).onReport(report);
     }
 
     /** Decides on the roll-outs that this process coordinates; to be called periodically. */
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
@@ -28,6 +28,7 @@
 import org.boragethread.core.member.Member;
 import org.boragethread.core.rollout.EntryReport;
 import org.boragethread.core.rollout.RolloutBounds;
+import org.boragethread.core.rollout.RolloutEvidence;
 import org.boragethread.core.rollout.RolloutLog;
 import org.boragethread.core.rollout.RolloutOrder;
 import org.boragethread.core.rollout.RolloutPhase;
@@ -42,6 +43,7 @@
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.process.log.EventLog;
+import org.boragethread.wire.proto.RolloutReport;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -75,23 +77,25 @@
         mLostReports = new ArrayList<>();
         mReported = new ArrayList<>();
         mRecorded = Optional.empty();
-        EventLog log = new EventLog(LogManager.getLogger(RolloutsTest.class), mTime);
-        RolloutContext context =
-                new RolloutContext(
-                        mTime,
-                        mTime,
-                        log,
-                        new SimpleMeterRegistry(),
-                        new UpstreamDirectory(mTime),
-                        mCoordinators,
-                        this,
-                        group -> true,
-                        () -> mDepartureTime);
         RolloutBounds bounds = new RolloutBounds(0.1, Duration.ofSeconds(5), Duration.ZERO);
-        mRollouts = new Rollouts(context, Optional.of(bounds), LEASE_TIME);
+        mRollouts = new Rollouts(context(), Optional.of(bounds), LEASE_TIME);
         mRollouts.start(member("self", 2), this, this::follow);
     }
 
+    private RolloutContext context() {
+        EventLog log = new EventLog(LogManager.getLogger(RolloutsTest.class), mTime);
+        return new RolloutContext(
+                mTime,
+                mTime,
+                log,
+                new SimpleMeterRegistry(),
+                new UpstreamDirectory(mTime),
+                mCoordinators,
+                this,
+                group -> true,
+                () -> mDepartureTime);
+    }
+
     private static Member member(String address, long startedAt) {
         return new Member(address, startedAt, 1000, NORTH);
     }
@@ -236,6 +240,27 @@
         assertEquals(mReported.size(), 1, "reported for ever");
     }
 
+    // Guards against a roll-out that nobody decides on, because the entry that should do so has no
+    // roll-outs in its settings but confirms the reports of the others.
+    @Test
+    public void entryWithoutRollOutsIsUnableToTakeReports() {
+        Rollouts none = new Rollouts(context(), Optional.empty(), LEASE_TIME);
+        none.start(member("self", 2), this, this::follow);
+        RolloutReport probe = RolloutReport.getDefaultInstance();
+        RolloutReport report =
+                RolloutReportCodec.encode(
+                        new EntryReport(
+                                "a", 1, 1, state(RolloutPhase.TRIAL), 0, RolloutEvidence.NONE));
+        for (RolloutReport message : List.of(probe, report)) {
+            assertEquals(
+                    new RolloutReportReceiver(none).receive(message),
+                    RolloutReportReceiver.Answer.UNABLE);
+            assertEquals(
+                    new RolloutReportReceiver(mRollouts).receive(message),
+                    RolloutReportReceiver.Answer.TAKEN);
+        }
+    }
+
     private static RolloutState state(RolloutPhase phase) {
         return new RolloutState(new RolloutOrder(REQUEST, 1), phase, 5, false, List.of());
     }
