Read the states of roll-outs often enough for a short rollback_ms

The settings accept 2,000 ms and more, and reject less with the permitted range. The long poll of the states took 700 ms for all values, so below about 3,500 ms the status was stale between two reads: no trial took place, and an entry that had switched refused requests. The long-poll time is now a fifth of the lifetime of the status, at most 700 ms, which is what 5,000 ms had before.

--- a/core/src/test/java/org/boragethread/core/rollout/RolloutTableTest.java
+++ b/core/src/test/java/org/boragethread/core/rollout/RolloutTableTest.java
@@ -118,4 +118,24 @@
                 new RolloutState(ended.order(), RolloutPhase.SWITCHING, 9, false, List.of()));
         assertEquals(mTable.state(RolloutSimulation.GROUP), Optional.of(ended));
     }
+
+    /** Guards against reads that are too rare for a short time for a roll-back. */
+    @Test
+    public void statusStaysFreshBetweenReads() {
+        for (int rollbackMillis : new int[] {2000, 3000, 5000, 60_000}) {
+            RolloutBounds bounds =
+                    new RolloutBounds(0.1, Duration.ofMillis(rollbackMillis), Duration.ZERO);
+            mTable = new RolloutTable(mTime, bounds);
+            read(RolloutSimulation.OLD, RolloutSimulation.TARGET);
+            mTable.setState(TRIAL.next(RolloutPhase.SWITCHING));
+            ClockReading relayed = ClockReading.now(mTime);
+            for (int i = 0; i < 5; i++) {
+                ClockReading sent = ClockReading.now(mTime);
+                mTime.advance(bounds.statusPollTime());
+                assertTrue(isUsed(RolloutSimulation.TARGET), "bound " + rollbackMillis);
+                mTable.onStatusRead(relayed);
+                relayed = sent;
+            }
+        }
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -60,12 +60,6 @@
      */
     private static final double REPORT_POLL_FRACTION = 0.5;
 
-    /**
-     * Long-poll time of a read of the states of roll-outs. In a trial an entry that has not read
-     * them for 3.5 s stops sending to the new version, so a lost read must not take that long.
-     */
-    private static final Duration ROLLOUT_POLL = Duration.ofMillis(700);
-
     private static final Duration REPORT_EXPIRY_INTERVAL = Duration.ofSeconds(30);
 
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
@@ -246,7 +240,10 @@
                 listener ->
                         follower(
                                 StoreTopic.STATUS_TOPIC,
-                                new ReadTiming(ROLLOUT_POLL, Duration.ZERO, STORE_RETRY_DELAY),
+                                new ReadTiming(
+                                        rollouts.statusPollTime(),
+                                        Duration.ZERO,
+                                        STORE_RETRY_DELAY),
                                 listener,
                                 (key, previous, value) -> Arrays.equals(previous, value)));
         if (mSettings.rollouts().isPresent()) {
--- a/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -89,6 +89,11 @@
         followWhileNeeded();
     }
 
+    /** Returns the long-poll time of reads of the states; zero if no roll-out is carried out. */
+    public Duration statusPollTime() {
+        return mBounds.map(RolloutBounds::statusPollTime).orElse(Duration.ZERO);
+    }
+
     /** Returns what applies the orders in the topic of operators' records. */
     public TopicListener orders() {
         return new RolloutOrders(this, mContext.time(), mContext.scheduler(), mContext.log());
