--- a/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Gateway.java
@@ -185,6 +185,7 @@
                 new RolloutContext(
                         mTime,
                         mScheduler,
+                        supervisor("rollout", "group"),
                         mLog,
                         mMetrics.registry(),
                         mDirectory,
--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutContext.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutContext.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.boragethread.core.callback.Supervisor;
 import org.boragethread.core.stage.CoordinatorTable;
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
@@ -15,6 +16,7 @@
 /**
  * What roll-outs need from the process.
  *
+ * @param supervisor told of a group whose callback threw, which must not stop the others
  * @param directory upstreams and the versions that they announce
  * @param coordinators which entry decides on the roll-outs of a group; for roll-outs only, so that
  *     a lost report changes nothing about stages
@@ -26,6 +28,7 @@
 public record RolloutContext(
         TimeSource time,
         Scheduler scheduler,
+        Supervisor supervisor,
         EventLog log,
         MeterRegistry meters,
         UpstreamDirectory directory,
--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutReportCodec.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutReportCodec.java
@@ -21,6 +21,9 @@
 /** Encodes and decodes what entries tell each other about roll-outs. */
 public final class RolloutReportCodec {
 
+    /** Far above the responses of an order; sums over all entries do not overflow. */
+    private static final long MAX_COUNT = 1_000_000_000_000L;
+
     private RolloutReportCodec() {}
 
     /** Encodes a report. */
@@ -77,13 +80,16 @@
                                 VersionSide.OLD, decode(route.getOld()),
                                 VersionSide.TARGET, decode(route.getTarget())));
             }
+            RolloutEvidence evidence =
+                    new RolloutEvidence(counts, decode(message.getFailuresList()));
+            checkFailures(evidence);
             return new EntryReport(
                     message.getAddress(),
-                    message.getStartedAt(),
-                    message.getSequence(),
+                    inRange("started_at", message.getStartedAt(), Long.MAX_VALUE),
+                    inRange("sequence", message.getSequence(), Long.MAX_VALUE),
                     RolloutCodec.decodeState(message.getState().toByteArray()),
-                    message.getOldInFlight(),
-                    new RolloutEvidence(counts, decode(message.getFailuresList())));
+                    inRange("old_in_flight", message.getOldInFlight(), MAX_COUNT),
+                    evidence);
         } catch (IllegalArgumentException e) {
             throw new MalformedRecordException(e.getMessage());
         }
@@ -103,9 +109,38 @@
         return failures;
     }
 
-    private static VersionCounts decode(RolloutVersionCounts message) {
+    private static VersionCounts decode(RolloutVersionCounts message)
+            throws MalformedRecordException {
+        long responses = inRange("responses", message.getResponses(), MAX_COUNT);
+        long allFailures = inRange("all_failures", message.getAllFailures(), responses);
+        long failures = inRange("failures", message.getFailures(), allFailures);
+        long timed = 0;
+        for (long count : message.getTimesList()) {
+            timed += inRange("times", count, responses - allFailures - timed);
+        }
         long[] times = message.getTimesList().stream().mapToLong(Long::longValue).toArray();
-        return new VersionCounts(
-                message.getResponses(), message.getFailures(), message.getAllFailures(), times);
+        return new VersionCounts(responses, failures, allFailures, times);
+    }
+
+    /** Checks that the named failures are among those that are counted. */
+    private static void checkFailures(RolloutEvidence evidence) throws MalformedRecordException {
+        Map<List<Object>, Long> named = new HashMap<>();
+        for (UpstreamFailures failures : evidence.failures()) {
+            String route = failures.route();
+            long counted = evidence.counts(route, failures.side()).failures();
+            List<Object> key = List.of(route, failures.side());
+            long before = named.getOrDefault(key, 0L);
+            named.put(key, before + inRange("failures", failures.count(), counted - before));
+        }
+    }
+
+    private static long inRange(String field, long value, long max)
+            throws MalformedRecordException {
+        if (value < 0 || value > max) {
+            throw new MalformedRecordException(
+                    "%s is %d: use totals since the order, here 0 to %d"
+                            .formatted(field, value, max));
+        }
+        return value;
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutReportReceiver.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutReportReceiver.java
@@ -14,7 +14,7 @@
         TAKEN,
         /** The report can't be read. */
         MALFORMED,
-        /** This process does not decide on roll-outs, so that another entry has to. */
+        /** This process does not decide on roll-outs of the group, so that another entry has to. */
         UNABLE
     }
 
@@ -32,8 +32,8 @@
             return Answer.TAKEN;
         }
         try {
-            mRollouts.onReport(RolloutReportCodec.decode(message));
-            return Answer.TAKEN;
+            boolean isKnown = mRollouts.onReport(RolloutReportCodec.decode(message));
+            return isKnown ? Answer.TAKEN : Answer.UNABLE;
         } catch (MalformedRecordException e) {
             return Answer.MALFORMED;
         }
--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutStatus.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutStatus.java
@@ -1,5 +1,7 @@
 package org.boragethread.entry.rollout;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.boragethread.core.follow.ClockReading;
@@ -48,7 +50,19 @@
 
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
-        values.forEach((key, value) -> onChange(key, Optional.of(value)));
+        List<RuntimeException> failures = new ArrayList<>();
+        values.forEach(
+                (key, value) -> {
+                    try {
+                        onChange(key, Optional.of(value));
+                    } catch (RuntimeException e) {
+                        failures.add(e);
+                    }
+                });
+        // The states are not confirmed as read until those of all groups were taken.
+        if (!failures.isEmpty()) {
+            throw failures.get(0);
+        }
     }
 
     @Override
--- a/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.follow.FreshnessLease;
@@ -270,8 +271,8 @@
         }
         mTable.get().onOrdersRead(asOf);
         mOrdersReadAt = Optional.of(asOf);
-        mGroups.forEach(
-                (id, group) -> group.setRequest(Optional.ofNullable(mRequests.get(id)), asOf));
+        forEachGroup(
+                group -> group.setRequest(Optional.ofNullable(mRequests.get(group.id())), asOf));
         confirmWithoutOrder(asOf);
         followWhileNeeded();
     }
@@ -303,7 +304,7 @@
 
     @Override
     public void onStatusRestored() {
-        mGroups.values().forEach(GroupRollout::onStoreRestored);
+        forEachGroup(GroupRollout::onStoreRestored);
     }
 
     @Override
@@ -386,12 +387,12 @@
     public void setMembers(Collection<Member> members) {
         mMembers = members;
         mContext.coordinators().setMembers(List.copyOf(members));
-        mGroups.values().forEach(group -> group.setMembers(members));
+        forEachGroup(group -> group.setMembers(members));
     }
 
     /** Tells the coordinators what this process has seen; to be called periodically. */
     public void reportAll() {
-        mGroups.values().forEach(this::report);
+        forEachGroup(this::report);
     }
 
     private void report(GroupRollout group) {
@@ -430,19 +431,36 @@
         return mTable.isPresent() && mParticipation.isPresent();
     }
 
-    /** Takes a report of another entry, if this process can decide on roll-outs. */
-    void onReport(EntryReport report) {
+    /**
+     * Takes a report of another entry, if this process can decide on roll-outs.
+     *
+     * @return whether it is about a group that this process knows
+     */
+    boolean onReport(EntryReport report) {
+        GroupId id = report.state().order().request().group();
+        if (!mGroups.containsKey(id) && !mContext.isConfigured().test(id)) {
+            return false;
+        }
         mMetrics.onReport("received");
-        group(report.state().order().request().group()).onReport(report);
+        group(id).onReport(report);
+        return true;
     }
 
     /** Decides on the roll-outs that this process coordinates; to be called periodically. */
     public void tick() {
+        forEachGroup(
+                group -> {
+                    Optional<String> coordinator = mContext.coordinators().coordinator(group.id());
+                    if (coordinator.map(this::isSelf).orElse(true)) {
+                        group.tick();
+                    }
+                });
+    }
+
+    /** Runs an action for each group; one that throws is reported and does not stop the others. */
+    private void forEachGroup(Consumer<GroupRollout> action) {
         for (GroupRollout group : List.copyOf(mGroups.values())) {
-            Optional<String> coordinator = mContext.coordinators().coordinator(group.id());
-            if (coordinator.map(this::isSelf).orElse(true)) {
-                group.tick();
-            }
+            mContext.supervisor().run(() -> action.accept(group), () -> {});
         }
     }
 
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutReportCodecTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutReportCodecTest.java
@@ -4,8 +4,10 @@
 import static org.testng.Assert.assertThrows;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.boragethread.core.rollout.EntryReport;
 import org.boragethread.core.rollout.RolloutEvidence;
 import org.boragethread.core.rollout.RolloutOrder;
@@ -21,6 +23,7 @@
 import org.boragethread.platform.store.MalformedRecordException;
 import org.boragethread.wire.proto.RolloutReport;
 import org.boragethread.wire.proto.RolloutRouteCounts;
+import org.boragethread.wire.proto.RolloutVersionCounts;
 import org.testng.annotations.Test;
 
 /** Tests the reports of entries on roll-outs. */
@@ -47,7 +50,7 @@
                                         VersionSide.OLD,
                                         new VersionCounts(9, 1, 2, times),
                                         VersionSide.TARGET,
-                                        VersionCounts.NONE)),
+                                        new VersionCounts(11, 3, 4, times))),
                         List.of(
                                 new UpstreamFailures(
                                         "lookup",
@@ -67,13 +70,28 @@
     @Test
     public void malformedReportsAreRefused() {
         RolloutReport valid = RolloutReportCodec.encode(report());
-        for (RolloutReport malformed :
-                List.of(
-                        RolloutReport.getDefaultInstance(),
-                        valid.toBuilder().clearState().build(),
-                        valid.toBuilder()
-                                .addRoutes(RolloutRouteCounts.newBuilder().setRoute("x"))
-                                .build())) {
+        RolloutRouteCounts route = valid.getRoutes(0);
+        List<RolloutReport> all = new ArrayList<>();
+        all.add(RolloutReport.getDefaultInstance());
+        all.add(valid.toBuilder().clearState().build());
+        all.add(valid.toBuilder().addRoutes(RolloutRouteCounts.newBuilder().setRoute("x")).build());
+        all.add(valid.toBuilder().setSequence(-1).build());
+        all.add(valid.toBuilder().setOldInFlight(-1).build());
+        all.add(valid.toBuilder().removeRoutes(0).build());
+        all.add(valid.toBuilder().addFailures(valid.getFailures(0)).build());
+        for (Consumer<RolloutVersionCounts.Builder> change :
+                List.<Consumer<RolloutVersionCounts.Builder>>of(
+                        counts -> counts.setResponses(Long.MAX_VALUE),
+                        counts -> counts.setResponses(10),
+                        counts -> counts.setFailures(5),
+                        counts -> counts.setAllFailures(12),
+                        counts -> counts.setTimes(4, 1),
+                        counts -> counts.setTimes(3, -1))) {
+            RolloutRouteCounts.Builder changed = route.toBuilder();
+            change.accept(changed.getTargetBuilder());
+            all.add(valid.toBuilder().setRoutes(0, changed).build());
+        }
+        for (RolloutReport malformed : all) {
             assertThrows(
                     MalformedRecordException.class, () -> RolloutReportCodec.decode(malformed));
         }
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
@@ -66,6 +66,8 @@
     private List<GroupId> mReads;
     private List<Runnable> mLostReports;
     private List<RolloutPhase> mReported;
+    private List<Throwable> mFailures;
+    private Optional<RuntimeException> mSendFailure;
     private Optional<RolloutState> mRecorded;
 
     @BeforeMethod
@@ -76,6 +78,8 @@
         mReads = new ArrayList<>();
         mLostReports = new ArrayList<>();
         mReported = new ArrayList<>();
+        mFailures = new ArrayList<>();
+        mSendFailure = Optional.empty();
         mRecorded = Optional.empty();
         RolloutBounds bounds = new RolloutBounds(0.1, Duration.ofSeconds(5), Duration.ZERO);
         mRollouts = new Rollouts(context(), Optional.of(bounds), LEASE_TIME);
@@ -87,12 +91,13 @@
         return new RolloutContext(
                 mTime,
                 mTime,
+                new Supervisor(new CallbackGuard(RolloutsTest::fail), mFailures::add),
                 log,
                 new SimpleMeterRegistry(),
                 new UpstreamDirectory(mTime),
                 mCoordinators,
                 this,
-                group -> true,
+                group -> !group.value().equals("unknown"),
                 () -> mDepartureTime);
     }
 
@@ -141,6 +146,10 @@
     @Override
     public void send(String peer, EntryReport report, Runnable onFailure) {
         mReported.add(report.state().phase());
+        mSendFailure.ifPresent(
+                failure -> {
+                    throw failure;
+                });
         mLostReports.add(onFailure);
     }
 
@@ -261,8 +270,37 @@
         }
     }
 
+    // Guards against a group whose report can't be sent and that keeps those of others back.
+    @Test
+    public void groupThatThrowsDoesNotStopOthers() {
+        mRollouts.setMembers(List.of(member("self", 2), member("other", 1)));
+        mRollouts.onState(state("chat", RolloutPhase.SWITCHING));
+        mRollouts.onState(state("draw", RolloutPhase.SWITCHING));
+        mReported.clear();
+        mSendFailure = Optional.of(new IllegalStateException("closed"));
+        mRollouts.reportAll();
+        assertEquals(mReported.size(), 2);
+        assertEquals(mFailures, List.of(mSendFailure.get(), mSendFailure.get()));
+    }
+
+    // Guards against groups, and their metrics, that a report of another deployment creates.
+    @Test
+    public void reportOnAnUnknownGroupIsNotTaken() {
+        RolloutState state = state("unknown", RolloutPhase.TRIAL);
+        EntryReport report = new EntryReport("a", 1, 1, state, 0, RolloutEvidence.NONE);
+        assertEquals(
+                new RolloutReportReceiver(mRollouts).receive(RolloutReportCodec.encode(report)),
+                RolloutReportReceiver.Answer.UNABLE);
+    }
+
     private static RolloutState state(RolloutPhase phase) {
-        return new RolloutState(new RolloutOrder(REQUEST, 1), phase, 5, false, List.of());
+        return state(GROUP.value(), phase);
+    }
+
+    private static RolloutState state(String group, RolloutPhase phase) {
+        RolloutRequest request =
+                new RolloutRequest(new GroupId(group), REQUEST.target(), REQUEST.period());
+        return new RolloutState(new RolloutOrder(request, 1), phase, 5, false, List.of());
     }
 
     // Guards against an entry that was cut off from the store, learns of an order and sends to the
