Check a placement against a roll-out that began meanwhile

A placement that was asked for before an order and answered after it was used without the check and the count of sends, so that a version on trial could get requests beyond its share. The engine is now rejected if the send may not be counted, and this process selects another one by itself while the roll-out runs. Sends to placed engines count as first attempts like all others.

--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -175,7 +175,7 @@
         if (mEnded || mAttempt != null && mAttempt.isActive() || mPrompt.isRefused(this::fail)) {
             return;
         }
-        mSelection.select(mSender::choose, this::sendTo, this::fail);
+        mSelection.select(mSender::choose, mSender::tryCount, this::sendTo, this::fail);
     }
 
     private void sendTo(Optional<UpstreamNode> node) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.boragethread.core.placement.PlacementRefusal;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.UpstreamChooser;
@@ -28,9 +29,6 @@
  */
 final class UpstreamSelection {
 
-    /** Number of engines that this process may reject before it selects one by itself. */
-    private static final int MAX_REJECTED = 2;
-
     /** Time after the deadline in which an attempt ends. */
     private static final Duration EXPIRY_SLACK = Duration.ofSeconds(1);
 
@@ -44,6 +42,7 @@
     private final Set<UpstreamId> mRejected = new HashSet<>();
     private Optional<Selected> mSelected = Optional.empty();
     private Function<ChoiceRequest, Optional<UpstreamNode>> mLocal = choice -> Optional.empty();
+    private Predicate<UpstreamNode> mCount = node -> false;
     private boolean mShared;
     private boolean mPending;
     private PlacementRouter.Waiting mWaiting = () -> {};
@@ -70,15 +69,19 @@
      * Selects an upstream, at once or when the coordinator has decided. During a roll-out of the
      * group this process selects by itself, since it limits what it sends to each version.
      *
-     * @param local selects an upstream by what this process knows
+     * @param local selects an upstream by what this process knows, and counts the send to it
+     * @param count counts the send to an engine that the coordinator has selected; returns whether
+     *     the request may be sent there
      * @param receiver gets the upstream; empty if none may be called now
      * @param end ends the request if it is hopeless
      */
     void select(
             Function<ChoiceRequest, Optional<UpstreamNode>> local,
+            Predicate<UpstreamNode> count,
             Consumer<Optional<UpstreamNode>> receiver,
             RequestEnd end) {
         mLocal = local;
+        mCount = count;
         if (!mShared || mGateway.rollouts().isRunning(group())) {
             receiver.accept(selectLocally());
         } else if (!mPending) {
@@ -218,12 +221,17 @@
             UpstreamChooser chooser = mGateway.chooser();
             ChoiceRequest choice = parts().placement().choiceRequest();
             Optional<UpstreamNode> known = mGateway.directory().find(engine);
-            Optional<UpstreamNode> usable = known.filter(node -> chooser.isCallable(choice, node));
+            PlacedEngineCheck check =
+                    new PlacedEngineCheck(
+                            node -> chooser.isCallable(choice, node),
+                            mCount,
+                            () -> mGateway.rollouts().isRunning(group()));
+            Optional<UpstreamNode> usable = check.accept(known);
             if (usable.isEmpty()) {
                 attempt.onRejected();
                 mTrace.placementRejected(engine, known.isPresent());
                 mRejected.add(engine);
-                if (mRejected.size() <= MAX_REJECTED) {
+                if (check.isAskedAgain(mRejected.size())) {
                     ask(mReceiver, mEnd);
                 } else {
                     mReceiver.accept(selectLocally());
