Spread the reads of the states of roll-outs over the entries

All entries learned of an order at the same moment, began to read the states then, and went on in step with equal long polls. The first read after an order now comes up to one long poll later, and the long-poll time is up to a quarter shorter, both by a hash of the entry's address. An entry that does not know the states reads them at once.

--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -237,13 +237,10 @@
         rollouts.start(
                 mSelf,
                 new StoreRolloutLog(topic, new StoreAppender(mStore, StoreTopic.STATUS_TOPIC)),
-                listener ->
+                (listener, pollTime) ->
                         follower(
                                 StoreTopic.STATUS_TOPIC,
-                                new ReadTiming(
-                                        rollouts.statusPollTime(),
-                                        Duration.ZERO,
-                                        STORE_RETRY_DELAY),
+                                new ReadTiming(pollTime, Duration.ZERO, STORE_RETRY_DELAY),
                                 listener,
                                 (key, previous, value) -> Arrays.equals(previous, value)));
         if (mSettings.rollouts().isPresent()) {
--- a/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.follow.FreshnessLease;
 import org.boragethread.core.follow.TopicFollower;
@@ -63,10 +63,13 @@
      *
      * @param self membership of this process
      * @param log where states are recorded
-     * @param createFollower creates a follower of the topic of the states, for a listener
+     * @param createFollower creates a follower of the topic of the states, for a listener and with
+     *     a long-poll time
      */
     private record Participation(
-            Member self, RolloutLog log, Function<TopicListener, TopicFollower> createFollower) {}
+            Member self,
+            RolloutLog log,
+            BiFunction<TopicListener, Duration, TopicFollower> createFollower) {}
 
     /**
      * Creates roll-outs of which nothing is known.
@@ -85,16 +88,13 @@
 
     /** Starts to read the states; to be called before the orders are read. */
     public void start(
-            Member self, RolloutLog log, Function<TopicListener, TopicFollower> createFollower) {
+            Member self,
+            RolloutLog log,
+            BiFunction<TopicListener, Duration, TopicFollower> createFollower) {
         mParticipation = Optional.of(new Participation(self, log, createFollower));
         followWhileNeeded();
     }
 
-    /** Returns the long-poll time of reads of the states; zero if no roll-out is carried out. */
-    public Duration statusPollTime() {
-        return mBounds.map(RolloutBounds::statusPollTime).orElse(Duration.ZERO);
-    }
-
     /** Returns what applies the orders in the topic of operators' records. */
     public TopicListener orders() {
         return new RolloutOrders(this, mContext.time(), mContext.scheduler(), mContext.log());
@@ -374,9 +374,14 @@
                         || mLateStateUntil.isPresent()
                         || mGroups.values().stream().anyMatch(GroupRollout::isUnsettled);
         if (needed && mFollower.isEmpty()) {
+            Participation part = mParticipation.get();
+            StatusReads reads = StatusReads.of(part.self().address(), mBounds.get());
             RolloutStatus listener = new RolloutStatus(this, mContext.log());
-            mFollower = Optional.of(mParticipation.get().createFollower().apply(listener));
-            mFollower.get().start();
+            TopicFollower follower = part.createFollower().apply(listener, reads.pollTime());
+            mFollower = Optional.of(follower);
+            boolean isKnown = mStatusKnown && mStatusLease.isHeld();
+            mContext.scheduler()
+                    .schedule(isKnown ? reads.startDelay() : Duration.ZERO, follower::start);
         } else if (!needed && mFollower.isPresent()) {
             mFollower.get().stop();
             mFollower = Optional.empty();
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
@@ -8,9 +8,12 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.boragethread.core.callback.CallbackGuard;
@@ -67,6 +70,7 @@
     private List<Runnable> mLostReports;
     private List<RolloutPhase> mReported;
     private List<Throwable> mFailures;
+    private int mSnapshots;
     private Optional<RuntimeException> mSendFailure;
     private Optional<RolloutState> mRecorded;
 
@@ -105,7 +109,7 @@
         return new Member(address, startedAt, 1000, NORTH);
     }
 
-    private TopicFollower follow(TopicListener listener) {
+    private TopicFollower follow(TopicListener listener, Duration pollTime) {
         mStates = listener;
         return new TopicFollower(
                 this,
@@ -123,7 +127,9 @@
 
     @Override
     public void readSnapshotPart(
-            Optional<String> after, Consumer<Either<ReadFailure, SnapshotPart>> callback) {}
+            Optional<String> after, Consumer<Either<ReadFailure, SnapshotPart>> callback) {
+        mSnapshots++;
+    }
 
     @Override
     public void read(
@@ -270,6 +276,37 @@
         }
     }
 
+    // Guards against 1,200 entries whose reads of the states reach the store at the same moment.
+    @Test
+    public void entriesReadTheStatesAtDifferentTimes() {
+        RolloutBounds bounds = new RolloutBounds(0.1, Duration.ofSeconds(5), Duration.ZERO);
+        Map<Long, Integer> starts = new HashMap<>();
+        Set<Duration> polls = new HashSet<>();
+        for (int i = 0; i < 1200; i++) {
+            StatusReads reads = StatusReads.of("10.0.0.%d:%d".formatted(i % 250, 7000 + i), bounds);
+            assertTrue(reads.startDelay().compareTo(bounds.statusPollTime()) <= 0);
+            assertTrue(reads.pollTime().compareTo(bounds.statusPollTime()) <= 0);
+            assertTrue(reads.pollTime().multipliedBy(4).compareTo(Duration.ofSeconds(2)) > 0);
+            starts.merge(reads.startDelay().toMillis() / 70, 1, Integer::sum);
+            polls.add(reads.pollTime());
+        }
+        assertTrue(starts.values().stream().allMatch(count -> count < 180), "starts: " + starts);
+        assertTrue(polls.size() > 1000, "long-poll times: " + polls.size());
+    }
+
+    // Guards against entries that all begin to read when an order arrives.
+    @Test
+    public void firstReadAfterAnOrderIsDelayed() {
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        mRollouts.onOrdersRead(ClockReading.now(mTime));
+        int before = mSnapshots;
+        order();
+        mTime.advance(Duration.ofMillis(1));
+        assertEquals(mSnapshots, before);
+        mTime.advance(Duration.ofMillis(700));
+        assertEquals(mSnapshots, before + 1);
+    }
+
     // Guards against a group whose report can't be sent and that keeps those of others back.
     @Test
     public void groupThatThrowsDoesNotStopOthers() {
