Leave empty buckets out of reports on roll-outs

Each report had all 96 buckets of response times of both versions on every route. The field times now holds pairs of a bucket and its count, for buckets that have responses. Entries of an earlier build refuse such reports, and theirs are refused.

--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutReportCodec.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutReportCodec.java
@@ -63,8 +63,11 @@
                         .setResponses(counts.responses())
                         .setFailures(counts.failures())
                         .setAllFailures(counts.allFailures());
-        for (long count : counts.times()) {
-            message.addTimes(count);
+        long[] times = counts.times();
+        for (int bucket = 0; bucket < times.length; bucket++) {
+            if (times[bucket] > 0) {
+                message.addTimes(bucket).addTimes(times[bucket]);
+            }
         }
         return message.build();
     }
@@ -74,6 +77,9 @@
         Map<String, Map<VersionSide, VersionCounts>> counts = new HashMap<>();
         try {
             for (RolloutRouteCounts route : message.getRoutesList()) {
+                if (!route.hasOld() || !route.hasTarget()) {
+                    throw new MalformedRecordException("a route lacks the counts of one version");
+                }
                 counts.put(
                         route.getRoute(),
                         Map.of(
@@ -114,12 +120,28 @@
         long responses = inRange("responses", message.getResponses(), MAX_COUNT);
         long allFailures = inRange("all_failures", message.getAllFailures(), responses);
         long failures = inRange("failures", message.getFailures(), allFailures);
+        long[] times = decodeTimes(message.getTimesList(), responses - allFailures);
+        return new VersionCounts(responses, failures, allFailures, times);
+    }
+
+    /** Decodes pairs of a bucket and its count, in ascending order of the buckets. */
+    private static long[] decodeTimes(List<Long> pairs, long max) throws MalformedRecordException {
+        long[] times = new long[VersionCounts.BUCKETS];
+        if (pairs.size() % 2 != 0) {
+            throw new MalformedRecordException("times have no count for the last bucket");
+        }
+        long next = 0;
         long timed = 0;
-        for (long count : message.getTimesList()) {
-            timed += inRange("times", count, responses - allFailures - timed);
+        for (int i = 0; i < pairs.size(); i += 2) {
+            long bucket = inRange("bucket", pairs.get(i), VersionCounts.BUCKETS - 1);
+            if (bucket < next) {
+                throw new MalformedRecordException("times are not in the order of the buckets");
+            }
+            next = bucket + 1;
+            times[(int) bucket] = inRange("times", pairs.get(i + 1), max - timed);
+            timed += times[(int) bucket];
         }
-        long[] times = message.getTimesList().stream().mapToLong(Long::longValue).toArray();
-        return new VersionCounts(responses, failures, allFailures, times);
+        return times;
     }
 
     /** Checks that the named failures are among those that are counted. */
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutReportCodecTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutReportCodecTest.java
@@ -66,6 +66,13 @@
         assertEquals(RolloutReportCodec.decode(RolloutReportCodec.encode(report())), report());
     }
 
+    // Guards against reports that grow with the number of buckets on every route.
+    @Test
+    public void emptyBucketsAreLeftOut() {
+        RolloutReport message = RolloutReportCodec.encode(report());
+        assertEquals(message.getRoutes(0).getOld().getTimesList(), List.of(3L, 7L));
+    }
+
     // Guards against a report of another build that throws in the coordinator's event loop.
     @Test
     public void malformedReportsAreRefused() {
@@ -85,8 +92,12 @@
                         counts -> counts.setResponses(10),
                         counts -> counts.setFailures(5),
                         counts -> counts.setAllFailures(12),
-                        counts -> counts.setTimes(4, 1),
-                        counts -> counts.setTimes(3, -1))) {
+                        counts -> counts.setTimes(1, 8),
+                        counts -> counts.setTimes(1, -1),
+                        counts -> counts.setTimes(0, VersionCounts.BUCKETS),
+                        counts -> counts.setTimes(0, -1),
+                        counts -> counts.addTimes(4),
+                        counts -> counts.addTimes(3).addTimes(0))) {
             RolloutRouteCounts.Builder changed = route.toBuilder();
             change.accept(changed.getTargetBuilder());
             all.add(valid.toBuilder().setRoutes(0, changed).build());
--- a/wire/src/main/java/org/boragethread/wire/proto/RolloutVersionCounts.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/RolloutVersionCounts.java
@@ -86,7 +86,7 @@
       emptyLongList();
   /**
    * <pre>
-   * Responses by their time relative to the prediction, in logarithmic buckets.
+   * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
    * </pre>
    *
    * <code>repeated int64 times = 4;</code>
@@ -99,7 +99,7 @@
   }
   /**
    * <pre>
-   * Responses by their time relative to the prediction, in logarithmic buckets.
+   * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
    * </pre>
    *
    * <code>repeated int64 times = 4;</code>
@@ -110,7 +110,7 @@
   }
   /**
    * <pre>
-   * Responses by their time relative to the prediction, in logarithmic buckets.
+   * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
    * </pre>
    *
    * <code>repeated int64 times = 4;</code>
@@ -641,7 +641,7 @@
     }
     /**
      * <pre>
-     * Responses by their time relative to the prediction, in logarithmic buckets.
+     * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
      * </pre>
      *
      * <code>repeated int64 times = 4;</code>
@@ -654,7 +654,7 @@
     }
     /**
      * <pre>
-     * Responses by their time relative to the prediction, in logarithmic buckets.
+     * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
      * </pre>
      *
      * <code>repeated int64 times = 4;</code>
@@ -665,7 +665,7 @@
     }
     /**
      * <pre>
-     * Responses by their time relative to the prediction, in logarithmic buckets.
+     * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
      * </pre>
      *
      * <code>repeated int64 times = 4;</code>
@@ -677,7 +677,7 @@
     }
     /**
      * <pre>
-     * Responses by their time relative to the prediction, in logarithmic buckets.
+     * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
      * </pre>
      *
      * <code>repeated int64 times = 4;</code>
@@ -696,7 +696,7 @@
     }
     /**
      * <pre>
-     * Responses by their time relative to the prediction, in logarithmic buckets.
+     * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
      * </pre>
      *
      * <code>repeated int64 times = 4;</code>
@@ -713,7 +713,7 @@
     }
     /**
      * <pre>
-     * Responses by their time relative to the prediction, in logarithmic buckets.
+     * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
      * </pre>
      *
      * <code>repeated int64 times = 4;</code>
@@ -731,7 +731,7 @@
     }
     /**
      * <pre>
-     * Responses by their time relative to the prediction, in logarithmic buckets.
+     * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
      * </pre>
      *
      * <code>repeated int64 times = 4;</code>
--- a/wire/src/main/java/org/boragethread/wire/proto/RolloutVersionCountsOrBuilder.java
+++ b/wire/src/main/java/org/boragethread/wire/proto/RolloutVersionCountsOrBuilder.java
@@ -33,7 +33,7 @@
 
   /**
    * <pre>
-   * Responses by their time relative to the prediction, in logarithmic buckets.
+   * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
    * </pre>
    *
    * <code>repeated int64 times = 4;</code>
@@ -42,7 +42,7 @@
   java.util.List<java.lang.Long> getTimesList();
   /**
    * <pre>
-   * Responses by their time relative to the prediction, in logarithmic buckets.
+   * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
    * </pre>
    *
    * <code>repeated int64 times = 4;</code>
@@ -51,7 +51,7 @@
   int getTimesCount();
   /**
    * <pre>
-   * Responses by their time relative to the prediction, in logarithmic buckets.
+   * Pairs of a bucket (VersionCounts.bucket) and its number of responses, for buckets that have some.
    * </pre>
    *
    * <code>repeated int64 times = 4;</code>
