--- a/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.boragethread.model.upstream.SoftwareVersion;
 
 /**
@@ -72,7 +73,23 @@
     }
 
     /** Returns whether the state is the one of a request that has not been removed since. */
-    boolean isOf(RolloutRequest request) {
+    public boolean isOf(RolloutRequest request) {
         return !withdrawn && order.request().equals(request);
     }
+
+    /** Returns whether another state of the same order says the same, under whatever revision. */
+    public boolean isRepeatedBy(RolloutState other) {
+        return order.equals(other.order) && phase == other.phase && withdrawn == other.withdrawn;
+    }
+
+    /**
+     * Returns whether a later order has ended, and this one is not asked for: the store that has
+     * this state was restored from an older copy.
+     */
+    boolean isOutdatedBy(RolloutState known, Optional<RolloutRequest> request) {
+        return known.phase().isEnded()
+                && known.revision() > revision
+                && known.order().startedMillis() > order.startedMillis()
+                && request.filter(this::isOf).isEmpty();
+    }
 }
--- a/core/src/test/java/org/boragethread/core/rollout/RolloutTableTest.java
+++ b/core/src/test/java/org/boragethread/core/rollout/RolloutTableTest.java
@@ -1,5 +1,6 @@
 package org.boragethread.core.rollout;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -101,4 +102,40 @@
         mTable.setState(TRIAL.next(RolloutPhase.COMPLETED).withdraw(RolloutPhase.COMPLETED));
         assertTrue(isUsed(RolloutSimulation.TARGET));
     }
+
+    /** Guards against an entry that takes the state of an older copy of the store for a new one. */
+    @Test
+    public void endIsKeptWhenTheStoreIsRestored() {
+        read(RolloutSimulation.OLD, RolloutSimulation.TARGET);
+        RolloutState ended =
+                RolloutState.begin(REQUEST, 100, 7, List.of()).next(RolloutPhase.ROLLED_BACK);
+        mTable.setState(ended);
+        RolloutRequest before =
+                new RolloutRequest(
+                        RolloutSimulation.GROUP, RolloutSimulation.OLD, Duration.ofSeconds(60));
+        mTable.setState(RolloutState.begin(before, 0, 1, List.of()));
+        mTable.setState(
+                new RolloutState(ended.order(), RolloutPhase.SWITCHING, 9, false, List.of()));
+        assertEquals(mTable.state(RolloutSimulation.GROUP), Optional.of(ended));
+    }
+
+    /** Guards against reads that are too rare for a short time for a roll-back. */
+    @Test
+    public void statusStaysFreshBetweenReads() {
+        for (int rollbackMillis : new int[] {2000, 3000, 5000, 60_000}) {
+            RolloutBounds bounds =
+                    new RolloutBounds(0.1, Duration.ofMillis(rollbackMillis), Duration.ZERO);
+            mTable = new RolloutTable(mTime, bounds);
+            read(RolloutSimulation.OLD, RolloutSimulation.TARGET);
+            mTable.setState(TRIAL.next(RolloutPhase.SWITCHING));
+            ClockReading relayed = ClockReading.now(mTime);
+            for (int i = 0; i < 5; i++) {
+                ClockReading sent = ClockReading.now(mTime);
+                mTime.advance(bounds.statusPollTime());
+                assertTrue(isUsed(RolloutSimulation.TARGET), "bound " + rollbackMillis);
+                mTable.onStatusRead(relayed);
+                relayed = sent;
+            }
+        }
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutReportCodec.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutReportCodec.java
@@ -21,6 +21,9 @@
 /** Encodes and decodes what entries tell each other about roll-outs. */
 public final class RolloutReportCodec {
 
+    /** Far above the responses of an order; sums over all entries do not overflow. */
+    private static final long MAX_COUNT = 1_000_000_000_000L;
+
     private RolloutReportCodec() {}
 
     /** Encodes a report. */
@@ -60,8 +63,11 @@
                         .setResponses(counts.responses())
                         .setFailures(counts.failures())
                         .setAllFailures(counts.allFailures());
-        for (long count : counts.times()) {
-            message.addTimes(count);
+        long[] times = counts.times();
+        for (int bucket = 0; bucket < times.length; bucket++) {
+            if (times[bucket] > 0) {
+                message.addTimes(bucket).addTimes(times[bucket]);
+            }
         }
         return message.build();
     }
@@ -71,19 +77,25 @@
         Map<String, Map<VersionSide, VersionCounts>> counts = new HashMap<>();
         try {
             for (RolloutRouteCounts route : message.getRoutesList()) {
+                if (!route.hasOld() || !route.hasTarget()) {
+                    throw new MalformedRecordException("a route lacks the counts of one version");
+                }
                 counts.put(
                         route.getRoute(),
                         Map.of(
                                 VersionSide.OLD, decode(route.getOld()),
                                 VersionSide.TARGET, decode(route.getTarget())));
             }
+            RolloutEvidence evidence =
+                    new RolloutEvidence(counts, decode(message.getFailuresList()));
+            checkFailures(evidence);
             return new EntryReport(
                     message.getAddress(),
-                    message.getStartedAt(),
-                    message.getSequence(),
+                    inRange("started_at", message.getStartedAt(), Long.MAX_VALUE),
+                    inRange("sequence", message.getSequence(), Long.MAX_VALUE),
                     RolloutCodec.decodeState(message.getState().toByteArray()),
-                    message.getOldInFlight(),
-                    new RolloutEvidence(counts, decode(message.getFailuresList())));
+                    inRange("old_in_flight", message.getOldInFlight(), MAX_COUNT),
+                    evidence);
         } catch (IllegalArgumentException e) {
             throw new MalformedRecordException(e.getMessage());
         }
@@ -103,9 +115,54 @@
         return failures;
     }
 
-    private static VersionCounts decode(RolloutVersionCounts message) {
-        long[] times = message.getTimesList().stream().mapToLong(Long::longValue).toArray();
-        return new VersionCounts(
-                message.getResponses(), message.getFailures(), message.getAllFailures(), times);
+    private static VersionCounts decode(RolloutVersionCounts message)
+            throws MalformedRecordException {
+        long responses = inRange("responses", message.getResponses(), MAX_COUNT);
+        long allFailures = inRange("all_failures", message.getAllFailures(), responses);
+        long failures = inRange("failures", message.getFailures(), allFailures);
+        long[] times = decodeTimes(message.getTimesList(), responses - allFailures);
+        return new VersionCounts(responses, failures, allFailures, times);
+    }
+
+    /** Decodes pairs of a bucket and its count, in ascending order of the buckets. */
+    private static long[] decodeTimes(List<Long> pairs, long max) throws MalformedRecordException {
+        long[] times = new long[VersionCounts.BUCKETS];
+        if (pairs.size() % 2 != 0) {
+            throw new MalformedRecordException("times have no count for the last bucket");
+        }
+        long next = 0;
+        long timed = 0;
+        for (int i = 0; i < pairs.size(); i += 2) {
+            long bucket = inRange("bucket", pairs.get(i), VersionCounts.BUCKETS - 1);
+            if (bucket < next) {
+                throw new MalformedRecordException("times are not in the order of the buckets");
+            }
+            next = bucket + 1;
+            times[(int) bucket] = inRange("times", pairs.get(i + 1), max - timed);
+            timed += times[(int) bucket];
+        }
+        return times;
+    }
+
+    /** Checks that the named failures are among those that are counted. */
+    private static void checkFailures(RolloutEvidence evidence) throws MalformedRecordException {
+        Map<List<Object>, Long> named = new HashMap<>();
+        for (UpstreamFailures failures : evidence.failures()) {
+            String route = failures.route();
+            long counted = evidence.counts(route, failures.side()).failures();
+            List<Object> key = List.of(route, failures.side());
+            long before = named.getOrDefault(key, 0L);
+            named.put(key, before + inRange("failures", failures.count(), counted - before));
+        }
+    }
+
+    private static long inRange(String field, long value, long max)
+            throws MalformedRecordException {
+        if (value < 0 || value > max) {
+            throw new MalformedRecordException(
+                    "%s is %d: use totals since the order, here 0 to %d"
+                            .formatted(field, value, max));
+        }
+        return value;
     }
 }
--- a/entry/src/main/java/org/boragethread/entry/rollout/RolloutStatus.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/RolloutStatus.java
@@ -1,5 +1,7 @@
 package org.boragethread.entry.rollout;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.boragethread.core.follow.ClockReading;
@@ -26,6 +28,9 @@
         /** All states are known that had been recorded at a time. */
         void onStatusRead(ClockReading asOf);
 
+        /** The store came back from an older copy, whose states are told next. */
+        void onStatusRestored();
+
         /** The states can't be read. */
         void onStatusLost(String detail);
 
@@ -39,11 +44,25 @@
     }
 
     @Override
-    public void onStoreRestored() {}
+    public void onStoreRestored() {
+        mReceiver.onStatusRestored();
+    }
 
     @Override
     public void onSnapshot(Map<String, byte[]> values) {
-        values.forEach((key, value) -> onChange(key, Optional.of(value)));
+        List<RuntimeException> failures = new ArrayList<>();
+        values.forEach(
+                (key, value) -> {
+                    try {
+                        onChange(key, Optional.of(value));
+                    } catch (RuntimeException e) {
+                        failures.add(e);
+                    }
+                });
+        // The states are not confirmed as read until those of all groups were taken.
+        if (!failures.isEmpty()) {
+            throw failures.get(0);
+        }
     }
 
     @Override
--- a/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -9,7 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Function;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import org.boragethread.core.follow.ClockReading;
 import org.boragethread.core.follow.FreshnessLease;
 import org.boragethread.core.follow.TopicFollower;
@@ -62,10 +63,13 @@
      *
      * @param self membership of this process
      * @param log where states are recorded
-     * @param createFollower creates a follower of the topic of the states, for a listener
+     * @param createFollower creates a follower of the topic of the states, for a listener and with
+     *     a long-poll time
      */
     private record Participation(
-            Member self, RolloutLog log, Function<TopicListener, TopicFollower> createFollower) {}
+            Member self,
+            RolloutLog log,
+            BiFunction<TopicListener, Duration, TopicFollower> createFollower) {}
 
     /**
      * Creates roll-outs of which nothing is known.
@@ -84,7 +88,9 @@
 
     /** Starts to read the states; to be called before the orders are read. */
     public void start(
-            Member self, RolloutLog log, Function<TopicListener, TopicFollower> createFollower) {
+            Member self,
+            RolloutLog log,
+            BiFunction<TopicListener, Duration, TopicFollower> createFollower) {
         mParticipation = Optional.of(new Participation(self, log, createFollower));
         followWhileNeeded();
     }
@@ -164,11 +170,17 @@
      * roll-out without the reports of an entry that was gone for the lifetime of its lease.
      */
     private boolean isUncertain(GroupId group) {
+        return !mStatusLease.isHeld() && hasOrderInProgress(group);
+    }
+
+    /** Returns whether an order has not ended, as far as this process knows. */
+    private boolean hasOrderInProgress(GroupId group) {
         Optional<RolloutState> state = mTable.orElseThrow().state(group);
-        if (state.isEmpty()) {
-            return !mStatusKnown && mRequests.containsKey(group);
-        }
-        return !state.get().phase().isEnded() && !mStatusLease.isHeld();
+        Optional<RolloutRequest> request = Optional.ofNullable(mRequests.get(group));
+        boolean isPending =
+                request.filter(wanted -> state.filter(known -> known.isOf(wanted)).isEmpty())
+                        .isPresent();
+        return isPending || state.filter(known -> !known.phase().isEnded()).isPresent();
     }
 
     /** Called when a request is sent to an upstream; returns what counts how it ends. */
@@ -259,8 +271,40 @@
         }
         mTable.get().onOrdersRead(asOf);
         mOrdersReadAt = Optional.of(asOf);
-        mGroups.forEach(
-                (id, group) -> group.setRequest(Optional.ofNullable(mRequests.get(id)), asOf));
+        forEachGroup(
+                group -> group.setRequest(Optional.ofNullable(mRequests.get(group.id())), asOf));
+        confirmWithoutOrder(asOf);
+        followWhileNeeded();
+    }
+
+    /**
+     * Confirms the states that are not followed: without an order none of them changes. If the
+     * orders were not read for the lifetime of the lease, one may have begun and ended meanwhile,
+     * so that the states are unknown until they are read again.
+     */
+    private void confirmWithoutOrder(ClockReading asOf) {
+        if (mFollower.isPresent()) {
+            return;
+        }
+        if (mStatusLease.isHeld()) {
+            mStatusLease.renew(asOf);
+        } else {
+            mStatusKnown = false;
+        }
+    }
+
+    @Override
+    public void onOrdersRestored() {
+        onStatusRestored();
+        // Reads all states of the older copy, as it is not known which copy was read so far.
+        mFollower.ifPresent(TopicFollower::stop);
+        mFollower = Optional.empty();
+        followWhileNeeded();
+    }
+
+    @Override
+    public void onStatusRestored() {
+        forEachGroup(GroupRollout::onStoreRestored);
     }
 
     @Override
@@ -316,8 +360,9 @@
     }
 
     /**
-     * Follows the states once at the start, then while there is an order or one has not ended, and
-     * until it is certain that one that was removed is not recorded as running later.
+     * Follows the states once at the start, then while there is an order, while one has not ended
+     * or its removal is not recorded, and until it is certain that one that was removed is not
+     * recorded as running later.
      */
     private void followWhileNeeded() {
         if (mParticipation.isEmpty() || mTable.isEmpty()) {
@@ -327,11 +372,16 @@
                 !mStatusKnown
                         || !mRequests.isEmpty()
                         || mLateStateUntil.isPresent()
-                        || mGroups.values().stream().anyMatch(GroupRollout::isRunning);
+                        || mGroups.values().stream().anyMatch(GroupRollout::isUnsettled);
         if (needed && mFollower.isEmpty()) {
+            Participation part = mParticipation.get();
+            StatusReads reads = StatusReads.of(part.self().address(), mBounds.get());
             RolloutStatus listener = new RolloutStatus(this, mContext.log());
-            mFollower = Optional.of(mParticipation.get().createFollower().apply(listener));
-            mFollower.get().start();
+            TopicFollower follower = part.createFollower().apply(listener, reads.pollTime());
+            mFollower = Optional.of(follower);
+            boolean isKnown = mStatusKnown && mStatusLease.isHeld();
+            mContext.scheduler()
+                    .schedule(isKnown ? reads.startDelay() : Duration.ZERO, follower::start);
         } else if (!needed && mFollower.isPresent()) {
             mFollower.get().stop();
             mFollower = Optional.empty();
@@ -342,12 +392,12 @@
     public void setMembers(Collection<Member> members) {
         mMembers = members;
         mContext.coordinators().setMembers(List.copyOf(members));
-        mGroups.values().forEach(group -> group.setMembers(members));
+        forEachGroup(group -> group.setMembers(members));
     }
 
     /** Tells the coordinators what this process has seen; to be called periodically. */
     public void reportAll() {
-        mGroups.values().forEach(this::report);
+        forEachGroup(this::report);
     }
 
     private void report(GroupRollout group) {
@@ -381,21 +431,41 @@
                 .warn();
     }
 
-    /** Takes a report of another entry. */
-    public void onReport(EntryReport report) {
-        if (mTable.isPresent() && mParticipation.isPresent()) {
-            mMetrics.onReport("received");
-            group(report.state().order().request().group()).onReport(report);
+    /** Returns whether this process can decide on roll-outs. */
+    boolean canCoordinate() {
+        return mTable.isPresent() && mParticipation.isPresent();
+    }
+
+    /**
+     * Takes a report of another entry, if this process can decide on roll-outs.
+     *
+     * @return whether it is about a group that this process knows
+     */
+    boolean onReport(EntryReport report) {
+        GroupId id = report.state().order().request().group();
+        if (!mGroups.containsKey(id) && !mContext.isConfigured().test(id)) {
+            return false;
         }
+        mMetrics.onReport("received");
+        group(id).onReport(report);
+        return true;
     }
 
     /** Decides on the roll-outs that this process coordinates; to be called periodically. */
     public void tick() {
+        forEachGroup(
+                group -> {
+                    Optional<String> coordinator = mContext.coordinators().coordinator(group.id());
+                    if (coordinator.map(this::isSelf).orElse(true)) {
+                        group.tick();
+                    }
+                });
+    }
+
+    /** Runs an action for each group; one that throws is reported and does not stop the others. */
+    private void forEachGroup(Consumer<GroupRollout> action) {
         for (GroupRollout group : List.copyOf(mGroups.values())) {
-            Optional<String> coordinator = mContext.coordinators().coordinator(group.id());
-            if (coordinator.map(this::isSelf).orElse(true)) {
-                group.tick();
-            }
+            mContext.supervisor().run(() -> action.accept(group), () -> {});
         }
     }
 
