Tell refused connections from others that cannot be established

A call whose connection was refused failed like one that timed out, and a listener learned of an established connection only by the head of the response. CallFailure.Kind.REFUSED is a definite refusal, as in probes; CallListener.onConnected reports a new connection.

ConnectionFailureTest: callToAClosedPortIsRefused and establishedConnectionIsReportedBeforeTheResponse failed with the behaviour of before put back, and pass now; so does a call to a full backlog, which is no refusal.

--- a/wire/src/main/java/org/boragethread/wire/http/ActiveCall.java
+++ b/wire/src/main/java/org/boragethread/wire/http/ActiveCall.java
@@ -51,6 +51,10 @@
         mMaybeSent = true;
     }
 
+    void deliverConnected() {
+        deliver(mListener::onConnected);
+    }
+
     void deliverHead(HttpResponse head) {
         deliver(() -> mListener.onHead(head));
     }
@@ -81,9 +85,9 @@
         }
     }
 
-    void failBeforeSending(String detail) {
+    void failBeforeSending(CallFailure.Kind kind, String detail) {
         mCall.request().release();
-        fail(CallFailure.Kind.CONNECT, detail);
+        fail(kind, detail);
     }
 
     /** Closes the connection, if there is one, and fails. */
--- a/wire/src/main/java/org/boragethread/wire/http/CallFailure.java
+++ b/wire/src/main/java/org/boragethread/wire/http/CallFailure.java
@@ -11,7 +11,9 @@
 
     /** Kind of failure. */
     public enum Kind {
-        /** No connection could be established. */
+        /** The machine of the peer responded that no process listens at the address. */
+        REFUSED,
+        /** No connection could be established, for another reason. */
         CONNECT,
         /** The connection was closed before the response was complete. */
         BROKEN,
--- a/wire/src/main/java/org/boragethread/wire/http/CallListener.java
+++ b/wire/src/main/java/org/boragethread/wire/http/CallListener.java
@@ -9,6 +9,9 @@
  */
 public interface CallListener {
 
+    /** Called when a connection was established for the call; not if an open one is used. */
+    default void onConnected() {}
+
     /** Called with the head of the response. */
     void onHead(HttpResponse head);
 
--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnectionPool.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnectionPool.java
@@ -114,7 +114,10 @@
         ActiveCall state = new ActiveCall(call, listener, mGuard, mActive::remove);
         mActive.add(state);
         if (mClosed) {
-            executeLater(() -> state.failBeforeSending("the process is stopping"));
+            executeLater(
+                    () ->
+                            state.failBeforeSending(
+                                    CallFailure.Kind.CONNECT, "the process is stopping"));
             return state;
         }
         if (!call.newConnectionRequired()) {
@@ -193,10 +196,12 @@
         if (completed.isSuccess()) {
             return ProbeResult.ACCEPTED;
         }
-        boolean refused =
-                completed.cause() instanceof ConnectException
-                        && !(completed.cause() instanceof ConnectTimeoutException);
-        return refused ? ProbeResult.REFUSED : ProbeResult.UNKNOWN;
+        return isRefused(completed.cause()) ? ProbeResult.REFUSED : ProbeResult.UNKNOWN;
+    }
+
+    /** The kernel's own time-out, which has the same type, is longer than any of the callers'. */
+    private static boolean isRefused(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
     }
 
     /** Returns the total number of connection attempts. */
@@ -231,9 +236,13 @@
     private static void onConnected(
             ChannelFuture attempt, HttpConnection connection, ActiveCall state) {
         if (attempt.isSuccess()) {
+            state.deliverConnected();
             connection.start(state);
         } else {
-            state.failBeforeSending(String.valueOf(attempt.cause().getMessage()));
+            Throwable cause = attempt.cause();
+            state.failBeforeSending(
+                    isRefused(cause) ? CallFailure.Kind.REFUSED : CallFailure.Kind.CONNECT,
+                    String.valueOf(cause.getMessage()));
         }
     }
 
--- a/wire/src/test/java/org/boragethread/wire/http/ConnectionFailureTest.java
+++ b/wire/src/test/java/org/boragethread/wire/http/ConnectionFailureTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFactory;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Either;
 import java.net.InetAddress;
@@ -46,6 +48,7 @@
                     HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.buffer(8).writeZero(8));
     private EventLoopGroup mLoops;
     private EventLoop mLoop;
+    private Duration mConnectTimeout;
     private InetSocketAddress mAddress = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
 
     @BeforeMethod
@@ -53,6 +56,7 @@
         mLoops = new NioEventLoopGroup(1);
         mLoop = mLoops.next();
         mRequest.retain();
+        mConnectTimeout = Duration.ofSeconds(WAIT_SECONDS);
     }
 
     @AfterMethod
@@ -95,6 +99,74 @@
         assertEquals(trace, List.of("sent", "CONNECT maybeSent=false on the loop"));
     }
 
+    // Guards against a closed port that counts as an upstream that may still be running.
+    @Test
+    public void callToAClosedPortIsRefused() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            mAddress = new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
+        }
+        List<String> trace = run(NioSocketChannel::new, this::fetch);
+        assertEquals(trace, List.of("sent", "REFUSED maybeSent=false on the loop"));
+    }
+
+    // Guards against upstreams without power that count as refusing connections.
+    @Test
+    public void callToAPeerThatDoesNotRespondIsNotRefused() throws Exception {
+        List<java.nio.channels.SocketChannel> waiting = new ArrayList<>();
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            mAddress = new InetSocketAddress(full.getInetAddress(), full.getLocalPort());
+            mConnectTimeout = Duration.ofMillis(300);
+            // The kernel ignores further connections to a socket whose backlog is full.
+            for (int i = 0; i < 4; i++) {
+                var channel = java.nio.channels.SocketChannel.open();
+                waiting.add(channel);
+                channel.configureBlocking(false);
+                channel.connect(mAddress);
+            }
+            List<String> trace = run(NioSocketChannel::new, this::fetch);
+            assertEquals(trace, List.of("sent", "CONNECT maybeSent=false on the loop"));
+        } finally {
+            for (var channel : waiting) {
+                channel.close();
+            }
+        }
+    }
+
+    // Guards against an upstream that counts as dead until it has responded to a long prompt.
+    @Test
+    public void establishedConnectionIsReportedBeforeTheResponse() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            mAddress = new InetSocketAddress(silent.getInetAddress(), silent.getLocalPort());
+            List<String> trace = run(NioSocketChannel::new, this::sendUntilConnected);
+            assertEquals(trace, List.of("sent", "connected"));
+        }
+    }
+
+    private void sendUntilConnected(HttpConnectionPool pool, Consumer<String> trace, Runnable end) {
+        CallListener listener =
+                new CallListener() {
+                    @Override
+                    public void onConnected() {
+                        trace.accept("connected");
+                        end.run();
+                    }
+
+                    @Override
+                    public void onHead(HttpResponse head) {}
+
+                    @Override
+                    public void onBody(ByteBuf data) {}
+
+                    @Override
+                    public void onEnd() {}
+
+                    @Override
+                    public void onFailure(CallFailure failure) {}
+                };
+        pool.send(createCall(), listener);
+        trace.accept("sent");
+    }
+
     private void fetch(HttpConnectionPool pool, Consumer<String> trace, Runnable end) {
         Scheduler scheduler =
                 (delay, task) -> {
@@ -115,8 +187,7 @@
     }
 
     private HttpCall createCall() {
-        return new HttpCall(
-                mAddress, mRequest, true, Duration.ofSeconds(WAIT_SECONDS), Optional.empty());
+        return new HttpCall(mAddress, mRequest, true, mConnectTimeout, Optional.empty());
     }
 
     private String describe(Either<CallFailure, BufferedResponse> response) {
