Count the requests of an unlisted entry until they end

An entry that can't renew its membership is alive, and its requests still run at engines. The coordinator withdrew them when the entry was no longer listed, and gave their memory to others until the next restore. Only what waits is ended now; placed requests count until a report, a restore without them, a later run of the entry, or their expiry.

PlacementServerTest.requestsOfUnlistedEntryCountUntilTheyEnd failed before. unlistedEntryIsAskedToRestore expected that nothing is counted until the restore, which is the fault; it now expects the request to count all the time.

--- a/core/src/main/java/org/boragethread/core/placement/PlacedTable.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacedTable.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -31,6 +32,13 @@
         return placed;
     }
 
+    /** Returns the requests that a run of an entry has at engines. */
+    List<PlacedRequest> ofEntry(String entry) {
+        return mByKey.values().stream()
+                .filter(placed -> placed.request().key().entry().equals(entry))
+                .toList();
+    }
+
     /** Records that the prompt is processed, which changes the time of expiry. */
     void markFirstEventSeen(PlacedRequest placed) {
         mByExpiry.remove(placed);
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -263,20 +263,20 @@
 
     /**
      * Removes the waiting requests of an entry that is gone. Placed ones may still run, so their
-     * load is kept until they expire.
+     * memory counts until they expire; their prompts say nothing about the engine any more.
      *
      * @param entry run of the entry, as in the keys of its requests
      */
     public void onEntryGone(String entry) {
-        List<WaitingRequest> gone = new ArrayList<>();
-        for (WaitingRequest waiting : mQueue.all()) {
+        for (WaitingRequest waiting : List.copyOf(mQueue.all())) {
             if (waiting.request().key().entry().equals(entry)) {
-                gone.add(waiting);
+                mQueue.remove(waiting.request().key());
+                mReservations.release(waiting);
             }
         }
-        for (WaitingRequest waiting : gone) {
-            mQueue.remove(waiting.request().key());
-            mReservations.release(waiting);
+        for (PlacedRequest placed : mPlaced.ofEntry(entry)) {
+            placed.engine().endPrompt(placed, mTime.nanoTime());
+            mPlaced.markFirstEventSeen(placed);
         }
         dispatch();
     }
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
@@ -158,7 +158,8 @@
     }
 
     /**
-     * Removes the load of entries that have ended.
+     * Ends the waiting requests of entries that have ended. What they have at engines may still
+     * run, since an entry that can't renew its membership is alive, and counts until it ends.
      *
      * @param members addresses of the live entries
      */
@@ -167,7 +168,8 @@
         ended.removeAll(members);
         mMembers = Set.copyOf(members);
         for (Coordination coordination : mCoordinations.values()) {
-            ended.forEach(coordination::onEntryEnded);
+            ended.forEach(coordination::onEntryUnlisted);
+            coordination.removeExpiredSenders(members);
         }
     }
 
@@ -254,10 +256,14 @@
                     request.key().attempt(), new Tracked(request.key(), request.expiryNanos()));
             mTracked++;
             if (mTracked % PRUNE_INTERVAL == 0) {
-                mPlacements.values().removeIf(placement -> now - placement.expiryNanos() > 0);
+                removeExpired(now);
             }
         }
 
+        void removeExpired(long now) {
+            mPlacements.values().removeIf(placement -> now - placement.expiryNanos() > 0);
+        }
+
         void withdrawEarly(long number) {
             mWithdrawn.add(number);
             if (mWithdrawn.size() > MAX_EARLY_WITHDRAWALS) {
@@ -295,12 +301,37 @@
                 return Optional.empty();
             }
             if (known != null && known.mRun.number() < run.number()) {
-                onEntryEnded(run.address());
+                onEntryRestarted(run.address());
             }
             return Optional.of(mSenders.computeIfAbsent(run.address(), address -> new Sender(run)));
         }
 
-        void onEntryEnded(String address) {
+        /** Ends what waits; what was placed is known until the entry restores or it expires. */
+        void onEntryUnlisted(String address) {
+            Sender unlisted = mSenders.get(address);
+            if (unlisted == null) {
+                return;
+            }
+            unlisted.mRestored = false;
+            List<Receiver> waiting = List.copyOf(unlisted.mReceivers.values());
+            unlisted.mPlacements.keySet().removeAll(unlisted.mReceivers.keySet());
+            unlisted.mReceivers.clear();
+            run(() -> mCoordinator.onEntryGone(unlisted.mRun.name()));
+            waiting.forEach(receiver -> run(receiver::onSenderEnded));
+        }
+
+        void removeExpiredSenders(Set<String> members) {
+            long now = mTime.nanoTime();
+            mSenders.values().forEach(sender -> sender.removeExpired(now));
+            mSenders.values()
+                    .removeIf(
+                            sender ->
+                                    sender.mPlacements.isEmpty()
+                                            && !members.contains(sender.mRun.address()));
+        }
+
+        /** Withdraws what an earlier run had: its process has ended, and its connections too. */
+        private void onEntryRestarted(String address) {
             Sender ended = mSenders.remove(address);
             if (ended == null) {
                 return;
--- a/entry/src/test/java/org/boragethread/entry/placement/PlacementServerTest.java
+++ b/entry/src/test/java/org/boragethread/entry/placement/PlacementServerTest.java
@@ -96,13 +96,32 @@
         place(1);
         assertEquals(mServer.apply(reports(SENDER).build()), ReportResult.CONFIRMED);
         mServer.onMembersChanged(Set.of(SELF));
-        assertEquals(mServer.placed(), 0);
+        assertEquals(mServer.placed(), 1);
         assertEquals(mServer.apply(reports(SENDER).build()), ReportResult.RESTORE_NEEDED);
         assertEquals(restore(held(needs(1, 600))), ReportResult.CONFIRMED);
         assertEquals(mServer.placed(), 1);
         assertEquals(mServer.apply(reports(SENDER).build()), ReportResult.CONFIRMED);
     }
 
+    // Guards against requests of an entry that has lost its membership: they still run, and the
+    // engine is given others beside them. They count until a restore without them, or expire.
+    @Test
+    public void requestsOfUnlistedEntryCountUntilTheyEnd() {
+        place(1);
+        mServer.onMembersChanged(Set.of(SELF));
+        place(2);
+        assertEquals(mOutcomes, List.of("r1 engine"));
+        assertEquals(restore(held(needs(1, 600))), ReportResult.CONFIRMED);
+        assertEquals(mServer.placed(), 1);
+        place(101);
+        restore();
+        assertEquals(mOutcomes, List.of("r1 engine", "r101 engine"));
+        mServer.onMembersChanged(Set.of(ENTRY, SELF));
+        mServer.onMembersChanged(Set.of(SELF));
+        mEngine.time().advance(Duration.ofSeconds(11));
+        assertEquals(mServer.placed(), 0);
+    }
+
     // Guards against a malformed request that stops all reports of its entry.
     @Test
     public void malformedHeldRequestIsSkipped() {
