Place nothing before the live entries have restored what they run

A new coordinator with a memory limit gave out the memory of engines at once, although entries reported what they still ran there only later: up to 1 s, or never if they had no request for the group. It now waits for the restores of all live entries, for 1.25 s at most; for an entry that has not restored by then it holds back the share of each engine that the entry may use by itself. Entries restore when the coordinator or the configuration changes, even if they have nothing at the engines. A coordinator that gets a group back considers restores of an earlier term outdated.

PlacementServerTest.nothingIsPlacedBeforeAllEntriesHaveRestored and shareOfSilentEntryIsHeldBack failed before.

--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -49,7 +49,7 @@
     private static final double INITIAL_REPORT_MILLIS = 20;
 
     private final EngineDirectory mDirectory;
-    private final boolean mLimitMemory;
+    private final EngineMemory mMemory;
     private final Scheduler mScheduler;
     private final TimeSource mTime;
     private final Supervisor mSupervisor;
@@ -85,7 +85,7 @@
             TimeSource time,
             Supervisor supervisor) {
         mDirectory = engines;
-        mLimitMemory = limitMemory;
+        mMemory = new EngineMemory(engines, limitMemory);
         mScheduler = scheduler;
         mTime = time;
         mSupervisor = supervisor;
@@ -110,7 +110,7 @@
         }
         long now = mTime.nanoTime();
         readDirectory(now);
-        WaitingRequest waiting = waiting(withBoundedOutput(request), recipient, now);
+        WaitingRequest waiting = waiting(mMemory.withBoundedOutput(request), recipient, now);
         Optional<PlacementRefusal.Reason> impossible = impossible(waiting.request());
         if (impossible.isPresent()) {
             refuse(waiting, impossible.get(), now);
@@ -125,18 +125,6 @@
         finish(now);
     }
 
-    /**
-     * With limited memory, an unknown output may need all memory that the prompt leaves: engines
-     * crash if their requests exceed it.
-     */
-    private PlacementRequest withBoundedOutput(PlacementRequest request) {
-        if (!mLimitMemory) {
-            return request;
-        }
-        long rest = mDirectory.limits().cacheTokens() - request.promptTokens();
-        return request.withDefaultOutput(Math.max(0, rest));
-    }
-
     private WaitingRequest waiting(
             PlacementRequest request, PlacementRecipient recipient, long now) {
         mTimes.resetIfOld(now);
@@ -149,7 +137,7 @@
     }
 
     private Optional<PlacementRefusal.Reason> impossible(PlacementRequest request) {
-        if (mLimitMemory && request.memoryTokens() > mDirectory.limits().cacheTokens()) {
+        if (mMemory.isTooLarge(request)) {
             return Optional.of(PlacementRefusal.Reason.TOO_LARGE);
         }
         for (EngineLoad engine : mEngines.listed()) {
@@ -254,7 +242,7 @@
             Optional<EngineLoad> engine = mEngines.find(held.engine());
             if (engine.isPresent() && mPlaced.find(key).isEmpty()) {
                 mQueue.remove(key).ifPresent(mReservations::release);
-                PlacementRequest request = withBoundedOutput(held.request());
+                PlacementRequest request = mMemory.withBoundedOutput(held.request());
                 add(request, engine.get(), held.sentNanos(), held.firstEventSeen());
             }
         }
@@ -281,6 +269,20 @@
         dispatch();
     }
 
+    /**
+     * Sets what is not known of live entries. With limited memory nothing is placed until a time,
+     * and the share of each of them in the memory is left free after it, since what they have still
+     * runs.
+     *
+     * @param unreported live entries that have not restored what they have at engines
+     * @param entries all live entries
+     * @param heldUntil monotonic time until which their reports are awaited
+     */
+    public void setUnreported(int unreported, int entries, long heldUntil) {
+        mMemory.setUnreported(unreported, entries, heldUntil);
+        dispatch();
+    }
+
     /** Called when the directory has changed, so that waiting requests may be placed. */
     public void onEnginesChanged() {
         mDirectoryRead = false;
@@ -314,7 +316,8 @@
     }
 
     private void finish(long now) {
-        mRate.update(mQueue.size() > 0, now);
+        // What is placed while reports are awaited says nothing about the engines.
+        mRate.update(mQueue.size() > 0 && !mMemory.isHeld(now), now);
         scheduleWake(now);
         mOutcomes.deliver();
     }
@@ -358,8 +361,8 @@
                 mEngines,
                 mReservations,
                 mCost,
-                mDirectory.limits(),
-                mLimitMemory,
+                mMemory.available(now),
+                mMemory.isLimited(),
                 now,
                 mReportMillis);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ConfigListener.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ConfigListener.java
@@ -84,6 +84,7 @@
                     .with("keys", config.keys().map(Map::size).orElse(0))
                     .with("outcome", applied ? "in-force" : "older-than-current")
                     .info();
+            mGateway.placements().restore(DirectoryEngines.withLimitedMemory(mGateway));
         } catch (MalformedRecordException e) {
             mGateway.log()
                     .event("config")
--- a/entry/src/main/java/org/boragethread/entry/gateway/DirectoryEngines.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/DirectoryEngines.java
@@ -62,6 +62,19 @@
         return outside;
     }
 
+    /** Returns the groups whose coordinators must know what all entries have at the engines. */
+    static Collection<GroupId> withLimitedMemory(Gateway gateway) {
+        if (!gateway.settings().scheduling().isShared()
+                || !gateway.settings().scheduling().engineMemoryEnforced()) {
+            return List.of();
+        }
+        return gateway.routingTable().config().stream()
+                .flatMap(config -> config.groups().values().stream())
+                .filter(group -> group.engine().isPresent())
+                .map(RoutedGroup::id)
+                .toList();
+    }
+
     private Optional<EngineLimits> limits(GroupId group) {
         return mGateway.groupConfig(group).flatMap(RoutedGroup::engine);
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -171,6 +171,7 @@
         mGateway.placementServer()
                 .onMembersChanged(live.stream().map(Member::address).collect(Collectors.toSet()));
         mGateway.placements().onMembersChanged();
+        mGateway.placements().restore(DirectoryEngines.withLimitedMemory(mGateway));
         mGateway.log().event("members").with("names", String.join(" ", members)).info();
     }
 
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -52,6 +53,7 @@
     private final EntryIncarnation mSelf;
     private final CoordinatorTable mCoordinators;
     private final CoordinatorLink mPeers;
+    private final PlacementServer mServer;
     private final CoordinatorLink mLocal;
     private final Scheduler mScheduler;
     private final TimeSource mTime;
@@ -90,6 +92,7 @@
         mSelf = self;
         mCoordinators = coordinators;
         mPeers = peers;
+        mServer = server;
         mSupervisor = supervisor;
         mGuard = supervisor.guard();
         mLocal = new LocalCoordinatorLink(server, mGuard);
@@ -140,6 +143,14 @@
         return attempt;
     }
 
+    /**
+     * Tells the coordinators of groups that have changed what this entry has there, even if that is
+     * nothing: they place nothing until they know it of all entries.
+     */
+    public void restore(Collection<GroupId> groups) {
+        groups.forEach(group -> group(group).currentTerm());
+    }
+
     /** Restores what coordinators know that have changed. */
     public void onMembersChanged() {
         mGroups.values().stream().filter(Group::isActive).forEach(Group::currentTerm);
@@ -265,6 +276,7 @@
             }
             mTerm.ifPresent(term -> term.mOutbox.close());
             mTerm = coordinator.map(address -> new Term(this, address));
+            mTerm.filter(Term::isLocal).ifPresent(term -> mServer.onTermBegun(mId));
             mTerm.ifPresent(term -> term.mOutbox.restore());
             mMetrics.onPlacementCoordinator();
             mLog.event("placement-coordinator")
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
@@ -50,6 +50,18 @@
     /** Number of placements after which those that have expired unreported are looked for. */
     private static final int PRUNE_INTERVAL = 256;
 
+    /**
+     * Time for which a new coordinator waits for what live entries have at engines. An entry
+     * notices the change within 1 s, and its message is lost if it takes over 250 ms.
+     */
+    private static final Duration RESTORE_TIME = Duration.ofMillis(1250);
+
+    /**
+     * Age up to which a restore is of the present term. Entries notice the end of the coordinator
+     * before at different times, the last ones when its membership has expired, after 2.5 s.
+     */
+    private static final Duration TERM_SLACK = Duration.ofSeconds(5);
+
     private static final PlacementHandle WITHDRAWN = () -> {};
 
     private final Groups mGroups;
@@ -139,7 +151,8 @@
     public ReportResult apply(PlacementReports reports) {
         Optional<Coordination> found = coordination(new GroupId(reports.getGroup()));
         if (found.isEmpty()) {
-            return ReportResult.CONFIRMED;
+            // The configuration may not be known here yet.
+            return ReportResult.RESTORE_NEEDED;
         }
         Coordination coordination = found.get();
         Optional<Sender> sender = coordination.sender(EntryIncarnation.decode(reports.getSender()));
@@ -147,8 +160,9 @@
             return ReportResult.REFUSED;
         }
         if (reports.hasRestore()) {
-            sender.get().mRestored = true;
             coordination.restore(sender.get(), reports.getRestore(), mTime);
+            sender.get().onRestored(mTime.nanoTime());
+            coordination.updateUnreported();
         }
         coordination.add(sender.get(), reports.getHeldList(), mTime);
         for (PlacementReport report : reports.getReportsList()) {
@@ -170,9 +184,18 @@
         for (Coordination coordination : mCoordinations.values()) {
             ended.forEach(coordination::onEntryUnlisted);
             coordination.removeExpiredSenders(members);
+            coordination.updateUnreported();
         }
     }
 
+    /**
+     * Called when this entry becomes the coordinator of a group, perhaps again. What entries have
+     * restored in an earlier term is outdated.
+     */
+    public void onTermBegun(GroupId group) {
+        coordination(group).ifPresent(Coordination::onTermBegun);
+    }
+
     /** Called when announcements of engines may have changed. */
     public void onEnginesChanged() {
         for (Coordination coordination : mCoordinations.values()) {
@@ -245,6 +268,7 @@
         private final Map<Long, Receiver> mReceivers = new LinkedHashMap<>();
         private final Set<Long> mWithdrawn = new LinkedHashSet<>();
         private boolean mRestored;
+        private long mRestoredAt;
         private int mTracked;
 
         Sender(EntryIncarnation run) {
@@ -260,6 +284,11 @@
             }
         }
 
+        void onRestored(long now) {
+            mRestored = true;
+            mRestoredAt = now;
+        }
+
         void removeExpired(long now) {
             mPlacements.values().removeIf(placement -> now - placement.expiryNanos() > 0);
         }
@@ -281,11 +310,34 @@
         private final PlacementCoordinator mCoordinator;
         private final Supervisor mSupervisor;
         private final Map<String, Sender> mSenders = new HashMap<>();
+        private long mBegunAt = mTime.nanoTime();
 
         Coordination(GroupId group, PlacementCoordinator coordinator) {
             mGroup = group;
             mCoordinator = coordinator;
             mSupervisor = mGroups.supervisor(group);
+            updateUnreported();
+        }
+
+        void onTermBegun() {
+            long now = mTime.nanoTime();
+            for (Sender sender : mSenders.values()) {
+                sender.mRestored &= now - sender.mRestoredAt < TERM_SLACK.toNanos();
+            }
+            mBegunAt = now;
+            updateUnreported();
+        }
+
+        /** Holds back memory for what live entries have not restored. */
+        void updateUnreported() {
+            int unreported = 0;
+            for (String member : mMembers) {
+                Sender sender = mSenders.get(member);
+                unreported += sender == null || !sender.mRestored ? 1 : 0;
+            }
+            int count = unreported;
+            long until = mBegunAt + RESTORE_TIME.toNanos();
+            run(() -> mCoordinator.setUnreported(count, mMembers.size(), until));
         }
 
         /** Runs a step of the coordinator, whose failures are not those of a request. */
--- a/entry/src/main/java/org/boragethread/entry/placement/ReportOutbox.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/ReportOutbox.java
@@ -40,6 +40,7 @@
     private List<PlacementReport> mReports = new ArrayList<>();
     private List<PlacementHeld> mHeld = new ArrayList<>();
     private boolean mRestoreNeeded = true;
+    private boolean mRestoring;
     private int mRetries;
     private boolean mScheduled;
     private boolean mSending;
@@ -159,7 +160,8 @@
 
     private PlacementReports takeReports() {
         PlacementReports.Builder message = mEnvelope.toBuilder();
-        if (mRestoreNeeded && !mClosed) {
+        mRestoring = mRestoreNeeded && !mClosed;
+        if (mRestoring) {
             // It has everything that is at engines, so that only reports add to it.
             message.setRestore(mRestore.get());
             mRestoreNeeded = false;
@@ -175,8 +177,13 @@
         mSending = false;
         if (result == ReportResult.CONFIRMED || result == ReportResult.RESTORE_NEEDED) {
             mConfirmedAt = mTime.nanoTime();
-            mRetries = 0;
-            if (result == ReportResult.RESTORE_NEEDED && !mClosed) {
+            if (result == ReportResult.CONFIRMED) {
+                mRetries = 0;
+            } else if (mRestoring) {
+                // The coordinator does not know the group yet.
+                mRestoreNeeded = true;
+                scheduleRetry();
+            } else if (!mClosed) {
                 restore();
             }
             mListener.onConfirmed();
--- a/entry/src/test/java/org/boragethread/entry/placement/PlacementServerTest.java
+++ b/entry/src/test/java/org/boragethread/entry/placement/PlacementServerTest.java
@@ -35,6 +35,8 @@
         mEngine = new OneEngine();
         mServer = new PlacementServer(mEngine, mEngine.time());
         mServer.onMembersChanged(Set.of(ENTRY, SELF));
+        restore();
+        restore(new EntryIncarnation(SELF, 1));
         mOutcomes = new ArrayList<>();
     }
 
@@ -44,6 +46,7 @@
                 .setNumber(number)
                 .setRequestId("r" + number)
                 .setPromptTokens(promptTokens)
+                .setOutputTokens(1)
                 .setTargetLeftNanos(left)
                 .setDeadlineLeftNanos(left)
                 .setExpiryLeftNanos(left)
@@ -51,11 +54,15 @@
     }
 
     private void place(long number) {
+        place(number, OneEngine.PROMPT_TOKENS);
+    }
+
+    private void place(long number, int promptTokens) {
         PlacementQuery query =
                 PlacementQuery.newBuilder()
                         .setGroup(OneEngine.GROUP.value())
                         .setSender(SENDER.encode())
-                        .setNeeds(needs(number, OneEngine.PROMPT_TOKENS))
+                        .setNeeds(needs(number, promptTokens))
                         .build();
         mServer.place(query, new Outcome("r" + number));
     }
@@ -74,8 +81,18 @@
     }
 
     private ReportResult restore(PlacementHeld... held) {
-        PlacementRestore.Builder restore = PlacementRestore.newBuilder().setCompleteBelow(100);
-        return mServer.apply(reports(SENDER).setRestore(restore.addAllHeld(List.of(held))).build());
+        return restore(SENDER, held);
+    }
+
+    private ReportResult restore(EntryIncarnation sender, PlacementHeld... held) {
+        return restore(sender, 100, held);
+    }
+
+    private ReportResult restore(
+            EntryIncarnation sender, long completeBelow, PlacementHeld... held) {
+        PlacementRestore.Builder restore =
+                PlacementRestore.newBuilder().setCompleteBelow(completeBelow);
+        return mServer.apply(reports(sender).setRestore(restore.addAllHeld(List.of(held))).build());
     }
 
     // Guards against requests that hang until their deadline, since the entry still gets responses.
@@ -122,6 +139,47 @@
         assertEquals(mServer.placed(), 0);
     }
 
+    // Guards against a new coordinator that fills engines which are full of requests that it has
+    // not been told of yet.
+    @Test
+    public void nothingIsPlacedBeforeAllEntriesHaveRestored() {
+        EntryIncarnation self = new EntryIncarnation(SELF, 1);
+        mServer = new PlacementServer(mEngine, mEngine.time());
+        mServer.onMembersChanged(Set.of(ENTRY, SELF));
+        place(1);
+        restore(self, held(needs(1, 600)));
+        assertEquals(mOutcomes, List.of());
+        restore();
+        place(101);
+        assertEquals(mOutcomes, List.of());
+        restore(self);
+        assertEquals(mOutcomes, List.of("r101 engine"));
+    }
+
+    // Guards against a coordinator that waits for ever for an entry, and against one that uses the
+    // memory which that entry may fill by itself.
+    @Test
+    public void shareOfSilentEntryIsHeldBack() {
+        mServer = new PlacementServer(mEngine, mEngine.time());
+        mServer.onMembersChanged(Set.of(ENTRY, SELF));
+        place(1, 498);
+        place(2, 498);
+        restore(SENDER, 0L);
+        mEngine.time().advance(Duration.ofMillis(1200));
+        assertEquals(mOutcomes, List.of());
+        mEngine.time().advance(Duration.ofMillis(150));
+        assertEquals(mOutcomes, List.of("r1 engine"));
+        PlacementReport processed =
+                PlacementReport.newBuilder()
+                        .setNumber(1)
+                        .setEvent(PlacementEvent.PLACEMENT_EVENT_FIRST_EVENT)
+                        .build();
+        mServer.apply(reports(SENDER).addReports(processed).build());
+        assertEquals(mOutcomes, List.of("r1 engine"));
+        mServer.onMembersChanged(Set.of(ENTRY));
+        assertEquals(mOutcomes, List.of("r1 engine", "r2 engine"));
+    }
+
     // Guards against a malformed request that stops all reports of its entry.
     @Test
     public void malformedHeldRequestIsSkipped() {
