Limit what an entry places by itself to its share of the engines' memory

Without a coordinator, and during a roll-out, an entry chose engines without counting the tokens of requests, so that several entries together could exceed the memory of an engine, which then crashes. With engine_memory_enforced in shared mode, an entry now leaves out engines at which the tokens of its own requests and of the new one exceed the engine's memory divided by the live entries.

--- a/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
+++ b/core/src/main/java/org/boragethread/core/stage/CoordinatorTable.java
@@ -50,6 +50,7 @@
     private final TimeSource mTime;
     private final DataCentreId mDataCentre;
     private final Map<String, Avoidance> mAvoidances = new HashMap<>();
+    private int mMemberCount;
     private List<Member> mCandidates = List.of();
     private List<Member> mNeighbours = List.of();
     private List<String> mCoordinators = List.of();
@@ -75,6 +76,7 @@
         for (Member member : members) {
             latest.merge(member.address(), member, (a, b) -> a.startedAt() > b.startedAt() ? a : b);
         }
+        mMemberCount = latest.size();
         mCandidates = candidates(latest.values());
         mNeighbours =
                 candidates(
@@ -85,6 +87,11 @@
         mOrders.clear();
     }
 
+    /** Returns the number of live entries as far as they are known, this one included. */
+    public int memberCount() {
+        return mMemberCount;
+    }
+
     /** Returns the members with enough capacity, the oldest first. */
     private static List<Member> candidates(Collection<Member> members) {
         int largest = members.stream().mapToInt(Member::capacity).max().orElse(0);
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -87,8 +88,23 @@
         }
     }
 
+    /** Selects an upstream by what this process knows, within its share of the engines' memory. */
     private Optional<UpstreamNode> selectLocally() {
-        return mLocal.apply(parts().placement().choiceRequest());
+        if (!mShared) {
+            return mLocal.apply(parts().placement().choiceRequest());
+        }
+        List<UpstreamNode> full =
+                MemoryShare.findFull(
+                        mGateway,
+                        parts().group(),
+                        parts().admitted().promptTokens(),
+                        outputTokens());
+        return mLocal.apply(parts().placement().choiceWithout(full));
+    }
+
+    private long outputTokens() {
+        return HeaderDecoder.maxOutputTokens(mRequest.headers().get(PlatformHeaders.TOKENS))
+                .orElse(0);
     }
 
     private void ask(Consumer<Optional<UpstreamNode>> receiver, RequestEnd end) {
@@ -123,10 +139,7 @@
                         .setPrefixHash(admitted.affinity())
                         .setPrefixTokens(admitted.prefixTokens())
                         .setPromptTokens(admitted.promptTokens())
-                        .setOutputTokens(
-                                HeaderDecoder.maxOutputTokens(
-                                                mRequest.headers().get(PlatformHeaders.TOKENS))
-                                        .orElse(0))
+                        .setOutputTokens(outputTokens())
                         .setPriority(admitted.priority())
                         .setTeam(admitted.team())
                         .setTargetLeftNanos(target - now)
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
@@ -17,6 +17,7 @@
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.Names;
+import org.boragethread.model.routing.EngineLimits;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.process.log.EventLog;
@@ -156,6 +157,15 @@
         mGroups.values().stream().filter(Group::isActive).forEach(Group::currentTerm);
     }
 
+    /** Returns the tokens that requests of this entry may hold at each engine. */
+    public Map<UpstreamId, Long> tokensAtEngines(GroupId group, EngineLimits limits) {
+        Map<UpstreamId, Long> tokens = new HashMap<>();
+        for (ReportedAttempt attempt : group(group).mAttempts.values()) {
+            tokens.merge(attempt.engine(), attempt.memoryTokens(limits), Long::sum);
+        }
+        return tokens;
+    }
+
     /** Returns the number of requests of this entry that wait for a decision. */
     public int waiting() {
         return mGroups.values().stream().mapToInt(group -> group.mPending.size()).sum();
--- a/entry/src/main/java/org/boragethread/entry/placement/ReportedAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/ReportedAttempt.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.boragethread.core.placement.PlacementFailure;
 import org.boragethread.core.time.TimeSource;
+import org.boragethread.model.routing.EngineLimits;
 import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.wire.proto.PlacementEvent;
 import org.boragethread.wire.proto.PlacementHeld;
@@ -51,6 +52,14 @@
         mMetrics = metrics;
     }
 
+    UpstreamId engine() {
+        return mEngine;
+    }
+
+    long memoryTokens(EngineLimits limits) {
+        return limits.memoryTokens(mNeeds.getPromptTokens(), mNeeds.getOutputTokens());
+    }
+
     PlacementHeld encode() {
         Duration age = mTime.since(mSentAt);
         return PlacementHeld.newBuilder()
--- a/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
@@ -174,11 +174,18 @@
     }
 
     private void setCoordinator(int port) throws Exception {
-        Member member = new Member("127.0.0.1:" + port, 1, 100, new DataCentreId("north"));
+        setMembers(List.of(member(port, 1)));
+    }
+
+    private static Member member(int port, long startedAt) {
+        return new Member("127.0.0.1:" + port, startedAt, 100, new DataCentreId("north"));
+    }
+
+    private void setMembers(List<Member> members) throws Exception {
         run(
                 mLoop,
                 () -> {
-                    mEntry.coordinators().setMembers(List.of(member));
+                    mEntry.coordinators().setMembers(members);
                     return true;
                 });
     }
@@ -301,18 +308,7 @@
         run(
                 mCoordinatorLoop,
                 () -> configure(mCoordinator, "other-1", "other-2", "other-3", "other-4"));
-        CompletableFuture<String> selected = new CompletableFuture<>();
-        run(
-                mLoop,
-                () -> {
-                    createSelection(20)
-                            .select(
-                                    mEntry.chooser()::choose,
-                                    node -> selected.complete(node.get().entry().id().value()),
-                                    (reason, detail, retryAfter) -> selected.complete(detail));
-                    return true;
-                });
-        assertEquals(selected.get(WAIT_SECONDS, TimeUnit.SECONDS), "engine-1");
+        assertEquals(selectEngine(), "engine-1");
         String metrics = run(mLoop, () -> mEntry.metrics().scrape());
         assertTrue(metrics.contains("placement_rejections_total{cause=\"not-usable\"} 3"), metrics);
         awaitLoad(0, 0);
@@ -390,6 +386,44 @@
                 List.of());
     }
 
+    // Guards against engines that crash, because entries without a coordinator each fill them.
+    @Test
+    public void entryWithoutCoordinatorUsesItsShareOfMemory() throws Exception {
+        setMembers(List.of());
+        assertEquals(selectEngine(), "engine-1");
+        PlacedAttempt running = run(mLoop, this::track);
+        assertEquals(selectEngine(), "none");
+        mLoop.execute(running::onEnded);
+        assertEquals(selectEngine(), "engine-1");
+        answerWith("");
+        int port = mFailingPeer.getLocalPort();
+        setMembers(List.of(member(port, 1), member(port, 2), member(freePort(), 3)));
+        assertEquals(selectEngine(), "none");
+    }
+
+    private PlacedAttempt track() {
+        PlacementNeeds.Builder needs = PlacementNeeds.newBuilder().setPromptTokens(PROMPT_TOKENS);
+        return mEntry.placements().track(ENGINES, needs, new UpstreamId("engine-1"));
+    }
+
+    private String selectEngine() throws Exception {
+        CompletableFuture<String> selected = new CompletableFuture<>();
+        run(
+                mLoop,
+                () -> {
+                    createSelection(20)
+                            .select(
+                                    mEntry.chooser()::choose,
+                                    node ->
+                                            selected.complete(
+                                                    node.map(found -> found.entry().id().value())
+                                                            .orElse("none")),
+                                    (reason, detail, retryAfter) -> selected.complete(detail));
+                    return true;
+                });
+        return selected.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
     @Test
     public void deathBeforeAcknowledgementLeavesDecisionHere() throws Exception {
         answerWith("");
