Spread requests over equal engines when entries choose by themselves

Entries that find no coordinator at the same time know the same engines as idle, and ordered engines of equal cost in the same way if the request shares no prefix, so that all chose the same one. On that path the order now depends on the address of the entry. Requests with a prefix keep its order, and local mode and roll-outs choose as before.

--- a/core/src/main/java/org/boragethread/core/upstream/ChoiceRequest.java
+++ b/core/src/main/java/org/boragethread/core/upstream/ChoiceRequest.java
@@ -22,6 +22,8 @@
  *     process
  * @param remoteMillis delay assumed for a call to another data centre, transfer time included
  * @param versions upstreams that a roll-out allows at present
+ * @param tieSeed orders upstreams of equal cost if the request shares no prefix; entries with
+ *     different ones prefer different upstreams
  */
 public record ChoiceRequest(
         RoutedGroup group,
@@ -34,7 +36,8 @@
         Set<DataCentreId> evacuated,
         Optional<DataCentreId> inputDataCentre,
         double remoteMillis,
-        VersionRule versions) {
+        VersionRule versions,
+        long tieSeed) {
 
     /** Delay assumed for a call to another data centre if little data is transferred. */
     public static final double REMOTE_MILLIS = 4;
@@ -62,7 +65,8 @@
                 evacuated,
                 inputDataCentre,
                 remoteMillis,
-                VersionRule.ANY);
+                VersionRule.ANY,
+                0);
     }
 
     /** Returns the request with other upstreams allowed by a roll-out. */
@@ -78,6 +82,24 @@
                 evacuated,
                 inputDataCentre,
                 remoteMillis,
-                rule);
+                rule,
+                tieSeed);
+    }
+
+    /** Returns the request with another order of upstreams of equal cost. */
+    public ChoiceRequest withTieSeed(long seed) {
+        return new ChoiceRequest(
+                group,
+                regions,
+                excluded,
+                softwareVersion,
+                affinity,
+                prefixTokens,
+                times,
+                evacuated,
+                inputDataCentre,
+                remoteMillis,
+                versions,
+                seed);
     }
 }
--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -83,7 +83,8 @@
     public Optional<UpstreamNode> choose(ChoiceRequest request) {
         long now = mTime.nanoTime();
         List<UpstreamNode> candidates = candidates(request);
-        List<UpstreamNode> ranked = rendezvousOrder(candidates, request.affinity());
+        long seed = request.affinity() != 0 ? request.affinity() : request.tieSeed();
+        List<UpstreamNode> ranked = rendezvousOrder(candidates, seed);
         UpstreamNode best = null;
         double lowestCost = Double.MAX_VALUE;
         for (int rank = 0; rank < ranked.size(); rank++) {
@@ -294,15 +295,15 @@
         return request.softwareVersion().isEmpty() || request.softwareVersion().equals(version);
     }
 
-    private static List<UpstreamNode> rendezvousOrder(List<UpstreamNode> nodes, long affinity) {
+    private static List<UpstreamNode> rendezvousOrder(List<UpstreamNode> nodes, long seed) {
         List<UpstreamNode> ranked = new ArrayList<>(nodes);
-        ranked.sort(Comparator.comparingLong(node -> weight(node, affinity)));
+        ranked.sort(Comparator.comparingLong(node -> weight(node, seed)));
         return ranked;
     }
 
-    private static long weight(UpstreamNode node, long affinity) {
+    private static long weight(UpstreamNode node, long seed) {
         long idHash = Hashing.komihash5_0().hashCharsToLong(node.entry().id().value());
-        return Hashing.komihash5_0().hashStream().putLong(idHash).putLong(affinity).getAsLong();
+        return Hashing.komihash5_0().hashStream().putLong(idHash).putLong(seed).getAsLong();
     }
 
     /**
--- a/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/UpstreamChooserTest.java
@@ -109,6 +109,19 @@
         assertEquals(chooser(SOUTH).choose(request).orElseThrow(), engine);
     }
 
+    // Guards against entries without a coordinator that all overload the same idle engine.
+    @Test
+    public void entriesWithDifferentSeedsSpreadRequestsWithoutAPrefix() {
+        Set<UpstreamNode> chosen = new HashSet<>();
+        for (long seed = 1; seed <= 64; seed++) {
+            chosen.add(mChooser.choose(request(0, Set.of()).withTieSeed(seed)).orElseThrow());
+            ChoiceRequest shared = request(42, Set.of()).withTieSeed(seed);
+            assertEquals(mChooser.choose(shared).orElseThrow(), choose(42));
+        }
+        // Only engines of this entry's data centre are equal.
+        assertEquals(chosen.size(), 4);
+    }
+
     // Guards against a stream that goes on at an upstream of another, or of an uncertain, version.
     @Test
     public void streamGoesOnOnlyAtUpstreamsWhoseVersionIsCertain() {
--- a/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/Placement.java
@@ -92,7 +92,8 @@
                 mGateway.routingTable().evacuated(),
                 mPreferredDataCentre,
                 ChoiceRequest.REMOTE_MILLIS + mAdmitted.transferCostMillis(),
-                rolloutRule(version));
+                rolloutRule(version),
+                0);
     }
 
     /** Returns which upstreams a roll-out allows for an attempt that is no trial. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -1,5 +1,6 @@
 package org.boragethread.entry.gateway;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -80,26 +81,35 @@
             Consumer<Optional<UpstreamNode>> receiver,
             RequestEnd end) {
         mLocal = local;
-        if (!mShared || mGateway.rollouts().isRunning(group())) {
-            receiver.accept(selectLocally());
+        if (!mShared) {
+            receiver.accept(mLocal.apply(parts().placement().choiceRequest()));
+        } else if (mGateway.rollouts().isRunning(group())) {
+            receiver.accept(mLocal.apply(choiceWithinShare()));
         } else if (!mPending) {
             mRejected.clear();
             ask(receiver, end);
         }
     }
 
-    /** Selects an upstream by what this process knows, within its share of the engines' memory. */
+    /**
+     * Selects an engine without the coordinator, as other entries may do at the same time. Of equal
+     * ones each entry prefers another one, since idle engines are equal for all.
+     */
     private Optional<UpstreamNode> selectLocally() {
-        if (!mShared) {
-            return mLocal.apply(parts().placement().choiceRequest());
-        }
+        String entry = mGateway.settings().peerAddress();
+        long seed = Hashing.komihash5_0().hashCharsToLong(entry);
+        return mLocal.apply(choiceWithinShare().withTieSeed(seed));
+    }
+
+    /** Returns the selection criteria for engines with room in this process's share of memory. */
+    private ChoiceRequest choiceWithinShare() {
         List<UpstreamNode> full =
                 MemoryShare.findFull(
                         mGateway,
                         parts().group(),
                         parts().admitted().promptTokens(),
                         outputTokens());
-        return mLocal.apply(parts().placement().choiceWithout(full));
+        return parts().placement().choiceWithout(full);
     }
 
     private long outputTokens() {
