Bound the size of reports to coordinators of placements

The caller's request ID, which may be long, was part of each request in a restore, and a restore of any length was one message, which other entries reject above 1 MiB. Messages now have a hash of the ID; log lines keep the ID. A restore of more than 512 KiB sends the requests in several messages first and then lists their numbers; the coordinator asks for another one if it does not know one of these.

PlacementRouterTest.longRequestIdsAndManyRequestsFitIntoMessages failed before.

--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementCodec.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementCodec.java
@@ -1,5 +1,6 @@
 package org.boragethread.entry.placement;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
@@ -58,6 +59,12 @@
         return request.build();
     }
 
+    /** Returns numbered needs. The caller's ID may be long and only has to be recognized. */
+    static PlacementNeeds number(PlacementNeeds.Builder needs, long number) {
+        long id = Hashing.komihash5_0().hashCharsToLong(needs.getRequestId());
+        return needs.setNumber(number).setRequestId(Long.toHexString(id)).build();
+    }
+
     /** Returns what a request still needs some time after it was asked for. */
     static PlacementNeeds later(PlacementNeeds needs, Duration elapsed) {
         long nanos = elapsed.toNanos();
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
@@ -119,7 +119,7 @@
             return () -> {};
         }
         mLastNumber++;
-        PendingPlacement pending = new PendingPlacement(state, term.get(), number(needs), outcome);
+        PendingPlacement pending = new PendingPlacement(state, term.get(), needs, outcome);
         state.mPending.put(mLastNumber, pending);
         try {
             pending.start();
@@ -137,7 +137,8 @@
         Optional<Term> term = state.currentTerm();
         mLastNumber++;
         ReportedAttempt attempt =
-                new ReportedAttempt(state, number(needs), engine, mTime, mMetrics);
+                new ReportedAttempt(
+                        state, PlacementCodec.number(needs, mLastNumber), engine, mTime, mMetrics);
         state.mAttempts.put(mLastNumber, attempt);
         state.watch();
         term.ifPresent(current -> current.mOutbox.add(attempt.encode()));
@@ -171,10 +172,6 @@
         return mGroups.values().stream().mapToInt(group -> group.mPending.size()).sum();
     }
 
-    private PlacementNeeds number(PlacementNeeds.Builder needs) {
-        return needs.setNumber(mLastNumber).build();
-    }
-
     private Group group(GroupId id) {
         return mGroups.computeIfAbsent(id, Group::new);
     }
@@ -353,6 +350,7 @@
 
         private final Group mGroup;
         private final Term mTerm;
+        private final String mRequestId;
         private final PlacementNeeds mNeeds;
         private final PlacementOutcome mOutcome;
         private final CallbackGuard.Owner mOwner = mGuard.current();
@@ -361,10 +359,12 @@
         private Scheduler.Timer mTimer = () -> {};
         private boolean mEnded;
 
-        PendingPlacement(Group group, Term term, PlacementNeeds needs, PlacementOutcome outcome) {
+        PendingPlacement(
+                Group group, Term term, PlacementNeeds.Builder needs, PlacementOutcome outcome) {
             mGroup = group;
             mTerm = term;
-            mNeeds = needs;
+            mRequestId = needs.getRequestId();
+            mNeeds = PlacementCodec.number(needs, mLastNumber);
             mOutcome = outcome;
         }
 
@@ -446,7 +446,7 @@
 
         private void fallBack(String reason) {
             mMetrics.onPlacement("fallback-" + reason, mTime.since(mAskedAt));
-            logFallback(mNeeds.getRequestId(), mGroup.mId, mTerm.mCoordinator, reason);
+            logFallback(mRequestId, mGroup.mId, mTerm.mCoordinator, reason);
             mOutcome.onUnavailable();
         }
 
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
@@ -4,9 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,12 +39,6 @@
  */
 public final class PlacementServer {
 
-    /**
-     * Withdrawals that may overtake their requests, for each entry. An entry has fewer requests on
-     * their way within the 100 ms after which it withdraws; older ones have arrived.
-     */
-    private static final int MAX_EARLY_WITHDRAWALS = 1024;
-
     /** Number of placements after which those that have expired unreported are looked for. */
     private static final int PRUNE_INTERVAL = 256;
 
@@ -160,8 +152,9 @@
             return ReportResult.REFUSED;
         }
         if (reports.hasRestore()) {
-            coordination.restore(sender.get(), reports.getRestore(), mTime);
-            sender.get().onRestored(mTime.nanoTime());
+            if (coordination.restore(sender.get(), reports.getRestore(), mTime)) {
+                sender.get().onRestored(mTime.nanoTime());
+            }
             coordination.updateUnreported();
         }
         coordination.add(sender.get(), reports.getHeldList(), mTime);
@@ -266,7 +259,7 @@
         private final EntryIncarnation mRun;
         private final Map<Long, Tracked> mPlacements = new HashMap<>();
         private final Map<Long, Receiver> mReceivers = new LinkedHashMap<>();
-        private final Set<Long> mWithdrawn = new LinkedHashSet<>();
+        private final EarlyWithdrawals mWithdrawn = new EarlyWithdrawals();
         private boolean mRestored;
         private long mRestoredAt;
         private int mTracked;
@@ -292,15 +285,6 @@
         void removeExpired(long now) {
             mPlacements.values().removeIf(placement -> now - placement.expiryNanos() > 0);
         }
-
-        void withdrawEarly(long number) {
-            mWithdrawn.add(number);
-            if (mWithdrawn.size() > MAX_EARLY_WITHDRAWALS) {
-                Iterator<Long> eldest = mWithdrawn.iterator();
-                eldest.next();
-                eldest.remove();
-            }
-        }
     }
 
     /** The coordination of one group. */
@@ -411,11 +395,12 @@
             if (placement != null) {
                 run(() -> mCoordinator.withdraw(placement.key()));
             } else if (remember) {
-                sender.withdrawEarly(number);
+                sender.mWithdrawn.add(number);
             }
         }
 
-        void restore(Sender sender, PlacementRestore restore, TimeSource time) {
+        /** Returns false if requests that the restore only lists by number are not known. */
+        boolean restore(Sender sender, PlacementRestore restore, TimeSource time) {
             Set<Long> listed =
                     restore.getHeldList().stream()
                             .map(held -> held.getNeeds().getNumber())
@@ -426,6 +411,12 @@
                 }
             }
             add(sender, restore.getHeldList(), time);
+            return restore.getHeldList().stream()
+                    .allMatch(
+                            held ->
+                                    !held.getEngine().isEmpty()
+                                            || sender.mPlacements.containsKey(
+                                                    held.getNeeds().getNumber()));
         }
 
         void add(Sender sender, List<PlacementHeld> held, TimeSource time) {
--- a/entry/src/main/java/org/boragethread/entry/placement/ReportOutbox.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/ReportOutbox.java
@@ -1,7 +1,9 @@
 package org.boragethread.entry.placement;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.function.Supplier;
 import org.boragethread.core.callback.Supervisor;
@@ -30,6 +32,9 @@
      */
     private static final int MAX_IDLE_RETRIES = 10;
 
+    /** Size of the requests in a message, half of what other entries accept. */
+    private static final int MAX_HELD_BYTES = 1 << 19;
+
     private final Transport mTransport;
     private final PlacementReports mEnvelope;
     private final Supplier<PlacementRestore> mRestore;
@@ -39,6 +44,7 @@
     private final TimeSource mTime;
     private List<PlacementReport> mReports = new ArrayList<>();
     private List<PlacementHeld> mHeld = new ArrayList<>();
+    private final Deque<PlacementReports> mParts = new ArrayDeque<>();
     private boolean mRestoreNeeded = true;
     private boolean mRestoring;
     private int mRetries;
@@ -160,12 +166,24 @@
 
     private PlacementReports takeReports() {
         PlacementReports.Builder message = mEnvelope.toBuilder();
+        // A restore has the same requests and is split.
+        mRestoreNeeded |=
+                PlacementRestore.newBuilder().addAllHeld(mHeld).build().getSerializedSize()
+                        > MAX_HELD_BYTES;
         mRestoring = mRestoreNeeded && !mClosed;
         if (mRestoring) {
             // It has everything that is at engines, so that only reports add to it.
-            message.setRestore(mRestore.get());
             mRestoreNeeded = false;
             mHeld = new ArrayList<>();
+            mParts.clear();
+            mParts.addAll(split(mRestore.get()));
+        }
+        if (!mParts.isEmpty()) {
+            PlacementReports part = mParts.remove();
+            if (!mParts.isEmpty()) {
+                return part;
+            }
+            message.mergeFrom(part);
         }
         message.addAllHeld(mHeld).addAllReports(mReports);
         mHeld = new ArrayList<>();
@@ -173,9 +191,43 @@
         return message.build();
     }
 
+    /**
+     * Returns messages that restore. If one would be too large, the requests come first, and the
+     * restore then lists only their numbers.
+     */
+    private List<PlacementReports> split(PlacementRestore restore) {
+        if (restore.getSerializedSize() <= MAX_HELD_BYTES) {
+            return List.of(mEnvelope.toBuilder().setRestore(restore).build());
+        }
+        List<PlacementReports> parts = new ArrayList<>();
+        PlacementRestore.Builder numbers = restore.toBuilder().clearHeld();
+        PlacementReports.Builder part = mEnvelope.toBuilder();
+        int bytes = 0;
+        for (PlacementHeld held : restore.getHeldList()) {
+            if (bytes + held.getSerializedSize() > MAX_HELD_BYTES && bytes > 0) {
+                parts.add(part.build());
+                part = mEnvelope.toBuilder();
+                bytes = 0;
+            }
+            part.addHeld(held);
+            bytes += held.getSerializedSize();
+            numbers.addHeldBuilder().getNeedsBuilder().setNumber(held.getNeeds().getNumber());
+        }
+        parts.add(part.build());
+        parts.add(mEnvelope.toBuilder().setRestore(numbers).build());
+        return parts;
+    }
+
     private void onReported(ReportResult result) {
         mSending = false;
-        if (result == ReportResult.CONFIRMED || result == ReportResult.RESTORE_NEEDED) {
+        boolean received =
+                result == ReportResult.CONFIRMED || result == ReportResult.RESTORE_NEEDED;
+        if (received && !mParts.isEmpty()) {
+            mConfirmedAt = mTime.nanoTime();
+            send();
+            return;
+        }
+        if (received) {
             mConfirmedAt = mTime.nanoTime();
             if (result == ReportResult.CONFIRMED) {
                 mRetries = 0;
--- a/entry/src/test/java/org/boragethread/entry/placement/PlacementRouterTest.java
+++ b/entry/src/test/java/org/boragethread/entry/placement/PlacementRouterTest.java
@@ -127,6 +127,29 @@
         assertTrue(mEngine.failures().isEmpty());
     }
 
+    // Guards against messages whose size the callers determine, which other entries reject.
+    @Test
+    public void longRequestIdsAndManyRequestsFitIntoMessages() {
+        String id = "x".repeat(100_000);
+        for (int i = 0; i < 40; i++) {
+            mRouter.track(OneEngine.GROUP, needs().setRequestId(id + i), OneEngine.ENGINE);
+        }
+        advance(100);
+        assertTrue(mLink.mReports.get(0).getSerializedSize() < 10_000);
+        for (int i = 0; i < 40; i++) {
+            mRouter.track(OneEngine.GROUP, needs().setTeam(id), OneEngine.ENGINE);
+        }
+        PlacementServer server = new PlacementServer(mEngine, mEngine.time());
+        mLink.mReports.clear();
+        mLink.mServer = Optional.of(server);
+        advance(1000);
+        for (PlacementReports reports : mLink.mReports) {
+            assertTrue(reports.getSerializedSize() < 1 << 20);
+        }
+        assertEquals(server.placed(), 80);
+        assertEquals(server.apply(mLink.mReports.get(0)), ReportResult.CONFIRMED);
+    }
+
     /** A coordinator that takes all queries and confirms all reports. */
     private static final class Link implements CoordinatorLink {
 
@@ -134,6 +157,7 @@
         private boolean mInvalid;
         private boolean mThrowing;
         private boolean mSilent;
+        private Optional<PlacementServer> mServer = Optional.empty();
 
         @Override
         public Call ask(String coordinator, PlacementQuery asked, Listener listener) {
@@ -152,7 +176,9 @@
         public void report(String coordinator, PlacementReports reports, ReportListener listener) {
             mReports.add(reports);
             if (!mSilent) {
-                listener.onReported(ReportResult.CONFIRMED);
+                listener.onReported(
+                        mServer.map(server -> server.apply(reports))
+                                .orElse(ReportResult.CONFIRMED));
             }
         }
     }
