Bound the times and costs in messages about placements

Response times, ages, times left and the cost of another data centre were taken from messages as they came. A response time near the largest number overflowed and made the average delay of reports endless, and a cost that is no number made engines incomparable.

--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementCodec.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementCodec.java
@@ -18,8 +18,28 @@
 /** Converts the messages about placements to and from the types of the coordinator. */
 final class PlacementCodec {
 
+    /** No request is at an engine for longer; other values would distort what is learned. */
+    private static final Duration MAX_AGE = Duration.ofHours(1);
+
+    /** Longest time until a deadline, so that sums with the present time don't overflow. */
+    private static final long MAX_LEFT_NANOS = Duration.ofDays(1).toNanos();
+
     private PlacementCodec() {}
 
+    /** Returns an age or a response time of a message, within sane bounds. */
+    static Duration age(long nanos) {
+        return Duration.ofNanos(Math.max(0, Math.min(MAX_AGE.toNanos(), nanos)));
+    }
+
+    private static long left(long nanos) {
+        return Math.max(-MAX_LEFT_NANOS, Math.min(MAX_LEFT_NANOS, nanos));
+    }
+
+    /** Returns a cost of a message; 0 if it is no number. */
+    private static double cost(double millis) {
+        return Double.isNaN(millis) ? 0 : Math.max(0, Math.min(MAX_AGE.toMillis(), millis));
+    }
+
     static PlacementKey key(EntryIncarnation entry, PlacementNeeds needs) {
         return new PlacementKey(entry.name(), needs.getRequestId(), needs.getNumber());
     }
@@ -39,19 +59,20 @@
                 needs.getForbiddenVersionsList().stream()
                         .map(SoftwareVersion::new)
                         .collect(Collectors.toSet());
-        long deadline = now + needs.getDeadlineLeftNanos();
+        long deadline = now + left(needs.getDeadlineLeftNanos());
         PlacementRequest.Builder request =
                 PlacementRequest.builder(key)
                         .prefix(needs.getPrefixHash(), needs.getPrefixTokens())
                         .tokens(needs.getPromptTokens(), needs.getOutputTokens())
                         .priority(needs.getPriority())
                         .team(needs.getTeam())
-                        .firstEventBy(now + needs.getTargetLeftNanos(), deadline)
-                        .expiry(Math.max(deadline, now + needs.getExpiryLeftNanos()))
+                        .firstEventBy(now + left(needs.getTargetLeftNanos()), deadline)
+                        .expiry(Math.max(deadline, now + left(needs.getExpiryLeftNanos())))
                         .unusable(allUnusable)
                         .forbiddenVersions(forbidden);
         if (!needs.getInputDataCentre().isEmpty()) {
-            request.input(new DataCentreId(needs.getInputDataCentre()), needs.getRemoteMillis());
+            request.input(
+                    new DataCentreId(needs.getInputDataCentre()), cost(needs.getRemoteMillis()));
         }
         if (!needs.getRequiredVersion().isEmpty()) {
             request.requiredVersion(new SoftwareVersion(needs.getRequiredVersion()));
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
@@ -441,7 +441,7 @@
                         new HeldPlacement(
                                 decode(sender, placement.getNeeds(), time),
                                 new UpstreamId(placement.getEngine()),
-                                now - placement.getAgeNanos(),
+                                now - PlacementCodec.age(placement.getAgeNanos()).toNanos(),
                                 placement.getFirstEventSeen()));
             } catch (IllegalArgumentException e) {
                 return Optional.empty();
@@ -453,7 +453,7 @@
                 case PLACEMENT_EVENT_FIRST_EVENT -> {
                     Tracked placement = sender.mPlacements.get(report.getNumber());
                     if (placement != null) {
-                        Duration time = Duration.ofNanos(report.getResponseTimeNanos());
+                        Duration time = PlacementCodec.age(report.getResponseTimeNanos());
                         run(() -> mCoordinator.onFirstEvent(placement.key(), time));
                     }
                 }
