Refuse a request that fits no engine before its stages run

The coordinator refused a request whose prompt and output exceed the memory of an engine only after the stages of the request had run, although their size is known on admission. The entry now compares it with the limit of the group before the stages, where the memory is enforced in shared mode.

PlacementPeersTest.requestLargerThanAnEngineIsRefusedBeforeItsStages covers the check; it was not run on the code before, where it does not compile.

--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -41,7 +41,7 @@
     private static final Duration NO_ENGINE_RETRY = Duration.ofSeconds(1);
 
     /** Only a change of the configuration makes room for such a request, so retries are useless. */
-    private static final Duration TOO_LARGE_RETRY = Duration.ofSeconds(30);
+    public static final Duration TOO_LARGE_RETRY = Duration.ofSeconds(30);
 
     /** Weight of the newest report in the average delay of reports. */
     private static final double REPORT_WEIGHT = 0.05;
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -108,6 +108,7 @@
         mPrompt.start(mRequest, mAdmitted, target, this::onPartBlocked);
         mSearch.start(mGateway.rateLimitQueue(target), mAdmitted.priority());
         if (mPrompt.isRefused(this::fail)
+                || mSelection.isTooLarge(this::fail)
                 || mSearch.isRefused(mPlacement.choiceRequest(), remaining(), this::fail)) {
             return;
         }
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.boragethread.core.placement.PlacementCoordinator;
 import org.boragethread.core.placement.PlacementRefusal;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.UpstreamChooser;
@@ -210,6 +211,39 @@
         mPending = false;
     }
 
+    /**
+     * Ends the request and returns true if it fits into no engine's memory, which is known before
+     * its stages run.
+     */
+    boolean isTooLarge(RequestEnd end) {
+        if (!mShared || !mGateway.settings().scheduling().engineMemoryEnforced()) {
+            return false;
+        }
+        EngineLimits limits = parts().group().engine().orElseThrow();
+        long tokens = limits.memoryTokens(parts().admitted().promptTokens(), outputTokens());
+        if (tokens <= limits.cacheTokens()) {
+            return false;
+        }
+        failTooLarge(end, PlacementCoordinator.TOO_LARGE_RETRY);
+        return true;
+    }
+
+    private void failTooLarge(RequestEnd end, Duration retryAfter) {
+        String detail =
+                "prompt and output exceed the memory of an engine of %s, %d tokens: ask for less"
+                        .formatted(
+                                group(),
+                                parts().group().engine().map(EngineLimits::cacheTokens).orElse(0L));
+        end.fail(RefusalReason.NO_UPSTREAM, detail, spread(retryAfter));
+    }
+
+    private Duration spread(Duration retryAfter) {
+        long spread = (long) (mRequest.unitHash() * RETRY_SPREAD.toNanos());
+        Duration shortest =
+                retryAfter.compareTo(RetryDelays.SHORT) > 0 ? retryAfter : RetryDelays.SHORT;
+        return shortest.plusNanos(spread);
+    }
+
     private RequestParts parts() {
         return mParts.orElseThrow();
     }
@@ -270,14 +304,11 @@
                 mReceiver.accept(selectLocally());
                 return;
             }
-            long spread = (long) (mRequest.unitHash() * RETRY_SPREAD.toNanos());
-            Duration shortest =
-                    retryAfter.compareTo(RetryDelays.SHORT) > 0 ? retryAfter : RetryDelays.SHORT;
-            boolean isTooLarge = reason == PlacementRefusal.Reason.TOO_LARGE;
-            mEnd.fail(
-                    isTooLarge ? RefusalReason.NO_UPSTREAM : RefusalReason.DEADLINE_HOPELESS,
-                    isTooLarge ? tooLarge() : hopeless(reason),
-                    shortest.plusNanos(spread));
+            if (reason == PlacementRefusal.Reason.TOO_LARGE) {
+                failTooLarge(mEnd, retryAfter);
+                return;
+            }
+            mEnd.fail(RefusalReason.DEADLINE_HOPELESS, hopeless(reason), spread(retryAfter));
         }
 
         private String hopeless(PlacementRefusal.Reason reason) {
@@ -286,13 +317,6 @@
                     : "no engine of %s can respond in time".formatted(group());
         }
 
-        private String tooLarge() {
-            return "prompt and output exceed the memory of an engine of %s, %d tokens: ask for less"
-                    .formatted(
-                            group(),
-                            parts().group().engine().map(EngineLimits::cacheTokens).orElse(0L));
-        }
-
         @Override
         public void onUnavailable() {
             onDecided();
--- a/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
@@ -317,24 +317,20 @@
     // Guards against a request that is said not to have run without a time for its retry.
     @Test
     public void hopelessRequestIsRefusedWithATimeForItsRetry() throws Exception {
-        CompletableFuture<String> end = new CompletableFuture<>();
-        run(
-                mLoop,
-                () -> {
-                    createSelection(0)
-                            .select(
-                                    mEntry.chooser()::choose,
-                                    node -> end.complete("selected"),
-                                    (reason, detail, retryAfter) ->
-                                            end.complete(
-                                                    reason + " " + (retryAfter.toMillis() >= 300)));
-                    return true;
-                });
-        assertEquals(end.get(WAIT_SECONDS, TimeUnit.SECONDS), "DEADLINE_HOPELESS true");
+        assertEquals(selectEngine(0), "DEADLINE_HOPELESS true");
         awaitLoad(0, 0);
     }
 
-    private UpstreamSelection createSelection(int secondsLeft) {
+    // Guards against stages that run for a request which no engine can take.
+    @Test
+    public void requestLargerThanAnEngineIsRefusedBeforeItsStages() throws Exception {
+        RequestEnd end = (reason, detail, retryAfter) -> mOutcomes.add(reason.name());
+        assertFalse(run(mLoop, () -> createSelection(20, CACHE_TOKENS).isTooLarge(end)));
+        assertTrue(run(mLoop, () -> createSelection(20, CACHE_TOKENS + 1).isTooLarge(end)));
+        assertEquals(nextOutcome(), "NO_UPSTREAM");
+    }
+
+    private UpstreamSelection createSelection(int secondsLeft, int promptTokens) {
         CallerRequest request =
                 new CallerRequest(
                         "id-1",
@@ -346,7 +342,7 @@
                         ClockReading.now(mTime));
         RequestTrace trace = new RequestTrace(mEntry, request);
         UpstreamSelection selection = new UpstreamSelection(mEntry, request, trace);
-        AdmittedRequest admitted = admitted(secondsLeft);
+        AdmittedRequest admitted = admitted(secondsLeft, promptTokens);
         RoutedGroup group = mEntry.groupConfig(ENGINES).get();
         Placement placement =
                 new Placement(
@@ -369,7 +365,7 @@
         return selection;
     }
 
-    private AdmittedRequest admitted(int secondsLeft) {
+    private AdmittedRequest admitted(int secondsLeft, int promptTokens) {
         Route route = mEntry.routingTable().config().get().routes().get(0);
         long now = mTime.nanoTime();
         return new AdmittedRequest(
@@ -382,7 +378,7 @@
                 new int[0],
                 0,
                 0,
-                PROMPT_TOKENS,
+                promptTokens,
                 List.of());
     }
 
@@ -407,18 +403,24 @@
     }
 
     private String selectEngine() throws Exception {
+        return selectEngine(20);
+    }
+
+    private String selectEngine(int secondsLeft) throws Exception {
         CompletableFuture<String> selected = new CompletableFuture<>();
         run(
                 mLoop,
                 () -> {
-                    createSelection(20)
+                    createSelection(secondsLeft, PROMPT_TOKENS)
                             .select(
                                     mEntry.chooser()::choose,
                                     node ->
                                             selected.complete(
                                                     node.map(found -> found.entry().id().value())
                                                             .orElse("none")),
-                                    (reason, detail, retryAfter) -> selected.complete(detail));
+                                    (reason, detail, retryAfter) ->
+                                            selected.complete(
+                                                    reason + " " + (retryAfter.toMillis() >= 300)));
                     return true;
                 });
         return selected.get(WAIT_SECONDS, TimeUnit.SECONDS);
