Tell refused callers when the backlog will have been placed

retryAfter was the wait less the time that the request had. Requests are refused as soon as the wait exceeds their time, so that it was nearly constant whatever the backlog. It is now the time until a request of this size and priority would be placed, from the work ahead of it and the rate of placements, or the learned speed of the engines before that rate is known, within 0.1 to 30 s. The speed also counts in the wait of new requests before the rate is known.

--- a/core/src/main/java/org/boragethread/core/placement/WaitEstimate.java
+++ b/core/src/main/java/org/boragethread/core/placement/WaitEstimate.java
@@ -39,11 +39,15 @@
             }
             shortest = Math.min(shortest, wait);
         }
-        return Math.max(shortest, millisInQueue(waiting, now, usable.size()));
+        return Math.max(shortest, millisInQueue(waiting, now, usable));
     }
 
-    private double millisInQueue(WaitingRequest waiting, long now, int engines) {
-        double rate = Math.max(MIN_RATE_SHARE * engines, mRate.get().orElse(engines));
+    private double millisInQueue(WaitingRequest waiting, long now, List<EngineLoad> engines) {
+        double speed = 0;
+        for (EngineLoad engine : engines) {
+            speed += 1 / engine.slowness(now);
+        }
+        double rate = Math.max(MIN_RATE_SHARE * engines.size(), mRate.get().orElse(speed));
         double wait = mQueue.millisAhead(waiting, waiting.isLate(now), now) / rate;
         if (now + wait * 1e6 > waiting.latestStart()) {
             wait = Math.max(wait, mQueue.millisAhead(waiting, true, now) / rate);
@@ -57,11 +61,14 @@
         return mQueue.size() * PlacementQueue.TURN_INTERVAL * mean / rate;
     }
 
-    /** Returns the time after which such a request could be served if no other one arrived. */
+    /**
+     * Returns the time until such a request would be placed. The time that the refused one had is
+     * no part of it: requests are refused as soon as the wait exceeds their time, so that the rest
+     * would always be short.
+     */
     Duration retryAfter(WaitingRequest waiting, long now, double reportMillis) {
-        double wait = waitMillis(waiting, now, reportMillis) + waiting.workMillis();
-        double allowed = (waiting.request().deadlineNanos() - waiting.arrivedAt()) / 1e6;
-        double millis = Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, wait - allowed));
+        double wait = waitMillis(waiting, now, reportMillis);
+        double millis = Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, wait));
         return Duration.ofNanos((long) (millis * 1e6));
     }
 }
--- a/core/src/test/java/org/boragethread/core/placement/PlacementCoordinatorTest.java
+++ b/core/src/test/java/org/boragethread/core/placement/PlacementCoordinatorTest.java
@@ -261,6 +261,22 @@
         assertTrue(times.get(1).toMillis() > 1.5 * times.get(0).toMillis(), times.toString());
     }
 
+    // Guards against a Retry-After of 0.3 s whatever the backlog: requests are refused as soon as
+    // the wait exceeds their time, and only the excess was told.
+    @Test
+    public void retryAfterIsTheTimeUntilTheBacklogIsPlaced() {
+        for (int deadline : new int[] {2000, 8000}) {
+            use(2, false, 1);
+            PlacementKey refused = place(request(1000, deadline));
+            while (outcome(refused) == null || reason(refused) == null) {
+                refused = place(request(1000, deadline));
+            }
+            long retryAfter = ((PlacementRefusal) outcome(refused)).retryAfter().toMillis();
+            assertTrue(
+                    retryAfter > 0.8 * deadline && retryAfter < 1.25 * deadline, "" + retryAfter);
+        }
+    }
+
     // Guards against recomputed prefixes: 1.6 million tokens were recomputed on the heaviest day
     // although some engine had them cached.
     @Test
