Apply reports that arrive beside a restore

A restore withdrew every request that it did not list before the reports of the same message were applied, so that failures and refusals of requests which had just ended were lost. Requests with a report in the message are now left to the report.

PlacementServerTest.reportBesideRestoreIsNotLost failed before.

--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
@@ -152,7 +152,7 @@
             return ReportResult.REFUSED;
         }
         if (reports.hasRestore()) {
-            if (coordination.restore(sender.get(), reports.getRestore(), mTime)) {
+            if (coordination.restore(sender.get(), reports, mTime)) {
                 sender.get().onRestored(mTime.nanoTime());
             }
             coordination.updateUnreported();
@@ -400,11 +400,14 @@
         }
 
         /** Returns false if requests that the restore only lists by number are not known. */
-        boolean restore(Sender sender, PlacementRestore restore, TimeSource time) {
+        boolean restore(Sender sender, PlacementReports reports, TimeSource time) {
+            PlacementRestore restore = reports.getRestore();
             Set<Long> listed =
                     restore.getHeldList().stream()
                             .map(held -> held.getNeeds().getNumber())
                             .collect(Collectors.toSet());
+            // How those ended that are not listed any more is in the reports.
+            reports.getReportsList().forEach(report -> listed.add(report.getNumber()));
             for (long number : List.copyOf(sender.mPlacements.keySet())) {
                 if (number < restore.getCompleteBelow() && !listed.contains(number)) {
                     withdraw(sender, number, false);
--- a/entry/src/test/java/org/boragethread/entry/placement/PlacementServerTest.java
+++ b/entry/src/test/java/org/boragethread/entry/placement/PlacementServerTest.java
@@ -58,13 +58,17 @@
     }
 
     private void place(long number, int promptTokens) {
+        place(needs(number, promptTokens));
+    }
+
+    private void place(PlacementNeeds needs) {
         PlacementQuery query =
                 PlacementQuery.newBuilder()
                         .setGroup(OneEngine.GROUP.value())
                         .setSender(SENDER.encode())
-                        .setNeeds(needs(number, promptTokens))
+                        .setNeeds(needs)
                         .build();
-        mServer.place(query, new Outcome("r" + number));
+        mServer.place(query, new Outcome(needs.getRequestId()));
     }
 
     private static PlacementReports.Builder reports(EntryIncarnation sender) {
@@ -180,6 +184,23 @@
         assertEquals(mOutcomes, List.of("r1 engine", "r2 engine"));
     }
 
+    // Guards against a refusal that is lost because it is reported beside a restore: the prefix of
+    // the request is then taken for cached.
+    @Test
+    public void reportBesideRestoreIsNotLost() {
+        place(needs(1, 100).toBuilder().setPrefixHash(7).setPrefixTokens(50).build());
+        PlacementReport refused =
+                PlacementReport.newBuilder()
+                        .setNumber(1)
+                        .setEvent(PlacementEvent.PLACEMENT_EVENT_REFUSED)
+                        .build();
+        PlacementRestore restore = PlacementRestore.newBuilder().setCompleteBelow(100).build();
+        mServer.apply(reports(SENDER).setRestore(restore).addReports(refused).build());
+        assertEquals(mServer.placed(), 0);
+        place(needs(101, 100).toBuilder().setPrefixHash(7).setPrefixTokens(50).build());
+        assertEquals(mOutcomes.get(1), "r101 engine");
+    }
+
     // Guards against a malformed request that stops all reports of its entry.
     @Test
     public void malformedHeldRequestIsSkipped() {
@@ -236,7 +257,11 @@
 
         @Override
         public void onDecision(PlacementDecision decision) {
-            mOutcomes.add(mId + " " + decision.getEngine() + decision.getRefusal());
+            mOutcomes.add(
+                    mId
+                            + (decision.getPrefixCached() ? " cached " : " ")
+                            + decision.getEngine()
+                            + decision.getRefusal());
         }
 
         @Override
