Pass the turn of the oldest over requests that no engine can take

The oldest waiting request kept its turn, and reserved an engine, even if no engine could take it, for example because its tokens exceed the memory that is available while an entry has not restored. With one engine nothing else was placed then, and no other old request had a turn. The turn now goes to the oldest of eight requests that some engine can serve in time, and only such a request reserves an engine.

PlacementQueueTest passes the turn explicitly and checks the same.

--- a/core/src/main/java/org/boragethread/core/placement/EngineChoice.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineChoice.java
@@ -161,17 +161,11 @@
      * that is too slow for the deadline would only idle if it were reserved.
      */
     List<EngineLoad> enginesToReserve(WaitingRequest waiting) {
-        PlacementRequest request = waiting.request();
-        double timeLeft = (request.deadlineNanos() - mNow) / 1e6;
-        boolean onlyAvoided = mEngines.areAllAvoided(request, mNow);
         List<EngineLoad> candidates = new ArrayList<>();
+        boolean onlyAvoided = mEngines.areAllAvoided(waiting.request(), mNow);
         for (int i = 0; i < mRemaining.length; i++) {
             EngineLoad engine = mEngines.listed().get(i);
-            boolean avoided = !onlyAvoided && engine.isAvoided(mNow);
-            if (!avoided
-                    && EngineTable.isUsable(engine, request)
-                    && !hasRoom(engine, waiting)
-                    && firstEventMillis(i, request) <= timeLeft) {
+            if (isServable(i, waiting.request(), onlyAvoided) && !hasRoom(engine, waiting)) {
                 candidates.add(engine);
             }
         }
@@ -180,4 +174,24 @@
                         .thenComparingLong(EngineLoad::tokens));
         return candidates;
     }
+
+    /** Returns whether an engine can serve a request in time, now or once it has room. */
+    boolean isServable(WaitingRequest waiting) {
+        boolean onlyAvoided = mEngines.areAllAvoided(waiting.request(), mNow);
+        for (int i = 0; i < mRemaining.length; i++) {
+            if (isServable(i, waiting.request(), onlyAvoided)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean isServable(int index, PlacementRequest request, boolean onlyAvoided) {
+        EngineLoad engine = mEngines.listed().get(index);
+        double timeLeft = (request.deadlineNanos() - mNow) / 1e6;
+        return (onlyAvoided || !engine.isAvoided(mNow))
+                && (!mLimitMemory || request.memoryTokens() <= mLimits.cacheTokens())
+                && EngineTable.isUsable(engine, request)
+                && firstEventMillis(index, request) <= timeLeft;
+    }
 }
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -370,15 +370,15 @@
     /** Places the first waiting request whose cheapest engine can be given a prompt now. */
     private boolean placeFirst(EngineChoice choice, long now) {
         int maxSize = MIN_REQUESTS + REQUESTS_PER_ENGINE * choice.open();
-        boolean turn = mQueue.isTurnOfOldest();
-        for (WaitingRequest waiting : mQueue.inOrder(now, maxSize)) {
-            boolean isTurn = turn && mQueue.oldest().get() == waiting;
+        Optional<WaitingRequest> turn = mQueue.turn(choice::isServable);
+        for (WaitingRequest waiting : mQueue.inOrder(now, maxSize, turn)) {
+            boolean isTurn = turn.isPresent() && turn.get() == waiting;
             Optional<EngineChoice.Candidate> candidate = choice.choose(waiting, isTurn);
             if (candidate.isEmpty()) {
                 List<EngineLoad> suitable = choice.enginesToReserve(waiting);
                 mReservations.reserve(suitable, waiting, mEngines.listed().size(), isTurn, now);
             } else if (candidate.get().open()) {
-                place(waiting, candidate.get(), now);
+                place(waiting, candidate.get(), isTurn, now);
                 return true;
             } else {
                 choice.await(candidate.get(), waiting);
@@ -387,9 +387,10 @@
         return false;
     }
 
-    private void place(WaitingRequest waiting, EngineChoice.Candidate candidate, long now) {
+    private void place(
+            WaitingRequest waiting, EngineChoice.Candidate candidate, boolean isTurn, long now) {
         EngineLoad engine = candidate.engine();
-        mQueue.removePlaced(waiting);
+        mQueue.removePlaced(waiting, isTurn);
         mReservations.release(waiting);
         mRate.add(waiting.workMillis());
         Duration waited = Duration.ofNanos(now - waiting.arrivedAt());
--- a/core/src/main/java/org/boragethread/core/placement/PlacementQueue.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementQueue.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Requests that wait for an engine, in the order in which they are placed: those that can meet
@@ -22,6 +23,9 @@
     /** Of this many placements while there is a queue, one goes to the longest waiting request. */
     static final int TURN_INTERVAL = 8;
 
+    /** Oldest requests that are looked at for the turn. */
+    private static final int MAX_OLDEST = 8;
+
     private final Map<PlacementKey, WaitingRequest> mByKey = new LinkedHashMap<>();
     private final TreeMap<Integer, TeamShares> mInTime = new TreeMap<>();
     private final TreeMap<Integer, TeamShares> mLate = new TreeMap<>();
@@ -71,10 +75,14 @@
         return Optional.of(waiting);
     }
 
-    /** Removes a request that is placed, and charges its team. */
-    void removePlaced(WaitingRequest waiting) {
+    /**
+     * Removes a request that is placed, and charges its team.
+     *
+     * @param isTurn whether it had the turn of the oldest
+     */
+    void removePlaced(WaitingRequest waiting, boolean isTurn) {
         boolean isOldest = oldest().filter(oldest -> oldest == waiting).isPresent();
-        mPlacementsSinceTurn = isOldest ? 0 : mPlacementsSinceTurn + 1;
+        mPlacementsSinceTurn = isTurn || isOldest ? 0 : mPlacementsSinceTurn + 1;
         shares(mByLatestStart.contains(waiting) ? mInTime : mLate, waiting).charge(waiting);
         remove(waiting.request().key());
     }
@@ -88,13 +96,25 @@
         return mByKey.isEmpty() ? Optional.empty() : Optional.of(mByKey.values().iterator().next());
     }
 
-    /** Returns the first requests in order, up to a number. */
-    List<WaitingRequest> inOrder(long now, int maxSize) {
+    /**
+     * Returns the request to which the next placement belongs, if it is the turn of the oldest: the
+     * one that has waited longest of those that can be served at all.
+     */
+    Optional<WaitingRequest> turn(Predicate<WaitingRequest> isServable) {
+        return isTurnOfOldest()
+                ? mByKey.values().stream().limit(MAX_OLDEST).filter(isServable).findFirst()
+                : Optional.empty();
+    }
+
+    /**
+     * Returns the first requests in order, up to a number.
+     *
+     * @param turn request that comes first, because it is its turn
+     */
+    List<WaitingRequest> inOrder(long now, int maxSize, Optional<WaitingRequest> turn) {
         deferLate(now);
         List<WaitingRequest> ordered = new ArrayList<>();
-        if (isTurnOfOldest()) {
-            oldest().ifPresent(ordered::add);
-        }
+        turn.ifPresent(ordered::add);
         for (TeamShares shares : mInTime.values()) {
             shares.addInOrder(ordered, maxSize);
         }
--- a/core/src/test/java/org/boragethread/core/placement/PlacementCoordinatorTest.java
+++ b/core/src/test/java/org/boragethread/core/placement/PlacementCoordinatorTest.java
@@ -223,6 +223,26 @@
         assertTrue(engine(low) != null, String.valueOf(outcome(low)));
     }
 
+    // Guards against a turn, or a reservation, of a request that no engine can take at present:
+    // nothing else was placed, and no other old request had its turn.
+    @Test
+    public void turnPassesOverRequestThatNoEngineCanTake() {
+        use(1, true, 1);
+        mCoordinator.setUnreported(1, 2, mTime.nanoTime());
+        PlacementKey stuck = place(request(50_000, 60_000).tokens(2000, MEMORY * 3 / 4));
+        PlacementKey low = place(request(50_000, 60_000).priority(5));
+        for (int i = 0; i < 100; i++) {
+            place(request(50_000, 60_000).priority(1));
+            advance(25);
+        }
+        assertTrue(engine(low) != null, mCoordinator.placed() + " are placed");
+        assertTrue(mCoordinator.waiting() > 10, "there is no queue");
+        assertNull(outcome(stuck));
+        mCoordinator.setUnreported(0, 2, mTime.nanoTime());
+        advance(10_000);
+        assertTrue(engine(stuck) != null, String.valueOf(outcome(stuck)));
+    }
+
     // Guards against refusals that come after the time has run out, or that let a hopeless request
     // wait: on the heaviest day urgent requests waited 6 s and were then cancelled by their
     // callers.
--- a/core/src/test/java/org/boragethread/core/placement/PlacementQueueTest.java
+++ b/core/src/test/java/org/boragethread/core/placement/PlacementQueueTest.java
@@ -61,7 +61,8 @@
                             .thenComparing(w -> w.request().priority())
                             .thenComparing(w -> w.request().targetNanos() - w.workMillis() * MILLI)
                             .thenComparing(WaitingRequest::sequence));
-            assertEquals(queue.inOrder(now, 1000), expected, "seed " + seed);
+            assertEquals(
+                    queue.inOrder(now, 1000, queue.turn(any -> true)), expected, "seed " + seed);
         }
     }
 
@@ -100,7 +101,7 @@
         for (int done = 1; done <= 5; done++) {
             for (int i = 0; i < PlacementQueue.TURN_INTERVAL; i++) {
                 queue.add(waiting(number++, 0, "high" + i % 2, random), NOW);
-                queue.removePlaced(queue.inOrder(NOW, 16).get(0));
+                queue.removePlaced(queue.inOrder(NOW, 16, queue.turn(any -> true)).get(0), false);
             }
             long low = queue.all().stream().filter(w -> w.request().priority() == 9).count();
             assertEquals(low, 5 - done);
@@ -110,8 +111,8 @@
     private static Map<String, Integer> place(PlacementQueue queue, int count) {
         Map<String, Integer> placed = new HashMap<>();
         for (int i = 0; i < count; i++) {
-            WaitingRequest next = queue.inOrder(0, 16).get(0);
-            queue.removePlaced(next);
+            WaitingRequest next = queue.inOrder(0, 16, queue.turn(any -> true)).get(0);
+            queue.removePlaced(next, false);
             placed.merge(next.request().team(), 1, Integer::sum);
         }
         return placed;
