Place requests once for each message of reports

Each report in a message made the coordinator compare the engines for all waiting requests, so that its load grew with the reports, 20 ms of which share a message. It now does so once after all reports of a message. The timer of the coordinator has become a class of its own.

PlacementServerTest.reportsOfOneMessageCauseOneDispatch failed before.

--- a/core/src/main/java/org/boragethread/core/placement/EngineTable.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineTable.java
@@ -76,6 +76,11 @@
         return true;
     }
 
+    /** Returns whether any listed engine has a prefix in its cache. */
+    boolean isPrefixCached(long prefix) {
+        return mListed.stream().anyMatch(engine -> engine.isPrefixCached(prefix));
+    }
+
     /** Returns the engines that a request may use, busy ones included. */
     List<EngineLoad> usable(PlacementRequest request) {
         List<EngineLoad> usable = new ArrayList<>(mListed.size());
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -50,7 +50,7 @@
 
     private final EngineDirectory mDirectory;
     private final EngineMemory mMemory;
-    private final Scheduler mScheduler;
+    private final WakeTimer mTimer;
     private final TimeSource mTime;
     private final Supervisor mSupervisor;
     private final EngineTable mEngines = new EngineTable();
@@ -65,10 +65,9 @@
     private double mReportMillis = INITIAL_REPORT_MILLIS;
     private long mDirectoryReadAt;
     private boolean mDirectoryRead;
+    private boolean mBatching;
     private long mNextArrival;
     private long mNextPlaced;
-    private Optional<Scheduler.Timer> mTimer = Optional.empty();
-    private long mTimerAt;
     private double mNextOpenMillis;
 
     /**
@@ -86,7 +85,7 @@
             Supervisor supervisor) {
         mDirectory = engines;
         mMemory = new EngineMemory(engines, limitMemory);
-        mScheduler = scheduler;
+        mTimer = new WakeTimer(scheduler, this::onTimer);
         mTime = time;
         mSupervisor = supervisor;
     }
@@ -128,9 +127,7 @@
     private WaitingRequest waiting(
             PlacementRequest request, PlacementRecipient recipient, long now) {
         mTimes.resetIfOld(now);
-        boolean cached =
-                mEngines.listed().stream()
-                        .anyMatch(engine -> engine.isPrefixCached(request.prefixHash()));
+        boolean cached = mEngines.isPrefixCached(request.prefixHash());
         long tokens = request.promptTokens() - (cached ? request.prefixTokens() : 0);
         double work = mTimes.expectedMillis(tokens);
         return new WaitingRequest(request, recipient, now, mNextArrival++, work);
@@ -140,12 +137,9 @@
         if (mMemory.isTooLarge(request)) {
             return Optional.of(PlacementRefusal.Reason.TOO_LARGE);
         }
-        for (EngineLoad engine : mEngines.listed()) {
-            if (EngineTable.isUsable(engine, request)) {
-                return Optional.empty();
-            }
-        }
-        return Optional.of(PlacementRefusal.Reason.NO_ENGINE);
+        return mEngines.usable(request).isEmpty()
+                ? Optional.of(PlacementRefusal.Reason.NO_ENGINE)
+                : Optional.empty();
     }
 
     private void refuseIfHopeless(WaitingRequest waiting, long now) {
@@ -304,7 +298,24 @@
         return mEngines.find(engine).map(EngineLoad::placed).orElse(0);
     }
 
+    /**
+     * Runs steps that report to this coordinator, and places requests once after them. A dispatch
+     * compares all engines for many requests.
+     */
+    public void batch(Runnable steps) {
+        mBatching = true;
+        try {
+            steps.run();
+        } finally {
+            mBatching = false;
+            dispatch();
+        }
+    }
+
     private void dispatch() {
+        if (mBatching) {
+            return;
+        }
         long now = mTime.nanoTime();
         dropExpired(now);
         refuseExpired(now);
@@ -337,8 +348,7 @@
     private void refuseWithoutEngine(long now) {
         List<WaitingRequest> without = new ArrayList<>();
         for (WaitingRequest waiting : mQueue.all()) {
-            if (mEngines.listed().stream()
-                    .noneMatch(engine -> EngineTable.isUsable(engine, waiting.request()))) {
+            if (mEngines.usable(waiting.request()).isEmpty()) {
                 without.add(waiting);
             }
         }
@@ -477,17 +487,12 @@
             next = Math.min(next, now + (long) (Math.min(POLL_MILLIS, open) * 1e6));
             next = Math.min(next, mQueue.nextExpiry().getAsLong());
         }
-        if (next == Long.MAX_VALUE || mTimer.isPresent() && mTimerAt <= next) {
-            return;
+        if (next != Long.MAX_VALUE) {
+            mTimer.wakeAt(next, now);
         }
-        mTimer.ifPresent(Scheduler.Timer::cancel);
-        mTimerAt = next;
-        Duration delay = Duration.ofNanos(Math.max(0, next - now));
-        mTimer = Optional.of(mScheduler.schedule(delay, this::onTimer));
     }
 
     private void onTimer() {
-        mTimer = Optional.empty();
         // Without another timer, requests would wait for ever if no message comes.
         mSupervisor.run(this::dispatch, () -> scheduleWake(mTime.nanoTime()));
     }
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
@@ -151,17 +151,24 @@
         if (sender.isEmpty()) {
             return ReportResult.REFUSED;
         }
+        coordination.run(
+                () ->
+                        coordination.mCoordinator.batch(
+                                () -> apply(coordination, sender.get(), reports)));
+        return sender.get().mRestored ? ReportResult.CONFIRMED : ReportResult.RESTORE_NEEDED;
+    }
+
+    private void apply(Coordination coordination, Sender sender, PlacementReports reports) {
         if (reports.hasRestore()) {
-            if (coordination.restore(sender.get(), reports, mTime)) {
-                sender.get().onRestored(mTime.nanoTime());
+            if (coordination.restore(sender, reports, mTime)) {
+                sender.onRestored(mTime.nanoTime());
             }
             coordination.updateUnreported();
         }
-        coordination.add(sender.get(), reports.getHeldList(), mTime);
+        coordination.add(sender, reports.getHeldList(), mTime);
         for (PlacementReport report : reports.getReportsList()) {
-            coordination.apply(sender.get(), report);
+            coordination.apply(sender, report);
         }
-        return sender.get().mRestored ? ReportResult.CONFIRMED : ReportResult.RESTORE_NEEDED;
     }
 
     /**
--- a/entry/src/test/java/org/boragethread/entry/placement/OneEngine.java
+++ b/entry/src/test/java/org/boragethread/entry/placement/OneEngine.java
@@ -24,6 +24,7 @@
     static final UpstreamId ENGINE = new UpstreamId("engine");
     static final int PROMPT_TOKENS = 600;
 
+    private int mLimitReads;
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final List<Throwable> mFailures = new ArrayList<>();
     private final Supervisor mSupervisor =
@@ -69,8 +70,14 @@
                         ENGINE, 1, new DataCentreId("north"), false, false, Optional.empty()));
     }
 
+    /** Returns how often the limits were read, as is done for each choice of an engine. */
+    int limitReads() {
+        return mLimitReads;
+    }
+
     @Override
     public EngineLimits limits() {
+        mLimitReads++;
         return new EngineLimits(4, 1000);
     }
 }
--- a/entry/src/test/java/org/boragethread/entry/placement/PlacementServerTest.java
+++ b/entry/src/test/java/org/boragethread/entry/placement/PlacementServerTest.java
@@ -201,6 +201,23 @@
         assertEquals(mOutcomes.get(1), "r101 engine");
     }
 
+    // Guards against a coordinator that is overloaded, because it chooses engines for all waiting
+    // requests after each report.
+    @Test
+    public void reportsOfOneMessageCauseOneDispatch() {
+        place(1);
+        place(2);
+        PlacementReports.Builder message = reports(SENDER);
+        for (int i = 0; i < 100; i++) {
+            message.addReportsBuilder()
+                    .setNumber(1)
+                    .setEvent(PlacementEvent.PLACEMENT_EVENT_FIRST_EVENT);
+        }
+        int before = mEngine.limitReads();
+        mServer.apply(message.build());
+        assertEquals(mEngine.limitReads(), before + 1);
+    }
+
     // Guards against a malformed request that stops all reports of its entry.
     @Test
     public void malformedHeldRequestIsSkipped() {
