--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -1,12 +1,15 @@
 package org.boragethread.entry.gateway;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.boragethread.core.placement.PlacementCoordinator;
 import org.boragethread.core.placement.PlacementRefusal;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.UpstreamChooser;
@@ -79,16 +82,40 @@
             RequestEnd end) {
         mLocal = local;
         mCount = count;
-        if (!mShared || mGateway.rollouts().isRunning(group())) {
-            receiver.accept(selectLocally());
+        if (!mShared) {
+            receiver.accept(mLocal.apply(parts().placement().choiceRequest()));
+        } else if (mGateway.rollouts().isRunning(group())) {
+            receiver.accept(mLocal.apply(choiceWithinShare()));
         } else if (!mPending) {
             mRejected.clear();
             ask(receiver, end);
         }
     }
 
+    /**
+     * Selects an engine without the coordinator, as other entries may do at the same time. Of equal
+     * ones each entry prefers another one, since idle engines are equal for all.
+     */
     private Optional<UpstreamNode> selectLocally() {
-        return mLocal.apply(parts().placement().choiceRequest());
+        String entry = mGateway.settings().peerAddress();
+        long seed = Hashing.komihash5_0().hashCharsToLong(entry);
+        return mLocal.apply(choiceWithinShare().withTieSeed(seed));
+    }
+
+    /** Returns the selection criteria for engines with room in this process's share of memory. */
+    private ChoiceRequest choiceWithinShare() {
+        List<UpstreamNode> full =
+                MemoryShare.findFull(
+                        mGateway,
+                        parts().group(),
+                        parts().admitted().promptTokens(),
+                        outputTokens());
+        return parts().placement().choiceWithout(full);
+    }
+
+    private long outputTokens() {
+        return HeaderDecoder.maxOutputTokens(mRequest.headers().get(PlatformHeaders.TOKENS))
+                .orElse(0);
     }
 
     private void ask(Consumer<Optional<UpstreamNode>> receiver, RequestEnd end) {
@@ -123,10 +150,7 @@
                         .setPrefixHash(admitted.affinity())
                         .setPrefixTokens(admitted.prefixTokens())
                         .setPromptTokens(admitted.promptTokens())
-                        .setOutputTokens(
-                                HeaderDecoder.maxOutputTokens(
-                                                mRequest.headers().get(PlatformHeaders.TOKENS))
-                                        .orElse(0))
+                        .setOutputTokens(outputTokens())
                         .setPriority(admitted.priority())
                         .setTeam(admitted.team())
                         .setTargetLeftNanos(target - now)
@@ -187,6 +211,36 @@
         mPending = false;
     }
 
+    /**
+     * Ends the request and returns true if it fits into no engine's memory, which is known before
+     * its stages run.
+     */
+    boolean isTooLarge(RequestEnd end) {
+        if (!mShared || !mGateway.settings().scheduling().engineMemoryEnforced()) {
+            return false;
+        }
+        EngineLimits limits = parts().group().engine().orElseThrow();
+        long tokens = limits.memoryTokens(parts().admitted().promptTokens(), outputTokens());
+        if (tokens <= limits.cacheTokens()) {
+            return false;
+        }
+        failTooLarge(end, PlacementCoordinator.TOO_LARGE_RETRY);
+        return true;
+    }
+
+    private void failTooLarge(RequestEnd end, Duration retryAfter) {
+        String detail =
+                "prompt and output exceed the memory of an engine of %s, %d tokens: ask for less"
+                        .formatted(
+                                group(),
+                                parts().group().engine().map(EngineLimits::cacheTokens).orElse(0L));
+        end.fail(RefusalReason.NO_UPSTREAM, detail, retryDelay(retryAfter));
+    }
+
+    private Duration retryDelay(Duration delay) {
+        return RetryDelays.afterRejection(delay, mRequest.unitHash());
+    }
+
     private RequestParts parts() {
         return mParts.orElseThrow();
     }
@@ -252,11 +306,11 @@
                 mReceiver.accept(selectLocally());
                 return;
             }
-            boolean isTooLarge = reason == PlacementRefusal.Reason.TOO_LARGE;
-            mEnd.fail(
-                    isTooLarge ? RefusalReason.NO_UPSTREAM : RefusalReason.DEADLINE_HOPELESS,
-                    isTooLarge ? tooLarge() : hopeless(reason),
-                    RetryDelays.afterRejection(retryAfter, mRequest.unitHash()));
+            if (reason == PlacementRefusal.Reason.TOO_LARGE) {
+                failTooLarge(mEnd, retryAfter);
+                return;
+            }
+            mEnd.fail(RefusalReason.DEADLINE_HOPELESS, hopeless(reason), retryDelay(retryAfter));
         }
 
         private String hopeless(PlacementRefusal.Reason reason) {
@@ -265,13 +319,6 @@
                     : "no engine of %s can respond in time".formatted(group());
         }
 
-        private String tooLarge() {
-            return "prompt and output exceed the memory of an engine of %s, %d tokens: ask for less"
-                    .formatted(
-                            group(),
-                            parts().group().engine().map(EngineLimits::cacheTokens).orElse(0L));
-        }
-
         @Override
         public void onUnavailable() {
             onDecided();
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementRouter.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -16,6 +17,7 @@
 import org.boragethread.core.time.Scheduler;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.Names;
+import org.boragethread.model.routing.EngineLimits;
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.UpstreamId;
 import org.boragethread.process.log.EventLog;
@@ -52,6 +54,7 @@
     private final EntryIncarnation mSelf;
     private final CoordinatorTable mCoordinators;
     private final CoordinatorLink mPeers;
+    private final PlacementServer mServer;
     private final CoordinatorLink mLocal;
     private final Scheduler mScheduler;
     private final TimeSource mTime;
@@ -90,6 +93,7 @@
         mSelf = self;
         mCoordinators = coordinators;
         mPeers = peers;
+        mServer = server;
         mSupervisor = supervisor;
         mGuard = supervisor.guard();
         mLocal = new LocalCoordinatorLink(server, mGuard);
@@ -115,7 +119,7 @@
             return () -> {};
         }
         mLastNumber++;
-        PendingPlacement pending = new PendingPlacement(state, term.get(), number(needs), outcome);
+        PendingPlacement pending = new PendingPlacement(state, term.get(), needs, outcome);
         state.mPending.put(mLastNumber, pending);
         try {
             pending.start();
@@ -133,27 +137,41 @@
         Optional<Term> term = state.currentTerm();
         mLastNumber++;
         ReportedAttempt attempt =
-                new ReportedAttempt(state, number(needs), engine, mTime, mMetrics);
+                new ReportedAttempt(
+                        state, PlacementCodec.number(needs, mLastNumber), engine, mTime, mMetrics);
         state.mAttempts.put(mLastNumber, attempt);
         state.watch();
         term.ifPresent(current -> current.mOutbox.add(attempt.encode()));
         return attempt;
     }
 
+    /**
+     * Tells the coordinators of groups that have changed what this entry has there, even if that is
+     * nothing: they place nothing until they know it of all entries.
+     */
+    public void restore(Collection<GroupId> groups) {
+        groups.forEach(group -> group(group).currentTerm());
+    }
+
     /** Restores what coordinators know that have changed. */
     public void onMembersChanged() {
         mGroups.values().stream().filter(Group::isActive).forEach(Group::currentTerm);
     }
 
+    /** Returns the tokens that requests of this entry may hold at each engine. */
+    public Map<UpstreamId, Long> tokensAtEngines(GroupId group, EngineLimits limits) {
+        Map<UpstreamId, Long> tokens = new HashMap<>();
+        for (ReportedAttempt attempt : group(group).mAttempts.values()) {
+            tokens.merge(attempt.engine(), attempt.memoryTokens(limits), Long::sum);
+        }
+        return tokens;
+    }
+
     /** Returns the number of requests of this entry that wait for a decision. */
     public int waiting() {
         return mGroups.values().stream().mapToInt(group -> group.mPending.size()).sum();
     }
 
-    private PlacementNeeds number(PlacementNeeds.Builder needs) {
-        return needs.setNumber(mLastNumber).build();
-    }
-
     private Group group(GroupId id) {
         return mGroups.computeIfAbsent(id, Group::new);
     }
@@ -265,6 +283,7 @@
             }
             mTerm.ifPresent(term -> term.mOutbox.close());
             mTerm = coordinator.map(address -> new Term(this, address));
+            mTerm.filter(Term::isLocal).ifPresent(term -> mServer.onTermBegun(mId));
             mTerm.ifPresent(term -> term.mOutbox.restore());
             mMetrics.onPlacementCoordinator();
             mLog.event("placement-coordinator")
@@ -331,6 +350,7 @@
 
         private final Group mGroup;
         private final Term mTerm;
+        private final String mRequestId;
         private final PlacementNeeds mNeeds;
         private final PlacementOutcome mOutcome;
         private final CallbackGuard.Owner mOwner = mGuard.current();
@@ -339,10 +359,12 @@
         private Scheduler.Timer mTimer = () -> {};
         private boolean mEnded;
 
-        PendingPlacement(Group group, Term term, PlacementNeeds needs, PlacementOutcome outcome) {
+        PendingPlacement(
+                Group group, Term term, PlacementNeeds.Builder needs, PlacementOutcome outcome) {
             mGroup = group;
             mTerm = term;
-            mNeeds = needs;
+            mRequestId = needs.getRequestId();
+            mNeeds = PlacementCodec.number(needs, mLastNumber);
             mOutcome = outcome;
         }
 
@@ -424,7 +446,7 @@
 
         private void fallBack(String reason) {
             mMetrics.onPlacement("fallback-" + reason, mTime.since(mAskedAt));
-            logFallback(mNeeds.getRequestId(), mGroup.mId, mTerm.mCoordinator, reason);
+            logFallback(mRequestId, mGroup.mId, mTerm.mCoordinator, reason);
             mOutcome.onUnavailable();
         }
 
