--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/configcheck/GroupUse.java
@@ -0,0 +1,75 @@
+package org.boragethread.core.configcheck;
+
+import java.util.Optional;
+import org.boragethread.model.routing.Route;
+import org.boragethread.model.routing.RoutedGroup;
+import org.boragethread.model.routing.RoutingConfig;
+import org.boragethread.model.upstream.GroupId;
+
+/** Finds groups that nothing uses, and uses of groups that cannot serve them. */
+final class GroupUse {
+
+    private static final String UNKNOWN_GROUP = "unknown-group";
+
+    private GroupUse() {}
+
+    static Optional<Finding> findUnusedGroup(RoutingConfig config, RoutedGroup group) {
+        for (Route route : config.routes()) {
+            if (isUsed(route, group.id())) {
+                return Optional.empty();
+            }
+        }
+        return Optional.of(
+                Finding.unused(
+                        "unused-group",
+                        Place.group(group.id()),
+                        "no route or stage uses group " + group.id(),
+                        "remove the group, or name it in a route or stage"));
+    }
+
+    private static boolean isUsed(Route route, GroupId group) {
+        return route.groups().stream().anyMatch(target -> target.group().equals(group))
+                || route.stages().stream().anyMatch(stage -> stage.group().equals(group));
+    }
+
+    static Optional<Finding> findUnknownGroup(RoutingConfig config, Route route, int index) {
+        for (int i = 0; i < route.groups().size(); i++) {
+            GroupId group = route.groups().get(i).group();
+            if (!config.groups().containsKey(group)) {
+                return Optional.of(
+                        Finding.unused(
+                                UNKNOWN_GROUP,
+                                Place.route(index).at(Field.WEIGHTED_GROUPS, i).at(Field.GROUP),
+                                "group %s does not exist: its requests get 503 no-upstream"
+                                        .formatted(group),
+                                "add the group, or correct its name"));
+            }
+        }
+        return Optional.empty();
+    }
+
+    static Optional<Finding> findUnusableStageGroup(RoutingConfig config, int route, int stage) {
+        GroupId id = config.routes().get(route).stages().get(stage).group();
+        Place place = Place.stage(route, stage).at(Field.GROUP);
+        RoutedGroup group = config.groups().get(id);
+        if (group == null) {
+            return Optional.of(
+                    Finding.unused(
+                            UNKNOWN_GROUP,
+                            place,
+                            "group %s does not exist: requests with pieces of the stage fail"
+                                    .formatted(id),
+                            "add the group, or correct its name"));
+        }
+        if (group.batch().isEmpty()) {
+            return Optional.of(
+                    Finding.unused(
+                            "no-batch-limits",
+                            place,
+                            "group %s runs no pieces: requests with pieces of the stage fail"
+                                    .formatted(id),
+                            "give the group limits of calls with pieces"));
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/configcheck/KeyRule.java
@@ -0,0 +1,49 @@
+package org.boragethread.core.configcheck;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.boragethread.model.routing.KeyHolder;
+import org.boragethread.model.routing.Route;
+import org.boragethread.model.routing.RoutingConfig;
+
+/** Finds API keys that no route asks for, or that no request can carry. */
+final class KeyRule implements ConfigRule {
+
+    @Override
+    public List<Finding> check(RoutingConfig config) {
+        Map<String, KeyHolder> keys = new TreeMap<>(config.keys().orElse(Map.of()));
+        List<Finding> findings = new ArrayList<>();
+        boolean allPublic = config.routes().stream().allMatch(Route::publicAccess);
+        if (!keys.isEmpty() && allPublic) {
+            findings.add(
+                    Finding.unused(
+                            "unneeded-keys",
+                            Place.of(Field.TEAMS),
+                            "no route asks for an API key",
+                            "remove the keys, or make a route not public"));
+        }
+        keys.forEach(
+                (key, holder) -> {
+                    if (!isSendable(key)) {
+                        findings.add(
+                                Finding.unused(
+                                        "unmatchable-key",
+                                        Place.team(holder.team()).at(Field.KEYS),
+                                        "no request can carry key %s of team %s"
+                                                .formatted(KeyMask.mask(key), holder.team()),
+                                        "use a key of printable ASCII characters that neither"
+                                                + " begins nor ends with a space"));
+                    }
+                });
+        return findings;
+    }
+
+    /** Returns whether a key equals what gateways read from a header, which they trim. */
+    private static boolean isSendable(String key) {
+        return !key.isEmpty()
+                && key.equals(key.trim())
+                && key.chars().allMatch(c -> c >= ' ' && c < 0x7f);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/configcheck/RouteLimits.java
@@ -0,0 +1,78 @@
+package org.boragethread.core.configcheck;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.boragethread.model.routing.RequestKind;
+import org.boragethread.model.routing.Route;
+import org.boragethread.model.routing.RoutingConfig;
+
+/** Finds limits of a route that contradict each other. */
+final class RouteLimits {
+
+    private RouteLimits() {}
+
+    static Optional<Finding> findNoTime(RoutingConfig config, Route route, int index) {
+        if (route.timeout().toMillis() > 0) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                Finding.contradiction(
+                        "no-time",
+                        Place.route(index).at(Field.TIMEOUT),
+                        "route %s allows requests no time: all are refused"
+                                .formatted(route.label()),
+                        "use a time-out of 1 ms or more"));
+    }
+
+    static Optional<Finding> findLateTarget(RoutingConfig config, Route route, int index) {
+        if (route.targetLatency().compareTo(route.timeout()) <= 0) {
+            return Optional.empty();
+        }
+        return Optional.of(late("late-target", index, Field.TARGET_LATENCY, route.targetLatency()));
+    }
+
+    static Optional<Finding> findLateGap(RoutingConfig config, Route route, int index) {
+        boolean isStream = route.kind() == RequestKind.STREAMING;
+        if (!isStream || route.targetGap().compareTo(route.timeout()) <= 0) {
+            return Optional.empty();
+        }
+        return Optional.of(late("late-gap", index, Field.TARGET_GAP, route.targetGap()));
+    }
+
+    private static Finding late(String rule, int index, Field field, Duration target) {
+        return Finding.contradiction(
+                rule,
+                Place.route(index).at(field),
+                "the target of %d ms is longer than the route's time-out"
+                        .formatted(target.toMillis()),
+                "use a target up to the time-out; the default is 1000 ms");
+    }
+
+    static Optional<Finding> findUnusedAttempts(RoutingConfig config, Route route, int index) {
+        if (route.maxAttempts() <= 1 || route.isIdempotent()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                Finding.contradiction(
+                        "unused-attempts",
+                        Place.route(index).at(Field.MAX_ATTEMPTS),
+                        "%d attempts are allowed, and requests of route %s run at most once"
+                                .formatted(route.maxAttempts(), route.label()),
+                        "allow 1 attempt; if repeating does no harm, make the route safe, or"
+                                + " its streams resumable"));
+    }
+
+    static Optional<Finding> findResumptionWithoutStream(
+            RoutingConfig config, Route route, int index) {
+        if (!route.resumable() || route.kind() == RequestKind.STREAMING) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                Finding.contradiction(
+                        "resumable-without-stream",
+                        Place.route(index).at(Field.RESUMABLE),
+                        "route %s is resumable, and its kind is not streaming"
+                                .formatted(route.label()),
+                        "make the kind streaming, or leave resumption out"));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/boragethread/core/configcheck/StageLimits.java
@@ -0,0 +1,151 @@
+package org.boragethread.core.configcheck;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import org.boragethread.model.routing.BatchLimits;
+import org.boragethread.model.routing.Route;
+import org.boragethread.model.routing.RouteStage;
+import org.boragethread.model.routing.RoutedGroup;
+import org.boragethread.model.routing.RoutingConfig;
+
+/** Finds stages that contradict the limits of their route, their group or each other. */
+final class StageLimits {
+
+    private StageLimits() {}
+
+    /** Finds stages whose longest chain takes longer than their route, with one piece in each. */
+    static Optional<Finding> findLongStages(RoutingConfig config, Route route, int index) {
+        Duration longest = Duration.ZERO;
+        for (Optional<Duration> end : ends(config, route)) {
+            if (end.isPresent() && end.get().compareTo(longest) > 0) {
+                longest = end.get();
+            }
+        }
+        if (longest.compareTo(route.timeout()) <= 0) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                Finding.contradiction(
+                        "long-stages",
+                        Place.route(index).at(Field.TIMEOUT),
+                        "the stages take %d ms with one piece each, longer than the time-out"
+                                .formatted(longest.toMillis()),
+                        "use a longer time-out, or correct the times of calls"));
+    }
+
+    static Optional<Finding> findStageThatNeverStarts(RoutingConfig config, int route, int stage) {
+        if (ends(config, config.routes().get(route)).get(stage).isPresent()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                Finding.contradiction(
+                        "stage-never-starts",
+                        Place.stage(route, stage).at(Field.AFTER),
+                        "the stage needs itself, or a stage that does not exist or never starts",
+                        "name stages of this route by number from 0, without a cycle"));
+    }
+
+    /**
+     * Returns when each stage ends if each has one piece and waits for none; empty for those that
+     * never start.
+     */
+    private static List<Optional<Duration>> ends(RoutingConfig config, Route route) {
+        int count = route.stages().size();
+        List<Optional<Duration>> ends =
+                new ArrayList<>(Collections.nCopies(count, Optional.empty()));
+        // Each round determines at least one stage, or no further one starts.
+        for (int round = 0; round < count; round++) {
+            for (int i = 0; i < count; i++) {
+                RouteStage stage = route.stages().get(i);
+                Duration own =
+                        batch(config, stage).map(b -> b.expectedTime(1)).orElse(Duration.ZERO);
+                ends.set(i, latest(ends, stage.after()).map(start -> start.plus(own)));
+            }
+        }
+        return ends;
+    }
+
+    private static Optional<Duration> latest(List<Optional<Duration>> ends, List<Integer> after) {
+        Duration latest = Duration.ZERO;
+        for (int input : after) {
+            if (input < 0 || input >= ends.size() || ends.get(input).isEmpty()) {
+                return Optional.empty();
+            }
+            Duration end = ends.get(input).get();
+            latest = end.compareTo(latest) > 0 ? end : latest;
+        }
+        return Optional.of(latest);
+    }
+
+    static Optional<Finding> findLongFullCall(RoutingConfig config, int route, int stage) {
+        Route owner = config.routes().get(route);
+        Optional<BatchLimits> limits = batch(config, owner.stages().get(stage));
+        if (limits.isEmpty() || limits.get().batch() <= 1) {
+            return Optional.empty();
+        }
+        Duration time = limits.get().expectedTime(limits.get().batch());
+        if (time.compareTo(owner.timeout()) <= 0) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                Finding.contradiction(
+                        "long-full-call",
+                        Place.stage(route, stage),
+                        "a call with %d pieces takes longer than the time-out of route %s"
+                                .formatted(limits.get().batch(), owner.label()),
+                        "allow fewer pieces in a call, or use a longer time-out"));
+    }
+
+    static Optional<Finding> findLargeResults(RoutingConfig config, int route, int stage) {
+        RouteStage definition = config.routes().get(route).stages().get(stage);
+        Optional<BatchLimits> limits = batch(config, definition);
+        if (limits.isEmpty() || definition.resultBytes() <= 0) {
+            return Optional.empty();
+        }
+        long room = limits.get().resultBytes() / definition.resultBytes();
+        if (room >= limits.get().batch()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                Finding.contradiction(
+                        "large-results",
+                        Place.stage(route, stage).at(Field.STAGE_RESULT_BYTES),
+                        "upstreams of group %s have memory for %d results, and calls have %d pieces"
+                                .formatted(definition.group(), room, limits.get().batch()),
+                        "allow fewer pieces in a call, or correct the sizes of results or memory"));
+    }
+
+    /** Finds results that are dropped before a call with one piece could have used them. */
+    static Optional<Finding> findShortResultTime(RoutingConfig config, int route, int stage) {
+        Route owner = config.routes().get(route);
+        RouteStage definition = owner.stages().get(stage);
+        Optional<BatchLimits> limits = batch(config, definition);
+        for (int input : definition.after()) {
+            if (limits.isEmpty() || input < 0 || input >= owner.stages().size()) {
+                continue;
+            }
+            Duration kept =
+                    batch(config, owner.stages().get(input))
+                            .map(BatchLimits::resultTime)
+                            .orElse(Duration.ZERO);
+            // Zero means that the time is not known.
+            if (!kept.isZero() && kept.compareTo(limits.get().expectedTime(1)) < 0) {
+                return Optional.of(
+                        Finding.contradiction(
+                                "short-result-time",
+                                Place.stage(route, stage).at(Field.AFTER),
+                                "results of stage %d are dropped after %d ms, while this one runs"
+                                        .formatted(input, kept.toMillis()),
+                                "keep results for longer, or correct the times of calls"));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<BatchLimits> batch(RoutingConfig config, RouteStage stage) {
+        return Optional.ofNullable(config.groups().get(stage.group())).flatMap(RoutedGroup::batch);
+    }
+}
