--- a/entry/src/main/java/org/boragethread/entry/EntryMain.java
+++ b/entry/src/main/java/org/boragethread/entry/EntryMain.java
@@ -1,6 +1,7 @@
 package org.boragethread.entry;
 
 import org.boragethread.entry.command.CheckCommand;
+import org.boragethread.entry.command.CheckConfigCommand;
 import org.boragethread.entry.command.ConfirmCommand;
 import org.boragethread.entry.command.ExplainCommand;
 import org.boragethread.entry.command.IntentCommand;
@@ -26,6 +27,7 @@
                         .add("check-gateway", GatewayCheckCommand::new)
                         .add("load-classes", LoadClassesCommand::new)
                         .add("check", CheckCommand::new)
+                        .add("check-config", CheckConfigCommand::new)
                         .add("intent", IntentCommand::new)
                         .add("confirm", ConfirmCommand::new)
                         .add("status", StatusCommand::new)
