Check large configuration documents in time linear in their size

check-config built a routing table for each route, searched all routes for each service, and searched all services of the document for the place of each finding. The place of a key is found by the key itself: the last tenant with the name was given before, which is wrong if two tenants have one name.

--- a/core/src/main/java/org/boragethread/core/configcheck/ConfigCheck.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/ConfigCheck.java
@@ -8,11 +8,11 @@
 
     private static final List<ConfigRule> RULES =
             List.of(
-                    ConfigRule.ofRoutes(RouteUse::findShadowing),
+                    RouteUse::findShadowedRoutes,
                     ConfigRule.ofRoutes(RouteUse::findUnmatchableHost),
                     ConfigRule.ofRoutes(RouteUse::findUnmatchablePath),
                     ConfigRule.ofRoutes(RouteUse::findMissingKeys),
-                    ConfigRule.ofGroups(GroupUse::findUnusedGroup),
+                    GroupUse::findUnusedGroups,
                     new WeightRule(),
                     ConfigRule.ofRoutes(GroupUse::findUnknownGroup),
                     ConfigRule.ofStages(GroupUse::findUnusableStageGroup),
--- a/core/src/main/java/org/boragethread/core/configcheck/GroupUse.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/GroupUse.java
@@ -1,6 +1,9 @@
 package org.boragethread.core.configcheck;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.boragethread.model.routing.Route;
 import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.routing.RoutingConfig;
@@ -13,23 +16,21 @@
 
     private GroupUse() {}
 
-    static Optional<Finding> findUnusedGroup(RoutingConfig config, RoutedGroup group) {
+    static List<Finding> findUnusedGroups(RoutingConfig config) {
+        Set<GroupId> unused = new TreeSet<>(config.groups().keySet());
         for (Route route : config.routes()) {
-            if (isUsed(route, group.id())) {
-                return Optional.empty();
-            }
+            route.groups().forEach(target -> unused.remove(target.group()));
+            route.stages().forEach(stage -> unused.remove(stage.group()));
         }
-        return Optional.of(
-                Finding.unused(
-                        "unused-group",
-                        Place.group(group.id()),
-                        "no route or stage uses group " + group.id(),
-                        "remove the group, or name it in a route or stage"));
-    }
-
-    private static boolean isUsed(Route route, GroupId group) {
-        return route.groups().stream().anyMatch(target -> target.group().equals(group))
-                || route.stages().stream().anyMatch(stage -> stage.group().equals(group));
+        return unused.stream()
+                .map(
+                        group ->
+                                Finding.unused(
+                                        "unused-group",
+                                        Place.group(group),
+                                        "no route or stage uses group " + group,
+                                        "remove the group, or name it in a route or stage"))
+                .toList();
     }
 
     static Optional<Finding> findUnknownGroup(RoutingConfig config, Route route, int index) {
--- a/core/src/main/java/org/boragethread/core/configcheck/KeyRule.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/KeyRule.java
@@ -30,7 +30,7 @@
                         findings.add(
                                 Finding.unused(
                                         "unmatchable-key",
-                                        Place.team(holder.team()).at(Field.KEYS),
+                                        Place.keys(key),
                                         "no request can carry key %s of team %s"
                                                 .formatted(KeyMask.mask(key), holder.team()),
                                         "use a key of printable ASCII characters that neither"
--- a/core/src/main/java/org/boragethread/core/configcheck/Place.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/Place.java
@@ -16,7 +16,8 @@
      * One field on the way to a place.
      *
      * @param field the field
-     * @param element which element of a list; the name of a group or team, or else an index
+     * @param element which element of a list; the name of a group, a key of a team, or else an
+     *     index
      */
     public record Step(Field field, Optional<String> element) {}
 
@@ -41,8 +42,9 @@
         return new Place(List.of(new Step(Field.GROUPS, Optional.of(group.value()))));
     }
 
-    static Place team(String name) {
-        return new Place(List.of(new Step(Field.TEAMS, Optional.of(name))));
+    /** Returns the place of the keys of the team that holds a key; several may have one name. */
+    static Place keys(String key) {
+        return new Place(List.of(new Step(Field.TEAMS, Optional.of(key)))).at(Field.KEYS);
     }
 
     /** Returns the place of a field of the object at this place. */
--- a/core/src/main/java/org/boragethread/core/configcheck/RouteUse.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/RouteUse.java
@@ -1,8 +1,10 @@
 package org.boragethread.core.configcheck;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.model.routing.Route;
 import org.boragethread.model.routing.RoutingConfig;
 
@@ -11,22 +13,24 @@
 
     private RouteUse() {}
 
-    /** Finds the route that gets all requests of the given one. */
-    static Optional<Finding> findShadowing(RoutingConfig config, Route route, int index) {
-        RoutingTable table = new RoutingTable();
-        table.replace(config);
-        Optional<Route> found = table.find(route.host(), route.pathPrefix());
-        // The table keeps the objects; equal routes may occur twice.
-        if (found.isEmpty() || found.get() == route) {
-            return Optional.empty();
+    /** Finds routes whose requests all go to an earlier one. */
+    static List<Finding> findShadowedRoutes(RoutingConfig config) {
+        Map<List<String>, Route> firstRoutes = new HashMap<>();
+        List<Finding> findings = new ArrayList<>();
+        for (int i = 0; i < config.routes().size(); i++) {
+            Route route = config.routes().get(i);
+            Route first = firstRoutes.putIfAbsent(List.of(route.host(), route.pathPrefix()), route);
+            if (first != null) {
+                findings.add(
+                        Finding.unused(
+                                "shadowed-route",
+                                Place.route(i),
+                                "route %s never matches: route %s has the same host and path prefix"
+                                        .formatted(route.label(), first.label()),
+                                "remove one of them, or give this one a longer path prefix"));
+            }
         }
-        return Optional.of(
-                Finding.unused(
-                        "shadowed-route",
-                        Place.route(index),
-                        "route %s never matches: route %s has the same host and path prefix"
-                                .formatted(route.label(), found.get().label()),
-                        "remove one of them, or give this one a longer path prefix"));
+        return findings;
     }
 
     /**
--- a/entry/src/test/java/org/boragethread/entry/command/CheckConfigCommandTest.java
+++ b/entry/src/test/java/org/boragethread/entry/command/CheckConfigCommandTest.java
@@ -115,6 +115,31 @@
         };
     }
 
+    /** Returns the valid document with further routes, given by name and host. */
+    private static String withRoutes(String... routes) {
+        StringBuilder added = new StringBuilder("\"routes\":[");
+        for (String route : routes) {
+            int space = route.lastIndexOf(' ');
+            added.append("{\"name\":\"%s\",".formatted(route.substring(0, space)))
+                    .append("\"hostname\":\"%s\",".formatted(route.substring(space + 1)))
+                    .append("\"path_prefix\":\"/\",\"kind\":\"safe\",\"service\":\"s1\"},");
+        }
+        return VALID.replace("\"routes\":[", added);
+    }
+
+    // Guards against costs that grow with the square of the number of routes and services.
+    @Test(timeOut = 20_000)
+    public void largeDocumentIsCheckedInTime() {
+        StringBuilder services = new StringBuilder("\"services\":[");
+        String[] routes = new String[20_000];
+        for (int i = 0; i < routes.length; i++) {
+            routes[i] = "r" + i + " h" + i;
+            services.append("{\"name\":\"x%d\"},".formatted(i));
+        }
+        String document = withRoutes(routes).replace("\"services\":[", services);
+        assertEquals(report(document).findings().size(), routes.length);
+    }
+
     @Test(dataProvider = "runs")
     public void exitCodeTellsWhatWasFound(
             String inForce, String checked, int exitCode, String output) throws IOException {
