Compare routes of one host and path prefix by their order

check-config --in-force showed no difference, and no outdated version, if only the order of routes with the same host and path prefix differed, though gateways use the first one. A version is now outdated if the configurations are not equal, and another first route is shown as a difference. Routes are told apart by their label and number instead of a text with both, as a route may have the name "a (2)".

CheckConfigCommandTest: the three rows with further routes failed before and pass now.

--- a/core/src/main/java/org/boragethread/core/configcheck/ConfigComparison.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/ConfigComparison.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -10,15 +11,14 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.boragethread.core.configcheck.ConfigDifference.Kind;
 import org.boragethread.core.routing.RoutingTable;
 import org.boragethread.model.routing.KeyHolder;
 import org.boragethread.model.routing.Route;
 import org.boragethread.model.routing.RouteStage;
-import org.boragethread.model.routing.RoutedGroup;
 import org.boragethread.model.routing.RoutingConfig;
 import org.boragethread.model.routing.WeightedGroup;
 
@@ -45,7 +45,7 @@
     public static Optional<Finding> findOutdated(RoutingConfig inForce, RoutingConfig checked) {
         RoutingTable table = new RoutingTable();
         table.replace(inForce);
-        if (table.replace(checked) || compare(inForce, checked).isEmpty()) {
+        if (table.replace(checked) || inForce.equals(checked)) {
             return Optional.empty();
         }
         return Optional.of(
@@ -64,15 +64,9 @@
                 Optional.of(mBefore),
                 Optional.of(mAfter),
                 Map.of(Place.of(Field.VERSION), RoutingConfig::version));
-        compareMaps("route ", ComparedFields.ROUTE, config -> byLabel(config));
-        compareMaps(
-                "group ",
-                ComparedFields.GROUP,
-                config -> {
-                    Map<String, RoutedGroup> groups = new TreeMap<>();
-                    config.groups().forEach((id, group) -> groups.put(id.value(), group));
-                    return groups;
-                });
+        compareMaps("route ", ComparedFields.ROUTE, ConfigComparison::byLabel);
+        compareFirstRoutes();
+        compareMaps("group ", ComparedFields.GROUP, RoutingConfig::groups);
         compareObject(
                 "limits",
                 Optional.of(mBefore.bounds()),
@@ -81,20 +75,57 @@
         compareKeys();
     }
 
-    /** Returns routes by their labels; further ones with the same label are numbered. */
-    private static Map<String, Route> byLabel(RoutingConfig config) {
-        Map<String, Route> routes = new TreeMap<>();
+    /** Identifies a route by its label; routes with the same label are numbered from 1. */
+    private record RouteKey(String label, int number) implements Comparable<RouteKey> {
+
+        @Override
+        public int compareTo(RouteKey other) {
+            int order = label.compareTo(other.label);
+            return order == 0 ? Integer.compare(number, other.number) : order;
+        }
+
+        @Override
+        public String toString() {
+            return number == 1 ? label : label + " (" + number + ")";
+        }
+    }
+
+    private static Map<RouteKey, Route> byLabel(RoutingConfig config) {
+        Map<RouteKey, Route> routes = new HashMap<>();
         Map<String, Integer> counts = new HashMap<>();
-        config.routes()
-                .forEach(
-                        route -> {
-                            int number = counts.merge(route.label(), 1, Integer::sum);
-                            String suffix = number == 1 ? "" : " (" + number + ")";
-                            routes.put(route.label() + suffix, route);
-                        });
+        for (Route route : config.routes()) {
+            int number = counts.merge(route.label(), 1, Integer::sum);
+            routes.put(new RouteKey(route.label(), number), route);
+        }
         return routes;
     }
 
+    /** Compares the order of routes with the same host and path prefix: only the first is used. */
+    private void compareFirstRoutes() {
+        Map<List<String>, List<Route>> before = byHostAndPrefix(mBefore);
+        Map<List<String>, List<Route>> after = byHostAndPrefix(mAfter);
+        before.forEach(
+                (key, routes) -> {
+                    List<Route> later = after.getOrDefault(key, List.of());
+                    if (!later.isEmpty() && routes.size() + later.size() > 2) {
+                        compareObject(
+                                "first route of " + String.join("", key),
+                                Optional.of(routes.get(0)),
+                                Optional.of(later.get(0)),
+                                Map.of(Place.of(Field.NAME), Route::label));
+                    }
+                });
+    }
+
+    private static Map<List<String>, List<Route>> byHostAndPrefix(RoutingConfig config) {
+        return config.routes().stream()
+                .collect(
+                        Collectors.groupingBy(
+                                route -> List.of(route.host(), route.pathPrefix()),
+                                LinkedHashMap::new,
+                                Collectors.toList()));
+    }
+
     private void compareKeys() {
         if (mBefore.keys().isPresent() != mAfter.keys().isPresent()) {
             mDifferences.add(
@@ -117,13 +148,13 @@
         }
     }
 
-    private <T> void compareMaps(
+    private <K extends Comparable<K>, T> void compareMaps(
             String kind,
             Map<Place, Function<T, Object>> fields,
-            Function<RoutingConfig, Map<String, T>> objects) {
-        Map<String, T> before = objects.apply(mBefore);
-        Map<String, T> after = objects.apply(mAfter);
-        for (String name : union(before, after)) {
+            Function<RoutingConfig, Map<K, T>> objects) {
+        Map<K, T> before = objects.apply(mBefore);
+        Map<K, T> after = objects.apply(mAfter);
+        for (K name : union(before, after)) {
             compareObject(
                     kind + name,
                     Optional.ofNullable(before.get(name)),
@@ -132,8 +163,8 @@
         }
     }
 
-    private static Set<String> union(Map<String, ?> before, Map<String, ?> after) {
-        Set<String> names = new TreeSet<>(before.keySet());
+    private static <K extends Comparable<K>> Set<K> union(Map<K, ?> before, Map<K, ?> after) {
+        Set<K> names = new TreeSet<>(before.keySet());
         names.addAll(after.keySet());
         return names;
     }
--- a/entry/src/test/java/org/boragethread/entry/command/CheckConfigCommandTest.java
+++ b/entry/src/test/java/org/boragethread/entry/command/CheckConfigCommandTest.java
@@ -102,9 +102,19 @@
                         .replace("\"k2\"", "\"k3\"")
                         .replace("1900", "1800");
         String noSecret = changed.replace(SECRET, "k4");
+        String ordered = withRoutes("a h1", "b h1");
+        String reordered = withRoutes("b h1", "a h1");
         return new Object[][] {
             {VALID, noSecret, ExitCode.OK, "removed key sk_... of team t0"},
             {noSecret.replace(":8", ":6"), VALID, ExitCode.OK, "added key sk_... of team t0"},
+            {ordered, reordered, ExitCode.FAILED, "version 7 is not newer than version 7 in force"},
+            {ordered, reordered, ExitCode.FAILED, "changed first route of h1/ name: a -> b"},
+            {
+                withRoutes("a h1", "a h2", "a (2) h3"),
+                withRoutes("a h1", "a h4", "a (2) h3"),
+                ExitCode.FAILED,
+                "changed route a (2) hostname: h2 -> h4"
+            },
             {VALID, changed, ExitCode.OK, "target_latency_ms: 1900.0 ms -> 1800.0 ms"},
             {VALID, changed, ExitCode.OK, "added key ... of team t0"},
             {VALID, VALID, ExitCode.OK, "0 findings, 0 differences"},
