--- a/core/src/main/java/org/boragethread/core/configcheck/StageLimits.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/StageLimits.java
@@ -5,6 +5,8 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
+import org.boragethread.core.stage.BatchScheduler;
 import org.boragethread.model.routing.BatchLimits;
 import org.boragethread.model.routing.Route;
 import org.boragethread.model.routing.RouteStage;
@@ -36,42 +38,77 @@
                         "use a longer time-out, or correct the times of calls"));
     }
 
-    static Optional<Finding> findStageThatNeverStarts(RoutingConfig config, int route, int stage) {
-        if (ends(config, config.routes().get(route)).get(stage).isPresent()) {
+    static Optional<Finding> findStageCycle(RoutingConfig config, Route route, int index) {
+        List<Optional<Duration>> ends = ends(config, route);
+        List<Integer> waiting =
+                IntStream.range(0, ends.size())
+                        .filter(stage -> ends.get(stage).isEmpty())
+                        .boxed()
+                        .toList();
+        if (waiting.isEmpty()) {
             return Optional.empty();
         }
         return Optional.of(
                 Finding.contradiction(
-                        "stage-never-starts",
-                        Place.stage(route, stage).at(Field.AFTER),
-                        "the stage needs itself, or a stage that does not exist or never starts",
-                        "name stages of this route by number from 0, without a cycle"));
+                        "stage-cycle",
+                        Place.route(index).at(Field.STAGES),
+                        "the stages %s need each other, or stages that do".formatted(waiting),
+                        "remove the cycle"));
+    }
+
+    static Optional<Finding> findUnknownStage(RoutingConfig config, int route, int stage) {
+        List<RouteStage> stages = config.routes().get(route).stages();
+        for (int input : stages.get(stage).after()) {
+            if (!exists(input, stages)) {
+                return Optional.of(
+                        Finding.contradiction(
+                                "unknown-stage",
+                                Place.stage(route, stage).at(Field.AFTER),
+                                "stage %d does not exist: requests with pieces of this stage fail"
+                                        .formatted(input),
+                                "name stages of this route by their numbers from 0"));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static boolean exists(int stage, List<RouteStage> stages) {
+        return stage >= 0 && stage < stages.size();
     }
 
     /**
-     * Returns when each stage ends if each has one piece and waits for none; empty for those that
-     * never start.
+     * Returns when each stage ends if each has one piece and waits for no other work; empty for
+     * those that need themselves. Stages that do not exist are left out.
      */
     private static List<Optional<Duration>> ends(RoutingConfig config, Route route) {
-        int count = route.stages().size();
+        List<RouteStage> stages = route.stages();
         List<Optional<Duration>> ends =
-                new ArrayList<>(Collections.nCopies(count, Optional.empty()));
-        // Each round determines at least one stage, or no further one starts.
-        for (int round = 0; round < count; round++) {
-            for (int i = 0; i < count; i++) {
-                RouteStage stage = route.stages().get(i);
-                Duration own =
-                        batch(config, stage).map(b -> b.expectedTime(1)).orElse(Duration.ZERO);
-                ends.set(i, latest(ends, stage.after()).map(start -> start.plus(own)));
+                new ArrayList<>(Collections.nCopies(stages.size(), Optional.empty()));
+        boolean changed = true;
+        while (changed) {
+            changed = false;
+            for (int i = 0; i < stages.size(); i++) {
+                if (ends.get(i).isEmpty()) {
+                    Duration own =
+                            batch(config, stages.get(i))
+                                    .map(limits -> limits.expectedTime(1))
+                                    .orElse(Duration.ZERO);
+                    ends.set(i, latest(ends, stages, i).map(start -> start.plus(own)));
+                    changed |= ends.get(i).isPresent();
+                }
             }
         }
         return ends;
     }
 
-    private static Optional<Duration> latest(List<Optional<Duration>> ends, List<Integer> after) {
+    private static Optional<Duration> latest(
+            List<Optional<Duration>> ends, List<RouteStage> stages, int stage) {
         Duration latest = Duration.ZERO;
-        for (int input : after) {
-            if (input < 0 || input >= ends.size() || ends.get(input).isEmpty()) {
+        for (int input : stages.get(stage).after()) {
+            if (!exists(input, stages)) {
+                continue;
+            }
+            if (ends.get(input).isEmpty()) {
                 return Optional.empty();
             }
             Duration end = ends.get(input).get();
@@ -105,7 +142,7 @@
         if (limits.isEmpty() || definition.resultBytes() <= 0) {
             return Optional.empty();
         }
-        long room = limits.get().resultBytes() / definition.resultBytes();
+        long room = BatchScheduler.usableBytes(limits.get()) / definition.resultBytes();
         if (room >= limits.get().batch()) {
             return Optional.empty();
         }
@@ -113,8 +150,9 @@
                 Finding.contradiction(
                         "large-results",
                         Place.stage(route, stage).at(Field.STAGE_RESULT_BYTES),
-                        "upstreams of group %s have memory for %d results, and calls have %d pieces"
-                                .formatted(definition.group(), room, limits.get().batch()),
+                        "calls have up to %d pieces but upstreams of group %s have memory for %d"
+                                        .formatted(limits.get().batch(), definition.group(), room)
+                                + " results: full calls wait until an upstream holds no results",
                         "allow fewer pieces in a call, or correct the sizes of results or memory"));
     }
 
@@ -124,7 +162,7 @@
         RouteStage definition = owner.stages().get(stage);
         Optional<BatchLimits> limits = batch(config, definition);
         for (int input : definition.after()) {
-            if (limits.isEmpty() || input < 0 || input >= owner.stages().size()) {
+            if (limits.isEmpty() || !exists(input, owner.stages())) {
                 continue;
             }
             Duration kept =
--- a/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
+++ b/core/src/main/java/org/boragethread/core/stage/BatchScheduler.java
@@ -217,7 +217,7 @@
     }
 
     /** Returns the memory of an upstream that results may fill, in bytes. */
-    static long usableBytes(BatchLimits limits) {
+    public static long usableBytes(BatchLimits limits) {
         return (long) (limits.resultBytes() * USABLE_MEMORY_SHARE);
     }
 
