Name the fields of the document in check-config, and return code 3 for internal errors

Messages and remedies named objects of the code, such as groups and teams, that operators do not find in the document. An unexpected exception ended the process with 1, which means that there are findings; it is now reported with code 3, without its message, which may hold a key.

--- a/core/src/main/java/org/boragethread/core/configcheck/ConfigComparison.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/ConfigComparison.java
@@ -66,7 +66,7 @@
                 Map.of(Place.of(Field.VERSION), RoutingConfig::version));
         compareMaps("route ", ComparedFields.ROUTE, ConfigComparison::byLabel);
         compareFirstRoutes();
-        compareMaps("group ", ComparedFields.GROUP, RoutingConfig::groups);
+        compareMaps("service ", ComparedFields.GROUP, RoutingConfig::groups);
         compareObject(
                 "limits",
                 Optional.of(mBefore.bounds()),
@@ -141,7 +141,7 @@
         for (String key : union(before, after)) {
             KeyHolder holder = after.getOrDefault(key, before.get(key));
             compareObject(
-                    "key %s of team %s".formatted(KeyMask.mask(key), holder.team()),
+                    "key %s of tenant %s".formatted(KeyMask.mask(key), holder.team()),
                     Optional.ofNullable(before.get(key)),
                     Optional.ofNullable(after.get(key)),
                     ComparedFields.KEY_HOLDER);
--- a/core/src/main/java/org/boragethread/core/configcheck/ConfigRule.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/ConfigRule.java
@@ -11,7 +11,7 @@
 /** A rule that a routing configuration is checked by. */
 interface ConfigRule {
 
-    /** Returns what breaks the rule. */
+    /** Returns the violations. */
     List<Finding> check(RoutingConfig config);
 
     /** A rule for each route. */
--- a/core/src/main/java/org/boragethread/core/configcheck/KeyRule.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/KeyRule.java
@@ -31,7 +31,7 @@
                                 Finding.unused(
                                         "unmatchable-key",
                                         Place.keys(key),
-                                        "no request can carry key %s of team %s"
+                                        "no request can carry key %s of tenant %s"
                                                 .formatted(KeyMask.mask(key), holder.team()),
                                         "use a key of printable ASCII characters that neither"
                                                 + " begins nor ends with a space"));
--- a/core/src/main/java/org/boragethread/core/configcheck/RouteUse.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/RouteUse.java
@@ -81,7 +81,7 @@
                 Finding.unused(
                         "no-key",
                         Place.route(index),
-                        "route %s needs an API key, and no team holds one".formatted(route.label()),
-                        "give a team a key, or make the route public"));
+                        "route %s needs an API key but no tenant has one".formatted(route.label()),
+                        "give a tenant a key, or make the route public"));
     }
 }
--- a/core/src/main/java/org/boragethread/core/configcheck/WeightRule.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/WeightRule.java
@@ -28,7 +28,7 @@
         return Finding.unused(
                 "no-weight",
                 Place.route(index).at(Field.WEIGHTED_GROUPS, target).at(Field.WEIGHT),
-                "group %s has weight %s: it gets requests only if no group of route %s has a weight"
+                "service %s has weight %s: it gets requests only if none of route %s has a weight"
                                 .formatted(group.group(), group.weight(), route.label())
                         + " above 0",
                 "remove it from the route, or give it a weight above 0");
--- a/entry/src/main/java/org/boragethread/entry/command/CheckConfigCommand.java
+++ b/entry/src/main/java/org/boragethread/entry/command/CheckConfigCommand.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Optional;
 import org.boragethread.model.routing.RoutingConfig;
 import org.boragethread.platform.store.ConfigDocument;
@@ -14,6 +15,9 @@
 /** Checks a routing configuration before it is sent to the store. */
 public final class CheckConfigCommand implements Command {
 
+    /** Not {@link ExitCode#FAILED}, which says that there are findings. */
+    private static final int INTERNAL_ERROR = 3;
+
     @Option(
             name = "--config",
             required = true,
@@ -40,6 +44,18 @@
 
     @Override
     public int run() {
+        try {
+            return check();
+        } catch (RuntimeException e) {
+            // The message may hold a key.
+            mErr.printf(
+                    "internal error: %s at %s: report it to the developers%n",
+                    e.getClass().getName(), Arrays.stream(e.getStackTrace()).limit(1).toList());
+            return INTERNAL_ERROR;
+        }
+    }
+
+    private int check() {
         Optional<byte[]> body = read(mConfig);
         if (body.isEmpty()) {
             return ExitCode.USAGE;
