--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -41,7 +41,7 @@
     private static final Duration NO_ENGINE_RETRY = Duration.ofSeconds(1);
 
     /** Only a change of the configuration makes room for such a request, so retries are useless. */
-    private static final Duration TOO_LARGE_RETRY = Duration.ofSeconds(30);
+    public static final Duration TOO_LARGE_RETRY = Duration.ofSeconds(30);
 
     /** Weight of the newest report in the average delay of reports. */
     private static final double REPORT_WEIGHT = 0.05;
@@ -49,8 +49,8 @@
     private static final double INITIAL_REPORT_MILLIS = 20;
 
     private final EngineDirectory mDirectory;
-    private final boolean mLimitMemory;
-    private final Scheduler mScheduler;
+    private final EngineMemory mMemory;
+    private final WakeTimer mTimer;
     private final TimeSource mTime;
     private final Supervisor mSupervisor;
     private final EngineTable mEngines = new EngineTable();
@@ -65,10 +65,9 @@
     private double mReportMillis = INITIAL_REPORT_MILLIS;
     private long mDirectoryReadAt;
     private boolean mDirectoryRead;
+    private boolean mBatching;
     private long mNextArrival;
     private long mNextPlaced;
-    private Optional<Scheduler.Timer> mTimer = Optional.empty();
-    private long mTimerAt;
     private double mNextOpenMillis;
 
     /**
@@ -85,8 +84,8 @@
             TimeSource time,
             Supervisor supervisor) {
         mDirectory = engines;
-        mLimitMemory = limitMemory;
-        mScheduler = scheduler;
+        mMemory = new EngineMemory(engines, limitMemory);
+        mTimer = new WakeTimer(scheduler, this::onTimer);
         mTime = time;
         mSupervisor = supervisor;
     }
@@ -110,7 +109,7 @@
         }
         long now = mTime.nanoTime();
         readDirectory(now);
-        WaitingRequest waiting = waiting(withBoundedOutput(request), recipient, now);
+        WaitingRequest waiting = waiting(mMemory.withBoundedOutput(request), recipient, now);
         Optional<PlacementRefusal.Reason> impossible = impossible(waiting.request());
         if (impossible.isPresent()) {
             refuse(waiting, impossible.get(), now);
@@ -125,39 +124,22 @@
         finish(now);
     }
 
-    /**
-     * With limited memory, an unknown output may need all memory that the prompt leaves: engines
-     * crash if their requests exceed it.
-     */
-    private PlacementRequest withBoundedOutput(PlacementRequest request) {
-        if (!mLimitMemory) {
-            return request;
-        }
-        long rest = mDirectory.limits().cacheTokens() - request.promptTokens();
-        return request.withDefaultOutput(Math.max(0, rest));
-    }
-
     private WaitingRequest waiting(
             PlacementRequest request, PlacementRecipient recipient, long now) {
         mTimes.resetIfOld(now);
-        boolean cached =
-                mEngines.listed().stream()
-                        .anyMatch(engine -> engine.isPrefixCached(request.prefixHash()));
+        boolean cached = mEngines.isPrefixCached(request.prefixHash());
         long tokens = request.promptTokens() - (cached ? request.prefixTokens() : 0);
         double work = mTimes.expectedMillis(tokens);
         return new WaitingRequest(request, recipient, now, mNextArrival++, work);
     }
 
     private Optional<PlacementRefusal.Reason> impossible(PlacementRequest request) {
-        if (mLimitMemory && request.memoryTokens() > mDirectory.limits().cacheTokens()) {
+        if (mMemory.isTooLarge(request)) {
             return Optional.of(PlacementRefusal.Reason.TOO_LARGE);
         }
-        for (EngineLoad engine : mEngines.listed()) {
-            if (EngineTable.isUsable(engine, request)) {
-                return Optional.empty();
-            }
-        }
-        return Optional.of(PlacementRefusal.Reason.NO_ENGINE);
+        return mEngines.usable(request).isEmpty()
+                ? Optional.of(PlacementRefusal.Reason.NO_ENGINE)
+                : Optional.empty();
     }
 
     private void refuseIfHopeless(WaitingRequest waiting, long now) {
@@ -254,7 +236,7 @@
             Optional<EngineLoad> engine = mEngines.find(held.engine());
             if (engine.isPresent() && mPlaced.find(key).isEmpty()) {
                 mQueue.remove(key).ifPresent(mReservations::release);
-                PlacementRequest request = withBoundedOutput(held.request());
+                PlacementRequest request = mMemory.withBoundedOutput(held.request());
                 add(request, engine.get(), held.sentNanos(), held.firstEventSeen());
             }
         }
@@ -263,24 +245,38 @@
 
     /**
      * Removes the waiting requests of an entry that is gone. Placed ones may still run, so their
-     * load is kept until they expire.
+     * memory counts until they expire; their prompts say nothing about the engine any more.
      *
      * @param entry run of the entry, as in the keys of its requests
      */
     public void onEntryGone(String entry) {
-        List<WaitingRequest> gone = new ArrayList<>();
-        for (WaitingRequest waiting : mQueue.all()) {
+        for (WaitingRequest waiting : List.copyOf(mQueue.all())) {
             if (waiting.request().key().entry().equals(entry)) {
-                gone.add(waiting);
+                mQueue.remove(waiting.request().key());
+                mReservations.release(waiting);
             }
         }
-        for (WaitingRequest waiting : gone) {
-            mQueue.remove(waiting.request().key());
-            mReservations.release(waiting);
+        for (PlacedRequest placed : mPlaced.ofEntry(entry)) {
+            placed.engine().endPrompt(placed, mTime.nanoTime());
+            mPlaced.markFirstEventSeen(placed);
         }
         dispatch();
     }
 
+    /**
+     * Sets what is not known of live entries. With limited memory nothing is placed until a time,
+     * and the share of each of them in the memory is left free after it, since what they have still
+     * runs.
+     *
+     * @param unreported live entries that have not restored what they have at engines
+     * @param entries all live entries
+     * @param heldUntil monotonic time until which their reports are awaited
+     */
+    public void setUnreported(int unreported, int entries, long heldUntil) {
+        mMemory.setUnreported(unreported, entries, heldUntil);
+        dispatch();
+    }
+
     /** Called when the directory has changed, so that waiting requests may be placed. */
     public void onEnginesChanged() {
         mDirectoryRead = false;
@@ -302,7 +298,24 @@
         return mEngines.find(engine).map(EngineLoad::placed).orElse(0);
     }
 
+    /**
+     * Runs steps that report to this coordinator, and places requests once after them. A dispatch
+     * compares all engines for many requests.
+     */
+    public void batch(Runnable steps) {
+        mBatching = true;
+        try {
+            steps.run();
+        } finally {
+            mBatching = false;
+            dispatch();
+        }
+    }
+
     private void dispatch() {
+        if (mBatching) {
+            return;
+        }
         long now = mTime.nanoTime();
         dropExpired(now);
         refuseExpired(now);
@@ -314,7 +327,8 @@
     }
 
     private void finish(long now) {
-        mRate.update(mQueue.size() > 0, now);
+        // What is placed while reports are awaited says nothing about the engines.
+        mRate.update(mQueue.size() > 0 && !mMemory.isHeld(now), now);
         scheduleWake(now);
         mOutcomes.deliver();
     }
@@ -334,8 +348,7 @@
     private void refuseWithoutEngine(long now) {
         List<WaitingRequest> without = new ArrayList<>();
         for (WaitingRequest waiting : mQueue.all()) {
-            if (mEngines.listed().stream()
-                    .noneMatch(engine -> EngineTable.isUsable(engine, waiting.request()))) {
+            if (mEngines.usable(waiting.request()).isEmpty()) {
                 without.add(waiting);
             }
         }
@@ -358,8 +371,8 @@
                 mEngines,
                 mReservations,
                 mCost,
-                mDirectory.limits(),
-                mLimitMemory,
+                mMemory.available(now),
+                mMemory.isLimited(),
                 now,
                 mReportMillis);
     }
@@ -367,15 +380,15 @@
     /** Places the first waiting request whose cheapest engine can be given a prompt now. */
     private boolean placeFirst(EngineChoice choice, long now) {
         int maxSize = MIN_REQUESTS + REQUESTS_PER_ENGINE * choice.open();
-        boolean turn = mQueue.isTurnOfOldest();
-        for (WaitingRequest waiting : mQueue.inOrder(now, maxSize)) {
-            boolean isTurn = turn && mQueue.oldest().get() == waiting;
+        Optional<WaitingRequest> turn = mQueue.turn(choice::isServable);
+        for (WaitingRequest waiting : mQueue.inOrder(now, maxSize, turn)) {
+            boolean isTurn = turn.isPresent() && turn.get() == waiting;
             Optional<EngineChoice.Candidate> candidate = choice.choose(waiting, isTurn);
             if (candidate.isEmpty()) {
                 List<EngineLoad> suitable = choice.enginesToReserve(waiting);
                 mReservations.reserve(suitable, waiting, mEngines.listed().size(), isTurn, now);
             } else if (candidate.get().open()) {
-                place(waiting, candidate.get(), now);
+                place(waiting, candidate.get(), isTurn, now);
                 return true;
             } else {
                 choice.await(candidate.get(), waiting);
@@ -384,9 +397,10 @@
         return false;
     }
 
-    private void place(WaitingRequest waiting, EngineChoice.Candidate candidate, long now) {
+    private void place(
+            WaitingRequest waiting, EngineChoice.Candidate candidate, boolean isTurn, long now) {
         EngineLoad engine = candidate.engine();
-        mQueue.removePlaced(waiting);
+        mQueue.removePlaced(waiting, isTurn);
         mReservations.release(waiting);
         mRate.add(waiting.workMillis());
         Duration waited = Duration.ofNanos(now - waiting.arrivedAt());
@@ -473,17 +487,12 @@
             next = Math.min(next, now + (long) (Math.min(POLL_MILLIS, open) * 1e6));
             next = Math.min(next, mQueue.nextExpiry().getAsLong());
         }
-        if (next == Long.MAX_VALUE || mTimer.isPresent() && mTimerAt <= next) {
-            return;
+        if (next != Long.MAX_VALUE) {
+            mTimer.wakeAt(next, now);
         }
-        mTimer.ifPresent(Scheduler.Timer::cancel);
-        mTimerAt = next;
-        Duration delay = Duration.ofNanos(Math.max(0, next - now));
-        mTimer = Optional.of(mScheduler.schedule(delay, this::onTimer));
     }
 
     private void onTimer() {
-        mTimer = Optional.empty();
         // Without another timer, requests would wait for ever if no message comes.
         mSupervisor.run(this::dispatch, () -> scheduleWake(mTime.nanoTime()));
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -22,9 +22,6 @@
     private static final int OK = 200;
     private static final int SERVER_ERROR = 500;
 
-    /** Number of attempts not executed by an upstream after which the request is refused. */
-    private static final int MAX_REJECTIONS = 4;
-
     private final Gateway mGateway;
     private final CallerRequest mRequest;
     private final CallerResponseWriter mResponseWriter;
@@ -55,10 +52,10 @@
         mStream = new ForwardedStream(responseWriter, gateway.time());
         mTrace = new RequestTrace(gateway, request);
         mPrompt = new QuarantineGuard(gateway, mTrace);
-        mStages = new StagePhase(gateway, request, mStream, this);
         mSearch = new UpstreamSearch(gateway.chooser(), gateway.time());
         mSelection = new UpstreamSelection(gateway, request, mTrace);
         mContinuation = new StreamContinuation(gateway, request, mTrace);
+        mStages = new StagePhase(gateway, request, mStream, mContinuation::isTakenUp, this);
         mVersions = new VersionWait(gateway, mTrace, mContinuation);
     }
 
@@ -108,6 +105,7 @@
         mPrompt.start(mRequest, mAdmitted, target, this::onPartBlocked);
         mSearch.start(mGateway.rateLimitQueue(target), mAdmitted.priority());
         if (mPrompt.isRefused(this::fail)
+                || mSelection.isTooLarge(this::fail)
                 || mSearch.isRefused(mPlacement.choiceRequest(), remaining(), this::fail)) {
             return;
         }
@@ -175,7 +173,7 @@
         if (mEnded || mAttempt != null && mAttempt.isActive() || mPrompt.isRefused(this::fail)) {
             return;
         }
-        mSelection.select(mSender::choose, this::sendTo, this::fail);
+        mSelection.select(mSender::choose, mSender::tryCount, this::sendTo, this::fail);
     }
 
     private void sendTo(Optional<UpstreamNode> node) {
@@ -243,8 +241,7 @@
         if (!node.isPaused(mGateway.time().nanoTime())) {
             mPlacement.exclude(node);
         }
-        if (mCounts.rejections() < MAX_REJECTIONS
-                && mRetries.tryAfterRejection("status-" + status)) {
+        if (mCounts.mayBeRejectedAgain() && mRetries.tryAfterRejection("status-" + status)) {
             send();
             return;
         }
@@ -255,19 +252,19 @@
     }
 
     @Override
-    public void onNotSent(UpstreamNode node, String detail) {
-        mFeedback.onFailure(node);
+    public void onNotSent(UpstreamNode node, UnsentAttempt unsent) {
+        mFeedback.onNotSent(node, unsent);
         mPlacement.exclude(node);
-        mCounts.onRejected();
+        mCounts.onNotSent(unsent);
         if (silence().takeOver()) {
             return;
         }
-        if (mCounts.rejections() <= MAX_REJECTIONS && !mRetries.isDeadlineNear()) {
+        if (mCounts.mayTryAfter(unsent) && !mRetries.isDeadlineNear()) {
             mTrace.retried("unreachable", mCounts.sends(), remaining());
             send();
             return;
         }
-        fail(RefusalReason.UPSTREAM_UNREACHABLE, detail);
+        fail(RefusalReason.UPSTREAM_UNREACHABLE, unsent.detail());
     }
 
     @Override
--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -60,12 +60,6 @@
      */
     private static final double REPORT_POLL_FRACTION = 0.5;
 
-    /**
-     * Long-poll time of a read of the states of roll-outs. In a trial an entry that has not read
-     * them for 3.5 s stops sending to the new version, so a lost read must not take that long.
-     */
-    private static final Duration ROLLOUT_POLL = Duration.ofMillis(700);
-
     private static final Duration REPORT_EXPIRY_INTERVAL = Duration.ofSeconds(30);
 
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
@@ -171,6 +165,7 @@
         mGateway.placementServer()
                 .onMembersChanged(live.stream().map(Member::address).collect(Collectors.toSet()));
         mGateway.placements().onMembersChanged();
+        mGateway.placements().restore(DirectoryEngines.withLimitedMemory(mGateway));
         mGateway.log().event("members").with("names", String.join(" ", members)).info();
     }
 
@@ -243,10 +238,10 @@
         rollouts.start(
                 mSelf,
                 new StoreRolloutLog(topic, new StoreAppender(mStore, StoreTopic.STATUS_TOPIC)),
-                listener ->
+                (listener, pollTime) ->
                         follower(
                                 StoreTopic.STATUS_TOPIC,
-                                new ReadTiming(ROLLOUT_POLL, Duration.ZERO, STORE_RETRY_DELAY),
+                                new ReadTiming(pollTime, Duration.ZERO, STORE_RETRY_DELAY),
                                 listener,
                                 (key, previous, value) -> Arrays.equals(previous, value)));
         if (mSettings.rollouts().isPresent()) {
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSelection.java
@@ -1,11 +1,15 @@
 package org.boragethread.entry.gateway;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
+import org.boragethread.core.placement.PlacementCoordinator;
 import org.boragethread.core.placement.PlacementRefusal;
 import org.boragethread.core.upstream.ChoiceRequest;
 import org.boragethread.core.upstream.UpstreamChooser;
@@ -28,15 +32,9 @@
  */
 final class UpstreamSelection {
 
-    /** Number of engines that this process may reject before it selects one by itself. */
-    private static final int MAX_REJECTED = 2;
-
     /** Time after the deadline in which an attempt ends. */
     private static final Duration EXPIRY_SLACK = Duration.ofSeconds(1);
 
-    /** Time over which the retries of refused callers are spread. */
-    private static final Duration RETRY_SPREAD = Duration.ofSeconds(1);
-
     private final Gateway mGateway;
     private final CallerRequest mRequest;
     private final RequestTrace mTrace;
@@ -44,6 +42,7 @@
     private final Set<UpstreamId> mRejected = new HashSet<>();
     private Optional<Selected> mSelected = Optional.empty();
     private Function<ChoiceRequest, Optional<UpstreamNode>> mLocal = choice -> Optional.empty();
+    private Predicate<UpstreamNode> mCount = node -> false;
     private boolean mShared;
     private boolean mPending;
     private PlacementRouter.Waiting mWaiting = () -> {};
@@ -70,25 +69,53 @@
      * Selects an upstream, at once or when the coordinator has decided. During a roll-out of the
      * group this process selects by itself, since it limits what it sends to each version.
      *
-     * @param local selects an upstream by what this process knows
+     * @param local selects an upstream by what this process knows, and counts the send to it
+     * @param count counts the send to an engine that the coordinator has selected; returns whether
+     *     the request may be sent there
      * @param receiver gets the upstream; empty if none may be called now
      * @param end ends the request if it is hopeless
      */
     void select(
             Function<ChoiceRequest, Optional<UpstreamNode>> local,
+            Predicate<UpstreamNode> count,
             Consumer<Optional<UpstreamNode>> receiver,
             RequestEnd end) {
         mLocal = local;
-        if (!mShared || mGateway.rollouts().isRunning(group())) {
-            receiver.accept(selectLocally());
+        mCount = count;
+        if (!mShared) {
+            receiver.accept(mLocal.apply(parts().placement().choiceRequest()));
+        } else if (mGateway.rollouts().isRunning(group())) {
+            receiver.accept(mLocal.apply(choiceWithinShare()));
         } else if (!mPending) {
             mRejected.clear();
             ask(receiver, end);
         }
     }
 
+    /**
+     * Selects an engine without the coordinator, as other entries may do at the same time. Of equal
+     * ones each entry prefers another one, since idle engines are equal for all.
+     */
     private Optional<UpstreamNode> selectLocally() {
-        return mLocal.apply(parts().placement().choiceRequest());
+        String entry = mGateway.settings().peerAddress();
+        long seed = Hashing.komihash5_0().hashCharsToLong(entry);
+        return mLocal.apply(choiceWithinShare().withTieSeed(seed));
+    }
+
+    /** Returns the selection criteria for engines with room in this process's share of memory. */
+    private ChoiceRequest choiceWithinShare() {
+        List<UpstreamNode> full =
+                MemoryShare.findFull(
+                        mGateway,
+                        parts().group(),
+                        parts().admitted().promptTokens(),
+                        outputTokens());
+        return parts().placement().choiceWithout(full);
+    }
+
+    private long outputTokens() {
+        return HeaderDecoder.maxOutputTokens(mRequest.headers().get(PlatformHeaders.TOKENS))
+                .orElse(0);
     }
 
     private void ask(Consumer<Optional<UpstreamNode>> receiver, RequestEnd end) {
@@ -123,10 +150,7 @@
                         .setPrefixHash(admitted.affinity())
                         .setPrefixTokens(admitted.prefixTokens())
                         .setPromptTokens(admitted.promptTokens())
-                        .setOutputTokens(
-                                HeaderDecoder.maxOutputTokens(
-                                                mRequest.headers().get(PlatformHeaders.TOKENS))
-                                        .orElse(0))
+                        .setOutputTokens(outputTokens())
                         .setPriority(admitted.priority())
                         .setTeam(admitted.team())
                         .setTargetLeftNanos(target - now)
@@ -187,6 +211,36 @@
         mPending = false;
     }
 
+    /**
+     * Ends the request and returns true if it fits into no engine's memory, which is known before
+     * its stages run.
+     */
+    boolean isTooLarge(RequestEnd end) {
+        if (!mShared || !mGateway.settings().scheduling().engineMemoryEnforced()) {
+            return false;
+        }
+        EngineLimits limits = parts().group().engine().orElseThrow();
+        long tokens = limits.memoryTokens(parts().admitted().promptTokens(), outputTokens());
+        if (tokens <= limits.cacheTokens()) {
+            return false;
+        }
+        failTooLarge(end, PlacementCoordinator.TOO_LARGE_RETRY);
+        return true;
+    }
+
+    private void failTooLarge(RequestEnd end, Duration retryAfter) {
+        String detail =
+                "prompt and output exceed the memory of an engine of %s, %d tokens: ask for less"
+                        .formatted(
+                                group(),
+                                parts().group().engine().map(EngineLimits::cacheTokens).orElse(0L));
+        end.fail(RefusalReason.NO_UPSTREAM, detail, retryDelay(retryAfter));
+    }
+
+    private Duration retryDelay(Duration delay) {
+        return RetryDelays.afterRejection(delay, mRequest.unitHash());
+    }
+
     private RequestParts parts() {
         return mParts.orElseThrow();
     }
@@ -218,12 +272,17 @@
             UpstreamChooser chooser = mGateway.chooser();
             ChoiceRequest choice = parts().placement().choiceRequest();
             Optional<UpstreamNode> known = mGateway.directory().find(engine);
-            Optional<UpstreamNode> usable = known.filter(node -> chooser.isCallable(choice, node));
+            PlacedEngineCheck check =
+                    new PlacedEngineCheck(
+                            node -> chooser.isCallable(choice, node),
+                            mCount,
+                            () -> mGateway.rollouts().isRunning(group()));
+            Optional<UpstreamNode> usable = check.accept(known);
             if (usable.isEmpty()) {
                 attempt.onRejected();
                 mTrace.placementRejected(engine, known.isPresent());
                 mRejected.add(engine);
-                if (mRejected.size() <= MAX_REJECTED) {
+                if (check.isAskedAgain(mRejected.size())) {
                     ask(mReceiver, mEnd);
                 } else {
                     mReceiver.accept(selectLocally());
@@ -247,14 +306,11 @@
                 mReceiver.accept(selectLocally());
                 return;
             }
-            long spread = (long) (mRequest.unitHash() * RETRY_SPREAD.toNanos());
-            Duration shortest =
-                    retryAfter.compareTo(RetryDelays.SHORT) > 0 ? retryAfter : RetryDelays.SHORT;
-            boolean isTooLarge = reason == PlacementRefusal.Reason.TOO_LARGE;
-            mEnd.fail(
-                    isTooLarge ? RefusalReason.NO_UPSTREAM : RefusalReason.DEADLINE_HOPELESS,
-                    isTooLarge ? tooLarge() : hopeless(reason),
-                    shortest.plusNanos(spread));
+            if (reason == PlacementRefusal.Reason.TOO_LARGE) {
+                failTooLarge(mEnd, retryAfter);
+                return;
+            }
+            mEnd.fail(RefusalReason.DEADLINE_HOPELESS, hopeless(reason), retryDelay(retryAfter));
         }
 
         private String hopeless(PlacementRefusal.Reason reason) {
@@ -263,13 +319,6 @@
                     : "no engine of %s can respond in time".formatted(group());
         }
 
-        private String tooLarge() {
-            return "prompt and output exceed the memory of an engine of %s, %d tokens: ask for less"
-                    .formatted(
-                            group(),
-                            parts().group().engine().map(EngineLimits::cacheTokens).orElse(0L));
-        }
-
         @Override
         public void onUnavailable() {
             onDecided();
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
@@ -4,9 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,14 +39,20 @@
  */
 public final class PlacementServer {
 
+    /** Number of placements after which those that have expired unreported are looked for. */
+    private static final int PRUNE_INTERVAL = 256;
+
     /**
-     * Withdrawals that may overtake their requests, for each entry. An entry has fewer requests on
-     * their way within the 100 ms after which it withdraws; older ones have arrived.
+     * Time for which a new coordinator waits for what live entries have at engines. An entry
+     * notices the change within 1 s, and its message is lost if it takes over 250 ms.
      */
-    private static final int MAX_EARLY_WITHDRAWALS = 1024;
+    private static final Duration RESTORE_TIME = Duration.ofMillis(1250);
 
-    /** Number of placements after which those that have expired unreported are looked for. */
-    private static final int PRUNE_INTERVAL = 256;
+    /**
+     * Age up to which a restore is of the present term. Entries notice the end of the coordinator
+     * before at different times, the last ones when its membership has expired, after 2.5 s.
+     */
+    private static final Duration TERM_SLACK = Duration.ofSeconds(5);
 
     private static final PlacementHandle WITHDRAWN = () -> {};
 
@@ -139,26 +143,37 @@
     public ReportResult apply(PlacementReports reports) {
         Optional<Coordination> found = coordination(new GroupId(reports.getGroup()));
         if (found.isEmpty()) {
-            return ReportResult.CONFIRMED;
+            // The configuration may not be known here yet.
+            return ReportResult.RESTORE_NEEDED;
         }
         Coordination coordination = found.get();
         Optional<Sender> sender = coordination.sender(EntryIncarnation.decode(reports.getSender()));
         if (sender.isEmpty()) {
             return ReportResult.REFUSED;
         }
+        coordination.run(
+                () ->
+                        coordination.mCoordinator.batch(
+                                () -> apply(coordination, sender.get(), reports)));
+        return sender.get().mRestored ? ReportResult.CONFIRMED : ReportResult.RESTORE_NEEDED;
+    }
+
+    private void apply(Coordination coordination, Sender sender, PlacementReports reports) {
         if (reports.hasRestore()) {
-            sender.get().mRestored = true;
-            coordination.restore(sender.get(), reports.getRestore(), mTime);
+            if (coordination.restore(sender, reports, mTime)) {
+                sender.onRestored(mTime.nanoTime());
+            }
+            coordination.updateUnreported();
         }
-        coordination.add(sender.get(), reports.getHeldList(), mTime);
+        coordination.add(sender, reports.getHeldList(), mTime);
         for (PlacementReport report : reports.getReportsList()) {
-            coordination.apply(sender.get(), report);
+            coordination.apply(sender, report);
         }
-        return sender.get().mRestored ? ReportResult.CONFIRMED : ReportResult.RESTORE_NEEDED;
     }
 
     /**
-     * Removes the load of entries that have ended.
+     * Ends the waiting requests of entries that have ended. What they have at engines may still
+     * run, since an entry that can't renew its membership is alive, and counts until it ends.
      *
      * @param members addresses of the live entries
      */
@@ -167,10 +182,20 @@
         ended.removeAll(members);
         mMembers = Set.copyOf(members);
         for (Coordination coordination : mCoordinations.values()) {
-            ended.forEach(coordination::onEntryEnded);
+            ended.forEach(coordination::onEntryUnlisted);
+            coordination.removeExpiredSenders(members);
+            coordination.updateUnreported();
         }
     }
 
+    /**
+     * Called when this entry becomes the coordinator of a group, perhaps again. What entries have
+     * restored in an earlier term is outdated.
+     */
+    public void onTermBegun(GroupId group) {
+        coordination(group).ifPresent(Coordination::onTermBegun);
+    }
+
     /** Called when announcements of engines may have changed. */
     public void onEnginesChanged() {
         for (Coordination coordination : mCoordinations.values()) {
@@ -241,8 +266,9 @@
         private final EntryIncarnation mRun;
         private final Map<Long, Tracked> mPlacements = new HashMap<>();
         private final Map<Long, Receiver> mReceivers = new LinkedHashMap<>();
-        private final Set<Long> mWithdrawn = new LinkedHashSet<>();
+        private final EarlyWithdrawals mWithdrawn = new EarlyWithdrawals();
         private boolean mRestored;
+        private long mRestoredAt;
         private int mTracked;
 
         Sender(EntryIncarnation run) {
@@ -254,17 +280,17 @@
                     request.key().attempt(), new Tracked(request.key(), request.expiryNanos()));
             mTracked++;
             if (mTracked % PRUNE_INTERVAL == 0) {
-                mPlacements.values().removeIf(placement -> now - placement.expiryNanos() > 0);
+                removeExpired(now);
             }
         }
 
-        void withdrawEarly(long number) {
-            mWithdrawn.add(number);
-            if (mWithdrawn.size() > MAX_EARLY_WITHDRAWALS) {
-                Iterator<Long> eldest = mWithdrawn.iterator();
-                eldest.next();
-                eldest.remove();
-            }
+        void onRestored(long now) {
+            mRestored = true;
+            mRestoredAt = now;
+        }
+
+        void removeExpired(long now) {
+            mPlacements.values().removeIf(placement -> now - placement.expiryNanos() > 0);
         }
     }
 
@@ -275,11 +301,34 @@
         private final PlacementCoordinator mCoordinator;
         private final Supervisor mSupervisor;
         private final Map<String, Sender> mSenders = new HashMap<>();
+        private long mBegunAt = mTime.nanoTime();
 
         Coordination(GroupId group, PlacementCoordinator coordinator) {
             mGroup = group;
             mCoordinator = coordinator;
             mSupervisor = mGroups.supervisor(group);
+            updateUnreported();
+        }
+
+        void onTermBegun() {
+            long now = mTime.nanoTime();
+            for (Sender sender : mSenders.values()) {
+                sender.mRestored &= now - sender.mRestoredAt < TERM_SLACK.toNanos();
+            }
+            mBegunAt = now;
+            updateUnreported();
+        }
+
+        /** Holds back memory for what live entries have not restored. */
+        void updateUnreported() {
+            int unreported = 0;
+            for (String member : mMembers) {
+                Sender sender = mSenders.get(member);
+                unreported += sender == null || !sender.mRestored ? 1 : 0;
+            }
+            int count = unreported;
+            long until = mBegunAt + RESTORE_TIME.toNanos();
+            run(() -> mCoordinator.setUnreported(count, mMembers.size(), until));
         }
 
         /** Runs a step of the coordinator, whose failures are not those of a request. */
@@ -295,12 +344,37 @@
                 return Optional.empty();
             }
             if (known != null && known.mRun.number() < run.number()) {
-                onEntryEnded(run.address());
+                onEntryRestarted(run.address());
             }
             return Optional.of(mSenders.computeIfAbsent(run.address(), address -> new Sender(run)));
         }
 
-        void onEntryEnded(String address) {
+        /** Ends what waits; what was placed is known until the entry restores or it expires. */
+        void onEntryUnlisted(String address) {
+            Sender unlisted = mSenders.get(address);
+            if (unlisted == null) {
+                return;
+            }
+            unlisted.mRestored = false;
+            List<Receiver> waiting = List.copyOf(unlisted.mReceivers.values());
+            unlisted.mPlacements.keySet().removeAll(unlisted.mReceivers.keySet());
+            unlisted.mReceivers.clear();
+            run(() -> mCoordinator.onEntryGone(unlisted.mRun.name()));
+            waiting.forEach(receiver -> run(receiver::onSenderEnded));
+        }
+
+        void removeExpiredSenders(Set<String> members) {
+            long now = mTime.nanoTime();
+            mSenders.values().forEach(sender -> sender.removeExpired(now));
+            mSenders.values()
+                    .removeIf(
+                            sender ->
+                                    sender.mPlacements.isEmpty()
+                                            && !members.contains(sender.mRun.address()));
+        }
+
+        /** Withdraws what an earlier run had: its process has ended, and its connections too. */
+        private void onEntryRestarted(String address) {
             Sender ended = mSenders.remove(address);
             if (ended == null) {
                 return;
@@ -328,21 +402,31 @@
             if (placement != null) {
                 run(() -> mCoordinator.withdraw(placement.key()));
             } else if (remember) {
-                sender.withdrawEarly(number);
+                sender.mWithdrawn.add(number);
             }
         }
 
-        void restore(Sender sender, PlacementRestore restore, TimeSource time) {
+        /** Returns false if requests that the restore only lists by number are not known. */
+        boolean restore(Sender sender, PlacementReports reports, TimeSource time) {
+            PlacementRestore restore = reports.getRestore();
             Set<Long> listed =
                     restore.getHeldList().stream()
                             .map(held -> held.getNeeds().getNumber())
                             .collect(Collectors.toSet());
+            // How those ended that are not listed any more is in the reports.
+            reports.getReportsList().forEach(report -> listed.add(report.getNumber()));
             for (long number : List.copyOf(sender.mPlacements.keySet())) {
                 if (number < restore.getCompleteBelow() && !listed.contains(number)) {
                     withdraw(sender, number, false);
                 }
             }
             add(sender, restore.getHeldList(), time);
+            return restore.getHeldList().stream()
+                    .allMatch(
+                            held ->
+                                    !held.getEngine().isEmpty()
+                                            || sender.mPlacements.containsKey(
+                                                    held.getNeeds().getNumber()));
         }
 
         void add(Sender sender, List<PlacementHeld> held, TimeSource time) {
@@ -367,7 +451,7 @@
                         new HeldPlacement(
                                 decode(sender, placement.getNeeds(), time),
                                 new UpstreamId(placement.getEngine()),
-                                now - placement.getAgeNanos(),
+                                now - PlacementCodec.age(placement.getAgeNanos()).toNanos(),
                                 placement.getFirstEventSeen()));
             } catch (IllegalArgumentException e) {
                 return Optional.empty();
@@ -379,7 +463,7 @@
                 case PLACEMENT_EVENT_FIRST_EVENT -> {
                     Tracked placement = sender.mPlacements.get(report.getNumber());
                     if (placement != null) {
-                        Duration time = Duration.ofNanos(report.getResponseTimeNanos());
+                        Duration time = PlacementCodec.age(report.getResponseTimeNanos());
                         run(() -> mCoordinator.onFirstEvent(placement.key(), time));
                     }
                 }
--- a/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/PlacementPeersTest.java
@@ -174,11 +174,18 @@
     }
 
     private void setCoordinator(int port) throws Exception {
-        Member member = new Member("127.0.0.1:" + port, 1, 100, new DataCentreId("north"));
+        setMembers(List.of(member(port, 1)));
+    }
+
+    private static Member member(int port, long startedAt) {
+        return new Member("127.0.0.1:" + port, startedAt, 100, new DataCentreId("north"));
+    }
+
+    private void setMembers(List<Member> members) throws Exception {
         run(
                 mLoop,
                 () -> {
-                    mEntry.coordinators().setMembers(List.of(member));
+                    mEntry.coordinators().setMembers(members);
                     return true;
                 });
     }
@@ -301,18 +308,7 @@
         run(
                 mCoordinatorLoop,
                 () -> configure(mCoordinator, "other-1", "other-2", "other-3", "other-4"));
-        CompletableFuture<String> selected = new CompletableFuture<>();
-        run(
-                mLoop,
-                () -> {
-                    createSelection(20)
-                            .select(
-                                    mEntry.chooser()::choose,
-                                    node -> selected.complete(node.get().entry().id().value()),
-                                    (reason, detail, retryAfter) -> selected.complete(detail));
-                    return true;
-                });
-        assertEquals(selected.get(WAIT_SECONDS, TimeUnit.SECONDS), "engine-1");
+        assertEquals(selectEngine(), "engine-1");
         String metrics = run(mLoop, () -> mEntry.metrics().scrape());
         assertTrue(metrics.contains("placement_rejections_total{cause=\"not-usable\"} 3"), metrics);
         awaitLoad(0, 0);
@@ -321,24 +317,20 @@
     // Guards against a request that is said not to have run without a time for its retry.
     @Test
     public void hopelessRequestIsRefusedWithATimeForItsRetry() throws Exception {
-        CompletableFuture<String> end = new CompletableFuture<>();
-        run(
-                mLoop,
-                () -> {
-                    createSelection(0)
-                            .select(
-                                    mEntry.chooser()::choose,
-                                    node -> end.complete("selected"),
-                                    (reason, detail, retryAfter) ->
-                                            end.complete(
-                                                    reason + " " + (retryAfter.toMillis() >= 300)));
-                    return true;
-                });
-        assertEquals(end.get(WAIT_SECONDS, TimeUnit.SECONDS), "DEADLINE_HOPELESS true");
+        assertEquals(selectEngine(0), "DEADLINE_HOPELESS true");
         awaitLoad(0, 0);
     }
 
-    private UpstreamSelection createSelection(int secondsLeft) {
+    // Guards against stages that run for a request which no engine can take.
+    @Test
+    public void requestLargerThanAnEngineIsRefusedBeforeItsStages() throws Exception {
+        RequestEnd end = (reason, detail, retryAfter) -> mOutcomes.add(reason.name());
+        assertFalse(run(mLoop, () -> createSelection(20, CACHE_TOKENS).isTooLarge(end)));
+        assertTrue(run(mLoop, () -> createSelection(20, CACHE_TOKENS + 1).isTooLarge(end)));
+        assertEquals(nextOutcome(), "NO_UPSTREAM");
+    }
+
+    private UpstreamSelection createSelection(int secondsLeft, int promptTokens) {
         CallerRequest request =
                 new CallerRequest(
                         "id-1",
@@ -350,7 +342,7 @@
                         ClockReading.now(mTime));
         RequestTrace trace = new RequestTrace(mEntry, request);
         UpstreamSelection selection = new UpstreamSelection(mEntry, request, trace);
-        AdmittedRequest admitted = admitted(secondsLeft);
+        AdmittedRequest admitted = admitted(secondsLeft, promptTokens);
         RoutedGroup group = mEntry.groupConfig(ENGINES).get();
         Placement placement =
                 new Placement(
@@ -373,7 +365,7 @@
         return selection;
     }
 
-    private AdmittedRequest admitted(int secondsLeft) {
+    private AdmittedRequest admitted(int secondsLeft, int promptTokens) {
         Route route = mEntry.routingTable().config().get().routes().get(0);
         long now = mTime.nanoTime();
         return new AdmittedRequest(
@@ -386,10 +378,55 @@
                 new int[0],
                 0,
                 0,
-                PROMPT_TOKENS,
+                promptTokens,
                 List.of());
     }
 
+    // Guards against engines that crash, because entries without a coordinator each fill them.
+    @Test
+    public void entryWithoutCoordinatorUsesItsShareOfMemory() throws Exception {
+        setMembers(List.of());
+        assertEquals(selectEngine(), "engine-1");
+        PlacedAttempt running = run(mLoop, this::track);
+        assertEquals(selectEngine(), "none");
+        mLoop.execute(running::onEnded);
+        assertEquals(selectEngine(), "engine-1");
+        answerWith("");
+        int port = mFailingPeer.getLocalPort();
+        setMembers(List.of(member(port, 1), member(port, 2), member(freePort(), 3)));
+        assertEquals(selectEngine(), "none");
+    }
+
+    private PlacedAttempt track() {
+        PlacementNeeds.Builder needs = PlacementNeeds.newBuilder().setPromptTokens(PROMPT_TOKENS);
+        return mEntry.placements().track(ENGINES, needs, new UpstreamId("engine-1"));
+    }
+
+    private String selectEngine() throws Exception {
+        return selectEngine(20);
+    }
+
+    private String selectEngine(int secondsLeft) throws Exception {
+        CompletableFuture<String> selected = new CompletableFuture<>();
+        run(
+                mLoop,
+                () -> {
+                    createSelection(secondsLeft, PROMPT_TOKENS)
+                            .select(
+                                    mEntry.chooser()::choose,
+                                    node -> true,
+                                    node ->
+                                            selected.complete(
+                                                    node.map(found -> found.entry().id().value())
+                                                            .orElse("none")),
+                                    (reason, detail, retryAfter) ->
+                                            selected.complete(
+                                                    reason + " " + (retryAfter.toMillis() >= 300)));
+                    return true;
+                });
+        return selected.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
     @Test
     public void deathBeforeAcknowledgementLeavesDecisionHere() throws Exception {
         answerWith("");
--- a/entry/src/test/java/org/boragethread/entry/placement/PlacementServerTest.java
+++ b/entry/src/test/java/org/boragethread/entry/placement/PlacementServerTest.java
@@ -35,6 +35,8 @@
         mEngine = new OneEngine();
         mServer = new PlacementServer(mEngine, mEngine.time());
         mServer.onMembersChanged(Set.of(ENTRY, SELF));
+        restore();
+        restore(new EntryIncarnation(SELF, 1));
         mOutcomes = new ArrayList<>();
     }
 
@@ -44,6 +46,7 @@
                 .setNumber(number)
                 .setRequestId("r" + number)
                 .setPromptTokens(promptTokens)
+                .setOutputTokens(1)
                 .setTargetLeftNanos(left)
                 .setDeadlineLeftNanos(left)
                 .setExpiryLeftNanos(left)
@@ -51,13 +54,21 @@
     }
 
     private void place(long number) {
+        place(number, OneEngine.PROMPT_TOKENS);
+    }
+
+    private void place(long number, int promptTokens) {
+        place(needs(number, promptTokens));
+    }
+
+    private void place(PlacementNeeds needs) {
         PlacementQuery query =
                 PlacementQuery.newBuilder()
                         .setGroup(OneEngine.GROUP.value())
                         .setSender(SENDER.encode())
-                        .setNeeds(needs(number, OneEngine.PROMPT_TOKENS))
+                        .setNeeds(needs)
                         .build();
-        mServer.place(query, new Outcome("r" + number));
+        mServer.place(query, new Outcome(needs.getRequestId()));
     }
 
     private static PlacementReports.Builder reports(EntryIncarnation sender) {
@@ -74,8 +85,18 @@
     }
 
     private ReportResult restore(PlacementHeld... held) {
-        PlacementRestore.Builder restore = PlacementRestore.newBuilder().setCompleteBelow(100);
-        return mServer.apply(reports(SENDER).setRestore(restore.addAllHeld(List.of(held))).build());
+        return restore(SENDER, held);
+    }
+
+    private ReportResult restore(EntryIncarnation sender, PlacementHeld... held) {
+        return restore(sender, 100, held);
+    }
+
+    private ReportResult restore(
+            EntryIncarnation sender, long completeBelow, PlacementHeld... held) {
+        PlacementRestore.Builder restore =
+                PlacementRestore.newBuilder().setCompleteBelow(completeBelow);
+        return mServer.apply(reports(sender).setRestore(restore.addAllHeld(List.of(held))).build());
     }
 
     // Guards against requests that hang until their deadline, since the entry still gets responses.
@@ -96,13 +117,107 @@
         place(1);
         assertEquals(mServer.apply(reports(SENDER).build()), ReportResult.CONFIRMED);
         mServer.onMembersChanged(Set.of(SELF));
-        assertEquals(mServer.placed(), 0);
+        assertEquals(mServer.placed(), 1);
         assertEquals(mServer.apply(reports(SENDER).build()), ReportResult.RESTORE_NEEDED);
         assertEquals(restore(held(needs(1, 600))), ReportResult.CONFIRMED);
         assertEquals(mServer.placed(), 1);
         assertEquals(mServer.apply(reports(SENDER).build()), ReportResult.CONFIRMED);
     }
 
+    // Guards against requests of an entry that has lost its membership: they still run, and the
+    // engine is given others beside them. They count until a restore without them, or expire.
+    @Test
+    public void requestsOfUnlistedEntryCountUntilTheyEnd() {
+        place(1);
+        mServer.onMembersChanged(Set.of(SELF));
+        place(2);
+        assertEquals(mOutcomes, List.of("r1 engine"));
+        assertEquals(restore(held(needs(1, 600))), ReportResult.CONFIRMED);
+        assertEquals(mServer.placed(), 1);
+        place(101);
+        restore();
+        assertEquals(mOutcomes, List.of("r1 engine", "r101 engine"));
+        mServer.onMembersChanged(Set.of(ENTRY, SELF));
+        mServer.onMembersChanged(Set.of(SELF));
+        mEngine.time().advance(Duration.ofSeconds(11));
+        assertEquals(mServer.placed(), 0);
+    }
+
+    // Guards against a new coordinator that fills engines which are full of requests that it has
+    // not been told of yet.
+    @Test
+    public void nothingIsPlacedBeforeAllEntriesHaveRestored() {
+        EntryIncarnation self = new EntryIncarnation(SELF, 1);
+        mServer = new PlacementServer(mEngine, mEngine.time());
+        mServer.onMembersChanged(Set.of(ENTRY, SELF));
+        place(1);
+        restore(self, held(needs(1, 600)));
+        assertEquals(mOutcomes, List.of());
+        restore();
+        place(101);
+        assertEquals(mOutcomes, List.of());
+        restore(self);
+        assertEquals(mOutcomes, List.of("r101 engine"));
+    }
+
+    // Guards against a coordinator that waits for ever for an entry, and against one that uses the
+    // memory which that entry may fill by itself.
+    @Test
+    public void shareOfSilentEntryIsHeldBack() {
+        mServer = new PlacementServer(mEngine, mEngine.time());
+        mServer.onMembersChanged(Set.of(ENTRY, SELF));
+        place(1, 498);
+        place(2, 498);
+        restore(SENDER, 0L);
+        mEngine.time().advance(Duration.ofMillis(1200));
+        assertEquals(mOutcomes, List.of());
+        mEngine.time().advance(Duration.ofMillis(150));
+        assertEquals(mOutcomes, List.of("r1 engine"));
+        PlacementReport processed =
+                PlacementReport.newBuilder()
+                        .setNumber(1)
+                        .setEvent(PlacementEvent.PLACEMENT_EVENT_FIRST_EVENT)
+                        .build();
+        mServer.apply(reports(SENDER).addReports(processed).build());
+        assertEquals(mOutcomes, List.of("r1 engine"));
+        mServer.onMembersChanged(Set.of(ENTRY));
+        assertEquals(mOutcomes, List.of("r1 engine", "r2 engine"));
+    }
+
+    // Guards against a refusal that is lost because it is reported beside a restore: the prefix of
+    // the request is then taken for cached.
+    @Test
+    public void reportBesideRestoreIsNotLost() {
+        place(needs(1, 100).toBuilder().setPrefixHash(7).setPrefixTokens(50).build());
+        PlacementReport refused =
+                PlacementReport.newBuilder()
+                        .setNumber(1)
+                        .setEvent(PlacementEvent.PLACEMENT_EVENT_REFUSED)
+                        .build();
+        PlacementRestore restore = PlacementRestore.newBuilder().setCompleteBelow(100).build();
+        mServer.apply(reports(SENDER).setRestore(restore).addReports(refused).build());
+        assertEquals(mServer.placed(), 0);
+        place(needs(101, 100).toBuilder().setPrefixHash(7).setPrefixTokens(50).build());
+        assertEquals(mOutcomes.get(1), "r101 engine");
+    }
+
+    // Guards against a coordinator that is overloaded, because it chooses engines for all waiting
+    // requests after each report.
+    @Test
+    public void reportsOfOneMessageCauseOneDispatch() {
+        place(1);
+        place(2);
+        PlacementReports.Builder message = reports(SENDER);
+        for (int i = 0; i < 100; i++) {
+            message.addReportsBuilder()
+                    .setNumber(1)
+                    .setEvent(PlacementEvent.PLACEMENT_EVENT_FIRST_EVENT);
+        }
+        int before = mEngine.limitReads();
+        mServer.apply(message.build());
+        assertEquals(mEngine.limitReads(), before + 1);
+    }
+
     // Guards against a malformed request that stops all reports of its entry.
     @Test
     public void malformedHeldRequestIsSkipped() {
@@ -159,7 +274,11 @@
 
         @Override
         public void onDecision(PlacementDecision decision) {
-            mOutcomes.add(mId + " " + decision.getEngine() + decision.getRefusal());
+            mOutcomes.add(
+                    mId
+                            + (decision.getPrefixCached() ? " cached " : " ")
+                            + decision.getEngine()
+                            + decision.getRefusal());
         }
 
         @Override
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
@@ -8,9 +8,12 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.boragethread.core.callback.CallbackGuard;
@@ -21,16 +24,21 @@
 import org.boragethread.core.follow.ReadTiming;
 import org.boragethread.core.follow.RecordPage;
 import org.boragethread.core.follow.SnapshotPart;
+import org.boragethread.core.follow.StoreEra;
 import org.boragethread.core.follow.TopicFollower;
 import org.boragethread.core.follow.TopicListener;
 import org.boragethread.core.follow.TopicRelay;
 import org.boragethread.core.member.Member;
 import org.boragethread.core.rollout.EntryReport;
 import org.boragethread.core.rollout.RolloutBounds;
+import org.boragethread.core.rollout.RolloutEvidence;
 import org.boragethread.core.rollout.RolloutLog;
+import org.boragethread.core.rollout.RolloutOrder;
+import org.boragethread.core.rollout.RolloutPhase;
 import org.boragethread.core.rollout.RolloutRead;
 import org.boragethread.core.rollout.RolloutRequest;
 import org.boragethread.core.rollout.RolloutState;
+import org.boragethread.core.rollout.SendKind;
 import org.boragethread.core.stage.CoordinatorTable;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.upstream.UpstreamDirectory;
@@ -38,6 +46,7 @@
 import org.boragethread.model.upstream.GroupId;
 import org.boragethread.model.upstream.SoftwareVersion;
 import org.boragethread.process.log.EventLog;
+import org.boragethread.wire.proto.RolloutReport;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -59,6 +68,11 @@
     private TopicListener mStates;
     private List<GroupId> mReads;
     private List<Runnable> mLostReports;
+    private List<RolloutPhase> mReported;
+    private List<Throwable> mFailures;
+    private int mSnapshots;
+    private Optional<RuntimeException> mSendFailure;
+    private Optional<RolloutState> mRecorded;
 
     @BeforeMethod
     public void start() {
@@ -67,28 +81,35 @@
         mCoordinators = new CoordinatorTable(mTime, NORTH);
         mReads = new ArrayList<>();
         mLostReports = new ArrayList<>();
-        EventLog log = new EventLog(LogManager.getLogger(RolloutsTest.class), mTime);
-        RolloutContext context =
-                new RolloutContext(
-                        mTime,
-                        mTime,
-                        log,
-                        new SimpleMeterRegistry(),
-                        new UpstreamDirectory(mTime),
-                        mCoordinators,
-                        this,
-                        group -> true,
-                        () -> mDepartureTime);
+        mReported = new ArrayList<>();
+        mFailures = new ArrayList<>();
+        mSendFailure = Optional.empty();
+        mRecorded = Optional.empty();
         RolloutBounds bounds = new RolloutBounds(0.1, Duration.ofSeconds(5), Duration.ZERO);
-        mRollouts = new Rollouts(context, Optional.of(bounds), LEASE_TIME);
+        mRollouts = new Rollouts(context(), Optional.of(bounds), LEASE_TIME);
         mRollouts.start(member("self", 2), this, this::follow);
     }
 
+    private RolloutContext context() {
+        EventLog log = new EventLog(LogManager.getLogger(RolloutsTest.class), mTime);
+        return new RolloutContext(
+                mTime,
+                mTime,
+                new Supervisor(new CallbackGuard(RolloutsTest::fail), mFailures::add),
+                log,
+                new SimpleMeterRegistry(),
+                new UpstreamDirectory(mTime),
+                mCoordinators,
+                this,
+                group -> !group.value().equals("unknown"),
+                () -> mDepartureTime);
+    }
+
     private static Member member(String address, long startedAt) {
         return new Member(address, startedAt, 1000, NORTH);
     }
 
-    private TopicFollower follow(TopicListener listener) {
+    private TopicFollower follow(TopicListener listener, Duration pollTime) {
         mStates = listener;
         return new TopicFollower(
                 this,
@@ -106,7 +127,9 @@
 
     @Override
     public void readSnapshotPart(
-            Optional<String> after, Consumer<Either<ReadFailure, SnapshotPart>> callback) {}
+            Optional<String> after, Consumer<Either<ReadFailure, SnapshotPart>> callback) {
+        mSnapshots++;
+    }
 
     @Override
     public void read(
@@ -115,13 +138,24 @@
     @Override
     public void read(GroupId group, Consumer<Either<ReadFailure, RolloutRead>> callback) {
         mReads.add(group);
+        if (mRecorded.isPresent()) {
+            callback.accept(Either.right(new RolloutRead(mRecorded, 1, StoreEra.UNKNOWN)));
+        }
     }
 
     @Override
-    public void append(RolloutState state, long end, Consumer<AppendResult> callback) {}
+    public void append(RolloutState state, long end, Consumer<AppendResult> callback) {
+        mRecorded = Optional.of(state);
+        callback.accept(AppendResult.APPENDED);
+    }
 
     @Override
     public void send(String peer, EntryReport report, Runnable onFailure) {
+        mReported.add(report.state().phase());
+        mSendFailure.ifPresent(
+                failure -> {
+                    throw failure;
+                });
         mLostReports.add(onFailure);
     }
 
@@ -177,6 +211,176 @@
         assertFalse(mStates.equals(before), "the states were followed for ever");
     }
 
+    // Guards against an order that is ignored, because the same one had ended before and its
+    // removal
+    // was never recorded.
+    @Test
+    public void orderThatIsRemovedAfterItsEndIsWithdrawn() {
+        order();
+        RolloutState ended = state(RolloutPhase.COMPLETED);
+        mRecorded = Optional.of(ended);
+        mRollouts.onState(ended);
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        mRollouts.onRequests(Map.of());
+        for (int i = 0; i < 20; i++) {
+            mTime.advance(Duration.ofMillis(250));
+            mRollouts.onOrdersRead(ClockReading.now(mTime));
+            mRollouts.tick();
+        }
+        assertTrue(mRecorded.get().withdrawn());
+        assertEquals(mRecorded.get().phase(), RolloutPhase.COMPLETED);
+        int reads = mReads.size();
+        mRollouts.tick();
+        assertEquals(mReads.size(), reads, "the state is read for ever");
+    }
+
+    // Guards against another outcome, decided by a coordinator that knows the older copy only.
+    @Test
+    public void endIsReportedUntilARestoredStoreHasIt() {
+        mRollouts.setMembers(List.of(member("self", 2), member("other", 1)));
+        order();
+        RolloutState ended = state(RolloutPhase.COMPLETED);
+        mRollouts.onState(ended);
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        mReported.clear();
+        mRollouts.reportAll();
+        assertEquals(mReported, List.of());
+        mRollouts.onRequests(Map.of());
+        mRollouts.onOrdersRestored();
+        mRollouts.onState(new RolloutState(ended.order(), RolloutPhase.TRIAL, 1, false, List.of()));
+        mRollouts.reportAll();
+        assertEquals(mReported, List.of(RolloutPhase.COMPLETED));
+        mRollouts.onState(ended);
+        mRollouts.reportAll();
+        assertEquals(mReported.size(), 1, "reported for ever");
+    }
+
+    // Guards against a roll-out that nobody decides on, because the entry that should do so has no
+    // roll-outs in its settings but confirms the reports of the others.
+    @Test
+    public void entryWithoutRollOutsIsUnableToTakeReports() {
+        Rollouts none = new Rollouts(context(), Optional.empty(), LEASE_TIME);
+        none.start(member("self", 2), this, this::follow);
+        RolloutReport probe = RolloutReport.getDefaultInstance();
+        RolloutReport report =
+                RolloutReportCodec.encode(
+                        new EntryReport(
+                                "a", 1, 1, state(RolloutPhase.TRIAL), 0, RolloutEvidence.NONE));
+        for (RolloutReport message : List.of(probe, report)) {
+            assertEquals(
+                    new RolloutReportReceiver(none).receive(message),
+                    RolloutReportReceiver.Answer.UNABLE);
+            assertEquals(
+                    new RolloutReportReceiver(mRollouts).receive(message),
+                    RolloutReportReceiver.Answer.TAKEN);
+        }
+    }
+
+    // Guards against 1,200 entries whose reads of the states reach the store at the same moment.
+    @Test
+    public void entriesReadTheStatesAtDifferentTimes() {
+        RolloutBounds bounds = new RolloutBounds(0.1, Duration.ofSeconds(5), Duration.ZERO);
+        Map<Long, Integer> starts = new HashMap<>();
+        Set<Duration> polls = new HashSet<>();
+        for (int i = 0; i < 1200; i++) {
+            StatusReads reads = StatusReads.of("10.0.0.%d:%d".formatted(i % 250, 7000 + i), bounds);
+            assertTrue(reads.startDelay().compareTo(bounds.statusPollTime()) <= 0);
+            assertTrue(reads.pollTime().compareTo(bounds.statusPollTime()) <= 0);
+            assertTrue(reads.pollTime().multipliedBy(4).compareTo(Duration.ofSeconds(2)) > 0);
+            starts.merge(reads.startDelay().toMillis() / 70, 1, Integer::sum);
+            polls.add(reads.pollTime());
+        }
+        assertTrue(starts.values().stream().allMatch(count -> count < 180), "starts: " + starts);
+        assertTrue(polls.size() > 1000, "long-poll times: " + polls.size());
+    }
+
+    // Guards against entries that all begin to read when an order arrives.
+    @Test
+    public void firstReadAfterAnOrderIsDelayed() {
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        mRollouts.onOrdersRead(ClockReading.now(mTime));
+        int before = mSnapshots;
+        order();
+        mTime.advance(Duration.ofMillis(1));
+        assertEquals(mSnapshots, before);
+        mTime.advance(Duration.ofMillis(700));
+        assertEquals(mSnapshots, before + 1);
+    }
+
+    // Guards against a group whose report can't be sent and that keeps those of others back.
+    @Test
+    public void groupThatThrowsDoesNotStopOthers() {
+        mRollouts.setMembers(List.of(member("self", 2), member("other", 1)));
+        mRollouts.onState(state("chat", RolloutPhase.SWITCHING));
+        mRollouts.onState(state("draw", RolloutPhase.SWITCHING));
+        mReported.clear();
+        mSendFailure = Optional.of(new IllegalStateException("closed"));
+        mRollouts.reportAll();
+        assertEquals(mReported.size(), 2);
+        assertEquals(mFailures, List.of(mSendFailure.get(), mSendFailure.get()));
+    }
+
+    // Guards against groups, and their metrics, that a report of another deployment creates.
+    @Test
+    public void reportOnAnUnknownGroupIsNotTaken() {
+        RolloutState state = state("unknown", RolloutPhase.TRIAL);
+        EntryReport report = new EntryReport("a", 1, 1, state, 0, RolloutEvidence.NONE);
+        assertEquals(
+                new RolloutReportReceiver(mRollouts).receive(RolloutReportCodec.encode(report)),
+                RolloutReportReceiver.Answer.UNABLE);
+    }
+
+    private static RolloutState state(RolloutPhase phase) {
+        return state(GROUP.value(), phase);
+    }
+
+    private static RolloutState state(String group, RolloutPhase phase) {
+        RolloutRequest request =
+                new RolloutRequest(new GroupId(group), REQUEST.target(), REQUEST.period());
+        return new RolloutState(new RolloutOrder(request, 1), phase, 5, false, List.of());
+    }
+
+    // Guards against an entry that was cut off from the store, learns of an order and sends to the
+    // old version as if the order had not been carried out meanwhile.
+    @Test
+    public void statesAreUnknownAfterTheStoreWasOutOfReach() {
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        for (int i = 0; i < 10; i++) {
+            mTime.advance(Duration.ofSeconds(1));
+            mRollouts.onOrdersRead(ClockReading.now(mTime));
+        }
+        order();
+        assertFalse(isRefused(), "the states were confirmed before the order came");
+        mTime.advance(LEASE_TIME);
+        assertTrue(isRefused(), "the states were never read since the order came");
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        assertFalse(isRefused(), "the states were read");
+        mRollouts.onState(state(RolloutPhase.COMPLETED));
+        mTime.advance(LEASE_TIME);
+        assertFalse(isRefused(), "an outcome is never reversed");
+        RolloutRequest next =
+                new RolloutRequest(GROUP, new SoftwareVersion("v3"), Duration.ofSeconds(60));
+        mRollouts.onRequests(Map.of(GROUP, next));
+        assertTrue(isRefused(), "the state of the next order is unknown");
+    }
+
+    private boolean isRefused() {
+        return mRollouts.rule(GROUP, "route", SendKind.FIRST).isRefused();
+    }
+
+    // Guards against an entry that never learns of a roll-back of which it missed order and
+    // removal.
+    @Test
+    public void statesAreReadAgainAfterTheOrdersWereOutOfReach() {
+        mRollouts.onOrdersRead(ClockReading.now(mTime));
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        TopicListener before = mStates;
+        mTime.advance(LEASE_TIME);
+        mRollouts.onOrdersRead(ClockReading.now(mTime));
+        assertFalse(mRollouts.isReady());
+        assertFalse(mStates.equals(before), "the states are not read again");
+    }
+
     // Guards against a table of the coordinators of roll-outs that never learns of other entries,
     // or
     // that goes on with one that does not respond.
