--- a/standins/src/test/java/org/boragethread/standins/system/SoakExchange.java
+++ b/standins/src/test/java/org/boragethread/standins/system/SoakExchange.java
@@ -44,6 +44,7 @@
                 Host: 127.0.0.1\r
                 Authorization: Token key-1\r
                 X-Boragethread-Request-Id: %s\r
+                X-Boragethread-Token-Counts: 100,64\r
                 Content-Length: 4\r
                 %s\r
                 """
