Remove the mark of a refused connection when the upstream responds

Only a new connection removed the mark. A call on a pooled connection moved the next trial on by a further back-off, so that a sound upstream whose calls all reused connections got one request per back-off.

A response now removes the mark too, if its call was sent after the latest refusal; a response to an earlier call proves nothing.

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamNode.java
@@ -397,6 +397,18 @@
         }
     }
 
+    /**
+     * Records that the upstream responded, perhaps on a connection that existed before.
+     *
+     * @param sentAt when the call was sent; a response to one that was sent before the latest
+     *     refusal does not show that the upstream is running
+     */
+    public void onResponded(long sentAt, long now) {
+        if (mRefusal.precedes(sentAt)) {
+            onConnected(now);
+        }
+    }
+
     /** Avoids the upstream for a while, because another process responded at its address. */
     public void avoidUntil(long nanos) {
         mAvoidUntil = Math.max(mAvoidUntil, nanos);
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -297,6 +297,7 @@
         mHeaders = head.headers();
         mFraming = BodyFraming.of(mMethod, head);
         mRun.onResponse();
+        mSignals.onResponded(mNode, mCalledEntry, mSentAt);
         mSignals.apply(mNode, mCalledEntry, mSentAt, mStatus, mHeaders);
         mIsEventStream = mFraming != BodyFraming.NO_BODY && isEventStream(head);
         boolean notExecuted =
--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamSignals.java
@@ -94,6 +94,25 @@
     void onConnected(UpstreamNode node, UpstreamAnnouncement calledEntry) {
         if (node.isRefusing() && node.entry().isSameIncarnation(calledEntry)) {
             node.onConnected(mTime.nanoTime());
+            logAccepts(node);
+        }
+    }
+
+    /**
+     * Records that an upstream responded, perhaps on a connection that existed before.
+     *
+     * @param calledEntry announcement of the upstream when it was called
+     * @param sentAt monotonic time at which the call was sent
+     */
+    void onResponded(UpstreamNode node, UpstreamAnnouncement calledEntry, long sentAt) {
+        if (node.isRefusing() && node.entry().isSameIncarnation(calledEntry)) {
+            node.onResponded(sentAt, mTime.nanoTime());
+            logAccepts(node);
+        }
+    }
+
+    private void logAccepts(UpstreamNode node) {
+        if (!node.isRefusing()) {
             line(node, "accepts").with("address", node.entry().address()).info();
         }
     }
--- a/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSignalsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/UpstreamSignalsTest.java
@@ -4,8 +4,13 @@
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.upstream.UpstreamNode;
@@ -57,4 +62,35 @@
         assertEquals(counted, reports);
         loop.shutdownGracefully();
     }
+
+    /** Returns when a call was sent, in ms after the refusal, and whether its response counts. */
+    @DataProvider
+    public Object[][] pooledCalls() {
+        return new Object[][] {{-1, true}, {1, false}};
+    }
+
+    // Guards against a sound upstream that stays marked because all calls to it reuse connections.
+    @Test(dataProvider = "pooledCalls")
+    public void responseOnPooledConnectionRemovesMark(int sentMillis, boolean refusing) {
+        ManualTimeSource time = new ManualTimeSource();
+        DefaultEventLoop loop = new DefaultEventLoop();
+        Gateway gateway = new Gateway(TestSettings.create(), time, loop, new GatewayMetrics());
+        new UpstreamListener(gateway)
+                .onSnapshot(Map.of("upstream-1", ANNOUNCEMENT.getBytes(StandardCharsets.UTF_8)));
+        UpstreamNode node = gateway.directory().find(new UpstreamId("upstream-1")).get();
+        time.advance(Duration.ofSeconds(1));
+        long refusedAt = time.nanoTime();
+        node.onConnectionRefused(refusedAt, refusedAt, Duration.ZERO);
+        long sentAt = refusedAt + Duration.ofMillis(sentMillis).toNanos();
+        time.advance(Duration.ofMillis(2));
+        RequestSuspects suspects =
+                new RequestSuspects(
+                        gateway.quarantine(), node.entry().group(), null, "team", List.of());
+        new UpstreamAttempt(node, gateway, suspects, false, null, sentAt, 0, 0)
+                .onHead(
+                        new DefaultHttpResponse(
+                                HttpVersion.HTTP_1_1, HttpResponseStatus.INTERNAL_SERVER_ERROR));
+        assertEquals(node.isRefusing(), refusing);
+        loop.shutdownGracefully();
+    }
 }
