Bound refused second attempts and return their permits

Refused connections no longer count as rejections, so nothing but the retry budget bounded the second attempts of a request beside a silent upstream, and each kept its permit although it reached no upstream.

A request starts no further second attempt after four refused ones, and a refused one returns its permit to the slot of the window that counted it.

AttemptCountsTest.refusedSecondAttemptsAreBounded and SharedRetryBudgetTest.returnedRetryIsAvailableAgain failed with the new methods in place but the earlier rules behind them.

--- a/core/src/main/java/org/boragethread/core/retry/SharedRetryBudget.java
+++ b/core/src/main/java/org/boragethread/core/retry/SharedRetryBudget.java
@@ -59,6 +59,15 @@
         return true;
     }
 
+    /**
+     * Returns a retry that reached no upstream to the budget.
+     *
+     * @param acquiredAt monotonic time at which it was acquired
+     */
+    public void release(long acquiredAt) {
+        mRetries.decrement(acquiredAt, mTime.nanoTime());
+    }
+
     /** Returns the number of retries that are left at present. */
     public long available() {
         long now = mTime.nanoTime();
--- a/core/src/main/java/org/boragethread/core/retry/SlidingWindowCounter.java
+++ b/core/src/main/java/org/boragethread/core/retry/SlidingWindowCounter.java
@@ -24,6 +24,17 @@
         mTotal++;
     }
 
+    /** Removes an event, if the window still holds one of its slot. */
+    void decrement(long eventNanos, long nowNanos) {
+        advance(nowNanos);
+        long slot = Math.floorDiv(eventNanos, mSlotNanos);
+        int index = (int) Math.floorMod(slot, (long) SLOTS);
+        if (mSlot - slot < SLOTS && mSlots[index] > 0) {
+            mSlots[index]--;
+            mTotal--;
+        }
+    }
+
     long total(long nowNanos) {
         advance(nowNanos);
         return mTotal;
--- a/core/src/test/java/org/boragethread/core/retry/SharedRetryBudgetTest.java
+++ b/core/src/test/java/org/boragethread/core/retry/SharedRetryBudgetTest.java
@@ -102,4 +102,20 @@
             times.poll();
         }
     }
+
+    // Guards against refused connections that use up the retries of a group.
+    @Test
+    public void returnedRetryIsAvailableAgain() {
+        ManualTimeSource time = new ManualTimeSource();
+        SharedRetryBudget budget = new SharedRetryBudget(time, RATIO, WINDOW, () -> 1);
+        long acquiredAt = time.nanoTime();
+        assertTrue(budget.tryAcquire());
+        time.advance(Duration.ofSeconds(2));
+        budget.release(acquiredAt);
+        assertEquals(budget.available(), 1);
+        // The second return has no retry to return.
+        budget.release(acquiredAt);
+        assertTrue(budget.tryAcquire());
+        assertEquals(budget.available(), 0);
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptCounts.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptCounts.java
@@ -18,9 +18,16 @@
      */
     static final int MAX_REFUSED_CONNECTIONS = 64;
 
+    /**
+     * Number of refused connections of second attempts after which none is started beside a silent
+     * upstream. Each one takes a timeout of the silence, not only a round trip.
+     */
+    private static final int MAX_REFUSED_SECOND_ATTEMPTS = 4;
+
     private int mSends;
     private int mRejections;
     private int mRefusedConnections;
+    private int mRefusedSecondAttempts;
     private int mExecutions;
 
     void onSent() {
@@ -41,6 +48,19 @@
         }
     }
 
+    /** Counts a second attempt beside a silent upstream that reached no upstream. */
+    void onSecondNotSent(UnsentAttempt unsent) {
+        if (unsent.refused()) {
+            mRefusedSecondAttempts++;
+        }
+        onNotSent(unsent);
+    }
+
+    /** Returns whether the counts allow a second attempt beside a silent upstream. */
+    boolean maySendSecond() {
+        return mayBeRejectedAgain() && mRefusedSecondAttempts < MAX_REFUSED_SECOND_ATTEMPTS;
+    }
+
     /** Counts an attempt that ran or may have run. */
     void onExecuted() {
         mExecutions++;
--- a/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
@@ -181,7 +181,7 @@
                 || mStandby.filter(standby -> standby.attempt().isHeld()).isPresent()) {
             return Optional.of("version");
         }
-        if (attemptsLeft() < 1 || !mParts.counts().mayBeRejectedAgain()) {
+        if (attemptsLeft() < 1 || !mParts.counts().maySendSecond()) {
             return Optional.of("attempts");
         }
         if (mParts.prompt().isSuspect() || mParts.prompt().isBlocked()) {
@@ -331,7 +331,10 @@
         UpstreamNode node = mStandby.orElseThrow().attempt().node();
         mParts.feedback().onNotSent(node, unsent);
         mParts.placement().exclude(node);
-        mParts.counts().onNotSent(unsent);
+        mParts.counts().onSecondNotSent(unsent);
+        if (unsent.refused()) {
+            mGateway.retryBudget(mParts.group().id()).release(unsent.startedAt());
+        }
         endStandby(node, "unreachable");
     }
 
--- a/entry/src/test/java/org/boragethread/entry/gateway/AttemptCountsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/AttemptCountsTest.java
@@ -56,4 +56,17 @@
         }
         assertFalse(counts.mayBeRejectedAgain());
     }
+
+    // Guards against a request to a silent upstream that tries any number of dead ones beside it.
+    @Test
+    public void refusedSecondAttemptsAreBounded() {
+        AttemptCounts counts = new AttemptCounts();
+        for (int i = 0; i < 4; i++) {
+            assertTrue(counts.maySendSecond());
+            counts.onSent();
+            counts.onSecondNotSent(new UnsentAttempt(0, true, false, "refused"));
+        }
+        assertFalse(counts.maySendSecond());
+        assertTrue(counts.mayBeRejectedAgain());
+    }
 }
