Accept placements at refusing upstreams if no other is left

UpstreamChooser.isCallable refused every upstream that was held back, also if choose would have returned it because all were. A placement that arrived after the last upstream was marked was rejected and the coordinator asked again.

isCallable now uses the candidates of choose. New questions were decided locally in this case already, as no upstream is usable for the coordinator.

RefusedConnectionTest.deadUpstreamIsCallableIfAllAreDead failed before.

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -138,8 +138,7 @@
         long now = mTime.nanoTime();
         return node.isListed()
                 && node.entry().group().equals(request.group().id())
-                && isAllowed(node, request)
-                && !isHeldBack(node, wasRefused(request), now)
+                && candidates(request).contains(node)
                 && isCallAllowed(node, request.group(), now);
     }
 
--- a/core/src/test/java/org/boragethread/core/upstream/RefusedConnectionTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/RefusedConnectionTest.java
@@ -244,4 +244,15 @@
         assertTrue(node.isAvoided(mTime.nanoTime()));
         assertFalse(node.isRefusing());
     }
+
+    // Guards against placements that are rejected although no better upstream is left.
+    @Test
+    public void deadUpstreamIsCallableIfAllAreDead() {
+        send();
+        refuse(sound());
+        UpstreamNode chosen = mChooser.choose(request(Set.of())).orElseThrow();
+        assertTrue(chosen.isHeldBack(mTime.nanoTime()));
+        assertTrue(mChooser.isCallable(request(Set.of()), chosen));
+        assertFalse(mChooser.isCallable(request(Set.of(chosen)), chosen));
+    }
 }
