Send no trial request to a refusing upstream during its back-off

The choice for a request of a trial's share is limited to upstreams on trial. If all of these refused connections, they counted as the last ones left and were called during their back-off beside sound upstreams of other versions.

Such a request now goes to another upstream until the back-off ends.

RefusedConnectionTest.trialDoesNotUseDeadUpstreamDuringItsBackOff failed with the earlier rule in the new method.

--- a/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
+++ b/core/src/main/java/org/boragethread/core/upstream/UpstreamChooser.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.boragethread.core.rollout.VersionRule;
 import org.boragethread.core.time.TimeSource;
 import org.boragethread.model.place.DataCentreId;
 import org.boragethread.model.routing.RoutedGroup;
@@ -104,6 +105,16 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns the upstream for a request of a trial's share: one on trial if any is available that
+     * is not held back for its refused connections, otherwise any other.
+     */
+    public Optional<UpstreamNode> choose(ChoiceRequest request, VersionRule trial) {
+        return choose(request.withVersions(trial))
+                .filter(node -> !node.isHeldBack(mTime.nanoTime()))
+                .or(() -> choose(request));
+    }
+
     /**
      * Returns the upstreams that could get the request but not now, or whose calls are likely to
      * fail; empty if there is no other one, or one whose limit is to be confirmed comes first.
--- a/core/src/test/java/org/boragethread/core/upstream/RefusedConnectionTest.java
+++ b/core/src/test/java/org/boragethread/core/upstream/RefusedConnectionTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.boragethread.core.member.PartitionLease;
+import org.boragethread.core.rollout.VersionRule;
 import org.boragethread.core.time.ManualTimeSource;
 import org.boragethread.core.upstream.ColdRateShare.ColdRateBound;
 import org.boragethread.model.place.DataCentreId;
@@ -255,4 +256,17 @@
         assertTrue(mChooser.isCallable(request(Set.of()), chosen));
         assertFalse(mChooser.isCallable(request(Set.of(chosen)), chosen));
     }
+
+    // Guards against requests of a trial's share that all reach a dead upstream on trial.
+    @Test
+    public void trialDoesNotUseDeadUpstreamDuringItsBackOff() {
+        UpstreamNode target = node("dead-0");
+        announce(target, 1, "v2");
+        send();
+        VersionRule trial =
+                VersionRule.trial(new SoftwareVersion("v2"), Set.of(target.entry().id()));
+        assertEquals(mChooser.choose(request(Set.of()), trial), Optional.of(sound()));
+        mTime.advance(Duration.ofMillis(310));
+        assertEquals(mChooser.choose(request(Set.of()), trial), Optional.of(target));
+    }
 }
--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
@@ -60,11 +60,11 @@
                 mParts.counts().sends() == 0
                         ? mGateway.rollouts().rule(mParts.group().id(), route(), SendKind.FIRST)
                         : VersionRule.ANY;
-        Optional<UpstreamNode> onTrial =
+        Optional<UpstreamNode> node =
                 trial.isTrial()
-                        ? mGateway.chooser().choose(choice.withVersions(trial))
-                        : Optional.empty();
-        return onTrial.or(() -> mGateway.chooser().choose(choice)).filter(this::tryCount);
+                        ? mGateway.chooser().choose(choice, trial)
+                        : mGateway.chooser().choose(choice);
+        return node.filter(this::tryCount);
     }
 
     private String route() {
