--- a/core/src/test/java/org/boragethread/core/stage/SharedStagePolicyTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/SharedStagePolicyTest.java
@@ -59,13 +59,17 @@
     }
 
     private void submit(String team, int pieces, int targetMillis) {
+        submit(team, pieces, targetMillis, DEADLINE);
+    }
+
+    private void submit(String team, int pieces, int targetMillis, Duration timeout) {
         long now = mTime.nanoTime();
         long target = now + Duration.ofMillis(targetMillis).toNanos();
         PieceUrgency urgency = new PieceUrgency(0, target, false, false, team, false);
         Stage stage = new Stage(team, pieces);
         List<PendingPiece> pending = new ArrayList<>();
         for (int number = 0; number < pieces; number++) {
-            long deadline = now + DEADLINE.toNanos();
+            long deadline = now + timeout.toNanos();
             PieceWork work =
                     new PieceWork(team, 0, number, deadline, "", RESULT_BYTES, Optional.empty());
             pending.add(new PendingPiece(work, urgency, Optional.empty(), stage, now));
@@ -93,6 +97,23 @@
         assertEquals(mDone.size(), 3);
     }
 
+    /**
+     * Guards against rejections at the beginning of a burst after an idle minute: results seemed to
+     * stay for four seconds, as none of the burst had been freed yet.
+     */
+    @Test
+    public void beginningOfABurstCausesNoRejectionForMemory() {
+        use(8);
+        submit("a", 3, 5000);
+        run(60_000);
+        submit("a", BATCH, 5000);
+        run(100);
+        submit("a", BATCH, 2500, Duration.ofSeconds(3));
+        run(5000);
+        assertEquals(mDelays, List.of());
+        assertEquals(mDone.size(), 3);
+    }
+
     /**
      * Guards against a team whose stages wait behind all those of another one because it was given
      * more before an idle time: the other one had a late stage, which was sent last.
