Let rejected stages return after a full call at least

The delay was the time for the present queue or until the start at the stage's rank, whichever was shorter. It could be zero, which peers read as no delay, and was often less than one call while further stages arrived. It is now the time for the queue, and one full call at least.

SharedStagePolicyTest.rejectedStagesReturnAfterAFullCallAtLeast failed before (0.222 s instead of one call of 0.276 s) and passes now.

--- a/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
@@ -107,12 +107,14 @@
         if (end < first.work().deadlineNanos()) {
             return Optional.empty();
         }
-        // A retry has a target of its own and is late again only behind what waits now.
+        // A retry has a target of its own and is late again only behind what waits now. What has
+        // arrived by then takes a call at least, and zero would be read as no delay.
         WorkAhead queue = new WorkAhead();
         pending.forEach(queue::add);
         pieces.forEach(queue::add);
         long queueNanos = queue.nanosUntilStart(estimate, residence(pieces, limits));
-        return Optional.of(Duration.ofNanos(Math.min(start, queueNanos)));
+        long fullCall = limits.expectedTime(limits.batch()).toNanos();
+        return Optional.of(Duration.ofNanos(Math.max(queueNanos, fullCall)));
     }
 
     @Override
--- a/core/src/test/java/org/boragethread/core/stage/SharedStagePolicyTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/SharedStagePolicyTest.java
@@ -1,6 +1,7 @@
 package org.boragethread.core.stage;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -114,6 +115,21 @@
         assertEquals(mDone.size(), 3);
     }
 
+    /** Guards against rejected stages that are told to return at once, while others arrive. */
+    @Test
+    public void rejectedStagesReturnAfterAFullCallAtLeast() {
+        Duration fullCall = mUpstreams.limits().orElseThrow().expectedTime(BATCH);
+        for (int i = 0; i < 20; i++) {
+            submit("in time", 4, 5000);
+            submit("rejected", 1, 50, Duration.ofMillis(100));
+            run(200);
+        }
+        assertEquals(mDelays.size(), 20);
+        for (Duration delay : mDelays) {
+            assertTrue(delay.compareTo(fullCall) >= 0, "delay " + delay);
+        }
+    }
+
     /**
      * Guards against a team whose stages wait behind all those of another one because it was given
      * more before an idle time: the other one had a late stage, which was sent last.
