Apply the share of late stages to calls only

The wait of late stages for memory was divided by their share of the work as well, though stages that others pass wait for calls, and memory that is free is theirs. Only the time of the calls is divided now.

StageStartEstimateTest.shareAppliesToCallsOnly fails with the earlier formula (3.5 s instead of 0.7 s) and passes now.

--- a/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/SharedStagePolicy.java
@@ -159,8 +159,9 @@
         if (isInTime) {
             return start;
         }
-        double lateNanos = estimate.nanosToServe(late.mPieces, late.mBytes, residence);
-        return inTime.nanosUntilStart(estimate, residence) + (long) (lateNanos / mLateShare.get());
+        double lateNanos =
+                estimate.nanosToServe(late.mPieces, late.mBytes, residence, mLateShare.get());
+        return inTime.nanosUntilStart(estimate, residence) + (long) lateNanos;
     }
 
     private OptionalDouble residence(List<PendingPiece> pieces, BatchLimits limits) {
--- a/core/src/main/java/org/boragethread/core/stage/StageStartEstimate.java
+++ b/core/src/main/java/org/boragethread/core/stage/StageStartEstimate.java
@@ -44,10 +44,15 @@
         return Math.max(callNanos(pieces), memoryNanos(bytes, residence));
     }
 
-    /** Returns the time that pieces take if all upstreams do nothing else, in nanoseconds. */
-    double nanosToServe(int pieces, long bytes, OptionalDouble residence) {
+    /**
+     * Returns the time that pieces take with a share of the calls, in nanoseconds.
+     *
+     * @param callShare share of the calls that they get; memory that is free is theirs, as pieces
+     *     that others pass wait for calls
+     */
+    double nanosToServe(int pieces, long bytes, OptionalDouble residence, double callShare) {
         double calls = pieces / (double) mLimits.batch() / callsPerNano();
-        return Math.max(calls, bytes / usableBytes() * residence.orElse(0));
+        return Math.max(calls / callShare, bytes / usableBytes() * residence.orElse(0));
     }
 
     private double callsPerNano() {
