Let callers of refused shared stages return after two seconds at least

Without an estimate of a coordinator, the delay was the time that stages take at present. While none completes, which is the case under the most load, that is the time of their calls alone, and callers returned after 0.3 to 1.3 s. The delay is now the backlog of two seconds or that time, whichever is longer, spread as before. Local mode is unchanged.

RetryDelaysTest expected 1.2 s for a time of 0.7 s, which was this fault; it now expects 2.5 s and 4.2 s for a time of 3.7 s.

--- a/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
@@ -60,11 +60,16 @@
             Duration stageTime,
             double jitter) {
         return rejection
-                .or(() -> isShared ? Optional.of(stageTime) : Optional.empty())
+                .or(() -> isShared ? Optional.of(atLeastBacklog(stageTime)) : Optional.empty())
                 .map(delay -> afterRejection(delay, jitter))
                 .orElseGet(() -> afterBacklog(remaining, stageTime));
     }
 
+    /** While no stage completes, the time that stages take is that of their calls alone. */
+    private static Duration atLeastBacklog(Duration stageTime) {
+        return stageTime.compareTo(BACKLOG) < 0 ? BACKLOG : stageTime;
+    }
+
     /**
      * Returns the delay for a request whose stages cannot finish in time. A retry with too little
      * time left would be refused again, so it is then delayed until after the deadline.
--- a/entry/src/test/java/org/boragethread/entry/gateway/RetryDelaysTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/RetryDelaysTest.java
@@ -17,14 +17,20 @@
         assertEquals(RetryDelays.afterRejection(Duration.ZERO, 0), RetryDelays.SHORT);
     }
 
-    /** Guards against refusals without an estimate of a coordinator that all name two seconds. */
+    /**
+     * Guards against refusals without an estimate of a coordinator that all name two seconds, or
+     * that name less because no stage completes, so that none raises their time.
+     */
     @Test
     public void returnsAfterOtherRefusalsOfSharedStagesFollowTheirTimeAndAreSpread() {
         Duration left = Duration.ofSeconds(9);
         Duration stageTime = Duration.ofMillis(700);
         Optional<Duration> none = Optional.empty();
         assertEquals(
-                RetryDelays.afterStages(true, none, left, stageTime, 0.5), Duration.ofMillis(1200));
+                RetryDelays.afterStages(true, none, left, stageTime, 0.5), Duration.ofMillis(2500));
+        assertEquals(
+                RetryDelays.afterStages(true, none, left, Duration.ofMillis(3700), 0.5),
+                Duration.ofMillis(4200));
         assertEquals(
                 RetryDelays.afterStages(false, none, left, stageTime, 0.5), Duration.ofSeconds(2));
         Optional<Duration> rejection = Optional.of(Duration.ofMillis(300));
