Bound the delay of rejected stages where the entry is the coordinator

Delays in messages are read as at most a minute; that of a coordinator in the same process was not bounded. RetryDelays.afterRejection bounds both. Placement refusals pass through it too; their delays are 30 s at most or bounded already where they come in a message.

RetryDelaysTest.delayAfterARejectionIsBounded failed before (48 hours) and passes now.

--- a/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.boragethread.entry.placement.ReportedDelay;
 
 /** Delays after which callers may repeat requests that were refused. */
 final class RetryDelays {
@@ -35,12 +36,14 @@
      * Returns the delay for a request that a coordinator rejected for lack of capacity. Requests
      * that are rejected together return at different moments.
      *
-     * @param delay expected time until there is capacity
+     * @param delay expected time until there is capacity; of a longer one a minute counts, also if
+     *     this entry is the coordinator
      * @param jitter number from 0 to 1
      */
     static Duration afterRejection(Duration delay, double jitter) {
         Duration least = delay.compareTo(SHORT) < 0 ? SHORT : delay;
-        return least.plusNanos((long) (REJECTION_SPREAD.toNanos() * jitter));
+        Duration bounded = least.compareTo(ReportedDelay.MAX) > 0 ? ReportedDelay.MAX : least;
+        return bounded.plusNanos((long) (REJECTION_SPREAD.toNanos() * jitter));
     }
 
     /**
--- a/entry/src/main/java/org/boragethread/entry/placement/ReportedDelay.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/ReportedDelay.java
@@ -9,7 +9,7 @@
      * The longest delay that is read; longer ones are shortened to it. Queues change in seconds, so
      * that a longer delay is a fault of the report, and callers would stay away because of it.
      */
-    static final Duration MAX = Duration.ofMinutes(1);
+    public static final Duration MAX = Duration.ofMinutes(1);
 
     private ReportedDelay() {}
 
--- a/entry/src/test/java/org/boragethread/entry/gateway/RetryDelaysTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/RetryDelaysTest.java
@@ -17,6 +17,12 @@
         assertEquals(RetryDelays.afterRejection(Duration.ZERO, 0), RetryDelays.SHORT);
     }
 
+    /** Guards against the delay of an own coordinator, which may be any, in a Retry-After. */
+    @Test
+    public void delayAfterARejectionIsBounded() {
+        assertEquals(RetryDelays.afterRejection(Duration.ofDays(2), 0), Duration.ofMinutes(1));
+    }
+
     /**
      * Guards against refusals without an estimate of a coordinator that all name two seconds, or
      * that name less because no stage completes, so that none raises their time.
