Count only calls for the shares of teams without a memory limit

The size of a result was divided by the memory of an upstream, whose default is 0, so that the first piece sent gave its team an infinite share. The memory share is now ignored then.

TeamSharesTest.workIsFiniteWithoutAMemoryLimit failed before (Infinity) and passes now.

--- a/core/src/main/java/org/boragethread/core/stage/TeamShares.java
+++ b/core/src/main/java/org/boragethread/core/stage/TeamShares.java
@@ -62,9 +62,14 @@
                 stages.size());
     }
 
-    /** Returns the work of a piece, where 1 occupies a call or an upstream's result memory. */
+    /**
+     * Returns the work of a piece, where 1 occupies a call or an upstream's result memory. Without
+     * a configured memory only calls count.
+     */
     static double work(PendingPiece piece, BatchLimits limits) {
-        double memoryShare = piece.work().resultBytes() / (double) limits.resultBytes();
-        return Math.max(1.0 / limits.batch(), memoryShare);
+        double callShare = 1.0 / limits.batch();
+        return limits.resultBytes() <= 0
+                ? callShare
+                : Math.max(callShare, piece.work().resultBytes() / (double) limits.resultBytes());
     }
 }
--- a/core/src/test/java/org/boragethread/core/stage/TeamSharesTest.java
+++ b/core/src/test/java/org/boragethread/core/stage/TeamSharesTest.java
@@ -70,6 +70,15 @@
                 shares.arrange(List.of(old, first, second), LIMITS), List.of(old, first, second));
     }
 
+    // Guards against shares that are infinite where no memory for results is configured.
+    @Test
+    public void workIsFiniteWithoutAMemoryLimit() {
+        BatchLimits unlimited =
+                new BatchLimits(
+                        1, 2, 7, Duration.ofMillis(150), Duration.ZERO, 0, Duration.ofSeconds(4));
+        assertEquals(TeamShares.work(stage("a").first(), unlimited), 1 / 7.0);
+    }
+
     // Guards against a stage that is rejected at once and changes the shares of others.
     @Test
     public void copyForOtherTeamsLeavesSharesAsTheyAre() {
