--- a/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
+++ b/core/src/main/java/org/boragethread/core/stage/StagePolicy.java
@@ -14,7 +14,7 @@
 
     /**
      * Observes the present state. Called before each submission and dispatch, also if no piece is
-     * pending, so that idle time is told from time under load.
+     * pending, to distinguish idle time from load.
      *
      * @param pending pieces that are pending
      * @param upstreams returns the upstreams that may be called
