--- a/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/RetryDelays.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.boragethread.entry.placement.ReportedDelay;
 
 /** Delays after which callers may repeat requests that were refused. */
 final class RetryDelays {
@@ -35,12 +36,14 @@
      * Returns the delay for a request that a coordinator rejected for lack of capacity. Requests
      * that are rejected together return at different moments.
      *
-     * @param delay expected time until there is capacity
+     * @param delay expected time until there is capacity; of a longer one a minute counts, also if
+     *     this entry is the coordinator
      * @param jitter number from 0 to 1
      */
     static Duration afterRejection(Duration delay, double jitter) {
         Duration least = delay.compareTo(SHORT) < 0 ? SHORT : delay;
-        return least.plusNanos((long) (REJECTION_SPREAD.toNanos() * jitter));
+        Duration bounded = least.compareTo(ReportedDelay.MAX) > 0 ? ReportedDelay.MAX : least;
+        return bounded.plusNanos((long) (REJECTION_SPREAD.toNanos() * jitter));
     }
 
     /**
@@ -60,11 +63,16 @@
             Duration stageTime,
             double jitter) {
         return rejection
-                .or(() -> isShared ? Optional.of(stageTime) : Optional.empty())
+                .or(() -> isShared ? Optional.of(atLeastBacklog(stageTime)) : Optional.empty())
                 .map(delay -> afterRejection(delay, jitter))
                 .orElseGet(() -> afterBacklog(remaining, stageTime));
     }
 
+    /** While no stage completes, the time that stages take is that of their calls alone. */
+    private static Duration atLeastBacklog(Duration stageTime) {
+        return stageTime.compareTo(BACKLOG) < 0 ? BACKLOG : stageTime;
+    }
+
     /**
      * Returns the delay for a request whose stages cannot finish in time. A retry with too little
      * time left would be refused again, so it is then delayed until after the deadline.
