Record a lost end that the coordinator knows by reports only

A coordinator that started after the store was restored has neither a request nor an unsettled state, so that it took the reports on a lost end but never decided. All other entries followed the states and reported for ever, and entries that started since used the rejected version.

The coordinator also decides for two seconds after a report on a state that its own table does not have. Entries repeat their reports until the store has the end, so that nothing has to be cleared.

RolloutsTest.endThatOnlyOthersKnowIsRecordedAgain failed before.

--- a/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
@@ -27,6 +27,10 @@
 /** The roll-outs of one group at this process. Not thread-safe. */
 final class GroupRollout implements RolloutEvents {
 
+    /** Time after a report on another state in which to decide; reports come much more often. */
+    private static final Duration CONTRADICTION_TIME =
+            Duration.ofMillis(4 * EntryReport.PERIOD_MILLIS);
+
     private final GroupId mId;
     private final RolloutContext mContext;
     private final RolloutTable mTable;
@@ -44,6 +48,7 @@
     private String mLogFailure = "";
     private long mSequence;
     private boolean mLost;
+    private Optional<Long> mContradictedAt = Optional.empty();
 
     /**
      * Creates a group of which no order is known.
@@ -117,12 +122,19 @@
 
     /** Takes a state that the store has, after the table took it. */
     void onState(RolloutState state) {
-        mLost = mLost && !mTable.state(mId).filter(state::isRepeatedBy).isPresent();
+        mLost = mLost && !isKnown(state);
         coordinator().ifPresent(coordinator -> coordinator.onState(state));
         mTable.state(mId).ifPresent(known -> mUses.setOrder(known.order()));
     }
 
+    private boolean isKnown(RolloutState state) {
+        return mTable.state(mId).filter(state::isRepeatedBy).isPresent();
+    }
+
     void onReport(EntryReport report) {
+        if (!isKnown(report.state())) {
+            mContradictedAt = Optional.of(mContext.time().nanoTime());
+        }
         coordinator().ifPresent(coordinator -> coordinator.onReport(report));
     }
 
@@ -153,7 +165,7 @@
 
     /** Decides on the roll-out, as the coordinator of the group. */
     void tick() {
-        if (mRequest.isEmpty() && !isUnsettled()) {
+        if (mRequest.isEmpty() && !isUnsettled() && !isContradicted()) {
             return;
         }
         coordinator()
@@ -165,6 +177,16 @@
                         });
     }
 
+    /**
+     * Returns whether an entry reports another state than this one has read. A coordinator that
+     * started after the store was restored knows a lost end by reports only.
+     */
+    private boolean isContradicted() {
+        return mContradictedAt
+                .filter(at -> mContext.time().since(at).compareTo(CONTRADICTION_TIME) < 0)
+                .isPresent();
+    }
+
     /**
      * Returns the coordinator; empty until the configuration is known, which limits how long an
      * entry that ended may have requests in flight.
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
@@ -255,6 +255,33 @@
         assertEquals(mReported.size(), 1, "reported for ever");
     }
 
+    // Guards against an end that is lost for ever, because the coordinator started after the store
+    // was restored, and reports on it that never stop.
+    @Test
+    public void endThatOnlyOthersKnowIsRecordedAgain() {
+        RolloutRequest earlier =
+                new RolloutRequest(GROUP, new SoftwareVersion("v1"), REQUEST.period());
+        RolloutState older =
+                new RolloutState(
+                        new RolloutOrder(earlier, 0), RolloutPhase.COMPLETED, 1, true, List.of());
+        RolloutState ended = state(RolloutPhase.ROLLED_BACK);
+        mRecorded = Optional.of(older);
+        mRollouts.onState(older);
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        for (int i = 0; i < 20; i++) {
+            mTime.advance(Duration.ofMillis(250));
+            mRollouts.onOrdersRead(ClockReading.now(mTime));
+            mRollouts.onReport(new EntryReport("a", 1, i, ended, 0, RolloutEvidence.NONE));
+            mRollouts.tick();
+        }
+        assertEquals(mRecorded.get().order(), ended.order());
+        assertEquals(mRecorded.get().phase(), RolloutPhase.ROLLED_BACK);
+        mTime.advance(Duration.ofSeconds(3));
+        int reads = mReads.size();
+        mRollouts.tick();
+        assertEquals(mReads.size(), reads, "the state is read for ever");
+    }
+
     // Guards against a roll-out that nobody decides on, because the entry that should do so has no
     // roll-outs in its settings but confirms the reports of the others.
     @Test
