Keep one of two ends that were recorded around a restore

Entries may know COMPLETED while the restored store has ROLLED_BACK of the same order. If the recorded end had the lower revision, or the same one, the entries ignored it, entries that started later used it, and neither was recorded again, so that reads and reports never stopped.

The end with the higher revision, or the roll-back if both have the same, is recorded again above all revisions, and replaces the other one at all entries. Rejecting every change from one end to another would leave entries that have read the other end with it for ever.

--- a/core/src/main/java/org/boragethread/core/rollout/GroupVersions.java
+++ b/core/src/main/java/org/boragethread/core/rollout/GroupVersions.java
@@ -78,11 +78,17 @@
         updateOnlyForbidden();
     }
 
-    /** Returns whether a state is of an older copy of the store; an outcome is never reversed. */
+    /**
+     * Returns whether a state is of an older copy of the store. An end is replaced only by another
+     * end that prevails over it, so that all entries agree again after two were recorded.
+     */
     private boolean isOutdated(RolloutState state, RolloutState known) {
         if (!isSameOrder(state, known)) {
             return state.isOutdatedBy(known, mRequest);
         }
+        if (state.prevailsOver(known)) {
+            return false;
+        }
         return state.revision() <= known.revision()
                 || known.phase().isEnded() && !state.phase().isEnded();
     }
--- a/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
+++ b/core/src/main/java/org/boragethread/core/rollout/RolloutState.java
@@ -82,6 +82,22 @@
         return order.equals(other.order) && phase == other.phase && withdrawn == other.withdrawn;
     }
 
+    /**
+     * Returns whether this is the one to keep of two different ends of an order, which were
+     * recorded before and after the store was restored. Revisions may be equal, since both count
+     * from the same copy; the version that was rolled back by one of them is not used then.
+     */
+    boolean prevailsOver(RolloutState other) {
+        if (!order.equals(other.order)
+                || !phase.isEnded()
+                || !other.phase.isEnded()
+                || phase == other.phase) {
+            return false;
+        }
+        return revision > other.revision
+                || revision == other.revision && phase == RolloutPhase.ROLLED_BACK;
+    }
+
     /**
      * Returns whether a later order has ended, and this one is not asked for: the store that has
      * this state was restored from an older copy.
--- a/core/src/main/java/org/boragethread/core/rollout/SeenState.java
+++ b/core/src/main/java/org/boragethread/core/rollout/SeenState.java
@@ -38,12 +38,13 @@
         if (isSameOrder && state.phase().isEnded() != known.phase().isEnded()) {
             return state.phase().isEnded();
         }
-        return state.revision() > known.revision();
+        return state.revision() > known.revision() || state.prevailsOver(known);
     }
 
     /**
      * Returns the state to record again instead of the one that was read, if an entry has seen a
-     * newer one of an order that is still to be carried out, or the end of a later order.
+     * newer one of an order that is still to be carried out, or the end of a later order. Of two
+     * ends of one order the newer is recorded again, as entries that have read it keep it.
      */
     Optional<RolloutState> lost(Optional<RolloutState> read, Optional<RolloutRequest> request) {
         if (mNewest.isEmpty() || read.isEmpty() || read.equals(mNewest)) {
@@ -55,8 +56,7 @@
             return mNewest;
         }
         boolean isSameOrder = newest.order().equals(recorded.order());
-        boolean isOtherOutcome = recorded.phase().isEnded() && recorded.phase() != newest.phase();
-        if (!isNewer(newest, recorded) || isSameOrder && isOtherOutcome) {
+        if (!isNewer(newest, recorded)) {
             return Optional.empty();
         }
         if (!isSameOrder && request.filter(newest::isOf).isEmpty()) {
--- a/core/src/test/java/org/boragethread/core/rollout/RolloutTableTest.java
+++ b/core/src/test/java/org/boragethread/core/rollout/RolloutTableTest.java
@@ -119,6 +119,25 @@
         assertEquals(mTable.state(RolloutSimulation.GROUP), Optional.of(ended));
     }
 
+    /** Guards against entries that keep different ends of one order, recorded around a restore. */
+    @Test
+    public void newestOfTwoEndsIsUsed() {
+        RolloutState completed =
+                new RolloutState(TRIAL.order(), RolloutPhase.COMPLETED, 7, false, List.of());
+        for (long revision : new long[] {5, 7, 9}) {
+            RolloutState rolledBack =
+                    new RolloutState(
+                            TRIAL.order(), RolloutPhase.ROLLED_BACK, revision, false, List.of());
+            RolloutState newest = revision < 7 ? completed : rolledBack;
+            for (List<RolloutState> read :
+                    List.of(List.of(completed, rolledBack), List.of(rolledBack, completed))) {
+                setUp();
+                read.forEach(mTable::setState);
+                assertEquals(mTable.state(RolloutSimulation.GROUP), Optional.of(newest));
+            }
+        }
+    }
+
     /** Guards against reads that are too rare for a short time for a roll-back. */
     @Test
     public void statusStaysFreshBetweenReads() {
