Spread the reads of roll-out states after an outage of the store

After an outage longer than the lease all entries find the states unknown when they read the orders again, and began to read at the same moment. Only the first read of a process starts at once now.

RolloutsTest.firstReadAfterAnOutageOfTheStoreIsDelayed failed before.

--- a/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/Rollouts.java
@@ -53,6 +53,7 @@
     private Optional<Long> mUpstreamsKnownAt = Optional.empty();
     private Optional<ClockReading> mOrdersReadAt = Optional.empty();
     private boolean mStatusKnown;
+    private boolean mStatusReadOnce;
     private Optional<Long> mLateStateUntil = Optional.empty();
     private Optional<Participation> mParticipation = Optional.empty();
     private Optional<TopicFollower> mFollower = Optional.empty();
@@ -338,6 +339,7 @@
         mTable.orElseThrow().onStatusRead(asOf);
         mStatusLease.renew(asOf);
         mStatusKnown = true;
+        mStatusReadOnce = true;
         mLateStateUntil = mLateStateUntil.filter(until -> asOf.nanos() - until < 0);
         followWhileNeeded();
     }
@@ -379,9 +381,9 @@
             RolloutStatus listener = new RolloutStatus(this, mContext.log());
             TopicFollower follower = part.createFollower().apply(listener, reads.pollTime());
             mFollower = Optional.of(follower);
-            boolean isKnown = mStatusKnown && mStatusLease.isHeld();
-            mContext.scheduler()
-                    .schedule(isKnown ? reads.startDelay() : Duration.ZERO, follower::start);
+            // All entries return at once after an order, and after an outage of the store.
+            Duration delay = mStatusReadOnce ? reads.startDelay() : Duration.ZERO;
+            mContext.scheduler().schedule(delay, follower::start);
         } else if (!needed && mFollower.isPresent()) {
             mFollower.get().stop();
             mFollower = Optional.empty();
--- a/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/rollout/RolloutsTest.java
@@ -334,6 +334,22 @@
         assertEquals(mSnapshots, before + 1);
     }
 
+    // Guards against entries that all begin to read when the store is in reach again.
+    @Test
+    public void firstReadAfterAnOutageOfTheStoreIsDelayed() {
+        int atStart = mSnapshots;
+        mTime.advance(Duration.ofMillis(1));
+        assertEquals(mSnapshots, atStart + 1, "the first read of the process is delayed");
+        mRollouts.onStatusRead(ClockReading.now(mTime));
+        mTime.advance(LEASE_TIME.plusSeconds(1));
+        int before = mSnapshots;
+        mRollouts.onOrdersRead(ClockReading.now(mTime));
+        mTime.advance(Duration.ofMillis(1));
+        assertEquals(mSnapshots, before);
+        mTime.advance(Duration.ofMillis(700));
+        assertEquals(mSnapshots, before + 1);
+    }
+
     // Guards against a group whose report can't be sent and that keeps those of others back.
     @Test
     public void groupThatThrowsDoesNotStopOthers() {
