--- a/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
+++ b/entry/src/main/java/org/boragethread/entry/rollout/GroupRollout.java
@@ -47,7 +47,10 @@
     private List<Verdict.Kind> mLoggedVerdicts = List.of();
     private String mLogFailure = "";
     private long mSequence;
+
+    /** Whether the store may lack the known state, since it came back from an older copy. */
     private boolean mLost;
+
     private Optional<Long> mContradictedAt = Optional.empty();
 
     /**
