Place requests while a new coordinator knows only some of the entries

A coordinator with limited engine memory placed nothing for up to 1.25 s after each change, until all listed entries had restored; killed ones stay listed for seconds. The shares of entries that have not restored are held back from the beginning instead. shareOfSilentEntryIsHeldBack asserted the wait; it now asserts that a request within the rest is placed at once and one beyond it is not.

--- a/core/src/main/java/org/boragethread/core/placement/EngineMemory.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineMemory.java
@@ -12,7 +12,6 @@
     private final boolean mLimited;
     private int mUnreported;
     private int mEntries = 1;
-    private long mHeldUntil;
 
     EngineMemory(EngineDirectory directory, boolean limited) {
         mDirectory = directory;
@@ -24,30 +23,27 @@
     }
 
     /** Sets how many of the live entries have not reported what they have at engines. */
-    void setUnreported(int unreported, int entries, long heldUntil) {
+    void setUnreported(int unreported, int entries) {
         mUnreported = unreported;
         mEntries = Math.max(entries, Math.max(1, unreported));
-        mHeldUntil = heldUntil;
     }
 
-    /** Returns whether nothing is placed, because reports of live entries are awaited. */
-    boolean isHeld(long now) {
-        return mLimited && mUnreported > 0 && now - mHeldUntil < 0;
+    /** Returns whether nothing is placed, because no live entry has reported yet. */
+    boolean isHeldBack() {
+        return mLimited && mUnreported == mEntries;
     }
 
     /**
      * Returns the limits for new requests. An entry that does not report keeps the share that it
-     * may use by itself.
+     * may use by itself. The shares of others are not held back until it does: a dead entry stays
+     * listed for seconds, in which nobody would be served.
      */
-    EngineLimits available(long now) {
+    EngineLimits available() {
         EngineLimits limits = mDirectory.limits();
         if (!mLimited || mUnreported == 0) {
             return limits;
         }
-        long held =
-                isHeld(now)
-                        ? limits.cacheTokens()
-                        : mUnreported * (limits.cacheTokens() / mEntries + 1);
+        long held = mUnreported * (limits.cacheTokens() / mEntries + 1);
         return new EngineLimits(limits.slots(), Math.max(0, limits.cacheTokens() - held));
     }
 
--- a/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
+++ b/core/src/main/java/org/boragethread/core/placement/PlacementCoordinator.java
@@ -264,16 +264,14 @@
     }
 
     /**
-     * Sets what is not known of live entries. With limited memory nothing is placed until a time,
-     * and the share of each of them in the memory is left free after it, since what they have still
-     * runs.
+     * Sets what is not known of live entries. With limited memory the share of each of them is left
+     * free, since what they have still runs.
      *
      * @param unreported live entries that have not restored what they have at engines
      * @param entries all live entries
-     * @param heldUntil monotonic time until which their reports are awaited
      */
-    public void setUnreported(int unreported, int entries, long heldUntil) {
-        mMemory.setUnreported(unreported, entries, heldUntil);
+    public void setUnreported(int unreported, int entries) {
+        mMemory.setUnreported(unreported, entries);
         dispatch();
     }
 
@@ -328,7 +326,7 @@
 
     private void finish(long now) {
         // What is placed while reports are awaited says nothing about the engines.
-        mRate.update(mQueue.size() > 0 && !mMemory.isHeld(now), now);
+        mRate.update(mQueue.size() > 0 && !mMemory.isHeldBack(), now);
         scheduleWake(now);
         mOutcomes.deliver();
     }
@@ -371,7 +369,7 @@
                 mEngines,
                 mReservations,
                 mCost,
-                mMemory.available(now),
+                mMemory.available(),
                 mMemory.isLimited(),
                 now,
                 mReportMillis);
--- a/core/src/main/java/org/boragethread/core/stage/LateShare.java
+++ b/core/src/main/java/org/boragethread/core/stage/LateShare.java
@@ -23,8 +23,7 @@
 
     /**
      * Added work as a share of the observed work at most: slow groups complete about two calls in
-     * the time that is remembered, beside which a whole call would be a third of all. With 0.1,
-     * fewer of the large requests of BurstLoadTest were in time (0.873 instead of 0.875).
+     * the time that is remembered, beside which a whole call would be a third of all.
      */
     private static final double MAX_ADDED_SHARE = 0.2;
 
--- a/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
+++ b/entry/src/main/java/org/boragethread/entry/placement/PlacementServer.java
@@ -42,12 +42,6 @@
     /** Number of placements after which those that have expired unreported are looked for. */
     private static final int PRUNE_INTERVAL = 256;
 
-    /**
-     * Time for which a new coordinator waits for what live entries have at engines. An entry
-     * notices the change within 1 s, and its message is lost if it takes over 250 ms.
-     */
-    private static final Duration RESTORE_TIME = Duration.ofMillis(1250);
-
     /**
      * Age up to which a restore is of the present term. Entries notice the end of the coordinator
      * before at different times, the last ones when its membership has expired, after 2.5 s.
@@ -301,7 +295,6 @@
         private final PlacementCoordinator mCoordinator;
         private final Supervisor mSupervisor;
         private final Map<String, Sender> mSenders = new HashMap<>();
-        private long mBegunAt = mTime.nanoTime();
 
         Coordination(GroupId group, PlacementCoordinator coordinator) {
             mGroup = group;
@@ -315,7 +308,6 @@
             for (Sender sender : mSenders.values()) {
                 sender.mRestored &= now - sender.mRestoredAt < TERM_SLACK.toNanos();
             }
-            mBegunAt = now;
             updateUnreported();
         }
 
@@ -327,8 +319,7 @@
                 unreported += sender == null || !sender.mRestored ? 1 : 0;
             }
             int count = unreported;
-            long until = mBegunAt + RESTORE_TIME.toNanos();
-            run(() -> mCoordinator.setUnreported(count, mMembers.size(), until));
+            run(() -> mCoordinator.setUnreported(count, mMembers.size()));
         }
 
         /** Runs a step of the coordinator, whose failures are not those of a request. */
