Name limits in findings without the platform's field names

PlatformNamesTest failed: two remedies of check-config named fields of the platform's document outside of its adapter.

--- a/core/src/main/java/org/boragethread/core/configcheck/RouteLimits.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/RouteLimits.java
@@ -66,7 +66,7 @@
                         "%d attempts are allowed but requests of route %s run at most once"
                                 .formatted(route.maxAttempts(), route.label()),
                         "allow 1 attempt; if repeating does no harm, use the kind safe, or"
-                                + " streaming with can_resume"));
+                                + " streaming and resumable"));
     }
 
     static Optional<Finding> findResumptionWithoutStream(
@@ -78,8 +78,8 @@
                 Finding.contradiction(
                         "resumable-without-stream",
                         Place.route(index).at(Field.RESUMABLE),
-                        "route %s has can_resume but its kind is not streaming"
+                        "route %s is resumable but its kind is not streaming"
                                 .formatted(route.label()),
-                        "use the kind streaming, or remove can_resume"));
+                        "use the kind streaming, or make it not resumable"));
     }
 }
--- a/core/src/main/java/org/boragethread/core/configcheck/StageLimits.java
+++ b/core/src/main/java/org/boragethread/core/configcheck/StageLimits.java
@@ -153,7 +153,7 @@
                         "calls have up to %d pieces but upstreams of service %s have memory for %d"
                                         .formatted(limits.get().batch(), definition.group(), room)
                                 + " results: full calls wait until an upstream holds no results",
-                        "use a smaller batch, or correct bytes or headroom_mb"));
+                        "use a smaller batch, or correct bytes or the memory for results"));
     }
 
     /** Finds results that are dropped before a call with one piece could have used them. */
