Read the orders of roll-outs after the first upstreams

Cause: a version is used once the orders were read later than it was seen. New entries began both reads together, and the orders came with a long poll, so that after a restart of all entries requests were refused with no-upstream until the next read.

--- a/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/GatewayProcess.java
@@ -212,22 +212,32 @@
         }
         mMembership.start();
         startRollouts();
-        follower(
+        TopicFollower operators =
+                follower(
                         StoreTopic.OPERATOR_TOPIC,
                         new ReadTiming(configPollTime, Duration.ZERO, STORE_RETRY_DELAY),
                         new TopicListeners(
                                 List.of(
                                         new ConfigListener(mGateway),
                                         mGateway.rollouts().orders())),
-                        (key, previous, value) -> Arrays.equals(previous, value))
-                .start();
+                        (key, previous, value) -> Arrays.equals(previous, value));
+        TopicListener upstreams = new UpstreamListener(mGateway);
+        // A version is used once the orders were read after it, so a long poll of the orders that
+        // began before the upstreams were read would leave a new process without any.
+        boolean areOrdersLater = mSettings.rollouts().isPresent();
         follower(
                         StoreTopic.UPSTREAM_TOPIC,
                         new ReadTiming(
                                 Duration.ZERO, mSettings.upstreamReadInterval(), STORE_RETRY_DELAY),
-                        new UpstreamListener(mGateway),
+                        areOrdersLater
+                                ? new TopicListeners(
+                                        List.of(upstreams, new FirstSnapshot(operators::start)))
+                                : upstreams,
                         UpstreamDecoder::isUnchanged)
                 .start();
+        if (!areOrdersLater) {
+            operators.start();
+        }
         startReports();
     }
 
