--- a/core/src/main/java/org/boragethread/core/placement/EngineMemory.java
+++ b/core/src/main/java/org/boragethread/core/placement/EngineMemory.java
@@ -35,8 +35,8 @@
 
     /**
      * Returns the limits for new requests. An entry that does not report keeps the share that it
-     * may use by itself. The shares of others are not held back until it does: a dead entry stays
-     * listed for seconds, in which nobody would be served.
+     * may use by itself. Requests do not wait for its report: an entry that ended stays listed for
+     * seconds.
      */
     EngineLimits available() {
         EngineLimits limits = mDirectory.limits();
