--- a/review/standins-2/Gateway.java
+++ b/review/standins-2/Gateway.java
@@ -140,7 +140,7 @@
         throw new IOException("the gateway is not ready: see " + mLog);
     }
 
-    private boolean isReady() {
+    boolean isReady() {
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(mIp, mReady), 500);
             socket.setSoTimeout(1000);
