--- a/review/standins-2/SlowReaderCase.java
+++ b/review/standins-2/SlowReaderCase.java
@@ -12,8 +12,8 @@
  */
 final class SlowReaderCase extends Case {
 
-    private static final int REQUESTERS = 64;
-    private static final int FIRST_BYTES = 3_900_000;
+    private static final int REQUESTERS = 112;
+    private static final int FIRST_BYTES = 3_540_000;
     private static final int STEP_BYTES = 8_000;
     private static final int BYTES_PER_SECOND = 40_000;
     private static final int RECEIVE_BYTES = 64 << 10;
