Reject responses whose status code is not valid

Seen: an upstream in trouble sent an answer with the status 000, and its caller received it as an answer. The statuses 600 to 999 were passed on in the same way, and +200, 0200 and 00200 were read as 200. Cause: the decoder of the HTTP library takes any number for a status code. Change: ResponseDecoder, the one decoder of the responses of upstreams, peers and the store, accepts three digits from 100 to 599 only, also in 1xx heads. Anything else is a decoder failure, which HttpConnection already reports as a failed call: a safe request is repeated elsewhere, a stream goes on elsewhere, a second attempt is ignored, and other callers get 502. Status 599 and a missing reason are still passed on.

--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
@@ -7,12 +7,9 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -25,10 +22,6 @@
 /** A pooled client connection, which carries one call at a time. */
 final class HttpConnection extends ChannelInboundHandlerAdapter {
 
-    private static final int MAX_LINE_BYTES = 8192;
-    private static final int MAX_HEADER_BYTES = 32768;
-    private static final int MAX_CHUNK_BYTES = 65536;
-
     /** Maximum idle time of a connection; the peer may announce a shorter one. */
     private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(4);
 
@@ -48,7 +41,7 @@
 
     private final HttpConnectionPool mPool;
     private final InetSocketAddress mAddress;
-    private final Decoder mDecoder = new Decoder();
+    private final ResponseDecoder mDecoder = new ResponseDecoder();
     private SocketChannel mChannel;
     private ActiveCall mCall;
     private boolean mHeadReceived;
@@ -321,28 +314,4 @@
         long announced = Duration.ofSeconds(Long.parseLong(match.group(1))).toNanos();
         return Math.min(MAX_IDLE_TIME.toNanos(), (long) (announced * KEEP_ALIVE_TIMEOUT_FRACTION));
     }
-
-    /** Tracks the method of the request, since responses to HEAD have no body. */
-    private static final class Decoder extends HttpResponseDecoder {
-
-        private HttpMethod mMethod = HttpMethod.GET;
-
-        Decoder() {
-            super(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
-        }
-
-        void setMethod(HttpMethod method) {
-            mMethod = method;
-        }
-
-        /** Returns whether the peer has begun to send another message. */
-        boolean hasUndecodedBytes() {
-            return actualReadableBytes() > 0;
-        }
-
-        @Override
-        protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            return mMethod.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message);
-        }
-    }
 }
--- /dev/null
+++ b/wire/src/test/java/org/boragethread/wire/http/ResponseDecoderTest.java
@@ -0,0 +1,154 @@
+package org.boragethread.wire.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests which heads of responses are valid, in each place where a peer may send one. */
+public class ResponseDecoderTest {
+
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+    private static final String BODY = "body";
+
+    /** Where the lines of a head are sent. %s stands for a status code or for further lines. */
+    private enum Place {
+        WITH_LENGTH("%sContent-Length: 4\r\n\r\n" + BODY),
+        WITHOUT_LENGTH("%s\r\n" + BODY),
+        CHUNKED("%sTransfer-Encoding: chunked\r\n\r\n4\r\n" + BODY + "\r\n0\r\n\r\n"),
+        WITHOUT_BODY("%sContent-Length: 0\r\n\r\n"),
+        HEAD("%sContent-Length: 4\r\n\r\n"),
+        BEFORE_FINAL_HEAD("%s\r\n" + OK + "Content-Length: 4\r\n\r\n" + BODY);
+
+        final String mFormat;
+
+        Place(String format) {
+            mFormat = format;
+        }
+
+        String text(String lines) {
+            return mFormat.formatted(lines);
+        }
+    }
+
+    private static Iterator<Object[]> inEveryPlace(String... values) {
+        List<Object[]> cases = new ArrayList<>();
+        for (Place place : Place.values()) {
+            for (String value : values) {
+                cases.add(new Object[] {place, value});
+            }
+        }
+        return cases.iterator();
+    }
+
+    /** Decodes a text that arrives in pieces of some bytes. */
+    private static List<HttpObject> decode(String text, HttpMethod method, int pieceBytes) {
+        ResponseDecoder decoder = new ResponseDecoder();
+        decoder.setMethod(method);
+        EmbeddedChannel channel = new EmbeddedChannel(decoder);
+        byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+        for (int i = 0; i < bytes.length; i += pieceBytes) {
+            int length = Math.min(pieceBytes, bytes.length - i);
+            channel.writeInbound(Unpooled.copiedBuffer(bytes, i, length));
+        }
+        channel.finish();
+        List<HttpObject> objects = new ArrayList<>();
+        for (Object next = channel.readInbound(); next != null; next = channel.readInbound()) {
+            objects.add((HttpObject) next);
+        }
+        return objects;
+    }
+
+    private static List<List<HttpObject>> decodeWholeAndInPieces(Place place, String lines) {
+        HttpMethod method = place == Place.HEAD ? HttpMethod.HEAD : HttpMethod.POST;
+        String text = place.text(lines);
+        return List.of(decode(text, method, text.length()), decode(text, method, 1));
+    }
+
+    private static void assertInvalid(Place place, String lines) {
+        for (List<HttpObject> objects : decodeWholeAndInPieces(place, lines)) {
+            boolean failed = objects.stream().anyMatch(part -> part.decoderResult().isFailure());
+            assertTrue(failed, objects.toString());
+            assertTrue(objects.get(0).decoderResult().isFailure(), "a part came before");
+        }
+    }
+
+    private static void assertValid(Place place, String lines, int status) {
+        for (List<HttpObject> objects : decodeWholeAndInPieces(place, lines)) {
+            for (HttpObject part : objects) {
+                assertFalse(part.decoderResult().isFailure(), part.toString());
+            }
+            assertEquals(((HttpResponse) objects.get(0)).status().code(), status);
+            boolean hasBody = place != Place.WITHOUT_BODY && place != Place.HEAD;
+            assertEquals(body(objects), hasBody ? BODY : "");
+        }
+    }
+
+    private static String body(List<HttpObject> objects) {
+        StringBuilder body = new StringBuilder();
+        for (HttpObject part : objects) {
+            if (part instanceof HttpContent content) {
+                body.append(content.content().toString(StandardCharsets.ISO_8859_1));
+            }
+        }
+        return body.toString();
+    }
+
+    @DataProvider
+    private static Iterator<Object[]> invalidStatusCodes() {
+        return inEveryPlace(
+                "000",
+                "001",
+                "099",
+                "600",
+                "999",
+                "0",
+                "20",
+                "2000",
+                "0200",
+                "00200",
+                "-200",
+                "+200",
+                "20x",
+                "2 00",
+                "0x0",
+                "\u00b2\u00b3\u00b9");
+    }
+
+    // Guards against a response of a peer in trouble that a caller receives as an answer.
+    @Test(dataProvider = "invalidStatusCodes")
+    public void responseWithAnInvalidStatusCodeIsRejected(Place place, String code) {
+        assertInvalid(place, "HTTP/1.1 " + code + " OK\r\n");
+    }
+
+    @DataProvider
+    private static Iterator<Object[]> validStatusCodes() {
+        return inEveryPlace("100", "103", "200", "299", "300", "404", "418", "500", "599");
+    }
+
+    @Test(dataProvider = "validStatusCodes")
+    public void responseWithAnyOtherStatusCodeIsValid(Place place, String code) {
+        boolean informational = code.startsWith("1");
+        if (informational == (place == Place.BEFORE_FINAL_HEAD)) {
+            assertValid(place, "HTTP/1.1 " + code + " Any\r\n", Integer.parseInt(code));
+        }
+    }
+
+    @Test
+    public void reasonMayBeMissing() {
+        assertValid(Place.WITH_LENGTH, "HTTP/1.1 200\r\n", 200);
+        assertValid(Place.WITH_LENGTH, "HTTP/1.1 200 \r\n", 200);
+    }
+}
