Reject responses to agents whose status code is not valid

Cause: the HTTP library of the agents takes any three digits for a status code, so a broken answer could state that the request did not run. Change: ResponseHeadFilter ends the connection at a status outside 100 to 599. Evidence: InvalidHeadTest failed for 000, 099, 600 and 999 before; status 599 and a response after an informational one are still delivered.

--- a/agent/src/main/java/org/boragethread/agent/upstream/GrizzlyUpstreamClient.java
+++ b/agent/src/main/java/org/boragethread/agent/upstream/GrizzlyUpstreamClient.java
@@ -12,7 +12,6 @@
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -44,7 +43,7 @@
         FilterChainBuilder filters =
                 FilterChainBuilder.stateless()
                         .add(new TransportFilter())
-                        .add(new HttpClientFilter())
+                        .add(new ResponseHeadFilter())
                         .add(new ExchangeFilter());
         mTransport =
                 TCPNIOTransportBuilder.newInstance()
--- /dev/null
+++ b/agent/src/main/java/org/boragethread/agent/upstream/ResponseHeadFilter.java
@@ -0,0 +1,34 @@
+package org.boragethread.agent.upstream;
+
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+
+/**
+ * Decodes the responses of an upstream. A head that HTTP/1.1 does not allow ends the connection, so
+ * that no user of a response has to check it again.
+ */
+final class ResponseHeadFilter extends HttpClientFilter {
+
+    /** Lowest and highest status code (RFC 9110, section 15). */
+    private static final int MIN_STATUS = 100;
+
+    private static final int MAX_STATUS = 599;
+
+    /**
+     * Checks a head that was decoded.
+     *
+     * @throws IllegalStateException if the head is not valid
+     */
+    @Override
+    protected void onHttpHeadersParsed(
+            HttpHeader header, MimeHeaders fields, FilterChainContext context) {
+        int status = ((HttpResponsePacket) header).getStatus();
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+            throw new IllegalStateException("invalid status code: " + status);
+        }
+        super.onHttpHeadersParsed(header, fields, context);
+    }
+}
