Reject responses whose header names are not valid

Seen: an upstream in trouble sent an answer whose head had a blank or a control byte in the name of a field, and its caller received it as an answer, with the line passed on or with a body that was not the upstream's. Cause: the decoder of the HTTP library checks the characters of a name, but leaves out blanks before it and everything between a blank and the colon: 'Content Length: 2' was passed on as 'Content: 2', and a line without a colon as a header without a value. A line that begins with a blank was joined to the header before, so ' Content-Length: 2' no longer framed the body. Change: ResponseDecoder rejects a head or trailer whose name is not all that precedes the colon, and a head with a line that begins with a blank, which RFC 9112, section 5.2, leaves to a proxy. A name with every character of a token, an empty value, a Retry-After of 0 and such lines in a body still pass. Names with control bytes were rejected before.

--- a/standins/src/test/java/org/boragethread/standins/system/InvalidHeadTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/InvalidHeadTest.java
@@ -53,7 +53,15 @@
         ZERO_STATUS("HTTP/1.1 000 OK", "", false),
         LARGE_STATUS("HTTP/1.1 600 OK", "", false),
         SIGNED_STATUS("HTTP/1.1 +200 OK", "", false),
-        LARGEST_STATUS("HTTP/1.1 599 Any", "", true);
+        BLANK_IN_NAME("HTTP/1.1 200 OK", "X Name: 1\r\n", false),
+        BLANK_BEFORE_NAME("HTTP/1.1 200 OK", " X-Name: 1\r\n", false),
+        BLANK_AFTER_NAME("HTTP/1.1 200 OK", "X-Name : 1\r\n", false),
+        BLANK_IN_LENGTH("HTTP/1.1 200 OK", "Content Length: 2\r\n", false),
+        CONTROL_BYTE("HTTP/1.1 200 OK", "X\u0001Name: 1\r\n", false),
+        LARGEST_STATUS("HTTP/1.1 599 Any", "", true),
+        ALL_NAME_CHARACTERS("HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~09azAZ: 1\r\n", true),
+        NO_VALUE("HTTP/1.1 200 OK", "X-Name:\r\n", true),
+        NO_PAUSE("HTTP/1.1 200 OK", "Retry-After: 0\r\n", true);
 
         final String mStatusLine;
         final String mLines;
--- a/wire/src/main/java/org/boragethread/wire/http/ResponseDecoder.java
+++ b/wire/src/main/java/org/boragethread/wire/http/ResponseDecoder.java
@@ -1,8 +1,14 @@
 package org.boragethread.wire.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
+import java.util.List;
 import java.util.regex.Pattern;
 
 /**
@@ -19,6 +25,9 @@
     private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
 
     private HttpMethod mMethod = HttpMethod.GET;
+    private boolean mReadingHead;
+    private boolean mFolded;
+    private boolean mAtLineStart;
 
     ResponseDecoder() {
         super(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
@@ -39,6 +48,39 @@
         return mMethod.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message);
     }
 
+    /** Decodes what has arrived, up to the end of the head at most if it has not ended. */
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output)
+            throws Exception {
+        int start = input.readerIndex();
+        super.decode(context, input, output);
+        if (!mReadingHead) {
+            return;
+        }
+        findFoldedLine(input, start);
+        if (output.isEmpty()) {
+            return;
+        }
+        mReadingHead = false;
+        if (mFolded) {
+            IllegalArgumentException cause =
+                    new IllegalArgumentException("a line of the head begins with a blank");
+            ((HttpObject) output.get(0)).setDecoderResult(DecoderResult.failure(cause));
+        }
+    }
+
+    /**
+     * Looks for lines that begin with a blank among the decoded ones. The superclass joins them to
+     * the value of the header before, where another header may be hidden in this way.
+     */
+    private void findFoldedLine(ByteBuf input, int start) {
+        for (int i = start; i < input.readerIndex(); i++) {
+            byte next = input.getByte(i);
+            mFolded |= mAtLineStart && (next == ' ' || next == '\t');
+            mAtLineStart = next == '\n';
+        }
+    }
+
     /**
      * Creates a response from the words of its first line.
      *
@@ -49,6 +91,24 @@
         if (!STATUS_CODE.matcher(initialLine[1]).matches()) {
             throw new IllegalArgumentException("invalid status code: " + initialLine[1]);
         }
+        mReadingHead = true;
+        mFolded = false;
+        mAtLineStart = false;
         return super.createMessage(initialLine);
     }
+
+    /**
+     * Returns the name of a header or trailer. The superclass checks its characters, but leaves out
+     * blanks around it and whatever lies between a blank and the colon.
+     *
+     * @param line buffer that holds the line from its first byte on
+     * @throws IllegalArgumentException if the name is not all that precedes the colon
+     */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (start > 0 || length == 0 || line[length] != ':') {
+            throw new IllegalArgumentException("invalid header name");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
 }
--- a/wire/src/test/java/org/boragethread/wire/http/ResponseDecoderTest.java
+++ b/wire/src/test/java/org/boragethread/wire/http/ResponseDecoderTest.java
@@ -151,4 +151,109 @@
         assertValid(Place.WITH_LENGTH, "HTTP/1.1 200\r\n", 200);
         assertValid(Place.WITH_LENGTH, "HTTP/1.1 200 \r\n", 200);
     }
+
+    @DataProvider
+    private static Iterator<Object[]> invalidFields() {
+        return inEveryPlace(
+                "X Name: 1",
+                "X\tName: 1",
+                "X-Name : 1",
+                "X-Name\t: 1",
+                " X-Name: 1",
+                "\tX-Name: 1",
+                "Content Length: 2",
+                "Content-Length : 2",
+                " Content-Length: 2",
+                "Transfer Encoding: chunked",
+                "X\u0000Name: 1",
+                "X-Name\u0001: 1",
+                "\u0001X-Name: 1",
+                "\u000bX-Name: 1",
+                "X\u001fName: 1",
+                "X\rName: 1",
+                "X-Name\u007f: 1",
+                "X-N\u00e4me: 1",
+                "X(Name): 1",
+                "\"X-Name\": 1",
+                ": 1",
+                "X-Name",
+                "Two Words");
+    }
+
+    // Guards against a broken response that is passed on, or whose body is read by other rules.
+    @Test(dataProvider = "invalidFields")
+    public void responseWithAnInvalidFieldNameIsRejected(Place place, String field) {
+        String line = place == Place.BEFORE_FINAL_HEAD ? "HTTP/1.1 103 Early Hints\r\n" : OK;
+        assertInvalid(place, line + field + "\r\n");
+        assertInvalid(place, line + "X-First: 1\r\n" + field + "\r\n");
+        assertInvalid(place, line + field + "\r\nX-Last: 1\r\n");
+    }
+
+    @DataProvider
+    private static Iterator<Object[]> validFields() {
+        return inEveryPlace(
+                "!#$%&'*+-.^_`|~09azAZ: 1",
+                "X: 1",
+                "x-name:1",
+                "X-Name: ",
+                "X-Name:",
+                "X-Name:  a b\tc : d \t",
+                "X-Name: \u00e4",
+                "Retry-After: 0");
+    }
+
+    @Test(dataProvider = "validFields")
+    public void responseWithAnyOtherFieldIsValid(Place place, String field) {
+        boolean informational = place == Place.BEFORE_FINAL_HEAD;
+        String line = informational ? "HTTP/1.1 103 Early Hints\r\n" : OK;
+        String lines = line + "X-First: 1\r\n" + field + "\r\n";
+        assertValid(place, lines, informational ? 103 : 200);
+        String name = field.substring(0, field.indexOf(':'));
+        String value = field.substring(field.indexOf(':') + 1).strip();
+        for (List<HttpObject> objects : decodeWholeAndInPieces(place, lines)) {
+            assertEquals(((HttpResponse) objects.get(0)).headers().get(name), value);
+        }
+    }
+
+    @DataProvider
+    private static Object[] invalidTrailers() {
+        return new Object[] {
+            "X Name: 1", "X-Name : 1", " X-Name: 1", "X\u0001Name: 1", "X-Name", ": 1"
+        };
+    }
+
+    // Guards against a response that counts as whole though its end is broken.
+    @Test(dataProvider = "invalidTrailers")
+    public void responseWithAnInvalidTrailerFails(String field) {
+        for (List<HttpObject> objects : decodeChunked(field)) {
+            assertTrue(objects.get(objects.size() - 1).decoderResult().isFailure());
+        }
+    }
+
+    @Test
+    public void responseWithAnyOtherTrailerIsValid() {
+        for (String field : List.of("!#$%&'*+-.^_`|~09azAZ: 1", "X-Name:")) {
+            for (List<HttpObject> objects : decodeChunked(field)) {
+                objects.forEach(part -> assertFalse(part.decoderResult().isFailure()));
+                assertEquals(body(objects), BODY);
+            }
+        }
+    }
+
+    private static List<List<HttpObject>> decodeChunked(String trailer) {
+        String text = Place.CHUNKED.text(OK);
+        text = text.substring(0, text.length() - 2) + trailer + "\r\n\r\n";
+        return List.of(
+                decode(text, HttpMethod.POST, text.length()), decode(text, HttpMethod.POST, 1));
+    }
+
+    // Guards against a line of the body that counts as one of the head.
+    @Test
+    public void linesOfTheBodyMayBeAnything() {
+        String body = " X Name: 1\r\n: 2\r\n\r\n";
+        String text = OK + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        List<HttpObject> objects = decode(text + text, HttpMethod.POST, text.length());
+        objects.forEach(part -> assertFalse(part.decoderResult().isFailure()));
+        assertEquals(body(objects), body + body);
+    }
 }
