Reject responses to agents whose header names are not valid

Seen: none of ours; found beside the report on names that hold a blank. Cause: the HTTP library of the agents takes whatever precedes a colon for the name of a header or trailer. Change: ResponseHeadFilter ends the connection at a name that is no token. A line that begins with a blank never framed a body there; a test shows it.

--- a/agent/src/main/java/org/boragethread/agent/upstream/ResponseHeadFilter.java
+++ b/agent/src/main/java/org/boragethread/agent/upstream/ResponseHeadFilter.java
@@ -1,5 +1,6 @@
 package org.boragethread.agent.upstream;
 
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpHeader;
@@ -17,6 +18,9 @@
 
     private static final int MAX_STATUS = 599;
 
+    /** Result of a check that found no invalid character. */
+    private static final int VALID = -1;
+
     /**
      * Checks a head that was decoded.
      *
@@ -29,6 +33,11 @@
         if (status < MIN_STATUS || status > MAX_STATUS) {
             throw new IllegalStateException("invalid status code: " + status);
         }
+        for (String name : fields.names()) {
+            if (name.isEmpty() || HttpHeaderValidationUtil.validateToken(name) != VALID) {
+                throw new IllegalStateException("invalid header name");
+            }
+        }
         super.onHttpHeadersParsed(header, fields, context);
     }
 }
--- a/agent/src/test/java/org/boragethread/agent/upstream/InvalidHeadTest.java
+++ b/agent/src/test/java/org/boragethread/agent/upstream/UpstreamHeadTest.java
@@ -20,12 +20,15 @@
 import org.testng.annotations.Test;
 
 /** Tests which heads of an upstream's responses are valid. */
-public class InvalidHeadTest {
+public class UpstreamHeadTest {
 
     private static final int WAIT_SECONDS = 10;
     private static final String OK = "HTTP/1.1 200 OK";
     private static final String LENGTH = "Content-Length: 4\r\n\r\nbody";
 
+    private static final String CHUNKED =
+            OK + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+
     private ServerSocket mServer;
     private GrizzlyUpstreamClient mClient;
 
@@ -113,6 +116,59 @@
         assertEquals(outcome("HTTP/1.1 100 Continue\r\n\r\n" + OK + "\r\n" + LENGTH), "200 body");
     }
 
+    @DataProvider
+    private static Object[] invalidFields() {
+        return new Object[] {
+            "X Name: 1",
+            "X-Name : 1",
+            "Content Length: 2",
+            "X\u0001Name: 1",
+            "X\u0000Name: 1",
+            "\u000bX-Name: 1",
+            "X-Name\u007f: 1",
+            "X(Name): 1",
+            ": 1",
+            "X-Name",
+            "Two Words"
+        };
+    }
+
+    // Guards against a broken response that is passed on, or whose body is read by other rules.
+    @Test(dataProvider = "invalidFields")
+    public void responseWithAnInvalidFieldNameFails(String field) throws Exception {
+        String first = outcome(OK + "\r\n" + field + "\r\nRan: no\r\n" + LENGTH);
+        assertTrue(first.startsWith("failed"), first);
+        String last = outcome(OK + "\r\nRan: no\r\n" + field + "\r\n" + LENGTH);
+        assertTrue(last.startsWith("failed"), last);
+        String informational = "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n";
+        String final200 = outcome(informational + OK + "\r\n" + LENGTH);
+        assertTrue(final200.startsWith("failed"), final200);
+        String trailer = outcome(CHUNKED + field + "\r\n\r\n");
+        assertTrue(trailer.startsWith("failed"), trailer);
+    }
+
+    // Guards against a body that is read by a length that may belong to another header.
+    @Test
+    public void lineThatBeginsWithABlankDelimitsNoBody() throws Exception {
+        for (String before : List.of("", "X-First: 1\r\n")) {
+            String outcome = outcome(OK + "\r\n" + before + " " + LENGTH);
+            assertTrue(outcome.startsWith("failed"), outcome);
+        }
+    }
+
+    @DataProvider
+    private static Object[] validFields() {
+        return new Object[] {
+            "!#$%&'*+-.^_`|~09azAZ: 1", "X-Name:", "X-Name: a b\tc : d", "Retry-After: 0"
+        };
+    }
+
+    @Test(dataProvider = "validFields")
+    public void responseWithAnyOtherFieldIsDelivered(String field) throws Exception {
+        assertEquals(outcome(OK + "\r\n" + field + "\r\n" + LENGTH), "200 body");
+        assertEquals(outcome(CHUNKED + field + "\r\n\r\n"), "200 body");
+    }
+
     /** Records the response to a request, or its failure. */
     private static final class Recorder implements UpstreamListener {
 
