Take the end of a connection for the end of a response only without a reset

Seen: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller received that part as a complete answer. Cause: a peer that closes a connection seems to end its data first, and the reset follows when more of the request arrives there. The call was completed at the end of the data, before the reset. Change: while the request is still being written, HttpConnection completes such a call only when the rest is written, or after 1 s without a reset, as a peer may end its response and stop reading. A reset without an end of data was a failure before. Responses with a length, and of a peer that ends its data and reads on or stops reading, are still complete. Agents take no response without a length; a test shows it.

--- a/agent/src/test/java/org/boragethread/agent/upstream/UpstreamHeadTest.java
+++ b/agent/src/test/java/org/boragethread/agent/upstream/UpstreamHeadTest.java
@@ -169,6 +169,13 @@
         assertEquals(outcome(CHUNKED + field + "\r\n\r\n"), "200 body");
     }
 
+    // Guards against a part of a response that counts as a complete one after a reset.
+    @Test
+    public void responseThatEndsWithItsConnectionFails() throws Exception {
+        String outcome = outcome(OK + "\r\n\r\nbody");
+        assertTrue(outcome.startsWith("failed"), outcome);
+    }
+
     /** Records the response to a request, or its failure. */
     private static final class Recorder implements UpstreamListener {
 
--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
@@ -16,6 +16,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -31,6 +32,12 @@
      */
     private static final double KEEP_ALIVE_TIMEOUT_FRACTION = 0.5;
 
+    /**
+     * Time in which a peer that has closed its connection resets it, if a request is still being
+     * written: several times the 200 ms after which Linux probes a peer that takes no data.
+     */
+    private static final Duration RESET_DETECTION_TIME = Duration.ofSeconds(1);
+
     private static final int MAX_MISMATCHED_RESPONSES = 4;
     private static final int MAX_INFORMATIONAL_RESPONSES = 16;
 
@@ -48,6 +55,7 @@
     private boolean mDiscarding;
     private boolean mRequestWritten;
     private boolean mResponseComplete;
+    private boolean mInputEnded;
     private boolean mKeepAlive;
     private BodyFraming mFraming = BodyFraming.NO_BODY;
     private int mMismatchedResponses;
@@ -90,6 +98,7 @@
         mDiscarding = false;
         mRequestWritten = false;
         mResponseComplete = false;
+        mInputEnded = false;
         mMismatchedResponses = 0;
         mInformationalResponses = 0;
         mDiscardedBytes = 0;
@@ -102,6 +111,8 @@
                             mRequestWritten = written.isSuccess();
                             if (mResponseComplete) {
                                 finish();
+                            } else if (mInputEnded && written.isSuccess()) {
+                                completeAtEndOfInput(call);
                             } else if (!written.isSuccess()) {
                                 failLater(call, written.cause());
                             }
@@ -205,6 +216,10 @@
             fail(CallFailure.Kind.BROKEN, "the connection failed before the body ended");
             return;
         }
+        if (mFraming == BodyFraming.CONNECTION_END && !mRequestWritten) {
+            awaitReset();
+            return;
+        }
         mResponseComplete = true;
         if (mRequestWritten || !mChannel.isActive()) {
             // After everything that arrived with the response, which may be more than the response.
@@ -216,11 +231,34 @@
         }
     }
 
+    /**
+     * Completes a response at the end of the peer's data unless the connection is reset before the
+     * request is written. A peer that closes a connection on which data arrives seems to end its
+     * response first. One that has ended its response only may also stop reading.
+     */
+    private void awaitReset() {
+        ActiveCall call = mCall;
+        mInputEnded = true;
+        mChannel.eventLoop()
+                .schedule(
+                        () -> completeAtEndOfInput(call),
+                        RESET_DETECTION_TIME.toMillis(),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void completeAtEndOfInput(ActiveCall call) {
+        if (mCall == call && mInputEnded) {
+            mResponseComplete = true;
+            finishBeforeRequestWritten();
+        }
+    }
+
     /** Returns whether the peer ended its data, as opposed to a reset or a close by this side. */
     private boolean isEndOfInputReached() {
         return mChannel.isActive() && mChannel.isInputShutdown();
     }
 
+    /** Completes the call and closes the connection, on which further requests cannot be sent. */
     private void finishBeforeRequestWritten() {
         ActiveCall call = mCall;
         mKeepAlive = false;
@@ -282,7 +320,7 @@
     /** Handles the end of the peer's data, after the decoder has reported what it completes. */
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof ChannelInputShutdownEvent) {
+        if (event instanceof ChannelInputShutdownEvent && !mInputEnded) {
             onDisconnected();
         }
     }
--- a/wire/src/test/java/org/boragethread/wire/http/HttpConnectionTest.java
+++ b/wire/src/test/java/org/boragethread/wire/http/HttpConnectionTest.java
@@ -1,7 +1,9 @@
 package org.boragethread.wire.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.fail;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -23,6 +25,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.boragethread.core.time.SystemTimeSource;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -36,6 +39,9 @@
     /** More than the socket buffers of both sides hold. */
     private static final int LARGE_BODY_BYTES = 32 << 20;
 
+    /** Time in which a call ends that waits for nothing. */
+    private static final int SHORT_MILLIS = 200;
+
     private static final byte[] HEAD =
             "HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] BODY_PART = "part".getBytes(StandardCharsets.US_ASCII);
@@ -93,6 +99,59 @@
         assertTrue(recorder.outcome().startsWith("BROKEN"), recorder.outcome());
     }
 
+    /** The end of the peer's data hid a reset that followed while the request was written. */
+    @Test
+    public void resetAfterEndOfDataWhileRequestIsWrittenDoesNotEndBody() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.POST, LARGE_BODY_BYTES);
+        Socket connection = acceptAndRespond(recorder);
+        connection.shutdownOutput();
+        recorder.assertNoOutcomeWithin(SHORT_MILLIS);
+        reset(connection);
+        assertTrue(recorder.outcome().startsWith("BROKEN"), recorder.outcome());
+    }
+
+    /** A peer that closes a connection with data under way resets it. */
+    @Test
+    public void closeWhileRequestIsWrittenDoesNotEndBody() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.POST, LARGE_BODY_BYTES);
+        acceptAndRespond(recorder).close();
+        assertTrue(recorder.outcome().startsWith("BROKEN"), recorder.outcome());
+    }
+
+    @Test
+    public void endOfDataEndsBodyOnceRequestIsWritten() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.POST, LARGE_BODY_BYTES);
+        try (Socket connection = acceptAndRespond(recorder)) {
+            connection.shutdownOutput();
+            connection.getInputStream().skipNBytes(LARGE_BODY_BYTES);
+            assertEquals(recorder.outcome(), "complete");
+        }
+    }
+
+    @Test
+    public void endOfDataEndsBodyOfAPeerThatReadsNoMore() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.POST, LARGE_BODY_BYTES);
+        try (Socket connection = acceptAndRespond(recorder)) {
+            connection.shutdownOutput();
+            assertEquals(recorder.outcome(), "complete");
+        }
+    }
+
+    @Test
+    public void lengthEndsBodyWhileRequestIsWritten() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.POST, LARGE_BODY_BYTES);
+        try (Socket connection = mServer.accept()) {
+            String response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart";
+            connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+            assertEquals(recorder.outcome(), "complete");
+        }
+    }
+
     /** A connection that this process closed itself was taken for the end of the response. */
     @Test
     public void stopOfEventLoopDoesNotEndBody() throws Exception {
@@ -149,6 +208,14 @@
         private final CompletableFuture<Void> mBodyReceived = new CompletableFuture<>();
         private final CompletableFuture<String> mOutcome = new CompletableFuture<>();
 
+        void assertNoOutcomeWithin(long millis) throws Exception {
+            try {
+                fail(mOutcome.get(millis, TimeUnit.MILLISECONDS));
+            } catch (TimeoutException e) {
+                assertFalse(mOutcome.isDone());
+            }
+        }
+
         String outcome() throws Exception {
             return mOutcome.get(WAIT_SECONDS, TimeUnit.SECONDS);
         }
