Test that odd entries of upstreams end no process and no reading

Seen elsewhere: one entry among those of the engines was very deeply nested, or had a number too large or a port out of range; the machines that read the list ended again and again, or stopped following it. Cause: none here; the decoder bounds the depth, the length of numbers, their values and the port, and records are applied one by one. Change: tests.

--- a/standins/src/test/java/org/boragethread/standins/system/ForeignAnnouncementTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/ForeignAnnouncementTest.java
@@ -1,6 +1,7 @@
 package org.boragethread.standins.system;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -36,6 +37,17 @@
                     foreign("[127]", "0"),
                     "{}",
                     "[".repeat(5000),
+                    nested("[", "]", 60_000),
+                    foreign(nested("[", "]", 60_000), "0"),
+                    foreign("\"127.0.0.1:9\"", nested("{\"a\":", "}", 30_000)),
+                    foreign("\"127.0.0.1:9\"", "0,\"extra\":" + nested("[", "]", 60_000)),
+                    foreign("\"127.0.0.1:9\"", "1" + "0".repeat(100_000)),
+                    foreign("\"127.0.0.1:9\"", "0,\"born\":1e400"),
+                    foreign("\"127.0.0.1:9\"", "0,\"born\":-1" + "0".repeat(400)),
+                    foreign("\"127.0.0.1:0\"", "0"),
+                    foreign("\"127.0.0.1:65536\"", "0"),
+                    foreign("\"127.0.0.1:4294967376\"", "0"),
+                    foreign("\"127.0.0.1:-80\"", "0"),
                     "\u0000\u0007");
 
     private static final int UPSTREAMS = 12;
@@ -58,6 +70,10 @@
                 .formatted(address, coldTime);
     }
 
+    private static String nested(String open, String close, int depth) {
+        return open.repeat(depth) + "1" + close.repeat(depth);
+    }
+
     @BeforeMethod
     public void start() throws Exception {
         mStore = new StoreStandIn();
@@ -116,6 +132,33 @@
         late.awaitSettledUpstreams();
     }
 
+    // Guards against odd records that end an entry or its reading, also behind a relay.
+    @Test
+    public void entriesBehindARelayFollowBesideForeignRecords() throws Exception {
+        TestGateway follower = startGateway("gateway-2");
+        Await.until(
+                "gateway-2 has found all members",
+                TestGateway.TIMEOUT,
+                () ->
+                        follower.process().lines().stream()
+                                .anyMatch(line -> line.split("@").length == 3));
+        for (int i = 0; i < FOREIGN.size(); i++) {
+            mStore.put(StoreStandIn.UPSTREAM_TOPIC, "late-" + i, FOREIGN.get(i));
+            mStore.put(StoreStandIn.UPSTREAM_TOPIC, "foreign-" + i, "");
+        }
+        mStore.put(StoreStandIn.UPSTREAM_TOPIC, "orders-1", mUpstream.announcement(false));
+        for (TestGateway gateway : List.of(mGateway, follower)) {
+            gateway.awaitLogLine("\"event\":\"upstream\"", "\"orders-1\"", "\"in\"");
+        }
+        mStore.put(StoreStandIn.UPSTREAM_TOPIC, "orders-1", "");
+        for (TestGateway gateway : List.of(mGateway, follower)) {
+            gateway.awaitLogLine("\"event\":\"upstream\"", "\"orders-1\"", "\"gone\"");
+            assertEquals(statusOf(gateway, "/order/x"), 200);
+            assertTrue(gateway.process().isAlive());
+            assertFalse(gateway.hasLogLine("callback-failed"));
+        }
+    }
+
     // Guards against a configuration, an evacuation or a revoked key that a foreign record delays.
     @Test
     public void changesOfOperatorsAreInForceBesideForeignRecords() throws Exception {
@@ -123,15 +166,15 @@
         mStore.put(StoreStandIn.OPERATOR_TOPIC, "evacuate/\u0007", "1");
         mStore.put(StoreStandIn.OPERATOR_TOPIC, "evacuate/north", "1");
         mStore.put(StoreStandIn.OPERATOR_TOPIC, "config", CONFIG.formatted(2, "\"key-2\""));
-        Await.until("the key is revoked", LEAVE_TIME, () -> statusOf("/order/x") == 401);
+        Await.until("the key is revoked", LEAVE_TIME, () -> statusOf(mGateway, "/order/x") == 401);
         mGateway.awaitLogLine("\"event\":\"evacuation\"", "\"north\"", "\"out\"");
         assertEquals(mGateway.readiness(), 200);
         assertTrue(mGateway.process().isAlive());
     }
 
-    private int statusOf(String path) {
+    private static int statusOf(TestGateway gateway, String path) {
         try {
-            return mGateway.postWithKey(path, "id-3").statusCode();
+            return gateway.postWithKey(path, "id-3").statusCode();
         } catch (Exception e) {
             throw new IllegalStateException(e);
         }
