Close idle connections at the first byte that arrives

Seen elsewhere: a faulty engine wrote an earlier refusal once more on a kept connection, and requests that ran were reported as not run. Cause: a connection in the pool was closed when a whole message arrived. A part of a copy left it there, and the next call read the copy's end. Change: ResponseDecoder closes the connection at any byte while no call is in progress.

--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
@@ -48,7 +48,7 @@
 
     private final HttpConnectionPool mPool;
     private final InetSocketAddress mAddress;
-    private final ResponseDecoder mDecoder = new ResponseDecoder();
+    private final ResponseDecoder mDecoder = new ResponseDecoder(this::isInCall);
     private SocketChannel mChannel;
     private ActiveCall mCall;
     private boolean mHeadReceived;
@@ -78,6 +78,10 @@
         channel.pipeline().addLast(mDecoder, new HttpRequestEncoder(), this);
     }
 
+    private boolean isInCall() {
+        return mCall != null;
+    }
+
     boolean isUsable() {
         return mChannel.isActive() && mPool.time().nanoTime() - mIdleSinceNanos < mMaxIdleNanos;
     }
--- a/wire/src/main/java/org/boragethread/wire/http/ResponseDecoder.java
+++ b/wire/src/main/java/org/boragethread/wire/http/ResponseDecoder.java
@@ -8,7 +8,9 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
 
 /**
@@ -24,13 +26,31 @@
     /** Status codes from 100 to 599 (RFC 9110, section 15). */
     private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
 
+    private final BooleanSupplier mIsResponseDue;
     private HttpMethod mMethod = HttpMethod.GET;
     private boolean mReadingHead;
     private boolean mFolded;
     private boolean mAtLineStart;
 
-    ResponseDecoder() {
+    /**
+     * Creates a decoder.
+     *
+     * @param isResponseDue whether a call is in progress; bytes that arrive while there is none
+     *     close the connection, even if they are no whole message
+     */
+    ResponseDecoder(BooleanSupplier isResponseDue) {
         super(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+        mIsResponseDue = isResponseDue;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object data) throws Exception {
+        if (mIsResponseDue.getAsBoolean()) {
+            super.channelRead(context, data);
+            return;
+        }
+        ReferenceCountUtil.release(data);
+        context.close();
     }
 
     /** Sets the method of the request, since responses to HEAD have no body. */
--- a/wire/src/test/java/org/boragethread/wire/http/ResponseDecoderTest.java
+++ b/wire/src/test/java/org/boragethread/wire/http/ResponseDecoderTest.java
@@ -55,7 +55,7 @@
 
     /** Decodes a text that arrives in pieces of some bytes. */
     private static List<HttpObject> decode(String text, HttpMethod method, int pieceBytes) {
-        ResponseDecoder decoder = new ResponseDecoder();
+        ResponseDecoder decoder = new ResponseDecoder(() -> true);
         decoder.setMethod(method);
         EmbeddedChannel channel = new EmbeddedChannel(decoder);
         byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
--- a/wire/src/test/java/org/boragethread/wire/http/ReusedConnectionTest.java
+++ b/wire/src/test/java/org/boragethread/wire/http/ReusedConnectionTest.java
@@ -1,6 +1,7 @@
 package org.boragethread.wire.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -27,6 +28,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +44,9 @@
     private static final int WAIT_SECONDS = 10;
     private static final String ID = "X-Id";
 
+    /** Time for which an idle connection is kept. */
+    private static final Duration IDLE_TIME = Duration.ofSeconds(4);
+
     /** What the peer sends beyond its responses. */
     private enum Extra {
         WHOLE_COPY(response("1", "answer-1")),
@@ -79,6 +84,7 @@
     private ExecutorService mThreads;
     private Extra mExtra;
     private Moment mMoment;
+    private CountDownLatch mExtraDue = new CountDownLatch(0);
 
     private static String response(String id, String body) {
         return "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s"
@@ -111,6 +117,7 @@
 
     @BeforeMethod
     public void open() throws IOException {
+        mExtraDue = new CountDownLatch(0);
         mLoops = new NioEventLoopGroup(1);
         mPool = new HttpConnectionPool(mLoops.next(), new SystemTimeSource());
         mServer = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
@@ -161,10 +168,19 @@
         }
         write(output, response);
         if (mMoment == Moment.WHILE_IDLE && first) {
+            awaitQuietly(mExtraDue);
             write(output, mExtra.mText);
         }
     }
 
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await(WAIT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void write(OutputStream output, String text) throws IOException {
         output.write(text.getBytes(StandardCharsets.US_ASCII));
         output.flush();
@@ -204,9 +220,35 @@
         assertEquals(second.body(), "answer-2");
     }
 
+    // Guards against a copy that arrives in parts and is completed during the next call.
+    @Test(dataProvider = "extras")
+    public void idleConnectionOnWhichBytesArriveIsClosedAtOnce(Extra extra) throws Exception {
+        mExtra = extra;
+        mMoment = Moment.WHILE_IDLE;
+        mExtraDue = new CountDownLatch(1);
+        Recorder first = new Recorder();
+        mLoops.next().execute(() -> send("1", true, first));
+        assertEquals(first.body(), "answer-1");
+        awaitIdleConnections(1);
+        mExtraDue.countDown();
+        long end = System.nanoTime() + IDLE_TIME.toNanos() / 2;
+        while (idleConnections() > 0) {
+            assertTrue(System.nanoTime() < end, "the connection is still kept");
+        }
+    }
+
+    @DataProvider
+    private static Object[] extras() {
+        return Extra.values();
+    }
+
+    private int idleConnections() throws Exception {
+        return mLoops.next().submit(() -> mPool.idleConnections()).get();
+    }
+
     private void awaitIdleConnections(int count) throws Exception {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
-        while (mLoops.next().submit(() -> mPool.idleConnections()).get() != count) {
+        while (idleConnections() != count) {
             if (System.nanoTime() > end) {
                 throw new IllegalStateException("the number of idle connections is not " + count);
             }
