Fail calls whose response may be a copy of an earlier one

Seen elsewhere: a faulty engine wrote an earlier refusal once more on a kept connection. Callers were told 'not run, try again' for requests that it ran. Cause: upstreams name the request in each response, and responses that name another one were ignored; but one that names none, such as a copy of the refusal of a stage call, counted as the response to the next request. Change: on a reused connection, HttpConnection fails a call whose request has an ID if the response has none. The request may have run, so a safe one is repeated elsewhere, and others are answered 502. Sound before, with a test: copies that name another request, and requests that may run once, which use new connections. A refusal that names its request is still passed on, also with a Retry-After of 0, and so is one without a name on a new connection.

--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
@@ -51,6 +51,7 @@
     private final ResponseDecoder mDecoder = new ResponseDecoder(this::isInCall);
     private SocketChannel mChannel;
     private ActiveCall mCall;
+    private int mCalls;
     private boolean mHeadReceived;
     private boolean mDiscarding;
     private boolean mRequestWritten;
@@ -98,6 +99,7 @@
             return;
         }
         mCall = call;
+        mCalls++;
         mHeadReceived = false;
         mDiscarding = false;
         mRequestWritten = false;
@@ -180,6 +182,10 @@
             }
             return;
         }
+        if (isOriginUnknown(head)) {
+            fail(CallFailure.Kind.PROTOCOL, "the response does not say to which request it is");
+            return;
+        }
         mHeadReceived = true;
         mFraming = BodyFraming.of(mCall.call().request().method(), head);
         mKeepAlive = HttpUtil.isKeepAlive(head) && mFraming != BodyFraming.CONNECTION_END;
@@ -197,6 +203,18 @@
         return echoed != null && !echoed.equals(mCall.call().request().headers().get(name));
     }
 
+    /**
+     * Returns whether a response lacks the correlation header of its request on a reused
+     * connection, where it may be a copy of the response to an earlier call.
+     */
+    private boolean isOriginUnknown(HttpResponse head) {
+        if (mCalls == 1 || mCall.call().correlationHeader().isEmpty()) {
+            return false;
+        }
+        CharSequence name = mCall.call().correlationHeader().get();
+        return mCall.call().request().headers().contains(name) && !head.headers().contains(name);
+    }
+
     private void onContent(HttpContent content) {
         ByteBuf data = content.content();
         if (mHeadReceived && data.isReadable()) {
--- a/wire/src/test/java/org/boragethread/wire/http/ReusedConnectionTest.java
+++ b/wire/src/test/java/org/boragethread/wire/http/ReusedConnectionTest.java
@@ -242,6 +242,21 @@
         return Extra.values();
     }
 
+    // Guards against a response of unknown origin that a call receives as its own.
+    @Test(dataProvider = "extras")
+    public void callReceivesItsOwnResponseOrNone(Extra extra) throws Exception {
+        mExtra = extra;
+        mMoment = Moment.BEFORE_SECOND_RESPONSE;
+        Recorder first = new Recorder();
+        Recorder second = new Recorder();
+        mLoops.next().execute(() -> send("1", true, first));
+        assertEquals(first.body(), "answer-1");
+        awaitIdleConnections(1);
+        mLoops.next().execute(() -> send("2", true, second));
+        String outcome = second.body();
+        assertTrue(outcome.equals("answer-2") || outcome.startsWith("failed: "), outcome);
+    }
+
     private int idleConnections() throws Exception {
         return mLoops.next().submit(() -> mPool.idleConnections()).get();
     }
