Repeat a rejected request at its upstream on a new connection only

Seen elsewhere: a faulty engine wrote an earlier refusal once more on a kept connection. Callers were told 'not run, try again' for requests that it ran. Cause: a request that its upstream rejects with a Retry-After is sent there again, with the same ID and on the same connection. A copy of the first response names the right request. Change: AttemptCounts keeps the addresses that have rejected a request, and OutgoingRequest asks for a new connection there. Other repeats use kept connections as before.

--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptCounts.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptCounts.java
@@ -1,6 +1,8 @@
 package org.boragethread.entry.gateway;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 import org.boragethread.model.outcome.Refusal;
 import org.boragethread.model.outcome.RefusalReason;
 
@@ -24,6 +26,7 @@
      */
     private static final int MAX_REFUSED_SECOND_ATTEMPTS = 4;
 
+    private final Set<String> mRejectedAt = new HashSet<>();
     private int mSends;
     private int mRejections;
     private int mRefusedConnections;
@@ -34,9 +37,19 @@
         mSends++;
     }
 
-    /** Counts an attempt that certainly did not run. */
-    void onRejected() {
+    /**
+     * Counts an attempt that certainly did not run.
+     *
+     * @param address address of the upstream that did not run it
+     */
+    void onRejected(String address) {
         mRejections++;
+        mRejectedAt.add(address);
+    }
+
+    /** Returns whether an upstream at the address has responded that it did not run the request. */
+    boolean wasRejectedAt(String address) {
+        return mRejectedAt.contains(address);
     }
 
     /** Counts an attempt that reached no upstream. */
--- a/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/ForwardedRequest.java
@@ -228,7 +228,7 @@
     @Override
     public void onNotExecuted(UpstreamNode node, int status) {
         mFeedback.onRejected(node, status);
-        mCounts.onRejected();
+        mCounts.onRejected(node.entry().address());
         if (silence().takeOver()) {
             return;
         }
--- a/entry/src/main/java/org/boragethread/entry/gateway/OutgoingRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/OutgoingRequest.java
@@ -26,6 +26,7 @@
     private final UpstreamAnnouncement mUpstream;
     private final HttpHeaders mHeaders;
     private final Duration mRemaining;
+    private boolean mRepeated;
 
     private OutgoingRequest(
             CallerRequest request,
@@ -85,6 +86,15 @@
         return this;
     }
 
+    /**
+     * Sets whether the upstream has rejected the request before. A copy of that response on the
+     * same connection could not be told from the response to this call.
+     */
+    OutgoingRequest repeated(boolean repeated) {
+        mRepeated = repeated;
+        return this;
+    }
+
     HttpCall toHttpCall() {
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(
@@ -100,7 +110,7 @@
         return new HttpCall(
                 new InetSocketAddress(mUpstream.host(), mUpstream.port()),
                 request,
-                !mAdmitted.route().isIdempotent(),
+                mRepeated || !mAdmitted.route().isIdempotent(),
                 connectTimeout,
                 Optional.of(PlatformHeaders.REQUEST_ID));
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/SilenceGuard.java
@@ -322,7 +322,7 @@
         if (!node.isPaused(mGateway.time().nanoTime())) {
             mParts.placement().exclude(node);
         }
-        mParts.counts().onRejected();
+        mParts.counts().onRejected(node.entry().address());
         endStandby(node, "rejected");
     }
 
--- a/entry/src/test/java/org/boragethread/entry/gateway/AttemptCountsTest.java
+++ b/entry/src/test/java/org/boragethread/entry/gateway/AttemptCountsTest.java
@@ -52,7 +52,7 @@
         assertTrue(counts.mayBeRejectedAgain());
         for (int i = 0; i < 4; i++) {
             counts.onSent();
-            counts.onRejected();
+            counts.onRejected("10.1.2.3:80");
         }
         assertFalse(counts.mayBeRejectedAgain());
     }
--- a/standins/src/test/java/org/boragethread/standins/system/RepeatedRefusalTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/RepeatedRefusalTest.java
@@ -35,6 +35,9 @@
 
     private static final String ID_HEADER = "X-Boragethread-Request-Id: %s\r\n";
 
+    /** Pause after which an upstream is called again, in seconds. */
+    private static final String SHORT_PAUSE = "Retry-After: 0.1\r\n";
+
     private static final String REFUSAL =
             "HTTP/1.1 503 Service Unavailable\r\n%sX-Boragethread-Not-Executed: 1\r\n"
                     + "Content-Length: 4\r\n\r\nfull";
@@ -96,10 +99,16 @@
         }
     }
 
-    /** Writes the next part of the script of a path. */
+    /**
+     * Writes the next part of the script of a path, after a copy of the earlier refusal if the same
+     * request arrives on the same connection again.
+     */
     private void respond(ScriptedUpstream.Request request, Socket connection) throws IOException {
-        mArrivals.computeIfAbsent(request.id(), id -> new CopyOnWriteArrayList<>()).add(connection);
-        String response = mScripts.get(request.path()).remove(0);
+        List<Socket> arrivals =
+                mArrivals.computeIfAbsent(request.id(), id -> new CopyOnWriteArrayList<>());
+        String copy = arrivals.contains(connection) ? of(REFUSAL, request.id()) : "";
+        arrivals.add(connection);
+        String response = copy + mScripts.get(request.path()).remove(0);
         connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
     }
 
@@ -153,6 +162,19 @@
         assertSame(connection(second, 0), connection(first, 0), "the connection was not kept");
     }
 
+    // Guards against 'not run' for a request that its upstream refused first and then runs.
+    @Test(dataProvider = "keptKinds")
+    public void refusalOfAnEarlierAttemptIsNotReadAgain(String kind) throws Exception {
+        String group = kind + "-same";
+        String id = group + "-id";
+        String refusal = of(REFUSAL, id).replace("\r\n\r\n", "\r\n" + SHORT_PAUSE + "\r\n");
+        script(group, refusal, of(SUCCESS, id));
+        HttpResponse<String> received = post(group, id);
+        assertEquals(received.statusCode(), 200, received.body());
+        assertEquals(received.body(), EVENT);
+        assertEquals(mArrivals.get(id).size(), 2);
+    }
+
     // Guards against refusals that are not believed though they are sound.
     @Test(dataProvider = "keptKinds")
     public void refusalOfTheRequestItselfIsPassedOn(String kind) throws Exception {
