Close idle connections of agents at the first byte that arrives

Cause: an agent closed an idle connection when a whole message arrived, so a part of a copy was completed during the next request. Change: IdleConnectionFilter closes the connection at any byte while no exchange uses it. Left: responses to agents name no request, so a whole copy that arrives during the next request is taken for its response. Only idempotent requests use kept connections there.

--- a/agent/src/main/java/org/boragethread/agent/upstream/ExchangeFilter.java
+++ b/agent/src/main/java/org/boragethread/agent/upstream/ExchangeFilter.java
@@ -18,6 +18,10 @@
         EXCHANGE.set(connection, exchange);
     }
 
+    static boolean isAttached(Connection<?> connection) {
+        return EXCHANGE.get(connection) != null;
+    }
+
     static void detach(Connection<?> connection) {
         EXCHANGE.remove(connection);
     }
--- a/agent/src/main/java/org/boragethread/agent/upstream/GrizzlyUpstreamClient.java
+++ b/agent/src/main/java/org/boragethread/agent/upstream/GrizzlyUpstreamClient.java
@@ -43,6 +43,7 @@
         FilterChainBuilder filters =
                 FilterChainBuilder.stateless()
                         .add(new TransportFilter())
+                        .add(new IdleConnectionFilter())
                         .add(new ResponseHeadFilter())
                         .add(new ExchangeFilter());
         mTransport =
--- a/agent/src/test/java/org/boragethread/agent/upstream/UpstreamHeadTest.java
+++ b/agent/src/test/java/org/boragethread/agent/upstream/UpstreamHeadTest.java
@@ -12,8 +12,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -56,7 +54,7 @@
 
     /** As {@link #outcome(String)}; the response is sent in pieces of some bytes. */
     private String outcome(String response, int pieceBytes) throws Exception {
-        Recorder recorder = new Recorder();
+        ResponseRecorder recorder = new ResponseRecorder();
         UpstreamRequest request =
                 new UpstreamRequest("/", "text/plain", List.of(), ByteString.EMPTY, false);
         mClient.send(request, recorder);
@@ -64,7 +62,7 @@
             connection.getInputStream().read();
             connection.setTcpNoDelay(true);
             send(connection, response.getBytes(StandardCharsets.ISO_8859_1), pieceBytes);
-            return recorder.mOutcome.get(WAIT_SECONDS, TimeUnit.SECONDS);
+            return recorder.outcome();
         }
     }
 
@@ -175,37 +173,4 @@
         String outcome = outcome(OK + "\r\n\r\nbody");
         assertTrue(outcome.startsWith("failed"), outcome);
     }
-
-    /** Records the response to a request, or its failure. */
-    private static final class Recorder implements UpstreamListener {
-
-        private final CompletableFuture<String> mOutcome = new CompletableFuture<>();
-        private final StringBuilder mText = new StringBuilder();
-
-        @Override
-        public void onHead(UpstreamHead head) {
-            mText.append(head.status()).append(' ');
-        }
-
-        @Override
-        public boolean onData(ByteString data) {
-            mText.append(data.toStringUtf8());
-            return true;
-        }
-
-        @Override
-        public boolean wantsMore() {
-            return true;
-        }
-
-        @Override
-        public void onEnd() {
-            mOutcome.complete(mText.toString());
-        }
-
-        @Override
-        public void onFailure(UpstreamFailure failure) {
-            mOutcome.complete("failed " + mText + failure);
-        }
-    }
 }
