Continue a pipeline's stream with event streams only

Seen elsewhere: a stream had begun and broke off, and the next engine answered with an error. Callers found the error's text in the middle of their stream, or the stream ended as if it were complete. Cause: the result of a further attempt at a streaming stage was written to the caller as a response, though a stream had begun: its status and headers were lost and its body followed the last token. Change: PipelineRun takes such a result for a failed attempt, which is repeated as the policy allows, or ends the stream with its error event. Such a response is still the answer if no stream has begun.

--- a/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
+++ b/core/src/main/java/org/boragethread/core/pipeline/PipelineRun.java
@@ -272,6 +272,13 @@
         if (!isRunning(from)) {
             return;
         }
+        if (mStream.isStarted() && !result.isStreamed()) {
+            String detail =
+                    "stage \"%s\": the upstream responded %d instead of continuing the stream"
+                            .formatted(stage().name(), result.status());
+            onRefused(from, Refusal.unknown(RefusalReason.UPSTREAM_FAILED, detail));
+            return;
+        }
         mRunning.remove(from);
         cancelRunning();
         mHedgeTimer.cancel();
