--- a/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/UpstreamAttempt.java
@@ -414,19 +414,15 @@
                     .add(mGateway.time().since(mForwardingSince));
             mListener.onStreamEnd(mNode);
         } else {
-            countWhole();
+            if (mStatus >= SERVER_ERROR) {
+                mUse.onFailure();
+            } else {
+                countResponse();
+            }
             mListener.onResponse(mNode, mStatus, mBuffered);
         }
     }
 
-    private void countWhole() {
-        if (mStatus >= SERVER_ERROR) {
-            mUse.onFailure();
-        } else {
-            countResponse();
-        }
-    }
-
     /**
      * Clears the suspects of the request of earlier crashes. The end of the connection is no proof
      * that the upstream has not crashed, even if the body looks complete.
