Test that no piece is taken from a response with an invalid head

Seen elsewhere: answers with the status 000 or a blank in a name were used. Cause: calls of stages read their responses with the same decoder, but no test showed it. Change: a stage in InvalidHeadTest; its second call makes the piece.

--- a/standins/src/test/java/org/boragethread/standins/system/InvalidHeadTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/InvalidHeadTest.java
@@ -42,6 +42,10 @@
 
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
     private final SteppedCalls mCalls = new SteppedCalls();
+
+    /** Calls of stages, which name no request; by the group of the request. */
+    private final Map<String, SteppedCalls> mStageCalls = new LinkedHashMap<>();
+
     private final StreamCaller mCaller = new StreamCaller();
     private final Map<String, String> mRoutes = new LinkedHashMap<>();
     private StoreStandIn mStore;
@@ -107,6 +111,7 @@
             addGroup(head.group("standby"), "safe", false, SHORT_MILLIS, 2);
             addGroup(head.group("stream"), "streaming", false, LONG_MILLIS, 1);
             addGroup(head.group("resume"), "streaming", true, LONG_MILLIS, 3);
+            addStagedGroup(head.group("staged"));
         }
         mStore.put(
                 StoreStandIn.OPERATOR_TOPIC,
@@ -114,17 +119,28 @@
                 "{\"version\":1,\"routes\":[%s],\"services\":[%s],\"tenants\":[%s]}"
                         .formatted(
                                 String.join(",", mRoutes.values()),
-                                String.join(
-                                        ",",
-                                        mRoutes.keySet().stream()
-                                                .map("{\"name\":\"%s\",\"max_conns\":9}"::formatted)
-                                                .toList()),
+                                services(),
                                 "{\"name\":\"team-1\",\"api_keys\":[\"key-1\"]}"));
         mHarness = new ProcessHarness();
         mGateway = TestGateway.start(mHarness, "gateway-1", mStore.address(), SHARES);
         mGateway.awaitSettledUpstreams();
     }
 
+    private String services() {
+        List<String> services = new ArrayList<>();
+        for (String group : mRoutes.keySet()) {
+            services.add("{\"name\":\"%s\",\"max_conns\":9}".formatted(group));
+        }
+        for (String group : mStageCalls.keySet()) {
+            services.add(
+                    """
+                    {"name":"%s-pieces","pieces":{"slots":1,"queue":2,"batch":4,"call_ms":10,
+                     "item_ms":1,"headroom_mb":10,"handle_s":4}}"""
+                            .formatted(group));
+        }
+        return String.join(",", services);
+    }
+
     private void addGroup(
             String name, String kind, boolean resumable, int targetMillis, int upstreams)
             throws Exception {
@@ -137,19 +153,40 @@
         }
     }
 
+    /** Adds a group whose requests need one piece of another group. */
+    private void addStagedGroup(String name) throws Exception {
+        addGroup(name, "unsafe", false, LONG_MILLIS, 1);
+        String stages =
+                "\"stages\":[{\"service\":\"%s-pieces\",\"after\":[],\"bytes\":10}],"
+                        .formatted(name);
+        mRoutes.compute(name, (key, route) -> route.replace("\"max_att", stages + "\"max_att"));
+        SteppedCalls calls = new SteppedCalls();
+        mStageCalls.put(name, calls);
+        for (int i = 0; i < 2; i++) {
+            mStore.put(
+                    StoreStandIn.UPSTREAM_TOPIC,
+                    name + "-pieces-" + i,
+                    calls.addUpstream().announcement(name + "-pieces", "v1"));
+        }
+    }
+
     @AfterClass(alwaysRun = true)
     public void stop() throws Exception {
         mHarness.close();
         mStore.close();
         mCalls.close();
+        for (SteppedCalls calls : mStageCalls.values()) {
+            calls.close();
+        }
         mThreads.shutdownNow();
     }
 
-    private CompletableFuture<HttpResponse<String>> post(String group, String id) {
+    private CompletableFuture<HttpResponse<String>> post(
+            String group, String id, String... headers) {
         return CompletableFuture.supplyAsync(
                 () -> {
                     try {
-                        return mGateway.postWithKey("/" + group + "/x", id);
+                        return mGateway.postWithKey("/" + group + "/x", id, headers);
                     } catch (Exception e) {
                         throw new IllegalStateException(e);
                     }
@@ -269,6 +306,32 @@
         assertEquals(response.get().body(), "ok");
     }
 
+    // Guards against a piece that is taken from a broken response.
+    @Test(dataProvider = "invalidHeads")
+    public void pieceIsMadeAgain(Head head) throws Exception {
+        String group = head.group("staged");
+        String id = head.id("staged");
+        SteppedCalls pieces = mStageCalls.get(group);
+        CompletableFuture<HttpResponse<String>> response =
+                post(group, id, "X-Boragethread-Pieces", "1", "X-Boragethread-Piece-Key", "k");
+        Call broken = pieces.await("", 0);
+        broken.write(pieceResponse(head.mStatusLine + "\r\n" + head.mLines, "127.0.0.1:9/broken"));
+        broken.end();
+        Call sound = pieces.await("", 1);
+        sound.write(pieceResponse("HTTP/1.1 200 OK\r\n", "127.0.0.1:9/sound"));
+        sound.end();
+        Call call = mCalls.await(id, 0);
+        assertEquals(call.headers().get("x-boragethread-inputs"), "127.0.0.1:9/sound");
+        call.write(SteppedCalls.head("200 OK", id, 2) + "ok");
+        call.end();
+        assertEquals(response.get().statusCode(), 200);
+    }
+
+    private static String pieceResponse(String head, String handle) {
+        String body = "{\"items\":[{\"handle\":\"%s\"}]}".formatted(handle);
+        return head + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
     /** Sends a request that needs no retry, so that the next one of its group may use two. */
     private void earnRetry(String group, String id) throws Exception {
         CompletableFuture<StreamCaller.Received> received = receive(group, id);
