Name what makes a connection reused, and when a request needs a new one

Cause: read again as a newcomer, a count of calls stood for one question, and 'repeated' did not say what was repeated. Change: HttpConnection.mReused, OutgoingRequest.afterRejection, the comments of HttpCall and of the wait for a reset.

--- a/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/AttemptSender.java
@@ -105,7 +105,7 @@
                 OutgoingRequest.of(mParts.request(), admitted, node, remaining())
                         .withInputs(mParts.stages().resultHandles(), admitted.pieceCount() > 0)
                         .resumeAfter(lastEvent)
-                        .repeated(counts.wasRejectedAt(node.entry().address()))
+                        .afterRejection(counts.wasRejectedAt(node.entry().address()))
                         .toHttpCall(),
                 mGateway.rollouts().begin(mParts.group().id(), route(), node));
     }
--- a/entry/src/main/java/org/boragethread/entry/gateway/OutgoingRequest.java
+++ b/entry/src/main/java/org/boragethread/entry/gateway/OutgoingRequest.java
@@ -26,7 +26,7 @@
     private final UpstreamAnnouncement mUpstream;
     private final HttpHeaders mHeaders;
     private final Duration mRemaining;
-    private boolean mRepeated;
+    private boolean mRejectedBefore;
 
     private OutgoingRequest(
             CallerRequest request,
@@ -87,11 +87,11 @@
     }
 
     /**
-     * Sets whether the upstream has rejected the request before. A copy of that response on the
-     * same connection could not be told from the response to this call.
+     * Sets whether the upstream has rejected the request before. On the same connection, a copy of
+     * that response could not be told from the response to this call.
      */
-    OutgoingRequest repeated(boolean repeated) {
-        mRepeated = repeated;
+    OutgoingRequest afterRejection(boolean rejected) {
+        mRejectedBefore = rejected;
         return this;
     }
 
@@ -110,7 +110,7 @@
         return new HttpCall(
                 new InetSocketAddress(mUpstream.host(), mUpstream.port()),
                 request,
-                mRepeated || !mAdmitted.route().isIdempotent(),
+                mRejectedBefore || !mAdmitted.route().isIdempotent(),
                 connectTimeout,
                 Optional.of(PlatformHeaders.REQUEST_ID));
     }
--- a/wire/src/main/java/org/boragethread/wire/http/HttpCall.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpCall.java
@@ -11,10 +11,11 @@
  * @param address address of the peer
  * @param request the complete request, with its body
  * @param newConnectionRequired whether the call requires a new connection, because the request must
- *     not be sent over a pooled connection that the peer may be closing
+ *     not be sent over a pooled connection that the peer may be closing, or on which it may repeat
+ *     its response to an earlier attempt
  * @param connectTimeout maximum time to establish a new connection
  * @param correlationHeader name of the request header that a response echoes, if the protocol has
- *     one
+ *     one; a response without it counts on a new connection only
  */
 public record HttpCall(
         InetSocketAddress address,
--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
@@ -51,7 +51,7 @@
     private final ResponseDecoder mDecoder = new ResponseDecoder(this::isInCall);
     private SocketChannel mChannel;
     private ActiveCall mCall;
-    private int mCalls;
+    private boolean mReused;
     private boolean mHeadReceived;
     private boolean mDiscarding;
     private boolean mRequestWritten;
@@ -99,7 +99,6 @@
             return;
         }
         mCall = call;
-        mCalls++;
         mHeadReceived = false;
         mDiscarding = false;
         mRequestWritten = false;
@@ -183,7 +182,7 @@
             return;
         }
         if (isOriginUnknown(head)) {
-            fail(CallFailure.Kind.PROTOCOL, "the response does not say to which request it is");
+            fail(CallFailure.Kind.PROTOCOL, "the response names no request");
             return;
         }
         mHeadReceived = true;
@@ -208,7 +207,7 @@
      * connection, where it may be a copy of the response to an earlier call.
      */
     private boolean isOriginUnknown(HttpResponse head) {
-        if (mCalls == 1 || mCall.call().correlationHeader().isEmpty()) {
+        if (!mReused || mCall.call().correlationHeader().isEmpty()) {
             return false;
         }
         CharSequence name = mCall.call().correlationHeader().get();
@@ -254,9 +253,9 @@
     }
 
     /**
-     * Completes a response at the end of the peer's data unless the connection is reset before the
-     * request is written. A peer that closes a connection on which data arrives seems to end its
-     * response first. One that has ended its response only may also stop reading.
+     * Waits, after the end of the peer's data, for a reset until the request is written. A peer
+     * that closes a connection on which data still arrives seems to end its response first. A peer
+     * that has only ended its response may also stop reading, so the wait is bounded.
      */
     private void awaitReset() {
         ActiveCall call = mCall;
@@ -317,6 +316,7 @@
         }
         mChannel.config().setAutoRead(true);
         mIdleSinceNanos = mPool.time().nanoTime();
+        mReused = true;
         mPool.release(this);
         return true;
     }
