--- a/wire/src/test/java/org/boragethread/wire/http/HttpConnectionTest.java
+++ b/wire/src/test/java/org/boragethread/wire/http/HttpConnectionTest.java
@@ -39,6 +39,9 @@
     /** More than the socket buffers of both sides hold. */
     private static final int LARGE_BODY_BYTES = 32 << 20;
 
+    /** Less than the socket buffers of both sides hold. */
+    private static final int BUFFERED_BODY_BYTES = 256 << 10;
+
     /** Time in which a call ends that waits for nothing. */
     private static final int SHORT_MILLIS = 200;
 
@@ -120,6 +123,15 @@
         assertTrue(recorder.outcome().startsWith("BROKEN"), recorder.outcome());
     }
 
+    /** The socket buffers hold the request, so that the call has nothing left to write. */
+    @Test
+    public void closeWithUnreadRequestDoesNotEndBody() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.POST, BUFFERED_BODY_BYTES);
+        acceptAndRespond(recorder).close();
+        assertTrue(recorder.outcome().startsWith("BROKEN"), recorder.outcome());
+    }
+
     @Test
     public void endOfDataEndsBodyOnceRequestIsWritten() throws Exception {
         Recorder recorder = new Recorder();
