Log what makes the head of a response invalid

Seen: a call that failed at an invalid head was logged with 'the response is not valid HTTP', whatever was wrong. Cause: the messages of the HTTP library may hold bytes of the peer, so none was logged. Change: ResponseDecoder throws an InvalidHeadException with a fixed text for the status code, a name and a line that begins with a blank, also in trailers, and HttpConnection adds that text to the detail of the failure. The decoder's tests also have control bytes in values and further trailers, which were rejected.

--- a/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
+++ b/wire/src/main/java/org/boragethread/wire/http/HttpConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -151,8 +152,9 @@
             close();
             return;
         }
-        if (((HttpObject) message).decoderResult().isFailure()) {
-            fail(CallFailure.Kind.PROTOCOL, "the response is not valid HTTP");
+        DecoderResult result = ((HttpObject) message).decoderResult();
+        if (result.isFailure()) {
+            fail(CallFailure.Kind.PROTOCOL, describe(result.cause()));
             return;
         }
         if (message instanceof HttpResponse head) {
@@ -163,6 +165,12 @@
         }
     }
 
+    /** Returns a text for logs; other causes than invalid heads may hold bytes of the peer. */
+    private static String describe(Throwable cause) {
+        String detail = "the response is not valid HTTP";
+        return cause instanceof InvalidHeadException ? detail + ": " + cause.getMessage() : detail;
+    }
+
     private void onHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             mDiscarding = true;
--- a/wire/src/main/java/org/boragethread/wire/http/ResponseDecoder.java
+++ b/wire/src/main/java/org/boragethread/wire/http/ResponseDecoder.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -26,9 +27,12 @@
     /** Status codes from 100 to 599 (RFC 9110, section 15). */
     private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
 
+    /** Result of a check that found no invalid character. */
+    private static final int VALID = -1;
+
     private final BooleanSupplier mIsResponseDue;
     private HttpMethod mMethod = HttpMethod.GET;
-    private boolean mReadingHead;
+    private boolean mReadingFields;
     private boolean mFolded;
     private boolean mAtLineStart;
 
@@ -68,25 +72,26 @@
         return mMethod.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message);
     }
 
-    /** Decodes what has arrived, up to the end of the head at most if it has not ended. */
+    /** Decodes what has arrived, up to the end of the head or trailers at most. */
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output)
             throws Exception {
         int start = input.readerIndex();
         super.decode(context, input, output);
-        if (!mReadingHead) {
+        if (!mReadingFields) {
             return;
         }
         findFoldedLine(input, start);
         if (output.isEmpty()) {
             return;
         }
-        mReadingHead = false;
         if (mFolded) {
-            IllegalArgumentException cause =
-                    new IllegalArgumentException("a line of the head begins with a blank");
+            InvalidHeadException cause = new InvalidHeadException("a line begins with a blank");
             ((HttpObject) output.get(0)).setDecoderResult(DecoderResult.failure(cause));
         }
+        mReadingFields = false;
+        mFolded = false;
+        mAtLineStart = false;
     }
 
     /**
@@ -104,31 +109,32 @@
     /**
      * Creates a response from the words of its first line.
      *
-     * @throws IllegalArgumentException if the status code is not valid
+     * @throws InvalidHeadException if the status code is not valid
      */
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         if (!STATUS_CODE.matcher(initialLine[1]).matches()) {
-            throw new IllegalArgumentException("invalid status code: " + initialLine[1]);
+            throw new InvalidHeadException("the status code is not a number from 100 to 599");
         }
-        mReadingHead = true;
-        mFolded = false;
-        mAtLineStart = false;
+        mReadingFields = true;
         return super.createMessage(initialLine);
     }
 
     /**
-     * Returns the name of a header or trailer. The superclass checks its characters, but leaves out
-     * blanks around it and whatever lies between a blank and the colon.
+     * Returns the name of a header or trailer. The superclass leaves out blanks around it and
+     * whatever lies between a blank and the colon.
      *
      * @param line buffer that holds the line from its first byte on
-     * @throws IllegalArgumentException if the name is not all that precedes the colon
+     * @throws InvalidHeadException if the name is no token, or not all that precedes the colon
      */
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-        if (start > 0 || length == 0 || line[length] != ':') {
-            throw new IllegalArgumentException("invalid header name");
+        mReadingFields = true;
+        AsciiString name = super.splitHeaderName(line, start, length);
+        boolean whole = start == 0 && length > 0 && line[length] == ':';
+        if (!whole || HttpHeaderValidationUtil.validateToken(name) != VALID) {
+            throw new InvalidHeadException("a header name is not a token");
         }
-        return super.splitHeaderName(line, start, length);
+        return name;
     }
 }
--- a/wire/src/test/java/org/boragethread/wire/http/ResponseDecoderTest.java
+++ b/wire/src/test/java/org/boragethread/wire/http/ResponseDecoderTest.java
@@ -177,7 +177,12 @@
                 "\"X-Name\": 1",
                 ": 1",
                 "X-Name",
-                "Two Words");
+                "Two Words",
+                "X-Name: a\u0000b",
+                "X-Name: a\u0001b",
+                "X-Name: a\u000bb",
+                "X-Name: a\u007fb",
+                "X-Name: a\rb");
     }
 
     // Guards against a broken response that is passed on, or whose body is read by other rules.
@@ -218,7 +223,17 @@
     @DataProvider
     private static Object[] invalidTrailers() {
         return new Object[] {
-            "X Name: 1", "X-Name : 1", " X-Name: 1", "X\u0001Name: 1", "X-Name", ": 1"
+            "X Name: 1",
+            "X-Name : 1",
+            " X-Name: 1",
+            "X-First: 1\r\n X-Name: 1",
+            "X-First: 1\r\n\tX-Name: 1",
+            "X\u0001Name: 1",
+            "X\u0000Name: 1",
+            "X-N\u00e4me: 1",
+            "X-Name: a\u0001b",
+            "X-Name",
+            ": 1"
         };
     }
 
