Reject responses of another version than HTTP/1

Cause: the decoder of the HTTP library takes HTTP/0.9, HTTP/2.0 and 'http/1.1' for versions of a response in the form of HTTP/1.1. Change: ResponseDecoder accepts HTTP/1.0 to HTTP/1.9, as RFC 9112 has it. Other words before the status code, other bytes before the version, and lines without a status were rejected before; HTTP/1.0 and a missing reason still pass.

--- a/wire/src/main/java/org/boragethread/wire/http/ResponseDecoder.java
+++ b/wire/src/main/java/org/boragethread/wire/http/ResponseDecoder.java
@@ -24,6 +24,9 @@
     private static final int MAX_HEADER_BYTES = 32768;
     private static final int MAX_CHUNK_BYTES = 65536;
 
+    /** Versions whose messages have the form of HTTP/1.1 (RFC 9112, section 2.3). */
+    private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[0-9]");
+
     /** Status codes from 100 to 599 (RFC 9110, section 15). */
     private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
 
@@ -109,10 +112,13 @@
     /**
      * Creates a response from the words of its first line.
      *
-     * @throws InvalidHeadException if the status code is not valid
+     * @throws InvalidHeadException if the version or the status code is not valid
      */
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
+        if (!VERSION.matcher(initialLine[0]).matches()) {
+            throw new InvalidHeadException("the version is not HTTP/1");
+        }
         if (!STATUS_CODE.matcher(initialLine[1]).matches()) {
             throw new InvalidHeadException("the status code is not a number from 100 to 599");
         }
--- a/wire/src/test/java/org/boragethread/wire/http/ResponseDecoderTest.java
+++ b/wire/src/test/java/org/boragethread/wire/http/ResponseDecoderTest.java
@@ -133,6 +133,34 @@
         assertInvalid(place, "HTTP/1.1 " + code + " OK\r\n");
     }
 
+    @DataProvider
+    private static Iterator<Object[]> invalidStatusLines() {
+        return inEveryPlace(
+                "HTTP/1.1",
+                "HTTP/1.1 ",
+                "HTTP/1.1 OK",
+                "HTTP/1.1  ",
+                "HTTP/1.1 1000 OK",
+                "HTTP/1.1200 OK",
+                "200 OK",
+                "HTTP 200 OK",
+                "HTTP/ 200 OK",
+                "HTTP/1 200 OK",
+                "HTTP/2.0 200 OK",
+                "HTTP/0.9 200 OK",
+                "HTTP/1.11 200 OK",
+                "http/1.1 200 OK",
+                "ICY/1.1 200 OK",
+                "xHTTP/1.1 200 OK",
+                "bodyHTTP/1.1 200 OK");
+    }
+
+    // Guards against a response after other bytes, or of another protocol, that counts as one.
+    @Test(dataProvider = "invalidStatusLines")
+    public void responseWithAnInvalidStatusLineIsRejected(Place place, String line) {
+        assertInvalid(place, line + "\r\n");
+    }
+
     @DataProvider
     private static Iterator<Object[]> validStatusCodes() {
         return inEveryPlace("100", "103", "200", "299", "300", "404", "418", "500", "599");
@@ -150,6 +178,7 @@
     public void reasonMayBeMissing() {
         assertValid(Place.WITH_LENGTH, "HTTP/1.1 200\r\n", 200);
         assertValid(Place.WITH_LENGTH, "HTTP/1.1 200 \r\n", 200);
+        assertValid(Place.WITH_LENGTH, "HTTP/1.0 200 OK\r\n", 200);
     }
 
     @DataProvider
