Test partial bodies in every framing, and that invalid heads close connections

Cause: the tests of early responses had one framing besides the length. Change: HttpConnectionTest plays three endings of a connection after ten heads: no length, Connection: close, HTTP/1.0, an error, after a 1xx head, a length that is not reached, chunks. Another test reads the close after the status 000.

--- a/wire/src/test/java/org/boragethread/wire/http/HttpConnectionTest.java
+++ b/wire/src/test/java/org/boragethread/wire/http/HttpConnectionTest.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -29,6 +30,7 @@
 import org.boragethread.core.time.SystemTimeSource;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests how calls end whose response body is delimited by the end of the connection. */
@@ -164,6 +166,77 @@
         }
     }
 
+    /** Heads after which 4 bytes of a body are not the whole body before the connection ends. */
+    @DataProvider
+    private static Object[] headsOfPartialBodies() {
+        return new Object[] {
+            "HTTP/1.1 200 OK\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\n",
+            "HTTP/1.0 200 OK\r\n\r\n",
+            "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\n",
+            "HTTP/1.1 404 Not Found\r\n\r\n",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+            "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n",
+        };
+    }
+
+    // Guards against a part of a response that counts as a complete one, in any framing.
+    @Test(dataProvider = "headsOfPartialBodies")
+    public void partOfABodyIsNotComplete(String head) throws Exception {
+        for (Ending ending : Ending.values()) {
+            Recorder recorder = new Recorder();
+            send(recorder, HttpMethod.POST, LARGE_BODY_BYTES);
+            Socket connection =
+                    acceptAndRespond(recorder, head.getBytes(StandardCharsets.US_ASCII));
+            ending.end(connection);
+            String outcome = recorder.outcome();
+            assertTrue(outcome.startsWith("BROKEN"), ending + " " + outcome);
+        }
+    }
+
+    /** How a peer ends a connection on which a request is still being written. */
+    private enum Ending {
+        RESET {
+            @Override
+            void end(Socket connection) throws IOException {
+                reset(connection);
+            }
+        },
+        CLOSE {
+            @Override
+            void end(Socket connection) throws IOException {
+                connection.close();
+            }
+        },
+        RESET_AFTER_END {
+            @Override
+            void end(Socket connection) throws IOException {
+                connection.shutdownOutput();
+                reset(connection);
+            }
+        };
+
+        abstract void end(Socket connection) throws IOException;
+    }
+
+    // Guards against a connection that is used again after an invalid head.
+    @Test
+    public void invalidHeadClosesTheConnection() throws Exception {
+        Recorder recorder = new Recorder();
+        send(recorder, HttpMethod.POST, 0);
+        try (Socket connection = mServer.accept()) {
+            connection.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+            String response = "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody";
+            connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+            String detail = "the status code is not a number from 100 to 599";
+            assertEquals(recorder.outcome(), "PROTOCOL: the response is not valid HTTP: " + detail);
+            connection.getInputStream().transferTo(OutputStream.nullOutputStream());
+        }
+    }
+
     /** A connection that this process closed itself was taken for the end of the response. */
     @Test
     public void stopOfEventLoopDoesNotEndBody() throws Exception {
@@ -201,8 +274,12 @@
 
     /** Responds before the request is read, and waits until the response has arrived. */
     private Socket acceptAndRespond(Recorder recorder) throws Exception {
+        return acceptAndRespond(recorder, HEAD);
+    }
+
+    private Socket acceptAndRespond(Recorder recorder, byte[] head) throws Exception {
         Socket connection = mServer.accept();
-        connection.getOutputStream().write(HEAD);
+        connection.getOutputStream().write(head);
         connection.getOutputStream().write(BODY_PART);
         connection.getOutputStream().flush();
         recorder.mBodyReceived.get(WAIT_SECONDS, TimeUnit.SECONDS);
