--- a/standins/src/test/java/org/boragethread/standins/system/EarlyResponseTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/EarlyResponseTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -188,7 +189,7 @@
             case END -> connection.shutdownOutput();
             case END_AND_READ_ON -> {
                 connection.shutdownOutput();
-                request.transferTo(java.io.OutputStream.nullOutputStream());
+                request.transferTo(OutputStream.nullOutputStream());
             }
             case LENGTH -> {}
             default -> throw new IllegalArgumentException(ending.name());
--- a/standins/src/test/java/org/boragethread/standins/system/ResumedErrorTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/ResumedErrorTest.java
@@ -120,6 +120,7 @@
             addGroup("third-" + response, LONG_MILLIS, 3);
             addGroup("cut-" + response, LONG_MILLIS, 2);
             addGroup("standby-" + response, SHORT_MILLIS, 2);
+            addGroup("broken-" + response, LONG_MILLIS, 2);
         }
         mStore.put(
                 StoreStandIn.OPERATOR_TOPIC,
@@ -218,6 +219,22 @@
         assertEquals(received.body().strip(), FIRST.strip());
     }
 
+    // Guards against an error within a stream if the error breaks off in its turn.
+    @Test(dataProvider = "responses")
+    public void streamIsCutOffIfTheErrorBreaksOff(ErrorResponse response) throws Exception {
+        String group = "broken-" + response;
+        CompletableFuture<StreamCaller.Received> received = receive(group, group);
+        Call first = mCalls.await(group, 0);
+        first.write(SteppedCalls.streamHead(group) + FIRST + "id: 1\nda");
+        first.end();
+        Call second = mCalls.await(group, 1);
+        String text = response.text(group, true);
+        second.write(text.substring(0, text.length() - "0\r\n\r\n".length()));
+        second.reset();
+        assertFalse(received.get().complete(), received.get().body());
+        assertEquals(received.get().body().strip(), FIRST.strip());
+    }
+
     // Guards against an error that takes over a stream whose upstream is only slow.
     @Test(dataProvider = "responses")
     public void errorOfASecondAttemptDoesNotEndTheStream(ErrorResponse response) throws Exception {
