Report invalid heads of agents' upstreams as such

Seen: none of ours; the failure of a response with an invalid head said that the upstream had closed the connection. Cause: the exception of the filter closed the connection, and the exchange saw only that. Change: ResponseHeadFilter fails the exchange with what is not valid; the request may have run. Evidence: UpstreamHeadTest.failureSaysWhatIsNotValid failed before.

--- a/agent/src/main/java/org/boragethread/agent/upstream/Exchange.java
+++ b/agent/src/main/java/org/boragethread/agent/upstream/Exchange.java
@@ -182,6 +182,11 @@
         fail(true, "the upstream closed the connection before the response was complete");
     }
 
+    /** Handles a response that is not valid HTTP; the request may have run. */
+    void onInvalid(String detail) {
+        fail(true, detail);
+    }
+
     void failBeforeSend(String detail) {
         fail(false, detail);
     }
--- a/agent/src/main/java/org/boragethread/agent/upstream/ExchangeFilter.java
+++ b/agent/src/main/java/org/boragethread/agent/upstream/ExchangeFilter.java
@@ -22,6 +22,14 @@
         return EXCHANGE.get(connection) != null;
     }
 
+    /** Fails the exchange that uses a connection, if there is one. */
+    static void fail(Connection<?> connection, String detail) {
+        Exchange exchange = EXCHANGE.get(connection);
+        if (exchange != null) {
+            exchange.onInvalid(detail);
+        }
+    }
+
     static void detach(Connection<?> connection) {
         EXCHANGE.remove(connection);
     }
--- a/agent/src/main/java/org/boragethread/agent/upstream/ResponseHeadFilter.java
+++ b/agent/src/main/java/org/boragethread/agent/upstream/ResponseHeadFilter.java
@@ -31,13 +31,20 @@
             HttpHeader header, MimeHeaders fields, FilterChainContext context) {
         int status = ((HttpResponsePacket) header).getStatus();
         if (status < MIN_STATUS || status > MAX_STATUS) {
-            throw new IllegalStateException("invalid status code: " + status);
+            throw reject(context, "the status code is not a number from 100 to 599");
         }
         for (String name : fields.names()) {
             if (name.isEmpty() || HttpHeaderValidationUtil.validateToken(name) != VALID) {
-                throw new IllegalStateException("invalid header name");
+                throw reject(context, "a header name is not a token");
             }
         }
         super.onHttpHeadersParsed(header, fields, context);
     }
+
+    /** Fails the exchange; the exception makes the superclass close the connection. */
+    private static IllegalStateException reject(FilterChainContext context, String cause) {
+        String detail = "the response is not valid HTTP: " + cause;
+        ExchangeFilter.fail(context.getConnection(), detail);
+        return new IllegalStateException(detail);
+    }
 }
--- a/agent/src/test/java/org/boragethread/agent/upstream/UpstreamHeadTest.java
+++ b/agent/src/test/java/org/boragethread/agent/upstream/UpstreamHeadTest.java
@@ -98,6 +98,16 @@
         assertTrue(outcome.startsWith("failed"), outcome);
     }
 
+    // Guards against a broken response that is reported as a closed connection.
+    @Test
+    public void failureSaysWhatIsNotValid() throws Exception {
+        String status = outcome("HTTP/1.1 000 OK\r\n" + LENGTH);
+        assertTrue(status.contains("the status code is not a number"), status);
+        String name = outcome(OK + "\r\nBlank Name: 1\r\n" + LENGTH);
+        assertTrue(name.contains("a header name is not a token"), name);
+        assertTrue(name.contains("maybeSent=true"), name);
+    }
+
     @DataProvider
     private static Object[] validStatusCodes() {
         return new Object[] {200, 204, 299, 404, 500, 599};
