--- a/standins/src/test/java/org/boragethread/standins/system/InvalidHeadTest.java
+++ b/standins/src/test/java/org/boragethread/standins/system/InvalidHeadTest.java
@@ -30,6 +30,9 @@
              "can_resume":%3$s,"timeout_ms":9000,"target_latency_ms":%4$d,"gap_aim_ms":4000,
              "service":"%1$s","max_attempts":3}""";
 
+    private static final String STATUS_FAULT = "the status code is not a number from 100 to 599";
+    private static final String NAME_FAULT = "a header name is not a token";
+
     private static final String SHARES = "[shares]\nretry_ratio = 1\nretry_slack = 0";
 
     private static final String FIRST_EVENT = "id: 0\ndata: one\n\n";
@@ -54,27 +57,36 @@
 
     /** A head, with the body that follows it. */
     private enum Head {
-        ZERO_STATUS("HTTP/1.1 000 OK", "", false),
-        LARGE_STATUS("HTTP/1.1 600 OK", "", false),
-        SIGNED_STATUS("HTTP/1.1 +200 OK", "", false),
-        BLANK_IN_NAME("HTTP/1.1 200 OK", "X Name: 1\r\n", false),
-        BLANK_BEFORE_NAME("HTTP/1.1 200 OK", " X-Name: 1\r\n", false),
-        BLANK_AFTER_NAME("HTTP/1.1 200 OK", "X-Name : 1\r\n", false),
-        BLANK_IN_LENGTH("HTTP/1.1 200 OK", "Content Length: 2\r\n", false),
-        CONTROL_BYTE("HTTP/1.1 200 OK", "X\u0001Name: 1\r\n", false),
-        LARGEST_STATUS("HTTP/1.1 599 Any", "", true),
-        ALL_NAME_CHARACTERS("HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~09azAZ: 1\r\n", true),
-        NO_VALUE("HTTP/1.1 200 OK", "X-Name:\r\n", true),
-        NO_PAUSE("HTTP/1.1 200 OK", "Retry-After: 0\r\n", true);
+        ZERO_STATUS("HTTP/1.1 000 OK", "", STATUS_FAULT),
+        LARGE_STATUS("HTTP/1.1 600 OK", "", STATUS_FAULT),
+        SIGNED_STATUS("HTTP/1.1 +200 OK", "", STATUS_FAULT),
+        OTHER_VERSION("HTTP/2.0 200 OK", "", "the version is not HTTP/1"),
+        BLANK_IN_NAME("HTTP/1.1 200 OK", "X Name: 1\r\n", NAME_FAULT),
+        BLANK_BEFORE_NAME("HTTP/1.1 200 OK", " X-Name: 1\r\n", "a line begins with a blank"),
+        BLANK_AFTER_NAME("HTTP/1.1 200 OK", "X-Name : 1\r\n", NAME_FAULT),
+        BLANK_IN_LENGTH("HTTP/1.1 200 OK", "Content Length: 2\r\n", NAME_FAULT),
+        CONTROL_BYTE("HTTP/1.1 200 OK", "X\u0001Name: 1\r\n", NAME_FAULT),
+        CONTROL_BYTE_IN_VALUE("HTTP/1.1 200 OK", "X-Name: a\u0001b\r\n", "not valid HTTP"),
+        LARGEST_STATUS("HTTP/1.1 599 Any", "", ""),
+        ALL_NAME_CHARACTERS("HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~09azAZ: 1\r\n", ""),
+        NO_VALUE("HTTP/1.1 200 OK", "X-Name:\r\n", ""),
+        NO_PAUSE("HTTP/1.1 200 OK", "Retry-After: 0\r\n", "");
 
         final String mStatusLine;
         final String mLines;
+        final String mFault;
         final boolean mValid;
 
-        Head(String statusLine, String lines, boolean valid) {
+        /**
+         * Creates a head.
+         *
+         * @param fault what the log says of it; empty if it is valid
+         */
+        Head(String statusLine, String lines, String fault) {
             mStatusLine = statusLine;
             mLines = lines;
-            mValid = valid;
+            mFault = fault;
+            mValid = fault.isEmpty();
         }
 
         String group(String kind) {
@@ -247,6 +259,11 @@
             CompletableFuture<HttpResponse<String>> response = post(head.group(kind), id);
             respond(mCalls.await(id, 0), head, framing, "text/plain");
             assertAnswerIfValid(head, response.get());
+            if (!head.mValid) {
+                String upstream = "\"" + head.group(kind) + "-0\"";
+                mGateway.awaitLogLine(
+                        "\"response-broken\"", "\"" + id + "\"", upstream, head.mFault);
+            }
         }
     }
 
