--- a/review/standins-3/Lab.java
+++ b/review/standins-3/Lab.java
@@ -180,6 +180,34 @@
             mServer.start();
         }
 
+        private Map<String, List<byte[]>> mLogsCopy = Map.of();
+        private Map<String, TreeMap<String, Object[]>> mNewestCopy = Map.of();
+        private volatile boolean mAway;
+
+        /** Keeps a copy of all records. */
+        synchronized void copyRecords() {
+            mLogsCopy = new HashMap<>();
+            mLogs.forEach((log, records) -> mLogsCopy.put(log, new ArrayList<>(records)));
+            mNewestCopy = new HashMap<>();
+            mNewest.forEach((log, records) -> mNewestCopy.put(log, new TreeMap<>(records)));
+        }
+
+        /** Refuses all calls until the records are restored. */
+        synchronized void goAway() {
+            mAway = true;
+            notifyAll();
+        }
+
+        /** Comes back from the copy; offsets are given out again. */
+        synchronized void comeBackFromCopy() {
+            mLogs.clear();
+            mLogs.putAll(mLogsCopy);
+            mNewest.clear();
+            mNewest.putAll(mNewestCopy);
+            mEra++;
+            mAway = false;
+        }
+
         String address() {
             return "127.0.0.1:" + mServer.getAddress().getPort();
         }
@@ -226,6 +254,10 @@
                         query.put(pair.substring(0, equals), pair.substring(equals + 1));
                     }
                 }
+                if (mAway) {
+                    json(exchange, 503, "{}");
+                    return;
+                }
                 String log = query.get("topic") + "/" + query.getOrDefault("part", "0");
                 switch (exchange.getRequestURI().getPath()) {
                     case "/v1/log-newest" -> newest(exchange, log);
@@ -287,9 +319,13 @@
                                     Long.parseLong(query.getOrDefault("wait_ms", "0")));
             ByteArrayOutputStream bytes = new ByteArrayOutputStream();
             synchronized (this) {
-                while (from == size(log) && System.nanoTime() < end) {
+                while (from == size(log) && System.nanoTime() < end && !mAway) {
                     wait(Math.max(1, (end - System.nanoTime()) / 1_000_000));
                 }
+                if (mAway) {
+                    json(exchange, 503, "{}");
+                    return;
+                }
                 if (from > size(log)) {
                     json(exchange, 410, "{\"first_offset\":0}");
                     return;
